--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# VENV may name a virtual environment that is already set up.
+VENV ?= .venv
+PYTHON ?= python3
+RUN := $(VENV)/bin/python
+export PYTHONPATH := $(CURDIR)
+SEED ?= 1
+
+.PHONY: setup demo test lint unit bench bench-policy bench-capacity soak
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock
+	test -x $(RUN) || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -r requirements.lock
+	$(VENV)/bin/pip install -q --no-deps --no-build-isolation -e . || $(VENV)/bin/pip install -q --no-deps -e .
+	touch $@
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+unit: setup
+	$(RUN) -m tests.run
+
+test: lint unit
+
+demo: setup
+	$(RUN) -m standins.demo
+
+bench: setup
+	$(VENV)/bin/pip install -q -r requirements-bench.lock
+	$(RUN) -m bench.path
+
+bench-policy: setup
+	$(VENV)/bin/pip install -q -r requirements-bench.lock
+	$(RUN) -m bench.policy
+
+bench-capacity: setup
+	$(RUN) -m bench.capacity
+
+soak: setup
+	$(RUN) -m tests.faults.soak --seed $(SEED)
--- /dev/null
+++ b/banyanseam/__init__.py
@@ -0,0 +1,1 @@
+"""A multi-region inference gateway that shares no written state."""
--- /dev/null
+++ b/banyanseam/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/banyanseam/config/__init__.py
@@ -0,0 +1,1 @@
+"""The published configuration: border models, compilation, versions."""
--- /dev/null
+++ b/banyanseam/config/compiled.py
@@ -0,0 +1,98 @@
+"""The accepted configuration as immutable data classes, as all other code reads it."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """An organisation, its fleet-wide quota and where it may be served."""
+
+    name: str
+    key_digests: tuple[bytes, ...]
+    rate_tokens_per_s: float
+    burst_tokens: int
+    weight: float
+    # Region to share of the whole; the values sum to at most 1.
+    regional_parts: dict[str, float]
+    # None allows every region.
+    regions: frozenset[str] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A path prefix and how requests below it are served."""
+
+    name: str
+    path_prefix: str
+    is_model: bool
+    request_class: str
+    service: str | None
+    deadline_ms: int
+    open_to_all: bool
+    idempotent_methods: frozenset[str]
+    regions: frozenset[str] | None
+    cost_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Seat:
+    """An entry VM's fixed place."""
+
+    name: str
+    region: str
+    data_centre: str
+    callers_address: str
+    peers_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """A replica that answers requests."""
+
+    name: str
+    region: str
+    data_centre: str
+    is_model: bool
+    serves: frozenset[str]
+    address: str
+    decode_tokens_per_s: float
+    prefill_tokens_per_s: float
+    memory_tokens: int
+    max_in_flight: int
+    checks_fencing: bool
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """The weights of the one policy at a site."""
+
+    remote_margin_ms: int
+    remote_share_cap: float
+    link_bytes_per_s: int
+    queue_patience_ms: int
+    retry_budget_share: float
+    byte_budget: int
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """One accepted configuration; `version` only grows."""
+
+    version: int
+    organisations: dict[str, Organisation]
+    routes: dict[str, Route]
+    seats: dict[str, Seat]
+    upstreams: dict[str, Upstream]
+    policies: dict[str, Policy]
+    organisation_by_digest: dict[bytes, str] = field(repr=False)
+
+    @property
+    def regions(self) -> frozenset[str]:
+        """Return the regions that have an overlay."""
+        return frozenset(self.policies)
+
+    def seats_of(self, region: str) -> list[Seat]:
+        """Return a region's seats in order of name."""
+        seats = (seat for seat in self.seats.values() if seat.region == region)
+        return sorted(seats, key=lambda seat: seat.name)
--- /dev/null
+++ b/banyanseam/config/merge.py
@@ -0,0 +1,11 @@
+"""Merging a site's overlay over the base's site defaults (RFC 7396)."""
+
+from copy import deepcopy
+from typing import Any
+
+import json_merge_patch
+
+
+def merge_site(defaults: dict[str, Any], overlay: dict[str, Any]) -> dict[str, Any]:
+    """Return the site section of one region; neither argument is changed."""
+    return json_merge_patch.merge(deepcopy(defaults), deepcopy(overlay))
--- /dev/null
+++ b/banyanseam/config/models.py
@@ -0,0 +1,115 @@
+"""Border models of the published documents, validated field by field.
+
+The operators write one base document and a small overlay for each site. Rules that
+span documents are checked in `banyanseam.config.compile`.
+"""
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
+Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
+PathPrefix = Annotated[str, Field(pattern=r"^/[A-Za-z0-9_./-]*$", max_length=200)]
+Sha256Hex = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+Fraction = Annotated[float, Field(ge=0, le=1)]
+RequestClass = Literal["quick", "long", "service"]
+
+
+class Document(BaseModel):
+    """A part of a published document; unknown fields are refused."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class KeyDigest(Document):
+    """One key of an organisation, as its SHA-256; the key itself is never published."""
+
+    sha256_hex: Sha256Hex
+    label: Name
+
+
+class OrganisationDocument(Document):
+    """An organisation with its keys and its quota over the whole fleet."""
+
+    keys: list[KeyDigest] = Field(default_factory=list, max_length=64)
+    rate_tokens_per_s: float = Field(gt=0, le=1e9)
+    burst_tokens: int = Field(gt=0, le=10**12)
+    weight: float = Field(default=1.0, gt=0, le=1000)
+    # An empty mapping divides the quota evenly over the regions.
+    regional_parts: dict[Name, Fraction] = Field(default_factory=dict)
+    residency: Name | None = None
+
+
+class RouteDocument(Document):
+    """A path prefix and how requests below it are served."""
+
+    path_prefix: PathPrefix
+    kind: Literal["model", "service"]
+    request_class: RequestClass
+    # For a service route, the service that the upstreams name in `serves`.
+    service: Name | None = None
+    deadline_ms: int = Field(default=30_000, ge=10, le=3_600_000)
+    open_to_all: bool = False
+    idempotent_methods: list[Literal["GET", "HEAD", "PUT", "DELETE", "POST"]] = Field(
+        default_factory=lambda: ["GET", "HEAD"]
+    )
+    residency: Name | None = None
+    cost_tokens: int = Field(default=1, ge=0)
+
+
+class ResidencyDocument(Document):
+    """The regions where a class of requests may be served."""
+
+    regions: list[Name] = Field(min_length=1)
+
+
+class SeatDocument(Document):
+    """An entry VM's place: fixed addresses that successive processes take up."""
+
+    data_centre: Name
+    callers_address: Address
+    peers_address: Address
+
+
+class UpstreamDocument(Document):
+    """A model replica or a replica of a plain service."""
+
+    kind: Literal["model", "service"]
+    serves: list[Name] = Field(min_length=1)
+    address: Address
+    data_centre: Name
+    decode_tokens_per_s: float = Field(default=1000.0, gt=0)
+    prefill_tokens_per_s: float = Field(default=10_000.0, gt=0)
+    memory_tokens: int = Field(default=100_000, gt=0)
+    max_in_flight: int = Field(default=64, gt=0)
+    checks_fencing: bool = False
+    leaving: bool = False
+
+
+class PolicyDocument(Document):
+    """How the one policy is weighted at a site."""
+
+    remote_margin_ms: int = Field(default=200, ge=0)
+    remote_share_cap: Fraction = 0.5
+    link_bytes_per_s: int = Field(default=8_000_000, gt=0)
+    queue_patience_ms: int = Field(default=20_000, ge=0)
+    retry_budget_share: Fraction = 0.1
+    byte_budget: int = Field(default=64_000_000, gt=0)
+
+
+class SiteDocument(Document):
+    """What a site's overlay may set."""
+
+    seats: dict[Name, SeatDocument] = Field(default_factory=dict)
+    upstreams: dict[Name, UpstreamDocument] = Field(default_factory=dict)
+    policy: PolicyDocument = Field(default_factory=PolicyDocument)
+
+
+class BaseDocument(Document):
+    """The fleet-wide base; `site` holds the defaults that overlays patch."""
+
+    organisations: dict[Name, OrganisationDocument] = Field(default_factory=dict)
+    routes: dict[Name, RouteDocument] = Field(default_factory=dict)
+    residency: dict[Name, ResidencyDocument] = Field(default_factory=dict)
+    site: SiteDocument = Field(default_factory=SiteDocument)
--- /dev/null
+++ b/banyanseam/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's composition and life cycle."""
--- /dev/null
+++ b/banyanseam/errors.py
@@ -0,0 +1,52 @@
+"""The root of the error family; each concern adds its own in its errors module."""
+
+from typing import ClassVar
+
+from pydantic import BaseModel
+
+
+class Problem(BaseModel):
+    """A refusal or failure as callers read it (RFC 9457 problem details)."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    code: str
+    not_run: bool
+    request_id: str
+    retry_after_ms: int | None = None
+
+
+class BanyanseamError(Exception):
+    """Any failure that this project raises.
+
+    `code` is stable and catalogued in docs/ERRORS.md, `event` is the number that
+    the log uses, `status` the HTTP status, and `not_run` whether a refusal of this
+    class may claim that nothing ran.
+    """
+
+    code: ClassVar[str] = "internal"
+    event: ClassVar[int] = 1000
+    status: ClassVar[int] = 500
+    title: ClassVar[str] = "Internal failure"
+    not_run: ClassVar[bool] = False
+
+    def __init__(self, detail: str = "", *, retry_after_ms: int | None = None) -> None:
+        """Keep the detail for the caller and the advice when to retry."""
+        super().__init__(detail or self.title)
+        self.detail = detail or self.title
+        self.retry_after_ms = retry_after_ms
+
+    def to_problem(self, request_id: str, *, upstream_started: bool) -> Problem:
+        """Describe the failure; `upstream_started` vetoes any claim of not run."""
+        return Problem(
+            type=f"urn:banyanseam:error:{self.code}",
+            title=self.title,
+            status=self.status,
+            detail=self.detail,
+            code=self.code,
+            not_run=self.not_run and not upstream_started,
+            request_id=request_id,
+            retry_after_ms=self.retry_after_ms,
+        )
--- /dev/null
+++ b/banyanseam/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution: tickets and remembered results."""
--- /dev/null
+++ b/banyanseam/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered events, logs and histograms."""
--- /dev/null
+++ b/banyanseam/observe/events.py
@@ -0,0 +1,37 @@
+"""Numbered log events; docs/EVENTS.md is the catalogue that operators read.
+
+Numbers: 1xxx failures (the error classes carry them), 2xxx life cycle,
+3xxx requests, 4xxx peers, 5xxx configuration, 6xxx upstreams, 7xxx quota.
+"""
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+from loguru import logger
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One kind of log line: a stable number, a level and a fixed sentence."""
+
+    number: int
+    level: str
+    message: str
+
+
+DAEMON_READY: Final = Event(2001, "INFO", "The daemon serves callers")
+DAEMON_STOPPED: Final = Event(2002, "INFO", "The daemon has stopped")
+REQUEST_ENDED: Final = Event(3001, "INFO", "A request ended")
+REQUEST_FAILED: Final = Event(3002, "WARNING", "A request was refused or failed")
+LINK_UP: Final = Event(4001, "INFO", "A link to a peer is up")
+LINK_DOWN: Final = Event(4002, "WARNING", "A link to a peer is down")
+CONFIG_ADOPTED: Final = Event(5001, "INFO", "A configuration is in force")
+CONFIG_REJECTED: Final = Event(5002, "ERROR", "A published configuration is invalid")
+CONFIG_SERVICE_DOWN: Final = Event(
+    5003, "WARNING", "The configuration service does not answer"
+)
+
+
+def log(event: Event, **fields: Any) -> None:
+    """Write one event with its fields; callers never pass keys or bodies."""
+    logger.bind(event=event.number, **fields).log(event.level, event.message)
--- /dev/null
+++ b/banyanseam/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between daemons, membership and heartbeats."""
--- /dev/null
+++ b/banyanseam/peers/errors.py
@@ -0,0 +1,72 @@
+"""Failures between daemons."""
+
+from banyanseam.errors import BanyanseamError
+
+
+class PeerUnreachable(BanyanseamError):
+    """No link to the peer could be had, so the message was never sent."""
+
+    code = "peers.unreachable"
+    event = 1200
+    status = 503
+    title = "The peer daemon cannot be reached"
+    not_run = True
+
+
+class PeerCallLost(BanyanseamError):
+    """The message was sent and no answer came: the peer may have acted on it."""
+
+    code = "peers.call_lost"
+    event = 1201
+    status = 502
+    title = "The peer daemon did not answer"
+    not_run = False
+
+
+class PeerRefused(BanyanseamError):
+    """The peer refused the link: wrong proof, unknown seat, newer incarnation."""
+
+    code = "peers.refused"
+    event = 1202
+    status = 502
+    title = "The peer daemon refused the link"
+    not_run = True
+
+
+class PeerProtocolMismatch(PeerRefused):
+    """The peer speaks a version of the protocol that this one does not know."""
+
+    code = "peers.protocol_mismatch"
+    event = 1203
+    title = "The peer daemon speaks another protocol version"
+
+
+class InvalidPeerMessage(BanyanseamError):
+    """A message does not validate; the link that carried it is closed."""
+
+    code = "peers.invalid_message"
+    event = 1204
+    status = 502
+    title = "A message between daemons is not valid"
+
+
+class PeerCallFailed(BanyanseamError):
+    """The peer's handler raised; `peer_code` and `peer_not_run` say what it said."""
+
+    code = "peers.call_failed"
+    event = 1205
+    status = 502
+    title = "The peer daemon answered with a failure"
+
+    def __init__(
+        self,
+        peer_code: str,
+        detail: str,
+        *,
+        peer_not_run: bool,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        """Keep what the peer said."""
+        super().__init__(f"{peer_code}: {detail}", retry_after_ms=retry_after_ms)
+        self.peer_code = peer_code
+        self.peer_not_run = peer_not_run
--- /dev/null
+++ b/banyanseam/peers/messages.py
@@ -0,0 +1,82 @@
+"""Messages between daemons: CBOR maps, validated at the border.
+
+Each concern keeps its own messages beside its code; a subclass registers itself
+under its `kind`.
+"""
+
+from dataclasses import dataclass
+from typing import Any, ClassVar
+
+import cbor2
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from banyanseam.peers.errors import InvalidPeerMessage
+
+_TYPES_BY_KIND: dict[str, type["Message"]] = {}
+
+
+class Message(BaseModel):
+    """The base of every message; subclasses name their `kind`."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    kind: ClassVar[str] = ""
+
+    def __init_subclass__(cls, **kwargs: Any) -> None:
+        """Register the subclass so that its kind can be decoded."""
+        super().__init_subclass__(**kwargs)
+        if cls.kind:
+            known = _TYPES_BY_KIND.setdefault(cls.kind, cls)
+            if known.__qualname__ != cls.__qualname__:
+                raise TypeError(f"kind {cls.kind} is taken by {known.__qualname__}")
+
+
+@dataclass(frozen=True, slots=True)
+class PeerIdentity:
+    """Who is at the other end of a link: a seat and one of its processes."""
+
+    seat: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """A message with the call that it opens or answers; call 0 means neither."""
+
+    call: int
+    is_reply: bool
+    message: Message
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the CBOR form of an envelope."""
+    message = envelope.message
+    return cbor2.dumps(
+        [message.kind, envelope.call, envelope.is_reply, message.model_dump()]
+    )
+
+
+def decode(data: bytes) -> Envelope:
+    """Return the validated envelope; raise InvalidPeerMessage."""
+    try:
+        kind, call, is_reply, body = cbor2.loads(data)
+        message = _TYPES_BY_KIND[kind].model_validate(body)
+    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError) as error:
+        if isinstance(error, ValidationError):
+            first = error.errors(include_input=False, include_url=False)[0]
+            raise InvalidPeerMessage(f"{first['loc']}: {first['msg']}") from error
+        raise InvalidPeerMessage(type(error).__name__) from error
+    if not isinstance(call, int) or not isinstance(is_reply, bool):
+        raise InvalidPeerMessage("the envelope's call or reply mark")
+    return Envelope(call, is_reply, message)
+
+
+class Failure(Message):
+    """The reply to a call whose handler raised: the error's stable code."""
+
+    kind = "failure"
+
+    code: str
+    detail: str
+    not_run: bool
+    retry_after_ms: int | None = None
--- /dev/null
+++ b/banyanseam/pipe/__init__.py
@@ -0,0 +1,1 @@
+"""The filters that one request passes, in order."""
--- /dev/null
+++ b/banyanseam/server/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP border towards callers and operators."""
--- /dev/null
+++ b/banyanseam/settings.py
@@ -0,0 +1,62 @@
+"""The process's own settings: where it sits, what it listens on, whom it asks."""
+
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, SecretStr, ValidationError
+
+from banyanseam.config.models import Address, Name
+from banyanseam.errors import BanyanseamError
+
+Listen = Annotated[Address, Field(description="IP address and port")]
+
+
+class InvalidSettings(BanyanseamError):
+    """The settings file is missing, is not JSON or breaks a rule."""
+
+    code = "settings.invalid"
+    event = 1001
+    status = 500
+    title = "The settings file is not valid"
+    not_run = True
+
+
+class TlsSettings(BaseModel):
+    """Certificates for the links between daemons."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    certificate_path: Path
+    key_path: Path
+    authority_path: Path
+
+
+class Settings(BaseModel):
+    """Everything that one daemon process is told on its own VM."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    seat: Name
+    region: Name
+    data_centre: Name
+    callers_address: Listen
+    peers_address: Listen
+    operators_address: Listen
+    config_service_addresses: list[Address] = Field(min_length=1)
+    fleet_secret: SecretStr = Field(min_length=16)
+    # Until a configuration is read, a new process asks these peers for one.
+    first_peers: list[Address] = Field(default_factory=list)
+    peers_tls: TlsSettings | None = None
+    log_level: str = "INFO"
+
+
+def read_settings(path: Path) -> Settings:
+    """Read and check a settings file; raise InvalidSettings with what to change."""
+    try:
+        return Settings.model_validate_json(path.read_bytes())
+    except OSError as error:
+        raise InvalidSettings(f"{path}: {error.strerror}") from error
+    except ValidationError as error:
+        first = error.errors(include_input=False, include_url=False)[0]
+        where = ".".join(str(part) for part in first["loc"]) or "$"
+        raise InvalidSettings(f"{path}: {where}: {first['msg']}") from error
--- /dev/null
+++ b/banyanseam/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing, filling and watching upstreams."""
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each a short script on shared helpers."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and of upstreams, for demo, tests and bench."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, arranged as the package is."""
--- /dev/null
+++ b/tests/common.py
@@ -0,0 +1,160 @@
+"""Fakes and builders that the tests of every concern share."""
+
+import hashlib
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import trio.testing
+
+from banyanseam.config.compile import compile_config
+from banyanseam.config.compiled import Config
+from banyanseam.errors import BanyanseamError
+from banyanseam.peers.contract import CallHandler, CastHandler
+from banyanseam.peers.errors import PeerCallFailed, PeerCallLost, PeerUnreachable
+from banyanseam.peers.messages import Envelope, Message, PeerIdentity, decode, encode
+
+KEY = "key-of-acme"
+
+
+def run_mocked(function: Callable[..., Awaitable[Any]], *args: Any) -> Any:
+    """Run an async test on trio's clock, which jumps when everything waits."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return anyio.run(function, *args, backend="trio", backend_options={"clock": clock})
+
+
+def digest(key: str) -> str:
+    """Return the published digest of a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def make_documents(
+    regions: tuple[str, ...] = ("gulf", "piedmont", "delta"), seats: int = 3
+) -> tuple[dict[str, Any], dict[str, dict[str, Any]]]:
+    """Return a base document and its overlays, for tests to alter."""
+    base = {
+        "organisations": {
+            "acme": {
+                "keys": [{"sha256_hex": digest(KEY), "label": "first"}],
+                "rate_tokens_per_s": 1000,
+                "burst_tokens": 10_000,
+            }
+        },
+        "routes": {
+            "chat": {
+                "path_prefix": "/v1/chat/completions",
+                "kind": "model",
+                "request_class": "quick",
+            },
+            "clinic": {
+                "path_prefix": "/clinic/",
+                "kind": "service",
+                "request_class": "service",
+                "service": "clinic",
+            },
+        },
+    }
+    overlays = {}
+    for index, region in enumerate(regions):
+        port = 10_000 + 1000 * index
+        overlays[region] = {
+            "seats": {
+                f"{region}-{number}": {
+                    "data_centre": f"{region}-dc{number % 2}",
+                    "callers_address": f"127.0.0.1:{port + number}",
+                    "peers_address": f"127.0.0.1:{port + 100 + number}",
+                }
+                for number in range(1, seats + 1)
+            },
+            "upstreams": {
+                f"{region}-engine-1": {
+                    "kind": "model",
+                    "serves": ["oak"],
+                    "address": f"127.0.0.1:{port + 200}",
+                    "data_centre": f"{region}-dc1",
+                }
+            },
+        }
+    return base, overlays
+
+
+def make_config(version: int = 1, **kwargs: Any) -> Config:
+    """Return the compiled form of `make_documents`."""
+    return compile_config(version, *make_documents(**kwargs))
+
+
+class FakeFabric:
+    """Joins fake networks in memory, with delay, loss and cuts, on the test's clock."""
+
+    def __init__(self, seed: int = 1, delay_s: float = 0.001, loss: float = 0) -> None:
+        self.random = random.Random(seed)
+        self.delay_s = delay_s
+        self.loss = loss
+        self.networks: dict[str, FakeNetwork] = {}
+        self.cut: set[frozenset[str]] = set()
+        self.messages = 0
+
+    def join(self, seat: str, incarnation: int = 1) -> "FakeNetwork":
+        """Return a network for a new process at a seat; the older one is dead."""
+        self.networks[seat] = FakeNetwork(self, PeerIdentity(seat, incarnation))
+        return self.networks[seat]
+
+    def is_cut(self, first: str, second: str) -> bool:
+        """Say whether two seats cannot reach each other."""
+        return frozenset((first, second)) in self.cut
+
+
+class FakeNetwork:
+    """The contract of `banyanseam.peers.contract.Network`, in memory."""
+
+    def __init__(self, fabric: FakeFabric, me: PeerIdentity) -> None:
+        self.fabric = fabric
+        self.me = me
+        self.calls: dict[type[Message], CallHandler] = {}
+        self.casts: dict[type[Message], CastHandler] = {}
+
+    def handle_call(self, message_type: type[Message], handler: CallHandler) -> None:
+        self.calls[message_type] = handler
+
+    def handle_cast(self, message_type: type[Message], handler: CastHandler) -> None:
+        self.casts[message_type] = handler
+
+    async def _carry(self, seat: str, message: Message) -> "FakeNetwork | None":
+        """Return who got the message; None when it was lost on the way."""
+        if seat not in self.fabric.networks or self.fabric.is_cut(self.me.seat, seat):
+            raise PeerUnreachable(seat)
+        self.fabric.messages += 1
+        decode(encode(Envelope(0, False, message)))
+        await anyio.sleep(self.fabric.delay_s)
+        if self.fabric.random.random() < self.fabric.loss:
+            return None
+        if self.fabric.is_cut(self.me.seat, seat):
+            return None
+        return self.fabric.networks.get(seat)
+
+    async def call(
+        self, seat: str, message: Message, reply_type: type[Any], timeout_s: float
+    ) -> Any:
+        peer = await self._carry(seat, message)
+        with anyio.move_on_after(timeout_s):
+            if peer is None:
+                await anyio.sleep_forever()
+            try:
+                reply = await peer.calls[type(message)](self.me, message)
+            except BanyanseamError as error:
+                raise PeerCallFailed(
+                    error.code,
+                    error.detail,
+                    peer_not_run=error.not_run,
+                    retry_after_ms=error.retry_after_ms,
+                ) from error
+            if await peer._carry(self.me.seat, reply) is None:
+                await anyio.sleep_forever()
+            return reply
+        raise PeerCallLost(seat)
+
+    async def cast(self, seat: str, message: Message) -> None:
+        peer = await self._carry(seat, message)
+        if peer is not None:
+            peer.casts[type(message)](self.me, message)
