Define the exchange that passes the filters

Change: Exchange, the reply sink and composition. Filters push into the sink rather than returning a body: cleanup then stays in the filter's own frame, and no cancel scope crosses a generator's yield. Ruled out: returned async generators, for that reason. Conclusion: filters can be written one by one.

--- /dev/null
+++ b/banyanseam/pipe/models.py
@@ -0,0 +1,102 @@
+"""What passes through the filters: one exchange with one caller."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from banyanseam.config.compiled import Organisation, Route
+from banyanseam.peers.messages import PeerIdentity
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class ReplySink(Protocol):
+    """Where the answer goes: the caller's connection or the daemon that forwarded."""
+
+    # True from the moment that the status was handed to the sink.
+    started: bool
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the status line and headers; may wait for a slow reader."""
+        ...
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body; may wait for a slow reader."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """What a request may use at most, in tokens."""
+
+    prompt_tokens: int
+    max_output_tokens: int
+
+    @property
+    def total_tokens(self) -> int:
+        """Return the whole that quota and upstream memory are charged."""
+        return self.prompt_tokens + self.max_output_tokens
+
+
+@dataclass(slots=True)
+class Usage:
+    """What a request used in fact; None where the upstream did not say."""
+
+    prompt_tokens: int | None = None
+    output_tokens: int | None = None
+    cached_tokens: int = 0
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One request, what the filters found out about it, and its reply."""
+
+    request_id: str
+    method: str
+    path: str
+    query: bytes
+    # Names in lower case; the caller's credentials are gone after `authenticate`.
+    headers: Headers
+    body: bytes
+    received_s: float
+    reply: ReplySink
+    # Set when another daemon of ours forwarded the request.
+    forwarder: PeerIdentity | None = None
+    key_digest: bytes | None = None
+    organisation: Organisation | None = None
+    route: Route | None = None
+    # Where it may be served; None allows every region.
+    regions: frozenset[str] | None = None
+    deadline_s: float = 0.0
+    model: str | None = None
+    is_idempotent: bool = False
+    fingerprint: str = ""
+    cost: Cost = field(default_factory=lambda: Cost(0, 0))
+    usage: Usage = field(default_factory=Usage)
+    # True from the first byte written to an upstream: nothing may claim not run.
+    upstream_started: bool = False
+    upstream: str | None = None
+
+    def find_header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, by its name in lower case."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+Next = Callable[[Exchange], Awaitable[None]]
+# A filter refuses by raising a BanyanseamError and passes on by awaiting `next_`.
+Filter = Callable[[Exchange, Next], Awaitable[None]]
+
+
+def compose(filters: list[Filter], last: Next) -> Next:
+    """Join the filters, first one outermost, around the last step."""
+    step = last
+    for filter_ in reversed(filters):
+        step = _bind(filter_, step)
+    return step
+
+
+def _bind(filter_: Filter, step: Next) -> Next:
+    async def bound(exchange: Exchange) -> None:
+        await filter_(exchange, step)
+
+    return bound
