Count what an upstream holds over its whole region

Cause: an upstream dies when the requests that it holds outgrow its memory, and no daemon alone sees all of them; its own report lags and shows only what is used so far.

Change: one keeper per pool grants leases on room. It counts the larger of its leases and the report plus what was sent since, adds what the report shows beyond its leases, starts with 5% of the memory for 3 s when it is new, and takes a quarter of the free part per report while another keeper is possible. Ruled out: limits per daemon (9 daemons cannot share a memory without idling most of it), counting by reports alone, a majority vote.

--- /dev/null
+++ b/banyanseam/upstreams/choose.py
@@ -0,0 +1,212 @@
+"""Which upstream, and before it which region, a request should go to.
+
+A keeper picks among the upstreams of its pool, since it alone knows what each holds. An
+entry picks between the pools of its region and other regions by what their keepers last
+told it; being many, entries compare two sampled pools and the prefix-affine one rather
+than rush to the best (Mitzenmacher, "The Power of Two Choices", 2001).
+"""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from banyanseam.config.compiled import Policy
+from banyanseam.upstreams.const import (
+    BYTES_PER_TOKEN,
+    HYSTERESIS,
+    LOAD_BOUND,
+    RAMP_S,
+    ROUND_TRIP_BETWEEN_REGIONS_S,
+    SHARE_HALF_LIFE_S,
+)
+from banyanseam.upstreams.models import Demand, PoolRow
+from banyanseam.upstreams.prefix import make_rendezvous_key, rank_by_rendezvous
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An upstream with room, as its keeper sees it."""
+
+    name: str
+    held_tokens: int
+    # Prompt tokens sent to it and not yet computed, its report's lag made good.
+    queued_tokens: int
+    running: int
+    decode_tokens_per_s: float
+    prefill_tokens_per_s: float
+    cached_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class RegionSummary:
+    """What another region says of its pools for one model or service."""
+
+    region: str
+    free_tokens: int
+    largest_free_tokens: int
+    wait_ms: int
+    prefill_tokens_per_s: float
+    # Since when the region is heard without a break.
+    heard_since_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LocalPool:
+    """The choice of a pool in this region."""
+
+    pool: str
+
+
+@dataclass(frozen=True, slots=True)
+class RemoteRegion:
+    """The choice to forward to a daemon of another region."""
+
+    region: str
+
+
+Place = LocalPool | RemoteRegion
+
+
+def estimate_start_s(candidate: Candidate, demand: Demand) -> float:
+    """Return the time to the first token, and the slowdown by what already runs."""
+    uncached = max(0, demand.prompt_tokens - candidate.cached_tokens)
+    ahead = candidate.queued_tokens + uncached
+    step_s = (candidate.running + 1) / candidate.decode_tokens_per_s
+    return ahead / candidate.prefill_tokens_per_s + step_s
+
+
+def pick_upstream(
+    candidates: Sequence[Candidate],
+    demand: Demand,
+    pool_load: float,
+    pool_decode_tokens_per_s: float,
+    preferred: str | None,
+) -> Candidate | None:
+    """Return where to run a request, or None when there is no candidate.
+
+    The upstream with the longest cached prefix, or the preferred one for an unknown
+    prompt, takes it while its load stays within the bound of the pool's mean;
+    `pool_load` is the tokens that the whole pool holds.
+    """
+    if not candidates:
+        return None
+    by_start = sorted(
+        candidates, key=lambda each: (estimate_start_s(each, demand), each.held_tokens)
+    )
+    warmest = max(candidates, key=lambda each: each.cached_tokens)
+    if warmest.cached_tokens == 0:
+        warmest = next((each for each in candidates if each.name == preferred), None)
+    if warmest is None:
+        return by_start[0]
+    mean_per_rate = (pool_load + demand.tokens) / pool_decode_tokens_per_s
+    bound = LOAD_BOUND * mean_per_rate * warmest.decode_tokens_per_s
+    # One request may always land on an idle upstream, however large it is.
+    fits = warmest.held_tokens + demand.tokens <= bound or warmest.running == 0
+    return warmest if fits else by_start[0]
+
+
+class Spill:
+    """How much this entry sends to other regions, and whether it is at it."""
+
+    def __init__(self, now_s: float) -> None:
+        """Start with everything at home."""
+        self._remote = 0.0
+        self._all = 0.0
+        self._updated_s = now_s
+        self._is_spilling = False
+
+    def note(self, *, is_remote: bool, now_s: float) -> None:
+        """Count one request."""
+        self._decay(now_s)
+        self._all += 1
+        self._remote += is_remote
+
+    def is_under_cap(self, cap: float, now_s: float) -> bool:
+        """Say whether one more request may leave the region."""
+        self._decay(now_s)
+        return self._remote + 1 <= max(1.0, cap * (self._all + 1))
+
+    def wins(self, gain_s: float, margin_s: float) -> bool:
+        """Say whether a gain is enough; once it was, a smaller one keeps it so."""
+        needed_s = margin_s * HYSTERESIS if self._is_spilling else margin_s
+        self._is_spilling = gain_s >= needed_s
+        return self._is_spilling
+
+    def _decay(self, now_s: float) -> None:
+        factor = 0.5 ** ((now_s - self._updated_s) / SHARE_HALF_LIFE_S)
+        self._remote *= factor
+        self._all *= factor
+        self._updated_s = now_s
+
+
+def pick_place(
+    pools: Sequence[PoolRow],
+    regions: Sequence[RegionSummary],
+    demand: Demand,
+    policy: Policy,
+    spill: Spill,
+    random: Random,
+    now_s: float,
+) -> Place | None:
+    """Return where a request should go, or None when nothing serves it.
+
+    `pools` are those of this region that are allowed and have a usable upstream,
+    `regions` the allowed others. Without such a pool the cap and margin do not bind,
+    since staying would refuse what another region can serve.
+    """
+    pool = _sample_pool(pools, demand, random)
+    offers = [each for each in regions if _is_ramped(each, random, now_s)]
+    remote = min(
+        offers,
+        key=lambda each: estimate_remote_s(each, demand, policy),
+        default=None,
+    )
+    if remote is None:
+        remote_is_last_resort = pool is None and bool(regions)
+        if remote_is_last_resort:
+            return RemoteRegion(random.choice(regions).region)
+        return LocalPool(pool.pool) if pool else None
+    if pool is None:
+        return RemoteRegion(remote.region)
+    local_s = estimate_pool_s(pool, demand)
+    gain_s = local_s - estimate_remote_s(remote, demand, policy)
+    wins = spill.wins(gain_s, policy.remote_margin_ms / 1000)
+    if wins and spill.is_under_cap(policy.remote_share_cap, now_s):
+        return RemoteRegion(remote.region)
+    return LocalPool(pool.pool)
+
+
+def estimate_pool_s(row: PoolRow, demand: Demand) -> float:
+    """Return the wait and prefill in a pool of this region, cached in part."""
+    return row.wait_ms / 1000 + demand.prompt_tokens / row.prefill_tokens_per_s
+
+
+def estimate_remote_s(region: RegionSummary, demand: Demand, policy: Policy) -> float:
+    """Return the wait, the way there and back, and a prefill on a cold cache."""
+    if demand.tokens > region.largest_free_tokens and region.wait_ms == 0:
+        return math.inf
+    transfer_s = demand.tokens * BYTES_PER_TOKEN / policy.link_bytes_per_s
+    prefill_s = demand.prompt_tokens / region.prefill_tokens_per_s
+    return region.wait_ms / 1000 + ROUND_TRIP_BETWEEN_REGIONS_S + transfer_s + prefill_s
+
+
+def _sample_pool(
+    pools: Sequence[PoolRow], demand: Demand, random: Random
+) -> PoolRow | None:
+    if not pools:
+        return None
+    sampled = random.sample(list(pools), min(2, len(pools)))
+    best = min(sampled, key=lambda row: (row.wait_ms, -row.free_tokens))
+    if not demand.prefix:
+        return best
+    key = make_rendezvous_key(demand.prefix)
+    first = rank_by_rendezvous(key, [row.pool for row in pools])[0]
+    affine = next(row for row in pools if row.pool == first)
+    saved_s = demand.prompt_tokens / affine.prefill_tokens_per_s
+    return affine if affine.wait_ms <= best.wait_ms + 1000 * saved_s else best
+
+
+def _is_ramped(region: RegionSummary, random: Random, now_s: float) -> bool:
+    """Let a region that came back take a share that grows, as its caches are cold."""
+    return random.random() * RAMP_S <= now_s - region.heard_since_s
--- /dev/null
+++ b/banyanseam/upstreams/const.py
@@ -0,0 +1,70 @@
+"""Constants of choosing upstreams and of counting what they hold."""
+
+from typing import Final
+
+# Leases on room.
+RENEW_PERIOD_S: Final = 1.0
+LEASE_TERM_S: Final = 3.5
+ANNOUNCE_TERM_S: Final = 2.5
+LEARNING_S: Final = 3.0
+QUIET_S: Final = 10.0
+MAX_GAP_S: Final = 1.5
+GRANT_USE_S: Final = 1.0
+LINGER_S: Final = 2.0
+# Parts of an upstream's memory and of what its report proves free.
+MARGIN_SHARE: Final = 0.1
+LEARNING_SHARE: Final = 0.05
+DISPUTED_SHARE: Final = 0.25
+
+# Load reports.
+MIN_POLL_PERIOD_S: Final = 0.5
+MAX_POLL_PERIOD_S: Final = 2.0
+# One keeper spends no more than this, however many upstreams it keeps.
+MAX_POLLS_PER_S: Final = 10
+POLL_TIMEOUT_S: Final = 1.0
+REPORT_TERM_S: Final = 3.0
+FLIGHT_S: Final = 0.1
+
+# Pools and their queues.
+MAX_POOL_UPSTREAMS: Final = 8
+MAX_BYPASSES: Final = 8
+LOOK_AHEAD: Final = 4
+OUTPUT_WEIGHT: Final = 2.0
+RATE_HALF_LIFE_S: Final = 10.0
+RESERVE_SLACK_S: Final = 1.0
+FORGET_PERIOD_S: Final = 60.0
+RESERVE_RETRY_S: Final = 0.05
+KEEPER_PERIOD_S: Final = 0.25
+
+# Health.
+FAILURES_TO_EJECT: Final = 3
+FIRST_PAUSE_S: Final = 1.0
+MAX_PAUSE_S: Final = 60.0
+PROBE_TERM_S: Final = 30.0
+
+# Prefix affinity.
+PREFIX_BLOCK_BYTES: Final = 1024
+MAX_PREFIX_BLOCKS: Final = 32
+MAX_PREFIX_ENTRIES: Final = 20_000
+# Short enough for most sessions, long enough to reach past a common preamble.
+RENDEZVOUS_BLOCK: Final = 3
+LOAD_BOUND: Final = 1.25
+
+# Other regions.
+REGION_TERM_S: Final = 5.0
+RAMP_S: Final = 30.0
+SHARE_HALF_LIFE_S: Final = 10.0
+HYSTERESIS: Final = 0.5
+ROUND_TRIP_BETWEEN_REGIONS_S: Final = 0.11
+MAX_SECTION_BYTES: Final = 4096
+BYTES_PER_TOKEN: Final = 4
+MIN_RETRY_AFTER_MS: Final = 100
+MAX_RETRY_AFTER_MS: Final = 30_000
+
+# Connections to upstreams.
+CONNECT_TIMEOUT_S: Final = 1.0
+POOL_TIMEOUT_S: Final = 1.0
+READ_TIMEOUT_S: Final = 30.0
+WRITE_TIMEOUT_S: Final = 10.0
+MAX_IDLE_CONNECTIONS: Final = 8
+IDLE_CONNECTION_S: Final = 5.0
--- /dev/null
+++ b/banyanseam/upstreams/errors.py
@@ -0,0 +1,82 @@
+"""Failures of finding room on an upstream and of sending to it."""
+
+from banyanseam.errors import BanyanseamError
+
+
+class NoUpstreamAllowed(BanyanseamError):
+    """No upstream that serves this lies where the request may be served."""
+
+    code = "upstreams.none_allowed"
+    event = 1600
+    status = 421
+    title = "No upstream may serve this request where it must stay"
+    not_run = True
+
+
+class NoUpstreamAvailable(BanyanseamError):
+    """Upstreams exist but none is healthy and has room in time."""
+
+    code = "upstreams.none_available"
+    event = 1601
+    status = 503
+    title = "No upstream can take this request now"
+    not_run = True
+
+
+class RequestTooLarge(BanyanseamError):
+    """The request would not fit in any allowed upstream, even in an idle one."""
+
+    code = "upstreams.request_too_large"
+    event = 1602
+    status = 413
+    title = "The request is larger than the memory of any upstream"
+    not_run = True
+
+
+class NotKeeper(BanyanseamError):
+    """This daemon does not keep the pool; the asker's view differs for a moment."""
+
+    code = "upstreams.not_keeper"
+    event = 1603
+    status = 503
+    title = "Another daemon keeps this pool of upstreams"
+    not_run = True
+
+
+class UpstreamUnreachable(BanyanseamError):
+    """The upstream could not be reached: no byte of the request was written."""
+
+    code = "upstreams.unreachable"
+    event = 1604
+    status = 502
+    title = "The upstream cannot be reached"
+    not_run = True
+
+
+class UpstreamRefused(BanyanseamError):
+    """The upstream proved that it did not start the request."""
+
+    code = "upstreams.refused"
+    event = 1605
+    status = 503
+    title = "The upstream refused the request before it started"
+    not_run = True
+
+
+class UpstreamFailed(BanyanseamError):
+    """The upstream failed after the request was sent: it may have run."""
+
+    code = "upstreams.failed"
+    event = 1606
+    status = 502
+    title = "The upstream failed while it may have run the request"
+    not_run = False
+
+
+class UpstreamTimedOut(UpstreamFailed):
+    """The upstream fell silent after the request was sent: it may still run."""
+
+    code = "upstreams.timed_out"
+    event = 1607
+    status = 504
+    title = "The upstream did not answer in time"
--- /dev/null
+++ b/banyanseam/upstreams/held.py
@@ -0,0 +1,238 @@
+"""Tokens held on one upstream over the whole region, as its keeper counts them.
+
+An upstream dies when what it holds outgrows its memory, so no grant may rest on hope:
+what is free is counted from the larger of two views. One is the leases that entries
+hold, each for the most that its request can use. The other is the upstream's own
+report, which lags, shows only what is used so far, and includes what this keeper never
+granted. Times are in seconds on the keeper's clock, sizes in tokens.
+"""
+
+from dataclasses import dataclass
+
+from banyanseam.upstreams.const import (
+    ANNOUNCE_TERM_S,
+    DISPUTED_SHARE,
+    FLIGHT_S,
+    LEARNING_S,
+    LEARNING_SHARE,
+    LEASE_TERM_S,
+    LINGER_S,
+    MARGIN_SHARE,
+    MAX_GAP_S,
+    QUIET_S,
+    REPORT_TERM_S,
+)
+from banyanseam.upstreams.models import LeaseKey, LoadReport
+
+
+@dataclass(slots=True)
+class Lease:
+    """Room that an entry holds; `ends_s` is set when it was given back."""
+
+    tokens: int
+    granted_s: float
+    renewed_s: float
+    # A run that was cut off may go on for a while after its lease is released.
+    ends_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A lease that a lagging report may still include."""
+
+    tokens: int
+    ended_s: float
+
+
+class HeldTokens:
+    """The leases on one upstream, its last report, and what may be granted."""
+
+    def __init__(
+        self,
+        memory_tokens: int,
+        max_in_flight: int,
+        now_s: float,
+        *,
+        is_reported: bool = True,
+    ) -> None:
+        """Start as a new keeper, which knows of no lease yet.
+
+        Without reports (a plain service) only the number of leases is bounded.
+        """
+        self.memory_tokens = memory_tokens
+        self.is_reported = is_reported
+        self.max_in_flight = max_in_flight
+        self.leases: dict[LeaseKey, Lease] = {}
+        self.report: LoadReport | None = None
+        self.learning_until_s = now_s + LEARNING_S
+        self.learning_granted_tokens = 0
+        # Since when nothing hints at another keeper.
+        self.quiet_since_s = now_s
+        self._announced_s: dict[str, float] = {}
+        self._was_complete = False
+        self._looked_s = now_s
+        self._ended: list[Ended] = []
+        self._granted_since_report: dict[LeaseKey, Lease] = {}
+
+    @property
+    def capacity_tokens(self) -> int:
+        """Return the largest reservation that an idle upstream can take."""
+        if not self.is_reported:
+            return self.memory_tokens
+        return int(self.memory_tokens * (1 - MARGIN_SHARE))
+
+    def restart(self, now_s: float) -> None:
+        """Become a new keeper again, as after a freeze; known leases stay counted."""
+        self.learning_until_s = now_s + LEARNING_S
+        self.learning_granted_tokens = 0
+        self.quiet_since_s = now_s
+        self._announced_s.clear()
+        self._was_complete = False
+
+    def reserve(
+        self, key: LeaseKey, tokens: int, seats: frozenset[str], now_s: float
+    ) -> bool:
+        """Grant room if it is free; `seats` are the region's published seats."""
+        self.expire(seats, now_s)
+        if tokens > self.count_free_tokens(seats, now_s):
+            return False
+        if now_s < self.learning_until_s:
+            self.learning_granted_tokens += tokens
+        lease = Lease(tokens, now_s, now_s)
+        self.leases[key] = lease
+        self._granted_since_report[key] = lease
+        return True
+
+    def announce(
+        self, seat: str, incarnation: int, leases: dict[int, int], now_s: float
+    ) -> None:
+        """Take the full list of an entry's leases, which renews them.
+
+        A lease that the list omits was given back, unless it is so new that the list
+        may have crossed its grant. An unknown one was granted by an earlier keeper.
+        """
+        self._announced_s[seat] = now_s
+        for number, tokens in leases.items():
+            key = LeaseKey(seat, incarnation, number)
+            lease = self.leases.setdefault(key, Lease(tokens, now_s, now_s))
+            if lease.ends_s is None:
+                lease.renewed_s = now_s
+        for key, lease in list(self.leases.items()):
+            is_of_entry = key.seat == seat and key.incarnation == incarnation
+            is_old = now_s - lease.granted_s > ANNOUNCE_TERM_S
+            if is_of_entry and is_old and key.number not in leases:
+                self.release(key, now_s, lingers=True)
+
+    def release(self, key: LeaseKey, now_s: float, *, lingers: bool) -> None:
+        """Give a lease back, after a while when its run may still go on."""
+        lease = self.leases.get(key)
+        if lease is None:
+            return
+        if not lingers:
+            self._end(key, now_s)
+        elif lease.ends_s is None:
+            lease.ends_s = now_s + LINGER_S
+
+    def expire(self, seats: frozenset[str], now_s: float) -> None:
+        """Free the leases of silent entries and note who no longer announces.
+
+        Called often; a long gap means that this process slept, and that another
+        daemon may have become keeper meanwhile.
+        """
+        if now_s - self._looked_s > MAX_GAP_S:
+            self.restart(now_s)
+        self._looked_s = now_s
+        for key, lease in list(self.leases.items()):
+            ends_s = lease.ends_s or lease.renewed_s + LEASE_TERM_S
+            if now_s >= ends_s:
+                self._end(key, now_s)
+        oldest_s = now_s - REPORT_TERM_S - LEASE_TERM_S
+        self._ended = [ended for ended in self._ended if ended.ended_s > oldest_s]
+        is_complete = self._is_complete(seats, now_s)
+        if self._was_complete and not is_complete:
+            self.quiet_since_s = now_s
+        self._was_complete = is_complete
+
+    def observe(self, report: LoadReport, now_s: float) -> None:
+        """Take a load report; one older than the last is ignored."""
+        if self.report is not None and report.as_of_s < self.report.as_of_s:
+            return
+        self.report = report
+        self._granted_since_report = {
+            key: lease
+            for key, lease in self._granted_since_report.items()
+            if lease.granted_s > report.as_of_s - FLIGHT_S
+        }
+        if self.count_foreign_tokens() > 0:
+            self.quiet_since_s = now_s
+
+    def count_foreign_tokens(self) -> int:
+        """Return what the report shows beyond this keeper's leases."""
+        if self.report is None:
+            return 0
+        at_s = self.report.as_of_s
+        known = [
+            lease.tokens
+            for lease in self.leases.values()
+            if lease.granted_s <= at_s + FLIGHT_S
+        ]
+        known += [
+            ended.tokens for ended in self._ended if ended.ended_s >= at_s - FLIGHT_S
+        ]
+        foreign_runs = self.report.running - len(known)
+        if foreign_runs <= 0:
+            return max(0, self.report.held_tokens - sum(known))
+        # The report tells no run from another, so the foreign ones may be the largest.
+        return self.report.held_tokens
+
+    def count_held_tokens(self) -> int:
+        """Return the most that the upstream may come to hold by what is granted."""
+        own = sum(lease.tokens for lease in self.leases.values())
+        if self.report is None:
+            return own
+        since = sum(lease.tokens for lease in self._granted_since_report.values())
+        foreign = self.count_foreign_tokens()
+        return max(own + foreign, self.report.held_tokens + since)
+
+    def is_undisputed(self, seats: frozenset[str], now_s: float) -> bool:
+        """Say whether no other daemon can be granting room on this upstream.
+
+        True while every published seat announces to this one, or after a long time
+        without a hint of another keeper.
+        """
+        if self._is_complete(seats, now_s):
+            return True
+        return now_s - self.quiet_since_s >= QUIET_S
+
+    def count_free_tokens(self, seats: frozenset[str], now_s: float) -> int:
+        """Return the largest request that may be granted now."""
+        if len(self.leases) >= self.max_in_flight:
+            return 0
+        if not self.is_reported:
+            return self.memory_tokens
+        is_fresh = (
+            self.report is not None and now_s - self.report.as_of_s <= REPORT_TERM_S
+        )
+        free = self.capacity_tokens - self.count_held_tokens()
+        if now_s < self.learning_until_s:
+            allowance = int(self.memory_tokens * LEARNING_SHARE)
+            left = allowance - self.learning_granted_tokens
+            return max(0, min(free, left)) if is_fresh else 0
+        if self.is_undisputed(seats, now_s):
+            return max(0, free)
+        if not is_fresh:
+            return 0
+        # Another keeper may grant as much before either sees the other's in a report.
+        since = sum(lease.tokens for lease in self._granted_since_report.values())
+        return max(0, int((free + since) * DISPUTED_SHARE) - since)
+
+    def _is_complete(self, seats: frozenset[str], now_s: float) -> bool:
+        return all(
+            now_s - self._announced_s.get(seat, -ANNOUNCE_TERM_S) < ANNOUNCE_TERM_S
+            for seat in seats
+        )
+
+    def _end(self, key: LeaseKey, now_s: float) -> None:
+        lease = self.leases.pop(key)
+        self._granted_since_report.pop(key, None)
+        self._ended.append(Ended(lease.tokens, now_s))
--- /dev/null
+++ b/banyanseam/upstreams/kept_pool.py
@@ -0,0 +1,352 @@
+"""One pool as its keeper runs it: who waits, who holds what, and where to send."""
+
+import math
+from dataclasses import dataclass, field
+
+from banyanseam.errors import BanyanseamError
+from banyanseam.upstreams.choose import Candidate, pick_upstream
+from banyanseam.upstreams.const import (
+    LOOK_AHEAD,
+    MAX_BYPASSES,
+    MAX_RETRY_AFTER_MS,
+    MIN_RETRY_AFTER_MS,
+    RATE_HALF_LIFE_S,
+)
+from banyanseam.upstreams.errors import NoUpstreamAvailable, RequestTooLarge
+from banyanseam.upstreams.fair_queue import FairQueue, Waiting
+from banyanseam.upstreams.health import Health
+from banyanseam.upstreams.held import HeldTokens
+from banyanseam.upstreams.models import (
+    Demand,
+    LeaseKey,
+    LoadReport,
+    Outcome,
+    PoolRow,
+)
+from banyanseam.upstreams.pools import Pool
+from banyanseam.upstreams.prefix import PrefixTable, prefer
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """A waiting request that got room."""
+
+    key: LeaseKey
+    upstream: str
+    cached_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A waiting request that will get none in time."""
+
+    key: LeaseKey
+    error: BanyanseamError
+
+
+@dataclass(slots=True)
+class Running:
+    """A granted request and what it was charged for."""
+
+    upstream: str
+    demand: Demand
+
+
+@dataclass(slots=True)
+class Kept:
+    """One upstream of the pool."""
+
+    held: HeldTokens
+    health: Health = field(default_factory=Health)
+    # When a prompt was sent and how much of it was not cached.
+    sent: list[tuple[float, int]] = field(default_factory=list)
+
+
+class KeptPool:
+    """The state of a pool at its keeper; times are on the keeper's clock."""
+
+    def __init__(self, pool: Pool, seats: frozenset[str], now_s: float) -> None:
+        """Start as a new keeper."""
+        self.queue = FairQueue()
+        self.prefixes = PrefixTable()
+        self.kept: dict[str, Kept] = {}
+        self._running: dict[LeaseKey, Running] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._released_tokens = 0.0
+        self._updated_s = now_s
+        self.update(pool, seats, frozenset(), now_s)
+
+    def update(
+        self,
+        pool: Pool,
+        seats: frozenset[str],
+        leaving: frozenset[str],
+        now_s: float,
+    ) -> None:
+        """Take the published pool, the region's published seats and who leaves."""
+        self.pool = pool
+        self.seats = seats
+        self.upstreams = {upstream.name: upstream for upstream in pool.upstreams}
+        self._leaving = leaving | {
+            upstream.name for upstream in pool.upstreams if upstream.leaving
+        }
+        for name, upstream in self.upstreams.items():
+            if name not in self.kept:
+                held = HeldTokens(
+                    upstream.memory_tokens,
+                    upstream.max_in_flight,
+                    now_s,
+                    is_reported=upstream.is_model,
+                )
+                self.kept[name] = Kept(held)
+            self.kept[name].held.memory_tokens = upstream.memory_tokens
+            self.kept[name].held.max_in_flight = upstream.max_in_flight
+        for name in self.kept.keys() - self.upstreams.keys():
+            del self.kept[name]
+
+    def ask(
+        self, key: LeaseKey, demand: Demand, give_up_s: float, now_s: float
+    ) -> None:
+        """Let a request wait for room.
+
+        Raise RequestTooLarge when it never fits, NoUpstreamAvailable when no upstream
+        is usable or the wait would be longer than it can give.
+        """
+        usable = self._list_usable(demand, now_s)
+        if not usable:
+            raise NoUpstreamAvailable(retry_after_ms=1000)
+        if all(demand.tokens > self.kept[name].held.capacity_tokens for name in usable):
+            raise RequestTooLarge(f"{demand.tokens} tokens")
+        wait_s = 0.0
+        if len(self.queue):
+            ahead = self.queue.count_tokens_ahead(demand, give_up_s)
+            wait_s = ahead / self.measure_rate(now_s)
+        if now_s + wait_s > give_up_s:
+            retry_ms = _bound_retry(1000 * (now_s + wait_s - give_up_s))
+            raise NoUpstreamAvailable("the wait is too long", retry_after_ms=retry_ms)
+        self.queue.add(Waiting(give_up_s, now_s, key, demand))
+
+    def dispatch(self, now_s: float) -> tuple[list[Placed], list[Refused]]:
+        """Give free room to waiting requests in fair order."""
+        self._forget_expired(now_s)
+        refused = [
+            Refused(
+                waiting.key,
+                NoUpstreamAvailable(
+                    "no room in time", retry_after_ms=MIN_RETRY_AFTER_MS * 10
+                ),
+            )
+            for waiting in self.queue.pop_expired(now_s)
+        ]
+        placed = []
+        free = self._count_free(now_s) if len(self.queue) else {}
+        while (next_ := self._place_next(free, now_s)) is not None:
+            placed.append(next_)
+            name = next_.upstream
+            free[name] = self.kept[name].held.count_free_tokens(self.seats, now_s)
+        return placed, refused
+
+    def withdraw(self, key: LeaseKey, now_s: float) -> None:
+        """Take back a request that was not sent, whether it waits or has room."""
+        running = self._running.get(key)
+        if self.queue.remove(key) is None and running is not None:
+            self.release(key, running.upstream, Outcome.UNUSED, 0, now_s)
+
+    def release(
+        self,
+        key: LeaseKey,
+        upstream: str,
+        outcome: Outcome,
+        output_tokens: int,
+        now_s: float,
+    ) -> None:
+        """End a lease, of an earlier keeper too, and learn from how it went."""
+        kept = self.kept.get(upstream)
+        if kept is None:
+            return
+        lingers = outcome in (Outcome.STOPPED, Outcome.FAILED)
+        kept.held.release(key, now_s, lingers=lingers)
+        self._settle(key, outcome, output_tokens, now_s)
+        if outcome is Outcome.UNUSED:
+            kept.health.note_unused()
+        elif outcome is Outcome.COMPLETED:
+            kept.health.note_success()
+        elif outcome is Outcome.FAILED and kept.health.note_failure(now_s):
+            self.prefixes.forget(upstream)
+
+    def announce(
+        self,
+        seat: str,
+        incarnation: int,
+        leases: dict[str, dict[int, int]],
+        now_s: float,
+    ) -> None:
+        """Take the full lists of an entry's leases on this pool's upstreams."""
+        for name, kept in self.kept.items():
+            kept.held.announce(seat, incarnation, leases.get(name, {}), now_s)
+
+    def observe(self, upstream: str, report: LoadReport | None, now_s: float) -> None:
+        """Take a polled report, or None when the poll failed."""
+        kept = self.kept.get(upstream)
+        if kept is None:
+            return
+        kept.health.note_poll(is_answered=report is not None)
+        if report is None:
+            return
+        kept.held.observe(report, now_s)
+        kept.sent = [sent for sent in kept.sent if sent[0] > report.as_of_s]
+
+    def restart(self, now_s: float) -> None:
+        """Become a new keeper again, as after a freeze."""
+        for kept in self.kept.values():
+            kept.held.restart(now_s)
+
+    def summarise(self, now_s: float) -> PoolRow:
+        """Return what entries and other regions are told."""
+        usable = self._list_usable(None, now_s)
+        free = [
+            self.kept[name].held.count_free_tokens(self.seats, now_s) for name in usable
+        ]
+        queued = sum(
+            waiting.demand.tokens for waiting in self.queue.in_order(len(self.queue))
+        )
+        members = [self.upstreams[name] for name in usable]
+        return PoolRow(
+            pool=self.pool.name,
+            free_tokens=sum(free),
+            largest_free_tokens=max(free, default=0),
+            wait_ms=int(1000 * queued / self.measure_rate(now_s)),
+            queued=len(self.queue),
+            decode_tokens_per_s=sum(each.decode_tokens_per_s for each in members),
+            prefill_tokens_per_s=max(
+                (each.prefill_tokens_per_s for each in members), default=0.0
+            ),
+        )
+
+    def measure_rate(self, now_s: float) -> float:
+        """Return the reserved tokens that come free a second, at least what decodes."""
+        self._decay(now_s)
+        measured = self._released_tokens * math.log(2) / RATE_HALF_LIFE_S
+        decode = sum(each.decode_tokens_per_s for each in self.upstreams.values())
+        return max(measured, decode)
+
+    def _settle(
+        self, key: LeaseKey, outcome: Outcome, output_tokens: int, now_s: float
+    ) -> None:
+        """Give an organisation back what its request was charged and did not use."""
+        running = self._running.pop(key, None)
+        if running is None:
+            return
+        demand = running.demand
+        self._count_released(demand.tokens, now_s)
+        if outcome is Outcome.UNUSED:
+            self.queue.charge(demand, -demand.prompt_tokens, -demand.max_output_tokens)
+            return
+        unused = max(0, demand.max_output_tokens - output_tokens)
+        self.queue.charge(demand, 0, -unused)
+
+    def _forget_expired(self, now_s: float) -> None:
+        """Drop what was granted to entries that fell silent."""
+        for kept in self.kept.values():
+            kept.held.expire(self.seats, now_s)
+        for key, running in list(self._running.items()):
+            kept = self.kept.get(running.upstream)
+            if kept is None or key not in kept.held.leases:
+                del self._running[key]
+
+    def _place_next(self, free: dict[str, int], now_s: float) -> Placed | None:
+        passed_over: list[Waiting] = []
+        open_free = dict(free)
+        for waiting in self.queue.in_order(LOOK_AHEAD):
+            chosen = self._pick(waiting.demand, open_free, now_s)
+            if chosen is not None:
+                for earlier in passed_over:
+                    earlier.bypasses += 1
+                return self._grant(waiting, chosen, now_s)
+            passed_over.append(waiting)
+            if waiting.bypasses >= MAX_BYPASSES:
+                self._claim(waiting.demand, open_free)
+        return None
+
+    def _claim(self, demand: Demand, free: dict[str, int]) -> None:
+        """Keep one upstream clear for a large request that others passed too often."""
+        able = [
+            name
+            for name in free
+            if name not in demand.avoid
+            and self.kept[name].held.capacity_tokens >= demand.tokens
+        ]
+        if able:
+            del free[max(able, key=lambda name: (free[name], name))]
+
+    def _pick(
+        self, demand: Demand, free: dict[str, int], now_s: float
+    ) -> Candidate | None:
+        names = [
+            name
+            for name, tokens in free.items()
+            if demand.tokens <= tokens and name not in demand.avoid
+        ]
+        usable = [name for name in names if self.kept[name].health.may_send(now_s)]
+        load = sum(kept.held.count_held_tokens() for kept in self.kept.values())
+        decode = sum(each.decode_tokens_per_s for each in self.upstreams.values())
+        candidates = [self._describe(name, demand) for name in usable]
+        preferred = prefer(demand.prefix, self.upstreams)
+        return pick_upstream(candidates, demand, load, decode, preferred)
+
+    def _describe(self, name: str, demand: Demand) -> Candidate:
+        kept = self.kept[name]
+        upstream = self.upstreams[name]
+        report = kept.held.report
+        cached = self.prefixes.count_cached_tokens(demand.prefix, name)
+        queued = report.queued_tokens if report else 0
+        return Candidate(
+            name=name,
+            held_tokens=kept.held.count_held_tokens(),
+            queued_tokens=queued + sum(tokens for _, tokens in kept.sent),
+            running=len(kept.held.leases),
+            decode_tokens_per_s=upstream.decode_tokens_per_s,
+            prefill_tokens_per_s=upstream.prefill_tokens_per_s,
+            cached_tokens=min(cached, demand.prompt_tokens),
+        )
+
+    def _grant(self, waiting: Waiting, chosen: Candidate, now_s: float) -> Placed:
+        demand = waiting.demand
+        kept = self.kept[chosen.name]
+        kept.held.reserve(waiting.key, demand.tokens, self.seats, now_s)
+        kept.health.note_sent(now_s)
+        kept.sent.append((now_s, demand.prompt_tokens - chosen.cached_tokens))
+        self.queue.remove(waiting.key)
+        self.queue.charge(demand, demand.prompt_tokens, demand.max_output_tokens)
+        self.prefixes.note_sent(demand.prefix, chosen.name)
+        self._running[waiting.key] = Running(chosen.name, demand)
+        return Placed(waiting.key, chosen.name, chosen.cached_tokens)
+
+    def _count_free(self, now_s: float) -> dict[str, int]:
+        return {
+            name: self.kept[name].held.count_free_tokens(self.seats, now_s)
+            for name in self._list_usable(None, now_s)
+        }
+
+    def _list_usable(self, demand: Demand | None, now_s: float) -> list[str]:
+        avoid = demand.avoid if demand else frozenset()
+        return [
+            name
+            for name, kept in self.kept.items()
+            if name not in avoid
+            and name not in self._leaving
+            and not (kept.held.report and kept.held.report.leaving)
+            and kept.health.may_send(now_s)
+        ]
+
+    def _count_released(self, tokens: int, now_s: float) -> None:
+        self._decay(now_s)
+        self._released_tokens += tokens
+
+    def _decay(self, now_s: float) -> None:
+        self._released_tokens *= 0.5 ** ((now_s - self._updated_s) / RATE_HALF_LIFE_S)
+        self._updated_s = now_s
+
+
+def _bound_retry(retry_ms: float) -> int:
+    return int(max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, retry_ms)))
--- /dev/null
+++ b/tests/upstreams/test_held.py
@@ -0,0 +1,219 @@
+import random
+import unittest
+from dataclasses import dataclass, field
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from banyanseam.upstreams.const import LEARNING_S, QUIET_S
+from banyanseam.upstreams.held import HeldTokens
+from banyanseam.upstreams.models import LeaseKey, LoadReport
+
+MEMORY_TOKENS = 100_000
+STEP_S = 0.1
+SEATS = frozenset({"one", "two", "three"})
+
+
+@dataclass
+class Process:
+    """An entry that may also be keeper; `runs` are its requests at the upstream."""
+
+    seat: str
+    incarnation: int
+    asleep_until_s: float = 0.0
+    dead: bool = False
+    views: dict[str, bool] = field(default_factory=lambda: dict.fromkeys(SEATS, True))
+    held: HeldTokens | None = None
+    runs: dict[int, int] = field(default_factory=dict)
+    asked: int = 0
+
+
+class Region:
+    """Three seats before one upstream, with lost messages, kills, freezes and cuts."""
+
+    def __init__(self, seed: int, loss: float, load: float) -> None:
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.load = load
+        self.now_s = 100.0
+        self.processes = {seat: Process(seat, 1) for seat in SEATS}
+        # Runs at the upstream: (seat, incarnation, number) to tokens and end.
+        self.runs: dict[LeaseKey, tuple[int, float]] = {}
+        self.history: list[tuple[float, int, int]] = []
+        self.cut: set[frozenset[str]] = set()
+        self.granted = 0
+        self.most_held = 0
+
+    def reaches(self, first: str, second: str) -> bool:
+        if first == second:
+            return True
+        ends = self.processes[first], self.processes[second]
+        up = not any(end.dead or end.asleep_until_s > self.now_s for end in ends)
+        return up and frozenset((first, second)) not in self.cut
+
+    def gets_through(self, first: str, second: str) -> bool:
+        if first == second:
+            return True
+        return self.reaches(first, second) and self.random.random() >= self.loss
+
+    def keeper_of(self, process: Process) -> str:
+        return min(seat for seat in SEATS if process.views[seat])
+
+    def step(self) -> None:
+        self.now_s += STEP_S
+        for process in self.processes.values():
+            if not process.dead and process.asleep_until_s <= self.now_s:
+                self.run(process)
+        for key, (_, ends_s) in list(self.runs.items()):
+            if ends_s <= self.now_s:
+                self.end(key)
+        held = sum(tokens for tokens, _ in self.runs.values())
+        self.history.append((self.now_s, held, len(self.runs)))
+        self.most_held = max(self.most_held, held)
+
+    def end(self, key: LeaseKey) -> None:
+        del self.runs[key]
+        process = self.processes[key.seat]
+        if process.incarnation != key.incarnation or process.dead:
+            return
+        process.runs.pop(key.number, None)
+        keeper = self.keeper_of(process)
+        held = self.processes[keeper].held
+        if held is not None and self.gets_through(key.seat, keeper):
+            held.release(key, self.now_s, lingers=False)
+
+    def run(self, process: Process) -> None:
+        for seat in SEATS:
+            # A seat is believed dead 1 to 2 s after it was last reached.
+            if self.reaches(process.seat, seat):
+                process.views[seat] = True
+            elif self.random.random() < STEP_S / 1.5:
+                process.views[seat] = False
+        keeper = self.keeper_of(process)
+        if keeper != process.seat:
+            process.held = None
+        elif process.held is None:
+            process.held = HeldTokens(MEMORY_TOKENS, 1000, self.now_s)
+        if process.held is not None:
+            self.keep(process.held)
+        if self.random.random() < 2 * STEP_S:
+            self.announce(process, keeper)
+        if self.random.random() < self.load * STEP_S:
+            self.ask(process, keeper)
+
+    def keep(self, held: HeldTokens) -> None:
+        held.expire(SEATS, self.now_s)
+        if self.history and self.random.random() < STEP_S / 0.5:
+            lag = self.random.randint(1, min(7, len(self.history)))
+            as_of_s, tokens, running = self.history[-lag]
+            held.observe(LoadReport(tokens, 0, running, False, as_of_s), self.now_s)
+
+    def announce(self, process: Process, keeper: str) -> None:
+        held = self.processes[keeper].held
+        if held is not None and self.gets_through(process.seat, keeper):
+            held.announce(process.seat, process.incarnation, process.runs, self.now_s)
+
+    def ask(self, process: Process, keeper: str) -> None:
+        held = self.processes[keeper].held
+        if held is None or not self.gets_through(process.seat, keeper):
+            return
+        process.asked += 1
+        tokens = int(self.random.choice((500, 5_000, 30_000)))
+        key = LeaseKey(process.seat, process.incarnation, process.asked)
+        if not held.reserve(key, tokens, SEATS, self.now_s):
+            return
+        if not self.gets_through(process.seat, keeper):
+            return
+        self.granted += 1
+        process.runs[process.asked] = tokens
+        self.runs[key] = (tokens, self.now_s + self.random.uniform(0.5, 20))
+
+    def kill(self, seat: str) -> None:
+        self.processes[seat].dead = True
+        for key, (tokens, ends_s) in self.runs.items():
+            if key.seat == seat:
+                # The upstream cancels what nobody reads any more.
+                self.runs[key] = (tokens, min(ends_s, self.now_s + 1))
+
+    def restart(self, seat: str) -> None:
+        if self.processes[seat].dead:
+            incarnation = self.processes[seat].incarnation + 1
+            self.processes[seat] = Process(seat, incarnation)
+
+    def fault(self, kind: str, seat: str) -> None:
+        if kind == "kill":
+            self.kill(seat)
+        elif kind == "restart":
+            self.restart(seat)
+        elif kind == "freeze":
+            self.processes[seat].asleep_until_s = self.now_s + 6
+        elif kind == "cut":
+            self.cut |= {frozenset((seat, other)) for other in SEATS - {seat}}
+        else:
+            self.cut.clear()
+
+
+FAULTS = st.lists(
+    st.tuples(
+        st.integers(1, 60),
+        st.sampled_from(("kill", "restart", "freeze", "cut", "join")),
+        st.sampled_from(sorted(SEATS)),
+    ),
+    max_size=10,
+)
+
+
+class HeldTests(unittest.TestCase):
+    @settings(max_examples=150)
+    @given(
+        faults=FAULTS,
+        seed=st.integers(0, 10_000),
+        loss=st.sampled_from((0.0, 0.05, 0.3)),
+        load=st.sampled_from((1.0, 5.0, 20.0)),
+    )
+    def test_upstream_is_never_driven_out_of_memory(self, faults, seed, loss, load):
+        region = Region(seed, loss, load)
+        for pause, kind, seat in [*faults, (60, "join", "one")]:
+            for _ in range(pause * 2):
+                region.step()
+            region.fault(kind, seat)
+        self.assertLessEqual(region.most_held, MEMORY_TOKENS)
+
+    def test_memory_is_used_when_nothing_fails(self):
+        region = Region(seed=5, loss=0.0, load=20.0)
+        for _ in range(600):
+            region.step()
+        self.assertGreater(region.most_held, 0.8 * MEMORY_TOKENS)
+
+    def test_new_keeper_counts_what_others_granted(self):
+        held = HeldTokens(MEMORY_TOKENS, 100, 0.0)
+        held.announce("two", 1, {7: 60_000}, 0.1)
+        held.observe(LoadReport(10_000, 0, 1, False, 0.1), 0.2)
+        self.assertEqual(held.count_free_tokens(SEATS, 0.2), 5_000)
+        for seat in SEATS:
+            held.announce(seat, 1, {7: 60_000} if seat == "two" else {}, LEARNING_S)
+        self.assertEqual(held.count_free_tokens(SEATS, LEARNING_S), 30_000)
+
+    def test_unknown_run_in_the_report_shows_another_keeper(self):
+        held = HeldTokens(MEMORY_TOKENS, 100, 0.0)
+        now_s = QUIET_S + 1
+        held.expire(SEATS, now_s)
+        held.quiet_since_s = 0.0
+        held.learning_until_s = 0.0
+        held.observe(LoadReport(0, 0, 0, False, now_s), now_s)
+        self.assertEqual(held.count_free_tokens(SEATS, now_s), 90_000)
+        held.observe(LoadReport(40_000, 0, 1, False, now_s), now_s)
+        self.assertEqual(held.count_free_tokens(SEATS, now_s), 12_500)
+
+    def test_silent_entry_loses_its_leases(self):
+        held = HeldTokens(MEMORY_TOKENS, 100, 0.0)
+        held.announce("two", 1, {7: 60_000}, 1.0)
+        held.expire(SEATS, 2.0)
+        self.assertEqual(held.count_held_tokens(), 60_000)
+        for tenth in range(20, 46):
+            held.expire(SEATS, tenth / 10)
+        self.assertEqual(held.count_held_tokens(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
