Reserve room at keepers and send to upstreams with an exact first byte

Cause: entries need one limit per upstream, a fair order over all entries, and must know for certain whether a request may have run.

Change: keeper (answers, polls, queue) and room (leases, renewals in one batch per keeper and second, a waiting call leaves a former keeper), summaries between regions, the client over httpcore whose trace marks the first byte, a connection of its own for calls that may not be repeated, and the queue filter. Ruled out: reading the outcome from exception types alone, since httpcore reports a closed idle connection and a cut answer alike.

With single lines altered: the call to a frozen former keeper never ended; a leaving upstream (report, configuration) got a grant; a dead entry's room and a lost release never came free; a new keeper granted beyond the announced leases; a silent upstream got grants; a pool outside the residency rule was chosen; a crossed answer passed; a sent request counted as unreachable; the key reached the upstream; with kept-alive connections three calls shared one. An expiry of omitted leases turned out to be covered by their term and is gone.

Conclusion: tests/upstreams test_room and test_client pass.

--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -30,6 +30,8 @@
 CONFIG_SERVICE_DOWN: Final = Event(
     5003, "WARNING", "The configuration service does not answer"
 )
+KEEPER_CHANGED: Final = Event(6001, "INFO", "A pool of upstreams changed its keeper")
+UPSTREAM_POLL_FAILED: Final = Event(6002, "WARNING", "An upstream did not report load")
 
 
 def log(event: Event, **fields: Any) -> None:
--- a/banyanseam/pipe/models.py
+++ b/banyanseam/pipe/models.py
@@ -6,6 +6,7 @@
 
 from banyanseam.config.compiled import Organisation, Route
 from banyanseam.peers.messages import PeerIdentity
+from banyanseam.upstreams.models import Grant
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -76,6 +77,10 @@
     # True from the first byte written to an upstream: nothing may claim not run.
     upstream_started: bool = False
     upstream: str | None = None
+    # Room on that upstream, while the request holds some.
+    grant: Grant | None = None
+    # Upstreams that failed this request; another try goes elsewhere.
+    avoided_upstreams: set[str] = field(default_factory=set)
 
     def find_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, by its name in lower case."""
--- /dev/null
+++ b/banyanseam/pipe/queue.py
@@ -0,0 +1,148 @@
+"""The filter that waits for room on an upstream, or sends the request elsewhere."""
+
+import json
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from banyanseam.config.compiled import Config
+from banyanseam.errors import BanyanseamError
+from banyanseam.pipe.models import Exchange, Filter, Next
+from banyanseam.upstreams.choose import LocalPool, RemoteRegion
+from banyanseam.upstreams.errors import (
+    NoUpstreamAllowed,
+    UpstreamFailed,
+    UpstreamRefused,
+    UpstreamUnreachable,
+)
+from banyanseam.upstreams.models import Demand, Grant, Outcome
+from banyanseam.upstreams.prefix import hash_prefix
+from banyanseam.upstreams.room import Room
+
+# Hand a request to a daemon of another region and pass its answer on.
+Forward = Callable[[Exchange, str], Awaitable[None]]
+# Raise when a request may no longer start, as when its key was withdrawn.
+Recheck = Callable[[Exchange], None]
+
+
+def make_queue(
+    room: Room,
+    region: str,
+    get_config: Callable[[], Config],
+    forward: Forward,
+    recheck: Recheck,
+) -> Filter:
+    """Return the filter; it holds room for as long as the next steps run."""
+
+    async def queue(exchange: Exchange, next_: Next) -> None:
+        demand = make_demand(exchange)
+        serves = get_served(exchange)
+        patience_s = get_config().policies[region].queue_patience_ms / 1000
+        give_up_s = min(exchange.deadline_s, anyio.current_time() + patience_s)
+        place = room.choose_place(
+            serves,
+            demand,
+            exchange.regions,
+            may_forward=exchange.forwarder is None,
+        )
+        if isinstance(place, RemoteRegion):
+            try:
+                await forward(exchange, place.region)
+                return
+            except BanyanseamError as error:
+                if not error.not_run or exchange.upstream_started:
+                    raise
+                place = _choose_local(room, exchange, serves, demand, error)
+        grant = await _reserve_usable(room, place.pool, demand, give_up_s)
+        await _use(room, grant, exchange, next_, recheck)
+
+    return queue
+
+
+def make_demand(exchange: Exchange) -> Demand:
+    """Return what an exchange asks of an upstream."""
+    organisation = exchange.organisation
+    is_model = exchange.route is not None and exchange.route.is_model
+    prompt = read_prompt(exchange.body) if is_model else b""
+    return Demand(
+        organisation=organisation.name if organisation else "",
+        weight=organisation.weight if organisation else 1.0,
+        prompt_tokens=exchange.cost.prompt_tokens,
+        max_output_tokens=exchange.cost.max_output_tokens,
+        prefix=hash_prefix(prompt),
+        avoid=frozenset(exchange.avoided_upstreams),
+    )
+
+
+def get_served(exchange: Exchange) -> str:
+    """Return the model or service that an upstream must serve."""
+    if exchange.route is None:
+        raise NoUpstreamAllowed("no route")
+    named = exchange.model if exchange.route.is_model else exchange.route.service
+    return named or ""
+
+
+def read_prompt(body: bytes) -> bytes:
+    """Return the contents of a chat body as the engines hash them, or nothing."""
+    try:
+        messages = json.loads(body)["messages"]
+        return "\n".join(str(message["content"]) for message in messages).encode()
+    except (ValueError, KeyError, TypeError):
+        return b""
+
+
+def _choose_local(
+    room: Room,
+    exchange: Exchange,
+    serves: str,
+    demand: Demand,
+    error: BanyanseamError,
+) -> LocalPool:
+    """Return a pool of this region, or raise what the other region said."""
+    try:
+        return room.choose_place(serves, demand, exchange.regions, may_forward=False)
+    except BanyanseamError:
+        raise error from None
+
+
+async def _reserve_usable(
+    room: Room, pool: str, demand: Demand, give_up_s: float
+) -> Grant:
+    while True:
+        grant = await room.reserve(pool, demand, give_up_s)
+        if room.is_usable(grant):
+            return grant
+        await room.release(grant, Outcome.UNUSED)
+
+
+async def _use(
+    room: Room, grant: Grant, exchange: Exchange, next_: Next, recheck: Recheck
+) -> None:
+    outcome = Outcome.UNUSED
+    was_started = exchange.upstream_started
+    try:
+        recheck(exchange)
+        exchange.grant = grant
+        exchange.upstream = grant.upstream
+        outcome = Outcome.STOPPED
+        await next_(exchange)
+        outcome = Outcome.COMPLETED
+    except UpstreamUnreachable:
+        outcome = Outcome.UNREACHABLE
+        exchange.avoided_upstreams.add(grant.upstream)
+        raise
+    except UpstreamRefused:
+        outcome = Outcome.UNUSED
+        # The upstream itself proved that this try did not start.
+        exchange.upstream_started = was_started
+        exchange.avoided_upstreams.add(grant.upstream)
+        raise
+    except UpstreamFailed:
+        outcome = Outcome.FAILED
+        exchange.avoided_upstreams.add(grant.upstream)
+        raise
+    finally:
+        exchange.grant = None
+        with anyio.CancelScope(shield=True):
+            output_tokens = exchange.usage.output_tokens or 0
+            await room.release(grant, outcome, output_tokens)
--- a/banyanseam/upstreams/const.py
+++ b/banyanseam/upstreams/const.py
@@ -4,6 +4,7 @@
 
 # Leases on room.
 RENEW_PERIOD_S: Final = 1.0
+CALL_RENEW_TIMEOUT_S: Final = 0.8
 LEASE_TERM_S: Final = 3.5
 ANNOUNCE_TERM_S: Final = 2.5
 LEARNING_S: Final = 3.0
@@ -51,6 +52,8 @@
 LOAD_BOUND: Final = 1.25
 
 # Other regions.
+# A pool's row older than this says nothing.
+ROW_TERM_S: Final = 3.0
 REGION_TERM_S: Final = 5.0
 RAMP_S: Final = 30.0
 SHARE_HALF_LIFE_S: Final = 10.0
@@ -66,5 +69,9 @@
 POOL_TIMEOUT_S: Final = 1.0
 READ_TIMEOUT_S: Final = 30.0
 WRITE_TIMEOUT_S: Final = 10.0
+# Room for polls and cancellations beside the requests in flight.
+SPARE_CONNECTIONS: Final = 4
 MAX_IDLE_CONNECTIONS: Final = 8
 IDLE_CONNECTION_S: Final = 5.0
+MAX_LOAD_BODY_BYTES: Final = 64 * 1024
+VIA: Final = b"1.1 banyanseam"
--- a/banyanseam/upstreams/errors.py
+++ b/banyanseam/upstreams/errors.py
@@ -43,6 +43,16 @@
     not_run = True
 
 
+class KeeperChanged(BanyanseamError):
+    """The asked keeper no longer keeps the pool in this daemon's view."""
+
+    code = "upstreams.keeper_changed"
+    event = 1609
+    status = 503
+    title = "The pool of upstreams is changing its keeper"
+    not_run = True
+
+
 class UpstreamUnreachable(BanyanseamError):
     """The upstream could not be reached: no byte of the request was written."""
 
@@ -80,3 +90,12 @@
     event = 1607
     status = 504
     title = "The upstream did not answer in time"
+
+
+class InvalidSection(BanyanseamError):
+    """A heartbeat's section on upstreams does not validate."""
+
+    code = "upstreams.invalid_section"
+    event = 1608
+    status = 502
+    title = "A region's summary of its upstreams is not valid"
--- a/banyanseam/upstreams/held.py
+++ b/banyanseam/upstreams/held.py
@@ -108,8 +108,8 @@
     ) -> None:
         """Take the full list of an entry's leases, which renews them.
 
-        A lease that the list omits was given back, unless it is so new that the list
-        may have crossed its grant. An unknown one was granted by an earlier keeper.
+        A lease that the list omits is not renewed: it was given back, or is so new that
+        the list crossed its grant. An unknown one was granted by an earlier keeper.
         """
         self._announced_s[seat] = now_s
         for number, tokens in leases.items():
@@ -117,11 +117,6 @@
             lease = self.leases.setdefault(key, Lease(tokens, now_s, now_s))
             if lease.ends_s is None:
                 lease.renewed_s = now_s
-        for key, lease in list(self.leases.items()):
-            is_of_entry = key.seat == seat and key.incarnation == incarnation
-            is_old = now_s - lease.granted_s > ANNOUNCE_TERM_S
-            if is_of_entry and is_old and key.number not in leases:
-                self.release(key, now_s, lingers=True)
 
     def release(self, key: LeaseKey, now_s: float, *, lingers: bool) -> None:
         """Give a lease back, after a while when its run may still go on."""
--- /dev/null
+++ b/banyanseam/upstreams/keeper.py
@@ -0,0 +1,252 @@
+"""The keeper's side: answers entries, polls upstreams, gives room to who waits."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import asdict, dataclass, field
+
+import anyio
+
+from banyanseam.config.compiled import Config, Upstream
+from banyanseam.errors import BanyanseamError
+from banyanseam.observe.events import KEEPER_CHANGED, UPSTREAM_POLL_FAILED, log
+from banyanseam.peers.contract import Network
+from banyanseam.peers.messages import PeerIdentity
+from banyanseam.upstreams.const import (
+    FORGET_PERIOD_S,
+    KEEPER_PERIOD_S,
+    MAX_GAP_S,
+    MAX_POLL_PERIOD_S,
+    MAX_POLLS_PER_S,
+    MIN_POLL_PERIOD_S,
+)
+from banyanseam.upstreams.errors import NotKeeper
+from banyanseam.upstreams.kept_pool import KeptPool, Placed
+from banyanseam.upstreams.messages import (
+    Granted,
+    Release,
+    Renew,
+    Reserve,
+    Row,
+    Rows,
+)
+from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, PoolRow
+from banyanseam.upstreams.pools import Pool, find_keeper, list_pools
+
+# Ask an upstream for its load; raise a BanyanseamError when it does not answer.
+FetchReport = Callable[[Upstream], Awaitable[LoadReport]]
+
+
+@dataclass(slots=True)
+class Wait:
+    """A call that is answered when its request got room or was refused."""
+
+    pool: str
+    done: anyio.Event = field(default_factory=anyio.Event)
+    result: Placed | BanyanseamError | None = None
+
+    def finish(self, result: Placed | BanyanseamError) -> None:
+        """Wake the call."""
+        self.result = result
+        self.done.set()
+
+
+class Keeper:
+    """The pools that this daemon keeps at present."""
+
+    def __init__(
+        self,
+        me: PeerIdentity,
+        region: str,
+        network: Network,
+        get_config: Callable[[], Config],
+        alive_seats: Callable[[str], list[str]],
+        fetch_report: FetchReport,
+        leaving_upstreams: Callable[[], Iterable[str]] = tuple,
+    ) -> None:
+        """Answer entries; `leaving_upstreams` is what the list of VMs says."""
+        self.me = me
+        self.region = region
+        self._get_config = get_config
+        self._alive_seats = alive_seats
+        self._fetch_report = fetch_report
+        self._leaving_upstreams = leaving_upstreams
+        self._kept: dict[str, KeptPool] = {}
+        self._waits: dict[LeaseKey, Wait] = {}
+        self._pools: dict[str, Pool] = {}
+        self._pools_version: int | None = None
+        self._next_poll_s: dict[str, float] = {}
+        self._polling: set[str] = set()
+        network.handle_call(Reserve, self.reserve)
+        network.handle_call(Renew, self.renew)
+        network.handle_cast(Release, self.release)
+
+    async def run(self) -> None:
+        """Keep pools until cancelled."""
+        looked_s = anyio.current_time()
+        forget_s = looked_s + FORGET_PERIOD_S
+        async with anyio.create_task_group() as tasks:
+            while True:
+                now_s = anyio.current_time()
+                if now_s - looked_s > MAX_GAP_S:
+                    self.restart()
+                looked_s = now_s
+                self._look(now_s)
+                for upstream in self._list_due(now_s):
+                    tasks.start_soon(self._poll, upstream)
+                if now_s >= forget_s:
+                    forget_s = now_s + FORGET_PERIOD_S
+                    for kept in self._kept.values():
+                        kept.queue.forget_idle()
+                await anyio.sleep(KEEPER_PERIOD_S)
+
+    def restart(self) -> None:
+        """Trust nothing that was known before a freeze."""
+        for kept in self._kept.values():
+            kept.restart(anyio.current_time())
+
+    async def reserve(self, identity: PeerIdentity, message: Reserve) -> Granted:
+        """Answer when there is room; raise when there will be none in time."""
+        now_s = anyio.current_time()
+        kept = self._find_kept(message.pool, now_s)
+        key = LeaseKey(identity.seat, identity.incarnation, message.lease)
+        demand = Demand(
+            organisation=message.organisation,
+            weight=message.weight,
+            prompt_tokens=message.prompt_tokens,
+            max_output_tokens=message.max_output_tokens,
+            prefix=tuple(message.prefix),
+            avoid=frozenset(message.avoid),
+        )
+        kept.ask(key, demand, now_s + message.patience_ms / 1000, now_s)
+        wait = self._waits[key] = Wait(message.pool)
+        self._dispatch(kept, now_s)
+        try:
+            await wait.done.wait()
+        except BaseException:
+            kept.withdraw(key, anyio.current_time())
+            raise
+        finally:
+            del self._waits[key]
+        if not isinstance(wait.result, Placed):
+            raise wait.result
+        return Granted(
+            upstream=wait.result.upstream,
+            cached_tokens=wait.result.cached_tokens,
+            waited_ms=round(1000 * (anyio.current_time() - now_s)),
+        )
+
+    def release(self, identity: PeerIdentity, message: Release) -> None:
+        """Take room back and hand it on."""
+        kept = self._kept.get(message.pool)
+        if kept is None:
+            return
+        now_s = anyio.current_time()
+        key = LeaseKey(identity.seat, identity.incarnation, message.lease)
+        if message.upstream:
+            kept.release(
+                key, message.upstream, message.outcome, message.output_tokens, now_s
+            )
+        else:
+            kept.withdraw(key, now_s)
+            if key in self._waits:
+                self._waits[key].finish(NotKeeper("the entry left the queue"))
+        self._dispatch(kept, now_s)
+
+    async def renew(self, identity: PeerIdentity, message: Renew) -> Rows:
+        """Renew an entry's leases and tell it of the pools kept here."""
+        now_s = anyio.current_time()
+        if any(name not in self._kept for name in message.pools):
+            self._look(now_s)
+        for name in message.pools:
+            if name in self._kept:
+                self._kept[name].announce(
+                    identity.seat, identity.incarnation, message.leases, now_s
+                )
+        return Rows(rows=[Row(**asdict(row)) for row in self.list_rows()])
+
+    def list_rows(self) -> list[PoolRow]:
+        """Return the summaries of the pools kept here."""
+        now_s = anyio.current_time()
+        return [kept.summarise(now_s) for kept in self._kept.values()]
+
+    def _look(self, now_s: float) -> None:
+        """Take up and put down pools as configuration and live seats say."""
+        config = self._get_config()
+        if config.version != self._pools_version:
+            self._pools = list_pools(config, self.region)
+            self._pools_version = config.version
+        seats = frozenset(seat.name for seat in config.seats_of(self.region))
+        leaving = frozenset(self._leaving_upstreams())
+        live_seats = self._alive_seats(self.region)
+        for name, pool in self._pools.items():
+            if find_keeper(name, live_seats) != self.me.seat:
+                self._put_down(name)
+            elif name not in self._kept:
+                log(KEEPER_CHANGED, pool=name, is_mine=True)
+                self._kept[name] = KeptPool(pool, seats, now_s)
+        for name in list(self._kept):
+            if name not in self._pools:
+                self._put_down(name)
+                continue
+            kept = self._kept[name]
+            kept.update(self._pools[name], seats, leaving, now_s)
+            self._dispatch(kept, now_s)
+
+    def _put_down(self, name: str) -> None:
+        if name not in self._kept:
+            return
+        log(KEEPER_CHANGED, pool=name, is_mine=False)
+        del self._kept[name]
+        for wait in self._waits.values():
+            if wait.pool == name and wait.result is None:
+                wait.finish(NotKeeper(name))
+
+    def _find_kept(self, name: str, now_s: float) -> KeptPool:
+        if name not in self._kept:
+            self._look(now_s)
+        if name not in self._kept:
+            raise NotKeeper(name)
+        return self._kept[name]
+
+    def _dispatch(self, kept: KeptPool, now_s: float) -> None:
+        placed, refused = kept.dispatch(now_s)
+        for each in placed:
+            wait = self._waits.get(each.key)
+            if wait is None or wait.result is not None:
+                kept.withdraw(each.key, now_s)
+                continue
+            wait.finish(each)
+        for each in refused:
+            if each.key in self._waits:
+                self._waits[each.key].finish(each.error)
+
+    def _list_due(self, now_s: float) -> list[Upstream]:
+        reported = [
+            upstream
+            for kept in self._kept.values()
+            for upstream in kept.upstreams.values()
+            if upstream.is_model
+        ]
+        period_s = len(reported) / MAX_POLLS_PER_S
+        period_s = min(MAX_POLL_PERIOD_S, max(MIN_POLL_PERIOD_S, period_s))
+        due = []
+        for upstream in reported:
+            is_due = self._next_poll_s.get(upstream.name, 0.0) <= now_s
+            if is_due and upstream.name not in self._polling:
+                self._next_poll_s[upstream.name] = now_s + period_s
+                due.append(upstream)
+        return due
+
+    async def _poll(self, upstream: Upstream) -> None:
+        self._polling.add(upstream.name)
+        report = None
+        try:
+            report = await self._fetch_report(upstream)
+        except BanyanseamError as error:
+            log(UPSTREAM_POLL_FAILED, upstream=upstream.name, code=error.code)
+        finally:
+            self._polling.discard(upstream.name)
+        now_s = anyio.current_time()
+        for kept in self._kept.values():
+            if upstream.name in kept.upstreams:
+                kept.observe(upstream.name, report, now_s)
+                self._dispatch(kept, now_s)
--- a/banyanseam/upstreams/kept_pool.py
+++ b/banyanseam/upstreams/kept_pool.py
@@ -171,7 +171,7 @@
             kept.health.note_unused()
         elif outcome is Outcome.COMPLETED:
             kept.health.note_success()
-        elif outcome is Outcome.FAILED and kept.health.note_failure(now_s):
+        elif outcome is not Outcome.STOPPED and kept.health.note_failure(now_s):
             self.prefixes.forget(upstream)
 
     def announce(
@@ -217,6 +217,7 @@
             largest_free_tokens=max(free, default=0),
             wait_ms=int(1000 * queued / self.measure_rate(now_s)),
             queued=len(self.queue),
+            usable=len(usable),
             decode_tokens_per_s=sum(each.decode_tokens_per_s for each in members),
             prefill_tokens_per_s=max(
                 (each.prefill_tokens_per_s for each in members), default=0.0
@@ -239,7 +240,7 @@
             return
         demand = running.demand
         self._count_released(demand.tokens, now_s)
-        if outcome is Outcome.UNUSED:
+        if outcome in (Outcome.UNUSED, Outcome.UNREACHABLE):
             self.queue.charge(demand, -demand.prompt_tokens, -demand.max_output_tokens)
             return
         unused = max(0, demand.max_output_tokens - output_tokens)
--- /dev/null
+++ b/banyanseam/upstreams/messages.py
@@ -0,0 +1,84 @@
+"""Messages between entries and keepers of upstream pools."""
+
+from typing import Annotated
+
+from pydantic import Field
+
+from banyanseam.peers.messages import Message
+from banyanseam.upstreams.const import MAX_PREFIX_BLOCKS
+from banyanseam.upstreams.models import Outcome
+
+Name = Annotated[str, Field(max_length=1024)]
+Tokens = Annotated[int, Field(ge=0, le=10**9)]
+Milliseconds = Annotated[int, Field(ge=0, le=10**9)]
+Hash = Annotated[int, Field(ge=0, lt=2**64)]
+
+
+class Reserve(Message):
+    """Ask the keeper for room; the reply comes when there is some."""
+
+    kind = "upstreams.reserve"
+
+    pool: Name
+    lease: int
+    organisation: Name
+    weight: float = Field(gt=0)
+    prompt_tokens: Tokens
+    max_output_tokens: Tokens
+    prefix: list[Hash] = Field(max_length=MAX_PREFIX_BLOCKS)
+    avoid: list[Name] = Field(max_length=64)
+    # How long the entry would wait, since clocks are not compared.
+    patience_ms: Milliseconds
+
+
+class Granted(Message):
+    """Room on one upstream."""
+
+    kind = "upstreams.granted"
+
+    upstream: Name
+    cached_tokens: Tokens
+    waited_ms: Milliseconds
+
+
+class Release(Message):
+    """Give room back, or leave the queue when `upstream` is empty."""
+
+    kind = "upstreams.release"
+
+    pool: Name
+    lease: int
+    upstream: Name
+    outcome: Outcome
+    output_tokens: Tokens
+
+
+class Renew(Message):
+    """Announce all leases that an entry holds on the pools that it names."""
+
+    kind = "upstreams.renew"
+
+    pools: list[Name]
+    # Upstream to lease number to tokens.
+    leases: dict[Name, dict[int, Tokens]]
+
+
+class Row(Message):
+    """A pool's summary."""
+
+    pool: Name
+    free_tokens: Tokens
+    largest_free_tokens: Tokens
+    wait_ms: Milliseconds
+    queued: int = Field(ge=0)
+    usable: int = Field(ge=0)
+    decode_tokens_per_s: float = Field(ge=0)
+    prefill_tokens_per_s: float = Field(ge=0)
+
+
+class Rows(Message):
+    """The reply to a renewal: the pools that the asked daemon does keep."""
+
+    kind = "upstreams.rows"
+
+    rows: list[Row]
--- a/banyanseam/upstreams/models.py
+++ b/banyanseam/upstreams/models.py
@@ -8,6 +8,8 @@
     """How a request on an upstream ended, as its health counts it."""
 
     COMPLETED = "completed"
+    # No byte was written, since it could not be reached.
+    UNREACHABLE = "unreachable"
     # Never sent, or the upstream proved that it did not start.
     UNUSED = "unused"
     # The caller left or the request was stopped; says nothing of the upstream.
@@ -75,6 +77,7 @@
     largest_free_tokens: int
     wait_ms: int
     queued: int
+    # How many upstreams may be sent requests.
+    usable: int
     decode_tokens_per_s: float
     prefill_tokens_per_s: float
-    age_ms: int = 0
--- /dev/null
+++ b/tests/upstreams/test_client.py
@@ -0,0 +1,181 @@
+import unittest
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import anyio
+
+from banyanseam.upstreams.client import UpstreamClient, UpstreamRequest
+from banyanseam.upstreams.errors import (
+    UpstreamFailed,
+    UpstreamRefused,
+    UpstreamTimedOut,
+    UpstreamUnreachable,
+)
+from banyanseam.upstreams.reports import make_fetch_report, read_report
+from tests.common import make_config
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
+
+
+class RawServer:
+    """Answers each request with the next of some raw answers, then hangs up."""
+
+    def __init__(self, *answers: bytes | None, keeps_open: bool = False) -> None:
+        self.answers = list(answers)
+        self.keeps_open = keeps_open
+        self.connections = 0
+        self.requests: list[bytes] = []
+
+    async def handle(self, stream) -> None:
+        self.connections += 1
+        async with stream:
+            while self.answers:
+                answer = self.answers[0]
+                if answer == b"close at once":
+                    self.answers.pop(0)
+                    return
+                try:
+                    self.requests.append(await stream.receive())
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+                self.answers.pop(0)
+                if answer is None:
+                    await anyio.sleep_forever()
+                await stream.send(answer)
+                if not self.keeps_open:
+                    return
+
+    @asynccontextmanager
+    async def run(self):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        engine = make_config().upstreams["gulf-engine-1"]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, self.handle)
+            yield replace(engine, address=f"127.0.0.1:{port}")
+            tasks.cancel_scope.cancel()
+        await listener.aclose()
+
+
+def make_request(*, is_idempotent: bool = False, **fields) -> UpstreamRequest:
+    return UpstreamRequest(
+        request_id="r1",
+        method="POST",
+        target="/orders",
+        headers=[(b"authorization", b"Bearer secret"), (b"x-other", b"1")],
+        body=b"{}",
+        is_idempotent=is_idempotent,
+        **{"read_timeout_s": 5.0, **fields},
+    )
+
+
+async def send(client, upstream, request) -> bytes:
+    """Return the whole body; raise as the client does."""
+    body = b""
+    async with client.open(upstream, request, lambda: None) as response:
+        async for chunk in response.body:
+            body += chunk
+    return body
+
+
+class ClientTests(unittest.TestCase):
+    def test_each_failure_says_whether_a_byte_was_written(self):
+        cut = b"HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\nhalf"
+        refused = (
+            b"HTTP/1.1 503 no\r\nx-not-started: true\r\nretry-after: 2\r\n"
+            b"content-length: 0\r\n\r\n"
+        )
+        crossed = OK + b"x-request-id: r2\r\n\r\nok"
+        cases = {
+            "closed after reading": (b"", UpstreamFailed),
+            "closed at accept": (b"close at once", UpstreamFailed),
+            "silent": (None, UpstreamTimedOut),
+            "cut in the body": (cut, UpstreamFailed),
+            "no HTTP": (b"what?\r\n\r\n", UpstreamFailed),
+            "refused": (refused, UpstreamRefused),
+            "crossed": (crossed, UpstreamFailed),
+        }
+        for name, (answer, error) in cases.items():
+
+            async def run(answer=answer, error=error) -> None:
+                started = []
+                async with RawServer(answer).run() as upstream:
+                    client = UpstreamClient()
+                    request = make_request(read_timeout_s=0.5)
+                    with self.assertRaises(error) as caught:
+                        async with client.open(
+                            upstream, request, lambda: started.append(1)
+                        ) as response:
+                            async for _ in response.body:
+                                pass
+                    await client.aclose()
+                self.assertEqual(started, [1])
+                self.assertEqual(caught.exception.not_run, error is UpstreamRefused)
+
+            with self.subTest(name):
+                anyio.run(run)
+
+    def test_unreachable_means_that_nothing_was_written(self):
+        async def run() -> None:
+            started = []
+            async with RawServer().run() as upstream:
+                pass
+            client = UpstreamClient()
+            with self.assertRaises(UpstreamUnreachable) as caught:
+                async with client.open(
+                    upstream, make_request(), lambda: started.append(1)
+                ):
+                    pass
+            self.assertTrue(caught.exception.not_run)
+            self.assertEqual(started, [])
+
+        anyio.run(run)
+
+    def test_call_that_may_not_be_repeated_gets_a_fresh_connection(self):
+        async def run(is_idempotent: bool) -> int:
+            answer = OK + b"\r\nok"
+            server = RawServer(answer, answer, answer, keeps_open=True)
+            async with server.run() as upstream:
+                client = UpstreamClient()
+                for _ in range(3):
+                    request = make_request(is_idempotent=is_idempotent)
+                    self.assertEqual(await send(client, upstream, request), b"ok")
+                await client.aclose()
+            return server.connections
+
+        self.assertEqual(anyio.run(run, False), 3)
+        self.assertEqual(anyio.run(run, True), 1)
+
+    def test_no_upstream_sees_the_key(self):
+        async def run() -> None:
+            server = RawServer(OK + b"\r\nok")
+            async with server.run() as upstream:
+                await send(UpstreamClient(), upstream, make_request())
+            (request,) = server.requests
+            self.assertNotIn(b"secret", request)
+            self.assertIn(b"x-other: 1", request)
+            self.assertIn(b"x-request-id: r1", request)
+
+        anyio.run(run)
+
+    def test_load_report_is_read_or_refused(self):
+        body = (
+            b'{"held_tokens":5,"queued_tokens":1,"running":2,"leaving":true,'
+            b'"as_of_ms_ago":300}'
+        )
+
+        async def run(answer: bytes):
+            async with RawServer(answer).run() as upstream:
+                return await make_fetch_report(UpstreamClient())(upstream)
+
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n"
+        report = anyio.run(run, head % len(body) + body)
+        self.assertEqual((report.held_tokens, report.leaving), (5, True))
+        for bad in (b"[]", b'{"held_tokens":-1}', b"\xff"):
+            with self.subTest(bad), self.assertRaises(UpstreamFailed):
+                read_report(bad, 10.0)
+        self.assertAlmostEqual(read_report(body, 10.0).as_of_s, 9.7)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/upstreams/test_room.py
@@ -0,0 +1,269 @@
+import random
+import unittest
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import anyio
+
+from banyanseam.config.compile import compile_config
+from banyanseam.peers.messages import PeerIdentity
+from banyanseam.upstreams.choose import LocalPool
+from banyanseam.upstreams.errors import (
+    NoUpstreamAllowed,
+    NoUpstreamAvailable,
+    RequestTooLarge,
+    UpstreamTimedOut,
+)
+from banyanseam.upstreams.keeper import Keeper
+from banyanseam.upstreams.models import Demand, LoadReport, Outcome
+from banyanseam.upstreams.pools import find_keeper, list_pools
+from banyanseam.upstreams.regions import Regions
+from banyanseam.upstreams.room import Room
+from tests.common import FakeFabric, make_documents, run_mocked
+
+SEATS = ["gulf-1", "gulf-2", "gulf-3"]
+SETTLED_S = 4
+
+
+class Gulf:
+    """Three daemons before one engine that reports what it was sent."""
+
+    def __init__(self, memory_tokens: int = 10_000, seed: int = 1) -> None:
+        self.fabric = FakeFabric(seed)
+        base, overlays = make_documents()
+        engine = overlays["gulf"]["upstreams"]["gulf-engine-1"]
+        engine["memory_tokens"] = memory_tokens
+        self.config = compile_config(1, base, overlays)
+        (self.pool,) = list_pools(self.config, "gulf")
+        self.alive = list(SEATS)
+        self.running: dict[str, int] = {}
+        self.most_held = 0
+        self.leaving = False
+        self.answers = True
+        self.rooms: dict[str, Room] = {}
+        self.scopes: dict[str, anyio.CancelScope] = {}
+
+    async def fetch_report(self, upstream) -> LoadReport:
+        if not self.answers:
+            raise UpstreamTimedOut(upstream.name)
+        held = sum(self.running.values())
+        return LoadReport(
+            held, 0, len(self.running), self.leaving, anyio.current_time()
+        )
+
+    def list_alive(self, region: str) -> list[str]:
+        return list(self.alive) if region == "gulf" else []
+
+    async def run_daemon(self, seat: str, incarnation: int = 1) -> None:
+        me = PeerIdentity(seat, incarnation)
+        network = self.fabric.join(seat, incarnation)
+        views = (lambda: self.config, self.list_alive)
+        keeper = Keeper(me, "gulf", network, *views, self.fetch_report)
+        self.rooms[seat] = Room(
+            me, "gulf", network, *views, keeper, Regions(), random.Random(2)
+        )
+        with anyio.CancelScope() as self.scopes[seat]:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(keeper.run)
+                tasks.start_soon(self.rooms[seat].run)
+
+    def kill(self, seat: str) -> None:
+        self.scopes[seat].cancel()
+        del self.fabric.networks[seat]
+        self.alive.remove(seat)
+
+    @property
+    def keeper(self) -> str:
+        return find_keeper(self.pool, self.alive)
+
+    @asynccontextmanager
+    async def run(self):
+        async with anyio.create_task_group() as tasks:
+            for seat in SEATS:
+                tasks.start_soon(self.run_daemon, seat)
+            await anyio.sleep(SETTLED_S)
+            yield tasks
+            tasks.cancel_scope.cancel()
+
+    async def reserve(self, seat: str, tokens: int, patience_s: float = 5, **fields):
+        demand = make_demand(tokens, **fields)
+        give_up_s = anyio.current_time() + patience_s
+        grant = await self.rooms[seat].reserve(self.pool, demand, give_up_s)
+        self.running[f"{seat}/{grant.lease}"] = tokens
+        self.most_held = max(self.most_held, sum(self.running.values()))
+        return grant
+
+    async def release(self, seat: str, grant, outcome=Outcome.COMPLETED) -> None:
+        self.running.pop(f"{seat}/{grant.lease}", None)
+        await self.rooms[seat].release(grant, outcome)
+
+
+def make_demand(tokens: int, organisation: str = "acme", **fields) -> Demand:
+    return Demand(organisation, 1.0, tokens // 2, tokens - tokens // 2, **fields)
+
+
+class RoomTests(unittest.TestCase):
+    def test_entries_share_one_limit(self):
+        async def run() -> None:
+            gulf = Gulf()
+            async with gulf.run() as tasks:
+                for seat in SEATS * 5:
+                    tasks.start_soon(self.use_room, gulf, seat, 3_000, 2)
+                await anyio.sleep(4)
+                self.assertEqual(gulf.most_held, 9_000)
+
+        run_mocked(run)
+
+    async def use_room(self, gulf, seat, tokens, run_s) -> None:
+        try:
+            grant = await gulf.reserve(seat, tokens, patience_s=60)
+        except NoUpstreamAvailable:
+            return
+        await anyio.sleep(run_s)
+        await gulf.release(seat, grant)
+
+    def test_new_keeper_learns_before_it_grants(self):
+        async def run() -> None:
+            gulf = Gulf()
+            async with gulf.run():
+                entry = next(seat for seat in SEATS if seat != gulf.keeper)
+                await gulf.reserve(entry, 6_000)
+                gulf.kill(gulf.keeper)
+                with self.assertRaises(NoUpstreamAvailable):
+                    await gulf.reserve(entry, 4_000, patience_s=20)
+                grant = await gulf.reserve(entry, 3_000, patience_s=20)
+                self.assertEqual(grant.keeper, gulf.keeper)
+
+        run_mocked(run)
+
+    def test_waiting_request_moves_to_the_new_keeper(self):
+        async def run() -> None:
+            gulf = Gulf()
+            async with gulf.run() as tasks:
+                entry = next(seat for seat in SEATS if seat != gulf.keeper)
+                holder = await gulf.reserve(entry, 8_000)
+                tasks.start_soon(self.use_room, gulf, entry, 4_000, 1)
+                await anyio.sleep(1)
+                # A frozen keeper answers nothing, yet its links stay up.
+                self.freeze(gulf, gulf.keeper)
+                await anyio.sleep(1)
+                await gulf.release(entry, holder)
+                await anyio.sleep(15)
+                self.assertEqual(gulf.most_held, 8_000)
+                self.assertEqual(gulf.running, {})
+                self.assertEqual(len(gulf.rooms[entry]._asks), 0)
+
+        run_mocked(run)
+
+    def freeze(self, gulf, seat) -> None:
+        gulf.scopes[seat].cancel()
+        gulf.alive.remove(seat)
+
+    def test_room_of_a_dead_entry_comes_free(self):
+        async def run() -> None:
+            gulf = Gulf()
+            async with gulf.run():
+                entry, other = (seat for seat in SEATS if seat != gulf.keeper)
+                await gulf.reserve(entry, 9_000)
+                gulf.kill(entry)
+                gulf.running.clear()
+                grant = await gulf.reserve(other, 9_000, patience_s=30)
+                self.assertEqual(grant.tokens, 9_000)
+
+        run_mocked(run)
+
+    def test_lost_release_is_made_good(self):
+        async def run() -> None:
+            gulf = Gulf()
+            async with gulf.run():
+                entry = next(seat for seat in SEATS if seat != gulf.keeper)
+                grant = await gulf.reserve(entry, 9_000)
+                gulf.fabric.loss = 1.0
+                await gulf.release(entry, grant)
+                gulf.fabric.loss = 0.0
+                await gulf.reserve(entry, 9_000, patience_s=30)
+
+        run_mocked(run)
+
+    def test_refusals_say_that_nothing_ran(self):
+        def leave(gulf) -> None:
+            gulf.leaving = True
+
+        def fall_silent(gulf) -> None:
+            gulf.answers = False
+
+        cases = {
+            "too large": (lambda gulf: None, 9_500, RequestTooLarge),
+            "leaving": (leave, 10, NoUpstreamAvailable),
+            "silent": (fall_silent, 10, NoUpstreamAvailable),
+        }
+        for name, (fault, tokens, error) in cases.items():
+
+            async def run(fault=fault, tokens=tokens, error=error) -> None:
+                gulf = Gulf()
+                async with gulf.run():
+                    fault(gulf)
+                    await anyio.sleep(5)
+                    for seat in SEATS:
+                        with self.assertRaises(error) as caught:
+                            await gulf.reserve(seat, tokens)
+                        self.assertTrue(caught.exception.not_run)
+
+            with self.subTest(name):
+                run_mocked(run)
+
+    def test_leaving_in_the_configuration_gets_nothing_new(self):
+        async def run() -> None:
+            gulf = Gulf()
+            async with gulf.run():
+                grant = await gulf.reserve("gulf-1", 10)
+                engine = gulf.config.upstreams["gulf-engine-1"]
+                upstreams = gulf.config.upstreams | {
+                    engine.name: replace(engine, leaving=True)
+                }
+                gulf.config = replace(gulf.config, version=2, upstreams=upstreams)
+                self.assertFalse(gulf.rooms["gulf-1"].is_usable(grant))
+                await anyio.sleep(1)
+                with self.assertRaises(NoUpstreamAvailable):
+                    await gulf.reserve("gulf-2", 10)
+
+        run_mocked(run)
+
+    def test_residency_leaves_no_way_out(self):
+        async def run() -> None:
+            gulf = Gulf()
+            async with gulf.run():
+                room = gulf.rooms["gulf-1"]
+                place = room.choose_place(
+                    "oak", make_demand(10), frozenset({"gulf"}), may_forward=True
+                )
+                self.assertEqual(place, LocalPool(gulf.pool))
+                with self.assertRaises(NoUpstreamAllowed):
+                    room.choose_place(
+                        "oak", make_demand(10), frozenset({"delta"}), may_forward=False
+                    )
+                # Delta is allowed but not heard: refuse rather than go elsewhere.
+                with self.assertRaises(NoUpstreamAvailable):
+                    room.choose_place(
+                        "oak", make_demand(10), frozenset({"delta"}), may_forward=True
+                    )
+
+        run_mocked(run)
+
+    def test_messages_do_not_grow_with_the_requests(self):
+        async def run() -> None:
+            gulf = Gulf(memory_tokens=100_000)
+            async with gulf.run():
+                entry = next(seat for seat in SEATS if seat != gulf.keeper)
+                for _ in range(50):
+                    await gulf.reserve(entry, 10)
+                before = gulf.fabric.messages
+                await anyio.sleep(10)
+                # Two entries renew once a second, each with a reply.
+                self.assertLessEqual(gulf.fabric.messages - before, 4 * 11)
+
+        run_mocked(run)
+
+
+if __name__ == "__main__":
+    unittest.main()
