Share the context of keeper and entry; split places and decay from larger modules

Cause: the keeper and the entry took the same seven arguments, and room.py and kept_pool.py each held two jobs.

Change: Context carries place and view; Places chooses, Room reserves; DecayingSum stands once for rates and shares.

--- a/banyanseam/pipe/queue.py
+++ b/banyanseam/pipe/queue.py
@@ -16,6 +16,7 @@
     UpstreamUnreachable,
 )
 from banyanseam.upstreams.models import Demand, Grant, Outcome
+from banyanseam.upstreams.places import Places
 from banyanseam.upstreams.prefix import hash_prefix
 from banyanseam.upstreams.room import Room
 
@@ -27,6 +28,7 @@
 
 def make_queue(
     room: Room,
+    places: Places,
     region: str,
     get_config: Callable[[], Config],
     forward: Forward,
@@ -39,7 +41,7 @@
         serves = get_served(exchange)
         patience_s = get_config().policies[region].queue_patience_ms / 1000
         give_up_s = min(exchange.deadline_s, anyio.current_time() + patience_s)
-        place = room.choose_place(
+        place = places.choose(
             serves,
             demand,
             exchange.regions,
@@ -52,7 +54,7 @@
             except BanyanseamError as error:
                 if not error.not_run or exchange.upstream_started:
                     raise
-                place = _choose_local(room, exchange, serves, demand, error)
+                place = _choose_local(places, exchange, serves, demand, error)
         grant = await _reserve_usable(room, place.pool, demand, give_up_s)
         await _use(room, grant, exchange, next_, recheck)
 
@@ -92,7 +94,7 @@
 
 
 def _choose_local(
-    room: Room,
+    places: Places,
     exchange: Exchange,
     serves: str,
     demand: Demand,
@@ -100,7 +102,7 @@
 ) -> LocalPool:
     """Return a pool of this region, or raise what the other region said."""
     try:
-        return room.choose_place(serves, demand, exchange.regions, may_forward=False)
+        return places.choose(serves, demand, exchange.regions, may_forward=False)
     except BanyanseamError:
         raise error from None
 
--- a/banyanseam/upstreams/choose.py
+++ b/banyanseam/upstreams/choose.py
@@ -20,6 +20,7 @@
     ROUND_TRIP_BETWEEN_REGIONS_S,
     SHARE_HALF_LIFE_S,
 )
+from banyanseam.upstreams.decay import DecayingSum
 from banyanseam.upstreams.models import Demand, PoolRow
 from banyanseam.upstreams.prefix import make_rendezvous_key, rank_by_rendezvous
 
@@ -111,21 +112,19 @@
 
     def __init__(self, now_s: float) -> None:
         """Start with everything at home."""
-        self._remote = 0.0
-        self._all = 0.0
-        self._updated_s = now_s
+        self._remote = DecayingSum(SHARE_HALF_LIFE_S, now_s)
+        self._all = DecayingSum(SHARE_HALF_LIFE_S, now_s)
         self._is_spilling = False
 
     def note(self, *, is_remote: bool, now_s: float) -> None:
         """Count one request."""
-        self._decay(now_s)
-        self._all += 1
-        self._remote += is_remote
+        self._all.add(1, now_s)
+        self._remote.add(is_remote, now_s)
 
     def is_under_cap(self, cap: float, now_s: float) -> bool:
         """Say whether one more request may leave the region."""
-        self._decay(now_s)
-        return self._remote + 1 <= max(1.0, cap * (self._all + 1))
+        limit = max(1.0, cap * (self._all.read(now_s) + 1))
+        return self._remote.read(now_s) + 1 <= limit
 
     def wins(self, gain_s: float, margin_s: float) -> bool:
         """Say whether a gain is enough; once it was, a smaller one keeps it so."""
@@ -133,12 +132,6 @@
         self._is_spilling = gain_s >= needed_s
         return self._is_spilling
 
-    def _decay(self, now_s: float) -> None:
-        factor = 0.5 ** ((now_s - self._updated_s) / SHARE_HALF_LIFE_S)
-        self._remote *= factor
-        self._all *= factor
-        self._updated_s = now_s
-
 
 def pick_place(
     pools: Sequence[PoolRow],
--- /dev/null
+++ b/banyanseam/upstreams/decay.py
@@ -0,0 +1,26 @@
+"""A sum that forgets."""
+
+import math
+
+
+class DecayingSum:
+    """A sum whose parts lose half of their weight every half-life."""
+
+    def __init__(self, half_life_s: float, now_s: float) -> None:
+        """Start at zero."""
+        self._half_life_s = half_life_s
+        self._sum = 0.0
+        self._updated_s = now_s
+
+    def add(self, amount: float, now_s: float) -> None:
+        """Count something that happened now."""
+        self._sum = self.read(now_s) + amount
+        self._updated_s = now_s
+
+    def read(self, now_s: float) -> float:
+        """Return the sum as of now."""
+        return self._sum * 0.5 ** ((now_s - self._updated_s) / self._half_life_s)
+
+    def read_rate_per_s(self, now_s: float) -> float:
+        """Return the amount a second that would keep the sum as it is."""
+        return self.read(now_s) * math.log(2) / self._half_life_s
--- a/banyanseam/upstreams/keeper.py
+++ b/banyanseam/upstreams/keeper.py
@@ -1,14 +1,13 @@
 """The keeper's side: answers entries, polls upstreams, gives room to who waits."""
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass, field
 
 import anyio
 
-from banyanseam.config.compiled import Config, Upstream
+from banyanseam.config.compiled import Upstream
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.events import KEEPER_CHANGED, UPSTREAM_POLL_FAILED, log
-from banyanseam.peers.contract import Network
 from banyanseam.peers.messages import PeerIdentity
 from banyanseam.upstreams.const import (
     FORGET_PERIOD_S,
@@ -18,6 +17,7 @@
     MAX_POLLS_PER_S,
     MIN_POLL_PERIOD_S,
 )
+from banyanseam.upstreams.context import Context
 from banyanseam.upstreams.errors import NotKeeper
 from banyanseam.upstreams.kept_pool import KeptPool, Placed
 from banyanseam.upstreams.messages import (
@@ -29,7 +29,6 @@
     Rows,
 )
 from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, PoolRow
-from banyanseam.upstreams.pools import Pool, find_keeper, list_pools
 
 # Ask an upstream for its load; raise a BanyanseamError when it does not answer.
 FetchReport = Callable[[Upstream], Awaitable[LoadReport]]
@@ -54,30 +53,19 @@
 
     def __init__(
         self,
-        me: PeerIdentity,
-        region: str,
-        network: Network,
-        get_config: Callable[[], Config],
-        alive_seats: Callable[[str], list[str]],
+        context: Context,
         fetch_report: FetchReport,
-        leaving_upstreams: Callable[[], Iterable[str]] = tuple,
     ) -> None:
-        """Answer entries; `leaving_upstreams` is what the list of VMs says."""
-        self.me = me
-        self.region = region
-        self._get_config = get_config
-        self._alive_seats = alive_seats
+        """Answer entries from now on; `run` does the rest."""
+        self._context = context
         self._fetch_report = fetch_report
-        self._leaving_upstreams = leaving_upstreams
         self._kept: dict[str, KeptPool] = {}
         self._waits: dict[LeaseKey, Wait] = {}
-        self._pools: dict[str, Pool] = {}
-        self._pools_version: int | None = None
         self._next_poll_s: dict[str, float] = {}
         self._polling: set[str] = set()
-        network.handle_call(Reserve, self.reserve)
-        network.handle_call(Renew, self.renew)
-        network.handle_cast(Release, self.release)
+        context.network.handle_call(Reserve, self.reserve)
+        context.network.handle_call(Renew, self.renew)
+        context.network.handle_cast(Release, self.release)
 
     async def run(self) -> None:
         """Keep pools until cancelled."""
@@ -170,25 +158,23 @@
 
     def _look(self, now_s: float) -> None:
         """Take up and put down pools as configuration and live seats say."""
-        config = self._get_config()
-        if config.version != self._pools_version:
-            self._pools = list_pools(config, self.region)
-            self._pools_version = config.version
-        seats = frozenset(seat.name for seat in config.seats_of(self.region))
-        leaving = frozenset(self._leaving_upstreams())
-        live_seats = self._alive_seats(self.region)
-        for name, pool in self._pools.items():
-            if find_keeper(name, live_seats) != self.me.seat:
+        context = self._context
+        pools = context.read_pools()
+        published = context.get_config().seats_of(context.region)
+        seats = frozenset(seat.name for seat in published)
+        leaving = frozenset(context.leaving_upstreams())
+        for name, pool in pools.items():
+            if context.find_keeper(name) != context.me.seat:
                 self._put_down(name)
             elif name not in self._kept:
                 log(KEEPER_CHANGED, pool=name, is_mine=True)
                 self._kept[name] = KeptPool(pool, seats, now_s)
         for name in list(self._kept):
-            if name not in self._pools:
+            if name not in pools:
                 self._put_down(name)
                 continue
             kept = self._kept[name]
-            kept.update(self._pools[name], seats, leaving, now_s)
+            kept.update(pools[name], seats, leaving, now_s)
             self._dispatch(kept, now_s)
 
     def _put_down(self, name: str) -> None:
--- a/banyanseam/upstreams/kept_pool.py
+++ b/banyanseam/upstreams/kept_pool.py
@@ -1,6 +1,5 @@
 """One pool as its keeper runs it: who waits, who holds what, and where to send."""
 
-import math
 from dataclasses import dataclass, field
 
 from banyanseam.errors import BanyanseamError
@@ -12,6 +11,7 @@
     MIN_RETRY_AFTER_MS,
     RATE_HALF_LIFE_S,
 )
+from banyanseam.upstreams.decay import DecayingSum
 from banyanseam.upstreams.errors import NoUpstreamAvailable, RequestTooLarge
 from banyanseam.upstreams.fair_queue import FairQueue, Waiting
 from banyanseam.upstreams.health import Health
@@ -72,8 +72,7 @@
         self.kept: dict[str, Kept] = {}
         self._running: dict[LeaseKey, Running] = {}
         self._leaving: frozenset[str] = frozenset()
-        self._released_tokens = 0.0
-        self._updated_s = now_s
+        self._released_tokens = DecayingSum(RATE_HALF_LIFE_S, now_s)
         self.update(pool, seats, frozenset(), now_s)
 
     def update(
@@ -226,8 +225,7 @@
 
     def measure_rate(self, now_s: float) -> float:
         """Return the reserved tokens that come free a second, at least what decodes."""
-        self._decay(now_s)
-        measured = self._released_tokens * math.log(2) / RATE_HALF_LIFE_S
+        measured = self._released_tokens.read_rate_per_s(now_s)
         decode = sum(each.decode_tokens_per_s for each in self.upstreams.values())
         return max(measured, decode)
 
@@ -239,7 +237,7 @@
         if running is None:
             return
         demand = running.demand
-        self._count_released(demand.tokens, now_s)
+        self._released_tokens.add(demand.tokens, now_s)
         if outcome in (Outcome.UNUSED, Outcome.UNREACHABLE):
             self.queue.charge(demand, -demand.prompt_tokens, -demand.max_output_tokens)
             return
@@ -340,14 +338,6 @@
             and kept.health.may_send(now_s)
         ]
 
-    def _count_released(self, tokens: int, now_s: float) -> None:
-        self._decay(now_s)
-        self._released_tokens += tokens
-
-    def _decay(self, now_s: float) -> None:
-        self._released_tokens *= 0.5 ** ((now_s - self._updated_s) / RATE_HALF_LIFE_S)
-        self._updated_s = now_s
-
 
 def _bound_retry(retry_ms: float) -> int:
     return int(max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, retry_ms)))
--- /dev/null
+++ b/banyanseam/upstreams/places.py
@@ -0,0 +1,118 @@
+"""Where an entry may send a request, by what keepers and regions last said."""
+
+from collections.abc import Sequence
+from random import Random
+
+import anyio
+
+from banyanseam.upstreams.choose import LocalPool, Place, Spill, pick_place
+from banyanseam.upstreams.const import ROW_TERM_S
+from banyanseam.upstreams.context import Context
+from banyanseam.upstreams.errors import NoUpstreamAllowed, NoUpstreamAvailable
+from banyanseam.upstreams.models import Demand, PoolRow
+from banyanseam.upstreams.pools import Pool
+from banyanseam.upstreams.regions import Regions
+
+
+class Places:
+    """The pools of this region and the other regions, as this entry knows them."""
+
+    def __init__(self, context: Context, regions: Regions, random: Random) -> None:
+        """Know nothing of the pools yet."""
+        self._context = context
+        self._regions = regions
+        self._random = random
+        self._rows: dict[str, tuple[PoolRow, float]] = {}
+        self._spill: Spill | None = None
+
+    def note_rows(self, rows: Sequence[PoolRow], now_s: float) -> None:
+        """Take the rows that a keeper sent."""
+        for row in rows:
+            self._rows[row.pool] = (row, now_s)
+
+    def list_rows(self) -> list[PoolRow]:
+        """Return what is known of this region's pools, for the heartbeats."""
+        now_s = anyio.current_time()
+        return [
+            row for row, seen_s in self._rows.values() if now_s - seen_s < ROW_TERM_S
+        ]
+
+    def list_served(self, pool: str) -> frozenset[str]:
+        """Return what a pool of this region serves."""
+        found = self._context.read_pools().get(pool)
+        return found.serves if found else frozenset()
+
+    def choose(
+        self,
+        serves: str,
+        demand: Demand,
+        regions: frozenset[str] | None,
+        *,
+        may_forward: bool,
+    ) -> Place:
+        """Return a pool of this region or another region to forward to.
+
+        Raise NoUpstreamAllowed when what serves this lies only where the request may
+        not go, NoUpstreamAvailable when nothing that it may use is known to work.
+        """
+        allowed = self._list_allowed(serves, regions)
+        home = self._context.region
+        if not may_forward:
+            allowed &= {home}
+        if not allowed:
+            raise NoUpstreamAllowed(serves)
+        now_s = anyio.current_time()
+        pools = self._list_pools(serves, demand, now_s) if home in allowed else []
+        others = [
+            summary
+            for summary in self._regions.list_summaries(serves, now_s)
+            if summary.region in allowed - {home}
+        ]
+        if self._spill is None:
+            self._spill = Spill(now_s)
+        policy = self._context.get_config().policies[home]
+        place = pick_place(
+            pools, others, demand, policy, self._spill, self._random, now_s
+        )
+        if place is None:
+            raise NoUpstreamAvailable(serves, retry_after_ms=1000)
+        if may_forward:
+            is_remote = not isinstance(place, LocalPool)
+            self._spill.note(is_remote=is_remote, now_s=now_s)
+        return place
+
+    def _list_allowed(self, serves: str, regions: frozenset[str] | None) -> set[str]:
+        return {
+            upstream.region
+            for upstream in self._context.get_config().upstreams.values()
+            if serves in upstream.serves
+            and (regions is None or upstream.region in regions)
+        }
+
+    def _list_pools(self, serves: str, demand: Demand, now_s: float) -> list[PoolRow]:
+        """Return the pools that serve this; one not yet heard of counts as free."""
+        rows = []
+        for name, pool in self._context.read_pools().items():
+            if serves not in pool.serves:
+                continue
+            if all(each.name in demand.avoid for each in pool.upstreams):
+                continue
+            row, seen_s = self._rows.get(name, (None, 0.0))
+            if row is None or now_s - seen_s > ROW_TERM_S:
+                row = _assume_row(pool)
+            if row.usable:
+                rows.append(row)
+        return rows
+
+
+def _assume_row(pool: Pool) -> PoolRow:
+    return PoolRow(
+        pool=pool.name,
+        free_tokens=sum(each.memory_tokens for each in pool.upstreams),
+        largest_free_tokens=max(each.memory_tokens for each in pool.upstreams),
+        wait_ms=0,
+        queued=0,
+        usable=len(pool.upstreams),
+        decode_tokens_per_s=sum(each.decode_tokens_per_s for each in pool.upstreams),
+        prefill_tokens_per_s=max(each.prefill_tokens_per_s for each in pool.upstreams),
+    )
--- a/tests/upstreams/test_room.py
+++ b/tests/upstreams/test_room.py
@@ -8,6 +8,7 @@
 from banyanseam.config.compile import compile_config
 from banyanseam.peers.messages import PeerIdentity
 from banyanseam.upstreams.choose import LocalPool
+from banyanseam.upstreams.context import Context
 from banyanseam.upstreams.errors import (
     NoUpstreamAllowed,
     NoUpstreamAvailable,
@@ -16,6 +17,7 @@
 )
 from banyanseam.upstreams.keeper import Keeper
 from banyanseam.upstreams.models import Demand, LoadReport, Outcome
+from banyanseam.upstreams.places import Places
 from banyanseam.upstreams.pools import find_keeper, list_pools
 from banyanseam.upstreams.regions import Regions
 from banyanseam.upstreams.room import Room
@@ -41,6 +43,7 @@
         self.leaving = False
         self.answers = True
         self.rooms: dict[str, Room] = {}
+        self.places: dict[str, Places] = {}
         self.scopes: dict[str, anyio.CancelScope] = {}
 
     async def fetch_report(self, upstream) -> LoadReport:
@@ -57,11 +60,10 @@
     async def run_daemon(self, seat: str, incarnation: int = 1) -> None:
         me = PeerIdentity(seat, incarnation)
         network = self.fabric.join(seat, incarnation)
-        views = (lambda: self.config, self.list_alive)
-        keeper = Keeper(me, "gulf", network, *views, self.fetch_report)
-        self.rooms[seat] = Room(
-            me, "gulf", network, *views, keeper, Regions(), random.Random(2)
-        )
+        context = Context(me, "gulf", network, lambda: self.config, self.list_alive)
+        keeper = Keeper(context, self.fetch_report)
+        self.places[seat] = Places(context, Regions(), random.Random(2))
+        self.rooms[seat] = Room(context, keeper, self.places[seat], random.Random(3))
         with anyio.CancelScope() as self.scopes[seat]:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(keeper.run)
@@ -233,18 +235,18 @@
         async def run() -> None:
             gulf = Gulf()
             async with gulf.run():
-                room = gulf.rooms["gulf-1"]
-                place = room.choose_place(
+                places = gulf.places["gulf-1"]
+                place = places.choose(
                     "oak", make_demand(10), frozenset({"gulf"}), may_forward=True
                 )
                 self.assertEqual(place, LocalPool(gulf.pool))
                 with self.assertRaises(NoUpstreamAllowed):
-                    room.choose_place(
+                    places.choose(
                         "oak", make_demand(10), frozenset({"delta"}), may_forward=False
                     )
                 # Delta is allowed but not heard: refuse rather than go elsewhere.
                 with self.assertRaises(NoUpstreamAvailable):
-                    room.choose_place(
+                    places.choose(
                         "oak", make_demand(10), frozenset({"delta"}), may_forward=True
                     )
 
