Prove fair order, choice, health, summaries and the queue filter

Cause: the decisions had no tests, and two faults showed while writing them.

An upstream beyond the load bound is passed over for good; before, the cached prefix let it win again as the soonest to start (test_table chose "c" where "a" stood).

--- a/banyanseam/upstreams/choose.py
+++ b/banyanseam/upstreams/choose.py
@@ -87,24 +87,24 @@
     """Return where to run a request, or None when there is no candidate.
 
     The upstream with the longest cached prefix, or the preferred one for an unknown
-    prompt, takes it while its load stays within the bound of the pool's mean;
-    `pool_load` is the tokens that the whole pool holds.
+    prompt, comes first, then the one that would start it soonest; the first whose load
+    stays within the bound of the mean takes it. `pool_load` is what the pool holds.
     """
     if not candidates:
         return None
-    by_start = sorted(
-        candidates, key=lambda each: (estimate_start_s(each, demand), each.held_tokens)
-    )
+    in_order = sorted(candidates, key=lambda each: estimate_start_s(each, demand))
     warmest = max(candidates, key=lambda each: each.cached_tokens)
-    if warmest.cached_tokens == 0:
-        warmest = next((each for each in candidates if each.name == preferred), None)
-    if warmest is None:
-        return by_start[0]
+    if warmest.cached_tokens:
+        in_order.insert(0, warmest)
+    elif preferred is not None:
+        in_order.sort(key=lambda each: each.name != preferred)
     mean_per_rate = (pool_load + demand.tokens) / pool_decode_tokens_per_s
-    bound = LOAD_BOUND * mean_per_rate * warmest.decode_tokens_per_s
-    # One request may always land on an idle upstream, however large it is.
-    fits = warmest.held_tokens + demand.tokens <= bound or warmest.running == 0
-    return warmest if fits else by_start[0]
+    for candidate in in_order:
+        bound = LOAD_BOUND * mean_per_rate * candidate.decode_tokens_per_s
+        # One request may always land on an idle upstream, however large it is.
+        if candidate.running == 0 or candidate.held_tokens + demand.tokens <= bound:
+            return candidate
+    return min(candidates, key=lambda each: each.held_tokens)
 
 
 class Spill:
--- a/banyanseam/upstreams/fair_queue.py
+++ b/banyanseam/upstreams/fair_queue.py
@@ -10,22 +10,22 @@
 
 from bisect import insort
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from banyanseam.upstreams.const import OUTPUT_WEIGHT
 from banyanseam.upstreams.models import Demand, LeaseKey
 
 
-@dataclass(slots=True, order=True)
+@dataclass(slots=True, eq=False)
 class Waiting:
     """A request that waits for room until it gives up."""
 
     give_up_s: float
     arrived_s: float
-    key: LeaseKey = field(compare=False)
-    demand: Demand = field(compare=False)
+    key: LeaseKey
+    demand: Demand
     # How many requests behind this one were served while it did not fit.
-    bypasses: int = field(default=0, compare=False)
+    bypasses: int = 0
 
 
 def weigh_tokens(prompt_tokens: int, output_tokens: int) -> float:
@@ -33,6 +33,10 @@
     return prompt_tokens + OUTPUT_WEIGHT * output_tokens
 
 
+def _order(waiting: Waiting) -> tuple[float, float]:
+    return waiting.give_up_s, waiting.arrived_s
+
+
 class FairQueue:
     """Requests waiting in one place, in fair order."""
 
@@ -53,7 +57,7 @@
         if organisation not in self._waiting:
             self._lift(organisation)
             self._waiting[organisation] = []
-        insort(self._waiting[organisation], waiting)
+        insort(self._waiting[organisation], waiting, key=_order)
         self._by_key[waiting.key] = waiting
 
     def remove(self, key: LeaseKey) -> Waiting | None:
--- a/banyanseam/upstreams/kept_pool.py
+++ b/banyanseam/upstreams/kept_pool.py
@@ -309,10 +309,13 @@
             cached_tokens=min(cached, demand.prompt_tokens),
         )
 
-    def _grant(self, waiting: Waiting, chosen: Candidate, now_s: float) -> Placed:
+    def _grant(
+        self, waiting: Waiting, chosen: Candidate, now_s: float
+    ) -> Placed | None:
         demand = waiting.demand
         kept = self.kept[chosen.name]
-        kept.held.reserve(waiting.key, demand.tokens, self.seats, now_s)
+        if not kept.held.reserve(waiting.key, demand.tokens, self.seats, now_s):
+            return None
         kept.health.note_sent(now_s)
         kept.sent.append((now_s, demand.prompt_tokens - chosen.cached_tokens))
         self.queue.remove(waiting.key)
--- /dev/null
+++ b/tests/upstreams/test_choose.py
@@ -0,0 +1,190 @@
+import random
+import unittest
+from dataclasses import replace
+
+from banyanseam.upstreams.choose import (
+    Candidate,
+    LocalPool,
+    RegionSummary,
+    RemoteRegion,
+    Spill,
+    pick_place,
+    pick_upstream,
+)
+from banyanseam.upstreams.const import MAX_SECTION_BYTES, RAMP_S, REGION_TERM_S
+from banyanseam.upstreams.errors import InvalidSection
+from banyanseam.upstreams.health import Health
+from banyanseam.upstreams.models import Demand, PoolRow
+from banyanseam.upstreams.prefix import PrefixTable, hash_prefix, rank_by_rendezvous
+from banyanseam.upstreams.regions import Regions, make_section_writer
+from tests.common import make_config
+
+POLICY = replace(
+    make_config().policies["gulf"], remote_margin_ms=200, remote_share_cap=0.5
+)
+DEMAND = Demand("acme", 1.0, 1_000, 100)
+ROW = PoolRow("gulf/model:oak/0", 50_000, 20_000, 0, 0, 2, 2_000.0, 10_000.0)
+DELTA = RegionSummary("delta", 50_000, 20_000, 0, 10_000.0, heard_since_s=0.0)
+NOW_S = 1_000.0
+
+
+def make_candidate(name: str, **fields) -> Candidate:
+    values = {
+        "held_tokens": 0,
+        "queued_tokens": 0,
+        "running": 0,
+        "decode_tokens_per_s": 1_000.0,
+        "prefill_tokens_per_s": 10_000.0,
+        "cached_tokens": 0,
+    }
+    return Candidate(name=name, **(values | fields))
+
+
+class PickUpstreamTests(unittest.TestCase):
+    def pick(self, *candidates, load=10_000, preferred=None):
+        chosen = pick_upstream(candidates, DEMAND, load, 2_000.0, preferred)
+        return chosen.name if chosen else None
+
+    def test_table(self):
+        idle, queued = make_candidate("a"), make_candidate("b", queued_tokens=9_000)
+        warm = make_candidate(
+            "c", cached_tokens=900, held_tokens=4_000, running=4, queued_tokens=2_000
+        )
+        hot = replace(warm, held_tokens=9_000, running=9)
+        cases = {
+            "nothing": ((), None, None),
+            "least wait": ((queued, idle), None, "a"),
+            "cached": ((idle, warm), None, "c"),
+            "cached beyond the bound": ((idle, hot), None, "a"),
+            "unknown prompt goes by its hash": ((idle, queued), "b", "b"),
+        }
+        for name, (candidates, preferred, expected) in cases.items():
+            with self.subTest(name):
+                chosen = self.pick(*candidates, preferred=preferred)
+                self.assertEqual(chosen, expected)
+
+
+class PickPlaceTests(unittest.TestCase):
+    def pick(self, pools, regions, spill=None, now_s=NOW_S, seed=1):
+        spill = spill or Spill(now_s)
+        generator = random.Random(seed)
+        return pick_place(pools, regions, DEMAND, POLICY, spill, generator, now_s)
+
+    def test_table(self):
+        slow = replace(ROW, wait_ms=3_000)
+        little_slower = replace(ROW, wait_ms=300)
+        full = replace(DELTA, largest_free_tokens=100)
+        local, remote = LocalPool(ROW.pool), RemoteRegion("delta")
+        cases = {
+            "local first": ([ROW], [DELTA], local),
+            "below the margin": ([little_slower], [DELTA], local),
+            "wins by the margin": ([slow], [DELTA], remote),
+            "no room there": ([slow], [full], local),
+            "only remote": ([], [DELTA], remote),
+            "nothing": ([], [], None),
+        }
+        for name, (pools, regions, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(self.pick(pools, regions), expected)
+
+    def test_share_cap_holds(self):
+        spill = Spill(NOW_S)
+        slow = replace(ROW, wait_ms=3_000)
+        places = []
+        for _ in range(200):
+            place = self.pick([slow], [DELTA], spill)
+            spill.note(is_remote=isinstance(place, RemoteRegion), now_s=NOW_S)
+            places.append(place)
+        remote = sum(isinstance(place, RemoteRegion) for place in places)
+        self.assertAlmostEqual(remote / 200, POLICY.remote_share_cap, delta=0.02)
+
+    def test_spilling_stops_at_half_the_margin(self):
+        spill = Spill(NOW_S)
+        gains = [0.15, 0.25, 0.15, 0.05, 0.15]
+        self.assertEqual(
+            [spill.wins(gain, 0.2) for gain in gains], [False, True, True, False, False]
+        )
+
+    def test_returning_region_is_ramped(self):
+        slow = replace(ROW, wait_ms=3_000)
+
+        def share(age_s: float) -> float:
+            back = replace(DELTA, heard_since_s=NOW_S - age_s)
+            chosen = [self.pick([slow], [back], seed=seed) for seed in range(300)]
+            return sum(isinstance(place, RemoteRegion) for place in chosen) / 300
+
+        self.assertLess(share(0.0), 0.05)
+        self.assertAlmostEqual(share(RAMP_S / 2), 0.5, delta=0.1)
+        self.assertEqual(share(RAMP_S), 1.0)
+
+
+class PrefixTests(unittest.TestCase):
+    def test_longer_prompt_of_a_session_finds_its_upstream(self):
+        table = PrefixTable()
+        first = b"x" * 9_000
+        table.note_sent(hash_prefix(first), "a")
+        longer = hash_prefix(first + b"y" * 9_000)
+        self.assertGreaterEqual(table.count_cached_tokens(longer, "a"), 2_000)
+        self.assertEqual(table.count_cached_tokens(longer, "b"), 0)
+        self.assertEqual(table.count_cached_tokens(hash_prefix(b"z" * 9_000), "a"), 0)
+        table.note_evicted("a", longer[4:])
+        self.assertEqual(table.count_cached_tokens(longer, "a"), 1_024)
+        table.forget("a")
+        self.assertEqual(table.count_cached_tokens(longer, "a"), 0)
+
+    def test_table_is_bounded(self):
+        table = PrefixTable(max_entries=10)
+        for number in range(100):
+            table.note_sent(hash_prefix(bytes([number]) * 4_096), "a")
+        self.assertEqual(len(table._entries), 10)
+
+    def test_lost_name_moves_only_its_own(self):
+        names = [f"engine-{number}" for number in range(8)]
+        keys = [str(number).encode() for number in range(500)]
+        before = {key: rank_by_rendezvous(key, names)[0] for key in keys}
+        after = {key: rank_by_rendezvous(key, names[1:])[0] for key in keys}
+        moved = [key for key in keys if before[key] != after[key]]
+        self.assertTrue(all(before[key] == names[0] for key in moved))
+
+
+class HealthTests(unittest.TestCase):
+    def test_ejection_grows_and_one_request_probes(self):
+        health = Health()
+        self.assertEqual([health.note_failure(0.0) for _ in range(3)], [0, 0, 1])
+        self.assertFalse(health.may_send(0.9))
+        self.assertTrue(health.may_send(1.0))
+        health.note_sent(1.0)
+        self.assertFalse(health.may_send(1.1))
+        self.assertTrue(health.note_failure(1.2))
+        self.assertFalse(health.may_send(3.1))
+        self.assertTrue(health.may_send(3.2))
+        health.note_sent(3.2)
+        health.note_success()
+        self.assertTrue(health.may_send(3.3))
+
+
+class RegionsTests(unittest.TestCase):
+    def test_section_is_bounded_and_takes_turns(self):
+        rows = [replace(ROW, pool=f"pool-{number}") for number in range(600)]
+        write = make_section_writer(
+            lambda: rows, lambda pool: frozenset({f"model-of-{pool}"})
+        )
+        regions = Regions()
+        for _ in range(20):
+            section = write()
+            self.assertLessEqual(len(section), MAX_SECTION_BYTES)
+            regions.apply("delta", section, NOW_S)
+        for number in range(600):
+            served = f"model-of-pool-{number}"
+            self.assertEqual(len(regions.list_summaries(served, NOW_S)), 1)
+        old_s = NOW_S + REGION_TERM_S + 0.1
+        self.assertEqual(regions.list_summaries("model-of-pool-1", old_s), [])
+
+    def test_malformed_section_is_refused(self):
+        for section in (b"", b"\xff", b"\x01", b"\x81\x01", b"\x81\x81\x01"):
+            with self.subTest(section), self.assertRaises(InvalidSection):
+                Regions().apply("delta", section, NOW_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/upstreams/test_fair_queue.py
@@ -0,0 +1,120 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from banyanseam.upstreams.fair_queue import FairQueue, Waiting, weigh_tokens
+from banyanseam.upstreams.models import Demand, LeaseKey
+
+LARGEST_TOKENS = 1_000
+
+
+class Line:
+    """A queue of which one request is served at a time."""
+
+    def __init__(self) -> None:
+        self.queue = FairQueue()
+        self.count = 0
+        self.served: dict[str, float] = {}
+
+    def add(self, organisation, tokens=100, give_up_s=100.0, weight=1.0) -> LeaseKey:
+        self.count += 1
+        key = LeaseKey("gulf-1", 1, self.count)
+        demand = Demand(organisation, weight, tokens, 0)
+        self.queue.add(Waiting(give_up_s, float(self.count), key, demand))
+        return key
+
+    def serve(self) -> str | None:
+        first = next(self.queue.in_order(1), None)
+        if first is None:
+            return None
+        demand = first.demand
+        self.queue.remove(first.key)
+        self.queue.charge(demand, demand.prompt_tokens, 0)
+        service = weigh_tokens(demand.prompt_tokens, 0) / demand.weight
+        self.served[demand.organisation] = (
+            self.served.get(demand.organisation, 0.0) + service
+        )
+        return demand.organisation
+
+
+class FairQueueTests(unittest.TestCase):
+    @given(
+        tokens=st.lists(
+            st.tuples(
+                st.sampled_from(("large", "small")), st.integers(1, LARGEST_TOKENS)
+            ),
+            min_size=4,
+            max_size=80,
+        ),
+        weight=st.sampled_from((0.5, 1.0, 3.0)),
+    )
+    def test_service_gap_between_waiting_organisations_is_bounded(self, tokens, weight):
+        line = Line()
+        for organisation, size in tokens:
+            line.add(
+                organisation, size, weight=weight if organisation == "large" else 1
+            )
+        while len(line.queue._waiting) == 2:
+            line.serve()
+            gap = abs(line.served.get("large", 0) - line.served.get("small", 0))
+            self.assertLessEqual(gap, LARGEST_TOKENS / min(weight, 1.0))
+
+    def test_organisation_back_from_idle_saved_nothing_up(self):
+        line = Line()
+        line.add("early")
+        line.serve()
+        for _ in range(50):
+            line.add("busy")
+        for _ in range(40):
+            line.serve()
+        for _ in range(10):
+            line.add("early")
+        order = [line.serve() for _ in range(10)]
+        self.assertLessEqual(order.count("early"), 6)
+
+    def test_flood_does_not_delay_others(self):
+        line = Line()
+        for _ in range(1_000):
+            line.add("flood")
+        for _ in range(10):
+            line.serve()
+        line.add("other")
+        self.assertIn("other", [line.serve(), line.serve()])
+        demand = Demand("third", 1.0, 100, 0)
+        self.assertLessEqual(line.queue.count_tokens_ahead(demand, 100.0), 300)
+        demand = Demand("flood", 1.0, 100, 0)
+        self.assertGreater(line.queue.count_tokens_ahead(demand, 100.0), 90_000)
+
+    def test_earliest_to_give_up_goes_first_within_an_organisation(self):
+        line = Line()
+        line.add("acme", give_up_s=30.0)
+        urgent = line.add("acme", give_up_s=20.0)
+        self.assertEqual(next(line.queue.in_order(1)).key, urgent)
+        self.assertEqual([each.key for each in line.queue.pop_expired(25.0)], [urgent])
+
+    def test_requests_with_equal_times_are_told_apart(self):
+        line = Line()
+        keys = [LeaseKey("gulf-1", 1, 7), LeaseKey("gulf-1", 1, 8)]
+        demand = Demand("acme", 1.0, 10, 0)
+        for key in keys:
+            line.queue.add(Waiting(50.0, 2.0, key, demand))
+        line.queue.remove(keys[1])
+        self.assertEqual(next(line.queue.in_order(1)).key, keys[0])
+
+    def test_forgetting_idle_counters_changes_no_order(self):
+        line = Line()
+        for name in ("idle", "ahead", "ahead"):
+            line.add(name)
+            line.serve()
+        line.add("behind")
+        line.queue.charge(Demand("ahead", 1.0, 500, 0), 500, 0)
+        line.queue.forget_idle()
+        self.assertNotIn("idle", line.queue._counters)
+        line.add("ahead")
+        line.add("behind")
+        self.assertEqual([line.serve() for _ in range(2)], ["behind", "behind"])
+
+
+if __name__ == "__main__":
+    unittest.main()
