Remember idempotency keys and issue tickets

Cause: a caller that resends a booking may run it twice; nothing remembers keys. Change: signed tickets that name the issuing process, and the pure memory of keys: one grant per key, tombstones for lost or large answers, refusal of new keys when memory is short. Ruled out: evicting the oldest key under pressure, since a forgotten key runs again; and forgetting by the wall clock, since a clock set back would make a forgotten key look new. A floor that only rises decides both. Conclusion: the memory grants a key once under loss, repeats and late messages.

--- /dev/null
+++ b/banyanseam/idempotency/memory.py
@@ -0,0 +1,213 @@
+"""What a process remembers of keys; pure, and it never forgets early.
+
+A key once granted is never granted again while it is remembered, unless its runner
+proves that nothing was sent. A stamped key is forgotten only when the floor below
+which stamps are refused has passed it; so a clock that is set back cannot make the
+memory take a forgotten key for a new one.
+"""
+
+from banyanseam.idempotency.const import (
+    ANSWER_SHARE,
+    MAX_ANSWER_BYTES,
+    MEMORY_BYTES,
+    ORGANISATION_SHARE,
+    RECORD_BYTES,
+    RETENTION_S,
+    RUN_GRACE_S,
+)
+from banyanseam.idempotency.errors import (
+    AnswerNotKept,
+    KeyReused,
+    KeyTooOld,
+    MemoryFull,
+    OutcomeUnknown,
+)
+from banyanseam.idempotency.models import (
+    Answer,
+    Claim,
+    Record,
+    Scope,
+    State,
+    Verdict,
+)
+
+
+class Memory:
+    """Records of keys, bounded in bytes and kept for RETENTION_S."""
+
+    def __init__(self, limit_bytes: int = MEMORY_BYTES) -> None:
+        """Begin with no knowledge."""
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+        # Keys stamped before this are refused, so their records may go.
+        self.floor_s = float("-inf")
+        self._records: dict[Scope, Record] = {}
+        self._bytes_by_organisation: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of remembered keys."""
+        return len(self._records)
+
+    def find(self, scope: Scope) -> Record | None:
+        """Return the record of a key, if it is remembered."""
+        return self._records.get(scope)
+
+    def claim(
+        self,
+        claim: Claim,
+        now_s: float,
+        *,
+        stamp_s: float | None = None,
+        keep_until_s: float = 0.0,
+    ) -> Verdict:
+        """Grant the run to the first receipt of a key, or say what became of it.
+
+        Raise KeyReused, KeyTooOld, MemoryFull, AnswerNotKept or OutcomeUnknown. A
+        repeat of the granted claim itself is granted again: its sender runs once.
+        """
+        record = self._records.get(claim.scope)
+        if record is None:
+            return self._admit(claim, now_s, stamp_s, keep_until_s)
+        self._expire(record, now_s)
+        if record.claim.fingerprint != claim.fingerprint:
+            raise KeyReused
+        if record.claim.claim_id == claim.claim_id:
+            return self._repeat(record)
+        if record.state is State.RUNNING:
+            record.others_asked = True
+        return self._tell(record)
+
+    def finish(
+        self, scope: Scope, claim_id: bytes, answer: Answer | None, now_s: float
+    ) -> bool:
+        """Note how the run ended, None for an unknown end; say if it was its run."""
+        record = self._records.get(scope)
+        if record is None or record.claim.claim_id != claim_id:
+            return False
+        if record.state is State.DONE:
+            return True
+        record.keep_until_s = max(record.keep_until_s, now_s + RETENTION_S)
+        if answer is None:
+            record.state = State.UNKNOWN
+            return True
+        record.state = State.DONE
+        if self._has_room_for(answer, scope.organisation):
+            record.answer = answer
+            self._grow(record, answer.size_bytes())
+        else:
+            record.answer_dropped = True
+        return True
+
+    def release(self, scope: Scope, claim_id: bytes) -> bool:
+        """Free a key whose runner proved that nothing was sent.
+
+        Return True when no other receipt asked for the key meanwhile: only then may
+        the runner say that the key did not run, for nobody else is about to run it.
+        """
+        record = self._records.get(scope)
+        if record is None or record.claim.claim_id != claim_id:
+            return False
+        if record.state is State.DONE:
+            return False
+        self._forget(scope, record)
+        return not record.others_asked
+
+    def abandon(self, seat: str, incarnation: int, now_s: float) -> list[Scope]:
+        """Give up on the runs of a process that is gone; return their keys."""
+        gone = [
+            record
+            for record in self._records.values()
+            if record.state is State.RUNNING
+            and record.claim.seat == seat
+            and record.claim.incarnation <= incarnation
+        ]
+        for record in gone:
+            self._give_up(record, now_s)
+        return [record.claim.scope for record in gone]
+
+    def sweep(self, now_s: float, wall_s: float) -> None:
+        """Raise the floor of stamps and forget what lies below it."""
+        self.floor_s = max(self.floor_s, wall_s - RETENTION_S)
+        for scope, record in list(self._records.items()):
+            self._expire(record, now_s)
+            if record.state is State.RUNNING or now_s < record.keep_until_s:
+                continue
+            if record.stamp_s is None or record.stamp_s < self.floor_s:
+                self._forget(scope, record)
+
+    def _admit(
+        self, claim: Claim, now_s: float, stamp_s: float | None, keep_until_s: float
+    ) -> Verdict:
+        if stamp_s is not None and stamp_s < self.floor_s:
+            raise KeyTooOld
+        organisation = claim.scope.organisation
+        size_bytes = RECORD_BYTES + 2 * len(claim.scope.key)
+        held = self._bytes_by_organisation.get(organisation, 0)
+        if (
+            self.held_bytes + size_bytes > self.limit_bytes
+            or held + size_bytes > self.limit_bytes * ORGANISATION_SHARE
+        ):
+            raise MemoryFull(retry_after_ms=self._time_to_room_ms(now_s))
+        record = Record(
+            claim,
+            run_until_s=now_s + claim.run_s + RUN_GRACE_S,
+            stamp_s=stamp_s,
+            keep_until_s=max(keep_until_s, now_s + RETENTION_S),
+        )
+        self._records[claim.scope] = record
+        self._grow(record, size_bytes)
+        return Verdict(State.RUNNING, granted=True)
+
+    def _repeat(self, record: Record) -> Verdict:
+        # The sender of a repeat has not run yet: it still waits for this answer.
+        if record.state is State.RUNNING:
+            return Verdict(State.RUNNING, granted=True)
+        return self._tell(record)
+
+    def _tell(self, record: Record) -> Verdict:
+        if record.answer_dropped:
+            raise AnswerNotKept
+        if record.state is State.UNKNOWN:
+            raise OutcomeUnknown
+        return Verdict(record.state, answer=record.answer)
+
+    def _expire(self, record: Record, now_s: float) -> None:
+        if record.state is State.RUNNING and now_s >= record.run_until_s:
+            self._give_up(record, now_s)
+
+    def _give_up(self, record: Record, now_s: float) -> None:
+        record.state = State.UNKNOWN
+        record.keep_until_s = max(record.keep_until_s, now_s + RETENTION_S)
+
+    def _has_room_for(self, answer: Answer, organisation: str) -> bool:
+        size_bytes = answer.size_bytes()
+        held = self._bytes_by_organisation.get(organisation, 0)
+        limit_bytes = self.limit_bytes * ANSWER_SHARE
+        return (
+            size_bytes <= MAX_ANSWER_BYTES
+            and self.held_bytes + size_bytes <= limit_bytes
+            and held + size_bytes <= limit_bytes * ORGANISATION_SHARE
+        )
+
+    def _time_to_room_ms(self, now_s: float) -> int:
+        first = min(
+            (record.keep_until_s for record in self._records.values()),
+            default=now_s + RETENTION_S,
+        )
+        return max(1000, int((first - now_s) * 1000))
+
+    def _grow(self, record: Record, size_bytes: int) -> None:
+        record.size_bytes += size_bytes
+        self._count(record.claim.scope.organisation, size_bytes)
+
+    def _forget(self, scope: Scope, record: Record) -> None:
+        del self._records[scope]
+        self._count(scope.organisation, -record.size_bytes)
+
+    def _count(self, organisation: str, size_bytes: int) -> None:
+        self.held_bytes += size_bytes
+        held = self._bytes_by_organisation.get(organisation, 0) + size_bytes
+        if held:
+            self._bytes_by_organisation[organisation] = held
+        else:
+            del self._bytes_by_organisation[organisation]
--- /dev/null
+++ b/banyanseam/idempotency/models.py
@@ -0,0 +1,78 @@
+"""What is remembered of a key."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from banyanseam.pipe.models import Headers
+
+
+class State(Enum):
+    """How far the one run of a key has come."""
+
+    RUNNING = "running"
+    DONE = "done"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """A key within its organisation; other organisations' keys never meet it."""
+
+    organisation: str
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer, as the upstream gave it."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def size_bytes(self) -> int:
+        """Return about how much memory the answer takes."""
+        return len(self.body) + sum(
+            len(name) + len(value) + 64 for name, value in self.headers
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """The wish of one receipt of a request to be the one that runs."""
+
+    scope: Scope
+    fingerprint: str
+    claim_id: bytes
+    # The process that would run it.
+    seat: str
+    incarnation: int
+    # How long the run may take at most, from the claim on.
+    run_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a claim got: RUNNING with `granted`, RUNNING elsewhere, or DONE."""
+
+    state: State
+    granted: bool = False
+    answer: Answer | None = None
+
+
+@dataclass(slots=True)
+class Record:
+    """One remembered key."""
+
+    claim: Claim
+    run_until_s: float
+    state: State = State.RUNNING
+    answer: Answer | None = None
+    # True when a run ended whose answer could not be kept.
+    answer_dropped: bool = False
+    # True once another receipt asked for the key while it ran.
+    others_asked: bool = False
+    # The key's own time stamp in seconds since the epoch, if it has one.
+    stamp_s: float | None = None
+    keep_until_s: float = 0.0
+    size_bytes: int = 0
--- /dev/null
+++ b/tests/idempotency/test_memory.py
@@ -0,0 +1,206 @@
+import unittest
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from banyanseam.errors import BanyanseamError
+from banyanseam.idempotency.const import RECORD_BYTES, RETENTION_S
+from banyanseam.idempotency.errors import (
+    AnswerNotKept,
+    KeyReused,
+    KeyTooOld,
+    MemoryFull,
+    OutcomeUnknown,
+)
+from banyanseam.idempotency.memory import Memory
+from banyanseam.idempotency.models import Answer, Claim, Scope, State
+
+ANSWER = Answer(201, [(b"content-type", b"text/plain")], b"booked")
+
+
+def make_claim(number=1, key="k", body="b", organisation="acme", run_s=10.0):
+    scope = Scope(organisation, key)
+    return Claim(scope, body, number.to_bytes(4), "gulf-1", 1, run_s)
+
+
+class MemoryTests(unittest.TestCase):
+    def setUp(self):
+        self.memory = Memory()
+
+    def test_a_second_receipt_gets_the_same_answer(self):
+        first = make_claim(1)
+        self.assertTrue(self.memory.claim(first, 0.0).granted)
+        waiting = self.memory.claim(make_claim(2), 1.0)
+        self.assertEqual((waiting.state, waiting.granted), (State.RUNNING, False))
+        self.memory.finish(first.scope, first.claim_id, ANSWER, 2.0)
+        self.assertEqual(self.memory.claim(make_claim(3), 3.0).answer, ANSWER)
+
+    def test_another_body_is_refused(self):
+        self.memory.claim(make_claim(1), 0.0)
+        with self.assertRaises(KeyReused):
+            self.memory.claim(make_claim(2, body="other"), 1.0)
+
+    def test_full_memory_refuses_new_keys_and_keeps_the_old(self):
+        memory = Memory(limit_bytes=4 * (RECORD_BYTES + 10))
+        for number in (1, 2):
+            memory.claim(make_claim(number, key=str(number)), 0.0)
+        with self.assertRaises(MemoryFull) as caught:
+            memory.claim(make_claim(3, key="3"), 0.0)
+        self.assertTrue(caught.exception.not_run)
+        self.assertGreater(caught.exception.retry_after_ms, 0)
+        self.assertFalse(memory.claim(make_claim(4, key="1"), 0.0).granted)
+        other = make_claim(5, key="5", organisation="rival")
+        self.assertTrue(memory.claim(other, 0.0).granted)
+
+    def test_a_large_answer_leaves_a_tombstone(self):
+        first = make_claim(1)
+        self.memory.claim(first, 0.0)
+        large = Answer(200, [], b"x" * 100_000)
+        self.memory.finish(first.scope, first.claim_id, large, 1.0)
+        with self.assertRaises(AnswerNotKept):
+            self.memory.claim(make_claim(2), 2.0)
+
+    def test_a_dead_runner_leaves_an_unknown_outcome(self):
+        self.memory.claim(make_claim(1), 0.0)
+        self.memory.abandon("gulf-1", 1, 1.0)
+        with self.assertRaises(OutcomeUnknown):
+            self.memory.claim(make_claim(2), 2.0)
+
+    def test_a_silent_runner_leaves_an_unknown_outcome_after_its_term(self):
+        self.memory.claim(make_claim(1, run_s=10.0), 0.0)
+        self.assertEqual(self.memory.claim(make_claim(2), 14.0).state, State.RUNNING)
+        with self.assertRaises(OutcomeUnknown):
+            self.memory.claim(make_claim(2), 16.0)
+
+    def test_a_long_run_is_not_forgotten_while_it_may_go_on(self):
+        self.memory.claim(make_claim(1, run_s=3 * RETENTION_S), 0.0)
+        self.memory.sweep(2 * RETENTION_S, wall_s=9 * RETENTION_S)
+        waiting = self.memory.claim(make_claim(2), 2 * RETENTION_S)
+        self.assertFalse(waiting.granted)
+
+    def test_release_tells_whether_another_receipt_waits(self):
+        for others, alone in ((0, True), (1, False)):
+            with self.subTest(others=others):
+                memory = Memory()
+                first = make_claim(1)
+                memory.claim(first, 0.0)
+                for _ in range(others):
+                    memory.claim(make_claim(2), 0.0)
+                self.assertEqual(memory.release(first.scope, first.claim_id), alone)
+                self.assertTrue(memory.claim(make_claim(2), 1.0).granted)
+
+    def test_a_clock_set_back_revives_no_forgotten_key(self):
+        first = make_claim(1)
+        self.memory.claim(first, 0.0, stamp_s=1000.0)
+        self.memory.finish(first.scope, first.claim_id, ANSWER, 1.0)
+        self.memory.sweep(RETENTION_S + 2, wall_s=1001.0 + RETENTION_S)
+        self.assertEqual(len(self.memory), 0)
+        self.memory.sweep(RETENTION_S + 3, wall_s=900.0)
+        with self.assertRaises(KeyTooOld):
+            self.memory.claim(make_claim(2), RETENTION_S + 4, stamp_s=1000.0)
+
+
+class MemoryMachine(RuleBasedStateMachine):
+    """Receipts of one key after another; their messages are lost or come late.
+
+    A run is counted where the upstream would count it: when the receipt that holds
+    a grant sends the first byte.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.memory = Memory(limit_bytes=20 * RECORD_BYTES)
+        self.now_s = 0.0
+        self.number = 0
+        # Keys are stamped with the second at which the callers began to use them.
+        self.stamp_s = 0.0
+        self.asked = []
+        self.granted = []
+        self.started = []
+        self.runs = Counter()
+        self.late = []
+
+    def pick(self, items, data):
+        return items.pop(data.draw(st.integers(0, len(items) - 1)))
+
+    def deliver(self, message):
+        kind, claim = message
+        try:
+            if kind == "claim":
+                stamp_s = float(claim.scope.key)
+                return self.memory.claim(claim, self.now_s, stamp_s=stamp_s).granted
+            if kind == "release":
+                return self.memory.release(claim.scope, claim.claim_id)
+            answer = ANSWER if kind == "done" else None
+            return self.memory.finish(claim.scope, claim.claim_id, answer, self.now_s)
+        except BanyanseamError as error:
+            if error.not_run:
+                assert not self.runs[claim.scope.key], "a run key was called not run"
+            return False
+
+    @rule(reply_lost=st.booleans())
+    def receive(self, reply_lost):
+        self.number += 1
+        claim = make_claim(self.number, key=str(self.stamp_s))
+        self.late.append(("claim", claim))
+        if self.deliver(("claim", claim)) and not reply_lost:
+            self.granted.append(claim)
+        else:
+            self.asked.append(claim)
+
+    @precondition(lambda self: self.asked)
+    @rule(data=st.data())
+    def ask_again(self, data):
+        claim = self.pick(self.asked, data)
+        target = self.granted if self.deliver(("claim", claim)) else self.asked
+        target.append(claim)
+
+    @precondition(lambda self: self.granted)
+    @rule(data=st.data())
+    def start(self, data):
+        claim = self.pick(self.granted, data)
+        self.runs[claim.scope.key] += 1
+        self.started.append(claim)
+
+    @precondition(lambda self: self.granted)
+    @rule(data=st.data(), lost=st.booleans())
+    def fail_before_first_byte(self, data, lost):
+        claim = self.pick(self.granted, data)
+        self.late.append(("release", claim))
+        if not lost and self.deliver(("release", claim)):
+            assert not self.runs[claim.scope.key], "a run key was called not run"
+
+    @precondition(lambda self: self.started)
+    @rule(data=st.data(), kind=st.sampled_from(["done", "unknown", "killed"]))
+    def end(self, data, kind):
+        claim = self.pick(self.started, data)
+        if kind != "killed":
+            self.late.append((kind, claim))
+            self.deliver((kind, claim))
+
+    @precondition(lambda self: self.late)
+    @rule(data=st.data())
+    def repeat_late(self, data):
+        self.deliver(data.draw(st.sampled_from(self.late)))
+
+    @precondition(lambda self: self.number % 8 == 7)
+    @rule(pause_s=st.sampled_from([1.0, 20.0, RETENTION_S]), back_s=st.integers(0, 90))
+    def lose_the_entry_and_wait(self, pause_s, back_s):
+        self.memory.abandon("gulf-1", 1, self.now_s)
+        self.now_s += pause_s
+        # A grant is void after its term, which is far below the retention.
+        if pause_s >= 20.0:
+            self.granted.clear()
+            self.asked.clear()
+        self.stamp_s = self.now_s
+        self.memory.sweep(self.now_s, self.now_s - back_s)
+
+    @invariant()
+    def at_most_once(self):
+        assert max(self.runs.values(), default=0) <= 1, self.runs
+
+
+TestMemoryMachine = MemoryMachine.TestCase
+TestMemoryMachine.settings = settings(max_examples=200, stateful_step_count=40)
--- /dev/null
+++ b/tests/idempotency/test_tickets.py
@@ -0,0 +1,36 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from banyanseam.idempotency.errors import TicketInvalid
+from banyanseam.idempotency.tickets import TICKET_PREFIX, TicketDesk, is_ticket
+
+SECRET = b"a secret of the fleet"
+
+
+class TicketTests(unittest.TestCase):
+    def setUp(self):
+        self.desk = TicketDesk("gulf-1", 7, SECRET)
+
+    def test_any_daemon_reads_the_issuer(self):
+        text = self.desk.issue("acme", now_s=10.0)
+        ticket = TicketDesk("delta-2", 1, SECRET).read(text, "acme")
+        self.assertTrue(is_ticket(text))
+        self.assertEqual((ticket.seat, ticket.incarnation), ("gulf-1", 7))
+        self.assertTrue(self.desk.is_mine(ticket))
+        self.assertFalse(TicketDesk("gulf-1", 8, SECRET).is_mine(ticket))
+
+    def test_a_ticket_serves_only_its_organisation(self):
+        with self.assertRaises(TicketInvalid):
+            self.desk.read(self.desk.issue("acme", 0.0), "rival")
+
+    def test_only_the_fleet_signs(self):
+        forged = TicketDesk("gulf-1", 7, b"another secret").issue("acme", 0.0)
+        with self.assertRaises(TicketInvalid):
+            self.desk.read(forged, "acme")
+
+    @given(st.text(max_size=200) | st.binary(max_size=200).map(lambda b: b.hex()))
+    def test_malformed_tickets_are_refused(self, text):
+        with self.assertRaises(TicketInvalid):
+            TicketDesk("gulf-1", 7, SECRET).read(TICKET_PREFIX + text, "acme")
