--- a/banyanseam/idempotency/const.py
+++ b/banyanseam/idempotency/const.py
@@ -22,8 +22,6 @@
 # a configuration that it still held.
 KNOWLEDGE_MARGIN_S: Final = CONFIG_SPREAD_S + MAX_STAMP_AHEAD_S + 2 * MAX_CLOCK_SKEW_S
 
-# An entry that holds a grant may start the run only this long after it sent the claim.
-GRANT_TERM_S: Final = 5.0
 CLAIM_TIMEOUT_S: Final = 2.0
 CLAIM_PATIENCE_S: Final = 4.0
 CLAIM_PAUSE_S: Final = 0.1
@@ -43,5 +41,6 @@
 # Answers may fill this share; the rest is kept for records of new keys.
 ANSWER_SHARE: Final = 0.75
 MAX_MAPPINGS: Final = 16
+CLAIM_ID_BYTES: Final = 16
 REPLAYED_HEADER: Final = b"idempotent-replayed"
 KEY_HEADER: Final = b"idempotency-key"
--- /dev/null
+++ b/banyanseam/idempotency/knowledge.py
@@ -0,0 +1,102 @@
+"""Since when a process knows everything about a key; pure.
+
+A home that has just started, or just became the home of a key, cannot know what
+another process ran before. It trusts a key only when the key's stamp proves that it
+was made since, or when any older use has passed the retention.
+"""
+
+import uuid
+from dataclasses import dataclass
+
+import uuid6
+
+from banyanseam.idempotency.const import (
+    KNOWLEDGE_MARGIN_S,
+    MAX_MAPPINGS,
+    MAX_STAMP_AHEAD_S,
+    RETENTION_S,
+)
+from banyanseam.idempotency.errors import HomeIsNew, KeyStampedInFuture, NotHome
+from banyanseam.idempotency.mapping import Mapping, find_home
+from banyanseam.idempotency.models import Scope
+
+
+def read_stamp(key: str) -> float | None:
+    """Return the time in a key's UUIDv7, in seconds since the epoch, if it is one."""
+    try:
+        parsed = uuid6.UUID(key.rpartition(":")[2])
+    except ValueError:
+        return None
+    if parsed.version != 7 or parsed.variant != uuid.RFC_4122:
+        return None
+    return parsed.time / 1000
+
+
+@dataclass(frozen=True, slots=True)
+class _Period:
+    mapping: Mapping
+    since_s: float
+    since_wall_s: float
+
+
+class Knowledge:
+    """The mappings that this process has lived under, newest last."""
+
+    def __init__(self, seat: str) -> None:
+        """Begin knowing nothing; `adopt` begins the first period."""
+        self.seat = seat
+        self._periods: list[_Period] = []
+
+    @property
+    def mapping(self) -> Mapping:
+        """Return the mapping in force; raise NotHome before the first one."""
+        if not self._periods:
+            raise NotHome("no configuration is in force yet")
+        return self._periods[-1].mapping
+
+    def adopt(self, mapping: Mapping, now_s: float, wall_s: float) -> None:
+        """Put a mapping in force; an equal one changes nothing."""
+        if self._periods and self._periods[-1].mapping == mapping:
+            return
+        self._periods.append(_Period(mapping, now_s, wall_s))
+        # Forgetting an old period only makes this process more careful.
+        del self._periods[:-MAX_MAPPINGS]
+
+    def begin_anew(self, now_s: float, wall_s: float) -> None:
+        """Trust nothing from before now, as after a freeze."""
+        if self._periods:
+            self._periods = [_Period(self.mapping, now_s, wall_s)]
+
+    def check(
+        self, scope: Scope, route: str, now_s: float, wall_s: float
+    ) -> float | None:
+        """Return the stamp of a key that this home may take as never seen.
+
+        Raise NotHome, KeyStampedInFuture or HomeIsNew.
+        """
+        if find_home(self.mapping, scope, route) != self.seat:
+            raise NotHome
+        period = self._find_first_period(scope, route)
+        stamp_s = read_stamp(scope.key)
+        if stamp_s is None:
+            known_s = period.since_s + RETENTION_S + KNOWLEDGE_MARGIN_S
+            if now_s < known_s:
+                raise HomeIsNew(retry_after_ms=int((known_s - now_s) * 1000) + 1)
+            return None
+        if stamp_s > wall_s + MAX_STAMP_AHEAD_S:
+            raise KeyStampedInFuture
+        # A clock that was behind at the start and is right by now must not move
+        # the start into the past.
+        since_wall_s = max(period.since_wall_s, wall_s - (now_s - period.since_s))
+        if stamp_s < since_wall_s + KNOWLEDGE_MARGIN_S:
+            raise HomeIsNew
+        return stamp_s
+
+    def _find_first_period(self, scope: Scope, route: str) -> _Period:
+        """Return the first of the unbroken periods in which this seat was the home."""
+        first = self._periods[-1]
+        for period in reversed(self._periods[:-1]):
+            if find_home(period.mapping, scope, route) != self.seat:
+                break
+            first = period
+        return first
