Write the thin path: links, forwarding, the pipe, both ports, the daemon

Cause: no request could be served. Change: websocket links with a mutual proof of the fleet secret, forwarding with credit for each stream, the first filters, the callers' and operators' ports on uvicorn with header limits, and the daemon's composition. Configuration reading and the choice of an upstream are thin and will be replaced by their modules. Ruled out: forwarding over HTTP between daemons, since it would need a second port and a second proof.

--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -19,12 +19,14 @@
     message: str
 
 
+INTERNAL_FAILURE: Final = Event(2000, "ERROR", "A fault in the daemon itself")
 DAEMON_READY: Final = Event(2001, "INFO", "The daemon serves callers")
 DAEMON_STOPPED: Final = Event(2002, "INFO", "The daemon has stopped")
 REQUEST_ENDED: Final = Event(3001, "INFO", "A request ended")
 REQUEST_FAILED: Final = Event(3002, "WARNING", "A request was refused or failed")
 LINK_UP: Final = Event(4001, "INFO", "A link to a peer is up")
 LINK_DOWN: Final = Event(4002, "WARNING", "A link to a peer is down")
+LINK_REFUSED: Final = Event(4003, "WARNING", "A link to a peer was refused")
 CONFIG_ADOPTED: Final = Event(5001, "INFO", "A configuration is in force")
 CONFIG_REJECTED: Final = Event(5002, "ERROR", "A published configuration is invalid")
 CONFIG_SERVICE_DOWN: Final = Event(
--- a/banyanseam/peers/const.py
+++ b/banyanseam/peers/const.py
@@ -10,3 +10,8 @@
 IDLE_LINK_S: Final = 60.0
 REDIAL_PAUSE_S: Final = 0.25
 NONCE_BYTES: Final = 16
+MAX_CALLS_PER_LINK: Final = 2000
+PING_INTERVAL_S: Final = 4.0
+PING_TIMEOUT_S: Final = 4.0
+# Small, so that one slow link holds little; large answers flow by credit.
+WRITE_LIMIT_BYTES: Final = 256 * 1024
--- a/banyanseam/peers/errors.py
+++ b/banyanseam/peers/errors.py
@@ -41,6 +41,14 @@
     title = "The peer daemon speaks another protocol version"
 
 
+class PeerSuperseded(PeerRefused):
+    """A newer process holds this seat; the older one must stop serving."""
+
+    code = "peers.superseded"
+    event = 1206
+    title = "A newer process holds this seat"
+
+
 class InvalidPeerMessage(BanyanseamError):
     """A message does not validate; the link that carried it is closed."""
 
@@ -70,3 +78,13 @@
         super().__init__(f"{peer_code}: {detail}", retry_after_ms=retry_after_ms)
         self.peer_code = peer_code
         self.peer_not_run = peer_not_run
+
+
+class TooManyPeerCalls(BanyanseamError):
+    """One peer keeps more calls open than a daemon serves at once."""
+
+    code = "peers.too_many_calls"
+    event = 1207
+    status = 503
+    title = "Too many calls of one peer are open"
+    not_run = True
--- /dev/null
+++ b/banyanseam/peers/link.py
@@ -0,0 +1,168 @@
+"""One websocket between two daemons, carrying calls, replies and casts."""
+
+import anyio
+from anyio.abc import TaskGroup
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import ConnectionClosed
+
+from banyanseam.errors import BanyanseamError
+from banyanseam.peers.const import MAX_CALLS_PER_LINK
+from banyanseam.peers.contract import CallHandler, CastHandler
+from banyanseam.peers.errors import (
+    InvalidPeerMessage,
+    PeerCallFailed,
+    PeerCallLost,
+    PeerUnreachable,
+    TooManyPeerCalls,
+)
+from banyanseam.peers.messages import (
+    Envelope,
+    Failure,
+    Message,
+    PeerIdentity,
+    decode,
+    encode,
+)
+
+
+class Handlers:
+    """Who takes which message, shared by all links of a process."""
+
+    def __init__(self) -> None:
+        """Start without handlers."""
+        self.calls: dict[type[Message], CallHandler] = {}
+        self.casts: dict[type[Message], CastHandler] = {}
+
+
+class PendingCall:
+    """A call that waits for its reply."""
+
+    def __init__(self) -> None:
+        """Start without a reply."""
+        self.done = anyio.Event()
+        self.reply: Message | None = None
+
+    def resolve(self, reply: Message | None) -> None:
+        """Hand over the reply, or None when the link is gone."""
+        self.reply = reply
+        self.done.set()
+
+
+class Link:
+    """An open link; `peer` has proved itself."""
+
+    def __init__(
+        self,
+        peer: PeerIdentity,
+        connection: Connection,
+        handlers: Handlers,
+        tasks: TaskGroup,
+    ) -> None:
+        """Take over a connection whose handshake is done."""
+        self.peer = peer
+        self.is_open = True
+        self._connection = connection
+        self._handlers = handlers
+        self._tasks = tasks
+        self._pending: dict[int, PendingCall] = {}
+        self._last_call = 0
+        self._calls_served = 0
+
+    async def call(self, message: Message, timeout_s: float) -> Message:
+        """Send a call and return its reply.
+
+        Raise PeerUnreachable, PeerCallLost or PeerCallFailed.
+        """
+        self._last_call += 1
+        number = self._last_call
+        pending = self._pending[number] = PendingCall()
+        try:
+            with anyio.move_on_after(timeout_s):
+                await self._send(Envelope(number, False, message))
+                await pending.done.wait()
+        finally:
+            del self._pending[number]
+        reply = pending.reply
+        if reply is None:
+            raise PeerCallLost(f"{self.peer.seat}: {message.kind}")
+        if isinstance(reply, Failure):
+            raise PeerCallFailed(
+                reply.code,
+                reply.detail,
+                peer_not_run=reply.not_run,
+                retry_after_ms=reply.retry_after_ms,
+            )
+        return reply
+
+    async def cast(self, message: Message) -> None:
+        """Send a message that has no reply; raise PeerUnreachable."""
+        await self._send(Envelope(0, False, message))
+
+    async def _send(self, envelope: Envelope) -> None:
+        if not self.is_open:
+            raise PeerUnreachable(self.peer.seat)
+        try:
+            await self._connection.send(encode(envelope))
+        except ConnectionClosed as error:
+            raise PeerCallLost(self.peer.seat) from error
+
+    async def receive_until_closed(self) -> None:
+        """Take messages until the link closes; then fail all that waits for it."""
+        try:
+            async for data in self._connection:
+                await self._take(decode(data))
+        except (ConnectionClosed, InvalidPeerMessage):
+            await self.close()
+        finally:
+            self.is_open = False
+            for pending in self._pending.values():
+                pending.resolve(None)
+
+    async def close(self) -> None:
+        """Close the connection; safe to repeat."""
+        self.is_open = False
+        await self._connection.close()
+
+    async def _take(self, envelope: Envelope) -> None:
+        message = envelope.message
+        if envelope.is_reply:
+            pending = self._pending.get(envelope.call)
+            # A reply that comes after the timeout finds nobody waiting.
+            if pending is not None:
+                pending.resolve(message)
+            return
+        if envelope.call:
+            self._tasks.start_soon(self._answer, envelope)
+            return
+        handler = self._handlers.casts.get(type(message))
+        if handler is None:
+            raise InvalidPeerMessage(f"{message.kind} is not a cast")
+        handler(self.peer, message)
+
+    async def _answer(self, envelope: Envelope) -> None:
+        self._calls_served += 1
+        try:
+            reply = await self._run_handler(envelope.message)
+        finally:
+            self._calls_served -= 1
+        try:
+            await self._send(Envelope(envelope.call, True, reply))
+        except (PeerUnreachable, PeerCallLost):
+            # The caller's own timeout tells it; there is nobody else to tell.
+            return
+
+    async def _run_handler(self, message: Message) -> Message:
+        handler = self._handlers.calls.get(type(message))
+        try:
+            if handler is None:
+                raise InvalidPeerMessage(f"{message.kind} is not a call")
+            if self._calls_served > MAX_CALLS_PER_LINK:
+                raise TooManyPeerCalls(self.peer.seat)
+            return await handler(self.peer, message)
+        except BanyanseamError as error:
+            return Failure(
+                code=error.code,
+                detail=error.detail,
+                not_run=error.not_run,
+                retry_after_ms=error.retry_after_ms,
+            )
--- /dev/null
+++ b/banyanseam/peers/network.py
@@ -0,0 +1,235 @@
+"""The network between daemons: one websocket for each pair in use."""
+
+import ssl
+from collections.abc import Callable
+from contextlib import suppress
+
+import anyio
+from anyio.abc import TaskGroup
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import ServerConnection, serve
+from websockets.exceptions import InvalidHandshake, WebSocketException
+
+from banyanseam.observe.events import LINK_DOWN, LINK_REFUSED, LINK_UP, log
+from banyanseam.peers.const import (
+    HANDSHAKE_TIMEOUT_S,
+    MAX_MESSAGE_BYTES,
+    PING_INTERVAL_S,
+    PING_TIMEOUT_S,
+    REDIAL_PAUSE_S,
+    WRITE_LIMIT_BYTES,
+)
+from banyanseam.peers.contract import CallHandler, CastHandler, Reply
+from banyanseam.peers.errors import (
+    InvalidPeerMessage,
+    PeerRefused,
+    PeerSuperseded,
+    PeerUnreachable,
+)
+from banyanseam.peers.handshake import Handshake, dial_handshake, listen_handshake
+from banyanseam.peers.link import Handlers, Link
+from banyanseam.peers.messages import Message, PeerIdentity
+from banyanseam.settings import TlsSettings
+
+FindAddress = Callable[[str], str | None]
+_OPTIONS = {
+    "compression": None,
+    "max_size": MAX_MESSAGE_BYTES,
+    "ping_interval": PING_INTERVAL_S,
+    "ping_timeout": PING_TIMEOUT_S,
+    "write_limit": WRITE_LIMIT_BYTES,
+}
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of `host:port`, with IPv6 hosts in brackets."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class PeerNetwork:
+    """Implements `banyanseam.peers.contract.Network` for one process."""
+
+    def __init__(
+        self,
+        me: PeerIdentity,
+        secret: bytes,
+        find_address: FindAddress,
+        on_superseded: Callable[[], None],
+        tls: TlsSettings | None = None,
+    ) -> None:
+        """Keep who this process is and how to find the others' addresses."""
+        self.me = me
+        self._shake = Handshake(me, secret, self._admit)
+        self._find_address = find_address
+        self._on_superseded = on_superseded
+        self._tls = tls
+        self._handlers = Handlers()
+        self._links: dict[str, list[Link]] = {}
+        self._incarnations: dict[str, int] = {me.seat: me.incarnation}
+        self._dialling: dict[str, anyio.Lock] = {}
+        self._failed_at_s: dict[str, float] = {}
+        self._link_watchers: list[Callable[[PeerIdentity], None]] = []
+        self._tasks: TaskGroup | None = None
+
+    def handle_call(self, message_type: type[Message], handler: CallHandler) -> None:
+        """Let the handler answer calls of this type, each in a task of its own."""
+        self._handlers.calls[message_type] = handler
+
+    def handle_cast(self, message_type: type[Message], handler: CastHandler) -> None:
+        """Let the handler take casts of this type, in order, without waiting."""
+        self._handlers.casts[message_type] = handler
+
+    def watch_lost_links(self, watcher: Callable[[PeerIdentity], None]) -> None:
+        """Tell the watcher each time that the last link to a process is lost."""
+        self._link_watchers.append(watcher)
+
+    def linked_seats(self) -> list[str]:
+        """Return the seats with an open link, in order of name."""
+        return sorted(seat for seat, links in self._links.items() if links)
+
+    async def call(
+        self, seat: str, message: Message, reply_type: type[Reply], timeout_s: float
+    ) -> Reply:
+        """Send a call and return its reply; see the contract for what it raises."""
+        with anyio.move_on_after(timeout_s):
+            link = await self._find_link(seat)
+            reply = await link.call(message, timeout_s)
+            if not isinstance(reply, reply_type):
+                raise InvalidPeerMessage(f"{reply.kind} answers {message.kind}")
+            return reply
+        raise PeerUnreachable(f"{seat}: no link in {timeout_s} s")
+
+    async def cast(self, seat: str, message: Message) -> None:
+        """Send a message that has no reply; raise PeerUnreachable or PeerCallLost."""
+        link = await self._find_link(seat)
+        await link.cast(message)
+
+    async def run(self, listen: str, started: anyio.Event) -> None:
+        """Listen for peers until cancelled; links live in this task's group."""
+        host, port = split_address(listen)
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            context = self._make_tls(ssl.Purpose.CLIENT_AUTH)
+            async with serve(self._welcome, host, port, ssl=context, **_OPTIONS):
+                started.set()
+                await anyio.sleep_forever()
+
+    async def ask_address(
+        self, address: str, message: Message, reply_type: type[Reply], timeout_s: float
+    ) -> Reply:
+        """Call whoever listens at an address, before its seat is known."""
+        with anyio.move_on_after(timeout_s):
+            link = await self._dial(address, "")
+            reply = await link.call(message, timeout_s)
+            if isinstance(reply, reply_type):
+                return reply
+        raise PeerUnreachable(address)
+
+    def _make_tls(self, purpose: ssl.Purpose) -> ssl.SSLContext | None:
+        if self._tls is None:
+            return None
+        context = ssl.create_default_context(purpose, cafile=self._tls.authority_path)
+        context.load_cert_chain(self._tls.certificate_path, self._tls.key_path)
+        context.verify_mode = ssl.CERT_REQUIRED
+        # The handshake binds the seat; certificates prove only the fleet.
+        context.check_hostname = False
+        return context
+
+    def _admit(self, peer: PeerIdentity) -> None:
+        known = self._incarnations.get(peer.seat, 0)
+        if peer.incarnation < known:
+            raise PeerSuperseded(f"seat {peer.seat} has a newer process")
+        if peer.seat == self.me.seat and peer.incarnation > self.me.incarnation:
+            self._on_superseded()
+            raise PeerRefused("this process is superseded")
+        if peer.incarnation == known:
+            return
+        self._incarnations[peer.seat] = peer.incarnation
+        for link in self._links.get(peer.seat, []):
+            link.is_open = False
+            self._spawn(link.close)
+
+    def _spawn(self, function: Callable, *args: object) -> None:
+        if self._tasks is None:
+            raise PeerUnreachable("the network is not running")
+        self._tasks.start_soon(function, *args)
+
+    async def _find_link(self, seat: str) -> Link:
+        link = self._open_link(seat)
+        if link is not None:
+            return link
+        lock = self._dialling.setdefault(seat, anyio.Lock())
+        async with lock:
+            link = self._open_link(seat)
+            if link is not None:
+                return link
+            if anyio.current_time() < self._failed_at_s.get(seat, -1) + REDIAL_PAUSE_S:
+                raise PeerUnreachable(f"{seat}: dialled just now, in vain")
+            address = self._find_address(seat)
+            if address is None or seat == self.me.seat:
+                raise PeerUnreachable(f"{seat}: no address")
+            try:
+                return await self._dial(address, seat)
+            except PeerUnreachable:
+                self._failed_at_s[seat] = anyio.current_time()
+                raise
+
+    def _open_link(self, seat: str) -> Link | None:
+        return next((link for link in self._links.get(seat, []) if link.is_open), None)
+
+    async def _dial(self, address: str, seat: str) -> Link:
+        context = self._make_tls(ssl.Purpose.SERVER_AUTH)
+        scheme = "wss" if context else "ws"
+        try:
+            with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
+                connection = await connect(
+                    f"{scheme}://{address}", ssl=context, proxy=None, **_OPTIONS
+                )
+                peer = await dial_handshake(
+                    self._shake, seat, connection.send, connection.recv
+                )
+        except PeerSuperseded:
+            self._on_superseded()
+            raise
+        except (OSError, TimeoutError, InvalidHandshake, WebSocketException) as error:
+            raise PeerUnreachable(f"{seat or address}: {error!r}") from error
+        except (PeerRefused, InvalidPeerMessage) as error:
+            log(LINK_REFUSED, peer=seat or address, code=error.code)
+            raise PeerUnreachable(f"{seat or address}: {error.detail}") from error
+        link = self._keep(peer, connection)
+        self._spawn(self._receive, link)
+        return link
+
+    async def _welcome(self, connection: ServerConnection) -> None:
+        try:
+            with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
+                peer = await listen_handshake(
+                    self._shake, connection.send, connection.recv
+                )
+        except (TimeoutError, PeerRefused, InvalidPeerMessage) as error:
+            log(LINK_REFUSED, peer=str(connection.remote_address), code=repr(error))
+            return
+        except WebSocketException:
+            return
+        await self._receive(self._keep(peer, connection))
+
+    def _keep(self, peer: PeerIdentity, connection: Connection) -> Link:
+        if self._tasks is None:
+            raise PeerUnreachable("the network is not running")
+        link = Link(peer, connection, self._handlers, self._tasks)
+        self._links.setdefault(peer.seat, []).append(link)
+        log(LINK_UP, peer=peer.seat, peer_incarnation=peer.incarnation)
+        return link
+
+    async def _receive(self, link: Link) -> None:
+        try:
+            await link.receive_until_closed()
+        finally:
+            links = self._links.get(link.peer.seat, [])
+            with suppress(ValueError):
+                links.remove(link)
+            log(LINK_DOWN, peer=link.peer.seat)
+            for watcher in self._link_watchers:
+                watcher(link.peer)
--- /dev/null
+++ b/banyanseam/pipe/cost.py
@@ -0,0 +1,69 @@
+"""Estimate from above what a request may use."""
+
+import math
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from banyanseam.pipe.const import (
+    BYTES_PER_TOKEN,
+    DEFAULT_OUTPUT_TOKENS,
+    MAX_OUTPUT_TOKENS,
+    TOKENS_PER_MESSAGE,
+)
+from banyanseam.pipe.errors import RequestMalformed
+from banyanseam.pipe.models import Cost, Exchange, Next
+
+
+class ChatMessage(BaseModel):
+    """One message of a chat request; parts beyond these pass unread."""
+
+    model_config = ConfigDict(extra="allow")
+
+    role: str
+    content: str | list[dict[str, Any]] | None = None
+
+
+class ChatRequest(BaseModel):
+    """The fields of a chat-completions request that the gateway reads."""
+
+    model_config = ConfigDict(extra="allow")
+
+    model: str = Field(min_length=1, max_length=200)
+    messages: list[ChatMessage] = Field(min_length=1, max_length=10_000)
+    max_tokens: int | None = Field(default=None, ge=1, le=MAX_OUTPUT_TOKENS)
+    max_completion_tokens: int | None = Field(default=None, ge=1, le=MAX_OUTPUT_TOKENS)
+    stream: bool = False
+
+    @property
+    def max_output_tokens(self) -> int:
+        """Return the most that the answer may hold."""
+        return self.max_completion_tokens or self.max_tokens or DEFAULT_OUTPUT_TOKENS
+
+
+def read_chat(body: bytes) -> ChatRequest:
+    """Return the validated request; raise RequestMalformed with the field."""
+    try:
+        return ChatRequest.model_validate_json(body)
+    except ValidationError as error:
+        first = error.errors(include_input=False, include_url=False)[0]
+        where = ".".join(str(part) for part in first["loc"]) or "body"
+        raise RequestMalformed(f"{where}: {first['msg']}") from error
+
+
+def estimate_cost(chat: ChatRequest, body_bytes: int) -> Cost:
+    """Return an upper estimate in tokens."""
+    prompt_tokens = math.ceil(body_bytes / BYTES_PER_TOKEN)
+    prompt_tokens += TOKENS_PER_MESSAGE * len(chat.messages)
+    return Cost(prompt_tokens, chat.max_output_tokens)
+
+
+async def set_cost(exchange: Exchange, next_: Next) -> None:
+    """Set the cost; a plain service costs what its route says, its body unread."""
+    if exchange.route.is_model:
+        chat = read_chat(exchange.body)
+        exchange.model = chat.model
+        exchange.cost = estimate_cost(chat, len(exchange.body))
+    else:
+        exchange.cost = Cost(exchange.route.cost_tokens, 0)
+    await next_(exchange)
--- /dev/null
+++ b/banyanseam/pipe/errors.py
@@ -0,0 +1,122 @@
+"""Refusals and failures of the request pipe."""
+
+from banyanseam.errors import BanyanseamError
+
+
+class LoopDetected(BanyanseamError):
+    """The request already passed one of our daemons."""
+
+    code = "request.loop"
+    event = 1300
+    status = 508
+    title = "The request already passed this gateway"
+    not_run = True
+
+
+class KeyMissing(BanyanseamError):
+    """The route is not open to all and no key came with the request."""
+
+    code = "key.missing"
+    event = 1301
+    status = 401
+    title = "A key is needed"
+    not_run = True
+
+
+class KeyUnknown(BanyanseamError):
+    """The key belongs to no organisation, or was withdrawn."""
+
+    code = "key.unknown"
+    event = 1302
+    status = 401
+    title = "The key is not valid"
+    not_run = True
+
+
+class RouteUnknown(BanyanseamError):
+    """No route has a prefix of this path."""
+
+    code = "request.no_route"
+    event = 1303
+    status = 404
+    title = "No route serves this path"
+    not_run = True
+
+
+class RequestMalformed(BanyanseamError):
+    """The body of a model request cannot be read."""
+
+    code = "request.malformed"
+    event = 1304
+    status = 400
+    title = "The request cannot be read"
+    not_run = True
+
+
+class ResidencyExcluded(BanyanseamError):
+    """Rules of the route and of the organisation leave no region."""
+
+    code = "residency.excluded"
+    event = 1305
+    status = 403
+    title = "No region may serve this request"
+    not_run = True
+
+
+class ResidencyRegionDown(BanyanseamError):
+    """The regions where the request may be served cannot be reached."""
+
+    code = "residency.region_down"
+    event = 1306
+    status = 503
+    title = "The regions that may serve this request cannot be reached"
+    not_run = True
+
+
+class DeadlineExceeded(BanyanseamError):
+    """The time of the route ran out."""
+
+    code = "request.deadline"
+    event = 1307
+    status = 504
+    title = "The request did not end in time"
+    # The pipe withdraws this claim once an upstream was sent the first byte.
+    not_run = True
+
+
+class AnswerInterrupted(BanyanseamError):
+    """The answer broke off after the caller had got a part of it."""
+
+    code = "answer.interrupted"
+    event = 1308
+    status = 502
+    title = "The answer broke off"
+
+
+class BodyTooLarge(BanyanseamError):
+    """The body is larger than any route takes."""
+
+    code = "request.body_too_large"
+    event = 1309
+    status = 413
+    title = "The body is too large"
+    not_run = True
+
+
+class BodyTooSlow(BanyanseamError):
+    """The body did not arrive in time."""
+
+    code = "request.body_too_slow"
+    event = 1310
+    status = 408
+    title = "The body did not arrive in time"
+    not_run = True
+
+
+class ForwardLost(BanyanseamError):
+    """The daemon that served the request was lost while it did."""
+
+    code = "forward.lost"
+    event = 1311
+    status = 502
+    title = "The daemon that served the request was lost"
--- /dev/null
+++ b/banyanseam/pipe/forward.py
@@ -0,0 +1,163 @@
+"""The side that forwards: hand a request to a daemon of another region."""
+
+import math
+from itertools import count
+
+import anyio
+
+from banyanseam.errors import BanyanseamError
+from banyanseam.peers.contract import Network
+from banyanseam.peers.errors import PeerCallLost, PeerUnreachable
+from banyanseam.peers.forward_messages import (
+    ForwardCancel,
+    ForwardCredit,
+    ForwardData,
+    ForwardEnd,
+    ForwardHead,
+    ForwardOpen,
+)
+from banyanseam.peers.messages import Message, PeerIdentity
+from banyanseam.pipe.const import FORWARD_WINDOW_BYTES
+from banyanseam.pipe.errors import ForwardLost
+from banyanseam.pipe.models import Exchange, Usage
+
+
+class ForwardFailed(BanyanseamError):
+    """The serving daemon refused or failed; it carries that daemon's own words."""
+
+    code = "forward.failed"
+    event = 1312
+    status = 502
+    title = "The serving daemon could not answer"
+
+    def __init__(self, end: ForwardEnd) -> None:
+        """Take over code, status and advice of the serving daemon."""
+        super().__init__(end.detail, retry_after_ms=end.retry_after_ms)
+        self.code = end.code
+        self.status = end.status
+        self.not_run = end.not_run
+
+
+class Incoming:
+    """The answer of one forwarded stream as it arrives."""
+
+    def __init__(self, seat: str) -> None:
+        """Wait for the answer of the daemon at a seat."""
+        self.seat = seat
+        # Credit bounds what can wait here, so the buffer itself needs no bound.
+        self.send, self.receive = anyio.create_memory_object_stream[Message](math.inf)
+
+
+class Forwarder:
+    """Streams that this daemon has forwarded and whose answers it awaits."""
+
+    def __init__(self, network: Network) -> None:
+        """Take the answers' messages from the network."""
+        self._network = network
+        self._numbers = count(1)
+        self._streams: dict[int, Incoming] = {}
+        for message_type in (ForwardHead, ForwardData, ForwardEnd):
+            network.handle_cast(message_type, self._take)
+
+    def lose_seat(self, peer: PeerIdentity) -> None:
+        """End every stream that a lost process was serving."""
+        for incoming in self._streams.values():
+            if incoming.seat == peer.seat:
+                incoming.send.close()
+
+    def _take(self, peer: PeerIdentity, message: Message) -> None:
+        incoming = self._streams.get(message.stream)
+        # A message that comes after its stream ended has nobody to go to.
+        if incoming is not None and incoming.seat == peer.seat:
+            incoming.send.send_nowait(message)
+
+    async def forward(self, exchange: Exchange, seat: str) -> None:
+        """Have the daemon at `seat` answer the exchange.
+
+        Raise PeerUnreachable when nothing was sent, ForwardLost when the daemon was
+        lost afterwards, ForwardFailed with its own reason when it could not.
+        """
+        number = next(self._numbers)
+        incoming = self._streams[number] = Incoming(seat)
+        opened = False
+        ended = False
+        try:
+            exchange.upstream_started = True
+            try:
+                await self._network.cast(seat, _make_open(exchange, number))
+            except PeerUnreachable:
+                exchange.upstream_started = False
+                raise
+            except PeerCallLost as error:
+                raise ForwardLost(seat) from error
+            opened = True
+            await self._relay(exchange, incoming, number)
+            ended = True
+        except ForwardFailed:
+            ended = True
+            raise
+        finally:
+            del self._streams[number]
+            incoming.send.close()
+            incoming.receive.close()
+            if opened and not ended:
+                await self._cancel(seat, number)
+
+    async def _relay(self, exchange: Exchange, incoming: Incoming, number: int) -> None:
+        unacknowledged_bytes = 0
+        async for message in incoming.receive:
+            if isinstance(message, ForwardHead):
+                await exchange.reply.start(message.status, message.headers)
+            elif isinstance(message, ForwardData):
+                await exchange.reply.send(message.data)
+                unacknowledged_bytes += len(message.data)
+                if unacknowledged_bytes >= FORWARD_WINDOW_BYTES // 2:
+                    await self._grant(incoming.seat, number, unacknowledged_bytes)
+                    unacknowledged_bytes = 0
+            else:
+                _finish(exchange, message)
+                return
+        raise ForwardLost(incoming.seat)
+
+    async def _grant(self, seat: str, number: int, credit_bytes: int) -> None:
+        try:
+            credit = ForwardCredit(stream=number, credit_bytes=credit_bytes)
+            await self._network.cast(seat, credit)
+        except (PeerUnreachable, PeerCallLost) as error:
+            raise ForwardLost(seat) from error
+
+    async def _cancel(self, seat: str, number: int) -> None:
+        with anyio.move_on_after(1, shield=True):
+            try:
+                await self._network.cast(seat, ForwardCancel(stream=number))
+            except (PeerUnreachable, PeerCallLost):
+                # The serving daemon sees the lost link and cancels by itself.
+                return
+
+
+def _make_open(exchange: Exchange, number: int) -> ForwardOpen:
+    remaining_s = exchange.deadline_s - anyio.current_time()
+    regions = None if exchange.regions is None else sorted(exchange.regions)
+    return ForwardOpen(
+        stream=number,
+        request_id=exchange.request_id,
+        method=exchange.method,
+        path=exchange.path,
+        query=exchange.query,
+        headers=exchange.headers,
+        body=exchange.body,
+        key_digest=exchange.key_digest,
+        organisation=exchange.organisation.name if exchange.organisation else None,
+        route=exchange.route.name,
+        regions=regions,
+        remaining_ms=max(0, int(remaining_s * 1000)),
+        credit_bytes=FORWARD_WINDOW_BYTES,
+    )
+
+
+def _finish(exchange: Exchange, end: ForwardEnd) -> None:
+    exchange.upstream_started = end.upstream_started
+    exchange.upstream = end.upstream
+    exchange.usage = Usage(end.prompt_tokens, end.output_tokens, end.cached_tokens)
+    if end.outcome == "failed":
+        raise ForwardFailed(end)
--- /dev/null
+++ b/banyanseam/pipe/residency.py
@@ -0,0 +1,31 @@
+"""Work out in which regions a request may be served."""
+
+from banyanseam.config.compiled import Organisation, Route
+from banyanseam.pipe.errors import ResidencyExcluded
+from banyanseam.pipe.models import Exchange, Next
+
+Regions = frozenset[str] | None
+
+
+def narrow(first: Regions, second: Regions) -> Regions:
+    """Return the regions that both rules allow; None allows every region."""
+    if first is None:
+        return second
+    if second is None:
+        return first
+    return first & second
+
+
+def find_regions(route: Route, organisation: Organisation | None) -> Regions:
+    """Return where a request of this organisation on this route may be served."""
+    own = organisation.regions if organisation else None
+    return narrow(route.regions, own)
+
+
+async def bind_residency(exchange: Exchange, next_: Next) -> None:
+    """Narrow the exchange's regions by the rules; refuse when none is left."""
+    allowed = find_regions(exchange.route, exchange.organisation)
+    exchange.regions = narrow(exchange.regions, allowed)
+    if exchange.regions is not None and not exchange.regions:
+        raise ResidencyExcluded
+    await next_(exchange)
--- /dev/null
+++ b/banyanseam/pipe/route.py
@@ -0,0 +1,46 @@
+"""Find the route of a path and what it says of the request."""
+
+import hashlib
+from collections.abc import Callable
+
+import anyio
+
+from banyanseam.config.compiled import Config, Route
+from banyanseam.pipe.errors import DeadlineExceeded, KeyMissing, RouteUnknown
+from banyanseam.pipe.models import Exchange, Filter, Next
+
+
+def find_route(config: Config, path: str) -> Route:
+    """Return the only route whose prefix fits; raise RouteUnknown."""
+    for route in config.routes.values():
+        if path.startswith(route.path_prefix):
+            return route
+    raise RouteUnknown(path)
+
+
+def make_fingerprint(exchange: Exchange) -> str:
+    """Return a digest of what the request asks for, without its headers."""
+    parts = (exchange.method.encode(), exchange.path.encode(), exchange.query)
+    digest = hashlib.sha256(b"\0".join(parts) + b"\0" + exchange.body)
+    return digest.hexdigest()
+
+
+def route(get_config: Callable[[], Config]) -> Filter:
+    """Return the filter; it also holds the request to the route's deadline."""
+
+    async def filter_(exchange: Exchange, next_: Next) -> None:
+        found = find_route(get_config(), exchange.path)
+        if exchange.organisation is None and not found.open_to_all:
+            raise KeyMissing
+        exchange.route = found
+        exchange.is_idempotent = (
+            found.is_model or exchange.method in found.idempotent_methods
+        )
+        exchange.fingerprint = make_fingerprint(exchange)
+        exchange.deadline_s = exchange.received_s + found.deadline_ms / 1000
+        with anyio.CancelScope(deadline=exchange.deadline_s) as scope:
+            await next_(exchange)
+        if scope.cancelled_caught:
+            raise DeadlineExceeded
+
+    return filter_
--- /dev/null
+++ b/banyanseam/pipe/serve_forwarded.py
@@ -0,0 +1,199 @@
+"""The side that serves: answer requests that daemons of other regions forward."""
+
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from banyanseam.config.compiled import Config
+from banyanseam.config.errors import NotReady
+from banyanseam.errors import BanyanseamError
+from banyanseam.peers.contract import Network
+from banyanseam.peers.errors import PeerCallLost, PeerUnreachable
+from banyanseam.peers.forward_messages import (
+    ForwardCancel,
+    ForwardCredit,
+    ForwardData,
+    ForwardEnd,
+    ForwardHead,
+    ForwardOpen,
+)
+from banyanseam.peers.messages import Message, PeerIdentity
+from banyanseam.pipe.authenticate import check_key
+from banyanseam.pipe.errors import DeadlineExceeded, KeyUnknown, ResidencyExcluded
+from banyanseam.pipe.models import Exchange, Headers, Next
+from banyanseam.pipe.residency import find_regions, narrow
+from banyanseam.pipe.route import find_route, make_fingerprint
+
+
+class RemoteSink:
+    """A reply that flows back to the forwarding daemon, as far as credit goes."""
+
+    def __init__(self, network: Network, seat: str, opened: ForwardOpen) -> None:
+        """Start with the credit that came with the request."""
+        self.started = False
+        self._network = network
+        self._seat = seat
+        self._stream = opened.stream
+        self._credit_bytes = opened.credit_bytes
+        self._more = anyio.Event()
+
+    def grant(self, credit_bytes: int) -> None:
+        """Add credit and wake whoever waits for it."""
+        self._credit_bytes += credit_bytes
+        self._more.set()
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the status and headers."""
+        self.started = True
+        head = ForwardHead(stream=self._stream, status=status, headers=headers)
+        await self._network.cast(self._seat, head)
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body once there is credit for it."""
+        while self._credit_bytes <= 0:
+            self._more = anyio.Event()
+            await self._more.wait()
+        self._credit_bytes -= len(data)
+        await self._network.cast(
+            self._seat, ForwardData(stream=self._stream, data=data)
+        )
+
+
+class ForwardServer:
+    """Requests of other daemons that run here."""
+
+    def __init__(
+        self,
+        network: Network,
+        tasks: TaskGroup,
+        region: str,
+        get_config: Callable[[], Config | None],
+        serve: Next,
+    ) -> None:
+        """Answer with `serve`, the filters that come after admission."""
+        self._network = network
+        self._tasks = tasks
+        self._region = region
+        self._get_config = get_config
+        self._serve = serve
+        self._running: dict[
+            tuple[PeerIdentity, int], tuple[RemoteSink, anyio.CancelScope, Exchange]
+        ] = {}
+        network.handle_cast(ForwardOpen, self._open)
+        network.handle_cast(ForwardCredit, self._credit)
+        network.handle_cast(ForwardCancel, self._cancel)
+
+    def lose_peer(self, peer: PeerIdentity) -> None:
+        """Stop serving a lost process, but for what must not be run again."""
+        for (holder, _), (_, scope, exchange) in self._running.items():
+            if holder == peer and exchange.is_idempotent:
+                scope.cancel()
+
+    def _open(self, peer: PeerIdentity, message: Message) -> None:
+        self._tasks.start_soon(self._run, peer, message)
+
+    def _credit(self, peer: PeerIdentity, message: Message) -> None:
+        running = self._running.get((peer, message.stream))
+        if running is not None:
+            running[0].grant(message.credit_bytes)
+
+    def _cancel(self, peer: PeerIdentity, message: Message) -> None:
+        running = self._running.get((peer, message.stream))
+        # A call that must not run twice goes on to its end and is recorded.
+        if running is not None and running[2].is_idempotent:
+            running[1].cancel()
+
+    async def _run(self, peer: PeerIdentity, opened: ForwardOpen) -> None:
+        sink = RemoteSink(self._network, peer.seat, opened)
+        exchange = _make_exchange(peer, opened, sink)
+        with anyio.CancelScope(deadline=exchange.deadline_s) as scope:
+            self._running[peer, opened.stream] = (sink, scope, exchange)
+            try:
+                end = await self._answer(exchange, opened)
+            finally:
+                del self._running[peer, opened.stream]
+        if scope.cancelled_caught:
+            end = _make_failed_end(exchange, opened, DeadlineExceeded())
+        with anyio.move_on_after(5):
+            try:
+                await self._network.cast(peer.seat, end)
+            except (PeerUnreachable, PeerCallLost):
+                # The forwarding daemon sees the lost link by itself.
+                return
+
+    async def _answer(self, exchange: Exchange, opened: ForwardOpen) -> ForwardEnd:
+        try:
+            self._admit(exchange, opened)
+            await self._serve(exchange)
+        except BanyanseamError as error:
+            return _make_failed_end(exchange, opened, error)
+        return ForwardEnd(stream=opened.stream, outcome="whole", **_facts(exchange))
+
+    def _admit(self, exchange: Exchange, opened: ForwardOpen) -> None:
+        """Check all that this daemon's own configuration says of the request."""
+        config = self._get_config()
+        if config is None:
+            raise NotReady
+        route = find_route(config, exchange.path)
+        organisation = None
+        if opened.organisation is not None:
+            organisation = config.organisations.get(opened.organisation)
+            if organisation is None:
+                raise KeyUnknown
+        exchange.route = route
+        exchange.organisation = organisation
+        check_key(config, exchange)
+        exchange.regions = narrow(exchange.regions, find_regions(route, organisation))
+        if exchange.regions is not None and self._region not in exchange.regions:
+            raise ResidencyExcluded(f"not in {self._region}")
+        exchange.is_idempotent = (
+            route.is_model or exchange.method in route.idempotent_methods
+        )
+
+
+def _make_exchange(
+    peer: PeerIdentity, opened: ForwardOpen, sink: RemoteSink
+) -> Exchange:
+    now_s = anyio.current_time()
+    exchange = Exchange(
+        request_id=opened.request_id,
+        method=opened.method,
+        path=opened.path,
+        query=opened.query,
+        headers=opened.headers,
+        body=opened.body,
+        received_s=now_s,
+        reply=sink,
+        forwarder=peer,
+        key_digest=opened.key_digest,
+        regions=None if opened.regions is None else frozenset(opened.regions),
+        deadline_s=now_s + opened.remaining_ms / 1000,
+    )
+    exchange.fingerprint = make_fingerprint(exchange)
+    return exchange
+
+
+def _facts(exchange: Exchange) -> dict[str, object]:
+    return {
+        "upstream_started": exchange.upstream_started,
+        "upstream": exchange.upstream,
+        "prompt_tokens": exchange.usage.prompt_tokens,
+        "output_tokens": exchange.usage.output_tokens,
+        "cached_tokens": exchange.usage.cached_tokens,
+    }
+
+
+def _make_failed_end(
+    exchange: Exchange, opened: ForwardOpen, error: BanyanseamError
+) -> ForwardEnd:
+    return ForwardEnd(
+        stream=opened.stream,
+        outcome="failed",
+        code=error.code,
+        detail=error.detail,
+        status=error.status,
+        not_run=error.not_run and not exchange.upstream_started,
+        retry_after_ms=error.retry_after_ms,
+        **_facts(exchange),
+    )
--- /dev/null
+++ b/banyanseam/server/operators.py
@@ -0,0 +1,40 @@
+"""The operators' port: health, status and what the command line asks."""
+
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from banyanseam.errors import BanyanseamError
+from banyanseam.server.callers import Asgi, read_body
+from banyanseam.server.reply import AsgiReceive, AsgiSend, send_body, send_problem
+
+# Takes the body's bytes and returns what is answered as JSON.
+Operation = Callable[[bytes], Awaitable[Any]]
+_JSON = [(b"content-type", b"application/json")]
+
+
+class OperationUnknown(BanyanseamError):
+    """The operators' port has no such path or method."""
+
+    code = "operators.unknown"
+    event = 1500
+    status = 404
+    title = "There is no such operation"
+    not_run = True
+
+
+def make_operators_app(operations: dict[tuple[str, str], Operation]) -> Asgi:
+    """Return the application; `operations` maps method and path to functions."""
+
+    async def app(scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend) -> None:
+        operation = operations.get((scope["method"], scope["path"]))
+        try:
+            body = await read_body(receive)
+            if operation is None:
+                raise OperationUnknown(scope["path"])
+            answer = json.dumps(await operation(body)).encode()
+            await send_body(send, 200, answer, _JSON)
+        except BanyanseamError as error:
+            await send_problem(send, error, "-", upstream_started=False)
+
+    return app
--- /dev/null
+++ b/banyanseam/server/serve.py
@@ -0,0 +1,54 @@
+"""Run an ASGI application on one port with uvicorn, inside the daemon's loop."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from socket import socket
+from typing import Any
+
+import anyio
+import uvicorn
+
+from banyanseam.peers.network import split_address
+from banyanseam.server.callers import Asgi
+from banyanseam.server.const import KEEP_ALIVE_S, LISTEN_BACKLOG, MAX_CONNECTIONS
+from banyanseam.server.protocol import LimitedProtocol
+
+
+class EmbeddedServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to the daemon."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        """Start as not listening."""
+        super().__init__(config)
+        self.listening = anyio.Event()
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Capture nothing: the daemon's life cycle handles signals."""
+        yield
+
+    async def startup(self, sockets: list[socket] | None = None) -> None:
+        """Listen and tell whoever waits for it."""
+        await super().startup(sockets)
+        self.listening.set()
+
+
+def make_server(app: Asgi, address: str) -> EmbeddedServer:
+    """Return a server for an address; its `serve` runs it until `should_exit`."""
+    host, port = split_address(address)
+    options: dict[str, Any] = {
+        "host": host,
+        "port": port,
+        "http": LimitedProtocol,
+        "ws": "none",
+        "lifespan": "off",
+        "log_config": None,
+        "access_log": False,
+        "server_header": False,
+        "date_header": False,
+        "proxy_headers": False,
+        "timeout_keep_alive": KEEP_ALIVE_S,
+        "limit_concurrency": MAX_CONNECTIONS,
+        "backlog": LISTEN_BACKLOG,
+    }
+    return EmbeddedServer(uvicorn.Config(app, **options))
--- a/banyanseam/settings.py
+++ b/banyanseam/settings.py
@@ -46,6 +46,8 @@
     fleet_secret: SecretStr = Field(min_length=16)
     # Until a configuration is read, a new process asks these peers for one.
     first_peers: list[Address] = Field(default_factory=list)
+    # Where to dial a seat's peer port from here, when not as published.
+    peer_address_overrides: dict[Name, Address] = Field(default_factory=dict)
     peers_tls: TlsSettings | None = None
     log_level: str = "INFO"
 
