--- /dev/null
+++ b/standins/config_service.py
@@ -0,0 +1,176 @@
+"""The platform's configuration service: versioned values to read and watch."""
+
+import json
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import click
+
+from standins.serving import Request, run_process, serve_forever
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_WAIT_MS = 60_000
+VALUES_PREFIX = "/v1/values/"
+PUBLISH_PREFIX = "/control/values/"
+
+
+@dataclass(slots=True)
+class Value:
+    """One published value and the revision that set it."""
+
+    revision: int
+    value: Any
+
+
+@dataclass(slots=True)
+class ConfigService:
+    """The service's values, faults and counters."""
+
+    calls_per_s: int = 2000
+    down: bool = False
+    slow_ms: int = 0
+    revision: int = 0
+    values: dict[str, Value] = field(default_factory=dict)
+    # What a stale service shows, as of the moment that it went stale.
+    frozen: tuple[int, dict[str, Value]] | None = None
+    changed: anyio.Event = field(default_factory=anyio.Event)
+    recent_calls: deque[float] = field(default_factory=deque)
+    calls: int = 0
+    refused_calls: int = 0
+    watches: int = 0
+    value_reads: int = 0
+
+    def publish(self, key: str, value: Any) -> int:
+        """Set a value, wake the watches and return the new revision."""
+        self.revision += 1
+        self.values[key] = Value(self.revision, value)
+        self._wake()
+        return self.revision
+
+    def set_faults(
+        self,
+        *,
+        down: bool | None = None,
+        stale: bool | None = None,
+        slow_ms: int | None = None,
+        calls_per_s: int | None = None,
+    ) -> None:
+        """Change the faults that are named and leave the others."""
+        if down is not None:
+            self.down = down
+        if stale is not None:
+            self.frozen = (self.revision, dict(self.values)) if stale else None
+        if slow_ms is not None:
+            self.slow_ms = slow_ms
+        if calls_per_s is not None:
+            self.calls_per_s = calls_per_s
+        self._wake()
+
+    def counters(self) -> dict[str, Any]:
+        """Return what the service has counted, and its faults."""
+        return {
+            "revision": self.revision,
+            "calls": self.calls,
+            "refused_calls": self.refused_calls,
+            "watches": self.watches,
+            "value_reads": self.value_reads,
+            "down": self.down,
+            "stale": self.frozen is not None,
+            "slow_ms": self.slow_ms,
+            "calls_per_s": self.calls_per_s,
+        }
+
+    async def handle(self, request: Request) -> None:
+        """Answer one request."""
+        if request.path.startswith("/control"):
+            await self._handle_control(request)
+            return
+        if self.down:
+            request.drop()
+            return
+        if not self._admit(anyio.current_time()):
+            await request.answer(429, {"error": "too many calls"}, {"retry-after": "1"})
+            return
+        if self.slow_ms:
+            await anyio.sleep(self.slow_ms / 1000)
+        if request.path == "/v1/revisions":
+            await self._watch(request)
+        elif request.path.startswith(VALUES_PREFIX):
+            await self._read(request)
+        else:
+            await request.answer(404, {"error": "no such path"})
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def _shown(self) -> tuple[int, dict[str, Value]]:
+        return self.frozen or (self.revision, self.values)
+
+    def _admit(self, now_s: float) -> bool:
+        self.calls += 1
+        while self.recent_calls and self.recent_calls[0] <= now_s - 1:
+            self.recent_calls.popleft()
+        if len(self.recent_calls) >= self.calls_per_s:
+            self.refused_calls += 1
+            return False
+        self.recent_calls.append(now_s)
+        return True
+
+    async def _watch(self, request: Request) -> None:
+        self.watches += 1
+        after = request.query_int("after", 0)
+        wait_ms = min(request.query_int("wait_ms", 0), MAX_WAIT_MS)
+        with anyio.move_on_after(wait_ms / 1000):
+            while self._shown()[0] <= after and not self.down:
+                await self.changed.wait()
+        if self.down:
+            request.drop()
+            return
+        revision, values = self._shown()
+        changed = {
+            key: value.revision
+            for key, value in values.items()
+            if value.revision > after
+        }
+        await request.answer(200, {"revision": revision, "changed": changed})
+
+    async def _read(self, request: Request) -> None:
+        self.value_reads += 1
+        key = request.path.removeprefix(VALUES_PREFIX)
+        value = self._shown()[1].get(key)
+        if value is None:
+            await request.answer(404, {"error": f"no value {key}"})
+            return
+        await request.answer(
+            200, {"key": key, "revision": value.revision, "value": value.value}
+        )
+
+    async def _handle_control(self, request: Request) -> None:
+        if request.path.startswith(PUBLISH_PREFIX) and request.method == "PUT":
+            if len(request.body) > MAX_VALUE_BYTES:
+                await request.answer(413, {"error": "a value holds up to 1 MB"})
+                return
+            key = request.path.removeprefix(PUBLISH_PREFIX)
+            revision = self.publish(key, json.loads(request.body))
+            await request.answer(200, {"revision": revision})
+            return
+        if request.method == "PUT":
+            self.set_faults(**request.read_json())
+        await request.answer(200, self.counters())
+
+
+@click.command()
+@click.option("--port", default=0)
+@click.option("--name", default="config-service")
+@click.option("--calls-per-s", default=2000)
+def main(port: int, name: str, calls_per_s: int) -> None:
+    """Run the configuration service."""
+    service = ConfigService(calls_per_s=calls_per_s)
+    run_process(serve_forever, name, service.handle, port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,172 @@
+"""Serve a stand-in's ASGI application on a port that the kernel chooses."""
+
+import json
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qsl, unquote
+
+import anyio
+import click
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+
+BACKLOG = 2048
+
+
+class TransportProtocol(HttpToolsProtocol):
+    """Show the application its transport, so that a fault can drop a connection."""
+
+    def on_message_begin(self) -> None:
+        """Add the transport to the scope of each request."""
+        super().on_message_begin()
+        self.scope["transport"] = self.transport
+
+
+class StandInServer(uvicorn.Server):
+    """A server that leaves the process's signals alone."""
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no handler: a stand-in dies at once when it is told to."""
+        yield
+
+
+@dataclass(slots=True)
+class Request:
+    """One request to a stand-in, read in full."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    transport: Any
+    receive: Receive
+    send: Send
+    is_dropped: bool = False
+
+    def read_json(self) -> Any:
+        """Return the body as JSON; an empty body is an empty object."""
+        return json.loads(self.body or b"{}")
+
+    def query_int(self, name: str, default: int) -> int:
+        """Return a number of the query."""
+        return int(self.query.get(name, default))
+
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        """Send the status line and headers."""
+        raw = [(name.encode(), value.encode()) for name, value in headers.items()]
+        await self.send(
+            {"type": "http.response.start", "status": status, "headers": raw}
+        )
+
+    async def write(self, data: bytes, *, more: bool = True) -> None:
+        """Send a part of the body; the last one says so."""
+        await self.send({"type": "http.response.body", "body": data, "more_body": more})
+
+    async def answer(
+        self, status: int, value: Any, headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole JSON answer."""
+        body = json.dumps(value).encode()
+        fields = {"content-type": "application/json", "content-length": str(len(body))}
+        await self.start(status, fields | (headers or {}))
+        await self.write(body, more=False)
+
+    def drop(self) -> None:
+        """Break the connection without another byte."""
+        self.is_dropped = True
+        self.transport.abort()
+
+    async def wait_closed(self) -> None:
+        """Return when the caller has closed the connection."""
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+
+
+Handler = Callable[[Request], Awaitable[None]]
+
+
+async def _read_body(receive: Receive) -> bytes:
+    parts = []
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return b"".join(parts)
+        parts.append(message.get("body", b""))
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+def make_app(handler: Handler) -> Callable[..., Awaitable[None]]:
+    """Return the ASGI application around a handler of whole requests."""
+
+    async def app(scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        request = Request(
+            method=scope["method"],
+            path=unquote(scope["path"]),
+            query=dict(parse_qsl(scope["query_string"].decode())),
+            headers={
+                name.decode("latin-1"): value.decode("latin-1")
+                for name, value in scope["headers"]
+            },
+            body=await _read_body(receive),
+            transport=scope["transport"],
+            receive=receive,
+            send=send,
+        )
+        try:
+            await handler(request)
+        except (ValueError, TypeError, KeyError) as error:
+            await request.answer(400, {"error": str(error)})
+
+    return app
+
+
+@asynccontextmanager
+async def serve(handler: Handler, port: int = 0) -> AsyncIterator[str]:
+    """Serve while the context is open and give the address."""
+    listener = socket.create_server(("127.0.0.1", port), backlog=BACKLOG)
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    config = uvicorn.Config(
+        make_app(handler),
+        http=TransportProtocol,
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        timeout_keep_alive=300,
+    )
+    server = StandInServer(config)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, [listener])
+        try:
+            yield address
+        finally:
+            server.should_exit = True
+            server.force_exit = True
+            for connection in list(server.server_state.connections):
+                connection.transport.abort()
+
+
+def announce(name: str, address: str, **more: Any) -> None:
+    """Print the one line by which the starter learns the address."""
+    click.echo(json.dumps({"name": name, "address": address, **more}))
+
+
+async def serve_forever(name: str, handler: Handler, port: int) -> None:
+    """Serve until the process ends."""
+    async with serve(handler, port) as address:
+        announce(name, address)
+        await anyio.sleep_forever()
+
+
+def run_process(function: Callable[..., Awaitable[Any]], *args: Any) -> None:
+    """Run a stand-in's main function on uvloop."""
+    anyio.run(function, *args, backend_options={"use_uvloop": True})
