--- a/banyanseam/settings.py
+++ b/banyanseam/settings.py
@@ -32,7 +32,11 @@
 
 
 class Settings(BaseModel):
-    """Everything that one daemon process is told on its own VM."""
+    """Everything that one daemon process is told on its own VM.
+
+    `peer_address_overrides` maps a seat to the address that this process dials in
+    place of the published one; the proof of both ends stays the same.
+    """
 
     model_config = ConfigDict(extra="forbid")
 
@@ -46,6 +50,9 @@
     fleet_secret: SecretStr = Field(min_length=16)
     # Until a configuration is read, a new process asks these peers for one.
     first_peers: list[Address] = Field(default_factory=list)
+    # Where this process dials a seat instead of at its published address, as when a
+    # tunnel or a relay stands between two regions.
+    peer_address_overrides: dict[Name, Address] = Field(default_factory=dict)
     peers_tls: TlsSettings | None = None
     log_level: str = "INFO"
 
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,455 @@
+"""A whole fleet on one machine: stand-ins, relay and daemons as processes."""
+
+import hashlib
+import json
+import random
+import secrets
+import signal
+import socket
+import tempfile
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+import httpcore
+
+from banyanseam.config.split import split_documents
+from standins.callers import Caller
+from standins.processes import Child, Children
+
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.05
+PLATFORM = "platform"
+
+Documents = dict[str, Any]
+Alter = Callable[[Documents, dict[str, Documents]], None]
+
+
+@dataclass(slots=True)
+class OrganisationPlan:
+    """An organisation of the fleet."""
+
+    rate_tokens_per_s: float = 100_000
+    burst_tokens: int = 1_000_000
+    more: Documents = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class FleetPlan:
+    """What to start; `alter` may change the documents before they are published."""
+
+    regions: tuple[str, ...] = ("gulf", "piedmont", "delta")
+    seats: int = 3
+    engines: int = 1
+    services: int = 1
+    organisations: dict[str, OrganisationPlan] = field(
+        default_factory=lambda: {"acme": OrganisationPlan()}
+    )
+    engine_options: dict[str, Any] = field(default_factory=dict)
+    service_options: dict[str, Any] = field(default_factory=dict)
+    delay_ms: float = 0
+    link_bytes_per_s: float | None = None
+    uses_relay: bool = True
+    settings: Documents = field(default_factory=dict)
+    alter: Alter | None = None
+
+
+@dataclass(slots=True)
+class Daemon:
+    """One seat, its addresses and the process that holds it at present."""
+
+    seat: str
+    region: str
+    data_centre: str
+    callers_address: str
+    peers_address: str
+    operators_address: str
+    settings_path: Path
+    child: Child | None = None
+
+
+class Fleet:
+    """The processes of one run; made by `start_fleet`."""
+
+    def __init__(self, plan: FleetPlan, folder: Path) -> None:
+        """Choose the seats' addresses; nothing is started yet."""
+        self.plan = plan
+        self.folder = folder
+        self.children = Children(folder)
+        self.client = Caller()
+        self.keys = {name: secrets.token_urlsafe(32) for name in plan.organisations}
+        self.daemons = self._choose_addresses()
+        self.upstreams: dict[str, Child] = {}
+        self.upstream_regions: dict[str, str] = {}
+        self.config_service: Child | None = None
+        self.relay: Child | None = None
+        self.base: Documents = {}
+        self.overlays: dict[str, Documents] = {}
+        self.published: dict[str, Documents] = {}
+
+    def in_region(self, region: str) -> list[Daemon]:
+        """Return a region's daemons in order of name."""
+        return [one for one in self.daemons.values() if one.region == region]
+
+    async def start(self) -> None:
+        """Start everything and wait until every daemon is ready."""
+        await self._start_platform()
+        await self._start_upstreams()
+        self.base, self.overlays = self._make_documents()
+        if self.plan.alter is not None:
+            self.plan.alter(self.base, self.overlays)
+        await self.publish()
+        await self._write_settings()
+        for seat in self.daemons:
+            self.spawn(seat)
+        await self.wait_ready()
+
+    async def publish(self) -> int:
+        """Publish the values that differ from those published; return the revision."""
+        revision = 0
+        values = split_documents(self.base, self.overlays)
+        gone = dict.fromkeys(set(self.published) - set(values))
+        for key, value in (values | gone).items():
+            if value is not None and self.published.get(key) == value:
+                continue
+            reply = await self._put(
+                self.config_service.address, f"/control/values/{key}", value
+            )
+            revision = reply["revision"]
+        self.published = json.loads(json.dumps(values))
+        return revision
+
+    async def set_config_faults(self, **faults: Any) -> Documents:
+        """Change the configuration service's faults and return its counters."""
+        return await self._put(self.config_service.address, "/control", faults)
+
+    async def set_upstream_faults(self, name: str, **faults: Any) -> Documents:
+        """Change one upstream's faults and return its state."""
+        return await self._put(self.upstreams[name].address, "/control", faults)
+
+    async def list_runs(self, name: str) -> Any:
+        """Return what one upstream recorded of its runs."""
+        address = self.upstreams[name].address
+        return (await self.client.request("GET", address, "/control/runs")).value
+
+    def spawn(self, seat: str) -> Child:
+        """Start a new process at a seat, without waiting for it."""
+        daemon = self.daemons[seat]
+        daemon.child = self.children.start(
+            seat, "banyanseam.daemon.main", "--settings", str(daemon.settings_path)
+        )
+        return daemon.child
+
+    async def wait_ready(self, *seats: str, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until these daemons, or all, say that they serve."""
+        async with anyio.create_task_group() as tasks:
+            for seat in seats or self.daemons:
+                tasks.start_soon(self._wait_one, self.daemons[seat], timeout_s)
+
+    def kill(self, seat: str) -> None:
+        """End a daemon at once, as a VM's loss does."""
+        self.daemons[seat].child.signal(signal.SIGKILL)
+
+    def freeze(self, seat: str) -> None:
+        """Pause a daemon's process."""
+        self.daemons[seat].child.signal(signal.SIGSTOP)
+
+    def thaw(self, seat: str) -> None:
+        """Let a paused process go on."""
+        self.daemons[seat].child.signal(signal.SIGCONT)
+
+    async def stop(self, seat: str, timeout_s: float = 60.0) -> int:
+        """Ask a daemon to end by itself and return its exit code."""
+        child = self.daemons[seat].child
+        child.signal(signal.SIGTERM)
+        return await child.wait(timeout_s)
+
+    async def restart(self, seat: str) -> None:
+        """Kill a daemon if it runs, start a new one and wait until it is ready."""
+        self.kill(seat)
+        await self.daemons[seat].child.wait()
+        self.spawn(seat)
+        await self.wait_ready(seat)
+
+    async def restart_upstream(self, name: str) -> None:
+        """Start an upstream that died again, at its old port."""
+        old = self.upstreams[name]
+        old.signal(signal.SIGKILL)
+        await old.wait()
+        port = old.address.rsplit(":", 1)[1]
+        child = self.children.start(name, *old.command, "--port", port)
+        await child.read_announcement()
+        self.upstreams[name] = child
+
+    async def cut(self, region: str, other: str) -> None:
+        """Let nothing through between two regions; connections stay open."""
+        await self._set_links(region, other, cut=True)
+
+    async def heal(self, region: str, other: str) -> None:
+        """Let everything through between two regions again."""
+        await self._set_links(region, other, cut=False)
+
+    async def reset(self, region: str, other: str) -> None:
+        """Break the connections between two regions."""
+        await self._set_links(region, other, reset=True)
+
+    async def isolate(self, region: str, *, with_platform: bool = False) -> None:
+        """Cut a region off from the others, and from the platform if wanted."""
+        others = [name for name in self.plan.regions if name != region]
+        for other in others + ([PLATFORM] if with_platform else []):
+            await self.cut(region, other)
+
+    async def rejoin(self, region: str) -> None:
+        """Undo `isolate`."""
+        for other in (*self.plan.regions, PLATFORM):
+            if other != region:
+                await self.heal(region, other)
+
+    async def close(self) -> None:
+        """End every process that was started here."""
+        self.children.close()
+        await self.client.pool.aclose()
+
+    async def _put(self, address: str, path: str, value: Any) -> Any:
+        body = json.dumps(value).encode()
+        reply = await self.client.request("PUT", address, path, body=body)
+        if reply.status != 200:
+            raise RuntimeError(f"{address}{path}: {reply.status} {reply.content!r}")
+        return reply.value
+
+    async def _set_links(self, region: str, other: str, **changes: Any) -> None:
+        for origin, destination in ((region, other), (other, region)):
+            path = f"/control/links/{origin}/{destination}"
+            await self._put(self.relay.address, path, changes)
+
+    async def _open_leg(self, origin: str, destination: str, target: str) -> str:
+        name = f"{origin}-{target}"
+        body = {"target": target, "from": origin, "to": destination}
+        leg = await self._put(self.relay.address, f"/control/legs/{name}", body)
+        return leg["address"]
+
+    async def _wait_one(self, daemon: Daemon, timeout_s: float) -> None:
+        try:
+            with anyio.fail_after(timeout_s):
+                while True:
+                    if await self._is_ready(daemon):
+                        return
+                    await anyio.sleep(POLL_S)
+        except TimeoutError as error:
+            log = daemon.child.read_log()[-2000:]
+            raise TimeoutError(f"{daemon.seat} is not ready: {log}") from error
+
+    async def _is_ready(self, daemon: Daemon) -> bool:
+        if not daemon.child.is_running:
+            log = daemon.child.read_log()[-2000:]
+            raise RuntimeError(f"{daemon.seat} ended: {log}")
+        try:
+            reply = await self.client.request(
+                "GET", daemon.operators_address, "/health/ready"
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ):
+            return False
+        return reply.status == 200
+
+    def _choose_addresses(self) -> dict[str, Daemon]:
+        # Each daemon has an IP of its own, so that no outgoing connection of
+        # another process takes its port while the daemon restarts.
+        prefix = f"127.{random.randint(1, 250)}.{random.randint(0, 255)}"
+        daemons = {}
+        for region in self.plan.regions:
+            for number in range(1, self.plan.seats + 1):
+                seat = f"{region}-{number}"
+                addresses = _free_addresses(f"{prefix}.{len(daemons) + 1}", 3)
+                path = self.folder / f"{seat}.json"
+                centre = f"{region}-dc{1 + number % 2}"
+                daemons[seat] = Daemon(seat, region, centre, *addresses, path)
+        return daemons
+
+    async def _start_platform(self) -> None:
+        self.config_service = self.children.start(
+            "config-service", "standins.config_service"
+        )
+        await self.config_service.read_announcement()
+        if not self.plan.uses_relay:
+            return
+        self.relay = self.children.start("relay", "standins.relay")
+        await self.relay.read_announcement()
+        for origin in self.plan.regions:
+            for destination in self.plan.regions:
+                if origin != destination:
+                    await self._put(
+                        self.relay.address,
+                        f"/control/links/{origin}/{destination}",
+                        {
+                            "delay_ms": self.plan.delay_ms,
+                            "bytes_per_s": self.plan.link_bytes_per_s,
+                        },
+                    )
+
+    async def _start_upstreams(self) -> None:
+        for region in self.plan.regions:
+            for number in range(1, self.plan.engines + 1):
+                self._start_upstream(
+                    f"{region}-engine-{number}",
+                    region,
+                    "standins.engine",
+                    self.plan.engine_options,
+                )
+            for number in range(1, self.plan.services + 1):
+                self._start_upstream(
+                    f"{region}-service-{number}",
+                    region,
+                    "standins.service",
+                    self.plan.service_options,
+                )
+        for child in self.upstreams.values():
+            await child.read_announcement()
+
+    def _start_upstream(
+        self, name: str, region: str, module: str, options: dict[str, Any]
+    ) -> None:
+        arguments = ["--name", name]
+        for option, value in options.items():
+            arguments += [f"--{option.replace('_', '-')}", str(value)]
+        self.upstreams[name] = self.children.start(name, module, *arguments)
+        self.upstream_regions[name] = region
+
+    def _make_documents(self) -> tuple[Documents, dict[str, Documents]]:
+        organisations = {
+            name: {
+                "keys": [{"sha256_hex": _digest(self.keys[name]), "label": "run"}],
+                "rate_tokens_per_s": plan.rate_tokens_per_s,
+                "burst_tokens": plan.burst_tokens,
+                **plan.more,
+            }
+            for name, plan in self.plan.organisations.items()
+        }
+        base = {
+            "organisations": organisations,
+            "routes": {
+                "chat": {
+                    "path_prefix": "/v1/chat/completions",
+                    "kind": "model",
+                    "request_class": "quick",
+                },
+                "desk": {
+                    "path_prefix": "/desk/",
+                    "kind": "service",
+                    "request_class": "service",
+                    "service": "desk",
+                },
+            },
+        }
+        overlays = {
+            region: {
+                "seats": {
+                    one.seat: {
+                        "data_centre": one.data_centre,
+                        "callers_address": one.callers_address,
+                        "peers_address": one.peers_address,
+                    }
+                    for one in self.in_region(region)
+                },
+                "upstreams": {
+                    name: self._describe_upstream(name)
+                    for name, home in self.upstream_regions.items()
+                    if home == region
+                },
+            }
+            for region in self.plan.regions
+        }
+        return base, overlays
+
+    def _describe_upstream(self, name: str) -> Documents:
+        is_model = "-engine-" in name
+        document = {
+            "kind": "model" if is_model else "service",
+            "serves": ["oak"] if is_model else ["desk"],
+            "address": self.upstreams[name].address,
+            "data_centre": f"{self.upstream_regions[name]}-dc1",
+        }
+        if not is_model:
+            return document
+        published = (
+            "decode_tokens_per_s",
+            "prefill_tokens_per_s",
+            "memory_tokens",
+            "max_in_flight",
+        )
+        options = self.plan.engine_options
+        return document | {name: options[name] for name in published if name in options}
+
+    async def _write_settings(self) -> None:
+        secret = secrets.token_urlsafe(32)
+        legs = await self._open_legs()
+        for one in self.daemons.values():
+            overrides = legs.get(one.region, {})
+            peers = [
+                overrides.get(other.seat, other.peers_address)
+                for other in self.daemons.values()
+                if other.seat != one.seat
+            ]
+            settings = {
+                "seat": one.seat,
+                "region": one.region,
+                "data_centre": one.data_centre,
+                "callers_address": one.callers_address,
+                "peers_address": one.peers_address,
+                "operators_address": one.operators_address,
+                "config_service_addresses": [
+                    overrides.get(PLATFORM, self.config_service.address)
+                ],
+                "fleet_secret": secret,
+                "first_peers": peers,
+                "peer_address_overrides": {
+                    seat: leg for seat, leg in overrides.items() if seat != PLATFORM
+                },
+                **self.plan.settings,
+            }
+            one.settings_path.write_text(json.dumps(settings, indent=2))
+
+    async def _open_legs(self) -> dict[str, dict[str, str]]:
+        """Return for each region the addresses at which it dials the others."""
+        if not self.plan.uses_relay:
+            return {}
+        legs: dict[str, dict[str, str]] = {}
+        for region in self.plan.regions:
+            service = self.config_service.address
+            legs[region] = {PLATFORM: await self._open_leg(region, PLATFORM, service)}
+            for other in self.daemons.values():
+                if other.region != region:
+                    legs[region][other.seat] = await self._open_leg(
+                        region, other.region, other.peers_address
+                    )
+        return legs
+
+
+def _free_addresses(host: str, count: int) -> list[str]:
+    sockets = [socket.create_server((host, 0)) for _ in range(count)]
+    addresses = [f"{host}:{one.getsockname()[1]}" for one in sockets]
+    for one in sockets:
+        one.close()
+    return addresses
+
+
+def _digest(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+@asynccontextmanager
+async def start_fleet(plan: FleetPlan | None = None) -> AsyncIterator[Fleet]:
+    """Start a fleet and end all of it with the context."""
+    with tempfile.TemporaryDirectory(prefix="banyanseam-") as folder:
+        fleet = Fleet(plan or FleetPlan(), Path(folder))
+        try:
+            await fleet.start()
+            yield fleet
+        finally:
+            await fleet.close()
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,106 @@
+"""Starting, pausing and ending child processes, each by its own id."""
+
+import atexit
+import json
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+import anyio.to_thread
+
+ROOT = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 30.0
+POLL_S = 0.02
+
+
+@dataclass(slots=True)
+class Child:
+    """One process that was started here."""
+
+    name: str
+    command: list[str]
+    log_path: Path
+    popen: subprocess.Popen[bytes]
+    address: str = ""
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self.popen.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Say whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send a signal, if the process still runs."""
+        if self.is_running:
+            os.kill(self.pid, number)
+
+    async def wait(self, timeout_s: float = START_TIMEOUT_S) -> int:
+        """Return the exit code; raise TimeoutError."""
+        with anyio.fail_after(timeout_s):
+            while True:
+                if not self.is_running:
+                    return self.popen.returncode
+                await anyio.sleep(POLL_S)
+
+    async def read_announcement(self) -> dict[str, Any]:
+        """Return the line that a stand-in prints once it listens."""
+        with anyio.fail_after(START_TIMEOUT_S):
+            line = await anyio.to_thread.run_sync(
+                self.popen.stdout.readline, abandon_on_cancel=True
+            )
+        if not line:
+            raise RuntimeError(f"{self.name} ended: {self.read_log()[-2000:]}")
+        announcement = json.loads(line)
+        self.address = announcement["address"]
+        return announcement
+
+    def read_log(self) -> str:
+        """Return what the process wrote to standard error."""
+        return self.log_path.read_text(errors="replace")
+
+
+@dataclass(slots=True)
+class Children:
+    """All processes started here; none outlives `close`."""
+
+    folder: Path
+    running: list[Child] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """End the processes also when the program ends early."""
+        atexit.register(self.close)
+
+    def start(self, name: str, *command: str) -> Child:
+        """Start a Python module; its errors go to a file in the folder."""
+        log_path = self.folder / f"{name}.log"
+        with log_path.open("ab") as log:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", *command],
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                cwd=ROOT,
+                env=os.environ | {"PYTHONPATH": str(ROOT)},
+            )
+        child = Child(name, list(command), log_path, popen)
+        self.running.append(child)
+        return child
+
+    def close(self) -> None:
+        """Kill whatever still runs and collect it."""
+        atexit.unregister(self.close)
+        for child in self.running:
+            child.signal(signal.SIGKILL)
+        for child in self.running:
+            child.popen.wait()
+            child.popen.stdout.close()
+        self.running.clear()
