Serve requests from end to end by separate processes

Cause: the parts had not been joined. Change: a test and a demonstration start daemons and stand-ins as processes; a chat is answered locally and through a daemon of another region. A test of the network between daemons found that a call which had been sent could be reported as never sent, since one timeout covered both dialling and waiting: the dialling now has a scope of its own. Before: test_calls_and_casts raised PeerUnreachable for a lost call. After: it raises PeerCallLost. A booking sent twice still runs twice, and the demonstration says so and fails; idempotency is being built.

--- a/banyanseam/peers/network.py
+++ b/banyanseam/peers/network.py
@@ -93,13 +93,18 @@
         self, seat: str, message: Message, reply_type: type[Reply], timeout_s: float
     ) -> Reply:
         """Send a call and return its reply; see the contract for what it raises."""
+        give_up_s = anyio.current_time() + timeout_s
+        link = None
+        # This scope ends before the message is sent: afterwards nobody may say
+        # that the peer was not reached.
         with anyio.move_on_after(timeout_s):
             link = await self._find_link(seat)
-            reply = await link.call(message, timeout_s)
-            if not isinstance(reply, reply_type):
-                raise InvalidPeerMessage(f"{reply.kind} answers {message.kind}")
-            return reply
-        raise PeerUnreachable(f"{seat}: no link in {timeout_s} s")
+        if link is None:
+            raise PeerUnreachable(f"{seat}: no link in {timeout_s} s")
+        reply = await link.call(message, give_up_s - anyio.current_time())
+        if not isinstance(reply, reply_type):
+            raise InvalidPeerMessage(f"{reply.kind} answers {message.kind}")
+        return reply
 
     async def cast(self, seat: str, message: Message) -> None:
         """Send a message that has no reply; raise PeerUnreachable or PeerCallLost."""
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,78 @@
+"""A demonstration: three regions of three daemons, three callers' requests."""
+
+import sys
+import time
+
+import anyio
+
+from standins.callers import Caller, ChatResult
+from standins.fleet import Fleet, FleetPlan, start_fleet
+
+REGIONS = ("gulf", "piedmont", "delta")
+ONE_WAY_DELAY_MS = 55
+LINK_BYTES_PER_S = 8_750_000
+SETTLE_TIMEOUT_S = 20
+
+
+def keep_engines_in_gulf(base: dict, overlays: dict[str, dict]) -> None:
+    """Leave delta without an engine, so that another region answers for it."""
+    upstreams = overlays["delta"]["upstreams"]
+    for name in [name for name in upstreams if "engine" in name]:
+        del upstreams[name]
+
+
+def describe_chat(what: str, result: ChatResult) -> bool:
+    """Print one chat's figures and return whether the answer is whole."""
+    print(f"{what}: status {result.status}, {len(result.words)} tokens")
+    if result.first_token_s is not None:
+        print(f"  first token after {result.first_token_s * 1000:.0f} ms")
+    print(f"  whole answer after {result.duration_s * 1000:.0f} ms: {result.is_whole}")
+    if result.problem or result.broken:
+        print(f"  {result.problem or result.broken}")
+    return result.is_whole
+
+
+async def show(fleet: Fleet) -> bool:
+    """Send the three requests and print what happened."""
+    gulf = fleet.daemons["gulf-1"].callers_address
+    delta = fleet.daemons["delta-2"].callers_address
+    async with Caller(fleet.keys["acme"]) as caller:
+        entries = await caller.request("GET", gulf, "/v1/entries")
+        names = [entry["seat"] for entry in entries.value["entries"]]
+        print(f"entries, best first: {', '.join(names)}")
+        good = describe_chat("a chat in gulf", await caller.chat(gulf, max_tokens=40))
+        remote = await caller.chat(delta, max_tokens=40)
+        good &= describe_chat("a chat in delta, answered elsewhere", remote)
+        key = "demo-booking-1"
+        ticket = await caller.request("POST", gulf, "/v1/tickets")
+        if ticket.status == 200:
+            key = ticket.value["ticket"]
+        booked = [
+            await caller.book(gulf, "/desk/book", b'{"slot": 9}', idempotency_key=key)
+            for _ in range(2)
+        ]
+        runs = 0
+        for region in REGIONS:
+            runs += len(await fleet.list_runs(f"{region}-service-1"))
+        print(f"a booking, sent twice: status {booked[0].status}, ran {runs} time(s)")
+        good &= booked[0].status == 201 and runs == 1
+    return good
+
+
+async def run_demo() -> bool:
+    """Start the fleet, show it, end it."""
+    plan = FleetPlan(
+        regions=REGIONS,
+        delay_ms=ONE_WAY_DELAY_MS,
+        link_bytes_per_s=LINK_BYTES_PER_S,
+        alter=keep_engines_in_gulf,
+    )
+    started_s = time.monotonic()
+    async with start_fleet(plan) as fleet:
+        ready_s = time.monotonic() - started_s
+        print(f"{len(fleet.daemons)} daemons ready after {ready_s:.1f} s")
+        return await show(fleet)
+
+
+if __name__ == "__main__":
+    sys.exit(0 if anyio.run(run_demo) else 1)
