Run keyed requests at most once through their home or issuer

Cause: a caller's own key must lead to one process from any daemon of any region, or a resent booking runs twice. Change: homes by rendezvous hashing over published seats, claims that are granted once and reported until noted, tickets passed to their issuer, the filter that replays, and the issuing of tickets. Ruled out, with reasons in the design note: a home in the receiving region, a home among live seats, eviction under pressure. Limits stand in docs/design/idempotency.md.

--- a/banyanseam/idempotency/const.py
+++ b/banyanseam/idempotency/const.py
@@ -27,6 +27,7 @@
 CLAIM_PAUSE_S: Final = 0.1
 # The home answers a claim that must wait after at most this long.
 POLL_S: Final = 1.0
+RELEASE_TIMEOUT_S: Final = 1.0
 REPORT_PATIENCE_S: Final = 30.0
 REPORT_PAUSE_S: Final = 0.5
 # Added to the time that an entry says its run takes at most.
--- a/banyanseam/idempotency/home.py
+++ b/banyanseam/idempotency/home.py
@@ -19,7 +19,7 @@
     KeyReleased,
     ReleaseKey,
 )
-from banyanseam.idempotency.models import Answer, Claim, Scope, State, Verdict
+from banyanseam.idempotency.models import Claim, End, Scope, State, Verdict
 from banyanseam.idempotency.tickets import Ticket
 from banyanseam.peers.contract import Network
 from banyanseam.peers.messages import PeerIdentity
@@ -63,6 +63,9 @@
         while True:
             await anyio.sleep(SWEEP_INTERVAL_S)
             self.memory.sweep(anyio.current_time(), self._wall_clock())
+            for scope in list(self._changed):
+                if self.memory.find(scope) is None:
+                    self._wake(scope)
 
     def lose_process(self, seat: str, incarnation: int) -> None:
         """Stop waiting for runs of a process that is known to be gone."""
@@ -77,9 +80,9 @@
         """Grant a ticket that this process issued, as `claim` grants a key."""
         return await self._wait(claim, lambda: self._claim_ticket_once(claim, ticket))
 
-    def finish(self, scope: Scope, claim_id: bytes, answer: Answer | None) -> bool:
-        """Note how a run ended, None for an unknown end."""
-        noted = self.memory.finish(scope, claim_id, answer, anyio.current_time())
+    def finish(self, scope: Scope, claim_id: bytes, end: End) -> bool:
+        """Note how a run ended; say whether the key is still remembered."""
+        noted = self.memory.finish(scope, claim_id, end, anyio.current_time())
         self._wake(scope)
         return noted
 
@@ -114,9 +117,7 @@
         now_s = anyio.current_time()
         expires_s = ticket.expires_ms / 1000
         if now_s < expires_s or self.memory.find(claim.scope) is not None:
-            return self.memory.claim(
-                claim, now_s, keep_until_s=expires_s + RETENTION_S
-            )
+            return self.memory.claim(claim, now_s, keep_until_s=expires_s + RETENTION_S)
         if now_s < expires_s + RETENTION_S:
             # Had the ticket run, its record would still be here.
             raise TicketExpired
@@ -145,7 +146,8 @@
 
     async def _on_finish(self, peer: PeerIdentity, message: FinishKey) -> KeyFinished:
         answer = message.answer.unpack() if message.answer else None
-        noted = self.finish(message.scope, message.claim_id, answer)
+        end = End(message.is_known, answer)
+        noted = self.finish(message.scope, message.claim_id, end)
         return KeyFinished(noted=noted)
 
     async def _on_release(self, peer: PeerIdentity, message: ReleaseKey) -> KeyReleased:
--- a/banyanseam/idempotency/mapping.py
+++ b/banyanseam/idempotency/mapping.py
@@ -47,7 +47,9 @@
             if config.seats_of(region)
         },
         regions_by_service={name: frozenset(found) for name, found in services.items()},
-        service_by_route={route.name: route.service for route in config.routes.values()},
+        service_by_route={
+            route.name: route.service for route in config.routes.values()
+        },
         regions_by_route={
             route.name: route.regions
             for route in config.routes.values()
@@ -94,5 +96,8 @@
 
 def _pick(names: tuple[str, ...], scope: Scope) -> str:
     """Return the name that wins by rendezvous hashing."""
-    salt = f"\0{scope.organisation}\0{scope.key}"
-    return max(names, key=lambda name: (xxhash.xxh3_64_intdigest(name + salt), name))
+    salt = f"\0{scope.organisation}\0{scope.key}".encode()
+    return max(
+        names,
+        key=lambda name: (xxhash.xxh3_64_intdigest(name.encode() + salt), name),
+    )
--- a/banyanseam/idempotency/memory.py
+++ b/banyanseam/idempotency/memory.py
@@ -25,6 +25,7 @@
 from banyanseam.idempotency.models import (
     Answer,
     Claim,
+    End,
     Record,
     Scope,
     State,
@@ -77,25 +78,21 @@
             record.others_asked = True
         return self._tell(record)
 
-    def finish(
-        self, scope: Scope, claim_id: bytes, answer: Answer | None, now_s: float
-    ) -> bool:
-        """Note how the run ended, None for an unknown end; say if it was its run."""
+    def finish(self, scope: Scope, claim_id: bytes, end: End, now_s: float) -> bool:
+        """Note how the run ended; say whether the record was this claim's."""
         record = self._records.get(scope)
         if record is None or record.claim.claim_id != claim_id:
             return False
         if record.state is State.DONE:
             return True
         record.keep_until_s = max(record.keep_until_s, now_s + RETENTION_S)
-        if answer is None:
+        if not end.is_known:
             record.state = State.UNKNOWN
             return True
         record.state = State.DONE
-        if self._has_room_for(answer, scope.organisation):
-            record.answer = answer
-            self._grow(record, answer.size_bytes())
-        else:
-            record.answer_dropped = True
+        if end.answer and self._has_room_for(end.answer, scope.organisation):
+            record.answer = end.answer
+            self._grow(record, end.answer.size_bytes())
         return True
 
     def release(self, scope: Scope, claim_id: bytes) -> bool:
@@ -125,9 +122,13 @@
             self._give_up(record, now_s)
         return [record.claim.scope for record in gone]
 
+    def raise_floor(self, wall_s: float) -> None:
+        """Refuse stamps older than the retention from now on; it never falls."""
+        self.floor_s = max(self.floor_s, wall_s - RETENTION_S)
+
     def sweep(self, now_s: float, wall_s: float) -> None:
         """Raise the floor of stamps and forget what lies below it."""
-        self.floor_s = max(self.floor_s, wall_s - RETENTION_S)
+        self.raise_floor(wall_s)
         for scope, record in list(self._records.items()):
             self._expire(record, now_s)
             if record.state is State.RUNNING or now_s < record.keep_until_s:
@@ -165,10 +166,10 @@
         return self._tell(record)
 
     def _tell(self, record: Record) -> Verdict:
-        if record.answer_dropped:
-            raise AnswerNotKept
         if record.state is State.UNKNOWN:
             raise OutcomeUnknown
+        if record.state is State.DONE and record.answer is None:
+            raise AnswerNotKept
         return Verdict(record.state, answer=record.answer)
 
     def _expire(self, record: Record, now_s: float) -> None:
--- a/banyanseam/idempotency/models.py
+++ b/banyanseam/idempotency/models.py
@@ -37,6 +37,14 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class End:
+    """How a run ended: unknown, or known with an answer that may be too large."""
+
+    is_known: bool
+    answer: Answer | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Claim:
     """The wish of one receipt of a request to be the one that runs."""
@@ -67,9 +75,8 @@
     claim: Claim
     run_until_s: float
     state: State = State.RUNNING
+    # None with a known end when the answer could not be kept.
     answer: Answer | None = None
-    # True when a run ended whose answer could not be kept.
-    answer_dropped: bool = False
     # True once another receipt asked for the key while it ran.
     others_asked: bool = False
     # The key's own time stamp in seconds since the epoch, if it has one.
--- /dev/null
+++ b/banyanseam/pipe/idempotency.py
@@ -0,0 +1,207 @@
+"""Run a non-idempotent request with an idempotency key at most once."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from banyanseam.idempotency.client import HomeClient, Wish, make_wish
+from banyanseam.idempotency.const import KEY_HEADER, MAX_KEY_LENGTH, TICKET_PREFIX
+from banyanseam.idempotency.errors import (
+    GrantTooLate,
+    IssuerGone,
+    KeyMalformed,
+    KeyRegionExcluded,
+    OutcomeUnknown,
+)
+from banyanseam.idempotency.home import Home
+from banyanseam.idempotency.models import Claim, End, Scope, State, Verdict
+from banyanseam.idempotency.tickets import Ticket, TicketDesk, is_ticket
+from banyanseam.peers.errors import PeerCallLost, PeerUnreachable
+from banyanseam.peers.messages import PeerIdentity
+from banyanseam.pipe.errors import ForwardLost
+from banyanseam.pipe.models import Exchange, Filter, Next
+from banyanseam.pipe.remember import RememberingSink, replay
+
+# Hands the exchange to the daemon at a seat, as a forward to another region does.
+RunElsewhere = Callable[[Exchange, str], Awaitable[None]]
+# Tells the region of a published seat; None for a seat that is not published.
+FindRegion = Callable[[str], str | None]
+
+
+class KeyKeeper:
+    """Where keys of callers are claimed: at their homes."""
+
+    def __init__(self, client: HomeClient) -> None:
+        """Claim through `client`."""
+        self._client = client
+        self.finish = client.finish
+        self.release = client.release
+
+    async def acquire(self, wish: Wish) -> Verdict:
+        """Return a grant or the answer of the first run."""
+        return await self._client.acquire(wish)
+
+
+class TicketKeeper:
+    """Where this process's own tickets are claimed: in its own memory."""
+
+    def __init__(self, me: PeerIdentity, home: Home, ticket: Ticket) -> None:
+        """Claim one ticket."""
+        self._me = me
+        self._home = home
+        self._ticket = ticket
+
+    async def acquire(self, wish: Wish) -> Verdict:
+        """Return a grant or the answer of the first run."""
+        claim = Claim(
+            wish.scope,
+            wish.fingerprint,
+            wish.claim_id,
+            self._me.seat,
+            self._me.incarnation,
+            max(0.0, wish.deadline_s - anyio.current_time()),
+        )
+        while True:
+            verdict = await self._home.claim_ticket(claim, self._ticket)
+            if verdict.granted or verdict.state is State.DONE:
+                return verdict
+
+    def finish(self, wish: Wish, end: End) -> None:
+        """Note how the run ended."""
+        self._home.finish(wish.scope, wish.claim_id, end)
+
+    async def release(self, wish: Wish) -> bool:
+        """Free a ticket under which nothing was sent."""
+        return self._home.release(wish.scope, wish.claim_id)
+
+
+Keeper = KeyKeeper | TicketKeeper
+
+
+def read_key(exchange: Exchange) -> str | None:
+    """Return the idempotency key of an exchange; raise KeyMalformed."""
+    value = exchange.find_header(KEY_HEADER)
+    if value is None:
+        return None
+    key = value.strip().removeprefix(b'"').removesuffix(b'"')
+    if not 0 < len(key) <= MAX_KEY_LENGTH or not key.isascii():
+        raise KeyMalformed
+    text = key.decode("ascii")
+    if not text.isprintable():
+        raise KeyMalformed
+    return text
+
+
+def run_at_most_once(
+    me: PeerIdentity,
+    desk: TicketDesk,
+    home: Home,
+    client: HomeClient,
+    run_elsewhere: RunElsewhere,
+    find_region: FindRegion,
+) -> Filter:
+    """Return the filter; requests without a key pass, as they were received once."""
+    keys = KeyKeeper(client)
+
+    async def filter_(exchange: Exchange, next_: Next) -> None:
+        key = None if exchange.is_idempotent else read_key(exchange)
+        if key is None:
+            await next_(exchange)
+        elif is_ticket(key):
+            await use_ticket(exchange, next_, key)
+        elif exchange.forwarder is not None:
+            # The forwarding daemon holds the claim.
+            await next_(exchange)
+        else:
+            await run_claimed(exchange, next_, keys, key)
+
+    async def use_ticket(exchange: Exchange, next_: Next, key: str) -> None:
+        ticket = desk.read(key, find_organisation(exchange))
+        issuer = PeerIdentity(ticket.seat, ticket.incarnation)
+        if desk.is_mine(ticket):
+            keeper = TicketKeeper(me, home, ticket)
+            name = TICKET_PREFIX + ticket.ticket_id.hex()
+            await run_claimed(exchange, next_, keeper, name)
+        elif exchange.forwarder == issuer:
+            await next_(exchange)
+        elif exchange.forwarder is not None or ticket.seat == me.seat:
+            raise IssuerGone
+        else:
+            await pass_to_issuer(exchange, ticket.seat)
+
+    async def pass_to_issuer(exchange: Exchange, seat: str) -> None:
+        region = find_region(seat)
+        if region is None:
+            raise IssuerGone
+        if exchange.regions is not None and region not in exchange.regions:
+            raise KeyRegionExcluded(region)
+        try:
+            await run_elsewhere(exchange, seat)
+        except (PeerUnreachable, PeerCallLost, ForwardLost) as error:
+            if exchange.reply.started:
+                raise
+            # An earlier receipt may have reached the issuer, so even a request
+            # that never left this daemon cannot be called not run.
+            raise IssuerGone from error
+
+    return filter_
+
+
+def find_organisation(exchange: Exchange) -> str:
+    """Return the organisation's name, the empty one on a route open to all."""
+    return exchange.organisation.name if exchange.organisation else ""
+
+
+async def run_claimed(
+    exchange: Exchange, next_: Next, keeper: Keeper, key: str
+) -> None:
+    """Run the exchange if its key is granted, or replay the first run's answer."""
+    wish = make_wish(
+        Scope(find_organisation(exchange), key),
+        exchange.route.name,
+        exchange.fingerprint,
+        exchange.deadline_s,
+    )
+    verdict = await _acquire(exchange, keeper, wish)
+    if verdict.answer is not None:
+        await replay(verdict.answer, exchange.reply)
+        return
+    # A process that was frozen may hold a grant whose time has passed.
+    if anyio.current_time() >= exchange.deadline_s:
+        await _release(keeper, wish, GrantTooLate())
+        raise GrantTooLate
+    await _run(exchange, next_, keeper, wish)
+
+
+async def _acquire(exchange: Exchange, keeper: Keeper, wish: Wish) -> Verdict:
+    try:
+        return await keeper.acquire(wish)
+    except anyio.get_cancelled_exc_class() as error:
+        if anyio.current_time() < exchange.deadline_s:
+            raise
+        # The deadline's own error would say not run, while another receipt of
+        # this key may be running.
+        raise OutcomeUnknown from error
+
+
+async def _run(exchange: Exchange, next_: Next, keeper: Keeper, wish: Wish) -> None:
+    sink = RememberingSink(exchange.reply)
+    exchange.reply = sink
+    try:
+        await next_(exchange)
+    except BaseException as error:
+        if exchange.upstream_started or sink.started:
+            keeper.finish(wish, End(is_known=False))
+            raise
+        await _release(keeper, wish, error)
+        raise
+    keeper.finish(wish, sink.make_end())
+    if sink.failure is not None:
+        raise sink.failure
+
+
+async def _release(keeper: Keeper, wish: Wish, error: BaseException) -> None:
+    """Free a key that did not run; raise OutcomeUnknown where it may yet run."""
+    alone = await keeper.release(wish)
+    if not alone and getattr(error, "not_run", True):
+        raise OutcomeUnknown from error
--- /dev/null
+++ b/tests/idempotency/fleet.py
@@ -0,0 +1,227 @@
+"""A fleet of entries in memory, before upstreams that count what they run."""
+
+import uuid
+from collections import Counter
+from dataclasses import dataclass, field
+from itertools import count
+
+import anyio
+
+from banyanseam.errors import BanyanseamError
+from banyanseam.idempotency.client import HomeClient
+from banyanseam.idempotency.home import Home
+from banyanseam.idempotency.mapping import find_home, make_mapping
+from banyanseam.idempotency.models import Scope
+from banyanseam.idempotency.tickets import TicketDesk
+from banyanseam.peers.errors import PeerUnreachable
+from banyanseam.peers.messages import PeerIdentity
+from banyanseam.pipe.errors import DeadlineExceeded
+from banyanseam.pipe.idempotency import run_at_most_once
+from banyanseam.pipe.models import Exchange
+from banyanseam.pipe.residency import find_regions
+from banyanseam.upstreams.errors import UpstreamFailed, UpstreamUnreachable
+from tests.common import FakeFabric, make_config
+
+EPOCH_S = 1_800_000_000.0
+DEADLINE_S = 30.0
+
+
+def make_key(stamp_s, number=1):
+    """Return a UUIDv7 stamped in seconds of the mock clock."""
+    value = int((EPOCH_S + stamp_s) * 1000) << 80 | 7 << 76 | 2 << 62 | number
+    return str(uuid.UUID(int=value))
+
+
+class Sink:
+    """What one caller was sent."""
+
+    def __init__(self):
+        self.started = False
+        self.status = None
+        self.headers = []
+        self.body = b""
+
+    async def start(self, status, headers):
+        self.started = True
+        self.status, self.headers = status, headers
+
+    async def send(self, data):
+        self.body += data
+
+
+@dataclass
+class Receipt:
+    """One sending of a request and what became of it."""
+
+    key: str
+    deadline_s: float
+    sink: Sink = field(default_factory=Sink)
+    error: BanyanseamError | None = None
+    started_upstream: bool = False
+    said_s: float = 0.0
+    ended: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def says_not_run(self):
+        return bool(self.error and self.error.not_run and not self.started_upstream)
+
+
+class Entry:
+    """One process at a seat."""
+
+    def __init__(self, fleet, seat, incarnation):
+        self.fleet = fleet
+        self.me = PeerIdentity(seat, incarnation)
+        self.network = fleet.fabric.join(seat, incarnation)
+        self.home = Home(seat, wall_clock=lambda: EPOCH_S + anyio.current_time())
+        self.home.serve(self.network)
+        self.home.adopt(make_mapping(fleet.config))
+        self.desk = TicketDesk(seat, incarnation, b"a secret of the fleet")
+
+    async def run(self, *, task_status):
+        async with anyio.create_task_group() as self.tasks:
+            client = HomeClient(self.me, self.home, self.network, self.tasks.start_soon)
+            seats = self.fleet.config.seats
+            self.filter = run_at_most_once(
+                self.me,
+                self.desk,
+                self.home,
+                client,
+                self.run_elsewhere,
+                lambda seat: seats[seat].region if seat in seats else None,
+            )
+            self.tasks.start_soon(self.home.run)
+            task_status.started()
+            await anyio.sleep_forever()
+
+    async def run_elsewhere(self, exchange, seat):
+        if self.fleet.fabric.is_cut(self.me.seat, seat):
+            raise PeerUnreachable(seat)
+        other = self.fleet.entries.get(seat)
+        if other is None:
+            raise PeerUnreachable(seat)
+        exchange.forwarder = self.me
+        await other.filter(exchange, self.fleet.upstream)
+
+
+class Fleet:
+    """Entries of three regions; `at` maps a phase of a run to what happens then."""
+
+    def __init__(self, tasks, config=None):
+        self.tasks = tasks
+        self.config = config or make_config()
+        self.fabric = FakeFabric()
+        self.entries = {}
+        self.incarnations = Counter()
+        self.runs = Counter()
+        self.receipts = []
+        self.at = {}
+        self.broken_promises = []
+
+    async def start(self, *seats):
+        for seat in seats:
+            self.incarnations[seat] += 1
+            entry = Entry(self, seat, self.incarnations[seat])
+            self.entries[seat] = entry
+            await self.tasks.start(entry.run)
+
+    def kill(self, seat):
+        gone = self.entries.pop(seat)
+        gone.tasks.cancel_scope.cancel()
+        del self.fabric.networks[seat]
+        for entry in self.entries.values():
+            entry.home.lose_process(seat, gone.me.incarnation)
+
+    async def restart(self, seat):
+        if seat in self.entries:
+            self.kill(seat)
+        await self.start(seat)
+
+    def cut(self, region):
+        inside = {seat.name for seat in self.config.seats_of(region)}
+        outside = set(self.config.seats) - inside
+        self.fabric.cut = {frozenset((a, b)) for a in inside for b in outside}
+
+    def home_of(self, key, organisation="acme"):
+        mapping = make_mapping(self.config)
+        return find_home(mapping, Scope(organisation, key), "clinic")
+
+    def make_key_at(self, home):
+        """Return a key stamped now whose home's name starts with `home`."""
+        keys = (make_key(anyio.current_time(), number) for number in count(1000))
+        return next(key for key in keys if self.home_of(key).startswith(home))
+
+    async def phase(self, name, exchange):
+        action = self.at.pop(name, None)
+        if action is not None:
+            await action(exchange)
+
+    async def upstream(self, exchange):
+        key = dict(exchange.headers)[b"idempotency-key"].decode()
+        await self.phase("before", exchange)
+        exchange.upstream_started = True
+        self.runs[key] += 1
+        self.broken_promises += [
+            receipt
+            for receipt in self.receipts
+            if receipt.key == key
+            and receipt.says_not_run
+            and exchange.received_s < receipt.said_s
+        ]
+        await self.phase("sent", exchange)
+        await exchange.reply.start(201, [(b"content-type", b"text/plain")])
+        await self.phase("started", exchange)
+        await exchange.reply.send(b"booked")
+        await self.phase("answered", exchange)
+
+    def send(self, seat, key, body=b"tuesday", deadline_s=DEADLINE_S):
+        """Send a request without waiting for its answer."""
+        receipt = Receipt(key, anyio.current_time() + deadline_s)
+        self.receipts.append(receipt)
+        self.entries[seat].tasks.start_soon(self._serve, seat, receipt, body)
+        return receipt
+
+    async def ask(self, seat, key, *args):
+        """Send a request and wait for its end, as seen by the caller."""
+        receipt = self.send(seat, key, *args)
+        with anyio.move_on_after(4 * DEADLINE_S):
+            await receipt.ended.wait()
+        return receipt
+
+    async def _serve(self, seat, receipt, body):
+        now_s = anyio.current_time()
+        exchange = Exchange(
+            request_id=str(len(self.receipts)),
+            method="POST",
+            path="/clinic/book",
+            query=b"",
+            headers=[(b"idempotency-key", receipt.key.encode())],
+            body=body,
+            received_s=now_s,
+            reply=receipt.sink,
+            organisation=self.config.organisations["acme"],
+            route=self.config.routes["clinic"],
+            deadline_s=receipt.deadline_s,
+            fingerprint=body.hex(),
+        )
+        exchange.regions = find_regions(exchange.route, exchange.organisation)
+        try:
+            with anyio.CancelScope(deadline=exchange.deadline_s) as scope:
+                await self.entries[seat].filter(exchange, self.upstream)
+            if scope.cancelled_caught:
+                raise DeadlineExceeded
+        except BanyanseamError as error:
+            receipt.error = error
+            receipt.started_upstream = exchange.upstream_started
+            receipt.said_s = anyio.current_time()
+            if receipt.says_not_run and self.runs[receipt.key]:
+                self.broken_promises.append(receipt)
+        receipt.ended.set()
+
+
+async def fail_before(exchange):
+    raise UpstreamUnreachable
+
+
+async def fail_after(exchange):
+    raise UpstreamFailed
--- a/tests/idempotency/test_memory.py
+++ b/tests/idempotency/test_memory.py
@@ -15,9 +15,10 @@
     OutcomeUnknown,
 )
 from banyanseam.idempotency.memory import Memory
-from banyanseam.idempotency.models import Answer, Claim, Scope, State
+from banyanseam.idempotency.models import Answer, Claim, End, Scope, State
 
 ANSWER = Answer(201, [(b"content-type", b"text/plain")], b"booked")
+DONE = End(True, ANSWER)
 
 
 def make_claim(number=1, key="k", body="b", organisation="acme", run_s=10.0):
@@ -34,7 +35,7 @@
         self.assertTrue(self.memory.claim(first, 0.0).granted)
         waiting = self.memory.claim(make_claim(2), 1.0)
         self.assertEqual((waiting.state, waiting.granted), (State.RUNNING, False))
-        self.memory.finish(first.scope, first.claim_id, ANSWER, 2.0)
+        self.memory.finish(first.scope, first.claim_id, DONE, 2.0)
         self.assertEqual(self.memory.claim(make_claim(3), 3.0).answer, ANSWER)
 
     def test_another_body_is_refused(self):
@@ -58,7 +59,7 @@
         first = make_claim(1)
         self.memory.claim(first, 0.0)
         large = Answer(200, [], b"x" * 100_000)
-        self.memory.finish(first.scope, first.claim_id, large, 1.0)
+        self.memory.finish(first.scope, first.claim_id, End(True, large), 1.0)
         with self.assertRaises(AnswerNotKept):
             self.memory.claim(make_claim(2), 2.0)
 
@@ -94,7 +95,7 @@
     def test_a_clock_set_back_revives_no_forgotten_key(self):
         first = make_claim(1)
         self.memory.claim(first, 0.0, stamp_s=1000.0)
-        self.memory.finish(first.scope, first.claim_id, ANSWER, 1.0)
+        self.memory.finish(first.scope, first.claim_id, DONE, 1.0)
         self.memory.sweep(RETENTION_S + 2, wall_s=1001.0 + RETENTION_S)
         self.assertEqual(len(self.memory), 0)
         self.memory.sweep(RETENTION_S + 3, wall_s=900.0)
@@ -133,8 +134,8 @@
                 return self.memory.claim(claim, self.now_s, stamp_s=stamp_s).granted
             if kind == "release":
                 return self.memory.release(claim.scope, claim.claim_id)
-            answer = ANSWER if kind == "done" else None
-            return self.memory.finish(claim.scope, claim.claim_id, answer, self.now_s)
+            end = DONE if kind == "done" else End(False)
+            return self.memory.finish(claim.scope, claim.claim_id, end, self.now_s)
         except BanyanseamError as error:
             if error.not_run:
                 assert not self.runs[claim.scope.key], "a run key was called not run"
--- /dev/null
+++ b/tests/pipe/test_tickets.py
@@ -0,0 +1,25 @@
+import unittest
+
+from banyanseam.idempotency.tickets import TicketDesk
+from banyanseam.pipe.errors import KeyMissing, KeyUnknown
+from banyanseam.pipe.models import Exchange
+from banyanseam.pipe.tickets import issue_ticket
+from tests.common import KEY, make_config, run_mocked
+
+
+class IssueTests(unittest.TestCase):
+    def test_only_a_caller_with_a_key_gets_a_ticket(self):
+        desk = TicketDesk("gulf-1", 1, b"a secret of the fleet")
+        for headers, expected in (
+            ([(b"authorization", f"Bearer {KEY}".encode())], None),
+            ([], KeyMissing),
+            ([(b"x-api-key", b"other")], KeyUnknown),
+        ):
+            exchange = Exchange("1", "POST", "/", b"", headers, b"", 0.0, None)
+            call = (issue_ticket, make_config(), desk, exchange)
+            with self.subTest(headers=headers):
+                if expected:
+                    self.assertRaises(expected, run_mocked, *call)
+                    continue
+                ticket = run_mocked(*call).ticket
+                self.assertEqual(desk.read(ticket, "acme").seat, "gulf-1")
