--- a/standins/serving.py
+++ b/standins/serving.py
@@ -125,6 +125,8 @@
             await handler(request)
         except (ValueError, TypeError, KeyError) as error:
             await request.answer(400, {"error": str(error)})
+        if request.is_dropped:
+            await request.wait_closed()
 
     return app
 
--- a/tests/common.py
+++ b/tests/common.py
@@ -24,6 +24,15 @@
     return anyio.run(function, *args, backend="trio", backend_options={"clock": clock})
 
 
+async def wait_until(condition: Callable[[], Any], timeout_s: float = 15) -> None:
+    """Return once the condition holds; raise TimeoutError."""
+    with anyio.fail_after(timeout_s):
+        while True:
+            if condition():
+                return
+            await anyio.sleep(0.01)
+
+
 def digest(key: str) -> str:
     """Return the published digest of a key."""
     return hashlib.sha256(key.encode()).hexdigest()
