--- a/standins/serving.py
+++ b/standins/serving.py
@@ -134,7 +134,11 @@
 @asynccontextmanager
 async def serve(handler: Handler, port: int = 0) -> AsyncIterator[str]:
     """Serve while the context is open and give the address."""
-    listener = socket.create_server(("127.0.0.1", port), backlog=BACKLOG)
+    # asyncio turns Nagle's algorithm off only where the protocol is named.
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(("127.0.0.1", port))
+    listener.listen(BACKLOG)
     address = f"127.0.0.1:{listener.getsockname()[1]}"
     config = uvicorn.Config(
         make_app(handler),
