Refuse what spans the documents, with its path and what to change

A table of refusals was first seen failing: 24 of 35 compiled without a word, among them two labels for one key, the digest of an empty key, a route for a service that nobody serves, 300.1.1.1 as an address and an infinite rate, and a service route without a service. A reached region, an organisation and a route must now share a rule. Numbers written as text are refused, so that any two readers agree. A leaving upstream still counts as one: refusing its mark would keep work going to it.

The shared test documents gain an upstream for their service.

--- a/banyanseam/config/compile.py
+++ b/banyanseam/config/compile.py
@@ -3,11 +3,20 @@
 Every process that holds the same documents comes to the same result.
 """
 
-from itertools import combinations
-from typing import Any, TypeVar
-
-from pydantic import BaseModel, ValidationError
-
+import hashlib
+from typing import Any, Final, TypeVar
+
+from pydantic import BaseModel, TypeAdapter, ValidationError
+
+from banyanseam.config.checks import (
+    check_addresses,
+    check_kinds,
+    check_reach,
+    check_routes,
+    check_sites,
+    check_upstream_kinds,
+    check_upstreams_of_routes,
+)
 from banyanseam.config.compiled import (
     Config,
     Organisation,
@@ -18,10 +27,20 @@
 )
 from banyanseam.config.errors import InvalidConfig
 from banyanseam.config.merge import merge_site
-from banyanseam.config.models import BaseDocument, SiteDocument
+from banyanseam.config.models import (
+    BaseDocument,
+    Name,
+    OrganisationDocument,
+    SiteDocument,
+)
 
 Model = TypeVar("Model", bound=BaseModel)
 
+# Parts written with a few decimals may sum to slightly more than a whole.
+PARTS_TOLERANCE: Final = 1e-9
+EMPTY_KEY_DIGEST: Final = hashlib.sha256(b"").hexdigest()
+_NAME: Final = TypeAdapter(Name)
+
 
 def validate_document(model: type[Model], value: Any, json_path: str) -> Model:
     """Return the validated model; raise InvalidConfig with the JSON path."""
@@ -33,7 +52,10 @@
             f"[{part}]" if isinstance(part, int) else f".{part}"
             for part in first["loc"]
         )
-        raise InvalidConfig(f"{json_path}{path}", first["msg"]) from error
+        detail = first["msg"].removeprefix("Value error, ")
+        if first["type"] == "extra_forbidden":
+            detail = "there is no such field; remove it or correct its name"
+        raise InvalidConfig(f"{json_path}{path}", detail) from error
 
 
 def compile_config(
@@ -42,19 +64,29 @@
     """Return the compiled configuration; raise InvalidConfig at the first fault."""
     base_document = validate_document(BaseDocument, base, "$")
     sites = _merge_sites(base, overlays)
+    check_sites(sites)
+    check_addresses(sites)
+    check_kinds(base_document)
+    check_upstream_kinds(base_document, sites)
     regions = frozenset(sites)
     allowed = _compile_residency(base_document, regions)
+    routes = _compile_routes(base_document, allowed)
+    check_routes(routes)
+    check_upstreams_of_routes(routes, sites)
     organisations = _compile_organisations(base_document, regions, allowed)
+    check_reach(
+        {name: one.regions for name, one in organisations.items()}, routes, sites
+    )
     return Config(
         version=version,
         organisations=organisations,
-        routes=_compile_routes(base_document, allowed),
+        routes=routes,
         seats=_compile_seats(sites),
         upstreams=_compile_upstreams(sites),
         policies={
             region: Policy(**site.policy.model_dump()) for region, site in sites.items()
         },
-        organisation_by_digest=_index_keys(organisations),
+        organisation_by_digest=_index_keys(base_document),
     )
 
 
@@ -62,12 +94,18 @@
     base: dict[str, Any], overlays: dict[str, dict[str, Any]]
 ) -> dict[str, SiteDocument]:
     defaults = base.get("site", {})
-    return {
-        region: validate_document(
-            SiteDocument, merge_site(defaults, overlay), f"$.sites.{region}"
-        )
-        for region, overlay in sorted(overlays.items())
-    }
+    sites = {}
+    for region, overlay in sorted(overlays.items()):
+        path = f"$.sites.{region}"
+        try:
+            _NAME.validate_python(region)
+        except ValidationError as error:
+            raise InvalidConfig(
+                path, "name the region in lower case letters, digits and _.-"
+            ) from error
+        merged = merge_site(defaults, overlay)
+        sites[region] = validate_document(SiteDocument, merged, path)
+    return sites
 
 
 def _compile_residency(
@@ -78,7 +116,8 @@
         unknown = sorted(set(rule.regions) - regions)
         if unknown:
             raise InvalidConfig(
-                f"$.residency.{name}.regions", f"no overlay for region {unknown[0]}"
+                f"$.residency.{name}.regions",
+                f"no overlay for region {unknown[0]}; publish it first",
             )
         allowed[name] = frozenset(rule.regions)
     return allowed
@@ -90,7 +129,9 @@
     if rule is None:
         return None
     if rule not in allowed:
-        raise InvalidConfig(json_path, f"there is no residency rule {rule}")
+        raise InvalidConfig(
+            json_path, f"there is no residency rule {rule}; add it under residency"
+        )
     return allowed[rule]
 
 
@@ -100,45 +141,67 @@
     organisations = {}
     for name, document in base.organisations.items():
         path = f"$.organisations.{name}"
-        parts = dict(document.regional_parts) or {
-            region: 1 / len(regions) for region in regions
-        }
-        if sum(parts.values()) > 1 + 1e-9:
-            raise InvalidConfig(f"{path}.regional_parts", "the parts exceed 1")
-        unknown = sorted(set(parts) - regions)
-        if unknown:
-            raise InvalidConfig(
-                f"{path}.regional_parts.{unknown[0]}", "no overlay for this region"
-            )
         organisations[name] = Organisation(
             name=name,
             key_digests=tuple(bytes.fromhex(key.sha256_hex) for key in document.keys),
             rate_tokens_per_s=document.rate_tokens_per_s,
             burst_tokens=document.burst_tokens,
             weight=document.weight,
-            regional_parts=parts,
+            regional_parts=_compile_parts(document, regions, f"{path}.regional_parts"),
             regions=_find_rule(document.residency, allowed, f"{path}.residency"),
         )
     return organisations
 
 
-def _index_keys(organisations: dict[str, Organisation]) -> dict[bytes, str]:
+def _compile_parts(
+    document: OrganisationDocument, regions: frozenset[str], path: str
+) -> dict[str, float]:
+    parts = document.regional_parts
+    if not parts:
+        return {region: 1 / len(regions) for region in sorted(regions)}
+    unknown = sorted(set(parts) - regions)
+    if unknown:
+        raise InvalidConfig(
+            f"{path}.{unknown[0]}", "no overlay for this region; publish it first"
+        )
+    total = sum(parts.values())
+    if total > 1 + PARTS_TOLERANCE:
+        raise InvalidConfig(path, f"the parts sum to {total:g}; lower them to 1")
+    if total <= 0:
+        raise InvalidConfig(path, "every part is 0; give one region a part")
+    return dict(parts)
+
+
+def _index_keys(base: BaseDocument) -> dict[bytes, str]:
     index: dict[bytes, str] = {}
-    for organisation in organisations.values():
-        for digest in organisation.key_digests:
-            holder = index.setdefault(digest, organisation.name)
-            if holder != organisation.name:
+    for name, organisation in base.organisations.items():
+        labels: set[str] = set()
+        for number, key in enumerate(organisation.keys):
+            path = f"$.organisations.{name}.keys[{number}]"
+            if key.label in labels:
+                raise InvalidConfig(
+                    f"{path}.label", f"the label {key.label} is taken; choose another"
+                )
+            labels.add(key.label)
+            if key.sha256_hex == EMPTY_KEY_DIGEST:
+                raise InvalidConfig(
+                    f"{path}.sha256_hex",
+                    "is the digest of an empty key; make one by `banyanseam key new`",
+                )
+            digest = bytes.fromhex(key.sha256_hex)
+            if digest in index:
                 raise InvalidConfig(
-                    f"$.organisations.{organisation.name}.keys",
-                    f"organisation {holder} has the same key",
+                    f"{path}.sha256_hex",
+                    f"organisation {index[digest]} has this key already; remove one",
                 )
+            index[digest] = name
     return index
 
 
 def _compile_routes(
     base: BaseDocument, allowed: dict[str, frozenset[str]]
 ) -> dict[str, Route]:
-    routes = {
+    return {
         name: Route(
             name=name,
             path_prefix=document.path_prefix,
@@ -155,14 +218,6 @@
         )
         for name, document in base.routes.items()
     }
-    for first, second in combinations(routes.values(), 2):
-        short, long = sorted((first.path_prefix, second.path_prefix), key=len)
-        if long.startswith(short):
-            raise InvalidConfig(
-                f"$.routes.{second.name}.path_prefix",
-                f"overlaps the prefix of route {first.name}",
-            )
-    return routes
 
 
 def _compile_seats(sites: dict[str, SiteDocument]) -> dict[str, Seat]:
@@ -171,27 +226,23 @@
         for name, document in site.seats.items():
             if name in seats:
                 raise InvalidConfig(
-                    f"$.sites.{region}.seats.{name}", "the name is taken elsewhere"
+                    f"$.sites.{region}.seats.{name}",
+                    f"region {seats[name].region} has a seat of this name; rename one",
                 )
             seats[name] = Seat(name=name, region=region, **document.model_dump())
     return seats
 
 
 def _compile_upstreams(sites: dict[str, SiteDocument]) -> dict[str, Upstream]:
-    own_addresses = {
-        address
-        for site in sites.values()
-        for seat in site.seats.values()
-        for address in (seat.callers_address, seat.peers_address)
-    }
     upstreams: dict[str, Upstream] = {}
     for region, site in sites.items():
         for name, document in site.upstreams.items():
-            path = f"$.sites.{region}.upstreams.{name}"
             if name in upstreams:
-                raise InvalidConfig(path, "the name is taken elsewhere")
-            if document.address in own_addresses:
-                raise InvalidConfig(f"{path}.address", "this is a daemon's address")
+                raise InvalidConfig(
+                    f"$.sites.{region}.upstreams.{name}",
+                    f"region {upstreams[name].region} has an upstream of this name; "
+                    "rename one",
+                )
             fields = document.model_dump(exclude={"kind", "serves"})
             upstreams[name] = Upstream(
                 name=name,
--- a/banyanseam/config/models.py
+++ b/banyanseam/config/models.py
@@ -6,10 +6,16 @@
 
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+from banyanseam.config.addresses import normalise_address
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
-Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
+Address = Annotated[
+    str,
+    Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$"),
+    AfterValidator(normalise_address),
+]
 PathPrefix = Annotated[str, Field(pattern=r"^/[A-Za-z0-9_./-]*$", max_length=200)]
 Sha256Hex = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 Fraction = Annotated[float, Field(ge=0, le=1)]
@@ -19,7 +25,7 @@
 class Document(BaseModel):
     """A part of a published document; unknown fields are refused."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
 
 
 class KeyDigest(Document):
@@ -55,7 +61,7 @@
         default_factory=lambda: ["GET", "HEAD"]
     )
     residency: Name | None = None
-    cost_tokens: int = Field(default=1, ge=0)
+    cost_tokens: int = Field(default=1, ge=0, le=10**9)
 
 
 class ResidencyDocument(Document):
@@ -79,10 +85,10 @@
     serves: list[Name] = Field(min_length=1)
     address: Address
     data_centre: Name
-    decode_tokens_per_s: float = Field(default=1000.0, gt=0)
-    prefill_tokens_per_s: float = Field(default=10_000.0, gt=0)
-    memory_tokens: int = Field(default=100_000, gt=0)
-    max_in_flight: int = Field(default=64, gt=0)
+    decode_tokens_per_s: float = Field(default=1000.0, gt=0, le=1e9)
+    prefill_tokens_per_s: float = Field(default=10_000.0, gt=0, le=1e9)
+    memory_tokens: int = Field(default=100_000, gt=0, le=10**12)
+    max_in_flight: int = Field(default=64, gt=0, le=10**6)
     checks_fencing: bool = False
     leaving: bool = False
 
@@ -90,12 +96,12 @@
 class PolicyDocument(Document):
     """How the one policy is weighted at a site."""
 
-    remote_margin_ms: int = Field(default=200, ge=0)
+    remote_margin_ms: int = Field(default=200, ge=0, le=3_600_000)
     remote_share_cap: Fraction = 0.5
-    link_bytes_per_s: int = Field(default=8_000_000, gt=0)
-    queue_patience_ms: int = Field(default=20_000, ge=0)
+    link_bytes_per_s: int = Field(default=8_000_000, gt=0, le=10**12)
+    queue_patience_ms: int = Field(default=20_000, ge=0, le=3_600_000)
     retry_budget_share: Fraction = 0.1
-    byte_budget: int = Field(default=64_000_000, gt=0)
+    byte_budget: int = Field(default=64_000_000, gt=0, le=10**12)
 
 
 class SiteDocument(Document):
--- a/tests/common.py
+++ b/tests/common.py
@@ -82,7 +82,13 @@
                     "serves": ["oak"],
                     "address": f"127.0.0.1:{port + 200}",
                     "data_centre": f"{region}-dc1",
-                }
+                },
+                f"{region}-clinic-1": {
+                    "kind": "service",
+                    "serves": ["clinic"],
+                    "address": f"127.0.0.1:{port + 300}",
+                    "data_centre": f"{region}-dc1",
+                },
             },
         }
     return base, overlays
