--- a/banyanseam/config/addresses.py
+++ b/banyanseam/config/addresses.py
@@ -1,11 +1,15 @@
 """IP addresses with ports, in one spelling so that equal ones compare equal."""
 
+from functools import lru_cache
 from ipaddress import ip_address
 from typing import Final
 
 MAX_PORT: Final = 65_535
+# Nearly every address of a version was in the one before.
+KNOWN_ADDRESSES: Final = 4096
 
 
+@lru_cache(maxsize=KNOWN_ADDRESSES)
 def normalise_address(address: str) -> str:
     """Return the usual spelling of an IP address and port; raise ValueError."""
     host, _, port = address.rpartition(":")
@@ -21,6 +25,7 @@
     return f"[{parsed}]:{int(port)}" if is_bracketed else f"{parsed}:{int(port)}"
 
 
+@lru_cache(maxsize=KNOWN_ADDRESSES)
 def can_be_dialled(address: str) -> bool:
     """Say whether a normalised address names one host and one port."""
     host, _, port = address.rpartition(":")
