Add the operators' command line

config check, render, diff, split and schema work on files; key new prints a key once and the entry to publish; status, entries, histograms, explain and drain ask a daemon over the models of server/operator_models.py.

--- /dev/null
+++ b/banyanseam/cli/const.py
@@ -0,0 +1,14 @@
+"""Constants of the command line."""
+
+from typing import Final
+
+EXIT_REFUSED: Final = 1
+# Click's own code for a command that is called wrongly.
+EXIT_USAGE: Final = 2
+EXIT_UNREACHABLE: Final = 3
+EXIT_DIFFERENT: Final = 4
+
+ANSWER_TIMEOUT_S: Final = 10.0
+KEY_BYTES: Final = 32
+KEY_PREFIX: Final = "by-"
+PLOT_COLUMNS: Final = 40
--- /dev/null
+++ b/banyanseam/cli/daemon.py
@@ -0,0 +1,131 @@
+"""Commands that ask one daemon: its state, its advice to callers, draining."""
+
+import click
+
+from banyanseam.cli.client import ask, make_request, operators_option
+from banyanseam.cli.output import emit, format_table, json_option
+from banyanseam.server.operator_models import (
+    DrainReply,
+    EntriesReply,
+    ExplainReply,
+    ExplainRequest,
+    StatusReply,
+)
+
+
+@click.command()
+@operators_option
+@json_option
+def status(operators: str, as_json: bool) -> None:
+    """Show a daemon's state, configuration, load, peers and upstreams."""
+    reply = ask(operators, "GET", "/status", StatusReply)
+    emit(reply.model_dump(), as_json, lambda: _format_status(reply))
+
+
+@click.command()
+@operators_option
+@json_option
+def entries(operators: str, as_json: bool) -> None:
+    """Show which daemons callers are told to use, best first."""
+    reply = ask(operators, "GET", "/entries", EntriesReply)
+    rows = [(one.seat, one.region, one.address) for one in reply.entries]
+    emit(
+        reply.model_dump(),
+        as_json,
+        lambda: (
+            format_table(("seat", "region", "address"), rows)
+            + f"\nvalid for {reply.validity_ms} ms"
+        ),
+    )
+
+
+@click.command()
+@operators_option
+@json_option
+def drain(operators: str, as_json: bool) -> None:
+    """Tell a daemon to leave the list, finish its work and end."""
+    reply = ask(operators, "POST", "/drain", DrainReply)
+    emit(
+        reply.model_dump(),
+        as_json,
+        lambda: (
+            f"{reply.state}: {reply.in_flight} in flight, {reply.queued} queued, "
+            f"callers may still come for {reply.validity_ms} ms"
+        ),
+    )
+
+
+@click.command()
+@click.argument("path")
+@click.option("--method", default="POST", show_default=True)
+@click.option("--organisation", help="Whose key would come with it; none without.")
+@click.option("--model", help="The model that it would name.")
+@click.option("--prompt-tokens", default=1000, show_default=True)
+@click.option("--max-output-tokens", default=256, show_default=True)
+@operators_option
+@json_option
+def explain(operators: str, as_json: bool, **fields: object) -> None:
+    """Say what would happen to such a request, filter by filter, and why.
+
+    Nothing is sent to an upstream and nothing is charged.
+    """
+    request = make_request(ExplainRequest, fields)
+    reply = ask(operators, "POST", "/explain", ExplainReply, request)
+    emit(reply.model_dump(), as_json, lambda: _format_explanation(reply))
+
+
+def _format_status(reply: StatusReply) -> str:
+    config = reply.config
+    load = reply.load
+    lines = [
+        f"{reply.seat} ({reply.region}, {reply.data_centre}) is {reply.state}, "
+        f"up {reply.up_ms} ms, incarnation {reply.incarnation}",
+        f"configuration {config.version}, in force {config.in_force_ms} ms, "
+        f"service answered {config.service_answered_ms_ago} ms ago",
+        f"load: {load.in_flight} in flight, {load.queued} queued, "
+        f"{load.held_bytes} of {load.byte_budget} bytes held",
+    ]
+    if config.rejected is not None:
+        lines.append(
+            f"REJECTED version {config.rejected.version}: {config.rejected.detail}"
+        )
+    if load.failures:
+        rows = sorted(load.failures.items(), key=lambda row: -row[1])
+        lines += ["", format_table(("failures", "count"), rows)]
+    if reply.peers:
+        rows = [
+            (one.seat, one.region, one.state, one.heard_ms_ago, one.is_linked)
+            for one in reply.peers
+        ]
+        headings = ("peer", "region", "state", "heard_ms_ago", "linked")
+        lines += ["", format_table(headings, rows)]
+    if reply.upstreams:
+        rows = [
+            (
+                one.upstream,
+                one.region,
+                one.state,
+                one.in_flight,
+                one.held_tokens,
+                one.memory_tokens,
+                one.reported_ms_ago,
+            )
+            for one in reply.upstreams
+        ]
+        headings = (
+            "upstream",
+            "region",
+            "state",
+            "in_flight",
+            "held_tokens",
+            "memory_tokens",
+            "reported_ms_ago",
+        )
+        lines += ["", format_table(headings, rows)]
+    return "\n".join(lines)
+
+
+def _format_explanation(reply: ExplainReply) -> str:
+    rows = [(one.filter, one.verdict, one.code, one.reason) for one in reply.steps]
+    table = format_table(("filter", "verdict", "code", "why"), rows)
+    return f"{table}\n{reply.verdict}, by configuration {reply.config_version}"
--- /dev/null
+++ b/banyanseam/cli/files.py
@@ -0,0 +1,63 @@
+"""Reading and writing the operators' files.
+
+A set of documents is a base file with a file for each site, named after its region,
+or a folder that holds `base.json`, `sites/<region>.json` and, if the organisations
+are divided, `organisations/<shard>.json`.
+"""
+
+import json
+from pathlib import Path
+from typing import Any
+
+from banyanseam.cli.errors import UnreadableFile
+
+Document = dict[str, Any]
+
+
+def read_document(path: Path) -> Document:
+    """Return a file's JSON object; raise UnreadableFile."""
+    try:
+        value = json.loads(path.read_bytes())
+    except OSError as error:
+        raise UnreadableFile(f"{path}: {error.strerror}") from error
+    except (ValueError, RecursionError) as error:
+        raise UnreadableFile(f"{path}: not JSON: {error}") from error
+    if not isinstance(value, dict):
+        raise UnreadableFile(f"{path}: a JSON object is needed")
+    return value
+
+
+def read_documents(
+    base: Path, overlays: tuple[Path, ...]
+) -> tuple[Document, dict[str, Document]]:
+    """Return the base and the overlays by region; raise UnreadableFile."""
+    if base.is_dir():
+        return _read_folder(base)
+    regions: dict[str, Document] = {}
+    for path in overlays:
+        if path.stem in regions:
+            raise UnreadableFile(f"{path}: a second overlay for region {path.stem}")
+        regions[path.stem] = read_document(path)
+    return read_document(base), regions
+
+
+def write_values(folder: Path, values: dict[str, Document]) -> None:
+    """Write each value to a file named after its key."""
+    for key, value in values.items():
+        path = folder / f"{key}.json"
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(json.dumps(value, indent=2, sort_keys=True) + "\n")
+
+
+def _read_folder(folder: Path) -> tuple[Document, dict[str, Document]]:
+    base = read_document(folder / "base.json")
+    organisations = dict(base.get("organisations", {}))
+    for path in sorted((folder / "organisations").glob("*.json")):
+        for name, organisation in read_document(path).items():
+            if name in organisations:
+                raise UnreadableFile(f"{path}: organisation {name} is defined twice")
+            organisations[name] = organisation
+    if organisations:
+        base["organisations"] = organisations
+    sites = sorted((folder / "sites").glob("*.json"))
+    return base, {path.stem: read_document(path) for path in sites}
--- /dev/null
+++ b/banyanseam/cli/main.py
@@ -0,0 +1,47 @@
+"""The operators' command line.
+
+Exit codes: 0 done; 1 refused or invalid; 2 called wrongly; 3 the daemon cannot be
+reached; 4 `config diff --exit-code` found differences.
+"""
+
+import click
+
+from banyanseam.cli.config import config_group
+from banyanseam.cli.daemon import drain, entries, explain, status
+from banyanseam.cli.errors import ErrorGroup
+from banyanseam.cli.histograms import histograms
+from banyanseam.cli.keys import key_group
+
+
+@click.group(
+    cls=ErrorGroup,
+    context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 88},
+)
+@click.version_option(package_name="banyanseam")
+def main() -> None:
+    r"""Check and divide the configuration, make keys, and ask daemons.
+
+    \b
+    Exit codes:
+      0  done
+      1  refused or invalid; one line on standard error begins with the code
+      2  called wrongly
+      3  the daemon cannot be reached
+      4  `config diff --exit-code` found differences
+    """
+
+
+for command in (
+    config_group,
+    key_group,
+    status,
+    entries,
+    histograms,
+    explain,
+    drain,
+):
+    main.add_command(command)
+
+
+if __name__ == "__main__":
+    main()
--- a/banyanseam/config/models.py
+++ b/banyanseam/config/models.py
@@ -4,13 +4,15 @@
 span documents are checked in `banyanseam.config.compile`.
 """
 
-from typing import Annotated, Literal
+from typing import Annotated, Final, Literal
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
 from banyanseam.config.addresses import normalise_address
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
+NAME_PATTERN: Final = r"^[a-z0-9][a-z0-9_.-]{0,62}$"
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 Address = Annotated[
     str,
     Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$"),
