Catalogue errors and events, held to the code both ways

docs/ERRORS.md and docs/EVENTS.md are written from the classes and events; only the remedies are by hand.

--- /dev/null
+++ b/tests/observe/catalogues.py
@@ -0,0 +1,130 @@
+"""The catalogues of errors and events: written from the code, remedies kept.
+
+`python -m tests.observe.catalogues` rewrites docs/ERRORS.md and docs/EVENTS.md. A new
+row comes without a remedy, which the test refuses.
+"""
+
+import importlib
+import pkgutil
+from collections.abc import Iterator
+from pathlib import Path
+
+import banyanseam
+from banyanseam.errors import BanyanseamError
+from banyanseam.observe.events import Event
+
+DOCS = Path(__file__).resolve().parent.parent.parent / "docs"
+ERRORS = DOCS / "ERRORS.md"
+EVENTS = DOCS / "EVENTS.md"
+
+ERRORS_HEAD = """# Errors
+
+Every failure has a stable code. Callers read it in the problem details (RFC 9457) of
+an answer, operators in the log (`event` is the number there) and on the command line.
+*Not run* says whether a refusal may claim that nothing ran; the claim is withdrawn
+once the first byte was sent to an upstream, unless that proved that it did not start.
+
+This page is written from the code by `python -m tests.observe.catalogues`; only the
+remedies are written by hand, and a test holds both together.
+
+| Code | Event | Status | Not run | Cause | Remedy |
+| --- | --- | --- | --- | --- | --- |
+"""
+
+EVENTS_HEAD = """# Events
+
+Each log line is one JSON object on standard error: `time`, `level`, `seat`, `event`
+(the number), `message` and the fields of the event. No line holds a caller's key or
+body. Numbers: 1xxx failures (see [ERRORS.md](ERRORS.md)), 2xxx life cycle, 3xxx
+requests, 4xxx peers, 5xxx configuration, 6xxx upstreams, 7xxx quota.
+
+This page is written from the code by `python -m tests.observe.catalogues`; only the
+last column is written by hand, and a test holds both together.
+
+| Event | Level | Message | What to do |
+| --- | --- | --- | --- |
+"""
+
+
+def import_everything() -> list[object]:
+    """Return every module of the package."""
+    found = pkgutil.walk_packages(banyanseam.__path__, "banyanseam.")
+    return [importlib.import_module(module.name) for module in found]
+
+
+def find_errors() -> list[type[BanyanseamError]]:
+    """Return every class of the error family, in order of event number."""
+    import_everything()
+
+    def walk(kind: type[BanyanseamError]) -> Iterator[type[BanyanseamError]]:
+        if kind.__module__.startswith("banyanseam."):
+            yield kind
+        for child in kind.__subclasses__():
+            yield from walk(child)
+
+    # A class that is defined with slots by a decorator exists twice.
+    unique = {
+        f"{kind.__module__}.{kind.__name__}": kind for kind in walk(BanyanseamError)
+    }
+    return sorted(unique.values(), key=lambda kind: kind.event)
+
+
+def find_events() -> list[Event]:
+    """Return every event that a module of the package defines."""
+    found = {
+        id(value): value
+        for module in import_everything()
+        for value in vars(module).values()
+        if isinstance(value, Event)
+    }
+    return sorted(found.values(), key=lambda event: event.number)
+
+
+def read_hand_written(path: Path) -> dict[str, str]:
+    """Return the last cell of each row by its first."""
+    if not path.exists():
+        return {}
+    rows = {}
+    for line in path.read_text().splitlines():
+        if not line.startswith("| "):
+            continue
+        cells = [cell.strip() for cell in line[1:-1].split("|")]
+        rows[cells[0].strip("`")] = cells[-1]
+    return rows
+
+
+def describe_cause(kind: type[BanyanseamError]) -> str:
+    """Return the first paragraph of the class's documentation."""
+    paragraph = (kind.__doc__ or "").strip().split("\n\n")[0]
+    return " ".join(paragraph.split()).replace("|", "/")
+
+
+def render_errors(remedies: dict[str, str]) -> str:
+    """Return the page of errors."""
+    rows = (
+        f"| `{kind.code}` | {kind.event} | {kind.status} "
+        f"| {'yes' if kind.not_run else 'no'} | {describe_cause(kind)} "
+        f"| {remedies.get(kind.code, '')} |"
+        for kind in find_errors()
+    )
+    return ERRORS_HEAD + "\n".join(rows) + "\n"
+
+
+def render_events(remedies: dict[str, str]) -> str:
+    """Return the page of events."""
+    rows = (
+        f"| {event.number} | {event.level} | {event.message} "
+        f"| {remedies.get(str(event.number), '')} |"
+        for event in find_events()
+    )
+    return EVENTS_HEAD + "\n".join(rows) + "\n"
+
+
+def main() -> None:
+    """Write both pages anew."""
+    ERRORS.write_text(render_errors(read_hand_written(ERRORS)))
+    EVENTS.write_text(render_events(read_hand_written(EVENTS)))
+
+
+if __name__ == "__main__":
+    main()
