--- a/banyanseam/config/errors.py
+++ b/banyanseam/config/errors.py
@@ -36,3 +36,19 @@
     status = 503
     title = "This daemon has no configuration yet"
     not_run = True
+
+
+class ConfigServiceOverLimit(ConfigServiceUnavailable):
+    """The configuration service refuses more calls for now."""
+
+    code = "config.service_over_limit"
+    event = 1103
+    title = "The configuration service is over its call limit"
+
+
+class InconsistentValues(ConfigServiceUnavailable):
+    """The values read do not belong to one version; reading again mends it."""
+
+    code = "config.inconsistent_values"
+    event = 1104
+    title = "The values read are not of one version"
