Read the configuration service and hand values on between daemons

Cause: 340 readers of a whole 1 MB value break both the call limit and the bytes a node may spend, and a new process may meet a stale service. Change: two readers a region hold bounded watches over several addresses, the others poll every 30 s; versions are announced and only changed values pulled from one peer. A new process serves once a serving peer was heard, or nobody in the fleet serves, or 10 s found no such peer. Ruled out: pushing values, which sends each once for every neighbour. Seen failing, each by a change of the code: joining at once (2 tests), no pull of the last good one, no second listing after a change in between, a stale address kept, constant backoff (19,217 calls an hour), peers that are new themselves vouching for each other. Figures: calls an hour on the mock clock stay under 240 for a slow poller and under 3,600 for a reader, with the service up, down and over its limit.

--- /dev/null
+++ b/banyanseam/config/service.py
@@ -0,0 +1,72 @@
+"""The configuration service over HTTP."""
+
+import json
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import httpcore
+from pydantic import BaseModel, Field, ValidationError
+
+from banyanseam.config.const import CALL_MARGIN_S
+from banyanseam.config.errors import ConfigServiceOverLimit, ConfigServiceUnavailable
+from banyanseam.config.snapshot import Listing, Value, encode_content
+from banyanseam.config.watch import Source
+
+Reply = TypeVar("Reply", bound=BaseModel)
+
+
+class RevisionsReply(BaseModel):
+    """What changed since the revision asked about."""
+
+    revision: int = Field(ge=0)
+    changed: dict[str, int]
+
+
+class ValueReply(BaseModel):
+    """One value with the revision that set it."""
+
+    key: str
+    revision: int = Field(gt=0)
+    value: Any
+
+
+def make_source(pool: httpcore.AsyncConnectionPool, address: str) -> Source:
+    """Return the functions that read the service at one address."""
+
+    async def list_revisions(after: int, wait_ms: int) -> Listing:
+        path = f"/v1/revisions?after={after}&wait_ms={wait_ms}"
+        timeout_s = wait_ms / 1000 + CALL_MARGIN_S
+        reply = await _get(pool, address, path, RevisionsReply, timeout_s)
+        return Listing(reply.revision, reply.changed)
+
+    async def read(key: str) -> Value:
+        path = f"/v1/values/{quote(key)}"
+        reply = await _get(pool, address, path, ValueReply, CALL_MARGIN_S)
+        return Value(key, reply.revision, encode_content(reply.value))
+
+    return Source(list_revisions, read)
+
+
+async def _get(
+    pool: httpcore.AsyncConnectionPool,
+    address: str,
+    path: str,
+    model: type[Reply],
+    timeout_s: float,
+) -> Reply:
+    url = f"http://{address}{path}"
+    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
+    try:
+        response = await pool.request("GET", url, extensions={"timeout": timeouts})
+    except (httpcore.TimeoutException, httpcore.NetworkError) as error:
+        raise ConfigServiceUnavailable(f"{address}: {type(error).__name__}") from error
+    except httpcore.ProtocolError as error:
+        raise ConfigServiceUnavailable(f"{address}: broken reply") from error
+    if response.status == 429:
+        raise ConfigServiceOverLimit(address)
+    if response.status != 200:
+        raise ConfigServiceUnavailable(f"{address}: status {response.status}")
+    try:
+        return model.model_validate(json.loads(response.content))
+    except (ValueError, RecursionError, ValidationError) as error:
+        raise ConfigServiceUnavailable(f"{address}: invalid reply") from error
--- /dev/null
+++ b/banyanseam/config/watch.py
@@ -0,0 +1,150 @@
+"""Reading the configuration service, within its call limit.
+
+A few readers in each region hold a bounded watch; every other process polls slowly
+and takes changes from its peers. Calls thus grow with the regions and only by one
+slow poll with each node.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+
+from banyanseam.config.const import (
+    BACKOFF_FIRST_S,
+    BACKOFF_OTHERS_S,
+    BACKOFF_READER_S,
+    JITTER_FLOOR,
+    READ_ATTEMPTS,
+    ROLE_CHECK_S,
+    SLOW_POLL_S,
+    WATCH_MS,
+)
+from banyanseam.config.errors import ConfigServiceUnavailable, InconsistentValues
+from banyanseam.config.snapshot import Listing, Snapshot, Value, extend_snapshot
+from banyanseam.config.store import Store
+from banyanseam.observe.events import CONFIG_SERVICE_DOWN, log
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """One address of the service; both functions raise ConfigServiceUnavailable."""
+
+    # Takes the version to list from and how long the service may wait, in ms.
+    list_revisions: Callable[[int, int], Awaitable[Listing]]
+    read: Callable[[str], Awaitable[Value]]
+
+
+class Watch:
+    """Keeps a store up to date from the service's addresses, tried in turn."""
+
+    def __init__(
+        self,
+        store: Store,
+        sources: list[Source],
+        is_reader: Callable[[], bool],
+        chance: random.Random,
+    ) -> None:
+        """Keep the addresses; `is_reader` says whether this process may watch."""
+        self._store = store
+        self._sources = sources
+        self._is_reader = is_reader
+        self._chance = chance
+        # Processes begin at different addresses, so a stale one misleads only some.
+        self._current = chance.randrange(len(sources))
+        # Whether the last call succeeded; peers elect readers among those.
+        self.reaches_service = False
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        failures = 0
+        while True:
+            wait_ms = WATCH_MS if self._is_reader() and failures == 0 else 0
+            if await self._try_sources(wait_ms):
+                failures = 0
+            else:
+                failures += 1
+                if failures == 1:
+                    log(CONFIG_SERVICE_DOWN, addresses=len(self._sources))
+            await self._pause(failures)
+
+    async def fetch(self, wait_ms: int) -> None:
+        """Read what is newer than the store holds from the current address.
+
+        Raise ConfigServiceUnavailable.
+        """
+        source = self._sources[self._current]
+        known = self._store.newest
+        got: dict[tuple[str, int], Value] = {}
+        for _ in range(READ_ATTEMPTS):
+            listing = await source.list_revisions(known.version, wait_ms)
+            wait_ms = 0
+            if listing.version < known.version:
+                self._try_next_address()
+                return
+            await self._read_missing(source, listing, got)
+            snapshot = self._extend(known, listing, got)
+            if snapshot is not None:
+                self._store.offer(snapshot)
+                return
+        raise InconsistentValues("the values change faster than they can be read")
+
+    async def _read_missing(
+        self, source: Source, listing: Listing, got: dict[tuple[str, int], Value]
+    ) -> None:
+        for key, revision in listing.changed.items():
+            if (key, revision) in got:
+                continue
+            value = self._store.find(key, revision) or await source.read(key)
+            got[key, value.revision] = value
+
+    def _extend(
+        self,
+        known: Snapshot,
+        listing: Listing,
+        got: dict[tuple[str, int], Value],
+    ) -> Snapshot | None:
+        try:
+            return extend_snapshot(known, listing, got.values())
+        except InconsistentValues:
+            # A value changed between the listing and the reading: list again.
+            return None
+
+    async def _try_sources(self, wait_ms: int) -> bool:
+        for _ in self._sources:
+            try:
+                await self.fetch(wait_ms)
+            except ConfigServiceUnavailable:
+                self._try_next_address()
+                continue
+            self.reaches_service = True
+            return True
+        self.reaches_service = False
+        return False
+
+    def _try_next_address(self) -> None:
+        self._current = (self._current + 1) % len(self._sources)
+
+    async def _pause(self, failures: int) -> None:
+        """Wait before the next call; a process that becomes a reader stops waiting."""
+        was_reader = self._is_reader()
+        if was_reader and failures == 0:
+            # A bound on the calls of a service that never lets a watch wait.
+            await anyio.sleep(self._draw(BACKOFF_FIRST_S))
+            return
+        pause_s = self._draw(self._nominal_pause_s(failures, was_reader))
+        until_s = anyio.current_time() + pause_s
+        while (left_s := until_s - anyio.current_time()) > 0:
+            if self._is_reader() and not was_reader:
+                return
+            await anyio.sleep(min(left_s, ROLE_CHECK_S))
+
+    def _nominal_pause_s(self, failures: int, is_reader: bool) -> float:
+        if failures == 0:
+            return SLOW_POLL_S
+        limit_s = BACKOFF_READER_S if is_reader else BACKOFF_OTHERS_S
+        return min(limit_s, BACKOFF_FIRST_S * 2 ** min(failures, 16))
+
+    def _draw(self, nominal_s: float) -> float:
+        return nominal_s * self._chance.uniform(JITTER_FLOOR, 1)
--- /dev/null
+++ b/tests/config/test_spread.py
@@ -0,0 +1,267 @@
+import random
+import unittest
+
+import anyio
+
+from banyanseam.config.errors import ConfigServiceOverLimit, ConfigServiceUnavailable
+from banyanseam.config.join import choose_join_peers, wait_until_current
+from banyanseam.config.snapshot import Listing
+from banyanseam.config.spread import Spread
+from banyanseam.config.store import Store
+from banyanseam.config.watch import Source, Watch
+from tests.common import FakeFabric, run_mocked
+from tests.config.test_store import make_history, shard
+
+SEATS = [f"{region}-{i}" for region in ("gulf", "piedmont", "delta") for i in (1, 2, 3)]
+GULF = SEATS[:3]
+
+
+class FakeService:
+    """The service's protocol over a history, at a version that tests set."""
+
+    def __init__(self, history, version=1):
+        self.history = history
+        self.version = version
+        self.fault = None
+        self.calls = 0
+        self.changed = anyio.Event()
+
+    def publish(self, version):
+        self.version = version
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def list_revisions(self, after, wait_ms):
+        self._count()
+        if self.version <= after:
+            with anyio.move_on_after(wait_ms / 1000):
+                await self.changed.wait()
+        self._count(0)
+        listing = self.history[self.version - 1].list_after(after)
+        return Listing(self.version, listing.changed)
+
+    async def read(self, key):
+        self._count()
+        await anyio.sleep(0.002)
+        return self.history[self.version - 1].values[key]
+
+    def _count(self, calls=1):
+        self.calls += calls
+        if self.fault is not None:
+            raise self.fault()
+
+    @property
+    def source(self):
+        return Source(self.list_revisions, self.read)
+
+
+class Node:
+    """A process's store, spread and watch at one seat."""
+
+    def __init__(self, fabric, seat, service, is_reader=True, seed=1):
+        self.seat = seat
+        self.chance = random.Random(seed)
+        self.store = Store()
+        self.is_serving = False
+        self.first_peers = [] if seat == "gulf-1" else ["gulf-1"]
+        others = [other for other in SEATS if other != seat]
+        self.spread = Spread(
+            self.store, fabric.join(seat), lambda: others, lambda: self.is_serving
+        )
+        self.watch = Watch(self.store, [service.source], lambda: is_reader, self.chance)
+
+    async def join(self):
+        region = self.seat.split("-")[0]
+        await wait_until_current(
+            self.store,
+            self.spread,
+            lambda: choose_join_peers(
+                self.store, self.seat, region, self.first_peers, self.chance
+            ),
+        )
+        self.is_serving = True
+
+    def start(self, group):
+        group.start_soon(self.watch.run)
+        group.start_soon(self.spread.run)
+        group.start_soon(self.join)
+
+    @property
+    def version(self):
+        return self.store.in_force.version
+
+
+async def wait_for(condition, bound_s=60):
+    with anyio.fail_after(bound_s):
+        for _ in iter(condition, True):
+            await anyio.sleep(0.05)
+
+
+class SpreadTests(unittest.TestCase):
+    def setUp(self):
+        self.history = make_history(
+            [shard("one", 5), shard("two", 6), shard("one", -1), shard("two", 7)]
+        )
+
+    def run_nodes(self, scenario, readers=("gulf-1",), seats=GULF):
+        async def main():
+            fabric = FakeFabric()
+            service = FakeService(self.history)
+            nodes = {
+                seat: Node(fabric, seat, service, seat in readers, seed)
+                for seed, seat in enumerate(seats)
+            }
+            async with anyio.create_task_group() as group:
+                for node in nodes.values():
+                    node.start(group)
+                await wait_for(lambda: all(n.is_serving for n in nodes.values()))
+                await scenario(fabric, service, nodes, group)
+                group.cancel_scope.cancel()
+
+        run_mocked(main)
+
+    def test_one_reader_is_enough_within_the_bound(self):
+        async def scenario(fabric, service, nodes, group):
+            service.publish(3)
+            await wait_for(lambda: all(n.version == 3 for n in nodes.values()), 5)
+
+        self.run_nodes(scenario, seats=SEATS)
+
+    def test_new_process_is_not_misled_by_a_stale_service(self):
+        async def scenario(fabric, service, nodes, group):
+            service.publish(3)
+            await wait_for(lambda: all(n.version == 3 for n in nodes.values()), 5)
+            service.publish(1)
+            new = Node(fabric, "gulf-3", service, seed=9)
+            new.start(group)
+            await wait_for(lambda: new.is_serving)
+            self.assertEqual(new.version, 3)
+            await anyio.sleep(120)
+            self.assertEqual({n.version for n in [new, nodes["gulf-1"]]}, {3})
+
+        self.run_nodes(scenario)
+
+    def test_new_process_takes_the_last_good_one_from_peers(self):
+        async def scenario(fabric, service, nodes, group):
+            service.publish(3)
+            await wait_for(lambda: all(n.version == 3 for n in nodes.values()), 5)
+            service.publish(5)
+            await wait_for(
+                lambda: all(n.store.newest.version == 5 for n in nodes.values()), 5
+            )
+            new = Node(fabric, "gulf-3", service, seed=9)
+            new.start(group)
+            await wait_for(lambda: new.is_serving)
+            self.assertEqual((new.version, new.store.newest.version), (3, 5))
+            self.assertEqual(
+                str(new.store.rejection), str(nodes["gulf-1"].store.rejection)
+            )
+
+        self.run_nodes(scenario)
+
+    def test_new_process_alone_waits_before_it_trusts_the_service(self):
+        async def main():
+            fabric = FakeFabric()
+            node = Node(fabric, "gulf-1", FakeService(self.history))
+            async with anyio.create_task_group() as group:
+                node.start(group)
+                await anyio.sleep(9)
+                self.assertFalse(node.is_serving)
+                await wait_for(lambda: node.is_serving)
+                group.cancel_scope.cancel()
+
+        run_mocked(main)
+
+    def test_new_processes_do_not_vouch_for_each_other(self):
+        async def scenario(fabric, service, nodes, group):
+            service.publish(1)
+            fabric.cut |= {frozenset(("gulf-1", seat)) for seat in GULF[1:]}
+            new = [Node(fabric, seat, service, seed=9) for seat in GULF[1:]]
+            for node in new:
+                node.start(group)
+            await anyio.sleep(9)
+            self.assertEqual([node.version for node in new], [1, 1])
+            self.assertFalse(new[0].is_serving or new[1].is_serving)
+
+        self.run_nodes(scenario)
+
+    def test_nothing_is_served_while_nobody_answers(self):
+        async def main():
+            service = FakeService(self.history)
+            service.fault = ConfigServiceUnavailable
+            node = Node(FakeFabric(), "gulf-1", service)
+            async with anyio.create_task_group() as group:
+                node.start(group)
+                await anyio.sleep(3600)
+                self.assertFalse(node.is_serving)
+                service.fault = None
+                await wait_for(lambda: node.is_serving)
+                group.cancel_scope.cancel()
+
+        run_mocked(main)
+
+    def test_cut_region_keeps_its_version_and_catches_up(self):
+        async def scenario(fabric, service, nodes, group):
+            cuts = {frozenset(("gulf-1", seat)) for seat in GULF[1:]}
+            fabric.cut |= cuts
+            service.publish(2)
+            await wait_for(lambda: nodes["gulf-1"].version == 2, 5)
+            await anyio.sleep(1)
+            fabric.cut -= cuts
+            nodes["gulf-2"].spread.hear("gulf-1", nodes["gulf-1"].spread.describe())
+            await wait_for(lambda: all(n.version == 2 for n in nodes.values()), 5)
+
+        self.run_nodes(scenario)
+
+
+class WatchTests(unittest.TestCase):
+    def test_calls_are_bounded_under_faults(self):
+        faults = [ConfigServiceUnavailable, ConfigServiceOverLimit, None]
+        for fault in faults:
+            for is_reader, bound in ((True, 3600), (False, 240)):
+                with self.subTest(fault=fault, is_reader=is_reader):
+                    calls = run_mocked(self.count_calls_in_an_hour, fault, is_reader)
+                    self.assertLess(calls, bound)
+
+    async def count_calls_in_an_hour(self, fault, is_reader):
+        service = FakeService(make_history([]))
+        service.fault = fault
+        node = Node(FakeFabric(), "gulf-1", service, is_reader)
+        with anyio.move_on_after(3600):
+            await node.watch.run()
+        return service.calls
+
+    def test_stale_or_failed_address_is_left(self):
+        history = make_history([shard("one", 5), shard("two", 5)])
+        for fault in (None, ConfigServiceUnavailable):
+            with self.subTest(fault=fault):
+                run_mocked(self.follow_the_better_address, history, fault)
+
+    async def follow_the_better_address(self, history, fault):
+        bad, good = FakeService(history, 2), FakeService(history, 2)
+        store = Store()
+        sources = [bad.source, good.source]
+        watch = Watch(store, sources, lambda: True, random.Random(1))
+        store.offer(history[1])
+        bad.version, bad.fault = 1, fault
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch.run)
+            await anyio.sleep(20)
+            self.assertTrue(watch.reaches_service)
+            good.publish(3)
+            await wait_for(lambda: store.in_force.version == 3, 5)
+            group.cancel_scope.cancel()
+
+    def test_change_between_listing_and_reading_is_listed_again(self):
+        async def main():
+            history = make_history([shard("one", 5), shard("one", 6)])
+            service = FakeService(history, 2)
+            store = Store()
+            watch = Watch(store, [service.source], lambda: True, random.Random(1))
+            async with anyio.create_task_group() as group:
+                group.start_soon(watch.fetch, 0)
+                await anyio.sleep(0.001)
+                service.publish(3)
+            self.assertEqual(store.in_force, history[2])
+
+        run_mocked(main)
