Join the modules in the daemon: configuration, members, room, keys

Cause: the thin path read the configuration itself, took any upstream and knew no idempotency. Change: the daemon joins its fleet first (links, configuration, membership), then serves: room reserved at keepers, forwarding to a region, keyed requests at most once, tickets, operators' operations, histograms. A new process settles its incarnation only when it begins to serve, so the network asks for the number each time. Requests wait for a place while none is known yet: right after a start the test saw upstreams.none_available although another region had room. Paths with dot segments are refused, since an upstream may read them as another route. Connections to upstreams are kept by us, one stack for each; httpcore's pool looks through all its connections at each request. Conclusion: the whole path runs on the real modules; quota, poison, retry and whole-answer checks are still to be joined.

--- /dev/null
+++ b/banyanseam/daemon/const.py
@@ -0,0 +1,6 @@
+"""Constants of the daemon's composition."""
+
+from typing import Final
+
+# A process that stood still for longer trusts nothing that it knew before.
+FREEZE_TERM_S: Final = 1.5
--- a/banyanseam/daemon/main.py
+++ b/banyanseam/daemon/main.py
@@ -9,13 +9,12 @@
 from banyanseam.daemon.app import Daemon
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.logs import set_up_logs
-from banyanseam.peers.incarnation import make_incarnation
 from banyanseam.settings import Settings, read_settings
 
 
 async def run_daemon(settings: Settings) -> None:
     """Build and run the daemon on the running event loop."""
-    await Daemon(settings, make_incarnation()).run()
+    await Daemon(settings).run()
 
 
 @click.command()
--- /dev/null
+++ b/banyanseam/daemon/operations.py
@@ -0,0 +1,53 @@
+"""What the operators' port answers."""
+
+from typing import TYPE_CHECKING, Any
+
+import anyio
+
+from banyanseam.config.errors import NotReady
+from banyanseam.daemon.status import describe_status
+from banyanseam.server.operator_answers import answer_explain, answer_histograms
+from banyanseam.server.operators import Operation
+
+if TYPE_CHECKING:
+    from banyanseam.daemon.app import Daemon
+
+
+def make_operations(daemon: "Daemon") -> dict[tuple[str, str], Operation]:
+    """Return the operations by method and path."""
+
+    async def answer_live(body: bytes) -> dict[str, Any]:
+        return {"status": "live"}
+
+    async def answer_ready(body: bytes) -> dict[str, Any]:
+        if not daemon.is_ready:
+            raise NotReady
+        return {"version": daemon.view.get_config().version}
+
+    async def answer_status(body: bytes) -> dict[str, Any]:
+        return describe_status(daemon, anyio.current_time()).model_dump()
+
+    async def answer_entries(body: bytes) -> dict[str, Any]:
+        return daemon.list_entries(b"").model_dump()
+
+    async def answer_drain(body: bytes) -> dict[str, Any]:
+        return daemon.begin_drain().model_dump()
+
+    async def histograms(body: bytes) -> dict[str, Any]:
+        if daemon.serving is None:
+            raise NotReady
+        return await answer_histograms(daemon.serving.recorder.histograms, body)
+
+    async def explain(body: bytes) -> dict[str, Any]:
+        config = daemon.view.get_config()
+        return await answer_explain(config, daemon.settings.region, {}, body)
+
+    return {
+        ("GET", "/health/live"): answer_live,
+        ("GET", "/health/ready"): answer_ready,
+        ("GET", "/status"): answer_status,
+        ("GET", "/entries"): answer_entries,
+        ("POST", "/histograms"): histograms,
+        ("POST", "/explain"): explain,
+        ("POST", "/drain"): answer_drain,
+    }
--- /dev/null
+++ b/banyanseam/daemon/recorder.py
@@ -0,0 +1,45 @@
+"""Record what exchanges took, in histograms and counters."""
+
+from collections import Counter
+
+import anyio
+
+from banyanseam.errors import BanyanseamError
+from banyanseam.observe.histograms import Histograms, Measure
+from banyanseam.pipe.models import Exchange
+
+
+class RequestRecorder:
+    """Figures of the requests that this process took from callers."""
+
+    def __init__(self, histograms: Histograms) -> None:
+        """Start with nothing counted."""
+        self.histograms = histograms
+        self.in_flight = 0
+        self.failures: Counter[str] = Counter()
+
+    def begin(self) -> None:
+        """Count a request that has come in."""
+        self.in_flight += 1
+
+    def end(self, exchange: Exchange, error: BanyanseamError | None) -> None:
+        """Count a request that has ended, however it did."""
+        self.in_flight -= 1
+        if error is not None:
+            self.failures[error.code] += 1
+        if exchange.route is None:
+            return
+        now_s = anyio.current_time()
+        organisation = exchange.organisation.name if exchange.organisation else None
+        request_class = exchange.route.request_class
+        ends_s: dict[Measure, float | None] = {
+            "duration_ms": now_s,
+            "queue_wait_ms": exchange.granted_s,
+            "first_token_ms": exchange.reply.first_sent_s,
+        }
+        for measure, end_s in ends_s.items():
+            if end_s is not None:
+                span_ms = (end_s - exchange.received_s) * 1000
+                self.histograms.record(
+                    organisation, request_class, measure, span_ms, now_s
+                )
--- /dev/null
+++ b/banyanseam/daemon/serving.py
@@ -0,0 +1,73 @@
+"""Put together what serves requests, once a configuration is in force."""
+
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+
+from banyanseam.daemon.fleet_view import FleetView
+from banyanseam.daemon.idempotency_parts import IdempotencyParts, make_idempotency_parts
+from banyanseam.daemon.recorder import RequestRecorder
+from banyanseam.daemon.upstream_parts import UpstreamParts, make_upstream_parts
+from banyanseam.observe.histograms import Histograms
+from banyanseam.pipe.attempt import attempt
+from banyanseam.pipe.authenticate import check_key
+from banyanseam.pipe.forward import Forwarder
+from banyanseam.pipe.forward_region import make_region_forward
+from banyanseam.pipe.models import Exchange
+from banyanseam.pipe.pipeline import Filters, Pipelines, make_pipelines
+from banyanseam.pipe.queue import make_queue
+from banyanseam.pipe.serve_forwarded import ForwardServer
+
+
+@dataclass(frozen=True, slots=True)
+class Serving:
+    """The parts that serve requests."""
+
+    recorder: RequestRecorder
+    upstreams: UpstreamParts
+    idempotency: IdempotencyParts
+    pipelines: Pipelines
+    forward_server: ForwardServer
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Start the loops of every part."""
+        self.upstreams.start(tasks)
+        self.idempotency.start(tasks)
+
+
+def make_serving(view: FleetView, tasks: TaskGroup) -> Serving:
+    """Return the parts; the configuration in force must be safe to serve by."""
+    region = view.settings.region
+    recorder = RequestRecorder(Histograms(anyio.current_time()))
+    upstreams = make_upstream_parts(view)
+    forwarder = Forwarder(view.network)
+    view.network.watch_lost_links(forwarder.lose_seat)
+    idempotency = make_idempotency_parts(view, forwarder, tasks)
+
+    def recheck(exchange: Exchange) -> None:
+        check_key(view.get_config(), exchange)
+
+    filters = Filters(
+        recorder=recorder,
+        idempotency=idempotency.filter_,
+        queue=make_queue(
+            upstreams.room,
+            upstreams.places,
+            region,
+            view.get_config,
+            make_region_forward(forwarder, view.membership, view.chance),
+            recheck,
+        ),
+        attempt=attempt(upstreams.room, upstreams.client),
+    )
+    pipelines = make_pipelines(view.get_config, filters)
+    forward_server = ForwardServer(
+        view.network,
+        tasks,
+        region,
+        lambda: view.store.config,
+        pipelines.from_peers,
+    )
+    view.network.watch_lost_links(forward_server.lose_peer)
+    return Serving(recorder, upstreams, idempotency, pipelines, forward_server)
--- /dev/null
+++ b/banyanseam/daemon/upstream_parts.py
@@ -0,0 +1,60 @@
+"""Put together what finds room on upstreams and sends to them."""
+
+import random
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+
+from banyanseam.daemon.fleet_view import FleetView
+from banyanseam.peers.messages import PeerIdentity
+from banyanseam.upstreams.client import UpstreamClient
+from banyanseam.upstreams.context import Context
+from banyanseam.upstreams.keeper import Keeper
+from banyanseam.upstreams.places import Places
+from banyanseam.upstreams.regions import Regions, make_section_writer
+from banyanseam.upstreams.reports import make_fetch_report
+from banyanseam.upstreams.room import Room
+
+SECTION_NAME = "upstreams"
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamParts:
+    """This process as an entry before upstreams, and as a keeper of some."""
+
+    client: UpstreamClient
+    places: Places
+    keeper: Keeper
+    room: Room
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Start the loops."""
+        tasks.start_soon(self.keeper.run)
+        tasks.start_soon(self.room.run)
+
+
+def make_upstream_parts(view: FleetView) -> UpstreamParts:
+    """Return the parts, joined to the heartbeats."""
+    client = UpstreamClient()
+    context = Context(
+        me=view.network.me,
+        region=view.settings.region,
+        network=view.network,
+        get_config=view.get_config,
+        alive_seats=view.membership.alive_seats,
+    )
+    regions = Regions()
+    places = Places(context, regions, random.Random())
+    keeper = Keeper(context, make_fetch_report(client))
+    room = Room(context, keeper, places, random.Random())
+    write_section = make_section_writer(places.list_rows, places.list_served)
+
+    def take_section(peer: PeerIdentity, content: bytes) -> None:
+        seat = view.get_config().seats.get(peer.seat)
+        if seat is not None and seat.region != view.settings.region:
+            regions.apply(seat.region, content, anyio.current_time())
+
+    view.sections.register(SECTION_NAME, write_section, take_section)
+    view.freezes.on_restart(lambda _: keeper.restart())
+    return UpstreamParts(client, places, keeper, room)
--- a/banyanseam/peers/errors.py
+++ b/banyanseam/peers/errors.py
@@ -48,6 +48,11 @@
     event = 1206
     title = "A newer process holds this seat"
 
+    def __init__(self, seat: str, newest_incarnation: int) -> None:
+        """Keep which process is the newest known."""
+        super().__init__(f"seat {seat} has process {newest_incarnation}")
+        self.newest_incarnation = newest_incarnation
+
 
 class InvalidPeerMessage(BanyanseamError):
     """A message does not validate; the link that carried it is closed."""
--- a/banyanseam/peers/forward_messages.py
+++ b/banyanseam/peers/forward_messages.py
@@ -18,6 +18,7 @@
     request_id: str
     method: str
     path: str
+    raw_path: bytes
     query: bytes
     headers: list[tuple[bytes, bytes]]
     body: bytes
--- a/banyanseam/peers/handshake.py
+++ b/banyanseam/peers/handshake.py
@@ -56,17 +56,13 @@
 
     code: str
     detail: str
+    newest_incarnation: int = 0
 
 
 Expected = TypeVar("Expected", bound=Message)
 Send = Callable[[bytes], Awaitable[None]]
 Receive = Callable[[], Awaitable[bytes]]
 
-_REFUSALS = {
-    refusal.code: refusal
-    for refusal in (PeerRefused, PeerProtocolMismatch, PeerSuperseded)
-}
-
 
 @dataclass(frozen=True, slots=True)
 class Handshake:
@@ -90,12 +86,25 @@
 async def _hear(receive: Receive, expected: type[Expected]) -> Expected:
     message = decode(await receive()).message
     if isinstance(message, Refusal):
-        raise _REFUSALS.get(message.code, PeerRefused)(message.detail)
+        raise _explain(message)
     if not isinstance(message, expected):
         raise InvalidPeerMessage(f"{expected.kind} was due, not {message.kind}")
     return message
 
 
+def _explain(refusal: Refusal) -> PeerRefused:
+    if refusal.code == PeerSuperseded.code:
+        return PeerSuperseded(refusal.detail, refusal.newest_incarnation)
+    if refusal.code == PeerProtocolMismatch.code:
+        return PeerProtocolMismatch(refusal.detail)
+    return PeerRefused(refusal.detail)
+
+
+def _refuse(error: PeerRefused) -> Refusal:
+    newest = error.newest_incarnation if isinstance(error, PeerSuperseded) else 0
+    return Refusal(code=error.code, detail=error.detail, newest_incarnation=newest)
+
+
 async def dial_handshake(
     shake: Handshake, seat: str, send: Send, receive: Receive
 ) -> PeerIdentity:
@@ -134,7 +143,7 @@
         peer = _check_hello(shake, hello, nonce)
         shake.admit(peer)
     except PeerRefused as error:
-        await _say(send, Refusal(code=error.code, detail=error.detail))
+        await _say(send, _refuse(error))
         raise
     proof = shake.sign("listen", nonce + hello.nonce, shake.me, peer.seat)
     welcome = Welcome(seat=shake.me.seat, incarnation=shake.me.incarnation, proof=proof)
--- a/banyanseam/peers/network.py
+++ b/banyanseam/peers/network.py
@@ -28,6 +28,7 @@
     PeerUnreachable,
 )
 from banyanseam.peers.handshake import Handshake, dial_handshake, listen_handshake
+from banyanseam.peers.incarnation import Incarnation
 from banyanseam.peers.link import Handlers, Link
 from banyanseam.peers.messages import Message, PeerIdentity
 from banyanseam.settings import TlsSettings
@@ -53,26 +54,38 @@
 
     def __init__(
         self,
-        me: PeerIdentity,
+        seat: str,
+        incarnation: Incarnation,
         secret: bytes,
         find_address: FindAddress,
-        on_superseded: Callable[[], None],
+        on_superseded: Callable[[int], None],
         tls: TlsSettings | None = None,
     ) -> None:
-        """Keep who this process is and how to find the others' addresses."""
-        self.me = me
-        self._shake = Handshake(me, secret, self._admit)
+        """Keep who this process is and how to find the others' addresses.
+
+        `on_superseded` takes the incarnation that a peer knows of this seat.
+        """
+        self._seat = seat
+        self._incarnation = incarnation
+        self._secret = secret
         self._find_address = find_address
         self._on_superseded = on_superseded
         self._tls = tls
         self._handlers = Handlers()
         self._links: dict[str, list[Link]] = {}
-        self._incarnations: dict[str, int] = {me.seat: me.incarnation}
+        self._incarnations: dict[str, int] = {}
+        # Addresses of the settings, once it is known which seat answers there.
+        self._seats_by_address: dict[str, str] = {}
         self._dialling: dict[str, anyio.Lock] = {}
         self._failed_at_s: dict[str, float] = {}
         self._link_watchers: list[Callable[[PeerIdentity], None]] = []
         self._tasks: TaskGroup | None = None
 
+    @property
+    def me(self) -> PeerIdentity:
+        """Return who this process is at present."""
+        return PeerIdentity(self._seat, self._incarnation.number)
+
     def handle_call(self, message_type: type[Message], handler: CallHandler) -> None:
         """Let the handler answer calls of this type, each in a task of its own."""
         self._handlers.calls[message_type] = handler
@@ -121,16 +134,8 @@
                 started.set()
                 await anyio.sleep_forever()
 
-    async def ask_address(
-        self, address: str, message: Message, reply_type: type[Reply], timeout_s: float
-    ) -> Reply:
-        """Call whoever listens at an address, before its seat is known."""
-        with anyio.move_on_after(timeout_s):
-            link = await self._dial(address, "")
-            reply = await link.call(message, timeout_s)
-            if isinstance(reply, reply_type):
-                return reply
-        raise PeerUnreachable(address)
+    def _shake(self) -> Handshake:
+        return Handshake(self.me, self._secret, self._admit)
 
     def _make_tls(self, purpose: ssl.Purpose) -> ssl.SSLContext | None:
         if self._tls is None:
@@ -143,12 +148,14 @@
         return context
 
     def _admit(self, peer: PeerIdentity) -> None:
+        if peer.seat == self._seat:
+            if peer.incarnation > self._incarnation.number:
+                self._on_superseded(peer.incarnation)
+                raise PeerRefused("this process is superseded")
+            raise PeerSuperseded(self._seat, self._incarnation.number)
         known = self._incarnations.get(peer.seat, 0)
         if peer.incarnation < known:
-            raise PeerSuperseded(f"seat {peer.seat} has a newer process")
-        if peer.seat == self.me.seat and peer.incarnation > self.me.incarnation:
-            self._on_superseded()
-            raise PeerRefused("this process is superseded")
+            raise PeerSuperseded(peer.seat, known)
         if peer.incarnation == known:
             return
         self._incarnations[peer.seat] = peer.incarnation
@@ -161,27 +168,37 @@
             raise PeerUnreachable("the network is not running")
         self._tasks.start_soon(function, *args)
 
-    async def _find_link(self, seat: str) -> Link:
-        link = self._open_link(seat)
+    async def _find_link(self, target: str) -> Link:
+        """Return a link to a seat, or to whichever seat answers at an address."""
+        link = self._open_link(target)
         if link is not None:
             return link
-        lock = self._dialling.setdefault(seat, anyio.Lock())
+        lock = self._dialling.setdefault(target, anyio.Lock())
         async with lock:
-            link = self._open_link(seat)
+            link = self._open_link(target)
             if link is not None:
                 return link
-            if anyio.current_time() < self._failed_at_s.get(seat, -1) + REDIAL_PAUSE_S:
-                raise PeerUnreachable(f"{seat}: dialled just now, in vain")
-            address = self._find_address(seat)
-            if address is None or seat == self.me.seat:
-                raise PeerUnreachable(f"{seat}: no address")
+            failed_s = self._failed_at_s.get(target, -REDIAL_PAUSE_S)
+            if anyio.current_time() < failed_s + REDIAL_PAUSE_S:
+                raise PeerUnreachable(f"{target}: dialled just now, in vain")
             try:
-                return await self._dial(address, seat)
+                return await self._dial_target(target)
             except PeerUnreachable:
-                self._failed_at_s[seat] = anyio.current_time()
+                self._failed_at_s[target] = anyio.current_time()
                 raise
 
-    def _open_link(self, seat: str) -> Link | None:
+    async def _dial_target(self, target: str) -> Link:
+        if ":" in target:
+            link = await self._dial(target, "")
+            self._seats_by_address[target] = link.peer.seat
+            return link
+        address = self._find_address(target)
+        if address is None or target == self._seat:
+            raise PeerUnreachable(f"{target}: no address")
+        return await self._dial(address, target)
+
+    def _open_link(self, target: str) -> Link | None:
+        seat = self._seats_by_address.get(target, target)
         return next((link for link in self._links.get(seat, []) if link.is_open), None)
 
     async def _dial(self, address: str, seat: str) -> Link:
@@ -193,10 +210,10 @@
                     f"{scheme}://{address}", ssl=context, proxy=None, **_OPTIONS
                 )
                 peer = await dial_handshake(
-                    self._shake, seat, connection.send, connection.recv
+                    self._shake(), seat, connection.send, connection.recv
                 )
-        except PeerSuperseded:
-            self._on_superseded()
+        except PeerSuperseded as error:
+            self._on_superseded(error.newest_incarnation)
             raise
         except (OSError, TimeoutError, InvalidHandshake, WebSocketException) as error:
             raise PeerUnreachable(f"{seat or address}: {error!r}") from error
@@ -211,7 +228,7 @@
         try:
             with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
                 peer = await listen_handshake(
-                    self._shake, connection.send, connection.recv
+                    self._shake(), connection.send, connection.recv
                 )
         except (TimeoutError, PeerRefused, InvalidPeerMessage) as error:
             log(LINK_REFUSED, peer=str(connection.remote_address), code=repr(error))
--- a/banyanseam/pipe/attempt.py
+++ b/banyanseam/pipe/attempt.py
@@ -1,49 +1,56 @@
-"""The last step: hand the exchange to an upstream here or to another region."""
-
-import random
-from collections.abc import Callable
-
-from banyanseam.config.compiled import Config, Seat, Upstream
-from banyanseam.pipe.errors import ResidencyRegionDown
-from banyanseam.pipe.forward import Forwarder
-from banyanseam.pipe.models import Exchange, Next
-from banyanseam.upstreams.send import Sender
-
-
-def find_candidates(config: Config, exchange: Exchange) -> list[Upstream]:
-    """Return the upstreams that may serve, over all allowed regions."""
-    wanted = exchange.model if exchange.route.is_model else exchange.route.service
+"""The last step: send the exchange to the upstream that has room reserved for it."""
+
+import anyio
+
+from banyanseam.pipe.const import HOP_HEADERS, READ_SLACK_S
+from banyanseam.pipe.errors import DeadlineExceeded
+from banyanseam.pipe.models import Exchange, Headers, Next
+from banyanseam.pipe.stream import relay_plain
+from banyanseam.upstreams.client import (
+    UpstreamClient,
+    UpstreamRequest,
+)
+from banyanseam.upstreams.room import Room
+
+
+def make_request(exchange: Exchange) -> UpstreamRequest:
+    """Return what the upstream is sent; raise DeadlineExceeded."""
+    remaining_s = exchange.deadline_s - anyio.current_time()
+    if remaining_s <= 0:
+        raise DeadlineExceeded
+    query = f"?{exchange.query.decode('ascii')}" if exchange.query else ""
+    return UpstreamRequest(
+        request_id=exchange.request_id,
+        method=exchange.method,
+        target=exchange.raw_path.decode("ascii") + query,
+        headers=exchange.headers,
+        body=exchange.body,
+        is_idempotent=exchange.is_idempotent,
+        read_timeout_s=remaining_s + READ_SLACK_S,
+    )
+
+
+def clean_headers(headers: Headers) -> Headers:
+    """Return an answer's headers without those of its connection."""
     return [
-        upstream
-        for upstream in config.upstreams.values()
-        if upstream.is_model == exchange.route.is_model
-        and wanted in upstream.serves
-        and not upstream.leaving
-        and (exchange.regions is None or upstream.region in exchange.regions)
+        header
+        for header in headers
+        if header[0] not in HOP_HEADERS or header[0] == b"content-length"
     ]
 
 
-def attempt(
-    region: str,
-    get_config: Callable[[], Config],
-    sender: Sender,
-    forwarder: Forwarder,
-    find_seats: Callable[[str], list[Seat]],
-) -> Next:
-    """Return the step; a forwarded exchange never leaves this region again."""
+def attempt(room: Room, client: UpstreamClient) -> Next:
+    """Return the step; see UpstreamClient.open for what it raises."""
 
     async def step(exchange: Exchange) -> None:
-        candidates = find_candidates(get_config(), exchange)
-        local = [upstream for upstream in candidates if upstream.region == region]
-        if local:
-            await sender.send(exchange, random.choice(local))
-            return
-        remote = {upstream.region for upstream in candidates}
-        if exchange.forwarder is None:
-            for other in sorted(remote):
-                for seat in find_seats(other):
-                    await forwarder.forward(exchange, seat.name)
-                    return
-        raise ResidencyRegionDown
+        upstream = room.get_upstream(exchange.grant)
+        request = make_request(exchange)
+
+        def note_started() -> None:
+            exchange.upstream_started = True
+
+        async with client.open(upstream, request, note_started) as response:
+            headers = clean_headers(response.headers)
+            await relay_plain(exchange, response, headers)
 
     return step
--- a/banyanseam/pipe/const.py
+++ b/banyanseam/pipe/const.py
@@ -31,3 +31,7 @@
 CREDENTIAL_HEADERS: Final = frozenset(
     {b"authorization", b"x-api-key", b"proxy-authorization", b"cookie"}
 )
+# The pipe's own deadline comes first; this only bounds a read that it misses.
+READ_SLACK_S: Final = 5.0
+# How many daemons of a region are tried while nothing was sent.
+FORWARD_TRIES: Final = 3
--- a/banyanseam/pipe/errors.py
+++ b/banyanseam/pipe/errors.py
@@ -63,13 +63,13 @@
     not_run = True
 
 
-class ResidencyRegionDown(BanyanseamError):
-    """The regions where the request may be served cannot be reached."""
+class RegionUnreachable(BanyanseamError):
+    """No daemon of the region that should serve the request can be reached."""
 
-    code = "residency.region_down"
+    code = "forward.region_unreachable"
     event = 1306
     status = 503
-    title = "The regions that may serve this request cannot be reached"
+    title = "The region that should serve this request cannot be reached"
     not_run = True
 
 
@@ -120,3 +120,36 @@
     event = 1311
     status = 502
     title = "The daemon that served the request was lost"
+
+
+class ForwardFailed(BanyanseamError):
+    """The serving daemon refused or failed; it carries that daemon's own words."""
+
+    code = "forward.failed"
+    event = 1312
+    status = 502
+    title = "The serving daemon could not answer"
+
+    def __init__(
+        self,
+        code: str,
+        detail: str,
+        status: int,
+        *,
+        not_run: bool,
+        retry_after_ms: int | None,
+    ) -> None:
+        """Take over code, status and advice of the serving daemon."""
+        super().__init__(detail, retry_after_ms=retry_after_ms)
+        self.code = code
+        self.status = status
+        self.not_run = not_run
+
+
+class CallerGone(BanyanseamError):
+    """The caller closed its connection."""
+
+    code = "caller.gone"
+    event = 1320
+    status = 499
+    title = "The caller closed its connection"
--- a/banyanseam/pipe/forward.py
+++ b/banyanseam/pipe/forward.py
@@ -5,7 +5,6 @@
 
 import anyio
 
-from banyanseam.errors import BanyanseamError
 from banyanseam.peers.contract import Network
 from banyanseam.peers.errors import PeerCallLost, PeerUnreachable
 from banyanseam.peers.forward_messages import (
@@ -18,26 +17,10 @@
 )
 from banyanseam.peers.messages import Message, PeerIdentity
 from banyanseam.pipe.const import FORWARD_WINDOW_BYTES
-from banyanseam.pipe.errors import ForwardLost
+from banyanseam.pipe.errors import ForwardFailed, ForwardLost
 from banyanseam.pipe.models import Exchange, Usage
 
 
-class ForwardFailed(BanyanseamError):
-    """The serving daemon refused or failed; it carries that daemon's own words."""
-
-    code = "forward.failed"
-    event = 1312
-    status = 502
-    title = "The serving daemon could not answer"
-
-    def __init__(self, end: ForwardEnd) -> None:
-        """Take over code, status and advice of the serving daemon."""
-        super().__init__(end.detail, retry_after_ms=end.retry_after_ms)
-        self.code = end.code
-        self.status = end.status
-        self.not_run = end.not_run
-
-
 class Incoming:
     """The answer of one forwarded stream as it arrives."""
 
@@ -143,6 +126,7 @@
         request_id=exchange.request_id,
         method=exchange.method,
         path=exchange.path,
+        raw_path=exchange.raw_path,
         query=exchange.query,
         headers=exchange.headers,
         body=exchange.body,
@@ -160,4 +144,10 @@
     exchange.upstream = end.upstream
     exchange.usage = Usage(end.prompt_tokens, end.output_tokens, end.cached_tokens)
     if end.outcome == "failed":
-        raise ForwardFailed(end)
+        raise ForwardFailed(
+            end.code,
+            end.detail,
+            end.status,
+            not_run=end.not_run,
+            retry_after_ms=end.retry_after_ms,
+        )
--- a/banyanseam/pipe/models.py
+++ b/banyanseam/pipe/models.py
@@ -16,6 +16,8 @@
 
     # True from the moment that the status was handed to the sink.
     started: bool
+    # When the first part of the body was handed to the sink.
+    first_sent_s: float | None
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the status line and headers; may wait for a slow reader."""
@@ -55,6 +57,8 @@
     request_id: str
     method: str
     path: str
+    # As the caller sent it, with its percent-encoding.
+    raw_path: bytes
     query: bytes
     # Names in lower case; the caller's credentials are gone after `authenticate`.
     headers: Headers
@@ -77,6 +81,8 @@
     # True from the first byte written to an upstream: nothing may claim not run.
     upstream_started: bool = False
     upstream: str | None = None
+    # When an upstream's room was granted.
+    granted_s: float | None = None
     # Room on that upstream, while the request holds some.
     grant: Grant | None = None
     # Upstreams that failed this request; another try goes elsewhere.
--- a/banyanseam/pipe/pipeline.py
+++ b/banyanseam/pipe/pipeline.py
@@ -13,6 +13,16 @@
 from banyanseam.pipe.route import route
 
 
+@dataclass(frozen=True, slots=True)
+class Filters:
+    """The filters that stand on state, made by the daemon's composition."""
+
+    recorder: Recorder
+    idempotency: Filter
+    queue: Filter
+    attempt: Next
+
+
 @dataclass(frozen=True, slots=True)
 class Pipelines:
     """What a caller's request passes, and what a forwarded one still has to."""
@@ -21,21 +31,26 @@
     from_peers: Next
 
 
-def make_pipelines(
-    get_config: Callable[[], Config], recorder: Recorder, last: Next
-) -> Pipelines:
-    """Return both pipelines; `last` hands the exchange to an upstream."""
-    admission: list[Filter] = [
-        record(recorder),
+def make_pipelines(get_config: Callable[[], Config], filters: Filters) -> Pipelines:
+    """Return both pipelines, each a list read from top to bottom."""
+    from_callers: list[Filter] = [
+        record(filters.recorder),
         refuse_loops,
         authenticate(get_config),
         route(get_config),
         bind_residency,
         set_cost,
+        filters.idempotency,
+        filters.queue,
+    ]
+    # The forwarding daemon has admitted and charged the request; the serving one
+    # checks key, route and residency before this, on its own configuration.
+    from_peers: list[Filter] = [
+        set_cost,
+        filters.idempotency,
+        filters.queue,
     ]
-    service: list[Filter] = []
-    from_peers: list[Filter] = [set_cost, *service]
     return Pipelines(
-        from_callers=compose([*admission, *service], last),
-        from_peers=compose(from_peers, last),
+        from_callers=compose(from_callers, filters.attempt),
+        from_peers=compose(from_peers, filters.attempt),
     )
--- a/banyanseam/pipe/queue.py
+++ b/banyanseam/pipe/queue.py
@@ -8,9 +8,11 @@
 from banyanseam.config.compiled import Config
 from banyanseam.errors import BanyanseamError
 from banyanseam.pipe.models import Exchange, Filter, Next
-from banyanseam.upstreams.choose import LocalPool, RemoteRegion
+from banyanseam.upstreams.choose import LocalPool, Place, RemoteRegion
+from banyanseam.upstreams.const import PLACE_RETRY_S
 from banyanseam.upstreams.errors import (
     NoUpstreamAllowed,
+    NoUpstreamAvailable,
     UpstreamFailed,
     UpstreamRefused,
     UpstreamUnreachable,
@@ -41,12 +43,7 @@
         serves = get_served(exchange)
         patience_s = get_config().policies[region].queue_patience_ms / 1000
         give_up_s = min(exchange.deadline_s, anyio.current_time() + patience_s)
-        place = places.choose(
-            serves,
-            demand,
-            exchange.regions,
-            may_forward=exchange.forwarder is None,
-        )
+        place = await _wait_for_place(places, exchange, serves, demand, give_up_s)
         if isinstance(place, RemoteRegion):
             try:
                 await forward(exchange, place.region)
@@ -61,6 +58,24 @@
     return queue
 
 
+async def _wait_for_place(
+    places: Places, exchange: Exchange, serves: str, demand: Demand, give_up_s: float
+) -> Place:
+    """Return a place; wait while none is known, as after a start or a cut."""
+    while True:
+        try:
+            return places.choose(
+                serves,
+                demand,
+                exchange.regions,
+                may_forward=exchange.forwarder is None,
+            )
+        except NoUpstreamAvailable:
+            if anyio.current_time() + PLACE_RETRY_S >= give_up_s:
+                raise
+            await anyio.sleep(PLACE_RETRY_S)
+
+
 def make_demand(exchange: Exchange) -> Demand:
     """Return what an exchange asks of an upstream."""
     organisation = exchange.organisation
@@ -125,6 +140,7 @@
     try:
         recheck(exchange)
         exchange.grant = grant
+        exchange.granted_s = anyio.current_time()
         exchange.upstream = grant.upstream
         outcome = Outcome.STOPPED
         await next_(exchange)
--- a/banyanseam/pipe/record.py
+++ b/banyanseam/pipe/record.py
@@ -1,6 +1,6 @@
 """Record each exchange once it has ended, however it ended."""
 
-from collections.abc import Callable
+from typing import Protocol
 
 import anyio
 
@@ -8,21 +8,36 @@
 from banyanseam.observe.events import REQUEST_ENDED, REQUEST_FAILED, log
 from banyanseam.pipe.models import Exchange, Filter, Next
 
-Recorder = Callable[[Exchange, float], None]
+
+class Recorder(Protocol):
+    """Counts exchanges; see `banyanseam.daemon.recorder`."""
+
+    def begin(self) -> None:
+        """Count an exchange that has come in."""
+        ...
+
+    def end(self, exchange: Exchange, error: BanyanseamError | None) -> None:
+        """Count an exchange that has ended."""
+        ...
 
 
 def record(recorder: Recorder) -> Filter:
-    """Return the outermost filter; `recorder` gets the exchange and seconds taken."""
+    """Return the outermost filter."""
 
     async def filter_(exchange: Exchange, next_: Next) -> None:
+        sink = exchange.reply
+        failure: BanyanseamError | None = None
+        recorder.begin()
         try:
             await next_(exchange)
         except BanyanseamError as error:
-            _log(exchange, error)
+            failure = error
             raise
         finally:
-            recorder(exchange, anyio.current_time() - exchange.received_s)
-        _log(exchange, None)
+            # Filters may have wrapped the sink, which alone knows its first byte.
+            exchange.reply = sink
+            recorder.end(exchange, failure)
+            _log(exchange, failure)
 
     return filter_
 
--- a/banyanseam/pipe/route.py
+++ b/banyanseam/pipe/route.py
@@ -6,7 +6,12 @@
 import anyio
 
 from banyanseam.config.compiled import Config, Route
-from banyanseam.pipe.errors import DeadlineExceeded, KeyMissing, RouteUnknown
+from banyanseam.pipe.errors import (
+    DeadlineExceeded,
+    KeyMissing,
+    RequestMalformed,
+    RouteUnknown,
+)
 from banyanseam.pipe.models import Exchange, Filter, Next
 
 
@@ -18,6 +23,12 @@
     raise RouteUnknown(path)
 
 
+def refuse_dot_segments(path: str) -> None:
+    """Raise RequestMalformed for a path that an upstream could read as another."""
+    if any(part in (".", "..") for part in path.replace("\\", "/").split("/")):
+        raise RequestMalformed("the path has dot segments")
+
+
 def make_fingerprint(exchange: Exchange) -> str:
     """Return a digest of what the request asks for, without its headers."""
     parts = (exchange.method.encode(), exchange.path.encode(), exchange.query)
@@ -29,6 +40,7 @@
     """Return the filter; it also holds the request to the route's deadline."""
 
     async def filter_(exchange: Exchange, next_: Next) -> None:
+        refuse_dot_segments(exchange.path)
         found = find_route(get_config(), exchange.path)
         if exchange.organisation is None and not found.open_to_all:
             raise KeyMissing
--- a/banyanseam/pipe/serve_forwarded.py
+++ b/banyanseam/pipe/serve_forwarded.py
@@ -32,6 +32,7 @@
     def __init__(self, network: Network, seat: str, opened: ForwardOpen) -> None:
         """Start with the credit that came with the request."""
         self.started = False
+        self.first_sent_s: float | None = None
         self._network = network
         self._seat = seat
         self._stream = opened.stream
@@ -51,6 +52,8 @@
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body once there is credit for it."""
+        if self.first_sent_s is None:
+            self.first_sent_s = anyio.current_time()
         while self._credit_bytes <= 0:
             self._more = anyio.Event()
             await self._more.wait()
@@ -160,6 +163,7 @@
         request_id=opened.request_id,
         method=opened.method,
         path=opened.path,
+        raw_path=opened.raw_path,
         query=opened.query,
         headers=opened.headers,
         body=opened.body,
--- a/banyanseam/server/callers.py
+++ b/banyanseam/server/callers.py
@@ -10,22 +10,12 @@
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.events import INTERNAL_FAILURE, log
 from banyanseam.pipe.const import BODY_TIMEOUT_S, MAX_BODY_BYTES
-from banyanseam.pipe.errors import BodyTooLarge, BodyTooSlow
+from banyanseam.pipe.errors import BodyTooLarge, BodyTooSlow, CallerGone
 from banyanseam.pipe.models import Exchange, Next
+from banyanseam.server.own_routes import OwnRoute
 from banyanseam.server.reply import AsgiReceive, AsgiSend, CallerSink, send_problem
 
 Asgi = Callable[[dict[str, Any], AsgiReceive, AsgiSend], Awaitable[None]]
-# Answers one of the gateway's own paths; takes method, headers and body.
-OwnRoute = Callable[[Exchange, AsgiSend], Awaitable[None]]
-
-
-class CallerGone(BanyanseamError):
-    """The caller closed its connection."""
-
-    code = "caller.gone"
-    event = 1320
-    status = 499
-    title = "The caller closed its connection"
 
 
 class AnswerBroken(Exception):  # noqa: N818
@@ -57,6 +47,7 @@
         request_id=sink.request_id,
         method=scope["method"],
         path=scope["path"],
+        raw_path=scope["raw_path"],
         query=scope["query_string"],
         headers=list(scope["headers"]),
         body=body,
--- /dev/null
+++ b/banyanseam/server/own_routes.py
@@ -0,0 +1,89 @@
+"""The gateway's own paths on the callers' port."""
+
+import hashlib
+from collections.abc import Awaitable, Callable
+
+import anyio
+from pydantic import BaseModel
+
+from banyanseam.config.compiled import Config
+from banyanseam.errors import BanyanseamError
+from banyanseam.idempotency.tickets import TicketDesk
+from banyanseam.pipe.authenticate import find_key
+from banyanseam.pipe.errors import KeyMissing, KeyUnknown
+from banyanseam.pipe.models import Exchange, Headers
+from banyanseam.server.operator_models import EntriesReply
+from banyanseam.server.reply import AsgiSend, send_body
+
+OwnRoute = Callable[[Exchange, AsgiSend], Awaitable[None]]
+_JSON: Headers = [(b"content-type", b"application/json")]
+_NOT_KEPT: Headers = [*_JSON, (b"cache-control", b"no-store")]
+
+
+class MethodNotAllowed(BanyanseamError):
+    """The gateway's own path takes another method."""
+
+    code = "request.method_not_allowed"
+    event = 1321
+    status = 405
+    title = "This path takes another method"
+    not_run = True
+
+
+class TicketReply(BaseModel):
+    """A key that only the issuing process will run, and run once."""
+
+    ticket: str
+
+
+class HealthReply(BaseModel):
+    """Whether this daemon serves."""
+
+    status: str
+
+
+async def send_json(send: AsgiSend, status: int, reply: BaseModel) -> None:
+    """Send a model as JSON that no cache keeps."""
+    await send_body(send, status, reply.model_dump_json().encode(), _NOT_KEPT)
+
+
+def make_entries_route(list_entries: Callable[[bytes], EntriesReply]) -> OwnRoute:
+    """Return `GET /v1/entries`; the caller's key only spreads callers over daemons."""
+
+    async def answer(exchange: Exchange, send: AsgiSend) -> None:
+        if exchange.method not in ("GET", "HEAD"):
+            raise MethodNotAllowed(exchange.method)
+        key = find_key(exchange.headers) or exchange.request_id.encode()
+        caller = hashlib.sha256(key).digest()
+        await send_json(send, 200, list_entries(caller))
+
+    return answer
+
+
+def make_tickets_route(get_config: Callable[[], Config], desk: TicketDesk) -> OwnRoute:
+    """Return `POST /v1/tickets`, which issues one ticket to the key's organisation."""
+
+    async def answer(exchange: Exchange, send: AsgiSend) -> None:
+        if exchange.method != "POST":
+            raise MethodNotAllowed(exchange.method)
+        key = find_key(exchange.headers)
+        if key is None:
+            raise KeyMissing
+        name = get_config().organisation_by_digest.get(hashlib.sha256(key).digest())
+        if name is None:
+            raise KeyUnknown
+        ticket = desk.issue(name, anyio.current_time())
+        await send_json(send, 200, TicketReply(ticket=ticket))
+
+    return answer
+
+
+def make_health_route(is_well: Callable[[], bool]) -> OwnRoute:
+    """Return a path that answers 200 while all is well, else 503."""
+
+    async def answer(exchange: Exchange, send: AsgiSend) -> None:
+        is_fine = is_well()
+        reply = HealthReply(status="ready" if is_fine else "not ready")
+        await send_json(send, 200 if is_fine else 503, reply)
+
+    return answer
--- a/banyanseam/server/reply.py
+++ b/banyanseam/server/reply.py
@@ -3,6 +3,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import anyio
+
 from banyanseam.errors import BanyanseamError, Problem
 from banyanseam.pipe.models import Headers
 
@@ -17,6 +19,7 @@
     def __init__(self, send: AsgiSend, request_id: str) -> None:
         """Start with nothing sent."""
         self.started = False
+        self.first_sent_s: float | None = None
         self._send = send
         self.request_id = request_id
         self._is_event_stream = False
@@ -34,6 +37,8 @@
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body; wait while the caller reads slowly."""
+        if self.first_sent_s is None:
+            self.first_sent_s = anyio.current_time()
         await self._send(
             {"type": "http.response.body", "body": data, "more_body": True}
         )
--- a/banyanseam/upstreams/client.py
+++ b/banyanseam/upstreams/client.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager, suppress
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,10 +15,9 @@
 
 from banyanseam.config.compiled import Upstream
 from banyanseam.errors import BanyanseamError
+from banyanseam.upstreams.connections import Connections
 from banyanseam.upstreams.const import (
     CONNECT_TIMEOUT_S,
-    IDLE_CONNECTION_S,
-    MAX_IDLE_CONNECTIONS,
     POOL_TIMEOUT_S,
     READ_TIMEOUT_S,
     SPARE_CONNECTIONS,
@@ -89,7 +88,7 @@
 
     def __init__(self) -> None:
         """Open no connection yet."""
-        self._pools: dict[tuple[str, bool, int], httpcore.AsyncConnectionPool] = {}
+        self._pools: dict[tuple[str, bool, int], Connections] = {}
 
     @asynccontextmanager
     async def open(
@@ -112,50 +111,46 @@
                 is_started = True
                 note_started()
 
-        pool = self._get_pool(upstream, request.is_idempotent)
         message = _make_request(upstream, request, trace)
-        try:
-            response = await pool.handle_async_request(message)
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            raise _translate(error, upstream, is_started) from error
-        except httpcore.TimeoutException as error:
-            raise _translate(error, upstream, is_started) from error
-        try:
+        connections = self._get_pool(upstream, request.is_idempotent)
+        async with AsyncExitStack() as stack:
+            try:
+                connection = await stack.enter_async_context(
+                    connections.take(POOL_TIMEOUT_S)
+                )
+                response = await connection.handle_async_request(message)
+                stack.push_async_callback(response.aclose)
+            except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+                raise _translate(error, upstream, is_started) from error
+            except httpcore.TimeoutException as error:
+                raise _translate(error, upstream, is_started) from error
             _check_answer(upstream, request, response)
             yield UpstreamResponse(
                 status=response.status,
                 headers=_lower_names(response.headers),
                 body=_read_body(response, upstream),
             )
-        finally:
-            await response.aclose()
 
     async def close_idle(self, upstreams: dict[str, Upstream]) -> None:
         """Close the connections to addresses that are no longer published."""
         addresses = {upstream.address for upstream in upstreams.values()}
         for key in [key for key in self._pools if key[0] not in addresses]:
-            pool = self._pools[key]
-            if not pool.connections or all(each.is_idle() for each in pool.connections):
-                del self._pools[key]
-                await pool.aclose()
+            if self._pools[key].is_unused:
+                await self._pools.pop(key).aclose()
 
     async def aclose(self) -> None:
         """Close every connection."""
         while self._pools:
             _, pool = self._pools.popitem()
-            with suppress(RuntimeError):
-                await pool.aclose()
+            await pool.aclose()
 
-    def _get_pool(
-        self, upstream: Upstream, is_reusable: bool
-    ) -> httpcore.AsyncConnectionPool:
+    def _get_pool(self, upstream: Upstream, is_reusable: bool) -> Connections:
         key = upstream.address, is_reusable, upstream.max_in_flight
         if key not in self._pools:
-            self._pools[key] = httpcore.AsyncConnectionPool(
-                max_connections=upstream.max_in_flight + SPARE_CONNECTIONS,
-                max_keepalive_connections=MAX_IDLE_CONNECTIONS if is_reusable else 0,
-                keepalive_expiry=IDLE_CONNECTION_S,
-                retries=0,
+            self._pools[key] = Connections(
+                _make_url(upstream, "/").origin,
+                upstream.max_in_flight + SPARE_CONNECTIONS,
+                reuses=is_reusable,
             )
         return self._pools[key]
 
@@ -184,12 +179,7 @@
 ) -> httpcore.Request:
     return httpcore.Request(
         method=request.method,
-        url=httpcore.URL(
-            scheme=b"http",
-            host=_host_of(upstream.address),
-            port=int(upstream.address.rpartition(":")[2]),
-            target=request.target.encode("ascii"),
-        ),
+        url=_make_url(upstream, request.target),
         headers=make_headers(upstream, request),
         content=request.body,
         extensions={
@@ -204,8 +194,14 @@
     )
 
 
-def _host_of(address: str) -> bytes:
-    return address.rpartition(":")[0].strip("[]").encode()
+def _make_url(upstream: Upstream, target: str) -> httpcore.URL:
+    host, _, port = upstream.address.rpartition(":")
+    return httpcore.URL(
+        scheme=b"http",
+        host=host.strip("[]").encode(),
+        port=int(port),
+        target=target.encode("ascii"),
+    )
 
 
 def _lower_names(headers: Headers) -> Headers:
--- a/banyanseam/upstreams/const.py
+++ b/banyanseam/upstreams/const.py
@@ -35,6 +35,7 @@
 RESERVE_SLACK_S: Final = 1.0
 FORGET_PERIOD_S: Final = 60.0
 RESERVE_RETRY_S: Final = 0.05
+PLACE_RETRY_S: Final = 0.1
 KEEPER_PERIOD_S: Final = 0.25
 
 # Health.
--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -16,6 +16,7 @@
     PeerUnreachable,
 )
 from banyanseam.peers.handshake import Handshake, dial_handshake
+from banyanseam.peers.incarnation import Incarnation
 from banyanseam.peers.messages import Message, PeerIdentity
 from banyanseam.peers.network import PeerNetwork
 
@@ -38,7 +39,11 @@
 async def running(seat, addresses, incarnation=1, secret=SECRET):
     superseded = anyio.Event()
     network = PeerNetwork(
-        PeerIdentity(seat, incarnation), secret, addresses.get, superseded.set
+        seat,
+        Incarnation(incarnation),
+        secret,
+        addresses.get,
+        lambda newest: superseded.set(),
     )
     network.superseded = superseded
     async with anyio.create_task_group() as tasks:
@@ -110,6 +115,19 @@
 
         self.run_async(scenario)
 
+    def test_an_address_leads_to_a_seat(self):
+        async def scenario():
+            addresses = {}
+            async with running("a", addresses) as a, running("b", addresses) as b:
+                b.handle_call(Ask, echo)
+                for _ in range(2):
+                    reply = await a.call(addresses["b"], Ask(text="hi"), Ask, 5)
+                    self.assertEqual(reply.text, "a hi")
+                await a.call("b", Ask(text="hi"), Ask, 5)
+                self.assertEqual(len(a._links["b"]), 1)
+
+        self.run_async(scenario)
+
     def test_a_lost_peer_fails_its_calls(self):
         async def scenario():
             addresses = {}
