Believe a seat alive by heartbeats of bounded cost

Cause: others must know which seats have a live process, at 340 seats too, and a doubled, replaced or woken process must be found out. Change: counters in 21-byte rows, heard directly or passed on; a full mesh up to 10 seats a region, else a ring with five geometric chords, and one seat in each other region. Rows go on only as news. The newer number of a seat is heard, the older told and its sections dropped; one that has not served may take a higher number, so a clock behind can't lock a seat. A freeze keeps the number and calls back. Platform doubt halves the silence borne. Ruled out: chords at powers of two (six steps for 57 seats, where this takes five), rows handed on between other regions (a cut one would seem within reach), and resetting what a neighbour was told for a new process (no test could tell).

--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -27,6 +27,11 @@
 LINK_UP: Final = Event(4001, "INFO", "A link to a peer is up")
 LINK_DOWN: Final = Event(4002, "WARNING", "A link to a peer is down")
 LINK_REFUSED: Final = Event(4003, "WARNING", "A link to a peer was refused")
+SEAT_SUPERSEDED: Final = Event(4010, "ERROR", "A newer process holds this seat")
+PROCESS_WAS_FROZEN: Final = Event(4011, "WARNING", "The process stood still too long")
+HEARTBEAT_SECTION_DROPPED: Final = Event(
+    4012, "ERROR", "A section is too large for a heartbeat"
+)
 CONFIG_ADOPTED: Final = Event(5001, "INFO", "A configuration is in force")
 CONFIG_REJECTED: Final = Event(5002, "ERROR", "A published configuration is invalid")
 CONFIG_SERVICE_DOWN: Final = Event(
--- a/tests/common.py
+++ b/tests/common.py
@@ -94,6 +94,7 @@
         self.networks: dict[str, FakeNetwork] = {}
         self.cut: set[frozenset[str]] = set()
         self.messages = 0
+        self.sent_bytes: dict[str, int] = {}
 
     def join(self, seat: str, incarnation: int = 1) -> "FakeNetwork":
         """Return a network for a new process at a seat; the older one is dead."""
@@ -125,7 +126,10 @@
         if seat not in self.fabric.networks or self.fabric.is_cut(self.me.seat, seat):
             raise PeerUnreachable(seat)
         self.fabric.messages += 1
-        decode(encode(Envelope(0, False, message)))
+        data = encode(Envelope(0, False, message))
+        sent_bytes = self.fabric.sent_bytes
+        sent_bytes[self.me.seat] = sent_bytes.get(self.me.seat, 0) + len(data)
+        decode(data)
         await anyio.sleep(self.fabric.delay_s)
         if self.fabric.random.random() < self.fabric.loss:
             return None
--- /dev/null
+++ b/tests/peers/test_membership.py
@@ -0,0 +1,332 @@
+import random
+import unittest
+
+import anyio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from banyanseam.config.readers import make_is_reader
+from banyanseam.peers.const import RING_FANOUT
+from banyanseam.peers.errors import InvalidPeerMessage
+from banyanseam.peers.heartbeat import Heartbeats
+from banyanseam.peers.incarnation import FreezeDetector, Incarnation
+from banyanseam.peers.membership import Membership, State
+from banyanseam.peers.neighbours import choose_across, choose_in_region
+from banyanseam.peers.rows import Flags, Row, hash_seat, pack_rows, unpack_rows
+from banyanseam.peers.sections import Sections
+from tests.common import FakeFabric, make_config, run_mocked
+
+
+class Node:
+    """One process's membership and heartbeats at a seat."""
+
+    def __init__(self, fabric, config, seat, number=1):
+        region = config.seats[seat].region
+        self.incarnation = Incarnation(number)
+        self.incarnation.settle()
+        self.membership = Membership(seat, region, self.incarnation)
+        self.membership.set_config(config, anyio.current_time())
+        self.superseded = []
+        self.membership.on_superseded(self.superseded.append)
+        self.sections = Sections()
+        self.heard = {}
+        self.sections.register("test", seat.encode, self.take)
+        network = fabric.join(seat, number)
+        chance = random.Random(f"{seat} {number}")
+        self.heartbeats = Heartbeats(self.membership, network, self.sections, chance)
+        self.scope = anyio.CancelScope()
+
+    def take(self, peer, content):
+        self.heard[peer] = content
+
+    async def run(self):
+        with self.scope:
+            await self.heartbeats.run()
+
+
+class Fleet:
+    """Nodes at all seats of a configuration."""
+
+    def __init__(self, group, **kwargs):
+        self.group = group
+        self.config = make_config(**kwargs)
+        self.fabric = FakeFabric()
+        self.nodes = {}
+        for seat in self.config.seats:
+            self.start(seat)
+
+    def start(self, seat, number=1):
+        self.nodes[seat] = node = Node(self.fabric, self.config, seat, number)
+        self.group.start_soon(node.run)
+        return node
+
+    def kill(self, seat):
+        self.nodes.pop(seat).scope.cancel()
+        del self.fabric.networks[seat]
+
+    def cut(self, region, *others):
+        for first in self.config.seats_of(region):
+            for other in others:
+                for second in self.config.seats_of(other):
+                    self.fabric.cut.add(frozenset((first.name, second.name)))
+
+    def views(self, seat):
+        return {node.membership.state_of(seat) for node in self.nodes.values()}
+
+    async def settle(self, condition, bound_s=120):
+        with anyio.fail_after(bound_s):
+            for _ in iter(lambda: bool(condition()), True):
+                await anyio.sleep(0.25)
+
+    async def settle_alive(self):
+        await self.settle(
+            lambda: all(self.views(seat) == {State.ALIVE} for seat in self.nodes)
+        )
+
+
+class FleetTests(unittest.TestCase):
+    def run_fleet(self, scenario, **kwargs):
+        async def main():
+            async with anyio.create_task_group() as group:
+                fleet = Fleet(group, **kwargs)
+                await fleet.settle_alive()
+                await scenario(fleet)
+                group.cancel_scope.cancel()
+
+        run_mocked(main)
+
+    def test_killed_process_is_noticed_and_its_successor_too(self):
+        for kwargs, bound_s in (
+            ({"seats": 3}, 10),
+            ({"seats": 12, "regions": ("gulf", "delta")}, 35),
+        ):
+            with self.subTest(kwargs):
+
+                async def scenario(fleet, bound_s=bound_s):
+                    fleet.kill("gulf-2")
+                    await fleet.settle(
+                        lambda: (
+                            not any(
+                                node.membership.is_alive("gulf-2")
+                                for node in fleet.nodes.values()
+                            )
+                        ),
+                        bound_s,
+                    )
+                    fleet.start("gulf-2", number=2)
+                    await fleet.settle_alive()
+                    for node in fleet.nodes.values():
+                        self.assertEqual(node.membership.incarnation_of("gulf-2"), 2)
+
+                self.run_fleet(scenario, **kwargs)
+
+    def test_nobody_is_suspected_while_all_run(self):
+        async def scenario(fleet):
+            for _ in range(60):
+                await anyio.sleep(1)
+                for seat in fleet.nodes:
+                    self.assertEqual(fleet.views(seat), {State.ALIVE})
+
+        self.run_fleet(scenario, seats=12, regions=("gulf", "delta"))
+
+    def test_cut_off_region_knows_itself_and_rejoins(self):
+        for others in (("delta", "piedmont"), ("delta",)):
+            with self.subTest(others=others):
+
+                async def scenario(fleet, others=others):
+                    fleet.cut("gulf", *others)
+                    await anyio.sleep(600)
+                    inside = fleet.nodes["gulf-1"].membership
+                    self.assertEqual(len(inside.alive_seats("gulf")), 3)
+                    self.assertEqual(inside.state_of("delta-1"), State.GONE)
+                    is_whole = "piedmont" not in others
+                    self.assertEqual(inside.is_alive("piedmont-1"), is_whole)
+                    fleet.fabric.cut.clear()
+                    await fleet.settle_alive()
+
+                self.run_fleet(scenario)
+
+    def test_quick_successor_soon_knows_a_large_fleet(self):
+        async def scenario(fleet):
+            fleet.kill("gulf-2")
+            newer = fleet.start("gulf-2", number=2)
+            await fleet.settle(
+                lambda: len(newer.membership.alive_seats("delta")) == 19, 4
+            )
+
+        self.run_fleet(scenario, seats=19, regions=("gulf", "delta"))
+
+    def test_process_heard_by_one_peer_only_is_alive_to_all_of_its_region(self):
+        async def scenario(fleet):
+            fleet.fabric.cut.add(frozenset(("gulf-1", "gulf-2")))
+            await anyio.sleep(60)
+            self.assertTrue(fleet.nodes["gulf-1"].membership.is_alive("gulf-2"))
+
+        self.run_fleet(scenario)
+
+    def test_older_process_of_a_seat_is_told_and_its_sections_dropped(self):
+        async def scenario(fleet):
+            older = fleet.nodes["gulf-2"]
+            newer = fleet.start("gulf-2", number=7)
+            await fleet.settle(lambda: older.superseded)
+            self.assertEqual(older.superseded, [7])
+            self.assertEqual(newer.superseded, [])
+            await anyio.sleep(5)
+            heard = fleet.nodes["gulf-1"].heard
+            heard.clear()
+            await anyio.sleep(5)
+            numbers = {peer.incarnation for peer in heard if peer.seat == "gulf-2"}
+            self.assertEqual(numbers, {7})
+
+        self.run_fleet(scenario)
+
+    def test_new_process_with_a_clock_behind_outbids_the_old_number(self):
+        async def scenario(fleet):
+            fleet.kill("gulf-2")
+            newer = Node(fleet.fabric, fleet.config, "gulf-2", number=0)
+            newer.incarnation = newer.membership.incarnation = Incarnation(0)
+            fleet.nodes["gulf-2"] = newer
+            fleet.group.start_soon(newer.run)
+            await fleet.settle(lambda: newer.incarnation.number > 1)
+            newer.incarnation.settle()
+            await fleet.settle_alive()
+            self.assertEqual(newer.superseded, [])
+
+        self.run_fleet(scenario)
+
+    def test_leaving_and_delays_are_known(self):
+        async def scenario(fleet):
+            fleet.nodes["delta-1"].membership.set_flag(Flags.LEAVING, on=True)
+            await fleet.settle(lambda: fleet.views("delta-1") == {State.LEAVING}, 10)
+            node = fleet.nodes["gulf-1"].membership
+            self.assertTrue(node.is_alive("delta-1"))
+            self.assertAlmostEqual(node.measured_delay_s("delta-1"), 0.001, 4)
+
+        self.run_fleet(scenario)
+
+    def test_reader_that_loses_the_service_gives_way(self):
+        async def scenario(fleet):
+            is_reader = {
+                seat: make_is_reader(node.membership)
+                for seat, node in fleet.nodes.items()
+                if seat.startswith("gulf")
+            }
+            for seat in is_reader:
+                fleet.nodes[seat].membership.set_flag(Flags.REACHES_SERVICE, on=True)
+            await anyio.sleep(5)
+            first = {seat for seat in is_reader if is_reader[seat]()}
+            self.assertEqual(len(first), 2)
+            lost = min(first)
+            fleet.nodes[lost].membership.set_flag(Flags.REACHES_SERVICE, on=False)
+            await anyio.sleep(5)
+            second = {seat for seat in is_reader if is_reader[seat]()}
+            self.assertEqual(second, set(is_reader) - {lost})
+
+        self.run_fleet(scenario)
+
+
+class MembershipTests(unittest.TestCase):
+    def setUp(self):
+        self.membership = Membership("gulf-1", "gulf", Incarnation(5))
+        self.membership.set_config(make_config(), 0.0)
+
+    def hear(self, counter, now_s, incarnation=1, flags=Flags.NONE, direct=True):
+        row = Row(hash_seat("gulf-2"), incarnation, counter, flags)
+        self.membership.hear(row, now_s, is_direct=direct)
+        return self.membership.state_of("gulf-2")
+
+    def test_state_by_silence(self):
+        self.assertEqual(self.membership.state_of("gulf-2"), State.SUSPECT)
+        self.assertEqual(self.hear(1, 1.0), State.ALIVE)
+        table = [(3.9, State.ALIVE), (4.0, State.SUSPECT), (10.0, State.GONE)]
+        for now_s, state in table:
+            with self.subTest(now_s=now_s):
+                self.membership.advance(now_s)
+                self.assertEqual(self.membership.state_of("gulf-2"), state)
+                # An old row that comes late proves nothing.
+                self.assertEqual(self.hear(1, now_s), state)
+
+    def test_platform_list_adds_doubt_and_takes_no_heartbeat_away(self):
+        self.hear(1, 1.0)
+        self.membership.set_platform_list(live=set(), leaving=set())
+        self.assertEqual(self.hear(2, 2.0), State.ALIVE)
+        self.membership.advance(3.6)
+        self.assertEqual(self.membership.state_of("gulf-2"), State.SUSPECT)
+        self.membership.set_platform_list(live={"gulf-2"}, leaving={"gulf-2"})
+        self.assertEqual(self.hear(3, 4.0), State.LEAVING)
+        # The list lags: a newer process is not the one that it speaks of.
+        self.assertEqual(self.hear(1, 4.1, incarnation=2), State.ALIVE)
+
+    def test_older_incarnation_is_ignored(self):
+        self.hear(1, 1.0, incarnation=2)
+        self.hear(99, 9.0, incarnation=1, flags=Flags.LEAVING)
+        self.membership.advance(9.0)
+        self.assertEqual(self.membership.state_of("gulf-2"), State.SUSPECT)
+
+    def test_process_that_served_stands_down_once(self):
+        told = []
+        self.membership.on_superseded(told.append)
+        self.membership.incarnation.settle()
+        for number in (4, 6, 7):
+            self.membership.hear_verdict(number, 1.0)
+        self.assertEqual(told, [6])
+
+    def test_seat_taken_off_the_configuration_is_gone(self):
+        self.hear(1, 1.0)
+        self.membership.set_config(make_config(seats=1), 1.0)
+        self.assertFalse(self.membership.is_alive("gulf-2"))
+
+    @given(st.binary(max_size=100))
+    def test_any_rows_are_read_or_refused(self, data):
+        try:
+            rows = unpack_rows(data)
+        except InvalidPeerMessage:
+            return
+        self.assertEqual(len(pack_rows(rows)), len(data))
+
+
+class FreezeTests(unittest.TestCase):
+    def test_only_a_gap_beyond_the_term_restarts(self):
+        for gap_s, frozen in ((0.2, False), (3.0, False), (3.1, True), (3600, True)):
+            with self.subTest(gap_s=gap_s):
+                readings = iter([10.0, 10.0 + gap_s, 10.1 + gap_s])
+                detector = FreezeDetector(3.0, lambda r=readings: next(r))
+                restarts = []
+                detector.on_restart(restarts.append)
+                self.assertEqual([detector.tick(), detector.tick()], [frozen, False])
+                self.assertEqual(restarts, [10.0 + gap_s] if frozen else [])
+
+
+class NeighbourTests(unittest.TestCase):
+    def test_news_reaches_a_large_region_in_few_steps(self):
+        for size, steps in ((11, 2), (57, 5), (100, 6)):
+            with self.subTest(size=size):
+                seats = [f"s{number}" for number in range(size)]
+                reached = {seats[0]}
+                for _ in range(steps):
+                    for seat in list(reached):
+                        chosen = choose_in_region(seat, seats)
+                        self.assertEqual(len(set(chosen)), RING_FANOUT)
+                        reached |= set(chosen)
+                self.assertEqual(len(reached), size)
+
+    def test_links_across_are_spread_evenly(self):
+        here = [f"h{number}" for number in range(57)]
+        for size, most in ((57, 1), (19, 3), (3, 19)):
+            with self.subTest(size=size):
+                there = [f"t{number}" for number in range(size)]
+                chosen = [choose_across(seat, here, "r", there) for seat in here]
+                self.assertEqual({chosen.count(seat) for seat in there}, {most})
+
+
+class SectionTests(unittest.TestCase):
+    def test_oversize_and_unknown_sections_are_left_out(self):
+        sections = Sections()
+        heard = []
+        supplies = {"big": b"x" * 1025, "one": b"x" * 1024, "two": b"y" * 1024}
+        supplies |= {"three": b"z", "none": b""}
+        for name, content in supplies.items():
+            sections.register(name, lambda c=content: c, lambda _, c: heard.append(c))
+        self.assertEqual(set(sections.collect()), {"one", "two"})
+        sections.deliver(None, {"unknown": b"x", "three": b"z"})
+        self.assertEqual(heard, [b"z"])
