--- /dev/null
+++ b/banyanseam/pipe/attempt.py
@@ -0,0 +1,56 @@
+"""The last step: send the exchange to the upstream that has room reserved for it."""
+
+import anyio
+
+from banyanseam.pipe.const import HOP_HEADERS, READ_SLACK_S
+from banyanseam.pipe.errors import DeadlineExceeded
+from banyanseam.pipe.models import Exchange, Headers, Next
+from banyanseam.pipe.stream import relay_plain
+from banyanseam.upstreams.client import (
+    UpstreamClient,
+    UpstreamRequest,
+)
+from banyanseam.upstreams.room import Room
+
+
+def make_request(exchange: Exchange) -> UpstreamRequest:
+    """Return what the upstream is sent; raise DeadlineExceeded."""
+    remaining_s = exchange.deadline_s - anyio.current_time()
+    if remaining_s <= 0:
+        raise DeadlineExceeded
+    query = f"?{exchange.query.decode('ascii')}" if exchange.query else ""
+    return UpstreamRequest(
+        request_id=exchange.request_id,
+        method=exchange.method,
+        target=exchange.raw_path.decode("ascii") + query,
+        headers=exchange.headers,
+        body=exchange.body,
+        is_idempotent=exchange.is_idempotent,
+        read_timeout_s=remaining_s + READ_SLACK_S,
+    )
+
+
+def clean_headers(headers: Headers) -> Headers:
+    """Return an answer's headers without those of its connection."""
+    return [
+        header
+        for header in headers
+        if header[0] not in HOP_HEADERS or header[0] == b"content-length"
+    ]
+
+
+def attempt(room: Room, client: UpstreamClient) -> Next:
+    """Return the step; see UpstreamClient.open for what it raises."""
+
+    async def step(exchange: Exchange) -> None:
+        upstream = room.get_upstream(exchange.grant)
+        request = make_request(exchange)
+
+        def note_started() -> None:
+            exchange.upstream_started = True
+
+        async with client.open(upstream, request, note_started) as response:
+            headers = clean_headers(response.headers)
+            await relay_plain(exchange, response, headers)
+
+    return step
--- a/tests/common.py
+++ b/tests/common.py
@@ -24,6 +24,15 @@
     return anyio.run(function, *args, backend="trio", backend_options={"clock": clock})
 
 
+async def wait_until(condition: Callable[[], Any], timeout_s: float = 15) -> None:
+    """Return once the condition holds; raise TimeoutError."""
+    with anyio.fail_after(timeout_s):
+        while True:
+            if condition():
+                return
+            await anyio.sleep(0.01)
+
+
 def digest(key: str) -> str:
     """Return the published digest of a key."""
     return hashlib.sha256(key.encode()).hexdigest()
@@ -73,7 +82,13 @@
                     "serves": ["oak"],
                     "address": f"127.0.0.1:{port + 200}",
                     "data_centre": f"{region}-dc1",
-                }
+                },
+                f"{region}-clinic-1": {
+                    "kind": "service",
+                    "serves": ["clinic"],
+                    "address": f"127.0.0.1:{port + 300}",
+                    "data_centre": f"{region}-dc1",
+                },
             },
         }
     return base, overlays
@@ -94,6 +109,7 @@
         self.networks: dict[str, FakeNetwork] = {}
         self.cut: set[frozenset[str]] = set()
         self.messages = 0
+        self.sent_bytes: dict[str, int] = {}
 
     def join(self, seat: str, incarnation: int = 1) -> "FakeNetwork":
         """Return a network for a new process at a seat; the older one is dead."""
@@ -125,7 +141,10 @@
         if seat not in self.fabric.networks or self.fabric.is_cut(self.me.seat, seat):
             raise PeerUnreachable(seat)
         self.fabric.messages += 1
-        decode(encode(Envelope(0, False, message)))
+        data = encode(Envelope(0, False, message))
+        sent_bytes = self.fabric.sent_bytes
+        sent_bytes[self.me.seat] = sent_bytes.get(self.me.seat, 0) + len(data)
+        decode(data)
         await anyio.sleep(self.fabric.delay_s)
         if self.fabric.random.random() < self.fabric.loss:
             return None
--- a/tests/run.py
+++ b/tests/run.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from hypothesis import settings
+from loguru import logger
 
 SEED = 20261204
 ROOT = Path(__file__).resolve().parent.parent
@@ -31,6 +32,8 @@
     settings.register_profile("ci", derandomize=True, deadline=None, database=None)
     settings.load_profile("ci")
     random.seed(SEED)
+    # Log lines of the code under test would drown the verdict.
+    logger.remove()
     pattern = sys.argv[1] if len(sys.argv) > 1 else "test_*.py"
     suite = unittest.defaultTestLoader.discover(
         str(ROOT / "tests"), pattern=pattern, top_level_dir=str(ROOT)
