--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,15 +1,13 @@
 """A whole fleet on one machine: stand-ins, relay and daemons as processes."""
 
-import hashlib
 import json
 import random
 import secrets
 import signal
 import socket
 import tempfile
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -18,57 +16,23 @@
 
 from banyanseam.config.split import split_documents
 from standins.callers import Caller
+from standins.fleet_plan import (
+    PLATFORM,
+    Daemon,
+    Documents,
+    FleetPlan,
+    OrganisationPlan,
+    UpstreamProcess,
+    make_base,
+    make_overlay,
+    write_settings,
+)
 from standins.processes import Child, Children
 
+__all__ = ["Daemon", "Fleet", "FleetPlan", "OrganisationPlan", "start_fleet"]
+
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.05
-PLATFORM = "platform"
-
-Documents = dict[str, Any]
-Alter = Callable[[Documents, dict[str, Documents]], None]
-
-
-@dataclass(slots=True)
-class OrganisationPlan:
-    """An organisation of the fleet."""
-
-    rate_tokens_per_s: float = 100_000
-    burst_tokens: int = 1_000_000
-    more: Documents = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class FleetPlan:
-    """What to start; `alter` may change the documents before they are published."""
-
-    regions: tuple[str, ...] = ("gulf", "piedmont", "delta")
-    seats: int = 3
-    engines: int = 1
-    services: int = 1
-    organisations: dict[str, OrganisationPlan] = field(
-        default_factory=lambda: {"acme": OrganisationPlan()}
-    )
-    engine_options: dict[str, Any] = field(default_factory=dict)
-    service_options: dict[str, Any] = field(default_factory=dict)
-    delay_ms: float = 0
-    link_bytes_per_s: float | None = None
-    uses_relay: bool = True
-    settings: Documents = field(default_factory=dict)
-    alter: Alter | None = None
-
-
-@dataclass(slots=True)
-class Daemon:
-    """One seat, its addresses and the process that holds it at present."""
-
-    seat: str
-    region: str
-    data_centre: str
-    callers_address: str
-    peers_address: str
-    operators_address: str
-    settings_path: Path
-    child: Child | None = None
 
 
 class Fleet:
@@ -82,14 +46,18 @@
         self.client = Caller()
         self.keys = {name: secrets.token_urlsafe(32) for name in plan.organisations}
         self.daemons = self._choose_addresses()
-        self.upstreams: dict[str, Child] = {}
-        self.upstream_regions: dict[str, str] = {}
+        self.upstreams: dict[str, UpstreamProcess] = {}
         self.config_service: Child | None = None
         self.relay: Child | None = None
         self.base: Documents = {}
         self.overlays: dict[str, Documents] = {}
         self.published: dict[str, Documents] = {}
 
+    @property
+    def upstream_regions(self) -> dict[str, str]:
+        """Return the region of each upstream by name."""
+        return {name: one.region for name, one in self.upstreams.items()}
+
     def in_region(self, region: str) -> list[Daemon]:
         """Return a region's daemons in order of name."""
         return [one for one in self.daemons.values() if one.region == region]
@@ -98,7 +66,15 @@
         """Start everything and wait until every daemon is ready."""
         await self._start_platform()
         await self._start_upstreams()
-        self.base, self.overlays = self._make_documents()
+        self.base = make_base(self.plan, self.keys)
+        self.overlays = {
+            region: make_overlay(
+                self.plan,
+                self.in_region(region),
+                [one for one in self.upstreams.values() if one.region == region],
+            )
+            for region in self.plan.regions
+        }
         if self.plan.alter is not None:
             self.plan.alter(self.base, self.overlays)
         await self.publish()
@@ -176,13 +152,13 @@
 
     async def restart_upstream(self, name: str) -> None:
         """Start an upstream that died again, at its old port."""
-        old = self.upstreams[name]
+        old = self.upstreams[name].child
         old.signal(signal.SIGKILL)
         await old.wait()
         port = old.address.rsplit(":", 1)[1]
         child = self.children.start(name, *old.command, "--port", port)
         await child.read_announcement()
-        self.upstreams[name] = child
+        self.upstreams[name].child = child
 
     async def cut(self, region: str, other: str) -> None:
         """Let nothing through between two regions; connections stay open."""
@@ -296,124 +272,34 @@
     async def _start_upstreams(self) -> None:
         for region in self.plan.regions:
             for number in range(1, self.plan.engines + 1):
-                self._start_upstream(
-                    f"{region}-engine-{number}",
-                    region,
-                    "standins.engine",
-                    self.plan.engine_options,
-                )
+                self._start_upstream(f"{region}-engine-{number}", region, True)
             for number in range(1, self.plan.services + 1):
-                self._start_upstream(
-                    f"{region}-service-{number}",
-                    region,
-                    "standins.service",
-                    self.plan.service_options,
-                )
-        for child in self.upstreams.values():
-            await child.read_announcement()
-
-    def _start_upstream(
-        self, name: str, region: str, module: str, options: dict[str, Any]
-    ) -> None:
+                self._start_upstream(f"{region}-service-{number}", region, False)
+        for one in self.upstreams.values():
+            await one.child.read_announcement()
+
+    def _start_upstream(self, name: str, region: str, is_model: bool) -> None:
+        module = "standins.engine" if is_model else "standins.service"
+        options = self.plan.engine_options if is_model else self.plan.service_options
         arguments = ["--name", name]
         for option, value in options.items():
             arguments += [f"--{option.replace('_', '-')}", str(value)]
-        self.upstreams[name] = self.children.start(name, module, *arguments)
-        self.upstream_regions[name] = region
-
-    def _make_documents(self) -> tuple[Documents, dict[str, Documents]]:
-        organisations = {
-            name: {
-                "keys": [{"sha256_hex": _digest(self.keys[name]), "label": "run"}],
-                "rate_tokens_per_s": plan.rate_tokens_per_s,
-                "burst_tokens": plan.burst_tokens,
-                **plan.more,
-            }
-            for name, plan in self.plan.organisations.items()
-        }
-        base = {
-            "organisations": organisations,
-            "routes": {
-                "chat": {
-                    "path_prefix": "/v1/chat/completions",
-                    "kind": "model",
-                    "request_class": "quick",
-                },
-                "desk": {
-                    "path_prefix": "/desk/",
-                    "kind": "service",
-                    "request_class": "service",
-                    "service": "desk",
-                },
-            },
-        }
-        overlays = {
-            region: {
-                "seats": {
-                    one.seat: {
-                        "data_centre": one.data_centre,
-                        "callers_address": one.callers_address,
-                        "peers_address": one.peers_address,
-                    }
-                    for one in self.in_region(region)
-                },
-                "upstreams": {
-                    name: self._describe_upstream(name)
-                    for name, home in self.upstream_regions.items()
-                    if home == region
-                },
-            }
-            for region in self.plan.regions
-        }
-        return base, overlays
-
-    def _describe_upstream(self, name: str) -> Documents:
-        is_model = "-engine-" in name
-        document = {
-            "kind": "model" if is_model else "service",
-            "serves": ["oak"] if is_model else ["desk"],
-            "address": self.upstreams[name].address,
-            "data_centre": f"{self.upstream_regions[name]}-dc1",
-        }
-        if not is_model:
-            return document
-        published = (
-            "decode_tokens_per_s",
-            "prefill_tokens_per_s",
-            "memory_tokens",
-            "max_in_flight",
-        )
-        options = self.plan.engine_options
-        return document | {name: options[name] for name in published if name in options}
+        child = self.children.start(name, module, *arguments)
+        self.upstreams[name] = UpstreamProcess(name, region, is_model, child)
 
     async def _write_settings(self) -> None:
         secret = secrets.token_urlsafe(32)
         legs = await self._open_legs()
         for one in self.daemons.values():
-            overrides = legs.get(one.region, {})
-            peers = [
-                overrides.get(other.seat, other.peers_address)
-                for other in self.daemons.values()
-                if other.seat != one.seat
-            ]
-            settings = {
-                "seat": one.seat,
-                "region": one.region,
-                "data_centre": one.data_centre,
-                "callers_address": one.callers_address,
-                "peers_address": one.peers_address,
-                "operators_address": one.operators_address,
-                "config_service_addresses": [
-                    overrides.get(PLATFORM, self.config_service.address)
-                ],
-                "fleet_secret": secret,
-                "first_peers": peers,
-                "peer_address_overrides": {
-                    seat: leg for seat, leg in overrides.items() if seat != PLATFORM
-                },
-                **self.plan.settings,
-            }
-            one.settings_path.write_text(json.dumps(settings, indent=2))
+            others = [other for other in self.daemons.values() if other is not one]
+            write_settings(
+                self.plan,
+                one,
+                others,
+                self.config_service.address,
+                legs.get(one.region, {}),
+                secret,
+            )
 
     async def _open_legs(self) -> dict[str, dict[str, str]]:
         """Return for each region the addresses at which it dials the others."""
@@ -439,10 +325,6 @@
     return addresses
 
 
-def _digest(key: str) -> str:
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 @asynccontextmanager
 async def start_fleet(plan: FleetPlan | None = None) -> AsyncIterator[Fleet]:
     """Start a fleet and end all of it with the context."""
