--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -10,7 +10,8 @@
 from standins.relay import Relay
 from standins.service import PlainService
 from standins.serving import serve
-from tests.common import wait_until
+from standins.vm_list import VmList
+from tests.common import run_mocked, wait_until
 
 FAST = EngineLimits(
     stream_tokens_per_s=1000, memory_tokens=500, load_lag_ms=0, disconnect_grace_ms=0
@@ -128,6 +129,21 @@
         run(check)
 
 
+class VmListTests(unittest.TestCase):
+    def test_shows_what_was_true_some_time_ago(self):
+        async def check():
+            vms = VmList(lag_ms=1000)
+            vms.set_state("gulf-1", "live")
+            await anyio.sleep(2)
+            vms.set_state("gulf-1", "leaving")
+            for wanted in ("live", "leaving"):
+                shown = vms.list_shown(anyio.current_time())
+                self.assertEqual(shown, {"gulf-1": wanted})
+                await anyio.sleep(1)
+
+        run_mocked(check)
+
+
 class ServiceTests(unittest.TestCase):
     def test_counts_runs_also_when_the_answer_is_lost(self):
         async def check():
