--- a/standins/engine.py
+++ b/standins/engine.py
@@ -71,7 +71,7 @@
             self.die()
         for name, value in changes.items():
             self.faults.set(name, value)
-        self.batch.is_frozen = self.faults.frozen
+        self.batch.is_frozen = self.faults.freezer.is_frozen
         self.batch.work.set()
 
     async def handle(self, request: Request) -> None:
@@ -79,7 +79,7 @@
         if request.path.startswith("/control"):
             await self._handle_control(request)
             return
-        await self.faults.wait_thawed()
+        await self.faults.freezer.wait_thawed()
         if self.faults.is_dead:
             request.drop()
         elif request.path == CHAT_PATH and request.method == "POST":
--- a/standins/engine_answers.py
+++ b/standins/engine_answers.py
@@ -7,7 +7,7 @@
 
 from standins.batching import Run
 from standins.engine_messages import describe_answer, format_end, format_event
-from standins.serving import Request
+from standins.serving import Freezer, Request
 
 SETTABLE = ("leaving", "frozen", "drop_next", "crossed", "truncate")
 DROPS = ("before_headers", "mid_stream")
@@ -18,12 +18,11 @@
     """What the engine does wrong at present."""
 
     leaving: bool = False
-    frozen: bool = False
     drop_next: str | None = None
     crossed: bool = False
     truncate: bool = False
     is_dead: bool = False
-    thaw: anyio.Event = field(default_factory=anyio.Event)
+    freezer: Freezer = field(default_factory=Freezer)
 
     def set(self, name: str, value: Any) -> None:
         """Change one fault; raise ValueError when there is none of this name."""
@@ -31,19 +30,15 @@
             raise ValueError(f"no fault {name}")
         if name == "drop_next" and value not in (None, *DROPS):
             raise ValueError(f"drop_next is null or one of {DROPS}")
+        if name == "frozen":
+            self.freezer.set(bool(value))
+            return
         setattr(self, name, value)
-        if not self.frozen:
-            self.thaw.set()
-            self.thaw = anyio.Event()
 
     def describe(self) -> dict[str, Any]:
         """Return the faults as JSON."""
-        return {name: getattr(self, name) for name in SETTABLE}
-
-    async def wait_thawed(self) -> None:
-        """Wait while the engine is frozen."""
-        while self.frozen:
-            await self.thaw.wait()
+        named = {name: getattr(self, name) for name in SETTABLE if name != "frozen"}
+        return named | {"frozen": self.freezer.is_frozen}
 
     def take_drop(self, when: str) -> bool:
         """Say whether this connection is the one to drop, once."""
@@ -107,7 +102,7 @@
             return
         if run.finished_s is not None or faults.is_dead:
             break
-        await faults.wait_thawed()
+        await faults.freezer.wait_thawed()
         if run.generated_tokens == sent and run.finished_s is None:
             await run.progress.wait()
     if run.is_cancelled or faults.is_dead:
--- a/standins/service.py
+++ b/standins/service.py
@@ -8,7 +8,7 @@
 import anyio
 import click
 
-from standins.serving import Request, run_process, serve_forever
+from standins.serving import Freezer, Request, run_process, serve_forever
 
 MAX_RECORDS = 100_000
 DROPS = ("before_run", "after_run")
@@ -20,8 +20,7 @@
 
     slow_ms: int = 0
     drop_next: str | None = None
-    frozen: bool = False
-    thaw: anyio.Event = field(default_factory=anyio.Event)
+    freezer: Freezer = field(default_factory=Freezer)
     runs_by_request_id: Counter[str] = field(default_factory=Counter)
     runs_by_body: Counter[str] = field(default_factory=Counter)
     records: deque[dict[str, Any]] = field(
@@ -35,25 +34,23 @@
                 raise ValueError(f"no fault {name}")
             if name == "drop_next" and value not in (None, *DROPS):
                 raise ValueError(f"drop_next is null or one of {DROPS}")
-            setattr(self, name, value)
-        if not self.frozen:
-            self.thaw.set()
-            self.thaw = anyio.Event()
+            if name == "frozen":
+                self.freezer.set(bool(value))
+            else:
+                setattr(self, name, value)
 
     async def handle(self, request: Request) -> None:
         """Answer one request; a POST runs, anything else echoes."""
         if request.path.startswith("/control"):
             await self._handle_control(request)
             return
-        while self.frozen:
-            await self.thaw.wait()
+        await self.freezer.wait_thawed()
         if self._drops("before_run"):
             request.drop()
             return
         run = self._count(request)
         await anyio.sleep(self.slow_ms / 1000)
-        while self.frozen:
-            await self.thaw.wait()
+        await self.freezer.wait_thawed()
         if self._drops("after_run"):
             request.drop()
             return
@@ -112,7 +109,7 @@
             {
                 "slow_ms": self.slow_ms,
                 "drop_next": self.drop_next,
-                "frozen": self.frozen,
+                "frozen": self.freezer.is_frozen,
                 "runs": len(self.records),
             },
         )
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -4,7 +4,7 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qsl, unquote
 
@@ -90,6 +90,26 @@
             pass
 
 
+@dataclass(slots=True)
+class Freezer:
+    """Whether a stand-in stands still, as a paused process does."""
+
+    is_frozen: bool = False
+    thawed: anyio.Event = field(default_factory=anyio.Event)
+
+    def set(self, is_frozen: bool) -> None:
+        """Stand still or go on."""
+        self.is_frozen = is_frozen
+        if not is_frozen:
+            self.thawed.set()
+            self.thawed = anyio.Event()
+
+    async def wait_thawed(self) -> None:
+        """Wait while the stand-in stands still."""
+        while self.is_frozen:
+            await self.thawed.wait()
+
+
 Handler = Callable[[Request], Awaitable[None]]
 
 
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -68,6 +68,23 @@
 
         run(check)
 
+    def test_frozen_answers_nothing_until_it_thaws(self):
+        async def check():
+            engine = Engine(FAST)
+            async with serve_engine(engine) as address, Caller() as caller:
+                engine.set_faults(frozen=True)
+                with anyio.move_on_after(0.1) as scope:
+                    await caller.request("GET", address, "/load")
+                self.assertTrue(scope.cancelled_caught)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(caller.chat, address)
+                    await anyio.sleep(0.05)
+                    self.assertFalse(engine.records)
+                    engine.set_faults(frozen=False)
+                self.assertEqual(engine.records[0].run.generated_tokens, 8)
+
+        run(check)
+
     def test_dies_when_it_holds_too_much_and_of_poison(self):
         async def check():
             for content, max_tokens in (("long " * 500, 1), ("a CRASH", 1), ("x", 600)):
