--- a/banyanseam/config/split.py
+++ b/banyanseam/config/split.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-SHARDS: Final = 64
+SHARDS: Final = 16
 
 
 def shard_of(organisation: str) -> str:
