List the daemons that a caller should use, best first

Change: own region first, neighbours in the list in different data centres, leaving and silent seats off, then two of each other region by measured delay; rendezvous hashing by caller spreads callers over seats.

--- /dev/null
+++ b/banyanseam/peers/entries.py
@@ -0,0 +1,90 @@
+"""Which daemons a caller should use, best first, as /v1/entries answers."""
+
+from collections.abc import Iterable
+from itertools import zip_longest
+from typing import Final
+
+from pydantic import BaseModel
+
+from banyanseam.config.compiled import Config, Seat
+from banyanseam.peers.membership import Membership, State
+from banyanseam.peers.rendezvous import rank
+
+ENTRIES_VALIDITY_MS: Final = 5000
+OWN_REGION_ENTRIES: Final = 8
+OTHER_REGION_ENTRIES: Final = 2
+
+
+class Entry(BaseModel):
+    """A daemon that callers may use; a region matters where data must stay."""
+
+    seat: str
+    address: str
+    region: str
+    data_centre: str
+
+
+class Entries(BaseModel):
+    """The daemons to use, best first, and for how long the list holds."""
+
+    entries: list[Entry]
+    validity_ms: int
+
+
+def list_entries(config: Config, membership: Membership, caller: str) -> Entries:
+    """Return the list for one caller; equal callers get equal lists.
+
+    `caller` is any stable name, such as the address. It shuffles the seats, so that
+    callers spread over them; neighbours in the list are in different data centres.
+    """
+    seats = _list_region(config, membership, membership.region, caller)
+    seats = seats[:OWN_REGION_ENTRIES]
+    for region in _order_regions(config, membership):
+        found = _list_region(config, membership, region, caller)
+        seats += found[:OTHER_REGION_ENTRIES]
+    if not seats:
+        # When all stop at once, one that still serves is better than none.
+        seats = [config.seats[membership.seat]]
+    entries = [
+        Entry(
+            seat=seat.name,
+            address=seat.callers_address,
+            region=seat.region,
+            data_centre=seat.data_centre,
+        )
+        for seat in seats
+    ]
+    return Entries(entries=entries, validity_ms=ENTRIES_VALIDITY_MS)
+
+
+def _list_region(
+    config: Config, membership: Membership, region: str, caller: str
+) -> list[Seat]:
+    alive = [
+        seat
+        for seat in config.seats_of(region)
+        if membership.state_of(seat.name) is State.ALIVE
+    ]
+    return _alternate_data_centres(alive, caller)
+
+
+def _alternate_data_centres(seats: Iterable[Seat], caller: str) -> list[Seat]:
+    seat_by_name = {seat.name: seat for seat in seats}
+    by_data_centre: dict[str, list[Seat]] = {}
+    for name in rank(seat_by_name, caller):
+        seat = seat_by_name[name]
+        by_data_centre.setdefault(seat.data_centre, []).append(seat)
+    rows = zip_longest(*by_data_centre.values())
+    return [seat for row in rows for seat in row if seat is not None]
+
+
+def _order_regions(config: Config, membership: Membership) -> list[str]:
+    def find_delay_s(region: str) -> float:
+        delays = (
+            membership.measured_delay_s(seat.name) for seat in config.seats_of(region)
+        )
+        known = [delay_s for delay_s in delays if delay_s is not None]
+        return min(known, default=float("inf"))
+
+    others = config.regions - {membership.region}
+    return sorted(others, key=lambda region: (find_delay_s(region), region))
