Join configuration, membership and the planned stop into a daemon's control

Cause: a woken, replaced or doubled process must serve nothing until it knows what is in force, and a leaving one must be off every list before it closes. Change: Control builds the loops on a network and says whether new requests may be served; Lifecycle holds the stages of a planned stop, and versions ride on heartbeats so that a lost announcement is mended. Seen failing, each by a change of the code: a woken process that served at once, a superseded one that went on, no leaving flag, no versions in heartbeats after a cut, an idle daemon that missed a late request.

--- a/banyanseam/config/spread.py
+++ b/banyanseam/config/spread.py
@@ -4,7 +4,9 @@
 asks what changed and fetches just those values, from one peer at a time.
 """
 
+import struct
 from collections.abc import Callable, Iterable
+from typing import Final
 
 import anyio
 
@@ -22,7 +24,11 @@
 from banyanseam.config.store import Store
 from banyanseam.errors import BanyanseamError
 from banyanseam.peers.contract import Network
+from banyanseam.peers.errors import InvalidPeerMessage
 from banyanseam.peers.messages import Message, PeerIdentity
+from banyanseam.peers.sections import Sections
+
+_VERSIONS: Final = struct.Struct(">QQ")
 
 
 class Spread:
@@ -48,6 +54,10 @@
         network.handle_call(ListRequest, self._answer_list)
         network.handle_call(ValuesRequest, self._answer_values)
 
+    def attach(self, sections: Sections) -> None:
+        """Put the versions held into each heartbeat, in case announcements are lost."""
+        sections.register("config", self._supply, self._take_section)
+
     def describe(self) -> Announce:
         """Return what this process holds, for an announcement or a heartbeat."""
         store = self._store
@@ -122,6 +132,16 @@
             values += got
         return values
 
+    def _supply(self) -> bytes:
+        store = self._store
+        return _VERSIONS.pack(store.in_force.version, store.newest.version)
+
+    def _take_section(self, peer: PeerIdentity, content: bytes) -> None:
+        if len(content) != _VERSIONS.size:
+            raise InvalidPeerMessage("the length of the versions")
+        in_force, newest = _VERSIONS.unpack(content)
+        self.hear(peer.seat, Announce(in_force=in_force, newest=newest))
+
     async def _announce(self) -> None:
         announce = self.describe()
         async with anyio.create_task_group() as group:
--- a/banyanseam/config/watch.py
+++ b/banyanseam/config/watch.py
@@ -53,15 +53,25 @@
         self._chance = chance
         # Processes begin at different addresses, so a stale one misleads only some.
         self._current = chance.randrange(len(sources))
-        # Whether the last call succeeded; peers elect readers among those.
         self.reaches_service = False
+        self._on_reach: list[Callable[[bool], None]] = []
+
+    def on_reach(self, callback: Callable[[bool], None]) -> None:
+        """Call back after each round of calls with whether one succeeded.
+
+        Peers elect readers among those who reach the service.
+        """
+        self._on_reach.append(callback)
 
     async def run(self) -> None:
         """Read until cancelled."""
         failures = 0
         while True:
             wait_ms = WATCH_MS if self._is_reader() and failures == 0 else 0
-            if await self._try_sources(wait_ms):
+            self.reaches_service = await self._try_sources(wait_ms)
+            for callback in self._on_reach:
+                callback(self.reaches_service)
+            if self.reaches_service:
                 failures = 0
             else:
                 failures += 1
@@ -118,9 +128,7 @@
             except ConfigServiceUnavailable:
                 self._try_next_address()
                 continue
-            self.reaches_service = True
             return True
-        self.reaches_service = False
         return False
 
     def _try_next_address(self) -> None:
--- /dev/null
+++ b/banyanseam/daemon/control.py
@@ -0,0 +1,144 @@
+"""What keeps a daemon in touch with the fleet: configuration and membership."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from banyanseam.config.compiled import Config
+from banyanseam.config.join import choose_join_peers, wait_until_current
+from banyanseam.config.readers import make_is_reader
+from banyanseam.config.spread import Spread
+from banyanseam.config.store import Store
+from banyanseam.config.watch import Source, Watch
+from banyanseam.daemon.lifecycle import Lifecycle, Stage
+from banyanseam.observe.events import (
+    CONFIG_ADOPTED,
+    CONFIG_REJECTED,
+    PROCESS_WAS_FROZEN,
+    SEAT_SUPERSEDED,
+    log,
+)
+from banyanseam.peers.contract import Network
+from banyanseam.peers.heartbeat import Heartbeats
+from banyanseam.peers.incarnation import FreezeDetector, Incarnation
+from banyanseam.peers.membership import Membership
+from banyanseam.peers.rows import Flags
+from banyanseam.peers.sections import Sections
+
+
+class Control:
+    """The configuration in force, the members, and the loops that keep them so."""
+
+    def __init__(
+        self,
+        seat: str,
+        region: str,
+        incarnation: Incarnation,
+        network: Network,
+        sources: list[Source],
+        first_peers: list[str],
+        freeze_term_s: float,
+        boot_clock_s: Callable[[], float],
+        chance: random.Random,
+    ) -> None:
+        """Build the parts on a network; `run` starts the loops."""
+        self.store = Store()
+        self.membership = Membership(seat, region, incarnation)
+        self.lifecycle = Lifecycle()
+        self.sections = Sections()
+        self.freeze = FreezeDetector(freeze_term_s, boot_clock_s)
+        self.heartbeats = Heartbeats(self.membership, network, self.sections, chance)
+        self.spread = Spread(
+            self.store, network, self.heartbeats.neighbours, self._is_serving
+        )
+        self.spread.attach(self.sections)
+        is_reader = make_is_reader(self.membership)
+        self.watch = Watch(self.store, sources, is_reader, chance)
+        self._incarnation = incarnation
+        self._first_peers = first_peers
+        self._chance = chance
+        self._logged_rejection: str | None = None
+        # Set while this process can't yet know what is in force, as when it starts.
+        self._catching_up = True
+        self._wake_up = anyio.Event()
+        self.store.on_adopted(self._take_config)
+        self.store.on_changed(self._log_rejection)
+        self.watch.on_reach(self._note_reach)
+        self.lifecycle.on_change(self._note_stage)
+        self.membership.on_superseded(_log_superseded)
+        self.freeze.on_restart(self._note_freeze)
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Say whether new requests may be served here now."""
+        return (
+            self.lifecycle.state is not Stage.STARTING
+            and not self._catching_up
+            and self.membership.superseded_by is None
+        )
+
+    async def run(self, group: TaskGroup) -> None:
+        """Start the loops in a group and return when the daemon may serve."""
+        for loop in (
+            self.watch.run,
+            self.spread.run,
+            self.heartbeats.run,
+            self.freeze.run,
+        ):
+            group.start_soon(loop)
+        await self._catch_up()
+        self._incarnation.settle()
+        self.lifecycle.begin_serving()
+        group.start_soon(self._catch_up_after_freezes)
+
+    async def _catch_up(self) -> None:
+        await wait_until_current(self.store, self.spread, self._list_join_peers)
+        self._catching_up = False
+
+    async def _catch_up_after_freezes(self) -> None:
+        while True:
+            await self._wake_up.wait()
+            self._wake_up = anyio.Event()
+            await self._catch_up()
+
+    def _list_join_peers(self) -> list[str]:
+        membership = self.membership
+        return choose_join_peers(
+            self.store,
+            membership.seat,
+            membership.region,
+            self._first_peers,
+            self._chance,
+        )
+
+    def _is_serving(self) -> bool:
+        return self.accepts_requests
+
+    def _take_config(self, config: Config) -> None:
+        self.membership.set_config(config, anyio.current_time())
+        log(CONFIG_ADOPTED, version=config.version)
+
+    def _log_rejection(self) -> None:
+        rejection = self.store.rejection
+        reason = str(rejection) if rejection is not None else None
+        if reason is not None and reason != self._logged_rejection:
+            log(CONFIG_REJECTED, version=self.store.newest.version, reason=reason)
+        self._logged_rejection = reason
+
+    def _note_freeze(self, now_s: float) -> None:
+        # Keys may have been withdrawn meanwhile.
+        self._catching_up = True
+        self._wake_up.set()
+        log(PROCESS_WAS_FROZEN, boot_clock_s=round(now_s, 3))
+
+    def _note_reach(self, reaches: bool) -> None:
+        self.membership.set_flag(Flags.REACHES_SERVICE, on=reaches)
+
+    def _note_stage(self, stage: Stage) -> None:
+        self.membership.set_flag(Flags.LEAVING, on=self.lifecycle.is_stopping)
+
+
+def _log_superseded(incarnation: int) -> None:
+    log(SEAT_SUPERSEDED, newer_incarnation=incarnation)
--- /dev/null
+++ b/tests/daemon/test_control.py
@@ -0,0 +1,180 @@
+import random
+import unittest
+
+import anyio
+
+from banyanseam.config.keys import digest_key, is_still_valid
+from banyanseam.config.snapshot import Snapshot, Value, encode_content
+from banyanseam.daemon.control import Control
+from banyanseam.daemon.lifecycle import LEAVE_SPREAD_S, Stage, drain
+from banyanseam.peers.entries import list_entries
+from banyanseam.peers.incarnation import Incarnation
+from tests.common import KEY, FakeFabric, make_documents, run_mocked
+from tests.config.test_spread import FakeService, wait_for
+from tests.config.test_store import make_values
+
+TERM_S = 5.0
+BOUND_S = 5
+
+
+def make_withdrawal():
+    """Return the snapshots before and after acme's key is withdrawn."""
+    base, _ = make_documents()
+    base["organisations"]["acme"]["keys"] = []
+    value = Value("base", 2, encode_content(base))
+    before = Snapshot(1, make_values())
+    return [before, Snapshot(2, {**before.values, "base": value})]
+
+
+class Fleet:
+    """Controls at all nine seats; each may have a service of its own."""
+
+    def __init__(self, group):
+        self.group = group
+        self.fabric = FakeFabric()
+        self.services = {}
+        self.controls = {}
+        self.clock_ahead_s = {}
+        for region in ("gulf", "piedmont", "delta"):
+            for number in (1, 2, 3):
+                self.start(f"{region}-{number}")
+
+    def start(self, seat, number=1):
+        region = seat.split("-")[0]
+        service = self.services[seat] = FakeService(make_withdrawal())
+        self.clock_ahead_s[seat] = 0
+        control = self.controls[seat] = Control(
+            seat,
+            region,
+            Incarnation(number),
+            self.fabric.join(seat, number),
+            [service.source],
+            [],
+            TERM_S,
+            lambda: anyio.current_time() + self.clock_ahead_s[seat],
+            random.Random(seat),
+        )
+        self.group.start_soon(control.run, self.group)
+        return control
+
+    def publish(self, seats):
+        for seat in seats:
+            self.services[seat].publish(2)
+
+    def cut(self, seats):
+        for seat in seats:
+            for other in set(self.controls) - set(seats):
+                self.fabric.cut.add(frozenset((seat, other)))
+
+    def serves_acme(self, seat):
+        control = self.controls[seat]
+        config, digest = control.store.config, digest_key(KEY.encode())
+        return control.accepts_requests and is_still_valid(config, digest, "acme")
+
+    def serving_acme(self):
+        return {seat for seat in self.controls if self.serves_acme(seat)}
+
+
+class ControlTests(unittest.TestCase):
+    def run_fleet(self, scenario):
+        async def main():
+            async with anyio.create_task_group() as group:
+                fleet = Fleet(group)
+                await wait_for(lambda: len(fleet.serving_acme()) == 9)
+                await anyio.sleep(60)
+                await scenario(fleet)
+                group.cancel_scope.cancel()
+
+        run_mocked(main)
+
+    def test_withdrawn_key_stops_within_the_bound(self):
+        seats = [f"{region}-{n}" for region in ("gulf", "delta") for n in (1, 2, 3)]
+        table = [
+            ("all see the service", [*seats, "piedmont-1"], [], set()),
+            ("one region's service is stale", seats, [], set()),
+            ("one seat sees the service", ["gulf-1"], [], set()),
+            ("a region is cut off with its service", seats, seats, {"piedmont"}),
+            ("a region alone sees it", ["gulf-2"], seats[:3], {"piedmont", "delta"}),
+        ]
+        for name, fresh, cut, kept in table:
+            with self.subTest(name):
+
+                async def scenario(fleet, fresh=fresh, cut=cut, kept=kept):
+                    fleet.cut(cut)
+                    await anyio.sleep(60)
+                    fleet.publish(fresh)
+                    # A process that only polls slowly may be the one that sees it.
+                    slow_poll_s = 30 if len(fresh) == 1 else 0
+                    await anyio.sleep(BOUND_S + slow_poll_s)
+                    regions = {seat.split("-")[0] for seat in fleet.serving_acme()}
+                    self.assertEqual(regions, kept)
+                    fleet.fabric.cut.clear()
+                    await wait_for(lambda: not fleet.serving_acme(), 60)
+
+                self.run_fleet(scenario)
+
+    def test_replaced_process_never_takes_back_a_withdrawal(self):
+        async def scenario(fleet):
+            fleet.publish(["gulf-1", "gulf-2", "gulf-3"])
+            await anyio.sleep(BOUND_S)
+            fleet.start("delta-1", number=2)
+            for _ in range(400):
+                self.assertEqual(fleet.serving_acme(), set())
+                await anyio.sleep(0.1)
+            self.assertTrue(fleet.controls["delta-1"].accepts_requests)
+
+        self.run_fleet(scenario)
+
+    def test_woken_process_serves_nothing_until_it_is_current(self):
+        async def scenario(fleet):
+            control = fleet.controls["gulf-1"]
+            fleet.cut(["gulf-1"])
+            fleet.publish(set(fleet.controls) - {"gulf-1"})
+            await anyio.sleep(BOUND_S)
+            self.assertEqual(fleet.serving_acme(), {"gulf-1"})
+            fleet.clock_ahead_s["gulf-1"] = TERM_S
+            control.freeze.tick()
+            self.assertFalse(control.accepts_requests)
+            fleet.fabric.cut.clear()
+            await wait_for(lambda: control.accepts_requests)
+            self.assertEqual(fleet.serving_acme(), set())
+
+        self.run_fleet(scenario)
+
+    def test_replaced_process_that_still_runs_stands_down(self):
+        async def scenario(fleet):
+            older = fleet.controls["gulf-1"]
+            newer = fleet.start("gulf-1", number=2)
+            await wait_for(lambda: not older.accepts_requests, 5)
+            await wait_for(lambda: newer.accepts_requests)
+
+        self.run_fleet(scenario)
+
+    def test_planned_stop_leaves_every_list_before_it_closes(self):
+        async def scenario(fleet):
+            leaving = fleet.controls["gulf-1"]
+
+            def find_listers():
+                return [
+                    seat
+                    for seat, control in fleet.controls.items()
+                    for entry in list_entries(
+                        control.store.config, control.membership, "caller"
+                    ).entries
+                    if entry.seat == "gulf-1"
+                ]
+
+            self.assertTrue(find_listers())
+            leaving.lifecycle.request_started()
+            fleet.group.start_soon(drain, leaving.lifecycle, 5000)
+            await anyio.sleep(LEAVE_SPREAD_S)
+            self.assertEqual(find_listers(), [])
+            self.assertTrue(leaving.accepts_requests)
+            self.assertFalse(leaving.lifecycle.closes_connections)
+            await anyio.sleep(6)
+            self.assertTrue(leaving.lifecycle.closes_connections)
+            self.assertIs(leaving.lifecycle.state, Stage.CLOSING)
+            leaving.lifecycle.request_ended()
+            self.assertIs(leaving.lifecycle.state, Stage.IDLE)
+
+        self.run_fleet(scenario)
--- /dev/null
+++ b/tests/daemon/test_lifecycle.py
@@ -0,0 +1,56 @@
+import unittest
+
+import anyio
+
+from banyanseam.daemon.lifecycle import Lifecycle, Stage, WrongStage, drain
+from tests.common import run_mocked
+
+
+class LifecycleTests(unittest.TestCase):
+    def test_late_request_is_waited_for(self):
+        async def main():
+            lifecycle = Lifecycle()
+            lifecycle.begin_serving()
+            lifecycle.request_started()
+            lifecycle.begin_drain()
+            lifecycle.begin_closing()
+            lifecycle.request_ended()
+            lifecycle.request_started()
+            self.assertIs(lifecycle.state, Stage.CLOSING)
+            with anyio.move_on_after(60) as scope:
+                await lifecycle.wait_idle()
+            self.assertTrue(scope.cancelled_caught)
+            lifecycle.request_ended()
+            await lifecycle.wait_idle()
+
+        run_mocked(main)
+
+    def test_drain_reports_what_the_limit_cut(self):
+        for ends_after_s, expected in ((1, True), (100, True), (3600, False)):
+            with self.subTest(ends_after_s=ends_after_s):
+                result = run_mocked(self.drain_with_a_request, ends_after_s)
+                self.assertEqual(result, expected)
+
+    async def drain_with_a_request(self, ends_after_s):
+        lifecycle = Lifecycle()
+        lifecycle.begin_serving()
+        lifecycle.request_started()
+        results = []
+
+        async def stop():
+            results.append(await drain(lifecycle, 5000, limit_s=600))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(stop)
+            await anyio.sleep(ends_after_s)
+            lifecycle.request_ended()
+        return results[0]
+
+    def test_steps_out_of_order_are_refused(self):
+        lifecycle = Lifecycle()
+        with self.assertRaises(WrongStage):
+            lifecycle.begin_closing()
+        lifecycle.begin_serving()
+        with self.assertRaises(WrongStage):
+            lifecycle.begin_serving()
+        self.assertEqual([lifecycle.begin_drain() for _ in (1, 2)], [True, False])
