Keep what was read of the configuration, and refuse deep nesting

Cause: a reader that met the call limit half way threw away what it had, so nine new processes under a limit of 20 calls a second never got 33 values. A value nested 700 levels deep raised RecursionError in the merge, which is no verdict that every process shares. Change: values read stay for the next attempt; more than 12 levels are refused with the key; the overlay is no longer copied before a merge that does not change it. bench/configuration.py and bench/membership.py print the costs. Seen failing: test_many_new_processes_over_the_limit_all_get_there timed out after 120 s; test_faults_are_refused_with_their_path raised RecursionError.

--- a/banyanseam/config/const.py
+++ b/banyanseam/config/const.py
@@ -5,6 +5,7 @@
 BASE_KEY: Final = "base"
 ORGANISATIONS_PREFIX: Final = "organisations/"
 SITES_PREFIX: Final = "sites/"
+MAX_NESTING: Final = 12
 
 # How long the service may hold a watch before it answers that nothing changed.
 WATCH_MS: Final = 3000
--- a/banyanseam/config/merge.py
+++ b/banyanseam/config/merge.py
@@ -8,4 +8,4 @@
 
 def merge_site(defaults: dict[str, Any], overlay: dict[str, Any]) -> dict[str, Any]:
     """Return the site section of one region; neither argument is changed."""
-    return json_merge_patch.merge(deepcopy(defaults), deepcopy(overlay))
+    return json_merge_patch.merge(deepcopy(defaults), overlay)
--- a/banyanseam/config/snapshot.py
+++ b/banyanseam/config/snapshot.py
@@ -12,7 +12,12 @@
 
 from banyanseam.config.compile import compile_config
 from banyanseam.config.compiled import Config
-from banyanseam.config.const import BASE_KEY, ORGANISATIONS_PREFIX, SITES_PREFIX
+from banyanseam.config.const import (
+    BASE_KEY,
+    MAX_NESTING,
+    ORGANISATIONS_PREFIX,
+    SITES_PREFIX,
+)
 from banyanseam.config.errors import InconsistentValues, InvalidConfig
 
 
@@ -126,4 +131,21 @@
         raise InvalidConfig(value.key, "the value is not JSON") from error
     if not isinstance(document, dict):
         raise InvalidConfig(value.key, "an object is needed")
+    # Whether a deeper one can be handled would depend on the stack at that moment.
+    if _is_deeper(document, MAX_NESTING):
+        raise InvalidConfig(value.key, f"nested deeper than {MAX_NESTING} levels")
     return document
+
+
+def _is_deeper(document: Any, levels: int) -> bool:
+    layer = [document]
+    for _ in range(levels):
+        layer = [
+            inner
+            for outer in layer
+            for inner in (outer.values() if isinstance(outer, dict) else outer)
+            if isinstance(inner, dict | list)
+        ]
+        if not layer:
+            return False
+    return True
--- a/banyanseam/config/watch.py
+++ b/banyanseam/config/watch.py
@@ -54,6 +54,8 @@
         # Processes begin at different addresses, so a stale one misleads only some.
         self._current = chance.randrange(len(sources))
         self.reaches_service = False
+        # Values read for a listing that could not be completed yet.
+        self._got: dict[tuple[str, int], Value] = {}
         self._on_reach: list[Callable[[bool], None]] = []
 
     def on_reach(self, callback: Callable[[bool], None]) -> None:
@@ -86,37 +88,39 @@
         """
         source = self._sources[self._current]
         known = self._store.newest
-        got: dict[tuple[str, int], Value] = {}
         for _ in range(READ_ATTEMPTS):
             listing = await source.list_revisions(known.version, wait_ms)
             wait_ms = 0
             if listing.version < known.version:
                 self._try_next_address()
                 return
-            await self._read_missing(source, listing, got)
-            snapshot = self._extend(known, listing, got)
+            await self._read_missing(source, listing)
+            snapshot = self._extend(known, listing)
             if snapshot is not None:
+                self._got.clear()
                 self._store.offer(snapshot)
                 return
         raise InconsistentValues("the values change faster than they can be read")
 
-    async def _read_missing(
-        self, source: Source, listing: Listing, got: dict[tuple[str, int], Value]
-    ) -> None:
+    async def _read_missing(self, source: Source, listing: Listing) -> None:
+        """Read what is listed; what was read stays when a later call fails.
+
+        After an outage many processes read at once, and few get all in one go.
+        """
+        self._got = {
+            (key, revision): value
+            for (key, revision), value in self._got.items()
+            if listing.changed.get(key) == revision
+        }
         for key, revision in listing.changed.items():
-            if (key, revision) in got:
+            if (key, revision) in self._got:
                 continue
             value = self._store.find(key, revision) or await source.read(key)
-            got[key, value.revision] = value
+            self._got[key, value.revision] = value
 
-    def _extend(
-        self,
-        known: Snapshot,
-        listing: Listing,
-        got: dict[tuple[str, int], Value],
-    ) -> Snapshot | None:
+    def _extend(self, known: Snapshot, listing: Listing) -> Snapshot | None:
         try:
-            return extend_snapshot(known, listing, got.values())
+            return extend_snapshot(known, listing, self._got.values())
         except InconsistentValues:
             # A value changed between the listing and the reading: list again.
             return None
--- /dev/null
+++ b/bench/configuration.py
@@ -0,0 +1,175 @@
+"""What a change of configuration costs: compiling it, and spreading it to all.
+
+The compilation is timed on this machine. The spread runs on the mock clock and an
+in-memory network, so its time is that of the messages alone.
+"""
+
+import random
+import statistics
+import time
+import tracemalloc
+
+import anyio
+
+from banyanseam.config.snapshot import (
+    Snapshot,
+    Value,
+    compile_snapshot,
+    encode_content,
+)
+from banyanseam.config.split import split_documents
+from banyanseam.config.store import Store
+from banyanseam.daemon.control import Control
+from banyanseam.peers.incarnation import Incarnation
+from tests.common import FakeFabric, digest, make_documents, run_mocked
+from tests.config.test_spread import FakeService, wait_for
+
+ORGANISATIONS = 670
+KEYS_EACH = 12
+UPSTREAMS = 600
+REGIONS = ("gulf", "piedmont", "delta", "north", "south", "west")
+CHANGES_PER_DAY = 3000
+SEED = 1
+ROUNDS = 15
+QUIET_S = 20
+CHANGES = 10
+
+
+def make_organisation(number: int, rate: int) -> dict:
+    """Return an organisation with its keys."""
+    keys = [
+        {"sha256_hex": digest(f"{number} {key}"), "label": f"key-{key}"}
+        for key in range(KEYS_EACH)
+    ]
+    return {"keys": keys, "rate_tokens_per_s": rate, "burst_tokens": 10_000}
+
+
+def make_snapshot(regions: tuple[str, ...], seats: int) -> Snapshot:
+    """Return a configuration of the size to design for."""
+    base, overlays = make_documents(regions, seats)
+    base["organisations"] = {
+        f"organisation-{number}": make_organisation(number, 1000)
+        for number in range(ORGANISATIONS)
+    }
+    for region, overlay in overlays.items():
+        (engine,) = overlay["upstreams"].values()
+        overlay["upstreams"] = {
+            f"{region}-engine-{number}": engine
+            for number in range(UPSTREAMS // len(regions))
+        }
+    values = {
+        key: Value(key, 1, encode_content(document))
+        for key, document in split_documents(base, overlays).items()
+    }
+    return Snapshot(1, values)
+
+
+def change_one(snapshot: Snapshot, number: int) -> Snapshot:
+    """Return the next version, in which one organisation's rate is another."""
+    revision = snapshot.version + 1
+    base = {"organisations": {f"organisation-{number}": make_organisation(number, 7)}}
+    documents = split_documents(base, {})
+    (key,) = (key for key in documents if key.startswith("organisations/"))
+    shard = split_documents(
+        {
+            "organisations": {
+                f"organisation-{other}": make_organisation(
+                    other, revision if other == number else 1000
+                )
+                for other in range(ORGANISATIONS)
+            }
+        },
+        {},
+    )[key]
+    value = Value(key, revision, encode_content(shard))
+    return Snapshot(revision, {**snapshot.values, key: value})
+
+
+def measure_compile() -> None:
+    """Print what one adoption costs a process."""
+    snapshot = make_snapshot(REGIONS, 57)
+    size_bytes = sum(len(value.content) for value in snapshot.values.values())
+    times_s = []
+    for _ in range(ROUNDS):
+        started_s = time.process_time()
+        compile_snapshot(snapshot)
+        times_s.append(time.process_time() - started_s)
+    tracemalloc.start()
+    store = Store()
+    store.offer(snapshot)
+    held_bytes, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    median_s = statistics.median(times_s)
+    share = 100 * median_s * CHANGES_PER_DAY / 86_400
+    print(
+        f"{len(snapshot.values)} values, {size_bytes / 1e6:.2f} MB: compiled in"
+        f" {1000 * median_s:.0f} ms (median of {ROUNDS}), {share:.2f}% of a core at"
+        f" {CHANGES_PER_DAY} changes a day; compiled form {held_bytes / 1e6:.1f} MB,"
+        f" peak {peak_bytes / 1e6:.1f} MB"
+    )
+
+
+async def measure_spread(regions: int, seats: int) -> None:
+    """Print how long a change takes to all, and the bytes that it costs a seat."""
+    history = [make_snapshot(REGIONS[:regions], seats)]
+    for number in range(CHANGES):
+        history.append(change_one(history[-1], number))
+    services = {region: FakeService(history) for region in REGIONS[:regions]}
+    fabric = FakeFabric()
+    async with anyio.create_task_group() as group:
+        controls = {}
+        for region, service in services.items():
+            for number in range(1, seats + 1):
+                seat = f"{region}-{number}"
+                controls[seat] = Control(
+                    seat,
+                    region,
+                    Incarnation(1),
+                    fabric.join(seat),
+                    [service.source],
+                    [],
+                    5.0,
+                    anyio.current_time,
+                    random.Random(f"{SEED} {seat}"),
+                )
+                group.start_soon(controls[seat].run, group)
+        await wait_for(lambda: all(one.accepts_requests for one in controls.values()))
+        await anyio.sleep(QUIET_S)
+        rates = []
+        delays_s = []
+        for version in (None, *range(2, CHANGES + 2)):
+            before = dict(fabric.sent_bytes)
+            started_s = anyio.current_time()
+            if version is not None:
+                # Only one region's service sees the change at once.
+                services["gulf"].publish(version)
+                await wait_for(
+                    lambda version=version: all(
+                        one.store.in_force.version == version
+                        for one in controls.values()
+                    ),
+                )
+                delays_s.append(anyio.current_time() - started_s)
+            await anyio.sleep(started_s + QUIET_S - anyio.current_time())
+            rates.append([fabric.sent_bytes[seat] - before[seat] for seat in controls])
+        calls = sum(service.calls for service in services.values())
+        quiet, *changed = (sum(rate) / len(controls) for rate in rates)
+        print(
+            f"{regions} x {seats} seats, seed {SEED}: in force everywhere after"
+            f" {1000 * min(delays_s):.0f} to {1000 * max(delays_s):.0f} ms;"
+            f" a change costs a seat {statistics.mean(changed) - quiet:.0f} B sent on"
+            f" average beside {quiet / QUIET_S:.0f} B/s of heartbeats;"
+            f" {calls / anyio.current_time():.1f} calls/s at the service"
+        )
+        group.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Measure both."""
+    measure_compile()
+    for regions, seats in ((3, 3), (3, 19)):
+        run_mocked(measure_spread, regions, seats)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,69 @@
+"""What heartbeats cost a seat: messages, bytes and processor time by fleet size.
+
+All seats run in one process on the mock clock and an in-memory network, so bytes
+are those of the CBOR messages; a websocket frame and TCP add some 50 a message.
+"""
+
+import resource
+import sys
+
+import anyio
+
+from tests.common import run_mocked
+from tests.peers.test_membership import Fleet
+
+REGIONS = ("gulf", "piedmont", "delta", "north", "south", "west")
+FLEETS = ((3, 3), (3, 10), (2, 57), (6, 19), (6, 57))
+FRAME_BYTES = 50
+SETTLE_S = 20
+MEASURED_S = 30
+
+
+def read_cpu_s() -> float:
+    """Return the processor time of this process."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+async def measure(regions: int, seats: int) -> None:
+    """Print the cost of one fleet."""
+    async with anyio.create_task_group() as group:
+        fleet = Fleet(group, regions=REGIONS[:regions], seats=seats)
+        await anyio.sleep(SETTLE_S)
+        fabric = fleet.fabric
+        fabric.messages = 0
+        fabric.sent_bytes.clear()
+        started_cpu_s = read_cpu_s()
+        await anyio.sleep(MEASURED_S)
+        cpu_s = read_cpu_s() - started_cpu_s
+        nodes = len(fleet.nodes)
+        per_node = nodes * MEASURED_S
+        messages = fabric.messages / per_node
+        mean = sum(fabric.sent_bytes.values()) / per_node
+        most = max(fabric.sent_bytes.values()) / MEASURED_S
+        wrong = sum(
+            not node.membership.is_alive(seat)
+            for node in fleet.nodes.values()
+            for seat in fleet.nodes
+        )
+        print(
+            f"{regions} x {seats:2} seats: sent per seat {messages:5.1f} messages/s,"
+            f" {mean:6.0f} B/s (worst seat {most:6.0f}),"
+            f" with frames {mean + FRAME_BYTES * messages:6.0f} B/s;"
+            f" both ways {2 * (mean + FRAME_BYTES * messages):6.0f} B/s;"
+            f" {100 * cpu_s / per_node:.2f}% of a core with the harness;"
+            f" wrongly not alive {wrong}"
+        )
+        group.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Measure each fleet, or only those of up to the given number of seats."""
+    limit = int(sys.argv[1]) if len(sys.argv) > 1 else 1000
+    for regions, seats in FLEETS:
+        if regions * seats <= limit:
+            run_mocked(measure, regions, seats)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/config/test_spread.py
+++ b/tests/config/test_spread.py
@@ -24,6 +24,9 @@
         self.version = version
         self.fault = None
         self.calls = 0
+        self.calls_per_s = 2000
+        self.second = 0
+        self.calls_in_second = 0
         self.changed = anyio.Event()
 
     def publish(self, version):
@@ -49,6 +52,11 @@
         self.calls += calls
         if self.fault is not None:
             raise self.fault()
+        if self.second != int(anyio.current_time()):
+            self.second, self.calls_in_second = int(anyio.current_time()), 0
+        self.calls_in_second += calls
+        if self.calls_in_second > self.calls_per_s:
+            raise ConfigServiceOverLimit
 
     @property
     def source(self):
@@ -252,6 +260,23 @@
             await wait_for(lambda: store.in_force.version == 3, 5)
             group.cancel_scope.cancel()
 
+    def test_many_new_processes_over_the_limit_all_get_there(self):
+        async def main():
+            changes = [shard(str(number), 5) for number in range(30)]
+            history = make_history(changes)
+            service = FakeService(history, len(history))
+            service.calls_per_s = 20
+            fabric = FakeFabric()
+            nodes = [Node(fabric, seat, service, seed=seat) for seat in SEATS]
+            async with anyio.create_task_group() as group:
+                for node in nodes:
+                    group.start_soon(node.watch.run)
+                newest = len(history)
+                await wait_for(lambda: all(n.version == newest for n in nodes), 120)
+                group.cancel_scope.cancel()
+
+        run_mocked(main)
+
     def test_change_between_listing_and_reading_is_listed_again(self):
         async def main():
             history = make_history([shard("one", 5), shard("one", 6)])
--- a/tests/config/test_store.py
+++ b/tests/config/test_store.py
@@ -62,6 +62,13 @@
 )
 
 
+def nest(levels):
+    document = {}
+    for _ in range(levels):
+        document = {"a": document}
+    return document
+
+
 class SnapshotTests(unittest.TestCase):
     def test_faults_are_refused_with_their_path(self):
         acme = {"acme": organisation(5)}
@@ -73,9 +80,11 @@
             ("base", None, "$"),
             ("base", {"organisations": []}, "$.organisations"),
             ("others", {}, "others"),
+            ("sites/gulf", nest(700), "sites/gulf"),
+            ("base", {"site": nest(900)}, "base"),
         ]
         for key, document, path in faults:
-            with self.subTest(key=key, document=document):
+            with self.subTest(key=key, path=path):
                 values = make_values()
                 values[key] = Value(key, 2, encode_content(document))
                 with self.assertRaises(InvalidConfig) as caught:
