Check the reader of the configuration service against its stand-in

Seen failing, each by a change of the code: 429 taken for an outage, a broken reply, a reply that is no JSON and a refused connection let through as other exceptions.

--- /dev/null
+++ b/tests/config/test_service.py
@@ -0,0 +1,115 @@
+import json
+import random
+import unittest
+
+import anyio
+import httpcore
+
+from banyanseam.config.errors import ConfigServiceOverLimit, ConfigServiceUnavailable
+from banyanseam.config.service import make_source
+from banyanseam.config.snapshot import Listing, Value
+from banyanseam.config.store import Store
+from banyanseam.config.watch import Watch
+from standins.config_service import ConfigService
+from standins.serving import serve
+from tests.config.test_store import make_values, shard
+
+WAIT_S = 30
+
+
+async def answer_nonsense(request):
+    await request.answer(200, {"revision": -1, "changed": [], "value": 1})
+
+
+async def answer_no_json(request):
+    await request.start(200, {})
+    await request.write(b"[" * 5000, more=False)
+
+
+async def drop(request):
+    request.drop()
+
+
+class ServiceTests(unittest.TestCase):
+    def run_against(self, handler, scenario):
+        async def main():
+            async with (
+                serve(handler) as address,
+                httpcore.AsyncConnectionPool() as pool,
+            ):
+                with anyio.fail_after(WAIT_S):
+                    await scenario(make_source(pool, address))
+
+        anyio.run(main)
+
+    def test_values_and_changes_are_read(self):
+        service = ConfigService()
+        service.publish("base", {"a": 1})
+
+        async def scenario(source):
+            self.assertEqual(await source.list_revisions(0, 0), Listing(1, {"base": 1}))
+            self.assertEqual(await source.list_revisions(1, 50), Listing(1, {}))
+            self.assertEqual(await source.read("base"), Value("base", 1, b'{"a":1}'))
+
+        self.run_against(service.handle, scenario)
+
+    def test_each_fault_is_unavailable(self):
+        def faulty(**faults):
+            service = ConfigService()
+            service.set_faults(**faults)
+            return service.handle
+
+        table = [
+            ("down", faulty(down=True), ConfigServiceUnavailable),
+            ("over the limit", faulty(calls_per_s=0), ConfigServiceOverLimit),
+            ("too slow", faulty(slow_ms=5000), ConfigServiceUnavailable),
+            ("nonsense", answer_nonsense, ConfigServiceUnavailable),
+            ("no JSON", answer_no_json, ConfigServiceUnavailable),
+            ("dropped", drop, ConfigServiceUnavailable),
+        ]
+        for name, handler, error in table:
+            with self.subTest(name):
+
+                async def scenario(source, error=error):
+                    with self.assertRaises(error):
+                        await source.list_revisions(0, 0)
+                    with self.assertRaises(error):
+                        await source.read("base")
+
+                self.run_against(handler, scenario)
+
+    def test_refused_connection_is_unavailable(self):
+        async def main():
+            async with serve(drop) as address:
+                pass
+            async with httpcore.AsyncConnectionPool() as pool:
+                with self.assertRaises(ConfigServiceUnavailable):
+                    await make_source(pool, address).read("base")
+
+        anyio.run(main)
+
+    def test_watch_follows_a_service_that_fails_and_comes_back(self):
+        service = ConfigService()
+        for key, value in make_values().items():
+            service.publish(key, json.loads(value.content))
+
+        async def scenario(source):
+            store = Store()
+            watch = Watch(store, [source], lambda: True, random.Random(1))
+            adopted = anyio.Event()
+            store.on_adopted(lambda _: adopted.set())
+            async with anyio.create_task_group() as group:
+                group.start_soon(watch.run)
+                await adopted.wait()
+                for fault in ({"down": True}, {"stale": True}, {"calls_per_s": 0}):
+                    service.set_faults(**fault)
+                    adopted = anyio.Event()
+                    revision = service.publish(*shard("one", service.revision))
+                    await anyio.sleep(0.1)
+                    self.assertLess(store.in_force.version, revision)
+                    service.set_faults(down=False, stale=False, calls_per_s=2000)
+                    await adopted.wait()
+                    self.assertEqual(store.in_force.version, revision)
+                group.cancel_scope.cancel()
+
+        self.run_against(service.handle, scenario)
