--- a/banyanseam/pipe/models.py
+++ b/banyanseam/pipe/models.py
@@ -6,6 +6,7 @@
 
 from banyanseam.config.compiled import Organisation, Route
 from banyanseam.peers.messages import PeerIdentity
+from banyanseam.upstreams.models import Grant
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -15,6 +16,8 @@
 
     # True from the moment that the status was handed to the sink.
     started: bool
+    # When the first part of the body was handed to the sink.
+    first_sent_s: float | None
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the status line and headers; may wait for a slow reader."""
@@ -54,6 +57,8 @@
     request_id: str
     method: str
     path: str
+    # As the caller sent it, with its percent-encoding.
+    raw_path: bytes
     query: bytes
     # Names in lower case; the caller's credentials are gone after `authenticate`.
     headers: Headers
@@ -76,6 +81,12 @@
     # True from the first byte written to an upstream: nothing may claim not run.
     upstream_started: bool = False
     upstream: str | None = None
+    # When an upstream's room was granted.
+    granted_s: float | None = None
+    # Room on that upstream, while the request holds some.
+    grant: Grant | None = None
+    # Upstreams that failed this request; another try goes elsewhere.
+    avoided_upstreams: set[str] = field(default_factory=set)
 
     def find_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, by its name in lower case."""
