Add the pure quota share with loans, and prove its window bound

Cause: each organisation's rate and burst must hold over all VMs in every window without a store, a vote or a leader.

Loans are fractions, so a lowered rate is lower everywhere at once. Tokens travel only with as much burst; refunds are limited to what the bucket would hold had the true cost been charged. A raised or restarted part is withheld for spread + freeze + lender's term, and a version that was skipped starts the wait again.

Ruled out: a refund that restores up to the cap, and reservations that count against the cap (they would stop refill under long streams).

--- /dev/null
+++ b/banyanseam/quota/loans.py
@@ -0,0 +1,128 @@
+"""What one home lent and borrowed of one organisation, and until when.
+
+The lender goes without from the moment that it answers until its own expiry; the
+borrower stops at an earlier one, counted from when it asked. So at no time do both
+hold the same part, however late or often a message arrives.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from banyanseam.quota.const import Timing
+
+
+@dataclass(frozen=True, slots=True)
+class Amount:
+    """A part of rate and burst, in units of the whole, with tokens to go with it."""
+
+    rate_units: int = 0
+    burst_units: int = 0
+    tokens: float = 0.0
+
+    @property
+    def is_nothing(self) -> bool:
+        """Say whether there is nothing in it."""
+        return not (self.rate_units or self.burst_units or self.tokens)
+
+
+@dataclass(slots=True)
+class Loan:
+    """One loan as one side sees it."""
+
+    peer: str
+    amount: Amount
+    expires_s: float
+
+
+@dataclass(slots=True)
+class Ledger:
+    """The loans of one organisation at one home."""
+
+    timing: Timing
+    # Loan id to the lender asked and the time of asking.
+    asked: dict[str, tuple[str, float]] = field(default_factory=dict)
+    borrowed: dict[str, Loan] = field(default_factory=dict)
+    lent: dict[str, Loan] = field(default_factory=dict)
+
+    @property
+    def borrowed_rate_units(self) -> int:
+        """Return the rate that this home may use beyond its own."""
+        return sum(loan.amount.rate_units for loan in self.borrowed.values())
+
+    @property
+    def borrowed_burst_units(self) -> int:
+        """Return the burst that this home may hold beyond its own."""
+        return sum(loan.amount.burst_units for loan in self.borrowed.values())
+
+    @property
+    def lent_rate_units(self) -> int:
+        """Return the rate of its own that this home goes without."""
+        return sum(loan.amount.rate_units for loan in self.lent.values())
+
+    @property
+    def lent_burst_units(self) -> int:
+        """Return the burst of its own that this home goes without."""
+        return sum(loan.amount.burst_units for loan in self.lent.values())
+
+    @property
+    def next_expiry_s(self) -> float:
+        """Return when the next loan ends on this side; infinite without one."""
+        loans = (*self.borrowed.values(), *self.lent.values())
+        return min((loan.expires_s for loan in loans), default=math.inf)
+
+    def expire(self, now_s: float) -> None:
+        """End every loan whose time is up."""
+        for loans in (self.borrowed, self.lent):
+            for loan_id in [
+                loan_id for loan_id, loan in loans.items() if loan.expires_s <= now_s
+            ]:
+                del loans[loan_id]
+
+    def ask(self, loan_id: str, lender: str, now_s: float) -> None:
+        """Note the time of asking, from which the borrower's term counts."""
+        oldest_s = now_s - self.timing.term_s
+        for old_id in [key for key, (_, at_s) in self.asked.items() if at_s < oldest_s]:
+            del self.asked[old_id]
+        self.asked[loan_id] = (lender, now_s)
+
+    def accept(self, loan_id: str, amount: Amount, now_s: float) -> bool:
+        """Take up an answered loan; False when it is late, repeated or unknown."""
+        lender, sent_s = self.asked.pop(loan_id, ("", -math.inf))
+        expires_s = sent_s + self.timing.term_s
+        if now_s >= expires_s:
+            return False
+        self.borrowed[loan_id] = Loan(lender, amount, expires_s)
+        return True
+
+    def extend(self, loan_id: str, sent_s: float) -> None:
+        """Move a borrowed loan's end after the lender agreed to renew it."""
+        loan = self.borrowed.get(loan_id)
+        if loan is not None:
+            loan.expires_s = max(loan.expires_s, sent_s + self.timing.term_s)
+
+    def lend(self, loan_id: str, borrower: str, amount: Amount, now_s: float) -> None:
+        """Go without the amount for the lender's term."""
+        expires_s = now_s + self.timing.lender_term_s
+        self.lent[loan_id] = Loan(borrower, amount, expires_s)
+
+    def renew(self, loan_id: str, now_s: float) -> bool:
+        """Go without a lent amount for another term; False when it has ended."""
+        loan = self.lent.get(loan_id)
+        if loan is None or loan.amount.is_nothing:
+            return False
+        loan.expires_s = now_s + self.timing.lender_term_s
+        return True
+
+    def close(self, loan_id: str) -> bool:
+        """End a lent loan early; the id stays until expiry against repeats."""
+        loan = self.lent.get(loan_id)
+        if loan is None or loan.amount.is_nothing:
+            return False
+        loan.amount = Amount()
+        return True
+
+    def clear(self) -> None:
+        """Forget everything, as a new process has."""
+        self.asked.clear()
+        self.borrowed.clear()
+        self.lent.clear()
--- /dev/null
+++ b/banyanseam/quota/share.py
@@ -0,0 +1,273 @@
+"""One organisation's token bucket at one home.
+
+What must hold: over all homes, the rates, caps and tokens sum to at most what is
+published. A home's own part is lent, never what it borrowed; tokens travel only
+together with at least as much burst; and a refund gives back no more than the bucket
+would hold had the request been charged its true cost at the start. The proof is in
+docs/design/quota.md.
+"""
+
+import math
+from dataclasses import dataclass
+
+from banyanseam.quota.const import (
+    REFILL_FACTOR,
+    SETTLE_HORIZON_S,
+    WHOLE_UNITS,
+    Timing,
+)
+from banyanseam.quota.loans import Amount, Ledger
+
+
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """What the configuration publishes for an organisation, over the whole fleet."""
+
+    rate_tokens_per_s: float
+    burst_tokens: float
+
+
+@dataclass(frozen=True, slots=True)
+class Outstanding:
+    """A charge that is not settled yet."""
+
+    cost_tokens: float
+    charged_s: float
+
+
+class Share:
+    """The part of an organisation's quota that one home may spend now."""
+
+    def __init__(self, quota: Quota, timing: Timing, now_s: float) -> None:
+        """Start with nothing; `open` or `set_own_units` gives it a part."""
+        self.quota = quota
+        self.timing = timing
+        self.ledger = Ledger(timing)
+        self.own_units = 0
+        self.tokens = 0.0
+        self.now_s = now_s
+        self.outstanding: dict[str, Outstanding] = {}
+        # What each unsettled charge may still give back, oldest first.
+        self._refundable: dict[str, float] = {}
+        self._refundable_tokens = 0.0
+        self._coming_units = 0
+        self._coming_s = math.inf
+
+    @property
+    def free_rate_units(self) -> int:
+        """Return the rate of the own part that is not lent."""
+        return max(0, self.own_units - self.ledger.lent_rate_units)
+
+    @property
+    def free_burst_units(self) -> int:
+        """Return the burst of the own part that is not lent."""
+        return max(0, self.own_units - self.ledger.lent_burst_units)
+
+    @property
+    def rate_tokens_per_s(self) -> float:
+        """Return the refill rate, own and borrowed."""
+        units = self.free_rate_units + self.ledger.borrowed_rate_units
+        return self.quota.rate_tokens_per_s * REFILL_FACTOR * units / WHOLE_UNITS
+
+    @property
+    def cap_tokens(self) -> float:
+        """Return how many tokens may be held, by own and borrowed burst."""
+        units = self.free_burst_units + self.ledger.borrowed_burst_units
+        return self.quota.burst_tokens * units / WHOLE_UNITS
+
+    @property
+    def is_withheld(self) -> bool:
+        """Say whether the own part must not be spent yet."""
+        return self.own_units == 0 and self._coming_s < math.inf
+
+    @property
+    def withheld_s(self) -> float:
+        """Return how much longer a new part is withheld."""
+        return max(0.0, self._coming_s - self.now_s) if self.is_withheld else 0.0
+
+    def advance(self, now_s: float) -> None:
+        """Refill up to a time, ending loans and raising parts at theirs."""
+        while True:
+            event_s = min(self.ledger.next_expiry_s, self._coming_s)
+            if event_s > now_s:
+                break
+            self._refill(event_s)
+            self.ledger.expire(event_s)
+            if self._coming_s <= event_s:
+                self.own_units = self._coming_units
+                self._coming_s = math.inf
+            self._clip()
+        self._refill(now_s)
+
+    def _refill(self, to_s: float) -> None:
+        elapsed_s = to_s - self.now_s
+        if elapsed_s <= 0:
+            return
+        self.now_s = to_s
+        self.tokens += self.rate_tokens_per_s * elapsed_s
+        self._clip()
+
+    def _clip(self) -> None:
+        """Keep tokens within the cap, and refunds within what is left of it."""
+        cap_tokens = self.cap_tokens
+        self.tokens = min(self.tokens, cap_tokens)
+        excess_tokens = self.tokens + self._refundable_tokens - cap_tokens
+        while excess_tokens > 0 and self._refundable:
+            charge_id, refundable_tokens = next(iter(self._refundable.items()))
+            if refundable_tokens > excess_tokens:
+                self._refundable[charge_id] -= excess_tokens
+                self._refundable_tokens -= excess_tokens
+                return
+            self._forget_refund(charge_id)
+            excess_tokens -= refundable_tokens
+
+    def _forget_refund(self, charge_id: str) -> float:
+        """Return what a charge could still give back, and drop the claim."""
+        refundable_tokens = self._refundable.pop(charge_id, 0.0)
+        self._refundable_tokens -= refundable_tokens
+        if not self._refundable:
+            self._refundable_tokens = 0.0
+        return refundable_tokens
+
+    def set_quota(self, quota: Quota, now_s: float) -> None:
+        """Apply a published rate and burst at once.
+
+        Loans are fractions, so homes on either version never sum to more than the
+        larger of the two.
+        """
+        self.advance(now_s)
+        self.quota = quota
+        self._clip()
+
+    def set_own_units(self, units: int, now_s: float, *, skipped: bool = False) -> None:
+        """Lower the own part at once, or raise it once nobody else can hold it.
+
+        `skipped` says that versions of the configuration were passed over: one of
+        them may have given the part to another home, so a wait starts again.
+        """
+        self.advance(now_s)
+        if units <= self.own_units:
+            self.own_units = units
+            self._coming_s = math.inf
+            self._clip()
+            return
+        if skipped or math.isinf(self._coming_s) or units != self._coming_units:
+            self._coming_units = units
+            self._coming_s = now_s + self.timing.withhold_s
+
+    def open_full(self, units: int, now_s: float) -> None:
+        """Start with a full part: nobody held any of this organisation before."""
+        self.advance(now_s)
+        self.own_units = units
+        self.tokens = self.cap_tokens
+
+    def restart(self, now_s: float) -> None:
+        """Begin as a new process does: empty, without loans, the part withheld."""
+        units = self.own_units if math.isinf(self._coming_s) else self._coming_units
+        self.now_s = max(self.now_s, now_s)
+        self.ledger.clear()
+        self.outstanding.clear()
+        self._refundable.clear()
+        self._refundable_tokens = 0.0
+        self.tokens = min(self.tokens, 0.0)
+        self.own_units = 0
+        self._coming_units = units
+        self._coming_s = now_s + self.timing.withhold_s
+
+    def take(self, charge_id: str, cost_tokens: float, now_s: float) -> bool:
+        """Charge a cost if the tokens are there."""
+        self.advance(now_s)
+        if cost_tokens > self.tokens:
+            return False
+        self.tokens -= cost_tokens
+        self.outstanding[charge_id] = Outstanding(cost_tokens, now_s)
+        self._refundable[charge_id] = cost_tokens
+        self._refundable_tokens += cost_tokens
+        return True
+
+    def settle(self, charge_id: str, used_tokens: float, now_s: float) -> float:
+        """Replace an estimate by the true cost; return the change of the balance.
+
+        A repeat changes nothing. A true cost above the estimate becomes debt.
+        """
+        self.advance(now_s)
+        charge = self.outstanding.pop(charge_id, None)
+        if charge is None:
+            return 0.0
+        refundable_tokens = self._forget_refund(charge_id)
+        change_tokens = min(charge.cost_tokens - used_tokens, refundable_tokens)
+        self.tokens += change_tokens
+        self._clip()
+        return change_tokens
+
+    def forget_unsettled(self, now_s: float) -> None:
+        """Drop charges whose entry died before it settled them."""
+        for charge_id, charge in list(self.outstanding.items()):
+            if charge.charged_s > now_s - SETTLE_HORIZON_S:
+                return
+            del self.outstanding[charge_id]
+            self._forget_refund(charge_id)
+
+    def lend(self, loan_id: str, borrower: str, wanted: Amount, now_s: float) -> Amount:
+        """Lend from the own part, up to what is wanted; a repeat gets the same."""
+        self.advance(now_s)
+        if loan_id in self.ledger.lent:
+            return self.ledger.lent[loan_id].amount
+        burst_units = min(wanted.burst_units, self.free_burst_units)
+        # Tokens beyond the burst that goes with them would, while they travel, be
+        # refilled at both ends.
+        covered_tokens = self.quota.burst_tokens * burst_units / WHOLE_UNITS
+        amount = Amount(
+            rate_units=min(wanted.rate_units, self.free_rate_units),
+            burst_units=burst_units,
+            tokens=max(0.0, min(wanted.tokens, self.tokens, covered_tokens)),
+        )
+        if amount.is_nothing:
+            return amount
+        self.ledger.lend(loan_id, borrower, amount, now_s)
+        self.tokens -= amount.tokens
+        self._clip()
+        return amount
+
+    def ask(self, loan_id: str, lender: str, now_s: float) -> None:
+        """Note that a loan is asked for now."""
+        self.ledger.ask(loan_id, lender, now_s)
+
+    def accept(self, loan_id: str, amount: Amount, now_s: float) -> bool:
+        """Take up a loan that the lender granted; False when it came too late.
+
+        A home that withholds its part may hold an old configuration: it takes none.
+        """
+        self.advance(now_s)
+        if self.is_withheld or not self.ledger.accept(loan_id, amount, now_s):
+            return False
+        self.tokens += amount.tokens
+        self._clip()
+        return True
+
+    def extend(self, loan_id: str, sent_s: float, now_s: float) -> None:
+        """Prolong a borrowed loan that the lender renewed, from the time of asking."""
+        self.advance(now_s)
+        self.ledger.extend(loan_id, sent_s)
+
+    def renew(self, loan_id: str, now_s: float) -> bool:
+        """Renew a loan of the own part; False when it ended or the part shrank."""
+        self.advance(now_s)
+        lent_units = max(self.ledger.lent_rate_units, self.ledger.lent_burst_units)
+        return lent_units <= self.own_units and self.ledger.renew(loan_id, now_s)
+
+    def give_back(self, loan_id: str, now_s: float) -> float:
+        """Stop using a loan; return the tokens that go back with it."""
+        self.advance(now_s)
+        if self.ledger.borrowed.pop(loan_id, None) is None:
+            return 0.0
+        surplus_tokens = max(0.0, self.tokens - self.cap_tokens)
+        self._clip()
+        return surplus_tokens
+
+    def take_back(self, loan_id: str, tokens: float, now_s: float) -> None:
+        """Use a lent part again before its end; ignored when late or repeated."""
+        self.advance(now_s)
+        if self.ledger.close(loan_id):
+            self.tokens += tokens
+            self._clip()
