--- /dev/null
+++ b/tests/peers/test_network.py
@@ -0,0 +1,210 @@
+import unittest
+from contextlib import asynccontextmanager, nullcontext
+from unittest.mock import patch
+
+import anyio
+from websockets.asyncio.client import connect
+
+from banyanseam.errors import BanyanseamError
+from banyanseam.peers import handshake
+from banyanseam.peers.errors import (
+    PeerCallFailed,
+    PeerCallLost,
+    PeerProtocolMismatch,
+    PeerRefused,
+    PeerSuperseded,
+    PeerUnreachable,
+)
+from banyanseam.peers.handshake import Handshake, dial_handshake
+from banyanseam.peers.messages import Message, PeerIdentity
+from banyanseam.peers.network import PeerNetwork
+
+SECRET = b"a secret of the fleet"
+
+
+class Ask(Message):
+    kind = "test.ask"
+
+    text: str
+
+
+class Note(Message):
+    kind = "test.note"
+
+    number: int
+
+
+@asynccontextmanager
+async def running(seat, addresses, incarnation=1, secret=SECRET):
+    superseded = anyio.Event()
+    network = PeerNetwork(
+        PeerIdentity(seat, incarnation), secret, addresses.get, superseded.set
+    )
+    network.superseded = superseded
+    async with anyio.create_task_group() as tasks:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        await listener.aclose()
+        started = anyio.Event()
+        addresses[seat] = f"127.0.0.1:{port}"
+        tasks.start_soon(network.run, addresses[seat], started)
+        await started.wait()
+        yield network
+        tasks.cancel_scope.cancel()
+
+
+async def echo(peer, message):
+    if message.text == "refuse":
+        raise BanyanseamError("as asked", retry_after_ms=7)
+    if message.text == "hang":
+        await anyio.sleep_forever()
+    return Ask(text=f"{peer.seat} {message.text}")
+
+
+class NetworkTests(unittest.TestCase):
+    def run_async(self, function):
+        async def bounded():
+            with anyio.fail_after(30):
+                await function()
+
+        anyio.run(bounded)
+
+    def test_calls_and_casts(self):
+        async def scenario():
+            addresses = {}
+            async with running("a", addresses) as a, running("b", addresses) as b:
+                b.handle_call(Ask, echo)
+                heard = []
+                done = anyio.Event()
+
+                def take(peer, message):
+                    heard.append(message.number)
+                    if len(heard) == 100:
+                        done.set()
+
+                a.handle_cast(Note, take)
+                reply = await a.call("b", Ask(text="hi"), Ask, 5)
+                self.assertEqual(reply.text, "a hi")
+                for number in range(100):
+                    await b.cast("a", Note(number=number))
+                await done.wait()
+                self.assertEqual(heard, list(range(100)))
+                # One link serves both directions.
+                self.assertEqual(len(a._links["b"]), 1)
+                with self.assertRaises(PeerCallFailed) as failed:
+                    await a.call("b", Ask(text="refuse"), Ask, 5)
+                self.assertEqual(failed.exception.retry_after_ms, 7)
+                self.assertFalse(failed.exception.peer_not_run)
+                with self.assertRaises(PeerCallLost):
+                    await a.call("b", Ask(text="hang"), Ask, 0.2)
+
+        self.run_async(scenario)
+
+    def test_nothing_was_sent_when_nobody_listens(self):
+        async def scenario():
+            addresses = {"gone": "127.0.0.1:1"}
+            async with running("a", addresses) as a:
+                for seat in ("gone", "unknown", "a"):
+                    with self.subTest(seat=seat), self.assertRaises(PeerUnreachable):
+                        await a.cast(seat, Note(number=1))
+
+        self.run_async(scenario)
+
+    def test_a_lost_peer_fails_its_calls(self):
+        async def scenario():
+            addresses = {}
+            lost = []
+            async with running("a", addresses) as a:
+                a.watch_lost_links(lost.append)
+                failures = []
+
+                async def ask():
+                    try:
+                        await a.call("b", Ask(text="hang"), Ask, 20)
+                    except PeerCallLost as error:
+                        failures.append(error)
+
+                called = anyio.Event()
+
+                async def hang(peer, message):
+                    called.set()
+                    await anyio.sleep_forever()
+
+                async with (
+                    anyio.create_task_group() as tasks,
+                    running("b", addresses) as b,
+                ):
+                    b.handle_call(Ask, hang)
+                    tasks.start_soon(ask)
+                    await called.wait()
+                self.assertEqual(len(failures), 1)
+                self.assertEqual(lost, [PeerIdentity("b", 1)])
+
+        self.run_async(scenario)
+
+    def test_an_older_process_of_a_seat_is_told(self):
+        async def scenario():
+            addresses = {}
+            async with running("b", addresses) as b:
+                b.handle_call(Ask, echo)
+                async with running("a", addresses, incarnation=2) as newer:
+                    await newer.call("b", Ask(text="hi"), Ask, 5)
+                async with running("a", addresses, incarnation=1) as older:
+                    with self.assertRaises(PeerSuperseded):
+                        await older.call("b", Ask(text="hi"), Ask, 5)
+                    self.assertTrue(older.superseded.is_set())
+
+        self.run_async(scenario)
+
+    def test_refused_handshakes(self):
+        def forge(hello, **changes):
+            return lambda: patch.object(
+                handshake, "Hello", lambda **fields: hello(**{**fields, **changes})
+            )
+
+        hello = handshake.Hello
+        cases = {
+            "wrong secret": (b"another", nullcontext, PeerRefused),
+            "other seat": (SECRET, forge(hello, seat="c"), PeerRefused),
+            "dialler of another version": (
+                SECRET,
+                forge(hello, version=99),
+                PeerProtocolMismatch,
+            ),
+            "listener of another version": (
+                SECRET,
+                lambda: patch.object(handshake, "PROTOCOL_VERSION", 99),
+                PeerProtocolMismatch,
+            ),
+        }
+
+        async def scenario():
+            addresses = {}
+            async with running("b", addresses):
+                for name, (secret, altered, expected) in cases.items():
+                    shake = Handshake(PeerIdentity("a", 1), secret, lambda peer: None)
+                    async with connect(f"ws://{addresses['b']}", proxy=None) as link:
+                        with (
+                            self.subTest(name),
+                            self.assertRaises(expected) as caught,
+                            altered(),
+                        ):
+                            await dial_handshake(shake, "b", link.send, link.recv)
+                        self.assertIs(type(caught.exception), expected)
+
+        self.run_async(scenario)
+
+    def test_malformed_messages_close_the_link_and_nothing_else(self):
+        async def scenario():
+            addresses = {}
+            async with running("b", addresses) as b, running("a", addresses) as a:
+                b.handle_call(Ask, echo)
+                for data in (b"", b"\xff\xff", b"\x80", b"\xa1\x61a\x01"):
+                    async with connect(f"ws://{addresses['b']}", proxy=None) as link:
+                        await link.recv()
+                        await link.send(data)
+                        with self.subTest(data=data):
+                            await link.wait_closed()
+                self.assertEqual((await a.call("b", Ask(text="x"), Ask, 5)).text, "a x")
+
+        self.run_async(scenario)
