--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -35,6 +35,10 @@
 KEEPER_CHANGED: Final = Event(6001, "INFO", "A pool of upstreams changed its keeper")
 UPSTREAM_POLL_FAILED: Final = Event(6002, "WARNING", "An upstream did not report load")
 
+QUOTA_RESTARTED: Final = Event(
+    7001, "WARNING", "Quota parts are withheld after a suspension"
+)
+
 
 def log(event: Event, **fields: Any) -> None:
     """Write one event with its fields; callers never pass keys or bodies."""
--- /dev/null
+++ b/banyanseam/quota/account.py
@@ -0,0 +1,164 @@
+"""Everything that one home remembers of one organisation; no I/O."""
+
+import math
+from dataclasses import dataclass, field
+from typing import Literal
+
+from banyanseam.quota import lending
+from banyanseam.quota.const import LENDER_PAUSE_S, RESULT_KEPT_S
+from banyanseam.quota.demand import Demand
+from banyanseam.quota.loans import Amount
+from banyanseam.quota.share import Share
+from banyanseam.quota.waiting import Waiting
+
+Status = Literal["granted", "waiting", "refused", "withheld"]
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What became of a charge, and when more can be expected."""
+
+    status: Status
+    retry_after_s: float = 0.0
+    queue_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Account:
+    """A share with the charges that wait for it and its measured demand."""
+
+    organisation: str
+    share: Share
+    demand: Demand = field(default_factory=Demand)
+    waiting: Waiting = field(default_factory=Waiting)
+    # Charges that were granted lately, oldest first, against repeats.
+    granted: dict[str, float] = field(default_factory=dict)
+    paused_lenders: dict[str, float] = field(default_factory=dict)
+    is_borrowing: bool = False
+    # Until then the other homes are known to have no tokens to spare.
+    drained_until_s: float = -math.inf
+    # When an account that lost its part may be dropped.
+    forget_s: float = math.inf
+
+    @property
+    def is_retired(self) -> bool:
+        """Say whether this seat is no longer a home of the organisation."""
+        return self.forget_s < math.inf
+
+    def charge(
+        self, charge_id: str, cost_tokens: int, patience_s: float, now_s: float
+    ) -> Outcome:
+        """Grant a charge, let it wait, or refuse what cannot be served in time."""
+        if charge_id in self.granted:
+            return Outcome("granted")
+        share = self.share
+        share.advance(now_s)
+        if share.is_withheld:
+            return Outcome("withheld", share.withheld_s, share.withheld_s)
+        is_new = charge_id not in self.waiting
+        if is_new:
+            self.demand.add(cost_tokens, now_s)
+            if not self.waiting and self._take(charge_id, cost_tokens, now_s):
+                return Outcome("granted")
+        outcome = self.estimate(charge_id, cost_tokens)
+        is_late = outcome.retry_after_s > patience_s
+        # What other homes hold is not in the estimate until they were asked.
+        if is_late and now_s < self.drained_until_s:
+            self.waiting.leave(charge_id)
+            late_s = max(outcome.retry_after_s - patience_s, 0.001)
+            return Outcome("refused", late_s, outcome.queue_s)
+        self.waiting.enter(charge_id, cost_tokens, now_s + patience_s)
+        return outcome
+
+    def estimate(self, charge_id: str, cost_tokens: int) -> Outcome:
+        """Return how long a charge waits were the whole rate lent to this home."""
+        rate = self.share.quota.rate_tokens_per_s
+        held_tokens = self.share.tokens
+        ahead_tokens = self.waiting.count_ahead(charge_id)
+        wait_s = max(0.0, ahead_tokens + cost_tokens - held_tokens) / rate
+        queue_s = max(0.0, self.waiting.tokens - held_tokens) / rate
+        return Outcome("waiting", wait_s, queue_s)
+
+    def serve(self, now_s: float) -> list[str]:
+        """Grant to those who wait, as far as the tokens reach; return their ids."""
+        if not self.waiting:
+            return []
+        self.share.advance(now_s)
+        return self.waiting.serve(
+            lambda charge_id, cost: self._take(charge_id, cost, now_s),
+            self.share.cap_tokens,
+            now_s,
+        )
+
+    def next_grant_s(self, charge_id: str, cost_tokens: int) -> float:
+        """Return when refill alone reaches a waiting charge; infinite without it."""
+        share = self.share
+        if share.rate_tokens_per_s <= 0:
+            return math.inf
+        ahead_tokens = self.waiting.count_ahead(charge_id)
+        lacking_tokens = ahead_tokens + cost_tokens - share.tokens
+        return share.now_s + max(0.0, lacking_tokens) / share.rate_tokens_per_s
+
+    def _take(self, charge_id: str, cost_tokens: int, now_s: float) -> bool:
+        if not self.share.take(charge_id, cost_tokens, now_s):
+            return False
+        self.granted[charge_id] = now_s
+        return True
+
+    def settle(self, charge_id: str, used_tokens: int, now_s: float) -> None:
+        """Apply the true cost; a charge that still waits is cancelled."""
+        self.waiting.leave(charge_id)
+        change_tokens = self.share.settle(charge_id, used_tokens, now_s)
+        self.demand.add(-change_tokens, now_s)
+
+    def find_wanted(self, now_s: float) -> Amount:
+        """Return what should be borrowed now."""
+        self.share.advance(now_s)
+        if self.share.is_withheld:
+            return Amount()
+        demand = self.demand.measure(now_s)
+        return lending.find_wanted(self.share, demand, self.waiting.tokens)
+
+    def lend(self, loan_id: str, borrower: str, wanted: Amount, now_s: float) -> Amount:
+        """Lend what this home can spare of what is wanted."""
+        self.share.advance(now_s)
+        demand = self.demand.measure(now_s)
+        spare = lending.find_spare(self.share, demand, self.waiting.tokens)
+        loan = lending.find_loan(self.share, wanted, spare)
+        return self.share.lend(loan_id, borrower, loan, now_s)
+
+    def renew(self, loan_id: str, now_s: float) -> bool:
+        """Let a borrower keep a loan for another term, unless it is needed here."""
+        self.share.advance(now_s)
+        demand = self.demand.measure(now_s)
+        if lending.needs_back(self.share, demand, self.waiting.tokens):
+            return False
+        return self.share.renew(loan_id, now_s)
+
+    def is_loan_needed(self, loan_id: str, now_s: float) -> bool:
+        """Say whether a borrowed loan should be renewed."""
+        loan = self.share.ledger.borrowed[loan_id]
+        demand = self.demand.measure(now_s)
+        return lending.is_loan_needed(self.share, loan, demand, self.waiting.tokens)
+
+    def pause_lender(self, seat: str, now_s: float) -> None:
+        """Ask a home that had nothing to spare no more for a while."""
+        self.paused_lenders[seat] = now_s + LENDER_PAUSE_S
+
+    def note_round(self, lenders: list[str], now_s: float) -> None:
+        """Remember whether a round of borrowing left every lender without tokens."""
+        is_lacking = self.find_wanted(now_s).tokens > 0
+        if is_lacking and all(self.is_paused(seat, now_s) for seat in lenders):
+            self.drained_until_s = now_s + LENDER_PAUSE_S
+
+    def is_paused(self, seat: str, now_s: float) -> bool:
+        """Say whether a lender is not asked now."""
+        return self.paused_lenders.get(seat, -math.inf) > now_s
+
+    def forget_old(self, now_s: float) -> None:
+        """Drop results that no entry asks for again."""
+        for charge_id, granted_s in list(self.granted.items()):
+            if granted_s > now_s - RESULT_KEPT_S:
+                break
+            del self.granted[charge_id]
+        self.share.forget_unsettled(now_s)
--- /dev/null
+++ b/banyanseam/quota/accounts.py
@@ -0,0 +1,96 @@
+"""The accounts of one home, kept in step with the configuration; no I/O."""
+
+import math
+from collections.abc import Iterator
+
+from banyanseam.config.compiled import Config, Organisation
+from banyanseam.quota.account import Account
+from banyanseam.quota.const import Timing
+from banyanseam.quota.parts import Parts
+from banyanseam.quota.share import Quota, Share
+
+
+class Accounts:
+    """The organisations of which a seat is a home."""
+
+    def __init__(self, seat: str, parts: Parts, timing: Timing) -> None:
+        """Start without a configuration."""
+        self._seat = seat
+        self._parts = parts
+        self._timing = timing
+        self._config: Config | None = None
+        self._by_name: dict[str, Account] = {}
+
+    def __iter__(self) -> Iterator[Account]:
+        """Iterate over the accounts as they are now."""
+        return iter(list(self._by_name.values()))
+
+    def find(self, organisation: str) -> Account | None:
+        """Return an organisation's account where this seat is one of its homes."""
+        return self._by_name.get(organisation)
+
+    def follow(self, config: Config, now_s: float) -> None:
+        """Apply a configuration: lower at once, raise after the wait."""
+        if config is self._config:
+            return
+        last, self._config = self._config, config
+        skipped = last is not None and config.version > last.version + 1
+        for organisation in config.organisations.values():
+            units = self._parts.units_of(config, organisation, self._seat)
+            account = self._by_name.get(organisation.name)
+            if account is None and not units:
+                continue
+            if account is None:
+                account = self._open(organisation, now_s)
+                # Nobody can have held a part of an organisation that is new.
+                is_new = last is not None and not skipped
+                if is_new and organisation.name not in last.organisations:
+                    account.share.open_full(units, now_s)
+            self._apply(account, organisation, units, skipped, now_s)
+        for name, account in self._by_name.items():
+            if name not in config.organisations:
+                account.share.set_own_units(0, now_s)
+                self._retire(account, now_s)
+
+    def _open(self, organisation: Organisation, now_s: float) -> Account:
+        quota = Quota(organisation.rate_tokens_per_s, organisation.burst_tokens)
+        share = Share(quota, self._timing, now_s)
+        account = Account(organisation.name, share)
+        self._by_name[organisation.name] = account
+        return account
+
+    def _apply(
+        self,
+        account: Account,
+        organisation: Organisation,
+        units: int,
+        skipped: bool,
+        now_s: float,
+    ) -> None:
+        quota = Quota(organisation.rate_tokens_per_s, organisation.burst_tokens)
+        if quota != account.share.quota:
+            account.share.set_quota(quota, now_s)
+        account.share.set_own_units(units, now_s, skipped=skipped)
+        if units:
+            account.forget_s = math.inf
+        else:
+            self._retire(account, now_s)
+
+    def _retire(self, account: Account, now_s: float) -> None:
+        """Let an account go once a bucket of its quota would have filled again."""
+        quota = account.share.quota
+        fill_s = quota.burst_tokens / quota.rate_tokens_per_s
+        keep_s = max(fill_s, self._timing.withhold_s)
+        account.forget_s = min(account.forget_s, now_s + keep_s)
+
+    def restart(self, now_s: float) -> None:
+        """Treat every part as a new process does."""
+        for account in self._by_name.values():
+            account.share.restart(now_s)
+
+    def forget_old(self, now_s: float) -> None:
+        """Drop what nobody asks for again."""
+        for name, account in list(self._by_name.items()):
+            account.forget_old(now_s)
+            if account.forget_s <= now_s:
+                del self._by_name[name]
--- /dev/null
+++ b/banyanseam/quota/borrower.py
@@ -0,0 +1,181 @@
+"""Asks other homes for loans, renews them while needed and returns them."""
+
+import math
+from collections.abc import Callable
+from contextlib import suppress
+
+import anyio
+from uuid6 import uuid7
+
+from banyanseam.config.compiled import Config
+from banyanseam.errors import BanyanseamError
+from banyanseam.peers.contract import Network
+from banyanseam.quota.account import Account
+from banyanseam.quota.accounts import Accounts
+from banyanseam.quota.const import PEER_TIMEOUT_S, RENEW_BEFORE_S, RETURN_BEFORE_S
+from banyanseam.quota.loans import Amount
+from banyanseam.quota.messages import (
+    LoanKey,
+    LoanReply,
+    LoanRequest,
+    RenewReply,
+    RenewRequest,
+    ReturnNotice,
+)
+from banyanseam.quota.parts import Parts
+
+
+class Borrower:
+    """One home's side of the loans that it takes."""
+
+    def __init__(
+        self,
+        seat: str,
+        region: str,
+        network: Network,
+        accounts: Accounts,
+        parts: Parts,
+        get_config: Callable[[], Config],
+        is_alive: Callable[[str], bool],
+        clock: Callable[[], float],
+    ) -> None:
+        """Keep what the loans need; nothing is sent yet."""
+        self._seat = seat
+        self._region = region
+        self._network = network
+        self._accounts = accounts
+        self._parts = parts
+        self._get_config = get_config
+        self._is_alive = is_alive
+        self._clock = clock
+
+    async def borrow(self, account: Account) -> None:
+        """Ask the homes of this region, and for what is then lacking the others."""
+        account.is_borrowing = True
+        try:
+            config = self._get_config()
+            if account.organisation not in config.organisations:
+                return
+            name, region = account.organisation, self._region
+            siblings = self._parts.rank_homes(config, name, region)
+            others = self._parts.other_homes(config, name, region)
+            await self._borrow_from(account, siblings)
+            await self._borrow_from(account, others)
+            now_s = self._clock()
+            reachable = [seat for seat in (*siblings, *others) if self._is_lender(seat)]
+            account.note_round(reachable, now_s)
+        finally:
+            account.is_borrowing = False
+
+    async def _borrow_from(self, account: Account, homes: list[str]) -> None:
+        """Ask homes at once for equal parts, then the rest of those who gave all."""
+        now_s = self._clock()
+        lenders = [
+            seat
+            for seat in homes
+            if self._is_lender(seat) and not account.is_paused(seat, now_s)
+        ]
+        while lenders:
+            wanted = account.find_wanted(self._clock())
+            if wanted.is_nothing:
+                return
+            each = _divide(wanted, len(lenders))
+            generous: list[str] = []
+            async with anyio.create_task_group() as tasks:
+                for lender in lenders:
+                    tasks.start_soon(self._ask, account, lender, each, generous)
+            lenders = generous
+
+    def _is_lender(self, seat: str) -> bool:
+        return seat != self._seat and self._is_alive(seat)
+
+    async def _ask(
+        self, account: Account, lender: str, wanted: Amount, generous: list[str]
+    ) -> None:
+        loan_id = uuid7().hex
+        request = LoanRequest(
+            loan_id=loan_id,
+            organisation=account.organisation,
+            rate_units=wanted.rate_units,
+            burst_units=wanted.burst_units,
+            tokens=wanted.tokens,
+        )
+        account.share.ask(loan_id, lender, self._clock())
+        try:
+            reply = await self._network.call(lender, request, LoanReply, PEER_TIMEOUT_S)
+        except BanyanseamError:
+            account.pause_lender(lender, self._clock())
+            return
+        now_s = self._clock()
+        amount = Amount(reply.rate_units, reply.burst_units, reply.tokens)
+        gave_all = amount.tokens >= wanted.tokens
+        gave_all = gave_all and amount.rate_units >= wanted.rate_units
+        if gave_all and amount.burst_units >= wanted.burst_units:
+            generous.append(lender)
+        else:
+            account.pause_lender(lender, now_s)
+        if not amount.is_nothing:
+            account.share.accept(loan_id, amount, now_s)
+
+    async def tend_loans(self) -> None:
+        """Renew the loans that end soon, or return those no longer needed."""
+        now_s = self._clock()
+        keep: dict[str, list[LoanKey]] = {}
+        async with anyio.create_task_group() as tasks:
+            for account in self._accounts:
+                account.share.advance(now_s)
+                for loan_id, loan in list(account.share.ledger.borrowed.items()):
+                    left_s = loan.expires_s - now_s
+                    if left_s > RENEW_BEFORE_S:
+                        continue
+                    is_needed = account.is_loan_needed(loan_id, now_s)
+                    if is_needed and left_s > RETURN_BEFORE_S:
+                        key = LoanKey(
+                            organisation=account.organisation, loan_id=loan_id
+                        )
+                        keep.setdefault(loan.peer, []).append(key)
+                    else:
+                        tasks.start_soon(self._give_back, account, loan_id)
+            for lender, loans in keep.items():
+                tasks.start_soon(self._renew, lender, loans)
+
+    async def _renew(self, lender: str, loans: list[LoanKey]) -> None:
+        sent_s = self._clock()
+        request = RenewRequest(loans=loans)
+        try:
+            reply = await self._network.call(
+                lender, request, RenewReply, PEER_TIMEOUT_S
+            )
+        except BanyanseamError:
+            return
+        renewed = set(reply.renewed)
+        for key in loans:
+            account = self._accounts.find(key.organisation)
+            if account is not None and key.loan_id in renewed:
+                account.share.extend(key.loan_id, sent_s, self._clock())
+
+    async def _give_back(self, account: Account, loan_id: str) -> None:
+        loan = account.share.ledger.borrowed.get(loan_id)
+        if loan is None:
+            return
+        tokens = account.share.give_back(loan_id, self._clock())
+        notice = ReturnNotice(
+            organisation=account.organisation, loan_id=loan_id, tokens=tokens
+        )
+        with anyio.move_on_after(PEER_TIMEOUT_S), suppress(BanyanseamError):
+            await self._network.cast(loan.peer, notice)
+
+    async def return_all(self) -> None:
+        """Give every loan back, before a planned stop."""
+        async with anyio.create_task_group() as tasks:
+            for account in self._accounts:
+                for loan_id in list(account.share.ledger.borrowed):
+                    tasks.start_soon(self._give_back, account, loan_id)
+
+
+def _divide(amount: Amount, count: int) -> Amount:
+    return Amount(
+        math.ceil(amount.rate_units / count),
+        math.ceil(amount.burst_units / count),
+        amount.tokens / count,
+    )
--- /dev/null
+++ b/banyanseam/quota/client.py
@@ -0,0 +1,257 @@
+"""The entry's side of quota: charges a home before a request runs, settles after."""
+
+import math
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+import anyio
+from uuid6 import uuid7
+
+from banyanseam.config.compiled import Config, Organisation
+from banyanseam.errors import BanyanseamError
+from banyanseam.peers.contract import Network
+from banyanseam.peers.errors import PeerUnreachable
+from banyanseam.quota.const import (
+    CANCEL_TIMEOUT_S,
+    CHARGE_CHUNK_S,
+    CHARGE_MARGIN_S,
+    HOME_PAUSE_S,
+    MAX_HOME_PAUSE_S,
+    NO_HOME_PATIENCE_S,
+    NO_HOME_PAUSE_S,
+    REFUSAL_HOLD_S,
+    SETTLE_TIMEOUT_S,
+)
+from banyanseam.quota.errors import CostExceedsBurst, QuotaExceeded, QuotaUnavailable
+from banyanseam.quota.home import Home
+from banyanseam.quota.messages import ChargeReply, ChargeRequest, SettleNotice
+
+
+@dataclass(frozen=True, slots=True)
+class Charge:
+    """Tokens that a home has taken for a request."""
+
+    charge_id: str
+    organisation: str
+    home: str
+    cost_tokens: int
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """A charge on its way, and the home that was asked last."""
+
+    organisation: str
+    cost_tokens: int
+    deadline_s: float
+    charge_id: str = field(default_factory=lambda: uuid7().hex)
+    seat: str = ""
+
+
+@dataclass(slots=True)
+class _Pause:
+    """A home that is passed over, and how often in a row it failed."""
+
+    until_s: float = -math.inf
+    failures: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Hold:
+    """For how long to refuse here what could not be served before `ready_s`."""
+
+    until_s: float
+    ready_s: float
+
+
+class QuotaClient:
+    """Charges the homes of an organisation for this entry."""
+
+    def __init__(
+        self,
+        region: str,
+        network: Network,
+        home: Home,
+        get_config: Callable[[], Config],
+        is_alive: Callable[[str], bool],
+        *,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        """Use this seat's own `home` directly where it is one."""
+        self._region = region
+        self._network = network
+        self._home = home
+        self._parts = home.parts
+        self._get_config = get_config
+        self._is_alive = is_alive
+        self._clock = clock
+        # By organisation and seat: a home may withhold one part and hold another.
+        self._pauses: dict[str, dict[str, _Pause]] = {}
+        self._holds: dict[str, _Hold] = {}
+
+    async def charge(
+        self, organisation: str, cost_tokens: int, deadline_s: float
+    ) -> Charge:
+        """Take tokens, waiting for refill or a loan while the deadline allows.
+
+        Raise CostExceedsBurst, QuotaExceeded or QuotaUnavailable; nothing ran then.
+        """
+        config = self._get_config()
+        published = config.organisations.get(organisation)
+        if published is None:
+            raise QuotaUnavailable(f"organisation {organisation} is not published")
+        burst_tokens = self._parts.usable_burst_tokens(config, published)
+        if cost_tokens > burst_tokens:
+            raise CostExceedsBurst(cost_tokens, burst_tokens)
+        self._refuse_while_held(organisation, deadline_s)
+        attempt = _Attempt(organisation, cost_tokens, deadline_s)
+        try:
+            return await self._charge_first_home(attempt, config, published)
+        except anyio.get_cancelled_exc_class():
+            # The caller left: a home must not keep its place or tokens for it.
+            with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
+                await self._cancel(attempt)
+            raise
+
+    async def _charge_first_home(
+        self, attempt: _Attempt, config: Config, published: Organisation
+    ) -> Charge:
+        """Ask home after home until one grants or the deadline has passed."""
+        name = attempt.organisation
+        give_up_s = self._clock() + NO_HOME_PATIENCE_S
+        while True:
+            now_s = self._clock()
+            seat = self._choose_home(config, published, now_s)
+            if seat is None:
+                await self._wait_for_home(attempt, give_up_s)
+                continue
+            attempt.seat = seat
+            reply = await self._ask(attempt, max(0.0, attempt.deadline_s - now_s))
+            if reply is None:
+                # The home may have taken tokens under the old id: they are lost.
+                attempt.charge_id = uuid7().hex
+                continue
+            if reply.status == "granted":
+                return Charge(attempt.charge_id, name, seat, attempt.cost_tokens)
+            if reply.status in ("withheld", "not_home"):
+                self._pass_over(seat, name, reply)
+                continue
+            if reply.status == "refused" or self._clock() >= attempt.deadline_s:
+                await self._cancel(attempt)
+                self._hold(name, reply)
+                raise QuotaExceeded(retry_after_ms=max(1, reply.retry_after_ms))
+
+    def _refuse_while_held(self, organisation: str, deadline_s: float) -> None:
+        hold = self._holds.get(organisation)
+        if hold is None:
+            return
+        if hold.until_s <= self._clock():
+            del self._holds[organisation]
+            return
+        if deadline_s < hold.ready_s:
+            late_ms = round((hold.ready_s - deadline_s) * 1000)
+            raise QuotaExceeded(retry_after_ms=max(1, late_ms))
+
+    def _hold(self, organisation: str, reply: ChargeReply) -> None:
+        now_s = self._clock()
+        queue_s = reply.queue_ms / 1000
+        until_s = now_s + min(queue_s, REFUSAL_HOLD_S)
+        self._holds[organisation] = _Hold(until_s, now_s + queue_s)
+
+    def _choose_home(
+        self, config: Config, organisation: Organisation, now_s: float
+    ) -> str | None:
+        """Return the first home in reach, of this region before the others."""
+        name = organisation.name
+        homes = [
+            *self._parts.rank_homes(config, name, self._region),
+            *self._parts.other_homes(config, name, self._region),
+        ]
+        pauses = self._pauses.get(name, {})
+        for seat in homes:
+            pause = pauses.get(seat)
+            if pause is not None and pause.until_s > now_s:
+                continue
+            if seat == self._home.seat or self._is_alive(seat):
+                return seat
+        return None
+
+    async def _wait_for_home(self, attempt: _Attempt, give_up_s: float) -> None:
+        """Wait a moment; raise once no home can be expected before the deadline."""
+        now_s = self._clock()
+        name = attempt.organisation
+        # A home that withholds its part said itself when it will answer.
+        withheld_s = [
+            pause.until_s
+            for pause in self._pauses.get(name, {}).values()
+            if pause.until_s > now_s and not pause.failures
+        ]
+        expected_s = min(withheld_s, default=math.inf)
+        is_hopeless = now_s >= give_up_s and expected_s > attempt.deadline_s
+        if is_hopeless or now_s >= attempt.deadline_s:
+            wait_s = min(withheld_s, default=now_s + HOME_PAUSE_S) - now_s
+            raise QuotaUnavailable(
+                f"no home of {name} answers", retry_after_ms=round(wait_s * 1000)
+            )
+        await anyio.sleep(NO_HOME_PAUSE_S)
+
+    def _pass_over(self, seat: str, organisation: str, reply: ChargeReply) -> None:
+        pause_s = reply.retry_after_ms / 1000 or HOME_PAUSE_S
+        pauses = self._pauses.setdefault(organisation, {})
+        pauses[seat] = _Pause(self._clock() + pause_s)
+
+    def _note_failure(self, seat: str, organisation: str) -> None:
+        pauses = self._pauses.setdefault(organisation, {})
+        pause = pauses.setdefault(seat, _Pause())
+        pause_s = min(MAX_HOME_PAUSE_S, HOME_PAUSE_S * 2**pause.failures)
+        pause.failures += 1
+        pause.until_s = self._clock() + pause_s
+
+    async def _ask(self, attempt: _Attempt, patience_s: float) -> ChargeReply | None:
+        """Return the home's answer, or None after passing over a failed home."""
+        seat, name = attempt.seat, attempt.organisation
+        if seat == self._home.seat:
+            return await self._home.charge(
+                attempt.charge_id, name, attempt.cost_tokens, patience_s
+            )
+        request = ChargeRequest(
+            charge_id=attempt.charge_id,
+            organisation=name,
+            cost_tokens=attempt.cost_tokens,
+            patience_ms=round(patience_s * 1000),
+        )
+        timeout_s = min(patience_s, CHARGE_CHUNK_S) + CHARGE_MARGIN_S
+        try:
+            reply = await self._network.call(seat, request, ChargeReply, timeout_s)
+        except PeerUnreachable:
+            self._note_failure(seat, name)
+            return None
+        except BanyanseamError:
+            self._note_failure(seat, name)
+            await self._cancel(attempt)
+            return None
+        self._pauses.get(name, {}).pop(seat, None)
+        return reply
+
+    async def _cancel(self, attempt: _Attempt) -> None:
+        """Tell the home asked last that nobody uses the charge; tried once."""
+        if not attempt.seat:
+            return
+        charge = Charge(attempt.charge_id, attempt.organisation, attempt.seat, 0)
+        with anyio.move_on_after(CANCEL_TIMEOUT_S):
+            await self.settle(charge, 0)
+
+    async def settle(self, charge: Charge, used_tokens: int) -> None:
+        """Replace the estimate by the true cost; 0 gives the whole charge back."""
+        if charge.home == self._home.seat:
+            self._home.settle(charge.charge_id, charge.organisation, used_tokens)
+            return
+        notice = SettleNotice(
+            charge_id=charge.charge_id,
+            organisation=charge.organisation,
+            used_tokens=used_tokens,
+        )
+        # A notice that is lost leaves its tokens spent.
+        with anyio.move_on_after(SETTLE_TIMEOUT_S), suppress(BanyanseamError):
+            await self._network.cast(charge.home, notice)
--- a/banyanseam/quota/const.py
+++ b/banyanseam/quota/const.py
@@ -46,28 +46,34 @@
 TICK_S: Final = 0.25
 # A loan with less than this left is renewed or returned.
 RENEW_BEFORE_S: Final = 1.5
+# A loan that was not renewed by then goes back with its tokens.
+RETURN_BEFORE_S: Final = 0.5
 PEER_TIMEOUT_S: Final = 0.75
-# A lender that had nothing to spare is not asked again for this long.
+# A lender that had too little to spare is not asked again for this long.
 LENDER_PAUSE_S: Final = 1.0
 
 DEMAND_WINDOW_S: Final = 5.0
 # A home holds this many times its measured demand before it lends the rest.
 DEMAND_HEADROOM: Final = 1.25
+# A home that lacks less than this share of the rate it needs borrows none.
+LEAST_LOAN_SHARE: Final = 0.02
 # A home keeps tokens and burst for this much of its own demand.
 DEMAND_RESERVE_S: Final = 1.0
 # A home borrows tokens once it holds less than this much of its demand.
 DEMAND_LOOKAHEAD_S: Final = 2.0
 
 # An entry asks its home again after this long, so that a dead home is noticed.
-CHARGE_CHUNK_S: Final = 1.0
+CHARGE_CHUNK_S: Final = 0.5
 CHARGE_MARGIN_S: Final = 0.5
 # A waiting request keeps its place this long between two asks of its entry.
 PLACE_KEPT_S: Final = 1.0
 RESULT_KEPT_S: Final = 10.0
 SETTLE_HORIZON_S: Final = 3600.0
 SETTLE_TIMEOUT_S: Final = 2.0
-# A home that failed to answer is passed over for this long.
+CANCEL_TIMEOUT_S: Final = 0.25
+# A home that failed to answer is passed over for this long, doubled each time.
 HOME_PAUSE_S: Final = 1.0
+MAX_HOME_PAUSE_S: Final = 8.0
 # An entry refuses by itself for at most this long before it asks its home again.
 REFUSAL_HOLD_S: Final = 1.0
 # With no home in reach, an entry gives up after this long.
--- /dev/null
+++ b/banyanseam/quota/home.py
@@ -0,0 +1,219 @@
+"""The home's side of quota: answers charges, settlements and requests for loans."""
+
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from banyanseam.config.compiled import Config
+from banyanseam.errors import BanyanseamError
+from banyanseam.observe.events import QUOTA_RESTARTED, log
+from banyanseam.peers.contract import Network
+from banyanseam.peers.messages import PeerIdentity
+from banyanseam.quota.account import Account, Outcome
+from banyanseam.quota.accounts import Accounts
+from banyanseam.quota.borrower import Borrower
+from banyanseam.quota.const import (
+    CHARGE_CHUNK_S,
+    DEFAULT_TIMING,
+    TICK_S,
+    Timing,
+)
+from banyanseam.quota.loans import Amount
+from banyanseam.quota.messages import (
+    ChargeReply,
+    ChargeRequest,
+    LoanReply,
+    LoanRequest,
+    RenewReply,
+    RenewRequest,
+    ReturnNotice,
+    SettleNotice,
+)
+from banyanseam.quota.parts import Parts
+
+
+class Home:
+    """Holds this seat's parts of all organisations that it is a home of."""
+
+    def __init__(
+        self,
+        seat: str,
+        region: str,
+        network: Network,
+        get_config: Callable[[], Config],
+        is_alive: Callable[[str], bool],
+        *,
+        timing: Timing = DEFAULT_TIMING,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        """Register with the network; `run` then lends and borrows.
+
+        `clock` should count the time that the machine was suspended. Create the home
+        in the process's first moments: parts are withheld from then on.
+        """
+        self.seat = seat
+        self._get_config = get_config
+        self._clock = clock
+        self.parts = Parts()
+        self.accounts = Accounts(seat, self.parts, timing)
+        self._borrower = Borrower(
+            seat,
+            region,
+            network,
+            self.accounts,
+            self.parts,
+            get_config,
+            is_alive,
+            clock,
+        )
+        self._events: dict[str, anyio.Event] = {}
+        self._hungry = anyio.Event()
+        network.handle_call(ChargeRequest, self._on_charge)
+        network.handle_cast(SettleNotice, self._on_settle)
+        network.handle_call(LoanRequest, self._on_loan)
+        network.handle_call(RenewRequest, self._on_renew)
+        network.handle_cast(ReturnNotice, self._on_return)
+
+    def restart(self, now_s: float) -> None:
+        """Spend nothing of what was held before a detected suspension.
+
+        Call it before any other work of the woken process, also when a newer process
+        was seen at this seat.
+        """
+        log(QUOTA_RESTARTED, seat=self.seat)
+        self.accounts.restart(now_s)
+
+    def _find_account(self, organisation: str) -> Account | None:
+        self.accounts.follow(self._get_config(), self._clock())
+        return self.accounts.find(organisation)
+
+    async def charge(
+        self, charge_id: str, organisation: str, cost_tokens: int, patience_s: float
+    ) -> ChargeReply:
+        """Answer a charge, at the latest after `CHARGE_CHUNK_S`."""
+        account = self._find_account(organisation)
+        if account is None or account.is_retired:
+            return ChargeReply(status="not_home")
+        now_s = self._clock()
+        outcome = account.charge(charge_id, cost_tokens, patience_s, now_s)
+        if outcome.status != "waiting":
+            return _describe(outcome)
+        self._hungry.set()
+        wait_s = min(patience_s, CHARGE_CHUNK_S)
+        return await self._wait(account, charge_id, cost_tokens, now_s + wait_s)
+
+    async def _wait(
+        self, account: Account, charge_id: str, cost_tokens: int, until_s: float
+    ) -> ChargeReply:
+        event = self._events.setdefault(charge_id, anyio.Event())
+        try:
+            while True:
+                self._serve(account)
+                if charge_id in account.granted:
+                    return ChargeReply(status="granted")
+                now_s = self._clock()
+                if now_s >= until_s:
+                    return _describe(account.estimate(charge_id, cost_tokens))
+                next_s = account.next_grant_s(charge_id, cost_tokens)
+                # A wait too short for the clock to show would never end.
+                wait_s = max(0.001, min(until_s, next_s) - now_s)
+                with anyio.move_on_after(wait_s):
+                    await event.wait()
+        finally:
+            self._events.pop(charge_id, None)
+            account.waiting.step_out(charge_id, self._clock())
+
+    def _serve(self, account: Account) -> None:
+        for charge_id in account.serve(self._clock()):
+            event = self._events.get(charge_id)
+            if event is not None:
+                event.set()
+
+    def settle(self, charge_id: str, organisation: str, used_tokens: int) -> None:
+        """Replace a charge's estimate by its true cost; 0 cancels it."""
+        account = self._find_account(organisation)
+        if account is None:
+            return
+        account.settle(charge_id, used_tokens, self._clock())
+        self._serve(account)
+
+    async def _on_charge(
+        self, peer: PeerIdentity, message: ChargeRequest
+    ) -> ChargeReply:
+        return await self.charge(
+            message.charge_id,
+            message.organisation,
+            message.cost_tokens,
+            message.patience_ms / 1000,
+        )
+
+    def _on_settle(self, peer: PeerIdentity, message: SettleNotice) -> None:
+        self.settle(message.charge_id, message.organisation, message.used_tokens)
+
+    async def _on_loan(self, peer: PeerIdentity, message: LoanRequest) -> LoanReply:
+        account = self._find_account(message.organisation)
+        if account is None:
+            return LoanReply()
+        wanted = Amount(message.rate_units, message.burst_units, message.tokens)
+        amount = account.lend(message.loan_id, peer.seat, wanted, self._clock())
+        return LoanReply(
+            rate_units=amount.rate_units,
+            burst_units=amount.burst_units,
+            tokens=amount.tokens,
+        )
+
+    async def _on_renew(self, peer: PeerIdentity, message: RenewRequest) -> RenewReply:
+        renewed = []
+        for key in message.loans:
+            account = self._find_account(key.organisation)
+            if account is not None and account.renew(key.loan_id, self._clock()):
+                renewed.append(key.loan_id)
+        return RenewReply(renewed=renewed)
+
+    def _on_return(self, peer: PeerIdentity, message: ReturnNotice) -> None:
+        account = self._find_account(message.organisation)
+        if account is None:
+            return
+        account.share.take_back(message.loan_id, message.tokens, self._clock())
+        self._serve(account)
+
+    async def return_loans(self) -> None:
+        """Give all borrowed parts back, before a planned stop."""
+        await self._borrower.return_all()
+
+    async def run(self) -> None:
+        """Follow the configuration, lend and borrow until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self._tick(tasks)
+                self._hungry = anyio.Event()
+                with anyio.move_on_after(TICK_S):
+                    await self._hungry.wait()
+
+    def _tick(self, tasks: TaskGroup) -> None:
+        now_s = self._clock()
+        try:
+            self.accounts.follow(self._get_config(), now_s)
+        except BanyanseamError:
+            # Without a configuration there is nothing to hold yet.
+            return
+        self.accounts.forget_old(now_s)
+        for account in self.accounts:
+            self._serve(account)
+            wanted = account.find_wanted(now_s)
+            if not account.is_borrowing and not wanted.is_nothing:
+                tasks.start_soon(self._borrow, account)
+        tasks.start_soon(self._borrower.tend_loans)
+
+    async def _borrow(self, account: Account) -> None:
+        await self._borrower.borrow(account)
+        self._serve(account)
+
+
+def _describe(outcome: Outcome) -> ChargeReply:
+    return ChargeReply(
+        status=outcome.status,
+        retry_after_ms=round(outcome.retry_after_s * 1000),
+        queue_ms=round(outcome.queue_s * 1000),
+    )
--- a/banyanseam/quota/parts.py
+++ b/banyanseam/quota/parts.py
@@ -6,35 +6,89 @@
 from banyanseam.quota.const import HOMES_PER_REGION, WHOLE_UNITS
 
 
-def rank_homes(config: Config, organisation: str, region: str) -> list[str]:
-    """Return a region's home seats of an organisation, first choice first.
-
-    The order is rendezvous hashing (Thaler and Ravishankar, 1996): a seat that comes
-    or goes moves only the parts that it gains or held.
-    """
-    seats = [seat.name for seat in config.seats_of(region)]
-    seats.sort(key=lambda seat: xxhash.xxh64_intdigest(f"{organisation}\n{seat}"))
-    return seats[-HOMES_PER_REGION:][::-1]
-
-
-def divide(config: Config, organisation: Organisation) -> dict[str, int]:
-    """Return the units of each home seat; they sum to at most `WHOLE_UNITS`."""
-    units: dict[str, int] = {}
+def divide_over_regions(organisation: Organisation) -> dict[str, int]:
+    """Return the units of each region; they sum to at most `WHOLE_UNITS`."""
     # Rounding the running sum, not each part, loses no unit to the division.
     scale = WHOLE_UNITS / max(1.0, sum(organisation.regional_parts.values()))
-    passed = 0.0
+    units: dict[str, int] = {}
+    passed, low = 0.0, 0
     for region, part in sorted(organisation.regional_parts.items()):
-        low = round(passed * scale)
         passed += part
         high = min(round(passed * scale), WHOLE_UNITS)
-        homes = rank_homes(config, organisation.name, region)
-        for index, seat in enumerate(homes):
-            start = (high - low) * index // len(homes)
-            units[seat] = (high - low) * (index + 1) // len(homes) - start
+        units[region] = high - low
+        low = high
     return units
 
 
-def usable_burst_tokens(config: Config, organisation: Organisation) -> float:
-    """Return the largest cost that the homes together can ever hold."""
-    held = sum(divide(config, organisation).values())
-    return organisation.burst_tokens * held / WHOLE_UNITS
+def divide_over_homes(units: int, homes: list[str]) -> dict[str, int]:
+    """Return the units of each home of a region; they sum to the region's."""
+    bounds = [units * index // len(homes) for index in range(len(homes))] + [units]
+    return {seat: bounds[index + 1] - bounds[index] for index, seat in enumerate(homes)}
+
+
+class Parts:
+    """Home seats and their units, remembered until the seats change."""
+
+    def __init__(self) -> None:
+        """Start without a configuration."""
+        self._config: Config | None = None
+        self._seats: dict[str, list[str]] = {}
+        self._homes: dict[tuple[str, str], list[str]] = {}
+
+    def _follow(self, config: Config) -> None:
+        if config is self._config:
+            return
+        seats: dict[str, list[str]] = {}
+        for seat in config.seats.values():
+            seats.setdefault(seat.region, []).append(seat.name)
+        if seats != self._seats:
+            self._seats = seats
+            self._homes.clear()
+        self._config = config
+
+    def rank_homes(self, config: Config, organisation: str, region: str) -> list[str]:
+        """Return a region's home seats of an organisation, first choice first.
+
+        The order is rendezvous hashing (Thaler and Ravishankar, 1996): a seat that
+        comes or goes moves only the parts that it gains or held.
+        """
+        self._follow(config)
+        key = (organisation, region)
+        if key not in self._homes:
+            ranked = sorted(
+                self._seats.get(region, ()),
+                key=lambda seat: xxhash.xxh64_intdigest(
+                    f"{organisation}\n{seat}".encode()
+                ),
+                reverse=True,
+            )
+            self._homes[key] = ranked[:HOMES_PER_REGION]
+        return self._homes[key]
+
+    def other_homes(self, config: Config, organisation: str, region: str) -> list[str]:
+        """Return the home seats in the other regions that hold a part."""
+        organisation_parts = config.organisations[organisation].regional_parts
+        return [
+            seat
+            for other, part in sorted(organisation_parts.items())
+            if other != region and part > 0
+            for seat in self.rank_homes(config, organisation, other)
+        ]
+
+    def units_of(self, config: Config, organisation: Organisation, seat: str) -> int:
+        """Return the units that a seat holds of an organisation; 0 for no home."""
+        place = config.seats.get(seat)
+        if place is None:
+            return 0
+        homes = self.rank_homes(config, organisation.name, place.region)
+        if seat not in homes:
+            return 0
+        units = divide_over_regions(organisation).get(place.region, 0)
+        return divide_over_homes(units, homes)[seat]
+
+    def usable_burst_tokens(self, config: Config, organisation: Organisation) -> float:
+        """Return the largest cost that the homes together can ever hold."""
+        self._follow(config)
+        parts = divide_over_regions(organisation)
+        held = sum(units for region, units in parts.items() if region in self._seats)
+        return organisation.burst_tokens * held / WHOLE_UNITS
