Retry once within a budget

Cause: nothing decides which failures may be tried again. Change: a budget as a share of recent first tries and a filter for one more try, on another upstream. Ruled out: retrying silence or a lack of room, which adds load where it hurts. Conclusion: a non-idempotent request is tried again only before its first byte.

--- /dev/null
+++ b/tests/pipe/test_retry.py
@@ -0,0 +1,84 @@
+import unittest
+
+from banyanseam.pipe.models import Exchange
+from banyanseam.pipe.retry import MIN_RETRIES, RetryBudget, retry_once
+from banyanseam.upstreams.errors import (
+    NoUpstreamAvailable,
+    UpstreamFailed,
+    UpstreamRefused,
+    UpstreamTimedOut,
+    UpstreamUnreachable,
+)
+from tests.common import run_mocked
+from tests.idempotency.fleet import Sink
+
+
+def make_exchange(**fields):
+    exchange = Exchange("1", "POST", "/", b"", [], b"", 0.0, Sink())
+    exchange.deadline_s = 30.0
+    for name, value in fields.items():
+        setattr(exchange, name, value)
+    return exchange
+
+
+class RetryTests(unittest.TestCase):
+    def count_tries(self, exchange, error, *, started=False, replied=False):
+        tries = []
+
+        async def upstream(_):
+            tries.append(set(exchange.avoided_upstreams))
+            exchange.upstream = f"u{len(tries)}"
+            exchange.upstream_started |= started
+            exchange.reply.started |= replied
+            raise error
+
+        async def run():
+            with self.assertRaises(type(error)):
+                await retry_once(RetryBudget(), lambda: 1.0)(exchange, upstream)
+
+        run_mocked(run)
+        self.assertIn(tries, ([set()], [set(), {"u1"}]))
+        return len(tries)
+
+    def test_only_safe_and_useful_tries_are_repeated(self):
+        table = (
+            (True, UpstreamUnreachable(), False, False, 2),
+            (False, UpstreamUnreachable(), False, False, 2),
+            (False, UpstreamUnreachable(), True, False, 1),
+            (True, UpstreamFailed(), True, False, 2),
+            (True, UpstreamFailed(), True, True, 1),
+            (False, UpstreamFailed(), True, False, 1),
+            (True, UpstreamTimedOut(), True, False, 1),
+            (False, UpstreamRefused(), False, False, 2),
+            (True, NoUpstreamAvailable(), False, False, 1),
+        )
+        for is_idempotent, error, started, replied, tries in table:
+            with self.subTest(error=error, started=started, replied=replied):
+                exchange = make_exchange(is_idempotent=is_idempotent)
+                counted = self.count_tries(
+                    exchange, error, started=started, replied=replied
+                )
+                self.assertEqual(counted, tries)
+
+    def test_nothing_is_tried_after_the_deadline(self):
+        exchange = make_exchange(is_idempotent=True, deadline_s=0.0)
+        self.assertEqual(self.count_tries(exchange, UpstreamUnreachable()), 1)
+
+
+class BudgetTests(unittest.TestCase):
+    def test_retries_stay_within_their_share(self):
+        budget = RetryBudget()
+        spent = 0
+        for number in range(1000):
+            now_s = number / 100
+            budget.note_first_try(now_s)
+            spent += budget.spend(0.1, now_s)
+        self.assertLessEqual(spent, 0.1 * 1000 + MIN_RETRIES)
+        self.assertGreater(spent, 50)
+
+    def test_a_past_flood_earns_no_retries_later(self):
+        budget = RetryBudget()
+        for _ in range(1000):
+            budget.note_first_try(0.0)
+        spent = sum(budget.spend(0.1, 100.0) for _ in range(100))
+        self.assertLessEqual(spent, MIN_RETRIES)
