Contain requests that crash upstreams

Cause: a poison request that its caller resends kills one upstream after another. Change: crashes recorded once under an id and told to all regions, reruns permitted by one seat so that a suspect runs once at a time and shares no upstream with another, the filter that goes within the retries. Event numbers of idempotency move to 17xx, as the command line took 18xx.

--- a/banyanseam/idempotency/errors.py
+++ b/banyanseam/idempotency/errors.py
@@ -11,7 +11,7 @@
     """A request with this key ran or may have run, and its answer is not known."""
 
     code = "idempotency.outcome_unknown"
-    event = 1800
+    event = 1700
     status = 409
     title = "It is not known whether the request ran"
 
@@ -20,7 +20,7 @@
     """The request ran to its end, but its answer was too large to remember."""
 
     code = "idempotency.answer_not_kept"
-    event = 1801
+    event = 1701
     title = "The request ran and its answer is no longer held"
 
 
@@ -28,7 +28,7 @@
     """The key came before with another method, path, query or body."""
 
     code = "idempotency.key_reused"
-    event = 1802
+    event = 1702
     status = 422
     title = "The idempotency key belongs to another request"
 
@@ -37,7 +37,7 @@
     """The header is empty, too long, or not printable ASCII."""
 
     code = "idempotency.key_malformed"
-    event = 1803
+    event = 1703
     status = 400
     title = "The idempotency key cannot be read"
     not_run = True
@@ -47,7 +47,7 @@
     """The key is stamped before the time that its home remembers."""
 
     code = "idempotency.key_too_old"
-    event = 1804
+    event = 1704
     title = "The idempotency key is too old"
 
 
@@ -55,7 +55,7 @@
     """The key's time stamp lies ahead of the home's clock."""
 
     code = "idempotency.key_in_future"
-    event = 1805
+    event = 1705
     status = 422
     title = "The idempotency key is stamped in the future"
 
@@ -64,7 +64,7 @@
     """The key's home does not know what ran before it became the home."""
 
     code = "idempotency.home_is_new"
-    event = 1806
+    event = 1706
     title = "The home of this key does not know its past"
 
 
@@ -72,7 +72,7 @@
     """The key's home did not answer; the same key may be sent again."""
 
     code = "idempotency.home_unreachable"
-    event = 1807
+    event = 1707
     status = 503
     title = "The home of this idempotency key cannot be reached"
 
@@ -81,7 +81,7 @@
     """The daemon asked is not the key's home under its own configuration."""
 
     code = "idempotency.not_home"
-    event = 1808
+    event = 1708
     status = 503
     title = "This daemon is not the home of the key"
 
@@ -90,7 +90,7 @@
     """No room to remember another key; the key was never taken."""
 
     code = "idempotency.memory_full"
-    event = 1809
+    event = 1709
     status = 503
     title = "No room to remember another idempotency key"
     not_run = True
@@ -100,7 +100,7 @@
     """The grant came after its term, so the run was not started."""
 
     code = "idempotency.grant_too_late"
-    event = 1810
+    event = 1710
     status = 503
     title = "The permission to run came too late"
     not_run = True
@@ -110,7 +110,7 @@
     """The ticket is damaged, forged or belongs to another organisation."""
 
     code = "idempotency.ticket_invalid"
-    event = 1811
+    event = 1711
     status = 400
     title = "The ticket is not valid"
     not_run = True
@@ -120,7 +120,7 @@
     """The issuer itself says that the ticket expired without a run."""
 
     code = "idempotency.ticket_expired"
-    event = 1812
+    event = 1712
     status = 410
     title = "The ticket expired unused"
     not_run = True
@@ -130,7 +130,7 @@
     """The process that issued the ticket is gone or cannot be reached."""
 
     code = "idempotency.issuer_gone"
-    event = 1813
+    event = 1713
     title = "The process that issued the ticket does not answer"
 
 
@@ -138,6 +138,6 @@
     """The key names a region where the request may not be served."""
 
     code = "idempotency.region_excluded"
-    event = 1814
+    event = 1714
     status = 422
     title = "The key names a region that may not serve this request"
--- /dev/null
+++ b/banyanseam/pipe/poison.py
@@ -0,0 +1,50 @@
+"""Keep a request that crashes upstreams from more than two of them."""
+
+from collections.abc import Callable, Sequence
+
+from banyanseam.pipe.models import Exchange, Filter, Next
+from banyanseam.poison.fingerprint import make_poison_fingerprint
+from banyanseam.poison.guard import PoisonGuard, Run
+from banyanseam.upstreams.errors import UpstreamFailed, UpstreamTimedOut
+
+# Names every upstream that may serve the exchange, the most promising first.
+ListUpstreams = Callable[[Exchange], Sequence[str]]
+
+
+def contain_poison(guard: PoisonGuard, list_upstreams: ListUpstreams) -> Filter:
+    """Return the filter; it lies within the retries, so that each try passes it.
+
+    A suspect runs on one upstream that is named to it: all others are avoided.
+    """
+
+    async def filter_(exchange: Exchange, next_: Next) -> None:
+        # The end of the first try, told late, must not end the second.
+        holder = f"{exchange.request_id} {len(exchange.avoided_upstreams)}"
+        run = Run(make_poison_fingerprint(exchange), holder, exchange.deadline_s)
+        upstreams = [
+            name
+            for name in list_upstreams(exchange)
+            if name not in exchange.avoided_upstreams
+        ]
+        chosen = await guard.admit(run, upstreams)
+        avoided = set(exchange.avoided_upstreams)
+        if chosen is not None:
+            exchange.avoided_upstreams.update(set(upstreams) - {chosen})
+        guard.begin(run)
+        try:
+            await next_(exchange)
+        except UpstreamTimedOut:
+            guard.stop(run)
+            raise
+        except UpstreamFailed:
+            # A forwarded request's crash is counted by the daemon that served it.
+            guard.crash(run, exchange.upstream or "")
+            raise
+        except BaseException:
+            guard.stop(run)
+            raise
+        finally:
+            exchange.avoided_upstreams = avoided
+        guard.complete(run)
+
+    return filter_
--- /dev/null
+++ b/banyanseam/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the upstreams which run them."""
--- /dev/null
+++ b/banyanseam/poison/errors.py
@@ -0,0 +1,30 @@
+"""Refusals of requests that crash upstreams; none may claim not run, for they ran."""
+
+from banyanseam.errors import BanyanseamError
+
+
+class PoisonRefused(BanyanseamError):
+    """The request crashed two upstreams, so it is refused for a time."""
+
+    code = "poison.refused"
+    event = 1720
+    status = 422
+    title = "The request crashed the upstreams that ran it"
+
+
+class SuspectHeld(BanyanseamError):
+    """The request crashed an upstream and could not be run again in time."""
+
+    code = "poison.suspect_held"
+    event = 1721
+    status = 503
+    title = "The request may have crashed an upstream and waits to be run alone"
+
+
+class InvalidMarks(BanyanseamError):
+    """A peer's summary of suspects cannot be read."""
+
+    code = "poison.invalid_marks"
+    event = 1722
+    status = 502
+    title = "A summary of suspect requests is not valid"
--- /dev/null
+++ b/banyanseam/poison/fingerprint.py
@@ -0,0 +1,26 @@
+"""A fingerprint of what a request makes an upstream do."""
+
+import hashlib
+import re
+
+from banyanseam.pipe.models import Exchange
+from banyanseam.poison.const import FINGERPRINT_BYTES
+
+_WHITE_SPACE = b" \t\r\n"
+# Fields that callers fill anew for each sending.
+_IDS = re.compile(rb'"(?:request_id|trace_id|id|user)":"[^"\\]*",?')
+
+
+def make_poison_fingerprint(exchange: Exchange) -> bytes:
+    """Return a short digest of organisation, route and body.
+
+    White space and ids in the body don't count, so that a resent request is known
+    again. Requests that differ in nothing else share their fate, which is harmless.
+    """
+    body = _IDS.sub(b"", exchange.body.translate(None, _WHITE_SPACE))
+    organisation = exchange.organisation.name if exchange.organisation else ""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (organisation, exchange.route.name, exchange.method, exchange.path):
+        digest.update(part.encode() + b"\0")
+    digest.update(exchange.query + b"\0" + body)
+    return digest.digest()
--- /dev/null
+++ b/banyanseam/poison/guard.py
@@ -0,0 +1,252 @@
+"""Spread suspects between daemons, and permit their reruns one at a time."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+
+from banyanseam.errors import BanyanseamError
+from banyanseam.peers.contract import Network
+from banyanseam.peers.messages import Message, PeerIdentity
+from banyanseam.poison.const import (
+    ASK_PAUSE_S,
+    ASK_TIMEOUT_S,
+    ASKED_SEATS,
+    CONDEMNED_CRASHES,
+    RELAYS,
+    RERUNS_KEY,
+    SPREAD_S,
+    SUSPECT_TTL_S,
+)
+from banyanseam.poison.errors import PoisonRefused, SuspectHeld
+from banyanseam.poison.messages import (
+    AskRerun,
+    EndRerun,
+    NoteRun,
+    RerunAnswer,
+    SuspectCleared,
+    SuspectsSeen,
+)
+from banyanseam.poison.reruns import Reruns
+from banyanseam.poison.suspects import Suspects
+from banyanseam.upstreams.prefix import rank_by_rendezvous
+
+# The live seats by region, this daemon's own among them.
+LiveSeats = dict[str, list[str]]
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A request on its way through this daemon."""
+
+    fingerprint: bytes
+    holder: str
+    deadline_s: float
+
+
+class PoisonGuard:
+    """This daemon's part in containing poison requests."""
+
+    def __init__(
+        self,
+        me: PeerIdentity,
+        region: str,
+        network: Network,
+        list_live: Callable[[], LiveSeats],
+        start_soon: Callable[..., Any],
+    ) -> None:
+        """Take the network's messages about suspects."""
+        self.suspects = Suspects()
+        self._me = me
+        self._region = region
+        self._network = network
+        self._list_live = list_live
+        self._start_soon = start_soon
+        self._reruns = Reruns()
+        self._running: dict[str, Run] = {}
+        network.handle_cast(SuspectsSeen, self._on_seen)
+        network.handle_cast(SuspectCleared, self._on_cleared)
+        network.handle_cast(NoteRun, self._on_note)
+        network.handle_cast(EndRerun, self._on_end)
+        network.handle_call(AskRerun, self._on_ask)
+
+    async def admit(self, run: Run, upstreams: Sequence[str]) -> str | None:
+        """Let a request run; return the one upstream where a suspect may.
+
+        Raise PoisonRefused for a condemned one, SuspectHeld for a suspect that
+        could not be run alone before its deadline.
+        """
+        while crashes := self.suspects.count(run.fingerprint, anyio.current_time()):
+            if crashes >= CONDEMNED_CRASHES:
+                raise PoisonRefused(retry_after_ms=self._time_left_ms(run))
+            await anyio.sleep_until(
+                min(
+                    run.deadline_s,
+                    self.suspects.find_last(run.fingerprint) + SPREAD_S,
+                )
+            )
+            if anyio.current_time() >= run.deadline_s:
+                raise SuspectHeld
+            is_explained = self.suspects.is_explained(
+                run.fingerprint, anyio.current_time()
+            )
+            answer = await self._ask(run, () if is_explained else upstreams)
+            if answer.state == "condemned":
+                raise PoisonRefused(retry_after_ms=self._time_left_ms(run))
+            if answer.state == "granted":
+                return answer.upstream
+            await anyio.sleep(ASK_PAUSE_S)
+        return None
+
+    def begin(self, run: Run) -> None:
+        """Remember a run under way, in case it turns out to be a suspect."""
+        self._running[run.holder] = run
+
+    def complete(self, run: Run) -> None:
+        """Note that a run has ended well, which clears it."""
+        self._running.pop(run.holder, None)
+        now_s = anyio.current_time()
+        if self.suspects.count(run.fingerprint, now_s):
+            self.suspects.clear(run.fingerprint)
+            cleared = SuspectCleared(fingerprint=run.fingerprint, relay=True)
+            self._start_soon(self._spread_and_end, cleared, run)
+
+    def crash(self, run: Run, upstream: str) -> None:
+        """Note that an upstream crashed under a run."""
+        self._running.pop(run.holder, None)
+        now_s = anyio.current_time()
+        self.suspects.note_crash(run.fingerprint, upstream, now_s)
+        self._start_soon(self._spread_and_end, self._make_seen(now_s), run)
+
+    def stop(self, run: Run) -> None:
+        """Note that a run has ended without a verdict."""
+        self._running.pop(run.holder, None)
+        if self.suspects.count(run.fingerprint, anyio.current_time()):
+            self._start_soon(self._end, run)
+
+    def _make_seen(self, now_s: float) -> SuspectsSeen:
+        section = self.suspects.section(now_s)
+        return SuspectsSeen(seat=self._me.seat, section=section, relay=True)
+
+    def _time_left_ms(self, run: Run) -> int:
+        last_s = self.suspects.find_last(run.fingerprint)
+        left_s = last_s + SUSPECT_TTL_S - anyio.current_time()
+        return max(1000, int(min(left_s, SUSPECT_TTL_S) * 1000))
+
+    def _list_homes(self) -> list[str]:
+        """Return the seats to ask for permission, the first one first.
+
+        One seat permits all reruns: only then can it keep suspects apart.
+        """
+        seats = {seat for names in self._list_live().values() for seat in names}
+        return rank_by_rendezvous(RERUNS_KEY, seats | {self._me.seat})[:ASKED_SEATS]
+
+    async def _ask(self, run: Run, upstreams: Sequence[str]) -> RerunAnswer:
+        now_s = anyio.current_time()
+        message = AskRerun(
+            fingerprint=run.fingerprint,
+            holder=run.holder,
+            upstreams=list(upstreams),
+            term_ms=max(0, int((run.deadline_s - now_s) * 1000)),
+        )
+        for seat in self._list_homes():
+            if seat == self._me.seat:
+                return await self._on_ask(self._me, message)
+            try:
+                return await self._network.call(
+                    seat, message, RerunAnswer, ASK_TIMEOUT_S
+                )
+            except BanyanseamError:
+                continue
+        return RerunAnswer(state="busy")
+
+    async def _spread_and_end(self, message: Message, run: Run) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._tell_homes, message, run)
+            for region, seats in self._list_live().items():
+                is_own = region == self._region
+                told = seats if is_own else seats[:RELAYS]
+                sent = message.model_copy(update={"relay": not is_own})
+                for seat in told:
+                    tasks.start_soon(self._cast, seat, sent)
+
+    async def _tell_homes(self, verdict: Message, run: Run) -> None:
+        # The seats that permit reruns hear of the verdict before they hear of the
+        # end, so that they permit nothing in between.
+        for seat in self._list_homes():
+            await self._cast(seat, verdict.model_copy(update={"relay": False}))
+        await self._end(run)
+
+    async def _end(self, run: Run) -> None:
+        message = EndRerun(fingerprint=run.fingerprint, holder=run.holder)
+        for seat in self._list_homes():
+            await self._cast(seat, message)
+
+    async def _relay(self, message: Message) -> None:
+        sent = message.model_copy(update={"relay": False})
+        for seat in self._list_live().get(self._region, []):
+            await self._cast(seat, sent)
+
+    async def _cast(self, seat: str, message: Message) -> None:
+        if seat == self._me.seat:
+            self._take(message)
+            return
+        try:
+            await self._network.cast(seat, message)
+        except BanyanseamError:
+            # Heartbeats carry the marks later.
+            return
+
+    def _take(self, message: Message) -> None:
+        handlers = {EndRerun: self._on_end, NoteRun: self._on_note}
+        handler = handlers.get(type(message))
+        if handler is not None:
+            handler(self._me, message)
+
+    def apply_section(self, seat: str, section: bytes) -> None:
+        """Take the marks of a heartbeat; raise InvalidMarks."""
+        now_s = anyio.current_time()
+        seen = self.suspects.apply_section(seat, section, now_s)
+        for run in list(self._running.values()):
+            if run.fingerprint in seen:
+                self._start_soon(self._tell_of_run, run)
+
+    async def _tell_of_run(self, run: Run) -> None:
+        term_s = max(0.0, run.deadline_s - anyio.current_time())
+        message = NoteRun(
+            fingerprint=run.fingerprint, holder=run.holder, term_ms=int(term_s * 1000)
+        )
+        await self._cast(self._list_homes()[0], message)
+
+    def _on_seen(self, peer: PeerIdentity, message: SuspectsSeen) -> None:
+        self.apply_section(message.seat, message.section)
+        if message.relay:
+            self._start_soon(self._relay, message)
+
+    def _on_cleared(self, peer: PeerIdentity, message: SuspectCleared) -> None:
+        self.suspects.clear(message.fingerprint)
+        if message.relay:
+            self._start_soon(self._relay, message)
+
+    def _on_note(self, peer: PeerIdentity, message: NoteRun) -> None:
+        until_s = anyio.current_time() + message.term_ms / 1000
+        self._reruns.note(message.fingerprint, message.holder, until_s)
+
+    def _on_end(self, peer: PeerIdentity, message: EndRerun) -> None:
+        self._reruns.end(message.fingerprint, message.holder)
+
+    async def _on_ask(self, peer: PeerIdentity, message: AskRerun) -> RerunAnswer:
+        now_s = anyio.current_time()
+        if self.suspects.count(message.fingerprint, now_s) >= CONDEMNED_CRASHES:
+            return RerunAnswer(state="condemned")
+        run = self._reruns.ask(
+            message.fingerprint,
+            message.holder,
+            message.upstreams,
+            now_s,
+            now_s + message.term_ms / 1000,
+        )
+        if run is None:
+            return RerunAnswer(state="busy")
+        return RerunAnswer(state="granted", upstream=run.upstream)
--- /dev/null
+++ b/banyanseam/poison/suspects.py
@@ -0,0 +1,152 @@
+"""Requests that were running on an upstream when it crashed; pure.
+
+Every crash under a request is recorded once, under a random id, by the daemon that
+saw it; the others learn of it. So reports may be lost, repeated or reordered.
+"""
+
+import secrets
+import struct
+from collections import OrderedDict
+from dataclasses import dataclass
+
+import xxhash
+
+from banyanseam.poison.const import (
+    CONDEMNED_CRASHES,
+    CRASH_ID_BYTES,
+    MAX_CLEARED,
+    MAX_SUSPECTS,
+    SAME_CRASH_S,
+    SECTION_BYTES,
+    SUSPECT_TTL_S,
+)
+from banyanseam.poison.errors import InvalidMarks
+
+# Fingerprint, crash id, digest of the upstream's name, age in milliseconds.
+_ROW = struct.Struct("!8s4sHI")
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """One crash of an upstream under a request."""
+
+    upstream_digest: int
+    at_s: float
+    is_own: bool
+
+
+class Suspects:
+    """Crashes by the fingerprint of the request, bounded in number and in time."""
+
+    def __init__(self) -> None:
+        """Begin without suspects."""
+        self._crashes: OrderedDict[bytes, dict[bytes, Crash]] = OrderedDict()
+        # Crashes that a later success explained away count no longer.
+        self._cleared: OrderedDict[bytes, None] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return the number of suspects."""
+        return len(self._crashes)
+
+    def note_crash(self, fingerprint: bytes, upstream: str, now_s: float) -> None:
+        """Record a crash that this daemon saw."""
+        digest = xxhash.xxh32_intdigest(upstream.encode()) & 0xFFFF
+        crash_id = secrets.token_bytes(CRASH_ID_BYTES)
+        self._put(fingerprint, crash_id, Crash(digest, now_s, is_own=True))
+
+    def count(self, fingerprint: bytes, now_s: float) -> int:
+        """Return the crashes under a request that any daemon saw lately."""
+        return len(self._list_recent(fingerprint, now_s))
+
+    def find_last(self, fingerprint: bytes) -> float:
+        """Return the time of the last crash under a request."""
+        crashes = self._crashes.get(fingerprint, {}).values()
+        return max((crash.at_s for crash in crashes), default=float("-inf"))
+
+    def is_explained(self, fingerprint: bytes, now_s: float) -> bool:
+        """Say whether a condemned request was on the upstream in every crash."""
+        condemned = [
+            crash
+            for other in self._crashes
+            if other != fingerprint and self.count(other, now_s) >= CONDEMNED_CRASHES
+            for crash in self._list_recent(other, now_s)
+        ]
+        return all(
+            any(_is_same(crash, known) for known in condemned)
+            for crash in self._list_recent(fingerprint, now_s)
+        )
+
+    def clear(self, fingerprint: bytes) -> None:
+        """Drop the suspicion against a request that ran to its end."""
+        for crash_id in self._crashes.pop(fingerprint, {}):
+            self._cleared[crash_id] = None
+        while len(self._cleared) > MAX_CLEARED:
+            self._cleared.popitem(last=False)
+
+    def section(self, now_s: float) -> bytes:
+        """Return the crashes that this daemon saw itself, the latest first."""
+        self._expire(now_s)
+        own = [
+            (crash.at_s, fingerprint, crash_id, crash)
+            for fingerprint, crashes in self._crashes.items()
+            for crash_id, crash in crashes.items()
+            if crash.is_own
+        ]
+        own.sort(key=lambda row: row[0], reverse=True)
+        return b"".join(
+            _ROW.pack(
+                fingerprint, crash_id, crash.upstream_digest, int((now_s - at_s) * 1000)
+            )
+            for at_s, fingerprint, crash_id, crash in own[: SECTION_BYTES // _ROW.size]
+        )
+
+    def apply_section(self, seat: str, section: bytes, now_s: float) -> set[bytes]:
+        """Take what another daemon saw; return the fingerprints with new crashes.
+
+        Raise InvalidMarks when the section cannot be read.
+        """
+        if len(section) % _ROW.size or len(section) > SECTION_BYTES:
+            raise InvalidMarks(seat)
+        new = set()
+        for fingerprint, crash_id, upstream_digest, age_ms in _ROW.iter_unpack(section):
+            known = self._crashes.get(fingerprint, {})
+            if crash_id in known or crash_id in self._cleared:
+                continue
+            at_s = now_s - age_ms / 1000
+            self._put(fingerprint, crash_id, Crash(upstream_digest, at_s, is_own=False))
+            new.add(fingerprint)
+        return new
+
+    def _list_recent(self, fingerprint: bytes, now_s: float) -> list[Crash]:
+        crashes = self._crashes.get(fingerprint, {}).values()
+        return [crash for crash in crashes if now_s - crash.at_s <= SUSPECT_TTL_S]
+
+    def _put(self, fingerprint: bytes, crash_id: bytes, crash: Crash) -> None:
+        self._crashes.setdefault(fingerprint, {})[crash_id] = crash
+        self._crashes.move_to_end(fingerprint)
+        if len(self._crashes) > MAX_SUSPECTS:
+            self._drop_one()
+
+    def _drop_one(self) -> None:
+        """Drop the request that crashed longest ago, a condemned one last."""
+        lightest = next(
+            (
+                fingerprint
+                for fingerprint, crashes in self._crashes.items()
+                if len(crashes) < CONDEMNED_CRASHES
+            ),
+            next(iter(self._crashes)),
+        )
+        del self._crashes[lightest]
+
+    def _expire(self, now_s: float) -> None:
+        for fingerprint in list(self._crashes):
+            if not self._list_recent(fingerprint, now_s):
+                del self._crashes[fingerprint]
+
+
+def _is_same(first: Crash, second: Crash) -> bool:
+    return (
+        first.upstream_digest == second.upstream_digest
+        and abs(first.at_s - second.at_s) <= SAME_CRASH_S
+    )
--- /dev/null
+++ b/tests/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of quota."""
