Join quota, poison, retry, byte budget, whole answers and the planned stop

Cause: the modules stood beside the pipe and no request passed them. Change: the pipeline lists all filters. Idempotency comes before quota: a replay then costs nothing, and a refusal by quota may say not run because the key's home vouches for earlier sends. A keyed call that no home has vouched for never claims not run (may_have_run). Streamed answers pass an answer checker and are resumed where the connection broke. A daemon beats only once its handlers stand, since peers elect live seats to roles. A planned stop drains; a superseded process finishes what runs and ends. Ruled out: quota first, as the starting design has it, since a resend refused by quota would have said not run of a call that ran.

--- a/banyanseam/daemon/app.py
+++ b/banyanseam/daemon/app.py
@@ -1,4 +1,4 @@
-"""The daemon: join the fleet, serve until told to stop."""
+"""The daemon: join the fleet, serve, stop as planned."""
 
 import random
 import signal
@@ -7,11 +7,14 @@
 from anyio.abc import TaskGroup
 
 from banyanseam.daemon.fleet_view import FleetView
+from banyanseam.daemon.lifecycle import drain
 from banyanseam.daemon.operations import make_operations
+from banyanseam.daemon.quota_parts import make_quota_parts
 from banyanseam.daemon.serving import Serving, make_serving
-from banyanseam.observe.events import DAEMON_READY, DAEMON_STOPPED, log
-from banyanseam.server.callers import Asgi, make_callers_app
-from banyanseam.server.operator_models import DrainReply, EntriesReply, Entry
+from banyanseam.observe.events import DAEMON_READY, DAEMON_STOPPED, DRAIN_BEGUN, log
+from banyanseam.peers.entries import ENTRIES_VALIDITY_MS, Entries, list_entries
+from banyanseam.server.budget import ByteBudget
+from banyanseam.server.callers import Asgi, CallersPort, make_callers_app
 from banyanseam.server.operators import make_operators_app
 from banyanseam.server.own_routes import (
     make_entries_route,
@@ -28,20 +31,27 @@
     def __init__(self, settings: Settings) -> None:
         """Build what does not need a configuration."""
         self.settings = settings
-        self.view = FleetView(settings, random.Random())
         self.started_s = anyio.current_time()
-        self.is_draining = False
+        self.view = FleetView(settings, random.Random())
+        self.quota = make_quota_parts(self.view)
+        self.lifecycle = self.view.control.lifecycle
         self.serving: Serving | None = None
-        self.stopping = anyio.Event()
-        self.view.membership.on_superseded(lambda _: self.stopping.set())
+        self.budget: ByteBudget | None = None
+        self._drain_wanted = anyio.Event()
+        self._superseded = anyio.Event()
+        self.view.membership.on_superseded(lambda _: self._superseded.set())
 
     @property
     def is_ready(self) -> bool:
-        """Say whether callers are served."""
-        return self.serving is not None and not self.stopping.is_set()
+        """Say whether new requests should come here."""
+        return self.lifecycle.is_ready and self.view.control.accepts_requests
+
+    def begin_drain(self) -> None:
+        """Ask for a planned stop; safe to repeat."""
+        self._drain_wanted.set()
 
     async def run(self) -> None:
-        """Serve until told to stop."""
+        """Serve until a planned stop has ended or a newer process took the seat."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_signals)
             operators = make_server(
@@ -50,42 +60,69 @@
             )
             tasks.start_soon(operators.serve)
             callers = await self._start_serving(tasks)
-            await self.stopping.wait()
-            callers.should_exit = operators.should_exit = True
+            if callers is not None:
+                await self._wait_for_end()
+                await self.quota.home.return_loans()
+                callers.should_exit = True
+            operators.should_exit = True
             tasks.cancel_scope.cancel()
         log(DAEMON_STOPPED)
 
-    async def _start_serving(self, tasks: TaskGroup) -> EmbeddedServer:
-        view = self.view
-        await view.join(tasks)
-        view.incarnation.settle()
-        serving = make_serving(view, tasks)
-        callers = make_server(
-            self._make_callers_app(serving), self.settings.callers_address
-        )
-        serving.start(tasks)
-        view.start(tasks)
+    def list_entries(self, caller: str) -> Entries:
+        """Return the daemons that a caller should use, best first."""
+        return list_entries(self.view.get_config(), self.view.membership, caller)
+
+    async def _start_serving(self, tasks: TaskGroup) -> EmbeddedServer | None:
+        """Return the callers' server, or None when told to stop before."""
+        if not await self._join(tasks):
+            return None
+        policy = self.view.get_config().policies[self.settings.region]
+        self.budget = ByteBudget(policy.byte_budget)
+        self.serving = make_serving(self.view, self.quota, tasks)
+        app = self._make_callers_app(self.serving, self.budget)
+        callers = make_server(app, self.settings.callers_address)
+        self.serving.start(tasks)
         tasks.start_soon(callers.serve)
         await callers.listening.wait()
-        self.serving = serving
-        log(DAEMON_READY, incarnation=view.incarnation.number)
+        self.view.control.begin_serving(tasks)
+        log(DAEMON_READY, incarnation=self.view.incarnation.number)
         return callers
 
-    def list_entries(self, caller: bytes) -> EntriesReply:
-        """Return the daemons to use, best first."""
-        seats = self.view.get_config().seats.values()
-        entries = [
-            Entry(seat=seat.name, region=seat.region, address=seat.callers_address)
-            for seat in seats
-        ]
-        return EntriesReply(entries=entries, validity_ms=5000)
-
-    def begin_drain(self) -> DrainReply:
-        """Begin a planned stop."""
-        self.stopping.set()
-        return DrainReply(state="draining", validity_ms=0, in_flight=0, queued=0)
-
-    def _make_callers_app(self, serving: Serving) -> Asgi:
+    async def _join(self, tasks: TaskGroup) -> bool:
+        async with anyio.create_task_group() as joining:
+
+            async def give_up() -> None:
+                await self._drain_wanted.wait()
+                joining.cancel_scope.cancel()
+
+            joining.start_soon(give_up)
+            await self.view.join(tasks)
+            joining.cancel_scope.cancel()
+        return not self._drain_wanted.is_set()
+
+    async def _wait_for_end(self) -> None:
+        async with anyio.create_task_group() as ends:
+
+            async def drain_when_wanted() -> None:
+                await self._drain_wanted.wait()
+                log(DRAIN_BEGUN)
+                await drain(self.lifecycle, ENTRIES_VALIDITY_MS)
+                ends.cancel_scope.cancel()
+
+            async def finish_when_superseded() -> None:
+                await self._superseded.wait()
+                # The seat's address belongs to the newer process: only what already
+                # runs here is finished.
+                self.lifecycle.begin_drain()
+                self.lifecycle.begin_closing()
+                await self.lifecycle.wait_idle()
+                ends.cancel_scope.cancel()
+
+            ends.start_soon(drain_when_wanted)
+            ends.start_soon(finish_when_superseded)
+
+    def _make_callers_app(self, serving: Serving, budget: ByteBudget) -> Asgi:
+        control = self.view.control
         routes = {
             "/v1/entries": make_entries_route(self.list_entries),
             "/v1/tickets": make_tickets_route(
@@ -94,11 +131,16 @@
             "/health/live": make_health_route(lambda: True),
             "/health/ready": make_health_route(lambda: self.is_ready),
         }
-        return make_callers_app(
-            lambda: self.is_ready, routes, serving.pipelines.from_callers
+        port = CallersPort(
+            pipeline=serving.pipelines.from_callers,
+            own_routes=routes,
+            budget=budget,
+            is_accepting=lambda: control.accepts_requests,
+            closes_connections=lambda: self.lifecycle.closes_connections,
         )
+        return make_callers_app(port)
 
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
-                self.stopping.set()
+                self.begin_drain()
--- a/banyanseam/daemon/control.py
+++ b/banyanseam/daemon/control.py
@@ -81,18 +81,20 @@
 
     async def run(self, group: TaskGroup) -> None:
         """Start the loops in a group and return when the daemon may serve."""
-        for loop in (
-            self.watch.run,
-            self.spread.run,
-            self.heartbeats.run,
-            self.freeze.run,
-        ):
+        for loop in (self.watch.run, self.spread.run, self.freeze.run):
             group.start_soon(loop)
         await self._catch_up()
         self._incarnation.settle()
-        self.lifecycle.begin_serving()
         group.start_soon(self._catch_up_after_freezes)
 
+    def begin_serving(self, group: TaskGroup) -> None:
+        """Start to beat, once all handlers of this process are registered.
+
+        Peers elect live seats to roles, so a daemon that cannot serve must not beat.
+        """
+        self.lifecycle.begin_serving()
+        group.start_soon(self.heartbeats.run)
+
     async def _catch_up(self) -> None:
         await wait_until_current(self.store, self.spread, self._list_join_peers)
         self._catching_up = False
--- a/banyanseam/daemon/idempotency_parts.py
+++ b/banyanseam/daemon/idempotency_parts.py
@@ -42,16 +42,14 @@
     def adopt(config: Config) -> None:
         home.adopt(make_mapping(config))
 
-    def find_region(seat: str) -> str | None:
-        found = view.get_config().seats.get(seat)
-        return found.region if found else None
-
     def lose_older(seat: str, incarnation: int) -> None:
         home.lose_process(seat, incarnation - 1)
 
     adopt(view.get_config())
     view.store.on_adopted(adopt)
-    view.freezes.on_restart(lambda _: home.begin_anew())
+    view.control.freeze.on_restart(lambda _: home.begin_anew())
     view.membership.on_new_process(lose_older)
-    filter_ = run_at_most_once(me, desk, home, client, forwarder.forward, find_region)
+    filter_ = run_at_most_once(
+        me, desk, home, client, forwarder.forward, view.find_region
+    )
     return IdempotencyParts(desk, home, filter_)
--- a/banyanseam/daemon/operations.py
+++ b/banyanseam/daemon/operations.py
@@ -6,7 +6,9 @@
 
 from banyanseam.config.errors import NotReady
 from banyanseam.daemon.status import describe_status
+from banyanseam.peers.entries import ENTRIES_VALIDITY_MS
 from banyanseam.server.operator_answers import answer_explain, answer_histograms
+from banyanseam.server.operator_models import DrainReply
 from banyanseam.server.operators import Operation
 
 if TYPE_CHECKING:
@@ -28,10 +30,16 @@
         return describe_status(daemon, anyio.current_time()).model_dump()
 
     async def answer_entries(body: bytes) -> dict[str, Any]:
-        return daemon.list_entries(b"").model_dump()
+        return daemon.list_entries(daemon.settings.seat).model_dump()
 
     async def answer_drain(body: bytes) -> dict[str, Any]:
-        return daemon.begin_drain().model_dump()
+        daemon.begin_drain()
+        return DrainReply(
+            state="draining",
+            validity_ms=ENTRIES_VALIDITY_MS,
+            in_flight=daemon.lifecycle.running_requests,
+            queued=0,
+        ).model_dump()
 
     async def histograms(body: bytes) -> dict[str, Any]:
         if daemon.serving is None:
--- /dev/null
+++ b/banyanseam/daemon/poison_parts.py
@@ -0,0 +1,50 @@
+"""Put together what contains requests that crash upstreams."""
+
+import anyio
+from anyio.abc import TaskGroup
+
+from banyanseam.daemon.fleet_view import FleetView
+from banyanseam.peers.messages import PeerIdentity
+from banyanseam.pipe.models import Exchange, Filter
+from banyanseam.pipe.poison import contain_poison
+from banyanseam.poison.guard import PoisonGuard
+
+SECTION_NAME = "poison"
+
+
+def make_poison_filter(view: FleetView, tasks: TaskGroup) -> Filter:
+    """Return the filter, joined to the heartbeats."""
+    membership = view.membership
+
+    def list_live() -> dict[str, list[str]]:
+        return {
+            region: membership.alive_seats(region) for region in membership.regions()
+        }
+
+    def list_upstreams(exchange: Exchange) -> list[str]:
+        named = exchange.model if exchange.route.is_model else exchange.route.service
+        return [
+            upstream.name
+            for upstream in view.get_config().upstreams.values()
+            if named in upstream.serves
+            and upstream.is_model == exchange.route.is_model
+            and not upstream.leaving
+            and (exchange.regions is None or upstream.region in exchange.regions)
+        ]
+
+    guard = PoisonGuard(
+        view.network.me,
+        view.settings.region,
+        view.network,
+        list_live,
+        tasks.start_soon,
+    )
+
+    def take_section(peer: PeerIdentity, content: bytes) -> None:
+        guard.apply_section(peer.seat, content)
+
+    def write_section() -> bytes:
+        return guard.suspects.section(anyio.current_time())
+
+    view.sections.register(SECTION_NAME, write_section, take_section)
+    return contain_poison(guard, list_upstreams)
--- a/banyanseam/daemon/recorder.py
+++ b/banyanseam/daemon/recorder.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from banyanseam.daemon.lifecycle import Lifecycle
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.histograms import Histograms, Measure
 from banyanseam.pipe.models import Exchange
@@ -12,19 +13,19 @@
 class RequestRecorder:
     """Figures of the requests that this process took from callers."""
 
-    def __init__(self, histograms: Histograms) -> None:
-        """Start with nothing counted."""
+    def __init__(self, histograms: Histograms, lifecycle: Lifecycle) -> None:
+        """Start with nothing counted; the life cycle waits for what is in flight."""
         self.histograms = histograms
-        self.in_flight = 0
+        self._lifecycle = lifecycle
         self.failures: Counter[str] = Counter()
 
     def begin(self) -> None:
         """Count a request that has come in."""
-        self.in_flight += 1
+        self._lifecycle.request_started()
 
     def end(self, exchange: Exchange, error: BanyanseamError | None) -> None:
         """Count a request that has ended, however it did."""
-        self.in_flight -= 1
+        self._lifecycle.request_ended()
         if error is not None:
             self.failures[error.code] += 1
         if exchange.route is None:
--- a/banyanseam/daemon/serving.py
+++ b/banyanseam/daemon/serving.py
@@ -7,6 +7,8 @@
 
 from banyanseam.daemon.fleet_view import FleetView
 from banyanseam.daemon.idempotency_parts import IdempotencyParts, make_idempotency_parts
+from banyanseam.daemon.poison_parts import make_poison_filter
+from banyanseam.daemon.quota_parts import QuotaParts
 from banyanseam.daemon.recorder import RequestRecorder
 from banyanseam.daemon.upstream_parts import UpstreamParts, make_upstream_parts
 from banyanseam.observe.histograms import Histograms
@@ -17,6 +19,7 @@
 from banyanseam.pipe.models import Exchange
 from banyanseam.pipe.pipeline import Filters, Pipelines, make_pipelines
 from banyanseam.pipe.queue import make_queue
+from banyanseam.pipe.retry import RetryBudget, retry_once
 from banyanseam.pipe.serve_forwarded import ForwardServer
 
 
@@ -25,6 +28,7 @@
     """The parts that serve requests."""
 
     recorder: RequestRecorder
+    quota: QuotaParts
     upstreams: UpstreamParts
     idempotency: IdempotencyParts
     pipelines: Pipelines
@@ -32,25 +36,33 @@
 
     def start(self, tasks: TaskGroup) -> None:
         """Start the loops of every part."""
+        self.quota.start(tasks)
         self.upstreams.start(tasks)
         self.idempotency.start(tasks)
 
 
-def make_serving(view: FleetView, tasks: TaskGroup) -> Serving:
+def make_serving(view: FleetView, quota: QuotaParts, tasks: TaskGroup) -> Serving:
     """Return the parts; the configuration in force must be safe to serve by."""
     region = view.settings.region
-    recorder = RequestRecorder(Histograms(anyio.current_time()))
+    lifecycle = view.control.lifecycle
+    recorder = RequestRecorder(Histograms(anyio.current_time()), lifecycle)
     upstreams = make_upstream_parts(view)
     forwarder = Forwarder(view.network)
     view.network.watch_lost_links(forwarder.lose_seat)
     idempotency = make_idempotency_parts(view, forwarder, tasks)
 
+    def get_retry_share() -> float:
+        return view.get_config().policies[region].retry_budget_share
+
     def recheck(exchange: Exchange) -> None:
         check_key(view.get_config(), exchange)
 
     filters = Filters(
         recorder=recorder,
+        quota=quota.filter_,
         idempotency=idempotency.filter_,
+        retry=retry_once(RetryBudget(), get_retry_share),
+        poison=make_poison_filter(view, tasks),
         queue=make_queue(
             upstreams.room,
             upstreams.places,
@@ -70,4 +82,4 @@
         pipelines.from_peers,
     )
     view.network.watch_lost_links(forward_server.lose_peer)
-    return Serving(recorder, upstreams, idempotency, pipelines, forward_server)
+    return Serving(recorder, quota, upstreams, idempotency, pipelines, forward_server)
--- a/banyanseam/daemon/status.py
+++ b/banyanseam/daemon/status.py
@@ -37,7 +37,7 @@
     """Return the word for the daemon's phase."""
     if daemon.serving is None:
         return "starting"
-    return "draining" if daemon.is_draining else "serving"
+    return "draining" if daemon.lifecycle.is_stopping else "serving"
 
 
 def _describe_config(daemon: "Daemon") -> ConfigStatus:
@@ -55,7 +55,7 @@
 
 
 def _describe_load(daemon: "Daemon") -> LoadStatus:
-    if daemon.serving is None:
+    if daemon.serving is None or daemon.budget is None:
         return LoadStatus()
     recorder = daemon.serving.recorder
     return LoadStatus(in_flight=recorder.in_flight, failures=dict(recorder.failures))
--- a/banyanseam/daemon/upstream_parts.py
+++ b/banyanseam/daemon/upstream_parts.py
@@ -42,7 +42,7 @@
         region=view.settings.region,
         network=view.network,
         get_config=view.get_config,
-        alive_seats=view.membership.alive_seats,
+        alive_seats=view.list_staying,
     )
     regions = Regions()
     places = Places(context, regions, random.Random())
@@ -51,10 +51,10 @@
     write_section = make_section_writer(places.list_rows, places.list_served)
 
     def take_section(peer: PeerIdentity, content: bytes) -> None:
-        seat = view.get_config().seats.get(peer.seat)
-        if seat is not None and seat.region != view.settings.region:
-            regions.apply(seat.region, content, anyio.current_time())
+        region = view.find_region(peer.seat)
+        if region is not None and region != view.settings.region:
+            regions.apply(region, content, anyio.current_time())
 
     view.sections.register(SECTION_NAME, write_section, take_section)
-    view.freezes.on_restart(lambda _: keeper.restart())
+    view.control.freeze.on_restart(lambda _: keeper.restart())
     return UpstreamParts(client, places, keeper, room)
--- a/banyanseam/errors.py
+++ b/banyanseam/errors.py
@@ -38,15 +38,15 @@
         self.detail = detail or self.title
         self.retry_after_ms = retry_after_ms
 
-    def to_problem(self, request_id: str, *, upstream_started: bool) -> Problem:
-        """Describe the failure; `upstream_started` vetoes any claim of not run."""
+    def to_problem(self, request_id: str, *, is_surely_not_run: bool) -> Problem:
+        """Describe the failure; it claims not run only if that is sure as well."""
         return Problem(
             type=f"urn:banyanseam:error:{self.code}",
             title=self.title,
             status=self.status,
             detail=self.detail,
             code=self.code,
-            not_run=self.not_run and not upstream_started,
+            not_run=self.not_run and is_surely_not_run,
             request_id=request_id,
             retry_after_ms=self.retry_after_ms,
         )
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -21,6 +21,7 @@
 
 INTERNAL_FAILURE: Final = Event(2000, "ERROR", "A fault in the daemon itself")
 DAEMON_READY: Final = Event(2001, "INFO", "The daemon serves callers")
+DRAIN_BEGUN: Final = Event(2003, "INFO", "A planned stop has begun")
 DAEMON_STOPPED: Final = Event(2002, "INFO", "The daemon has stopped")
 REQUEST_ENDED: Final = Event(3001, "INFO", "A request ended")
 REQUEST_FAILED: Final = Event(3002, "WARNING", "A request was refused or failed")
--- a/banyanseam/peers/forward_messages.py
+++ b/banyanseam/peers/forward_messages.py
@@ -28,6 +28,7 @@
     # None allows every region.
     regions: list[str] | None
     remaining_ms: int
+    may_have_run: bool
     credit_bytes: int
 
 
--- a/banyanseam/pipe/attempt.py
+++ b/banyanseam/pipe/attempt.py
@@ -2,16 +2,20 @@
 
 import anyio
 
+from banyanseam.config.compiled import Upstream
 from banyanseam.pipe.const import HOP_HEADERS, READ_SLACK_S
 from banyanseam.pipe.errors import DeadlineExceeded
 from banyanseam.pipe.models import Exchange, Headers, Next
-from banyanseam.pipe.stream import relay_plain
+from banyanseam.pipe.stream import relay_chat, relay_events, relay_plain
 from banyanseam.upstreams.client import (
     UpstreamClient,
     UpstreamRequest,
+    UpstreamResponse,
 )
 from banyanseam.upstreams.room import Room
 
+_EVENT_STREAM = b"text/event-stream"
+
 
 def make_request(exchange: Exchange) -> UpstreamRequest:
     """Return what the upstream is sent; raise DeadlineExceeded."""
@@ -50,7 +54,23 @@
             exchange.upstream_started = True
 
         async with client.open(upstream, request, note_started) as response:
-            headers = clean_headers(response.headers)
-            await relay_plain(exchange, response, headers)
+            await _relay(exchange, client, upstream, response)
 
     return step
+
+
+async def _relay(
+    exchange: Exchange,
+    client: UpstreamClient,
+    upstream: Upstream,
+    response: UpstreamResponse,
+) -> None:
+    headers = clean_headers(response.headers)
+    if not exchange.route.is_model or response.status != 200:
+        await relay_plain(exchange, response, headers)
+        return
+    content_type = response.find_header(b"content-type") or b""
+    if content_type.startswith(_EVENT_STREAM):
+        await relay_events(exchange, client, upstream, response, headers)
+    else:
+        await relay_chat(exchange, response, headers)
--- a/banyanseam/pipe/authenticate.py
+++ b/banyanseam/pipe/authenticate.py
@@ -1,9 +1,9 @@
 """Find the organisation whose key came with the request."""
 
-import hashlib
 from collections.abc import Callable
 
 from banyanseam.config.compiled import Config
+from banyanseam.config.keys import digest_key, find_organisation, is_still_valid
 from banyanseam.pipe.const import CREDENTIAL_HEADERS
 from banyanseam.pipe.errors import KeyUnknown
 from banyanseam.pipe.models import Exchange, Filter, Headers, Next
@@ -25,8 +25,10 @@
     """Raise KeyUnknown when the key of the exchange is no longer published."""
     if exchange.key_digest is None:
         return
-    name = config.organisation_by_digest.get(exchange.key_digest)
-    if exchange.organisation is None or name != exchange.organisation.name:
+    organisation = exchange.organisation
+    if organisation is None or not is_still_valid(
+        config, exchange.key_digest, organisation.name
+    ):
         raise KeyUnknown
 
 
@@ -39,15 +41,10 @@
             header for header in exchange.headers if header[0] not in CREDENTIAL_HEADERS
         ]
         if key is not None:
-            # Looking a digest up leaks nothing about the key: its timing depends on
-            # the digest alone, which whoever lacks the key cannot steer.
-            digest = hashlib.sha256(key).digest()
-            config = get_config()
-            name = config.organisation_by_digest.get(digest)
-            if name is None:
+            exchange.organisation = find_organisation(get_config(), key)
+            if exchange.organisation is None:
                 raise KeyUnknown
-            exchange.key_digest = digest
-            exchange.organisation = config.organisations[name]
+            exchange.key_digest = digest_key(key)
         await next_(exchange)
 
     return filter_
--- a/banyanseam/pipe/forward.py
+++ b/banyanseam/pipe/forward.py
@@ -135,6 +135,7 @@
         route=exchange.route.name,
         regions=regions,
         remaining_ms=max(0, int(remaining_s * 1000)),
+        may_have_run=exchange.may_have_run,
         credit_bytes=FORWARD_WINDOW_BYTES,
     )
 
@@ -144,6 +145,8 @@
     exchange.upstream = end.upstream
     exchange.usage = Usage(end.prompt_tokens, end.output_tokens, end.cached_tokens)
     if end.outcome == "failed":
+        # The serving daemon knows what an earlier send of the same key did.
+        exchange.may_have_run = not end.not_run
         raise ForwardFailed(
             end.code,
             end.detail,
--- a/banyanseam/pipe/idempotency.py
+++ b/banyanseam/pipe/idempotency.py
@@ -166,6 +166,8 @@
     if verdict.answer is not None:
         await replay(verdict.answer, exchange.reply)
         return
+    # The home vouches that no earlier send of this key ran.
+    exchange.may_have_run = False
     # A process that was frozen may hold a grant whose time has passed.
     if anyio.current_time() >= exchange.deadline_s:
         await _release(keeper, wish, GrantTooLate())
--- a/banyanseam/pipe/models.py
+++ b/banyanseam/pipe/models.py
@@ -80,6 +80,8 @@
     usage: Usage = field(default_factory=Usage)
     # True from the first byte written to an upstream: nothing may claim not run.
     upstream_started: bool = False
+    # True while an earlier send of the same idempotency key may have run.
+    may_have_run: bool = False
     upstream: str | None = None
     # When an upstream's room was granted.
     granted_s: float | None = None
@@ -88,6 +90,11 @@
     # Upstreams that failed this request; another try goes elsewhere.
     avoided_upstreams: set[str] = field(default_factory=set)
 
+    @property
+    def is_surely_not_run(self) -> bool:
+        """Say whether a refusal may claim that nothing ran."""
+        return not self.upstream_started and not self.may_have_run
+
     def find_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, by its name in lower case."""
         return next((value for key, value in self.headers if key == name), None)
--- a/banyanseam/pipe/pipeline.py
+++ b/banyanseam/pipe/pipeline.py
@@ -18,7 +18,10 @@
     """The filters that stand on state, made by the daemon's composition."""
 
     recorder: Recorder
+    quota: Filter
     idempotency: Filter
+    retry: Filter
+    poison: Filter
     queue: Filter
     attempt: Next
 
@@ -33,6 +36,8 @@
 
 def make_pipelines(get_config: Callable[[], Config], filters: Filters) -> Pipelines:
     """Return both pipelines, each a list read from top to bottom."""
+    # Quota comes after idempotency: a replay costs nothing, and a refusal by quota
+    # may say not run, since the key's home vouches for earlier sends.
     from_callers: list[Filter] = [
         record(filters.recorder),
         refuse_loops,
@@ -41,6 +46,9 @@
         bind_residency,
         set_cost,
         filters.idempotency,
+        filters.quota,
+        filters.retry,
+        filters.poison,
         filters.queue,
     ]
     # The forwarding daemon has admitted and charged the request; the serving one
@@ -48,6 +56,8 @@
     from_peers: list[Filter] = [
         set_cost,
         filters.idempotency,
+        filters.retry,
+        filters.poison,
         filters.queue,
     ]
     return Pipelines(
--- a/banyanseam/pipe/retry.py
+++ b/banyanseam/pipe/retry.py
@@ -11,6 +11,13 @@
 
 from banyanseam.errors import BanyanseamError
 from banyanseam.peers.errors import PeerUnreachable
+from banyanseam.pipe.errors import (
+    AnswerCrossed,
+    AnswerGap,
+    AnswerMalformed,
+    AnswerTruncated,
+    ForwardLost,
+)
 from banyanseam.pipe.models import Exchange, Filter, Next
 from banyanseam.upstreams.errors import (
     UpstreamFailed,
@@ -22,6 +29,14 @@
 RECENT_S = 10.0
 # A quiet daemon may still retry this often in RECENT_S.
 MIN_RETRIES = 1.0
+_WORTH_ANOTHER_TRY = (
+    UpstreamFailed,
+    ForwardLost,
+    AnswerCrossed,
+    AnswerGap,
+    AnswerMalformed,
+    AnswerTruncated,
+)
 
 
 class RetryBudget:
@@ -65,7 +80,7 @@
         return exchange.is_idempotent or not exchange.upstream_started
     if isinstance(error, UpstreamTimedOut):
         return False
-    return isinstance(error, UpstreamFailed) and exchange.is_idempotent
+    return isinstance(error, _WORTH_ANOTHER_TRY) and exchange.is_idempotent
 
 
 def retry_once(budget: RetryBudget, get_share: Callable[[], float]) -> Filter:
--- a/banyanseam/pipe/route.py
+++ b/banyanseam/pipe/route.py
@@ -48,6 +48,8 @@
         exchange.is_idempotent = (
             found.is_model or exchange.method in found.idempotent_methods
         )
+        if exchange.is_idempotent:
+            exchange.may_have_run = False
         exchange.fingerprint = make_fingerprint(exchange)
         exchange.deadline_s = exchange.received_s + found.deadline_ms / 1000
         with anyio.CancelScope(deadline=exchange.deadline_s) as scope:
--- a/banyanseam/pipe/serve_forwarded.py
+++ b/banyanseam/pipe/serve_forwarded.py
@@ -173,6 +173,7 @@
         key_digest=opened.key_digest,
         regions=None if opened.regions is None else frozenset(opened.regions),
         deadline_s=now_s + opened.remaining_ms / 1000,
+        may_have_run=opened.may_have_run,
     )
     exchange.fingerprint = make_fingerprint(exchange)
     return exchange
@@ -197,7 +198,7 @@
         code=error.code,
         detail=error.detail,
         status=error.status,
-        not_run=error.not_run and not exchange.upstream_started,
+        not_run=error.not_run and exchange.is_surely_not_run,
         retry_after_ms=error.retry_after_ms,
         **_facts(exchange),
     )
--- a/banyanseam/pipe/stream.py
+++ b/banyanseam/pipe/stream.py
@@ -1,7 +1,20 @@
-"""Pass an upstream's answer on."""
+"""Pass an upstream's answer on, as whole events that belong to the request."""
 
+from contextlib import AsyncExitStack
+
+from banyanseam.config.compiled import Upstream
+from banyanseam.pipe.errors import AnswerCrossed, AnswerTruncated
 from banyanseam.pipe.models import Exchange, Headers
-from banyanseam.upstreams.client import UpstreamResponse
+from banyanseam.pipe.whole_answer import AnswerChecker, read_whole_answer
+from banyanseam.upstreams.client import (
+    UpstreamClient,
+    UpstreamRequest,
+    UpstreamResponse,
+)
+from banyanseam.upstreams.errors import UpstreamFailed, UpstreamUnreachable
+
+RESUMES = 2
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
 async def relay_plain(
@@ -11,3 +24,92 @@
     await exchange.reply.start(response.status, headers)
     async for chunk in response.body:
         await exchange.reply.send(chunk)
+
+
+async def relay_chat(
+    exchange: Exchange, response: UpstreamResponse, headers: Headers
+) -> None:
+    """Pass on an unstreamed answer once it is whole and belongs to the request."""
+    body = bytearray()
+    async for chunk in response.body:
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            raise UpstreamFailed(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+    exchange.usage = read_whole_answer(bytes(body), exchange.request_id)
+    await exchange.reply.start(response.status, headers)
+    await exchange.reply.send(bytes(body))
+
+
+async def relay_events(
+    exchange: Exchange,
+    client: UpstreamClient,
+    upstream: Upstream,
+    response: UpstreamResponse,
+    headers: Headers,
+) -> None:
+    """Pass on a streamed answer; a broken connection is resumed where it stopped.
+
+    Nothing reaches the caller before the first whole event, so that a failure until
+    then can still be tried elsewhere.
+    """
+    checker = AnswerChecker(exchange.request_id)
+    resumes_left = RESUMES
+    async with AsyncExitStack() as stack:
+        while True:
+            try:
+                await _pass_events(exchange, checker, response, headers)
+                return
+            except (UpstreamFailed, AnswerTruncated):
+                if not resumes_left or not checker.can_resume:
+                    raise
+                resumes_left -= 1
+                response = await _resume(exchange, client, upstream, checker, stack)
+
+
+async def _pass_events(
+    exchange: Exchange,
+    checker: AnswerChecker,
+    response: UpstreamResponse,
+    headers: Headers,
+) -> None:
+    async for chunk in response.body:
+        events = checker.feed(chunk)
+        if not events:
+            continue
+        if not exchange.reply.started:
+            await exchange.reply.start(response.status, headers)
+        await exchange.reply.send(events)
+        if checker.is_ended:
+            break
+    exchange.usage = checker.usage
+    checker.finish()
+
+
+async def _resume(
+    exchange: Exchange,
+    client: UpstreamClient,
+    upstream: Upstream,
+    checker: AnswerChecker,
+    stack: AsyncExitStack,
+) -> UpstreamResponse:
+    """Return the rest of the answer; raise UpstreamFailed when there is none."""
+    checker.begin_resumed()
+    request = UpstreamRequest(
+        request_id=exchange.request_id,
+        method="GET",
+        target=f"/v1/streams/{exchange.request_id}?after={checker.position}",
+        headers=[],
+        body=b"",
+        is_idempotent=True,
+    )
+    opened = client.open(upstream, request, lambda: None)
+    try:
+        response = await stack.enter_async_context(opened)
+    except UpstreamUnreachable as error:
+        # The first connection carried the request, so it may have run.
+        raise UpstreamFailed(f"{upstream.name}: gone while answering") from error
+    if response.status != 200:
+        raise UpstreamFailed(f"{upstream.name}: does not resume")
+    if response.find_header(b"x-request-id") != exchange.request_id.encode():
+        raise AnswerCrossed
+    return response
--- a/banyanseam/pipe/whole_answer.py
+++ b/banyanseam/pipe/whole_answer.py
@@ -148,11 +148,7 @@
         usage = _load(data).get("usage")
         if not isinstance(usage, dict):
             return
-        self.usage = Usage(
-            prompt_tokens=_read_count(usage, "prompt_tokens"),
-            output_tokens=_read_count(usage, "completion_tokens"),
-            cached_tokens=_read_count(usage, "cached_tokens") or 0,
-        )
+        self.usage = _make_usage(usage)
 
 
 def _find_ends(buffer: bytes) -> Iterator[tuple[int, int]]:
@@ -177,8 +173,28 @@
     return value
 
 
+def _make_usage(usage: dict[str, Any]) -> Usage:
+    return Usage(
+        prompt_tokens=_read_count(usage, "prompt_tokens"),
+        output_tokens=_read_count(usage, "completion_tokens"),
+        cached_tokens=_read_count(usage, "cached_tokens") or 0,
+    )
+
+
 def _read_count(usage: dict[str, Any], name: str) -> int | None:
     value = usage.get(name)
     if isinstance(value, int) and not isinstance(value, bool) and value >= 0:
         return value
     return None
+
+
+def read_whole_answer(body: bytes, request_id: str) -> Usage:
+    """Return the usage of an unstreamed answer.
+
+    Raise AnswerCrossed when it is another request's, AnswerMalformed for no JSON.
+    """
+    value = _load(body)
+    if value.get("id") != request_id:
+        raise AnswerCrossed
+    usage = value.get("usage")
+    return _make_usage(usage) if isinstance(usage, dict) else Usage()
--- a/banyanseam/server/callers.py
+++ b/banyanseam/server/callers.py
@@ -1,6 +1,7 @@
 """The callers' port: an ASGI application around the pipe."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any
 
 import anyio
@@ -8,10 +9,13 @@
 
 from banyanseam.config.errors import NotReady
 from banyanseam.errors import BanyanseamError
+from banyanseam.idempotency.const import KEY_HEADER
 from banyanseam.observe.events import INTERNAL_FAILURE, log
 from banyanseam.pipe.const import BODY_TIMEOUT_S, MAX_BODY_BYTES
 from banyanseam.pipe.errors import BodyTooLarge, BodyTooSlow, CallerGone
-from banyanseam.pipe.models import Exchange, Next
+from banyanseam.pipe.models import Exchange, Headers, Next
+from banyanseam.server.budget import ByteBudget
+from banyanseam.server.const import RETRY_AFTER_MS
 from banyanseam.server.own_routes import OwnRoute
 from banyanseam.server.reply import AsgiReceive, AsgiSend, CallerSink, send_problem
 
@@ -22,8 +26,24 @@
     """Makes the server cut the connection, so that nobody takes a part for all."""
 
 
-async def read_body(receive: AsgiReceive) -> bytes:
-    """Return the whole body; raise BodyTooLarge, BodyTooSlow or CallerGone."""
+@dataclass(frozen=True, slots=True)
+class CallersPort:
+    """What the callers' application stands on."""
+
+    pipeline: Next
+    own_routes: dict[str, OwnRoute]
+    budget: ByteBudget
+    is_accepting: Callable[[], bool]
+    closes_connections: Callable[[], bool]
+
+
+async def read_body(
+    receive: AsgiReceive, grow_to: Callable[[int], None] = lambda _: None
+) -> bytes:
+    """Return the whole body, reserving memory for it as it arrives.
+
+    Raise BodyTooLarge, BodyTooSlow, CallerGone or what `grow_to` raises.
+    """
     parts: list[bytes] = []
     size_bytes = 0
     with anyio.move_on_after(BODY_TIMEOUT_S):
@@ -35,45 +55,45 @@
             size_bytes += len(part)
             if size_bytes > MAX_BODY_BYTES:
                 raise BodyTooLarge(f"more than {MAX_BODY_BYTES} bytes")
+            grow_to(size_bytes)
             parts.append(part)
             if not message.get("more_body", False):
                 return b"".join(parts)
     raise BodyTooSlow
 
 
-def make_exchange(scope: dict[str, Any], body: bytes, sink: CallerSink) -> Exchange:
-    """Return the exchange of an ASGI request."""
+def read_declared_bytes(headers: Headers) -> int | None:
+    """Return the length that a request announces, if any."""
+    value = dict(headers).get(b"content-length", b"")
+    return int(value) if value.isdigit() else None
+
+
+def make_exchange(scope: dict[str, Any], sink: CallerSink) -> Exchange:
+    """Return the exchange of an ASGI request whose body is still to come."""
+    headers = list(scope["headers"])
+    is_write = scope["method"] not in ("GET", "HEAD")
     return Exchange(
         request_id=sink.request_id,
         method=scope["method"],
         path=scope["path"],
         raw_path=scope["raw_path"],
         query=scope["query_string"],
-        headers=list(scope["headers"]),
-        body=body,
+        headers=headers,
+        body=b"",
         received_s=anyio.current_time(),
         reply=sink,
+        may_have_run=is_write and any(name == KEY_HEADER for name, _ in headers),
     )
 
 
-def make_callers_app(
-    is_ready: Callable[[], bool], own_routes: dict[str, OwnRoute], pipeline: Next
-) -> Asgi:
+def make_callers_app(port: CallersPort) -> Asgi:
     """Return the application of the callers' port."""
 
     async def app(scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend) -> None:
-        sink = CallerSink(send, str(uuid7()))
-        exchange = make_exchange(scope, b"", sink)
+        sink = CallerSink(send, str(uuid7()), port.closes_connections)
+        exchange = make_exchange(scope, sink)
         try:
-            exchange.body = await read_body(receive)
-            own = own_routes.get(exchange.path)
-            if own is not None:
-                await own(exchange, send)
-                return
-            if not is_ready():
-                raise NotReady
-            await run_watched(pipeline, exchange, receive)
-            await sink.finish()
+            await serve_exchange(port, exchange, receive, send)
         except CallerGone:
             return
         except BanyanseamError as error:
@@ -85,7 +105,26 @@
     return app
 
 
-async def run_watched(pipeline: Next, exchange: Exchange, receive: AsgiReceive) -> None:
+async def serve_exchange(
+    port: CallersPort, exchange: Exchange, receive: AsgiReceive, send: AsgiSend
+) -> None:
+    """Read the body and answer; the body's memory is held until the answer is out."""
+    declared_bytes = read_declared_bytes(exchange.headers)
+    with port.budget.reserve_body(declared_bytes, MAX_BODY_BYTES) as reservation:
+        exchange.body = await read_body(receive, reservation.grow_to)
+        own = port.own_routes.get(exchange.path)
+        if own is not None:
+            await own(exchange, send)
+            return
+        if not port.is_accepting():
+            raise NotReady(retry_after_ms=RETRY_AFTER_MS)
+        await run_watched(port, exchange, receive)
+        await exchange.reply.finish()
+
+
+async def run_watched(
+    port: CallersPort, exchange: Exchange, receive: AsgiReceive
+) -> None:
     """Run the pipeline; cancel it when the caller goes, if that loses nothing."""
     failure: Exception | None = None
     finished = False
@@ -102,7 +141,9 @@
         tasks.start_soon(watch)
         # An exception that left this group would arrive wrapped in a group.
         try:
-            await pipeline(exchange)
+            async with port.budget.open_stream(exchange.reply.transmit) as window:
+                exchange.reply.window = window
+                await port.pipeline(exchange)
         except Exception as error:
             failure = error
         finished = True
@@ -119,11 +160,15 @@
     """Tell the caller of a failure, as visibly as the state of the answer allows."""
     if not sink.started:
         await send_problem(
-            send, error, sink.request_id, upstream_started=exchange.upstream_started
+            send,
+            error,
+            sink.request_id,
+            is_surely_not_run=exchange.is_surely_not_run,
+            closes=sink.closes(),
         )
         return
     problem = error.to_problem(
-        sink.request_id, upstream_started=exchange.upstream_started
+        sink.request_id, is_surely_not_run=exchange.is_surely_not_run
     )
     await sink.announce_break(problem)
     raise AnswerBroken(error.code)
--- a/banyanseam/server/operators.py
+++ b/banyanseam/server/operators.py
@@ -35,6 +35,6 @@
             answer = json.dumps(await operation(body)).encode()
             await send_body(send, 200, answer, _JSON)
         except BanyanseamError as error:
-            await send_problem(send, error, "-", upstream_started=False)
+            await send_problem(send, error, "-", is_surely_not_run=True)
 
     return app
--- a/banyanseam/server/own_routes.py
+++ b/banyanseam/server/own_routes.py
@@ -8,10 +8,10 @@
 from banyanseam.config.compiled import Config
 from banyanseam.errors import BanyanseamError
 from banyanseam.idempotency.tickets import TicketDesk
+from banyanseam.peers.entries import Entries
 from banyanseam.pipe.authenticate import find_key
 from banyanseam.pipe.models import Exchange, Headers
 from banyanseam.pipe.tickets import issue_ticket
-from banyanseam.server.operator_models import EntriesReply
 from banyanseam.server.reply import AsgiSend, send_body
 
 OwnRoute = Callable[[Exchange, AsgiSend], Awaitable[None]]
@@ -40,14 +40,15 @@
     await send_body(send, status, reply.model_dump_json().encode(), _NOT_KEPT)
 
 
-def make_entries_route(list_entries: Callable[[bytes], EntriesReply]) -> OwnRoute:
+def make_entries_route(list_entries: Callable[[str], Entries]) -> OwnRoute:
     """Return `GET /v1/entries`; the caller's key only spreads callers over daemons."""
 
     async def answer(exchange: Exchange, send: AsgiSend) -> None:
         if exchange.method not in ("GET", "HEAD"):
             raise MethodNotAllowed(exchange.method)
         key = find_key(exchange.headers) or exchange.request_id.encode()
-        caller = hashlib.sha256(key).digest()
+        # A digest, so that no list or log can give the key away.
+        caller = hashlib.sha256(key).hexdigest()
         await send_json(send, 200, list_entries(caller))
 
     return answer
--- a/banyanseam/server/reply.py
+++ b/banyanseam/server/reply.py
@@ -7,21 +7,28 @@
 
 from banyanseam.errors import BanyanseamError, Problem
 from banyanseam.pipe.models import Headers
+from banyanseam.server.budget import StreamWindow
 
 AsgiSend = Callable[[dict[str, Any]], Awaitable[None]]
 AsgiReceive = Callable[[], Awaitable[dict[str, Any]]]
+CLOSE_HEADER = (b"connection", b"close")
 _EVENT_STREAM = b"text/event-stream"
 
 
 class CallerSink:
     """A reply that goes to the caller's own connection."""
 
-    def __init__(self, send: AsgiSend, request_id: str) -> None:
-        """Start with nothing sent."""
+    def __init__(
+        self, send: AsgiSend, request_id: str, closes: Callable[[], bool]
+    ) -> None:
+        """Start with nothing sent; `closes` says whether to close the connection."""
         self.started = False
         self.first_sent_s: float | None = None
         self._send = send
+        self.closes = closes
         self.request_id = request_id
+        # Bounds what the stream holds and ends a reader that is too slow.
+        self.window: StreamWindow | None = None
         self._is_event_stream = False
 
     async def start(self, status: int, headers: Headers) -> None:
@@ -30,6 +37,8 @@
         own = [(b"x-request-id", self.request_id.encode())]
         passed = [header for header in headers if header[0] != b"x-request-id"]
         content_type = dict(passed).get(b"content-type", b"")
+        if self.closes():
+            own.append(CLOSE_HEADER)
         self._is_event_stream = content_type.startswith(_EVENT_STREAM)
         await self._send(
             {"type": "http.response.start", "status": status, "headers": passed + own}
@@ -39,6 +48,13 @@
         """Send a part of the body; wait while the caller reads slowly."""
         if self.first_sent_s is None:
             self.first_sent_s = anyio.current_time()
+        if self.window is not None:
+            await self.window.send(data)
+        else:
+            await self.transmit(data)
+
+    async def transmit(self, data: bytes) -> None:
+        """Hand a part of the body to the connection, past the stream's window."""
         await self._send(
             {"type": "http.response.body", "body": data, "more_body": True}
         )
@@ -51,7 +67,7 @@
         """Tell the reader of an event stream why it breaks off here."""
         if self._is_event_stream:
             text = problem.model_dump_json(exclude_none=True)
-            await self.send(f"event: error\ndata: {text}\n\n".encode())
+            await self.transmit(f"event: error\ndata: {text}\n\n".encode())
 
 
 async def send_body(send: AsgiSend, status: int, body: bytes, headers: Headers) -> None:
@@ -64,10 +80,15 @@
 
 
 async def send_problem(
-    send: AsgiSend, error: BanyanseamError, request_id: str, *, upstream_started: bool
+    send: AsgiSend,
+    error: BanyanseamError,
+    request_id: str,
+    *,
+    is_surely_not_run: bool,
+    closes: bool = False,
 ) -> None:
     """Send a failure as problem details (RFC 9457)."""
-    problem = error.to_problem(request_id, upstream_started=upstream_started)
+    problem = error.to_problem(request_id, is_surely_not_run=is_surely_not_run)
     headers = [
         (b"content-type", b"application/problem+json"),
         (b"x-request-id", request_id.encode()),
@@ -75,5 +96,7 @@
     if problem.retry_after_ms is not None:
         retry_after_s = -(-problem.retry_after_ms // 1000)
         headers.append((b"retry-after", str(retry_after_s).encode()))
+    if closes:
+        headers.append(CLOSE_HEADER)
     body = problem.model_dump_json(exclude_none=True).encode()
     await send_body(send, problem.status, body, headers)
