--- a/banyanseam/daemon/control.py
+++ b/banyanseam/daemon/control.py
@@ -43,12 +43,12 @@
         boot_clock_s: Callable[[], float],
         chance: random.Random,
     ) -> None:
-        """Build the parts on a network; `run` starts the loops."""
+        """Build the parts on a network; nothing asks yet."""
         self.store = Store()
         self.membership = Membership(seat, region, incarnation)
         self.lifecycle = Lifecycle()
         self.sections = Sections()
-        self.freeze = FreezeDetector(freeze_term_s, boot_clock_s)
+        self.freezes = FreezeDetector(freeze_term_s, boot_clock_s)
         self.heartbeats = Heartbeats(self.membership, network, self.sections, chance)
         self.spread = Spread(
             self.store, network, self.heartbeats.neighbours, self._is_serving
@@ -66,9 +66,9 @@
         self.store.on_adopted(self._take_config)
         self.store.on_changed(self._log_rejection)
         self.watch.on_reach(self._note_reach)
-        self.lifecycle.on_change(self._note_stage)
+        self.lifecycle.on_change(lambda _: self._tell_whether_leaving())
         self.membership.on_superseded(_log_superseded)
-        self.freeze.on_restart(self._note_freeze)
+        self.freezes.on_restart(self._note_freeze)
 
     @property
     def accepts_requests(self) -> bool:
@@ -79,23 +79,24 @@
             and self.membership.superseded_by is None
         )
 
-    async def run(self, group: TaskGroup) -> None:
-        """Start the loops in a group and return when the daemon may serve."""
-        for loop in (
-            self.watch.run,
-            self.spread.run,
-            self.heartbeats.run,
-            self.freeze.run,
-        ):
-            group.start_soon(loop)
+    async def join(self, group: TaskGroup) -> None:
+        """Return once a configuration is in force that is safe to serve by."""
+        group.start_soon(self.watch.run)
+        group.start_soon(self.spread.run)
         await self._catch_up()
+
+    def begin_serving(self, group: TaskGroup) -> None:
+        """Begin to beat; from here on this process never takes another number."""
         self._incarnation.settle()
         self.lifecycle.begin_serving()
+        group.start_soon(self.heartbeats.run)
+        group.start_soon(self.freezes.run)
         group.start_soon(self._catch_up_after_freezes)
 
     async def _catch_up(self) -> None:
         await wait_until_current(self.store, self.spread, self._list_join_peers)
         self._catching_up = False
+        self._tell_whether_leaving()
 
     async def _catch_up_after_freezes(self) -> None:
         while True:
@@ -124,20 +125,22 @@
         rejection = self.store.rejection
         reason = str(rejection) if rejection is not None else None
         if reason is not None and reason != self._logged_rejection:
-            log(CONFIG_REJECTED, version=self.store.newest.version, reason=reason)
+            log(CONFIG_REJECTED, version=self.store.newest.version, detail=reason)
         self._logged_rejection = reason
 
     def _note_freeze(self, now_s: float) -> None:
         # Keys may have been withdrawn meanwhile.
         self._catching_up = True
+        self._tell_whether_leaving()
         self._wake_up.set()
         log(PROCESS_WAS_FROZEN, boot_clock_s=round(now_s, 3))
 
     def _note_reach(self, reaches: bool) -> None:
         self.membership.set_flag(Flags.REACHES_SERVICE, on=reaches)
 
-    def _note_stage(self, stage: Stage) -> None:
-        self.membership.set_flag(Flags.LEAVING, on=self.lifecycle.is_stopping)
+    def _tell_whether_leaving(self) -> None:
+        is_off_the_lists = self.lifecycle.is_stopping or self._catching_up
+        self.membership.set_flag(Flags.LEAVING, on=is_off_the_lists)
 
 
 def _log_superseded(incarnation: int) -> None:
--- a/banyanseam/peers/heartbeat.py
+++ b/banyanseam/peers/heartbeat.py
@@ -14,7 +14,7 @@
     MAX_ROWS,
 )
 from banyanseam.peers.contract import Network
-from banyanseam.peers.errors import InvalidPeerMessage
+from banyanseam.peers.errors import InvalidPeerMessage, PeerNotServing
 from banyanseam.peers.membership import Membership, State
 from banyanseam.peers.messages import Message, PeerIdentity
 from banyanseam.peers.neighbours import choose_across, choose_in_region
@@ -58,12 +58,14 @@
         self._sections = sections
         self._chance = chance
         self._beats = 0
+        self._is_running = False
         self._in_flight: set[str] = set()
         self._told: dict[str, dict[int, Row]] = {}
         network.handle_call(Heartbeat, self._answer)
 
     async def run(self) -> None:
-        """Beat until cancelled."""
+        """Beat and answer until cancelled; before, this process is not alive."""
+        self._is_running = True
         async with anyio.create_task_group() as group:
             while True:
                 self.beat(anyio.current_time(), group)
@@ -138,6 +140,8 @@
         membership.hear_verdict(reply.newest_incarnation, now_s)
 
     async def _answer(self, peer: PeerIdentity, message: Message) -> Message:
+        if not self._is_running:
+            raise PeerNotServing(self._membership.seat)
         heartbeat = Heartbeat.model_validate(message)
         own, *others = unpack_rows(heartbeat.rows)
         if own.seat_hash != hash_seat(peer.seat):
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -10,6 +10,7 @@
 import tracemalloc
 
 import anyio
+from anyio.abc import TaskGroup
 
 from banyanseam.config.snapshot import (
     Snapshot,
@@ -109,6 +110,12 @@
     )
 
 
+async def run_control(control: Control, group: TaskGroup) -> None:
+    """Join the fleet and serve."""
+    await control.join(group)
+    control.begin_serving(group)
+
+
 async def measure_spread(regions: int, seats: int) -> None:
     """Print how long a change takes to all, and the bytes that it costs a seat."""
     history = [make_snapshot(REGIONS[:regions], seats)]
@@ -132,7 +139,7 @@
                     anyio.current_time,
                     random.Random(f"{SEED} {seat}"),
                 )
-                group.start_soon(controls[seat].run, group)
+                group.start_soon(run_control, controls[seat], group)
         await wait_for(lambda: all(one.accepts_requests for one in controls.values()))
         await anyio.sleep(QUIET_S)
         rates = []
--- a/tests/daemon/test_control.py
+++ b/tests/daemon/test_control.py
@@ -29,7 +29,7 @@
 class Fleet:
     """Controls at all nine seats; each may have a service of its own."""
 
-    def __init__(self, group):
+    def __init__(self, group, idle):
         self.group = group
         self.fabric = FakeFabric()
         self.services = {}
@@ -37,9 +37,10 @@
         self.clock_ahead_s = {}
         for region in ("gulf", "piedmont", "delta"):
             for number in (1, 2, 3):
-                self.start(f"{region}-{number}")
+                seat = f"{region}-{number}"
+                self.start(seat, may_serve=seat not in idle)
 
-    def start(self, seat, number=1):
+    def start(self, seat, number=1, may_serve=True):
         region = seat.split("-")[0]
         service = self.services[seat] = FakeService(make_withdrawal())
         self.clock_ahead_s[seat] = 0
@@ -54,9 +55,14 @@
             lambda: anyio.current_time() + self.clock_ahead_s[seat],
             random.Random(seat),
         )
-        self.group.start_soon(control.run, self.group)
+        self.group.start_soon(self.run, control, may_serve)
         return control
 
+    async def run(self, control, may_serve):
+        await control.join(self.group)
+        if may_serve:
+            control.begin_serving(self.group)
+
     def publish(self, seats):
         for seat in seats:
             self.services[seat].publish(2)
@@ -76,11 +82,12 @@
 
 
 class ControlTests(unittest.TestCase):
-    def run_fleet(self, scenario):
+    def run_fleet(self, scenario, idle=()):
         async def main():
             async with anyio.create_task_group() as group:
-                fleet = Fleet(group)
-                await wait_for(lambda: len(fleet.serving_acme()) == 9)
+                fleet = Fleet(group, idle)
+                serving = 9 - len(idle)
+                await wait_for(lambda: len(fleet.serving_acme()) == serving)
                 await anyio.sleep(60)
                 await scenario(fleet)
                 group.cancel_scope.cancel()
@@ -133,14 +140,24 @@
             await anyio.sleep(BOUND_S)
             self.assertEqual(fleet.serving_acme(), {"gulf-1"})
             fleet.clock_ahead_s["gulf-1"] = TERM_S
-            control.freeze.tick()
+            control.freezes.tick()
             self.assertFalse(control.accepts_requests)
+            self.assertTrue(control.membership.is_leaving("gulf-1"))
             fleet.fabric.cut.clear()
             await wait_for(lambda: control.accepts_requests)
             self.assertEqual(fleet.serving_acme(), set())
+            self.assertFalse(control.membership.is_leaving("gulf-1"))
 
         self.run_fleet(scenario)
 
+    def test_process_that_does_not_serve_yet_is_not_alive(self):
+        async def scenario(fleet):
+            for seat in set(fleet.controls) - {"gulf-1"}:
+                membership = fleet.controls[seat].membership
+                self.assertFalse(membership.is_alive("gulf-1"))
+
+        self.run_fleet(scenario, idle=("gulf-1",))
+
     def test_replaced_process_that_still_runs_stands_down(self):
         async def scenario(fleet):
             older = fleet.controls["gulf-1"]
