Count a process as alive from its first beat alone

A process that has not begun to beat answers with counter 0, which is no sign of life; refusing its answer and noting direct heartbeats apart did nothing. Seen failing: a process that beat while it joined was believed alive.

--- a/banyanseam/peers/errors.py
+++ b/banyanseam/peers/errors.py
@@ -93,13 +93,3 @@
     status = 503
     title = "Too many calls of one peer are open"
     not_run = True
-
-
-class PeerNotServing(BanyanseamError):
-    """The peer has started and does not take part yet."""
-
-    code = "peers.not_serving"
-    event = 1208
-    status = 503
-    title = "The peer daemon does not serve yet"
-    not_run = True
--- a/banyanseam/peers/heartbeat.py
+++ b/banyanseam/peers/heartbeat.py
@@ -14,7 +14,7 @@
     MAX_ROWS,
 )
 from banyanseam.peers.contract import Network
-from banyanseam.peers.errors import InvalidPeerMessage, PeerNotServing
+from banyanseam.peers.errors import InvalidPeerMessage
 from banyanseam.peers.membership import Membership, State
 from banyanseam.peers.messages import Message, PeerIdentity
 from banyanseam.peers.neighbours import choose_across, choose_in_region
@@ -58,14 +58,12 @@
         self._sections = sections
         self._chance = chance
         self._beats = 0
-        self._is_running = False
         self._in_flight: set[str] = set()
         self._told: dict[str, dict[int, Row]] = {}
         network.handle_call(Heartbeat, self._answer)
 
     async def run(self) -> None:
-        """Beat and answer until cancelled; before, this process is not alive."""
-        self._is_running = True
+        """Beat until cancelled; a process that never beat is not alive to others."""
         async with anyio.create_task_group() as group:
             while True:
                 self.beat(anyio.current_time(), group)
@@ -135,13 +133,11 @@
         now_s = anyio.current_time()
         for passed_on in news:
             _note_told(told, passed_on)
-        membership.hear(row, now_s, is_direct=True)
+        membership.hear(row, now_s)
         membership.measure_delay(seat, now_s - sent_s)
         membership.hear_verdict(reply.newest_incarnation, now_s)
 
     async def _answer(self, peer: PeerIdentity, message: Message) -> Message:
-        if not self._is_running:
-            raise PeerNotServing(self._membership.seat)
         heartbeat = Heartbeat.model_validate(message)
         own, *others = unpack_rows(heartbeat.rows)
         if own.seat_hash != hash_seat(peer.seat):
@@ -150,10 +146,10 @@
         newest = max(membership.incarnation_of(peer.seat), own.incarnation)
         if own.incarnation == newest:
             now_s = anyio.current_time()
-            membership.hear(own, now_s, is_direct=True)
+            membership.hear(own, now_s)
             told = self._told.setdefault(peer.seat, {})
             for row in others:
-                membership.hear(row, now_s, is_direct=False)
+                membership.hear(row, now_s)
                 _note_told(told, row)
             sender = PeerIdentity(peer.seat, own.incarnation)
             self._sections.deliver(sender, heartbeat.sections)
--- a/banyanseam/peers/membership.py
+++ b/banyanseam/peers/membership.py
@@ -37,7 +37,6 @@
     counter: int = 0
     flags: int = Flags.NONE
     heard_s: float | None = None
-    direct_s: float | None = None
     delay_s: float | None = None
     # The process that the platform's list doubts; 0 for none.
     doubted_incarnation: int = 0
@@ -119,7 +118,7 @@
             hash_seat(self.seat), self.incarnation.number, self._counter, self._flags
         )
 
-    def hear(self, row: Row, now_s: float, *, is_direct: bool) -> None:
+    def hear(self, row: Row, now_s: float) -> None:
         """Take in what a heartbeat says of one seat."""
         name = self._names.get(row.seat_hash)
         if name == self.seat:
@@ -134,8 +133,6 @@
             member.counter = row.counter
             member.flags = row.flags
             member.heard_s = now_s
-        if is_direct:
-            member.direct_s = now_s
         member.state = self._judge(member, now_s)
 
     def hear_of_own_seat(self, incarnation: int) -> None:
@@ -276,7 +273,6 @@
         member.counter = 0
         member.flags = Flags.NONE
         member.heard_s = None
-        member.direct_s = None
         for callback in self._on_new_process:
             callback(member.seat.name, incarnation)
 
--- a/tests/peers/test_entries.py
+++ b/tests/peers/test_entries.py
@@ -20,7 +20,7 @@
 
     def hear(self, seat, counter, flags=Flags.NONE):
         row = Row(hash_seat(seat), 1, counter, flags)
-        self.membership.hear(row, 0.0, is_direct=True)
+        self.membership.hear(row, 0.0)
 
     def list_for(self, caller):
         return list_entries(self.config, self.membership, caller).entries
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -230,9 +230,9 @@
         self.membership = Membership("gulf-1", "gulf", Incarnation(5))
         self.membership.set_config(make_config(), 0.0)
 
-    def hear(self, counter, now_s, incarnation=1, flags=Flags.NONE, direct=True):
+    def hear(self, counter, now_s, incarnation=1, flags=Flags.NONE):
         row = Row(hash_seat("gulf-2"), incarnation, counter, flags)
-        self.membership.hear(row, now_s, is_direct=direct)
+        self.membership.hear(row, now_s)
         return self.membership.state_of("gulf-2")
 
     def test_state_by_silence(self):
