--- a/banyanseam/daemon/control.py
+++ b/banyanseam/daemon/control.py
@@ -48,7 +48,7 @@
         self.membership = Membership(seat, region, incarnation)
         self.lifecycle = Lifecycle()
         self.sections = Sections()
-        self.freezes = FreezeDetector(freeze_term_s, boot_clock_s)
+        self.freeze = FreezeDetector(freeze_term_s, boot_clock_s)
         self.heartbeats = Heartbeats(self.membership, network, self.sections, chance)
         self.spread = Spread(
             self.store, network, self.heartbeats.neighbours, self._is_serving
@@ -68,7 +68,7 @@
         self.watch.on_reach(self._note_reach)
         self.lifecycle.on_change(lambda _: self._tell_whether_leaving())
         self.membership.on_superseded(_log_superseded)
-        self.freezes.on_restart(self._note_freeze)
+        self.freeze.on_restart(self._note_freeze)
 
     @property
     def accepts_requests(self) -> bool:
@@ -79,19 +79,21 @@
             and self.membership.superseded_by is None
         )
 
-    async def join(self, group: TaskGroup) -> None:
-        """Return once a configuration is in force that is safe to serve by."""
-        group.start_soon(self.watch.run)
-        group.start_soon(self.spread.run)
+    async def run(self, group: TaskGroup) -> None:
+        """Start the loops in a group and return when the daemon may serve."""
+        for loop in (self.watch.run, self.spread.run, self.freeze.run):
+            group.start_soon(loop)
         await self._catch_up()
+        self._incarnation.settle()
+        group.start_soon(self._catch_up_after_freezes)
 
     def begin_serving(self, group: TaskGroup) -> None:
-        """Begin to beat; from here on this process never takes another number."""
-        self._incarnation.settle()
+        """Start to beat, once all handlers of this process are registered.
+
+        Peers elect live seats to roles, so a daemon that cannot serve must not beat.
+        """
         self.lifecycle.begin_serving()
         group.start_soon(self.heartbeats.run)
-        group.start_soon(self.freezes.run)
-        group.start_soon(self._catch_up_after_freezes)
 
     async def _catch_up(self) -> None:
         await wait_until_current(self.store, self.spread, self._list_join_peers)
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -112,7 +112,7 @@
 
 async def run_control(control: Control, group: TaskGroup) -> None:
     """Join the fleet and serve."""
-    await control.join(group)
+    await control.run(group)
     control.begin_serving(group)
 
 
--- a/tests/daemon/test_control.py
+++ b/tests/daemon/test_control.py
@@ -59,7 +59,7 @@
         return control
 
     async def run(self, control, may_serve):
-        await control.join(self.group)
+        await control.run(self.group)
         if may_serve:
             control.begin_serving(self.group)
 
@@ -140,7 +140,7 @@
             await anyio.sleep(BOUND_S)
             self.assertEqual(fleet.serving_acme(), {"gulf-1"})
             fleet.clock_ahead_s["gulf-1"] = TERM_S
-            control.freezes.tick()
+            control.freeze.tick()
             self.assertFalse(control.accepts_requests)
             self.assertTrue(control.membership.is_leaving("gulf-1"))
             fleet.fabric.cut.clear()
