--- a/banyanseam/daemon/control.py
+++ b/banyanseam/daemon/control.py
@@ -43,7 +43,7 @@
         boot_clock_s: Callable[[], float],
         chance: random.Random,
     ) -> None:
-        """Build the parts on a network; `run` starts the loops."""
+        """Build the parts on a network; nothing asks yet."""
         self.store = Store()
         self.membership = Membership(seat, region, incarnation)
         self.lifecycle = Lifecycle()
@@ -66,7 +66,7 @@
         self.store.on_adopted(self._take_config)
         self.store.on_changed(self._log_rejection)
         self.watch.on_reach(self._note_reach)
-        self.lifecycle.on_change(self._note_stage)
+        self.lifecycle.on_change(lambda _: self._tell_whether_leaving())
         self.membership.on_superseded(_log_superseded)
         self.freeze.on_restart(self._note_freeze)
 
@@ -98,6 +98,7 @@
     async def _catch_up(self) -> None:
         await wait_until_current(self.store, self.spread, self._list_join_peers)
         self._catching_up = False
+        self._tell_whether_leaving()
 
     async def _catch_up_after_freezes(self) -> None:
         while True:
@@ -126,20 +127,22 @@
         rejection = self.store.rejection
         reason = str(rejection) if rejection is not None else None
         if reason is not None and reason != self._logged_rejection:
-            log(CONFIG_REJECTED, version=self.store.newest.version, reason=reason)
+            log(CONFIG_REJECTED, version=self.store.newest.version, detail=reason)
         self._logged_rejection = reason
 
     def _note_freeze(self, now_s: float) -> None:
         # Keys may have been withdrawn meanwhile.
         self._catching_up = True
+        self._tell_whether_leaving()
         self._wake_up.set()
         log(PROCESS_WAS_FROZEN, boot_clock_s=round(now_s, 3))
 
     def _note_reach(self, reaches: bool) -> None:
         self.membership.set_flag(Flags.REACHES_SERVICE, on=reaches)
 
-    def _note_stage(self, stage: Stage) -> None:
-        self.membership.set_flag(Flags.LEAVING, on=self.lifecycle.is_stopping)
+    def _tell_whether_leaving(self) -> None:
+        is_off_the_lists = self.lifecycle.is_stopping or self._catching_up
+        self.membership.set_flag(Flags.LEAVING, on=is_off_the_lists)
 
 
 def _log_superseded(incarnation: int) -> None:
