--- a/banyanseam/upstreams/choose.py
+++ b/banyanseam/upstreams/choose.py
@@ -15,6 +15,7 @@
 from banyanseam.upstreams.const import (
     BYTES_PER_TOKEN,
     HYSTERESIS,
+    LIGHT_LOAD_SHARE,
     LOAD_BOUND,
     RAMP_S,
     ROUND_TRIP_BETWEEN_REGIONS_S,
@@ -30,6 +31,7 @@
     """An upstream with room, as its keeper sees it."""
 
     name: str
+    memory_tokens: int
     held_tokens: int
     # Prompt tokens sent to it and not yet computed, its report's lag made good.
     queued_tokens: int
@@ -101,7 +103,8 @@
     mean_per_rate = (pool_load + demand.tokens) / pool_decode_tokens_per_s
     for candidate in in_order:
         bound = LOAD_BOUND * mean_per_rate * candidate.decode_tokens_per_s
-        # One request may always land on an idle upstream, however large it is.
+        # A small load is no reason to leave a warm cache, whatever the mean is.
+        bound = max(bound, LIGHT_LOAD_SHARE * candidate.memory_tokens)
         if candidate.running == 0 or candidate.held_tokens + demand.tokens <= bound:
             return candidate
     return min(candidates, key=lambda each: each.held_tokens)
--- a/banyanseam/upstreams/const.py
+++ b/banyanseam/upstreams/const.py
@@ -28,10 +28,13 @@
 
 # Pools and their queues.
 MAX_POOL_UPSTREAMS: Final = 8
+# An upstream with more prefill ahead than this gets nothing new: what waits inside of
+# an engine is out of the fair order.
+MAX_PREFILL_AHEAD_S: Final = 0.5
 MAX_BYPASSES: Final = 8
 LOOK_AHEAD: Final = 4
 OUTPUT_WEIGHT: Final = 2.0
-RATE_HALF_LIFE_S: Final = 10.0
+USED_SHARE_STEP: Final = 0.02
 RESERVE_SLACK_S: Final = 1.0
 FORGET_PERIOD_S: Final = 60.0
 RESERVE_RETRY_S: Final = 0.05
@@ -51,6 +54,7 @@
 # Short enough for most sessions, long enough to reach past a common preamble.
 RENDEZVOUS_BLOCK: Final = 3
 LOAD_BOUND: Final = 1.25
+LIGHT_LOAD_SHARE: Final = 0.25
 
 # Other regions.
 # A pool's row older than this says nothing.
--- a/banyanseam/upstreams/decay.py
+++ b/banyanseam/upstreams/decay.py
@@ -1,7 +1,5 @@
 """A sum that forgets."""
 
-import math
-
 
 class DecayingSum:
     """A sum whose parts lose half of their weight every half-life."""
@@ -20,7 +18,3 @@
     def read(self, now_s: float) -> float:
         """Return the sum as of now."""
         return self._sum * 0.5 ** ((now_s - self._updated_s) / self._half_life_s)
-
-    def read_rate_per_s(self, now_s: float) -> float:
-        """Return the amount a second that would keep the sum as it is."""
-        return self.read(now_s) * math.log(2) / self._half_life_s
--- a/banyanseam/upstreams/errors.py
+++ b/banyanseam/upstreams/errors.py
@@ -7,7 +7,7 @@
     """No upstream that serves this lies where the request may be served."""
 
     code = "upstreams.none_allowed"
-    event = 1600
+    event = 1650
     status = 421
     title = "No upstream may serve this request where it must stay"
     not_run = True
@@ -17,7 +17,7 @@
     """Upstreams exist but none is healthy and has room in time."""
 
     code = "upstreams.none_available"
-    event = 1601
+    event = 1651
     status = 503
     title = "No upstream can take this request now"
     not_run = True
@@ -27,7 +27,7 @@
     """The request would not fit in any allowed upstream, even in an idle one."""
 
     code = "upstreams.request_too_large"
-    event = 1602
+    event = 1652
     status = 413
     title = "The request is larger than the memory of any upstream"
     not_run = True
@@ -37,7 +37,7 @@
     """This daemon does not keep the pool; the asker's view differs for a moment."""
 
     code = "upstreams.not_keeper"
-    event = 1603
+    event = 1653
     status = 503
     title = "Another daemon keeps this pool of upstreams"
     not_run = True
@@ -47,7 +47,7 @@
     """The asked keeper no longer keeps the pool in this daemon's view."""
 
     code = "upstreams.keeper_changed"
-    event = 1609
+    event = 1659
     status = 503
     title = "The pool of upstreams is changing its keeper"
     not_run = True
@@ -57,7 +57,7 @@
     """The upstream could not be reached: no byte of the request was written."""
 
     code = "upstreams.unreachable"
-    event = 1604
+    event = 1654
     status = 502
     title = "The upstream cannot be reached"
     not_run = True
@@ -67,7 +67,7 @@
     """The upstream proved that it did not start the request."""
 
     code = "upstreams.refused"
-    event = 1605
+    event = 1655
     status = 503
     title = "The upstream refused the request before it started"
     not_run = True
@@ -77,7 +77,7 @@
     """The upstream failed after the request was sent: it may have run."""
 
     code = "upstreams.failed"
-    event = 1606
+    event = 1656
     status = 502
     title = "The upstream failed while it may have run the request"
     not_run = False
@@ -87,7 +87,7 @@
     """The upstream fell silent after the request was sent: it may still run."""
 
     code = "upstreams.timed_out"
-    event = 1607
+    event = 1657
     status = 504
     title = "The upstream did not answer in time"
 
@@ -96,6 +96,6 @@
     """A heartbeat's section on upstreams does not validate."""
 
     code = "upstreams.invalid_section"
-    event = 1608
+    event = 1658
     status = 502
     title = "A region's summary of its upstreams is not valid"
--- a/banyanseam/upstreams/fair_queue.py
+++ b/banyanseam/upstreams/fair_queue.py
@@ -9,12 +9,15 @@
 """
 
 from bisect import insort
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from banyanseam.upstreams.const import OUTPUT_WEIGHT
 from banyanseam.upstreams.models import Demand, LeaseKey
 
+# Return the seconds that a whole pool needs for a request.
+WorkEstimate = Callable[[Demand], float]
+
 
 @dataclass(slots=True, eq=False)
 class Waiting:
@@ -96,16 +99,17 @@
         counter = self._counters.get(demand.organisation, self._last_served)
         self._counters[demand.organisation] = counter + service
 
-    def count_tokens_ahead(self, demand: Demand, give_up_s: float) -> float:
-        """Return what is served before a new request, in tokens of reservations.
+    def estimate_wait_s(
+        self, demand: Demand, give_up_s: float, estimate_work_s: WorkEstimate
+    ) -> float:
+        """Return how long a new request would wait until it is served.
 
         Others get no more than their shares while this organisation has requests
         waiting, so what is ahead is its own earlier requests over its share.
         """
-        requests = self._waiting.get(demand.organisation, [])
-        own = sum(
-            waiting.demand.tokens
-            for waiting in requests
+        own_s = sum(
+            estimate_work_s(waiting.demand)
+            for waiting in self._waiting.get(demand.organisation, [])
             if waiting.give_up_s <= give_up_s
         )
         weights = demand.weight + sum(
@@ -113,7 +117,11 @@
             for organisation, others in self._waiting.items()
             if organisation != demand.organisation
         )
-        return (own + demand.tokens) * weights / demand.weight
+        return (own_s + estimate_work_s(demand)) * weights / demand.weight
+
+    def list_demands(self) -> list[Demand]:
+        """Return what all waiting requests ask for."""
+        return [waiting.demand for waiting in self._by_key.values()]
 
     def forget_idle(self) -> None:
         """Drop the counters that the next lift would overwrite anyway."""
--- a/banyanseam/upstreams/keeper.py
+++ b/banyanseam/upstreams/keeper.py
@@ -63,6 +63,8 @@
         self._waits: dict[LeaseKey, Wait] = {}
         self._next_poll_s: dict[str, float] = {}
         self._polling: set[str] = set()
+        # Upstreams whose last poll failed, so that only the first one is logged.
+        self._silent: set[str] = set()
         context.network.handle_call(Reserve, self.reserve)
         context.network.handle_call(Renew, self.renew)
         context.network.handle_cast(Release, self.release)
@@ -227,8 +229,11 @@
         report = None
         try:
             report = await self._fetch_report(upstream)
+            self._silent.discard(upstream.name)
         except BanyanseamError as error:
-            log(UPSTREAM_POLL_FAILED, upstream=upstream.name, code=error.code)
+            if upstream.name not in self._silent:
+                log(UPSTREAM_POLL_FAILED, upstream=upstream.name, code=error.code)
+            self._silent.add(upstream.name)
         finally:
             self._polling.discard(upstream.name)
         now_s = anyio.current_time()
--- a/banyanseam/upstreams/kept_pool.py
+++ b/banyanseam/upstreams/kept_pool.py
@@ -7,11 +7,11 @@
 from banyanseam.upstreams.const import (
     LOOK_AHEAD,
     MAX_BYPASSES,
+    MAX_PREFILL_AHEAD_S,
     MAX_RETRY_AFTER_MS,
     MIN_RETRY_AFTER_MS,
-    RATE_HALF_LIFE_S,
+    USED_SHARE_STEP,
 )
-from banyanseam.upstreams.decay import DecayingSum
 from banyanseam.upstreams.errors import NoUpstreamAvailable, RequestTooLarge
 from banyanseam.upstreams.fair_queue import FairQueue, Waiting
 from banyanseam.upstreams.health import Health
@@ -61,6 +61,20 @@
     # When a prompt was sent and how much of it was not cached.
     sent: list[tuple[float, int]] = field(default_factory=list)
 
+    def count_queued_tokens(self, prefill_tokens_per_s: float, now_s: float) -> int:
+        """Return the prompt tokens not yet computed, the report's lag made good."""
+        queued_tokens = 0.0
+        computed_s = now_s
+        if self.held.report is not None:
+            queued_tokens = self.held.report.queued_tokens
+            computed_s = self.held.report.as_of_s
+        for sent_s, tokens in self.sent:
+            done_tokens = max(0.0, sent_s - computed_s) * prefill_tokens_per_s
+            queued_tokens = max(0.0, queued_tokens - done_tokens) + tokens
+            computed_s = max(computed_s, sent_s)
+        done_tokens = (now_s - computed_s) * prefill_tokens_per_s
+        return int(max(0.0, queued_tokens - done_tokens))
+
 
 class KeptPool:
     """The state of a pool at its keeper; times are on the keeper's clock."""
@@ -72,7 +86,8 @@
         self.kept: dict[str, Kept] = {}
         self._running: dict[LeaseKey, Running] = {}
         self._leaving: frozenset[str] = frozenset()
-        self._released_tokens = DecayingSum(RATE_HALF_LIFE_S, now_s)
+        # How much of its largest output a request uses, of late.
+        self._used_share = 1.0
         self.update(pool, seats, frozenset(), now_s)
 
     def update(
@@ -118,8 +133,9 @@
             raise RequestTooLarge(f"{demand.tokens} tokens")
         wait_s = 0.0
         if len(self.queue):
-            ahead = self.queue.count_tokens_ahead(demand, give_up_s)
-            wait_s = ahead / self.measure_rate(now_s)
+            wait_s = self.queue.estimate_wait_s(
+                demand, give_up_s, self._estimate_work_s
+            )
         if now_s + wait_s > give_up_s:
             retry_ms = _bound_retry(1000 * (now_s + wait_s - give_up_s))
             raise NoUpstreamAvailable("the wait is too long", retry_after_ms=retry_ms)
@@ -165,7 +181,7 @@
             return
         lingers = outcome in (Outcome.STOPPED, Outcome.FAILED)
         kept.held.release(key, now_s, lingers=lingers)
-        self._settle(key, outcome, output_tokens, now_s)
+        self._settle(key, outcome, output_tokens)
         if outcome is Outcome.UNUSED:
             kept.health.note_unused()
         elif outcome is Outcome.COMPLETED:
@@ -206,15 +222,13 @@
         free = [
             self.kept[name].held.count_free_tokens(self.seats, now_s) for name in usable
         ]
-        queued = sum(
-            waiting.demand.tokens for waiting in self.queue.in_order(len(self.queue))
-        )
+        wait_s = sum(map(self._estimate_work_s, self.queue.list_demands()))
         members = [self.upstreams[name] for name in usable]
         return PoolRow(
             pool=self.pool.name,
             free_tokens=sum(free),
             largest_free_tokens=max(free, default=0),
-            wait_ms=int(1000 * queued / self.measure_rate(now_s)),
+            wait_ms=int(1000 * wait_s),
             queued=len(self.queue),
             usable=len(usable),
             decode_tokens_per_s=sum(each.decode_tokens_per_s for each in members),
@@ -223,26 +237,28 @@
             ),
         )
 
-    def measure_rate(self, now_s: float) -> float:
-        """Return the reserved tokens that come free a second, at least what decodes."""
-        measured = self._released_tokens.read_rate_per_s(now_s)
-        decode = sum(each.decode_tokens_per_s for each in self.upstreams.values())
-        return max(measured, decode)
+    def _estimate_work_s(self, demand: Demand) -> float:
+        """Return how long the pool would work at a request by its published rates."""
+        members = self.upstreams.values()
+        decode = sum(each.decode_tokens_per_s for each in members)
+        prefill = sum(each.prefill_tokens_per_s for each in members)
+        output_tokens = demand.max_output_tokens * self._used_share
+        return demand.prompt_tokens / prefill + output_tokens / decode
 
-    def _settle(
-        self, key: LeaseKey, outcome: Outcome, output_tokens: int, now_s: float
-    ) -> None:
+    def _settle(self, key: LeaseKey, outcome: Outcome, output_tokens: int) -> None:
         """Give an organisation back what its request was charged and did not use."""
         running = self._running.pop(key, None)
         if running is None:
             return
         demand = running.demand
-        self._released_tokens.add(demand.tokens, now_s)
         if outcome in (Outcome.UNUSED, Outcome.UNREACHABLE):
             self.queue.charge(demand, -demand.prompt_tokens, -demand.max_output_tokens)
             return
         unused = max(0, demand.max_output_tokens - output_tokens)
         self.queue.charge(demand, 0, -unused)
+        if outcome is Outcome.COMPLETED and demand.max_output_tokens:
+            used_share = 1 - unused / demand.max_output_tokens
+            self._used_share += (used_share - self._used_share) * USED_SHARE_STEP
 
     def _forget_expired(self, now_s: float) -> None:
         """Drop what was granted to entries that fell silent."""
@@ -289,20 +305,26 @@
         usable = [name for name in names if self.kept[name].health.may_send(now_s)]
         load = sum(kept.held.count_held_tokens() for kept in self.kept.values())
         decode = sum(each.decode_tokens_per_s for each in self.upstreams.values())
-        candidates = [self._describe(name, demand) for name in usable]
+        described = [self._describe(name, demand, now_s) for name in usable]
+        candidates = [
+            each
+            for each in described
+            if each.queued_tokens <= MAX_PREFILL_AHEAD_S * each.prefill_tokens_per_s
+        ]
         preferred = prefer(demand.prefix, self.upstreams)
         return pick_upstream(candidates, demand, load, decode, preferred)
 
-    def _describe(self, name: str, demand: Demand) -> Candidate:
+    def _describe(self, name: str, demand: Demand, now_s: float) -> Candidate:
         kept = self.kept[name]
         upstream = self.upstreams[name]
-        report = kept.held.report
         cached = self.prefixes.count_cached_tokens(demand.prefix, name)
-        queued = report.queued_tokens if report else 0
         return Candidate(
             name=name,
+            memory_tokens=upstream.memory_tokens,
             held_tokens=kept.held.count_held_tokens(),
-            queued_tokens=queued + sum(tokens for _, tokens in kept.sent),
+            queued_tokens=kept.count_queued_tokens(
+                upstream.prefill_tokens_per_s, now_s
+            ),
             running=len(kept.held.leases),
             decode_tokens_per_s=upstream.decode_tokens_per_s,
             prefill_tokens_per_s=upstream.prefill_tokens_per_s,
--- a/tests/upstreams/test_choose.py
+++ b/tests/upstreams/test_choose.py
@@ -11,10 +11,17 @@
     pick_place,
     pick_upstream,
 )
-from banyanseam.upstreams.const import MAX_SECTION_BYTES, RAMP_S, REGION_TERM_S
-from banyanseam.upstreams.errors import InvalidSection
+from banyanseam.upstreams.const import (
+    MAX_BYPASSES,
+    MAX_SECTION_BYTES,
+    RAMP_S,
+    REGION_TERM_S,
+)
+from banyanseam.upstreams.errors import InvalidSection, NoUpstreamAvailable
 from banyanseam.upstreams.health import Health
-from banyanseam.upstreams.models import Demand, PoolRow
+from banyanseam.upstreams.kept_pool import KeptPool
+from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, PoolRow
+from banyanseam.upstreams.pools import list_pools
 from banyanseam.upstreams.prefix import PrefixTable, hash_prefix, rank_by_rendezvous
 from banyanseam.upstreams.regions import Regions, make_section_writer
 from tests.common import make_config
@@ -30,6 +37,7 @@
 
 def make_candidate(name: str, **fields) -> Candidate:
     values = {
+        "memory_tokens": 10_000,
         "held_tokens": 0,
         "queued_tokens": 0,
         "running": 0,
@@ -118,6 +126,49 @@
         self.assertEqual(share(RAMP_S), 1.0)
 
 
+class KeptPoolTests(unittest.TestCase):
+    def make_pool(self, now_s=NOW_S) -> KeptPool:
+        pool = next(iter(list_pools(make_config(), "gulf").values()))
+        kept_pool = KeptPool(pool, frozenset(), now_s)
+        kept = kept_pool.kept["gulf-engine-1"]
+        kept.held.learning_until_s = now_s
+        kept.held.observe(LoadReport(0, 0, 0, False, now_s), now_s)
+        return kept_pool
+
+    def ask(self, kept_pool, tokens, count=1) -> int:
+        """Return how many of some requests get room at once."""
+        for number in range(count):
+            key = LeaseKey("gulf-1", 1, tokens + number)
+            demand = Demand("acme", 1.0, tokens, 0)
+            kept_pool.ask(key, demand, NOW_S + 60, NOW_S)
+        return len(kept_pool.dispatch(NOW_S)[0])
+
+    def test_prefill_ahead_waits_in_the_fair_order(self):
+        kept_pool = self.make_pool()
+        # Half a second of prefill is 5,000 tokens here; the next ones wait.
+        self.assertEqual(self.ask(kept_pool, 2_000, count=10), 3)
+        self.assertEqual(len(kept_pool.dispatch(NOW_S + 0.2)[0]), 1)
+        self.assertEqual(len(kept_pool.dispatch(NOW_S + 1.4)[0]), 3)
+
+    def test_large_request_is_not_passed_over_for_ever(self):
+        kept_pool = self.make_pool()
+        self.ask(kept_pool, 60_000)
+        self.ask(kept_pool, 80_000)
+        kept = kept_pool.kept["gulf-engine-1"]
+        kept.sent.clear()
+        small = [self.ask(kept_pool, 10 + number) for number in range(20)]
+        self.assertEqual(sum(small), MAX_BYPASSES)
+
+    def test_wait_beyond_the_deadline_is_refused_at_once(self):
+        kept_pool = self.make_pool()
+        self.ask(kept_pool, 80_000)
+        for tokens in range(70_000, 70_008):
+            self.ask(kept_pool, tokens)
+        with self.assertRaises(NoUpstreamAvailable) as caught:
+            self.ask(kept_pool, 60_000)
+        self.assertGreater(caught.exception.retry_after_ms, 0)
+
+
 class PrefixTests(unittest.TestCase):
     def test_longer_prompt_of_a_session_finds_its_upstream(self):
         table = PrefixTable()
