--- a/banyanseam/upstreams/kept_pool.py
+++ b/banyanseam/upstreams/kept_pool.py
@@ -1,6 +1,6 @@
 """One pool as its keeper runs it: who waits, who holds what, and where to send."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from banyanseam.errors import BanyanseamError
 from banyanseam.upstreams.choose import Candidate, pick_upstream
@@ -14,8 +14,7 @@
 )
 from banyanseam.upstreams.errors import NoUpstreamAvailable, RequestTooLarge
 from banyanseam.upstreams.fair_queue import FairQueue, Waiting
-from banyanseam.upstreams.health import Health
-from banyanseam.upstreams.held import HeldTokens
+from banyanseam.upstreams.kept_upstream import KeptUpstream
 from banyanseam.upstreams.models import (
     Demand,
     LeaseKey,
@@ -52,30 +51,6 @@
     demand: Demand
 
 
-@dataclass(slots=True)
-class Kept:
-    """One upstream of the pool."""
-
-    held: HeldTokens
-    health: Health = field(default_factory=Health)
-    # When a prompt was sent and how much of it was not cached.
-    sent: list[tuple[float, int]] = field(default_factory=list)
-
-    def count_queued_tokens(self, prefill_tokens_per_s: float, now_s: float) -> int:
-        """Return the prompt tokens not yet computed, the report's lag made good."""
-        queued_tokens = 0.0
-        computed_s = now_s
-        if self.held.report is not None:
-            queued_tokens = self.held.report.queued_tokens
-            computed_s = self.held.report.as_of_s
-        for sent_s, tokens in self.sent:
-            done_tokens = max(0.0, sent_s - computed_s) * prefill_tokens_per_s
-            queued_tokens = max(0.0, queued_tokens - done_tokens) + tokens
-            computed_s = max(computed_s, sent_s)
-        done_tokens = (now_s - computed_s) * prefill_tokens_per_s
-        return int(max(0.0, queued_tokens - done_tokens))
-
-
 class KeptPool:
     """The state of a pool at its keeper; times are on the keeper's clock."""
 
@@ -83,7 +58,7 @@
         """Start as a new keeper."""
         self.queue = FairQueue()
         self.prefixes = PrefixTable()
-        self.kept: dict[str, Kept] = {}
+        self.kept: dict[str, KeptUpstream] = {}
         self._running: dict[LeaseKey, Running] = {}
         self._leaving: frozenset[str] = frozenset()
         # How much of its largest output a request uses, of late.
@@ -101,20 +76,11 @@
         self.pool = pool
         self.seats = seats
         self.upstreams = {upstream.name: upstream for upstream in pool.upstreams}
-        self._leaving = leaving | {
-            upstream.name for upstream in pool.upstreams if upstream.leaving
-        }
+        self._leaving = leaving
         for name, upstream in self.upstreams.items():
             if name not in self.kept:
-                held = HeldTokens(
-                    upstream.memory_tokens,
-                    upstream.max_in_flight,
-                    now_s,
-                    is_reported=upstream.is_model,
-                )
-                self.kept[name] = Kept(held)
-            self.kept[name].held.memory_tokens = upstream.memory_tokens
-            self.kept[name].held.max_in_flight = upstream.max_in_flight
+                self.kept[name] = KeptUpstream(upstream, now_s)
+            self.kept[name].update(upstream)
         for name in self.kept.keys() - self.upstreams.keys():
             del self.kept[name]
 
@@ -202,14 +168,8 @@
 
     def observe(self, upstream: str, report: LoadReport | None, now_s: float) -> None:
         """Take a polled report, or None when the poll failed."""
-        kept = self.kept.get(upstream)
-        if kept is None:
-            return
-        kept.health.note_poll(is_answered=report is not None)
-        if report is None:
-            return
-        kept.held.observe(report, now_s)
-        kept.sent = [sent for sent in kept.sent if sent[0] > report.as_of_s]
+        if upstream in self.kept:
+            self.kept[upstream].observe(report, now_s)
 
     def restart(self, now_s: float) -> None:
         """Become a new keeper again, as after a freeze."""
@@ -263,7 +223,7 @@
     def _forget_expired(self, now_s: float) -> None:
         """Drop what was granted to entries that fell silent."""
         for kept in self.kept.values():
-            kept.held.expire(self.seats, now_s)
+            kept.expire(self.seats, now_s)
         for key, running in list(self._running.items()):
             kept = self.kept.get(running.upstream)
             if kept is None or key not in kept.held.leases:
@@ -315,21 +275,8 @@
         return pick_upstream(candidates, demand, load, decode, preferred)
 
     def _describe(self, name: str, demand: Demand, now_s: float) -> Candidate:
-        kept = self.kept[name]
-        upstream = self.upstreams[name]
         cached = self.prefixes.count_cached_tokens(demand.prefix, name)
-        return Candidate(
-            name=name,
-            memory_tokens=upstream.memory_tokens,
-            held_tokens=kept.held.count_held_tokens(),
-            queued_tokens=kept.count_queued_tokens(
-                upstream.prefill_tokens_per_s, now_s
-            ),
-            running=len(kept.held.leases),
-            decode_tokens_per_s=upstream.decode_tokens_per_s,
-            prefill_tokens_per_s=upstream.prefill_tokens_per_s,
-            cached_tokens=min(cached, demand.prompt_tokens),
-        )
+        return self.kept[name].describe(demand, cached, now_s)
 
     def _grant(
         self, waiting: Waiting, chosen: Candidate, now_s: float
@@ -338,8 +285,7 @@
         kept = self.kept[chosen.name]
         if not kept.held.reserve(waiting.key, demand.tokens, self.seats, now_s):
             return None
-        kept.health.note_sent(now_s)
-        kept.sent.append((now_s, demand.prompt_tokens - chosen.cached_tokens))
+        kept.note_sent(demand.prompt_tokens - chosen.cached_tokens, now_s)
         self.queue.remove(waiting.key)
         self.queue.charge(demand, demand.prompt_tokens, demand.max_output_tokens)
         self.prefixes.note_sent(demand.prefix, chosen.name)
@@ -357,10 +303,7 @@
         return [
             name
             for name, kept in self.kept.items()
-            if name not in avoid
-            and name not in self._leaving
-            and not (kept.held.report and kept.held.report.leaving)
-            and kept.health.may_send(now_s)
+            if name not in avoid and name not in self._leaving and kept.is_usable(now_s)
         ]
 
 
--- /dev/null
+++ b/banyanseam/upstreams/kept_upstream.py
@@ -0,0 +1,80 @@
+"""One upstream as its keeper sees it: what it holds, its health and its prefill."""
+
+from banyanseam.config.compiled import Upstream
+from banyanseam.upstreams.choose import Candidate
+from banyanseam.upstreams.const import SENT_TERM_S
+from banyanseam.upstreams.health import Health
+from banyanseam.upstreams.held import HeldTokens
+from banyanseam.upstreams.models import Demand, LoadReport
+
+
+class KeptUpstream:
+    """The state of one upstream; times are on the keeper's clock."""
+
+    def __init__(self, upstream: Upstream, now_s: float) -> None:
+        """Start as a new keeper."""
+        self.upstream = upstream
+        self.health = Health()
+        self.held = HeldTokens(
+            upstream.memory_tokens,
+            upstream.max_in_flight,
+            now_s,
+            is_reported=upstream.is_model,
+        )
+        # When a prompt was sent and how much of it was not cached.
+        self._sent: list[tuple[float, int]] = []
+
+    def update(self, upstream: Upstream) -> None:
+        """Take the published upstream."""
+        self.upstream = upstream
+        self.held.memory_tokens = upstream.memory_tokens
+        self.held.max_in_flight = upstream.max_in_flight
+
+    def is_usable(self, now_s: float) -> bool:
+        """Say whether new requests may go there, room or not."""
+        report = self.held.report
+        is_leaving = self.upstream.leaving or (report is not None and report.leaving)
+        return not is_leaving and self.health.may_send(now_s)
+
+    def observe(self, report: LoadReport | None, now_s: float) -> None:
+        """Take a polled report, or None when the poll failed."""
+        self.health.note_poll(is_answered=report is not None)
+        if report is None:
+            return
+        self.held.observe(report, now_s)
+        self._sent = [sent for sent in self._sent if sent[0] > report.as_of_s]
+
+    def expire(self, seats: frozenset[str], now_s: float) -> None:
+        """Forget silent entries, and prompts that must be computed by now."""
+        self.held.expire(seats, now_s)
+        self._sent = [sent for sent in self._sent if now_s - sent[0] < SENT_TERM_S]
+
+    def note_sent(self, uncached_tokens: int, now_s: float) -> None:
+        """Count a request that is about to go there."""
+        self.health.note_sent(now_s)
+        self._sent.append((now_s, uncached_tokens))
+
+    def count_queued_tokens(self, now_s: float) -> int:
+        """Return the prompt tokens not yet computed, the report's lag made good."""
+        rate = self.upstream.prefill_tokens_per_s
+        report = self.held.report
+        queued_tokens = float(report.queued_tokens) if report else 0.0
+        computed_s = report.as_of_s if report else 0.0
+        for sent_s, tokens in self._sent:
+            done_tokens = max(0.0, sent_s - computed_s) * rate
+            queued_tokens = max(0.0, queued_tokens - done_tokens) + tokens
+            computed_s = max(computed_s, sent_s)
+        return int(max(0.0, queued_tokens - (now_s - computed_s) * rate))
+
+    def describe(self, demand: Demand, cached_tokens: int, now_s: float) -> Candidate:
+        """Return it as a candidate for a request."""
+        return Candidate(
+            name=self.upstream.name,
+            memory_tokens=self.upstream.memory_tokens,
+            held_tokens=self.held.count_held_tokens(),
+            queued_tokens=self.count_queued_tokens(now_s),
+            running=len(self.held.leases),
+            decode_tokens_per_s=self.upstream.decode_tokens_per_s,
+            prefill_tokens_per_s=self.upstream.prefill_tokens_per_s,
+            cached_tokens=min(cached_tokens, demand.prompt_tokens),
+        )
--- a/tests/upstreams/test_choose.py
+++ b/tests/upstreams/test_choose.py
@@ -20,7 +20,7 @@
 from banyanseam.upstreams.errors import InvalidSection, NoUpstreamAvailable
 from banyanseam.upstreams.health import Health
 from banyanseam.upstreams.kept_pool import KeptPool
-from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, PoolRow
+from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, Outcome, PoolRow
 from banyanseam.upstreams.pools import list_pools
 from banyanseam.upstreams.prefix import PrefixTable, hash_prefix, rank_by_rendezvous
 from banyanseam.upstreams.regions import Regions, make_section_writer
@@ -150,12 +150,23 @@
         self.assertEqual(len(kept_pool.dispatch(NOW_S + 0.2)[0]), 1)
         self.assertEqual(len(kept_pool.dispatch(NOW_S + 1.4)[0]), 3)
 
+    def test_upstream_that_never_reports_stays_usable(self):
+        kept_pool = self.make_pool()
+        kept_pool.kept["gulf-engine-1"].held.report = None
+        for number in range(300):
+            now_s = NOW_S + 0.5 * number
+            key = LeaseKey("gulf-1", 1, number)
+            kept_pool.ask(key, Demand("acme", 1.0, 4_000, 0), now_s + 1, now_s)
+            self.assertEqual(len(kept_pool.dispatch(now_s)[0]), 1, number)
+            kept_pool.release(key, "gulf-engine-1", Outcome.COMPLETED, 0, now_s)
+        self.assertLess(len(kept_pool.kept["gulf-engine-1"]._sent), 50)
+
     def test_large_request_is_not_passed_over_for_ever(self):
         kept_pool = self.make_pool()
         self.ask(kept_pool, 60_000)
         self.ask(kept_pool, 80_000)
         kept = kept_pool.kept["gulf-engine-1"]
-        kept.sent.clear()
+        kept._sent.clear()
         small = [self.ask(kept_pool, 10 + number) for number in range(20)]
         self.assertEqual(sum(small), MAX_BYPASSES)
 
