Count what keepers hold by running sums

Change: HeldTokens keeps sums of its leases, takes the foreign part once a report and remembers until when every seat is known to announce; prefill ahead is a running level; leases are looked through every 50 ms; a request that fits nowhere is passed over first.

--- a/banyanseam/upstreams/const.py
+++ b/banyanseam/upstreams/const.py
@@ -10,6 +10,7 @@
 LEARNING_S: Final = 3.0
 QUIET_S: Final = 10.0
 MAX_GAP_S: Final = 1.5
+EXPIRE_PERIOD_S: Final = 0.05
 GRANT_USE_S: Final = 1.0
 LINGER_S: Final = 2.0
 # Parts of an upstream's memory and of what its report proves free.
--- a/banyanseam/upstreams/held.py
+++ b/banyanseam/upstreams/held.py
@@ -12,6 +12,7 @@
 from banyanseam.upstreams.const import (
     ANNOUNCE_TERM_S,
     DISPUTED_SHARE,
+    EXPIRE_PERIOD_S,
     FLIGHT_S,
     LEARNING_S,
     LEARNING_SHARE,
@@ -68,9 +69,17 @@
         self.learning_granted_tokens = 0
         # Since when nothing hints at another keeper.
         self.quiet_since_s = now_s
+        # What the last report shows beyond this keeper's leases.
+        self.foreign_tokens = 0
+        self._own_tokens = 0
+        self._since_report_tokens = 0
         self._announced_s: dict[str, float] = {}
         self._was_complete = False
+        # Until when every one of these seats is known to announce to this keeper.
+        self._complete_seats: frozenset[str] | None = None
+        self._complete_until_s = now_s
         self._looked_s = now_s
+        self._expired_s = now_s
         self._ended: list[Ended] = []
         self._granted_since_report: dict[LeaseKey, Lease] = {}
 
@@ -88,6 +97,7 @@
         self.quiet_since_s = now_s
         self._announced_s.clear()
         self._was_complete = False
+        self._complete_until_s = now_s
 
     def reserve(
         self, key: LeaseKey, tokens: int, seats: frozenset[str], now_s: float
@@ -99,8 +109,9 @@
         if now_s < self.learning_until_s:
             self.learning_granted_tokens += tokens
         lease = Lease(tokens, now_s, now_s)
-        self.leases[key] = lease
+        self._add(key, lease)
         self._granted_since_report[key] = lease
+        self._since_report_tokens += tokens
         return True
 
     def announce(
@@ -114,8 +125,10 @@
         self._announced_s[seat] = now_s
         for number, tokens in leases.items():
             key = LeaseKey(seat, incarnation, number)
-            lease = self.leases.setdefault(key, Lease(tokens, now_s, now_s))
-            if lease.ends_s is None:
+            lease = self.leases.get(key)
+            if lease is None:
+                self._add(key, Lease(tokens, now_s, now_s))
+            elif lease.ends_s is None:
                 lease.renewed_s = now_s
 
     def release(self, key: LeaseKey, now_s: float, *, lingers: bool) -> None:
@@ -137,6 +150,9 @@
         if now_s - self._looked_s > MAX_GAP_S:
             self.restart(now_s)
         self._looked_s = now_s
+        if now_s - self._expired_s < EXPIRE_PERIOD_S:
+            return
+        self._expired_s = now_s
         for key, lease in list(self.leases.items()):
             ends_s = lease.ends_s or lease.renewed_s + LEASE_TERM_S
             if now_s >= ends_s:
@@ -158,36 +174,21 @@
             for key, lease in self._granted_since_report.items()
             if lease.granted_s > report.as_of_s - FLIGHT_S
         }
-        if self.count_foreign_tokens() > 0:
+        self._since_report_tokens = sum(
+            lease.tokens for lease in self._granted_since_report.values()
+        )
+        self.foreign_tokens = self._count_foreign_tokens(report)
+        if self.foreign_tokens > 0:
             self.quiet_since_s = now_s
 
-    def count_foreign_tokens(self) -> int:
-        """Return what the report shows beyond this keeper's leases."""
-        if self.report is None:
-            return 0
-        at_s = self.report.as_of_s
-        known = [
-            lease.tokens
-            for lease in self.leases.values()
-            if lease.granted_s <= at_s + FLIGHT_S
-        ]
-        known += [
-            ended.tokens for ended in self._ended if ended.ended_s >= at_s - FLIGHT_S
-        ]
-        foreign_runs = self.report.running - len(known)
-        if foreign_runs <= 0:
-            return max(0, self.report.held_tokens - sum(known))
-        # The report tells no run from another, so the foreign ones may be the largest.
-        return self.report.held_tokens
-
     def count_held_tokens(self) -> int:
         """Return the most that the upstream may come to hold by what is granted."""
-        own = sum(lease.tokens for lease in self.leases.values())
         if self.report is None:
-            return own
-        since = sum(lease.tokens for lease in self._granted_since_report.values())
-        foreign = self.count_foreign_tokens()
-        return max(own + foreign, self.report.held_tokens + since)
+            return self._own_tokens
+        return max(
+            self._own_tokens + self.foreign_tokens,
+            self.report.held_tokens + self._since_report_tokens,
+        )
 
     def is_undisputed(self, seats: frozenset[str], now_s: float) -> bool:
         """Say whether no other daemon can be granting room on this upstream.
@@ -218,16 +219,41 @@
         if not is_fresh:
             return 0
         # Another keeper may grant as much before either sees the other's in a report.
-        since = sum(lease.tokens for lease in self._granted_since_report.values())
+        since = self._since_report_tokens
         return max(0, int((free + since) * DISPUTED_SHARE) - since)
 
+    def _count_foreign_tokens(self, report: LoadReport) -> int:
+        at_s = report.as_of_s
+        known = [
+            lease.tokens
+            for lease in self.leases.values()
+            if lease.granted_s <= at_s + FLIGHT_S
+        ]
+        known += [
+            ended.tokens for ended in self._ended if ended.ended_s >= at_s - FLIGHT_S
+        ]
+        if report.running <= len(known):
+            return max(0, report.held_tokens - sum(known))
+        # The report tells no run from another, so the foreign ones may be the largest.
+        return report.held_tokens
+
     def _is_complete(self, seats: frozenset[str], now_s: float) -> bool:
-        return all(
-            now_s - self._announced_s.get(seat, -ANNOUNCE_TERM_S) < ANNOUNCE_TERM_S
-            for seat in seats
-        )
+        if now_s < self._complete_until_s and seats is self._complete_seats:
+            return True
+        heard_s = [self._announced_s.get(seat) for seat in seats]
+        if None in heard_s:
+            return False
+        self._complete_seats = seats
+        self._complete_until_s = min(heard_s, default=now_s) + ANNOUNCE_TERM_S
+        return now_s < self._complete_until_s
+
+    def _add(self, key: LeaseKey, lease: Lease) -> None:
+        self.leases[key] = lease
+        self._own_tokens += lease.tokens
 
     def _end(self, key: LeaseKey, now_s: float) -> None:
         lease = self.leases.pop(key)
-        self._granted_since_report.pop(key, None)
+        self._own_tokens -= lease.tokens
+        if self._granted_since_report.pop(key, None) is not None:
+            self._since_report_tokens -= lease.tokens
         self._ended.append(Ended(lease.tokens, now_s))
--- a/banyanseam/upstreams/kept_pool.py
+++ b/banyanseam/upstreams/kept_pool.py
@@ -5,6 +5,7 @@
 from banyanseam.errors import BanyanseamError
 from banyanseam.upstreams.choose import Candidate, pick_upstream
 from banyanseam.upstreams.const import (
+    KEEPER_PERIOD_S,
     LOOK_AHEAD,
     MAX_BYPASSES,
     MAX_PREFILL_AHEAD_S,
@@ -63,6 +64,7 @@
         self._leaving: frozenset[str] = frozenset()
         # How much of its largest output a request uses, of late.
         self._used_share = 1.0
+        self._expired_s = now_s
         self.update(pool, seats, frozenset(), now_s)
 
     def update(
@@ -222,6 +224,9 @@
 
     def _forget_expired(self, now_s: float) -> None:
         """Drop what was granted to entries that fell silent."""
+        if now_s - self._expired_s < KEEPER_PERIOD_S:
+            return
+        self._expired_s = now_s
         for kept in self.kept.values():
             kept.expire(self.seats, now_s)
         for key, running in list(self._running.items()):
@@ -263,6 +268,8 @@
             if demand.tokens <= tokens and name not in demand.avoid
         ]
         usable = [name for name in names if self.kept[name].health.may_send(now_s)]
+        if not usable:
+            return None
         load = sum(kept.held.count_held_tokens() for kept in self.kept.values())
         decode = sum(each.decode_tokens_per_s for each in self.upstreams.values())
         described = [self._describe(name, demand, now_s) for name in usable]
--- a/banyanseam/upstreams/kept_upstream.py
+++ b/banyanseam/upstreams/kept_upstream.py
@@ -23,6 +23,9 @@
         )
         # When a prompt was sent and how much of it was not cached.
         self._sent: list[tuple[float, int]] = []
+        # Prompt tokens not yet computed, as of a time.
+        self._queued_tokens = 0.0
+        self._queued_s = now_s
 
     def update(self, upstream: Upstream) -> None:
         """Take the published upstream."""
@@ -43,6 +46,11 @@
             return
         self.held.observe(report, now_s)
         self._sent = [sent for sent in self._sent if sent[0] > report.as_of_s]
+        # The report lags, so what was sent since is added to it again.
+        self._queued_tokens = float(report.queued_tokens)
+        self._queued_s = report.as_of_s
+        for sent_s, tokens in self._sent:
+            self._queue(tokens, sent_s)
 
     def expire(self, seats: frozenset[str], now_s: float) -> None:
         """Forget silent entries, and prompts that must be computed by now."""
@@ -53,18 +61,13 @@
         """Count a request that is about to go there."""
         self.health.note_sent(now_s)
         self._sent.append((now_s, uncached_tokens))
+        self._queue(uncached_tokens, now_s)
 
     def count_queued_tokens(self, now_s: float) -> int:
         """Return the prompt tokens not yet computed, the report's lag made good."""
         rate = self.upstream.prefill_tokens_per_s
-        report = self.held.report
-        queued_tokens = float(report.queued_tokens) if report else 0.0
-        computed_s = report.as_of_s if report else 0.0
-        for sent_s, tokens in self._sent:
-            done_tokens = max(0.0, sent_s - computed_s) * rate
-            queued_tokens = max(0.0, queued_tokens - done_tokens) + tokens
-            computed_s = max(computed_s, sent_s)
-        return int(max(0.0, queued_tokens - (now_s - computed_s) * rate))
+        done_tokens = max(0.0, now_s - self._queued_s) * rate
+        return int(max(0.0, self._queued_tokens - done_tokens))
 
     def describe(self, demand: Demand, cached_tokens: int, now_s: float) -> Candidate:
         """Return it as a candidate for a request."""
@@ -78,3 +81,7 @@
             prefill_tokens_per_s=self.upstream.prefill_tokens_per_s,
             cached_tokens=min(cached_tokens, demand.prompt_tokens),
         )
+
+    def _queue(self, tokens: int, now_s: float) -> None:
+        self._queued_tokens = self.count_queued_tokens(now_s) + tokens
+        self._queued_s = now_s
--- a/bench/choice.py
+++ b/bench/choice.py
@@ -203,7 +203,6 @@
     kept = run(Plan({"gulf": 2}, seed=seed), load_long_histories)
     plan = Plan({"gulf": 2}, seed=seed, limits_per_daemon=True)
     with (
-        patch.object(HeldTokens, "count_foreign_tokens", lambda _: 0),
         patch.object(HeldTokens, "is_undisputed", lambda *_: True),
         patch.object(HeldTokens, "observe", lambda *_: None),
     ):
--- /dev/null
+++ b/bench/choice_cost.py
@@ -0,0 +1,172 @@
+"""What keeping pools costs: processor time a request, message sizes, by size.
+
+Run: python -m bench.choice_cost
+"""
+
+import time
+from collections.abc import Callable
+
+from loguru import logger
+
+from banyanseam.config.compile import compile_config
+from banyanseam.peers.messages import Envelope, Message, decode, encode
+from banyanseam.upstreams.const import MAX_POOL_UPSTREAMS, RENEW_PERIOD_S
+from banyanseam.upstreams.held import HeldTokens
+from banyanseam.upstreams.kept_pool import KeptPool
+from banyanseam.upstreams.messages import Granted, Release, Renew, Reserve
+from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, Outcome
+from banyanseam.upstreams.pools import list_pools
+from banyanseam.upstreams.prefix import hash_prefix
+from bench.results import Figure, append
+from tests.common import make_documents
+
+ROUNDS = 2_000
+SEATS = 57
+REQUESTS_PER_S_AND_UPSTREAM = 3_300 / 600
+LEASES_PER_SEAT_AND_POOL = 8
+
+
+def make_pool(upstreams: int) -> KeptPool:
+    """Return a pool that has learnt, before idle upstreams."""
+    base, overlays = make_documents(("gulf",), SEATS)
+    del base["routes"]["clinic"]
+    engine = overlays["gulf"]["upstreams"]["gulf-engine-1"]
+    overlays["gulf"]["upstreams"] = {
+        f"engine-{number}": {
+            **engine,
+            "address": f"127.0.0.1:{40_000 + number}",
+            "prefill_tokens_per_s": 1e9,
+        }
+        for number in range(upstreams)
+    }
+    config = compile_config(1, base, overlays)
+    (pool,) = list_pools(config, "gulf").values()
+    kept_pool = KeptPool(pool, frozenset(), 0.0)
+    for name, kept in kept_pool.kept.items():
+        kept.held.learning_until_s = 0.0
+        kept_pool.observe(name, LoadReport(0, 0, 0, leaving=False, as_of_s=0.0), 0.0)
+    return kept_pool
+
+
+def time_us(function: Callable[[int], None], rounds: int = ROUNDS) -> float:
+    """Return the processor time of one call in microseconds."""
+    started_s = time.process_time()
+    for number in range(rounds):
+        function(number)
+    return (time.process_time() - started_s) / rounds * 1e6
+
+
+def measure_requests(upstreams: int, running: int, waiting: int) -> float:
+    """Return the time of one request's place in line, grant and release."""
+    pool = make_pool(upstreams)
+    prefix = hash_prefix(b"x" * 20_000)
+    for number in range(running):
+        key = LeaseKey("other", 1, number)
+        pool.ask(key, Demand("acme", 1.0, 100, 100), 60.0, 0.0)
+        pool.dispatch(0.0)
+    for number in range(waiting):
+        key = LeaseKey("waiting", 1, number)
+        demand = Demand(f"org-{number % 100}", 1.0, 85_000, 2_000)
+        pool.ask(key, demand, 1e9, 0.0)
+
+    def serve(number: int) -> None:
+        now_s = number / (REQUESTS_PER_S_AND_UPSTREAM * upstreams)
+        key = LeaseKey("gulf-1", 1, number)
+        demand = Demand("acme", 1.0, 400, 100, prefix)
+        pool.ask(key, demand, 1e9, now_s)
+        placed, _ = pool.dispatch(now_s)
+        for each in placed:
+            pool.release(each.key, each.upstream, Outcome.COMPLETED, 50, now_s)
+        pool.dispatch(now_s)
+
+    return time_us(serve, ROUNDS if not waiting else 200)
+
+
+def make_renewal() -> Renew:
+    """Return what one of 57 seats sends to a keeper in one period."""
+    leases = {
+        f"engine-{number}": {100_000 + number: 2_000}
+        for number in range(LEASES_PER_SEAT_AND_POOL)
+    }
+    return Renew(pools=["gulf/model:oak/0"], leases=leases)
+
+
+def measure_renewals() -> float:
+    """Return the time that a keeper spends on one seat's renewal of one pool."""
+    pool = make_pool(MAX_POOL_UPSTREAMS)
+    message = make_renewal()
+
+    def renew(number: int) -> None:
+        pool.announce(f"gulf-{number % SEATS}", 1, message.leases, 1.0)
+
+    return time_us(renew)
+
+
+def measure_reports() -> float:
+    """Return the time to take one load report with many leases held."""
+    held = HeldTokens(10**9, 1_000, 0.0)
+    held.announce("gulf-1", 1, dict.fromkeys(range(64), 100), 0.0)
+    report = LoadReport(0, 0, 0, leaving=False, as_of_s=0.0)
+    return time_us(lambda _: held.observe(report, 0.0))
+
+
+def measure_size(message: Message) -> tuple[int, float]:
+    """Return the bytes of a message and the time to write and read it."""
+    envelope = Envelope(1, is_reply=False, message=message)
+    return len(encode(envelope)), time_us(lambda _: decode(encode(envelope)))
+
+
+def main() -> None:
+    """Take every figure once."""
+    logger.remove()
+    figures = [
+        Figure("keeper_request_cpu_1_upstream", measure_requests(1, 0, 0), "us"),
+        Figure("keeper_request_cpu_8_upstreams", measure_requests(8, 0, 0), "us"),
+        Figure("keeper_request_cpu_400_running", measure_requests(8, 400, 0), "us"),
+        Figure(
+            "keeper_request_cpu_400_running_200_waiting",
+            measure_requests(8, 400, 200),
+            "us",
+        ),
+        Figure("keeper_renewal_cpu", measure_renewals(), "us"),
+        Figure("keeper_report_cpu_64_leases", measure_reports(), "us"),
+    ]
+    messages = {
+        "reserve": Reserve(
+            pool="gulf/model:oak/0",
+            lease=100_000,
+            organisation="org-1",
+            weight=1.0,
+            prompt_tokens=400,
+            max_output_tokens=100,
+            prefix=list(hash_prefix(b"x" * 20_000)),
+            avoid=[],
+            patience_ms=20_000,
+        ),
+        "granted": Granted(upstream="engine-1", cached_tokens=0, waited_ms=1),
+        "release": Release(
+            pool="gulf/model:oak/0",
+            lease=100_000,
+            upstream="engine-1",
+            outcome=Outcome.COMPLETED,
+            output_tokens=50,
+        ),
+        "renew": make_renewal(),
+    }
+    for name, message in messages.items():
+        size, cpu_us = measure_size(message)
+        figures.append(Figure(f"{name}_message_size", size, "bytes"))
+        figures.append(Figure(f"{name}_message_codec_cpu", cpu_us, "us"))
+    renewal_size = measure_size(messages["renew"])[0]
+    figures.append(
+        Figure(
+            "keeper_renewals_received_57_seats",
+            renewal_size * SEATS / RENEW_PERIOD_S,
+            "bytes/s",
+        )
+    )
+    append(figures)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/upstreams/test_choose.py
+++ b/tests/upstreams/test_choose.py
@@ -165,8 +165,8 @@
         kept_pool = self.make_pool()
         self.ask(kept_pool, 60_000)
         self.ask(kept_pool, 80_000)
-        kept = kept_pool.kept["gulf-engine-1"]
-        kept._sent.clear()
+        computed = LoadReport(0, 0, 1, False, NOW_S)
+        kept_pool.observe("gulf-engine-1", computed, NOW_S)
         small = [self.ask(kept_pool, 10 + number) for number in range(20)]
         self.assertEqual(sum(small), MAX_BYPASSES)
 
