--- a/tests/upstreams/test_choose.py
+++ b/tests/upstreams/test_choose.py
@@ -147,6 +147,10 @@
         kept_pool = self.make_pool()
         # Half a second of prefill is 5,000 tokens here; the next ones wait.
         self.assertEqual(self.ask(kept_pool, 2_000, count=10), 3)
+        # A lagging report knows nothing of what was sent since.
+        lagging = LoadReport(0, 0, 0, False, NOW_S - 0.2)
+        kept_pool.observe("gulf-engine-1", lagging, NOW_S)
+        self.assertEqual(len(kept_pool.dispatch(NOW_S)[0]), 0)
         self.assertEqual(len(kept_pool.dispatch(NOW_S + 0.2)[0]), 1)
         self.assertEqual(len(kept_pool.dispatch(NOW_S + 1.4)[0]), 3)
 
