--- a/banyanseam/config/watch.py
+++ b/banyanseam/config/watch.py
@@ -53,15 +53,27 @@
         self._chance = chance
         # Processes begin at different addresses, so a stale one misleads only some.
         self._current = chance.randrange(len(sources))
-        # Whether the last call succeeded; peers elect readers among those.
         self.reaches_service = False
+        # Values read for a listing that could not be completed yet.
+        self._got: dict[tuple[str, int], Value] = {}
+        self._on_reach: list[Callable[[bool], None]] = []
+
+    def on_reach(self, callback: Callable[[bool], None]) -> None:
+        """Call back after each round of calls with whether one succeeded.
+
+        Peers elect readers among those who reach the service.
+        """
+        self._on_reach.append(callback)
 
     async def run(self) -> None:
         """Read until cancelled."""
         failures = 0
         while True:
             wait_ms = WATCH_MS if self._is_reader() and failures == 0 else 0
-            if await self._try_sources(wait_ms):
+            self.reaches_service = await self._try_sources(wait_ms)
+            for callback in self._on_reach:
+                callback(self.reaches_service)
+            if self.reaches_service:
                 failures = 0
             else:
                 failures += 1
@@ -76,37 +88,39 @@
         """
         source = self._sources[self._current]
         known = self._store.newest
-        got: dict[tuple[str, int], Value] = {}
         for _ in range(READ_ATTEMPTS):
             listing = await source.list_revisions(known.version, wait_ms)
             wait_ms = 0
             if listing.version < known.version:
                 self._try_next_address()
                 return
-            await self._read_missing(source, listing, got)
-            snapshot = self._extend(known, listing, got)
+            await self._read_missing(source, listing)
+            snapshot = self._extend(known, listing)
             if snapshot is not None:
+                self._got.clear()
                 self._store.offer(snapshot)
                 return
         raise InconsistentValues("the values change faster than they can be read")
 
-    async def _read_missing(
-        self, source: Source, listing: Listing, got: dict[tuple[str, int], Value]
-    ) -> None:
+    async def _read_missing(self, source: Source, listing: Listing) -> None:
+        """Read what is listed; what was read stays when a later call fails.
+
+        After an outage many processes read at once, and few get all in one go.
+        """
+        self._got = {
+            (key, revision): value
+            for (key, revision), value in self._got.items()
+            if listing.changed.get(key) == revision
+        }
         for key, revision in listing.changed.items():
-            if (key, revision) in got:
+            if (key, revision) in self._got:
                 continue
             value = self._store.find(key, revision) or await source.read(key)
-            got[key, value.revision] = value
+            self._got[key, value.revision] = value
 
-    def _extend(
-        self,
-        known: Snapshot,
-        listing: Listing,
-        got: dict[tuple[str, int], Value],
-    ) -> Snapshot | None:
+    def _extend(self, known: Snapshot, listing: Listing) -> Snapshot | None:
         try:
-            return extend_snapshot(known, listing, got.values())
+            return extend_snapshot(known, listing, self._got.values())
         except InconsistentValues:
             # A value changed between the listing and the reading: list again.
             return None
@@ -118,9 +132,7 @@
             except ConfigServiceUnavailable:
                 self._try_next_address()
                 continue
-            self.reaches_service = True
             return True
-        self.reaches_service = False
         return False
 
     def _try_next_address(self) -> None:
