--- a/banyanseam/upstreams/kept_pool.py
+++ b/banyanseam/upstreams/kept_pool.py
@@ -1,21 +1,21 @@
 """One pool as its keeper runs it: who waits, who holds what, and where to send."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from banyanseam.errors import BanyanseamError
 from banyanseam.upstreams.choose import Candidate, pick_upstream
 from banyanseam.upstreams.const import (
+    KEEPER_PERIOD_S,
     LOOK_AHEAD,
     MAX_BYPASSES,
+    MAX_PREFILL_AHEAD_S,
     MAX_RETRY_AFTER_MS,
     MIN_RETRY_AFTER_MS,
-    RATE_HALF_LIFE_S,
+    USED_SHARE_STEP,
 )
-from banyanseam.upstreams.decay import DecayingSum
 from banyanseam.upstreams.errors import NoUpstreamAvailable, RequestTooLarge
 from banyanseam.upstreams.fair_queue import FairQueue, Waiting
-from banyanseam.upstreams.health import Health
-from banyanseam.upstreams.held import HeldTokens
+from banyanseam.upstreams.kept_upstream import KeptUpstream
 from banyanseam.upstreams.models import (
     Demand,
     LeaseKey,
@@ -52,16 +52,6 @@
     demand: Demand
 
 
-@dataclass(slots=True)
-class Kept:
-    """One upstream of the pool."""
-
-    held: HeldTokens
-    health: Health = field(default_factory=Health)
-    # When a prompt was sent and how much of it was not cached.
-    sent: list[tuple[float, int]] = field(default_factory=list)
-
-
 class KeptPool:
     """The state of a pool at its keeper; times are on the keeper's clock."""
 
@@ -69,10 +59,12 @@
         """Start as a new keeper."""
         self.queue = FairQueue()
         self.prefixes = PrefixTable()
-        self.kept: dict[str, Kept] = {}
+        self.kept: dict[str, KeptUpstream] = {}
         self._running: dict[LeaseKey, Running] = {}
         self._leaving: frozenset[str] = frozenset()
-        self._released_tokens = DecayingSum(RATE_HALF_LIFE_S, now_s)
+        # How much of its largest output a request uses, of late.
+        self._used_share = 1.0
+        self._expired_s = now_s
         self.update(pool, seats, frozenset(), now_s)
 
     def update(
@@ -86,20 +78,11 @@
         self.pool = pool
         self.seats = seats
         self.upstreams = {upstream.name: upstream for upstream in pool.upstreams}
-        self._leaving = leaving | {
-            upstream.name for upstream in pool.upstreams if upstream.leaving
-        }
+        self._leaving = leaving
         for name, upstream in self.upstreams.items():
             if name not in self.kept:
-                held = HeldTokens(
-                    upstream.memory_tokens,
-                    upstream.max_in_flight,
-                    now_s,
-                    is_reported=upstream.is_model,
-                )
-                self.kept[name] = Kept(held)
-            self.kept[name].held.memory_tokens = upstream.memory_tokens
-            self.kept[name].held.max_in_flight = upstream.max_in_flight
+                self.kept[name] = KeptUpstream(upstream, now_s)
+            self.kept[name].update(upstream)
         for name in self.kept.keys() - self.upstreams.keys():
             del self.kept[name]
 
@@ -118,8 +101,9 @@
             raise RequestTooLarge(f"{demand.tokens} tokens")
         wait_s = 0.0
         if len(self.queue):
-            ahead = self.queue.count_tokens_ahead(demand, give_up_s)
-            wait_s = ahead / self.measure_rate(now_s)
+            wait_s = self.queue.estimate_wait_s(
+                demand, give_up_s, self._estimate_work_s
+            )
         if now_s + wait_s > give_up_s:
             retry_ms = _bound_retry(1000 * (now_s + wait_s - give_up_s))
             raise NoUpstreamAvailable("the wait is too long", retry_after_ms=retry_ms)
@@ -165,7 +149,7 @@
             return
         lingers = outcome in (Outcome.STOPPED, Outcome.FAILED)
         kept.held.release(key, now_s, lingers=lingers)
-        self._settle(key, outcome, output_tokens, now_s)
+        self._settle(key, outcome, output_tokens)
         if outcome is Outcome.UNUSED:
             kept.health.note_unused()
         elif outcome is Outcome.COMPLETED:
@@ -186,14 +170,8 @@
 
     def observe(self, upstream: str, report: LoadReport | None, now_s: float) -> None:
         """Take a polled report, or None when the poll failed."""
-        kept = self.kept.get(upstream)
-        if kept is None:
-            return
-        kept.health.note_poll(is_answered=report is not None)
-        if report is None:
-            return
-        kept.held.observe(report, now_s)
-        kept.sent = [sent for sent in kept.sent if sent[0] > report.as_of_s]
+        if upstream in self.kept:
+            self.kept[upstream].observe(report, now_s)
 
     def restart(self, now_s: float) -> None:
         """Become a new keeper again, as after a freeze."""
@@ -206,15 +184,13 @@
         free = [
             self.kept[name].held.count_free_tokens(self.seats, now_s) for name in usable
         ]
-        queued = sum(
-            waiting.demand.tokens for waiting in self.queue.in_order(len(self.queue))
-        )
+        wait_s = sum(map(self._estimate_work_s, self.queue.list_demands()))
         members = [self.upstreams[name] for name in usable]
         return PoolRow(
             pool=self.pool.name,
             free_tokens=sum(free),
             largest_free_tokens=max(free, default=0),
-            wait_ms=int(1000 * queued / self.measure_rate(now_s)),
+            wait_ms=int(1000 * wait_s),
             queued=len(self.queue),
             usable=len(usable),
             decode_tokens_per_s=sum(each.decode_tokens_per_s for each in members),
@@ -223,31 +199,36 @@
             ),
         )
 
-    def measure_rate(self, now_s: float) -> float:
-        """Return the reserved tokens that come free a second, at least what decodes."""
-        measured = self._released_tokens.read_rate_per_s(now_s)
-        decode = sum(each.decode_tokens_per_s for each in self.upstreams.values())
-        return max(measured, decode)
+    def _estimate_work_s(self, demand: Demand) -> float:
+        """Return how long the pool would work at a request by its published rates."""
+        members = self.upstreams.values()
+        decode = sum(each.decode_tokens_per_s for each in members)
+        prefill = sum(each.prefill_tokens_per_s for each in members)
+        output_tokens = demand.max_output_tokens * self._used_share
+        return demand.prompt_tokens / prefill + output_tokens / decode
 
-    def _settle(
-        self, key: LeaseKey, outcome: Outcome, output_tokens: int, now_s: float
-    ) -> None:
+    def _settle(self, key: LeaseKey, outcome: Outcome, output_tokens: int) -> None:
         """Give an organisation back what its request was charged and did not use."""
         running = self._running.pop(key, None)
         if running is None:
             return
         demand = running.demand
-        self._released_tokens.add(demand.tokens, now_s)
         if outcome in (Outcome.UNUSED, Outcome.UNREACHABLE):
             self.queue.charge(demand, -demand.prompt_tokens, -demand.max_output_tokens)
             return
         unused = max(0, demand.max_output_tokens - output_tokens)
         self.queue.charge(demand, 0, -unused)
+        if outcome is Outcome.COMPLETED and demand.max_output_tokens:
+            used_share = 1 - unused / demand.max_output_tokens
+            self._used_share += (used_share - self._used_share) * USED_SHARE_STEP
 
     def _forget_expired(self, now_s: float) -> None:
         """Drop what was granted to entries that fell silent."""
+        if now_s - self._expired_s < KEEPER_PERIOD_S:
+            return
+        self._expired_s = now_s
         for kept in self.kept.values():
-            kept.held.expire(self.seats, now_s)
+            kept.expire(self.seats, now_s)
         for key, running in list(self._running.items()):
             kept = self.kept.get(running.upstream)
             if kept is None or key not in kept.held.leases:
@@ -287,27 +268,22 @@
             if demand.tokens <= tokens and name not in demand.avoid
         ]
         usable = [name for name in names if self.kept[name].health.may_send(now_s)]
+        if not usable:
+            return None
         load = sum(kept.held.count_held_tokens() for kept in self.kept.values())
         decode = sum(each.decode_tokens_per_s for each in self.upstreams.values())
-        candidates = [self._describe(name, demand) for name in usable]
+        described = [self._describe(name, demand, now_s) for name in usable]
+        candidates = [
+            each
+            for each in described
+            if each.queued_tokens <= MAX_PREFILL_AHEAD_S * each.prefill_tokens_per_s
+        ]
         preferred = prefer(demand.prefix, self.upstreams)
         return pick_upstream(candidates, demand, load, decode, preferred)
 
-    def _describe(self, name: str, demand: Demand) -> Candidate:
-        kept = self.kept[name]
-        upstream = self.upstreams[name]
-        report = kept.held.report
+    def _describe(self, name: str, demand: Demand, now_s: float) -> Candidate:
         cached = self.prefixes.count_cached_tokens(demand.prefix, name)
-        queued = report.queued_tokens if report else 0
-        return Candidate(
-            name=name,
-            held_tokens=kept.held.count_held_tokens(),
-            queued_tokens=queued + sum(tokens for _, tokens in kept.sent),
-            running=len(kept.held.leases),
-            decode_tokens_per_s=upstream.decode_tokens_per_s,
-            prefill_tokens_per_s=upstream.prefill_tokens_per_s,
-            cached_tokens=min(cached, demand.prompt_tokens),
-        )
+        return self.kept[name].describe(demand, cached, now_s)
 
     def _grant(
         self, waiting: Waiting, chosen: Candidate, now_s: float
@@ -316,8 +292,7 @@
         kept = self.kept[chosen.name]
         if not kept.held.reserve(waiting.key, demand.tokens, self.seats, now_s):
             return None
-        kept.health.note_sent(now_s)
-        kept.sent.append((now_s, demand.prompt_tokens - chosen.cached_tokens))
+        kept.note_sent(demand.prompt_tokens - chosen.cached_tokens, now_s)
         self.queue.remove(waiting.key)
         self.queue.charge(demand, demand.prompt_tokens, demand.max_output_tokens)
         self.prefixes.note_sent(demand.prefix, chosen.name)
@@ -335,10 +310,7 @@
         return [
             name
             for name, kept in self.kept.items()
-            if name not in avoid
-            and name not in self._leaving
-            and not (kept.held.report and kept.held.report.leaving)
-            and kept.health.may_send(now_s)
+            if name not in avoid and name not in self._leaving and kept.is_usable(now_s)
         ]
 
 
