Hold requests to what another sending of their key was told

Change: the home remembers when a key was freed, claims say how old their request is, and older ones are refused. Ruled out: a key that rests for the longest patience of a claim, since a caller that sends again in good time would be refused for no reason. Conclusion: not run is true of the key, for all that was received by then.

--- a/banyanseam/idempotency/client.py
+++ b/banyanseam/idempotency/client.py
@@ -51,6 +51,7 @@
     route: str
     fingerprint: str
     claim_id: bytes
+    received_s: float
     deadline_s: float
     # The seat that was asked last; the end of the run is told to it.
     home_seat: str = ""
@@ -58,10 +59,26 @@
     may_be_granted: bool = False
 
 
-def make_wish(scope: Scope, route: str, fingerprint: str, deadline_s: float) -> Wish:
+def make_wish(
+    scope: Scope, route: str, fingerprint: str, received_s: float, deadline_s: float
+) -> Wish:
     """Return a wish with an id of its own, never used for another receipt."""
     claim_id = secrets.token_bytes(CLAIM_ID_BYTES)
-    return Wish(scope, route, fingerprint, claim_id, deadline_s)
+    return Wish(scope, route, fingerprint, claim_id, received_s, deadline_s)
+
+
+def make_claim(wish: Wish, me: PeerIdentity) -> Claim:
+    """Return the claim that a process makes now."""
+    now_s = anyio.current_time()
+    return Claim(
+        wish.scope,
+        wish.fingerprint,
+        wish.claim_id,
+        me.seat,
+        me.incarnation,
+        run_s=max(0.0, wish.deadline_s - now_s),
+        age_s=max(0.0, now_s - wish.received_s),
+    )
 
 
 class HomeClient:
@@ -127,13 +144,13 @@
 
     async def _try_to_claim(self, wish: Wish) -> Verdict | None:
         """Return the home's verdict, None when it could not be had this time."""
-        run_s = max(0.0, wish.deadline_s - anyio.current_time())
+        claim = make_claim(wish, self._me)
         try:
             wish.home_seat = self._home.find_home(wish.scope, wish.route)
             if wish.home_seat == self._me.seat:
-                return await self._claim_here(wish, run_s)
+                return await self._home.claim(claim, wish.route)
             wish.may_be_granted = True
-            reply = await self._ask(wish, _make_claim(wish, run_s), KeyClaimed)
+            reply = await self._ask(wish, _pack(claim, wish.route), KeyClaimed)
         except PeerCallLost:
             return None
         except (PeerUnreachable, NotHome):
@@ -148,17 +165,6 @@
         answer = reply.answer.unpack() if reply.answer else None
         return Verdict(State(reply.state), answer=answer)
 
-    async def _claim_here(self, wish: Wish, run_s: float) -> Verdict:
-        claim = Claim(
-            wish.scope,
-            wish.fingerprint,
-            wish.claim_id,
-            self._me.seat,
-            self._me.incarnation,
-            run_s,
-        )
-        return await self._home.claim(claim, wish.route)
-
     async def _ask(
         self, wish: Wish, message: Message, reply_type: type[Reply]
     ) -> Reply:
@@ -206,12 +212,13 @@
                 await anyio.sleep(REPORT_PAUSE_S)
 
 
-def _make_claim(wish: Wish, run_s: float) -> ClaimKey:
+def _pack(claim: Claim, route: str) -> ClaimKey:
     return ClaimKey(
-        organisation=wish.scope.organisation,
-        key=wish.scope.key,
-        claim_id=wish.claim_id,
-        route=wish.route,
-        fingerprint=wish.fingerprint,
-        run_ms=int(run_s * 1000) + 1,
+        organisation=claim.scope.organisation,
+        key=claim.scope.key,
+        claim_id=claim.claim_id,
+        route=route,
+        fingerprint=claim.fingerprint,
+        run_ms=int(claim.run_s * 1000) + 1,
+        age_ms=int(claim.age_s * 1000),
     )
--- a/banyanseam/idempotency/const.py
+++ b/banyanseam/idempotency/const.py
@@ -25,6 +25,8 @@
 CLAIM_TIMEOUT_S: Final = 2.0
 CLAIM_PATIENCE_S: Final = 4.0
 CLAIM_PAUSE_S: Final = 0.1
+# A claim comes to its home within this time, else its sender gives it up.
+MAX_TRANSIT_S: Final = CLAIM_TIMEOUT_S
 # The home answers a claim that must wait after at most this long.
 POLL_S: Final = 1.0
 RELEASE_TIMEOUT_S: Final = 1.0
--- a/banyanseam/idempotency/errors.py
+++ b/banyanseam/idempotency/errors.py
@@ -141,3 +141,15 @@
     event = 1714
     status = 422
     title = "The key names a region that may not serve this request"
+
+
+class KeyFreed(BanyanseamError):
+    """Another receipt of this key was told that it did not run, so this one won't.
+
+    Later receipts may run, so this refusal itself must not say not run.
+    """
+
+    code = "idempotency.key_freed"
+    event = 1715
+    status = 503
+    title = "The key was just freed and may be sent again soon"
--- a/banyanseam/idempotency/home.py
+++ b/banyanseam/idempotency/home.py
@@ -88,7 +88,7 @@
 
     def release(self, scope: Scope, claim_id: bytes) -> bool:
         """Free a key that did not run; say whether nobody else asked for it."""
-        alone = self.memory.release(scope, claim_id)
+        alone = self.memory.release(scope, claim_id, anyio.current_time())
         self._wake(scope)
         return alone
 
@@ -136,6 +136,7 @@
             peer.seat,
             peer.incarnation,
             message.run_ms / 1000,
+            message.age_ms / 1000,
         )
         verdict = await self.claim(claim, message.route)
         if verdict.granted:
--- a/banyanseam/idempotency/memory.py
+++ b/banyanseam/idempotency/memory.py
@@ -9,6 +9,7 @@
 from banyanseam.idempotency.const import (
     ANSWER_SHARE,
     MAX_ANSWER_BYTES,
+    MAX_TRANSIT_S,
     MEMORY_BYTES,
     ORGANISATION_SHARE,
     RECORD_BYTES,
@@ -17,6 +18,7 @@
 )
 from banyanseam.idempotency.errors import (
     AnswerNotKept,
+    KeyFreed,
     KeyReused,
     KeyTooOld,
     MemoryFull,
@@ -63,12 +65,17 @@
     ) -> Verdict:
         """Grant the run to the first receipt of a key, or say what became of it.
 
-        Raise KeyReused, KeyTooOld, MemoryFull, AnswerNotKept or OutcomeUnknown. A
-        repeat of the granted claim itself is granted again: its sender runs once.
+        Raise KeyReused, KeyTooOld, KeyFreed, MemoryFull, AnswerNotKept or
+        OutcomeUnknown. A repeat of the granted claim itself is granted again: its
+        sender runs once.
         """
         record = self._records.get(claim.scope)
         if record is None:
             return self._admit(claim, now_s, stamp_s, keep_until_s)
+        if _is_from_before_freeing(claim, record, now_s):
+            self._refuse_freed(claim, record)
+        if record.state is State.FREE:
+            return self._admit_again(claim, record, now_s, keep_until_s)
         self._expire(record, now_s)
         if record.claim.fingerprint != claim.fingerprint:
             raise KeyReused
@@ -85,6 +92,8 @@
             return False
         if record.state is State.DONE:
             return True
+        if record.state is State.FREE:
+            return False
         record.keep_until_s = max(record.keep_until_s, now_s + RETENTION_S)
         if not end.is_known:
             record.state = State.UNKNOWN
@@ -95,19 +104,24 @@
             self._grow(record, end.answer.size_bytes())
         return True
 
-    def release(self, scope: Scope, claim_id: bytes) -> bool:
+    def release(self, scope: Scope, claim_id: bytes, now_s: float) -> bool:
         """Free a key whose runner proved that nothing was sent.
 
         Return True when no other receipt asked for the key meanwhile: only then may
-        the runner say that the key did not run, for nobody else is about to run it.
+        the runner say that the key did not run. Receipts from before that, whose
+        claims come late, are then refused alike.
         """
         record = self._records.get(scope)
         if record is None or record.claim.claim_id != claim_id:
             return False
-        if record.state is State.DONE:
+        if record.state in (State.DONE, State.FREE):
             return False
-        self._forget(scope, record)
-        return not record.others_asked
+        record.state = State.FREE
+        record.keep_until_s = now_s + record.claim.run_s + RUN_GRACE_S
+        if record.others_asked:
+            return False
+        record.freed_s = now_s
+        return True
 
     def abandon(self, seat: str, incarnation: int, now_s: float) -> list[Scope]:
         """Give up on the runs of a process that is gone; return their keys."""
@@ -133,7 +147,8 @@
             self._expire(record, now_s)
             if record.state is State.RUNNING or now_s < record.keep_until_s:
                 continue
-            if record.stamp_s is None or record.stamp_s < self.floor_s:
+            is_refused = record.stamp_s is None or record.stamp_s < self.floor_s
+            if is_refused or record.state is State.FREE:
                 self._forget(scope, record)
 
     def _admit(
@@ -159,6 +174,23 @@
         self._grow(record, size_bytes)
         return Verdict(State.RUNNING, granted=True)
 
+    def _admit_again(
+        self, claim: Claim, freed: Record, now_s: float, keep_until_s: float
+    ) -> Verdict:
+        self._forget(claim.scope, freed)
+        # That the key never ran is known, however old its stamp is by now.
+        verdict = self._admit(claim, now_s, None, keep_until_s)
+        record = self._records[claim.scope]
+        record.stamp_s, record.freed_s = freed.stamp_s, freed.freed_s
+        return verdict
+
+    def _refuse_freed(self, claim: Claim, record: Record) -> None:
+        if record.claim.claim_id == claim.claim_id and record.state is State.RUNNING:
+            # It was granted when it came late, and its sender has not run yet.
+            record.state = State.FREE
+        if record.state in (State.FREE, State.RUNNING):
+            raise KeyFreed(retry_after_ms=int(MAX_TRANSIT_S * 1000))
+
     def _repeat(self, record: Record) -> Verdict:
         # The sender of a repeat has not run yet: it still waits for this answer.
         if record.state is State.RUNNING:
@@ -212,3 +244,8 @@
             self._bytes_by_organisation[organisation] = held
         else:
             del self._bytes_by_organisation[organisation]
+
+
+def _is_from_before_freeing(claim: Claim, record: Record, now_s: float) -> bool:
+    """Say whether the receipt may be older than the last freeing of the key."""
+    return now_s - claim.age_s < record.freed_s + MAX_TRANSIT_S
--- a/banyanseam/idempotency/messages.py
+++ b/banyanseam/idempotency/messages.py
@@ -57,6 +57,8 @@
     fingerprint: ShortText
     # How long the run may take at most, from the sending of this message on.
     run_ms: int = Field(ge=0, le=4_000_000)
+    # How long ago the entry received the request.
+    age_ms: int = Field(ge=0)
 
 
 class KeyClaimed(Message):
--- a/banyanseam/idempotency/models.py
+++ b/banyanseam/idempotency/models.py
@@ -12,6 +12,8 @@
     RUNNING = "running"
     DONE = "done"
     UNKNOWN = "unknown"
+    # Nothing was sent under the key, and a caller was told so.
+    FREE = "free"
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +59,8 @@
     incarnation: int
     # How long the run may take at most, from the claim on.
     run_s: float
+    # How long ago the entry received the request.
+    age_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +81,8 @@
     state: State = State.RUNNING
     # None with a known end when the answer could not be kept.
     answer: Answer | None = None
+    # When the key was last called free; receipts from before that don't run.
+    freed_s: float = float("-inf")
     # True once another receipt asked for the key while it ran.
     others_asked: bool = False
     # The key's own time stamp in seconds since the epoch, if it has one.
--- a/banyanseam/pipe/idempotency.py
+++ b/banyanseam/pipe/idempotency.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from banyanseam.idempotency.client import HomeClient, Wish, make_wish
+from banyanseam.idempotency.client import HomeClient, Wish, make_claim, make_wish
 from banyanseam.idempotency.const import KEY_HEADER, MAX_KEY_LENGTH, TICKET_PREFIX
 from banyanseam.idempotency.errors import (
     GrantTooLate,
@@ -14,7 +14,7 @@
     OutcomeUnknown,
 )
 from banyanseam.idempotency.home import Home
-from banyanseam.idempotency.models import Claim, End, Scope, State, Verdict
+from banyanseam.idempotency.models import End, Scope, State, Verdict
 from banyanseam.idempotency.tickets import Ticket, TicketDesk, is_ticket
 from banyanseam.peers.errors import PeerCallLost, PeerUnreachable
 from banyanseam.peers.messages import PeerIdentity
@@ -53,15 +53,8 @@
 
     async def acquire(self, wish: Wish) -> Verdict:
         """Return a grant or the answer of the first run."""
-        claim = Claim(
-            wish.scope,
-            wish.fingerprint,
-            wish.claim_id,
-            self._me.seat,
-            self._me.incarnation,
-            max(0.0, wish.deadline_s - anyio.current_time()),
-        )
         while True:
+            claim = make_claim(wish, self._me)
             verdict = await self._home.claim_ticket(claim, self._ticket)
             if verdict.granted or verdict.state is State.DONE:
                 return verdict
@@ -160,6 +153,7 @@
         Scope(find_organisation(exchange), key),
         exchange.route.name,
         exchange.fingerprint,
+        exchange.received_s,
         exchange.deadline_s,
     )
     verdict = await _acquire(exchange, keeper, wish)
@@ -185,8 +179,8 @@
 
 
 async def _run(exchange: Exchange, next_: Next, keeper: Keeper, wish: Wish) -> None:
-    sink = RememberingSink(exchange.reply)
-    exchange.reply = sink
+    reply = exchange.reply
+    sink = exchange.reply = RememberingSink(reply)
     try:
         await next_(exchange)
     except BaseException as error:
@@ -195,6 +189,8 @@
             raise
         await _release(keeper, wish, error)
         raise
+    finally:
+        exchange.reply = reply
     keeper.finish(wish, sink.make_end())
     if sink.failure is not None:
         raise sink.failure
--- a/banyanseam/pipe/remember.py
+++ b/banyanseam/pipe/remember.py
@@ -25,6 +25,11 @@
         """Say whether the status was handed on."""
         return self._inner.started
 
+    @property
+    def first_sent_s(self) -> float | None:
+        """Return when the first part of the body was handed on."""
+        return self._inner.first_sent_s
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send the status and headers."""
         self._status = status
--- a/tests/common.py
+++ b/tests/common.py
@@ -14,6 +14,7 @@
 from banyanseam.peers.contract import CallHandler, CastHandler
 from banyanseam.peers.errors import PeerCallFailed, PeerCallLost, PeerUnreachable
 from banyanseam.peers.messages import Envelope, Message, PeerIdentity, decode, encode
+from banyanseam.pipe.models import Exchange
 
 KEY = "key-of-acme"
 
@@ -99,6 +100,21 @@
     return compile_config(version, *make_documents(**kwargs))
 
 
+def make_exchange(reply: Any = None, **fields: Any) -> Exchange:
+    """Return a caller's request, with the fields that a test cares about."""
+    known = {
+        "request_id": "1",
+        "method": "POST",
+        "path": "/",
+        "raw_path": b"/",
+        "query": b"",
+        "headers": [],
+        "body": b"",
+        "received_s": 0.0,
+    }
+    return Exchange(reply=reply, **(known | fields))
+
+
 class FakeFabric:
     """Joins fake networks in memory, with delay, loss and cuts, on the test's clock."""
 
