--- a/banyanseam/peers/heartbeat.py
+++ b/banyanseam/peers/heartbeat.py
@@ -63,7 +63,7 @@
         network.handle_call(Heartbeat, self._answer)
 
     async def run(self) -> None:
-        """Beat until cancelled."""
+        """Beat until cancelled; a process that never beat is not alive to others."""
         async with anyio.create_task_group() as group:
             while True:
                 self.beat(anyio.current_time(), group)
@@ -133,7 +133,7 @@
         now_s = anyio.current_time()
         for passed_on in news:
             _note_told(told, passed_on)
-        membership.hear(row, now_s, is_direct=True)
+        membership.hear(row, now_s)
         membership.measure_delay(seat, now_s - sent_s)
         membership.hear_verdict(reply.newest_incarnation, now_s)
 
@@ -146,10 +146,10 @@
         newest = max(membership.incarnation_of(peer.seat), own.incarnation)
         if own.incarnation == newest:
             now_s = anyio.current_time()
-            membership.hear(own, now_s, is_direct=True)
+            membership.hear(own, now_s)
             told = self._told.setdefault(peer.seat, {})
             for row in others:
-                membership.hear(row, now_s, is_direct=False)
+                membership.hear(row, now_s)
                 _note_told(told, row)
             sender = PeerIdentity(peer.seat, own.incarnation)
             self._sections.deliver(sender, heartbeat.sections)
