Give each fault test the upstreams that it needs

Cause: the shared documents came to have one service upstream, while the tests of idempotency looked for homes in every region and never found one: they hung. Ruled out: a service in each region for everybody, since the tests of room count the messages of one pool.

--- a/tests/idempotency/fleet.py
+++ b/tests/idempotency/fleet.py
@@ -48,6 +48,12 @@
         self.body += data
 
 
+def make_clinic_config(version=1, **kwargs):
+    """Return a configuration whose service has an upstream in every region."""
+    regions = ("gulf", "piedmont", "delta")
+    return make_config(version, regions=regions, serves_clinic=regions, **kwargs)
+
+
 @dataclass
 class Receipt:
     """One sending of a request and what became of it."""
@@ -108,7 +114,7 @@
 
     def __init__(self, tasks, config=None):
         self.tasks = tasks
-        self.config = config or make_config()
+        self.config = config or make_clinic_config()
         self.fabric = FakeFabric()
         self.entries = {}
         self.incarnations = Counter()
--- a/tests/idempotency/test_at_most_once.py
+++ b/tests/idempotency/test_at_most_once.py
@@ -26,12 +26,13 @@
 from banyanseam.idempotency.models import State, Verdict
 from banyanseam.pipe.idempotency import read_key, run_claimed
 from banyanseam.upstreams.errors import UpstreamUnreachable
-from tests.common import make_config, make_exchange, run_mocked
+from tests.common import make_exchange, run_mocked
 from tests.idempotency.fleet import (
     Fleet,
     Sink,
     fail_after,
     fail_before,
+    make_clinic_config,
     make_key,
 )
 
@@ -316,7 +317,7 @@
         for key in keys[:30]:
             await fleet.ask("gulf-1", key)
         old_homes = {key: fleet.home_of(key) for key in keys}
-        fleet.config = make_config(version=2, seats=4)
+        fleet.config = make_clinic_config(version=2, seats=4)
         await fleet.start(*(set(fleet.config.seats) - set(fleet.entries)))
         moved = [key for key in keys if fleet.home_of(key) != old_homes[key]]
         self.assertGreater(len(moved), 5)
@@ -333,7 +334,7 @@
     ):
         key = "gulf:" + make_key(SETTLED_S + 50)
         old = fleet.home_of(key)
-        fleet.config = make_config(version=2)
+        fleet.config = make_clinic_config(version=2)
         del fleet.config.seats[old]
         behind = pick(fleet, fleet.home_of(key))
         for entry in fleet.entries.values():
@@ -350,7 +351,7 @@
         key = "gulf:" + make_key(SETTLED_S)
         self.assert_booked(await fleet.ask("gulf-1", key), replayed=False)
         old = fleet.home_of(key)
-        smaller = make_config(version=2)
+        smaller = make_clinic_config(version=2)
         del smaller.seats[old]
         for entry in fleet.entries.values():
             entry.home.adopt(make_mapping(smaller))
@@ -446,7 +447,7 @@
             self.fail("it ran")
 
         async def body():
-            route = make_config().routes["clinic"]
+            route = make_clinic_config().routes["clinic"]
             exchange = make_exchange(Sink(), route=route, deadline_s=30.0)
             with self.assertRaises(GrantTooLate):
                 await run_claimed(exchange, upstream, LateKeeper(), "key")
