Keep the relay alive when a side closes before it is told to

Cause: a soak run ended with the relay gone: resetting or ending a side that had closed by itself raised (OSError, ValueError or RuntimeError by the loop in use), and that ended the whole process. Change: the connection keeps its sockets from the start and passes over what is closed. Ruled out: the daemons as the cause; the relay's own log showed it.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -6,6 +6,7 @@
 
 import socket
 import struct
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -73,19 +74,28 @@
         return start_s + self.delay_ms / 1000
 
 
-@dataclass(slots=True, eq=False)
 class Connection:
     """One caller's connection and, once dialled, the one to the target."""
 
-    near: SocketStream
-    far: SocketStream | None = None
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    def __init__(self, near: SocketStream) -> None:
+        """Take over what was accepted."""
+        self.near = near
+        self.far: SocketStream | None = None
+        self.scope = anyio.CancelScope()
+        # A stream that closed by itself no longer tells its socket.
+        self._sockets: list[Any] = []
+        self.keep(near)
+
+    def keep(self, stream: SocketStream) -> None:
+        """Break this side too when the connection is reset."""
+        with suppress(OSError, AttributeError):
+            self._sockets.append(stream.extra(SocketAttribute.raw_socket))
 
     def reset(self) -> None:
         """Break both sides at once, so that their peers see a reset."""
-        for stream in (self.near, self.far):
-            if stream is not None:
-                raw = stream.extra(SocketAttribute.raw_socket)
+        for raw in self._sockets:
+            # A side that is closed already has nothing left to break.
+            with suppress(OSError, ValueError):
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         self.scope.cancel()
 
@@ -209,6 +219,7 @@
         connection.reset()
         return
     connection.far = far
+    connection.keep(far)
     async with far, anyio.create_task_group() as tasks:
         tasks.start_soon(_carry, connection, connection.near, far, leg.forward)
         tasks.start_soon(_carry, connection, far, connection.near, leg.back)
@@ -219,7 +230,13 @@
 ) -> None:
     try:
         await _pump(source, sink, link)
-    except* (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+    except* (
+        OSError,
+        anyio.BrokenResourceError,
+        anyio.ClosedResourceError,
+        # What uvloop raises when a side closed just before it is told to end.
+        RuntimeError,
+    ):
         connection.reset()
 
 
