--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -21,6 +21,7 @@
 
 INTERNAL_FAILURE: Final = Event(2000, "ERROR", "A fault in the daemon itself")
 DAEMON_READY: Final = Event(2001, "INFO", "The daemon serves callers")
+DRAIN_BEGUN: Final = Event(2003, "INFO", "A planned stop has begun")
 DAEMON_STOPPED: Final = Event(2002, "INFO", "The daemon has stopped")
 REQUEST_ENDED: Final = Event(3001, "INFO", "A request ended")
 REQUEST_FAILED: Final = Event(3002, "WARNING", "A request was refused or failed")
@@ -40,6 +41,10 @@
 KEEPER_CHANGED: Final = Event(6001, "INFO", "A pool of upstreams changed its keeper")
 UPSTREAM_POLL_FAILED: Final = Event(6002, "WARNING", "An upstream did not report load")
 
+QUOTA_RESTARTED: Final = Event(
+    7001, "WARNING", "Quota parts are withheld after a suspension"
+)
+
 
 def log(event: Event, **fields: Any) -> None:
     """Write one event with its fields; callers never pass keys or bodies."""
--- a/banyanseam/upstreams/const.py
+++ b/banyanseam/upstreams/const.py
@@ -10,6 +10,7 @@
 LEARNING_S: Final = 3.0
 QUIET_S: Final = 10.0
 MAX_GAP_S: Final = 1.5
+EXPIRE_PERIOD_S: Final = 0.05
 GRANT_USE_S: Final = 1.0
 LINGER_S: Final = 2.0
 # Parts of an upstream's memory and of what its report proves free.
@@ -28,10 +29,15 @@
 
 # Pools and their queues.
 MAX_POOL_UPSTREAMS: Final = 8
+# An upstream with more prefill ahead than this gets nothing new: what waits inside of
+# an engine is out of the fair order.
+MAX_PREFILL_AHEAD_S: Final = 0.5
+# Without a report, what was sent longer ago counts as computed.
+SENT_TERM_S: Final = 10.0
 MAX_BYPASSES: Final = 8
 LOOK_AHEAD: Final = 4
 OUTPUT_WEIGHT: Final = 2.0
-RATE_HALF_LIFE_S: Final = 10.0
+USED_SHARE_STEP: Final = 0.02
 RESERVE_SLACK_S: Final = 1.0
 FORGET_PERIOD_S: Final = 60.0
 RESERVE_RETRY_S: Final = 0.05
@@ -51,6 +57,7 @@
 # Short enough for most sessions, long enough to reach past a common preamble.
 RENDEZVOUS_BLOCK: Final = 3
 LOAD_BOUND: Final = 1.25
+LIGHT_LOAD_SHARE: Final = 0.25
 
 # Other regions.
 # A pool's row older than this says nothing.
