--- a/banyanseam/idempotency/home.py
+++ b/banyanseam/idempotency/home.py
@@ -117,9 +117,7 @@
         now_s = anyio.current_time()
         expires_s = ticket.expires_ms / 1000
         if now_s < expires_s or self.memory.find(claim.scope) is not None:
-            return self.memory.claim(
-                claim, now_s, keep_until_s=expires_s + RETENTION_S
-            )
+            return self.memory.claim(claim, now_s, keep_until_s=expires_s + RETENTION_S)
         if now_s < expires_s + RETENTION_S:
             # Had the ticket run, its record would still be here.
             raise TicketExpired
--- a/banyanseam/idempotency/mapping.py
+++ b/banyanseam/idempotency/mapping.py
@@ -47,7 +47,9 @@
             if config.seats_of(region)
         },
         regions_by_service={name: frozenset(found) for name, found in services.items()},
-        service_by_route={route.name: route.service for route in config.routes.values()},
+        service_by_route={
+            route.name: route.service for route in config.routes.values()
+        },
         regions_by_route={
             route.name: route.regions
             for route in config.routes.values()
