--- a/tests/common.py
+++ b/tests/common.py
@@ -84,14 +84,15 @@
                     "address": f"127.0.0.1:{port + 200}",
                     "data_centre": f"{region}-dc1",
                 },
-                f"{region}-clinic-1": {
-                    "kind": "service",
-                    "serves": ["clinic"],
-                    "address": f"127.0.0.1:{port + 300}",
-                    "data_centre": f"{region}-dc1",
-                },
             },
         }
+    last = overlays[regions[-1]]
+    last["upstreams"][f"{regions[-1]}-clinic-1"] = {
+        "kind": "service",
+        "serves": ["clinic"],
+        "address": f"127.0.0.1:{10_300 + 1000 * (len(regions) - 1)}",
+        "data_centre": f"{regions[-1]}-dc1",
+    }
     return base, overlays
 
 
--- a/tests/config/test_refusals.py
+++ b/tests/config/test_refusals.py
@@ -205,12 +205,12 @@
 
     def test_regions_that_no_rule_allows(self):
         documents = make_all()
-        documents["base"]["residency"] = {"home": {"regions": ["gulf", "piedmont"]}}
+        documents["base"]["residency"] = {"home": {"regions": ["delta", "piedmont"]}}
         documents["base"]["organisations"]["acme"]["residency"] = "home"
         with self.assertRaises(InvalidConfig) as caught:
             compile_documents(documents)
-        self.assertEqual(caught.exception.json_path, "$.sites.delta.upstreams")
-        documents["delta"]["upstreams"] = {}
+        self.assertEqual(caught.exception.json_path, "$.sites.gulf.upstreams")
+        documents["gulf"]["upstreams"] = {}
         self.assertIn("acme", compile_documents(documents).organisations)
 
     def test_rules_that_leave_no_region(self):
