--- a/banyanseam/daemon/status.py
+++ b/banyanseam/daemon/status.py
@@ -57,8 +57,12 @@
 def _describe_load(daemon: "Daemon") -> LoadStatus:
     if daemon.serving is None or daemon.budget is None:
         return LoadStatus()
-    recorder = daemon.serving.recorder
-    return LoadStatus(in_flight=recorder.in_flight, failures=dict(recorder.failures))
+    return LoadStatus(
+        in_flight=daemon.lifecycle.running_requests,
+        held_bytes=daemon.budget.held_bytes,
+        byte_budget=daemon.budget.limit_bytes,
+        failures=dict(daemon.serving.recorder.failures),
+    )
 
 
 def _describe_peers(daemon: "Daemon", now_s: float) -> list[PeerStatus]:
