--- a/banyanseam/cli/histograms.py
+++ b/banyanseam/cli/histograms.py
@@ -1,5 +1,6 @@
 """Showing a daemon's histograms as a table and a plot."""
 
+import math
 from collections.abc import Iterator
 
 import click
@@ -64,9 +65,12 @@
 
 
 def _plot(series: SeriesReply) -> Iterator[str]:
-    """Yield a line for each percentile, its bar in proportion to the largest."""
+    """Yield a line for each percentile, its bar on a logarithmic scale.
+
+    Tails are often a hundred times the median, which a linear bar would hide.
+    """
     yield " ".join(_name(series))
-    largest = max(series.percentiles.values(), default=1) or 1
+    scale = math.log1p(max(series.percentiles.values(), default=0)) or 1
     for percentile, value in sorted(series.percentiles.items()):
-        bar = "#" * round(PLOT_COLUMNS * value / largest)
+        bar = "#" * round(PLOT_COLUMNS * math.log1p(value) / scale)
         yield f"  p{percentile:<5g} {value:>8}  {bar}"
