Hold the operators' page to the catalogues

It named residency.region_down, which the daemons no longer raise; the new test was seen failing for such a code.

--- a/tests/observe/test_catalogues.py
+++ b/tests/observe/test_catalogues.py
@@ -1,3 +1,4 @@
+import re
 import unittest
 from collections import Counter
 
@@ -48,6 +49,19 @@
                 ]
                 self.assertEqual(empty, [], "write what to do")
 
+    def test_operators_page_names_only_what_exists(self):
+        page = (ERRORS.parent / "OPERATIONS.md").read_text()
+        codes = {kind.code for kind in find_errors()}
+        families = {code.split(".")[0] for code in codes if "." in code}
+        named = re.findall(r"`([a-z_]+\.[a-z_]+)`", page)
+        known = [one for one in named if one.split(".")[0] in families]
+        self.assertTrue(known)
+        self.assertEqual([one for one in known if one not in codes], [])
+        numbers = {str(event.number) for event in find_events()}
+        events = re.findall(r"event (\d{4})", page)
+        self.assertTrue(events)
+        self.assertEqual([one for one in events if one not in numbers], [])
+
 
 if __name__ == "__main__":
     unittest.main()
