Give each size of fleet its time to hear of a planned stop

Cause: the wait before connections close was one figure for all sizes. Change: Pace names it; bench/membership.py prints how long news takes.

--- a/banyanseam/daemon/lifecycle.py
+++ b/banyanseam/daemon/lifecycle.py
@@ -8,8 +8,9 @@
 
 from banyanseam.errors import BanyanseamError
 
-# What the news that a daemon leaves takes to reach the lists that others give out.
-LEAVE_SPREAD_S: Final = 8.0
+# What the news that a daemon leaves takes to reach the lists that others give out;
+# `Pace.leave_spread_s` is the figure for the size of a fleet.
+LEAVE_SPREAD_S: Final = 10.0
 DRAIN_LIMIT_S: Final = 600.0
 
 
@@ -112,7 +113,10 @@
 
 
 async def drain(
-    lifecycle: Lifecycle, validity_ms: int, limit_s: float = DRAIN_LIMIT_S
+    lifecycle: Lifecycle,
+    validity_ms: int,
+    limit_s: float = DRAIN_LIMIT_S,
+    spread_s: float = LEAVE_SPREAD_S,
 ) -> bool:
     """Carry out a planned stop; return whether every request ended in time.
 
@@ -120,7 +124,7 @@
     stops listening only afterwards.
     """
     lifecycle.begin_drain()
-    await anyio.sleep(LEAVE_SPREAD_S + validity_ms / 1000)
+    await anyio.sleep(spread_s + validity_ms / 1000)
     lifecycle.begin_closing()
     with anyio.move_on_after(limit_s):
         await lifecycle.wait_idle()
--- a/banyanseam/peers/neighbours.py
+++ b/banyanseam/peers/neighbours.py
@@ -26,6 +26,8 @@
     other_region_suspect_s: float
     # A seat sends to its peer in another region at every so many beats.
     other_region_beats: int
+    # Within which every seat hears that one is leaving, with some messages lost.
+    leave_spread_s: float
 
     def suspect_s(self, *, is_own_region: bool) -> float:
         """Return after which silence a seat is suspect."""
@@ -44,6 +46,7 @@
         own_region_suspect_s=3.0 if is_mesh else 8.0,
         other_region_suspect_s=8.0 if is_small else 30.0,
         other_region_beats=1 if is_small else 5,
+        leave_spread_s=4.0 if is_small else 10.0,
     )
 
 
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -9,6 +9,8 @@
 
 import anyio
 
+from banyanseam.peers.membership import State
+from banyanseam.peers.rows import Flags
 from tests.common import run_mocked
 from tests.peers.test_membership import Fleet
 
@@ -54,9 +56,45 @@
             f" {100 * cpu_s / per_node:.2f}% of a core with the harness;"
             f" wrongly not alive {wrong}"
         )
+        await measure_news(fleet)
         group.cancel_scope.cancel()
 
 
+async def measure_news(fleet: Fleet) -> None:
+    """Print how long a planned stop and a death stay unknown."""
+    leaving, dead = list(fleet.nodes)[:2]
+    region = fleet.config.seats[leaving].region
+    fleet.nodes[leaving].membership.set_flag(Flags.LEAVING, on=True)
+    left_s = await find_news_s(fleet, leaving, State.ALIVE, region)
+    fleet.kill(dead)
+    died_s = await find_news_s(fleet, dead, State.ALIVE, region)
+    print(
+        f"    leaving known in its region after {left_s[0]:.1f} s, everywhere after"
+        f" {left_s[1]:.1f} s; a death after {died_s[0]:.1f} s and {died_s[1]:.1f} s"
+    )
+
+
+async def find_news_s(
+    fleet: Fleet, seat: str, old: State, region: str
+) -> tuple[float, float]:
+    """Return when no seat of the region, and none at all, holds the old belief."""
+    started_s = anyio.current_time()
+    found_s = []
+    for regions in ({region}, fleet.config.regions):
+        nodes = [
+            node
+            for name, node in fleet.nodes.items()
+            if fleet.config.seats[name].region in regions and name != seat
+        ]
+        await fleet.settle(
+            lambda nodes=nodes: all(
+                node.membership.state_of(seat) is not old for node in nodes
+            )
+        )
+        found_s.append(anyio.current_time() - started_s)
+    return found_s[0], found_s[1]
+
+
 def main() -> None:
     """Measure each fleet, or only those of up to the given number of seats."""
     limit = int(sys.argv[1]) if len(sys.argv) > 1 else 1000
