End a model's stream when its key is withdrawn

Cause: a withdrawn key must stop working within seconds; a stream that had begun went on to its end. Change: each part of a model's answer is passed on only while the key is published for its organisation, at the daemon that took the request and at the one that serves it. A plain service's answer goes on: cutting it would hide an outcome and take nothing back. Seen failing, each by a change of the code: without the check a stream sent all 4 parts where 2 were due; without the exception a plain answer was cut.

--- a/banyanseam/pipe/errors.py
+++ b/banyanseam/pipe/errors.py
@@ -23,6 +23,15 @@
     not_run = True
 
 
+class KeyWithdrawn(BanyanseamError):
+    """The key was withdrawn while an answer was streaming; the rest is not sent."""
+
+    code = "key.withdrawn"
+    event = 1313
+    status = 401
+    title = "The key was withdrawn"
+
+
 class KeyUnknown(BanyanseamError):
     """The key belongs to no organisation, or was withdrawn."""
 
--- a/banyanseam/pipe/pipeline.py
+++ b/banyanseam/pipe/pipeline.py
@@ -11,6 +11,7 @@
 from banyanseam.pipe.record import Recorder, record
 from banyanseam.pipe.residency import bind_residency
 from banyanseam.pipe.route import route
+from banyanseam.pipe.withdrawal import end_withdrawn_streams
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +50,7 @@
         filters.quota,
         filters.retry,
         filters.poison,
+        end_withdrawn_streams(get_config),
         filters.queue,
     ]
     # The forwarding daemon has admitted and charged the request; the serving one
@@ -58,6 +60,7 @@
         filters.idempotency,
         filters.retry,
         filters.poison,
+        end_withdrawn_streams(get_config),
         filters.queue,
     ]
     return Pipelines(
