Let tokens move into room that the borrower keeps, and lend in few loans

Change: a borrower may keep free burst for tokens, so any home may send tokens without burst, also borrowed ones. Renewals go by lender, all loans in one message; while nobody waits, lenders are asked one after another for all that lacks.

--- a/banyanseam/quota/account.py
+++ b/banyanseam/quota/account.py
@@ -119,19 +119,26 @@
         demand = self.demand.measure(now_s)
         return lending.find_wanted(self.share, demand, self.waiting.tokens)
 
-    def lend(self, loan_id: str, borrower: str, wanted: Amount, now_s: float) -> Amount:
+    def lend(
+        self,
+        loan_id: str,
+        borrower: str,
+        wanted: Amount,
+        room_tokens: float,
+        now_s: float,
+    ) -> Amount:
         """Lend what this home can spare of what is wanted."""
         self.share.advance(now_s)
         demand = self.demand.measure(now_s)
         spare = lending.find_spare(self.share, demand, self.waiting.tokens)
         loan = lending.find_loan(self.share, wanted, spare)
-        return self.share.lend(loan_id, borrower, loan, now_s)
+        return self.share.lend(loan_id, borrower, loan, now_s, room_tokens)
 
     def renew(self, loan_id: str, now_s: float) -> bool:
         """Let a borrower keep a loan for another term, unless it is needed here."""
         self.share.advance(now_s)
         demand = self.demand.measure(now_s)
-        if lending.needs_back(self.share, demand, self.waiting.tokens):
+        if lending.needs_back(self.share, demand):
             return False
         return self.share.renew(loan_id, now_s)
 
--- a/banyanseam/quota/borrower.py
+++ b/banyanseam/quota/borrower.py
@@ -1,7 +1,7 @@
 """Asks other homes for loans, renews them while needed and returns them."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 
 import anyio
@@ -13,7 +13,7 @@
 from banyanseam.quota.account import Account
 from banyanseam.quota.accounts import Accounts
 from banyanseam.quota.const import PEER_TIMEOUT_S, RENEW_BEFORE_S, RETURN_BEFORE_S
-from banyanseam.quota.loans import Amount
+from banyanseam.quota.loans import Amount, Loan
 from banyanseam.quota.messages import (
     LoanKey,
     LoanReply,
@@ -79,6 +79,10 @@
             wanted = account.find_wanted(self._clock())
             if wanted.is_nothing:
                 return
+            if not account.waiting:
+                # Nobody waits: few large loans cost less to renew than many small.
+                await self._ask(account, lenders.pop(0), wanted, [])
+                continue
             each = _divide(wanted, len(lenders))
             generous: list[str] = []
             async with anyio.create_task_group() as tasks:
@@ -93,17 +97,20 @@
         self, account: Account, lender: str, wanted: Amount, generous: list[str]
     ) -> None:
         loan_id = uuid7().hex
+        share = account.share
+        room_tokens = share.ask(loan_id, lender, self._clock(), wanted.tokens)
         request = LoanRequest(
             loan_id=loan_id,
             organisation=account.organisation,
             rate_units=wanted.rate_units,
             burst_units=wanted.burst_units,
             tokens=wanted.tokens,
+            room_tokens=room_tokens,
         )
-        account.share.ask(loan_id, lender, self._clock())
         try:
             reply = await self._network.call(lender, request, LoanReply, PEER_TIMEOUT_S)
         except BanyanseamError:
+            share.abandon(loan_id)
             account.pause_lender(lender, self._clock())
             return
         now_s = self._clock()
@@ -114,33 +121,42 @@
             generous.append(lender)
         else:
             account.pause_lender(lender, now_s)
-        if not amount.is_nothing:
-            account.share.accept(loan_id, amount, now_s)
+        share.accept(loan_id, amount, now_s)
 
     async def tend_loans(self) -> None:
         """Renew the loans that end soon, or return those no longer needed."""
         now_s = self._clock()
         keep: dict[str, list[LoanKey]] = {}
+        due: set[str] = set()
         async with anyio.create_task_group() as tasks:
-            for account in self._accounts:
-                account.share.advance(now_s)
-                for loan_id, loan in list(account.share.ledger.borrowed.items()):
-                    left_s = loan.expires_s - now_s
-                    if left_s > RENEW_BEFORE_S:
-                        continue
-                    is_needed = account.is_loan_needed(loan_id, now_s)
-                    if is_needed and left_s > RETURN_BEFORE_S:
-                        key = LoanKey(
-                            organisation=account.organisation, loan_id=loan_id
-                        )
-                        keep.setdefault(loan.peer, []).append(key)
-                    else:
-                        tasks.start_soon(self._give_back, account, loan_id)
-            for lender, loans in keep.items():
-                tasks.start_soon(self._renew, lender, loans)
+            for account, loan_id, loan in self._list_loans(now_s):
+                left_s = loan.expires_s - now_s
+                is_due = left_s <= RENEW_BEFORE_S
+                is_needed = account.is_loan_needed(loan_id, now_s)
+                if is_due and (not is_needed or left_s <= RETURN_BEFORE_S):
+                    tasks.start_soon(self._give_back, account, loan_id)
+                elif is_needed and loan.asked_again_s <= now_s:
+                    key = LoanKey(organisation=account.organisation, loan_id=loan_id)
+                    keep.setdefault(loan.peer, []).append(key)
+                    if is_due:
+                        due.add(loan.peer)
+            # One message renews all that a lender lent here, so that they end together.
+            for lender in due:
+                tasks.start_soon(self._renew, lender, keep[lender])
+
+    def _list_loans(self, now_s: float) -> Iterator[tuple[Account, str, Loan]]:
+        for account in self._accounts:
+            account.share.advance(now_s)
+            for loan_id, loan in list(account.share.ledger.borrowed.items()):
+                yield account, loan_id, loan
 
     async def _renew(self, lender: str, loans: list[LoanKey]) -> None:
         sent_s = self._clock()
+        for key in loans:
+            account = self._accounts.find(key.organisation)
+            loan = account and account.share.ledger.borrowed.get(key.loan_id)
+            if loan:
+                loan.asked_again_s = sent_s + PEER_TIMEOUT_S
         request = RenewRequest(loans=loans)
         try:
             reply = await self._network.call(
@@ -151,8 +167,13 @@
         renewed = set(reply.renewed)
         for key in loans:
             account = self._accounts.find(key.organisation)
-            if account is not None and key.loan_id in renewed:
+            if account is None:
+                continue
+            if key.loan_id in renewed:
                 account.share.extend(key.loan_id, sent_s, self._clock())
+            else:
+                # The lender needs it, so it goes back with what is left of it.
+                await self._give_back(account, key.loan_id)
 
     async def _give_back(self, account: Account, loan_id: str) -> None:
         loan = account.share.ledger.borrowed.get(loan_id)
--- a/banyanseam/quota/home.py
+++ b/banyanseam/quota/home.py
@@ -156,7 +156,9 @@
         if account is None:
             return LoanReply()
         wanted = Amount(message.rate_units, message.burst_units, message.tokens)
-        amount = account.lend(message.loan_id, peer.seat, wanted, self._clock())
+        amount = account.lend(
+            message.loan_id, peer.seat, wanted, message.room_tokens, self._clock()
+        )
         return LoanReply(
             rate_units=amount.rate_units,
             burst_units=amount.burst_units,
--- a/banyanseam/quota/lending.py
+++ b/banyanseam/quota/lending.py
@@ -33,7 +33,8 @@
     lacking_tokens = max(0.0, needed_tokens - share.tokens)
     if not waiting_tokens and lacking_tokens < ahead_tokens / 2:
         lacking_tokens = 0.0
-    lacking_burst = max(lacking_tokens, needed_tokens - share.cap_tokens)
+    # Refunds need room too, or they are lost.
+    lacking_burst = needed_tokens + share.refundable_tokens - share.cap_tokens
     burst_units = to_units(lacking_burst, quota.burst_tokens)
     rate_units = to_units(lacking_rate, quota.rate_tokens_per_s)
     # Rate and burst go together, or refill comes where there is no room for it.
@@ -53,7 +54,10 @@
     return Amount(
         rate_units=min(to_units(rate, quota.rate_tokens_per_s), share.free_rate_units),
         burst_units=min(
-            to_units(share.cap_tokens - reserve_tokens, quota.burst_tokens),
+            to_units(
+                share.room_tokens + share.tokens - reserve_tokens,
+                quota.burst_tokens,
+            ),
             share.free_burst_units,
         ),
         tokens=max(0.0, share.tokens - reserve_tokens),
@@ -63,7 +67,7 @@
 def find_loan(share: Share, wanted: Amount, spare: Amount) -> Amount:
     """Return what to lend, so that no token of the lender loses its place."""
     tokens = min(wanted.tokens, spare.tokens)
-    room_tokens = share.cap_tokens - share.tokens + tokens
+    room_tokens = share.room_tokens + tokens
     room_units = to_units(room_tokens, share.quota.burst_tokens)
     return Amount(
         rate_units=min(wanted.rate_units, spare.rate_units),
@@ -72,9 +76,9 @@
     )
 
 
-def needs_back(share: Share, demand_tokens_per_s: float, waiting_tokens: float) -> bool:
+def needs_back(share: Share, demand_tokens_per_s: float) -> bool:
     """Say whether a lender should not renew its loans."""
-    return waiting_tokens > 0 or share.rate_tokens_per_s < demand_tokens_per_s
+    return share.rate_tokens_per_s < demand_tokens_per_s
 
 
 def is_loan_needed(
@@ -90,6 +94,7 @@
     cap_tokens = share.cap_tokens
     cap_tokens -= quota.burst_tokens * loan.amount.burst_units / WHOLE_UNITS
     needed_tokens = max(waiting_tokens, demand_tokens_per_s * DEMAND_LOOKAHEAD_S)
+    needed_tokens += share.refundable_tokens
     return bool(loan.amount.burst_units) and cap_tokens < min(
         quota.burst_tokens, needed_tokens
     )
--- a/banyanseam/quota/loans.py
+++ b/banyanseam/quota/loans.py
@@ -32,6 +32,18 @@
     peer: str
     amount: Amount
     expires_s: float
+    # The borrower asks for a renewal no sooner than this.
+    asked_again_s: float = -math.inf
+
+
+@dataclass(slots=True)
+class Ask:
+    """A loan asked for and not answered yet."""
+
+    lender: str
+    sent_s: float
+    # Burst that is kept free for the tokens that come without any.
+    room_tokens: float
 
 
 @dataclass(slots=True)
@@ -39,8 +51,7 @@
     """The loans of one organisation at one home."""
 
     timing: Timing
-    # Loan id to the lender asked and the time of asking.
-    asked: dict[str, tuple[str, float]] = field(default_factory=dict)
+    asked: dict[str, Ask] = field(default_factory=dict)
     borrowed: dict[str, Loan] = field(default_factory=dict)
     lent: dict[str, Loan] = field(default_factory=dict)
 
@@ -64,35 +75,47 @@
         """Return the burst of its own that this home goes without."""
         return sum(loan.amount.burst_units for loan in self.lent.values())
 
+    @property
+    def room_tokens(self) -> float:
+        """Return the burst that is kept free for tokens on their way."""
+        return sum(ask.room_tokens for ask in self.asked.values())
+
     @property
     def next_expiry_s(self) -> float:
-        """Return when the next loan ends on this side; infinite without one."""
-        loans = (*self.borrowed.values(), *self.lent.values())
-        return min((loan.expires_s for loan in loans), default=math.inf)
+        """Return when the next loan or ask ends on this side; infinite without."""
+        ends_s = [loan.expires_s for loan in self.borrowed.values()]
+        ends_s += [loan.expires_s for loan in self.lent.values()]
+        ends_s += [ask.sent_s + self.timing.term_s for ask in self.asked.values()]
+        return min(ends_s, default=math.inf)
 
     def expire(self, now_s: float) -> None:
-        """End every loan whose time is up."""
+        """End every loan and ask whose time is up."""
+        for loan_id, ask in list(self.asked.items()):
+            if ask.sent_s + self.timing.term_s <= now_s:
+                del self.asked[loan_id]
         for loans in (self.borrowed, self.lent):
             for loan_id in [
                 loan_id for loan_id, loan in loans.items() if loan.expires_s <= now_s
             ]:
                 del loans[loan_id]
 
-    def ask(self, loan_id: str, lender: str, now_s: float) -> None:
-        """Note the time of asking, from which the borrower's term counts."""
-        oldest_s = now_s - self.timing.term_s
-        for old_id in [key for key, (_, at_s) in self.asked.items() if at_s < oldest_s]:
-            del self.asked[old_id]
-        self.asked[loan_id] = (lender, now_s)
-
-    def accept(self, loan_id: str, amount: Amount, now_s: float) -> bool:
-        """Take up an answered loan; False when it is late, repeated or unknown."""
-        lender, sent_s = self.asked.pop(loan_id, ("", -math.inf))
-        expires_s = sent_s + self.timing.term_s
-        if now_s >= expires_s:
-            return False
-        self.borrowed[loan_id] = Loan(lender, amount, expires_s)
-        return True
+    def cut_room(self, excess_tokens: float) -> float:
+        """Keep less burst free; return the excess that could not be cut."""
+        for ask in self.asked.values():
+            cut_tokens = min(excess_tokens, ask.room_tokens)
+            ask.room_tokens -= cut_tokens
+            excess_tokens -= cut_tokens
+        return excess_tokens
+
+    def accept(self, loan_id: str, amount: Amount, now_s: float) -> Ask | None:
+        """Take up an answered loan; None when it is late, repeated or unknown."""
+        ask = self.asked.pop(loan_id, None)
+        if ask is None or now_s >= ask.sent_s + self.timing.term_s:
+            return None
+        if amount.rate_units or amount.burst_units:
+            expires_s = ask.sent_s + self.timing.term_s
+            self.borrowed[loan_id] = Loan(ask.lender, amount, expires_s)
+        return ask
 
     def extend(self, loan_id: str, sent_s: float) -> None:
         """Move a borrowed loan's end after the lender agreed to renew it."""
--- a/banyanseam/quota/messages.py
+++ b/banyanseam/quota/messages.py
@@ -58,6 +58,8 @@
     rate_units: Units
     burst_units: Units
     tokens: Tokens
+    # Burst that the borrower keeps free for tokens that come without any.
+    room_tokens: Tokens
 
 
 class LoanReply(Message):
--- a/banyanseam/quota/share.py
+++ b/banyanseam/quota/share.py
@@ -2,9 +2,9 @@
 
 What must hold: over all homes, the rates, caps and tokens sum to at most what is
 published. A home's own part is lent, never what it borrowed; tokens travel only
-together with at least as much burst; and a refund gives back no more than the bucket
-would hold had the request been charged its true cost at the start. The proof is in
-docs/design/quota.md.
+together with as much burst, or into burst that the borrower keeps free; and a refund
+gives back no more than the bucket would hold had the request been charged its true
+cost at the start. The proof is in docs/design/quota.md.
 """
 
 import math
@@ -16,7 +16,7 @@
     WHOLE_UNITS,
     Timing,
 )
-from banyanseam.quota.loans import Amount, Ledger
+from banyanseam.quota.loans import Amount, Ask, Ledger
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +75,17 @@
         units = self.free_burst_units + self.ledger.borrowed_burst_units
         return self.quota.burst_tokens * units / WHOLE_UNITS
 
+    @property
+    def room_tokens(self) -> float:
+        """Return the burst that neither tokens, refunds nor asks take up."""
+        taken_tokens = self.tokens + self._refundable_tokens + self.ledger.room_tokens
+        return self.cap_tokens - taken_tokens
+
+    @property
+    def refundable_tokens(self) -> float:
+        """Return the most that settlements may still give back."""
+        return self._refundable_tokens
+
     @property
     def is_withheld(self) -> bool:
         """Say whether the own part must not be spent yet."""
@@ -108,10 +119,11 @@
         self._clip()
 
     def _clip(self) -> None:
-        """Keep tokens within the cap, and refunds within what is left of it."""
-        cap_tokens = self.cap_tokens
-        self.tokens = min(self.tokens, cap_tokens)
-        excess_tokens = self.tokens + self._refundable_tokens - cap_tokens
+        """Keep tokens within the cap, then refunds, then the room for asks."""
+        self.tokens = min(self.tokens, self.cap_tokens)
+        excess_tokens = -self.room_tokens
+        if excess_tokens > 0:
+            excess_tokens = self.ledger.cut_room(excess_tokens)
         while excess_tokens > 0 and self._refundable:
             charge_id, refundable_tokens = next(iter(self._refundable.items()))
             if refundable_tokens > excess_tokens:
@@ -208,15 +220,25 @@
             del self.outstanding[charge_id]
             self._forget_refund(charge_id)
 
-    def lend(self, loan_id: str, borrower: str, wanted: Amount, now_s: float) -> Amount:
-        """Lend from the own part, up to what is wanted; a repeat gets the same."""
+    def lend(
+        self,
+        loan_id: str,
+        borrower: str,
+        wanted: Amount,
+        now_s: float,
+        room_tokens: float = 0.0,
+    ) -> Amount:
+        """Lend from the own part, up to what is wanted; a repeat gets the same.
+
+        Tokens go with burst, or into room that the borrower keeps free for them.
+        """
         self.advance(now_s)
         if loan_id in self.ledger.lent:
             return self.ledger.lent[loan_id].amount
         burst_units = min(wanted.burst_units, self.free_burst_units)
-        # Tokens beyond the burst that goes with them would, while they travel, be
-        # refilled at both ends.
-        covered_tokens = self.quota.burst_tokens * burst_units / WHOLE_UNITS
+        # Tokens beyond that would, while they travel, be refilled at both ends.
+        burst_tokens = self.quota.burst_tokens * burst_units / WHOLE_UNITS
+        covered_tokens = burst_tokens + room_tokens
         amount = Amount(
             rate_units=min(wanted.rate_units, self.free_rate_units),
             burst_units=burst_units,
@@ -229,9 +251,19 @@
         self._clip()
         return amount
 
-    def ask(self, loan_id: str, lender: str, now_s: float) -> None:
-        """Note that a loan is asked for now."""
-        self.ledger.ask(loan_id, lender, now_s)
+    def ask(
+        self, loan_id: str, lender: str, now_s: float, room_tokens: float = 0.0
+    ) -> float:
+        """Note that a loan is asked for now; return the room kept for its tokens."""
+        self.advance(now_s)
+        room_tokens = max(0.0, min(room_tokens, self.room_tokens))
+        self.ledger.asked[loan_id] = Ask(lender, now_s, room_tokens)
+        self._clip()
+        return room_tokens
+
+    def abandon(self, loan_id: str) -> None:
+        """Expect no answer to an ask any more."""
+        self.ledger.asked.pop(loan_id, None)
 
     def accept(self, loan_id: str, amount: Amount, now_s: float) -> bool:
         """Take up a loan that the lender granted; False when it came too late.
@@ -239,9 +271,12 @@
         A home that withholds its part may hold an old configuration: it takes none.
         """
         self.advance(now_s)
-        if self.is_withheld or not self.ledger.accept(loan_id, amount, now_s):
+        ask = self.ledger.accept(loan_id, amount, now_s)
+        if ask is None or self.is_withheld:
+            self.ledger.borrowed.pop(loan_id, None)
             return False
-        self.tokens += amount.tokens
+        burst_tokens = self.quota.burst_tokens * amount.burst_units / WHOLE_UNITS
+        self.tokens += min(amount.tokens, ask.room_tokens + burst_tokens)
         self._clip()
         return True
 
