--- a/tests/quota/test_fleet.py
+++ b/tests/quota/test_fleet.py
@@ -114,6 +114,44 @@
 
         self.run_fleet(test)
 
+    def test_kills_refuse_little(self):
+        async def kill_in_turn(fleet):
+            generator = random.Random(8)
+            while True:
+                await anyio.sleep(55)
+                seat = generator.choice(sorted(set(fleet.seats) - {"gulf-1"}))
+                fleet.kill(seat)
+                await anyio.sleep(5)
+                fleet.start(seat)
+
+        async def test(fleet):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(kill_in_turn, fleet)
+                counts = await offer(fleet, "gulf-1", 0.9, 200, seed=6)
+                tasks.cancel_scope.cancel()
+            total = counts["passed"] + counts["refused"]
+            self.assertLessEqual(counts["refused"], total * 0.02)
+
+        self.run_fleet(test)
+
+    def test_a_woken_process_spends_nothing(self):
+        async def test(fleet):
+            home = fleet.seats["gulf-1"].home
+            home.restart(anyio.current_time())
+            reply = await home.charge("one", "acme", 1, 1)
+            self.assertEqual(reply.status, "withheld")
+            await fleet.request("gulf-1", 100, 1)
+
+        self.run_fleet(test)
+
+    def test_a_home_cut_off_from_an_entry_is_passed_over(self):
+        async def test(fleet):
+            first, entry, _ = self.homes(fleet)
+            fleet.fabric.cut.add(frozenset((first, entry)))
+            await fleet.request(entry, 100, 1)
+
+        self.run_fleet(test)
+
     def test_a_dead_home_is_passed_over(self):
         async def test(fleet):
             first, entry, _ = self.homes(fleet)
--- a/tests/quota/test_share.py
+++ b/tests/quota/test_share.py
@@ -139,7 +139,8 @@
         cost = share.tokens * portion
         charge_id = self.new_id()
         if cost > 0 and share.take(charge_id, cost, now_s):
-            self.used[charge_id] = (seat, cost * used_portion)
+            if used_portion < 1:
+                self.used[charge_id] = (seat, cost * used_portion)
             self.allowed_tokens -= cost * used_portion
 
     @precondition(lambda self: self.used)
@@ -380,6 +381,30 @@
         self.assertFalse(share.take("charge", 1, 20))
 
 
+class MoveTests(unittest.TestCase):
+    def admit_over_a_move(self):
+        """The whole moves; the new home reads of it at once, the old one last."""
+        old, new = make_share(WHOLE_UNITS), Share(WHOLE, TIMING, 0)
+        admitted = excess = 0.0
+        new.set_own_units(WHOLE_UNITS, 0)
+        for tenth in range(150):
+            now_s = tenth / 10
+            if now_s == TIMING.spread_s:
+                old.set_own_units(0, now_s)
+            admitted += spend([old, new], now_s)
+            allowed = WHOLE.burst_tokens + WHOLE.rate_tokens_per_s * now_s
+            excess = max(excess, admitted - allowed)
+        self.assertGreater(spend([new], 20), 0)
+        return excess
+
+    def test_a_moved_part_waits_for_the_slowest_reader(self):
+        self.assertEqual(self.admit_over_a_move(), 0)
+
+    def test_waiting_for_loans_alone_breaks_the_bound(self):
+        with mock.patch.object(Timing, "withhold_s", TIMING.lender_term_s):
+            self.assertGreater(self.admit_over_a_move(), 100)
+
+
 class TraceTests(unittest.TestCase):
     def test_a_late_grant_is_not_used(self):
         lender, borrower = make_share(), make_share()
@@ -393,6 +418,20 @@
         wanted = Amount(0, WHOLE_UNITS // 100, 1e9)
         self.assertEqual(lender.lend("loan", "b", wanted, 0).tokens, 10)
 
+    def test_tokens_on_their_way_have_room_or_are_lost(self):
+        lender, borrower = make_share(), make_share()
+        self.assertEqual(borrower.ask("full", "lender", 0, 500), 0)
+        self.assertEqual(lender.lend("full", "b", Amount(tokens=500), 0).tokens, 0)
+        borrower.take("charge", 100, 0)
+        borrower.settle("charge", 100, 0)
+        room = borrower.ask("loan", "lender", 0, 500)
+        self.assertEqual(room, 100)
+        amount = lender.lend("loan", "b", Amount(tokens=500), 0, room)
+        # By then refill has taken the room, and the lender has refilled too.
+        borrower.accept("loan", amount, 2.9)
+        admitted = spend([lender, borrower], 2.9)
+        self.assertLessEqual(admitted, 1000 - 100 + 2.9 * WHOLE.rate_tokens_per_s)
+
     def test_a_refund_does_not_outlive_a_full_bucket(self):
         share = make_share(WHOLE_UNITS)
         share.take("first", 500, 0)
