--- a/banyanseam/quota/home.py
+++ b/banyanseam/quota/home.py
@@ -46,13 +46,17 @@
         *,
         timing: Timing = DEFAULT_TIMING,
         clock: Callable[[], float] = anyio.current_time,
+        check_freeze: Callable[[], object] | None = None,
     ) -> None:
         """Register with the network; `run` then lends and borrows.
 
-        `clock` should count the time that the machine was suspended. Create the home
-        in the process's first moments: parts are withheld from then on.
+        `clock` should count the time that the machine was suspended. `check_freeze`
+        calls `restart` when the process was suspended; it is called before anything is
+        spent. Create the home in the process's first moments: parts are withheld from
+        then on.
         """
         self.seat = seat
+        self._check_freeze = check_freeze
         self._get_config = get_config
         self._clock = clock
         self.parts = Parts()
@@ -85,6 +89,8 @@
         self.accounts.restart(now_s)
 
     def _find_account(self, organisation: str) -> Account | None:
+        if self._check_freeze is not None:
+            self._check_freeze()
         self.accounts.follow(self._get_config(), self._clock())
         return self.accounts.find(organisation)
 
@@ -125,6 +131,8 @@
             account.waiting.step_out(charge_id, self._clock())
 
     def _serve(self, account: Account) -> None:
+        if self._check_freeze is not None:
+            self._check_freeze()
         for charge_id in account.serve(self._clock()):
             event = self._events.get(charge_id)
             if event is not None:
--- a/tests/quota/test_parts.py
+++ b/tests/quota/test_parts.py
@@ -4,7 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from banyanseam.quota.const import HOMES_PER_REGION, WHOLE_UNITS
+from banyanseam.daemon.const import FREEZE_TERM_S
+from banyanseam.quota.const import FREEZE_GAP_S, HOMES_PER_REGION, WHOLE_UNITS
 from banyanseam.quota.parts import Parts
 from tests.common import make_config
 
@@ -18,6 +19,9 @@
 
 
 class PartsTests(unittest.TestCase):
+    def test_parts_are_withheld_for_any_freeze_that_goes_unnoticed(self):
+        self.assertLessEqual(FREEZE_TERM_S, FREEZE_GAP_S)
+
     @given(st.lists(st.floats(0, 1), min_size=3, max_size=3))
     def test_units_never_exceed_the_whole(self, weights):
         scale = max(1.0, sum(weights))
