--- a/banyanseam/daemon/quota_parts.py
+++ b/banyanseam/daemon/quota_parts.py
@@ -39,6 +39,7 @@
         view.get_config,
         view.membership.is_alive,
         clock=read_boot_clock_s,
+        check_freeze=view.control.freeze.tick,
     )
     view.control.freeze.on_restart(home.restart)
     client = QuotaClient(
--- a/banyanseam/quota/const.py
+++ b/banyanseam/quota/const.py
@@ -10,7 +10,7 @@
 # A change of configuration is in force everywhere within this time.
 SPREAD_BOUND_S: Final = 5.0
 # A process that was suspended for longer counts as newly started.
-FREEZE_GAP_S: Final = 1.0
+FREEZE_GAP_S: Final = 1.5
 LOAN_TERM_S: Final = 3.0
 # Covers clocks that run up to 1% fast or slow against each other.
 DRIFT_MARGIN: Final = 1.05
--- a/banyanseam/quota/parts.py
+++ b/banyanseam/quota/parts.py
@@ -1,8 +1,7 @@
 """Who holds which part of an organisation's quota: a pure function of the config."""
 
-import xxhash
-
 from banyanseam.config.compiled import Config, Organisation
+from banyanseam.peers.rendezvous import rank
 from banyanseam.quota.const import HOMES_PER_REGION, WHOLE_UNITS
 
 
@@ -49,19 +48,13 @@
     def rank_homes(self, config: Config, organisation: str, region: str) -> list[str]:
         """Return a region's home seats of an organisation, first choice first.
 
-        The order is rendezvous hashing (Thaler and Ravishankar, 1996): a seat that
-        comes or goes moves only the parts that it gains or held.
+        By rendezvous hashing a seat that comes or goes moves only the parts that it
+        gains or held.
         """
         self._follow(config)
         key = (organisation, region)
         if key not in self._homes:
-            ranked = sorted(
-                self._seats.get(region, ()),
-                key=lambda seat: xxhash.xxh64_intdigest(
-                    f"{organisation}\n{seat}".encode()
-                ),
-                reverse=True,
-            )
+            ranked = rank(self._seats.get(region, ()), f"quota\0{organisation}")
             self._homes[key] = ranked[:HOMES_PER_REGION]
         return self._homes[key]
 
