--- a/tests/upstreams/test_room.py
+++ b/tests/upstreams/test_room.py
@@ -36,8 +36,7 @@
         engine = overlays["gulf"]["upstreams"]["gulf-engine-1"]
         engine["memory_tokens"] = memory_tokens
         # One pool only, so that the messages counted are those of one keeper.
-        del base["routes"]["clinic"]
-        del overlays["gulf"]["upstreams"]["gulf-clinic-1"]
+        overlays["gulf"]["upstreams"] = {"gulf-engine-1": engine}
         self.config = compile_config(1, base, overlays)
         (self.pool,) = list_pools(self.config, "gulf")
         self.alive = list(SEATS)
