Hand a pool over to its next keeper

Cause: at each planned stop of a keeper the next one granted only 5% of the memory for 3 s, though the leaving one knew all that was held.

Change: a daemon that sees another seat become keeper stops granting and casts its leases there; the next one counts them and has nothing to learn.

Seen failing: without the sending, test_planned_stop_hands_the_pool_over got no room in 0.5 s; with leases not taken over, 90,000 tokens were free where 30,000 are.

--- a/banyanseam/upstreams/held.py
+++ b/banyanseam/upstreams/held.py
@@ -131,6 +131,17 @@
             elif lease.ends_s is None:
                 lease.renewed_s = now_s
 
+    def take_over(self, leases: dict[LeaseKey, int], now_s: float) -> None:
+        """Take the leases of the keeper before, which grants nothing any more.
+
+        Nothing is left to learn then; whether a third keeper is possible is judged
+        as ever.
+        """
+        for key, tokens in leases.items():
+            if key not in self.leases:
+                self._add(key, Lease(tokens, now_s, now_s))
+        self.learning_until_s = min(self.learning_until_s, now_s)
+
     def release(self, key: LeaseKey, now_s: float, *, lingers: bool) -> None:
         """Give a lease back, after a while when its run may still go on."""
         lease = self.leases.get(key)
--- a/banyanseam/upstreams/keeper.py
+++ b/banyanseam/upstreams/keeper.py
@@ -19,9 +19,11 @@
 )
 from banyanseam.upstreams.context import Context
 from banyanseam.upstreams.errors import NotKeeper
+from banyanseam.upstreams.handovers import Handovers
 from banyanseam.upstreams.kept_pool import KeptPool, Placed
 from banyanseam.upstreams.messages import (
     Granted,
+    Handover,
     Release,
     Renew,
     Reserve,
@@ -65,9 +67,11 @@
         self._polling: set[str] = set()
         # Upstreams whose last poll failed, so that only the first one is logged.
         self._silent: set[str] = set()
+        self._handovers = Handovers(context)
         context.network.handle_call(Reserve, self.reserve)
         context.network.handle_call(Renew, self.renew)
         context.network.handle_cast(Release, self.release)
+        context.network.handle_cast(Handover, self.take_over)
 
     async def run(self) -> None:
         """Keep pools until cancelled."""
@@ -80,6 +84,7 @@
                     self.restart()
                 looked_s = now_s
                 self._look(now_s)
+                self._handovers.send(tasks)
                 for upstream in self._list_due(now_s):
                     tasks.start_soon(self._poll, upstream)
                 if now_s >= forget_s:
@@ -141,6 +146,12 @@
                 self._waits[key].finish(NotKeeper("the entry left the queue"))
         self._dispatch(kept, now_s)
 
+    def take_over(self, identity: PeerIdentity, message: Handover) -> None:
+        """Take what the keeper before held; views of who keeps may differ shortly."""
+        now_s = anyio.current_time()
+        self._handovers.receive(message, now_s)
+        self._look(now_s)
+
     async def renew(self, identity: PeerIdentity, message: Renew) -> Rows:
         """Renew an entry's leases and tell it of the pools kept here."""
         now_s = anyio.current_time()
@@ -171,6 +182,9 @@
             elif name not in self._kept:
                 log(KEEPER_CHANGED, pool=name, is_mine=True)
                 self._kept[name] = KeptPool(pool, seats, now_s)
+            if name in self._kept:
+                leases = self._handovers.take(name, now_s)
+                self._kept[name].take_over(leases, now_s)
         for name in list(self._kept):
             if name not in pools:
                 self._put_down(name)
@@ -183,7 +197,8 @@
         if name not in self._kept:
             return
         log(KEEPER_CHANGED, pool=name, is_mine=False)
-        del self._kept[name]
+        kept = self._kept.pop(name)
+        self._handovers.prepare(name, kept.list_leases())
         for wait in self._waits.values():
             if wait.pool == name and wait.result is None:
                 wait.finish(NotKeeper(name))
--- a/banyanseam/upstreams/kept_pool.py
+++ b/banyanseam/upstreams/kept_pool.py
@@ -168,6 +168,18 @@
         for name, kept in self.kept.items():
             kept.held.announce(seat, incarnation, leases.get(name, {}), now_s)
 
+    def list_leases(self) -> dict[str, dict[LeaseKey, int]]:
+        """Return what is held on each upstream, for the next keeper."""
+        return {
+            name: {key: lease.tokens for key, lease in kept.held.leases.items()}
+            for name, kept in self.kept.items()
+        }
+
+    def take_over(self, leases: dict[str, dict[LeaseKey, int]], now_s: float) -> None:
+        """Take what the keeper before held; it grants nothing any more."""
+        for name in leases.keys() & self.kept.keys():
+            self.kept[name].held.take_over(leases[name], now_s)
+
     def observe(self, upstream: str, report: LoadReport | None, now_s: float) -> None:
         """Take a polled report, or None when the poll failed."""
         if upstream in self.kept:
--- a/banyanseam/upstreams/messages.py
+++ b/banyanseam/upstreams/messages.py
@@ -63,6 +63,16 @@
     leases: dict[Name, dict[int, Tokens]]
 
 
+class Handover(Message):
+    """Tell the next keeper what is held, and that the sender grants nothing more."""
+
+    kind = "upstreams.handover"
+
+    pool: Name
+    # Upstream to leases: seat, incarnation, number, tokens.
+    leases: dict[Name, list[tuple[Name, int, int, Tokens]]]
+
+
 class Row(Message):
     """A pool's summary."""
 
--- a/tests/upstreams/test_held.py
+++ b/tests/upstreams/test_held.py
@@ -91,7 +91,7 @@
                 process.views[seat] = False
         keeper = self.keeper_of(process)
         if keeper != process.seat:
-            process.held = None
+            self.hand_over(process, keeper)
         elif process.held is None:
             process.held = HeldTokens(MEMORY_TOKENS, 1000, self.now_s)
         if process.held is not None:
@@ -101,6 +101,15 @@
         if self.random.random() < self.load * STEP_S:
             self.ask(process, keeper)
 
+    def hand_over(self, process: Process, keeper: str) -> None:
+        held, process.held = process.held, None
+        successor = self.processes[keeper].held
+        if held is None or successor is None:
+            return
+        if self.gets_through(process.seat, keeper):
+            leases = {key: lease.tokens for key, lease in held.leases.items()}
+            successor.take_over(leases, self.now_s)
+
     def keep(self, held: HeldTokens) -> None:
         held.expire(SEATS, self.now_s)
         if self.history and self.random.random() < STEP_S / 0.5:
@@ -194,6 +203,15 @@
             held.announce(seat, 1, {7: 60_000} if seat == "two" else {}, LEARNING_S)
         self.assertEqual(held.count_free_tokens(SEATS, LEARNING_S), 30_000)
 
+    def test_handed_over_leases_leave_nothing_to_learn(self):
+        held = HeldTokens(MEMORY_TOKENS, 100, 0.0)
+        held.observe(LoadReport(0, 0, 0, False, 0.5), 0.5)
+        for seat in SEATS:
+            held.announce(seat, 1, {}, 0.5)
+        self.assertEqual(held.count_free_tokens(SEATS, 0.5), 5_000)
+        held.take_over({LeaseKey("two", 1, 7): 60_000}, 0.5)
+        self.assertEqual(held.count_free_tokens(SEATS, 0.5), 30_000)
+
     def test_unknown_run_in_the_report_shows_another_keeper(self):
         held = HeldTokens(MEMORY_TOKENS, 100, 0.0)
         now_s = QUIET_S + 1
--- a/tests/upstreams/test_room.py
+++ b/tests/upstreams/test_room.py
@@ -140,6 +140,23 @@
 
         run_mocked(run)
 
+    def test_planned_stop_hands_the_pool_over(self):
+        async def run() -> None:
+            gulf = Gulf()
+            async with gulf.run():
+                entry = next(seat for seat in SEATS if seat != gulf.keeper)
+                holder = await gulf.reserve(entry, 4_000)
+                # The keeper leaves: it is off the list of live seats and runs on.
+                gulf.alive.remove(gulf.keeper)
+                await anyio.sleep(0.6)
+                grant = await gulf.reserve(entry, 4_000, patience_s=0.5)
+                self.assertEqual(grant.keeper, gulf.keeper)
+                with self.assertRaises(NoUpstreamAvailable):
+                    await gulf.reserve(entry, 4_000, patience_s=3)
+                await gulf.release(entry, holder)
+
+        run_mocked(run)
+
     def test_waiting_request_moves_to_the_new_keeper(self):
         async def run() -> None:
             gulf = Gulf()
