Fit idempotency and poison to the joined daemon

Cause: the pipe now vetoes not run for every keyed request, suspects could be given an upstream of another region, and connections buffered four times what the byte budget counts. Change: a home that refuses with not run lifts the veto; suspects get an upstream of this region, one that crashed under them last; write buffers are limited; tests of keys use a configuration of their own with the service in each region, as the shared one now has it in one, which made a search for a key of another region endless. Ruled out: names to avoid beyond 60, since a request for room takes at most 64.

--- a/banyanseam/daemon/poison_parts.py
+++ b/banyanseam/daemon/poison_parts.py
@@ -23,14 +23,19 @@
 
     def list_upstreams(exchange: Exchange) -> list[str]:
         named = exchange.model if exchange.route.is_model else exchange.route.service
-        return [
-            upstream.name
+        allowed = [
+            upstream
             for upstream in view.get_config().upstreams.values()
             if named in upstream.serves
             and upstream.is_model == exchange.route.is_model
             and not upstream.leaving
             and (exchange.regions is None or upstream.region in exchange.regions)
         ]
+        region = view.settings.region
+        local = [each.name for each in allowed if each.region == region]
+        # Room is sought in this region first, so the one upstream that a suspect
+        # may use must lie here.
+        return local or [each.name for each in allowed]
 
     guard = PoisonGuard(
         view.network.me,
--- a/banyanseam/pipe/idempotency.py
+++ b/banyanseam/pipe/idempotency.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from banyanseam.errors import BanyanseamError
 from banyanseam.idempotency.client import HomeClient, Wish, make_claim, make_wish
 from banyanseam.idempotency.const import KEY_HEADER, MAX_KEY_LENGTH, TICKET_PREFIX
 from banyanseam.idempotency.errors import (
@@ -172,6 +173,10 @@
 async def _acquire(exchange: Exchange, keeper: Keeper, wish: Wish) -> Verdict:
     try:
         return await keeper.acquire(wish)
+    except BanyanseamError as error:
+        # Where the home refuses with not run, it vouches for earlier sends too.
+        exchange.may_have_run = not error.not_run
+        raise
     except anyio.get_cancelled_exc_class() as error:
         if anyio.current_time() < exchange.deadline_s:
             raise
--- a/banyanseam/poison/const.py
+++ b/banyanseam/poison/const.py
@@ -22,3 +22,6 @@
 RERUNS_KEY: Final = b"poison reruns"
 # A daemon tells so many seats of another region, which tell the rest of it.
 RELAYS: Final = 2
+# Upstreams beyond so many are not kept free for a suspect by name: a request for
+# room names at most 64 to avoid.
+MAX_AVOIDED: Final = 60
--- a/banyanseam/poison/guard.py
+++ b/banyanseam/poison/guard.py
@@ -91,7 +91,8 @@
             is_explained = self.suspects.is_explained(
                 run.fingerprint, anyio.current_time()
             )
-            answer = await self._ask(run, () if is_explained else upstreams)
+            wanted = self.suspects.sort_upstreams(run.fingerprint, upstreams)
+            answer = await self._ask(run, () if is_explained else wanted)
             if answer.state == "condemned":
                 raise PoisonRefused(retry_after_ms=self._time_left_ms(run))
             if answer.state == "granted":
--- a/banyanseam/poison/suspects.py
+++ b/banyanseam/poison/suspects.py
@@ -7,6 +7,7 @@
 import secrets
 import struct
 from collections import OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -50,7 +51,7 @@
 
     def note_crash(self, fingerprint: bytes, upstream: str, now_s: float) -> None:
         """Record a crash that this daemon saw."""
-        digest = xxhash.xxh32_intdigest(upstream.encode()) & 0xFFFF
+        digest = _digest(upstream)
         crash_id = secrets.token_bytes(CRASH_ID_BYTES)
         self._put(fingerprint, crash_id, Crash(digest, now_s, is_own=True))
 
@@ -63,6 +64,12 @@
         crashes = self._crashes.get(fingerprint, {}).values()
         return max((crash.at_s for crash in crashes), default=float("-inf"))
 
+    def sort_upstreams(self, fingerprint: bytes, upstreams: Sequence[str]) -> list[str]:
+        """Return the upstreams, those last that crashed under the request."""
+        crashes = self._crashes.get(fingerprint, {}).values()
+        crashed = {crash.upstream_digest for crash in crashes}
+        return sorted(upstreams, key=lambda name: _digest(name) in crashed)
+
     def is_explained(self, fingerprint: bytes, now_s: float) -> bool:
         """Say whether a condemned request was on the upstream in every crash."""
         condemned = [
@@ -145,6 +152,10 @@
                 del self._crashes[fingerprint]
 
 
+def _digest(upstream: str) -> int:
+    return xxhash.xxh32_intdigest(upstream.encode()) & 0xFFFF
+
+
 def _is_same(first: Crash, second: Crash) -> bool:
     return (
         first.upstream_digest == second.upstream_digest
--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -10,6 +10,7 @@
     MAX_HEADER_BYTES,
     MAX_HEADERS,
     MAX_URL_BYTES,
+    WRITE_BUFFER_BYTES,
 )
 
 
@@ -25,6 +26,8 @@
     def connection_made(self, transport: Any) -> None:
         """Give the first request's header its time."""
         super().connection_made(transport)
+        # The byte budget counts on this limit for each answer.
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/idempotency/fleet.py
+++ b/tests/idempotency/fleet.py
@@ -3,10 +3,10 @@
 import uuid
 from collections import Counter
 from dataclasses import dataclass, field
-from itertools import count
 
 import anyio
 
+from banyanseam.config.compile import compile_config
 from banyanseam.errors import BanyanseamError
 from banyanseam.idempotency.client import HomeClient
 from banyanseam.idempotency.home import Home
@@ -19,7 +19,7 @@
 from banyanseam.pipe.idempotency import run_at_most_once
 from banyanseam.pipe.residency import find_regions
 from banyanseam.upstreams.errors import UpstreamFailed, UpstreamUnreachable
-from tests.common import FakeFabric, make_config, make_exchange
+from tests.common import FakeFabric, make_documents, make_exchange
 
 EPOCH_S = 1_800_000_000.0
 DEADLINE_S = 30.0
@@ -31,6 +31,19 @@
     return str(uuid.UUID(int=value))
 
 
+def make_clinic_config(version=1, **kwargs):
+    """Return a configuration whose clinic service has an upstream in each region."""
+    base, overlays = make_documents(**kwargs)
+    for number, (region, overlay) in enumerate(overlays.items()):
+        overlay["upstreams"][f"{region}-desk"] = {
+            "kind": "service",
+            "serves": ["clinic"],
+            "address": f"127.0.0.1:{20_000 + number}",
+            "data_centre": f"{region}-dc1",
+        }
+    return compile_config(version, base, overlays)
+
+
 class Sink:
     """What one caller was sent."""
 
@@ -108,7 +121,7 @@
 
     def __init__(self, tasks, config=None):
         self.tasks = tasks
-        self.config = config or make_config()
+        self.config = config or make_clinic_config()
         self.fabric = FakeFabric()
         self.entries = {}
         self.incarnations = Counter()
@@ -148,7 +161,8 @@
 
     def make_key_at(self, home):
         """Return a key stamped now whose home's name starts with `home`."""
-        keys = (make_key(anyio.current_time(), number) for number in count(1000))
+        stamp_s = anyio.current_time()
+        keys = (make_key(stamp_s, number) for number in range(1000, 2000))
         return next(key for key in keys if self.home_of(key).startswith(home))
 
     async def phase(self, name, exchange):
@@ -200,6 +214,7 @@
             route=self.config.routes["clinic"],
             deadline_s=receipt.deadline_s,
             fingerprint=body.hex(),
+            may_have_run=True,
         )
         exchange.regions = find_regions(exchange.route, exchange.organisation)
         if seat not in self.entries:
@@ -211,7 +226,7 @@
                 raise DeadlineExceeded
         except BanyanseamError as error:
             receipt.error = error
-            receipt.started_upstream = exchange.upstream_started
+            receipt.started_upstream = not exchange.is_surely_not_run
             receipt.said_s = anyio.current_time()
             if receipt.says_not_run and self.runs[receipt.key]:
                 self.broken_promises.append(receipt)
--- a/tests/idempotency/test_at_most_once.py
+++ b/tests/idempotency/test_at_most_once.py
@@ -32,6 +32,7 @@
     Sink,
     fail_after,
     fail_before,
+    make_clinic_config,
     make_key,
 )
 
@@ -316,7 +317,7 @@
         for key in keys[:30]:
             await fleet.ask("gulf-1", key)
         old_homes = {key: fleet.home_of(key) for key in keys}
-        fleet.config = make_config(version=2, seats=4)
+        fleet.config = make_clinic_config(version=2, seats=4)
         await fleet.start(*(set(fleet.config.seats) - set(fleet.entries)))
         moved = [key for key in keys if fleet.home_of(key) != old_homes[key]]
         self.assertGreater(len(moved), 5)
@@ -333,7 +334,7 @@
     ):
         key = "gulf:" + make_key(SETTLED_S + 50)
         old = fleet.home_of(key)
-        fleet.config = make_config(version=2)
+        fleet.config = make_clinic_config(version=2)
         del fleet.config.seats[old]
         behind = pick(fleet, fleet.home_of(key))
         for entry in fleet.entries.values():
@@ -350,7 +351,7 @@
         key = "gulf:" + make_key(SETTLED_S)
         self.assert_booked(await fleet.ask("gulf-1", key), replayed=False)
         old = fleet.home_of(key)
-        smaller = make_config(version=2)
+        smaller = make_clinic_config(version=2)
         del smaller.seats[old]
         for entry in fleet.entries.values():
             entry.home.adopt(make_mapping(smaller))
--- a/tests/poison/test_suspects.py
+++ b/tests/poison/test_suspects.py
@@ -64,6 +64,14 @@
         suspects.note_crash(name(4), "oak-1", 100.0)
         self.assertFalse(suspects.is_explained(name(4), 100.0))
 
+    def test_an_upstream_that_crashed_under_a_request_is_its_last_choice(self):
+        suspects = Suspects()
+        suspects.note_crash(name(1), "oak-1", 0.0)
+        upstreams = ["oak-1", "oak-2", "oak-3"]
+        sort = suspects.sort_upstreams
+        self.assertEqual(sort(name(1), upstreams), ["oak-2", "oak-3", "oak-1"])
+        self.assertEqual(sort(name(2), upstreams), upstreams)
+
     @given(st.binary(max_size=2 * SECTION_BYTES))
     def test_malformed_sections_are_refused(self, section):
         suspects = Suspects()
--- a/tests/server/test_budget.py
+++ b/tests/server/test_budget.py
@@ -1,17 +1,21 @@
 import random
 import unittest
+from unittest import mock
 
 import anyio
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from banyanseam.pipe.errors import BodyTooLarge
 from banyanseam.server.budget import ByteBudget
 from banyanseam.server.const import (
     BODY_SHARE,
+    CHUNK_BYTES,
     MIN_READ_BYTES_PER_S,
     PATIENCE_UNDER_PRESSURE_S,
     STREAM_BYTES,
 )
 from banyanseam.server.errors import BudgetExhausted, SlowReader
+from banyanseam.server.protocol import LimitedProtocol
 from tests.common import run_mocked
 
 
@@ -142,6 +146,19 @@
         self.assertEqual(budget.held_bytes, 0)
 
 
+class BufferTests(unittest.TestCase):
+    def test_connections_buffer_no_more_than_the_budget_counts(self):
+        transport = mock.Mock()
+        protocol = LimitedProtocol.__new__(LimitedProtocol)
+        with (
+            mock.patch.object(HttpToolsProtocol, "connection_made"),
+            mock.patch.object(LimitedProtocol, "_start_header_timer"),
+        ):
+            protocol.connection_made(transport)
+        limits = transport.set_write_buffer_limits.call_args.kwargs
+        self.assertEqual(limits["high"], STREAM_BYTES - CHUNK_BYTES)
+
+
 class BodyTests(unittest.TestCase):
     def test_bodies_are_refused_before_they_are_read(self):
         budget = ByteBudget(1000)
