--- a/tests/idempotency/test_at_most_once.py
+++ b/tests/idempotency/test_at_most_once.py
@@ -26,7 +26,7 @@
 from banyanseam.idempotency.models import State, Verdict
 from banyanseam.pipe.idempotency import read_key, run_claimed
 from banyanseam.upstreams.errors import UpstreamUnreachable
-from tests.common import make_config, make_exchange, run_mocked
+from tests.common import make_exchange, run_mocked
 from tests.idempotency.fleet import (
     Fleet,
     Sink,
@@ -447,7 +447,7 @@
             self.fail("it ran")
 
         async def body():
-            route = make_config().routes["clinic"]
+            route = make_clinic_config().routes["clinic"]
             exchange = make_exchange(Sink(), route=route, deadline_s=30.0)
             with self.assertRaises(GrantTooLate):
                 await run_claimed(exchange, upstream, LateKeeper(), "key")
