--- a/tests/common.py
+++ b/tests/common.py
@@ -40,10 +40,7 @@
 
 
 def make_documents(
-    regions: tuple[str, ...] = ("gulf", "piedmont", "delta"),
-    seats: int = 3,
-    *,
-    serves_clinic: tuple[str, ...] | None = None,
+    regions: tuple[str, ...] = ("gulf", "piedmont", "delta"), seats: int = 3
 ) -> tuple[dict[str, Any], dict[str, dict[str, Any]]]:
     """Return a base document and its overlays, for tests to alter."""
     base = {
@@ -89,14 +86,13 @@
                 },
             },
         }
-    for region in serves_clinic or regions[-1:]:
-        port = 10_300 + 1000 * regions.index(region)
-        overlays[region]["upstreams"][f"{region}-clinic-1"] = {
-            "kind": "service",
-            "serves": ["clinic"],
-            "address": f"127.0.0.1:{port}",
-            "data_centre": f"{region}-dc1",
-        }
+    last = overlays[regions[-1]]
+    last["upstreams"][f"{regions[-1]}-clinic-1"] = {
+        "kind": "service",
+        "serves": ["clinic"],
+        "address": f"127.0.0.1:{10_300 + 1000 * (len(regions) - 1)}",
+        "data_centre": f"{regions[-1]}-dc1",
+    }
     return base, overlays
 
 
--- a/tests/idempotency/fleet.py
+++ b/tests/idempotency/fleet.py
@@ -61,12 +61,6 @@
         self.body += data
 
 
-def make_clinic_config(version=1, **kwargs):
-    """Return a configuration whose service has an upstream in every region."""
-    regions = ("gulf", "piedmont", "delta")
-    return make_config(version, regions=regions, serves_clinic=regions, **kwargs)
-
-
 @dataclass
 class Receipt:
     """One sending of a request and what became of it."""
