--- a/tests/idempotency/fleet.py
+++ b/tests/idempotency/fleet.py
@@ -6,7 +6,6 @@
 
 import anyio
 
-from banyanseam.config.compile import compile_config
 from banyanseam.errors import BanyanseamError
 from banyanseam.idempotency.client import HomeClient
 from banyanseam.idempotency.home import Home
@@ -19,7 +18,7 @@
 from banyanseam.pipe.idempotency import run_at_most_once
 from banyanseam.pipe.residency import find_regions
 from banyanseam.upstreams.errors import UpstreamFailed, UpstreamUnreachable
-from tests.common import FakeFabric, make_documents, make_exchange
+from tests.common import FakeFabric, make_config, make_exchange
 
 EPOCH_S = 1_800_000_000.0
 DEADLINE_S = 30.0
@@ -31,19 +30,6 @@
     return str(uuid.UUID(int=value))
 
 
-def make_clinic_config(version=1, **kwargs):
-    """Return a configuration whose clinic service has an upstream in each region."""
-    base, overlays = make_documents(**kwargs)
-    for number, (region, overlay) in enumerate(overlays.items()):
-        overlay["upstreams"][f"{region}-desk"] = {
-            "kind": "service",
-            "serves": ["clinic"],
-            "address": f"127.0.0.1:{20_000 + number}",
-            "data_centre": f"{region}-dc1",
-        }
-    return compile_config(version, base, overlays)
-
-
 class Sink:
     """What one caller was sent."""
 
