--- a/banyanseam/quota/account.py
+++ b/banyanseam/quota/account.py
@@ -5,7 +5,7 @@
 from typing import Literal
 
 from banyanseam.quota import lending
-from banyanseam.quota.const import LENDER_PAUSE_S, RESULT_KEPT_S
+from banyanseam.quota.const import DEMAND_LOOKAHEAD_S, LENDER_PAUSE_S, RESULT_KEPT_S
 from banyanseam.quota.demand import Demand
 from banyanseam.quota.loans import Amount
 from banyanseam.quota.share import Share
@@ -152,6 +152,15 @@
         """Ask a home that had nothing to spare no more for a while."""
         self.paused_lenders[seat] = now_s + LENDER_PAUSE_S
 
+    def needs_other_regions(self, now_s: float) -> bool:
+        """Say whether this region's homes together fall short of its demand."""
+        self.share.advance(now_s)
+        demand = self.demand.measure(now_s)
+        is_slow = lending.needs_back(self.share, demand)
+        return bool(self.waiting) or (
+            is_slow and self.share.tokens < demand * DEMAND_LOOKAHEAD_S
+        )
+
     def note_round(self, lenders: list[str], now_s: float) -> None:
         """Remember whether a round of borrowing left every lender without tokens."""
         is_lacking = self.find_wanted(now_s).tokens > 0
--- a/banyanseam/quota/borrower.py
+++ b/banyanseam/quota/borrower.py
@@ -60,7 +60,8 @@
             siblings = self._parts.rank_homes(config, name, region)
             others = self._parts.other_homes(config, name, region)
             await self._borrow_from(account, siblings)
-            await self._borrow_from(account, others)
+            if account.needs_other_regions(self._clock()):
+                await self._borrow_from(account, others)
             now_s = self._clock()
             reachable = [seat for seat in (*siblings, *others) if self._is_lender(seat)]
             account.note_round(reachable, now_s)
