--- a/tests/common.py
+++ b/tests/common.py
@@ -14,6 +14,7 @@
 from banyanseam.peers.contract import CallHandler, CastHandler
 from banyanseam.peers.errors import PeerCallFailed, PeerCallLost, PeerUnreachable
 from banyanseam.peers.messages import Envelope, Message, PeerIdentity, decode, encode
+from banyanseam.pipe.models import Exchange
 
 KEY = "key-of-acme"
 
@@ -39,7 +40,10 @@
 
 
 def make_documents(
-    regions: tuple[str, ...] = ("gulf", "piedmont", "delta"), seats: int = 3
+    regions: tuple[str, ...] = ("gulf", "piedmont", "delta"),
+    seats: int = 3,
+    *,
+    serves_clinic: tuple[str, ...] | None = None,
 ) -> tuple[dict[str, Any], dict[str, dict[str, Any]]]:
     """Return a base document and its overlays, for tests to alter."""
     base = {
@@ -85,13 +89,14 @@
                 },
             },
         }
-    last = overlays[regions[-1]]
-    last["upstreams"][f"{regions[-1]}-clinic-1"] = {
-        "kind": "service",
-        "serves": ["clinic"],
-        "address": f"127.0.0.1:{10_300 + 1000 * (len(regions) - 1)}",
-        "data_centre": f"{regions[-1]}-dc1",
-    }
+    for region in serves_clinic or regions[-1:]:
+        port = 10_300 + 1000 * regions.index(region)
+        overlays[region]["upstreams"][f"{region}-clinic-1"] = {
+            "kind": "service",
+            "serves": ["clinic"],
+            "address": f"127.0.0.1:{port}",
+            "data_centre": f"{region}-dc1",
+        }
     return base, overlays
 
 
@@ -100,6 +105,21 @@
     return compile_config(version, *make_documents(**kwargs))
 
 
+def make_exchange(reply: Any = None, **fields: Any) -> Exchange:
+    """Return a caller's request, with the fields that a test cares about."""
+    known = {
+        "request_id": "1",
+        "method": "POST",
+        "path": "/",
+        "raw_path": b"/",
+        "query": b"",
+        "headers": [],
+        "body": b"",
+        "received_s": 0.0,
+    }
+    return Exchange(reply=reply, **(known | fields))
+
+
 class FakeFabric:
     """Joins fake networks in memory, with delay, loss and cuts, on the test's clock."""
 
