--- a/banyanseam/daemon/app.py
+++ b/banyanseam/daemon/app.py
@@ -106,7 +106,12 @@
             async def drain_when_wanted() -> None:
                 await self._drain_wanted.wait()
                 log(DRAIN_BEGUN)
-                await drain(self.lifecycle, ENTRIES_VALIDITY_MS)
+                pace = self.view.membership.pace
+                await drain(
+                    self.lifecycle,
+                    ENTRIES_VALIDITY_MS,
+                    spread_s=pace.leave_spread_s,
+                )
                 ends.cancel_scope.cancel()
 
             async def finish_when_superseded() -> None:
--- a/banyanseam/daemon/fleet_view.py
+++ b/banyanseam/daemon/fleet_view.py
@@ -13,6 +13,7 @@
 from banyanseam.daemon.control import Control
 from banyanseam.peers.incarnation import Incarnation, read_boot_clock_s
 from banyanseam.peers.network import PeerNetwork
+from banyanseam.peers.vm_list import VmListReader
 from banyanseam.settings import Settings
 
 
@@ -44,6 +45,13 @@
             read_boot_clock_s,
             chance,
         )
+        self.vm_list: VmListReader | None = None
+        if settings.vm_list_address is not None:
+            self.vm_list = VmListReader(
+                settings.vm_list_address,
+                self.control.membership.set_platform_list,
+                chance,
+            )
         self.store = self.control.store
         self.membership = self.control.membership
         self.sections = self.control.sections
@@ -59,6 +67,8 @@
         listening = anyio.Event()
         tasks.start_soon(self.network.run, self.settings.peers_address, listening)
         await listening.wait()
+        if self.vm_list is not None:
+            tasks.start_soon(self.vm_list.run)
         await self.control.run(tasks)
 
     def find_region(self, seat: str) -> str | None:
@@ -73,6 +83,10 @@
         # When all leave at once, as in a small region's replacement, they go on.
         return [seat for seat in live if not membership.is_leaving(seat)] or live
 
+    def list_leaving_vms(self) -> frozenset[str]:
+        """Return the VMs that the platform lists as leaving, upstreams among them."""
+        return self.vm_list.leaving if self.vm_list is not None else frozenset()
+
     def _find_peer_address(self, seat: str) -> str | None:
         override = self.settings.peer_address_overrides.get(seat)
         if override is not None:
--- a/banyanseam/daemon/quota_parts.py
+++ b/banyanseam/daemon/quota_parts.py
@@ -42,6 +42,8 @@
         check_freeze=view.control.freeze.tick,
     )
     view.control.freeze.on_restart(home.restart)
+    # A newer process of this seat may be spending the same parts.
+    view.membership.on_superseded(lambda _: home.restart(read_boot_clock_s()))
     client = QuotaClient(
         settings.region,
         view.network,
--- a/banyanseam/daemon/serving.py
+++ b/banyanseam/daemon/serving.py
@@ -82,4 +82,5 @@
         pipelines.from_peers,
     )
     view.network.watch_lost_links(forward_server.lose_peer)
+    view.store.on_adopted(lambda config: tasks.start_soon(upstreams.close_idle, config))
     return Serving(recorder, quota, upstreams, idempotency, pipelines, forward_server)
--- a/banyanseam/daemon/upstream_parts.py
+++ b/banyanseam/daemon/upstream_parts.py
@@ -6,6 +6,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from banyanseam.config.compiled import Config
 from banyanseam.daemon.fleet_view import FleetView
 from banyanseam.peers.messages import PeerIdentity
 from banyanseam.upstreams.client import UpstreamClient
@@ -33,6 +34,10 @@
         tasks.start_soon(self.keeper.run)
         tasks.start_soon(self.room.run)
 
+    async def close_idle(self, config: Config) -> None:
+        """Close connections to upstreams that are no longer published."""
+        await self.client.close_idle(config.upstreams)
+
 
 def make_upstream_parts(view: FleetView) -> UpstreamParts:
     """Return the parts, joined to the heartbeats."""
@@ -43,6 +48,7 @@
         network=view.network,
         get_config=view.get_config,
         alive_seats=view.list_staying,
+        leaving_upstreams=view.list_leaving_vms,
     )
     regions = Regions()
     places = Places(context, regions, random.Random())
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -30,6 +30,7 @@
 LINK_REFUSED: Final = Event(4003, "WARNING", "A link to a peer was refused")
 SEAT_SUPERSEDED: Final = Event(4010, "ERROR", "A newer process holds this seat")
 PROCESS_WAS_FROZEN: Final = Event(4011, "WARNING", "The process stood still too long")
+VM_LIST_DOWN: Final = Event(4013, "WARNING", "The list of VMs cannot be read")
 HEARTBEAT_SECTION_DROPPED: Final = Event(
     4012, "ERROR", "A section is too large for a heartbeat"
 )
--- a/banyanseam/settings.py
+++ b/banyanseam/settings.py
@@ -47,6 +47,8 @@
     peers_address: Listen
     operators_address: Listen
     config_service_addresses: list[Address] = Field(min_length=1)
+    # Where the platform lists live and leaving VMs; without it nobody is doubted.
+    vm_list_address: Address | None = None
     fleet_secret: SecretStr = Field(min_length=16)
     # Until a configuration is read, a new process asks these peers for one.
     first_peers: list[Address] = Field(default_factory=list)
