--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -28,6 +28,7 @@
 LINK_UP: Final = Event(4001, "INFO", "A link to a peer is up")
 LINK_DOWN: Final = Event(4002, "WARNING", "A link to a peer is down")
 LINK_REFUSED: Final = Event(4003, "WARNING", "A link to a peer was refused")
+MESSAGE_DROPPED: Final = Event(4004, "WARNING", "A message of a peer was not taken")
 SEAT_SUPERSEDED: Final = Event(4010, "ERROR", "A newer process holds this seat")
 PROCESS_WAS_FROZEN: Final = Event(4011, "WARNING", "The process stood still too long")
 VM_LIST_DOWN: Final = Event(4013, "WARNING", "The list of VMs cannot be read")
--- a/banyanseam/peers/link.py
+++ b/banyanseam/peers/link.py
@@ -6,6 +6,7 @@
 from websockets.exceptions import ConnectionClosed
 
 from banyanseam.errors import BanyanseamError
+from banyanseam.observe.events import INTERNAL_FAILURE, MESSAGE_DROPPED, log
 from banyanseam.peers.const import MAX_CALLS_PER_LINK
 from banyanseam.peers.contract import CallHandler, CastHandler
 from banyanseam.peers.errors import (
@@ -137,7 +138,15 @@
         handler = self._handlers.casts.get(type(message))
         if handler is None:
             raise InvalidPeerMessage(f"{message.kind} is not a cast")
-        handler(self.peer, message)
+        try:
+            handler(self.peer, message)
+        except InvalidPeerMessage:
+            raise
+        except BanyanseamError as error:
+            # A cast may be lost, so a daemon that cannot take it now drops it.
+            log(
+                MESSAGE_DROPPED, peer=self.peer.seat, kind=message.kind, code=error.code
+            )
 
     async def _answer(self, envelope: Envelope) -> None:
         self._calls_served += 1
@@ -166,3 +175,7 @@
                 not_run=error.not_run,
                 retry_after_ms=error.retry_after_ms,
             )
+        except Exception as error:
+            # One message must never end the process: it would be sent to the next.
+            log(INTERNAL_FAILURE, kind=message.kind, error=repr(error))
+            return Failure(code=BanyanseamError.code, detail="", not_run=False)
--- a/banyanseam/pipe/serve_forwarded.py
+++ b/banyanseam/pipe/serve_forwarded.py
@@ -8,6 +8,7 @@
 from banyanseam.config.compiled import Config
 from banyanseam.config.errors import NotReady
 from banyanseam.errors import BanyanseamError
+from banyanseam.observe.events import INTERNAL_FAILURE, log
 from banyanseam.peers.contract import Network
 from banyanseam.peers.errors import PeerCallLost, PeerUnreachable
 from banyanseam.peers.forward_messages import (
@@ -131,6 +132,10 @@
             await self._serve(exchange)
         except BanyanseamError as error:
             return _make_failed_end(exchange, opened, error)
+        except Exception as error:
+            # One request must never end the process: it would be sent to the next.
+            log(INTERNAL_FAILURE, request_id=exchange.request_id, error=repr(error))
+            return _make_failed_end(exchange, opened, BanyanseamError())
         return ForwardEnd(stream=opened.stream, outcome="whole", **_facts(exchange))
 
     def _admit(self, exchange: Exchange, opened: ForwardOpen) -> None:
--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -61,6 +61,8 @@
 async def echo(peer, message):
     if message.text == "refuse":
         raise BanyanseamError("as asked", retry_after_ms=7)
+    if message.text == "break":
+        raise ZeroDivisionError
     if message.text == "hang":
         await anyio.sleep_forever()
     return Ask(text=f"{peer.seat} {message.text}")
@@ -115,6 +117,25 @@
 
         self.run_async(scenario)
 
+    def test_a_handler_that_fails_costs_its_message_only(self):
+        async def scenario():
+            addresses = {}
+            async with running("a", addresses) as a, running("b", addresses) as b:
+                b.handle_call(Ask, echo)
+
+                def refuse(peer, message):
+                    raise BanyanseamError("not ready for it")
+
+                b.handle_cast(Note, refuse)
+                await a.cast("b", Note(number=1))
+                with self.assertRaises(PeerCallFailed):
+                    await a.call("b", Ask(text="break"), Ask, 5)
+                reply = await a.call("b", Ask(text="hi"), Ask, 5)
+                self.assertEqual(reply.text, "a hi")
+                self.assertEqual(len(a._links["b"]), 1)
+
+        self.run_async(scenario)
+
     def test_an_address_leads_to_a_seat(self):
         async def scenario():
             addresses = {}
