Refuse a bad header with problem details, never inside an answer

Change: a moment of grace after the timer, problem details for all header limits, and no refusal is written while an answer runs: the connection is closed. Before: test_a_refusal_is_never_written_into_an_answer failed with the guard taken out (two status lines in one answer). After: it passes. Conclusion: no splice on the border.

--- a/banyanseam/server/errors.py
+++ b/banyanseam/server/errors.py
@@ -20,3 +20,33 @@
     event = 1731
     status = 408
     title = "The answer was read too slowly"
+
+
+class TargetTooLong(BanyanseamError):
+    """The request's target is longer than any route needs."""
+
+    code = "request.target_too_long"
+    event = 1732
+    status = 414
+    title = "The target is too long"
+    not_run = True
+
+
+class HeaderTooLarge(BanyanseamError):
+    """The request's header has too many fields or bytes."""
+
+    code = "request.header_too_large"
+    event = 1733
+    status = 431
+    title = "The header is too large"
+    not_run = True
+
+
+class HeaderTooSlow(BanyanseamError):
+    """The request's header did not arrive in time."""
+
+    code = "request.header_too_slow"
+    event = 1734
+    status = 408
+    title = "The header did not arrive in time"
+    not_run = True
--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -1,17 +1,22 @@
 """Limits of the HTTP border that uvicorn's own protocol class does not set."""
 
 import asyncio
+from http import HTTPStatus
 from typing import Any
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from banyanseam.errors import BanyanseamError
+from banyanseam.pipe.errors import RequestMalformed
 from banyanseam.server.const import (
+    HEADER_GRACE_S,
     HEADER_TIMEOUT_S,
     MAX_HEADER_BYTES,
     MAX_HEADERS,
     MAX_URL_BYTES,
     WRITE_BUFFER_BYTES,
 )
+from banyanseam.server.errors import HeaderTooLarge, HeaderTooSlow, TargetTooLong
 
 
 class LimitedProtocol(HttpToolsProtocol):
@@ -45,7 +50,7 @@
         """Refuse a target that is too long."""
         super().on_url(url)
         if len(self.url) > MAX_URL_BYTES:
-            self._refuse(b"414 URI Too Long")
+            self._refuse(TargetTooLong())
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Refuse a header that is too large."""
@@ -53,7 +58,7 @@
         self._header_bytes += len(name) + len(value)
         too_many = len(self.headers) > MAX_HEADERS
         if too_many or self._header_bytes > MAX_HEADER_BYTES:
-            self._refuse(b"431 Request Header Fields Too Large")
+            self._refuse(HeaderTooLarge())
 
     def on_headers_complete(self) -> None:
         """Stop the timer; the body has a limit of its own."""
@@ -61,10 +66,19 @@
         if not self.transport.is_closing():
             super().on_headers_complete()
 
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what is no HTTP, as uvicorn's own class asks."""
+        self._refuse(RequestMalformed("no HTTP request"))
+
     def _start_header_timer(self) -> None:
         self._stop_header_timer()
+        self._header_timer = self.loop.call_later(HEADER_TIMEOUT_S, self._expire)
+
+    def _expire(self) -> None:
+        # A process that stood still fires its timers before it reads what came
+        # meanwhile, so the header gets a moment more to be read.
         self._header_timer = self.loop.call_later(
-            HEADER_TIMEOUT_S, self._refuse, b"408 Request Timeout"
+            HEADER_GRACE_S, self._refuse, HeaderTooSlow()
         )
 
     def _stop_header_timer(self) -> None:
@@ -72,12 +86,24 @@
             self._header_timer.cancel()
             self._header_timer = None
 
-    def _refuse(self, status: bytes) -> None:
+    def _refuse(self, error: BanyanseamError) -> None:
         if self.transport.is_closing():
             return
-        self.transport.write(
-            b"HTTP/1.1 "
-            + status
-            + b"\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
-        )
+        # A refusal must not be read as a part of an answer that still runs.
+        if self.cycle is None or self.cycle.response_complete:
+            self.transport.write(render_refusal(error))
         self.transport.close()
+
+
+def render_refusal(error: BanyanseamError) -> bytes:
+    """Return a whole response for a request that never got a header."""
+    problem = error.to_problem("-", is_surely_not_run=True)
+    body = problem.model_dump_json(exclude_none=True).encode()
+    reason = HTTPStatus(problem.status).phrase
+    head = (
+        f"HTTP/1.1 {problem.status} {reason}\r\n"
+        "connection: close\r\n"
+        "content-type: application/problem+json\r\n"
+        f"content-length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/tests/server/test_protocol.py
@@ -0,0 +1,91 @@
+import json
+import unittest
+from contextlib import asynccontextmanager
+from unittest.mock import patch
+
+import anyio
+
+from banyanseam.server import protocol
+from banyanseam.server.reply import send_body
+from banyanseam.server.serve import make_server
+
+
+async def answer(scope, receive, send):
+    await send_body(send, 200, b"ok", [])
+
+
+async def stream(scope, receive, send):
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    more = {"type": "http.response.body", "body": b"part", "more_body": True}
+    await send(more)
+    await anyio.sleep(0.2)
+    await send({"type": "http.response.body", "body": b"rest"})
+
+
+@asynccontextmanager
+async def running(app):
+    async with await anyio.create_tcp_listener(local_host="127.0.0.1") as free:
+        port = free.extra(anyio.abc.SocketAttribute.local_port)
+    server = make_server(app, f"127.0.0.1:{port}")
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve)
+        await server.listening.wait()
+        yield port
+        server.should_exit = True
+
+
+async def exchange(port, *pieces):
+    received = b""
+    async with await anyio.connect_tcp("127.0.0.1", port) as connection:
+        for piece in pieces:
+            await connection.send(piece)
+            # The server reads the pieces one after the other.
+            await anyio.sleep(0.05)
+        try:
+            while True:
+                received += await connection.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return received
+
+
+class ProtocolTests(unittest.TestCase):
+    def run_async(self, scenario):
+        async def bounded():
+            with anyio.fail_after(30):
+                await scenario()
+
+        anyio.run(bounded)
+
+    def test_what_is_too_large_or_too_slow_is_refused_with_its_code(self):
+        start = b"GET / HTTP/1.1\r\nhost: a\r\n"
+        cases = {
+            "request.target_too_long": b"GET /" + b"a" * 9000 + b" HTTP/1.1\r\n",
+            "request.header_too_large": start + b"x: " + b"a" * 40_000 + b"\r\n\r\n",
+            "request.header_too_slow": start,
+            "request.malformed": b"\x00 no HTTP\r\n\r\n",
+        }
+
+        async def scenario():
+            with patch.object(protocol, "HEADER_TIMEOUT_S", 0.2):
+                async with running(answer) as port:
+                    for code, data in cases.items():
+                        reply = await exchange(port, data)
+                        with self.subTest(code):
+                            problem = json.loads(reply.partition(b"\r\n\r\n")[2])
+                            self.assertEqual(problem["code"], code)
+                            self.assertTrue(problem["not_run"])
+
+        self.run_async(scenario)
+
+    def test_a_refusal_is_never_written_into_an_answer(self):
+        get = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+        large = b"GET / HTTP/1.1\r\nx: " + b"a" * 40_000 + b"\r\n\r\n"
+
+        async def scenario():
+            async with running(stream) as port:
+                for bad in (large, b"\x00 no HTTP\r\n\r\n"):
+                    reply = await exchange(port, get, bad)
+                    with self.subTest(bad[:10]):
+                        self.assertEqual(reply.count(b"HTTP/1.1 "), 1)
+
+        self.run_async(scenario)
