Let the slow streams of the bench outlast it

Cause: a trial showed 33 to 42 s beside slow readers and nothing held: the stand-in's batch of 64 made the probes queue in the engine, and the slow streams had met the route's deadline of 30 s. Change: the bench sets a batch of 1,000 and a long deadline.

--- a/bench/readers.py
+++ b/bench/readers.py
@@ -2,6 +2,7 @@
 
 import statistics
 from functools import partial
+from typing import Any
 
 import anyio
 
@@ -22,9 +23,15 @@
     "memory_tokens": 10_000_000,
     "max_in_flight": 1000,
     "stream_tokens_per_s": 4,
+    "max_batch": 1000,
 }
 
 
+def give_answers_time(base: dict[str, Any], overlays: dict[str, Any]) -> None:
+    """Let the slow streams outlast the measurement."""
+    base["routes"]["chat"]["deadline_ms"] = 600_000
+
+
 async def read_held_bytes(fleet: Fleet) -> int:
     """Return what the daemon says that it holds for callers."""
     address = fleet.daemons["gulf-1"].operators_address
@@ -56,6 +63,7 @@
         seats=1,
         uses_relay=False,
         engine_options=ENGINE,
+        alter=give_answers_time,
         organisations={
             "acme": OrganisationPlan(),
             "slow": OrganisationPlan(1_000_000, 100_000_000),
