Test bad input at the callers' port of a real daemon

Change: missing, wrong, withdrawn and another organisation's key, forged Via, oversize body, malformed JSON, garbage, too large header and dot segments; then the daemon serves and upstreams' records hold no credentials. Not yet seen failing on an altered daemon.

--- /dev/null
+++ b/tests/faults/test_ports.py
@@ -0,0 +1,149 @@
+import hashlib
+import json
+import unittest
+
+import anyio
+import httpcore
+from uuid6 import uuid7
+
+from banyanseam.pipe.const import VIA_NAME
+from standins.callers import CHAT_PATH, Caller
+from standins.fleet import Fleet, FleetPlan, OrganisationPlan, start_fleet
+
+SPREAD_S = 5.0
+CREDENTIALS = {"authorization", "proxy-authorization", "x-api-key", "cookie"}
+CHAT = {"model": "oak", "messages": [{"role": "user", "content": "a"}], "max_tokens": 2}
+# What is sent, headers and body, and the statuses that are a clear refusal.
+REFUSED = {
+    "missing key": (None, {}, json.dumps(CHAT).encode(), {401}),
+    "wrong key": ("wrong", {}, json.dumps(CHAT).encode(), {401}),
+    "malformed JSON": ("acme", {}, b'{"model": ', {400}),
+    "no object": ("acme", {}, b"[]", {400}),
+    "oversize body": ("acme", {}, b" " * (64 << 20), {413}),
+}
+# What is written to the socket, byte by byte, and how the answer may begin.
+RAW = {
+    "garbage": b"\x00\xff\x16\x03\x01 garbage\r\n\r\n",
+    "too large header": b"GET /v1/entries HTTP/1.1\r\nhost: a\r\nx: "
+    + b"a" * (1 << 20)
+    + b"\r\n\r\n",
+    "two lengths": b"POST /desk/book HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n"
+    b"content-length: 2\r\n\r\nab",
+}
+
+
+async def send_raw(address: str, data: bytes) -> bytes:
+    """Write bytes to a port and return what it answers until it closes."""
+    host, port = address.rsplit(":", 1)
+    answer = b""
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        try:
+            await stream.send(data)
+            with anyio.fail_after(30):
+                while True:
+                    answer += await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return answer
+
+
+class PortTests(unittest.TestCase):
+    def test_bad_input_is_refused_and_the_daemon_serves_on(self):
+        async def scenario():
+            plan = FleetPlan(
+                seats=1,
+                organisations={"acme": OrganisationPlan(), "other": OrganisationPlan()},
+            )
+            async with start_fleet(plan) as fleet, Caller(fleet.keys["acme"]) as caller:
+                address = fleet.daemons["gulf-1"].callers_address
+                for name, (key, headers, body, statuses) in REFUSED.items():
+                    with self.subTest(name):
+                        async with Caller(fleet.keys.get(key, key)) as bad:
+                            status = await post(bad, address, body, headers)
+                            self.assertIn(status, statuses)
+                with self.subTest("forged via"):
+                    via = {"via": f"1.1 {VIA_NAME}"}
+                    answer = await caller.chat(address, headers=via)
+                    self.assertEqual(answer.status, 508, answer)
+                for name, data in RAW.items():
+                    with self.subTest(name):
+                        answer = await send_raw(address, data)
+                        self.assertIn(answer[9:10], (b"4", b""), answer[:200])
+                with self.subTest("dot segments"):
+                    data = (
+                        f"POST /desk/../v1/../control HTTP/1.1\r\nhost: a\r\n"
+                        f"authorization: Bearer {fleet.keys['acme']}\r\n"
+                        f"content-length: 0\r\nconnection: close\r\n\r\n"
+                    )
+                    answer = await send_raw(address, data.encode())
+                    self.assertTrue(answer.startswith(b"HTTP/1.1 4"), answer[:200])
+                await self.check_keys_of_others(fleet, caller, address)
+                await self.check_withdrawal(fleet, address)
+                answer = await caller.chat(address)
+                self.assertTrue(answer.is_whole, answer)
+                self.assertTrue(fleet.daemons["gulf-1"].child.is_running)
+                await self.check_credentials(fleet)
+
+        anyio.run(scenario)
+
+    async def check_keys_of_others(
+        self, fleet: Fleet, caller: Caller, address: str
+    ) -> None:
+        """Check that a key's booking is never answered to another organisation."""
+        # A home that has just started refuses keys whose past it cannot know.
+        with anyio.fail_after(30):
+            while True:
+                key = str(uuid7())
+                own = await caller.book(
+                    address, "/desk/book", b"own", idempotency_key=key
+                )
+                if own.status == 201:
+                    break
+                self.assertEqual(own.code, "idempotency.home_is_new", own)
+                await anyio.sleep(0.5)
+        async with Caller(fleet.keys["other"]) as other:
+            theirs = await other.book(
+                address, "/desk/book", b"own", idempotency_key=key
+            )
+        self.assertEqual(theirs.status, 201, theirs)
+        runs = 0
+        for name in fleet.upstreams:
+            if "service" in name:
+                by_body = (await fleet.list_runs(name))["by_body"]
+                runs += by_body.get(hashlib.sha256(b"own").hexdigest(), 0)
+        self.assertEqual(runs, 2)
+
+    async def check_withdrawal(self, fleet: Fleet, address: str) -> None:
+        """Check that a withdrawn key ends working within the users' bound."""
+        async with Caller(fleet.keys["other"]) as other:
+            self.assertTrue((await other.chat(address)).is_whole)
+            fleet.base["organisations"]["other"]["keys"] = []
+            await fleet.publish()
+            withdrawn_s = anyio.current_time()
+            while True:
+                sent_s = anyio.current_time()
+                status = (await other.chat(address, max_tokens=1)).status
+                if status == 401:
+                    break
+                self.assertLess(sent_s - withdrawn_s, SPREAD_S)
+                await anyio.sleep(0.05)
+
+    async def check_credentials(self, fleet: Fleet) -> None:
+        """Check what headers the upstreams saw."""
+        for name in fleet.upstreams:
+            runs = await fleet.list_runs(name)
+            records = runs if "engine" in name else runs["records"]
+            for run in records:
+                self.assertFalse(CREDENTIALS & set(run["seen_headers"]), (name, run))
+
+
+async def post(
+    caller: Caller, address: str, body: bytes, headers: dict[str, str]
+) -> int | None:
+    """Return the status, or None if the daemon closed without one."""
+    try:
+        reply = await caller.request(
+            "POST", address, CHAT_PATH, body=body, headers=headers
+        )
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        return None
+    return reply.status
