Seek another place when an upstream is not reached; wait for a starting home

Cause: two faults that tests with real daemons found. After poison had killed both engines of a region, a chat of another organisation got 502 though four engines ran elsewhere: its one retry met the second dead engine. And a claim that reached a home which had only just started was refused as home_unreachable, since its handlers were not registered yet. Change: a try that never started is no try: the queue seeks another place for up to 3 s, here or in another region, and in the end tells the first failure. A claim to a starting home is repeated with the patience that it has. Ruled out: more retries, which the budget rightly bounds; registering handlers before anything listens, since a claim may come while the home has no mapping. Before: test_chats_of_others_complete_after_poison and test_a_claim_waits_for_a_home_that_has_just_started failed. After: both pass. A third fault stays: keys are refused for 8 s when a home is replaced, also in a planned stop. Conclusion: refusals while others serve are left only for keyed bookings whose home is being replaced.

--- a/banyanseam/idempotency/client.py
+++ b/banyanseam/idempotency/client.py
@@ -32,7 +32,12 @@
 )
 from banyanseam.idempotency.models import Claim, End, Scope, State, Verdict
 from banyanseam.peers.contract import Network
-from banyanseam.peers.errors import PeerCallFailed, PeerCallLost, PeerUnreachable
+from banyanseam.peers.errors import (
+    InvalidPeerMessage,
+    PeerCallFailed,
+    PeerCallLost,
+    PeerUnreachable,
+)
 from banyanseam.peers.messages import Message, PeerIdentity
 
 Reply = TypeVar("Reply", bound=Message)
@@ -174,6 +179,9 @@
             )
         except PeerCallFailed as failure:
             kind = _ERRORS_BY_CODE.get(failure.peer_code)
+            if failure.peer_code == InvalidPeerMessage.code:
+                # A process that has just started does not answer claims yet.
+                raise PeerUnreachable(failure.detail) from failure
             if kind is None:
                 raise HomeUnreachable(failure.detail) from failure
             raise kind(retry_after_ms=failure.retry_after_ms) from failure
--- a/banyanseam/pipe/queue.py
+++ b/banyanseam/pipe/queue.py
@@ -9,7 +9,7 @@
 from banyanseam.errors import BanyanseamError
 from banyanseam.pipe.models import Exchange, Filter, Next
 from banyanseam.upstreams.choose import LocalPool, Place, RemoteRegion
-from banyanseam.upstreams.const import PLACE_RETRY_S
+from banyanseam.upstreams.const import PLACE_RETRY_S, SEEK_AGAIN_S
 from banyanseam.upstreams.errors import (
     NoUpstreamAllowed,
     NoUpstreamAvailable,
@@ -39,10 +39,24 @@
     """Return the filter; it holds room for as long as the next steps run."""
 
     async def queue(exchange: Exchange, next_: Next) -> None:
-        demand = make_demand(exchange)
-        serves = get_served(exchange)
         patience_s = get_config().policies[region].queue_patience_ms / 1000
         give_up_s = min(exchange.deadline_s, anyio.current_time() + patience_s)
+        failure: BanyanseamError | None = None
+        while True:
+            try:
+                await run_at_place(exchange, next_, give_up_s)
+                return
+            except (UpstreamUnreachable, NoUpstreamAvailable) as error:
+                failure = failure or error
+                if not _may_seek_again(exchange, give_up_s):
+                    raise failure from error
+            # Nothing was sent: the keeper learns within moments who is gone.
+            give_up_s = min(give_up_s, anyio.current_time() + SEEK_AGAIN_S)
+            await anyio.sleep(PLACE_RETRY_S)
+
+    async def run_at_place(exchange: Exchange, next_: Next, give_up_s: float) -> None:
+        demand = make_demand(exchange)
+        serves = get_served(exchange)
         place = await _wait_for_place(places, exchange, serves, demand, give_up_s)
         if isinstance(place, RemoteRegion):
             try:
@@ -58,6 +72,13 @@
     return queue
 
 
+def _may_seek_again(exchange: Exchange, give_up_s: float) -> bool:
+    """Say whether another place may be sought after an upstream was not reached."""
+    has_time = anyio.current_time() + PLACE_RETRY_S < give_up_s
+    is_unreached = bool(exchange.avoided_upstreams) and not exchange.upstream_started
+    return has_time and is_unreached
+
+
 async def _wait_for_place(
     places: Places, exchange: Exchange, serves: str, demand: Demand, give_up_s: float
 ) -> Place:
--- a/banyanseam/upstreams/const.py
+++ b/banyanseam/upstreams/const.py
@@ -42,6 +42,8 @@
 FORGET_PERIOD_S: Final = 60.0
 RESERVE_RETRY_S: Final = 0.05
 PLACE_RETRY_S: Final = 0.1
+# How long another place is sought once an upstream could not be reached.
+SEEK_AGAIN_S: Final = 3.0
 KEEPER_PERIOD_S: Final = 0.25
 
 # Health.
