--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,19 +9,15 @@
 import anyio
 
 from banyanseam.config.snapshot import (
-    Snapshot,
-    Value,
     compile_snapshot,
-    encode_content,
 )
-from banyanseam.config.split import split_documents
 from banyanseam.idempotency.memory import Memory
 from banyanseam.idempotency.models import Answer, Claim, End, Scope
 from banyanseam.observe.histograms import Histograms
 from banyanseam.quota.account import Account
 from banyanseam.quota.const import DEFAULT_TIMING
 from banyanseam.quota.share import Quota, Share
-from bench.configuration import ORGANISATIONS, REGIONS, UPSTREAMS, make_organisation
+from bench.configuration import REGIONS, make_snapshot
 from bench.path import (
     ENGINE,
     measure_events,
@@ -32,7 +28,7 @@
 from bench.processes import read_cpu_s, read_rss_bytes
 from bench.results import Figure, append
 from standins.fleet import FleetPlan, start_fleet
-from tests.common import make_documents, run_mocked
+from tests.common import run_mocked
 from tests.peers.test_membership import Fleet as MembershipFleet
 
 SEED = 1
@@ -119,34 +115,9 @@
         group.cancel_scope.cancel()
 
 
-def make_whole_snapshot() -> Snapshot:
-    """Return a configuration of the whole size."""
-    base, overlays = make_documents(REGIONS, 57)
-    # The route to a plain service has no upstream among those below.
-    del base["routes"]["clinic"]
-    base["organisations"] = {
-        f"organisation-{number}": make_organisation(number, 1000)
-        for number in range(ORGANISATIONS)
-    }
-    for place, (region, overlay) in enumerate(overlays.items(), 1):
-        engine = overlay["upstreams"][f"{region}-engine-1"]
-        overlay["upstreams"] = {
-            f"{region}-engine-{number}": {
-                **engine,
-                "address": f"127.9.{place}.{number + 1}:9000",
-            }
-            for number in range(UPSTREAMS // len(REGIONS))
-        }
-    values = {
-        key: Value(key, 1, encode_content(document))
-        for key, document in split_documents(base, overlays).items()
-    }
-    return Snapshot(1, values)
-
-
 def measure_compile() -> list[Figure]:
     """Return the time and memory of one configuration of the whole size."""
-    snapshot = make_whole_snapshot()
+    snapshot = make_snapshot(REGIONS, 57)
     started_s = time.process_time()
     for _ in range(COMPILE_ROUNDS):
         compile_snapshot(snapshot)
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -52,10 +52,15 @@
         f"organisation-{number}": make_organisation(number, 1000)
         for number in range(ORGANISATIONS)
     }
-    for region, overlay in overlays.items():
-        (engine,) = overlay["upstreams"].values()
+    # The route to a plain service has no upstream among those below.
+    del base["routes"]["clinic"]
+    for place, (region, overlay) in enumerate(overlays.items(), 1):
+        engine = overlay["upstreams"][f"{region}-engine-1"]
         overlay["upstreams"] = {
-            f"{region}-engine-{number}": engine
+            f"{region}-engine-{number}": {
+                **engine,
+                "address": f"127.9.{place}.{number + 1}:9000",
+            }
             for number in range(UPSTREAMS // len(regions))
         }
     values = {
