Hash by rendezvous in one place

Cause: the same hashing stood three times (peers, upstreams, idempotency). Change: peers.rendezvous serves all, with text or bytes as the key. One test had relied on which seat the old hash chose: it now picks a seat that is not the one which permits, so it tries the same as before. Conclusion: one place to read.

--- a/banyanseam/idempotency/mapping.py
+++ b/banyanseam/idempotency/mapping.py
@@ -9,12 +9,11 @@
 
 from dataclasses import dataclass
 
-import xxhash
-
 from banyanseam.config.compiled import Config
 from banyanseam.idempotency.const import REGION_SEPARATOR
 from banyanseam.idempotency.errors import HomeUnreachable, KeyRegionExcluded
 from banyanseam.idempotency.models import Scope
+from banyanseam.peers.rendezvous import rank
 
 Regions = frozenset[str]
 
@@ -96,8 +95,4 @@
 
 def _pick(names: tuple[str, ...], scope: Scope) -> str:
     """Return the name that wins by rendezvous hashing."""
-    salt = f"\0{scope.organisation}\0{scope.key}".encode()
-    return max(
-        names,
-        key=lambda name: (xxhash.xxh3_64_intdigest(name.encode() + salt), name),
-    )
+    return rank(names, f"{scope.organisation}\0{scope.key}")[0]
--- a/banyanseam/poison/guard.py
+++ b/banyanseam/poison/guard.py
@@ -9,6 +9,7 @@
 from banyanseam.errors import BanyanseamError
 from banyanseam.peers.contract import Network
 from banyanseam.peers.messages import Message, PeerIdentity
+from banyanseam.peers.rendezvous import rank
 from banyanseam.poison.const import (
     ASK_PAUSE_S,
     ASK_TIMEOUT_S,
@@ -30,7 +31,6 @@
 )
 from banyanseam.poison.reruns import Reruns
 from banyanseam.poison.suspects import Suspects
-from banyanseam.upstreams.prefix import rank_by_rendezvous
 
 # The live seats by region, this daemon's own among them.
 LiveSeats = dict[str, list[str]]
@@ -141,7 +141,7 @@
         One seat permits all reruns: only then can it keep suspects apart.
         """
         seats = {seat for names in self._list_live().values() for seat in names}
-        return rank_by_rendezvous(RERUNS_KEY, seats | {self._me.seat})[:ASKED_SEATS]
+        return rank(seats | {self._me.seat}, RERUNS_KEY)[:ASKED_SEATS]
 
     async def _ask(self, run: Run, upstreams: Sequence[str]) -> RerunAnswer:
         now_s = anyio.current_time()
--- a/banyanseam/upstreams/choose.py
+++ b/banyanseam/upstreams/choose.py
@@ -12,6 +12,7 @@
 from random import Random
 
 from banyanseam.config.compiled import Policy
+from banyanseam.peers.rendezvous import rank
 from banyanseam.upstreams.const import (
     BYTES_PER_TOKEN,
     HYSTERESIS,
@@ -23,7 +24,7 @@
 )
 from banyanseam.upstreams.decay import DecayingSum
 from banyanseam.upstreams.models import Demand, PoolRow
-from banyanseam.upstreams.prefix import make_rendezvous_key, rank_by_rendezvous
+from banyanseam.upstreams.prefix import make_rendezvous_key
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,7 +198,7 @@
     if not demand.prefix:
         return best
     key = make_rendezvous_key(demand.prefix)
-    first = rank_by_rendezvous(key, [row.pool for row in pools])[0]
+    first = rank([row.pool for row in pools], key)[0]
     affine = next(row for row in pools if row.pool == first)
     saved_s = demand.prompt_tokens / affine.prefill_tokens_per_s
     return affine if affine.wait_ms <= best.wait_ms + 1000 * saved_s else best
--- a/banyanseam/upstreams/pools.py
+++ b/banyanseam/upstreams/pools.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 
 from banyanseam.config.compiled import Config, Upstream
+from banyanseam.peers.rendezvous import rank
 from banyanseam.upstreams.const import MAX_POOL_UPSTREAMS
-from banyanseam.upstreams.prefix import rank_by_rendezvous
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,12 +46,12 @@
     numbers = [str(number) for number in range(count)]
     members: dict[str, list[Upstream]] = defaultdict(list)
     for upstream in sorted(upstreams, key=lambda each: each.name):
-        number = rank_by_rendezvous(f"{label}/{upstream.name}".encode(), numbers)[0]
+        number = rank(numbers, f"{label}/{upstream.name}")[0]
         members[number].append(upstream)
     return members
 
 
 def find_keeper(pool: str, live_seats: Iterable[str]) -> str | None:
     """Return the seat that keeps a pool, or None without a live seat."""
-    ranked = rank_by_rendezvous(pool.encode(), live_seats)
+    ranked = rank(live_seats, pool)
     return ranked[0] if ranked else None
--- a/banyanseam/upstreams/prefix.py
+++ b/banyanseam/upstreams/prefix.py
@@ -11,8 +11,9 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
-from xxhash import xxh64, xxh64_intdigest
+from xxhash import xxh64
 
+from banyanseam.peers.rendezvous import rank
 from banyanseam.upstreams.const import (
     BYTES_PER_TOKEN,
     MAX_PREFIX_BLOCKS,
@@ -48,19 +49,9 @@
     return tuple(hashes)
 
 
-def rank_by_rendezvous(key: bytes, names: Iterable[str]) -> list[str]:
-    """Return the names, most preferred first; each pair of key and name weighs alone.
-
-    Removing a name moves only what preferred it.
-    """
-    return sorted(
-        names, key=lambda name: (-xxh64_intdigest(key + b"\0" + name.encode()), name)
-    )
-
-
 def prefer(prefix: tuple[int, ...], names: Iterable[str]) -> str | None:
     """Return the name that a prompt nobody has sent yet should go to."""
-    ranked = rank_by_rendezvous(make_rendezvous_key(prefix), names)
+    ranked = rank(names, make_rendezvous_key(prefix))
     return ranked[0] if prefix and ranked else None
 
 
--- a/tests/poison/test_guard.py
+++ b/tests/poison/test_guard.py
@@ -185,13 +185,16 @@
     ):
         await fleet.ask("gulf-1", retries=False)
         await anyio.sleep(1)
-        asker = fleet.guards["delta-1"]
+        # The seat that permits must be another than the one that is behind.
+        permitting = fleet.guards["gulf-1"]._list_homes()[0]
+        name = next(seat for seat in fleet.guards if seat not in ("gulf-1", permitting))
+        asker = fleet.guards[name]
         behind = Suspects()
         behind.apply_section("", fleet.guards["gulf-1"].suspects.section(1.0), 1.0)
         await fleet.ask("gulf-1", retries=False)
         await anyio.sleep(1)
         asker.suspects = behind
-        self.assertIsInstance(await fleet.ask("delta-1"), PoisonRefused)
+        self.assertIsInstance(await fleet.ask(name), PoisonRefused)
         self.assertEqual(sum(engines.kills.values()), 2)
 
     @with_fleet
--- a/tests/upstreams/test_choose.py
+++ b/tests/upstreams/test_choose.py
@@ -2,6 +2,7 @@
 import unittest
 from dataclasses import replace
 
+from banyanseam.peers.rendezvous import rank
 from banyanseam.upstreams.choose import (
     Candidate,
     LocalPool,
@@ -22,7 +23,7 @@
 from banyanseam.upstreams.kept_pool import KeptPool
 from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, Outcome, PoolRow
 from banyanseam.upstreams.pools import list_pools
-from banyanseam.upstreams.prefix import PrefixTable, hash_prefix, rank_by_rendezvous
+from banyanseam.upstreams.prefix import PrefixTable, hash_prefix
 from banyanseam.upstreams.regions import Regions, make_section_writer
 from tests.common import make_config
 
@@ -207,8 +208,8 @@
     def test_lost_name_moves_only_its_own(self):
         names = [f"engine-{number}" for number in range(8)]
         keys = [str(number).encode() for number in range(500)]
-        before = {key: rank_by_rendezvous(key, names)[0] for key in keys}
-        after = {key: rank_by_rendezvous(key, names[1:])[0] for key in keys}
+        before = {key: rank(names, key)[0] for key in keys}
+        after = {key: rank(names[1:], key)[0] for key in keys}
         moved = [key for key in keys if before[key] != after[key]]
         self.assertTrue(all(before[key] == names[0] for key in moved))
 
