--- a/banyanseam/pipe/const.py
+++ b/banyanseam/pipe/const.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 VIA_NAME: Final = "banyanseam"
-REQUEST_ID_HEADER: Final = b"x-request-id"
 # The prompt estimate is an upper one: few tokenizers go below three bytes a token.
 BYTES_PER_TOKEN: Final = 3
 TOKENS_PER_MESSAGE: Final = 8
--- a/banyanseam/pipe/errors.py
+++ b/banyanseam/pipe/errors.py
@@ -93,15 +93,6 @@
     not_run = True
 
 
-class AnswerInterrupted(BanyanseamError):
-    """The answer broke off after the caller had got a part of it."""
-
-    code = "answer.interrupted"
-    event = 1308
-    status = 502
-    title = "The answer broke off"
-
-
 class BodyTooLarge(BanyanseamError):
     """The body is larger than any route takes."""
 
