Never let a forward unsay that an earlier try started

Cause: reading for 'can a refusal say not run after a byte went to an upstream' showed one way: a first try starts and fails, the retry is forwarded, and the forward's own outcome (not reached, or refused there) overwrote upstream_started. Change: the forward keeps what was true before it. Before: test_a_forward_never_unsays_that_an_earlier_try_started failed in both ways. After: it passes.

--- a/banyanseam/pipe/forward.py
+++ b/banyanseam/pipe/forward.py
@@ -64,17 +64,19 @@
         incoming = self._streams[number] = Incoming(seat)
         opened = False
         ended = False
+        # An earlier try may have started; what this one learns cannot unsay that.
+        was_started = exchange.upstream_started
         try:
             exchange.upstream_started = True
             try:
                 await self._network.cast(seat, _make_open(exchange, number))
             except PeerUnreachable:
-                exchange.upstream_started = False
+                exchange.upstream_started = was_started
                 raise
             except PeerCallLost as error:
                 raise ForwardLost(seat) from error
             opened = True
-            await self._relay(exchange, incoming, number)
+            await self._relay(exchange, incoming, number, was_started)
             ended = True
         except ForwardFailed:
             ended = True
@@ -86,7 +88,9 @@
             if opened and not ended:
                 await self._cancel(seat, number)
 
-    async def _relay(self, exchange: Exchange, incoming: Incoming, number: int) -> None:
+    async def _relay(
+        self, exchange: Exchange, incoming: Incoming, number: int, was_started: bool
+    ) -> None:
         unacknowledged_bytes = 0
         async for message in incoming.receive:
             if isinstance(message, ForwardHead):
@@ -98,7 +102,7 @@
                     await self._grant(incoming.seat, number, unacknowledged_bytes)
                     unacknowledged_bytes = 0
             else:
-                _finish(exchange, message)
+                _finish(exchange, message, was_started)
                 return
         raise ForwardLost(incoming.seat)
 
@@ -140,8 +144,8 @@
     )
 
 
-def _finish(exchange: Exchange, end: ForwardEnd) -> None:
-    exchange.upstream_started = end.upstream_started
+def _finish(exchange: Exchange, end: ForwardEnd, was_started: bool) -> None:
+    exchange.upstream_started = was_started or end.upstream_started
     exchange.upstream = end.upstream
     exchange.usage = Usage(end.prompt_tokens, end.output_tokens, end.cached_tokens)
     if end.outcome == "failed":
