--- a/banyanseam/daemon/app.py
+++ b/banyanseam/daemon/app.py
@@ -62,7 +62,7 @@
             callers = await self._start_serving(tasks)
             if callers is not None:
                 await self._wait_for_end()
-                await self.quota.home.return_loans()
+                await self._hand_over()
                 callers.should_exit = True
             operators.should_exit = True
             tasks.cancel_scope.cancel()
@@ -126,6 +126,11 @@
             ends.start_soon(drain_when_wanted)
             ends.start_soon(finish_when_superseded)
 
+    async def _hand_over(self) -> None:
+        await self.quota.home.return_loans()
+        if self.serving is not None and not self._superseded.is_set():
+            await self.serving.idempotency.stop()
+
     def _make_callers_app(self, serving: Serving, budget: ByteBudget) -> Asgi:
         control = self.view.control
         routes = {
--- a/banyanseam/daemon/idempotency_parts.py
+++ b/banyanseam/daemon/idempotency_parts.py
@@ -7,9 +7,16 @@
 from banyanseam.config.compiled import Config
 from banyanseam.daemon.fleet_view import FleetView
 from banyanseam.idempotency.client import HomeClient
-from banyanseam.idempotency.home import Home
+from banyanseam.idempotency.handover import (
+    hand_over,
+    make_restart,
+    serve_homes,
+    take_over,
+)
+from banyanseam.idempotency.homes import Homes
 from banyanseam.idempotency.mapping import make_mapping
 from banyanseam.idempotency.tickets import TicketDesk
+from banyanseam.peers.network import PeerNetwork
 from banyanseam.pipe.forward import Forwarder
 from banyanseam.pipe.idempotency import run_at_most_once
 from banyanseam.pipe.models import Filter
@@ -20,12 +27,20 @@
     """This process as a home of keys and an issuer of tickets."""
 
     desk: TicketDesk
-    home: Home
+    homes: Homes
+    client: HomeClient
+    network: PeerNetwork
     filter_: Filter
 
     def start(self, tasks: TaskGroup) -> None:
-        """Start the loops."""
-        tasks.start_soon(self.home.run)
+        """Start the loops, and take the keys of this seat back."""
+        tasks.start_soon(self.homes.run)
+        tasks.start_soon(take_over, self.homes, self.network)
+
+    async def stop(self) -> None:
+        """Hand over what this process knows; call it when no request runs."""
+        await self.client.wait_reported()
+        await hand_over(self.homes, self.network, self.network.me)
 
 
 def make_idempotency_parts(
@@ -35,21 +50,22 @@
     me = view.network.me
     secret = view.settings.fleet_secret.get_secret_value().encode()
     desk = TicketDesk(me.seat, me.incarnation, secret)
-    home = Home(me.seat)
-    home.serve(view.network)
-    client = HomeClient(me, home, view.network, tasks.start_soon)
+    homes = Homes(me)
+    serve_homes(homes, view.network)
+    client = HomeClient(me, homes, view.network, tasks.start_soon)
 
     def adopt(config: Config) -> None:
-        home.adopt(make_mapping(config))
+        homes.adopt(make_mapping(config))
 
     def lose_older(seat: str, incarnation: int) -> None:
-        home.lose_process(seat, incarnation - 1)
+        homes.hear_of_process(seat, incarnation)
+        homes.lose_process(seat, incarnation - 1)
 
     adopt(view.get_config())
     view.store.on_adopted(adopt)
-    view.control.freeze.on_restart(lambda _: home.begin_anew())
+    view.control.freeze.on_restart(make_restart(homes, view.network, tasks.start_soon))
     view.membership.on_new_process(lose_older)
     filter_ = run_at_most_once(
-        me, desk, home, client, forwarder.forward, view.find_region
+        me, desk, homes, client, forwarder.forward, view.find_region
     )
-    return IdempotencyParts(desk, home, filter_)
+    return IdempotencyParts(desk, homes, client, view.network, filter_)
--- a/banyanseam/idempotency/client.py
+++ b/banyanseam/idempotency/client.py
@@ -1,7 +1,8 @@
 """The entry's side: claim a key at its home, and tell the home how the run ended."""
 
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -21,6 +22,7 @@
 )
 from banyanseam.idempotency.errors import HomeUnreachable, NotHome
 from banyanseam.idempotency.home import Home
+from banyanseam.idempotency.homes import Homes
 from banyanseam.idempotency.messages import (
     AnswerBody,
     ClaimKey,
@@ -31,6 +33,7 @@
     ReleaseKey,
 )
 from banyanseam.idempotency.models import Claim, End, Scope, State, Verdict
+from banyanseam.idempotency.standbys import list_standbys
 from banyanseam.peers.contract import Network
 from banyanseam.peers.errors import (
     InvalidPeerMessage,
@@ -41,6 +44,7 @@
 from banyanseam.peers.messages import Message, PeerIdentity
 
 Reply = TypeVar("Reply", bound=Message)
+Result = TypeVar("Result")
 _ERRORS_BY_CODE = {
     value.code: value
     for value in vars(errors).values()
@@ -58,7 +62,7 @@
     claim_id: bytes
     received_s: float
     deadline_s: float
-    # The seat that was asked last; the end of the run is told to it.
+    # The home seat that was asked last; the end of the run is told to it.
     home_seat: str = ""
     # True while a claim may have been granted without this entry knowing.
     may_be_granted: bool = False
@@ -92,15 +96,19 @@
     def __init__(
         self,
         me: PeerIdentity,
-        home: Home,
+        homes: Homes,
         network: Network,
         start_soon: Callable[..., Any],
     ) -> None:
-        """Take this process's own home, and where to start what goes on by itself."""
+        """Take this process's homes, and where to start what goes on by itself."""
         self._me = me
-        self._home = home
+        self._homes = homes
         self._network = network
         self._start_soon = start_soon
+        # Which seat answered last for a home: itself or one of its standbys.
+        self._holders: dict[str, str] = {}
+        self._pending_reports = 0
+        self._report_ended = anyio.Event()
 
     async def acquire(self, wish: Wish) -> Verdict:
         """Return a granted verdict or the answer of the run that came first.
@@ -128,11 +136,17 @@
         """Tell the home how the run ended, again and again until it has noted it."""
         if end.answer and end.answer.size_bytes() > MAX_ANSWER_BYTES:
             end = End(True)
-        if wish.home_seat == self._me.seat:
-            self._home.finish(wish.scope, wish.claim_id, end)
+        with suppress(NotHome):
+            self._homes.find(wish.home_seat).finish(wish.scope, wish.claim_id, end)
             return
+        self._pending_reports += 1
         self._start_soon(self._report, wish, end)
 
+    async def wait_reported(self) -> None:
+        """Return when every end of a run is noted by its home or given up."""
+        while self._pending_reports:
+            await self._report_ended.wait()
+
     async def release(self, wish: Wish) -> bool:
         """Free a key under which nothing was sent; True if nobody else may run it."""
         with anyio.move_on_after(RELEASE_TIMEOUT_S, shield=True):
@@ -150,12 +164,20 @@
     async def _try_to_claim(self, wish: Wish) -> Verdict | None:
         """Return the home's verdict, None when it could not be had this time."""
         claim = make_claim(wish, self._me)
-        try:
-            wish.home_seat = self._home.find_home(wish.scope, wish.route)
-            if wish.home_seat == self._me.seat:
-                return await self._home.claim(claim, wish.route)
+
+        async def ask(seat: str) -> Verdict:
             wish.may_be_granted = True
-            reply = await self._ask(wish, _pack(claim, wish.route), KeyClaimed)
+            reply = await self._ask(seat, _pack(claim, wish), KeyClaimed)
+            if reply.state == "granted":
+                return Verdict(State.RUNNING, granted=True)
+            answer = reply.answer.unpack() if reply.answer else None
+            return Verdict(State(reply.state), answer=answer)
+
+        try:
+            wish.home_seat = self._homes.own.find_home(wish.scope, wish.route)
+            verdict = await self._reach(
+                wish.home_seat, lambda home: home.claim(claim, wish.route), ask
+            )
         except PeerCallLost:
             return None
         except (PeerUnreachable, NotHome):
@@ -165,18 +187,40 @@
             wish.may_be_granted = False
             raise
         wish.may_be_granted = False
-        if reply.state == "granted":
-            return Verdict(State.RUNNING, granted=True)
-        answer = reply.answer.unpack() if reply.answer else None
-        return Verdict(State(reply.state), answer=answer)
-
-    async def _ask(
-        self, wish: Wish, message: Message, reply_type: type[Reply]
-    ) -> Reply:
+        return verdict
+
+    async def _reach(
+        self,
+        home_seat: str,
+        act: Callable[[Home], Awaitable[Result]],
+        ask: Callable[[str], Awaitable[Result]],
+    ) -> Result:
+        """Return what the home says, or the standby that acts for it.
+
+        Raise PeerUnreachable or NotHome when none of them is there.
+        """
+        failure: BanyanseamError = NotHome(f"nobody acts for {home_seat}")
+        for seat in self._list_holders(home_seat):
+            try:
+                if seat == self._me.seat:
+                    result = await act(self._homes.find(home_seat))
+                else:
+                    result = await ask(seat)
+            except (PeerUnreachable, NotHome) as error:
+                failure = error
+                continue
+            self._holders[home_seat] = seat
+            return result
+        raise failure
+
+    def _list_holders(self, home_seat: str) -> list[str]:
+        standbys = list_standbys(self._homes.own.mapping, home_seat)
+        last = self._holders.get(home_seat)
+        return sorted([home_seat, *standbys], key=lambda seat: seat != last)
+
+    async def _ask(self, seat: str, message: Message, reply_type: type[Reply]) -> Reply:
         try:
-            return await self._network.call(
-                wish.home_seat, message, reply_type, CLAIM_TIMEOUT_S
-            )
+            return await self._network.call(seat, message, reply_type, CLAIM_TIMEOUT_S)
         except PeerCallFailed as failure:
             kind = _ERRORS_BY_CODE.get(failure.peer_code)
             if failure.peer_code == InvalidPeerMessage.code:
@@ -187,27 +231,46 @@
             raise kind(retry_after_ms=failure.retry_after_ms) from failure
 
     async def _release(self, wish: Wish) -> bool:
-        if wish.home_seat == self._me.seat:
-            return self._home.release(wish.scope, wish.claim_id)
         message = ReleaseKey(
+            home=wish.home_seat,
             organisation=wish.scope.organisation,
             key=wish.scope.key,
             claim_id=wish.claim_id,
         )
-        return (await self._ask(wish, message, KeyReleased)).alone
+
+        async def act(home: Home) -> bool:
+            return home.release(wish.scope, wish.claim_id)
+
+        async def ask(seat: str) -> bool:
+            return (await self._ask(seat, message, KeyReleased)).alone
+
+        return await self._reach(wish.home_seat, act, ask)
 
     async def _release_at_leisure(self, wish: Wish) -> None:
         await self._persist(lambda: self._release(wish))
 
     async def _report(self, wish: Wish, end: End) -> None:
         message = FinishKey(
+            home=wish.home_seat,
             organisation=wish.scope.organisation,
             key=wish.scope.key,
             claim_id=wish.claim_id,
             is_known=end.is_known,
             answer=AnswerBody.pack(end.answer) if end.answer else None,
         )
-        await self._persist(lambda: self._ask(wish, message, KeyFinished))
+
+        async def act(home: Home) -> bool:
+            return home.finish(wish.scope, wish.claim_id, end)
+
+        async def ask(seat: str) -> bool:
+            return (await self._ask(seat, message, KeyFinished)).noted
+
+        try:
+            await self._persist(lambda: self._reach(wish.home_seat, act, ask))
+        finally:
+            self._pending_reports -= 1
+            self._report_ended.set()
+            self._report_ended = anyio.Event()
 
     async def _persist(self, tell: Callable[[], Any]) -> None:
         """Repeat a message until the home has taken it or patience ends."""
@@ -220,12 +283,13 @@
                 await anyio.sleep(REPORT_PAUSE_S)
 
 
-def _pack(claim: Claim, route: str) -> ClaimKey:
+def _pack(claim: Claim, wish: Wish) -> ClaimKey:
     return ClaimKey(
+        home=wish.home_seat,
         organisation=claim.scope.organisation,
         key=claim.scope.key,
         claim_id=claim.claim_id,
-        route=route,
+        route=wish.route,
         fingerprint=claim.fingerprint,
         run_ms=int(claim.run_s * 1000) + 1,
         age_ms=int(claim.age_s * 1000),
--- a/banyanseam/idempotency/const.py
+++ b/banyanseam/idempotency/const.py
@@ -22,6 +22,26 @@
 # a configuration that it still held.
 KNOWLEDGE_MARGIN_S: Final = CONFIG_SPREAD_S + MAX_STAMP_AHEAD_S + 2 * MAX_CLOCK_SKEW_S
 
+# A home that has stopped as planned is stood in for by one of this many seats.
+STANDBYS: Final = 3
+# A standby acts for this long at most; a home that starts and cannot ask every standby
+# waits as long.
+STANDBY_TERM_S: Final = 300.0
+# A process holds the keys of at most this many other homes.
+MAX_ACTING: Final = 2
+# A stopping home tries this long to hand its keys over.
+HAND_OVER_LIMIT_S: Final = 10.0
+HAND_OVER_TIMEOUT_S: Final = 2.0
+HAND_OVER_PAUSE_S: Final = 0.2
+# A home that has started takes no claims until its standbys have had this long.
+TAKE_OVER_PATIENCE_S: Final = 2.0
+TAKE_OVER_PAUSE_S: Final = 1.0
+# Records that travel in one message, by the memory that they take.
+PAGE_BYTES: Final = 256 * 1024
+MAX_PAGE_RECORDS: Final = 1024
+# How long a standby can repeat keys that it gave back.
+GIVEN_KEPT_S: Final = 60.0
+
 CLAIM_TIMEOUT_S: Final = 2.0
 CLAIM_PATIENCE_S: Final = 4.0
 CLAIM_PAUSE_S: Final = 0.1
--- /dev/null
+++ b/banyanseam/idempotency/handover.py
@@ -0,0 +1,212 @@
+"""Hand a home's keys to a standby at a planned stop, and take them back at a start."""
+
+from collections.abc import Callable
+
+import anyio
+
+from banyanseam.errors import BanyanseamError
+from banyanseam.idempotency.const import (
+    HAND_OVER_LIMIT_S,
+    HAND_OVER_PAUSE_S,
+    HAND_OVER_TIMEOUT_S,
+    STANDBY_TERM_S,
+    TAKE_OVER_PATIENCE_S,
+    TAKE_OVER_PAUSE_S,
+)
+from banyanseam.idempotency.handover_messages import (
+    KeysOffered,
+    KeysPage,
+    KeysTaken,
+    OfferKeys,
+    TakeKeys,
+)
+from banyanseam.idempotency.homes import Homes
+from banyanseam.idempotency.messages import (
+    AnswerBody,
+    ClaimKey,
+    FinishKey,
+    KeyClaimed,
+    KeyFinished,
+    KeyReleased,
+    ReleaseKey,
+)
+from banyanseam.idempotency.models import Claim, End
+from banyanseam.idempotency.standbys import list_standbys
+from banyanseam.idempotency.transfer import Snapshot, make_page, read_pages
+from banyanseam.observe.events import (
+    KEYS_HANDED_OVER,
+    KEYS_NOT_HANDED_OVER,
+    KEYS_TAKEN_OVER,
+    STANDBYS_SILENT,
+    log,
+)
+from banyanseam.peers.contract import Network
+from banyanseam.peers.errors import PeerCallLost
+from banyanseam.peers.messages import PeerIdentity
+
+
+def serve_homes(homes: Homes, network: Network) -> None:
+    """Answer the claims, reports, offers and takings of peers."""
+
+    async def claim(peer: PeerIdentity, message: ClaimKey) -> KeyClaimed:
+        claim = Claim(
+            message.scope,
+            message.fingerprint,
+            message.claim_id,
+            peer.seat,
+            peer.incarnation,
+            message.run_ms / 1000,
+            message.age_ms / 1000,
+        )
+        verdict = await homes.find(message.home).claim(claim, message.route)
+        if verdict.granted:
+            return KeyClaimed(state="granted")
+        if verdict.answer is None:
+            return KeyClaimed(state="running")
+        return KeyClaimed(state="done", answer=AnswerBody.pack(verdict.answer))
+
+    async def finish(peer: PeerIdentity, message: FinishKey) -> KeyFinished:
+        end = End(message.is_known, message.answer.unpack() if message.answer else None)
+        home = homes.find(message.home)
+        return KeyFinished(noted=home.finish(message.scope, message.claim_id, end))
+
+    async def release(peer: PeerIdentity, message: ReleaseKey) -> KeyReleased:
+        home = homes.find(message.home)
+        return KeyReleased(alone=home.release(message.scope, message.claim_id))
+
+    async def take_offer(peer: PeerIdentity, message: OfferKeys) -> KeysOffered:
+        is_taken = homes.take_page(message.content)
+        return KeysOffered(state="taken" if is_taken else "refused")
+
+    async def give_back(peer: PeerIdentity, message: TakeKeys) -> KeysTaken:
+        return KeysTaken(content=homes.give_page(peer, message.page))
+
+    network.handle_call(ClaimKey, claim)
+    network.handle_call(FinishKey, finish)
+    network.handle_call(ReleaseKey, release)
+    network.handle_call(OfferKeys, take_offer)
+    network.handle_call(TakeKeys, give_back)
+
+
+async def hand_over(homes: Homes, network: Network, me: PeerIdentity) -> None:
+    """Close all homes of this process and find each a standby, within a limit."""
+    mapping = homes.own.mapping
+    snapshots = homes.close(me.incarnation)
+    async with anyio.create_task_group() as tasks:
+        for snapshot in snapshots:
+            standbys = list_standbys(mapping, snapshot.home)
+            others = [seat for seat in standbys if seat != me.seat]
+            tasks.start_soon(_place, snapshot, others, network)
+
+
+async def _place(snapshot: Snapshot, standbys: list[str], network: Network) -> None:
+    with anyio.move_on_after(HAND_OVER_LIMIT_S):
+        for standby in standbys:
+            if await _offer(snapshot, standby, network):
+                log(
+                    KEYS_HANDED_OVER,
+                    home=snapshot.home,
+                    standby=standby,
+                    keys=len(snapshot.records),
+                )
+                return
+    if standbys:
+        log(KEYS_NOT_HANDED_OVER, home=snapshot.home, keys=len(snapshot.records))
+
+
+async def _offer(snapshot: Snapshot, standby: str, network: Network) -> bool:
+    """Say whether the standby acts; False only when it surely does not.
+
+    Where a page was sent and no answer came, no other standby may be asked: this one
+    may have acted, and have given the keys back to a successor by now.
+    """
+    parts = snapshot.split()
+    may_act = False
+    for number in range(len(parts)):
+        while True:
+            page = make_page(snapshot, parts, number, anyio.current_time())
+            try:
+                reply = await network.call(
+                    standby, OfferKeys(content=page), KeysOffered, HAND_OVER_TIMEOUT_S
+                )
+            except PeerCallLost:
+                may_act = True
+            except BanyanseamError:
+                if not may_act:
+                    return False
+            else:
+                if reply.state == "refused":
+                    return may_act
+                break
+            await anyio.sleep(HAND_OVER_PAUSE_S)
+    return True
+
+
+async def take_over(homes: Homes, network: Network) -> None:
+    """Ask every standby for this seat's keys, then open; go on asking silent ones.
+
+    Until each has answered, or one has given back keys of a home that knew, only keys
+    made after a standby's whole term are taken as new.
+    """
+    own = homes.own
+    start = homes.starts
+    silent = set(list_standbys(own.mapping, own.seat))
+    if silent:
+        own.defer(STANDBY_TERM_S)
+
+    async def ask(standby: str) -> None:
+        snapshot = await _take_with_patience(standby, network)
+        if homes.starts != start:
+            # A freeze came between; who was asked before it is asked again.
+            return
+        if snapshot is not None:
+            own.restore(snapshot)
+            log(KEYS_TAKEN_OVER, standby=standby, keys=len(snapshot.records))
+        silent.discard(standby)
+        if not silent:
+            own.confirm()
+            everyone_answered.set()
+
+    everyone_answered = anyio.Event()
+    with anyio.move_on_after(STANDBY_TERM_S):
+        async with anyio.create_task_group() as tasks:
+            for standby in sorted(silent):
+                tasks.start_soon(ask, standby)
+            if silent:
+                with anyio.move_on_after(TAKE_OVER_PATIENCE_S):
+                    await everyone_answered.wait()
+            homes.is_open = True
+            if silent:
+                log(STANDBYS_SILENT, standbys=sorted(silent))
+
+
+async def _take_with_patience(standby: str, network: Network) -> Snapshot | None:
+    while True:
+        try:
+            return await _take(standby, network)
+        except BanyanseamError:
+            await anyio.sleep(TAKE_OVER_PAUSE_S)
+
+
+async def _take(standby: str, network: Network) -> Snapshot | None:
+    pages: list[KeysPage] = []
+    while not pages or len(pages) < pages[0].pages:
+        reply = await network.call(
+            standby, TakeKeys(page=len(pages)), KeysTaken, HAND_OVER_TIMEOUT_S
+        )
+        if reply.content is None:
+            return None
+        pages.append(reply.content)
+    return read_pages(pages, anyio.current_time())
+
+
+def make_restart(
+    homes: Homes, network: Network, start_soon: Callable[..., object]
+) -> Callable[[object], None]:
+    """Return what a freeze calls: trust nothing from before it, and ask again."""
+
+    def restart(_: object) -> None:
+        homes.begin_anew()
+        start_soon(take_over, homes, network)
+
+    return restart
--- a/banyanseam/idempotency/home.py
+++ b/banyanseam/idempotency/home.py
@@ -1,32 +1,26 @@
-"""The home of keys: it grants each key's run once and remembers how it ended."""
+"""The home of keys: it grants each key's run once and remembers how it ended.
+
+A process has one for its own seat and one for each seat that it acts for.
+"""
 
 import time
 from collections.abc import Callable
 
 import anyio
 
-from banyanseam.idempotency.const import POLL_S, RETENTION_S, SWEEP_INTERVAL_S
-from banyanseam.idempotency.errors import OutcomeUnknown, TicketExpired
+from banyanseam.idempotency.const import POLL_S, RETENTION_S
+from banyanseam.idempotency.errors import NotHome, OutcomeUnknown, TicketExpired
 from banyanseam.idempotency.knowledge import Knowledge
 from banyanseam.idempotency.mapping import Mapping, find_home
 from banyanseam.idempotency.memory import Memory
-from banyanseam.idempotency.messages import (
-    AnswerBody,
-    ClaimKey,
-    FinishKey,
-    KeyClaimed,
-    KeyFinished,
-    KeyReleased,
-    ReleaseKey,
-)
 from banyanseam.idempotency.models import Claim, End, Scope, State, Verdict
+from banyanseam.idempotency.standbys import digest
 from banyanseam.idempotency.tickets import Ticket
-from banyanseam.peers.contract import Network
-from banyanseam.peers.messages import PeerIdentity
+from banyanseam.idempotency.transfer import Snapshot
 
 
 class Home:
-    """Answers claims of this process and of its peers from one memory."""
+    """Answers claims on the keys of one seat from one memory."""
 
     def __init__(
         self,
@@ -35,16 +29,19 @@
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         """Begin with no knowledge; `adopt` puts the first mapping in force."""
+        self.seat = seat
         self.memory = memory or Memory()
+        # Whose tickets this memory covers, and how far their clocks are behind.
+        self.issuer_offsets_s: dict[int, float] = {}
+        self.is_closed = False
         self._knowledge = Knowledge(seat)
         self._wall_clock = wall_clock
         self._changed: dict[Scope, anyio.Event] = {}
 
-    def serve(self, network: Network) -> None:
-        """Answer the claims and reports of peers."""
-        network.handle_call(ClaimKey, self._on_claim)
-        network.handle_call(FinishKey, self._on_finish)
-        network.handle_call(ReleaseKey, self._on_release)
+    @property
+    def mapping(self) -> Mapping:
+        """Return the mapping in force; raise NotHome before the first one."""
+        return self._knowledge.mapping
 
     def adopt(self, mapping: Mapping) -> None:
         """Put a mapping in force."""
@@ -54,18 +51,56 @@
         """Take no key from before now as new; call it after a freeze."""
         self._knowledge.begin_anew(anyio.current_time(), self._wall_clock())
 
+    def defer(self, term_s: float) -> None:
+        """Take no key made within a term as new, until `confirm`."""
+        self._knowledge.defer(term_s, anyio.current_time(), self._wall_clock())
+
+    def confirm(self) -> None:
+        """Note that no other process acts for this home."""
+        self._knowledge.confirm()
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Take over what a predecessor or its standby knew."""
+        now_s = anyio.current_time()
+        for record in snapshot.records:
+            self.memory.load(record)
+        self.memory.floor_s = max(self.memory.floor_s, snapshot.floor_s)
+        self.issuer_offsets_s |= snapshot.issuer_offsets_s
+        known_s = now_s - snapshot.known_since_s
+        if known_s >= 0 and digest(self.mapping) == snapshot.mapping_digest:
+            self._knowledge.extend(known_s, now_s, self._wall_clock())
+
+    def close(self, incarnation: int, stopped_wall_s: float | None = None) -> Snapshot:
+        """Answer nothing more, and return all that is known.
+
+        `incarnation` is the process of this seat that stopped, `stopped_wall_s` when,
+        by default now.
+        """
+        self.is_closed = True
+        for scope in list(self._changed):
+            self._wake(scope)
+        now_s, wall_s = anyio.current_time(), self._wall_clock()
+        return Snapshot(
+            self.seat,
+            incarnation,
+            digest(self.mapping),
+            now_s - self._knowledge.known_s(now_s),
+            wall_s if stopped_wall_s is None else stopped_wall_s,
+            self.memory.floor_s,
+            dict(self.issuer_offsets_s),
+            self.memory.list_records(),
+        )
+
     def find_home(self, scope: Scope, route: str) -> str:
         """Return the home seat of a key under the mapping in force."""
         return find_home(self._knowledge.mapping, scope, route)
 
-    async def run(self) -> None:
-        """Forget what has passed its retention, for ever."""
-        while True:
-            await anyio.sleep(SWEEP_INTERVAL_S)
-            self.memory.sweep(anyio.current_time(), self._wall_clock())
-            for scope in list(self._changed):
-                if self.memory.find(scope) is None:
-                    self._wake(scope)
+    def sweep(self) -> None:
+        """Forget what has passed its retention."""
+        self.memory.sweep(anyio.current_time(), self._wall_clock())
+        for scope in list(self._changed):
+            if self.memory.find(scope) is None:
+                self._wake(scope)
 
     def lose_process(self, seat: str, incarnation: int) -> None:
         """Stop waiting for runs of a process that is known to be gone."""
@@ -81,13 +116,18 @@
         return await self._wait(claim, lambda: self._claim_ticket_once(claim, ticket))
 
     def finish(self, scope: Scope, claim_id: bytes, end: End) -> bool:
-        """Note how a run ended; say whether the key is still remembered."""
+        """Note how a run ended; say whether the key is still remembered.
+
+        Raise NotHome once closed, as `claim` and `release` do.
+        """
+        self._check_open()
         noted = self.memory.finish(scope, claim_id, end, anyio.current_time())
         self._wake(scope)
         return noted
 
     def release(self, scope: Scope, claim_id: bytes) -> bool:
         """Free a key that did not run; say whether nobody else asked for it."""
+        self._check_open()
         alone = self.memory.release(scope, claim_id, anyio.current_time())
         self._wake(scope)
         return alone
@@ -95,6 +135,7 @@
     async def _wait(self, claim: Claim, ask: Callable[[], Verdict]) -> Verdict:
         until_s = anyio.current_time() + POLL_S
         while True:
+            self._check_open()
             verdict = ask()
             if verdict.granted or verdict.state is State.DONE:
                 return verdict
@@ -104,6 +145,10 @@
             if anyio.current_time() >= until_s:
                 return verdict
 
+    def _check_open(self) -> None:
+        if self.is_closed:
+            raise NotHome(f"{self.seat} has handed its keys over")
+
     def _claim_once(self, claim: Claim, route: str) -> Verdict:
         now_s = anyio.current_time()
         if self.memory.find(claim.scope) is not None:
@@ -115,7 +160,8 @@
 
     def _claim_ticket_once(self, claim: Claim, ticket: Ticket) -> Verdict:
         now_s = anyio.current_time()
-        expires_s = ticket.expires_ms / 1000
+        offset_s = self.issuer_offsets_s.get(ticket.incarnation, 0.0)
+        expires_s = ticket.expires_ms / 1000 + offset_s
         if now_s < expires_s or self.memory.find(claim.scope) is not None:
             return self.memory.claim(claim, now_s, keep_until_s=expires_s + RETENTION_S)
         if now_s < expires_s + RETENTION_S:
@@ -127,30 +173,3 @@
         changed = self._changed.pop(scope, None)
         if changed is not None:
             changed.set()
-
-    async def _on_claim(self, peer: PeerIdentity, message: ClaimKey) -> KeyClaimed:
-        claim = Claim(
-            message.scope,
-            message.fingerprint,
-            message.claim_id,
-            peer.seat,
-            peer.incarnation,
-            message.run_ms / 1000,
-            message.age_ms / 1000,
-        )
-        verdict = await self.claim(claim, message.route)
-        if verdict.granted:
-            return KeyClaimed(state="granted")
-        if verdict.answer is None:
-            return KeyClaimed(state="running")
-        return KeyClaimed(state="done", answer=AnswerBody.pack(verdict.answer))
-
-    async def _on_finish(self, peer: PeerIdentity, message: FinishKey) -> KeyFinished:
-        answer = message.answer.unpack() if message.answer else None
-        end = End(message.is_known, answer)
-        noted = self.finish(message.scope, message.claim_id, end)
-        return KeyFinished(noted=noted)
-
-    async def _on_release(self, peer: PeerIdentity, message: ReleaseKey) -> KeyReleased:
-        alone = self.release(message.scope, message.claim_id)
-        return KeyReleased(alone=alone)
--- a/banyanseam/idempotency/knowledge.py
+++ b/banyanseam/idempotency/knowledge.py
@@ -46,6 +46,8 @@
         """Begin knowing nothing; `adopt` begins the first period."""
         self.seat = seat
         self._periods: list[_Period] = []
+        # Until then a standby that cannot be asked may act for this home.
+        self._deferred_s = self._deferred_wall_s = float("-inf")
 
     @property
     def mapping(self) -> Mapping:
@@ -67,6 +69,29 @@
         if self._periods:
             self._periods = [_Period(self.mapping, now_s, wall_s)]
 
+    def defer(self, term_s: float, now_s: float, wall_s: float) -> None:
+        """Trust nothing that is made within a term, until `confirm`."""
+        self._deferred_s, self._deferred_wall_s = now_s + term_s, wall_s + term_s
+
+    def confirm(self) -> None:
+        """Note that no other process acts for this home."""
+        self._deferred_s = self._deferred_wall_s = float("-inf")
+
+    def extend(self, known_s: float, now_s: float, wall_s: float) -> None:
+        """Trust what was made since a predecessor began, `known_s` before now.
+
+        Only for the mapping in force: the predecessor has handed over all it knew.
+        """
+        self._periods = [_Period(self.mapping, now_s - known_s, wall_s - known_s)]
+        self.confirm()
+
+    def known_s(self, now_s: float) -> float:
+        """Return since how long all is known under the mapping in force.
+
+        Negative while another process may act for this home.
+        """
+        return now_s - max(self._periods[-1].since_s, self._deferred_s)
+
     def check(
         self, scope: Scope, route: str, now_s: float, wall_s: float
     ) -> float | None:
@@ -79,7 +104,8 @@
         period = self._find_first_period(scope, route)
         stamp_s = read_stamp(scope.key)
         if stamp_s is None:
-            known_s = period.since_s + RETENTION_S + KNOWLEDGE_MARGIN_S
+            since_s = max(period.since_s, self._deferred_s)
+            known_s = since_s + RETENTION_S + KNOWLEDGE_MARGIN_S
             if now_s < known_s:
                 raise HomeIsNew(retry_after_ms=int((known_s - now_s) * 1000) + 1)
             return None
@@ -87,7 +113,12 @@
             raise KeyStampedInFuture
         # A clock that was behind at the start and is right by now must not move
         # the start into the past.
-        since_wall_s = max(period.since_wall_s, wall_s - (now_s - period.since_s))
+        since_wall_s = max(
+            period.since_wall_s,
+            wall_s - (now_s - period.since_s),
+            self._deferred_wall_s,
+            wall_s - (now_s - self._deferred_s),
+        )
         if stamp_s < since_wall_s + KNOWLEDGE_MARGIN_S:
             raise HomeIsNew
         return stamp_s
--- a/banyanseam/idempotency/memory.py
+++ b/banyanseam/idempotency/memory.py
@@ -55,6 +55,19 @@
         """Return the record of a key, if it is remembered."""
         return self._records.get(scope)
 
+    def list_records(self) -> list[Record]:
+        """Return all records, the oldest first."""
+        return list(self._records.values())
+
+    def load(self, record: Record) -> None:
+        """Keep a predecessor's record, whatever room is left; own ones go first."""
+        scope = record.claim.scope
+        if scope in self._records:
+            return
+        size_bytes, record.size_bytes = record.size_bytes, 0
+        self._records[scope] = record
+        self._grow(record, size_bytes)
+
     def claim(
         self,
         claim: Claim,
--- a/banyanseam/idempotency/messages.py
+++ b/banyanseam/idempotency/messages.py
@@ -38,6 +38,8 @@
 class KeyMessage(Message):
     """What all messages about a key carry."""
 
+    # The home seat by the sender's configuration; a standby acts for more than one.
+    home: ShortText
     organisation: ShortText
     key: str = Field(min_length=1, max_length=MAX_KEY_LENGTH)
     claim_id: ClaimId
--- a/banyanseam/idempotency/tickets.py
+++ b/banyanseam/idempotency/tickets.py
@@ -80,10 +80,6 @@
             raise TicketInvalid
         return ticket
 
-    def is_mine(self, ticket: Ticket) -> bool:
-        """Say whether this very process issued the ticket."""
-        return (ticket.seat, ticket.incarnation) == (self.seat, self.incarnation)
-
     def _write(self, ticket: Ticket) -> str:
         payload = cbor2.dumps(
             [
--- /dev/null
+++ b/banyanseam/idempotency/transfer.py
@@ -0,0 +1,127 @@
+"""Turn a home's records into pages and back; pure."""
+
+from dataclasses import dataclass, field
+
+from banyanseam.idempotency.const import MAX_PAGE_RECORDS, PAGE_BYTES
+from banyanseam.idempotency.handover_messages import KeysPage, RecordBody
+from banyanseam.idempotency.messages import AnswerBody
+from banyanseam.idempotency.models import Claim, Record, Scope, State
+
+
+@dataclass(slots=True)
+class Snapshot:
+    """What a stopped home knew: it changes no more.
+
+    Times are on the clock of the process that holds it.
+    """
+
+    home: str
+    # The process that stopped.
+    incarnation: int
+    mapping_digest: bytes
+    known_since_s: float
+    stopped_wall_s: float
+    floor_s: float
+    # By how much each issuer's clock is behind the holder's.
+    issuer_offsets_s: dict[int, float]
+    records: list[Record] = field(default_factory=list)
+
+    def split(self) -> list[list[Record]]:
+        """Return the records in parts that fit a message each, at least one part."""
+        parts: list[list[Record]] = [[]]
+        size_bytes = 0
+        for record in self.records:
+            size_bytes += record.size_bytes
+            if size_bytes > PAGE_BYTES or len(parts[-1]) == MAX_PAGE_RECORDS:
+                parts.append([])
+                size_bytes = record.size_bytes
+            parts[-1].append(record)
+        return parts
+
+
+def make_page(
+    snapshot: Snapshot, parts: list[list[Record]], number: int, now_s: float
+) -> KeysPage:
+    """Return one page of an snapshot as it leaves now."""
+    return KeysPage(
+        home=snapshot.home,
+        incarnation=snapshot.incarnation,
+        page=number,
+        pages=len(parts),
+        mapping_digest=snapshot.mapping_digest,
+        known_ms=int((now_s - snapshot.known_since_s) * 1000),
+        stopped_wall_s=snapshot.stopped_wall_s,
+        floor_s=snapshot.floor_s,
+        issuer_clocks_ms={
+            incarnation: int((now_s - offset_s) * 1000)
+            for incarnation, offset_s in snapshot.issuer_offsets_s.items()
+        },
+        records=[pack_record(record, now_s) for record in parts[number]],
+    )
+
+
+def read_pages(pages: list[KeysPage], now_s: float) -> Snapshot:
+    """Return the snapshot of whole pages, on the clock of the process that reads."""
+    last = pages[-1]
+    return Snapshot(
+        last.home,
+        last.incarnation,
+        last.mapping_digest,
+        now_s - last.known_ms / 1000,
+        last.stopped_wall_s,
+        last.floor_s,
+        {
+            issuer: now_s - clock_ms / 1000
+            for issuer, clock_ms in last.issuer_clocks_ms.items()
+        },
+        [unpack_record(body, now_s) for page in pages for body in page.records],
+    )
+
+
+def pack_record(record: Record, now_s: float) -> RecordBody:
+    """Return the message form of a record."""
+    claim = record.claim
+    is_freed = record.freed_s > float("-inf")
+    return RecordBody(
+        organisation=claim.scope.organisation,
+        key=claim.scope.key,
+        claim_id=claim.claim_id,
+        fingerprint=claim.fingerprint,
+        seat=claim.seat,
+        incarnation=claim.incarnation,
+        run_ms=int(claim.run_s * 1000) + 1,
+        run_left_ms=int((record.run_until_s - now_s) * 1000) + 1,
+        state=record.state.value,
+        answer=AnswerBody.pack(record.answer) if record.answer else None,
+        freed_age_ms=int((now_s - record.freed_s) * 1000) if is_freed else None,
+        others_asked=record.others_asked,
+        stamp_s=record.stamp_s,
+        keep_left_ms=int((record.keep_until_s - now_s) * 1000) + 1,
+        size_bytes=record.size_bytes,
+    )
+
+
+def unpack_record(body: RecordBody, now_s: float) -> Record:
+    """Return the record; what the way took makes it last longer, never less."""
+    claim = Claim(
+        Scope(body.organisation, body.key),
+        body.fingerprint,
+        body.claim_id,
+        body.seat,
+        body.incarnation,
+        body.run_ms / 1000,
+    )
+    freed_s = float("-inf")
+    if body.freed_age_ms is not None:
+        freed_s = now_s - body.freed_age_ms / 1000
+    return Record(
+        claim,
+        run_until_s=now_s + body.run_left_ms / 1000,
+        state=State(body.state),
+        answer=body.answer.unpack() if body.answer else None,
+        freed_s=freed_s,
+        others_asked=body.others_asked,
+        stamp_s=body.stamp_s,
+        keep_until_s=now_s + body.keep_left_ms / 1000,
+        size_bytes=body.size_bytes,
+    )
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -43,6 +43,15 @@
 KEEPER_CHANGED: Final = Event(6001, "INFO", "A pool of upstreams changed its keeper")
 UPSTREAM_POLL_FAILED: Final = Event(6002, "WARNING", "An upstream did not report load")
 
+KEYS_HANDED_OVER: Final = Event(2010, "INFO", "A standby acts for this home of keys")
+KEYS_NOT_HANDED_OVER: Final = Event(
+    2011, "WARNING", "No standby took the keys of a home that stops"
+)
+KEYS_TAKEN_OVER: Final = Event(2012, "INFO", "The keys of this home were taken over")
+STANDBYS_SILENT: Final = Event(
+    2013, "WARNING", "A standby does not say whether it acts for this home"
+)
+
 QUOTA_RESTARTED: Final = Event(
     7001, "WARNING", "Quota parts are withheld after a suspension"
 )
--- a/banyanseam/pipe/idempotency.py
+++ b/banyanseam/pipe/idempotency.py
@@ -15,6 +15,7 @@
     OutcomeUnknown,
 )
 from banyanseam.idempotency.home import Home
+from banyanseam.idempotency.homes import Homes
 from banyanseam.idempotency.models import End, Scope, State, Verdict
 from banyanseam.idempotency.tickets import Ticket, TicketDesk, is_ticket
 from banyanseam.peers.errors import PeerCallLost, PeerUnreachable
@@ -89,7 +90,7 @@
 def run_at_most_once(
     me: PeerIdentity,
     desk: TicketDesk,
-    home: Home,
+    homes: Homes,
     client: HomeClient,
     run_elsewhere: RunElsewhere,
     find_region: FindRegion,
@@ -111,12 +112,12 @@
 
     async def use_ticket(exchange: Exchange, next_: Next, key: str) -> None:
         ticket = desk.read(key, find_organisation(exchange))
-        issuer = PeerIdentity(ticket.seat, ticket.incarnation)
-        if desk.is_mine(ticket):
-            keeper = TicketKeeper(me, home, ticket)
+        if homes.covers(ticket):
+            keeper = TicketKeeper(me, homes.own, ticket)
             name = TICKET_PREFIX + ticket.ticket_id.hex()
             await run_claimed(exchange, next_, keeper, name)
-        elif exchange.forwarder == issuer:
+        elif exchange.forwarder and exchange.forwarder.seat == ticket.seat:
+            # The issuer, or its successor with its records, holds the claim.
             await next_(exchange)
         elif exchange.forwarder is not None or ticket.seat == me.seat:
             raise IssuerGone
--- a/tests/idempotency/fleet.py
+++ b/tests/idempotency/fleet.py
@@ -8,7 +8,8 @@
 
 from banyanseam.errors import BanyanseamError
 from banyanseam.idempotency.client import HomeClient
-from banyanseam.idempotency.home import Home
+from banyanseam.idempotency.handover import hand_over, serve_homes, take_over
+from banyanseam.idempotency.homes import Homes
 from banyanseam.idempotency.mapping import find_home, make_mapping
 from banyanseam.idempotency.models import Scope
 from banyanseam.idempotency.tickets import TicketDesk
@@ -77,24 +78,28 @@
         self.fleet = fleet
         self.me = PeerIdentity(seat, incarnation)
         self.network = fleet.fabric.join(seat, incarnation)
-        self.home = Home(seat, wall_clock=lambda: EPOCH_S + anyio.current_time())
-        self.home.serve(self.network)
-        self.home.adopt(make_mapping(fleet.config))
+        wall_clock = lambda: EPOCH_S + anyio.current_time()  # noqa: E731
+        self.homes = Homes(self.me, wall_clock)
+        self.home = self.homes.own
+        serve_homes(self.homes, self.network)
+        self.homes.adopt(make_mapping(fleet.config))
         self.desk = TicketDesk(seat, incarnation, b"a secret of the fleet")
 
     async def run(self, *, task_status):
         async with anyio.create_task_group() as self.tasks:
-            client = HomeClient(self.me, self.home, self.network, self.tasks.start_soon)
+            start_soon = self.tasks.start_soon
+            client = HomeClient(self.me, self.homes, self.network, start_soon)
             seats = self.fleet.config.seats
             self.filter = run_at_most_once(
                 self.me,
                 self.desk,
-                self.home,
+                self.homes,
                 client,
                 self.run_elsewhere,
                 lambda seat: seats[seat].region if seat in seats else None,
             )
-            self.tasks.start_soon(self.home.run)
+            start_soon(self.homes.run)
+            start_soon(take_over, self.homes, self.network)
             task_status.started()
             await anyio.sleep_forever()
 
@@ -135,7 +140,14 @@
         gone.tasks.cancel_scope.cancel()
         del self.fabric.networks[seat]
         for entry in self.entries.values():
-            entry.home.lose_process(seat, gone.me.incarnation)
+            entry.homes.lose_process(seat, gone.me.incarnation)
+
+    async def stop(self, seat):
+        """Stop as planned, once no request runs."""
+        entry = self.entries[seat]
+        await hand_over(entry.homes, entry.network, entry.me)
+        if self.entries.get(seat) is entry:
+            self.kill(seat)
 
     async def restart(self, seat):
         if seat in self.entries:
--- a/tests/idempotency/test_at_most_once.py
+++ b/tests/idempotency/test_at_most_once.py
@@ -267,7 +267,7 @@
         home = fleet.home_of(key)
         known = fleet.make_key_at(home)
         await fleet.ask("gulf-1", known)
-        fleet.entries[home].home.begin_anew()
+        fleet.entries[home].homes.begin_anew()
         entry = pick(fleet, home)
         self.assertIsInstance((await fleet.ask(entry, key)).error, HomeIsNew)
         self.assert_booked(await fleet.ask(entry, known), replayed=True)
@@ -323,7 +323,7 @@
         self.assertGreater(len(moved), 5)
         await fleet.ask("gulf-4", moved[-1])
         for name in ("gulf-1", "delta-1"):
-            fleet.entries[name].home.adopt(make_mapping(fleet.config))
+            fleet.entries[name].homes.adopt(make_mapping(fleet.config))
         for key in moved:
             for seat in ("gulf-1", "gulf-2", "delta-1"):
                 await fleet.ask(seat, key)
@@ -339,7 +339,7 @@
         behind = pick(fleet, fleet.home_of(key))
         for entry in fleet.entries.values():
             if entry.me.seat != behind:
-                entry.home.adopt(make_mapping(fleet.config))
+                entry.homes.adopt(make_mapping(fleet.config))
         await anyio.sleep(50)
         receipt = await fleet.ask(behind, key)
         self.assertIsInstance(receipt.error, HomeUnreachable)
@@ -354,7 +354,7 @@
         smaller = make_clinic_config(version=2)
         del smaller.seats[old]
         for entry in fleet.entries.values():
-            entry.home.adopt(make_mapping(smaller))
+            entry.homes.adopt(make_mapping(smaller))
         receipt = await fleet.ask("delta-1", key)
         self.assertIsInstance(receipt.error, HomeIsNew)
 
@@ -422,7 +422,7 @@
         organisation = fleet.config.organisations["acme"]
         object.__setattr__(organisation, "regions", frozenset({"delta"}))
         for entry in fleet.entries.values():
-            entry.home.adopt(make_mapping(fleet.config))
+            entry.homes.adopt(make_mapping(fleet.config))
         regional = await fleet.ask("delta-1", "gulf:" + make_key(SETTLED_S))
         self.assertIsInstance(regional.error, KeyRegionExcluded)
         passed_on = await fleet.ask("delta-1", ticket)
--- a/tests/idempotency/test_client.py
+++ b/tests/idempotency/test_client.py
@@ -3,7 +3,7 @@
 import anyio
 
 from banyanseam.idempotency.client import HomeClient, make_wish
-from banyanseam.idempotency.home import Home
+from banyanseam.idempotency.homes import Homes
 from banyanseam.idempotency.mapping import make_mapping
 from banyanseam.idempotency.messages import KeyClaimed
 from banyanseam.idempotency.models import Scope
@@ -30,13 +30,13 @@
 class ClientTests(unittest.TestCase):
     def test_a_claim_waits_for_a_home_that_has_just_started(self):
         async def run():
-            home = Home("elsewhere")
-            home.adopt(make_mapping(make_clinic_config()))
+            homes = Homes(PeerIdentity("elsewhere", 1))
+            homes.adopt(make_mapping(make_clinic_config()))
             now_s = anyio.current_time()
             async with anyio.create_task_group() as tasks:
                 client = HomeClient(
                     PeerIdentity("elsewhere", 1),
-                    home,
+                    homes,
                     StartingNetwork(),
                     tasks.start_soon,
                 )
--- a/tests/idempotency/test_faults.py
+++ b/tests/idempotency/test_faults.py
@@ -74,8 +74,10 @@
         elif fault < 0.25:
             fleet.fabric.cut, fleet.fabric.loss = set(), 0
             fleet.fabric.delay_s = 0.001
-        elif fault < 0.27 and seat in fleet.entries:
-            fleet.entries[seat].home.begin_anew()
+        elif fault < 0.29 and seat in fleet.entries:
+            fleet.tasks.start_soon(fleet.stop, seat)
+        elif fault < 0.31 and seat in fleet.entries:
+            fleet.entries[seat].homes.begin_anew()
         else:
             self.send(rng, fleet, keys)
 
--- /dev/null
+++ b/tests/idempotency/test_handover.py
@@ -0,0 +1,245 @@
+import anyio
+
+from banyanseam.idempotency.const import STANDBY_TERM_S, TICKET_LIFE_S
+from banyanseam.idempotency.errors import (
+    HomeIsNew,
+    HomeUnreachable,
+    IssuerGone,
+    TicketExpired,
+)
+from banyanseam.idempotency.handover_messages import OfferKeys
+from banyanseam.idempotency.mapping import make_mapping
+from banyanseam.idempotency.standbys import digest, list_standbys
+from banyanseam.peers.errors import PeerCallLost
+from tests.idempotency.fleet import make_clinic_config, make_key
+from tests.idempotency.test_at_most_once import PromiseCase, with_fleet
+
+HOME = "gulf-1"
+
+
+def make_key_now(fleet):
+    """Return a key stamped now whose home is HOME."""
+    return fleet.make_key_at(HOME)
+
+
+def next_key(fleet, number):
+    """Return one more such key for each number."""
+    stamp_s = anyio.current_time()
+    keys = (make_key(stamp_s, 5000 + one) for one in range(3000))
+    return [key for key in keys if fleet.home_of(key) == HOME][number]
+
+
+def list_acting(fleet):
+    """Return which seats act for HOME."""
+    return [
+        seat for seat, entry in fleet.entries.items() if HOME in entry.homes.acting_for
+    ]
+
+
+def cut_off(fleet, *pairs):
+    """Cut the links between pairs of seats."""
+    fleet.fabric.cut |= {frozenset(pair) for pair in pairs}
+
+
+class HandoverTests(PromiseCase):
+    @with_fleet
+    async def test_a_planned_stop_refuses_no_key_and_forgets_none(self, fleet):
+        before = make_key_now(fleet)
+        self.assert_booked(await fleet.ask("gulf-2", before), replayed=False)
+        await fleet.stop(HOME)
+        self.assertEqual(len(list_acting(fleet)), 1)
+        during = next_key(fleet, 1)
+        for seat in ("gulf-2", "gulf-3", "delta-1"):
+            self.assert_booked(await fleet.ask(seat, before), replayed=True)
+            is_first = seat == "gulf-2"
+            receipt = await fleet.ask(seat, during)
+            self.assert_booked(receipt, replayed=not is_first)
+        await fleet.start(HOME)
+        await anyio.sleep(0.5)
+        self.assertEqual(list_acting(fleet), [])
+        after = next_key(fleet, 2)
+        for seat in (HOME, "gulf-3", "delta-1"):
+            for key in (before, during):
+                self.assert_booked(await fleet.ask(seat, key), replayed=True)
+        self.assert_booked(await fleet.ask("delta-1", after), replayed=False)
+
+    @with_fleet
+    async def test_each_home_of_a_rolling_stop_vouches_at_once(self, fleet):
+        for number, seat in enumerate(sorted(fleet.entries)):
+            await fleet.stop(seat)
+            await fleet.start(seat)
+            key = f"{seat.partition('-')[0]}:{make_key(anyio.current_time(), number)}"
+            self.assert_booked(await fleet.ask("delta-2", key), replayed=False)
+
+    @with_fleet
+    async def test_a_run_that_outlives_its_home_is_told_to_the_standby(self, fleet):
+        key = make_key_now(fleet)
+
+        async def stop_home(exchange):
+            await fleet.stop(HOME)
+
+        for phase in ("sent", "answered"):
+            with self.subTest(phase=phase):
+                key = next_key(fleet, len(phase))
+                fleet.at[phase] = stop_home
+                self.assert_booked(await fleet.ask("gulf-2", key), replayed=False)
+                await anyio.sleep(1)
+                self.assert_booked(await fleet.ask("delta-1", key), replayed=True)
+                await fleet.start(HOME)
+                await anyio.sleep(1)
+                self.assert_booked(await fleet.ask("delta-2", key), replayed=True)
+
+    @with_fleet
+    async def test_a_killed_home_has_no_standby_and_its_successor_is_new(self, fleet):
+        fleet.kill(HOME)
+        self.assertEqual(list_acting(fleet), [])
+        receipt = await fleet.ask("gulf-2", make_key_now(fleet))
+        self.assertIsInstance(receipt.error, HomeUnreachable)
+        await fleet.start(HOME)
+        await anyio.sleep(1)
+        receipt = await fleet.ask("gulf-2", make_key_now(fleet))
+        self.assertIsInstance(receipt.error, HomeIsNew)
+        await anyio.sleep(10)
+        receipt = await fleet.ask("gulf-2", make_key_now(fleet))
+        self.assert_booked(receipt, replayed=False)
+
+    @with_fleet
+    async def test_a_successor_cut_off_from_the_standby_waits_its_term_out(self, fleet):
+        await fleet.stop(HOME)
+        standby = list_acting(fleet)[0]
+        cut_off(fleet, (HOME, standby))
+        await fleet.start(HOME)
+        other = next(seat for seat in ("gulf-2", "gulf-3") if seat != standby)
+        key = make_key_now(fleet)
+        self.assert_booked(await fleet.ask(standby, key), replayed=False)
+        await anyio.sleep(20)
+        for number in range(2, 6):
+            # This entry asks the successor, which does not know what the standby ran.
+            cut_off(fleet, (other, standby))
+            receipt = await fleet.ask(other, key)
+            self.assertIsInstance(receipt.error, HomeIsNew)
+            self.assertFalse(receipt.says_not_run)
+            receipt = await fleet.ask(other, next_key(fleet, number))
+            self.assertIsInstance(receipt.error, HomeIsNew)
+        await anyio.sleep(STANDBY_TERM_S)
+        receipt = await fleet.ask(other, make_key_now(fleet))
+        self.assert_booked(receipt, replayed=False)
+
+    @with_fleet
+    async def test_a_process_between_leaves_nothing_that_is_run_again(self, fleet):
+        """The standby is silent to a first successor, and heard by the second."""
+        await fleet.stop(HOME)
+        standby = list_acting(fleet)[0]
+        cut_off(fleet, (HOME, standby))
+        await fleet.start(HOME)
+        await anyio.sleep(STANDBY_TERM_S + 20)
+        key = make_key_now(fleet)
+        self.assert_booked(await fleet.ask("delta-1", key), replayed=False)
+        await fleet.restart(HOME)
+        fleet.fabric.cut = set()
+        await anyio.sleep(5)
+        receipt = await fleet.ask("delta-1", key)
+        self.assertIsInstance(receipt.error, HomeIsNew)
+
+    @with_fleet
+    async def test_a_lost_answer_makes_no_second_standby(self, fleet):
+        network = fleet.entries[HOME].network
+        call, offered = network.call, []
+
+        async def lose_answers(seat, message, reply_type, timeout_s):
+            reply = await call(seat, message, reply_type, timeout_s)
+            if isinstance(message, OfferKeys):
+                offered.append(seat)
+                cut_off(fleet, (HOME, seat))
+                raise PeerCallLost(seat)
+            return reply
+
+        network.call = lose_answers
+        await fleet.stop(HOME)
+        self.assertEqual(len(set(offered)), 1)
+        self.assertEqual(len(list_acting(fleet)), 1)
+
+    @with_fleet
+    async def test_a_standby_that_stood_still_acts_no_more(self, fleet):
+        await fleet.stop(HOME)
+        standby = list_acting(fleet)[0]
+        fleet.entries[standby].homes.begin_anew()
+        receipt = await fleet.ask("delta-1", make_key_now(fleet))
+        self.assertIsInstance(receipt.error, HomeUnreachable)
+
+    @with_fleet
+    async def test_a_standby_acts_for_its_term_only(self, fleet):
+        await fleet.stop(HOME)
+        await anyio.sleep(STANDBY_TERM_S)
+        receipt = await fleet.ask("delta-1", make_key_now(fleet))
+        self.assertIsInstance(receipt.error, HomeUnreachable)
+
+    @with_fleet
+    async def test_a_leaving_standby_passes_the_keys_on(self, fleet):
+        key = make_key_now(fleet)
+        self.assert_booked(await fleet.ask("delta-1", key), replayed=False)
+        await fleet.stop(HOME)
+        await fleet.stop(list_acting(fleet)[0])
+        self.assertEqual(len(list_acting(fleet)), 1)
+        self.assert_booked(await fleet.ask("delta-1", key), replayed=True)
+
+    @with_fleet
+    async def test_offers_that_nobody_may_act_on_are_refused(self, fleet):
+        offers = []
+        standby = list_standbys(make_mapping(fleet.config), HOME)[0]
+        network = fleet.entries[HOME].network
+        call = network.call
+
+        async def keep_offers(seat, message, reply_type, timeout_s):
+            if isinstance(message, OfferKeys):
+                offers.append(message.content)
+            return await call(seat, message, reply_type, timeout_s)
+
+        network.call = keep_offers
+        await fleet.stop(HOME)
+        page = offers[0]
+        homes = fleet.entries[standby].homes
+        elsewhere = fleet.entries["delta-1"].homes
+        self.assertFalse(elsewhere.take_page(page), "not a standby of this home")
+        await fleet.start(HOME)
+        await anyio.sleep(1)
+        self.assertFalse(homes.take_page(page), "its successor has started")
+        late = page.model_copy(update={"stopped_wall_s": 0.0, "incarnation": 99})
+        self.assertFalse(homes.take_page(late), "its term is over")
+
+    @with_fleet
+    async def test_other_seats_in_the_region_end_the_standby(self, fleet):
+        await fleet.stop(HOME)
+        standby = list_acting(fleet)[0]
+        homes = fleet.entries[standby].homes
+        homes.adopt(make_mapping(make_clinic_config(version=2)))
+        self.assertEqual(homes.acting_for, [HOME])
+        homes.adopt(make_mapping(make_clinic_config(version=3, seats=4)))
+        self.assertEqual(homes.acting_for, [])
+
+    @with_fleet
+    async def test_a_successor_runs_its_predecessors_tickets_once(self, fleet):
+        desk = fleet.entries[HOME].desk
+        used = desk.issue("acme", anyio.current_time())
+        unused = desk.issue("acme", anyio.current_time())
+        self.assert_booked(await fleet.ask("gulf-2", used), replayed=False)
+        await fleet.stop(HOME)
+        receipt = await fleet.ask("delta-1", unused)
+        self.assertIsInstance(receipt.error, IssuerGone)
+        await fleet.start(HOME)
+        await anyio.sleep(1)
+        self.assert_booked(await fleet.ask("gulf-2", used), replayed=True)
+        self.assert_booked(await fleet.ask("delta-1", unused), replayed=False)
+        self.assert_booked(await fleet.ask(HOME, unused), replayed=True)
+        late = desk.issue("acme", anyio.current_time() - TICKET_LIFE_S - 1)
+        self.assertIsInstance((await fleet.ask(HOME, late)).error, TicketExpired)
+
+    def test_equal_mappings_have_one_digest(self):
+        mapping = make_mapping(make_clinic_config())
+        self.assertEqual(digest(mapping), digest(make_mapping(make_clinic_config(2))))
+        other = make_mapping(make_clinic_config(seats=4))
+        self.assertNotEqual(digest(mapping), digest(other))
+
+    def test_a_standby_of_an_unknown_seat_has_nothing(self):
+        mapping = make_mapping(make_clinic_config())
+        self.assertEqual(list_standbys(mapping, "nowhere-1"), [])
--- a/tests/idempotency/test_tickets.py
+++ b/tests/idempotency/test_tickets.py
@@ -4,7 +4,9 @@
 from hypothesis import strategies as st
 
 from banyanseam.idempotency.errors import TicketInvalid
+from banyanseam.idempotency.homes import Homes
 from banyanseam.idempotency.tickets import TICKET_PREFIX, TicketDesk, is_ticket
+from banyanseam.peers.messages import PeerIdentity
 
 SECRET = b"a secret of the fleet"
 
@@ -18,8 +20,10 @@
         ticket = TicketDesk("delta-2", 1, SECRET).read(text, "acme")
         self.assertTrue(is_ticket(text))
         self.assertEqual((ticket.seat, ticket.incarnation), ("gulf-1", 7))
-        self.assertTrue(self.desk.is_mine(ticket))
-        self.assertFalse(TicketDesk("gulf-1", 8, SECRET).is_mine(ticket))
+        self.assertTrue(Homes(PeerIdentity("gulf-1", 7)).covers(ticket))
+        for seat, incarnation in (("gulf-1", 8), ("gulf-2", 7)):
+            other = Homes(PeerIdentity(seat, incarnation))
+            self.assertFalse(other.covers(ticket))
 
     def test_a_ticket_serves_only_its_organisation(self):
         with self.assertRaises(TicketInvalid):
