Let every process poll often enough for the bound of a change

Cause: a change that the readers' address of the configuration service showed late reached the fleet only by a slow poll, every 30 s, against 5 s; the promise named it as a limit. The limit came from a constant that does not know the fleet's size: 328 pollers asked 14.6 times a second of about 2,000.

Change: the period follows the number of published seats, 3 s up to 300 seats and a second more for each 100, at most 30 s. Ruled out: more readers (they may all see the stale address), and a watch in every process (counts one call each, and grows with the fleet).

--- a/banyanseam/config/const.py
+++ b/banyanseam/config/const.py
@@ -12,7 +12,11 @@
 # What a call may take beyond the time that the service may hold it.
 CALL_MARGIN_S: Final = 1.0
 READERS_PER_REGION: Final = 2
-SLOW_POLL_S: Final = 30.0
+# What all processes that only poll may ask of the service together, at their slowest;
+# a small fleet polls at the floor, a very large one at the ceiling.
+POLL_CALLS_PER_S: Final = 100.0
+POLL_FLOOR_S: Final = 3.0
+POLL_CEILING_S: Final = 30.0
 # How often a process that polls slowly looks whether it became a reader.
 ROLE_CHECK_S: Final = 0.5
 # A pause is drawn from this share of its nominal length up to all of it.
--- a/banyanseam/config/watch.py
+++ b/banyanseam/config/watch.py
@@ -1,8 +1,8 @@
 """Reading the configuration service, within its call limit.
 
-A few readers in each region hold a bounded watch; every other process polls slowly
-and takes changes from its peers. Calls thus grow with the regions and only by one
-slow poll with each node.
+A few readers in each region hold a bounded watch; every other process polls and takes
+changes from its peers. All polls together keep within a budget: the more seats, the
+slower each one polls.
 """
 
 import random
@@ -16,9 +16,11 @@
     BACKOFF_OTHERS_S,
     BACKOFF_READER_S,
     JITTER_FLOOR,
+    POLL_CALLS_PER_S,
+    POLL_CEILING_S,
+    POLL_FLOOR_S,
     READ_ATTEMPTS,
     ROLE_CHECK_S,
-    SLOW_POLL_S,
     WATCH_MS,
 )
 from banyanseam.config.errors import ConfigServiceUnavailable, InconsistentValues
@@ -36,6 +38,11 @@
     read: Callable[[str], Awaitable[Value]]
 
 
+def poll_period_s(seats: int) -> float:
+    """Return how long a process of a fleet of that many seats waits between polls."""
+    return min(POLL_CEILING_S, max(POLL_FLOOR_S, seats / POLL_CALLS_PER_S))
+
+
 class Watch:
     """Keeps a store up to date from the service's addresses, tried in turn."""
 
@@ -44,12 +51,14 @@
         store: Store,
         sources: list[Source],
         is_reader: Callable[[], bool],
+        count_seats: Callable[[], int],
         chance: random.Random,
     ) -> None:
         """Keep the addresses; `is_reader` says whether this process may watch."""
         self._store = store
         self._sources = sources
         self._is_reader = is_reader
+        self._count_seats = count_seats
         self._chance = chance
         # Processes begin at different addresses, so a stale one misleads only some.
         self._current = chance.randrange(len(sources))
@@ -154,7 +163,7 @@
 
     def _nominal_pause_s(self, failures: int, is_reader: bool) -> float:
         if failures == 0:
-            return SLOW_POLL_S
+            return poll_period_s(self._count_seats())
         limit_s = BACKOFF_READER_S if is_reader else BACKOFF_OTHERS_S
         return min(limit_s, BACKOFF_FIRST_S * 2 ** min(failures, 16))
 
--- a/banyanseam/daemon/control.py
+++ b/banyanseam/daemon/control.py
@@ -55,7 +55,7 @@
         )
         self.spread.attach(self.sections)
         is_reader = make_is_reader(self.membership)
-        self.watch = Watch(self.store, sources, is_reader, chance)
+        self.watch = Watch(self.store, sources, is_reader, self._count_seats, chance)
         self._incarnation = incarnation
         self._first_peers = first_peers
         self._chance = chance
@@ -70,6 +70,10 @@
         self.membership.on_superseded(_log_superseded)
         self.freeze.on_restart(self._note_freeze)
 
+    def _count_seats(self) -> int:
+        config = self.store.config
+        return len(config.seats) if config is not None else 0
+
     @property
     def accepts_requests(self) -> bool:
         """Say whether new requests may be served here now."""
