Run the tickets of a stopped issuer while its seat is empty

Cause: a ticket was run by its issuer's process only, so between a planned stop and the successor's start every ticket of that seat was refused, though the standby had all that its issuer knew.

Change: an entry that cannot reach the issuer's seat claims the ticket at the standby and runs it itself, as with keys. The daemon that forwards now says that it holds the grant; before, the receiver concluded it from who forwarded, which a ticket granted to a third daemon would break. Ruled out: forwarding the request to the standby, since the entry would have to look for it first.

The test failed before with issuer_gone for a ticket sent during the stop; it now runs once and is replayed by every seat, before and after the successor has the records.

--- a/banyanseam/idempotency/client.py
+++ b/banyanseam/idempotency/client.py
@@ -26,6 +26,7 @@
 from banyanseam.idempotency.messages import (
     AnswerBody,
     ClaimKey,
+    ClaimTicket,
     FinishKey,
     KeyClaimed,
     KeyFinished,
@@ -34,6 +35,7 @@
 )
 from banyanseam.idempotency.models import Claim, End, Scope, State, Verdict
 from banyanseam.idempotency.standbys import list_standbys
+from banyanseam.idempotency.tickets import Ticket
 from banyanseam.peers.contract import Network
 from banyanseam.peers.errors import (
     InvalidPeerMessage,
@@ -62,6 +64,8 @@
     claim_id: bytes
     received_s: float
     deadline_s: float
+    # The ticket that is the key, where one is.
+    ticket: Ticket | None = None
     # The home seat that was asked last; the end of the run is told to it.
     home_seat: str = ""
     # True while a claim may have been granted without this entry knowing.
@@ -69,11 +73,16 @@
 
 
 def make_wish(
-    scope: Scope, route: str, fingerprint: str, received_s: float, deadline_s: float
+    scope: Scope,
+    route: str,
+    fingerprint: str,
+    received_s: float,
+    deadline_s: float,
+    ticket: Ticket | None = None,
 ) -> Wish:
     """Return a wish with an id of its own, never used for another receipt."""
     claim_id = secrets.token_bytes(CLAIM_ID_BYTES)
-    return Wish(scope, route, fingerprint, claim_id, received_s, deadline_s)
+    return Wish(scope, route, fingerprint, claim_id, received_s, deadline_s, ticket)
 
 
 def make_claim(wish: Wish, me: PeerIdentity) -> Claim:
@@ -165,6 +174,11 @@
         """Return the home's verdict, None when it could not be had this time."""
         claim = make_claim(wish, self._me)
 
+        async def act(home: Home) -> Verdict:
+            if wish.ticket is not None:
+                return await home.claim_ticket(claim, wish.ticket)
+            return await home.claim(claim, wish.route)
+
         async def ask(seat: str) -> Verdict:
             wish.may_be_granted = True
             reply = await self._ask(seat, _pack(claim, wish), KeyClaimed)
@@ -174,10 +188,8 @@
             return Verdict(State(reply.state), answer=answer)
 
         try:
-            wish.home_seat = self._homes.own.find_home(wish.scope, wish.route)
-            verdict = await self._reach(
-                wish.home_seat, lambda home: home.claim(claim, wish.route), ask
-            )
+            wish.home_seat = self._find_home(wish)
+            verdict = await self._reach(wish.home_seat, act, ask)
         except PeerCallLost:
             return None
         except (PeerUnreachable, NotHome):
@@ -189,6 +201,11 @@
         wish.may_be_granted = False
         return verdict
 
+    def _find_home(self, wish: Wish) -> str:
+        if wish.ticket is not None:
+            return wish.ticket.seat
+        return self._homes.own.find_home(wish.scope, wish.route)
+
     async def _reach(
         self,
         home_seat: str,
@@ -284,13 +301,20 @@
 
 
 def _pack(claim: Claim, wish: Wish) -> ClaimKey:
-    return ClaimKey(
-        home=wish.home_seat,
-        organisation=claim.scope.organisation,
-        key=claim.scope.key,
-        claim_id=claim.claim_id,
-        route=wish.route,
-        fingerprint=claim.fingerprint,
-        run_ms=int(claim.run_s * 1000) + 1,
-        age_ms=int(claim.age_s * 1000),
+    fields = {
+        "home": wish.home_seat,
+        "organisation": claim.scope.organisation,
+        "key": claim.scope.key,
+        "claim_id": claim.claim_id,
+        "route": wish.route,
+        "fingerprint": claim.fingerprint,
+        "run_ms": int(claim.run_s * 1000) + 1,
+        "age_ms": int(claim.age_s * 1000),
+    }
+    if wish.ticket is None:
+        return ClaimKey(**fields)
+    return ClaimTicket(
+        incarnation=wish.ticket.incarnation,
+        expires_ms=wish.ticket.expires_ms,
+        **fields,
     )
--- a/banyanseam/idempotency/handover.py
+++ b/banyanseam/idempotency/handover.py
@@ -24,14 +24,16 @@
 from banyanseam.idempotency.messages import (
     AnswerBody,
     ClaimKey,
+    ClaimTicket,
     FinishKey,
     KeyClaimed,
     KeyFinished,
     KeyReleased,
     ReleaseKey,
 )
-from banyanseam.idempotency.models import Claim, End
+from banyanseam.idempotency.models import Claim, End, Verdict
 from banyanseam.idempotency.standbys import list_standbys
+from banyanseam.idempotency.tickets import Ticket
 from banyanseam.idempotency.transfer import Snapshot, make_page, read_pages
 from banyanseam.observe.events import (
     KEYS_HANDED_OVER,
@@ -49,21 +51,19 @@
     """Answer the claims, reports, offers and takings of peers."""
 
     async def claim(peer: PeerIdentity, message: ClaimKey) -> KeyClaimed:
-        claim = Claim(
-            message.scope,
-            message.fingerprint,
-            message.claim_id,
-            peer.seat,
-            peer.incarnation,
-            message.run_ms / 1000,
-            message.age_ms / 1000,
+        home = homes.find(message.home)
+        return _pack(await home.claim(_read_claim(peer, message), message.route))
+
+    async def claim_ticket(peer: PeerIdentity, message: ClaimTicket) -> KeyClaimed:
+        home = homes.find(message.home)
+        ticket = Ticket(
+            message.home,
+            message.incarnation,
+            message.organisation,
+            message.key.encode(),
+            message.expires_ms,
         )
-        verdict = await homes.find(message.home).claim(claim, message.route)
-        if verdict.granted:
-            return KeyClaimed(state="granted")
-        if verdict.answer is None:
-            return KeyClaimed(state="running")
-        return KeyClaimed(state="done", answer=AnswerBody.pack(verdict.answer))
+        return _pack(await home.claim_ticket(_read_claim(peer, message), ticket))
 
     async def finish(peer: PeerIdentity, message: FinishKey) -> KeyFinished:
         end = End(message.is_known, message.answer.unpack() if message.answer else None)
@@ -82,12 +82,33 @@
         return KeysTaken(content=homes.give_page(peer, message.page))
 
     network.handle_call(ClaimKey, claim)
+    network.handle_call(ClaimTicket, claim_ticket)
     network.handle_call(FinishKey, finish)
     network.handle_call(ReleaseKey, release)
     network.handle_call(OfferKeys, take_offer)
     network.handle_call(TakeKeys, give_back)
 
 
+def _read_claim(peer: PeerIdentity, message: ClaimKey) -> Claim:
+    return Claim(
+        message.scope,
+        message.fingerprint,
+        message.claim_id,
+        peer.seat,
+        peer.incarnation,
+        message.run_ms / 1000,
+        message.age_ms / 1000,
+    )
+
+
+def _pack(verdict: Verdict) -> KeyClaimed:
+    if verdict.granted:
+        return KeyClaimed(state="granted")
+    if verdict.answer is None:
+        return KeyClaimed(state="running")
+    return KeyClaimed(state="done", answer=AnswerBody.pack(verdict.answer))
+
+
 async def hand_over(homes: Homes, network: Network, me: PeerIdentity) -> None:
     """Close all homes of this process and find each a standby, within a limit."""
     mapping = homes.own.mapping
--- a/banyanseam/idempotency/home.py
+++ b/banyanseam/idempotency/home.py
@@ -9,7 +9,12 @@
 import anyio
 
 from banyanseam.idempotency.const import POLL_S, RETENTION_S
-from banyanseam.idempotency.errors import NotHome, OutcomeUnknown, TicketExpired
+from banyanseam.idempotency.errors import (
+    IssuerGone,
+    NotHome,
+    OutcomeUnknown,
+    TicketExpired,
+)
 from banyanseam.idempotency.knowledge import Knowledge
 from banyanseam.idempotency.mapping import Mapping, find_home
 from banyanseam.idempotency.memory import Memory
@@ -112,7 +117,12 @@
         return await self._wait(claim, lambda: self._claim_once(claim, route))
 
     async def claim_ticket(self, claim: Claim, ticket: Ticket) -> Verdict:
-        """Grant a ticket that this process issued, as `claim` grants a key."""
+        """Grant a ticket of a process whose records are here, as `claim` a key.
+
+        Raise IssuerGone for a ticket of any other process.
+        """
+        if ticket.incarnation not in self.issuer_offsets_s:
+            raise IssuerGone
         return await self._wait(claim, lambda: self._claim_ticket_once(claim, ticket))
 
     def finish(self, scope: Scope, claim_id: bytes, end: End) -> bool:
@@ -160,7 +170,7 @@
 
     def _claim_ticket_once(self, claim: Claim, ticket: Ticket) -> Verdict:
         now_s = anyio.current_time()
-        offset_s = self.issuer_offsets_s.get(ticket.incarnation, 0.0)
+        offset_s = self.issuer_offsets_s[ticket.incarnation]
         expires_s = ticket.expires_ms / 1000 + offset_s
         if now_s < expires_s or self.memory.find(claim.scope) is not None:
             return self.memory.claim(claim, now_s, keep_until_s=expires_s + RETENTION_S)
--- a/banyanseam/idempotency/messages.py
+++ b/banyanseam/idempotency/messages.py
@@ -63,6 +63,16 @@
     age_ms: int = Field(ge=0)
 
 
+class ClaimTicket(ClaimKey):
+    """Ask whoever has the issuer's records for the one permission to run a ticket."""
+
+    kind = "idempotency.claim_ticket"
+
+    incarnation: int = Field(ge=0)
+    # On the issuer's clock.
+    expires_ms: int
+
+
 class KeyClaimed(Message):
     """What the claim got."""
 
--- a/banyanseam/peers/forward_messages.py
+++ b/banyanseam/peers/forward_messages.py
@@ -29,6 +29,7 @@
     regions: list[str] | None
     remaining_ms: int
     may_have_run: bool
+    is_granted: bool
     credit_bytes: int
 
 
--- a/banyanseam/pipe/forward.py
+++ b/banyanseam/pipe/forward.py
@@ -140,6 +140,7 @@
         regions=regions,
         remaining_ms=max(0, int(remaining_s * 1000)),
         may_have_run=exchange.may_have_run,
+        is_granted=exchange.is_granted,
         credit_bytes=FORWARD_WINDOW_BYTES,
     )
 
--- a/banyanseam/pipe/idempotency.py
+++ b/banyanseam/pipe/idempotency.py
@@ -9,6 +9,7 @@
 from banyanseam.idempotency.const import KEY_HEADER, MAX_KEY_LENGTH, TICKET_PREFIX
 from banyanseam.idempotency.errors import (
     GrantTooLate,
+    HomeUnreachable,
     IssuerGone,
     KeyMalformed,
     KeyRegionExcluded,
@@ -30,20 +31,6 @@
 FindRegion = Callable[[str], str | None]
 
 
-class KeyKeeper:
-    """Where keys of callers are claimed: at their homes."""
-
-    def __init__(self, client: HomeClient) -> None:
-        """Claim through `client`."""
-        self._client = client
-        self.finish = client.finish
-        self.release = client.release
-
-    async def acquire(self, wish: Wish) -> Verdict:
-        """Return a grant or the answer of the first run."""
-        return await self._client.acquire(wish)
-
-
 class TicketKeeper:
     """Where this process's own tickets are claimed: in its own memory."""
 
@@ -70,7 +57,7 @@
         return self._home.release(wish.scope, wish.claim_id)
 
 
-Keeper = KeyKeeper | TicketKeeper
+Keeper = HomeClient | TicketKeeper
 
 
 def read_key(exchange: Exchange) -> str | None:
@@ -96,59 +83,69 @@
     find_region: FindRegion,
 ) -> Filter:
     """Return the filter; requests without a key pass, as they were received once."""
-    keys = KeyKeeper(client)
 
     async def filter_(exchange: Exchange, next_: Next) -> None:
         key = None if exchange.is_idempotent else read_key(exchange)
-        if key is None:
+        if key is None or exchange.is_granted:
             await next_(exchange)
         elif is_ticket(key):
             await use_ticket(exchange, next_, key)
-        elif exchange.forwarder is not None:
-            # The forwarding daemon holds the claim.
-            await next_(exchange)
         else:
-            await run_claimed(exchange, next_, keys, key)
+            await run_claimed(exchange, next_, client, key)
 
     async def use_ticket(exchange: Exchange, next_: Next, key: str) -> None:
         ticket = desk.read(key, find_organisation(exchange))
         if homes.covers(ticket):
             keeper = TicketKeeper(me, homes.own, ticket)
-            name = TICKET_PREFIX + ticket.ticket_id.hex()
-            await run_claimed(exchange, next_, keeper, name)
-        elif exchange.forwarder and exchange.forwarder.seat == ticket.seat:
-            # The issuer, or its successor with its records, holds the claim.
-            await next_(exchange)
+            await run_claimed(exchange, next_, keeper, name_ticket(ticket))
         elif exchange.forwarder is not None or ticket.seat == me.seat:
             raise IssuerGone
         else:
-            await pass_to_issuer(exchange, ticket.seat)
+            await pass_to_issuer(exchange, next_, ticket)
 
-    async def pass_to_issuer(exchange: Exchange, seat: str) -> None:
-        region = find_region(seat)
+    async def pass_to_issuer(exchange: Exchange, next_: Next, ticket: Ticket) -> None:
+        region = find_region(ticket.seat)
         if region is None:
             raise IssuerGone
         if exchange.regions is not None and region not in exchange.regions:
             raise KeyRegionExcluded(region)
         try:
-            await run_elsewhere(exchange, seat)
-        except (PeerUnreachable, PeerCallLost, ForwardLost) as error:
+            await run_elsewhere(exchange, ticket.seat)
+        except PeerUnreachable:
+            await run_at_holder(exchange, next_, ticket)
+        except (PeerCallLost, ForwardLost) as error:
             if exchange.reply.started:
                 raise
             # An earlier receipt may have reached the issuer, so even a request
             # that never left this daemon cannot be called not run.
             raise IssuerGone from error
 
+    async def run_at_holder(exchange: Exchange, next_: Next, ticket: Ticket) -> None:
+        """Run a ticket here, if a standby of its issuer's seat grants it."""
+        try:
+            await run_claimed(exchange, next_, client, name_ticket(ticket), ticket)
+        except HomeUnreachable as error:
+            raise IssuerGone from error
+
     return filter_
 
 
+def name_ticket(ticket: Ticket) -> str:
+    """Return the name under which a ticket is remembered."""
+    return TICKET_PREFIX + ticket.ticket_id.hex()
+
+
 def find_organisation(exchange: Exchange) -> str:
     """Return the organisation's name, the empty one on a route open to all."""
     return exchange.organisation.name if exchange.organisation else ""
 
 
 async def run_claimed(
-    exchange: Exchange, next_: Next, keeper: Keeper, key: str
+    exchange: Exchange,
+    next_: Next,
+    keeper: Keeper,
+    key: str,
+    ticket: Ticket | None = None,
 ) -> None:
     """Run the exchange if its key is granted, or replay the first run's answer."""
     wish = make_wish(
@@ -157,6 +154,7 @@
         exchange.fingerprint,
         exchange.received_s,
         exchange.deadline_s,
+        ticket,
     )
     verdict = await _acquire(exchange, keeper, wish)
     if verdict.answer is not None:
@@ -164,6 +162,7 @@
         return
     # The home vouches that no earlier send of this key ran.
     exchange.may_have_run = False
+    exchange.is_granted = True
     # A process that was frozen may hold a grant whose time has passed.
     if anyio.current_time() >= exchange.deadline_s:
         await _release(keeper, wish, GrantTooLate())
--- a/banyanseam/pipe/models.py
+++ b/banyanseam/pipe/models.py
@@ -82,6 +82,8 @@
     upstream_started: bool = False
     # True while an earlier send of the same idempotency key may have run.
     may_have_run: bool = False
+    # True where this daemon or the one that forwarded holds the key's one grant.
+    is_granted: bool = False
     upstream: str | None = None
     # When an upstream's room was granted.
     granted_s: float | None = None
--- a/banyanseam/pipe/serve_forwarded.py
+++ b/banyanseam/pipe/serve_forwarded.py
@@ -179,6 +179,7 @@
         regions=None if opened.regions is None else frozenset(opened.regions),
         deadline_s=now_s + opened.remaining_ms / 1000,
         may_have_run=opened.may_have_run,
+        is_granted=opened.is_granted,
     )
     exchange.fingerprint = make_fingerprint(exchange)
     return exchange
