--- a/banyanseam/cli/daemon.py
+++ b/banyanseam/cli/daemon.py
@@ -1,8 +1,12 @@
 """Commands that ask one daemon: its state, its advice to callers, draining."""
 
+import base64
+from pathlib import Path
+
 import click
 
 from banyanseam.cli.client import ask, make_request, operators_option
+from banyanseam.cli.files import read_bytes
 from banyanseam.cli.output import emit, format_table, json_option
 from banyanseam.server.operator_models import (
     DrainReply,
@@ -62,13 +66,24 @@
 @click.option("--model", help="The model that it would name.")
 @click.option("--prompt-tokens", default=1000, show_default=True)
 @click.option("--max-output-tokens", default=256, show_default=True)
+@click.option("--idempotency-key", help="The key or ticket that it would bring.")
+@click.option(
+    "--body",
+    "body_path",
+    type=click.Path(path_type=Path),
+    help="A file with its body; tells a model's cost and matches poison marks.",
+)
 @operators_option
 @json_option
-def explain(operators: str, as_json: bool, **fields: object) -> None:
+def explain(
+    operators: str, as_json: bool, body_path: Path | None, **fields: object
+) -> None:
     """Say what would happen to such a request, filter by filter, and why.
 
-    Nothing is sent to an upstream and nothing is charged.
+    Nothing is sent to an upstream, and nothing is charged, claimed or counted.
     """
+    if body_path is not None:
+        fields["body"] = base64.b64encode(read_bytes(body_path))
     request = make_request(ExplainRequest, fields)
     reply = ask(operators, "POST", "/explain", ExplainReply, request)
     emit(reply.model_dump(), as_json, lambda: _format_explanation(reply))
@@ -105,8 +120,10 @@
                 one.upstream,
                 one.region,
                 one.state,
+                one.keeper,
                 one.in_flight,
                 one.held_tokens,
+                one.free_tokens,
                 one.memory_tokens,
                 one.reported_ms_ago,
             )
@@ -116,8 +133,10 @@
             "upstream",
             "region",
             "state",
+            "keeper",
             "in_flight",
             "held_tokens",
+            "free_tokens",
             "memory_tokens",
             "reported_ms_ago",
         )
--- a/banyanseam/cli/files.py
+++ b/banyanseam/cli/files.py
@@ -14,12 +14,18 @@
 Document = dict[str, Any]
 
 
-def read_document(path: Path) -> Document:
-    """Return a file's JSON object; raise UnreadableFile."""
+def read_bytes(path: Path) -> bytes:
+    """Return a file's content; raise UnreadableFile."""
     try:
-        value = json.loads(path.read_bytes())
+        return path.read_bytes()
     except OSError as error:
         raise UnreadableFile(f"{path}: {error.strerror}") from error
+
+
+def read_document(path: Path) -> Document:
+    """Return a file's JSON object; raise UnreadableFile."""
+    try:
+        value = json.loads(read_bytes(path))
     except (ValueError, RecursionError) as error:
         raise UnreadableFile(f"{path}: not JSON: {error}") from error
     if not isinstance(value, dict):
--- a/banyanseam/config/watch.py
+++ b/banyanseam/config/watch.py
@@ -54,6 +54,8 @@
         # Processes begin at different addresses, so a stale one misleads only some.
         self._current = chance.randrange(len(sources))
         self.reaches_service = False
+        # When the service last answered a call; a watch may wait for WATCH_MS.
+        self.answered_s: float | None = None
         # Values read for a listing that could not be completed yet.
         self._got: dict[tuple[str, int], Value] = {}
         self._on_reach: list[Callable[[bool], None]] = []
@@ -90,6 +92,7 @@
         known = self._store.newest
         for _ in range(READ_ATTEMPTS):
             listing = await source.list_revisions(known.version, wait_ms)
+            self.answered_s = anyio.current_time()
             wait_ms = 0
             if listing.version < known.version:
                 self._try_next_address()
--- a/banyanseam/daemon/control.py
+++ b/banyanseam/daemon/control.py
@@ -60,6 +60,8 @@
         self._first_peers = first_peers
         self._chance = chance
         self._logged_rejection: str | None = None
+        # Since when the configuration in force is so.
+        self.adopted_s: float | None = None
         # Set while this process can't yet know what is in force, as when it starts.
         self._catching_up = True
         self._wake_up = anyio.Event()
@@ -120,7 +122,8 @@
         return self.accepts_requests
 
     def _take_config(self, config: Config) -> None:
-        self.membership.set_config(config, anyio.current_time())
+        self.adopted_s = anyio.current_time()
+        self.membership.set_config(config, self.adopted_s)
         log(CONFIG_ADOPTED, version=config.version)
 
     def _log_rejection(self) -> None:
--- a/banyanseam/daemon/idempotency_parts.py
+++ b/banyanseam/daemon/idempotency_parts.py
@@ -21,6 +21,7 @@
 
     desk: TicketDesk
     home: Home
+    client: HomeClient
     filter_: Filter
 
     def start(self, tasks: TaskGroup) -> None:
@@ -52,4 +53,4 @@
     filter_ = run_at_most_once(
         me, desk, home, client, forwarder.forward, view.find_region
     )
-    return IdempotencyParts(desk, home, filter_)
+    return IdempotencyParts(desk, home, client, filter_)
--- a/banyanseam/daemon/operations.py
+++ b/banyanseam/daemon/operations.py
@@ -2,9 +2,8 @@
 
 from typing import TYPE_CHECKING, Any
 
-import anyio
-
 from banyanseam.config.errors import NotReady
+from banyanseam.daemon.probes import make_probes
 from banyanseam.daemon.status import describe_status
 from banyanseam.peers.entries import ENTRIES_VALIDITY_MS
 from banyanseam.server.operator_answers import answer_explain, answer_histograms
@@ -27,7 +26,7 @@
         return {"version": daemon.view.get_config().version}
 
     async def answer_status(body: bytes) -> dict[str, Any]:
-        return describe_status(daemon, anyio.current_time()).model_dump()
+        return (await describe_status(daemon)).model_dump()
 
     async def answer_entries(body: bytes) -> dict[str, Any]:
         return daemon.list_entries(daemon.settings.seat).model_dump()
@@ -38,7 +37,7 @@
             state="draining",
             validity_ms=ENTRIES_VALIDITY_MS,
             in_flight=daemon.lifecycle.running_requests,
-            queued=0,
+            queued=daemon.serving.upstreams.room.waiting if daemon.serving else 0,
         ).model_dump()
 
     async def histograms(body: bytes) -> dict[str, Any]:
@@ -48,7 +47,10 @@
 
     async def explain(body: bytes) -> dict[str, Any]:
         config = daemon.view.get_config()
-        return await answer_explain(config, daemon.settings.region, {}, body)
+        probes = {}
+        if daemon.serving is not None:
+            probes = make_probes(daemon.view, daemon.serving)
+        return await answer_explain(config, daemon.settings.region, probes, body)
 
     return {
         ("GET", "/health/live"): answer_live,
--- a/banyanseam/daemon/poison_parts.py
+++ b/banyanseam/daemon/poison_parts.py
@@ -1,5 +1,7 @@
 """Put together what contains requests that crash upstreams."""
 
+from dataclasses import dataclass
+
 import anyio
 from anyio.abc import TaskGroup
 
@@ -12,8 +14,16 @@
 SECTION_NAME = "poison"
 
 
-def make_poison_filter(view: FleetView, tasks: TaskGroup) -> Filter:
-    """Return the filter, joined to the heartbeats."""
+@dataclass(frozen=True, slots=True)
+class PoisonParts:
+    """This process's part in containing requests that crash upstreams."""
+
+    guard: PoisonGuard
+    filter_: Filter
+
+
+def make_poison_parts(view: FleetView, tasks: TaskGroup) -> PoisonParts:
+    """Return the parts, joined to the heartbeats."""
     membership = view.membership
 
     def list_live() -> dict[str, list[str]]:
@@ -52,4 +62,4 @@
         return guard.suspects.section(anyio.current_time())
 
     view.sections.register(SECTION_NAME, write_section, take_section)
-    return contain_poison(guard, list_upstreams)
+    return PoisonParts(guard, contain_poison(guard, list_upstreams))
--- a/banyanseam/daemon/quota_parts.py
+++ b/banyanseam/daemon/quota_parts.py
@@ -18,6 +18,7 @@
     """This process as a home of quota parts, and as an entry that charges."""
 
     home: Home
+    client: QuotaClient
     filter_: Filter
 
     def start(self, tasks: TaskGroup) -> None:
@@ -52,4 +53,4 @@
         view.membership.is_alive,
         clock=anyio.current_time,
     )
-    return QuotaParts(home, charge_quota(client))
+    return QuotaParts(home, client, charge_quota(client))
--- a/banyanseam/daemon/serving.py
+++ b/banyanseam/daemon/serving.py
@@ -7,7 +7,7 @@
 
 from banyanseam.daemon.fleet_view import FleetView
 from banyanseam.daemon.idempotency_parts import IdempotencyParts, make_idempotency_parts
-from banyanseam.daemon.poison_parts import make_poison_filter
+from banyanseam.daemon.poison_parts import PoisonParts, make_poison_parts
 from banyanseam.daemon.quota_parts import QuotaParts
 from banyanseam.daemon.recorder import RequestRecorder
 from banyanseam.daemon.upstream_parts import UpstreamParts, make_upstream_parts
@@ -31,6 +31,7 @@
     quota: QuotaParts
     upstreams: UpstreamParts
     idempotency: IdempotencyParts
+    poison: PoisonParts
     pipelines: Pipelines
     forward_server: ForwardServer
 
@@ -51,6 +52,8 @@
     view.network.watch_lost_links(forwarder.lose_seat)
     idempotency = make_idempotency_parts(view, forwarder, tasks)
 
+    poison = make_poison_parts(view, tasks)
+
     def get_retry_share() -> float:
         return view.get_config().policies[region].retry_budget_share
 
@@ -62,7 +65,7 @@
         quota=quota.filter_,
         idempotency=idempotency.filter_,
         retry=retry_once(RetryBudget(), get_retry_share),
-        poison=make_poison_filter(view, tasks),
+        poison=poison.filter_,
         queue=make_queue(
             upstreams.room,
             upstreams.places,
@@ -83,4 +86,6 @@
     )
     view.network.watch_lost_links(forward_server.lose_peer)
     view.store.on_adopted(lambda config: tasks.start_soon(upstreams.close_idle, config))
-    return Serving(recorder, quota, upstreams, idempotency, pipelines, forward_server)
+    return Serving(
+        recorder, quota, upstreams, idempotency, poison, pipelines, forward_server
+    )
--- a/banyanseam/daemon/status.py
+++ b/banyanseam/daemon/status.py
@@ -2,6 +2,11 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
+
+from banyanseam.config.compiled import Upstream
+from banyanseam.daemon.upstream_parts import UpstreamParts
+from banyanseam.errors import BanyanseamError
 from banyanseam.server.operator_models import (
     ConfigStatus,
     DaemonState,
@@ -11,14 +16,22 @@
     StatusReply,
     UpstreamStatus,
 )
+from banyanseam.upstreams.messages import LookAtPool, UpstreamSeen
+from banyanseam.upstreams.pools import Pool
 
 if TYPE_CHECKING:
     from banyanseam.daemon.app import Daemon
 
 
-def describe_status(daemon: "Daemon", now_s: float) -> StatusReply:
-    """Return what this daemon knows of itself and of its fleet."""
+async def describe_status(daemon: "Daemon") -> StatusReply:
+    """Return what this daemon knows of itself and of its fleet.
+
+    Upstreams are described by their keepers, which are asked; one that does not
+    answer leaves its upstreams unknown.
+    """
     settings = daemon.settings
+    upstreams = await _describe_upstreams(daemon)
+    now_s = anyio.current_time()
     return StatusReply(
         seat=settings.seat,
         region=settings.region,
@@ -26,13 +39,17 @@
         incarnation=daemon.view.incarnation.number,
         state=name_state(daemon),
         up_ms=round((now_s - daemon.started_s) * 1000),
-        config=_describe_config(daemon),
+        config=_describe_config(daemon, now_s),
         load=_describe_load(daemon),
         peers=_describe_peers(daemon, now_s),
-        upstreams=_describe_upstreams(daemon, now_s),
+        upstreams=upstreams,
     )
 
 
+def _to_ms_ago(at_s: float | None, now_s: float) -> int | None:
+    return None if at_s is None else round((now_s - at_s) * 1000)
+
+
 def name_state(daemon: "Daemon") -> DaemonState:
     """Return the word for the daemon's phase."""
     if daemon.serving is None:
@@ -40,10 +57,11 @@
     return "draining" if daemon.lifecycle.is_stopping else "serving"
 
 
-def _describe_config(daemon: "Daemon") -> ConfigStatus:
-    store = daemon.view.store
+def _describe_config(daemon: "Daemon", now_s: float) -> ConfigStatus:
+    store, control = daemon.view.store, daemon.view.control
+    answered_ms_ago = _to_ms_ago(control.watch.answered_s, now_s)
     if store.config is None:
-        return ConfigStatus()
+        return ConfigStatus(service_answered_ms_ago=answered_ms_ago)
     rejected = None
     if store.rejection is not None:
         rejected = RejectedVersion(
@@ -51,7 +69,12 @@
             json_path=store.rejection.json_path,
             detail=store.rejection.detail,
         )
-    return ConfigStatus(version=store.config.version, rejected=rejected)
+    return ConfigStatus(
+        version=store.config.version,
+        in_force_ms=_to_ms_ago(control.adopted_s, now_s),
+        service_answered_ms_ago=answered_ms_ago,
+        rejected=rejected,
+    )
 
 
 def _describe_load(daemon: "Daemon") -> LoadStatus:
@@ -59,6 +82,7 @@
         return LoadStatus()
     return LoadStatus(
         in_flight=daemon.lifecycle.running_requests,
+        queued=daemon.serving.upstreams.room.waiting,
         held_bytes=daemon.budget.held_bytes,
         byte_budget=daemon.budget.limit_bytes,
         failures=dict(daemon.serving.recorder.failures),
@@ -77,6 +101,7 @@
             region=seat.region,
             state=membership.state_of(seat.name).value,
             incarnation=membership.incarnation_of(seat.name) or None,
+            heard_ms_ago=_to_ms_ago(membership.heard_s_of(seat.name), now_s),
             is_linked=seat.name in linked,
         )
         for seat in config.seats.values()
@@ -84,17 +109,61 @@
     ]
 
 
-def _describe_upstreams(daemon: "Daemon", now_s: float) -> list[UpstreamStatus]:
+async def _describe_upstreams(daemon: "Daemon") -> list[UpstreamStatus]:
     config = daemon.view.store.config
     if config is None:
         return []
+    seen: dict[str, UpstreamSeen] = {}
+    keepers: dict[str, str | None] = {}
+    if daemon.serving is not None:
+        seen, keepers = await _ask_keepers(daemon.serving.upstreams)
     return [
-        UpstreamStatus(
-            upstream=upstream.name,
-            region=upstream.region,
-            state="leaving" if upstream.leaving else "unknown",
-            memory_tokens=upstream.memory_tokens if upstream.is_model else None,
-        )
+        _describe_upstream(upstream, seen.get(upstream.name), keepers)
         for upstream in config.upstreams.values()
         if upstream.region == daemon.settings.region
     ]
+
+
+async def _ask_keepers(
+    parts: UpstreamParts,
+) -> tuple[dict[str, UpstreamSeen], dict[str, str | None]]:
+    """Return what the keepers say of each upstream, and who keeps it."""
+    seen: dict[str, UpstreamSeen] = {}
+    keepers: dict[str, str | None] = {}
+
+    async def ask(pool: Pool) -> None:
+        keeper = parts.room.find_keeper(pool.name)
+        keepers.update(dict.fromkeys((one.name for one in pool.upstreams), keeper))
+        try:
+            reply = await parts.room.look(LookAtPool(pool=pool.name))
+        except BanyanseamError:
+            return
+        seen.update((one.name, one) for one in reply.upstreams)
+
+    async with anyio.create_task_group() as tasks:
+        for pool in parts.room.read_pools().values():
+            tasks.start_soon(ask, pool)
+    return seen, keepers
+
+
+def _describe_upstream(
+    upstream: Upstream, seen: UpstreamSeen | None, keepers: dict[str, str | None]
+) -> UpstreamStatus:
+    status = UpstreamStatus(
+        upstream=upstream.name,
+        region=upstream.region,
+        state="leaving" if upstream.leaving else "unknown",
+        keeper=keepers.get(upstream.name),
+        memory_tokens=upstream.memory_tokens if upstream.is_model else None,
+    )
+    if seen is None:
+        return status
+    return status.model_copy(
+        update={
+            "state": seen.state,
+            "in_flight": seen.in_flight,
+            "held_tokens": seen.held_tokens if upstream.is_model else None,
+            "free_tokens": seen.free_tokens if upstream.is_model else None,
+            "reported_ms_ago": seen.reported_ms_ago,
+        }
+    )
--- a/banyanseam/idempotency/client.py
+++ b/banyanseam/idempotency/client.py
@@ -28,6 +28,8 @@
     KeyClaimed,
     KeyFinished,
     KeyReleased,
+    KeySeen,
+    LookAtKey,
     ReleaseKey,
 )
 from banyanseam.idempotency.models import Claim, End, Scope, State, Verdict
@@ -142,6 +144,26 @@
                 self._start_soon(self._release_at_leisure, wish)
         return False
 
+    def find_home(self, scope: Scope, route: str) -> str:
+        """Return the home seat of a key; raise what a claim would be refused with."""
+        return self._home.find_home(scope, route)
+
+    async def look(self, scope: Scope, route: str, fingerprint: str | None) -> KeySeen:
+        """Return what a claim would find at the home; nothing is claimed.
+
+        Raise what the home refuses with, or what the call of it raises.
+        """
+        seat = self._home.find_home(scope, route)
+        if seat == self._me.seat:
+            return self._home.look(scope, route, fingerprint)
+        message = LookAtKey(
+            organisation=scope.organisation,
+            key=scope.key,
+            route=route,
+            fingerprint=fingerprint,
+        )
+        return await self._ask(seat, message, KeySeen)
+
     def _check_patience(self, wish: Wish, sent_s: float) -> None:
         now_s = anyio.current_time()
         if now_s >= min(wish.deadline_s, sent_s + CLAIM_PATIENCE_S):
@@ -155,7 +177,9 @@
             if wish.home_seat == self._me.seat:
                 return await self._home.claim(claim, wish.route)
             wish.may_be_granted = True
-            reply = await self._ask(wish, _pack(claim, wish.route), KeyClaimed)
+            reply = await self._ask(
+                wish.home_seat, _pack(claim, wish.route), KeyClaimed
+            )
         except PeerCallLost:
             return None
         except (PeerUnreachable, NotHome):
@@ -170,13 +194,9 @@
         answer = reply.answer.unpack() if reply.answer else None
         return Verdict(State(reply.state), answer=answer)
 
-    async def _ask(
-        self, wish: Wish, message: Message, reply_type: type[Reply]
-    ) -> Reply:
+    async def _ask(self, seat: str, message: Message, reply_type: type[Reply]) -> Reply:
         try:
-            return await self._network.call(
-                wish.home_seat, message, reply_type, CLAIM_TIMEOUT_S
-            )
+            return await self._network.call(seat, message, reply_type, CLAIM_TIMEOUT_S)
         except PeerCallFailed as failure:
             kind = _ERRORS_BY_CODE.get(failure.peer_code)
             if failure.peer_code == InvalidPeerMessage.code:
@@ -194,7 +214,7 @@
             key=wish.scope.key,
             claim_id=wish.claim_id,
         )
-        return (await self._ask(wish, message, KeyReleased)).alone
+        return (await self._ask(wish.home_seat, message, KeyReleased)).alone
 
     async def _release_at_leisure(self, wish: Wish) -> None:
         await self._persist(lambda: self._release(wish))
@@ -207,7 +227,7 @@
             is_known=end.is_known,
             answer=AnswerBody.pack(end.answer) if end.answer else None,
         )
-        await self._persist(lambda: self._ask(wish, message, KeyFinished))
+        await self._persist(lambda: self._ask(wish.home_seat, message, KeyFinished))
 
     async def _persist(self, tell: Callable[[], Any]) -> None:
         """Repeat a message until the home has taken it or patience ends."""
--- a/banyanseam/idempotency/home.py
+++ b/banyanseam/idempotency/home.py
@@ -17,6 +17,8 @@
     KeyClaimed,
     KeyFinished,
     KeyReleased,
+    KeySeen,
+    LookAtKey,
     ReleaseKey,
 )
 from banyanseam.idempotency.models import Claim, End, Scope, State, Verdict
@@ -45,6 +47,7 @@
         network.handle_call(ClaimKey, self._on_claim)
         network.handle_call(FinishKey, self._on_finish)
         network.handle_call(ReleaseKey, self._on_release)
+        network.handle_call(LookAtKey, self._on_look)
 
     def adopt(self, mapping: Mapping) -> None:
         """Put a mapping in force."""
@@ -92,6 +95,20 @@
         self._wake(scope)
         return alone
 
+    def look(self, scope: Scope, route: str, fingerprint: str | None) -> KeySeen:
+        """Return what a claim would find; nothing is claimed.
+
+        Raise what a claim would be refused with.
+        """
+        now_s = anyio.current_time()
+        state = self.memory.look(scope, fingerprint, now_s)
+        if state is not None:
+            return KeySeen(state=state.value)
+        wall_s = self._wall_clock()
+        stamp_s = self._knowledge.check(scope, route, now_s, wall_s)
+        self.memory.check_stamp(stamp_s, wall_s)
+        return KeySeen(state="new")
+
     async def _wait(self, claim: Claim, ask: Callable[[], Verdict]) -> Verdict:
         until_s = anyio.current_time() + POLL_S
         while True:
@@ -145,6 +162,10 @@
             return KeyClaimed(state="running")
         return KeyClaimed(state="done", answer=AnswerBody.pack(verdict.answer))
 
+    async def _on_look(self, peer: PeerIdentity, message: LookAtKey) -> KeySeen:
+        scope = Scope(message.organisation, message.key)
+        return self.look(scope, message.route, message.fingerprint)
+
     async def _on_finish(self, peer: PeerIdentity, message: FinishKey) -> KeyFinished:
         answer = message.answer.unpack() if message.answer else None
         end = End(message.is_known, answer)
--- a/banyanseam/idempotency/memory.py
+++ b/banyanseam/idempotency/memory.py
@@ -85,6 +85,28 @@
             record.others_asked = True
         return self._tell(record)
 
+    def look(self, scope: Scope, fingerprint: str | None, now_s: float) -> State | None:
+        """Return how far a key's run has come, None for a new key; change nothing.
+
+        Raise KeyReused, AnswerNotKept or OutcomeUnknown as a claim would.
+        """
+        record = self._records.get(scope)
+        if record is None:
+            return None
+        if record.state is State.FREE:
+            return State.FREE
+        if fingerprint not in (None, record.claim.fingerprint):
+            raise KeyReused
+        if record.state is State.RUNNING and now_s >= record.run_until_s:
+            raise OutcomeUnknown
+        return self._tell(record).state
+
+    def check_stamp(self, stamp_s: float | None, wall_s: float) -> None:
+        """Raise KeyTooOld for a new key whose stamp would be refused."""
+        floor_s = max(self.floor_s, wall_s - RETENTION_S)
+        if stamp_s is not None and stamp_s < floor_s:
+            raise KeyTooOld
+
     def finish(self, scope: Scope, claim_id: bytes, end: End, now_s: float) -> bool:
         """Note how the run ended; say whether the record was this claim's."""
         record = self._records.get(scope)
--- a/banyanseam/idempotency/messages.py
+++ b/banyanseam/idempotency/messages.py
@@ -70,6 +70,26 @@
     answer: AnswerBody | None = None
 
 
+class LookAtKey(Message):
+    """Ask the home what a claim would get; nothing is claimed."""
+
+    kind = "idempotency.look"
+
+    organisation: ShortText
+    key: str = Field(min_length=1, max_length=MAX_KEY_LENGTH)
+    route: ShortText
+    # None when it is not known what the request would ask for.
+    fingerprint: ShortText | None
+
+
+class KeySeen(Message):
+    """What the home knows of a key that a claim would not be refused for."""
+
+    kind = "idempotency.seen"
+
+    state: Literal["new", "running", "done", "free"]
+
+
 class FinishKey(KeyMessage):
     """Tell the home how the run ended; `is_known` is False for an unknown end."""
 
--- a/banyanseam/peers/membership.py
+++ b/banyanseam/peers/membership.py
@@ -213,6 +213,11 @@
         member = self._members.get(seat)
         return member.incarnation if member is not None else 0
 
+    def heard_s_of(self, seat: str) -> float | None:
+        """Return when the last heartbeat of a seat's process was heard, if ever."""
+        member = self._members.get(seat)
+        return member.heard_s if member is not None else None
+
     def measured_delay_s(self, seat: str) -> float | None:
         """Return the one-way delay to a seat, or else the least to its region."""
         member = self._members.get(seat)
--- a/banyanseam/quota/account.py
+++ b/banyanseam/quota/account.py
@@ -60,16 +60,34 @@
             self.demand.add(cost_tokens, now_s)
             if not self.waiting and self._take(charge_id, cost_tokens, now_s):
                 return Outcome("granted")
-        outcome = self.estimate(charge_id, cost_tokens)
-        is_late = outcome.retry_after_s > patience_s
-        # What other homes hold is not in the estimate until they were asked.
-        if is_late and now_s < self.drained_until_s:
+        outcome = self._judge_wait(charge_id, cost_tokens, patience_s, now_s)
+        if outcome.status == "refused":
             self.waiting.leave(charge_id)
-            late_s = max(outcome.retry_after_s - patience_s, 0.001)
-            return Outcome("refused", late_s, outcome.queue_s)
-        self.waiting.enter(charge_id, cost_tokens, now_s + patience_s)
+        else:
+            self.waiting.enter(charge_id, cost_tokens, now_s + patience_s)
         return outcome
 
+    def preview(self, cost_tokens: int, patience_s: float, now_s: float) -> Outcome:
+        """Return what a new charge would get; nothing is taken or counted."""
+        share = self.share
+        share.advance(now_s)
+        if share.is_withheld:
+            return Outcome("withheld", share.withheld_s, share.withheld_s)
+        if not self.waiting and cost_tokens <= share.tokens:
+            return Outcome("granted")
+        return self._judge_wait("", cost_tokens, patience_s, now_s)
+
+    def _judge_wait(
+        self, charge_id: str, cost_tokens: int, patience_s: float, now_s: float
+    ) -> Outcome:
+        """Return how long a charge waits, or a refusal when that is surely too long."""
+        outcome = self.estimate(charge_id, cost_tokens)
+        late_s = outcome.retry_after_s - patience_s
+        # What other homes hold is not in the estimate until they were asked.
+        if late_s <= 0 or now_s >= self.drained_until_s:
+            return outcome
+        return Outcome("refused", max(late_s, 0.001), outcome.queue_s)
+
     def estimate(self, charge_id: str, cost_tokens: int) -> Outcome:
         """Return how long a charge waits were the whole rate lent to this home."""
         rate = self.share.quota.rate_tokens_per_s
--- a/banyanseam/quota/client.py
+++ b/banyanseam/quota/client.py
@@ -25,7 +25,13 @@
 )
 from banyanseam.quota.errors import CostExceedsBurst, QuotaExceeded, QuotaUnavailable
 from banyanseam.quota.home import Home
-from banyanseam.quota.messages import ChargeReply, ChargeRequest, SettleNotice
+from banyanseam.quota.messages import (
+    ChargeReply,
+    ChargeRequest,
+    LookAtQuota,
+    QuotaSeen,
+    SettleNotice,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,13 +104,7 @@
         Raise CostExceedsBurst, QuotaExceeded or QuotaUnavailable; nothing ran then.
         """
         config = self._get_config()
-        published = config.organisations.get(organisation)
-        if published is None:
-            raise QuotaUnavailable(f"organisation {organisation} is not published")
-        burst_tokens = self._parts.usable_burst_tokens(config, published)
-        if cost_tokens > burst_tokens:
-            raise CostExceedsBurst(cost_tokens, burst_tokens)
-        self._refuse_while_held(organisation, deadline_s)
+        published = self._check(config, organisation, cost_tokens, deadline_s)
         attempt = _Attempt(organisation, cost_tokens, deadline_s)
         try:
             return await self._charge_first_home(attempt, config, published)
@@ -114,6 +114,44 @@
                 await self._cancel(attempt)
             raise
 
+    async def look(
+        self, organisation: str, cost_tokens: int, deadline_s: float
+    ) -> tuple[str, QuotaSeen]:
+        """Return the home that a charge would go to and what it would get there.
+
+        Nothing is taken or counted. Raise CostExceedsBurst, QuotaExceeded or
+        QuotaUnavailable, as a charge would, and what the call of the home raises.
+        """
+        config = self._get_config()
+        published = self._check(config, organisation, cost_tokens, deadline_s)
+        now_s = self._clock()
+        seat = self._choose_home(config, published, now_s)
+        if seat is None:
+            raise QuotaUnavailable(f"no home of {organisation} answers")
+        patience_s = max(0.0, deadline_s - now_s)
+        if seat == self._home.seat:
+            return seat, self._home.look(organisation, cost_tokens, patience_s)
+        message = LookAtQuota(
+            organisation=organisation,
+            cost_tokens=cost_tokens,
+            patience_ms=round(patience_s * 1000),
+        )
+        seen = await self._network.call(seat, message, QuotaSeen, CHARGE_MARGIN_S)
+        return seat, seen
+
+    def _check(
+        self, config: Config, organisation: str, cost_tokens: int, deadline_s: float
+    ) -> Organisation:
+        """Return the published organisation; raise what this entry refuses itself."""
+        published = config.organisations.get(organisation)
+        if published is None:
+            raise QuotaUnavailable(f"organisation {organisation} is not published")
+        burst_tokens = self._parts.usable_burst_tokens(config, published)
+        if cost_tokens > burst_tokens:
+            raise CostExceedsBurst(cost_tokens, burst_tokens)
+        self._refuse_while_held(organisation, deadline_s)
+        return published
+
     async def _charge_first_home(
         self, attempt: _Attempt, config: Config, published: Organisation
     ) -> Charge:
--- a/banyanseam/quota/home.py
+++ b/banyanseam/quota/home.py
@@ -25,6 +25,8 @@
     ChargeRequest,
     LoanReply,
     LoanRequest,
+    LookAtQuota,
+    QuotaSeen,
     RenewReply,
     RenewRequest,
     ReturnNotice,
@@ -75,6 +77,7 @@
         self._hungry = anyio.Event()
         network.handle_call(ChargeRequest, self._on_charge)
         network.handle_cast(SettleNotice, self._on_settle)
+        network.handle_call(LookAtQuota, self._on_look)
         network.handle_call(LoanRequest, self._on_loan)
         network.handle_call(RenewRequest, self._on_renew)
         network.handle_cast(ReturnNotice, self._on_return)
@@ -146,6 +149,26 @@
         account.settle(charge_id, used_tokens, self._clock())
         self._serve(account)
 
+    def look(self, organisation: str, cost_tokens: int, patience_s: float) -> QuotaSeen:
+        """Return what a charge would get here; nothing is taken or counted."""
+        account = self._find_account(organisation)
+        if account is None or account.is_retired:
+            return QuotaSeen(status="not_home")
+        outcome = account.preview(cost_tokens, patience_s, self._clock())
+        return QuotaSeen(
+            status=outcome.status,
+            wait_ms=round(outcome.retry_after_s * 1000),
+            held_tokens=account.share.tokens,
+            cap_tokens=max(0.0, account.share.cap_tokens),
+            rate_tokens_per_s=max(0.0, account.share.rate_tokens_per_s),
+            waiting=len(account.waiting),
+        )
+
+    async def _on_look(self, peer: PeerIdentity, message: LookAtQuota) -> QuotaSeen:
+        return self.look(
+            message.organisation, message.cost_tokens, message.patience_ms / 1000
+        )
+
     async def _on_charge(
         self, peer: PeerIdentity, message: ChargeRequest
     ) -> ChargeReply:
--- a/banyanseam/quota/messages.py
+++ b/banyanseam/quota/messages.py
@@ -38,6 +38,31 @@
     queue_ms: Milliseconds = 0
 
 
+class LookAtQuota(Message):
+    """Ask a home what a charge would get; nothing is taken or counted."""
+
+    kind = "quota.look"
+
+    organisation: str
+    cost_tokens: int = Field(ge=0)
+    patience_ms: Milliseconds
+
+
+class QuotaSeen(Message):
+    """What a new charge would get at a home, and what the home holds."""
+
+    kind = "quota.seen"
+
+    status: ChargeStatus
+    # How long the charge would wait were the whole rate lent to this home.
+    wait_ms: Milliseconds = 0
+    # Below zero while a debt is paid off.
+    held_tokens: float = 0
+    cap_tokens: Tokens = 0
+    rate_tokens_per_s: Tokens = 0
+    waiting: int = Field(default=0, ge=0)
+
+
 class SettleNotice(Message):
     """Tell a home the true cost of a charge; 0 cancels it."""
 
--- a/banyanseam/server/explain.py
+++ b/banyanseam/server/explain.py
@@ -1,14 +1,16 @@
 """Say what the filters would do with a request that is only imagined."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 
 from banyanseam.config.compiled import Config, Organisation, Route, Upstream
 from banyanseam.errors import BanyanseamError
+from banyanseam.idempotency.const import KEY_HEADER
+from banyanseam.pipe.cost import estimate_cost, read_chat
 from banyanseam.pipe.errors import KeyMissing, KeyUnknown, ResidencyExcluded
-from banyanseam.pipe.models import Cost
+from banyanseam.pipe.models import Cost, Exchange
 from banyanseam.pipe.residency import Regions, find_regions
-from banyanseam.pipe.route import find_route
+from banyanseam.pipe.route import find_route, make_fingerprint, refuse_dot_segments
 from banyanseam.server.operator_models import (
     ExplainReply,
     ExplainRequest,
@@ -16,8 +18,9 @@
     Verdict,
 )
 
-# The filters whose answer depends on state, in their order in the pipe.
-STATEFUL_FILTERS = ("poison", "quota", "idempotency", "queue", "choose")
+# The filters whose answer depends on state, in their order in the pipe; the filter
+# `queue` finds a place, where the keeper of the pool then chooses an upstream.
+STATEFUL_FILTERS = ("idempotency", "quota", "poison", "queue", "choose")
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,19 +30,19 @@
     request: ExplainRequest
     config: Config
     region: str
-    organisation: Organisation | None
-    route: Route
-    regions: Regions
-    cost: Cost
-    is_idempotent: bool
+    exchange: Exchange
 
 
 # Looks at a filter's state without changing it.
-Probe = Callable[[Imagined], ExplainStep]
+Probe = Callable[[Imagined], Awaitable[ExplainStep]]
 
 
-def explain(
-    request: ExplainRequest, config: Config, region: str, probes: dict[str, Probe]
+async def explain(
+    request: ExplainRequest,
+    config: Config,
+    region: str,
+    probes: dict[str, Probe],
+    now_s: float = 0.0,
 ) -> ExplainReply:
     """Return the filters' verdicts in order, up to the first refusal.
 
@@ -47,7 +50,8 @@
     reported as unknown, but for `choose`, which then goes by the configuration.
     """
     steps: list[ExplainStep] = []
-    for step in _walk(request, config, region, probes):
+    imagined = Imagined(request, config, region, _make_exchange(request, now_s))
+    async for step in _walk(imagined, probes):
         steps.append(step)
         if step.verdict == "refuse":
             break
@@ -76,31 +80,49 @@
     return ExplainStep(filter=name, verdict="pass", reason=reason, facts=facts)
 
 
-def _walk(
-    request: ExplainRequest, config: Config, region: str, probes: dict[str, Probe]
-) -> Iterator[ExplainStep]:
+def let_wait(name: str, reason: str, **facts: object) -> ExplainStep:
+    """Return the step of a filter that would hold the request for a while."""
+    return ExplainStep(filter=name, verdict="wait", reason=reason, facts=facts)
+
+
+def leave_open(name: str, reason: str, **facts: object) -> ExplainStep:
+    """Return the step of a filter of which this daemon cannot know the answer."""
+    return ExplainStep(filter=name, verdict="unknown", reason=reason, facts=facts)
+
+
+def _make_exchange(request: ExplainRequest, now_s: float) -> Exchange:
+    path, _, query = request.path.partition("?")
+    headers = []
+    if request.idempotency_key is not None:
+        headers.append((KEY_HEADER, request.idempotency_key.encode()))
+    return Exchange(
+        request_id="-",
+        method=request.method,
+        path=path,
+        query=query.encode(),
+        headers=headers,
+        body=request.body or b"",
+        received_s=now_s,
+        reply=None,
+        model=request.model,
+    )
+
+
+async def _walk(
+    imagined: Imagined, probes: dict[str, Probe]
+) -> AsyncIterator[ExplainStep]:
     yield let_pass("loop guard", "it would come from a caller, not from a daemon")
-    organisation = None
-    if request.organisation is None:
-        yield let_pass("authenticate", "it would bring no key")
-    elif request.organisation not in config.organisations:
-        yield refuse(
-            "authenticate",
-            KeyUnknown(f"no organisation is named {request.organisation}"),
-        )
-    else:
-        organisation = config.organisations[request.organisation]
-        keys = len(organisation.key_digests)
-        if not keys:
-            yield refuse("authenticate", KeyUnknown("the organisation has no key"))
-        yield let_pass("authenticate", f"it has {keys} published keys", keys=keys)
+    exchange = imagined.exchange
+    yield _explain_key(imagined)
     try:
-        route = find_route(config, request.path)
+        refuse_dot_segments(exchange.path)
+        route = find_route(imagined.config, exchange.path)
+        if exchange.organisation is None and not route.open_to_all:
+            raise KeyMissing(f"route {route.name} is not open to all")
     except BanyanseamError as error:
         yield refuse("route", error)
         return
-    if organisation is None and not route.open_to_all:
-        yield refuse("route", KeyMissing(f"route {route.name} is not open to all"))
+    _follow_route(exchange, route)
     yield let_pass(
         "route",
         f"route {route.name}, class {route.request_class}, "
@@ -109,26 +131,34 @@
         request_class=route.request_class,
         deadline_ms=route.deadline_ms,
     )
-    regions = find_regions(route, organisation)
-    yield _explain_residency(regions)
-    cost = Cost(route.cost_tokens, 0)
-    if route.is_model:
-        cost = Cost(request.prompt_tokens, request.max_output_tokens)
-    yield let_pass(
-        "cost", f"at most {cost.total_tokens} tokens", tokens=cost.total_tokens
-    )
-    imagined = Imagined(
-        request=request,
-        config=config,
-        region=region,
-        organisation=organisation,
-        route=route,
-        regions=regions,
-        cost=cost,
-        is_idempotent=route.is_model or request.method in route.idempotent_methods,
-    )
+    exchange.regions = find_regions(route, exchange.organisation)
+    yield _explain_residency(exchange.regions)
+    yield _explain_cost(imagined.request, exchange)
     for name in STATEFUL_FILTERS:
-        yield _ask(name, imagined, probes)
+        yield await _ask(name, imagined, probes)
+
+
+def _explain_key(imagined: Imagined) -> ExplainStep:
+    name = imagined.request.organisation
+    if name is None:
+        return let_pass("authenticate", "it would bring no key")
+    found: Organisation | None = imagined.config.organisations.get(name)
+    if found is None:
+        return refuse("authenticate", KeyUnknown(f"no organisation is named {name}"))
+    imagined.exchange.organisation = found
+    keys = len(found.key_digests)
+    if not keys:
+        return refuse("authenticate", KeyUnknown("the organisation has no key"))
+    return let_pass("authenticate", f"it has {keys} published keys", keys=keys)
+
+
+def _follow_route(exchange: Exchange, route: Route) -> None:
+    exchange.route = route
+    exchange.is_idempotent = (
+        route.is_model or exchange.method in route.idempotent_methods
+    )
+    exchange.fingerprint = make_fingerprint(exchange)
+    exchange.deadline_s = exchange.received_s + route.deadline_ms / 1000
 
 
 def _explain_residency(regions: Regions) -> ExplainStep:
@@ -141,22 +171,37 @@
     return let_pass("residency", f"only {', '.join(names)} may serve", regions=names)
 
 
-def _ask(name: str, imagined: Imagined, probes: dict[str, Probe]) -> ExplainStep:
+def _explain_cost(request: ExplainRequest, exchange: Exchange) -> ExplainStep:
+    if not exchange.route.is_model:
+        exchange.cost = Cost(exchange.route.cost_tokens, 0)
+    elif request.body is None:
+        exchange.cost = Cost(request.prompt_tokens, request.max_output_tokens)
+    else:
+        try:
+            chat = read_chat(exchange.body)
+        except BanyanseamError as error:
+            return refuse("cost", error)
+        exchange.model = chat.model
+        exchange.cost = estimate_cost(chat, len(exchange.body))
+    tokens = exchange.cost.total_tokens
+    return let_pass("cost", f"at most {tokens} tokens", tokens=tokens)
+
+
+async def _ask(name: str, imagined: Imagined, probes: dict[str, Probe]) -> ExplainStep:
     probe = probes.get(name)
     if probe is not None:
-        return probe(imagined)
+        return await probe(imagined)
     if name == "choose":
-        return _choose_by_configuration(imagined)
-    return ExplainStep(
-        filter=name, verdict="unknown", reason="this daemon keeps no such state"
-    )
+        return choose_by_configuration(imagined)
+    return leave_open(name, "this daemon does not serve yet")
 
 
-def _choose_by_configuration(imagined: Imagined) -> ExplainStep:
+def choose_by_configuration(imagined: Imagined) -> ExplainStep:
+    """Return which upstreams the configuration alone would allow."""
     candidates = [
         upstream
         for upstream in imagined.config.upstreams.values()
-        if _fits(upstream, imagined)
+        if _fits(upstream, imagined.exchange)
     ]
     names = sorted(one.name for one in candidates if not one.leaving)
     leaving = sorted(one.name for one in candidates if one.leaving)
@@ -181,11 +226,11 @@
     )
 
 
-def _fits(upstream: Upstream, imagined: Imagined) -> bool:
-    route = imagined.route
-    wanted = imagined.request.model if route.is_model else route.service
+def _fits(upstream: Upstream, exchange: Exchange) -> bool:
+    route = exchange.route
+    wanted = exchange.model if route.is_model else route.service
     return (
         upstream.is_model == route.is_model
         and (wanted is None or wanted in upstream.serves)
-        and (imagined.regions is None or upstream.region in imagined.regions)
+        and (exchange.regions is None or upstream.region in exchange.regions)
     )
--- a/banyanseam/server/operator_answers.py
+++ b/banyanseam/server/operator_answers.py
@@ -67,4 +67,5 @@
 ) -> dict[str, Any]:
     """Return the explanation that an ExplainRequest asks for."""
     request = read_request(ExplainRequest, body)
-    return explain(request, config, region, probes).model_dump()
+    now_s = anyio.current_time()
+    return (await explain(request, config, region, probes, now_s)).model_dump()
--- a/banyanseam/server/operator_models.py
+++ b/banyanseam/server/operator_models.py
@@ -6,7 +6,7 @@
 
 from typing import Any, Literal
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import Base64Bytes, BaseModel, ConfigDict, Field
 
 from banyanseam.config.models import Name, RequestClass
 
@@ -61,8 +61,12 @@
     upstream: str
     region: str
     state: Literal["ready", "leaving", "ejected", "unknown"]
+    # The seat that keeps its pool and so knows it; None while nobody does.
+    keeper: str | None = None
+    # Of the whole region, as its keeper counts.
     in_flight: int = 0
     held_tokens: int | None = None
+    free_tokens: int | None = None
     memory_tokens: int | None = None
     reported_ms_ago: int | None = None
 
@@ -71,6 +75,7 @@
     """What this daemon holds at present."""
 
     in_flight: int = 0
+    # Those in flight that wait for room on an upstream.
     queued: int = 0
     held_bytes: int = 0
     byte_budget: int | None = None
@@ -146,6 +151,10 @@
     model: str | None = None
     prompt_tokens: int = Field(default=1000, ge=0)
     max_output_tokens: int = Field(default=256, ge=0)
+    idempotency_key: str | None = Field(default=None, min_length=1)
+    # Without a body no poison mark can be matched, and a model's cost goes by the
+    # numbers above.
+    body: Base64Bytes | None = None
 
 
 class ExplainStep(OperatorReply):
--- a/banyanseam/upstreams/keeper.py
+++ b/banyanseam/upstreams/keeper.py
@@ -24,11 +24,14 @@
 from banyanseam.upstreams.messages import (
     Granted,
     Handover,
+    LookAtPool,
+    PoolSeen,
     Release,
     Renew,
     Reserve,
     Row,
     Rows,
+    UpstreamSeen,
 )
 from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, PoolRow
 
@@ -70,6 +73,7 @@
         self._handovers = Handovers(context)
         context.network.handle_call(Reserve, self.reserve)
         context.network.handle_call(Renew, self.renew)
+        context.network.handle_call(LookAtPool, self.look)
         context.network.handle_cast(Release, self.release)
         context.network.handle_cast(Handover, self.take_over)
 
@@ -164,6 +168,29 @@
                 )
         return Rows(rows=[Row(**asdict(row)) for row in self.list_rows()])
 
+    async def look(self, identity: PeerIdentity, message: LookAtPool) -> PoolSeen:
+        """Say how a pool stands and what a request would get; nothing is granted."""
+        now_s = anyio.current_time()
+        kept = self._find_kept(message.pool, now_s)
+        demand = Demand(
+            organisation=message.organisation,
+            weight=message.weight,
+            prompt_tokens=message.prompt_tokens,
+            max_output_tokens=message.max_output_tokens,
+        )
+        wait_s, refusal = 0.0, None
+        try:
+            wait_s = kept.check(demand, now_s + message.patience_ms / 1000, now_s)
+        except BanyanseamError as error:
+            refusal = error
+        return PoolSeen(
+            queued=len(kept.queue),
+            wait_ms=round(1000 * wait_s),
+            refused_code=refusal.code if refusal else None,
+            refused_detail=refusal.detail if refusal else None,
+            upstreams=[UpstreamSeen(**asdict(one)) for one in kept.list_states(now_s)],
+        )
+
     def list_rows(self) -> list[PoolRow]:
         """Return the summaries of the pools kept here."""
         now_s = anyio.current_time()
--- a/banyanseam/upstreams/kept_pool.py
+++ b/banyanseam/upstreams/kept_pool.py
@@ -22,6 +22,7 @@
     LoadReport,
     Outcome,
     PoolRow,
+    UpstreamState,
 )
 from banyanseam.upstreams.pools import Pool
 from banyanseam.upstreams.prefix import PrefixTable, prefer
@@ -94,6 +95,14 @@
         Raise RequestTooLarge when it never fits, NoUpstreamAvailable when no upstream
         is usable or the wait would be longer than it can give.
         """
+        self.check(demand, give_up_s, now_s)
+        self.queue.add(Waiting(give_up_s, now_s, key, demand))
+
+    def check(self, demand: Demand, give_up_s: float, now_s: float) -> float:
+        """Return how long a new request would wait, in seconds; change nothing.
+
+        Raise what `ask` would.
+        """
         usable = self._list_usable(demand, now_s)
         if not usable:
             raise NoUpstreamAvailable(retry_after_ms=1000)
@@ -107,7 +116,7 @@
         if now_s + wait_s > give_up_s:
             retry_ms = _bound_retry(1000 * (now_s + wait_s - give_up_s))
             raise NoUpstreamAvailable("the wait is too long", retry_after_ms=retry_ms)
-        self.queue.add(Waiting(give_up_s, now_s, key, demand))
+        return wait_s
 
     def dispatch(self, now_s: float) -> tuple[list[Placed], list[Refused]]:
         """Give free room to waiting requests in fair order."""
@@ -190,6 +199,15 @@
         for kept in self.kept.values():
             kept.held.restart(now_s)
 
+    def list_states(self, now_s: float) -> list[UpstreamState]:
+        """Return how each upstream stands."""
+        return [
+            kept.describe_state(
+                self.seats, now_s, is_doubted=kept.upstream.name in self._leaving
+            )
+            for kept in self.kept.values()
+        ]
+
     def summarise(self, now_s: float) -> PoolRow:
         """Return what entries and other regions are told."""
         usable = self._list_usable(None, now_s)
--- a/banyanseam/upstreams/kept_upstream.py
+++ b/banyanseam/upstreams/kept_upstream.py
@@ -5,7 +5,7 @@
 from banyanseam.upstreams.const import SENT_TERM_S
 from banyanseam.upstreams.health import Health
 from banyanseam.upstreams.held import HeldTokens
-from banyanseam.upstreams.models import Demand, LoadReport
+from banyanseam.upstreams.models import Demand, LoadReport, UpstreamState
 
 
 class KeptUpstream:
@@ -33,11 +33,38 @@
         self.held.memory_tokens = upstream.memory_tokens
         self.held.max_in_flight = upstream.max_in_flight
 
+    @property
+    def is_leaving(self) -> bool:
+        """Say whether the configuration or its own report says that it leaves."""
+        report = self.held.report
+        return self.upstream.leaving or (report is not None and report.leaving)
+
     def is_usable(self, now_s: float) -> bool:
         """Say whether new requests may go there, room or not."""
-        report = self.held.report
-        is_leaving = self.upstream.leaving or (report is not None and report.leaving)
-        return not is_leaving and self.health.may_send(now_s)
+        return not self.is_leaving and self.health.may_send(now_s)
+
+    def describe_state(
+        self, seats: frozenset[str], now_s: float, *, is_doubted: bool
+    ) -> UpstreamState:
+        """Return how it stands; `is_doubted` when the list of VMs says it leaves."""
+        held, report = self.held, self.held.report
+        state = "ready"
+        if self.is_leaving or is_doubted:
+            state = "leaving"
+        elif not self.health.may_send(now_s):
+            state = "ejected"
+        return UpstreamState(
+            name=self.upstream.name,
+            state=state,
+            in_flight=len(held.leases),
+            held_tokens=held.count_held_tokens(),
+            free_tokens=(
+                held.count_free_tokens(seats, now_s) if state == "ready" else 0
+            ),
+            reported_ms_ago=(
+                None if report is None else round(1000 * (now_s - report.as_of_s))
+            ),
+        )
 
     def observe(self, report: LoadReport | None, now_s: float) -> None:
         """Take a polled report, or None when the poll failed."""
--- a/banyanseam/upstreams/messages.py
+++ b/banyanseam/upstreams/messages.py
@@ -1,6 +1,6 @@
 """Messages between entries and keepers of upstream pools."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import Field
 
@@ -9,6 +9,7 @@
 from banyanseam.upstreams.models import Outcome
 
 Name = Annotated[str, Field(max_length=1024)]
+ShortText = Annotated[str, Field(max_length=255)]
 Tokens = Annotated[int, Field(ge=0, le=10**9)]
 Milliseconds = Annotated[int, Field(ge=0, le=10**9)]
 Hash = Annotated[int, Field(ge=0, lt=2**64)]
@@ -86,6 +87,44 @@
     prefill_tokens_per_s: float = Field(ge=0)
 
 
+class LookAtPool(Message):
+    """Ask the keeper how a pool stands, and what a request would get there."""
+
+    kind = "upstreams.look"
+
+    pool: Name
+    organisation: Name = ""
+    weight: float = Field(default=1, gt=0)
+    prompt_tokens: Tokens = 0
+    max_output_tokens: Tokens = 0
+    patience_ms: Milliseconds = 0
+
+
+class UpstreamSeen(Message):
+    """One upstream as its keeper sees it."""
+
+    name: Name
+    state: Literal["ready", "leaving", "ejected"]
+    in_flight: int = Field(ge=0)
+    held_tokens: Tokens
+    # The largest request that may be granted now.
+    free_tokens: Tokens
+    # None before the first report, as of a plain service.
+    reported_ms_ago: Milliseconds | None
+
+
+class PoolSeen(Message):
+    """How a pool stands; `refused_code` says why the request would be refused."""
+
+    kind = "upstreams.seen"
+
+    queued: int = Field(ge=0)
+    wait_ms: Milliseconds
+    refused_code: ShortText | None
+    refused_detail: ShortText | None
+    upstreams: list[UpstreamSeen]
+
+
 class Rows(Message):
     """The reply to a renewal: the pools that the asked daemon does keep."""
 
--- a/banyanseam/upstreams/models.py
+++ b/banyanseam/upstreams/models.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Literal
 
 
 class Outcome(StrEnum):
@@ -68,6 +69,18 @@
     use_by_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamState:
+    """How an upstream stands, as its keeper counts it."""
+
+    name: str
+    state: Literal["ready", "leaving", "ejected"]
+    in_flight: int
+    held_tokens: int
+    free_tokens: int
+    reported_ms_ago: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class PoolRow:
     """What a keeper tells others about one pool."""
--- a/banyanseam/upstreams/places.py
+++ b/banyanseam/upstreams/places.py
@@ -1,5 +1,6 @@
 """Where an entry may send a request, by what keepers and regions last said."""
 
+import copy
 from collections.abc import Sequence
 from random import Random
 
@@ -55,6 +56,33 @@
         Raise NoUpstreamAllowed when what serves this lies only where the request may
         not go, NoUpstreamAvailable when nothing that it may use is known to work.
         """
+        now_s = anyio.current_time()
+        if self._spill is None:
+            self._spill = Spill(now_s)
+        place = self._pick(
+            serves, demand, regions, self._spill, may_forward=may_forward
+        )
+        if may_forward:
+            is_remote = not isinstance(place, LocalPool)
+            self._spill.note(is_remote=is_remote, now_s=now_s)
+        return place
+
+    def preview(
+        self, serves: str, demand: Demand, regions: frozenset[str] | None
+    ) -> Place:
+        """Return what `choose` would, or raise it, without counting a request."""
+        spill = copy.deepcopy(self._spill) or Spill(anyio.current_time())
+        return self._pick(serves, demand, regions, spill, may_forward=True)
+
+    def _pick(
+        self,
+        serves: str,
+        demand: Demand,
+        regions: frozenset[str] | None,
+        spill: Spill,
+        *,
+        may_forward: bool,
+    ) -> Place:
         allowed = self._list_allowed(serves, regions)
         home = self._context.region
         if not may_forward:
@@ -68,17 +96,10 @@
             for summary in self._regions.list_summaries(serves, now_s)
             if summary.region in allowed - {home}
         ]
-        if self._spill is None:
-            self._spill = Spill(now_s)
         policy = self._context.get_config().policies[home]
-        place = pick_place(
-            pools, others, demand, policy, self._spill, self._random, now_s
-        )
+        place = pick_place(pools, others, demand, policy, spill, self._random, now_s)
         if place is None:
             raise NoUpstreamAvailable(serves, retry_after_ms=1000)
-        if may_forward:
-            is_remote = not isinstance(place, LocalPool)
-            self._spill.note(is_remote=is_remote, now_s=now_s)
         return place
 
     def _list_allowed(self, serves: str, regions: frozenset[str] | None) -> set[str]:
--- a/banyanseam/upstreams/room.py
+++ b/banyanseam/upstreams/room.py
@@ -26,9 +26,18 @@
     RequestTooLarge,
 )
 from banyanseam.upstreams.keeper import Keeper
-from banyanseam.upstreams.messages import Granted, Release, Renew, Reserve, Rows
+from banyanseam.upstreams.messages import (
+    Granted,
+    LookAtPool,
+    PoolSeen,
+    Release,
+    Renew,
+    Reserve,
+    Rows,
+)
 from banyanseam.upstreams.models import Demand, Grant, Outcome, PoolRow
 from banyanseam.upstreams.places import Places
+from banyanseam.upstreams.pools import Pool
 
 _ERRORS_BY_CODE = {
     error.code: error for error in (NoUpstreamAvailable, RequestTooLarge)
@@ -62,6 +71,7 @@
         self._numbers = itertools.count(1)
         self._grants: dict[int, Grant] = {}
         self._asks: list[Ask] = []
+        self._waiting = 0
         self._announced: dict[str, str] = {}
 
     async def run(self) -> None:
@@ -85,6 +95,13 @@
 
         Raise NoUpstreamAvailable or RequestTooLarge; nothing was run by then.
         """
+        self._waiting += 1
+        try:
+            return await self._reserve(pool, demand, give_up_s)
+        finally:
+            self._waiting -= 1
+
+    async def _reserve(self, pool: str, demand: Demand, give_up_s: float) -> Grant:
         while True:
             now_s = anyio.current_time()
             if now_s >= give_up_s:
@@ -113,6 +130,33 @@
         keeper = self._context.find_keeper(grant.pool)
         await self._cast(keeper or grant.keeper, message)
 
+    @property
+    def waiting(self) -> int:
+        """Return how many requests of this entry wait for room."""
+        return self._waiting
+
+    def read_pools(self) -> dict[str, Pool]:
+        """Return the pools of this region by name."""
+        return self._context.read_pools()
+
+    def find_keeper(self, pool: str) -> str | None:
+        """Return the seat that keeps a pool in this daemon's view."""
+        return self._context.find_keeper(pool)
+
+    async def look(self, message: LookAtPool) -> PoolSeen:
+        """Ask a pool's keeper how it stands; nothing is reserved.
+
+        Raise NotKeeper when no live seat keeps the pool, and what the call raises.
+        """
+        keeper = self._context.find_keeper(message.pool)
+        if keeper is None:
+            raise NotKeeper(f"no live seat keeps {message.pool}")
+        if keeper == self._context.me.seat:
+            return await self._keeper.look(self._context.me, message)
+        return await self._context.network.call(
+            keeper, message, PoolSeen, CALL_RENEW_TIMEOUT_S
+        )
+
     def is_usable(self, grant: Grant) -> bool:
         """Say whether a grant may still be used; a late one must be given back."""
         upstream = self._context.get_config().upstreams.get(grant.upstream)
--- /dev/null
+++ b/tests/daemon/test_probes.py
@@ -0,0 +1,148 @@
+import base64
+import json
+import signal
+import unittest
+from types import SimpleNamespace
+
+import anyio
+from uuid6 import uuid7
+
+from banyanseam.config.compile import compile_config
+from banyanseam.daemon.probes import make_poison_probe
+from banyanseam.poison.fingerprint import make_poison_fingerprint
+from banyanseam.poison.suspects import Suspects
+from banyanseam.server.explain import Imagined
+from banyanseam.server.operator_models import ExplainRequest
+from standins.callers import Caller
+from standins.fleet import FleetPlan, start_fleet
+from tests.common import make_documents, make_exchange
+
+CHAT = {"path": "/v1/chat/completions", "organisation": "acme", "model": "oak"}
+BODY = b'{"slot": 9}'
+
+
+def book(key, body=BODY):
+    fields = {"path": "/desk/book", "organisation": "acme", "idempotency_key": key}
+    return fields | {"body": base64.b64encode(body).decode()}
+
+
+class ProbeTests(unittest.TestCase):
+    """What explain and status say of the state of real processes."""
+
+    def test_they_tell_the_state_and_leave_it_alone(self):
+        anyio.run(self.check)
+
+    async def explain(self, seat, fields):
+        body = json.dumps(fields).encode()
+        address = seat.operators_address
+        reply = await self.caller.request("POST", address, "/explain", body=body)
+        self.assertEqual(reply.status, 200, reply.content)
+        return {one["filter"]: one for one in reply.value["steps"]}
+
+    async def wait_for(self, seat, fields, step, wanted):
+        with anyio.fail_after(20):
+            while True:
+                found = (await self.explain(seat, fields)).get(step)
+                if found and wanted in (found["code"], found["facts"].get("state")):
+                    return found
+                await anyio.sleep(0.1)
+
+    async def check(self):
+        plan = FleetPlan(regions=("gulf",), seats=2, uses_relay=False)
+        async with start_fleet(plan) as fleet, Caller(fleet.keys["acme"]) as caller:
+            self.caller = caller
+            first, second = fleet.daemons.values()
+            self.assertTrue((await caller.chat(first.callers_address)).is_whole)
+            key, unsent = str(uuid7()), str(uuid7())
+            booked = await caller.book(
+                first.callers_address, "/desk/book", BODY, idempotency_key=key
+            )
+            self.assertEqual(booked.status, 201, booked.content)
+            for seat in (first, second):
+                await self.check_cases(seat, key, unsent)
+            await self.check_status(first)
+            await self.check_losses(fleet, unsent)
+
+    async def check_cases(self, seat, key, unsent):
+        large, huge = {"prompt_tokens": 900_000}, {"prompt_tokens": 2_000_000}
+        cases = [
+            (CHAT, "quota", "pass", None),
+            (CHAT, "poison", "pass", None),
+            (CHAT, "queue", "pass", None),
+            (CHAT, "choose", "pass", None),
+            (CHAT | large, "quota", "wait", None),
+            (CHAT | huge, "quota", "refuse", "quota.cost_exceeds_burst"),
+            (book(key), "idempotency", "pass", "done"),
+            (book(unsent), "idempotency", "pass", "new"),
+            (book(key, b"x"), "idempotency", "refuse", "idempotency.key_reused"),
+        ]
+        # Twice, since a look that claimed or took something would show then.
+        for fields, name, verdict, wanted in cases + cases:
+            with self.subTest(seat=seat.seat, name=name, wanted=wanted):
+                step = (await self.explain(seat, fields))[name]
+                self.assertEqual(step["verdict"], verdict, step)
+                if name == "quota" and verdict != "refuse":
+                    self.assertEqual(step["facts"]["waiting"], 0)
+                if wanted:
+                    self.assertIn(wanted, (step["code"], step["facts"].get("state")))
+
+    async def check_status(self, seat):
+        reply = await self.caller.request("GET", seat.operators_address, "/status")
+        status = reply.value
+        empty = [
+            f"{part}.{name}"
+            for part, rows in (
+                ("config", [status["config"]]),
+                ("peers", status["peers"]),
+                ("upstreams", status["upstreams"]),
+            )
+            for row in rows
+            for name, value in row.items()
+            if value is None and row.get("upstream") != "gulf-service-1"
+        ]
+        self.assertEqual(empty, ["config.rejected"])
+        self.assertEqual({one["state"] for one in status["upstreams"]}, {"ready"})
+
+    async def check_losses(self, fleet, unsent):
+        """Lose an engine, then the home of a key."""
+        first = fleet.daemons["gulf-1"]
+        fleet.upstreams["gulf-engine-1"].child.signal(signal.SIGKILL)
+        await self.wait_for(first, CHAT, "queue", "upstreams.none_available")
+        reply = await self.caller.request("GET", first.operators_address, "/status")
+        states = {one["upstream"]: one["state"] for one in reply.value["upstreams"]}
+        self.assertEqual(states["gulf-engine-1"], "ejected")
+        step = (await self.explain(first, book(unsent)))["idempotency"]
+        home = step["facts"]["home"]
+        fleet.kill(home)
+        (other,) = (one for one in fleet.daemons.values() if one.seat != home)
+        lost = "idempotency.home_unreachable"
+        await self.wait_for(other, book(unsent), "idempotency", lost)
+
+
+class PoisonProbeTests(unittest.TestCase):
+    def test_a_mark_is_matched_by_the_body(self):
+        suspects = Suspects()
+        config = compile_config(1, *make_documents())
+        exchange = make_exchange(path="/clinic/", body=BODY)
+        exchange.route = config.routes["clinic"]
+        parts = SimpleNamespace(guard=SimpleNamespace(suspects=suspects))
+        probe = make_poison_probe(parts)
+        cases = [("other", BODY, "pass"), ("same", BODY, "wait")]
+        cases += [("same", BODY, "refuse"), ("same", None, "unknown")]
+        for marked, body, verdict in cases:
+            with self.subTest(marked=marked, body=body, verdict=verdict):
+                request = ExplainRequest(
+                    path="/clinic/", body=body and base64.b64encode(body)
+                )
+
+                async def look(request=request, marked=marked):
+                    own = make_poison_fingerprint(exchange)
+                    mark = own if marked == "same" else b"another."
+                    suspects.note_crash(mark, "gulf-1", anyio.current_time())
+                    return await probe(Imagined(request, config, "gulf", exchange))
+
+                self.assertEqual(anyio.run(look).verdict, verdict)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/server/test_explain.py
+++ b/tests/server/test_explain.py
@@ -1,5 +1,7 @@
 import unittest
 
+import anyio
+
 from banyanseam.config.compile import compile_config
 from banyanseam.server.explain import explain, let_pass
 from banyanseam.server.operator_models import ExplainRequest, ExplainStep
@@ -8,14 +10,18 @@
 CHAT = "/v1/chat/completions"
 
 
-def wait(_):
+async def wait(_):
     return ExplainStep(filter="quota", verdict="wait", reason="refill in 20 ms")
 
 
-PASSING = {
-    name: lambda _, name=name: let_pass(name, "nothing against it")
-    for name in ("poison", "idempotency", "queue")
-}
+def passing(name):
+    async def probe(_):
+        return let_pass(name, "nothing against it")
+
+    return probe
+
+
+PASSING = {name: passing(name) for name in ("poison", "idempotency", "queue")}
 
 
 class ExplainTests(unittest.TestCase):
@@ -38,7 +44,7 @@
 
     def explain(self, path, probes=None, **fields):
         request = ExplainRequest(path=path, **fields)
-        return explain(request, self.config, "gulf", probes or {})
+        return anyio.run(explain, request, self.config, "gulf", probes or {})
 
     def test_verdicts(self):
         cases = [
@@ -59,9 +65,9 @@
     def test_state_is_asked_with_what_earlier_filters_found(self):
         seen = []
 
-        def quota(imagined):
-            seen.append(imagined)
-            return wait(imagined)
+        async def quota(imagined):
+            seen.append(imagined.exchange)
+            return await wait(imagined)
 
         reply = self.explain(
             CHAT,
