Log what libraries say as numbered events; hand over diagnostics without secrets

Cause: uvicorn's and websockets' own lines went to standard error as text, a cut answer as a page of traceback, and a taken port ended the daemon with another; an operator had nothing to hand over but status.

Change: the records of logging come as events 2010 to 2012, from WARNING on (from INFO with log_level DEBUG; never their debug lines, which repeat frames and headers). The cut of a broken answer is passed over, as event 3002 has told it. An address or certificate that cannot be used is daemon.cannot_listen and ends the daemon with one event, 2004, and exit code 1. log_level is one of four names. Every line is redacted: the fleet secret, keys as key new makes them, what follows a scheme or a credential's header. The last 20 lines of each event are kept (at most 100 events). GET /diagnostics and banyanseam diagnostics give settings, status, release, digests of the values and those lines; SecretStr hides the settings' secrets. config split and diagnostics say cli.unwritable_file in one line.

--- /dev/null
+++ b/banyanseam/cli/diagnostics.py
@@ -0,0 +1,34 @@
+"""The command that collects what an operator hands over."""
+
+import json
+from pathlib import Path
+
+import click
+
+from banyanseam.cli.client import ask, operators_option
+from banyanseam.cli.files import write_text
+from banyanseam.cli.output import emit, json_option
+from banyanseam.server.operator_models import DiagnosticsReply
+
+
+@click.command()
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path),
+    help="Write the bundle to this file instead of printing it.",
+)
+@operators_option
+@json_option
+def diagnostics(operators: str, out: Path | None, as_json: bool) -> None:
+    """Collect a daemon's settings, state and recent events, without secrets.
+
+    The bundle is JSON. It names organisations, seats and addresses, and holds no key,
+    no digest of a key, no fleet secret and nothing of requests or answers.
+    """
+    reply = ask(operators, "GET", "/diagnostics", DiagnosticsReply).model_dump()
+    if out is None:
+        emit(reply, True, str)
+        return
+    write_text(out, json.dumps(reply, indent=2, sort_keys=True) + "\n")
+    summary = {"written": str(out), "events": len(reply["events"])}
+    emit(summary, as_json, lambda: f"{out}: {summary['events']} events")
--- a/banyanseam/cli/errors.py
+++ b/banyanseam/cli/errors.py
@@ -20,6 +20,15 @@
     not_run = True
 
 
+class UnwritableFile(BanyanseamError):
+    """A file or its folder cannot be written."""
+
+    code = "cli.unwritable_file"
+    event = 1904
+    title = "The file cannot be written"
+    not_run = True
+
+
 class DaemonUnreachable(BanyanseamError):
     """Nothing answers at the operators' address."""
 
--- a/banyanseam/cli/files.py
+++ b/banyanseam/cli/files.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from banyanseam.cli.errors import UnreadableFile
+from banyanseam.cli.errors import UnreadableFile, UnwritableFile
 
 Document = dict[str, Any]
 
@@ -47,12 +47,20 @@
     return read_document(base), regions
 
 
+def write_text(path: Path, text: str) -> None:
+    """Write a file and the folders that it needs; raise UnwritableFile."""
+    try:
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(text)
+    except OSError as error:
+        raise UnwritableFile(f"{path}: {error.strerror}") from error
+
+
 def write_values(folder: Path, values: dict[str, Document]) -> None:
-    """Write each value to a file named after its key."""
+    """Write each value to a file named after its key; raise UnwritableFile."""
     for key, value in values.items():
-        path = folder / f"{key}.json"
-        path.parent.mkdir(parents=True, exist_ok=True)
-        path.write_text(json.dumps(value, indent=2, sort_keys=True) + "\n")
+        text = json.dumps(value, indent=2, sort_keys=True) + "\n"
+        write_text(folder / f"{key}.json", text)
 
 
 def _read_folder(folder: Path) -> tuple[Document, dict[str, Document]]:
--- a/banyanseam/cli/main.py
+++ b/banyanseam/cli/main.py
@@ -8,6 +8,7 @@
 
 from banyanseam.cli.config import config_group
 from banyanseam.cli.daemon import drain, entries, explain, status
+from banyanseam.cli.diagnostics import diagnostics
 from banyanseam.cli.errors import ErrorGroup
 from banyanseam.cli.histograms import histograms
 from banyanseam.cli.keys import key_group
@@ -38,6 +39,7 @@
     entries,
     histograms,
     explain,
+    diagnostics,
     drain,
 ):
     main.add_command(command)
--- a/banyanseam/daemon/app.py
+++ b/banyanseam/daemon/app.py
@@ -12,6 +12,7 @@
 from banyanseam.daemon.quota_parts import make_quota_parts
 from banyanseam.daemon.serving import Serving, make_serving
 from banyanseam.observe.events import DAEMON_READY, DAEMON_STOPPED, DRAIN_BEGUN, log
+from banyanseam.observe.logs import Logs
 from banyanseam.peers.entries import ENTRIES_VALIDITY_MS, Entries, list_entries
 from banyanseam.server.budget import ByteBudget
 from banyanseam.server.callers import Asgi, CallersPort, make_callers_app
@@ -28,9 +29,10 @@
 class Daemon:
     """One process at one seat."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, logs: Logs) -> None:
         """Build what does not need a configuration."""
         self.settings = settings
+        self.logs = logs
         self.started_s = anyio.current_time()
         self.view = FleetView(settings, random.Random())
         self.quota = make_quota_parts(self.view)
--- a/banyanseam/daemon/main.py
+++ b/banyanseam/daemon/main.py
@@ -7,14 +7,16 @@
 import click
 
 from banyanseam.daemon.app import Daemon
+from banyanseam.daemon.const import EXIT_FAILED, EXIT_SETTINGS
 from banyanseam.errors import BanyanseamError
-from banyanseam.observe.logs import set_up_logs
+from banyanseam.observe.events import DAEMON_FAILED, INTERNAL_FAILURE, log
+from banyanseam.observe.logs import Logs, describe_trace, set_up_logs
 from banyanseam.settings import Settings, read_settings
 
 
-async def run_daemon(settings: Settings) -> None:
+async def run_daemon(settings: Settings, logs: Logs) -> None:
     """Build and run the daemon on the running event loop."""
-    await Daemon(settings).run()
+    await Daemon(settings, logs).run()
 
 
 @click.command()
@@ -26,14 +28,45 @@
     help="The JSON settings of this process.",
 )
 def main(settings_path: Path) -> None:
-    """Serve callers and peers at this VM's seat until SIGTERM."""
+    r"""Serve callers and peers at this VM's seat until SIGTERM.
+
+    \b
+    Exit codes:
+      0  stopped as planned, or superseded by a newer process at its seat
+      1  could not go on; the last line of the log says why
+      2  the settings are not valid; one line on standard error begins with the code
+    """
     try:
         settings = read_settings(settings_path)
     except BanyanseamError as error:
         click.echo(f"{error.code}: {error.detail}", err=True)
-        sys.exit(2)
-    set_up_logs(settings.log_level, seat=settings.seat)
-    anyio.run(run_daemon, settings, backend_options={"use_uvloop": True})
+        sys.exit(EXIT_SETTINGS)
+    secrets = [settings.fleet_secret.get_secret_value()]
+    logs = set_up_logs(settings.log_level, seat=settings.seat, secrets=secrets)
+    try:
+        anyio.run(run_daemon, settings, logs, backend_options={"use_uvloop": True})
+    except Exception as error:
+        report_failure(error)
+        sys.exit(EXIT_FAILED)
+
+
+def report_failure(error: Exception) -> None:
+    """Log why the daemon cannot go on, in one line."""
+    known = find_known(error)
+    if known is not None:
+        log(DAEMON_FAILED, code=known.code, detail=known.detail)
+    else:
+        log(INTERNAL_FAILURE, error=repr(error), trace=describe_trace(error))
+
+
+def find_known(error: BaseException) -> BanyanseamError | None:
+    """Return the first of the project's own failures in a group of exceptions."""
+    if isinstance(error, BanyanseamError):
+        return error
+    if isinstance(error, BaseExceptionGroup):
+        found = (find_known(each) for each in error.exceptions)
+        return next((each for each in found if each is not None), None)
+    return None
 
 
 if __name__ == "__main__":
--- a/banyanseam/daemon/operations.py
+++ b/banyanseam/daemon/operations.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING, Any
 
 from banyanseam.config.errors import NotReady
+from banyanseam.daemon.diagnostics import describe_diagnostics
 from banyanseam.daemon.probes import make_probes
 from banyanseam.daemon.status import describe_status
 from banyanseam.peers.entries import ENTRIES_VALIDITY_MS
@@ -28,6 +29,9 @@
     async def answer_status(body: bytes) -> dict[str, Any]:
         return (await describe_status(daemon)).model_dump()
 
+    async def answer_diagnostics(body: bytes) -> dict[str, Any]:
+        return (await describe_diagnostics(daemon)).model_dump()
+
     async def answer_entries(body: bytes) -> dict[str, Any]:
         return daemon.list_entries(daemon.settings.seat).model_dump()
 
@@ -56,6 +60,7 @@
         ("GET", "/health/live"): answer_live,
         ("GET", "/health/ready"): answer_ready,
         ("GET", "/status"): answer_status,
+        ("GET", "/diagnostics"): answer_diagnostics,
         ("GET", "/entries"): answer_entries,
         ("POST", "/histograms"): histograms,
         ("POST", "/explain"): explain,
--- a/banyanseam/observe/logs.py
+++ b/banyanseam/observe/logs.py
@@ -1,30 +1,96 @@
-"""Log lines as JSON on standard error."""
+"""Log lines as JSON on standard error: the project's own and those of libraries."""
 
-import json
+import logging
 import sys
-from typing import TYPE_CHECKING
+import traceback
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
 
 from loguru import logger
 
+from banyanseam.observe.events import (
+    LIBRARY_FAULT,
+    LIBRARY_NOTE,
+    LIBRARY_WARNING,
+    Event,
+    log,
+)
+from banyanseam.observe.recent import RecentLines
+from banyanseam.observe.redact import ToJson, make_to_json
+
 if TYPE_CHECKING:
     from loguru import Message
 
+MAX_DETAIL: Final = 500
+MAX_TRACE: Final = 4000
+
+
+@dataclass(frozen=True, slots=True)
+class Logs:
+    """What the log of this process leaves behind for a diagnostics bundle."""
+
+    to_json: ToJson
+    recent: RecentLines
+
+
+class LibraryHandler(logging.Handler):
+    """Turns the records of `logging` into numbered events.
+
+    What libraries say at their finest levels repeats frames and headers, and with them
+    bodies and keys: it never gets here.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record as an event."""
+        error = record.exc_info[1] if record.exc_info else None
+        log(
+            _choose_event(record.levelno),
+            library=record.name,
+            detail=record.getMessage()[:MAX_DETAIL],
+            error=repr(error)[:MAX_DETAIL] if error is not None else None,
+        )
 
-def _write(message: "Message") -> None:
-    record = message.record
-    line = {
-        "time": record["time"].isoformat(),
-        "level": record["level"].name,
-        "message": record["message"],
-        **record["extra"],
-    }
-    if record["exception"] is not None:
-        line["exception"] = repr(record["exception"].value)
-    sys.stderr.write(json.dumps(line, default=str) + "\n")
 
+def set_up_logs(level: str, *, seat: str, secrets: Iterable[str] = ()) -> Logs:
+    """Send every log line of this process to standard error as JSON.
 
-def set_up_logs(level: str, *, seat: str) -> None:
-    """Send every log line of this process to standard error as JSON."""
+    No line holds any of the secrets, nor what looks like a caller's key.
+    """
+    logs = Logs(make_to_json(secrets), RecentLines())
     logger.remove()
-    logger.add(_write, level=level, diagnose=False, backtrace=False)
+    logger.add(_make_sink(logs), level=level, diagnose=False, backtrace=False)
     logger.configure(extra={"seat": seat})
+    library_level = logging.INFO if level == "DEBUG" else logging.WARNING
+    logging.basicConfig(handlers=[LibraryHandler()], level=library_level, force=True)
+    logging.captureWarnings(True)
+    return logs
+
+
+def describe_trace(error: BaseException) -> str:
+    """Return the end of a traceback, for the log."""
+    return "".join(traceback.format_exception(error))[-MAX_TRACE:]
+
+
+def _choose_event(level: int) -> Event:
+    if level >= logging.ERROR:
+        return LIBRARY_FAULT
+    return LIBRARY_WARNING if level >= logging.WARNING else LIBRARY_NOTE
+
+
+def _make_sink(logs: Logs) -> Callable[["Message"], None]:
+    def write(message: "Message") -> None:
+        record = message.record
+        line = {
+            "time": record["time"].isoformat(),
+            "level": record["level"].name,
+            "message": record["message"],
+            **record["extra"],
+        }
+        if record["exception"] is not None:
+            line["exception"] = repr(record["exception"].value)
+        text = logs.to_json(line)
+        logs.recent.note(line.get("event", 0), line["time"], text)
+        sys.stderr.write(text + "\n")
+
+    return write
--- /dev/null
+++ b/banyanseam/observe/redact.py
@@ -0,0 +1,71 @@
+"""Take secrets out of what leaves the process as text."""
+
+import json
+import re
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+REDACTED: Final = "[redacted]"
+# Takes and returns what JSON can hold. Text is redacted before it is written as JSON,
+# whose quotes and commas a pattern could otherwise take for a part of a secret.
+Redact = Callable[[Any], Any]
+ToJson = Callable[[Any], str]
+
+_CREDENTIAL_NAMES: Final = frozenset({"authorization", "cookie", "x-api-key"})
+_WORD: Final = r"[A-Za-z0-9_.~+/=-]{4,}"
+# A key as `banyanseam key new` makes it.
+_KEY: Final = r"\bby-[A-Za-z0-9_-]{40,}"
+# What follows a scheme, or the name of a header that carries credentials.
+_BEARER: Final = rf"(?i:\bbearer\s+){_WORD}"
+_HEADER: Final = (
+    rf"(?i:\b(?:{'|'.join(sorted(_CREDENTIAL_NAMES))})\b[\\'\"]*\s*[:=,]\s*+(?:b?[\\'\"]+)?+"
+    rf"(?:(?:bearer|basic)\s+)?+){_WORD}"
+)
+
+
+def make_redact(secrets: Iterable[str] = ()) -> Redact:
+    """Return a function that replaces these secrets and whatever looks like a key."""
+    # The longest first, since one secret may begin another.
+    literals = map(re.escape, sorted(_list_forms(secrets), key=len, reverse=True))
+    pattern = re.compile("|".join([*literals, _KEY, _HEADER, _BEARER]))
+
+    def redact(value: Any) -> Any:
+        if isinstance(value, str):
+            return pattern.sub(REDACTED, value)
+        if isinstance(value, dict):
+            return {redact(name): redact_field(name, value[name]) for name in value}
+        if isinstance(value, list | tuple):
+            return [redact(each) for each in value]
+        if value is None or isinstance(value, bool | int | float):
+            return value
+        return redact(str(value))
+
+    def redact_field(name: Any, value: Any) -> Any:
+        is_credential = str(name).lower() in _CREDENTIAL_NAMES
+        return REDACTED if is_credential else redact(value)
+
+    return redact
+
+
+def make_to_json(secrets: Iterable[str] = ()) -> ToJson:
+    """Return a function that writes a value as JSON without secrets."""
+    secrets = list(secrets)
+    redact = make_redact(secrets)
+    forms = [form.lower() for form in _list_forms(secrets)]
+    marks = [*forms, "by-", "bearer", *_CREDENTIAL_NAMES]
+
+    def to_json(value: Any) -> str:
+        text = json.dumps(value, default=str)
+        lowered = text.lower()
+        # Each request writes a line, and hardly any holds what the patterns look for.
+        for mark in marks:
+            if mark in lowered:
+                return json.dumps(redact(value))
+        return text
+
+    return to_json
+
+
+def _list_forms(secrets: Iterable[str]) -> set[str]:
+    """Return the secrets as they are and as a text that quotes JSON shows them."""
+    return {form for secret in secrets for form in (secret, json.dumps(secret)[1:-1])}
--- a/banyanseam/peers/errors.py
+++ b/banyanseam/peers/errors.py
@@ -3,6 +3,15 @@
 from banyanseam.errors import BanyanseamError
 
 
+class CannotListen(BanyanseamError):
+    """An address of the settings, or the certificates for it, cannot be used."""
+
+    code = "daemon.cannot_listen"
+    event = 1003
+    title = "The daemon cannot listen at an address of its settings"
+    not_run = True
+
+
 class PeerUnreachable(BanyanseamError):
     """No link to the peer could be had, so the message was never sent."""
 
--- a/banyanseam/peers/network.py
+++ b/banyanseam/peers/network.py
@@ -22,6 +22,7 @@
 )
 from banyanseam.peers.contract import CallHandler, CastHandler, Reply
 from banyanseam.peers.errors import (
+    CannotListen,
     InvalidPeerMessage,
     PeerRefused,
     PeerSuperseded,
@@ -125,14 +126,21 @@
         await link.cast(message)
 
     async def run(self, listen: str, started: anyio.Event) -> None:
-        """Listen for peers until cancelled; links live in this task's group."""
+        """Listen for peers until cancelled; links live in this task's group.
+
+        Raise CannotListen.
+        """
         host, port = split_address(listen)
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            context = self._make_tls(ssl.Purpose.CLIENT_AUTH)
-            async with serve(self._welcome, host, port, ssl=context, **_OPTIONS):
-                started.set()
-                await anyio.sleep_forever()
+            try:
+                context = self._make_tls(ssl.Purpose.CLIENT_AUTH)
+                server = serve(self._welcome, host, port, ssl=context, **_OPTIONS)
+                async with server:
+                    started.set()
+                    await anyio.sleep_forever()
+            except OSError as error:
+                raise CannotListen(f"{listen}: {error}") from error
 
     def _shake(self) -> Handshake:
         return Handshake(self.me, self._secret, self._admit)
--- a/banyanseam/server/operator_models.py
+++ b/banyanseam/server/operator_models.py
@@ -98,6 +98,42 @@
     upstreams: list[UpstreamStatus] = Field(default_factory=list)
 
 
+class ReleaseStatus(OperatorReply):
+    """Which program this is, and what it runs on."""
+
+    version: str
+    protocol: int
+    python: str
+    platform: str
+
+
+class ValueDigest(OperatorReply):
+    """A published value, told by its digest."""
+
+    revision: int
+    sha256_hex: str
+
+
+class ConfigDigest(OperatorReply):
+    """All values as of a version; equal digests mean equal configurations."""
+
+    version: int
+    sha256_hex: str
+    values: dict[str, ValueDigest]
+
+
+class DiagnosticsReply(OperatorReply):
+    """`GET /diagnostics`: what may be handed over; it holds no secret."""
+
+    release: ReleaseStatus
+    settings: dict[str, Any]
+    status: StatusReply
+    in_force: ConfigDigest
+    newest: ConfigDigest
+    # The last log lines of each event, in the order of their times.
+    events: list[dict[str, Any]]
+
+
 class Entry(OperatorReply):
     """A daemon that callers may use."""
 
--- a/banyanseam/server/serve.py
+++ b/banyanseam/server/serve.py
@@ -1,5 +1,6 @@
 """Run an ASGI application on one port with uvicorn, inside the daemon's loop."""
 
+import logging
 from collections.abc import Iterator
 from contextlib import contextmanager
 from socket import socket
@@ -8,8 +9,9 @@
 import anyio
 import uvicorn
 
+from banyanseam.peers.errors import CannotListen
 from banyanseam.peers.network import split_address
-from banyanseam.server.callers import Asgi
+from banyanseam.server.callers import AnswerBroken, Asgi
 from banyanseam.server.const import KEEP_ALIVE_S, LISTEN_BACKLOG, MAX_CONNECTIONS
 from banyanseam.server.protocol import LimitedProtocol
 
@@ -28,13 +30,24 @@
         yield
 
     async def startup(self, sockets: list[socket] | None = None) -> None:
-        """Listen and tell whoever waits for it."""
-        await super().startup(sockets)
+        """Listen and tell whoever waits for it; raise CannotListen."""
+        try:
+            await super().startup(sockets)
+        except SystemExit as error:
+            address = f"{self.config.host}:{self.config.port}"
+            raise CannotListen(f"{address}: {error.__context__}") from error
         self.listening.set()
 
 
+def _is_unexpected(record: logging.LogRecord) -> bool:
+    """Pass over the cut of a broken answer, which was logged with its request."""
+    error = record.exc_info[1] if record.exc_info else None
+    return not isinstance(error, AnswerBroken)
+
+
 def make_server(app: Asgi, address: str) -> EmbeddedServer:
     """Return a server for an address; its `serve` runs it until `should_exit`."""
+    logging.getLogger("uvicorn.error").addFilter(_is_unexpected)
     host, port = split_address(address)
     options: dict[str, Any] = {
         "host": host,
--- a/banyanseam/settings.py
+++ b/banyanseam/settings.py
@@ -1,7 +1,7 @@
 """The process's own settings: where it sits, what it listens on, whom it asks."""
 
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, SecretStr, ValidationError
 
@@ -56,7 +56,7 @@
     # tunnel or a relay stands between two regions.
     peer_address_overrides: dict[Name, Address] = Field(default_factory=dict)
     peers_tls: TlsSettings | None = None
-    log_level: str = "INFO"
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
 def read_settings(path: Path) -> Settings:
--- a/tests/cli/test_against_daemon.py
+++ b/tests/cli/test_against_daemon.py
@@ -1,13 +1,16 @@
+import hashlib
 import json
 import os
 import sys
 import unittest
+from contextlib import suppress
 
 import anyio
 
 from standins.callers import Caller
 from standins.fleet import FleetPlan, start_fleet
 from standins.processes import ROOT
+from tests.observe.catalogues import find_events
 
 CHAT = "/v1/chat/completions"
 
@@ -62,12 +65,46 @@
             code, explained = await run_command(address, "explain", CHAT)
             self.assertEqual((code, explained["steps"][-1]["code"]), (0, "key.missing"))
 
+            await self.check_secrets(fleet, gulf)
+
             code, drained = await run_command(address, "drain")
             self.assertEqual((code, drained["state"]), (0, "draining"))
             self.assertEqual(await gulf.child.wait(), 0)
             code, failure = await run_command(address, "status")
             self.assertEqual((code, failure["code"]), (3, "cli.daemon_unreachable"))
 
+    async def check_secrets(self, fleet, gulf):
+        """Plant secrets everywhere and look for them in the log and the bundle."""
+        key = fleet.keys["acme"]
+        secret = json.loads(gulf.settings_path.read_text())["fleet_secret"]
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        planted = f"GET /{key} HTTP/9\r\nauthorization: Bearer {secret}\r\n\r\n"
+        ports = (gulf.callers_address, gulf.peers_address, gulf.operators_address)
+        for address in ports:
+            async with await anyio.connect_tcp(*address.split(":")) as stream:
+                await stream.send(planted.encode())
+                with anyio.move_on_after(5), suppress(anyio.EndOfStream):
+                    await stream.receive()
+        path = fleet.folder / "bundle" / "gulf-1.json"
+        code, _ = await run_command(
+            gulf.operators_address, "diagnostics", "--out", str(path)
+        )
+        self.assertEqual(code, 0)
+        bundle, log = path.read_text(), gulf.child.read_log()
+        for text in (bundle, log):
+            for planted in (key, secret, digest):
+                self.assertNotIn(planted, text)
+        numbers = {event.number for event in find_events()}
+        logged = {json.loads(line)["event"] for line in log.splitlines()}
+        self.assertLessEqual(logged, numbers)
+        # What the libraries said of the planted lines is among them.
+        self.assertTrue(logged & {2010, 2011}, logged)
+        shown = json.loads(bundle)
+        self.assertEqual(shown["status"]["seat"], "gulf-1")
+        self.assertEqual(shown["settings"]["fleet_secret"], "**********")
+        self.assertIn("base", shown["in_force"]["values"])
+        self.assertEqual({one["event"] for one in shown["events"]}, logged)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/observe/catalogues.py
+++ b/tests/observe/catalogues.py
@@ -34,9 +34,10 @@
 EVENTS_HEAD = """# Events
 
 Each log line is one JSON object on standard error: `time`, `level`, `seat`, `event`
-(the number), `message` and the fields of the event. No line holds a caller's key or
-body. Numbers: 1xxx failures (see [ERRORS.md](ERRORS.md)), 2xxx life cycle, 3xxx
-requests, 4xxx peers, 5xxx configuration, 6xxx upstreams, 7xxx quota.
+(the number), `message` and the fields of the event. What libraries log comes as events
+2010 to 2012. No line holds a caller's key or body; what looks like a credential is
+replaced by `[redacted]`. Numbers: 1xxx failures (see [ERRORS.md](ERRORS.md)), 2xxx
+life cycle, 3xxx requests, 4xxx peers, 5xxx configuration, 6xxx upstreams, 7xxx quota.
 
 This page is written from the code by `python -m tests.observe.catalogues`; only the
 last column is written by hand, and a test holds both together.
