--- a/banyanseam/idempotency/client.py
+++ b/banyanseam/idempotency/client.py
@@ -31,6 +31,8 @@
     KeyClaimed,
     KeyFinished,
     KeyReleased,
+    KeySeen,
+    LookAtKey,
     ReleaseKey,
 )
 from banyanseam.idempotency.models import Claim, End, Scope, State, Verdict
@@ -165,6 +167,32 @@
                 self._start_soon(self._release_at_leisure, wish)
         return False
 
+    def find_home(self, scope: Scope, route: str) -> str:
+        """Return the home seat of a key; raise what a claim would be refused with."""
+        return self._homes.own.find_home(scope, route)
+
+    async def look(self, scope: Scope, route: str, fingerprint: str | None) -> KeySeen:
+        """Return what a claim would find at the home; nothing is claimed.
+
+        Raise what the home refuses with, or what the call of it raises.
+        """
+        home_seat = self.find_home(scope, route)
+        message = LookAtKey(
+            home=home_seat,
+            organisation=scope.organisation,
+            key=scope.key,
+            route=route,
+            fingerprint=fingerprint,
+        )
+
+        async def act(home: Home) -> KeySeen:
+            return home.look(scope, route, fingerprint)
+
+        async def ask(seat: str) -> KeySeen:
+            return await self._ask(seat, message, KeySeen)
+
+        return await self._reach(home_seat, act, ask)
+
     def _check_patience(self, wish: Wish, sent_s: float) -> None:
         now_s = anyio.current_time()
         if now_s >= min(wish.deadline_s, sent_s + CLAIM_PATIENCE_S):
--- a/banyanseam/idempotency/handover.py
+++ b/banyanseam/idempotency/handover.py
@@ -29,9 +29,11 @@
     KeyClaimed,
     KeyFinished,
     KeyReleased,
+    KeySeen,
+    LookAtKey,
     ReleaseKey,
 )
-from banyanseam.idempotency.models import Claim, End, Verdict
+from banyanseam.idempotency.models import Claim, End, Scope, Verdict
 from banyanseam.idempotency.standbys import list_standbys
 from banyanseam.idempotency.tickets import Ticket
 from banyanseam.idempotency.transfer import Snapshot, make_page, read_pages
@@ -65,6 +67,11 @@
         )
         return _pack(await home.claim_ticket(_read_claim(peer, message), ticket))
 
+    async def look(peer: PeerIdentity, message: LookAtKey) -> KeySeen:
+        scope = Scope(message.organisation, message.key)
+        home = homes.find(message.home)
+        return home.look(scope, message.route, message.fingerprint)
+
     async def finish(peer: PeerIdentity, message: FinishKey) -> KeyFinished:
         end = End(message.is_known, message.answer.unpack() if message.answer else None)
         home = homes.find(message.home)
@@ -83,6 +90,7 @@
 
     network.handle_call(ClaimKey, claim)
     network.handle_call(ClaimTicket, claim_ticket)
+    network.handle_call(LookAtKey, look)
     network.handle_call(FinishKey, finish)
     network.handle_call(ReleaseKey, release)
     network.handle_call(OfferKeys, take_offer)
--- a/banyanseam/idempotency/home.py
+++ b/banyanseam/idempotency/home.py
@@ -18,6 +18,7 @@
 from banyanseam.idempotency.knowledge import Knowledge
 from banyanseam.idempotency.mapping import Mapping, find_home
 from banyanseam.idempotency.memory import Memory
+from banyanseam.idempotency.messages import KeySeen
 from banyanseam.idempotency.models import Claim, End, Scope, State, Verdict
 from banyanseam.idempotency.standbys import digest
 from banyanseam.idempotency.tickets import Ticket
@@ -142,6 +143,21 @@
         self._wake(scope)
         return alone
 
+    def look(self, scope: Scope, route: str, fingerprint: str | None) -> KeySeen:
+        """Return what a claim would find; nothing is claimed.
+
+        Raise what a claim would be refused with.
+        """
+        self._check_open()
+        now_s = anyio.current_time()
+        state = self.memory.look(scope, fingerprint, now_s)
+        if state is not None:
+            return KeySeen(state=state.value)
+        wall_s = self._wall_clock()
+        stamp_s = self._knowledge.check(scope, route, now_s, wall_s)
+        self.memory.check_stamp(stamp_s, wall_s)
+        return KeySeen(state="new")
+
     async def _wait(self, claim: Claim, ask: Callable[[], Verdict]) -> Verdict:
         until_s = anyio.current_time() + POLL_S
         while True:
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -23,6 +23,10 @@
 DAEMON_READY: Final = Event(2001, "INFO", "The daemon serves callers")
 DRAIN_BEGUN: Final = Event(2003, "INFO", "A planned stop has begun")
 DAEMON_STOPPED: Final = Event(2002, "INFO", "The daemon has stopped")
+DAEMON_FAILED: Final = Event(2004, "ERROR", "The daemon cannot go on")
+LIBRARY_FAULT: Final = Event(2010, "ERROR", "A library reports a fault")
+LIBRARY_WARNING: Final = Event(2011, "WARNING", "A library warns")
+LIBRARY_NOTE: Final = Event(2012, "INFO", "A library notes something")
 REQUEST_ENDED: Final = Event(3001, "INFO", "A request ended")
 REQUEST_FAILED: Final = Event(3002, "WARNING", "A request was refused or failed")
 LINK_UP: Final = Event(4001, "INFO", "A link to a peer is up")
@@ -43,13 +47,13 @@
 KEEPER_CHANGED: Final = Event(6001, "INFO", "A pool of upstreams changed its keeper")
 UPSTREAM_POLL_FAILED: Final = Event(6002, "WARNING", "An upstream did not report load")
 
-KEYS_HANDED_OVER: Final = Event(2010, "INFO", "A standby acts for this home of keys")
+KEYS_HANDED_OVER: Final = Event(2020, "INFO", "A standby acts for this home of keys")
 KEYS_NOT_HANDED_OVER: Final = Event(
-    2011, "WARNING", "No standby took the keys of a home that stops"
+    2021, "WARNING", "No standby took the keys of a home that stops"
 )
-KEYS_TAKEN_OVER: Final = Event(2012, "INFO", "The keys of this home were taken over")
+KEYS_TAKEN_OVER: Final = Event(2022, "INFO", "The keys of this home were taken over")
 STANDBYS_SILENT: Final = Event(
-    2013, "WARNING", "A standby does not say whether it acts for this home"
+    2023, "WARNING", "A standby does not say whether it acts for this home"
 )
 
 QUOTA_RESTARTED: Final = Event(
