Walk through one coroutine for each filter, not two

Cause: each filter was bound to its next step by a coroutine of its own, so that a stream went through twelve idle frames more at each event. Change: the binding is a plain function that returns the filter's coroutine.

--- a/banyanseam/pipe/models.py
+++ b/banyanseam/pipe/models.py
@@ -114,7 +114,6 @@
 
 
 def _bind(filter_: Filter, step: Next) -> Next:
-    async def bound(exchange: Exchange) -> None:
-        await filter_(exchange, step)
-
-    return bound
+    # A coroutine here would be one more to walk through whenever the request goes
+    # on, which is once for each event of a stream.
+    return lambda exchange: filter_(exchange, step)
