Learn from the connection that a caller has gone or reads slowly

Cause: each event was sent under a cancel scope with a timer of its own, though almost none waits; each request had a task group and a task that waited for ASGI's disconnect message and was cancelled at the end. Change: uvicorn's protocol class, which is told of both, keeps a Connection up to date and gives it to the application as an ASGI extension. A send is timed only while the connection's buffer is full; a lost connection cancels the one scope of its request. A pipelined request now sees the loss too; uvicorn tells only the last. Ruled out: one scope for the whole answer, which would also end a write that must run on.

--- a/banyanseam/server/budget.py
+++ b/banyanseam/server/budget.py
@@ -26,6 +26,8 @@
 from banyanseam.server.errors import BudgetExhausted, SlowReader
 
 Send = Callable[[bytes], Awaitable[None]]
+# Says whether sending may wait now for the reader.
+MayWait = Callable[[], bool]
 
 
 class Reservation:
@@ -50,10 +52,11 @@
 class StreamWindow:
     """One answer on its way to a reader that may be slow."""
 
-    def __init__(self, send: Send) -> None:
+    def __init__(self, send: Send, may_wait: MayWait) -> None:
         """Begin with nothing sent."""
         self.is_ended = False
         self._send = send
+        self._may_wait = may_wait
         self._sent_bytes = 0.0
         self._blocked_s = 0.0
         self._blocked_since_s: float | None = None
@@ -82,6 +85,14 @@
     async def _send_chunk(self, chunk: bytes) -> None:
         if self.is_ended:
             raise SlowReader
+        if self._may_wait():
+            await self._wait_and_send(chunk)
+        else:
+            # Without the timer, which would cost more than the sending.
+            await self._send(chunk)
+        self._sent_bytes += len(chunk)
+
+    async def _wait_and_send(self, chunk: bytes) -> None:
         began_s = self._blocked_since_s = anyio.current_time()
         self._scope = anyio.CancelScope(
             deadline=began_s + STREAM_BYTES / MIN_READ_BYTES_PER_S
@@ -91,7 +102,6 @@
         self._blocked_since_s = None
         if self._scope.cancelled_caught:
             raise SlowReader
-        self._sent_bytes += len(chunk)
         self._blocked_s += anyio.current_time() - began_s
         if self._blocked_s > RECENT_BLOCKED_S:
             self._blocked_s /= 2
@@ -139,14 +149,16 @@
             self._give_back(size_bytes)
 
     @asynccontextmanager
-    async def open_stream(self, send: Send) -> AsyncIterator[StreamWindow]:
+    async def open_stream(
+        self, send: Send, may_wait: MayWait = lambda: True
+    ) -> AsyncIterator[StreamWindow]:
         """Give a window for one answer while the context is open.
 
         All that it may hold is taken beforehand: streams that each held a part and
         waited for more would wait for one another.
         """
         async with self.hold(STREAM_BYTES):
-            stream = StreamWindow(send)
+            stream = StreamWindow(send, may_wait)
             self._streams.add(stream)
             try:
                 yield stream
--- a/banyanseam/server/callers.py
+++ b/banyanseam/server/callers.py
@@ -15,6 +15,7 @@
 from banyanseam.pipe.errors import BodyTooLarge, BodyTooSlow, CallerGone
 from banyanseam.pipe.models import Exchange, Headers, Next
 from banyanseam.server.budget import ByteBudget
+from banyanseam.server.connection import CONNECTION, Connection
 from banyanseam.server.const import RETRY_AFTER_MS
 from banyanseam.server.own_routes import OwnRoute
 from banyanseam.server.reply import AsgiReceive, AsgiSend, CallerSink, send_problem
@@ -93,7 +94,8 @@
         sink = CallerSink(send, str(uuid7()), port.closes_connections)
         exchange = make_exchange(scope, sink)
         try:
-            await serve_exchange(port, exchange, receive, send)
+            connection = scope["extensions"][CONNECTION]
+            await serve_exchange(port, exchange, connection, receive, send)
         except CallerGone:
             return
         except BanyanseamError as error:
@@ -106,7 +108,11 @@
 
 
 async def serve_exchange(
-    port: CallersPort, exchange: Exchange, receive: AsgiReceive, send: AsgiSend
+    port: CallersPort,
+    exchange: Exchange,
+    connection: Connection,
+    receive: AsgiReceive,
+    send: AsgiSend,
 ) -> None:
     """Read the body and answer; the body's memory is held until the answer is out."""
     declared_bytes = read_declared_bytes(exchange.headers)
@@ -118,39 +124,28 @@
             return
         if not port.is_accepting():
             raise NotReady(retry_after_ms=RETRY_AFTER_MS)
-        await run_watched(port, exchange, receive)
+        await run_watched(port, exchange, connection)
         await exchange.reply.finish()
 
 
 async def run_watched(
-    port: CallersPort, exchange: Exchange, receive: AsgiReceive
+    port: CallersPort, exchange: Exchange, connection: Connection
 ) -> None:
     """Run the pipeline; cancel it when the caller goes, if that loses nothing."""
-    failure: Exception | None = None
-    finished = False
-    async with anyio.create_task_group() as tasks:
+    with anyio.CancelScope() as scope:
 
-        async def watch() -> None:
-            message = await receive()
-            while message["type"] != "http.disconnect":
-                message = await receive()
+        def leave() -> None:
             # What must not be run again runs to its end, to be remembered.
             if exchange.is_idempotent or not exchange.upstream_started:
-                tasks.cancel_scope.cancel()
+                scope.cancel()
 
-        tasks.start_soon(watch)
-        # An exception that left this group would arrive wrapped in a group.
-        try:
-            async with port.budget.open_stream(exchange.reply.transmit) as window:
+        with connection.watch(leave):
+            async with port.budget.open_stream(
+                exchange.reply.transmit, lambda: connection.is_full
+            ) as window:
                 exchange.reply.window = window
                 await port.pipeline(exchange)
-        except Exception as error:
-            failure = error
-        finished = True
-        tasks.cancel_scope.cancel()
-    if failure is not None:
-        raise failure
-    if not finished:
+    if scope.cancelled_caught:
         raise CallerGone
 
 
--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -8,6 +8,7 @@
 
 from banyanseam.errors import BanyanseamError
 from banyanseam.pipe.errors import RequestMalformed
+from banyanseam.server.connection import CONNECTION, Connection
 from banyanseam.server.const import (
     HEADER_GRACE_S,
     HEADER_TIMEOUT_S,
@@ -20,13 +21,17 @@
 
 
 class LimitedProtocol(HttpToolsProtocol):
-    """Ends connections whose header is too large or does not arrive in time."""
+    """Ends connections whose header is too large or does not arrive in time.
+
+    It also tells the application of the connection's state, as an ASGI extension.
+    """
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         """Start counting with the first byte of the first request."""
         super().__init__(*args, **kwargs)
         self._header_bytes = 0
         self._header_timer: asyncio.TimerHandle | None = None
+        self._connection = Connection()
 
     def connection_made(self, transport: Any) -> None:
         """Give the first request's header its time."""
@@ -39,10 +44,22 @@
         """Stop the timer with the connection."""
         self._stop_header_timer()
         super().connection_lost(exc)
+        self._connection.lose()
+
+    def pause_writing(self) -> None:
+        """Note that the caller reads more slowly than the answer comes."""
+        super().pause_writing()
+        self._connection.is_full = True
+
+    def resume_writing(self) -> None:
+        """Note that the buffer has room again."""
+        super().resume_writing()
+        self._connection.is_full = False
 
     def on_message_begin(self) -> None:
         """Count each request's header anew."""
         super().on_message_begin()
+        self.scope["extensions"] = {CONNECTION: self._connection}
         self._header_bytes = 0
         self._start_header_timer()
 
