Renew leases by a digest, at a pace set by the region's size

Cause: each entry sent each keeper of its region the full list of its leases every second, 57 by 13 pairs at the size to design for: 28.7 KB/s reckoned for a node, 56 at a keeper.

Change: a renewal carries a digest of the pools asked and the lease numbers held; the keeper renews all when it counts the same, else it is sent the full list. Regions beyond a full mesh renew each 4 s; word, lease, learning and quiet are 3 s longer there, bound by the silence that the membership bears. Rows are packed and ride on grants, and a summary is reused for 0.1 s. Keepers of pools are ranked once for each view of the live seats. Ruled out: sampled keepers, requests as renewals, leases by heartbeats, a relay (docs/design/upstreams.md). Keepers look twice a second while nobody waits.

Conclusion: renewals no longer grow with the leases and fit beside the heartbeats.

--- a/banyanseam/upstreams/const.py
+++ b/banyanseam/upstreams/const.py
@@ -2,8 +2,10 @@
 
 from typing import Final
 
-# Leases on room.
+# Leases on room; the terms are those of a region that is a full mesh.
 RENEW_PERIOD_S: Final = 1.0
+LARGE_REGION_RENEW_PERIOD_S: Final = 4.0
+NUMBER_BYTES: Final = 8
 CALL_RENEW_TIMEOUT_S: Final = 0.8
 LEASE_TERM_S: Final = 3.5
 ANNOUNCE_TERM_S: Final = 2.5
@@ -45,6 +47,10 @@
 # How long another place is sought once an upstream could not be reached.
 SEEK_AGAIN_S: Final = 3.0
 KEEPER_PERIOD_S: Final = 0.25
+# How often a daemon looks who keeps which pool while nobody waits for room.
+LOOK_PERIOD_S: Final = 0.5
+# Within which a pool's summary is given out again.
+ROW_AGE_S: Final = 0.1
 
 # Health.
 FAILURES_TO_EJECT: Final = 3
@@ -62,7 +68,6 @@
 LIGHT_LOAD_SHARE: Final = 0.25
 
 # Other regions.
-# A pool's row older than this says nothing.
 ROW_TERM_S: Final = 3.0
 REGION_TERM_S: Final = 5.0
 RAMP_S: Final = 30.0
--- a/banyanseam/upstreams/context.py
+++ b/banyanseam/upstreams/context.py
@@ -7,6 +7,7 @@
 from banyanseam.peers.contract import Network
 from banyanseam.peers.messages import PeerIdentity
 from banyanseam.upstreams.pools import Pool, find_keeper, list_pools
+from banyanseam.upstreams.terms import SMALL_REGION, Terms, choose_terms
 
 
 @dataclass(slots=True)
@@ -23,16 +24,49 @@
     alive_seats: Callable[[str], list[str]]
     leaving_upstreams: Callable[[], Iterable[str]] = tuple
     _pools: dict[str, Pool] = field(default_factory=dict, init=False)
-    _pools_version: int | None = field(default=None, init=False)
+    _seats: frozenset[str] = field(default_factory=frozenset, init=False)
+    _terms: Terms = field(default=SMALL_REGION, init=False)
+    _version: int | None = field(default=None, init=False)
+    # Keepers by pool, as long as these seats are the live ones.
+    _keepers: dict[str, str | None] = field(default_factory=dict, init=False)
+    _alive: list[str] = field(default_factory=list, init=False)
 
     def read_pools(self) -> dict[str, Pool]:
         """Return the pools of this region in the configuration in force."""
-        config = self.get_config()
-        if config.version != self._pools_version:
-            self._pools = list_pools(config, self.region)
-            self._pools_version = config.version
+        self._follow()
         return self._pools
 
+    def read_seats(self) -> frozenset[str]:
+        """Return the region's published seats."""
+        self._follow()
+        return self._seats
+
+    def read_terms(self) -> Terms:
+        """Return the terms of leases in a region of this size."""
+        self._follow()
+        return self._terms
+
     def find_keeper(self, pool: str) -> str | None:
         """Return the live seat that keeps a pool in this process's view."""
-        return find_keeper(pool, self.alive_seats(self.region))
+        return self.find_keepers([pool])[pool]
+
+    def find_keepers(self, pools: Iterable[str]) -> dict[str, str | None]:
+        """Return the keepers of several pools in one view of the live seats."""
+        alive = self.alive_seats(self.region)
+        if alive != self._alive:
+            self._alive = list(alive)
+            self._keepers = {}
+        for pool in pools:
+            if pool not in self._keepers:
+                self._keepers[pool] = find_keeper(pool, alive)
+        return {pool: self._keepers[pool] for pool in pools}
+
+    def _follow(self) -> None:
+        config = self.get_config()
+        if config.version == self._version:
+            return
+        self._pools = list_pools(config, self.region)
+        self._seats = frozenset(seat.name for seat in config.seats_of(self.region))
+        self._terms = choose_terms(len(self._seats))
+        self._keepers = {}
+        self._version = config.version
--- a/banyanseam/upstreams/held.py
+++ b/banyanseam/upstreams/held.py
@@ -10,20 +10,17 @@
 from dataclasses import dataclass
 
 from banyanseam.upstreams.const import (
-    ANNOUNCE_TERM_S,
     DISPUTED_SHARE,
     EXPIRE_PERIOD_S,
     FLIGHT_S,
-    LEARNING_S,
     LEARNING_SHARE,
-    LEASE_TERM_S,
     LINGER_S,
     MARGIN_SHARE,
     MAX_GAP_S,
-    QUIET_S,
     REPORT_TERM_S,
 )
 from banyanseam.upstreams.models import LeaseKey, LoadReport
+from banyanseam.upstreams.terms import SMALL_REGION, Terms
 
 
 @dataclass(slots=True)
@@ -32,7 +29,8 @@
 
     tokens: int
     granted_s: float
-    renewed_s: float
+    # Until when it holds without another renewal.
+    renewed_until_s: float
     # A run that was cut off may go on for a while after its lease is released.
     ends_s: float | None = None
 
@@ -55,17 +53,19 @@
         now_s: float,
         *,
         is_reported: bool = True,
+        terms: Terms = SMALL_REGION,
     ) -> None:
         """Start as a new keeper, which knows of no lease yet.
 
         Without reports (a plain service) only the number of leases is bounded.
         """
+        self.terms = terms
         self.memory_tokens = memory_tokens
         self.is_reported = is_reported
         self.max_in_flight = max_in_flight
         self.leases: dict[LeaseKey, Lease] = {}
         self.report: LoadReport | None = None
-        self.learning_until_s = now_s + LEARNING_S
+        self.learning_until_s = now_s + self.terms.learning_s
         self.learning_granted_tokens = 0
         # Since when nothing hints at another keeper.
         self.quiet_since_s = now_s
@@ -73,7 +73,9 @@
         self.foreign_tokens = 0
         self._own_tokens = 0
         self._since_report_tokens = 0
-        self._announced_s: dict[str, float] = {}
+        self._by_holder: dict[tuple[str, int], dict[int, Lease]] = {}
+        # Until when each seat's word counts that it asks no other keeper.
+        self._promised_until_s: dict[str, float] = {}
         self._was_complete = False
         # Until when every one of these seats is known to announce to this keeper.
         self._complete_seats: frozenset[str] | None = None
@@ -92,10 +94,10 @@
 
     def restart(self, now_s: float) -> None:
         """Become a new keeper again, as after a freeze; known leases stay counted."""
-        self.learning_until_s = now_s + LEARNING_S
+        self.learning_until_s = now_s + self.terms.learning_s
         self.learning_granted_tokens = 0
         self.quiet_since_s = now_s
-        self._announced_s.clear()
+        self._promised_until_s.clear()
         self._was_complete = False
         self._complete_until_s = now_s
 
@@ -108,28 +110,47 @@
             return False
         if now_s < self.learning_until_s:
             self.learning_granted_tokens += tokens
-        lease = Lease(tokens, now_s, now_s)
+        lease = Lease(tokens, now_s, now_s + self.terms.lease_term_s)
         self._add(key, lease)
         self._granted_since_report[key] = lease
         self._since_report_tokens += tokens
         return True
 
     def announce(
-        self, seat: str, incarnation: int, leases: dict[int, int], now_s: float
+        self,
+        seat: str,
+        incarnation: int,
+        leases: dict[int, int],
+        now_s: float,
+        terms: Terms = SMALL_REGION,
     ) -> None:
         """Take the full list of an entry's leases, which renews them.
 
         A lease that the list omits is not renewed: it was given back, or is so new that
         the list crossed its grant. An unknown one was granted by an earlier keeper.
+        `terms` are those that the entry goes by.
         """
-        self._announced_s[seat] = now_s
+        self._promised_until_s[seat] = now_s + terms.announce_term_s
+        until_s = now_s + terms.lease_term_s
         for number, tokens in leases.items():
             key = LeaseKey(seat, incarnation, number)
             lease = self.leases.get(key)
             if lease is None:
-                self._add(key, Lease(tokens, now_s, now_s))
+                self._add(key, Lease(tokens, now_s, until_s))
             elif lease.ends_s is None:
-                lease.renewed_s = now_s
+                lease.renewed_until_s = until_s
+
+    def list_numbers(self, seat: str, incarnation: int) -> list[int]:
+        """Return which leases an entry's process holds, as far as is known here."""
+        held = self._by_holder.get((seat, incarnation), {})
+        return [number for number, lease in held.items() if lease.ends_s is None]
+
+    def renew(self, seat: str, incarnation: int, now_s: float, terms: Terms) -> None:
+        """Renew all that is known of an entry, which holds just that."""
+        self._promised_until_s[seat] = now_s + terms.announce_term_s
+        for lease in self._by_holder.get((seat, incarnation), {}).values():
+            if lease.ends_s is None:
+                lease.renewed_until_s = now_s + terms.lease_term_s
 
     def take_over(self, leases: dict[LeaseKey, int], now_s: float) -> None:
         """Take the leases of the keeper before, which grants nothing any more.
@@ -139,7 +160,8 @@
         """
         for key, tokens in leases.items():
             if key not in self.leases:
-                self._add(key, Lease(tokens, now_s, now_s))
+                until_s = now_s + self.terms.lease_term_s
+                self._add(key, Lease(tokens, now_s, until_s))
         self.learning_until_s = min(self.learning_until_s, now_s)
 
     def release(self, key: LeaseKey, now_s: float, *, lingers: bool) -> None:
@@ -165,10 +187,10 @@
             return
         self._expired_s = now_s
         for key, lease in list(self.leases.items()):
-            ends_s = lease.ends_s or lease.renewed_s + LEASE_TERM_S
+            ends_s = lease.ends_s or lease.renewed_until_s
             if now_s >= ends_s:
                 self._end(key, now_s)
-        oldest_s = now_s - REPORT_TERM_S - LEASE_TERM_S
+        oldest_s = now_s - REPORT_TERM_S - self.terms.lease_term_s
         self._ended = [ended for ended in self._ended if ended.ended_s > oldest_s]
         is_complete = self._is_complete(seats, now_s)
         if self._was_complete and not is_complete:
@@ -209,7 +231,7 @@
         """
         if self._is_complete(seats, now_s):
             return True
-        return now_s - self.quiet_since_s >= QUIET_S
+        return now_s - self.quiet_since_s >= self.terms.quiet_s
 
     def count_free_tokens(self, seats: frozenset[str], now_s: float) -> int:
         """Return the largest request that may be granted now."""
@@ -251,19 +273,27 @@
     def _is_complete(self, seats: frozenset[str], now_s: float) -> bool:
         if now_s < self._complete_until_s and seats is self._complete_seats:
             return True
-        heard_s = [self._announced_s.get(seat) for seat in seats]
-        if None in heard_s:
+        until_s = [self._promised_until_s.get(seat) for seat in seats]
+        if None in until_s:
             return False
         self._complete_seats = seats
-        self._complete_until_s = min(heard_s, default=now_s) + ANNOUNCE_TERM_S
+        self._complete_until_s = min(
+            until_s, default=now_s + self.terms.announce_term_s
+        )
         return now_s < self._complete_until_s
 
     def _add(self, key: LeaseKey, lease: Lease) -> None:
         self.leases[key] = lease
+        held = self._by_holder.setdefault((key.seat, key.incarnation), {})
+        held[key.number] = lease
         self._own_tokens += lease.tokens
 
     def _end(self, key: LeaseKey, now_s: float) -> None:
         lease = self.leases.pop(key)
+        holder = (key.seat, key.incarnation)
+        del self._by_holder[holder][key.number]
+        if not self._by_holder[holder]:
+            del self._by_holder[holder]
         self._own_tokens -= lease.tokens
         if self._granted_since_report.pop(key, None) is not None:
             self._since_report_tokens -= lease.tokens
--- a/banyanseam/upstreams/keeper.py
+++ b/banyanseam/upstreams/keeper.py
@@ -1,7 +1,7 @@
 """The keeper's side: answers entries, polls upstreams, gives room to who waits."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -9,9 +9,11 @@
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.events import KEEPER_CHANGED, UPSTREAM_POLL_FAILED, log
 from banyanseam.peers.messages import PeerIdentity
+from banyanseam.ticks import sleep_until_tick
 from banyanseam.upstreams.const import (
     FORGET_PERIOD_S,
     KEEPER_PERIOD_S,
+    LOOK_PERIOD_S,
     MAX_GAP_S,
     MAX_POLL_PERIOD_S,
     MAX_POLLS_PER_S,
@@ -22,15 +24,16 @@
 from banyanseam.upstreams.handovers import Handovers
 from banyanseam.upstreams.kept_pool import KeptPool, Placed
 from banyanseam.upstreams.messages import (
+    Announce,
     Granted,
     Handover,
     Release,
     Renew,
     Reserve,
-    Row,
     Rows,
 )
 from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, PoolRow
+from banyanseam.upstreams.terms import digest_view, make_terms
 
 # Ask an upstream for its load; raise a BanyanseamError when it does not answer.
 FetchReport = Callable[[Upstream], Awaitable[LoadReport]]
@@ -70,6 +73,7 @@
         self._handovers = Handovers(context)
         context.network.handle_call(Reserve, self.reserve)
         context.network.handle_call(Renew, self.renew)
+        context.network.handle_call(Announce, self.hear)
         context.network.handle_cast(Release, self.release)
         context.network.handle_cast(Handover, self.take_over)
 
@@ -91,7 +95,10 @@
                     forget_s = now_s + FORGET_PERIOD_S
                     for kept in self._kept.values():
                         kept.queue.forget_idle()
-                await anyio.sleep(KEEPER_PERIOD_S)
+                is_waited_for = any(len(kept.queue) for kept in self._kept.values())
+                await sleep_until_tick(
+                    KEEPER_PERIOD_S if is_waited_for else LOOK_PERIOD_S
+                )
 
     def restart(self) -> None:
         """Trust nothing that was known before a freeze."""
@@ -127,6 +134,7 @@
             upstream=wait.result.upstream,
             cached_tokens=wait.result.cached_tokens,
             waited_ms=round(1000 * (anyio.current_time() - now_s)),
+            row=kept.summarise(anyio.current_time()).pack(),
         )
 
     def release(self, identity: PeerIdentity, message: Release) -> None:
@@ -153,31 +161,54 @@
         self._look(now_s)
 
     async def renew(self, identity: PeerIdentity, message: Renew) -> Rows:
-        """Renew an entry's leases and tell it of the pools kept here."""
+        """Renew an entry's leases if this keeper knows of just those.
+
+        They differ where a message was lost or crossed this one, and where the two
+        daemons disagree on who keeps what.
+        """
+        now_s = anyio.current_time()
+        terms = make_terms(message.period_ms / 1000)
+        process = (identity.seat, identity.incarnation)
+        numbers = [
+            number
+            for kept in self._kept.values()
+            for number in kept.list_numbers(*process)
+        ]
+        is_known = message.digest == digest_view(self._kept, numbers)
+        if is_known:
+            for kept in self._kept.values():
+                kept.renew(*process, now_s, terms)
+        return self._make_rows(is_known=is_known)
+
+    async def hear(self, identity: PeerIdentity, message: Announce) -> Rows:
+        """Take the full list of an entry's leases on the pools that it names."""
         now_s = anyio.current_time()
+        terms = make_terms(message.period_ms / 1000)
+        process = (identity.seat, identity.incarnation)
         if any(name not in self._kept for name in message.pools):
             self._look(now_s)
         for name in message.pools:
             if name in self._kept:
-                self._kept[name].announce(
-                    identity.seat, identity.incarnation, message.leases, now_s
-                )
-        return Rows(rows=[Row(**asdict(row)) for row in self.list_rows()])
+                self._kept[name].announce(*process, message.leases, now_s, terms)
+        return self._make_rows(is_known=True)
 
     def list_rows(self) -> list[PoolRow]:
         """Return the summaries of the pools kept here."""
         now_s = anyio.current_time()
         return [kept.summarise(now_s) for kept in self._kept.values()]
 
+    def _make_rows(self, *, is_known: bool) -> Rows:
+        return Rows(is_known=is_known, rows=[row.pack() for row in self.list_rows()])
+
     def _look(self, now_s: float) -> None:
         """Take up and put down pools as configuration and live seats say."""
         context = self._context
         pools = context.read_pools()
-        published = context.get_config().seats_of(context.region)
-        seats = frozenset(seat.name for seat in published)
+        seats = context.read_seats()
         leaving = frozenset(context.leaving_upstreams())
+        keepers = context.find_keepers(pools)
         for name, pool in pools.items():
-            if context.find_keeper(name) != context.me.seat:
+            if keepers[name] != context.me.seat:
                 self._put_down(name)
             elif name not in self._kept:
                 log(KEEPER_CHANGED, pool=name, is_mine=True)
--- a/banyanseam/upstreams/kept_pool.py
+++ b/banyanseam/upstreams/kept_pool.py
@@ -11,6 +11,7 @@
     MAX_PREFILL_AHEAD_S,
     MAX_RETRY_AFTER_MS,
     MIN_RETRY_AFTER_MS,
+    ROW_AGE_S,
     USED_SHARE_STEP,
 )
 from banyanseam.upstreams.errors import NoUpstreamAvailable, RequestTooLarge
@@ -25,6 +26,7 @@
 )
 from banyanseam.upstreams.pools import Pool
 from banyanseam.upstreams.prefix import PrefixTable, prefer
+from banyanseam.upstreams.terms import Terms, choose_terms
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +67,8 @@
         # How much of its largest output a request uses, of late.
         self._used_share = 1.0
         self._expired_s = now_s
+        self._row: PoolRow | None = None
+        self._row_until_s = now_s
         self.update(pool, seats, frozenset(), now_s)
 
     def update(
@@ -79,10 +83,11 @@
         self.seats = seats
         self.upstreams = {upstream.name: upstream for upstream in pool.upstreams}
         self._leaving = leaving
+        terms = choose_terms(len(seats))
         for name, upstream in self.upstreams.items():
             if name not in self.kept:
-                self.kept[name] = KeptUpstream(upstream, now_s)
-            self.kept[name].update(upstream)
+                self.kept[name] = KeptUpstream(upstream, terms, now_s)
+            self.kept[name].update(upstream, terms)
         for name in self.kept.keys() - self.upstreams.keys():
             del self.kept[name]
 
@@ -163,10 +168,25 @@
         incarnation: int,
         leases: dict[str, dict[int, int]],
         now_s: float,
+        terms: Terms,
     ) -> None:
         """Take the full lists of an entry's leases on this pool's upstreams."""
         for name, kept in self.kept.items():
-            kept.held.announce(seat, incarnation, leases.get(name, {}), now_s)
+            held = leases.get(name, {})
+            kept.held.announce(seat, incarnation, held, now_s, terms)
+
+    def list_numbers(self, seat: str, incarnation: int) -> list[int]:
+        """Return which leases an entry's process holds on this pool's upstreams."""
+        return [
+            number
+            for kept in self.kept.values()
+            for number in kept.held.list_numbers(seat, incarnation)
+        ]
+
+    def renew(self, seat: str, incarnation: int, now_s: float, terms: Terms) -> None:
+        """Renew all that is known of an entry, which holds just that."""
+        for kept in self.kept.values():
+            kept.held.renew(seat, incarnation, now_s, terms)
 
     def list_leases(self) -> dict[str, dict[LeaseKey, int]]:
         """Return what is held on each upstream, for the next keeper."""
@@ -192,6 +212,12 @@
 
     def summarise(self, now_s: float) -> PoolRow:
         """Return what entries and other regions are told."""
+        if self._row is None or now_s >= self._row_until_s:
+            self._row = self._summarise(now_s)
+            self._row_until_s = now_s + ROW_AGE_S
+        return self._row
+
+    def _summarise(self, now_s: float) -> PoolRow:
         usable = self._list_usable(None, now_s)
         free = [
             self.kept[name].held.count_free_tokens(self.seats, now_s) for name in usable
--- a/banyanseam/upstreams/kept_upstream.py
+++ b/banyanseam/upstreams/kept_upstream.py
@@ -6,12 +6,13 @@
 from banyanseam.upstreams.health import Health
 from banyanseam.upstreams.held import HeldTokens
 from banyanseam.upstreams.models import Demand, LoadReport
+from banyanseam.upstreams.terms import Terms
 
 
 class KeptUpstream:
     """The state of one upstream; times are on the keeper's clock."""
 
-    def __init__(self, upstream: Upstream, now_s: float) -> None:
+    def __init__(self, upstream: Upstream, terms: Terms, now_s: float) -> None:
         """Start as a new keeper."""
         self.upstream = upstream
         self.health = Health()
@@ -20,6 +21,7 @@
             upstream.max_in_flight,
             now_s,
             is_reported=upstream.is_model,
+            terms=terms,
         )
         # When a prompt was sent and how much of it was not cached.
         self._sent: list[tuple[float, int]] = []
@@ -27,8 +29,9 @@
         self._queued_tokens = 0.0
         self._queued_s = now_s
 
-    def update(self, upstream: Upstream) -> None:
-        """Take the published upstream."""
+    def update(self, upstream: Upstream, terms: Terms) -> None:
+        """Take the published upstream and the terms of its region."""
+        self.held.terms = terms
         self.upstream = upstream
         self.held.memory_tokens = upstream.memory_tokens
         self.held.max_in_flight = upstream.max_in_flight
--- a/banyanseam/upstreams/messages.py
+++ b/banyanseam/upstreams/messages.py
@@ -2,7 +2,7 @@
 
 from typing import Annotated
 
-from pydantic import Field
+from pydantic import Field, NonNegativeFloat, NonNegativeInt
 
 from banyanseam.peers.messages import Message
 from banyanseam.upstreams.const import MAX_PREFIX_BLOCKS
@@ -31,14 +31,28 @@
     patience_ms: Milliseconds
 
 
+# A pool's summary, packed in the order of the fields of PoolRow.
+PackedRow = tuple[
+    Name,
+    Tokens,
+    Tokens,
+    Milliseconds,
+    NonNegativeInt,
+    NonNegativeInt,
+    NonNegativeFloat,
+    NonNegativeFloat,
+]
+
+
 class Granted(Message):
-    """Room on one upstream."""
+    """Room on one upstream, and the pool's summary after it was given."""
 
     kind = "upstreams.granted"
 
     upstream: Name
     cached_tokens: Tokens
     waited_ms: Milliseconds
+    row: PackedRow
 
 
 class Release(Message):
@@ -54,13 +68,24 @@
 
 
 class Renew(Message):
-    """Announce all leases that an entry holds on the pools that it names."""
+    """Say that an entry asks this keeper still, and by a digest what it holds."""
 
     kind = "upstreams.renew"
 
+    digest: Hash
+    # The entry's period of renewals, since its configuration may be another.
+    period_ms: Milliseconds
+
+
+class Announce(Message):
+    """Announce all leases that an entry holds on the pools that it names."""
+
+    kind = "upstreams.announce"
+
     pools: list[Name]
     # Upstream to lease number to tokens.
     leases: dict[Name, dict[int, Tokens]]
+    period_ms: Milliseconds
 
 
 class Handover(Message):
@@ -73,22 +98,11 @@
     leases: dict[Name, list[tuple[Name, int, int, Tokens]]]
 
 
-class Row(Message):
-    """A pool's summary."""
-
-    pool: Name
-    free_tokens: Tokens
-    largest_free_tokens: Tokens
-    wait_ms: Milliseconds
-    queued: int = Field(ge=0)
-    usable: int = Field(ge=0)
-    decode_tokens_per_s: float = Field(ge=0)
-    prefill_tokens_per_s: float = Field(ge=0)
-
-
 class Rows(Message):
     """The reply to a renewal: the pools that the asked daemon does keep."""
 
     kind = "upstreams.rows"
 
-    rows: list[Row]
+    # Whether what the entry holds is known here; if not, it must announce.
+    is_known: bool
+    rows: list[PackedRow]
--- a/banyanseam/upstreams/models.py
+++ b/banyanseam/upstreams/models.py
@@ -81,3 +81,16 @@
     usable: int
     decode_tokens_per_s: float
     prefill_tokens_per_s: float
+
+    def pack(self) -> tuple[str, int, int, int, int, int, float, float]:
+        """Return the fields in their order, as messages carry them."""
+        return (
+            self.pool,
+            self.free_tokens,
+            self.largest_free_tokens,
+            self.wait_ms,
+            self.queued,
+            self.usable,
+            self.decode_tokens_per_s,
+            self.prefill_tokens_per_s,
+        )
--- a/banyanseam/upstreams/places.py
+++ b/banyanseam/upstreams/places.py
@@ -6,7 +6,6 @@
 import anyio
 
 from banyanseam.upstreams.choose import LocalPool, Place, Spill, pick_place
-from banyanseam.upstreams.const import ROW_TERM_S
 from banyanseam.upstreams.context import Context
 from banyanseam.upstreams.errors import NoUpstreamAllowed, NoUpstreamAvailable
 from banyanseam.upstreams.models import Demand, PoolRow
@@ -33,9 +32,8 @@
     def list_rows(self) -> list[PoolRow]:
         """Return what is known of this region's pools, for the heartbeats."""
         now_s = anyio.current_time()
-        return [
-            row for row, seen_s in self._rows.values() if now_s - seen_s < ROW_TERM_S
-        ]
+        term_s = self._context.read_terms().row_term_s
+        return [row for row, seen_s in self._rows.values() if now_s - seen_s < term_s]
 
     def list_served(self, pool: str) -> frozenset[str]:
         """Return what a pool of this region serves."""
@@ -92,13 +90,14 @@
     def _list_pools(self, serves: str, demand: Demand, now_s: float) -> list[PoolRow]:
         """Return the pools that serve this; one not yet heard of counts as free."""
         rows = []
+        term_s = self._context.read_terms().row_term_s
         for name, pool in self._context.read_pools().items():
             if serves not in pool.serves:
                 continue
             if all(each.name in demand.avoid for each in pool.upstreams):
                 continue
             row, seen_s = self._rows.get(name, (None, 0.0))
-            if row is None or now_s - seen_s > ROW_TERM_S:
+            if row is None or now_s - seen_s > term_s:
                 row = _assume_row(pool)
             if row.usable:
                 rows.append(row)
--- a/banyanseam/upstreams/room.py
+++ b/banyanseam/upstreams/room.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections import defaultdict
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from random import Random
 
@@ -10,11 +11,11 @@
 from banyanseam.config.compiled import Upstream
 from banyanseam.errors import BanyanseamError
 from banyanseam.peers.errors import PeerCallFailed, PeerCallLost, PeerUnreachable
+from banyanseam.ticks import sleep_until_tick
 from banyanseam.upstreams.const import (
     CALL_RENEW_TIMEOUT_S,
     GRANT_USE_S,
-    KEEPER_PERIOD_S,
-    RENEW_PERIOD_S,
+    LOOK_PERIOD_S,
     RESERVE_RETRY_S,
     RESERVE_SLACK_S,
 )
@@ -26,10 +27,20 @@
     RequestTooLarge,
 )
 from banyanseam.upstreams.keeper import Keeper
-from banyanseam.upstreams.messages import Granted, Release, Renew, Reserve, Rows
+from banyanseam.upstreams.messages import (
+    Announce,
+    Granted,
+    Release,
+    Renew,
+    Reserve,
+    Rows,
+)
 from banyanseam.upstreams.models import Demand, Grant, Outcome, PoolRow
 from banyanseam.upstreams.places import Places
+from banyanseam.upstreams.terms import digest_view
 
+# How leases are renewed at a keeper for some pools.
+Send = Callable[[str, list[str]], Awaitable[Rows]]
 _ERRORS_BY_CODE = {
     error.code: error for error in (NoUpstreamAvailable, RequestTooLarge)
 }
@@ -74,11 +85,15 @@
                 self._drop_asks(groups)
                 for keeper, pools in groups.items():
                     is_new = any(self._announced.get(pool) != keeper for pool in pools)
-                    if is_new or now_s >= renew_s.get(keeper, 0.0):
-                        renew_s[keeper] = now_s + RENEW_PERIOD_S
+                    if is_new:
                         self._announced.update(dict.fromkeys(pools, keeper))
-                        tasks.start_soon(self._renew, keeper, pools)
-                await anyio.sleep(KEEPER_PERIOD_S)
+                        tasks.start_soon(self._renew, keeper, pools, self._announce)
+                    elif now_s >= renew_s[keeper]:
+                        tasks.start_soon(self._renew, keeper, pools, self._confirm)
+                    else:
+                        continue
+                    renew_s[keeper] = now_s + self._context.read_terms().renew_period_s
+                await sleep_until_tick(LOOK_PERIOD_S)
 
     async def reserve(self, pool: str, demand: Demand, give_up_s: float) -> Grant:
         """Wait for room in a pool of this region.
@@ -162,6 +177,7 @@
             use_by_s=asked_s + reply.waited_ms / 1000 + GRANT_USE_S,
         )
         self._grants[number] = grant
+        self._places.note_rows([PoolRow(*reply.row)], anyio.current_time())
         return grant
 
     async def _call(self, keeper: str, message: Reserve, patience_s: float) -> Granted:
@@ -204,30 +220,51 @@
         except PeerUnreachable:
             return
 
-    async def _renew(self, keeper: str, pools: list[str]) -> None:
-        leases: dict[str, dict[int, int]] = defaultdict(dict)
-        for number, grant in self._grants.items():
-            if grant.pool in pools:
-                leases[grant.upstream][number] = grant.tokens
-        message = Renew(pools=pools, leases=leases)
+    async def _renew(self, keeper: str, pools: list[str], send: Send) -> None:
         try:
-            if keeper == self._context.me.seat:
-                reply = await self._keeper.renew(self._context.me, message)
-            else:
-                reply = await self._context.network.call(
-                    keeper, message, Rows, CALL_RENEW_TIMEOUT_S
-                )
+            reply = await send(keeper, pools)
         except BanyanseamError:
             for pool in pools:
                 self._announced.pop(pool, None)
             return
-        rows = [PoolRow(**row.model_dump()) for row in reply.rows]
+        rows = [PoolRow(*row) for row in reply.rows]
         self._places.note_rows(rows, anyio.current_time())
 
+    async def _confirm(self, keeper: str, pools: list[str]) -> Rows:
+        """Renew by a digest, and announce in full where the keeper knows otherwise."""
+        numbers = [
+            number for number, grant in self._grants.items() if grant.pool in pools
+        ]
+        message = Renew(
+            digest=digest_view(pools, numbers), period_ms=self._read_period_ms()
+        )
+        if keeper == self._context.me.seat:
+            reply = await self._keeper.renew(self._context.me, message)
+        else:
+            reply = await self._context.network.call(
+                keeper, message, Rows, CALL_RENEW_TIMEOUT_S
+            )
+        return reply if reply.is_known else await self._announce(keeper, pools)
+
+    async def _announce(self, keeper: str, pools: list[str]) -> Rows:
+        leases: dict[str, dict[int, int]] = defaultdict(dict)
+        for number, grant in self._grants.items():
+            if grant.pool in pools:
+                leases[grant.upstream][number] = grant.tokens
+        message = Announce(pools=pools, leases=leases, period_ms=self._read_period_ms())
+        if keeper == self._context.me.seat:
+            return await self._keeper.hear(self._context.me, message)
+        return await self._context.network.call(
+            keeper, message, Rows, CALL_RENEW_TIMEOUT_S
+        )
+
+    def _read_period_ms(self) -> int:
+        return round(1000 * self._context.read_terms().renew_period_s)
+
     def _group_by_keeper(self) -> dict[str, list[str]]:
         groups: dict[str, list[str]] = defaultdict(list)
-        for name in self._context.read_pools():
-            keeper = self._context.find_keeper(name)
+        keepers = self._context.find_keepers(self._context.read_pools())
+        for name, keeper in keepers.items():
             if keeper is not None:
                 groups[keeper].append(name)
         return groups
--- a/bench/choice_cost.py
+++ b/bench/choice_cost.py
@@ -10,13 +10,14 @@
 
 from banyanseam.config.compile import compile_config
 from banyanseam.peers.messages import Envelope, Message, decode, encode
-from banyanseam.upstreams.const import MAX_POOL_UPSTREAMS, RENEW_PERIOD_S
+from banyanseam.upstreams.const import MAX_POOL_UPSTREAMS
 from banyanseam.upstreams.held import HeldTokens
 from banyanseam.upstreams.kept_pool import KeptPool
-from banyanseam.upstreams.messages import Granted, Release, Renew, Reserve
+from banyanseam.upstreams.messages import Announce, Granted, Release, Renew, Reserve
 from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, Outcome
 from banyanseam.upstreams.pools import list_pools
 from banyanseam.upstreams.prefix import hash_prefix
+from banyanseam.upstreams.terms import LARGE_REGION
 from bench.results import Figure, append
 from tests.common import make_documents
 
@@ -24,6 +25,7 @@
 SEATS = 57
 REQUESTS_PER_S_AND_UPSTREAM = 3_300 / 600
 LEASES_PER_SEAT_AND_POOL = 8
+PERIOD_MS = round(1000 * LARGE_REGION.renew_period_s)
 
 
 def make_pool(upstreams: int) -> KeptPool:
@@ -82,22 +84,28 @@
     return time_us(serve, ROUNDS if not waiting else 200)
 
 
-def make_renewal() -> Renew:
-    """Return what one of 57 seats sends to a keeper in one period."""
+def make_announcement() -> Announce:
+    """Return what one of 57 seats sends to a keeper that it had not before."""
     leases = {
         f"engine-{number}": {100_000 + number: 2_000}
         for number in range(LEASES_PER_SEAT_AND_POOL)
     }
-    return Renew(pools=["gulf/model:oak/0"], leases=leases)
+    return Announce(pools=["gulf/model:oak/0"], leases=leases, period_ms=PERIOD_MS)
 
 
 def measure_renewals() -> float:
     """Return the time that a keeper spends on one seat's renewal of one pool."""
     pool = make_pool(MAX_POOL_UPSTREAMS)
-    message = make_renewal()
+    message = make_announcement()
+    numbers = [number for held in message.leases.values() for number in held]
+    for number in range(SEATS):
+        pool.announce(f"gulf-{number}", 1, message.leases, 1.0, LARGE_REGION)
 
     def renew(number: int) -> None:
-        pool.announce(f"gulf-{number % SEATS}", 1, message.leases, 1.0)
+        process = (f"gulf-{number % SEATS}", 1)
+        if set(pool.list_numbers(*process)) == set(numbers):
+            pool.renew(*process, 1.0, LARGE_REGION)
+        pool.summarise(1.0)
 
     return time_us(renew)
 
@@ -143,7 +151,12 @@
             avoid=[],
             patience_ms=20_000,
         ),
-        "granted": Granted(upstream="engine-1", cached_tokens=0, waited_ms=1),
+        "granted": Granted(
+            upstream="engine-1",
+            cached_tokens=0,
+            waited_ms=1,
+            row=make_pool(MAX_POOL_UPSTREAMS).summarise(1.0).pack(),
+        ),
         "release": Release(
             pool="gulf/model:oak/0",
             lease=100_000,
@@ -151,7 +164,8 @@
             outcome=Outcome.COMPLETED,
             output_tokens=50,
         ),
-        "renew": make_renewal(),
+        "renew": Renew(digest=2**63, period_ms=PERIOD_MS),
+        "announce": make_announcement(),
     }
     for name, message in messages.items():
         size, cpu_us = measure_size(message)
@@ -161,7 +175,7 @@
     figures.append(
         Figure(
             "keeper_renewals_received_57_seats",
-            renewal_size * SEATS / RENEW_PERIOD_S,
+            renewal_size * SEATS / LARGE_REGION.renew_period_s,
             "bytes/s",
         )
     )
--- a/tests/upstreams/test_held.py
+++ b/tests/upstreams/test_held.py
@@ -8,10 +8,13 @@
 from banyanseam.upstreams.const import LEARNING_S, QUIET_S
 from banyanseam.upstreams.held import HeldTokens
 from banyanseam.upstreams.models import LeaseKey, LoadReport
+from banyanseam.upstreams.terms import LARGE_REGION, SMALL_REGION, Terms
 
 MEMORY_TOKENS = 100_000
 STEP_S = 0.1
 SEATS = frozenset({"one", "two", "three"})
+SILENCE_S = {SMALL_REGION: 1.5, LARGE_REGION: 9.0}
+RETRY_S = 0.8
 
 
 @dataclass
@@ -26,12 +29,17 @@
     held: HeldTokens | None = None
     runs: dict[int, int] = field(default_factory=dict)
     asked: int = 0
+    renews_at: str = ""
+    renew_s: float = 0.0
 
 
 class Region:
     """Three seats before one upstream, with lost messages, kills, freezes and cuts."""
 
-    def __init__(self, seed: int, loss: float, load: float) -> None:
+    def __init__(
+        self, seed: int, loss: float, load: float, terms: Terms = SMALL_REGION
+    ) -> None:
+        self.terms = terms
         self.random = random.Random(seed)
         self.loss = loss
         self.load = load
@@ -84,19 +92,20 @@
 
     def run(self, process: Process) -> None:
         for seat in SEATS:
-            # A seat is believed dead 1 to 2 s after it was last reached.
+            # A seat is believed dead some time after it was last reached.
             if self.reaches(process.seat, seat):
                 process.views[seat] = True
-            elif self.random.random() < STEP_S / 1.5:
+            elif self.random.random() < STEP_S / SILENCE_S[self.terms]:
                 process.views[seat] = False
         keeper = self.keeper_of(process)
         if keeper != process.seat:
             self.hand_over(process, keeper)
         elif process.held is None:
-            process.held = HeldTokens(MEMORY_TOKENS, 1000, self.now_s)
+            process.held = HeldTokens(MEMORY_TOKENS, 1000, self.now_s, terms=self.terms)
         if process.held is not None:
             self.keep(process.held)
-        if self.random.random() < 2 * STEP_S:
+        is_due = keeper != process.renews_at or self.now_s >= process.renew_s
+        if is_due or self.random.random() < STEP_S / self.terms.renew_period_s:
             self.announce(process, keeper)
         if self.random.random() < self.load * STEP_S:
             self.ask(process, keeper)
@@ -119,8 +128,16 @@
 
     def announce(self, process: Process, keeper: str) -> None:
         held = self.processes[keeper].held
-        if held is not None and self.gets_through(process.seat, keeper):
-            held.announce(process.seat, process.incarnation, process.runs, self.now_s)
+        process.renews_at = keeper
+        process.renew_s = self.now_s + RETRY_S
+        if held is None or not self.gets_through(process.seat, keeper):
+            return
+        process.renew_s = self.now_s + self.terms.renew_period_s
+        me = (process.seat, process.incarnation)
+        if set(held.list_numbers(*me)) == process.runs.keys():
+            held.renew(*me, self.now_s, self.terms)
+        else:
+            held.announce(*me, process.runs, self.now_s, self.terms)
 
     def ask(self, process: Process, keeper: str) -> None:
         held = self.processes[keeper].held
@@ -179,9 +196,12 @@
         seed=st.integers(0, 10_000),
         loss=st.sampled_from((0.0, 0.05, 0.3)),
         load=st.sampled_from((1.0, 5.0, 20.0)),
+        terms=st.sampled_from((SMALL_REGION, LARGE_REGION)),
     )
-    def test_upstream_is_never_driven_out_of_memory(self, faults, seed, loss, load):
-        region = Region(seed, loss, load)
+    def test_upstream_is_never_driven_out_of_memory(
+        self, faults, seed, loss, load, terms
+    ):
+        region = Region(seed, loss, load, terms)
         for pause, kind, seat in [*faults, (60, "join", "one")]:
             for _ in range(pause * 2):
                 region.step()
@@ -189,10 +209,12 @@
         self.assertLessEqual(region.most_held, MEMORY_TOKENS)
 
     def test_memory_is_used_when_nothing_fails(self):
-        region = Region(seed=5, loss=0.0, load=20.0)
-        for _ in range(600):
-            region.step()
-        self.assertGreater(region.most_held, 0.8 * MEMORY_TOKENS)
+        for terms in (SMALL_REGION, LARGE_REGION):
+            region = Region(seed=5, loss=0.0, load=20.0, terms=terms)
+            for _ in range(600):
+                region.step()
+            with self.subTest(terms):
+                self.assertGreater(region.most_held, 0.8 * MEMORY_TOKENS)
 
     def test_new_keeper_counts_what_others_granted(self):
         held = HeldTokens(MEMORY_TOKENS, 100, 0.0)
--- a/tests/upstreams/test_room.py
+++ b/tests/upstreams/test_room.py
@@ -206,6 +206,23 @@
 
         run_mocked(run)
 
+    def test_restarted_keeper_is_told_what_the_digest_hides(self):
+        async def run() -> None:
+            gulf = Gulf()
+            async with gulf.run() as tasks:
+                keeper = gulf.keeper
+                entry = next(seat for seat in SEATS if seat != keeper)
+                await gulf.reserve(entry, 9_000)
+                gulf.scopes[keeper].cancel()
+                tasks.start_soon(gulf.run_daemon, keeper, 2)
+                await anyio.sleep(0.1)
+                # No report shows the run, so only its lease can.
+                gulf.running.clear()
+                with self.assertRaises(NoUpstreamAvailable):
+                    await gulf.reserve(entry, 1_000, patience_s=20)
+
+        run_mocked(run)
+
     def test_refusals_say_that_nothing_ran(self):
         def leave(gulf) -> None:
             gulf.leaving = True
