--- a/banyanseam/upstreams/keeper.py
+++ b/banyanseam/upstreams/keeper.py
@@ -1,7 +1,7 @@
 """The keeper's side: answers entries, polls upstreams, gives room to who waits."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 
 import anyio
 
