Order engines to load what the configuration desires

Change: an upstream's document says what it should have loaded; one daemon of each region orders its engines, one at a time, within the region's part of the weight store's rate. The fencing number is the version of the configuration: it only grows and any two givers on one version give the same order. Engines that ignore it are ordered only by a seat that sees more than half of its region, after the term in which a giver from before must have stopped. The load report says what is loaded, and keepers send requests nowhere else. `banyanseam orders` shows it. Ruled out: keepers as givers (they share one rate), one giver for the fleet (a cut region loads nothing), votes (a consensus group).

A fault found while testing: a seat that took over began a second load, for it counted engines that it had been kept from as looked at; seen failing, mended. Each rule was taken away in turn and tests failed: majority, term, one engine at a time, fencing, old weights first where full, overdue loads.

Conclusion: the orderer's cost at the full size is reckoned, not measured.

--- a/banyanseam/cli/main.py
+++ b/banyanseam/cli/main.py
@@ -12,6 +12,7 @@
 from banyanseam.cli.errors import ErrorGroup
 from banyanseam.cli.histograms import histograms
 from banyanseam.cli.keys import key_group
+from banyanseam.cli.orders import orders
 
 
 @click.group(
@@ -39,6 +40,7 @@
     entries,
     histograms,
     explain,
+    orders,
     diagnostics,
     drain,
 ):
--- a/banyanseam/config/checks.py
+++ b/banyanseam/config/checks.py
@@ -43,6 +43,30 @@
         _claim(holders, f"{path}.address", upstream.address)
 
 
+def check_desired(base: BaseDocument, sites: Sites) -> None:
+    """Refuse desired models without a weight store or that leave a served one out."""
+    for path, upstream in _list_upstreams(sites):
+        if upstream.desired is None:
+            continue
+        if upstream.kind != "model":
+            raise InvalidConfig(
+                f"{path}.desired", "a plain service takes no orders; leave it out"
+            )
+        if base.weight_store is None:
+            raise InvalidConfig(
+                "$.weight_store", "engines are told what to load; name the store's rate"
+            )
+        loaded = set(upstream.desired.models)
+        for model in upstream.desired.models.values():
+            loaded.update(model.adapters)
+        missing = sorted(set(upstream.serves) - loaded)
+        if missing:
+            raise InvalidConfig(
+                f"{path}.desired.models",
+                f"the upstream serves {missing[0]}; add it to what it loads",
+            )
+
+
 def check_routes(routes: dict[str, Route]) -> None:
     """Refuse prefixes that overlap one another or the daemons' own paths."""
     for route in routes.values():
--- a/banyanseam/config/compile.py
+++ b/banyanseam/config/compile.py
@@ -10,6 +10,7 @@
 
 from banyanseam.config.checks import (
     check_addresses,
+    check_desired,
     check_kinds,
     check_reach,
     check_routes,
@@ -19,6 +20,8 @@
 )
 from banyanseam.config.compiled import (
     Config,
+    Desired,
+    DesiredModel,
     Organisation,
     Policy,
     Route,
@@ -29,6 +32,7 @@
 from banyanseam.config.merge import merge_site
 from banyanseam.config.models import (
     BaseDocument,
+    DesiredDocument,
     Name,
     OrganisationDocument,
     SiteDocument,
@@ -68,6 +72,7 @@
     check_addresses(sites)
     check_kinds(base_document)
     check_upstream_kinds(base_document, sites)
+    check_desired(base_document, sites)
     regions = frozenset(sites)
     allowed = _compile_residency(base_document, regions)
     routes = _compile_routes(base_document, allowed)
@@ -87,6 +92,7 @@
             region: Policy(**site.policy.model_dump()) for region, site in sites.items()
         },
         organisation_by_digest=_index_keys(base_document),
+        weight_bytes_per_s=_divide_weight_rate(base_document, sites),
     )
 
 
@@ -243,12 +249,40 @@
                     f"region {upstreams[name].region} has an upstream of this name; "
                     "rename one",
                 )
-            fields = document.model_dump(exclude={"kind", "serves"})
+            fields = document.model_dump(exclude={"kind", "serves", "desired"})
             upstreams[name] = Upstream(
                 name=name,
                 region=region,
                 is_model=document.kind == "model",
                 serves=frozenset(document.serves),
+                desired=_compile_desired(document.desired),
                 **fields,
             )
     return upstreams
+
+
+def _compile_desired(document: DesiredDocument | None) -> Desired | None:
+    if document is None:
+        return None
+    models = {
+        name: DesiredModel(
+            name, model.version, model.weight_bytes, frozenset(model.adapters)
+        )
+        for name, model in document.models.items()
+    }
+    return Desired(models, document.role)
+
+
+def _divide_weight_rate(
+    base: BaseDocument, sites: dict[str, SiteDocument]
+) -> dict[str, float]:
+    """Give each region its part of the rate, by the engines that it orders."""
+    counts = {
+        region: sum(one.desired is not None for one in site.upstreams.values())
+        for region, site in sites.items()
+    }
+    total = sum(counts.values())
+    if base.weight_store is None or not total:
+        return {}
+    rate = base.weight_store.rate_bytes_per_s
+    return {region: rate * count / total for region, count in counts.items() if count}
--- a/banyanseam/config/compiled.py
+++ b/banyanseam/config/compiled.py
@@ -45,6 +45,24 @@
     peers_address: str
 
 
+@dataclass(frozen=True, slots=True)
+class DesiredModel:
+    """A model that an engine should have loaded."""
+
+    name: str
+    version: int
+    weight_bytes: int
+    adapters: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Desired:
+    """What an engine should have loaded, by name, and what it should do."""
+
+    models: dict[str, DesiredModel]
+    role: str
+
+
 @dataclass(frozen=True, slots=True)
 class Upstream:
     """A replica that answers requests."""
@@ -61,6 +79,8 @@
     max_in_flight: int
     checks_fencing: bool
     leaving: bool
+    # None for an engine that takes no orders from here.
+    desired: Desired | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +106,8 @@
     upstreams: dict[str, Upstream]
     policies: dict[str, Policy]
     organisation_by_digest: dict[bytes, str] = field(repr=False)
+    # What the engines of a region may read together from the weight store.
+    weight_bytes_per_s: dict[str, float] = field(default_factory=dict)
 
     @property
     def regions(self) -> frozenset[str]:
--- a/banyanseam/config/models.py
+++ b/banyanseam/config/models.py
@@ -80,6 +80,29 @@
     peers_address: Address
 
 
+class LoadedModelDocument(Document):
+    """A model that an engine should have loaded."""
+
+    version: int = Field(ge=1)
+    # What a load fetches from the weight store.
+    weight_bytes: int = Field(gt=0, le=10**15)
+    adapters: list[Name] = Field(default_factory=list, max_length=64)
+
+
+class DesiredDocument(Document):
+    """What an engine should have loaded, and what it should do."""
+
+    models: dict[Name, LoadedModelDocument] = Field(min_length=1, max_length=16)
+    role: Literal["mixed", "prefill", "decode"] = "mixed"
+
+
+class WeightStoreDocument(Document):
+    """The store that engines load weights from."""
+
+    # What all engines of the fleet may read together.
+    rate_bytes_per_s: int = Field(gt=0, le=10**15)
+
+
 class UpstreamDocument(Document):
     """A model replica or a replica of a plain service."""
 
@@ -93,6 +116,8 @@
     max_in_flight: int = Field(default=64, gt=0, le=10**6)
     checks_fencing: bool = False
     leaving: bool = False
+    # None for an engine that takes no orders from here.
+    desired: DesiredDocument | None = None
 
 
 class PolicyDocument(Document):
@@ -120,4 +145,5 @@
     organisations: dict[Name, OrganisationDocument] = Field(default_factory=dict)
     routes: dict[Name, RouteDocument] = Field(default_factory=dict)
     residency: dict[Name, ResidencyDocument] = Field(default_factory=dict)
+    weight_store: WeightStoreDocument | None = None
     site: SiteDocument = Field(default_factory=SiteDocument)
--- a/banyanseam/daemon/operations.py
+++ b/banyanseam/daemon/operations.py
@@ -4,6 +4,7 @@
 
 from banyanseam.config.errors import NotReady
 from banyanseam.daemon.diagnostics import describe_diagnostics
+from banyanseam.daemon.order_parts import describe_orders
 from banyanseam.daemon.probes import make_probes
 from banyanseam.daemon.status import describe_status
 from banyanseam.peers.entries import ENTRIES_VALIDITY_MS
@@ -44,6 +45,12 @@
             queued=daemon.serving.upstreams.room.waiting if daemon.serving else 0,
         ).model_dump()
 
+    async def answer_orders(body: bytes) -> dict[str, Any]:
+        if daemon.serving is None:
+            raise NotReady
+        orderer = daemon.serving.orders.orderer
+        return describe_orders(daemon.view.get_config(), orderer).model_dump()
+
     async def histograms(body: bytes) -> dict[str, Any]:
         if daemon.serving is None:
             raise NotReady
@@ -62,6 +69,7 @@
         ("GET", "/status"): answer_status,
         ("GET", "/diagnostics"): answer_diagnostics,
         ("GET", "/entries"): answer_entries,
+        ("GET", "/orders"): answer_orders,
         ("POST", "/histograms"): histograms,
         ("POST", "/explain"): explain,
         ("POST", "/drain"): answer_drain,
--- /dev/null
+++ b/banyanseam/daemon/order_parts.py
@@ -0,0 +1,77 @@
+"""Put together what gives orders to the engines of this region."""
+
+from dataclasses import dataclass
+
+from anyio.abc import TaskGroup
+
+from banyanseam.config.compiled import Config, Upstream
+from banyanseam.daemon.fleet_view import FleetView
+from banyanseam.orders.client import EngineClient
+from banyanseam.orders.const import TURN_MARGIN_S
+from banyanseam.orders.orderer import Ordered, Orderer
+from banyanseam.orders.turn import Turn, TurnView
+from banyanseam.server.operator_models import OrdersReply, OrderStatus
+from banyanseam.upstreams.client import UpstreamClient
+
+
+@dataclass(frozen=True, slots=True)
+class OrderParts:
+    """This process as a giver of orders."""
+
+    orderer: Orderer
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Start the loop."""
+        tasks.start_soon(self.orderer.run)
+
+
+def make_order_parts(view: FleetView, client: UpstreamClient) -> OrderParts:
+    """Return the parts, joined to membership and freezes."""
+    region = view.settings.region
+
+    def look() -> TurnView:
+        silence_s = view.membership.pace.suspect_s(is_own_region=True)
+        return TurnView(
+            region,
+            view.settings.seat,
+            len(view.get_config().seats_of(region)),
+            view.membership.alive_seats(region),
+            silence_s + TURN_MARGIN_S,
+        )
+
+    turn = Turn(look)
+    view.control.freeze.on_restart(lambda _: turn.begin_anew())
+    orderer = Orderer(
+        region,
+        turn,
+        EngineClient(client),
+        view.get_config,
+        lambda: view.control.accepts_requests and view.control.lifecycle.is_ready,
+    )
+    return OrderParts(orderer)
+
+
+def describe_orders(config: Config, orderer: Orderer) -> OrdersReply:
+    """Return how far the region's engines have come, as this daemon knows."""
+    return OrdersReply(
+        region=orderer.region,
+        giver=orderer.turn.giver,
+        fencing=config.version,
+        engines=[
+            _describe_engine(upstream, orderer.ordered.get(upstream.name, Ordered()))
+            for upstream in orderer.list_engines(config)
+        ],
+    )
+
+
+def _describe_engine(upstream: Upstream, ordered: Ordered) -> OrderStatus:
+    order = ordered.order
+    return OrderStatus(
+        upstream=upstream.name,
+        checks_fencing=upstream.checks_fencing,
+        progress=ordered.progress,
+        kind=order.kind if order else None,
+        model=order.model if order else None,
+        model_version=order.version if order else None,
+        failure=ordered.failure,
+    )
--- a/banyanseam/daemon/serving.py
+++ b/banyanseam/daemon/serving.py
@@ -7,6 +7,7 @@
 
 from banyanseam.daemon.fleet_view import FleetView
 from banyanseam.daemon.idempotency_parts import IdempotencyParts, make_idempotency_parts
+from banyanseam.daemon.order_parts import OrderParts, make_order_parts
 from banyanseam.daemon.poison_parts import PoisonParts, make_poison_parts
 from banyanseam.daemon.quota_parts import QuotaParts
 from banyanseam.daemon.recorder import RequestRecorder
@@ -32,6 +33,7 @@
     upstreams: UpstreamParts
     idempotency: IdempotencyParts
     poison: PoisonParts
+    orders: OrderParts
     pipelines: Pipelines
     forward_server: ForwardServer
 
@@ -40,6 +42,7 @@
         self.quota.start(tasks)
         self.upstreams.start(tasks)
         self.idempotency.start(tasks)
+        self.orders.start(tasks)
 
 
 def make_serving(view: FleetView, quota: QuotaParts, tasks: TaskGroup) -> Serving:
@@ -87,5 +90,12 @@
     view.network.watch_lost_links(forward_server.lose_peer)
     view.store.on_adopted(lambda config: tasks.start_soon(upstreams.close_idle, config))
     return Serving(
-        recorder, quota, upstreams, idempotency, poison, pipelines, forward_server
+        recorder,
+        quota,
+        upstreams,
+        idempotency,
+        poison,
+        make_order_parts(view, upstreams.client),
+        pipelines,
+        forward_server,
     )
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -55,6 +55,10 @@
 STANDBYS_SILENT: Final = Event(
     2023, "WARNING", "A standby does not say whether it acts for this home"
 )
+ORDER_GIVEN: Final = Event(6010, "INFO", "An engine was given an order")
+ORDER_FAILED: Final = Event(6011, "WARNING", "An engine did not take an order")
+LOAD_OVERDUE: Final = Event(6012, "WARNING", "An engine loads for too long")
+ENGINE_CHANGED: Final = Event(6013, "INFO", "An engine is as desired")
 
 QUOTA_RESTARTED: Final = Event(
     7001, "WARNING", "Quota parts are withheld after a suspension"
--- /dev/null
+++ b/banyanseam/orders/client.py
@@ -0,0 +1,99 @@
+"""Asking an engine what it has loaded, and ordering it to change that."""
+
+import anyio
+from pydantic import ValidationError
+from uuid6 import uuid7
+
+from banyanseam.config.compiled import Upstream
+from banyanseam.orders.const import CALL_TIMEOUT_S, MAX_STATE_BYTES, ORDERS_PATH
+from banyanseam.orders.errors import EngineFull, OrderFailed, OrderRefused
+from banyanseam.orders.models import (
+    EngineState,
+    LoadedModel,
+    Order,
+    OrderDocument,
+    StateDocument,
+)
+from banyanseam.upstreams.client import UpstreamClient, UpstreamRequest
+
+ACCEPTED = (200, 202)
+REFUSED = 409
+FULL = 507
+
+
+class EngineClient:
+    """Calls of `/orders` at engines; all raise a BanyanseamError."""
+
+    def __init__(self, client: UpstreamClient) -> None:
+        """Send over the connections of `client`."""
+        self._client = client
+
+    async def read_state(self, upstream: Upstream) -> EngineState:
+        """Return what the engine has loaded; raise OrderFailed."""
+        status, body = await self._call(upstream, "GET", b"")
+        if status != 200:
+            raise OrderFailed(f"{upstream.name} answered {status}")
+        return parse_state(body)
+
+    async def give(
+        self, upstream: Upstream, order: Order, fencing: int, rate_bytes_per_s: float
+    ) -> None:
+        """Give an order; raise OrderRefused, EngineFull or OrderFailed."""
+        is_load = order.kind == "load_model"
+        document = OrderDocument(
+            fencing=fencing,
+            kind=order.kind,
+            role=order.role,
+            model=order.model,
+            version=order.version,
+            adapter=order.adapter,
+            max_bytes_per_s=max(1, int(rate_bytes_per_s)) if is_load else None,
+        )
+        body = document.model_dump_json(exclude_none=True).encode()
+        status, _ = await self._call(upstream, "POST", body)
+        if status == REFUSED:
+            raise OrderRefused(f"{upstream.name}: fencing number {fencing} is old")
+        if status == FULL:
+            raise EngineFull(f"{upstream.name}: no room for {order.model}")
+        if status not in ACCEPTED:
+            raise OrderFailed(f"{upstream.name} answered {status}")
+
+    async def _call(
+        self, upstream: Upstream, method: str, body: bytes
+    ) -> tuple[int, bytes]:
+        request = UpstreamRequest(
+            request_id=str(uuid7()),
+            method=method,
+            target=ORDERS_PATH,
+            headers=[(b"content-type", b"application/json")] if body else [],
+            body=body,
+            is_idempotent=True,
+            read_timeout_s=CALL_TIMEOUT_S,
+        )
+        with anyio.move_on_after(CALL_TIMEOUT_S):
+            async with self._client.open(upstream, request, lambda: None) as response:
+                received = b""
+                async for chunk in response.body:
+                    received += chunk
+                    if len(received) > MAX_STATE_BYTES:
+                        raise OrderFailed(f"{upstream.name} sent too long an answer")
+                return response.status, received
+        raise OrderFailed(f"{upstream.name} did not answer in {CALL_TIMEOUT_S:g} s")
+
+
+def parse_state(body: bytes) -> EngineState:
+    """Return the state in an engine's answer; raise OrderFailed."""
+    try:
+        document = StateDocument.model_validate_json(body)
+    except ValidationError as error:
+        raise OrderFailed("the engine's state is not valid") from error
+    models = tuple(
+        LoadedModel(
+            model.name,
+            model.version,
+            model.state == "ready",
+            frozenset(model.adapters),
+        )
+        for model in document.models
+    )
+    return EngineState(document.role, models)
--- /dev/null
+++ b/banyanseam/orders/orderer.py
@@ -0,0 +1,222 @@
+"""Bring the engines of this region to what the configuration desires, one by one.
+
+One engine at a time is changed, so that the others serve, and loads share the
+region's part of the weight store's rate. What an engine has is read anew before each
+order: a daemon that takes over goes on where the last one stopped.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+
+from banyanseam.config.compiled import Config, Upstream
+from banyanseam.errors import BanyanseamError
+from banyanseam.observe.events import (
+    ENGINE_CHANGED,
+    LOAD_OVERDUE,
+    ORDER_FAILED,
+    ORDER_GIVEN,
+    log,
+)
+from banyanseam.orders.const import (
+    CHANGE_PERIOD_S,
+    LOAD_PATIENCE,
+    LOAD_PATIENCE_S,
+    LOOK_PERIOD_S,
+    RETRY_PAUSE_S,
+)
+from banyanseam.orders.errors import EngineFull
+from banyanseam.orders.models import EngineState, Order, Progress
+from banyanseam.orders.plan import is_loading, plan_next
+from banyanseam.orders.turn import Turn
+
+
+class Engines(Protocol):
+    """What `EngineClient` does; tests give a fake."""
+
+    read_state: Callable[[Upstream], Awaitable[EngineState]]
+    give: Callable[[Upstream, Order, int, float], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class Ordered:
+    """How far one engine has come."""
+
+    progress: Progress = "not seen"
+    # Not looked at before this time.
+    next_look_s: float = float("-inf")
+    is_full: bool = False
+    order: Order | None = None
+    # The code of the last failure, until a call succeeds.
+    failure: str | None = None
+    load_due_s: float | None = None
+
+
+class Orderer:
+    """Gives orders while it is this seat's turn."""
+
+    def __init__(
+        self,
+        region: str,
+        turn: Turn,
+        engines: Engines,
+        get_config: Callable[[], Config],
+        is_serving: Callable[[], bool],
+    ) -> None:
+        """Order nothing yet."""
+        self.turn = turn
+        self.ordered: dict[str, Ordered] = {}
+        self.region = region
+        self._engines = engines
+        self._get_config = get_config
+        self._is_serving = is_serving
+        self._version = 0
+
+    async def run(self) -> None:
+        """Go round the engines for ever."""
+        while True:
+            await self.go_round()
+            await anyio.sleep(CHANGE_PERIOD_S)
+
+    async def go_round(self) -> None:
+        """Look at the engines that are due, and take each a step further."""
+        config = self._get_config()
+        upstreams = self.list_engines(config)
+        if not upstreams:
+            self.ordered.clear()
+            return
+        self.turn.advance(anyio.current_time())
+        if not self._is_serving() or self.turn.giver is None:
+            return
+        self._take_config(config, upstreams)
+        for upstream in upstreams:
+            ordered = self.ordered[upstream.name]
+            if not self._may_order(upstream):
+                # What another seat did meanwhile is to be looked at anew.
+                self.ordered[upstream.name] = Ordered("held back")
+            elif ordered.progress == "held back":
+                ordered.progress = "not seen"
+        for upstream in upstreams:
+            ordered = self.ordered[upstream.name]
+            is_due = anyio.current_time() >= ordered.next_look_s
+            if is_due and self._may_order(upstream):
+                await self._advance(config, upstream, ordered)
+
+    def list_engines(self, config: Config) -> list[Upstream]:
+        """Return the engines of this region that take orders, in order of name."""
+        return sorted(
+            (
+                upstream
+                for upstream in config.upstreams.values()
+                if upstream.region == self.region
+                and upstream.desired is not None
+                and not upstream.leaving
+            ),
+            key=lambda upstream: upstream.name,
+        )
+
+    def _take_config(self, config: Config, upstreams: list[Upstream]) -> None:
+        known = self.ordered
+        self.ordered = {one.name: known.get(one.name, Ordered()) for one in upstreams}
+        if config.version != self._version:
+            self._version = config.version
+            for ordered in self.ordered.values():
+                ordered.next_look_s = float("-inf")
+
+    def _may_change(self, ordered: Ordered) -> bool:
+        """Say whether no other engine is being changed, as far as this seat can see.
+
+        A seat that takes over looks at every engine it may order before it changes one.
+        """
+        others = [one for one in self.ordered.values() if one is not ordered]
+        return not any(one.progress in ("changing", "not seen") for one in others)
+
+    def _may_order(self, upstream: Upstream) -> bool:
+        return self.turn.may_order(
+            anyio.current_time(), checks_fencing=upstream.checks_fencing
+        )
+
+    async def _advance(
+        self, config: Config, upstream: Upstream, ordered: Ordered
+    ) -> None:
+        try:
+            state = await self._engines.read_state(upstream)
+            ordered.failure = None
+            await self._take_step(config, upstream, ordered, state)
+        except EngineFull as error:
+            self._note_failure(upstream, ordered, error)
+            if not ordered.is_full:
+                # The next look drops what is not desired first.
+                ordered.is_full = True
+                ordered.next_look_s = anyio.current_time() + CHANGE_PERIOD_S
+        except BanyanseamError as error:
+            self._note_failure(upstream, ordered, error)
+
+    async def _take_step(
+        self,
+        config: Config,
+        upstream: Upstream,
+        ordered: Ordered,
+        state: EngineState,
+    ) -> None:
+        order = plan_next(upstream.desired, state, is_full=ordered.is_full)
+        if order is None and not is_loading(state):
+            self._note_done(upstream, ordered)
+            return
+        now_s = anyio.current_time()
+        ordered.next_look_s = now_s + CHANGE_PERIOD_S
+        if order is None:
+            self._watch_load(upstream, ordered)
+            return
+        if not self._may_change(ordered):
+            ordered.progress = "waiting"
+            return
+        # The turn may have ended while the engine was asked.
+        if not self._may_order(upstream):
+            return
+        rate_bytes_per_s = config.weight_bytes_per_s[upstream.region]
+        await self._engines.give(upstream, order, config.version, rate_bytes_per_s)
+        ordered.progress, ordered.order = "changing", order
+        ordered.load_due_s = None
+        if order.kind == "load_model":
+            load_s = LOAD_PATIENCE * order.weight_bytes / rate_bytes_per_s
+            ordered.load_due_s = now_s + load_s + LOAD_PATIENCE_S
+        log(
+            ORDER_GIVEN,
+            upstream=upstream.name,
+            kind=order.kind,
+            model=order.model,
+            model_version=order.version,
+            fencing=config.version,
+        )
+
+    def _watch_load(self, upstream: Upstream, ordered: Ordered) -> None:
+        """Count an engine as changing while its load is not overdue."""
+        now_s = anyio.current_time()
+        if ordered.load_due_s is None:
+            # Another seat ordered this load, or the engine began it by itself.
+            ordered.load_due_s = now_s + LOAD_PATIENCE_S
+        if now_s < ordered.load_due_s:
+            ordered.progress = "changing"
+            return
+        if ordered.progress != "failed":
+            log(LOAD_OVERDUE, upstream=upstream.name)
+        # The others need not wait for it.
+        ordered.progress = "failed"
+        ordered.next_look_s = now_s + RETRY_PAUSE_S
+
+    def _note_done(self, upstream: Upstream, ordered: Ordered) -> None:
+        if ordered.progress in ("changing", "failed"):
+            log(ENGINE_CHANGED, upstream=upstream.name)
+        ordered.progress, ordered.order = "as desired", None
+        ordered.is_full, ordered.load_due_s = False, None
+        ordered.next_look_s = anyio.current_time() + LOOK_PERIOD_S
+
+    def _note_failure(
+        self, upstream: Upstream, ordered: Ordered, error: BanyanseamError
+    ) -> None:
+        log(ORDER_FAILED, upstream=upstream.name, code=error.code, detail=error.detail)
+        ordered.progress, ordered.failure = "failed", error.code
+        ordered.next_look_s = anyio.current_time() + RETRY_PAUSE_S
--- a/banyanseam/server/operator_models.py
+++ b/banyanseam/server/operator_models.py
@@ -9,6 +9,7 @@
 from pydantic import Base64Bytes, BaseModel, ConfigDict, Field
 
 from banyanseam.config.models import Name, RequestClass
+from banyanseam.orders.models import Progress
 
 DaemonState = Literal["starting", "serving", "draining"]
 Verdict = Literal["pass", "wait", "refuse", "unknown"]
@@ -98,6 +99,30 @@
     upstreams: list[UpstreamStatus] = Field(default_factory=list)
 
 
+class OrderStatus(OperatorReply):
+    """How far an engine has come towards what the configuration desires."""
+
+    upstream: str
+    checks_fencing: bool
+    progress: Progress
+    # The last order given to it, while it is not as desired.
+    kind: str | None = None
+    model: str | None = None
+    model_version: int | None = None
+    # The code of the last failure.
+    failure: str | None = None
+
+
+class OrdersReply(OperatorReply):
+    """`GET /orders`: orders to the region's engines; only their giver knows them."""
+
+    region: str
+    # The seat whose turn it is, as this daemon sees it; None without any engine.
+    giver: str | None
+    fencing: int
+    engines: list[OrderStatus] = Field(default_factory=list)
+
+
 class ReleaseStatus(OperatorReply):
     """Which program this is, and what it runs on."""
 
--- a/banyanseam/upstreams/kept_upstream.py
+++ b/banyanseam/upstreams/kept_upstream.py
@@ -42,9 +42,17 @@
         report = self.held.report
         return self.upstream.leaving or (report is not None and report.leaving)
 
+    @property
+    def is_loaded(self) -> bool:
+        """Say whether it has all that it serves, as far as its report says."""
+        report = self.held.report
+        if report is None or report.ready is None:
+            return True
+        return self.upstream.serves <= report.ready
+
     def is_usable(self, now_s: float) -> bool:
         """Say whether new requests may go there, room or not."""
-        return not self.is_leaving and self.health.may_send(now_s)
+        return not self.is_leaving and self.is_loaded and self.health.may_send(now_s)
 
     def describe_state(
         self, seats: frozenset[str], now_s: float, *, is_doubted: bool
--- a/banyanseam/upstreams/models.py
+++ b/banyanseam/upstreams/models.py
@@ -36,6 +36,8 @@
     running: int
     leaving: bool
     as_of_s: float
+    # What it can serve at once; None where it doesn't say.
+    ready: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/banyanseam/upstreams/reports.py
+++ b/banyanseam/upstreams/reports.py
@@ -23,6 +23,8 @@
     running: int = Field(ge=0)
     leaving: bool = False
     as_of_ms_ago: int = Field(ge=0, le=3_600_000)
+    # The models and adapters that are loaded.
+    ready: list[str] | None = None
 
 
 def make_fetch_report(
@@ -56,6 +58,7 @@
         running=document.running,
         leaving=document.leaving,
         as_of_s=now_s - document.as_of_ms_ago / 1000,
+        ready=None if document.ready is None else frozenset(document.ready),
     )
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,5 +1,6 @@
 """A model engine: continuous batching, prefix cache, resume, cancel and faults."""
 
+import json
 import os
 from collections import deque
 from collections.abc import AsyncIterator
@@ -13,6 +14,7 @@
 from standins.batching import Batch, EngineLimits, Run, hash_blocks, hash_prompt
 from standins.engine_answers import Faults, send_answer
 from standins.engine_messages import ChatBody, LoadHistory, LoadReport, RunRecord
+from standins.engine_orders import OrderBook
 from standins.serving import Request, announce, run_process, serve
 
 CHAT_PATH = "/v1/chat/completions"
@@ -35,6 +37,8 @@
     records: deque[RunRecord] = field(default_factory=lambda: deque(maxlen=MAX_RECORDS))
     loads: LoadHistory = field(init=False)
     batch: Batch = field(init=False)
+    # None for an engine that has what it serves and takes no orders.
+    orders: OrderBook | None = None
 
     def __post_init__(self) -> None:
         """Join the batch to this engine's death."""
@@ -56,6 +60,8 @@
             os._exit(CRASH_STATUS)
         self.faults.is_dead = True
         self.deaths += 1
+        if self.orders is not None:
+            self.orders.models.clear()
         self.batch.drop_all()
         self.runs.clear()
 
@@ -88,11 +94,19 @@
             await request.answer(200, self._report_load())
         elif request.path == "/cache-events":
             await request.answer(200, self._list_cache_events(request))
+        elif request.path == "/orders" and self.orders is not None:
+            await self._handle_orders(request, self.orders)
         elif request.path.startswith(STREAMS_PREFIX):
             await self._handle_stream(request)
         else:
             await request.answer(404, {"error": "no such path"})
 
+    async def _handle_orders(self, request: Request, orders: OrderBook) -> None:
+        if request.method == "GET":
+            await request.answer(200, orders.describe())
+            return
+        await request.answer(*orders.take(request.read_json()))
+
     async def _chat(self, request: Request) -> None:
         if self.faults.leaving or self._in_flight() >= self.limits.max_in_flight:
             await request.answer(
@@ -102,6 +116,11 @@
             )
             return
         body = ChatBody.read(request.read_json())
+        if self.orders is not None and body.model not in self.orders.list_ready():
+            await request.answer(
+                503, {"error": "not loaded"}, {"x-not-started": "true"}
+            )
+            return
         if POISON in body.prompt:
             self._start(request, body)
             self.die()
@@ -175,7 +194,10 @@
     def _report_load(self) -> dict[str, Any]:
         self._note_load()
         shown = self.loads.describe_shown(anyio.current_time())
-        return shown | {"leaving": self.faults.leaving}
+        shown |= {"leaving": self.faults.leaving}
+        if self.orders is not None:
+            shown["ready"] = self.orders.list_ready()
+        return shown
 
     def _list_cache_events(self, request: Request) -> dict[str, Any]:
         after = request.query_int("after", 0)
@@ -232,8 +254,10 @@
         yield address
 
 
-async def _main(name: str, port: int, limits: EngineLimits) -> None:
-    engine = Engine(limits, dies_with_process=True)
+async def _main(
+    name: str, port: int, limits: EngineLimits, orders: OrderBook | None
+) -> None:
+    engine = Engine(limits, dies_with_process=True, orders=orders)
     async with serve_engine(engine, port) as address:
         announce(name, address)
         await anyio.sleep_forever()
@@ -254,9 +278,16 @@
 @click.option("--cache-event-lag-ms", default=500)
 @click.option("--keep-output-ms", default=60_000)
 @click.option("--disconnect-grace-ms", default=1000)
-def main(port: int, name: str, **limits: Any) -> None:
+@click.option("--weights", help="JSON of models and bytes; such an engine takes orders")
+@click.option("--ignores-fencing", is_flag=True)
+def main(
+    port: int, name: str, weights: str | None, ignores_fencing: bool, **limits: Any
+) -> None:
     """Run a model engine."""
-    run_process(_main, name, port, EngineLimits(**limits))
+    orders = None
+    if weights is not None:
+        orders = OrderBook(not ignores_fencing, weights=json.loads(weights))
+    run_process(_main, name, port, EngineLimits(**limits), orders)
 
 
 if __name__ == "__main__":
--- a/standins/engine_messages.py
+++ b/standins/engine_messages.py
@@ -14,6 +14,7 @@
 class ChatBody:
     """The fields of a request that the engine reads."""
 
+    model: str
     prompt: bytes
     max_tokens: int
     stream: bool
@@ -23,6 +24,7 @@
         """Read a chat-completions body."""
         contents = [str(message["content"]) for message in value["messages"]]
         return cls(
+            model=str(value.get("model", "")),
             prompt="\n".join(contents).encode(),
             max_tokens=int(value.get("max_tokens") or DEFAULT_MAX_TOKENS),
             stream=bool(value.get("stream", False)),
--- a/tests/config/test_refusals.py
+++ b/tests/config/test_refusals.py
@@ -37,6 +37,7 @@
 CLINIC = ("base", "routes", "clinic")
 ENGINE = ("gulf", "upstreams", "gulf-engine-1")
 OTHER_ROUTE = {"path_prefix": "/v1/", "kind": "model", "request_class": "long"}
+MAPLE = {"models": {"maple": {"version": 1, "weight_bytes": 1}}}
 BIRCH = {"rate_tokens_per_s": 1, "burst_tokens": 1}
 
 # What is wrong, the change that makes it so, and the path that must be named.
@@ -54,6 +55,15 @@
         change(*ENGINE, "decode_tokens_per_s", to=float("inf")),
         f"{GULF}.upstreams.gulf-engine-1.decode_tokens_per_s",
     ),
+    ("desired without a store", change(*ENGINE, "desired", to=MAPLE), "$.weight_store"),
+    (
+        "desired without what is served",
+        lambda documents: (
+            change("base", "weight_store", to={"rate_bytes_per_s": 1})(documents),
+            change(*ENGINE, "desired", to=MAPLE)(documents),
+        ),
+        f"{GULF}.upstreams.gulf-engine-1.desired.models",
+    ),
     (
         "overlapping routes",
         change("base", "routes", "all", to=OTHER_ROUTE),
--- /dev/null
+++ b/tests/faults/test_orders.py
@@ -0,0 +1,87 @@
+import json
+import unittest
+
+import anyio
+
+from standins.callers import Caller
+from standins.fleet import FleetPlan, start_fleet
+
+WEIGHT_BYTES = 1000
+# A load takes a second at one engine.
+RATE = 1000
+ENGINES = ("gulf-engine-1", "gulf-engine-2")
+TIMEOUT_S = 60
+
+
+def want_version(version):
+    """Return what has every engine told to load a version."""
+
+    def alter(base, overlays):
+        base["weight_store"] = {"rate_bytes_per_s": RATE}
+        model = {"version": version, "weight_bytes": WEIGHT_BYTES, "adapters": ["ash"]}
+        for overlay in overlays.values():
+            for upstream in overlay["upstreams"].values():
+                upstream["checks_fencing"] = True
+                upstream["desired"] = {"models": {"oak": model}}
+
+    return alter
+
+
+class OrderTests(unittest.TestCase):
+    def test_engines_come_to_a_new_version_while_their_giver_is_killed(self):
+        async def scenario():
+            self.failures = []
+            plan = FleetPlan(
+                regions=("gulf",),
+                engines=2,
+                services=0,
+                engine_options={"weights": json.dumps({"oak": WEIGHT_BYTES})},
+                alter=want_version(1),
+            )
+            async with (
+                start_fleet(plan) as fleet,
+                Caller(fleet.keys["acme"]) as caller,
+                anyio.create_task_group() as tasks,
+            ):
+                await self.wait_loaded(fleet, caller, 1)
+                giver = (await self.read_orders(fleet, caller, "gulf-1"))["giver"]
+                others = [seat for seat in fleet.daemons if seat != giver]
+                tasks.start_soon(self.chat, caller, fleet.daemons[others[0]])
+                want_version(2)(fleet.base, fleet.overlays)
+                await fleet.publish()
+                fleet.kill(giver)
+                await self.wait_loaded(fleet, caller, 2)
+                shown = await self.read_orders(fleet, caller, others[0])
+                self.assertIn(shown["giver"], others)
+                tasks.cancel_scope.cancel()
+            self.assertEqual(self.failures, [])
+
+        anyio.run(scenario)
+
+    async def wait_loaded(self, fleet, caller, version):
+        """Wait until every engine has a version and its adapter, and nothing else."""
+        wanted = {
+            "name": "oak",
+            "version": version,
+            "state": "ready",
+            "adapters": ["ash"],
+        }
+        with anyio.fail_after(TIMEOUT_S):
+            for name in ENGINES:
+                address = fleet.upstreams[name].address
+                while True:
+                    reply = await caller.request("GET", address, "/orders")
+                    if reply.value["models"] == [wanted]:
+                        break
+                    await anyio.sleep(0.1)
+
+    async def read_orders(self, fleet, caller, seat):
+        address = fleet.daemons[seat].operators_address
+        return (await caller.request("GET", address, "/orders")).value
+
+    async def chat(self, caller, daemon):
+        """Chat on: weights are exchanged one engine at a time, under load."""
+        while True:
+            reply = await caller.chat(daemon.callers_address, max_tokens=5)
+            if not reply.is_whole:
+                self.failures.append((reply.code, reply.broken))
--- /dev/null
+++ b/tests/orders/test_orderer.py
@@ -0,0 +1,245 @@
+import unittest
+
+import anyio
+
+from banyanseam.config.compile import compile_config
+from banyanseam.orders.const import LOAD_PATIENCE_S
+from banyanseam.orders.errors import EngineFull, OrderFailed, OrderRefused
+from banyanseam.orders.models import EngineState, LoadedModel
+from banyanseam.orders.orderer import Orderer
+from banyanseam.orders.turn import Turn, TurnView
+from standins.engine_orders import OrderBook
+from tests.common import make_documents, run_mocked
+
+SEATS = ("gulf-1", "gulf-2", "gulf-3")
+ENGINES = ("gulf-engine-1", "gulf-engine-2", "gulf-engine-3")
+WEIGHT_BYTES = 1000
+RATE = 300
+TERM_S = 10.0
+
+
+def make_config(version, *, checks=True, model_version=1):
+    """Return a configuration of three engines in each of three regions."""
+    base, overlays = make_documents()
+    base["weight_store"] = {"rate_bytes_per_s": RATE}
+    for region, overlay in overlays.items():
+        first = overlay["upstreams"][f"{region}-engine-1"]
+        host, _, port = first["address"].rpartition(":")
+        first |= {
+            "checks_fencing": checks,
+            "desired": {
+                "models": {
+                    "oak": {"version": model_version, "weight_bytes": WEIGHT_BYTES}
+                }
+            },
+        }
+        for number in (2, 3):
+            address = f"{host}:{int(port) + 10 + number}"
+            overlay["upstreams"][f"{region}-engine-{number}"] = first | {
+                "address": address
+            }
+    return compile_config(version, base, overlays)
+
+
+class Region:
+    """The engines of a region and the seats that may order them."""
+
+    def __init__(self, config, **book_options):
+        self.config = config
+        self.books = {
+            name: OrderBook(weights={"oak": WEIGHT_BYTES}, **book_options)
+            for name in ENGINES
+        }
+        self.dead = set()
+        self.views = {seat: list(SEATS) for seat in SEATS}
+        self.configs = {seat: config for seat in SEATS}
+        self.most_loading = 0
+        self.orderers = {seat: self._make_orderer(seat) for seat in SEATS}
+
+    def _make_orderer(self, seat):
+        def look():
+            return TurnView("gulf", seat, len(SEATS), self.views[seat], TERM_S)
+
+        return Orderer(
+            "gulf", Turn(look), self, lambda: self.configs[seat], lambda: True
+        )
+
+    async def read_state(self, upstream):
+        await anyio.sleep(0.01)
+        if upstream.name in self.dead:
+            raise OrderFailed(upstream.name)
+        shown = self.books[upstream.name].describe()
+        models = tuple(
+            LoadedModel(
+                one["name"], one["version"], one["state"] == "ready", frozenset()
+            )
+            for one in shown["models"]
+        )
+        return EngineState(shown["role"], models)
+
+    async def give(self, upstream, order, fencing, rate_bytes_per_s):
+        await anyio.sleep(0.01)
+        status, _ = self.books[upstream.name].take(
+            {
+                "fencing": fencing,
+                "kind": order.kind,
+                "model": order.model,
+                "version": order.version,
+                "max_bytes_per_s": rate_bytes_per_s,
+            }
+        )
+        errors = {409: OrderRefused, 507: EngineFull}
+        if status in errors:
+            raise errors[status](upstream.name)
+        loading = [book for book in self.books.values() if self.is_loading(book)]
+        self.most_loading = max(self.most_loading, len(loading))
+
+    def is_loading(self, book):
+        return any(one["state"] == "loading" for one in book.describe()["models"])
+
+    def list_versions(self):
+        return [
+            sorted(version for _, version in book.models)
+            for book in self.books.values()
+        ]
+
+    def count_orders(self):
+        return sum(len(book.taken) for book in self.books.values())
+
+    @property
+    def giver(self):
+        return next(iter(self.orderers.values())).turn.giver
+
+    async def run(self, seconds, *seats):
+        with anyio.move_on_after(seconds):
+            async with anyio.create_task_group() as tasks:
+                for seat in seats or SEATS:
+                    tasks.start_soon(self.orderers[seat].run)
+
+
+class OrdererTests(unittest.TestCase):
+    def test_engines_are_changed_one_at_a_time_within_the_rate(self):
+        async def body():
+            region = Region(make_config(1))
+            # A region has a third of the rate, so a load takes ten seconds.
+            await region.run(8)
+            self.assertEqual(region.count_orders(), 1)
+            await region.run(60)
+            self.assertEqual(region.list_versions(), [[1], [1], [1]])
+            self.assertEqual(region.most_loading, 1)
+            for seat in SEATS:
+                region.configs[seat] = make_config(2, model_version=2)
+            await region.run(60)
+            self.assertEqual(region.list_versions(), [[2], [2], [2]])
+            self.assertEqual(region.most_loading, 1)
+            orders = region.count_orders()
+            await region.run(600)
+            self.assertEqual(region.count_orders(), orders)
+
+        run_mocked(body)
+
+    def test_a_successor_goes_on_and_loads_nothing_beside(self):
+        async def body():
+            region = Region(make_config(1))
+            await region.run(5)
+            first = region.giver
+            for seat in SEATS:
+                region.views[seat] = [one for one in SEATS if one != first]
+            others = [seat for seat in SEATS if seat != first]
+            await region.run(60, *others)
+            self.assertEqual(region.list_versions(), [[1], [1], [1]])
+            self.assertEqual(region.most_loading, 1)
+            self.assertEqual(region.count_orders(), 3)
+
+        run_mocked(body)
+
+    def test_a_seat_on_an_old_configuration_undoes_nothing(self):
+        """The seats see only themselves: both believe it their turn."""
+        for checks in (True, False):
+            with self.subTest(checks_fencing=checks):
+                run_mocked(self.split, checks)
+
+    async def split(self, checks):
+        region = Region(make_config(1, checks=checks), checks_fencing=checks)
+        await region.run(120)
+        self.assertEqual(region.list_versions(), [[1], [1], [1]])
+        first = region.giver
+        others = [seat for seat in SEATS if seat != first]
+        for seat in others:
+            region.views[seat] = others
+            region.configs[seat] = make_config(2, checks=checks, model_version=2)
+        # The one that gave orders keeps the old version, cut off alone.
+        region.views[first] = [first]
+        await region.run(200)
+        self.assertEqual(region.list_versions(), [[2], [2], [2]])
+        region.books["gulf-engine-1"].models.clear()
+        await region.run(200)
+        self.assertEqual(region.list_versions(), [[2], [2], [2]])
+        kinds = [
+            order["version"] for book in region.books.values() for order in book.taken
+        ]
+        # Once the newer seats ordered, nothing of version 1 was loaded again.
+        self.assertEqual(kinds.count(1), 6, "three loads and three unloads")
+
+    def test_ignoring_engines_wait_out_the_term_of_a_giver_before(self):
+        async def body():
+            region = Region(make_config(1, checks=False), checks_fencing=False)
+            await region.run(TERM_S - 1)
+            self.assertEqual(region.count_orders(), 0)
+            progress = {
+                one.progress for one in region.orderers[region.giver].ordered.values()
+            }
+            self.assertEqual(progress, {"held back"})
+            await region.run(3)
+            self.assertEqual(region.count_orders(), 1)
+            region.orderers[region.giver].turn.begin_anew()
+            await region.run(TERM_S - 1)
+            self.assertEqual(region.count_orders(), 1)
+            await region.run(60)
+            self.assertEqual(region.list_versions(), [[1], [1], [1]])
+            # A part with half of the seats or less orders nothing.
+            for seat in SEATS:
+                region.views[seat] = [seat]
+                region.configs[seat] = make_config(2, checks=False, model_version=2)
+            await region.run(120)
+            self.assertEqual(region.list_versions(), [[1], [1], [1]])
+
+        run_mocked(body)
+
+    def test_a_full_engine_drops_the_old_weights_first(self):
+        async def body():
+            region = Region(make_config(1), weight_limit_bytes=WEIGHT_BYTES)
+            await region.run(60)
+            for seat in SEATS:
+                region.configs[seat] = make_config(2, model_version=2)
+            await region.run(60)
+            self.assertEqual(region.list_versions(), [[2], [2], [2]])
+
+        run_mocked(body)
+
+    def test_a_dead_or_hanging_engine_does_not_stop_the_others(self):
+        async def body():
+            region = Region(make_config(1))
+            region.dead.add("gulf-engine-1")
+            stuck = region.books["gulf-engine-2"]
+            stuck.weights["oak"] = 10**9
+            await region.run(LOAD_PATIENCE_S + 40)
+            self.assertEqual(region.list_versions(), [[], [1], [1]])
+            ordered = region.orderers[region.giver].ordered
+            self.assertEqual(ordered["gulf-engine-1"].failure, OrderFailed.code)
+            self.assertEqual(ordered["gulf-engine-2"].progress, "failed")
+            region.dead.clear()
+            await region.run(30)
+            self.assertEqual(region.list_versions(), [[1], [1], [1]])
+
+        run_mocked(body)
+
+    def test_an_engine_that_restarted_empty_is_loaded_again(self):
+        async def body():
+            region = Region(make_config(1))
+            await region.run(60)
+            region.books["gulf-engine-3"].models.clear()
+            await region.run(60)
+            self.assertEqual(region.list_versions(), [[1], [1], [1]])
+
+        run_mocked(body)
--- a/tests/upstreams/test_choose.py
+++ b/tests/upstreams/test_choose.py
@@ -144,6 +144,18 @@
             kept_pool.ask(key, demand, NOW_S + 60, NOW_S)
         return len(kept_pool.dispatch(NOW_S)[0])
 
+    def test_an_upstream_without_its_model_gets_nothing(self):
+        for ready, is_refused in ((None, False), ({"oak"}, False), (set(), True)):
+            with self.subTest(ready=ready):
+                kept_pool = self.make_pool()
+                loaded = None if ready is None else frozenset(ready)
+                report = LoadReport(0, 0, 0, False, NOW_S, loaded)
+                kept_pool.kept["gulf-engine-1"].held.observe(report, NOW_S)
+                if is_refused:
+                    self.assertRaises(NoUpstreamAvailable, self.ask, kept_pool, 100)
+                else:
+                    self.assertEqual(self.ask(kept_pool, 100), 1)
+
     def test_prefill_ahead_waits_in_the_fair_order(self):
         kept_pool = self.make_pool()
         # Half a second of prefill is 5,000 tokens here; the next ones wait.
