--- a/standins/engine.py
+++ b/standins/engine.py
@@ -175,7 +175,7 @@
     def _report_load(self) -> dict[str, Any]:
         self._note_load()
         shown = self.loads.describe_shown(anyio.current_time())
-        return shown | {"leaving": self.faults.leaving}
+        return shown | {"leaving": self.faults.leaving or self.faults.reports_leaving}
 
     def _list_cache_events(self, request: Request) -> dict[str, Any]:
         after = request.query_int("after", 0)
--- a/standins/engine_answers.py
+++ b/standins/engine_answers.py
@@ -9,7 +9,14 @@
 from standins.engine_messages import describe_answer, format_end, format_event
 from standins.serving import Freezer, Request
 
-SETTABLE = ("leaving", "frozen", "drop_next", "crossed", "truncate")
+SETTABLE = (
+    "leaving",
+    "reports_leaving",
+    "frozen",
+    "drop_next",
+    "crossed",
+    "truncate",
+)
 DROPS = ("before_headers", "mid_stream")
 
 
@@ -18,6 +25,8 @@
     """What the engine does wrong at present."""
 
     leaving: bool = False
+    # Says that it is leaving, and takes new work all the same.
+    reports_leaving: bool = False
     drop_next: str | None = None
     crossed: bool = False
     truncate: bool = False
