--- a/standins/engine.py
+++ b/standins/engine.py
@@ -194,7 +194,7 @@
     def _report_load(self) -> dict[str, Any]:
         self._note_load()
         shown = self.loads.describe_shown(anyio.current_time())
-        shown |= {"leaving": self.faults.leaving}
+        shown["leaving"] = self.faults.leaving or self.faults.reports_leaving
         if self.orders is not None:
             shown["ready"] = self.orders.list_ready()
         return shown
