Bound what the platform may answer, in bytes and in time

Cause: an answer of the configuration service or of the list of VMs was read whole, however long, and httpcore's timeouts hold for each read only. Against a service that answers without end the reader took 1.5 to 4 GB in the test's time and never came back; one that sends a byte now and then held it for ever.

Change: peers/fetch.py reads at most 2.5 MB (a value of a megabyte, its text escaped) and bounds the whole call; both readers use it. The stand-in can answer with garbage or too much. tests/config/test_service.py has the two cases, seen failing before the change, and its watch now also meets a slow service, garbage and too large answers.

--- a/banyanseam/config/const.py
+++ b/banyanseam/config/const.py
@@ -11,6 +11,8 @@
 WATCH_MS: Final = 3000
 # What a call may take beyond the time that the service may hold it.
 CALL_MARGIN_S: Final = 1.0
+# An answer holds one value of up to a megabyte, whose text may be escaped.
+MAX_REPLY_BYTES: Final = 2_500_000
 READERS_PER_REGION: Final = 2
 SLOW_POLL_S: Final = 30.0
 # How often a process that polls slowly looks whether it became a reader.
--- a/banyanseam/config/service.py
+++ b/banyanseam/config/service.py
@@ -7,10 +7,12 @@
 import httpcore
 from pydantic import BaseModel, Field, ValidationError
 
-from banyanseam.config.const import CALL_MARGIN_S
+from banyanseam.config.const import CALL_MARGIN_S, MAX_REPLY_BYTES
 from banyanseam.config.errors import ConfigServiceOverLimit, ConfigServiceUnavailable
 from banyanseam.config.snapshot import Listing, Value, encode_content
 from banyanseam.config.watch import Source
+from banyanseam.peers.errors import PlatformUnreadable
+from banyanseam.peers.fetch import fetch
 
 Reply = TypeVar("Reply", bound=BaseModel)
 
@@ -54,19 +56,17 @@
     model: type[Reply],
     timeout_s: float,
 ) -> Reply:
-    url = f"http://{address}{path}"
-    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
     try:
-        response = await pool.request("GET", url, extensions={"timeout": timeouts})
-    except (httpcore.TimeoutException, httpcore.NetworkError) as error:
-        raise ConfigServiceUnavailable(f"{address}: {type(error).__name__}") from error
-    except httpcore.ProtocolError as error:
-        raise ConfigServiceUnavailable(f"{address}: broken reply") from error
-    if response.status == 429:
+        answer = await fetch(
+            pool, f"http://{address}{path}", timeout_s, MAX_REPLY_BYTES
+        )
+    except PlatformUnreadable as error:
+        raise ConfigServiceUnavailable(f"{address}: {error.detail}") from error
+    if answer.status == 429:
         raise ConfigServiceOverLimit(address)
-    if response.status != 200:
-        raise ConfigServiceUnavailable(f"{address}: status {response.status}")
+    if answer.status != 200:
+        raise ConfigServiceUnavailable(f"{address}: status {answer.status}")
     try:
-        return model.model_validate(json.loads(response.content))
+        return model.model_validate(json.loads(answer.content))
     except (ValueError, RecursionError, ValidationError) as error:
         raise ConfigServiceUnavailable(f"{address}: invalid reply") from error
--- a/banyanseam/peers/errors.py
+++ b/banyanseam/peers/errors.py
@@ -12,6 +12,16 @@
     not_run = True
 
 
+class PlatformUnreadable(BanyanseamError):
+    """A service of the platform gave no whole answer of a bounded size in time."""
+
+    code = "platform.unreadable"
+    event = 1211
+    status = 502
+    title = "The platform's answer cannot be read"
+    not_run = True
+
+
 class PeerUnreachable(BanyanseamError):
     """No link to the peer could be had, so the message was never sent."""
 
--- a/banyanseam/peers/vm_list.py
+++ b/banyanseam/peers/vm_list.py
@@ -10,10 +10,13 @@
 
 from banyanseam.observe.events import VM_LIST_DOWN, log
 from banyanseam.peers.const import (
+    MAX_VM_LIST_BYTES,
     VM_LIST_JITTER_FLOOR,
     VM_LIST_PERIOD_S,
     VM_LIST_TIMEOUT_S,
 )
+from banyanseam.peers.errors import PlatformUnreadable
+from banyanseam.peers.fetch import fetch
 
 
 class ListedVm(BaseModel):
@@ -46,29 +49,17 @@
 
     async def run(self) -> None:
         """Read until cancelled."""
-        timeouts = dict.fromkeys(
-            ("connect", "read", "write", "pool"), VM_LIST_TIMEOUT_S
-        )
         async with httpcore.AsyncConnectionPool() as pool:
             while True:
-                await self._read(pool, timeouts)
+                await self._read(pool)
                 share = self._chance.uniform(VM_LIST_JITTER_FLOOR, 1)
                 await anyio.sleep(VM_LIST_PERIOD_S * share)
 
-    async def _read(
-        self, pool: httpcore.AsyncConnectionPool, timeouts: dict[str, float]
-    ) -> None:
+    async def _read(self, pool: httpcore.AsyncConnectionPool) -> None:
         try:
-            reply = await pool.request(
-                "GET", self._url, extensions={"timeout": timeouts}
-            )
-            self.take(VmListReply.model_validate_json(reply.content))
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            ValidationError,
-        ) as error:
+            answer = await fetch(pool, self._url, VM_LIST_TIMEOUT_S, MAX_VM_LIST_BYTES)
+            self.take(VmListReply.model_validate_json(answer.content))
+        except (PlatformUnreadable, ValidationError) as error:
             self._note_down(error)
 
     def take(self, reply: VmListReply) -> None:
--- a/standins/config_service.py
+++ b/standins/config_service.py
@@ -3,7 +3,7 @@
 import json
 from collections import deque
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Literal
 
 import anyio
 import click
@@ -14,6 +14,13 @@
 MAX_WAIT_MS = 60_000
 VALUES_PREFIX = "/v1/values/"
 PUBLISH_PREFIX = "/control/values/"
+NO_FAULTS = {
+    "down": False,
+    "stale": False,
+    "slow_ms": 0,
+    "calls_per_s": 2000,
+    "answers": "true",
+}
 
 
 @dataclass(slots=True)
@@ -31,6 +38,8 @@
     calls_per_s: int = 2000
     down: bool = False
     slow_ms: int = 0
+    # Answer each read with what is no JSON, or with more than any value holds.
+    answers: Literal["true", "garbage", "too_large"] = "true"
     revision: int = 0
     values: dict[str, Value] = field(default_factory=dict)
     # What a stale service shows, as of the moment that it went stale.
@@ -56,6 +65,7 @@
         stale: bool | None = None,
         slow_ms: int | None = None,
         calls_per_s: int | None = None,
+        answers: Literal["true", "garbage", "too_large"] | None = None,
     ) -> None:
         """Change the faults that are named and leave the others."""
         if down is not None:
@@ -66,6 +76,8 @@
             self.slow_ms = slow_ms
         if calls_per_s is not None:
             self.calls_per_s = calls_per_s
+        if answers is not None:
+            self.answers = answers
         self._wake()
 
     def counters(self) -> dict[str, Any]:
@@ -80,6 +92,7 @@
             "stale": self.frozen is not None,
             "slow_ms": self.slow_ms,
             "calls_per_s": self.calls_per_s,
+            "answers": self.answers,
         }
 
     async def handle(self, request: Request) -> None:
@@ -95,7 +108,11 @@
             return
         if self.slow_ms:
             await anyio.sleep(self.slow_ms / 1000)
-        if request.path == "/v1/revisions":
+        if self.answers != "true":
+            size_bytes = 1 if self.answers == "garbage" else 64 * MAX_VALUE_BYTES
+            await request.start(200, {})
+            await request.write(b"{" * size_bytes, more=False)
+        elif request.path == "/v1/revisions":
             await self._watch(request)
         elif request.path.startswith(VALUES_PREFIX):
             await self._read(request)
--- a/tests/config/test_service.py
+++ b/tests/config/test_service.py
@@ -5,16 +5,18 @@
 import anyio
 import httpcore
 
+from banyanseam.config.const import MAX_REPLY_BYTES
 from banyanseam.config.errors import ConfigServiceOverLimit, ConfigServiceUnavailable
 from banyanseam.config.service import make_source
 from banyanseam.config.snapshot import Listing, Value
 from banyanseam.config.store import Store
 from banyanseam.config.watch import Watch
-from standins.config_service import ConfigService
+from standins.config_service import NO_FAULTS, ConfigService
 from standins.serving import serve
 from tests.config.test_store import make_values, shard
 
-WAIT_S = 30
+WAIT_S = 60
+sent_bytes = []
 
 
 async def answer_nonsense(request):
@@ -26,6 +28,21 @@
     await request.write(b"[" * 5000, more=False)
 
 
+async def answer_without_end(request):
+    await request.start(200, {})
+    while not request.transport.is_closing():
+        sent_bytes.append(100_000)
+        await request.write(b" " * 100_000)
+        await anyio.sleep(0.001)
+
+
+async def answer_drop_by_drop(request):
+    await request.start(200, {})
+    while not request.transport.is_closing():
+        await request.write(b" ")
+        await anyio.sleep(0.2)
+
+
 async def drop(request):
     request.drop()
 
@@ -66,6 +83,8 @@
             ("nonsense", answer_nonsense, ConfigServiceUnavailable),
             ("no JSON", answer_no_json, ConfigServiceUnavailable),
             ("dropped", drop, ConfigServiceUnavailable),
+            ("without end", answer_without_end, ConfigServiceUnavailable),
+            ("drop by drop", answer_drop_by_drop, ConfigServiceUnavailable),
         ]
         for name, handler, error in table:
             with self.subTest(name):
@@ -77,6 +96,8 @@
                         await source.read("base")
 
                 self.run_against(handler, scenario)
+        # What the reader takes, and what lies in buffers on the way.
+        self.assertLess(sum(sent_bytes), 2 * (MAX_REPLY_BYTES + 10_000_000))
 
     def test_refused_connection_is_unavailable(self):
         async def main():
@@ -101,13 +122,20 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(watch.run)
                 await adopted.wait()
-                for fault in ({"down": True}, {"stale": True}, {"calls_per_s": 0}):
+                for fault in (
+                    {"down": True},
+                    {"stale": True},
+                    {"calls_per_s": 0},
+                    {"slow_ms": 4500},
+                    {"answers": "garbage"},
+                    {"answers": "too_large"},
+                ):
                     service.set_faults(**fault)
                     adopted = anyio.Event()
                     revision = service.publish(*shard("one", service.revision))
                     await anyio.sleep(0.1)
                     self.assertLess(store.in_force.version, revision)
-                    service.set_faults(down=False, stale=False, calls_per_s=2000)
+                    service.set_faults(**NO_FAULTS)
                     await adopted.wait()
                     self.assertEqual(store.in_force.version, revision)
                 group.cancel_scope.cancel()
