Refuse a wrong operators' address in words; mend and shorten the help

Change: the address is checked before anything is sent and refused as a wrong call (2). BANYANSEAM_OPERATORS is named in the help.

tests/cli/test_cli.py: three wrong addresses, an unreachable name, diagnostics and an unwritable folder; the wrong port was seen to end in a traceback before.

--- a/banyanseam/cli/client.py
+++ b/banyanseam/cli/client.py
@@ -1,6 +1,7 @@
 """Asking a daemon's operators' port."""
 
 import json
+import re
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -8,17 +9,29 @@
 import httpcore
 from pydantic import BaseModel, ValidationError
 
-from banyanseam.cli.const import ANSWER_TIMEOUT_S
+from banyanseam.cli.const import ANSWER_TIMEOUT_S, MAX_PORT
 from banyanseam.cli.errors import DaemonRefused, DaemonUnreachable, InvalidReply
 
 Reply = TypeVar("Reply", bound=BaseModel)
 
+
+def _check_address(ctx: click.Context, param: click.Parameter, value: str) -> str:
+    host, _, port = value.rpartition(":")
+    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
+    # A name is fine here, as of a tunnel's end; a URL is not.
+    if not re.fullmatch(r"[\w.:\[\]-]+", host) or not is_port:
+        raise click.BadParameter(f"{value!r} is not HOST:PORT, as 10.0.0.1:8082")
+    return value
+
+
 operators_option: Callable[..., Any] = click.option(
     "--operators",
     required=True,
     envvar="BANYANSEAM_OPERATORS",
     metavar="ADDRESS",
-    help="The operators' address of a daemon, as 10.0.0.1:8090.",
+    callback=_check_address,
+    help="The operators' address of a daemon, as 10.0.0.1:8082; or set it in the "
+    "environment as BANYANSEAM_OPERATORS.",
 )
 
 
--- a/banyanseam/cli/const.py
+++ b/banyanseam/cli/const.py
@@ -8,6 +8,7 @@
 EXIT_UNREACHABLE: Final = 3
 EXIT_DIFFERENT: Final = 4
 
+MAX_PORT: Final = 65535
 ANSWER_TIMEOUT_S: Final = 10.0
 KEY_BYTES: Final = 32
 KEY_PREFIX: Final = "by-"
--- a/banyanseam/cli/daemon.py
+++ b/banyanseam/cli/daemon.py
@@ -17,7 +17,7 @@
 )
 
 
-@click.command()
+@click.command(short_help="Show a daemon's state, peers and upstreams.")
 @operators_option
 @json_option
 def status(operators: str, as_json: bool) -> None:
@@ -43,7 +43,7 @@
     )
 
 
-@click.command()
+@click.command(short_help="Let a daemon finish its work and end.")
 @operators_option
 @json_option
 def drain(operators: str, as_json: bool) -> None:
@@ -59,7 +59,7 @@
     )
 
 
-@click.command()
+@click.command(short_help="Say what would happen to a request, and why.")
 @click.argument("path")
 @click.option("--method", default="POST", show_default=True)
 @click.option("--organisation", help="Whose key would come with it; none without.")
--- a/banyanseam/cli/diagnostics.py
+++ b/banyanseam/cli/diagnostics.py
@@ -11,7 +11,7 @@
 from banyanseam.server.operator_models import DiagnosticsReply
 
 
-@click.command()
+@click.command(short_help="Collect what to hand over, without secrets.")
 @click.option(
     "--out",
     type=click.Path(path_type=Path),
--- a/banyanseam/cli/histograms.py
+++ b/banyanseam/cli/histograms.py
@@ -17,7 +17,7 @@
 SHOWN_PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
 
 
-@click.command()
+@click.command(short_help="Show how long requests waited and took.")
 @click.option("--organisation", help="One organisation, or * for each of them.")
 @click.option(
     "--class", "request_class", type=click.Choice(["quick", "long", "service"])
--- a/banyanseam/cli/main.py
+++ b/banyanseam/cli/main.py
@@ -13,23 +13,28 @@
 from banyanseam.cli.histograms import histograms
 from banyanseam.cli.keys import key_group
 
+HELP = """Check and divide the configuration, make keys, and ask daemons.
+
+\b
+Exit codes:
+  0  done
+  1  refused or invalid; one line on standard error begins with the code
+  2  called wrongly
+  3  the daemon cannot be reached
+  4  `config diff --exit-code` found differences
+
+docs/OPERATIONS.md shows each command at work; docs/ERRORS.md explains each code.
+"""
+
 
 @click.group(
     cls=ErrorGroup,
+    help=HELP,
     context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 88},
 )
-@click.version_option(package_name="banyanseam")
+@click.version_option(package_name="banyanseam", prog_name="banyanseam")
 def main() -> None:
-    r"""Check and divide the configuration, make keys, and ask daemons.
-
-    \b
-    Exit codes:
-      0  done
-      1  refused or invalid; one line on standard error begins with the code
-      2  called wrongly
-      3  the daemon cannot be reached
-      4  `config diff --exit-code` found differences
-    """
+    """Run a command."""
 
 
 for command in (
--- a/banyanseam/daemon/main.py
+++ b/banyanseam/daemon/main.py
@@ -19,7 +19,21 @@
     await Daemon(settings, logs).run()
 
 
-@click.command()
+HELP = """Serve callers and peers at this VM's seat until SIGTERM.
+
+\b
+Exit codes:
+  0  stopped as planned, or superseded by a newer process at its seat
+  1  could not go on; the last line of the log says why
+  2  the settings are not valid; one line on standard error begins with the code
+"""
+
+
+@click.command(
+    help=HELP,
+    context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 88},
+)
+@click.version_option(package_name="banyanseam", prog_name="banyanseamd")
 @click.option(
     "--settings",
     "settings_path",
@@ -28,14 +42,7 @@
     help="The JSON settings of this process.",
 )
 def main(settings_path: Path) -> None:
-    r"""Serve callers and peers at this VM's seat until SIGTERM.
-
-    \b
-    Exit codes:
-      0  stopped as planned, or superseded by a newer process at its seat
-      1  could not go on; the last line of the log says why
-      2  the settings are not valid; one line on standard error begins with the code
-    """
+    """Run the daemon and exit."""
     try:
         settings = read_settings(settings_path)
     except BanyanseamError as error:
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -42,7 +42,17 @@
     "reason": "no region",
     "code": "residency.excluded",
 }
+DIGEST = {"version": 4, "sha256_hex": "ab", "values": {}}
+DIAGNOSTICS = {
+    "release": {"version": "1", "protocol": 2, "python": "3", "platform": "linux"},
+    "settings": {},
+    "status": STATUS,
+    "in_force": DIGEST,
+    "newest": DIGEST,
+    "events": [],
+}
 ANSWERS = {
+    "/diagnostics": DIAGNOSTICS,
     "/status": STATUS,
     "/entries": {
         "entries": [{"seat": "gulf-1", "region": "gulf", "address": "10.0.0.1:80"}],
@@ -58,6 +68,7 @@
     "/histograms": (["histograms", "--class", "quick"], ["first_token_ms", "####"]),
     "/explain": (["explain", "/v1/x"], ["residency.excluded", "no region"]),
     "/drain": (["drain"], ["draining", "1 in flight"]),
+    "/diagnostics": (["diagnostics"], ['"seat": "gulf-1"', '"sha256_hex": "ab"']),
 }
 
 
@@ -110,6 +121,10 @@
             (refused, 1, '{"code": "cli.daemon_refused", "detail": "config.not_ready'),
             (run("status", "--operators", "127.0.0.1:1"), 3, "cli.daemon_unreachable:"),
             (run("status"), 2, "Usage"),
+            (run("status", "--operators", "127.0.0.1:99999"), 2, "Usage"),
+            (run("status", "--operators", "10.0.0.1:http"), 2, "Usage"),
+            (run("status", "--operators", "http://10.0.0.1:80"), 2, "Usage"),
+            (run("status", "--operators", "localhost:1"), 3, "cli.daemon_unreachable"),
             (run("explain", "v1", "--operators", "127.0.0.1:1"), 2, "Usage"),
             (run("config", "check", "/none.json"), 1, "cli.unreadable_file: /none"),
             (run("key", "new", "Not A Name"), 2, "Usage"),
@@ -165,6 +180,9 @@
         self.write("base", base)
         run("config", "split", *self.files, "--out", after)
         self.assertEqual(run("config", "check", after).exit_code, 0)
+        result = run("config", "split", *self.files, "--out", "/dev/null/folder")
+        self.assertEqual(result.exit_code, 1)
+        self.assertRegex(result.output, r"^cli.unwritable_file: /dev/null/.*\n$")
         self.assertEqual(run("config", "render", before).output, rendered)
         result = run("config", "diff", before, after, "--exit-code")
         self.assertEqual(result.exit_code, 4)
