Let the demo wait for the quota and say why

Cause: in the demo the first chat took 9 s to its first token, since a fleet that starts all at once withholds its quota, and nothing said so.

Change: the demo asks explain until the quota's home spends, prints the reason and the time, and prints where explain sees a chat of delta going.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,5 +1,6 @@
 """A demonstration: three regions of three daemons, three callers' requests."""
 
+import json
 import sys
 import time
 
@@ -12,6 +13,12 @@
 ONE_WAY_DELAY_MS = 55
 LINK_BYTES_PER_S = 8_750_000
 SETTLE_TIMEOUT_S = 20
+IMAGINED = {
+    "path": "/v1/chat/completions",
+    "organisation": "acme",
+    "model": "oak",
+    "max_output_tokens": 40,
+}
 
 
 def keep_engines_in_gulf(base: dict, overlays: dict[str, dict]) -> None:
@@ -32,8 +39,32 @@
     return result.is_whole
 
 
+async def explain(fleet: Fleet, seat: str) -> dict[str, dict]:
+    """Return what each filter of a daemon would do with a chat, by its name."""
+    address = fleet.daemons[seat].operators_address
+    body = json.dumps(IMAGINED).encode()
+    reply = await fleet.client.request("POST", address, "/explain", body=body)
+    return {step["filter"]: step for step in reply.value["steps"]}
+
+
+async def wait_for_quota(fleet: Fleet) -> None:
+    """Wait until the quota's homes spend, and print why they did not at once."""
+    started_s = time.monotonic()
+    reason = ""
+    with anyio.fail_after(SETTLE_TIMEOUT_S):
+        while True:
+            step = (await explain(fleet, "gulf-1"))["quota"]
+            if step["verdict"] == "pass":
+                break
+            reason = reason or step["reason"]
+            await anyio.sleep(0.1)
+    waited_s = time.monotonic() - started_s
+    print(f"quota after {waited_s:.1f} s more, as a whole fleet starts: {reason}")
+
+
 async def show(fleet: Fleet) -> bool:
     """Send the three requests and print what happened."""
+    await wait_for_quota(fleet)
     gulf = fleet.daemons["gulf-1"].callers_address
     delta = fleet.daemons["delta-2"].callers_address
     async with Caller(fleet.keys["acme"]) as caller:
@@ -41,6 +72,8 @@
         names = [entry["seat"] for entry in entries.value["entries"]]
         print(f"entries, best first: {', '.join(names)}")
         good = describe_chat("a chat in gulf", await caller.chat(gulf, max_tokens=40))
+        place = (await explain(fleet, "delta-2"))["queue"]["reason"]
+        print(f"explain of a chat in delta: {place}")
         remote = await caller.chat(delta, max_tokens=40)
         good &= describe_chat("a chat in delta, answered elsewhere", remote)
         key = "demo-booking-1"
