Give httpcore a network stream without a scope for each read

Cause: httpcore's stream on anyio opens a cancel scope with a timer for each read, stops and starts reading each time, and yields to the loop for each write; its connection class takes a lock that yields as well. Change: upstreams/network.py implements httpcore's AsyncNetworkStream on an asyncio protocol, with a plain timer only while a read or write waits; connections are made there and handed to httpcore's HTTP/1.1 class directly; a free slot is taken at once. Ruled out: leaving the read timeout out, which would leave polls unbounded. Tests: the bound of what is read ahead was seen failing without it.

--- a/banyanseam/upstreams/connections.py
+++ b/banyanseam/upstreams/connections.py
@@ -10,7 +10,12 @@
 import anyio
 import httpcore
 
-from banyanseam.upstreams.const import IDLE_CONNECTION_S, MAX_IDLE_CONNECTIONS
+from banyanseam.upstreams.const import (
+    CONNECT_TIMEOUT_S,
+    IDLE_CONNECTION_S,
+    MAX_IDLE_CONNECTIONS,
+)
+from banyanseam.upstreams.network import connect
 
 
 class Connections:
@@ -19,9 +24,9 @@
     def __init__(self, origin: httpcore.Origin, limit: int, *, reuses: bool) -> None:
         """Open nothing yet; without reuse each request gets a connection of its own."""
         self._origin = origin
-        self._slots = anyio.Semaphore(limit, max_value=limit)
+        self._slots = anyio.Semaphore(limit, max_value=limit, fast_acquire=True)
         self._reuses = reuses
-        self._idle: list[httpcore.AsyncHTTPConnection] = []
+        self._idle: list[httpcore.AsyncHTTP11Connection] = []
         self._open = 0
 
     @property
@@ -32,16 +37,13 @@
     @asynccontextmanager
     async def take(
         self, timeout_s: float
-    ) -> AsyncIterator[httpcore.AsyncHTTPConnection]:
+    ) -> AsyncIterator[httpcore.AsyncHTTP11Connection]:
         """Give a connection for one request; raise PoolTimeout when all are taken."""
-        with anyio.move_on_after(timeout_s) as scope:
-            await self._slots.acquire()
-        if scope.cancelled_caught:
-            raise httpcore.PoolTimeout
+        await self._take_slot(timeout_s)
         self._open += 1
-        connection: httpcore.AsyncHTTPConnection | None = None
+        connection: httpcore.AsyncHTTP11Connection | None = None
         try:
-            connection = await self._find_idle() or self._make()
+            connection = await self._find_idle() or await self._connect()
             yield connection
         finally:
             self._open -= 1
@@ -54,7 +56,7 @@
         while self._idle:
             await self._idle.pop().aclose()
 
-    async def _find_idle(self) -> httpcore.AsyncHTTPConnection | None:
+    async def _find_idle(self) -> httpcore.AsyncHTTP11Connection | None:
         while self._idle:
             connection = self._idle.pop()
             if not connection.has_expired():
@@ -62,12 +64,23 @@
             await connection.aclose()
         return None
 
-    def _make(self) -> httpcore.AsyncHTTPConnection:
-        return httpcore.AsyncHTTPConnection(
-            self._origin, keepalive_expiry=IDLE_CONNECTION_S, retries=0
+    async def _take_slot(self, timeout_s: float) -> None:
+        try:
+            self._slots.acquire_nowait()
+        except anyio.WouldBlock:
+            with anyio.move_on_after(timeout_s) as scope:
+                await self._slots.acquire()
+            if scope.cancelled_caught:
+                raise httpcore.PoolTimeout from None
+
+    async def _connect(self) -> httpcore.AsyncHTTP11Connection:
+        host, port = self._origin.host.decode(), self._origin.port
+        stream = await connect(host, port, CONNECT_TIMEOUT_S)
+        return httpcore.AsyncHTTP11Connection(
+            self._origin, stream, keepalive_expiry=IDLE_CONNECTION_S
         )
 
-    async def _put_back(self, connection: httpcore.AsyncHTTPConnection) -> None:
+    async def _put_back(self, connection: httpcore.AsyncHTTP11Connection) -> None:
         is_kept = self._reuses and len(self._idle) < MAX_IDLE_CONNECTIONS
         if is_kept and connection.is_idle():
             self._idle.append(connection)
--- /dev/null
+++ b/banyanseam/upstreams/network.py
@@ -0,0 +1,153 @@
+"""Network streams for httpcore that cost little for each read and write.
+
+httpcore's own streams start a cancel scope with a timer for each read, and go through
+the event loop once more for each write, also where nothing waits.
+"""
+
+import asyncio
+import select
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import httpcore
+
+from banyanseam.upstreams.const import READ_AHEAD_BYTES
+
+
+class UpstreamStream(asyncio.Protocol, httpcore.AsyncNetworkStream):
+    """One connection to an upstream; one read or write may wait at a time."""
+
+    def __init__(self) -> None:
+        """Begin before the connection is made."""
+        self._transport: asyncio.Transport | None = None
+        self._received = bytearray()
+        self._is_at_end = False
+        self._is_lost = False
+        self._is_full = False
+        self._waiter: asyncio.Future[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Hold data for the next read; beyond a bound the upstream has to wait."""
+        self._received += data
+        if len(self._received) > READ_AHEAD_BYTES:
+            self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Note the end, and leave the closing to whoever uses the connection."""
+        self._is_at_end = True
+        self._wake()
+        return True
+
+    def connection_lost(self, _: Exception | None) -> None:
+        """Let who waits see the loss."""
+        self._is_lost = True
+        self._wake()
+
+    def pause_writing(self) -> None:
+        """Let a write wait for the upstream to read."""
+        self._is_full = True
+
+    def resume_writing(self) -> None:
+        """Let a waiting write go on."""
+        self._is_full = False
+        self._wake()
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return what has come, or nothing at the end; raise ReadTimeout or ReadError.
+
+        More than `max_bytes` may be returned: what is held is bounded already.
+        """
+        if not self._can_read():
+            await self._wait(self._can_read, timeout, httpcore.ReadTimeout)
+        if not self._received:
+            if self._is_at_end:
+                return b""
+            raise httpcore.ReadError
+        data = bytes(self._received)
+        self._received.clear()
+        if len(data) > READ_AHEAD_BYTES and not self._is_lost:
+            self._transport.resume_reading()
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send data; raise WriteTimeout or WriteError."""
+        if not self._is_lost:
+            self._transport.write(buffer)
+        if not self._can_write():
+            await self._wait(self._can_write, timeout, httpcore.WriteTimeout)
+        if self._is_lost:
+            raise httpcore.WriteError
+
+    async def aclose(self) -> None:
+        """Close the connection at once, if it was made."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Say whether there is something to read on a connection in rest."""
+        return self._is_readable() if info == "is_readable" else None
+
+    def _can_read(self) -> bool:
+        return bool(self._received) or self._is_at_end or self._is_lost
+
+    def _can_write(self) -> bool:
+        return not self._is_full or self._is_lost
+
+    def _is_readable(self) -> bool:
+        if self._can_read() or self._transport.is_closing():
+            return True
+        # The kernel may know of an end that the event loop has yet to read.
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket"), select.POLLIN)
+        return bool(poll.poll(0))
+
+    async def _wait(
+        self,
+        is_over: Callable[[], bool],
+        timeout_s: float | None,
+        timeout: type[httpcore.TimeoutException],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        timer = None
+        if timeout_s is not None:
+            timer = loop.call_later(timeout_s, self._expire, timeout)
+        try:
+            while not is_over():
+                self._waiter = loop.create_future()
+                await self._waiter
+        finally:
+            self._waiter = None
+            if timer is not None:
+                timer.cancel()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _expire(self, timeout: type[httpcore.TimeoutException]) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(timeout())
+
+
+async def connect(host: str, port: int, timeout_s: float) -> UpstreamStream:
+    """Return a new connection; raise ConnectTimeout or ConnectError."""
+    stream = UpstreamStream()
+    loop = asyncio.get_running_loop()
+    try:
+        with anyio.fail_after(timeout_s):
+            await loop.create_connection(lambda: stream, host, port)
+    except TimeoutError as error:
+        await stream.aclose()
+        raise httpcore.ConnectTimeout from error
+    except OSError as error:
+        raise httpcore.ConnectError from error
+    except BaseException:
+        await stream.aclose()
+        raise
+    return stream
--- /dev/null
+++ b/tests/upstreams/test_network.py
@@ -0,0 +1,70 @@
+import socket
+import unittest
+from contextlib import asynccontextmanager, suppress
+
+import anyio
+import anyio.lowlevel
+import httpcore
+
+from banyanseam.upstreams.network import connect
+
+PART = bytes(range(256)) * 256
+
+
+@asynccontextmanager
+async def connected():
+    """Give both ends of a connection, the upstream's as a plain socket."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        stream = await connect("127.0.0.1", server.getsockname()[1], 5)
+        upstream, _ = server.accept()
+    with upstream:
+        upstream.setblocking(False)
+        yield upstream, stream
+        await stream.aclose()
+
+
+class StreamTests(unittest.TestCase):
+    def test_a_write_ends_when_the_upstream_does_not_read(self):
+        async def run():
+            async with connected() as (_, stream):
+                with self.assertRaises(httpcore.WriteTimeout):
+                    await stream.write(PART * 1000, timeout=0.2)
+
+        anyio.run(run)
+
+    def test_an_upstream_waits_for_a_slow_read_and_nothing_is_lost(self):
+        async def run():
+            async with connected() as (upstream, stream):
+                sent_bytes = 0
+                for _ in range(1000):
+                    # The event loop reads what it will between two parts.
+                    await anyio.lowlevel.checkpoint()
+                    with suppress(BlockingIOError):
+                        sent_bytes += upstream.send(PART[sent_bytes % len(PART) :])
+                self.assertLess(sent_bytes, 1000 * len(PART) // 2)
+                upstream.close()
+                received = b""
+                while part := await stream.read(1, timeout=5):
+                    received += part
+                self.assertEqual(len(received), sent_bytes)
+                self.assertTrue((PART * 1000).startswith(received))
+
+        anyio.run(run)
+
+    def test_an_end_is_told_from_a_loss(self):
+        async def run():
+            async with connected() as (upstream, stream):
+                self.assertFalse(stream.get_extra_info("is_readable"))
+                upstream.send(b"last")
+                upstream.close()
+                self.assertTrue(stream.get_extra_info("is_readable"))
+                self.assertEqual(await stream.read(9), b"last")
+                self.assertEqual(await stream.read(9), b"")
+            async with connected() as (_, stream):
+                await stream.aclose()
+                with self.assertRaises(httpcore.ReadError):
+                    await stream.read(9, timeout=1)
+                with self.assertRaises(httpcore.WriteError):
+                    await stream.write(b"more", timeout=1)
+
+        anyio.run(run)
