Let loops sleep while they have nothing to do

Cause: a profile of an idle daemon showed some 45 wakes a second: uvicorn's two loops 20, the freeze detector 5, keeper, room and quota home 4 each and a task for loans besides.

Change: the servers wait for their stop; the loops that look twice a second wake together; accounts rest until touched, and a home without busy ones looks once a second; engines that hold nothing are polled each 2 s while no other keeper is possible; news is sought in the regions that the peer may hear of, and ring places are kept. A stand of 1.5 s is noticed as before, since the gap is what is compared. Ruled out: polling slowly while a pool is disputed, for there the reports are the only sign of another keeper.

Soak, path, quota and room tests pass.

--- a/banyanseam/config/const.py
+++ b/banyanseam/config/const.py
@@ -14,7 +14,7 @@
 READERS_PER_REGION: Final = 2
 SLOW_POLL_S: Final = 30.0
 # How often a process that polls slowly looks whether it became a reader.
-ROLE_CHECK_S: Final = 0.5
+ROLE_CHECK_S: Final = 1.0
 # A pause is drawn from this share of its nominal length up to all of it.
 JITTER_FLOOR: Final = 0.5
 BACKOFF_FIRST_S: Final = 0.25
--- a/banyanseam/peers/incarnation.py
+++ b/banyanseam/peers/incarnation.py
@@ -4,9 +4,8 @@
 import time
 from collections.abc import Callable
 
-import anyio
-
 from banyanseam.peers.const import FREEZE_TICK_S, INCARNATION_RANDOM_BITS
+from banyanseam.ticks import sleep_until_tick
 
 
 def read_boot_clock_s() -> float:
@@ -83,4 +82,4 @@
         """Tick until cancelled."""
         while True:
             self.tick()
-            await anyio.sleep(FREEZE_TICK_S)
+            await sleep_until_tick(FREEZE_TICK_S)
--- a/banyanseam/peers/membership.py
+++ b/banyanseam/peers/membership.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Final
 
 from banyanseam.config.compiled import Config, Seat
 from banyanseam.peers.const import DELAY_WEIGHT, DOUBT_FACTOR, GONE_FACTOR, MAX_ROWS
@@ -32,6 +33,7 @@
     seat: Seat
     # Silence counts from here until the first heartbeat.
     known_s: float
+    seat_hash: int
     state: State = State.SUSPECT
     incarnation: int = 0
     counter: int = 0
@@ -48,6 +50,9 @@
         return 0 < self.incarnation <= self.doubted_incarnation
 
 
+_PRESENT: Final = (State.ALIVE, State.LEAVING)
+
+
 class Membership:
     """The seats, the processes believed at them, and this process among them."""
 
@@ -61,6 +66,7 @@
         self.confirmed_s: float | None = None
         self.pace: Pace = choose_pace(1, 1)
         self._members: dict[str, Member] = {}
+        self._regions: dict[str, list[Member]] = {}
         self._names: dict[int, str] = {}
         self._counter = 0
         self._flags: int = Flags.NONE
@@ -82,6 +88,9 @@
             for name, seat in config.seats.items()
             if name != self.seat
         }
+        self._regions = {}
+        for member in self._members.values():
+            self._regions.setdefault(member.seat.region, []).append(member)
         self._names = {hash_seat(name): name for name in config.seats}
         self.pace = choose_pace(len(config.seats_of(self.region)), len(config.seats))
         self.advance(now_s)
@@ -183,20 +192,14 @@
     def alive_seats(self, region: str) -> list[str]:
         """Return the seats of a region with a live process, in order of name."""
         own = [self.seat] if region == self.region else []
-        others = (
-            name
-            for name, member in self._members.items()
-            if member.seat.region == region
-            and member.state in (State.ALIVE, State.LEAVING)
-        )
-        return sorted([*own, *others])
+        return sorted([*own, *self.seats_in_state(region, *_PRESENT)])
 
     def seats_in_state(self, region: str, *states: State) -> list[str]:
         """Return the other seats of a region in any of the states."""
         return [
-            name
-            for name, member in self._members.items()
-            if member.seat.region == region and member.state in states
+            member.seat.name
+            for member in self._regions.get(region, ())
+            if member.state in states
         ]
 
     def reaches_service(self, seat: str) -> bool:
@@ -229,8 +232,7 @@
 
     def regions(self) -> list[str]:
         """Return the regions of the other seats and of this one."""
-        found = {member.seat.region for member in self._members.values()}
-        return sorted(found | {self.region})
+        return sorted(self._regions.keys() | {self.region})
 
     def list_news(self, target: str, told: dict[int, Row]) -> list[Row]:
         """Return the rows to pass on to a peer, given those that it has already.
@@ -238,33 +240,24 @@
         Another region is told of this region only: who is cut off from a region
         should not believe its seats within reach.
         """
-        to_region = self._members[target].seat.region
+        receiver = self._members[target]
+        steps = {self.region: self.pace.own_region_step}
+        if receiver.seat.region == self.region:
+            steps = dict.fromkeys(self._regions, self.pace.other_region_step) | steps
         rows = [
-            Row(hash_seat(name), member.incarnation, member.counter, member.flags)
-            for name, member in self._members.items()
-            if name != target
-            and member.state in (State.ALIVE, State.LEAVING)
-            and self.region in (to_region, member.seat.region)
-            and self._is_news(member, told.get(hash_seat(name)))
+            Row(member.seat_hash, member.incarnation, member.counter, member.flags)
+            for region, step in steps.items()
+            for member in self._regions.get(region, ())
+            if _is_news(member, told.get(member.seat_hash), step)
+            and member is not receiver
+            and member.state in _PRESENT
         ]
         return rows[: MAX_ROWS - 1]
 
-    def _is_news(self, member: Member, told: Row | None) -> bool:
-        if told is None or told.incarnation < member.incarnation:
-            return True
-        if told.incarnation > member.incarnation or told.counter >= member.counter:
-            return False
-        if told.flags != member.flags:
-            return True
-        pace = self.pace
-        is_own = member.seat.region == self.region
-        step = pace.own_region_step if is_own else pace.other_region_step
-        return member.counter >= told.counter + step
-
     def _take_over(self, seat: Seat, now_s: float) -> Member:
         member = self._members.get(seat.name)
         if member is None:
-            return Member(seat, now_s)
+            return Member(seat, now_s, hash_seat(seat.name))
         member.seat = seat
         return member
 
@@ -279,6 +272,11 @@
     def _judge(self, member: Member, now_s: float) -> State:
         is_own = member.seat.region == self.region
         suspect_s = self.pace.suspect_s(is_own_region=is_own)
+        # Nearly all seats, at each beat and for each row: nothing speaks against them.
+        is_plain = not (member.flags & Flags.LEAVING or member.doubted_incarnation)
+        is_heard = member.heard_s is not None and now_s - member.heard_s < suspect_s
+        if is_plain and is_heard:
+            return State.ALIVE
         if member.is_doubted:
             # Doubt shortens the silence that is borne and overrides no heartbeat.
             suspect_s *= DOUBT_FACTOR
@@ -293,3 +291,12 @@
         ):
             return State.LEAVING
         return State.ALIVE
+
+
+def _is_news(member: Member, told: Row | None, step: int) -> bool:
+    """Say whether a peer that was told a row should be told of its member again."""
+    if told is None or told.incarnation < member.incarnation:
+        return True
+    if told.incarnation > member.incarnation or told.counter >= member.counter:
+        return False
+    return told.flags != member.flags or member.counter >= told.counter + step
--- a/banyanseam/peers/neighbours.py
+++ b/banyanseam/peers/neighbours.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import lru_cache
 
 from banyanseam.peers.const import (
     FULL_MESH_SEATS,
@@ -82,4 +83,9 @@
 
 
 def _order(seats: Sequence[str]) -> list[str]:
-    return rank(seats, "ring")
+    return sorted(seats, key=_place_in_ring)
+
+
+@lru_cache(maxsize=4096)
+def _place_in_ring(seat: str) -> tuple[int, str]:
+    return -weigh(seat, "ring"), seat
--- a/banyanseam/quota/account.py
+++ b/banyanseam/quota/account.py
@@ -171,6 +171,13 @@
         """Say whether a lender is not asked now."""
         return self.paused_lenders.get(seat, -math.inf) > now_s
 
+    def is_idle(self, now_s: float) -> bool:
+        """Say whether nothing is to be done until somebody charges, settles or asks."""
+        share = self.share
+        is_settled = not (self.waiting or share.outstanding or share.is_withheld)
+        has_loans = share.ledger.borrowed or share.ledger.asked
+        return is_settled and not has_loans and self.find_wanted(now_s).is_nothing
+
     def forget_old(self, now_s: float) -> None:
         """Drop results that no entry asks for again."""
         for charge_id, granted_s in list(self.granted.items()):
--- a/banyanseam/quota/accounts.py
+++ b/banyanseam/quota/accounts.py
@@ -20,11 +20,32 @@
         self._timing = timing
         self._config: Config | None = None
         self._by_name: dict[str, Account] = {}
+        # Those that may have something to do; the others wait to be touched.
+        self._busy: set[str] = set()
 
     def __iter__(self) -> Iterator[Account]:
         """Iterate over the accounts as they are now."""
         return iter(list(self._by_name.values()))
 
+    def list_busy(self) -> list[Account]:
+        """Return the accounts that may have something to do by the clock."""
+        return [self._by_name[name] for name in self._busy if name in self._by_name]
+
+    def touch(self, organisation: str) -> bool:
+        """Note that an account may have something to do; say whether it had none."""
+        is_new = organisation in self._by_name and organisation not in self._busy
+        if is_new:
+            self._busy.add(organisation)
+        return is_new
+
+    def rest(self, now_s: float) -> None:
+        """Set aside the accounts that have nothing to do until they are touched."""
+        self._busy = {
+            account.organisation
+            for account in self.list_busy()
+            if not account.is_idle(now_s)
+        }
+
     def find(self, organisation: str) -> Account | None:
         """Return an organisation's account where this seat is one of its homes."""
         return self._by_name.get(organisation)
@@ -51,6 +72,7 @@
             if name not in config.organisations:
                 account.share.set_own_units(0, now_s)
                 self._retire(account, now_s)
+        self._busy = set(self._by_name)
 
     def _open(self, organisation: Organisation, now_s: float) -> Account:
         quota = Quota(organisation.rate_tokens_per_s, organisation.burst_tokens)
@@ -85,6 +107,7 @@
 
     def restart(self, now_s: float) -> None:
         """Treat every part as a new process does."""
+        self._busy = set(self._by_name)
         for account in self._by_name.values():
             account.share.restart(now_s)
 
--- a/banyanseam/quota/borrower.py
+++ b/banyanseam/quota/borrower.py
@@ -146,7 +146,7 @@
                 tasks.start_soon(self._renew, lender, keep[lender])
 
     def _list_loans(self, now_s: float) -> Iterator[tuple[Account, str, Loan]]:
-        for account in self._accounts:
+        for account in self._accounts.list_busy():
             account.share.advance(now_s)
             for loan_id, loan in list(account.share.ledger.borrowed.items()):
                 yield account, loan_id, loan
--- a/banyanseam/quota/const.py
+++ b/banyanseam/quota/const.py
@@ -44,6 +44,8 @@
 DEFAULT_TIMING: Final = Timing()
 
 TICK_S: Final = 0.25
+# How often a home looks about while it has nothing to do for any organisation.
+IDLE_TICK_S: Final = 1.0
 # A loan with less than this left is renewed or returned.
 RENEW_BEFORE_S: Final = 1.5
 # A loan that was not renewed by then goes back with its tokens.
--- a/banyanseam/quota/home.py
+++ b/banyanseam/quota/home.py
@@ -1,5 +1,6 @@
 """The home's side of quota: answers charges, settlements and requests for loans."""
 
+import math
 from collections.abc import Callable
 
 import anyio
@@ -16,6 +17,7 @@
 from banyanseam.quota.const import (
     CHARGE_CHUNK_S,
     DEFAULT_TIMING,
+    IDLE_TICK_S,
     TICK_S,
     Timing,
 )
@@ -73,6 +75,7 @@
         )
         self._events: dict[str, anyio.Event] = {}
         self._hungry = anyio.Event()
+        self._look_s = -math.inf
         network.handle_call(ChargeRequest, self._on_charge)
         network.handle_cast(SettleNotice, self._on_settle)
         network.handle_call(LoanRequest, self._on_loan)
@@ -92,6 +95,8 @@
         if self._check_freeze is not None:
             self._check_freeze()
         self.accounts.follow(self._get_config(), self._clock())
+        if self.accounts.touch(organisation):
+            self._hungry.set()
         return self.accounts.find(organisation)
 
     async def charge(
@@ -198,7 +203,8 @@
             while True:
                 self._tick(tasks)
                 self._hungry = anyio.Event()
-                with anyio.move_on_after(TICK_S):
+                is_idle = not self.accounts.list_busy()
+                with anyio.move_on_after(IDLE_TICK_S if is_idle else TICK_S):
                     await self._hungry.wait()
 
     def _tick(self, tasks: TaskGroup) -> None:
@@ -208,8 +214,14 @@
         except BanyanseamError:
             # Without a configuration there is nothing to hold yet.
             return
-        self.accounts.forget_old(now_s)
-        for account in self.accounts:
+        if now_s >= self._look_s + IDLE_TICK_S:
+            self._look_s = now_s
+            self.accounts.forget_old(now_s)
+            self.accounts.rest(now_s)
+        busy = self.accounts.list_busy()
+        if not busy:
+            return
+        for account in busy:
             self._serve(account)
             wanted = account.find_wanted(now_s)
             if not account.is_borrowing and not wanted.is_nothing:
--- a/banyanseam/server/serve.py
+++ b/banyanseam/server/serve.py
@@ -19,9 +19,25 @@
 
     def __init__(self, config: uvicorn.Config) -> None:
         """Start as not listening."""
+        self._exit_wanted = anyio.Event()
         super().__init__(config)
         self.listening = anyio.Event()
 
+    @property
+    def should_exit(self) -> bool:
+        """Say whether the server was told to stop."""
+        return self._exit_wanted.is_set()
+
+    @should_exit.setter
+    def should_exit(self, value: bool) -> None:
+        if value:
+            self._exit_wanted.set()
+
+    async def main_loop(self) -> None:
+        """Wait until told to stop; uvicorn's own loop looks ten times a second."""
+        await self.on_tick(0)
+        await self._exit_wanted.wait()
+
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Capture nothing: the daemon's life cycle handles signals."""
--- a/banyanseam/upstreams/held.py
+++ b/banyanseam/upstreams/held.py
@@ -92,6 +92,12 @@
             return self.memory_tokens
         return int(self.memory_tokens * (1 - MARGIN_SHARE))
 
+    @property
+    def is_idle(self) -> bool:
+        """Say whether nothing is held here by leases or by the last report."""
+        report = self.report
+        return not self.leases and report is not None and report.running == 0
+
     def restart(self, now_s: float) -> None:
         """Become a new keeper again, as after a freeze; known leases stay counted."""
         self.learning_until_s = now_s + self.terms.learning_s
--- a/banyanseam/upstreams/keeper.py
+++ b/banyanseam/upstreams/keeper.py
@@ -1,5 +1,6 @@
 """The keeper's side: answers entries, polls upstreams, gives room to who waits."""
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -66,7 +67,7 @@
         self._fetch_report = fetch_report
         self._kept: dict[str, KeptPool] = {}
         self._waits: dict[LeaseKey, Wait] = {}
-        self._next_poll_s: dict[str, float] = {}
+        self._polled_s: dict[str, float] = {}
         self._polling: set[str] = set()
         # Upstreams whose last poll failed, so that only the first one is logged.
         self._silent: set[str] = set()
@@ -254,20 +255,24 @@
                 self._waits[each.key].finish(each.error)
 
     def _list_due(self, now_s: float) -> list[Upstream]:
-        reported = [
-            upstream
+        reported = {
+            name: (kept.kept[name], kept.seats)
             for kept in self._kept.values()
-            for upstream in kept.upstreams.values()
+            for name, upstream in kept.upstreams.items()
             if upstream.is_model
-        ]
+        }
         period_s = len(reported) / MAX_POLLS_PER_S
         period_s = min(MAX_POLL_PERIOD_S, max(MIN_POLL_PERIOD_S, period_s))
         due = []
-        for upstream in reported:
-            is_due = self._next_poll_s.get(upstream.name, 0.0) <= now_s
-            if is_due and upstream.name not in self._polling:
-                self._next_poll_s[upstream.name] = now_s + period_s
-                due.append(upstream)
+        for name, (kept, seats) in reported.items():
+            # What another keeper may be granting shows in the reports alone.
+            is_calm = kept.held.is_idle and kept.held.is_undisputed(seats, now_s)
+            is_slow = is_calm and name not in self._silent
+            pause_s = MAX_POLL_PERIOD_S if is_slow else period_s
+            is_due = now_s >= self._polled_s.get(name, -math.inf) + pause_s
+            if is_due and name not in self._polling:
+                self._polled_s[name] = now_s
+                due.append(kept.upstream)
         return due
 
     async def _poll(self, upstream: Upstream) -> None:
