Name loans in fewer bytes

Cause: renewals of loans were nine tenths of the bytes of steady demand: each named every loan by its organisation and 32 digits, and the reply named nearly all of them again.

Change: ids are 16 bytes, listed below their organisation; the reply names the loans that were not prolonged. What is lent, for how long and by whom is as before.

--- a/banyanseam/quota/account.py
+++ b/banyanseam/quota/account.py
@@ -121,7 +121,7 @@
 
     def lend(
         self,
-        loan_id: str,
+        loan_id: bytes,
         borrower: str,
         wanted: Amount,
         room_tokens: float,
@@ -134,7 +134,7 @@
         loan = lending.find_loan(self.share, wanted, spare)
         return self.share.lend(loan_id, borrower, loan, now_s, room_tokens)
 
-    def renew(self, loan_id: str, now_s: float) -> bool:
+    def renew(self, loan_id: bytes, now_s: float) -> bool:
         """Let a borrower keep a loan for another term, unless it is needed here."""
         self.share.advance(now_s)
         demand = self.demand.measure(now_s)
@@ -142,7 +142,7 @@
             return False
         return self.share.renew(loan_id, now_s)
 
-    def is_loan_needed(self, loan_id: str, now_s: float) -> bool:
+    def is_loan_needed(self, loan_id: bytes, now_s: float) -> bool:
         """Say whether a borrowed loan should be renewed."""
         loan = self.share.ledger.borrowed[loan_id]
         demand = self.demand.measure(now_s)
--- a/banyanseam/quota/borrower.py
+++ b/banyanseam/quota/borrower.py
@@ -15,7 +15,6 @@
 from banyanseam.quota.const import PEER_TIMEOUT_S, RENEW_BEFORE_S, RETURN_BEFORE_S
 from banyanseam.quota.loans import Amount, Loan
 from banyanseam.quota.messages import (
-    LoanKey,
     LoanReply,
     LoanRequest,
     RenewReply,
@@ -97,7 +96,7 @@
     async def _ask(
         self, account: Account, lender: str, wanted: Amount, generous: list[str]
     ) -> None:
-        loan_id = uuid7().hex
+        loan_id = uuid7().bytes
         share = account.share
         room_tokens = share.ask(loan_id, lender, self._clock(), wanted.tokens)
         request = LoanRequest(
@@ -127,7 +126,7 @@
     async def tend_loans(self) -> None:
         """Renew the loans that end soon, or return those no longer needed."""
         now_s = self._clock()
-        keep: dict[str, list[LoanKey]] = {}
+        keep: dict[str, dict[str, list[bytes]]] = {}
         due: set[str] = set()
         async with anyio.create_task_group() as tasks:
             for account, loan_id, loan in self._list_loans(now_s):
@@ -137,25 +136,24 @@
                 if is_due and (not is_needed or left_s <= RETURN_BEFORE_S):
                     tasks.start_soon(self._give_back, account, loan_id)
                 elif is_needed and loan.asked_again_s <= now_s:
-                    key = LoanKey(organisation=account.organisation, loan_id=loan_id)
-                    keep.setdefault(loan.peer, []).append(key)
+                    loans = keep.setdefault(loan.peer, {})
+                    loans.setdefault(account.organisation, []).append(loan_id)
                     if is_due:
                         due.add(loan.peer)
             # One message renews all that a lender lent here, so that they end together.
             for lender in due:
                 tasks.start_soon(self._renew, lender, keep[lender])
 
-    def _list_loans(self, now_s: float) -> Iterator[tuple[Account, str, Loan]]:
+    def _list_loans(self, now_s: float) -> Iterator[tuple[Account, bytes, Loan]]:
         for account in self._accounts.list_busy():
             account.share.advance(now_s)
             for loan_id, loan in list(account.share.ledger.borrowed.items()):
                 yield account, loan_id, loan
 
-    async def _renew(self, lender: str, loans: list[LoanKey]) -> None:
+    async def _renew(self, lender: str, loans: dict[str, list[bytes]]) -> None:
         sent_s = self._clock()
-        for key in loans:
-            account = self._accounts.find(key.organisation)
-            loan = account and account.share.ledger.borrowed.get(key.loan_id)
+        for account, loan_id in self._find_loans(loans):
+            loan = account.share.ledger.borrowed.get(loan_id)
             if loan:
                 loan.asked_again_s = sent_s + PEER_TIMEOUT_S
         request = RenewRequest(loans=loans)
@@ -165,18 +163,23 @@
             )
         except BanyanseamError:
             return
-        renewed = set(reply.renewed)
-        for key in loans:
-            account = self._accounts.find(key.organisation)
-            if account is None:
-                continue
-            if key.loan_id in renewed:
-                account.share.extend(key.loan_id, sent_s, self._clock())
+        for account, loan_id in self._find_loans(loans):
+            if loan_id not in reply.refused:
+                account.share.extend(loan_id, sent_s, self._clock())
             else:
                 # The lender needs it, so it goes back with what is left of it.
-                await self._give_back(account, key.loan_id)
-
-    async def _give_back(self, account: Account, loan_id: str) -> None:
+                await self._give_back(account, loan_id)
+
+    def _find_loans(
+        self, loans: dict[str, list[bytes]]
+    ) -> Iterator[tuple[Account, bytes]]:
+        for organisation, loan_ids in loans.items():
+            account = self._accounts.find(organisation)
+            if account is not None:
+                for loan_id in loan_ids:
+                    yield account, loan_id
+
+    async def _give_back(self, account: Account, loan_id: bytes) -> None:
         loan = account.share.ledger.borrowed.get(loan_id)
         if loan is None:
             return
--- a/banyanseam/quota/home.py
+++ b/banyanseam/quota/home.py
@@ -179,12 +179,13 @@
         )
 
     async def _on_renew(self, peer: PeerIdentity, message: RenewRequest) -> RenewReply:
-        renewed = []
-        for key in message.loans:
-            account = self._find_account(key.organisation)
-            if account is not None and account.renew(key.loan_id, self._clock()):
-                renewed.append(key.loan_id)
-        return RenewReply(renewed=renewed)
+        refused = []
+        for organisation, loan_ids in message.loans.items():
+            account = self._find_account(organisation)
+            for loan_id in loan_ids:
+                if account is None or not account.renew(loan_id, self._clock()):
+                    refused.append(loan_id)
+        return RenewReply(refused=refused)
 
     def _on_return(self, peer: PeerIdentity, message: ReturnNotice) -> None:
         account = self._find_account(message.organisation)
--- a/banyanseam/quota/loans.py
+++ b/banyanseam/quota/loans.py
@@ -51,9 +51,9 @@
     """The loans of one organisation at one home."""
 
     timing: Timing
-    asked: dict[str, Ask] = field(default_factory=dict)
-    borrowed: dict[str, Loan] = field(default_factory=dict)
-    lent: dict[str, Loan] = field(default_factory=dict)
+    asked: dict[bytes, Ask] = field(default_factory=dict)
+    borrowed: dict[bytes, Loan] = field(default_factory=dict)
+    lent: dict[bytes, Loan] = field(default_factory=dict)
 
     @property
     def borrowed_rate_units(self) -> int:
@@ -107,7 +107,7 @@
             excess_tokens -= cut_tokens
         return excess_tokens
 
-    def accept(self, loan_id: str, amount: Amount, now_s: float) -> Ask | None:
+    def accept(self, loan_id: bytes, amount: Amount, now_s: float) -> Ask | None:
         """Take up an answered loan; None when it is late, repeated or unknown."""
         ask = self.asked.pop(loan_id, None)
         if ask is None or now_s >= ask.sent_s + self.timing.term_s:
@@ -117,18 +117,18 @@
             self.borrowed[loan_id] = Loan(ask.lender, amount, expires_s)
         return ask
 
-    def extend(self, loan_id: str, sent_s: float) -> None:
+    def extend(self, loan_id: bytes, sent_s: float) -> None:
         """Move a borrowed loan's end after the lender agreed to renew it."""
         loan = self.borrowed.get(loan_id)
         if loan is not None:
             loan.expires_s = max(loan.expires_s, sent_s + self.timing.term_s)
 
-    def lend(self, loan_id: str, borrower: str, amount: Amount, now_s: float) -> None:
+    def lend(self, loan_id: bytes, borrower: str, amount: Amount, now_s: float) -> None:
         """Go without the amount for the lender's term."""
         expires_s = now_s + self.timing.lender_term_s
         self.lent[loan_id] = Loan(borrower, amount, expires_s)
 
-    def renew(self, loan_id: str, now_s: float) -> bool:
+    def renew(self, loan_id: bytes, now_s: float) -> bool:
         """Go without a lent amount for another term; False when it has ended."""
         loan = self.lent.get(loan_id)
         if loan is None or loan.amount.is_nothing:
@@ -136,7 +136,7 @@
         loan.expires_s = now_s + self.timing.lender_term_s
         return True
 
-    def close(self, loan_id: str) -> bool:
+    def close(self, loan_id: bytes) -> bool:
         """End a lent loan early; the id stays until expiry against repeats."""
         loan = self.lent.get(loan_id)
         if loan is None or loan.amount.is_nothing:
--- a/banyanseam/quota/messages.py
+++ b/banyanseam/quota/messages.py
@@ -8,6 +8,7 @@
 from banyanseam.quota.const import WHOLE_UNITS
 
 Id = Annotated[str, Field(min_length=1, max_length=64)]
+LoanId = Annotated[bytes, Field(min_length=1, max_length=64)]
 Units = Annotated[int, Field(ge=0, le=WHOLE_UNITS)]
 Tokens = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 Milliseconds = Annotated[int, Field(ge=0)]
@@ -53,7 +54,7 @@
 
     kind = "quota.loan"
 
-    loan_id: Id
+    loan_id: LoanId
     organisation: str
     rate_units: Units
     burst_units: Units
@@ -72,27 +73,21 @@
     tokens: Tokens = 0
 
 
-class LoanKey(Message):
-    """Which loan of which organisation."""
-
-    organisation: str
-    loan_id: Id
-
-
 class RenewRequest(Message):
     """Ask a lender to prolong loans, all that one borrower has there."""
 
     kind = "quota.renew"
 
-    loans: list[LoanKey] = Field(max_length=10_000)
+    # The loans of each organisation.
+    loans: dict[str, list[LoanId]] = Field(max_length=10_000)
 
 
 class RenewReply(Message):
-    """The ids of the loans that the lender prolonged."""
+    """The ids of the few loans that the lender did not prolong."""
 
     kind = "quota.renew_reply"
 
-    renewed: list[Id] = Field(max_length=10_000)
+    refused: list[LoanId] = Field(default_factory=list)
 
 
 class ReturnNotice(Message):
@@ -101,5 +96,5 @@
     kind = "quota.return"
 
     organisation: str
-    loan_id: Id
+    loan_id: LoanId
     tokens: Tokens
--- a/banyanseam/quota/share.py
+++ b/banyanseam/quota/share.py
@@ -222,7 +222,7 @@
 
     def lend(
         self,
-        loan_id: str,
+        loan_id: bytes,
         borrower: str,
         wanted: Amount,
         now_s: float,
@@ -252,7 +252,7 @@
         return amount
 
     def ask(
-        self, loan_id: str, lender: str, now_s: float, room_tokens: float = 0.0
+        self, loan_id: bytes, lender: str, now_s: float, room_tokens: float = 0.0
     ) -> float:
         """Note that a loan is asked for now; return the room kept for its tokens."""
         self.advance(now_s)
@@ -261,11 +261,11 @@
         self._clip()
         return room_tokens
 
-    def abandon(self, loan_id: str) -> None:
+    def abandon(self, loan_id: bytes) -> None:
         """Expect no answer to an ask any more."""
         self.ledger.asked.pop(loan_id, None)
 
-    def accept(self, loan_id: str, amount: Amount, now_s: float) -> bool:
+    def accept(self, loan_id: bytes, amount: Amount, now_s: float) -> bool:
         """Take up a loan that the lender granted; False when it came too late.
 
         A home that withholds its part may hold an old configuration: it takes none.
@@ -280,18 +280,18 @@
         self._clip()
         return True
 
-    def extend(self, loan_id: str, sent_s: float, now_s: float) -> None:
+    def extend(self, loan_id: bytes, sent_s: float, now_s: float) -> None:
         """Prolong a borrowed loan that the lender renewed, from the time of asking."""
         self.advance(now_s)
         self.ledger.extend(loan_id, sent_s)
 
-    def renew(self, loan_id: str, now_s: float) -> bool:
+    def renew(self, loan_id: bytes, now_s: float) -> bool:
         """Renew a loan of the own part; False when it ended or the part shrank."""
         self.advance(now_s)
         lent_units = max(self.ledger.lent_rate_units, self.ledger.lent_burst_units)
         return lent_units <= self.own_units and self.ledger.renew(loan_id, now_s)
 
-    def give_back(self, loan_id: str, now_s: float) -> float:
+    def give_back(self, loan_id: bytes, now_s: float) -> float:
         """Stop using a loan; return the tokens that go back with it."""
         self.advance(now_s)
         if self.ledger.borrowed.pop(loan_id, None) is None:
@@ -300,7 +300,7 @@
         self._clip()
         return surplus_tokens
 
-    def take_back(self, loan_id: str, tokens: float, now_s: float) -> None:
+    def take_back(self, loan_id: bytes, tokens: float, now_s: float) -> None:
         """Use a lent part again before its end; ignored when late or repeated."""
         self.advance(now_s)
         if self.ledger.close(loan_id):
