Send configuration between daemons compressed

Change: values travel compressed by zlib; one that does not end within a megabyte is refused. Ruled out: more shards, which cost every start as many calls more.

--- a/banyanseam/config/const.py
+++ b/banyanseam/config/const.py
@@ -25,6 +25,9 @@
 PEER_TIMEOUT_S: Final = 2.0
 # The values in one message between daemons; the rest is asked for again.
 VALUES_BYTES: Final = 1024 * 1024
+# What the service holds at most in one value, and how hard peers compress it.
+MAX_VALUE_BYTES: Final = 1024 * 1024
+ZLIB_LEVEL: Final = 1
 JOIN_ROUND_S: Final = 1.0
 # How long a new process looks for a peer that serves before the service alone
 # is enough.
--- a/banyanseam/config/messages.py
+++ b/banyanseam/config/messages.py
@@ -1,7 +1,12 @@
 """Messages by which daemons hand the configuration on to one another."""
 
+import zlib
+
 from pydantic import BaseModel, ConfigDict, Field
 
+from banyanseam.config.const import MAX_VALUE_BYTES, ZLIB_LEVEL
+from banyanseam.config.snapshot import Value
+from banyanseam.peers.errors import InvalidPeerMessage
 from banyanseam.peers.messages import Message
 
 
@@ -42,7 +47,7 @@
 
 
 class PeerValue(BaseModel):
-    """One value as it travels."""
+    """One value as it travels, its content compressed."""
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
@@ -51,6 +56,24 @@
     content: bytes
 
 
+def pack_value(value: Value) -> PeerValue:
+    """Return a value as it travels."""
+    content = zlib.compress(value.content, ZLIB_LEVEL)
+    return PeerValue(key=value.key, revision=value.revision, content=content)
+
+
+def unpack_value(packed: PeerValue) -> Value:
+    """Return the value; raise InvalidPeerMessage for one that no service can hold."""
+    stream = zlib.decompressobj()
+    try:
+        content = stream.decompress(packed.content, MAX_VALUE_BYTES + 1)
+    except zlib.error as error:
+        raise InvalidPeerMessage(f"{packed.key}: {error}") from error
+    if not stream.eof or len(content) > MAX_VALUE_BYTES:
+        raise InvalidPeerMessage(f"{packed.key} is cut short or too long")
+    return Value(packed.key, packed.revision, content)
+
+
 class ValuesReply(Message):
     """Values held, as many as one message takes; absent ones may be asked again."""
 
--- a/banyanseam/config/spread.py
+++ b/banyanseam/config/spread.py
@@ -16,9 +16,10 @@
     Announce,
     ListReply,
     ListRequest,
-    PeerValue,
     ValuesReply,
     ValuesRequest,
+    pack_value,
+    unpack_value,
 )
 from banyanseam.config.snapshot import Listing, Snapshot, Value, extend_snapshot
 from banyanseam.config.store import Store
@@ -123,7 +124,7 @@
             request = ValuesRequest(wanted=missing)
             reply = await self._network.call(seat, request, ValuesReply, PEER_TIMEOUT_S)
             got = [
-                Value(value.key, value.revision, value.content)
+                unpack_value(value)
                 for value in reply.values
                 if missing.pop(value.key, None) == value.revision
             ]
@@ -194,5 +195,5 @@
             if values and len(value.content) > room_bytes:
                 break
             room_bytes -= len(value.content)
-            values.append(PeerValue(key=key, revision=revision, content=value.content))
+            values.append(pack_value(value))
         return ValuesReply(values=values)
--- a/banyanseam/peers/const.py
+++ b/banyanseam/peers/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-PROTOCOL_VERSION: Final = 1
+PROTOCOL_VERSION: Final = 2
 MAX_MESSAGE_BYTES: Final = 4 * 1024 * 1024
 HANDSHAKE_TIMEOUT_S: Final = 3.0
 REDIAL_PAUSE_S: Final = 0.25
--- a/tests/config/test_spread.py
+++ b/tests/config/test_spread.py
@@ -1,14 +1,18 @@
 import random
 import unittest
+import zlib
 
 import anyio
 
+from banyanseam.config.const import MAX_VALUE_BYTES
 from banyanseam.config.errors import ConfigServiceOverLimit, ConfigServiceUnavailable
 from banyanseam.config.join import choose_join_peers, wait_until_current
-from banyanseam.config.snapshot import Listing
+from banyanseam.config.messages import pack_value, unpack_value
+from banyanseam.config.snapshot import Listing, Value
 from banyanseam.config.spread import Spread
 from banyanseam.config.store import Store
 from banyanseam.config.watch import Source, Watch
+from banyanseam.peers.errors import InvalidPeerMessage
 from tests.common import FakeFabric, run_mocked
 from tests.config.test_store import make_history, shard
 
@@ -222,6 +226,20 @@
         self.run_nodes(scenario)
 
 
+class PackedValueTests(unittest.TestCase):
+    def test_only_whole_values_of_a_lawful_size_are_taken(self):
+        whole = pack_value(Value("base", 2, bytes(MAX_VALUE_BYTES)))
+        self.assertEqual(len(unpack_value(whole).content), MAX_VALUE_BYTES)
+        faults = {
+            "too long": zlib.compress(bytes(MAX_VALUE_BYTES + 1)),
+            "cut short": whole.content[:-1],
+            "not compressed": b"{}",
+        }
+        for name, content in faults.items():
+            with self.subTest(name), self.assertRaises(InvalidPeerMessage):
+                unpack_value(whole.model_copy(update={"content": content}))
+
+
 class WatchTests(unittest.TestCase):
     def test_calls_are_bounded_under_faults(self):
         faults = [ConfigServiceUnavailable, ConfigServiceOverLimit, None]
