--- a/banyanseam/config/const.py
+++ b/banyanseam/config/const.py
@@ -20,7 +20,7 @@
 POLL_FLOOR_S: Final = 3.0
 POLL_CEILING_S: Final = 30.0
 # How often a process that polls slowly looks whether it became a reader.
-ROLE_CHECK_S: Final = 0.5
+ROLE_CHECK_S: Final = 1.0
 # A pause is drawn from this share of its nominal length up to all of it.
 JITTER_FLOOR: Final = 0.5
 BACKOFF_FIRST_S: Final = 0.25
@@ -31,6 +31,9 @@
 PEER_TIMEOUT_S: Final = 2.0
 # The values in one message between daemons; the rest is asked for again.
 VALUES_BYTES: Final = 1024 * 1024
+# What the service holds at most in one value, and how hard peers compress it.
+MAX_VALUE_BYTES: Final = 1024 * 1024
+ZLIB_LEVEL: Final = 1
 JOIN_ROUND_S: Final = 1.0
 # How long a new process looks for a peer that serves before the service alone
 # is enough.
