--- a/banyanseam/upstreams/choose.py
+++ b/banyanseam/upstreams/choose.py
@@ -18,6 +18,7 @@
     HYSTERESIS,
     LIGHT_LOAD_SHARE,
     LOAD_BOUND,
+    MAX_DECODE_STEP_S,
     RAMP_S,
     ROUND_TRIP_BETWEEN_REGIONS_S,
     SHARE_HALF_LIFE_S,
@@ -92,7 +93,9 @@
     The upstream with the longest cached prefix, or the preferred one for an unknown
     prompt, comes first, then the one that would start it soonest; the first whose load
     stays within the bound of the mean takes it. `pool_load` is what the pool holds.
+    None of them takes more than it can decode with short steps.
     """
+    candidates = [each for each in candidates if _has_short_steps(each, demand)]
     if not candidates:
         return None
     in_order = sorted(candidates, key=lambda each: estimate_start_s(each, demand))
@@ -111,6 +114,17 @@
     return min(candidates, key=lambda each: each.held_tokens)
 
 
+def _has_short_steps(candidate: Candidate, demand: Demand) -> bool:
+    """Say whether one more request leaves a decode step short.
+
+    A fuller batch serves no more tokens, and what waits inside of an engine is out of
+    the fair order.
+    """
+    step_s = (candidate.running + 1) / candidate.decode_tokens_per_s
+    is_decoded = demand.max_output_tokens > 0
+    return not is_decoded or candidate.running == 0 or step_s <= MAX_DECODE_STEP_S
+
+
 class Spill:
     """How much this entry sends to other regions, and whether it is at it."""
 
--- a/banyanseam/upstreams/const.py
+++ b/banyanseam/upstreams/const.py
@@ -32,6 +32,8 @@
 # An upstream with more prefill ahead than this gets nothing new: what waits inside of
 # an engine is out of the fair order.
 MAX_PREFILL_AHEAD_S: Final = 0.5
+# Nor one whose batch is so full that a token takes longer than this.
+MAX_DECODE_STEP_S: Final = 0.063
 # Without a report, what was sent longer ago counts as computed.
 SENT_TERM_S: Final = 10.0
 MAX_BYPASSES: Final = 8
--- a/banyanseam/upstreams/fair_queue.py
+++ b/banyanseam/upstreams/fair_queue.py
@@ -134,9 +134,10 @@
             if name in self._waiting or counter > least
         }
 
-    def _rank(self, organisation: str) -> tuple[float, float]:
-        first = self._waiting[organisation][0]
-        return self._counters[organisation], first.arrived_s
+    def _rank(self, organisation: str) -> tuple[float, int, float]:
+        requests = self._waiting[organisation]
+        # One that returns from idle is lifted to a tie with one that keeps waiting.
+        return self._counters[organisation], len(requests), requests[0].arrived_s
 
     def _lift(self, organisation: str) -> None:
         least = min(
--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,190 @@
+"""The policies that ours is compared with, each put in place of one decision."""
+
+import math
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+from itertools import count
+from pathlib import Path
+
+import anyio
+from uuid6 import uuid7
+
+from banyanseam.poison.guard import PoisonGuard
+from banyanseam.quota.client import Charge, QuotaClient
+from banyanseam.quota.const import DEFAULT_TIMING, WHOLE_UNITS
+from banyanseam.quota.errors import QuotaExceeded
+from banyanseam.quota.share import Quota, Share
+from banyanseam.upstreams import kept_pool
+from banyanseam.upstreams.choose import Candidate
+from banyanseam.upstreams.context import Context
+from banyanseam.upstreams.fair_queue import FairQueue, Waiting
+from banyanseam.upstreams.held import HeldTokens
+
+OURS = "ours"
+FIFO = "first-in first-out"
+ROUND_ROBIN = "round robin"
+LIMITS_PER_DAEMON = "limits per daemon"
+STATIC_SPLIT = "static split"
+NO_GUARD = "no guard"
+READ_PERIOD_S = 0.1
+RETRY_S = 0.05
+
+Pick = Callable[..., Candidate | None]
+
+
+def yield_oldest(queue: FairQueue, look_ahead: int) -> Iterator[Waiting]:
+    """Yield what waits in order of arrival."""
+    waiting = sorted(queue._by_key.values(), key=lambda each: each.arrived_s)
+    yield from waiting[:look_ahead]
+
+
+class FifoQueue(FairQueue):
+    """The baseline that serves in order of arrival."""
+
+    in_order = yield_oldest
+
+    def estimate_wait_s(self, *_: object) -> float:
+        """Never refuse early."""
+        return 0.0
+
+
+def make_round_robin() -> Pick:
+    """Return the baseline that takes upstreams in turn."""
+    turns = count()
+
+    def pick(candidates: Sequence[Candidate], *_: object) -> Candidate | None:
+        ranked = sorted(candidates, key=lambda each: each.name)
+        return ranked[next(turns) % len(ranked)] if ranked else None
+
+    return pick
+
+
+@dataclass(slots=True)
+class Switch:
+    """The name of the policy in force, read from a file that the bench writes."""
+
+    path: Path
+    name: str = OURS
+    read_s: float = -math.inf
+
+    def is_on(self, name: str) -> bool:
+        """Say whether a baseline is in force."""
+        now_s = anyio.current_time()
+        if now_s - self.read_s >= READ_PERIOD_S:
+            self.read_s = now_s
+            self.name = self.path.read_text() if self.path.exists() else OURS
+        return self.name == name
+
+
+def install(switch: Switch) -> None:
+    """Let the switch replace decisions in this process."""
+    _replace_queue(switch)
+    _replace_choice(switch)
+    _replace_room(switch)
+    _replace_quota(switch)
+    _replace_guard(switch)
+
+
+def _replace_queue(switch: Switch) -> None:
+    own_order, own_estimate = FairQueue.in_order, FairQueue.estimate_wait_s
+
+    def in_order(queue: FairQueue, look_ahead: int) -> Iterator[Waiting]:
+        if switch.is_on(FIFO):
+            return yield_oldest(queue, look_ahead)
+        return own_order(queue, look_ahead)
+
+    def estimate_wait_s(queue: FairQueue, *args: object) -> float:
+        return 0.0 if switch.is_on(FIFO) else own_estimate(queue, *args)
+
+    FairQueue.in_order = in_order
+    FairQueue.estimate_wait_s = estimate_wait_s
+
+
+def _replace_choice(switch: Switch) -> None:
+    own_pick, round_robin = kept_pool.pick_upstream, make_round_robin()
+
+    def pick(*args: object) -> Candidate | None:
+        return (round_robin if switch.is_on(ROUND_ROBIN) else own_pick)(*args)
+
+    kept_pool.pick_upstream = pick
+
+
+def _replace_room(switch: Switch) -> None:
+    own_find, own_undisputed = Context.find_keeper, HeldTokens.is_undisputed
+    own_observe = HeldTokens.observe
+
+    def find_keeper(context: Context, pool: str) -> str | None:
+        if switch.is_on(LIMITS_PER_DAEMON):
+            return context.me.seat
+        return own_find(context, pool)
+
+    def is_undisputed(held: HeldTokens, *args: object) -> bool:
+        return switch.is_on(LIMITS_PER_DAEMON) or own_undisputed(held, *args)
+
+    def observe(held: HeldTokens, *args: object) -> None:
+        own_observe(held, *args)
+        if switch.is_on(LIMITS_PER_DAEMON):
+            # Such a daemon counts only what it sent itself.
+            held.report = None
+
+    Context.find_keeper = find_keeper
+    HeldTokens.is_undisputed = is_undisputed
+    HeldTokens.observe = observe
+
+
+@dataclass(slots=True)
+class SplitQuota:
+    """An equal part of each organisation's quota at each seat, never lent."""
+
+    buckets: dict[str, Share] = field(default_factory=dict)
+
+    def find(self, client: QuotaClient, organisation: str) -> Share:
+        """Return this seat's bucket, full at first."""
+        if organisation not in self.buckets:
+            config, now_s = client._get_config(), anyio.current_time()
+            published = config.organisations[organisation]
+            quota = Quota(published.rate_tokens_per_s, published.burst_tokens)
+            share = Share(quota, DEFAULT_TIMING, now_s)
+            share.open_full(WHOLE_UNITS // len(config.seats), now_s)
+            self.buckets[organisation] = share
+        return self.buckets[organisation]
+
+
+def _replace_quota(switch: Switch) -> None:
+    own_charge, own_settle, split = (
+        QuotaClient.charge,
+        QuotaClient.settle,
+        SplitQuota(),
+    )
+
+    async def charge(
+        client: QuotaClient, organisation: str, cost_tokens: int, deadline_s: float
+    ) -> Charge:
+        if not switch.is_on(STATIC_SPLIT):
+            return await own_charge(client, organisation, cost_tokens, deadline_s)
+        share = split.find(client, organisation)
+        charged = Charge(uuid7().hex, organisation, STATIC_SPLIT, cost_tokens)
+        while not share.take(charged.charge_id, cost_tokens, anyio.current_time()):
+            if anyio.current_time() + 2 * RETRY_S >= deadline_s:
+                raise QuotaExceeded(retry_after_ms=1000)
+            await anyio.sleep(RETRY_S)
+        return charged
+
+    async def settle(client: QuotaClient, charged: Charge, used_tokens: int) -> None:
+        if charged.home == STATIC_SPLIT:
+            share = split.find(client, charged.organisation)
+            share.settle(charged.charge_id, used_tokens, anyio.current_time())
+            return
+        await own_settle(client, charged, used_tokens)
+
+    QuotaClient.charge = charge
+    QuotaClient.settle = settle
+
+
+def _replace_guard(switch: Switch) -> None:
+    own_admit = PoisonGuard.admit
+
+    async def admit(guard: PoisonGuard, *args: object) -> str | None:
+        return None if switch.is_on(NO_GUARD) else await own_admit(guard, *args)
+
+    PoisonGuard.admit = admit
--- a/bench/choice.py
+++ b/bench/choice.py
@@ -7,17 +7,15 @@
 import math
 import random
 import statistics
-from collections.abc import Awaitable, Callable, Iterator, Sequence
-from itertools import count
+from collections.abc import Awaitable, Callable
 from unittest.mock import patch
 
 import anyio
 import click
 from loguru import logger
 
-from banyanseam.upstreams.choose import Candidate
-from banyanseam.upstreams.fair_queue import FairQueue, Waiting
 from banyanseam.upstreams.held import HeldTokens
+from bench.baselines import FifoQueue, make_round_robin
 from bench.choice_fleet import Fleet, Plan
 from bench.results import Figure, append
 from tests.common import run_mocked
@@ -29,30 +27,6 @@
 Load = Callable[[Fleet, anyio.abc.TaskGroup], Awaitable[None]]
 
 
-class FifoQueue(FairQueue):
-    """The baseline that serves in order of arrival."""
-
-    def in_order(self, look_ahead: int) -> Iterator[Waiting]:
-        """Yield the oldest first."""
-        waiting = sorted(self._by_key.values(), key=lambda each: each.arrived_s)
-        yield from waiting[:look_ahead]
-
-    def estimate_wait_s(self, *_: object) -> float:
-        """Never refuse early."""
-        return 0.0
-
-
-def make_round_robin() -> Callable[..., Candidate | None]:
-    """Return the baseline that takes upstreams in turn."""
-    turns = count()
-
-    def pick(candidates: Sequence[Candidate], *_: object) -> Candidate | None:
-        ranked = sorted(candidates, key=lambda each: each.name)
-        return ranked[next(turns) % len(ranked)] if ranked else None
-
-    return pick
-
-
 def run(plan: Plan, load: Load) -> Fleet:
     """Run a load on a fleet until every request ended."""
 
@@ -252,10 +226,10 @@
     worst = find_p99_s(half, "acme")
     return [
         Figure(
-            "cross_region_share_balanced", find_remote_share(even), "share", seed=seed
+            "cross_region_share.balanced", find_remote_share(even), "share", seed=seed
         ),
         Figure(
-            "cross_region_share_half_capacity",
+            "cross_region_share.half_capacity",
             find_remote_share(half),
             "share",
             "least that capacity forces",
@@ -263,7 +237,7 @@
             seed,
         ),
         Figure(
-            "p99_ttft_half_capacity",
+            "p99_ttft.half_capacity",
             worst,
             "s",
             "balanced",
--- /dev/null
+++ b/bench/daemon.py
@@ -0,0 +1,19 @@
+"""The daemon, with baselines that the bench switches on in the midst of a run."""
+
+import sys
+from pathlib import Path
+
+from banyanseam.daemon.main import main
+from bench.baselines import Switch, install
+
+POLICY_FILE = "policy"
+
+
+def find_policy_path(settings_path: Path) -> Path:
+    """Return where the bench names the policy in force."""
+    return settings_path.parent / POLICY_FILE
+
+
+if __name__ == "__main__":
+    install(Switch(find_policy_path(Path(sys.argv[-1]))))
+    main()
--- /dev/null
+++ b/bench/deployed_load.py
@@ -0,0 +1,313 @@
+"""Fairness, spill, prefixes and weights with real daemons under load."""
+
+import statistics
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+
+from bench.baselines import FIFO, OURS, ROUND_ROBIN
+from bench.deployments import (
+    ENGINE_REQUESTS_PER_S,
+    ENGINES_PER_REGION,
+    OTHERS,
+    REQUEST_TOKENS,
+    Bench,
+)
+from bench.results import Figure
+from bench.traffic import (
+    EngineRun,
+    Sent,
+    find_p99_s,
+    find_refused_share,
+    find_worst_p99_s,
+)
+
+FLOOD_S = 15.0
+FLOOD_FACTOR = 10
+OVERLOAD = 1.5
+SPILL_S = 15.0
+REGION_LOAD = 0.7
+# Three unanswered polls, and some for the rows to spread.
+LOSS_NOTICED_S = 4.0
+SESSIONS = 60
+TURNS = 8
+TURN_TOKENS = 150
+SESSION_OUTPUT_TOKENS = 5
+WEIGHED_LOAD = 1.1
+WEIGHTS = {
+    "clearsight": {
+        "remote_margin_ms": 50,
+        "remote_share_cap": 0.5,
+        "queue_patience_ms": 5_000,
+        "retry_budget_share": 0.2,
+    },
+    "thatch": {
+        "remote_margin_ms": 1_000,
+        "remote_share_cap": 0.2,
+        "queue_patience_ms": 25_000,
+        "retry_budget_share": 0.05,
+    },
+}
+
+
+async def measure_fairness(bench: Bench) -> None:
+    """Compare the worst other organisation with first-in first-out."""
+    await bench.publish()
+    fair = await _send_flood(bench)
+    await bench.switch(FIFO)
+    fifo = await _send_flood(bench)
+    await bench.switch(OURS)
+    each = [find_worst_p99_s(fair, [name]) for name in (*OTHERS, "flood")]
+    worst = max(each[:-1])
+    others = [one for one in fair if one.organisation != "flood"]
+    bench.report(
+        Figure(
+            "worst_organisation_p99_ttft",
+            worst,
+            "s",
+            FIFO,
+            find_worst_p99_s(fifo, OTHERS),
+            bench.seed,
+        ),
+        Figure(
+            "worst_organisation_p99_ttft_over_median",
+            worst,
+            "s",
+            "median organisation",
+            statistics.median(each),
+            bench.seed,
+        ),
+        Figure(
+            "refused_share_beside_flood",
+            find_refused_share(others),
+            "share",
+            FIFO,
+            find_refused_share(one for one in fifo if one.organisation != "flood"),
+            bench.seed,
+        ),
+    )
+
+
+async def _send_flood(bench: Bench, load: float = OVERLOAD) -> list[Sent]:
+    """Let one organisation send ten times what each other sends, in all regions."""
+    sent: list[Sent] = []
+    whole = load * 3 * ENGINES_PER_REGION * ENGINE_REQUESTS_PER_S
+    part = whole / (FLOOD_FACTOR + len(OTHERS))
+    async with anyio.create_task_group() as tasks:
+        for name in ("flood", *OTHERS):
+            rate = part * (FLOOD_FACTOR if name == "flood" else 1)
+            tasks.start_soon(
+                bench.traffic.send_steadily,
+                tasks,
+                name,
+                bench.traffic.pick_any,
+                rate,
+                REQUEST_TOKENS,
+                FLOOD_S,
+                sent,
+            )
+    return sent
+
+
+async def measure_spill(bench: Bench) -> None:
+    """Measure the share served elsewhere, balanced and with half a region lost."""
+    await bench.publish()
+    even = await _send_evenly(bench, REGION_LOAD)
+    even_share = await _find_remote_share(bench, even)
+    async with _half_capacity(bench):
+        half = await _send_evenly(bench, REGION_LOAD)
+        half_share = await _find_remote_share(bench, half)
+    forced = (REGION_LOAD - 0.5) / (3 * REGION_LOAD)
+    bench.report(
+        Figure("cross_region_share.balanced", even_share, "share", seed=bench.seed),
+        Figure(
+            "cross_region_share.half_capacity",
+            half_share,
+            "share",
+            "least that capacity forces",
+            forced,
+            bench.seed,
+        ),
+        Figure(
+            "p99_ttft.half_capacity",
+            find_p99_s(half),
+            "s",
+            "balanced",
+            find_p99_s(even),
+            bench.seed,
+        ),
+        Figure(
+            "refused_share.half_capacity",
+            find_refused_share(half),
+            "share",
+            "balanced",
+            find_refused_share(even),
+            bench.seed,
+        ),
+    )
+
+
+@asynccontextmanager
+async def _half_capacity(bench: Bench) -> AsyncIterator[None]:
+    """Keep one of the first region's two engines down."""
+    name = f"{bench.shape.regions[0]}-engine-2"
+    bench.traffic.stays_down.add(name)
+    bench.fleet.upstreams[name].child.popen.kill()
+    await anyio.sleep(LOSS_NOTICED_S)
+    yield
+    bench.traffic.stays_down.discard(name)
+    await anyio.sleep(LOSS_NOTICED_S)
+
+
+async def _send_evenly(bench: Bench, load: float) -> list[Sent]:
+    """Send the same to each region, as a part of what its engines serve."""
+    sent: list[Sent] = []
+    rate = load * ENGINES_PER_REGION * ENGINE_REQUESTS_PER_S
+    async with anyio.create_task_group() as tasks:
+        for region in bench.shape.regions:
+            tasks.start_soon(
+                bench.traffic.send_steadily,
+                tasks,
+                OTHERS[0],
+                bench.traffic.pick_in(region),
+                rate,
+                REQUEST_TOKENS,
+                SPILL_S,
+                sent,
+            )
+    return sent
+
+
+async def _find_remote_share(bench: Bench, sent: list[Sent]) -> float:
+    """Return the share of runs in another region than the caller's."""
+    came_to = {one.prompt_sha256: one.region for one in sent}
+    regions = bench.fleet.upstream_regions
+    runs = await bench.traffic.collect_runs(sent)
+    remote = [run for run in runs if regions[run.engine] != came_to[run.prompt_sha256]]
+    return len(remote) / max(1, len(runs))
+
+
+async def measure_prefixes(bench: Bench) -> None:
+    """Compare the prompt tokens computed on sessions with round robin."""
+    await bench.publish()
+    affine = await _run_sessions(bench)
+    await bench.switch(ROUND_ROBIN)
+    robin = await _run_sessions(bench)
+    await bench.switch(OURS)
+    runs = await bench.traffic.collect_runs(affine)
+    loads = Counter()
+    prompts = {one.prompt_sha256: one.prompt_tokens for one in affine}
+    for run in runs:
+        loads[run.engine] += prompts[run.prompt_sha256] + run.generated_tokens
+    mean = sum(loads.values()) / (3 * ENGINES_PER_REGION)
+    robin_runs = await bench.traffic.collect_runs(robin)
+    bench.report(
+        Figure(
+            "prefill_tokens_computed",
+            count_prefilled(affine, runs),
+            "tokens",
+            ROUND_ROBIN,
+            count_prefilled(robin, robin_runs),
+            bench.seed,
+        ),
+        Figure(
+            "replica_load_max",
+            max(loads.values()),
+            "tokens",
+            "mean replica",
+            mean,
+            bench.seed,
+        ),
+        Figure(
+            "p99_ttft.sessions",
+            find_p99_s(affine),
+            "s",
+            ROUND_ROBIN,
+            find_p99_s(robin),
+            bench.seed,
+        ),
+    )
+
+
+def count_prefilled(sent: list[Sent], runs: list[EngineRun]) -> int:
+    """Return the prompt tokens that engines computed."""
+    prompts = {one.prompt_sha256: one.prompt_tokens for one in sent}
+    return sum(prompts[run.prompt_sha256] - run.cached_tokens for run in runs)
+
+
+async def _run_sessions(bench: Bench) -> list[Sent]:
+    """Let sessions grow turn by turn, each with its history as prompt."""
+    sent: list[Sent] = []
+    async with anyio.create_task_group() as tasks:
+        for number in range(SESSIONS):
+            tasks.start_soon(_follow_session, bench, number, sent)
+    return sent
+
+
+async def _follow_session(bench: Bench, number: int, sent: list[Sent]) -> None:
+    traffic, chance = bench.traffic, bench.traffic.chance
+    pick = traffic.pick_in(bench.shape.regions[number % 3])
+    organisation = OTHERS[number % len(OTHERS)]
+    history = traffic.make_prompt(chance.randint(200, 800))
+    await anyio.sleep(chance.uniform(0, 6))
+    for _ in range(TURNS):
+        await traffic.send(
+            organisation, pick(0.0), history, SESSION_OUTPUT_TOKENS, sent
+        )
+        history += traffic.make_prompt(TURN_TOKENS)
+        await anyio.sleep(chance.uniform(0.5, 3))
+
+
+async def measure_weights(bench: Bench) -> None:
+    """Run one load under both users' weights, a region at half capacity."""
+    taken = {}
+    async with _half_capacity(bench):
+        for name, policy in WEIGHTS.items():
+            await bench.publish(deadline_ms=40_000, **policy)
+            taken[name] = await _weigh(bench)
+    await bench.publish()
+    first, second = (taken[name] for name in WEIGHTS)
+    bench.report(
+        *(
+            Figure(
+                f"weights.{name}",
+                first[name][0],
+                unit,
+                "weights of thatch",
+                second[name][0],
+                bench.seed,
+            )
+            for name, (_, unit) in first.items()
+        )
+    )
+
+
+async def _weigh(bench: Bench) -> dict[str, tuple[float, str]]:
+    """Return each measure of a run with its unit."""
+    before_bytes = await _read_carried_bytes(bench)
+    sent = await _send_flood(bench, WEIGHED_LOAD)
+    carried_bytes = await _read_carried_bytes(bench) - before_bytes
+    answered = [one for one in sent if one.is_whole]
+    others = [one for one in sent if one.organisation != "flood"]
+    return {
+        "p99_ttft": (find_p99_s(answered), "s, of answered"),
+        "worst_organisation_p99_ttft": (
+            find_worst_p99_s((one for one in answered if one in others), OTHERS),
+            "s, of answered",
+        ),
+        "refused_share": (find_refused_share(sent), "share"),
+        "refused_share_others": (find_refused_share(others), "share"),
+        "cross_region_share": (await _find_remote_share(bench, sent), "share"),
+        "link_bytes_per_answer": (
+            carried_bytes / max(1, len(answered)),
+            "B, control included",
+        ),
+    }
+
+
+async def _read_carried_bytes(bench: Bench) -> int:
+    reply = await bench.fleet.client.request("GET", bench.fleet.relay.address, "/")
+    links = reply.value["links"].items()
+    return sum(link["carried_bytes"] for name, link in links if "platform" not in name)
--- /dev/null
+++ b/bench/deployed_quota.py
@@ -0,0 +1,147 @@
+"""Quota with real daemons: wrong refusals, and what was admitted above the bound."""
+
+import math
+from collections.abc import Callable
+
+import anyio
+
+from bench.baselines import OURS, STATIC_SPLIT
+from bench.deployments import LIMITED, RATE_TOKENS_PER_S, Bench
+from bench.results import Figure
+from bench.traffic import Sent, count_overrun_tokens, find_refused_share
+from standins.fleet import Daemon
+
+DEMAND_SHARE = 0.9
+PROMPT_AND_OUTPUT_TOKENS = (80, 4)
+# What a daemon estimates for such a request, its JSON included.
+COST_TOKENS = 130
+QUOTA_S = 30.0
+SPLIT_S = 10.0
+KILL_AFTER_S = 8.0
+DOWN_S = 5.0
+
+
+async def measure_quota(bench: Bench) -> None:
+    """Count wrong refusals at 90% of the rate, and what a greedy caller gets."""
+    await bench.publish(deadline_ms=5_000)
+    sent = await _send_limited(bench)
+    refused = {
+        name: find_refused_share(
+            (one for one in sent if one.organisation == name), "quota."
+        )
+        for name in LIMITED
+    }
+    await bench.switch(STATIC_SPLIT)
+    split = await _send_to_one_vm(bench)
+    await bench.switch(OURS)
+    lost = sum(one.broken is not None for one in sent)
+    overrun = await _count_over_admitted(bench, sent)
+    other = find_refused_share(sent, "upstreams.")
+    bench.report(
+        Figure(
+            "wrongly_refused_share.one_vm",
+            refused["one_vm"],
+            "share",
+            STATIC_SPLIT,
+            find_refused_share(split, "quota."),
+            bench.seed,
+        ),
+        *(
+            Figure(
+                f"wrongly_refused_share.{name}", refused[name], "share", seed=bench.seed
+            )
+            for name in LIMITED[1:]
+        ),
+        Figure("over_admitted_tokens", overrun, "tokens", seed=bench.seed),
+        Figure("refused_for_room.quota", other, "share", seed=bench.seed),
+        Figure("lost_with_a_vm", lost, "requests", seed=bench.seed),
+    )
+
+
+async def _send_limited(bench: Bench) -> list[Sent]:
+    traffic, sent = bench.traffic, []
+    rate = DEMAND_SHARE * RATE_TOKENS_PER_S / COST_TOKENS
+    pickers = {
+        "one_vm": lambda _: bench.fleet.daemons[bench.first_seat],
+        "offset_peaks": _make_peaks(bench),
+        "kills": traffic.pick_any,
+        "greedy": traffic.pick_any,
+    }
+    async with anyio.create_task_group() as tasks:
+        for name, pick in pickers.items():
+            tasks.start_soon(
+                traffic.send_steadily,
+                tasks,
+                name,
+                pick,
+                rate,
+                PROMPT_AND_OUTPUT_TOKENS,
+                QUOTA_S,
+                sent,
+            )
+        tasks.start_soon(_kill_one_vm, bench)
+    return sent
+
+
+def _make_peaks(bench: Bench) -> Callable[[float], Daemon]:
+    """Return a picker whose regions have their peaks one after the other."""
+
+    def pick(at_s: float) -> Daemon:
+        weights = [
+            1 + math.sin(2 * math.pi * (at_s / QUOTA_S + place / 3))
+            for place in range(3)
+        ]
+        region = bench.traffic.chance.choices(bench.shape.regions, weights)[0]
+        usable = [
+            one
+            for one in bench.fleet.in_region(region)
+            if one.seat not in bench.traffic.down
+        ]
+        return bench.traffic.chance.choice(usable)
+
+    return pick
+
+
+async def _kill_one_vm(bench: Bench) -> None:
+    seat = f"{bench.shape.regions[1]}-2"
+    await anyio.sleep(KILL_AFTER_S)
+    bench.traffic.down.add(seat)
+    bench.fleet.kill(seat)
+    await anyio.sleep(DOWN_S)
+    await bench.fleet.restart(seat)
+    bench.traffic.down.discard(seat)
+
+
+async def _send_to_one_vm(bench: Bench) -> list[Sent]:
+    sent: list[Sent] = []
+    rate = DEMAND_SHARE * RATE_TOKENS_PER_S / COST_TOKENS
+    async with anyio.create_task_group() as tasks:
+        await bench.traffic.send_steadily(
+            tasks,
+            "static_split",
+            lambda _: bench.fleet.daemons[bench.first_seat],
+            rate,
+            PROMPT_AND_OUTPUT_TOKENS,
+            SPLIT_S,
+            sent,
+        )
+    return sent
+
+
+async def _count_over_admitted(bench: Bench, sent: list[Sent]) -> float:
+    """Return the most by which engines ran more than an organisation may use."""
+    prompts = {one.prompt_sha256: one.prompt_tokens for one in sent}
+    runs = await bench.traffic.collect_runs(sent)
+    overrun = 0.0
+    for name in (*LIMITED, "greedy"):
+        plan = bench.fleet.plan.organisations[name]
+        used = [
+            (run.started_s, prompts[run.prompt_sha256] + run.generated_tokens)
+            for run in runs
+            if run.organisation == name
+        ]
+        overrun = max(
+            overrun,
+            count_overrun_tokens(used, plan.rate_tokens_per_s, plan.burst_tokens),
+        )
+    return overrun
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -1,27 +1,58 @@
-"""All measurements of decisions under load and faults, one after the other."""
+"""All measurements of decisions under load and faults: `make bench-policy`.
+
+Real daemons in the shapes of both deployments, and beside them what is measured in
+memory on the mock clock, where other processes' load changes nothing. Plots come last.
+"""
 
 import subprocess
 import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import click
+
+Run = tuple[str, ...]
+
+IN_MEMORY_SEEDS = (1, 2, 3)
 
-RUNS = (
-    ("bench.quota", "120"),
-    ("bench.choice", "--seed", "1"),
-    ("bench.choice", "--seed", "2"),
-    ("bench.choice", "--seed", "3"),
-    ("bench.readers",),
-    ("bench.plots",),
-)
 
+def list_lanes(seeds: int) -> list[list[Run]]:
+    """Return the benches; lanes run beside each other, each one after the other."""
+    deployed = [
+        [
+            ("bench.deployed", "--shape", shape, "--seed", str(seed))
+            for seed in range(1, seeds + 1)
+        ]
+        for shape in ("clearsight", "thatch")
+    ]
+    choices = [("bench.choice", "--seed", str(seed)) for seed in IN_MEMORY_SEEDS]
+    readers = ("bench.readers", "--seeds", str(seeds))
+    return [*deployed, [("bench.quota", "60"), *choices, readers]]
 
-def main() -> int:
+
+def run_lane(runs: list[Run]) -> int:
     """Run each bench in a process of its own and return how many failed."""
     failed = 0
-    for module, *arguments in RUNS:
-        print(f"== {module} {' '.join(arguments)}", flush=True)
+    for module, *arguments in runs:
+        started_s = time.monotonic()
         command = [sys.executable, "-m", module, *arguments]
-        failed += bool(subprocess.run(command, check=False).returncode)
+        status = subprocess.run(command, check=False).returncode
+        taken_s = time.monotonic() - started_s
+        print(f"== {' '.join(command[2:])}: {status}, {taken_s:.0f} s", flush=True)
+        failed += bool(status)
     return failed
 
 
+@click.command()
+@click.option("--seeds", default=1, help="How many seeds of the real daemons.")
+def main(seeds: int) -> None:
+    """Run every lane, then draw the plots; exit 1 when a bench failed."""
+    lanes = list_lanes(seeds)
+    with ThreadPoolExecutor(len(lanes)) as pool:
+        failed = sum(pool.map(run_lane, lanes))
+    failed += run_lane([("bench.plots",)])
+    sys.exit(bool(failed))
+
+
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/bench/readers.py
+++ b/bench/readers.py
@@ -5,12 +5,12 @@
 from typing import Any
 
 import anyio
+import click
 
 from bench.results import Figure, append
 from standins.callers import Caller
 from standins.fleet import Fleet, FleetPlan, OrganisationPlan, start_fleet
 
-SEEDS = (1, 2, 3)
 SLOW_READERS = 500
 SLOW_PAUSE_S = 0.5
 PROBES = 200
@@ -94,9 +94,11 @@
     ]
 
 
-def main() -> None:
+@click.command()
+@click.option("--seeds", default=3, show_default=True)
+def main(seeds: int) -> None:
     """Measure on a fresh daemon for each seed."""
-    for seed in SEEDS:
+    for seed in range(1, seeds + 1):
         append(anyio.run(measure, seed))
 
 
--- a/bench/results.py
+++ b/bench/results.py
@@ -1,11 +1,13 @@
 """The figures of all benches, as one list in build/bench.json."""
 
+import fcntl
 import json
 from collections.abc import Iterable
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
 RESULTS_PATH = Path(__file__).resolve().parent.parent / "build" / "bench.json"
+LOCK_PATH = RESULTS_PATH.with_suffix(".lock")
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,8 +38,11 @@
         for figure in figures
     ]
     RESULTS_PATH.parent.mkdir(exist_ok=True)
-    known = json.loads(RESULTS_PATH.read_text()) if RESULTS_PATH.exists() else []
-    RESULTS_PATH.write_text(json.dumps(known + records, indent=1) + "\n")
+    with LOCK_PATH.open("w") as lock:
+        # Benches that run beside each other add to the same list.
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        known = json.loads(RESULTS_PATH.read_text()) if RESULTS_PATH.exists() else []
+        RESULTS_PATH.write_text(json.dumps(known + records, indent=1) + "\n")
     for record in records:
         baseline = ""
         if record.get("baseline"):
--- /dev/null
+++ b/bench/traffic.py
@@ -0,0 +1,210 @@
+"""Callers of a real fleet, and what they and the engines saw of each request."""
+
+import hashlib
+import math
+import random
+from collections.abc import Callable, Iterable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+
+from standins.callers import Caller
+from standins.engine import CRASH_STATUS
+from standins.fleet import Daemon, Fleet
+
+BYTES_PER_TOKEN = 4
+PICK_TRIES = 20
+WATCH_PERIOD_S = 0.2
+CALLER_TIMEOUT_S = 60.0
+
+Pick = Callable[[float], Daemon]
+
+
+@dataclass(slots=True, eq=False)
+class Sent:
+    """One request as its caller saw it."""
+
+    organisation: str
+    region: str
+    prompt_sha256: str
+    prompt_tokens: int
+    sent_s: float
+    ended_s: float | None = None
+    first_token_s: float | None = None
+    is_whole: bool = False
+    code: str | None = None
+    broken: str | None = None
+
+    @property
+    def ttft_s(self) -> float:
+        """Return the time to the first token; infinite where none came."""
+        return math.inf if self.first_token_s is None else self.first_token_s
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRun:
+    """One run as its engine recorded it."""
+
+    engine: str
+    prompt_sha256: str
+    organisation: str
+    started_s: float
+    generated_tokens: int
+    cached_tokens: int
+
+
+@dataclass(slots=True)
+class Traffic:
+    """All callers of one fleet."""
+
+    fleet: Fleet
+    chance: random.Random
+    callers: dict[str, Caller] = field(default_factory=dict)
+    deaths: int = 0
+    down: set[str] = field(default_factory=set)
+    stays_down: set[str] = field(default_factory=set)
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        """Make a caller for each organisation."""
+        for name, key in self.fleet.keys.items():
+            caller = Caller(key, CALLER_TIMEOUT_S)
+            self.callers[name] = await stack.enter_async_context(caller)
+
+    async def watch_engines(self) -> None:
+        """Count engines that ran out of memory or crashed, and start them again."""
+        while True:
+            await anyio.sleep(WATCH_PERIOD_S)
+            for name, one in list(self.fleet.upstreams.items()):
+                if one.child.is_running or name in self.stays_down:
+                    continue
+                self.deaths += one.child.popen.returncode == CRASH_STATUS
+                await self.fleet.restart_upstream(name)
+
+    def pick_any(self, _: float = 0.0) -> Daemon:
+        """Return a daemon that runs, as callers who ask for entries would find it."""
+        daemons = list(self.fleet.daemons.values())
+        for _ in range(PICK_TRIES):
+            daemon = self.chance.choice(daemons)
+            if daemon.seat not in self.down:
+                return daemon
+        raise RuntimeError("no daemon runs")
+
+    def pick_in(self, region: str) -> Pick:
+        """Return a picker of any daemon of a region."""
+        daemons = self.fleet.in_region(region)
+        return lambda _: self.chance.choice(daemons)
+
+    def make_prompt(self, tokens: int) -> str:
+        """Return a prompt that shares nothing with others."""
+        return self.chance.randbytes(2 * tokens).hex()
+
+    async def send(
+        self,
+        organisation: str,
+        daemon: Daemon,
+        prompt: str,
+        output_tokens: int,
+        sent: list[Sent],
+    ) -> Sent:
+        """Send one request and follow its answer."""
+        one = Sent(
+            organisation,
+            daemon.region,
+            hashlib.sha256(prompt.encode()).hexdigest(),
+            math.ceil(len(prompt) / BYTES_PER_TOKEN),
+            anyio.current_time(),
+        )
+        sent.append(one)
+        result = await self.callers[organisation].chat(
+            daemon.callers_address, prompt, max_tokens=output_tokens
+        )
+        one.ended_s = anyio.current_time()
+        one.is_whole = result.is_whole
+        one.code = result.code
+        one.broken = result.broken
+        if result.status == 200:
+            one.first_token_s = result.first_token_s
+        return one
+
+    async def send_steadily(
+        self,
+        tasks: TaskGroup,
+        organisation: str,
+        pick: Pick,
+        rate_per_s: float,
+        tokens: tuple[int, int],
+        length_s: float,
+        sent: list[Sent],
+    ) -> None:
+        """Send requests of one size at random times, whatever the answers do."""
+        started_s = next_s = anyio.current_time()
+        while True:
+            next_s += self.chance.expovariate(rate_per_s)
+            if next_s - started_s >= length_s:
+                return
+            await anyio.sleep_until(next_s)
+            prompt = self.make_prompt(tokens[0])
+            daemon = pick(next_s - started_s)
+            tasks.start_soon(self.send, organisation, daemon, prompt, tokens[1], sent)
+
+    async def collect_runs(self, sent: Iterable[Sent]) -> list[EngineRun]:
+        """Return what the engines recorded of these requests."""
+        wanted = {one.prompt_sha256 for one in sent}
+        runs = []
+        for name, upstream in self.fleet.upstreams.items():
+            if not upstream.is_model or not upstream.child.is_running:
+                continue
+            for record in await self.fleet.list_runs(name):
+                if record["prompt_sha256"] in wanted:
+                    runs.append(_read_run(name, record))
+        return runs
+
+
+def _read_run(engine: str, record: dict) -> EngineRun:
+    return EngineRun(
+        engine,
+        record["prompt_sha256"],
+        record["organisation"] or "",
+        record["started"],
+        record["tokens"],
+        record["cached_tokens"],
+    )
+
+
+def find_p99_s(sent: Iterable[Sent]) -> float:
+    """Return the 99th percentile of the time to the first token."""
+    times = sorted(one.ttft_s for one in sent)
+    return times[min(len(times) - 1, int(len(times) * 0.99))]
+
+
+def find_worst_p99_s(sent: Iterable[Sent], organisations: Iterable[str]) -> float:
+    """Return the greatest of the organisations' 99th percentiles."""
+    sent = list(sent)
+    return max(
+        find_p99_s(one for one in sent if one.organisation == name)
+        for name in organisations
+    )
+
+
+def find_refused_share(sent: Iterable[Sent], prefix: str = "") -> float:
+    """Return the share that was refused with a code of this prefix."""
+    sent = list(sent)
+    refused = [one for one in sent if one.code and one.code.startswith(prefix)]
+    return len(refused) / max(1, len(sent))
+
+
+def count_overrun_tokens(
+    runs: Iterable[tuple[float, int]], rate_tokens_per_s: float, burst_tokens: int
+) -> float:
+    """Return by how much runs, as start and tokens, outrun one bucket."""
+    left, last_s, overrun = float(burst_tokens), None, 0.0
+    for started_s, tokens in sorted(runs):
+        if last_s is not None:
+            gained = rate_tokens_per_s * (started_s - last_s)
+            left = min(burst_tokens, left + gained)
+        last_s = started_s
+        left -= tokens
+        overrun = max(overrun, -left)
+    return overrun
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -115,7 +115,7 @@
         """Start a new process at a seat, without waiting for it."""
         daemon = self.daemons[seat]
         daemon.child = self.children.start(
-            seat, "banyanseam.daemon.main", "--settings", str(daemon.settings_path)
+            seat, self.plan.daemon_module, "--settings", str(daemon.settings_path)
         )
         return daemon.child
 
--- a/standins/fleet_plan.py
+++ b/standins/fleet_plan.py
@@ -49,6 +49,7 @@
     uses_relay: bool = True
     settings: Documents = field(default_factory=dict)
     alter: Alter | None = None
+    daemon_module: str = "banyanseam.daemon.main"
 
 
 @dataclass(slots=True)
--- a/tests/upstreams/test_choose.py
+++ b/tests/upstreams/test_choose.py
@@ -60,12 +60,14 @@
             "c", cached_tokens=900, held_tokens=4_000, running=4, queued_tokens=2_000
         )
         hot = replace(warm, held_tokens=9_000, running=9)
+        full = make_candidate("d", running=63)
         cases = {
             "nothing": ((), None, None),
             "least wait": ((queued, idle), None, "a"),
             "cached": ((idle, warm), None, "c"),
             "cached beyond the bound": ((idle, hot), None, "a"),
             "unknown prompt goes by its hash": ((idle, queued), "b", "b"),
+            "a full batch takes nothing": ((full,), None, None),
         }
         for name, (candidates, preferred, expected) in cases.items():
             with self.subTest(name):
--- a/tests/upstreams/test_fair_queue.py
+++ b/tests/upstreams/test_fair_queue.py
@@ -60,6 +60,14 @@
             gap = abs(line.served.get("large", 0) - line.served.get("small", 0))
             self.assertLessEqual(gap, LARGEST_TOKENS / min(weight, 1.0))
 
+    def test_organisation_back_from_idle_goes_first_on_a_tie(self):
+        line = Line()
+        for _ in range(3):
+            line.add("busy")
+        line.serve()
+        line.add("back")
+        self.assertEqual([line.serve(), line.serve()], ["back", "busy"])
+
     def test_organisation_back_from_idle_saved_nothing_up(self):
         line = Line()
         line.add("early")
