Wait for both seats' quota in the test of the probes

A whole run of the suite on a busy machine found gulf-2 withholding its part for another 0.6 s, which explain rightly calls a wait: the test waited for gulf-1's part only. It now waits until each seat has its part and knows new keys, and then demands the same as before.

--- a/tests/daemon/test_probes.py
+++ b/tests/daemon/test_probes.py
@@ -47,11 +47,29 @@
                     return found
                 await anyio.sleep(0.1)
 
+    async def wait_settled(self, *seats):
+        """Wait until each seat has its part of the quota and knows new keys."""
+        with anyio.fail_after(60):
+            for seat in seats:
+                await self.wait_passing(seat, "quota", lambda: CHAT)
+                for _ in range(10):
+                    await self.wait_passing(
+                        seat, "idempotency", lambda: book(str(uuid7()))
+                    )
+
+    async def wait_passing(self, seat, name, make_fields):
+        while True:
+            step = (await self.explain(seat, make_fields()))[name]
+            if step["verdict"] == "pass":
+                return
+            await anyio.sleep(0.1)
+
     async def check(self):
         plan = FleetPlan(regions=("gulf",), seats=2, uses_relay=False)
         async with start_fleet(plan) as fleet, Caller(fleet.keys["acme"]) as caller:
             self.caller = caller
             first, second = fleet.daemons.values()
+            await self.wait_settled(first, second)
             self.assertTrue((await caller.chat(first.callers_address)).is_whole)
             key, unsent = str(uuid7()), str(uuid7())
             booked = await caller.book(
