Let late requests end after the handover, and close a superseded home

Cause: between the end of the last request and the process's exit, a stopping daemon now hands its keys over, which takes longer than returning loans did; a request that came meanwhile was cut by the exit. And a superseded process still answered claims on the keys of its seat, which are the newer process's.

Change: the daemon waits until it is idle again after the handover, within the limit of a drain, and a superseded process closes its home at once. Ruled out: closing the port before the handover, since a late caller can still be served.

The new test failed without the second wait (the process left before the request had ended). The closing is not tried under a real supersession.

--- a/banyanseam/daemon/app.py
+++ b/banyanseam/daemon/app.py
@@ -7,7 +7,7 @@
 from anyio.abc import TaskGroup
 
 from banyanseam.daemon.fleet_view import FleetView
-from banyanseam.daemon.lifecycle import drain
+from banyanseam.daemon.lifecycle import drain, leave
 from banyanseam.daemon.operations import make_operations
 from banyanseam.daemon.quota_parts import make_quota_parts
 from banyanseam.daemon.serving import Serving, make_serving
@@ -64,7 +64,7 @@
             callers = await self._start_serving(tasks)
             if callers is not None:
                 await self._wait_for_end()
-                await self._hand_over()
+                await leave(self.lifecycle, self._hand_over)
                 callers.should_exit = True
             operators.should_exit = True
             tasks.cancel_scope.cancel()
--- a/banyanseam/daemon/idempotency_parts.py
+++ b/banyanseam/daemon/idempotency_parts.py
@@ -65,6 +65,8 @@
     view.store.on_adopted(adopt)
     view.control.freeze.on_restart(make_restart(homes, view.network, tasks.start_soon))
     view.membership.on_new_process(lose_older)
+    # The keys of this seat are the newer process's from now on.
+    view.membership.on_superseded(lambda _: homes.close(me.incarnation))
     filter_ = run_at_most_once(
         me, desk, homes, client, forwarder.forward, view.find_region
     )
--- a/banyanseam/daemon/lifecycle.py
+++ b/banyanseam/daemon/lifecycle.py
@@ -1,6 +1,6 @@
 """The life of a daemon, from start to a planned stop that cuts no request."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
 from typing import Final
 
@@ -112,6 +112,17 @@
             watcher(stage)
 
 
+async def leave(
+    lifecycle: Lifecycle,
+    hand_over: Callable[[], Awaitable[None]],
+    limit_s: float = DRAIN_LIMIT_S,
+) -> None:
+    """Hand over what this process holds; requests that come late meanwhile end too."""
+    with anyio.move_on_after(limit_s):
+        await hand_over()
+        await lifecycle.wait_idle()
+
+
 async def drain(
     lifecycle: Lifecycle,
     validity_ms: int,
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from banyanseam.daemon.lifecycle import Lifecycle, Stage, WrongStage, drain
+from banyanseam.daemon.lifecycle import Lifecycle, Stage, WrongStage, drain, leave
 from tests.common import run_mocked
 
 
@@ -25,6 +25,31 @@
 
         run_mocked(main)
 
+    def test_a_request_that_comes_during_the_handover_is_not_cut(self):
+        async def main():
+            lifecycle = Lifecycle()
+            lifecycle.begin_serving()
+            lifecycle.begin_drain()
+            lifecycle.begin_closing()
+            steps = []
+
+            async def hand_over():
+                lifecycle.request_started()
+                steps.append("handed over")
+
+            async def end_request():
+                await anyio.sleep(5)
+                steps.append("ended")
+                lifecycle.request_ended()
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(end_request)
+                await leave(lifecycle, hand_over)
+                steps.append("left")
+            self.assertEqual(steps, ["handed over", "ended", "left"])
+
+        run_mocked(main)
+
     def test_drain_reports_what_the_limit_cut(self):
         for ends_after_s, expected in ((1, True), (100, True), (3600, False)):
             with self.subTest(ends_after_s=ends_after_s):
