--- a/banyanseam/idempotency/models.py
+++ b/banyanseam/idempotency/models.py
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """The wish of one receipt of a request to be the one that runs."""
+    """What one receipt of a request says when it asks to be the one that runs."""
 
     scope: Scope
     fingerprint: str
--- a/banyanseam/pipe/idempotency.py
+++ b/banyanseam/pipe/idempotency.py
@@ -5,7 +5,7 @@
 import anyio
 
 from banyanseam.errors import BanyanseamError
-from banyanseam.idempotency.client import HomeClient, Wish, make_claim, make_wish
+from banyanseam.idempotency.client import HomeClient
 from banyanseam.idempotency.const import KEY_HEADER, MAX_KEY_LENGTH, TICKET_PREFIX
 from banyanseam.idempotency.errors import (
     GrantTooLate,
@@ -17,6 +17,11 @@
 )
 from banyanseam.idempotency.home import Home
 from banyanseam.idempotency.homes import Homes
+from banyanseam.idempotency.keyed_request import (
+    KeyedRequest,
+    make_claim,
+    make_keyed_request,
+)
 from banyanseam.idempotency.models import End, Scope, State, Verdict
 from banyanseam.idempotency.tickets import Ticket, TicketDesk, is_ticket
 from banyanseam.peers.errors import PeerCallLost, PeerUnreachable
@@ -40,21 +45,21 @@
         self._home = home
         self._ticket = ticket
 
-    async def acquire(self, wish: Wish) -> Verdict:
+    async def acquire(self, keyed: KeyedRequest) -> Verdict:
         """Return a grant or the answer of the first run."""
         while True:
-            claim = make_claim(wish, self._me)
+            claim = make_claim(keyed, self._me)
             verdict = await self._home.claim_ticket(claim, self._ticket)
             if verdict.granted or verdict.state is State.DONE:
                 return verdict
 
-    def finish(self, wish: Wish, end: End) -> None:
+    def finish(self, keyed: KeyedRequest, end: End) -> None:
         """Note how the run ended."""
-        self._home.finish(wish.scope, wish.claim_id, end)
+        self._home.finish(keyed.scope, keyed.claim_id, end)
 
-    async def release(self, wish: Wish) -> bool:
+    async def release(self, keyed: KeyedRequest) -> bool:
         """Free a ticket under which nothing was sent."""
-        return self._home.release(wish.scope, wish.claim_id)
+        return self._home.release(keyed.scope, keyed.claim_id)
 
 
 Keeper = HomeClient | TicketKeeper
@@ -148,7 +153,7 @@
     ticket: Ticket | None = None,
 ) -> None:
     """Run the exchange if its key is granted, or replay the first run's answer."""
-    wish = make_wish(
+    keyed = make_keyed_request(
         Scope(find_organisation(exchange), key),
         exchange.route.name,
         exchange.fingerprint,
@@ -156,7 +161,7 @@
         exchange.deadline_s,
         ticket,
     )
-    verdict = await _acquire(exchange, keeper, wish)
+    verdict = await _acquire(exchange, keeper, keyed)
     if verdict.answer is not None:
         await replay(verdict.answer, exchange.reply)
         return
@@ -165,14 +170,14 @@
     exchange.is_granted = True
     # A process that was frozen may hold a grant whose time has passed.
     if anyio.current_time() >= exchange.deadline_s:
-        await _release(keeper, wish, GrantTooLate())
+        await _release(keeper, keyed, GrantTooLate())
         raise GrantTooLate
-    await _run(exchange, next_, keeper, wish)
+    await _run(exchange, next_, keeper, keyed)
 
 
-async def _acquire(exchange: Exchange, keeper: Keeper, wish: Wish) -> Verdict:
+async def _acquire(exchange: Exchange, keeper: Keeper, keyed: KeyedRequest) -> Verdict:
     try:
-        return await keeper.acquire(wish)
+        return await keeper.acquire(keyed)
     except BanyanseamError as error:
         # Where the home refuses with not run, it vouches for earlier sends too.
         exchange.may_have_run = not error.not_run
@@ -185,26 +190,28 @@
         raise OutcomeUnknown from error
 
 
-async def _run(exchange: Exchange, next_: Next, keeper: Keeper, wish: Wish) -> None:
+async def _run(
+    exchange: Exchange, next_: Next, keeper: Keeper, keyed: KeyedRequest
+) -> None:
     reply = exchange.reply
     sink = exchange.reply = RememberingSink(reply)
     try:
         await next_(exchange)
     except BaseException as error:
         if exchange.upstream_started or sink.started:
-            keeper.finish(wish, End(is_known=False))
+            keeper.finish(keyed, End(is_known=False))
             raise
-        await _release(keeper, wish, error)
+        await _release(keeper, keyed, error)
         raise
     finally:
         exchange.reply = reply
-    keeper.finish(wish, sink.make_end())
+    keeper.finish(keyed, sink.make_end())
     if sink.failure is not None:
         raise sink.failure
 
 
-async def _release(keeper: Keeper, wish: Wish, error: BaseException) -> None:
+async def _release(keeper: Keeper, keyed: KeyedRequest, error: BaseException) -> None:
     """Free a key that did not run; raise OutcomeUnknown where it may yet run."""
-    alone = await keeper.release(wish)
+    alone = await keeper.release(keyed)
     if not alone and getattr(error, "not_run", True):
         raise OutcomeUnknown from error
--- a/tests/idempotency/test_at_most_once.py
+++ b/tests/idempotency/test_at_most_once.py
@@ -434,13 +434,13 @@
         released = []
 
         class LateKeeper:
-            async def acquire(self, wish):
+            async def acquire(self, keyed):
                 with anyio.CancelScope(shield=True):
                     await anyio.sleep(60)
                 return Verdict(State.RUNNING, granted=True)
 
-            async def release(self, wish):
-                released.append(wish)
+            async def release(self, keyed):
+                released.append(keyed)
                 return True
 
         async def upstream(exchange):
--- a/tests/idempotency/test_client.py
+++ b/tests/idempotency/test_client.py
@@ -2,8 +2,9 @@
 
 import anyio
 
-from banyanseam.idempotency.client import HomeClient, make_wish
+from banyanseam.idempotency.client import HomeClient
 from banyanseam.idempotency.homes import Homes
+from banyanseam.idempotency.keyed_request import make_keyed_request
 from banyanseam.idempotency.mapping import make_mapping
 from banyanseam.idempotency.messages import KeyClaimed
 from banyanseam.idempotency.models import Scope
@@ -41,8 +42,8 @@
                     tasks.start_soon,
                 )
                 scope = Scope("acme", make_key(0.0))
-                wish = make_wish(scope, "clinic", "f", now_s, now_s + 30)
-                verdict = await client.acquire(wish)
+                keyed = make_keyed_request(scope, "clinic", "f", now_s, now_s + 30)
+                verdict = await client.acquire(keyed)
             self.assertTrue(verdict.granted)
 
         run_mocked(run)
