Close a connection whose refused body goes on trickling; test slow and forged input

Cause, found by the new test: a body that trickles in is refused after 20 s with 408 request.body_too_slow, but the connection stayed open for as long as bytes came, since uvicorn's limit on idle connections starts anew with each byte; the same holds after any refusal of a request whose body has not come. A caller could so hold connections for ever, of which a daemon takes 4,000. Change: once a request is answered before its body has come, the rest has 5 s. Ruled out: closing at once, which can lose the refusal to a reset; a limit on every body alone, as the refused one is not read any more.

tests.faults.test_ports tries on a real daemon: a header and a body that trickle, on the peers' port a wrong secret, a replayed handshake, a message that is too large and a peer that says nothing; meanwhile chats of others must all be whole and the daemon live. A peer with the right secret whose seat is not published is linked (a removed seat must still hear newer configurations) and must not be named as an entry.

--- a/banyanseam/server/const.py
+++ b/banyanseam/server/const.py
@@ -7,6 +7,8 @@
 MAX_URL_BYTES: Final = 8 * 1024
 HEADER_TIMEOUT_S: Final = 10
 HEADER_GRACE_S: Final = 0.25
+# How long the rest of a body may take whose request was refused before its end.
+UNREAD_BODY_S: Final = 5
 KEEP_ALIVE_S: Final = 30
 MAX_CONNECTIONS: Final = 4000
 LISTEN_BACKLOG: Final = 1024
--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -14,19 +14,24 @@
     MAX_HEADER_BYTES,
     MAX_HEADERS,
     MAX_URL_BYTES,
+    UNREAD_BODY_S,
     WRITE_BUFFER_BYTES,
 )
 from banyanseam.server.errors import HeaderTooLarge, HeaderTooSlow, TargetTooLong
 
 
 class LimitedProtocol(HttpToolsProtocol):
-    """Ends connections whose header is too large or does not arrive in time."""
+    """Ends connections whose header is too large or does not arrive in time.
+
+    A body has its time too once its request was refused before it arrived.
+    """
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         """Start counting with the first byte of the first request."""
         super().__init__(*args, **kwargs)
         self._header_bytes = 0
         self._header_timer: asyncio.TimerHandle | None = None
+        self._body_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: Any) -> None:
         """Give the first request's header its time."""
@@ -36,8 +41,9 @@
         self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the timer with the connection."""
+        """Stop the timers with the connection."""
         self._stop_header_timer()
+        self._stop_body_timer()
         super().connection_lost(exc)
 
     def on_message_begin(self) -> None:
@@ -66,6 +72,19 @@
         if not self.transport.is_closing():
             super().on_headers_complete()
 
+    def on_message_complete(self) -> None:
+        """Stop the timer; the connection may be used again."""
+        super().on_message_complete()
+        self._stop_body_timer()
+
+    def on_response_complete(self) -> None:
+        """Give the rest of a body that nobody reads any more its time."""
+        super().on_response_complete()
+        # Any byte puts off uvicorn's own time limit, so a trickle would hold the
+        # connection for ever. Closing at once could lose the refusal on its way.
+        if self.cycle.more_body and self._body_timer is None:
+            self._body_timer = self.loop.call_later(UNREAD_BODY_S, self.transport.close)
+
     def send_400_response(self, msg: str) -> None:
         """Refuse what is no HTTP, as uvicorn's own class asks."""
         self._refuse(RequestMalformed("no HTTP request"))
@@ -86,6 +105,11 @@
             self._header_timer.cancel()
             self._header_timer = None
 
+    def _stop_body_timer(self) -> None:
+        if self._body_timer is not None:
+            self._body_timer.cancel()
+            self._body_timer = None
+
     def _refuse(self, error: BanyanseamError) -> None:
         if self.transport.is_closing():
             return
--- a/tests/faults/test_ports.py
+++ b/tests/faults/test_ports.py
@@ -5,7 +5,12 @@
 import anyio
 import httpcore
 from uuid6 import uuid7
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
 
+from banyanseam.peers.errors import PeerRefused
+from banyanseam.peers.handshake import Handshake, dial_handshake
+from banyanseam.peers.messages import PeerIdentity, decode
 from banyanseam.pipe.const import VIA_NAME
 from standins.callers import CHAT_PATH, Caller
 from standins.fleet import Fleet, FleetPlan, OrganisationPlan, start_fleet
@@ -31,6 +36,33 @@
     b"content-length: 2\r\n\r\nab",
 }
 
+# What comes before a part that never ends, and the code of the refusal.
+TRICKLED = {
+    "header": (b"GET /v1/entries HTTP/1.1\r\nhost: a\r\nx: ", b"header_too_slow"),
+    "body": (
+        b"POST /v1/entries HTTP/1.1\r\nhost: a\r\ncontent-length: 999\r\n\r\n",
+        b"body_too_slow",
+    ),
+}
+TRICKLE_PAUSE_S = 0.1
+FORGED_SEAT = "gulf-9"
+
+
+async def trickle(address: str, start: bytes) -> bytes:
+    """Write bytes, then one at a time, and return the answer."""
+    host, port = address.rsplit(":", 1)
+    answer = b""
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        await stream.send(start)
+        try:
+            with anyio.fail_after(60):
+                while True:
+                    await stream.send(b"a")
+                    with anyio.move_on_after(TRICKLE_PAUSE_S):
+                        answer += await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return answer
+
 
 async def send_raw(address: str, data: bytes) -> bytes:
     """Write bytes to a port and return what it answers until it closes."""
@@ -85,6 +117,78 @@
 
         anyio.run(scenario)
 
+    def test_slow_callers_and_forged_peers_harm_nobody_else(self):
+        async def scenario():
+            async with (
+                start_fleet(FleetPlan(seats=1)) as fleet,
+                Caller(fleet.keys["acme"]) as caller,
+            ):
+                daemon = fleet.daemons["gulf-1"]
+                self.assertTrue((await caller.chat(daemon.callers_address)).is_whole)
+                answers: dict[str, bytes] = {}
+                chats = []
+
+                async def keep_trickling(name: str, start: bytes) -> None:
+                    answers[name] = await trickle(daemon.callers_address, start)
+
+                async with anyio.create_task_group() as tasks:
+                    for name, (start, _) in TRICKLED.items():
+                        tasks.start_soon(keep_trickling, name, start)
+                    await self.check_forged_peers(fleet)
+                    while len(answers) < len(TRICKLED):
+                        chats.append(await caller.chat(daemon.callers_address))
+                for name, (_, code) in TRICKLED.items():
+                    with self.subTest("trickled", part=name):
+                        self.assertTrue(answers[name].startswith(b"HTTP/1.1 408"))
+                        self.assertIn(code, answers[name])
+                self.assertEqual([one for one in chats if not one.is_whole], [])
+                self.assertTrue(daemon.child.is_running)
+
+        anyio.run(scenario)
+
+    async def check_forged_peers(self, fleet: Fleet) -> None:
+        """Check that who cannot prove to be of the fleet gets no link."""
+        daemon = fleet.daemons["gulf-1"]
+        settings = json.loads(daemon.settings_path.read_text())
+        secret = settings["fleet_secret"].encode()
+        sent: list[bytes] = []
+
+        async def shake(key: bytes, seat: str) -> PeerIdentity:
+            async with connect(f"ws://{daemon.peers_address}", proxy=None) as link:
+
+                async def send(data: bytes) -> None:
+                    sent.append(data)
+                    await link.send(data)
+
+                handshake = Handshake(PeerIdentity(seat, 1), key, lambda _: None)
+                return await dial_handshake(handshake, "gulf-1", send, link.recv)
+
+        with self.subTest("wrong secret"), self.assertRaises(PeerRefused):
+            await shake(b"another secret of the same kind", FORGED_SEAT)
+        with self.subTest("right secret"):
+            self.assertEqual((await shake(secret, FORGED_SEAT)).seat, "gulf-1")
+        for name, data, reason in (
+            ("replayed handshake", sent[-1], "the proof does not hold"),
+            ("too large", b"a" * (5 << 20), None),
+            ("silent", None, None),
+        ):
+            async with connect(f"ws://{daemon.peers_address}", proxy=None) as link:
+                with self.subTest(name), anyio.fail_after(20):
+                    await link.recv()
+                    if data is not None:
+                        await link.send(data)
+                    if reason is not None:
+                        refusal = decode(await link.recv()).message
+                        self.assertEqual(refusal.detail, reason)
+                    with self.assertRaises(ConnectionClosed):
+                        await link.recv()
+        with self.subTest("seat not published"):
+            async with Caller() as caller:
+                reply = await caller.request(
+                    "GET", daemon.callers_address, "/v1/entries"
+                )
+            self.assertNotIn(FORGED_SEAT, reply.content.decode())
+
     async def check_keys_of_others(
         self, fleet: Fleet, caller: Caller, address: str
     ) -> None:
