Test residency between two daemons on different configuration versions

One daemon binds the organisation to gulf, the other's version does not yet, or no more: the forward to delta is refused as residency.excluded with not_run, whichever of them is behind, and with both on the open version it is served. In memory, with the real Forwarder and ForwardServer.

Seen failing: ForwardServer._admit with its own rule alone, and with the forwarder's alone; each broke its own subtest.

--- a/tests/pipe/test_forward.py
+++ b/tests/pipe/test_forward.py
@@ -1,10 +1,21 @@
 import unittest
 
+import anyio
+
+from banyanseam.config.compile import compile_config
 from banyanseam.peers.errors import PeerUnreachable
 from banyanseam.peers.forward_messages import ForwardEnd, ForwardOpen
 from banyanseam.pipe.errors import ForwardFailed
 from banyanseam.pipe.forward import Forwarder
-from tests.common import FakeFabric, make_config, make_exchange, run_mocked
+from banyanseam.pipe.residency import bind_residency
+from banyanseam.pipe.serve_forwarded import ForwardServer
+from tests.common import (
+    FakeFabric,
+    make_config,
+    make_documents,
+    make_exchange,
+    run_mocked,
+)
 
 
 class ForwardTests(unittest.TestCase):
@@ -38,3 +49,47 @@
                         expected, reaches=reaches, was_started=was_started
                     )
                     self.assertEqual(exchange.upstream_started, was_started)
+
+    def test_of_two_versions_the_narrower_residency_holds(self):
+        open_config = make_config()
+        base, overlays = make_documents()
+        base["residency"] = {"home": {"regions": ["gulf"]}}
+        # Another organisation may still use the other regions.
+        base["organisations"]["other"] = {**base["organisations"]["acme"], "keys": []}
+        base["organisations"]["acme"]["residency"] = "home"
+        bound_config = compile_config(2, base, overlays)
+
+        async def forward(entry_config, server_config):
+            fabric = FakeFabric()
+            entry, delta = fabric.join("gulf-1"), fabric.join("delta-1")
+            served = []
+
+            async def serve(exchange):
+                served.append(exchange.request_id)
+
+            async with anyio.create_task_group() as tasks:
+                ForwardServer(delta, tasks, "delta", lambda: server_config, serve)
+                exchange = make_exchange(
+                    path="/v1/chat/completions",
+                    route=entry_config.routes["chat"],
+                    organisation=entry_config.organisations["acme"],
+                    deadline_s=anyio.current_time() + 5,
+                )
+                forwarder = Forwarder(entry)
+                failure = None
+                try:
+                    await bind_residency(
+                        exchange, lambda bound: forwarder.forward(bound, "delta-1")
+                    )
+                except ForwardFailed as error:
+                    failure = error
+            return served, failure
+
+        served, failure = run_mocked(forward, open_config, open_config)
+        self.assertEqual((served, failure), (["1"], None))
+        for versions in ((open_config, bound_config), (bound_config, open_config)):
+            with self.subTest(versions=[config.version for config in versions]):
+                served, failure = run_mocked(forward, *versions)
+                self.assertEqual(served, [])
+                self.assertEqual(failure.code, "residency.excluded")
+                self.assertTrue(failure.not_run)
