Hold a flooded quota to its bound on real daemons through kills, freezes and cuts

The bound was shown by property tests and by the soak, whose one organisation sends little more than its rate. Now six daemons, the second home of each region as its entry, meet a flood for a new organisation that starts with a full burst (in a fresh fleet homes start empty, which would hide up to a burst of excess). Gulf uses up the burst and borrows from the others, who want it back when the fault begins: the borrower and its lenders are killed and replaced twice, stopped for 8 s, cut off for 8 s, and cut off also from the platform while the borrower is replaced. The runs that the engines recorded must stay within rate x window + burst in every window.

Seen besides, no breach: after the first homes of all regions are replaced, entries admit nothing for about 6 s though their other homes hold half of the rate.

--- /dev/null
+++ b/tests/faults/test_quota_bound.py
@@ -0,0 +1,150 @@
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+
+from banyanseam.config.compile import compile_config
+from banyanseam.quota.parts import Parts
+from standins.fleet import Fleet, FleetPlan, OrganisationPlan, start_fleet
+from standins.fleet_plan import make_base
+from tests.faults.checks import check_quota
+from tests.faults.records import Records
+from tests.faults.scenario import (
+    LIMITED_BURST_TOKENS,
+    LIMITED_RATE_TOKENS_PER_S,
+    Traffic,
+    collect_runs,
+)
+
+CALLERS_PER_REGION = 6
+PAUSE_S = 0.02
+SPREAD_S = 5
+GATHER_S = 4
+# So many answers use up the burst.
+BURST_ANSWERS = 40
+# Longer than a loan's term, and than the time after which a process is woken.
+FAULT_S = 8
+SETTLE_S = 3
+DEADLINE_MS = 3000
+
+CauseFault = Callable[[Fleet, list[str]], Awaitable[None]]
+
+
+async def kill(fleet: Fleet, homes: list[str]) -> None:
+    """Replace the borrower's and the lenders' processes, twice."""
+    for _ in range(2):
+        async with anyio.create_task_group() as tasks:
+            for home in homes:
+                tasks.start_soon(fleet.restart, home)
+
+
+async def freeze(fleet: Fleet, homes: list[str]) -> None:
+    """Pause lenders and borrower for longer than the loans last."""
+    for home in homes:
+        fleet.freeze(home)
+    await anyio.sleep(FAULT_S)
+    for home in homes:
+        fleet.thaw(home)
+
+
+async def cut(fleet: Fleet, homes: list[str]) -> None:
+    """Cut the borrower's region off from the lenders."""
+    await fleet.isolate("gulf")
+    await anyio.sleep(FAULT_S)
+    await fleet.rejoin("gulf")
+
+
+async def cut_and_kill(fleet: Fleet, homes: list[str]) -> None:
+    """Cut the borrower's region off from all, and replace the borrower meanwhile."""
+    await fleet.isolate("gulf", with_platform=True)
+    await anyio.sleep(1)
+    fleet.kill(homes[0])
+    await anyio.sleep(FAULT_S)
+    await fleet.rejoin("gulf")
+    await fleet.restart(homes[0])
+
+
+FAULTS: tuple[CauseFault, ...] = (kill, freeze, cut, cut_and_kill)
+
+
+def leave_out(base: dict[str, Any], _: dict[str, Any]) -> None:
+    """Publish the organisations later: one that is new starts with a full burst."""
+    base["organisations"] = {}
+    base["routes"]["chat"]["deadline_ms"] = DEADLINE_MS
+
+
+PLAN = FleetPlan(
+    seats=2,
+    services=0,
+    delay_ms=5,
+    organisations={
+        fault.__name__: OrganisationPlan(
+            LIMITED_RATE_TOKENS_PER_S, LIMITED_BURST_TOKENS
+        )
+        for fault in FAULTS
+    },
+    engine_options={"stream_tokens_per_s": 1000, "memory_tokens": 1_000_000},
+    alter=leave_out,
+)
+
+
+class QuotaTests(unittest.TestCase):
+    def test_a_flood_through_kills_freezes_and_cuts_stays_within_the_bound(self):
+        async def scenario():
+            async with start_fleet(PLAN) as fleet:
+                for fault in FAULTS:
+                    with self.subTest(fault.__name__):
+                        records = await flood_through(fleet, fault)
+                        self.assertEqual(check_quota(records), [])
+                        whole = sum(one.is_whole for one in records.attempts)
+                        self.assertGreater(whole, BURST_ANSWERS)
+
+        anyio.run(scenario)
+
+
+async def flood_through(fleet: Fleet, fault: CauseFault) -> Records:
+    """Flood a new organisation's quota through a fault; return what was seen.
+
+    The entries never fail themselves, so that no request starts late.
+    """
+    name = fault.__name__
+    entries = await publish_organisation(fleet, name)
+    homes = [first for first, _ in entries.values()]
+    records = Records()
+    traffic = Traffic(fleet, records, seed=FAULTS.index(fault))
+    traffic.callers["limited"] = traffic.callers[name]
+    async with anyio.create_task_group() as tasks:
+        # Gulf uses up the burst and borrows from the others, who want it back only
+        # when the fault begins.
+        for region, (_, entry) in entries.items():
+            for _ in range(CALLERS_PER_REGION):
+                tasks.start_soon(flood, traffic, entry)
+            if region == "gulf":
+                await anyio.sleep(GATHER_S)
+        await fault(fleet, homes)
+        await anyio.sleep(SETTLE_S)
+        traffic.stopping = True
+    await collect_runs(fleet, records)
+    return records
+
+
+async def publish_organisation(fleet: Fleet, name: str) -> dict[str, list[str]]:
+    """Publish one organisation; return each region's home and its entry."""
+    plan = FleetPlan(organisations={name: PLAN.organisations[name]})
+    documents = make_base(plan, fleet.keys)["organisations"]
+    fleet.base["organisations"] |= documents
+    await fleet.publish()
+    await anyio.sleep(SPREAD_S)
+    config = compile_config(1, fleet.base, fleet.overlays)
+    return {
+        region: Parts().rank_homes(config, name, region)
+        for region in fleet.plan.regions
+    }
+
+
+async def flood(traffic: Traffic, entry: str) -> None:
+    """Ask again and again for more than the rate."""
+    while not traffic.stopping:
+        await traffic.chat_limited(traffic.fleet.daemons[entry])
+        await anyio.sleep(PAUSE_S)
