Let the network stream tell of the first byte written

Cause: the trace that told it made httpcore await ten coroutines for each request; httpcore's aiter_stream adds an iterator to each read, and h11's empty bodies reached the transport as writes. Change: the stream calls a function once before it writes; the response's stream is read itself; an empty write does nothing.

--- a/banyanseam/upstreams/client.py
+++ b/banyanseam/upstreams/client.py
@@ -9,7 +9,6 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
-from typing import Any
 
 import httpcore
 
@@ -105,20 +104,20 @@
         """
         is_started = False
 
-        async def trace(event: str, _: dict[str, Any]) -> None:
+        def note() -> None:
             nonlocal is_started
-            if event == "http11.send_request_headers.started" and not is_started:
-                is_started = True
-                note_started()
+            is_started = True
+            note_started()
 
-        message = _make_request(upstream, request, trace)
+        message = _make_request(upstream, request)
         connections = self._get_pool(upstream, request.is_idempotent)
         async with AsyncExitStack() as stack:
             try:
                 connection = await stack.enter_async_context(
                     connections.take(POOL_TIMEOUT_S)
                 )
-                response = await connection.handle_async_request(message)
+                connection.stream.before_write = note
+                response = await connection.http.handle_async_request(message)
                 stack.push_async_callback(response.aclose)
             except (httpcore.NetworkError, httpcore.ProtocolError) as error:
                 raise _translate(error, upstream, is_started) from error
@@ -174,16 +173,13 @@
     return headers
 
 
-def _make_request(
-    upstream: Upstream, request: UpstreamRequest, trace: Any
-) -> httpcore.Request:
+def _make_request(upstream: Upstream, request: UpstreamRequest) -> httpcore.Request:
     return httpcore.Request(
         method=request.method,
         url=_make_url(upstream, request.target),
         headers=make_headers(upstream, request),
         content=request.body,
         extensions={
-            "trace": trace,
             "timeout": {
                 "connect": CONNECT_TIMEOUT_S,
                 "pool": POOL_TIMEOUT_S,
@@ -229,7 +225,7 @@
     response: httpcore.Response, upstream: Upstream
 ) -> AsyncIterator[bytes]:
     try:
-        async for chunk in response.aiter_stream():
+        async for chunk in response.stream:
             yield chunk
     except (httpcore.NetworkError, httpcore.ProtocolError) as error:
         raise _translate(error, upstream, is_started=True) from error
--- a/banyanseam/upstreams/connections.py
+++ b/banyanseam/upstreams/connections.py
@@ -6,6 +6,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 import anyio
 import httpcore
@@ -15,7 +16,15 @@
     IDLE_CONNECTION_S,
     MAX_IDLE_CONNECTIONS,
 )
-from banyanseam.upstreams.network import connect
+from banyanseam.upstreams.network import UpstreamStream, connect
+
+
+@dataclass(frozen=True, slots=True)
+class Connection:
+    """A connection as HTTP and as the stream below."""
+
+    http: httpcore.AsyncHTTP11Connection
+    stream: UpstreamStream
 
 
 class Connections:
@@ -26,7 +35,7 @@
         self._origin = origin
         self._slots = anyio.Semaphore(limit, max_value=limit, fast_acquire=True)
         self._reuses = reuses
-        self._idle: list[httpcore.AsyncHTTP11Connection] = []
+        self._idle: list[Connection] = []
         self._open = 0
 
     @property
@@ -35,13 +44,11 @@
         return self._open == 0
 
     @asynccontextmanager
-    async def take(
-        self, timeout_s: float
-    ) -> AsyncIterator[httpcore.AsyncHTTP11Connection]:
+    async def take(self, timeout_s: float) -> AsyncIterator[Connection]:
         """Give a connection for one request; raise PoolTimeout when all are taken."""
         await self._take_slot(timeout_s)
         self._open += 1
-        connection: httpcore.AsyncHTTP11Connection | None = None
+        connection: Connection | None = None
         try:
             connection = await self._find_idle() or await self._connect()
             yield connection
@@ -54,14 +61,14 @@
     async def aclose(self) -> None:
         """Close the idle connections."""
         while self._idle:
-            await self._idle.pop().aclose()
+            await self._idle.pop().http.aclose()
 
-    async def _find_idle(self) -> httpcore.AsyncHTTP11Connection | None:
+    async def _find_idle(self) -> Connection | None:
         while self._idle:
             connection = self._idle.pop()
-            if not connection.has_expired():
+            if not connection.http.has_expired():
                 return connection
-            await connection.aclose()
+            await connection.http.aclose()
         return None
 
     async def _take_slot(self, timeout_s: float) -> None:
@@ -73,17 +80,18 @@
             if scope.cancelled_caught:
                 raise httpcore.PoolTimeout from None
 
-    async def _connect(self) -> httpcore.AsyncHTTP11Connection:
+    async def _connect(self) -> Connection:
         host, port = self._origin.host.decode(), self._origin.port
         stream = await connect(host, port, CONNECT_TIMEOUT_S)
-        return httpcore.AsyncHTTP11Connection(
+        http = httpcore.AsyncHTTP11Connection(
             self._origin, stream, keepalive_expiry=IDLE_CONNECTION_S
         )
+        return Connection(http, stream)
 
-    async def _put_back(self, connection: httpcore.AsyncHTTP11Connection) -> None:
+    async def _put_back(self, connection: Connection) -> None:
         is_kept = self._reuses and len(self._idle) < MAX_IDLE_CONNECTIONS
-        if is_kept and connection.is_idle():
+        if is_kept and connection.http.is_idle():
             self._idle.append(connection)
             return
         with anyio.CancelScope(shield=True):
-            await connection.aclose()
+            await connection.http.aclose()
--- a/banyanseam/upstreams/network.py
+++ b/banyanseam/upstreams/network.py
@@ -20,6 +20,8 @@
 
     def __init__(self) -> None:
         """Begin before the connection is made."""
+        # Called once, just before the next byte is written.
+        self.before_write: Callable[[], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._received = bytearray()
         self._is_at_end = False
@@ -77,6 +79,11 @@
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send data; raise WriteTimeout or WriteError."""
+        if not buffer:
+            return
+        if self.before_write is not None:
+            self.before_write()
+            self.before_write = None
         if not self._is_lost:
             self._transport.write(buffer)
         if not self._can_write():
