Let go of a chat request once it is read

Cause: the parsed request, as large as its body, stayed alive in the frame of the cost filter until the answer ended; the byte budget counts only the body. Change: it is read in a function of its own, and fields that the gateway does not read are left out as pydantic does by itself.

--- a/banyanseam/pipe/cost.py
+++ b/banyanseam/pipe/cost.py
@@ -18,7 +18,7 @@
 class ChatMessage(BaseModel):
     """One message of a chat request; parts beyond these pass unread."""
 
-    model_config = ConfigDict(extra="allow")
+    model_config = ConfigDict(extra="ignore")
 
     role: str
     content: str | list[dict[str, Any]] | None = None
@@ -27,7 +27,7 @@
 class ChatRequest(BaseModel):
     """The fields of a chat-completions request that the gateway reads."""
 
-    model_config = ConfigDict(extra="allow")
+    model_config = ConfigDict(extra="ignore")
 
     model: str = Field(min_length=1, max_length=200)
     messages: list[ChatMessage] = Field(min_length=1, max_length=10_000)
@@ -61,9 +61,14 @@
 async def set_cost(exchange: Exchange, next_: Next) -> None:
     """Set the cost; a plain service costs what its route says, its body unread."""
     if exchange.route.is_model:
-        chat = read_chat(exchange.body)
-        exchange.model = chat.model
-        exchange.cost = estimate_cost(chat, len(exchange.body))
+        _set_chat_cost(exchange)
     else:
         exchange.cost = Cost(exchange.route.cost_tokens, 0)
     await next_(exchange)
+
+
+def _set_chat_cost(exchange: Exchange) -> None:
+    # The request as read is as large as its body, and must not live with the answer.
+    chat = read_chat(exchange.body)
+    exchange.model = chat.model
+    exchange.cost = estimate_cost(chat, len(exchange.body))
--- /dev/null
+++ b/tests/pipe/test_cost.py
@@ -0,0 +1,20 @@
+import gc
+import unittest
+from types import SimpleNamespace
+
+from banyanseam.pipe.cost import ChatRequest, set_cost
+from tests.common import make_exchange, run_mocked
+
+
+class CostTests(unittest.TestCase):
+    def test_the_request_as_read_does_not_live_with_the_answer(self):
+        body = b'{"model": "oak", "messages": [{"role": "user", "content": "hi"}]}'
+        exchange = make_exchange(body=body, route=SimpleNamespace(is_model=True))
+        held = []
+
+        async def answer(_):
+            objects = gc.get_objects()
+            held.extend(one for one in objects if isinstance(one, ChatRequest))
+
+        run_mocked(set_cost, exchange, answer)
+        self.assertEqual((exchange.model, held), ("oak", []))
