Keep the collector off what stands since the start

Cause: each full pass of Python's collector looked through all that imports and configuration made, and held every request up meanwhile. Change: once the daemon serves, what stands is taken out of the collector's sight.

--- a/banyanseam/daemon/app.py
+++ b/banyanseam/daemon/app.py
@@ -1,5 +1,6 @@
 """The daemon: join the fleet, serve, stop as planned."""
 
+import gc
 import random
 import signal
 
@@ -84,6 +85,10 @@
         self.serving.start(tasks)
         tasks.start_soon(callers.serve)
         await callers.listening.wait()
+        # What stands by now stays: a collection that looked through all of it would
+        # hold every request up for tens of milliseconds.
+        gc.collect()
+        gc.freeze()
         self.view.control.begin_serving(tasks)
         log(DAEMON_READY, incarnation=self.view.incarnation.number)
         return callers
