Find route and regions of forwarded requests as for callers'

Cause: the serving side of a forward repeated what the route and residency filters do, so that a change to one could miss the other. Change: set_route and narrow_regions, which both call. No behaviour changes.

--- a/banyanseam/pipe/residency.py
+++ b/banyanseam/pipe/residency.py
@@ -22,10 +22,15 @@
     return narrow(route.regions, own)
 
 
-async def bind_residency(exchange: Exchange, next_: Next) -> None:
-    """Narrow the exchange's regions by the rules; refuse when none is left."""
+def narrow_regions(exchange: Exchange) -> None:
+    """Narrow the exchange's regions by the rules of its route and organisation."""
     allowed = find_regions(exchange.route, exchange.organisation)
     exchange.regions = narrow(exchange.regions, allowed)
+
+
+async def bind_residency(exchange: Exchange, next_: Next) -> None:
+    """Narrow the exchange's regions by the rules; refuse when none is left."""
+    narrow_regions(exchange)
     if exchange.regions is not None and not exchange.regions:
         raise ResidencyExcluded
     await next_(exchange)
--- a/banyanseam/pipe/route.py
+++ b/banyanseam/pipe/route.py
@@ -23,6 +23,14 @@
     raise RouteUnknown(path)
 
 
+def set_route(exchange: Exchange, route: Route) -> None:
+    """Note an exchange's route and whether a second run would do no harm there."""
+    exchange.route = route
+    exchange.is_idempotent = (
+        route.is_model or exchange.method in route.idempotent_methods
+    )
+
+
 def refuse_dot_segments(path: str) -> None:
     """Raise RequestMalformed for a path that an upstream could read as another."""
     if any(part in (".", "..") for part in path.replace("\\", "/").split("/")):
@@ -44,10 +52,7 @@
         found = find_route(get_config(), exchange.path)
         if exchange.organisation is None and not found.open_to_all:
             raise KeyMissing
-        exchange.route = found
-        exchange.is_idempotent = (
-            found.is_model or exchange.method in found.idempotent_methods
-        )
+        set_route(exchange, found)
         if exchange.is_idempotent:
             exchange.may_have_run = False
         exchange.fingerprint = make_fingerprint(exchange)
--- a/banyanseam/pipe/serve_forwarded.py
+++ b/banyanseam/pipe/serve_forwarded.py
@@ -23,8 +23,8 @@
 from banyanseam.pipe.authenticate import check_key
 from banyanseam.pipe.errors import DeadlineExceeded, KeyUnknown, ResidencyExcluded
 from banyanseam.pipe.models import Exchange, Headers, Next
-from banyanseam.pipe.residency import find_regions, narrow
-from banyanseam.pipe.route import find_route, make_fingerprint
+from banyanseam.pipe.residency import narrow_regions
+from banyanseam.pipe.route import find_route, make_fingerprint, set_route
 
 
 class RemoteSink:
@@ -149,15 +149,12 @@
             organisation = config.organisations.get(opened.organisation)
             if organisation is None:
                 raise KeyUnknown
-        exchange.route = route
+        set_route(exchange, route)
         exchange.organisation = organisation
         check_key(config, exchange)
-        exchange.regions = narrow(exchange.regions, find_regions(route, organisation))
+        narrow_regions(exchange)
         if exchange.regions is not None and self._region not in exchange.regions:
             raise ResidencyExcluded(f"not in {self._region}")
-        exchange.is_idempotent = (
-            route.is_model or exchange.method in route.idempotent_methods
-        )
 
 
 def _make_exchange(
