Hold the looks of explain against what would really happen

Cause: nothing compared a look with the charge or claim that it foretells. A table of a key's states did at once show one that differed: a key freed within the last two seconds was said to be free, while its claim is refused with idempotency.key_freed.

Change: the look refuses so too.

--- a/banyanseam/idempotency/memory.py
+++ b/banyanseam/idempotency/memory.py
@@ -88,11 +88,14 @@
     def look(self, scope: Scope, fingerprint: str | None, now_s: float) -> State | None:
         """Return how far a key's run has come, None for a new key; change nothing.
 
-        Raise KeyReused, AnswerNotKept or OutcomeUnknown as a claim would.
+        Raise KeyFreed, KeyReused, AnswerNotKept or OutcomeUnknown as a claim would.
         """
         record = self._records.get(scope)
         if record is None:
             return None
+        is_open = record.state in (State.FREE, State.RUNNING)
+        if is_open and now_s < record.freed_s + MAX_TRANSIT_S:
+            raise KeyFreed(retry_after_ms=int(MAX_TRANSIT_S * 1000))
         if record.state is State.FREE:
             return State.FREE
         if fingerprint not in (None, record.claim.fingerprint):
--- a/tests/idempotency/test_memory.py
+++ b/tests/idempotency/test_memory.py
@@ -1,3 +1,4 @@
+import copy
 import unittest
 from collections import Counter
 from dataclasses import replace
@@ -40,6 +41,40 @@
         self.memory.finish(first.scope, first.claim_id, DONE, 2.0)
         self.assertEqual(self.memory.claim(make_claim(3), 3.0).answer, ANSWER)
 
+    def test_a_look_tells_what_a_claim_would_get_and_changes_nothing(self):
+        first = make_claim(1)
+        scope, claim_id = first.scope, first.claim_id
+
+        def tell(act, *arguments):
+            try:
+                return act(*arguments)
+            except BanyanseamError as error:
+                return type(error)
+
+        steps = [
+            lambda: None,
+            lambda: self.memory.claim(first, 0.0),
+            lambda: self.memory.release(scope, claim_id, 1.0),
+            lambda: self.memory.claim(make_claim(2), 4.0),
+            lambda: self.memory.finish(scope, make_claim(2).claim_id, DONE, 5.0),
+            lambda: self.memory.finish(scope, make_claim(2).claim_id, End(False), 5.0),
+        ]
+        for step in steps:
+            step()
+            for now_s in (1.5, 4.5, 100.0):
+                for body in ("b", "other"):
+                    before = copy.deepcopy(self.memory)
+                    seen = tell(self.memory.look, scope, body, now_s)
+                    claim = make_claim(9, body=body)
+                    got = tell(before.claim, claim, now_s)
+                    if not isinstance(got, type):
+                        is_new = self.memory.find(scope) is None
+                        got = (
+                            None if is_new else State.FREE if got.granted else got.state
+                        )
+                    with self.subTest(now_s=now_s, body=body):
+                        self.assertEqual(seen, got)
+
     def test_another_body_is_refused(self):
         self.memory.claim(make_claim(1), 0.0)
         with self.assertRaises(KeyReused):
