--- a/banyanseam/config/const.py
+++ b/banyanseam/config/const.py
@@ -14,7 +14,11 @@
 # An answer holds one value of up to a megabyte, whose text may be escaped.
 MAX_REPLY_BYTES: Final = 2_500_000
 READERS_PER_REGION: Final = 2
-SLOW_POLL_S: Final = 30.0
+# What all processes that only poll may ask of the service together, at their slowest;
+# a small fleet polls at the floor, a very large one at the ceiling.
+POLL_CALLS_PER_S: Final = 100.0
+POLL_FLOOR_S: Final = 3.0
+POLL_CEILING_S: Final = 30.0
 # How often a process that polls slowly looks whether it became a reader.
 ROLE_CHECK_S: Final = 0.5
 # A pause is drawn from this share of its nominal length up to all of it.
--- a/banyanseam/daemon/probes.py
+++ b/banyanseam/daemon/probes.py
@@ -75,11 +75,15 @@
     def look_at_ticket(exchange: Exchange, key: str) -> ExplainStep:
         ticket = parts.desk.read(key, find_organisation(exchange))
         seat = ticket.seat
-        if parts.desk.is_mine(ticket):
-            return let_pass("idempotency", "this daemon issued the ticket", home=seat)
+        if parts.homes.covers(ticket):
+            reason = "this daemon has the records of the ticket's issuer"
+            return let_pass("idempotency", reason, home=seat)
+        if seat == view.settings.seat:
+            return refuse("idempotency", IssuerGone(), home=seat)
         newest = view.membership.incarnation_of(seat)
         if newest != ticket.incarnation or not view.membership.is_alive(seat):
-            return refuse("idempotency", IssuerGone(), home=seat)
+            reason = "its issuer has ended; a successor or standby may have its records"
+            return leave_open("idempotency", reason, home=seat)
         reason = f"it is passed to {seat}, which issued the ticket"
         return let_pass("idempotency", reason, home=seat)
 
--- a/banyanseam/idempotency/messages.py
+++ b/banyanseam/idempotency/messages.py
@@ -38,6 +38,8 @@
 class KeyMessage(Message):
     """What all messages about a key carry."""
 
+    # The home seat by the sender's configuration; a standby acts for more than one.
+    home: ShortText
     organisation: ShortText
     key: str = Field(min_length=1, max_length=MAX_KEY_LENGTH)
     claim_id: ClaimId
@@ -61,6 +63,16 @@
     age_ms: int = Field(ge=0)
 
 
+class ClaimTicket(ClaimKey):
+    """Ask whoever has the issuer's records for the one permission to run a ticket."""
+
+    kind = "idempotency.claim_ticket"
+
+    incarnation: int = Field(ge=0)
+    # On the issuer's clock.
+    expires_ms: int
+
+
 class KeyClaimed(Message):
     """What the claim got."""
 
@@ -75,6 +87,7 @@
 
     kind = "idempotency.look"
 
+    home: ShortText
     organisation: ShortText
     key: str = Field(min_length=1, max_length=MAX_KEY_LENGTH)
     route: ShortText
--- a/banyanseam/pipe/models.py
+++ b/banyanseam/pipe/models.py
@@ -82,6 +82,8 @@
     upstream_started: bool = False
     # True while an earlier send of the same idempotency key may have run.
     may_have_run: bool = False
+    # True where this daemon or the one that forwarded holds the key's one grant.
+    is_granted: bool = False
     upstream: str | None = None
     # When an upstream's room was granted.
     granted_s: float | None = None
@@ -114,7 +116,6 @@
 
 
 def _bind(filter_: Filter, step: Next) -> Next:
-    async def bound(exchange: Exchange) -> None:
-        await filter_(exchange, step)
-
-    return bound
+    # A coroutine here would be one more to walk through whenever the request goes
+    # on, which is once for each event of a stream.
+    return lambda exchange: filter_(exchange, step)
