--- a/banyanseam/cli/keys.py
+++ b/banyanseam/cli/keys.py
@@ -9,9 +9,9 @@
 
 from banyanseam.cli.const import KEY_BYTES, KEY_PREFIX
 from banyanseam.cli.output import emit, json_option
-from banyanseam.config.compile import validate_document
 from banyanseam.config.models import NAME_PATTERN, KeyDigest
 from banyanseam.config.split import shard_of
+from banyanseam.config.validate import validate_document
 
 
 @click.group("key")
--- a/banyanseam/config/snapshot.py
+++ b/banyanseam/config/snapshot.py
@@ -10,14 +10,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from banyanseam.config.compile import (
-    Rules,
-    Shard,
-    compile_shard,
-    compile_site,
-    join_parts,
-    validate_document,
-)
+from banyanseam.config.compile import join_parts
 from banyanseam.config.compiled import Config
 from banyanseam.config.const import (
     BASE_KEY,
@@ -27,6 +20,9 @@
 )
 from banyanseam.config.errors import InconsistentValues, InvalidConfig
 from banyanseam.config.models import BaseDocument
+from banyanseam.config.organisations import Rules, Shard, compile_shard
+from banyanseam.config.sites import compile_site
+from banyanseam.config.validate import validate_document
 
 Part = TypeVar("Part")
 
