--- a/tests/run.py
+++ b/tests/run.py
@@ -2,6 +2,7 @@
 
 import random
 import sys
+import time
 import unittest
 from pathlib import Path
 
@@ -13,6 +14,29 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
+SLOWEST = 10
+
+
+class TimedResult(unittest.TextTestResult):
+    """Keeps how long each test took, which decides nothing."""
+
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        """Begin without any."""
+        super().__init__(*args, **kwargs)
+        self.durations: list[tuple[float, str]] = []
+
+    def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        """Note the beginning."""
+        self.begun_s = time.monotonic()
+        super().startTest(test)
+
+    def stopTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        """Note the end."""
+        super().stopTest(test)
+        took_s = time.monotonic() - self.begun_s
+        self.durations.append((took_s, test.id()))
+
+
 def read_known_red() -> set[str]:
     """Return the dotted names that KNOWN-RED.txt lists, one entry a line."""
     if not KNOWN_RED.exists():
@@ -38,7 +62,7 @@
     suite = unittest.defaultTestLoader.discover(
         str(ROOT / "tests"), pattern=pattern, top_level_dir=str(ROOT)
     )
-    result = unittest.TextTestRunner(verbosity=1).run(suite)
+    result = unittest.TextTestRunner(verbosity=1, resultclass=TimedResult).run(suite)
     known = read_known_red()
     red = {test_name(case) for case, _ in result.failures + result.errors}
     red |= {test_name(case) for case in result.unexpectedSuccesses}
@@ -46,6 +70,8 @@
         print(f"KNOWN RED {name}")
     for name in sorted(red - known):
         print(f"RED {name}")
+    for took_s, name in sorted(result.durations, reverse=True)[:SLOWEST]:
+        print(f"{took_s:6.1f} s  {name}")
     passed = result.testsRun - len(red)
     print(f"{passed} passed, {len(red - known)} failed")
     return 1 if red - known or not result.testsRun else 0
