Keep the connections of a usual peak to an upstream

Cause: eight idle connections were kept for each upstream, so that sixteen callers at a time had a third of their requests connect anew (966 of 2,992). Change: 32 are kept, and whenever one comes back the one that rested longest is closed if its time is over; before, it could stay for as long as others were taken. Test: seen failing with eight.

--- a/banyanseam/upstreams/connections.py
+++ b/banyanseam/upstreams/connections.py
@@ -89,9 +89,15 @@
         return Connection(http, stream)
 
     async def _put_back(self, connection: Connection) -> None:
+        # The last one used is taken first, so the first here has rested longest.
+        if self._idle and self._idle[0].http.has_expired():
+            await self._close(self._idle.pop(0))
         is_kept = self._reuses and len(self._idle) < MAX_IDLE_CONNECTIONS
         if is_kept and connection.http.is_idle():
             self._idle.append(connection)
             return
+        await self._close(connection)
+
+    async def _close(self, connection: Connection) -> None:
         with anyio.CancelScope(shield=True):
             await connection.http.aclose()
--- a/banyanseam/upstreams/const.py
+++ b/banyanseam/upstreams/const.py
@@ -81,7 +81,7 @@
 WRITE_TIMEOUT_S: Final = 10.0
 # Room for polls and cancellations beside the requests in flight.
 SPARE_CONNECTIONS: Final = 4
-MAX_IDLE_CONNECTIONS: Final = 8
+MAX_IDLE_CONNECTIONS: Final = 32
 IDLE_CONNECTION_S: Final = 5.0
 # What a connection holds for a request that takes its answer slowly.
 READ_AHEAD_BYTES: Final = 64 * 1024
--- a/tests/upstreams/test_client.py
+++ b/tests/upstreams/test_client.py
@@ -146,6 +146,34 @@
         self.assertEqual(anyio.run(run, False), 3)
         self.assertEqual(anyio.run(run, True), 1)
 
+    def test_connections_of_a_peak_are_kept_for_the_next(self):
+        count = 20
+
+        async def run() -> int:
+            server = RawServer(*[OK + b"\r\nok"] * 2 * count, keeps_open=True)
+            async with server.run() as upstream:
+                client = UpstreamClient()
+                request = make_request(is_idempotent=True)
+
+                async def hold(opened: list, all_open: anyio.Event) -> None:
+                    async with client.open(upstream, request, lambda: None) as answer:
+                        opened.append(answer)
+                        if len(opened) == count:
+                            all_open.set()
+                        await all_open.wait()
+                        async for _ in answer.body:
+                            pass
+
+                for _ in range(2):
+                    opened, all_open = [], anyio.Event()
+                    async with anyio.create_task_group() as tasks:
+                        for _ in range(count):
+                            tasks.start_soon(hold, opened, all_open)
+                await client.aclose()
+            return server.connections
+
+        self.assertEqual(anyio.run(run), count)
+
     def test_no_upstream_sees_the_key(self):
         async def run() -> None:
             server = RawServer(OK + b"\r\nok")
