Take and give back connections without a stack of contexts

Cause: each request to an upstream entered an exit stack, in it a context for its connection, and wrapped the closing of the response in a callback. Change: one try for all three, in the same order; the errors of HTTP are named once.

--- a/banyanseam/upstreams/client.py
+++ b/banyanseam/upstreams/client.py
@@ -7,14 +7,14 @@
 """
 
 from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import httpcore
 
 from banyanseam.config.compiled import Upstream
 from banyanseam.errors import BanyanseamError
-from banyanseam.upstreams.connections import Connections
+from banyanseam.upstreams.connections import Connection, Connections
 from banyanseam.upstreams.const import (
     CONNECT_TIMEOUT_S,
     POOL_TIMEOUT_S,
@@ -32,6 +32,11 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+_HTTP_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
 _NOT_PASSED_ON = frozenset(
     {
         b"authorization",
@@ -111,17 +116,14 @@
 
         message = _make_request(upstream, request)
         connections = self._get_pool(upstream, request.is_idempotent)
-        async with AsyncExitStack() as stack:
+        connection: Connection | None = None
+        response: httpcore.Response | None = None
+        try:
             try:
-                connection = await stack.enter_async_context(
-                    connections.take(POOL_TIMEOUT_S)
-                )
+                connection = await connections.take(POOL_TIMEOUT_S)
                 connection.stream.before_write = note
                 response = await connection.http.handle_async_request(message)
-                stack.push_async_callback(response.aclose)
-            except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-                raise _translate(error, upstream, is_started) from error
-            except httpcore.TimeoutException as error:
+            except _HTTP_ERRORS as error:
                 raise _translate(error, upstream, is_started) from error
             _check_answer(upstream, request, response)
             yield UpstreamResponse(
@@ -129,6 +131,9 @@
                 headers=_lower_names(response.headers),
                 body=_read_body(response, upstream),
             )
+        finally:
+            if connection is not None:
+                await _end(connections, connection, response)
 
     async def close_idle(self, upstreams: dict[str, Upstream]) -> None:
         """Close the connections to addresses that are no longer published."""
@@ -227,12 +232,22 @@
     try:
         async for chunk in response.stream:
             yield chunk
-    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-        raise _translate(error, upstream, is_started=True) from error
-    except httpcore.TimeoutException as error:
+    except _HTTP_ERRORS as error:
         raise _translate(error, upstream, is_started=True) from error
 
 
+async def _end(
+    connections: Connections,
+    connection: Connection,
+    response: httpcore.Response | None,
+) -> None:
+    try:
+        if response is not None:
+            await response.aclose()
+    finally:
+        await connections.give_back(connection)
+
+
 def _translate(
     error: Exception, upstream: Upstream, is_started: bool
 ) -> BanyanseamError:
--- a/banyanseam/upstreams/connections.py
+++ b/banyanseam/upstreams/connections.py
@@ -4,8 +4,6 @@
 square of the streams that are open; here a request looks at the one that it takes.
 """
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import anyio
@@ -43,20 +41,23 @@
         """Say whether no request has a connection at present."""
         return self._open == 0
 
-    @asynccontextmanager
-    async def take(self, timeout_s: float) -> AsyncIterator[Connection]:
-        """Give a connection for one request; raise PoolTimeout when all are taken."""
+    async def take(self, timeout_s: float) -> Connection:
+        """Return a connection for one request, to be given back.
+
+        Raise PoolTimeout when all are taken, or what connecting raises.
+        """
         await self._take_slot(timeout_s)
         self._open += 1
-        connection: Connection | None = None
         try:
-            connection = await self._find_idle() or await self._connect()
-            yield connection
-        finally:
-            self._open -= 1
-            self._slots.release()
-            if connection is not None:
-                await self._put_back(connection)
+            return await self._find_idle() or await self._connect()
+        except BaseException:
+            self._leave_slot()
+            raise
+
+    async def give_back(self, connection: Connection) -> None:
+        """Keep a connection for the next request, or close it."""
+        self._leave_slot()
+        await self._put_back(connection)
 
     async def aclose(self) -> None:
         """Close the idle connections."""
@@ -80,6 +81,10 @@
             if scope.cancelled_caught:
                 raise httpcore.PoolTimeout from None
 
+    def _leave_slot(self) -> None:
+        self._open -= 1
+        self._slots.release()
+
     async def _connect(self) -> Connection:
         host, port = self._origin.host.decode(), self._origin.port
         stream = await connect(host, port, CONNECT_TIMEOUT_S)
