--- a/banyanseam/cli/orders.py
+++ b/banyanseam/cli/orders.py
@@ -7,7 +7,7 @@
 from banyanseam.server.operator_models import OrdersReply
 
 
-@click.command()
+@click.command(short_help="Show how far the engines have come.")
 @operators_option
 @json_option
 def orders(operators: str, as_json: bool) -> None:
--- a/banyanseam/server/operator_models.py
+++ b/banyanseam/server/operator_models.py
@@ -61,7 +61,7 @@
 
     upstream: str
     region: str
-    state: Literal["ready", "leaving", "ejected", "unknown"]
+    state: Literal["ready", "leaving", "unloaded", "ejected", "unknown"]
     # The seat that keeps its pool and so knows it; None while nobody does.
     keeper: str | None = None
     # Of the whole region, as its keeper counts.
--- a/banyanseam/upstreams/kept_upstream.py
+++ b/banyanseam/upstreams/kept_upstream.py
@@ -62,6 +62,8 @@
         state = "ready"
         if self.is_leaving or is_doubted:
             state = "leaving"
+        elif not self.is_loaded:
+            state = "unloaded"
         elif not self.health.may_send(now_s):
             state = "ejected"
         return UpstreamState(
--- a/banyanseam/upstreams/messages.py
+++ b/banyanseam/upstreams/messages.py
@@ -116,7 +116,7 @@
     """One upstream as its keeper sees it."""
 
     name: Name
-    state: Literal["ready", "leaving", "ejected"]
+    state: Literal["ready", "leaving", "unloaded", "ejected"]
     in_flight: int = Field(ge=0)
     held_tokens: Tokens
     # The largest request that may be granted now.
--- a/banyanseam/upstreams/models.py
+++ b/banyanseam/upstreams/models.py
@@ -76,7 +76,7 @@
     """How an upstream stands, as its keeper counts it."""
 
     name: str
-    state: Literal["ready", "leaving", "ejected"]
+    state: Literal["ready", "leaving", "unloaded", "ejected"]
     in_flight: int
     held_tokens: int
     free_tokens: int
--- /dev/null
+++ b/tests/upstreams/test_states.py
@@ -0,0 +1,34 @@
+import unittest
+
+from banyanseam.upstreams.const import FAILURES_TO_EJECT
+from banyanseam.upstreams.kept_upstream import KeptUpstream
+from banyanseam.upstreams.models import LoadReport
+from banyanseam.upstreams.terms import SMALL_REGION
+from tests.common import make_config
+
+
+class StateTests(unittest.TestCase):
+    def test_only_an_upstream_that_is_sent_requests_is_called_ready(self):
+        upstream = make_config().upstreams["gulf-engine-1"]
+        cases = [
+            ("ready", {"ready": None}, 0),
+            ("ready", {"ready": frozenset({"oak", "elm"})}, 0),
+            ("unloaded", {"ready": frozenset({"elm"})}, 0),
+            ("leaving", {"leaving": True}, 0),
+            ("ejected", {}, FAILURES_TO_EJECT),
+        ]
+        for wanted, fields, failures in cases:
+            with self.subTest(wanted=wanted, **fields):
+                kept = KeptUpstream(upstream, SMALL_REGION, 0.0)
+                known = {"held_tokens": 0, "queued_tokens": 0, "running": 0}
+                known |= {"leaving": False, "as_of_s": 0.0}
+                kept.observe(LoadReport(**(known | fields)), 0.0)
+                for _ in range(failures):
+                    kept.health.note_failure(0.0)
+                state = kept.describe_state(frozenset(), 0.1, is_doubted=False)
+                self.assertEqual(state.state, wanted)
+                self.assertEqual(state.state == "ready", kept.is_usable(0.1))
+
+
+if __name__ == "__main__":
+    unittest.main()
