--- a/banyanseam/daemon/probes.py
+++ b/banyanseam/daemon/probes.py
@@ -98,10 +98,9 @@
         try:
             seen = await parts.client.look(scope, route, fingerprint)
         except (PeerUnreachable, PeerCallLost) as error:
-            gone = HomeUnreachable(f"{seat}: {error.detail}")
-            return refuse("idempotency", gone, home=seat)
+            return refuse_at(seat, HomeUnreachable(error.detail))
         except BanyanseamError as error:
-            return refuse("idempotency", error, home=seat)
+            return refuse_at(seat, error)
         facts = {"home": seat, "state": seen.state}
         if seen.state == "running":
             reason = f"{seat} knows that it runs; its answer is awaited"
@@ -112,6 +111,10 @@
         reason = f"{seat} vouches that it has not run"
         return let_pass("idempotency", reason, **facts)
 
+    def refuse_at(seat: str, error: BanyanseamError) -> ExplainStep:
+        step = refuse("idempotency", error, home=seat)
+        return step.model_copy(update={"reason": f"its home {seat}: {error.detail}"})
+
     return probe
 
 
--- a/tests/daemon/test_probes.py
+++ b/tests/daemon/test_probes.py
@@ -116,7 +116,8 @@
         fleet.kill(home)
         (other,) = (one for one in fleet.daemons.values() if one.seat != home)
         lost = "idempotency.home_unreachable"
-        await self.wait_for(other, book(unsent), "idempotency", lost)
+        step = await self.wait_for(other, book(unsent), "idempotency", lost)
+        self.assertIn(home, step["reason"])
 
 
 class PoisonProbeTests(unittest.TestCase):
