--- a/banyanseam/daemon/app.py
+++ b/banyanseam/daemon/app.py
@@ -1,5 +1,6 @@
 """The daemon: join the fleet, serve, stop as planned."""
 
+import gc
 import random
 import signal
 
@@ -7,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from banyanseam.daemon.fleet_view import FleetView
-from banyanseam.daemon.lifecycle import drain
+from banyanseam.daemon.lifecycle import drain, leave
 from banyanseam.daemon.operations import make_operations
 from banyanseam.daemon.quota_parts import make_quota_parts
 from banyanseam.daemon.serving import Serving, make_serving
@@ -64,7 +65,7 @@
             callers = await self._start_serving(tasks)
             if callers is not None:
                 await self._wait_for_end()
-                await self._hand_over()
+                await leave(self.lifecycle, self._hand_over)
                 callers.should_exit = True
             operators.should_exit = True
             tasks.cancel_scope.cancel()
@@ -86,6 +87,10 @@
         self.serving.start(tasks)
         tasks.start_soon(callers.serve)
         await callers.listening.wait()
+        # What stands by now stays: a collection that looked through all of it would
+        # hold every request up for tens of milliseconds.
+        gc.collect()
+        gc.freeze()
         self.view.control.begin_serving(tasks)
         log(DAEMON_READY, incarnation=self.view.incarnation.number)
         return callers
--- a/banyanseam/quota/account.py
+++ b/banyanseam/quota/account.py
@@ -139,7 +139,7 @@
 
     def lend(
         self,
-        loan_id: str,
+        loan_id: bytes,
         borrower: str,
         wanted: Amount,
         room_tokens: float,
@@ -152,7 +152,7 @@
         loan = lending.find_loan(self.share, wanted, spare)
         return self.share.lend(loan_id, borrower, loan, now_s, room_tokens)
 
-    def renew(self, loan_id: str, now_s: float) -> bool:
+    def renew(self, loan_id: bytes, now_s: float) -> bool:
         """Let a borrower keep a loan for another term, unless it is needed here."""
         self.share.advance(now_s)
         demand = self.demand.measure(now_s)
@@ -160,7 +160,7 @@
             return False
         return self.share.renew(loan_id, now_s)
 
-    def is_loan_needed(self, loan_id: str, now_s: float) -> bool:
+    def is_loan_needed(self, loan_id: bytes, now_s: float) -> bool:
         """Say whether a borrowed loan should be renewed."""
         loan = self.share.ledger.borrowed[loan_id]
         demand = self.demand.measure(now_s)
@@ -189,6 +189,13 @@
         """Say whether a lender is not asked now."""
         return self.paused_lenders.get(seat, -math.inf) > now_s
 
+    def is_idle(self, now_s: float) -> bool:
+        """Say whether nothing is to be done until somebody charges, settles or asks."""
+        share = self.share
+        is_settled = not (self.waiting or share.outstanding or share.is_withheld)
+        has_loans = share.ledger.borrowed or share.ledger.asked
+        return is_settled and not has_loans and self.find_wanted(now_s).is_nothing
+
     def forget_old(self, now_s: float) -> None:
         """Drop results that no entry asks for again."""
         for charge_id, granted_s in list(self.granted.items()):
