Keep sessions on a warm cache up to half of an engine's memory

Cause: with real daemons, two engines in each region and sessions of growing histories, engines computed 154,144 prompt tokens; a probe at the keepers counted why a warm engine was left: 58 times for the bound on the mean load alone, 15 for prefill ahead, 4 for the step bound, of some 400 choices. The exemption of light loads ended at a quarter of the memory, and two engines that hold little differ from their mean by more than a quarter all the time.

Change: an engine with a warm prefix is exempt up to half of its memory, a merely preferred one not at all.

The test failed in both cases before the change.

--- a/banyanseam/upstreams/choose.py
+++ b/banyanseam/upstreams/choose.py
@@ -107,8 +107,9 @@
     mean_per_rate = (pool_load + demand.tokens) / pool_decode_tokens_per_s
     for candidate in in_order:
         bound = LOAD_BOUND * mean_per_rate * candidate.decode_tokens_per_s
-        # A small load is no reason to leave a warm cache, whatever the mean is.
-        bound = max(bound, LIGHT_LOAD_SHARE * candidate.memory_tokens)
+        if candidate.cached_tokens:
+            # Half a load is no reason to leave a warm cache, whatever the mean is.
+            bound = max(bound, LIGHT_LOAD_SHARE * candidate.memory_tokens)
         if candidate.running == 0 or candidate.held_tokens + demand.tokens <= bound:
             return candidate
     return min(candidates, key=lambda each: each.held_tokens)
--- a/banyanseam/upstreams/const.py
+++ b/banyanseam/upstreams/const.py
@@ -61,7 +61,7 @@
 # Short enough for most sessions, long enough to reach past a common preamble.
 RENDEZVOUS_BLOCK: Final = 3
 LOAD_BOUND: Final = 1.25
-LIGHT_LOAD_SHARE: Final = 0.25
+LIGHT_LOAD_SHARE: Final = 0.5
 
 # Other regions.
 # A pool's row older than this says nothing.
--- a/bench/deployed.py
+++ b/bench/deployed.py
@@ -25,8 +25,8 @@
     "prefixes": measure_prefixes,
     "weights": measure_weights,
     "cut": measure_cut,
-    "deaths": measure_deaths,
     "poison": measure_poison,
+    "deaths": measure_deaths,
 }
 
 
--- a/tests/upstreams/test_choose.py
+++ b/tests/upstreams/test_choose.py
@@ -74,6 +74,16 @@
                 chosen = self.pick(*candidates, preferred=preferred)
                 self.assertEqual(chosen, expected)
 
+    def test_only_a_warm_cache_is_worth_a_lasting_load(self):
+        idle = make_candidate("a")
+        for cached, held, expected in ((900, 3_500, "b"), (0, 1_000, "a")):
+            with self.subTest(cached=cached):
+                loaded = make_candidate(
+                    "b", cached_tokens=cached, held_tokens=held, running=3
+                )
+                chosen = self.pick(idle, loaded, load=held, preferred="b")
+                self.assertEqual(chosen, expected)
+
 
 class PickPlaceTests(unittest.TestCase):
     def pick(self, pools, regions, spill=None, now_s=NOW_S, seed=1):
