--- a/banyanseam/idempotency/handover.py
+++ b/banyanseam/idempotency/handover.py
@@ -15,7 +15,6 @@
 )
 from banyanseam.idempotency.handover_messages import (
     KeysOffered,
-    KeysPage,
     KeysTaken,
     OfferKeys,
     TakeKeys,
@@ -36,7 +35,7 @@
 from banyanseam.idempotency.models import Claim, End, Scope, Verdict
 from banyanseam.idempotency.standbys import list_standbys
 from banyanseam.idempotency.tickets import Ticket
-from banyanseam.idempotency.transfer import Snapshot, make_page, read_pages
+from banyanseam.idempotency.transfer import Assembly, Snapshot, make_page
 from banyanseam.observe.events import (
     KEYS_HANDED_OVER,
     KEYS_NOT_HANDED_OVER,
@@ -218,15 +217,16 @@
 
 
 async def _take(standby: str, network: Network) -> Snapshot | None:
-    pages: list[KeysPage] = []
-    while not pages or len(pages) < pages[0].pages:
+    assembly = Assembly()
+    snapshot = None
+    while snapshot is None:
         reply = await network.call(
-            standby, TakeKeys(page=len(pages)), KeysTaken, HAND_OVER_TIMEOUT_S
+            standby, TakeKeys(page=assembly.pages), KeysTaken, HAND_OVER_TIMEOUT_S
         )
         if reply.content is None:
             return None
-        pages.append(reply.content)
-    return read_pages(pages, anyio.current_time())
+        snapshot = assembly.add(reply.content, anyio.current_time())
+    return snapshot
 
 
 def make_restart(
--- a/banyanseam/idempotency/homes.py
+++ b/banyanseam/idempotency/homes.py
@@ -25,7 +25,7 @@
 from banyanseam.idempotency.models import Record
 from banyanseam.idempotency.standbys import find_region_seats, list_standbys
 from banyanseam.idempotency.tickets import Ticket
-from banyanseam.idempotency.transfer import Snapshot, make_page, read_pages
+from banyanseam.idempotency.transfer import Assembly, Snapshot, make_page
 from banyanseam.peers.messages import PeerIdentity
 
 
@@ -63,7 +63,7 @@
         self._wall_clock = wall_clock
         self._acting: dict[str, _Acting] = {}
         self._given: dict[str, _Given] = {}
-        self._offered: dict[str, list[KeysPage]] = {}
+        self._offered: dict[str, Assembly] = {}
         self._newest: dict[str, int] = {}
 
     @property
@@ -151,16 +151,16 @@
         if page.home in self._acting:
             # The last page again: its answer was lost.
             return True
-        pages = self._offered.setdefault(page.home, [])
         if page.page == 0:
-            pages.clear()
-        if page.page == len(pages):
-            pages.append(page)
-        elif page.page > len(pages):
+            self._offered[page.home] = Assembly()
+        assembly = self._offered.get(page.home)
+        if assembly is None or page.page > assembly.pages:
             return False
-        if len(pages) == page.pages:
-            del self._offered[page.home]
-            self._act(read_pages(pages, anyio.current_time()))
+        if page.page == assembly.pages:
+            snapshot = assembly.add(page, anyio.current_time())
+            if snapshot is not None:
+                del self._offered[page.home]
+                self._act(snapshot)
         return True
 
     def give_page(self, taker: PeerIdentity, number: int) -> KeysPage | None:
--- a/banyanseam/idempotency/transfer.py
+++ b/banyanseam/idempotency/transfer.py
@@ -60,9 +60,24 @@
     )
 
 
-def read_pages(pages: list[KeysPage], now_s: float) -> Snapshot:
-    """Return the snapshot of whole pages, on the clock of the process that reads."""
-    last = pages[-1]
+class Assembly:
+    """The pages of one snapshot as they arrive, each read at once."""
+
+    def __init__(self) -> None:
+        """Begin without a page."""
+        self.pages = 0
+        self._records: list[Record] = []
+
+    def add(self, page: KeysPage, now_s: float) -> Snapshot | None:
+        """Take the next page; return the snapshot with the last one."""
+        self._records += [unpack_record(body, now_s) for body in page.records]
+        self.pages += 1
+        if self.pages < page.pages:
+            return None
+        return _read_snapshot(page, self._records, now_s)
+
+
+def _read_snapshot(last: KeysPage, records: list[Record], now_s: float) -> Snapshot:
     return Snapshot(
         last.home,
         last.incarnation,
@@ -74,7 +89,7 @@
             issuer: now_s - clock_ms / 1000
             for issuer, clock_ms in last.issuer_clocks_ms.items()
         },
-        [unpack_record(body, now_s) for page in pages for body in page.records],
+        records,
     )
 
 
--- /dev/null
+++ b/bench/handover.py
@@ -0,0 +1,72 @@
+"""What it costs to hand a full memory of idempotency keys over at a planned stop."""
+
+import time
+from dataclasses import dataclass
+from itertools import pairwise
+
+from banyanseam.idempotency.const import MEMORY_BYTES, RETENTION_S
+from banyanseam.idempotency.handover_messages import OfferKeys
+from banyanseam.idempotency.memory import Memory
+from banyanseam.idempotency.models import Answer, Claim, End, Scope
+from banyanseam.idempotency.transfer import Assembly, Snapshot, make_page
+from banyanseam.peers.messages import Envelope, decode, encode
+
+ANSWER_BYTES = 300
+ORGANISATIONS = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Figures of one handover."""
+
+    keys: int
+    pages: int
+    sent_bytes: int
+    total_s: float
+    # The longest time that packing, sending or reading one page holds the loop.
+    longest_s: float
+
+
+def fill_memory() -> Memory:
+    """Return a memory with room for no other key."""
+    memory = Memory()
+    number = 0
+    while memory.held_bytes < MEMORY_BYTES - 2 * (ANSWER_BYTES + 1000):
+        scope = Scope(f"organisation-{number % ORGANISATIONS}", f"{number:036}")
+        claim = Claim(scope, "f" * 64, number.to_bytes(16), "gulf-1", 1, 30.0)
+        memory.claim(claim, 0.0, stamp_s=0.0)
+        answer = Answer(201, [(b"content-type", b"text/plain")], b"x" * ANSWER_BYTES)
+        memory.finish(scope, claim.claim_id, End(True, answer), 0.0)
+        number += 1
+    return memory
+
+
+def measure() -> Cost:
+    """Hand a full memory over as messages do, without the network."""
+    memory = fill_memory()
+    records = memory.list_records()
+    snapshot = Snapshot("gulf-1", 1, b"", 0.0, RETENTION_S, 0.0, {}, records)
+    parts = snapshot.split()
+    assembly = Assembly()
+    sent_bytes, marks_s = 0, [time.perf_counter()]
+    for number in range(len(parts)):
+        data = pack(snapshot, parts, number)
+        marks_s.append(time.perf_counter())
+        assembly.add(decode(data).message.content, 0.0)
+        marks_s.append(time.perf_counter())
+        sent_bytes += len(data)
+    longest_s = max(after - before for before, after in pairwise(marks_s))
+    return Cost(
+        len(records), len(parts), sent_bytes, marks_s[-1] - marks_s[0], longest_s
+    )
+
+
+def pack(snapshot: Snapshot, parts: list, number: int) -> bytes:
+    """Return a page as it is sent."""
+    content = make_page(snapshot, parts, number, 0.0)
+    return encode(Envelope(1, False, OfferKeys(content=content)))
+
+
+if __name__ == "__main__":
+    for _ in range(3):
+        print(measure())
