Break real answers on their way: each is whole or visibly broken

Now chats run on a real engine, through its own region's daemon and through another region's, streamed and not. After their first token the connection is dropped, the answer ends early, the resumed answer bears another id, the link between the regions is reset, cut for 2 s or for good, or the engine is killed. What the caller has must be the answer's beginning, of its own id; what is not whole must say so, and never claim not run, as the engine ran it.

Seen besides, not mended: when the only upstream of a model breaks an answer before the caller got a byte, the retry waits for another upstream until the deadline or the queue's patience, though none can come; the caller hears of the failure 15 s late.

--- a/tests/faults/test_path.py
+++ b/tests/faults/test_path.py
@@ -1,10 +1,86 @@
+import signal
 import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
 
-from standins.callers import Caller
+from standins.callers import Caller, ChatResult
 from standins.fleet import Fleet, FleetPlan, start_fleet
 
+ENGINE = "gulf-engine-1"
+LONG_TOKENS = 100
+CUT_S = 2
+DEADLINE_MS = 10_000
+REACH_TIMEOUT_S = 30
+
+
+async def drop(fleet: Fleet) -> None:
+    """Let the engine lose the connection amid its answer."""
+    await fleet.set_upstream_faults(ENGINE, drop_next="mid_stream")
+
+
+async def truncate(fleet: Fleet) -> None:
+    """Let the engine end the answer early, as if it were whole."""
+    await fleet.set_upstream_faults(ENGINE, truncate=True)
+
+
+async def cross(fleet: Fleet) -> None:
+    """Let the next answer of the engine bear another request's id."""
+    await fleet.set_upstream_faults(ENGINE, crossed=True, drop_next="mid_stream")
+
+
+async def die(fleet: Fleet) -> None:
+    """Kill the engine."""
+    fleet.upstreams[ENGINE].child.signal(signal.SIGKILL)
+
+
+async def reset(fleet: Fleet) -> None:
+    """Break the connections between caller's and engine's regions."""
+    await fleet.reset("gulf", "delta")
+
+
+async def cut_shortly(fleet: Fleet) -> None:
+    """Let nothing pass between the regions for a moment."""
+    await fleet.cut("gulf", "delta")
+    await anyio.sleep(CUT_S)
+    await fleet.heal("gulf", "delta")
+
+
+async def cut(fleet: Fleet) -> None:
+    """Let nothing pass between the regions any more."""
+    await fleet.cut("gulf", "delta")
+
+
+Break = Callable[[Fleet], Awaitable[None]]
+# What happens while an answer is under way, the entry, and whether it is a stream.
+BREAKS: tuple[tuple[Break, str, bool], ...] = (
+    (drop, "gulf-1", True),
+    (drop, "delta-1", True),
+    (drop, "delta-1", False),
+    (truncate, "gulf-1", True),
+    (truncate, "delta-1", False),
+    (cross, "delta-1", True),
+    (cross, "gulf-1", False),
+    (reset, "delta-1", True),
+    (reset, "delta-1", False),
+    (cut_shortly, "delta-1", True),
+    (cut, "delta-1", True),
+    (cut, "delta-1", False),
+    (die, "delta-1", True),
+    (die, "gulf-1", False),
+)
+
+
+def shorten_deadline(base: dict[str, Any], _: dict[str, Any]) -> None:
+    """Let an answer that a cut holds up end soon."""
+    base["routes"]["chat"]["deadline_ms"] = DEADLINE_MS
+
+
+PLAN = FleetPlan(
+    seats=1, engine_options={"stream_tokens_per_s": 100}, alter=shorten_deadline
+)
+
 
 async def leave_engines_to_gulf(fleet: Fleet) -> None:
     """Publish that only gulf has a model engine."""
@@ -41,6 +117,36 @@
 
         anyio.run(scenario)
 
+    def test_a_broken_answer_is_whole_or_visibly_broken(self):
+        async def scenario():
+            async with (
+                start_fleet(PLAN) as fleet,
+                Caller(fleet.keys["acme"]) as caller,
+            ):
+                await leave_engines_to_gulf(fleet)
+                for case in BREAKS:
+                    await self.wait_for_remote_answer(fleet, caller)
+                    with self.subTest(case):
+                        self.check_answer(await break_answer(fleet, caller, *case))
+                    await fleet.heal("gulf", "delta")
+                    if not fleet.upstreams[ENGINE].child.is_running:
+                        await fleet.restart_upstream(ENGINE)
+                for daemon in fleet.daemons.values():
+                    self.assertTrue(daemon.child.is_running)
+
+        anyio.run(scenario)
+
+    def check_answer(self, result: ChatResult) -> None:
+        expected = [f"w{number}" for number in range(1, LONG_TOKENS + 1)]
+        self.assertEqual(result.words, expected[: len(result.words)])
+        self.assertLessEqual(result.chunk_ids, {result.headers.get("x-request-id")})
+        if result.is_whole:
+            self.assertEqual(result.words, expected)
+        else:
+            self.assertTrue(result.broken or result.problem, result)
+            self.assertFalse(result.is_done)
+            self.assertFalse(result.problem and result.problem["not_run"])
+
     async def wait_for_remote_answer(self, fleet: Fleet, caller: Caller) -> None:
         address = fleet.daemons["delta-1"].callers_address
         with anyio.fail_after(30):
@@ -51,3 +157,34 @@
                 runs = await fleet.list_runs("gulf-engine-1")
                 if remote.headers["x-request-id"] in str(runs):
                     return
+
+
+async def break_answer(
+    fleet: Fleet, caller: Caller, cause: Break, entry: str, is_stream: bool
+) -> ChatResult:
+    """Ask for a long answer, break it on its way and return what the caller saw."""
+    results = []
+    known = len(await fleet.list_runs(ENGINE))
+
+    async def ask() -> None:
+        # A request that was running when its engine died is refused when sent again.
+        content = f"{cause.__name__} {entry} {is_stream}"
+        results.append(
+            await caller.chat(
+                fleet.daemons[entry].callers_address,
+                content,
+                max_tokens=LONG_TOKENS,
+                stream=is_stream,
+            )
+        )
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        with anyio.fail_after(REACH_TIMEOUT_S):
+            while True:
+                runs = (await fleet.list_runs(ENGINE))[known:]
+                if runs and runs[-1]["tokens"]:
+                    break
+                await anyio.sleep(0.02)
+        await cause(fleet)
+    return results[0]
