--- a/bench/deployed_faults.py
+++ b/bench/deployed_faults.py
@@ -1,7 +1,6 @@
 """Floods of memory, poison requests and a cut region with real daemons."""
 
 import itertools
-from collections import Counter
 
 import anyio
 
@@ -82,7 +81,6 @@
 async def measure_poison(bench: Bench) -> None:
     """Count the engines that a resent poison request kills."""
     killed, bystanders = await _send_poison(bench, "a CRASH")
-    print(Counter(one.code or one.broken for one in bystanders if not one.is_whole))
     await bench.switch(NO_GUARD)
     killed_unguarded, _ = await _send_poison(bench, "another CRASH")
     await bench.switch(OURS)
