Ping a link only once it fell silent

Cause: a profile of a daemon among nine showed 314 of 1,087 frames sent to be pings and pongs: both ends of each link pinged every 4 s, whether messages crossed it or not.

Change: a connection notes when it was heard; it pings after 4 s of silence and is dropped after 4 s more, as soon as before. Ruled out: pings by one end only, since the other end must notice a peer that stands still as well.

Conclusion: links that carry heartbeats or renewals prove themselves; the rest are pinged.

--- a/banyanseam/peers/network.py
+++ b/banyanseam/peers/network.py
@@ -29,6 +29,7 @@
 )
 from banyanseam.peers.handshake import Handshake, dial_handshake, listen_handshake
 from banyanseam.peers.incarnation import Incarnation
+from banyanseam.peers.keepalive import DiallingConnection, ListeningConnection
 from banyanseam.peers.link import Handlers, Link
 from banyanseam.peers.messages import Message, PeerIdentity
 from banyanseam.settings import TlsSettings
@@ -130,7 +131,14 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             context = self._make_tls(ssl.Purpose.CLIENT_AUTH)
-            async with serve(self._welcome, host, port, ssl=context, **_OPTIONS):
+            async with serve(
+                self._welcome,
+                host,
+                port,
+                ssl=context,
+                create_connection=ListeningConnection,
+                **_OPTIONS,
+            ):
                 started.set()
                 await anyio.sleep_forever()
 
@@ -207,7 +215,11 @@
         try:
             with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
                 connection = await connect(
-                    f"{scheme}://{address}", ssl=context, proxy=None, **_OPTIONS
+                    f"{scheme}://{address}",
+                    ssl=context,
+                    proxy=None,
+                    create_connection=DiallingConnection,
+                    **_OPTIONS,
                 )
                 peer = await dial_handshake(
                     self._shake(), seat, connection.send, connection.recv
--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -1,12 +1,13 @@
 import unittest
 from contextlib import asynccontextmanager, nullcontext
+from functools import partial
 from unittest.mock import patch
 
 import anyio
 from websockets.asyncio.client import connect
 
 from banyanseam.errors import BanyanseamError
-from banyanseam.peers import handshake
+from banyanseam.peers import handshake, keepalive
 from banyanseam.peers.errors import (
     PeerCallFailed,
     PeerCallLost,
@@ -19,6 +20,7 @@
 from banyanseam.peers.incarnation import Incarnation
 from banyanseam.peers.messages import Message, PeerIdentity
 from banyanseam.peers.network import PeerNetwork
+from tests.common import wait_until
 
 SECRET = b"a secret of the fleet"
 
@@ -107,6 +109,40 @@
 
         self.run_async(scenario)
 
+    def test_pings_only_break_a_silence_and_silent_peers_are_dropped(self):
+        async def scenario():
+            addresses = {}
+            pings = []
+            ping = keepalive.SilenceKeepalive.ping
+
+            async def count(connection):
+                pings.append(connection)
+                return await ping(connection)
+
+            async def stand_still(connection):
+                return connection.loop.create_future()
+
+            patch_ping = partial(patch.object, keepalive.SilenceKeepalive, "ping")
+            async with running("a", addresses) as a, running("b", addresses) as b:
+                b.handle_call(Ask, echo)
+                lost = anyio.Event()
+                a.watch_lost_links(lambda _: lost.set())
+                with patch_ping(count):
+                    for _ in range(40):
+                        await a.call("b", Ask(text="hi"), Ask, 5)
+                        await anyio.sleep(0.02)
+                    self.assertEqual(pings, [])
+                    await wait_until(lambda: len(pings) > 2)
+                    self.assertFalse(lost.is_set())
+                with patch_ping(stand_still):
+                    await lost.wait()
+
+        with (
+            patch.object(keepalive, "PING_INTERVAL_S", 0.8),
+            patch.object(keepalive, "PING_TIMEOUT_S", 0.8),
+        ):
+            self.run_async(scenario)
+
     def test_nothing_was_sent_when_nobody_listens(self):
         async def scenario():
             addresses = {"gone": "127.0.0.1:1"}
