--- a/banyanseam/peers/network.py
+++ b/banyanseam/peers/network.py
@@ -30,6 +30,7 @@
 )
 from banyanseam.peers.handshake import Handshake, dial_handshake, listen_handshake
 from banyanseam.peers.incarnation import Incarnation
+from banyanseam.peers.keepalive import DiallingConnection, ListeningConnection
 from banyanseam.peers.link import Handlers, Link
 from banyanseam.peers.messages import Message, PeerIdentity
 from banyanseam.settings import TlsSettings
@@ -135,7 +136,14 @@
             self._tasks = tasks
             try:
                 context = self._make_tls(ssl.Purpose.CLIENT_AUTH)
-                server = serve(self._welcome, host, port, ssl=context, **_OPTIONS)
+                server = serve(
+                    self._welcome,
+                    host,
+                    port,
+                    ssl=context,
+                    create_connection=ListeningConnection,
+                    **_OPTIONS,
+                )
                 async with server:
                     started.set()
                     await anyio.sleep_forever()
@@ -215,7 +223,11 @@
         try:
             with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
                 connection = await connect(
-                    f"{scheme}://{address}", ssl=context, proxy=None, **_OPTIONS
+                    f"{scheme}://{address}",
+                    ssl=context,
+                    proxy=None,
+                    create_connection=DiallingConnection,
+                    **_OPTIONS,
                 )
                 peer = await dial_handshake(
                     self._shake(), seat, connection.send, connection.recv
