Seek elsewhere at once when a pool has nothing in use, and wait for none tried

Cause, found with real engines: for up to a second after the ejection of a region's only upstream, requests were refused with upstreams.none_available though other regions could serve them, since the entry chose the pool by an older row and the keeper's refusal ended the request. And a retry waited until its deadline where each upstream that may serve it had failed it already: a caller heard of a broken answer 15 s late.

Change: the keeper tells a pool out of use from one that is only avoided (upstreams.none_usable); the entry notes it and seeks again. Where all were tried, the choice says so and nothing is waited for (upstreams.all_tried). Ruled out: carrying the row in the refusal (the error says all), and marking the pool for a request that avoids some of it, which would mislead the other requests.

Also: the text of peers.refused named a check of unknown seats, which there is not: a seat that was taken out must still hear of newer configurations.

--- a/banyanseam/peers/errors.py
+++ b/banyanseam/peers/errors.py
@@ -43,7 +43,7 @@
 
 
 class PeerRefused(BanyanseamError):
-    """The peer refused the link: wrong proof, unknown seat, newer incarnation."""
+    """The peer refused the link: wrong proof or a newer process at the seat."""
 
     code = "peers.refused"
     event = 1202
--- a/banyanseam/pipe/queue.py
+++ b/banyanseam/pipe/queue.py
@@ -11,6 +11,8 @@
 from banyanseam.upstreams.choose import LocalPool, Place, RemoteRegion
 from banyanseam.upstreams.const import PLACE_RETRY_S, SEEK_AGAIN_S
 from banyanseam.upstreams.errors import (
+    AllTried,
+    NoneUsable,
     NoUpstreamAllowed,
     NoUpstreamAvailable,
     UpstreamFailed,
@@ -46,6 +48,12 @@
             try:
                 await run_at_place(exchange, next_, give_up_s)
                 return
+            except NoneUsable:
+                # The place was chosen by an older word of its keeper.
+                if anyio.current_time() + PLACE_RETRY_S >= give_up_s:
+                    raise
+                await anyio.sleep(PLACE_RETRY_S)
+                continue
             except (UpstreamUnreachable, NoUpstreamAvailable) as error:
                 failure = failure or error
                 if not _may_seek_again(exchange, give_up_s):
@@ -66,7 +74,11 @@
                 if not error.not_run or exchange.upstream_started:
                     raise
                 place = _choose_local(places, exchange, serves, demand, error)
-        grant = await _reserve_usable(room, place.pool, demand, give_up_s)
+        try:
+            grant = await _reserve_usable(room, place.pool, demand, give_up_s)
+        except NoneUsable:
+            places.note_unusable(place.pool, anyio.current_time())
+            raise
         await _use(room, grant, exchange, next_, recheck)
 
     return queue
@@ -91,6 +103,8 @@
                 exchange.regions,
                 may_forward=exchange.forwarder is None,
             )
+        except AllTried:
+            raise
         except NoUpstreamAvailable:
             if anyio.current_time() + PLACE_RETRY_S >= give_up_s:
                 raise
--- a/banyanseam/upstreams/errors.py
+++ b/banyanseam/upstreams/errors.py
@@ -23,6 +23,22 @@
     not_run = True
 
 
+class NoneUsable(NoUpstreamAvailable):
+    """Every upstream of the asked pool is out of use: another place may serve."""
+
+    code = "upstreams.none_usable"
+    event = 1410
+    title = "Every upstream of the pool is out of use"
+
+
+class AllTried(NoUpstreamAvailable):
+    """Every upstream that may serve the request has failed it already."""
+
+    code = "upstreams.all_tried"
+    event = 1411
+    title = "Every upstream that may serve the request was tried in vain"
+
+
 class RequestTooLarge(BanyanseamError):
     """The request would not fit in any allowed upstream, even in an idle one."""
 
--- a/banyanseam/upstreams/keeper.py
+++ b/banyanseam/upstreams/keeper.py
@@ -21,7 +21,7 @@
     MIN_POLL_PERIOD_S,
 )
 from banyanseam.upstreams.context import Context
-from banyanseam.upstreams.errors import NotKeeper
+from banyanseam.upstreams.errors import NoneUsable, NotKeeper, NoUpstreamAvailable
 from banyanseam.upstreams.handovers import Handovers
 from banyanseam.upstreams.kept_pool import KeptPool, Placed
 from banyanseam.upstreams.messages import (
@@ -215,7 +215,7 @@
         return PoolSeen(
             queued=len(kept.queue),
             wait_ms=round(1000 * wait_s),
-            refused_code=refusal.code if refusal else None,
+            refused_code=_tell_code(refusal),
             refused_detail=refusal.detail if refusal else None,
             upstreams=[UpstreamSeen(**asdict(one)) for one in kept.list_states(now_s)],
         )
@@ -319,3 +319,10 @@
             if upstream.name in kept.upstreams:
                 kept.observe(upstream.name, report, now_s)
                 self._dispatch(kept, now_s)
+
+
+def _tell_code(refusal: BanyanseamError | None) -> str | None:
+    """Return the code that a caller would see in the end."""
+    if isinstance(refusal, NoneUsable):
+        return NoUpstreamAvailable.code
+    return refusal.code if refusal else None
--- a/banyanseam/upstreams/kept_pool.py
+++ b/banyanseam/upstreams/kept_pool.py
@@ -14,7 +14,7 @@
     ROW_AGE_S,
     USED_SHARE_STEP,
 )
-from banyanseam.upstreams.errors import NoUpstreamAvailable, RequestTooLarge
+from banyanseam.upstreams.errors import NoneUsable, NoUpstreamAvailable, RequestTooLarge
 from banyanseam.upstreams.fair_queue import FairQueue, Waiting
 from banyanseam.upstreams.kept_upstream import KeptUpstream
 from banyanseam.upstreams.models import (
@@ -109,8 +109,10 @@
         Raise what `ask` would.
         """
         usable = self._list_usable(demand, now_s)
-        if not usable:
+        if not usable and demand.avoid and self._list_usable(None, now_s):
             raise NoUpstreamAvailable(retry_after_ms=1000)
+        if not usable:
+            raise NoneUsable(retry_after_ms=1000)
         if all(demand.tokens > self.kept[name].held.capacity_tokens for name in usable):
             raise RequestTooLarge(f"{demand.tokens} tokens")
         wait_s = 0.0
--- a/banyanseam/upstreams/places.py
+++ b/banyanseam/upstreams/places.py
@@ -2,13 +2,18 @@
 
 import copy
 from collections.abc import Sequence
+from dataclasses import replace
 from random import Random
 
 import anyio
 
 from banyanseam.upstreams.choose import LocalPool, Place, Spill, pick_place
 from banyanseam.upstreams.context import Context
-from banyanseam.upstreams.errors import NoUpstreamAllowed, NoUpstreamAvailable
+from banyanseam.upstreams.errors import (
+    AllTried,
+    NoUpstreamAllowed,
+    NoUpstreamAvailable,
+)
 from banyanseam.upstreams.models import Demand, PoolRow
 from banyanseam.upstreams.pools import Pool
 from banyanseam.upstreams.regions import Regions
@@ -30,6 +35,13 @@
         for row in rows:
             self._rows[row.pool] = (row, now_s)
 
+    def note_unusable(self, pool: str, now_s: float) -> None:
+        """Know that nothing in a pool is in use, before its keeper's next word."""
+        known = self._context.read_pools().get(pool)
+        if known is not None:
+            row = replace(_assume_row(known), usable=0, free_tokens=0)
+            self._rows[pool] = (row, now_s)
+
     def list_rows(self) -> list[PoolRow]:
         """Return what is known of this region's pools, for the heartbeats."""
         now_s = anyio.current_time()
@@ -52,7 +64,8 @@
         """Return a pool of this region or another region to forward to.
 
         Raise NoUpstreamAllowed when what serves this lies only where the request may
-        not go, NoUpstreamAvailable when nothing that it may use is known to work.
+        not go, AllTried when each that it may use has failed it already, and else
+        NoUpstreamAvailable when nothing that it may use is known to work.
         """
         now_s = anyio.current_time()
         if self._spill is None:
@@ -87,6 +100,8 @@
             allowed &= {home}
         if not allowed:
             raise NoUpstreamAllowed(serves)
+        if self._are_all_tried(serves, demand, allowed):
+            raise AllTried(serves, retry_after_ms=1000)
         now_s = anyio.current_time()
         pools = self._list_pools(serves, demand, now_s) if home in allowed else []
         others = [
@@ -100,6 +115,13 @@
             raise NoUpstreamAvailable(serves, retry_after_ms=1000)
         return place
 
+    def _are_all_tried(self, serves: str, demand: Demand, regions: set[str]) -> bool:
+        return bool(demand.avoid) and all(
+            upstream.name in demand.avoid
+            for upstream in self._context.get_config().upstreams.values()
+            if serves in upstream.serves and upstream.region in regions
+        )
+
     def _list_allowed(self, serves: str, regions: frozenset[str] | None) -> set[str]:
         return {
             upstream.region
--- a/banyanseam/upstreams/room.py
+++ b/banyanseam/upstreams/room.py
@@ -22,6 +22,7 @@
 from banyanseam.upstreams.context import Context
 from banyanseam.upstreams.errors import (
     KeeperChanged,
+    NoneUsable,
     NotKeeper,
     NoUpstreamAvailable,
     RequestTooLarge,
@@ -45,7 +46,7 @@
 # How leases are renewed at a keeper for some pools.
 Send = Callable[[str, list[str]], Awaitable[Rows]]
 _ERRORS_BY_CODE = {
-    error.code: error for error in (NoUpstreamAvailable, RequestTooLarge)
+    error.code: error for error in (NoUpstreamAvailable, NoneUsable, RequestTooLarge)
 }
 
 
--- a/tests/pipe/test_queue.py
+++ b/tests/pipe/test_queue.py
@@ -7,12 +7,15 @@
 from banyanseam.peers.errors import PeerUnreachable
 from banyanseam.pipe.models import Cost, Exchange
 from banyanseam.pipe.queue import make_queue, read_prompt
-from banyanseam.upstreams.choose import RemoteRegion
+from banyanseam.upstreams.choose import RegionSummary, RemoteRegion
+from banyanseam.upstreams.const import FAILURES_TO_EJECT
 from banyanseam.upstreams.errors import (
+    AllTried,
     UpstreamFailed,
     UpstreamRefused,
     UpstreamUnreachable,
 )
+from banyanseam.upstreams.models import Outcome
 from tests.common import run_mocked
 from tests.upstreams.test_room import SEATS, Gulf
 
@@ -122,6 +125,66 @@
         self.run_filter(next_, forward=forward)
         self.assertEqual(served, ["gulf-engine-1"])
 
+    def test_an_old_row_of_a_pool_out_of_use_sends_nobody_home(self):
+        """The upstream was ejected since this entry last heard of its pool."""
+
+        async def run() -> list[str]:
+            gulf, served = Gulf(), []
+            async with gulf.run():
+                seat = next(seat for seat in SEATS if seat != gulf.keeper)
+                places = gulf.places[seat]
+                summary = RegionSummary("delta", 50_000, 50_000, 0, 1000.0, -100.0)
+                places._regions.list_summaries = lambda *_: [summary]
+                (row,) = places.list_rows()
+                self.assertEqual(row.usable, 1)
+                for _ in range(FAILURES_TO_EJECT):
+                    grant = await gulf.reserve(gulf.keeper, 1_000)
+                    await gulf.release(gulf.keeper, grant, Outcome.FAILED)
+                places.note_rows([row], anyio.current_time())
+
+                async def forward(exchange, region) -> None:
+                    served.append(region)
+
+                async def next_(exchange) -> None:
+                    served.append(exchange.upstream)
+
+                filter_ = make_queue(
+                    gulf.rooms[seat],
+                    places,
+                    "gulf",
+                    lambda: gulf.config,
+                    forward,
+                    lambda exchange: None,
+                )
+                await filter_(make_exchange(gulf), next_)
+            return served
+
+        self.assertEqual(run_mocked(run), ["delta"])
+
+    def test_a_retry_without_another_upstream_is_told_at_once(self):
+        async def run() -> float:
+            gulf = Gulf()
+            async with gulf.run():
+                exchange = make_exchange(gulf)
+                exchange.regions = frozenset({"gulf"})
+                exchange.upstream_started = True
+                exchange.avoided_upstreams = {"gulf-engine-1"}
+                begun_s = anyio.current_time()
+                seat = SEATS[0]
+                filter_ = make_queue(
+                    gulf.rooms[seat],
+                    gulf.places[seat],
+                    "gulf",
+                    lambda: gulf.config,
+                    None,
+                    lambda exchange: None,
+                )
+                with self.assertRaises(AllTried):
+                    await filter_(exchange, None)
+                return anyio.current_time() - begun_s
+
+        self.assertEqual(run_mocked(run), 0)
+
     def test_lost_forward_is_not_tried_again(self):
         async def next_(exchange) -> None:
             self.fail("a request that may have run was run again")
