Wait for the quota before the test of broken answers

The whole suite on a quiet machine, and the test alone, failed at the first answer, which ended after four words: the route's deadline of 10 s, shortened for the test, passed while a fresh fleet withholds its quota for some nine of them. The test now waits until each daemon answers whole, and demands the same as before of all that follows.

--- a/tests/faults/test_path.py
+++ b/tests/faults/test_path.py
@@ -123,6 +123,7 @@
                 start_fleet(PLAN) as fleet,
                 Caller(fleet.keys["acme"]) as caller,
             ):
+                await self.wait_for_quota(fleet, caller)
                 await leave_engines_to_gulf(fleet)
                 for case in BREAKS:
                     await self.wait_for_remote_answer(fleet, caller)
@@ -147,6 +148,19 @@
             self.assertFalse(result.is_done)
             self.assertFalse(result.problem and result.problem["not_run"])
 
+    async def wait_for_quota(self, fleet: Fleet, caller: Caller) -> None:
+        """Wait until no home withholds its part of the quota any more.
+
+        In a fresh fleet that takes about as long as the shortened deadline.
+        """
+        with anyio.fail_after(60):
+            for daemon in fleet.daemons.values():
+                while True:
+                    chat = await caller.chat(daemon.callers_address)
+                    if chat.is_whole:
+                        break
+                    await anyio.sleep(0.1)
+
     async def wait_for_remote_answer(self, fleet: Fleet, caller: Caller) -> None:
         address = fleet.daemons["delta-1"].callers_address
         with anyio.fail_after(30):
