--- a/banyanseam/peers/keepalive.py
+++ b/banyanseam/peers/keepalive.py
@@ -4,7 +4,6 @@
 both ends of each link would be a fifth of what a daemon sends.
 """
 
-import asyncio
 from contextlib import suppress
 
 import anyio
@@ -31,7 +30,7 @@
         with suppress(ConnectionClosed):
             while await self._is_answered():
                 silence_s = self.loop.time() - self.heard_s
-                await asyncio.sleep(max(0.0, PING_INTERVAL_S - silence_s))
+                await anyio.sleep(max(0.0, PING_INTERVAL_S - silence_s))
         # A peer that stands still would not answer a closing handshake.
         self.transport.abort()
 
