Bound what a handover carries, and never let an answer's headers end a daemon

Found while reading: each planned stop added one issuer of tickets to what is handed over, and the 64th would have failed its message and so the handover. And an answer with more than 200 headers could not be told to its key's home: the error of the message's model, which nothing caught, ended the daemon that had run it.

Change: the newest 16 issuers are handed over; tickets of older ones are refused as issuer_gone, which never says not run. An answer is kept and told only if it fits a message, by headers as by bytes; else the key remembers that it ran (idempotency.answer_not_kept). Ruled out: catching the model's error, which would leave the key running until its deadline.

Three tests, each seen failing first: 79 planned stops in a row (ValidationError of KeysPage), an answer of 201 headers in the memory (kept), and through the fleet (ValidationError of AnswerBody, which ended the entry's tasks).

--- a/banyanseam/idempotency/client.py
+++ b/banyanseam/idempotency/client.py
@@ -10,7 +10,6 @@
 from banyanseam.idempotency.const import (
     CLAIM_PATIENCE_S,
     CLAIM_PAUSE_S,
-    MAX_ANSWER_BYTES,
     RELEASE_TIMEOUT_S,
     REPORT_PATIENCE_S,
     REPORT_PAUSE_S,
@@ -81,7 +80,7 @@
 
     def finish(self, keyed: KeyedRequest, end: End) -> None:
         """Tell the home how the run ended, again and again until it has noted it."""
-        if end.answer and end.answer.size_bytes() > MAX_ANSWER_BYTES:
+        if end.answer and not end.answer.is_short:
             end = End(True)
         with suppress(NotHome):
             self._homes.find(keyed.home_seat).finish(keyed.scope, keyed.claim_id, end)
--- a/banyanseam/idempotency/const.py
+++ b/banyanseam/idempotency/const.py
@@ -39,6 +39,8 @@
 # Records that travel in one message, by the memory that they take.
 PAGE_BYTES: Final = 256 * 1024
 MAX_PAGE_RECORDS: Final = 1024
+# Of how many processes before it a seat runs the tickets.
+MAX_ISSUERS: Final = 16
 # How long a standby can repeat keys that it gave back.
 GIVEN_KEPT_S: Final = 60.0
 
@@ -57,6 +59,7 @@
 SWEEP_INTERVAL_S: Final = 5.0
 
 MAX_ANSWER_BYTES: Final = 64 * 1024
+MAX_ANSWER_HEADERS: Final = 200
 MEMORY_BYTES: Final = 8 * 1024 * 1024
 RECORD_BYTES: Final = 600
 # One organisation may hold at most this share of the memory.
--- a/banyanseam/idempotency/handover_messages.py
+++ b/banyanseam/idempotency/handover_messages.py
@@ -8,7 +8,11 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from banyanseam.idempotency.const import MAX_KEY_LENGTH, MAX_PAGE_RECORDS
+from banyanseam.idempotency.const import (
+    MAX_ISSUERS,
+    MAX_KEY_LENGTH,
+    MAX_PAGE_RECORDS,
+)
 from banyanseam.idempotency.messages import AnswerBody, ClaimId, ShortText
 from banyanseam.peers.messages import Message
 
@@ -52,7 +56,7 @@
     stopped_wall_s: float
     floor_s: float
     # Each process whose tickets these records cover, and what its clock shows now.
-    issuer_clocks_ms: dict[int, int] = Field(max_length=64)
+    issuer_clocks_ms: dict[int, int] = Field(max_length=MAX_ISSUERS)
     records: list[RecordBody] = Field(max_length=MAX_PAGE_RECORDS)
 
 
--- a/banyanseam/idempotency/home.py
+++ b/banyanseam/idempotency/home.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from banyanseam.idempotency.const import POLL_S, RETENTION_S
+from banyanseam.idempotency.const import MAX_ISSUERS, POLL_S, RETENTION_S
 from banyanseam.idempotency.errors import (
     IssuerGone,
     NotHome,
@@ -93,7 +93,8 @@
             now_s - self._knowledge.known_s(now_s),
             wall_s if stopped_wall_s is None else stopped_wall_s,
             self.memory.floor_s,
-            dict(self.issuer_offsets_s),
+            # The newest ones only, so that this does not grow with each stop.
+            dict(sorted(self.issuer_offsets_s.items())[-MAX_ISSUERS:]),
             self.memory.list_records(),
         )
 
--- a/banyanseam/idempotency/memory.py
+++ b/banyanseam/idempotency/memory.py
@@ -8,7 +8,6 @@
 
 from banyanseam.idempotency.const import (
     ANSWER_SHARE,
-    MAX_ANSWER_BYTES,
     MAX_TRANSIT_S,
     MEMORY_BYTES,
     ORGANISATION_SHARE,
@@ -255,7 +254,7 @@
         held = self._bytes_by_organisation.get(organisation, 0)
         limit_bytes = self.limit_bytes * ANSWER_SHARE
         return (
-            size_bytes <= MAX_ANSWER_BYTES
+            answer.is_short
             and self.held_bytes + size_bytes <= limit_bytes
             and held + size_bytes <= limit_bytes * ORGANISATION_SHARE
         )
--- a/banyanseam/idempotency/messages.py
+++ b/banyanseam/idempotency/messages.py
@@ -7,6 +7,7 @@
 from banyanseam.idempotency.const import (
     CLAIM_ID_BYTES,
     MAX_ANSWER_BYTES,
+    MAX_ANSWER_HEADERS,
     MAX_KEY_LENGTH,
 )
 from banyanseam.idempotency.models import Answer, Scope
@@ -22,7 +23,7 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     status: int = Field(ge=100, le=999)
-    headers: list[tuple[bytes, bytes]] = Field(max_length=200)
+    headers: list[tuple[bytes, bytes]] = Field(max_length=MAX_ANSWER_HEADERS)
     body: bytes = Field(max_length=MAX_ANSWER_BYTES)
 
     @classmethod
--- a/banyanseam/idempotency/models.py
+++ b/banyanseam/idempotency/models.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from banyanseam.idempotency.const import MAX_ANSWER_BYTES, MAX_ANSWER_HEADERS
 from banyanseam.pipe.models import Headers
 
 
@@ -32,6 +33,14 @@
     headers: Headers
     body: bytes
 
+    @property
+    def is_short(self) -> bool:
+        """Say whether it can be kept, and told to another process."""
+        return (
+            self.size_bytes() <= MAX_ANSWER_BYTES
+            and len(self.headers) <= MAX_ANSWER_HEADERS
+        )
+
     def size_bytes(self) -> int:
         """Return about how much memory the answer takes."""
         return len(self.body) + sum(
--- a/tests/idempotency/fleet.py
+++ b/tests/idempotency/fleet.py
@@ -123,6 +123,7 @@
         self.entries = {}
         self.incarnations = Counter()
         self.runs = Counter()
+        self.headers = [(b"content-type", b"text/plain")]
         self.receipts = []
         self.at = {}
         self.disturb = None
@@ -189,7 +190,7 @@
             and exchange.received_s < receipt.said_s
         ]
         await self.phase("sent", exchange)
-        await exchange.reply.start(201, [(b"content-type", b"text/plain")])
+        await exchange.reply.start(201, self.headers)
         await self.phase("started", exchange)
         await exchange.reply.send(b"booked")
         await self.phase("answered", exchange)
--- a/tests/idempotency/test_at_most_once.py
+++ b/tests/idempotency/test_at_most_once.py
@@ -5,10 +5,12 @@
 from banyanseam.idempotency.const import (
     CLAIM_TIMEOUT_S,
     KNOWLEDGE_MARGIN_S,
+    MAX_ANSWER_HEADERS,
     RETENTION_S,
     TICKET_LIFE_S,
 )
 from banyanseam.idempotency.errors import (
+    AnswerNotKept,
     GrantTooLate,
     HomeIsNew,
     HomeUnreachable,
@@ -310,6 +312,16 @@
         self.assertFalse(receipt.says_not_run)
         self.assert_booked(await fleet.ask("piedmont-1", key), replayed=False)
 
+    @with_fleet
+    async def test_an_answer_with_too_many_headers_is_told_as_not_kept(self, fleet):
+        fleet.headers = [(b"a", b"b")] * (MAX_ANSWER_HEADERS + 1)
+        for home in ("gulf-1", "gulf-2"):
+            key = fleet.make_key_at(home)
+            self.assert_booked(await fleet.ask("gulf-1", key), replayed=False)
+            await anyio.sleep(1)
+            receipt = await fleet.ask("gulf-3", key)
+            self.assertIsInstance(receipt.error, AnswerNotKept)
+
     @with_fleet
     async def test_a_moved_home_withholds_older_keys(self, fleet):
         """A seat more moves some homes, and daemons learn of it one by one."""
--- a/tests/idempotency/test_handover.py
+++ b/tests/idempotency/test_handover.py
@@ -1,9 +1,10 @@
 import anyio
 
-from banyanseam.idempotency.const import STANDBY_TERM_S, TICKET_LIFE_S
+from banyanseam.idempotency.const import MAX_ISSUERS, STANDBY_TERM_S, TICKET_LIFE_S
 from banyanseam.idempotency.errors import (
     HomeIsNew,
     HomeUnreachable,
+    IssuerGone,
     TicketExpired,
 )
 from banyanseam.idempotency.handover_messages import OfferKeys
@@ -238,6 +239,23 @@
         late = desk.issue("acme", anyio.current_time() - TICKET_LIFE_S - 1)
         self.assertIsInstance((await fleet.ask(HOME, late)).error, TicketExpired)
 
+    @with_fleet
+    async def test_keys_outlast_any_number_of_planned_stops(self, fleet):
+        key = make_key_now(fleet)
+        self.assert_booked(await fleet.ask("gulf-2", key), replayed=False)
+        ticket = fleet.entries[HOME].desk.issue("acme", anyio.current_time())
+        self.assert_booked(await fleet.ask("gulf-2", ticket), replayed=False)
+        for stops in range(1, 80):
+            await fleet.stop(HOME)
+            await fleet.start(HOME)
+            await anyio.sleep(0.1)
+            if stops < MAX_ISSUERS:
+                self.assert_booked(await fleet.ask("gulf-3", ticket), replayed=True)
+        self.assert_booked(await fleet.ask("gulf-3", key), replayed=True)
+        receipt = await fleet.ask("gulf-3", ticket)
+        self.assertIsInstance(receipt.error, IssuerGone)
+        self.assertFalse(receipt.says_not_run)
+
     def test_equal_mappings_have_one_digest(self):
         mapping = make_mapping(make_clinic_config())
         self.assertEqual(digest(mapping), digest(make_mapping(make_clinic_config(2))))
--- a/tests/idempotency/test_memory.py
+++ b/tests/idempotency/test_memory.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from banyanseam.errors import BanyanseamError
-from banyanseam.idempotency.const import RECORD_BYTES, RETENTION_S
+from banyanseam.idempotency.const import MAX_ANSWER_HEADERS, RECORD_BYTES, RETENTION_S
 from banyanseam.idempotency.errors import (
     AnswerNotKept,
     KeyFreed,
@@ -33,6 +33,17 @@
     def setUp(self):
         self.memory = Memory()
 
+    def test_an_answer_that_no_message_could_carry_is_not_kept(self):
+        for headers, is_kept in ((MAX_ANSWER_HEADERS, True), (201, False)):
+            memory = Memory()
+            claim = make_claim()
+            memory.claim(claim, 0.0)
+            answer = Answer(201, [(b"a", b"b")] * headers, b"")
+            memory.finish(claim.scope, claim.claim_id, End(True, answer), 0.0)
+            with self.subTest(headers=headers):
+                record = memory.find(claim.scope)
+                self.assertEqual(record.answer is not None, is_kept)
+
     def test_a_second_receipt_gets_the_same_answer(self):
         first = make_claim(1)
         self.assertTrue(self.memory.claim(first, 0.0).granted)
