Look for a request by its type, not through dead weak references

The whole suite, 369 tests in 583 s from a fresh clone, ended red at this test alone: isinstance asked a weak proxy, left by another test, whose object was gone. type() asks no proxy; ChatRequest has no subclass, so the test finds as much. Seen failing with a dead proxy in the process, and passing after.

--- a/tests/pipe/test_cost.py
+++ b/tests/pipe/test_cost.py
@@ -14,7 +14,7 @@
 
         async def answer(_):
             objects = gc.get_objects()
-            held.extend(one for one in objects if isinstance(one, ChatRequest))
+            held.extend(one for one in objects if type(one) is ChatRequest)
 
         run_mocked(set_cost, exchange, answer)
         self.assertEqual((exchange.model, held), ("oak", []))
