Leave sooner, refuse late comers, and keep callers in their homes

Change: a leaving VM takes requests for 2.3 s, then refuses at once; the directory names leaving VMs of the caller's region before other regions, and of those the ones that are home to most routes.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -10,11 +10,11 @@
 from anyio.abc import TaskGroup
 from pydantic import ValidationError
 
-from banyanseam.daemon.lifecycle import Lifecycle
+from banyanseam.daemon.lifecycle import Lifecycle, Stage
 from banyanseam.entry.const import (
     BODY_MEMORY_SHARE,
     CONNECT_TIMEOUT_S,
-    LIST_HOLD_FACTOR,
+    LEAVE_S,
     LIST_VALIDITY_S,
     SETTINGS_PERIOD_S,
     STOP_MARGIN_S,
@@ -50,6 +50,7 @@
     DAEMON_READY,
     DAEMON_STOPPED,
     DRAIN_BEGUN,
+    ENTRIES_ELSEWHERE,
     SETTINGS_REJECTED,
     SETTINGS_RELOADED,
     VALUES_NOT_FETCHED,
@@ -86,6 +87,7 @@
                 incarnation=make_incarnation(),
                 beat=0,
                 is_serving=False,
+                is_accepting=False,
                 running=0,
             ),
             settings.regions,
@@ -145,6 +147,7 @@
         self.fleet.list_candidates = self._list_candidates
         self.fleet.describe_me = lambda: (
             self.lifecycle.is_ready,
+            self.lifecycle.state in (Stage.SERVING, Stage.LEAVING),
             self.lifecycle.running_requests,
         )
         self.fleet.note_peer_values = self._note_peer_values
@@ -210,13 +213,18 @@
         return {name: candidates for name, candidates in found.items() if candidates}
 
     def _list_entries(self, region: str, data_centre: str) -> list[str]:
-        now_s = anyio.current_time()
-        serving = [
-            member
-            for each in sorted(set(self.settings.regions.values()))
-            for member in self.members.list_serving(now_s, each)
-        ]
-        return choose_entries(serving, region, data_centre)
+        accepting = self.members.list_accepting(anyio.current_time())
+        catalogue = self.values.catalogue
+        homes = catalogue.list_homes() if catalogue is not None else []
+        chosen = choose_entries(accepting, region, data_centre, homes)
+        if not any(member.region == region for member in chosen):
+            log(
+                ENTRIES_ELSEWHERE,
+                region=region,
+                named=[member.ip for member in chosen],
+                known=len(accepting),
+            )
+        return [member.callers_address for member in chosen]
 
     def _note_peer_values(
         self, ip: str, version: int, evacuation_revision: int
@@ -265,19 +273,22 @@
                 self._reload()
 
     async def _stop(self) -> None:
-        """Leave the callers' lists, serve who still comes, end inside the grace."""
+        """Leave the callers' lists, serve who still comes, end inside the grace.
+
+        The sooner the process ends, the fewer leave at the same time in a rolling stop.
+        """
         began_s = anyio.current_time()
         grace_s = self.settings.bounds.stop_grace_s
         log(DRAIN_BEGUN, grace_s=grace_s, running=self.lifecycle.running_requests)
         self.lifecycle.begin_drain()
-        self.gate.stop_s = began_s + grace_s - STOP_MARGIN_S / 2
+        self.gate.stop_s = began_s + grace_s - STOP_MARGIN_S
         await self.fleet.announce()
-        hold_s = min(LIST_VALIDITY_S * LIST_HOLD_FACTOR, grace_s - STOP_MARGIN_S)
-        await anyio.sleep(hold_s)
+        await anyio.sleep(min(LEAVE_S, grace_s / 3))
+        # From here on requests are refused; those that run end on their own.
         self.lifecycle.begin_closing()
+        await self.fleet.announce()
         self._servers[0].should_exit = True
-        left_s = began_s + grace_s - STOP_MARGIN_S / 3 - anyio.current_time()
-        with anyio.move_on_after(left_s):
+        with anyio.move_on_at(self.gate.stop_s + STOP_MARGIN_S / 2):
             await self.lifecycle.wait_idle()
 
     async def _follow_settings(self) -> None:
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -82,6 +82,8 @@
 
 # Life cycle.
 SETTINGS_PERIOD_S: Final = 2.0
-STOP_MARGIN_S: Final = 1.2
-# Callers may hold a list for three times its validity. Source: the platform's pages.
-LIST_HOLD_FACTOR: Final = 3
+# How long a process that leaves takes requests: callers have a newer list by then, but
+# for the few that hold one for longer and are refused at once.
+LEAVE_S: Final = LIST_VALIDITY_S + 0.3
+# What is kept of the grace for the end of the process itself.
+STOP_MARGIN_S: Final = 0.6
--- a/banyanseam/entry/errors.py
+++ b/banyanseam/entry/errors.py
@@ -69,3 +69,13 @@
     status = 503
     title = "The sender is not known as a VM of this fleet"
     not_run = True
+
+
+class EntryLeaving(BanyanseamError):
+    """This process is about to end, and the request came after its last callers."""
+
+    code = "entry.leaving"
+    event = 1906
+    status = 503
+    title = "This VM is leaving; use another one"
+    not_run = True
--- a/banyanseam/entry/fleet.py
+++ b/banyanseam/entry/fleet.py
@@ -75,7 +75,11 @@
         # What others said they have spent, for those who do not hear them.
         self._spent: dict[str, tuple[int, dict[str, float]]] = {}
         self.note_peer_values: Callable[[str, int, int], None] = lambda *_: None
-        self.describe_me: Callable[[], tuple[bool, int]] = lambda: (False, 0)
+        self.describe_me: Callable[[], tuple[bool, bool, int]] = lambda: (
+            False,
+            False,
+            0,
+        )
 
     async def run(self) -> None:
         """Exchange heartbeats until cancelled."""
@@ -162,8 +166,10 @@
             await anyio.sleep(REGION_GOSSIP_PERIOD_S * random.uniform(0.9, 1.1))
 
     def _beat(self) -> None:
-        is_serving, running = self.describe_me()
-        self.members.beat(is_serving=is_serving, running=running)
+        is_serving, is_accepting, running = self.describe_me()
+        self.members.beat(
+            is_serving=is_serving, is_accepting=is_accepting, running=running
+        )
 
     def _choose_region_peers(self) -> list[Member]:
         alive = self.members.list_alive(anyio.current_time(), self.settings.region)
--- a/banyanseam/entry/gate.py
+++ b/banyanseam/entry/gate.py
@@ -12,7 +12,12 @@
 from banyanseam.daemon.lifecycle import Lifecycle
 from banyanseam.entry.const import MIN_RETRY_AFTER_MS
 from banyanseam.entry.crash_suspects import CrashSuspects, fingerprint
-from banyanseam.entry.errors import CrashSuspected, PeerUntrusted, RegionsFull
+from banyanseam.entry.errors import (
+    CrashSuspected,
+    EntryLeaving,
+    PeerUntrusted,
+    RegionsFull,
+)
 from banyanseam.entry.exchange import Exchange, Reply
 from banyanseam.entry.metrics import Metrics
 from banyanseam.entry.models import (
@@ -195,6 +200,9 @@
     story.request_id = head.request_id
     if isinstance(story.forwarding, BanyanseamError):
         raise story.forwarding
+    if gate.lifecycle.closes_connections:
+        # It could outlast this process; another VM is one connection away.
+        raise EntryLeaving(retry_after_ms=0)
     declared_bytes = read_declared_bytes(headers)
     with gate.budget.reserve_body(declared_bytes, MAX_BODY_BYTES) as reservation:
         body = await read_body(receive, reservation.grow_to)
--- a/banyanseam/entry/members.py
+++ b/banyanseam/entry/members.py
@@ -21,7 +21,9 @@
     callers_address: str
     incarnation: int
     beat: int
+    # Whether callers should come, and whether those who come are still served.
     is_serving: bool
+    is_accepting: bool
     # Requests that it holds, as a measure of its load.
     running: int
 
@@ -41,10 +43,14 @@
         self.regions = regions
         self._known: dict[str, _Known] = {}
 
-    def beat(self, *, is_serving: bool, running: int) -> None:
+    def beat(self, *, is_serving: bool, is_accepting: bool, running: int) -> None:
         """Count up, so that the others hear that this process lives."""
         self.me = replace(
-            self.me, beat=self.me.beat + 1, is_serving=is_serving, running=running
+            self.me,
+            beat=self.me.beat + 1,
+            is_serving=is_serving,
+            is_accepting=is_accepting,
+            running=running,
         )
 
     def merge(self, rows: Iterable[Member], now_s: float) -> None:
@@ -81,6 +87,13 @@
             found.append(self.me)
         return sorted(found, key=lambda member: member.ip)
 
+    def list_accepting(self, now_s: float) -> list[Member]:
+        """Return all that serve who comes, those that are leaving included."""
+        found = [each for each in self.list_alive(now_s) if each.is_accepting]
+        if self.me.is_accepting:
+            found.append(self.me)
+        return sorted(found, key=lambda member: member.ip)
+
     def rank_in_region(self, now_s: float) -> int:
         """Return this process's place among those of its region that serve."""
         alive = self.list_alive(now_s, self.me.region)
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -10,7 +10,7 @@
 
 GOSSIP_VERSION = 1
 
-MemberRow = tuple[str, str, str, str, int, int, bool, int]
+MemberRow = tuple[str, str, str, str, int, int, bool, bool, int]
 UpstreamRow = tuple[str, str, str, str, bool, int, int, int | None, int, int]
 CandidateRow = tuple[str, str, int, int, int, int, int, bool]
 
@@ -73,6 +73,7 @@
         member.incarnation,
         member.beat,
         member.is_serving,
+        member.is_accepting,
         member.running,
     )
 
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -117,6 +117,15 @@
     organisations_by_key: Mapping[bytes, Organisation]
     limits: CallerLimits
 
+    def list_homes(self) -> list[frozenset[str]]:
+        """Return the home regions of each route that has any."""
+        return [
+            route.home_regions
+            for routes in self.routes.values()
+            for route in routes
+            if route.home_regions
+        ]
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path on that host."""
         for route in self.routes.get(host, ()):
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -55,6 +55,9 @@
 DATA_CENTRES_EVACUATED: Final = Event(
     5006, "INFO", "The data centres that get no requests have changed"
 )
+ENTRIES_ELSEWHERE: Final = Event(
+    4022, "INFO", "Callers are told to use VMs of another region"
+)
 PEER_HEARD: Final = Event(4020, "INFO", "A peer is heard")
 PEER_SILENT: Final = Event(4021, "WARNING", "A peer is no longer heard")
 UPSTREAM_APPEARED: Final = Event(6020, "INFO", "An upstream is registered")
