Hold quota debts in full, refuse a broken configuration, and test the decisions

Cause: a test of nine processes with words a second old, four times the rate, a cut and restarts admitted up to 741,200 tokens in a window where 718,750 are allowed: a debt deeper than one burst was forgotten. A configuration that cannot be read raised a TypeError instead of InvalidConfig, which would have ended the watch. A forged-peers test failed beside load, since asyncio's own loop does not note that a closed transport with held bytes is lost (websockets closes it again); the test now runs on the loop that the daemons run on.

Ruled out: withholding a share after a start (the trace needs no more than the peers' levels).

--- a/banyanseam/entry/errors.py
+++ b/banyanseam/entry/errors.py
@@ -16,7 +16,7 @@
     """No upstream that may serve the request could begin it in time."""
 
     code = "entry.regions_full"
-    event = 1900
+    event = 1920
     status = 503
     title = "No upstream can begin this request in time"
     not_run = True
@@ -26,7 +26,7 @@
     """No upstream that may serve the request is known and usable."""
 
     code = "entry.no_upstream"
-    event = 1901
+    event = 1921
     status = 503
     title = "No upstream may serve this request now"
     not_run = True
@@ -36,7 +36,7 @@
     """Another incarnation answers at the address, or none that runs the request."""
 
     code = "entry.upstream_replaced"
-    event = 1902
+    event = 1922
     status = 503
     title = "The upstream was replaced"
     not_run = True
@@ -46,7 +46,7 @@
     """The request was running at too many upstreams that crashed."""
 
     code = "entry.crash_suspected"
-    event = 1903
+    event = 1923
     status = 503
     title = "This request has crashed the upstreams that ran it"
     not_run = True
@@ -56,7 +56,7 @@
     """The answer does not prove that it is the upstream's own whole answer."""
 
     code = "entry.answer_unproven"
-    event = 1904
+    event = 1924
     status = 502
     title = "The upstream's answer cannot be trusted"
 
@@ -65,7 +65,7 @@
     """A request for another region came from an address that is no peer's."""
 
     code = "entry.peer_untrusted"
-    event = 1905
+    event = 1925
     status = 503
     title = "The sender is not known as a VM of this fleet"
     not_run = True
@@ -75,7 +75,7 @@
     """This process is about to end, and the request came after its last callers."""
 
     code = "entry.leaving"
-    event = 1906
+    event = 1926
     status = 503
     title = "This VM is leaving; use another one"
     not_run = True
--- a/banyanseam/entry/quota.py
+++ b/banyanseam/entry/quota.py
@@ -8,12 +8,16 @@
 """
 
 from dataclasses import dataclass
+from typing import Final
 
 from banyanseam.entry.models import Organisation
 
 # The published tolerance on the rate, of which a part covers what travels.
 # Source: the operators' bounds, a quarter over.
-HEARD_TOLERANCE = 1.2
+HEARD_TOLERANCE: Final = 1.2
+# The deepest debt that is remembered: what a flood of several times the rate spends
+# before the word of it is everywhere. Source: the operators' hot organisations.
+MAX_DEBT_BURSTS: Final = 8.0
 
 
 @dataclass(slots=True)
@@ -77,8 +81,8 @@
             bucket = self._buckets.get(name)
             if bucket is not None:
                 burst = bucket.organisation.burst
-                # A debt deeper than a burst would outlast its cause.
-                bucket.level = min(max(bucket.level - more, -burst), burst)
+                level = max(bucket.level - more, -MAX_DEBT_BURSTS * burst)
+                bucket.level = min(level, burst)
 
     def adopt_levels(self, levels: dict[str, float], now_s: float) -> None:
         """Start from another process's levels where they are lower.
@@ -107,7 +111,9 @@
                 # Up to now the old rate held.
                 self._refill(bucket.organisation, now_s)
                 bucket.organisation = organisation
-                bucket.level = min(bucket.level, organisation.burst)
+                # What was spent under a higher rate is no debt under a lower one.
+                level = max(bucket.level, -organisation.burst)
+                bucket.level = min(level, organisation.burst)
         for name in set(self._buckets) - set(organisations):
             del self._buckets[name]
 
--- a/banyanseam/platform/documents.py
+++ b/banyanseam/platform/documents.py
@@ -120,7 +120,7 @@
     except ValidationError as error:
         first = error.errors(include_input=False, include_url=False)[0]
         where = ".".join(str(part) for part in first["loc"]) or "$"
-        raise InvalidConfig(f"{where}: {first['msg']}") from error
+        raise InvalidConfig(where, first["msg"]) from error
     routes: dict[str, list[Route]] = defaultdict(list)
     for route in document.routes:
         routes[route.host.lower()].append(_to_route(route))
--- /dev/null
+++ b/tests/entry/test_event_stream.py
@@ -0,0 +1,40 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from banyanseam.entry.event_stream import MAX_EVENT_BYTES, EventSplitter
+from banyanseam.pipe.errors import AnswerMalformed
+
+WHOLE = b"".join(b"id: %d\ndata: %s\n\n" % (n, b"x" * n) for n in range(1, 9))
+
+
+class EventStreamTests(unittest.TestCase):
+    @given(st.lists(st.integers(1, len(WHOLE) - 1), max_size=8))
+    def test_cuts_anywhere_give_the_same_events(self, cuts):
+        splitter = EventSplitter()
+        ends = [0, *sorted(cuts), len(WHOLE)]
+        events = [
+            event
+            for begin, end in zip(ends, ends[1:], strict=False)
+            for event in splitter.feed(WHOLE[begin:end])
+        ]
+        self.assertEqual([event.number for event in events], list(range(1, 9)))
+        self.assertEqual(b"".join(event.data for event in events), WHOLE)
+        self.assertFalse(splitter.has_rest)
+
+    def test_half_an_event_is_held_back(self):
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(b"id: 1\nda"), [])
+        self.assertTrue(splitter.has_rest)
+
+    def test_events_without_a_number_pass(self):
+        self.assertIsNone(EventSplitter().feed(b"data: x\n\n")[0].number)
+
+    def test_an_endless_event_is_refused(self):
+        with self.assertRaises(AnswerMalformed):
+            EventSplitter().feed(b"x" * (MAX_EVENT_BYTES + 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/entry/test_placing.py
@@ -0,0 +1,96 @@
+import unittest
+from collections import Counter
+
+from banyanseam.entry.models import Prompt, PromptPart
+from banyanseam.entry.placing import (
+    Ask,
+    choose,
+    count_memory_tokens,
+    count_prefill_tokens,
+    find_shared_part,
+)
+from tests.entry.common import make_candidate, make_prompt
+
+HERE = [make_candidate("e1"), make_candidate("e2"), make_candidate("e3")]
+
+
+def ask_for(prompt=None, body_bytes=34_000):
+    return Ask(prompt, body_bytes, "gulf")
+
+
+class PlacingTests(unittest.TestCase):
+    def test_a_history_keeps_its_engine(self):
+        for number in range(44):
+            prompt = make_prompt(f"h{number}")
+            first = choose(HERE, ask_for(prompt)).candidate.upstream_id
+            again = choose(list(reversed(HERE)), ask_for(prompt))
+            self.assertEqual(again.candidate.upstream_id, first)
+
+    def test_histories_are_spread_over_the_engines(self):
+        places = Counter(
+            choose(HERE, ask_for(make_prompt(f"h{number}"))).candidate.upstream_id
+            for number in range(300)
+        )
+        self.assertEqual(len(places), 3)
+        self.assertGreater(min(places.values()), 50)
+
+    def test_an_engine_that_leaves_moves_only_its_own_histories(self):
+        for number in range(100):
+            prompt = make_prompt(f"h{number}")
+            before = choose(HERE, ask_for(prompt)).candidate.upstream_id
+            after = choose(HERE[:2], ask_for(prompt)).candidate.upstream_id
+            if before != "e3":
+                self.assertEqual(after, before)
+
+    def test_a_long_queue_goes_before_a_kept_history(self):
+        prompt = make_prompt()
+        home = choose(HERE, ask_for(prompt)).candidate.upstream_id
+        busy = [
+            make_candidate(
+                each.upstream_id,
+                prefill_tokens=200_000 if each.upstream_id == home else 0,
+            )
+            for each in HERE
+        ]
+        self.assertNotEqual(choose(busy, ask_for(prompt)).candidate.upstream_id, home)
+
+    def test_another_region_must_be_better_by_the_way_there(self):
+        query = Prompt(383, 45, (PromptPart("p", 92), PromptPart("own", 291)))
+        near = make_candidate("near", requests=8)
+        far = make_candidate("far", "delta")
+        chosen = choose([near, far], ask_for(query, 770))
+        self.assertEqual(chosen.candidate.upstream_id, "near")
+        full = make_candidate("near", requests=64, prefill_tokens=40_000)
+        chosen = choose([full, far], ask_for(query, 770))
+        self.assertEqual(chosen.candidate.upstream_id, "far")
+
+    def test_plain_services_go_where_the_fewest_wait(self):
+        full = make_candidate("full", slots=6, memory_tokens=0, requests=6)
+        free = make_candidate("free", slots=6, memory_tokens=0, requests=1)
+        chosen = choose([full, free], ask_for(None, 600))
+        self.assertEqual(chosen.candidate.upstream_id, "free")
+
+    def test_a_request_that_does_not_fit_into_memory_goes_nowhere(self):
+        full = make_candidate("full", held_tokens=290_000)
+        self.assertIsNone(choose([full], ask_for(make_prompt())))
+
+    def test_a_cold_engine_is_the_last_choice(self):
+        cold = make_candidate("cold", is_reserve=True)
+        busy = make_candidate("busy", requests=60, prefill_tokens=30_000)
+        chosen = choose([cold, busy], ask_for(make_prompt()))
+        self.assertEqual(chosen.candidate.upstream_id, "busy")
+        chosen = choose([cold], ask_for(make_prompt()))
+        self.assertEqual(chosen.candidate.upstream_id, "cold")
+
+    def test_counting_tokens(self):
+        prompt = make_prompt(shared=1000, own=200)
+        self.assertEqual(find_shared_part(prompt), ("h1", 1000))
+        self.assertEqual(count_prefill_tokens(prompt, is_kept=True), 200)
+        self.assertEqual(count_prefill_tokens(prompt, is_kept=False), 1200)
+        self.assertEqual(count_memory_tokens(prompt), 320)
+        self.assertEqual(find_shared_part(make_prompt(shared=100)), ("", 0))
+        self.assertEqual(find_shared_part(None), ("", 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/entry/test_quota.py
@@ -0,0 +1,165 @@
+import random
+import unittest
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from banyanseam.entry.quota import FleetQuota
+from tests.entry.common import make_organisation
+
+OVER = 1.25
+
+
+class FleetOfBuckets:
+    """Processes that charge and hear of one another, with delay and cuts."""
+
+    def __init__(self, count: int, rate: float, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.organisation = make_organisation(rate_per_s=rate, burst=rate)
+        self.quotas = [self.start() for _ in range(count)]
+        self.incarnations = [1] * count
+        self.cut: set[int] = set()
+        self.spent: list[tuple[float, float]] = []
+        self.now_s = 0.0
+
+    def start(self) -> FleetQuota:
+        quota = FleetQuota()
+        quota.configure({"acme": self.organisation}, getattr(self, "now_s", 0.0))
+        return quota
+
+    def ask(self, index: int, cost: float) -> None:
+        if self.quotas[index].charge(self.organisation, cost, self.now_s) == 0.0:
+            self.spent.append((self.now_s, cost))
+
+    def gossip(self) -> None:
+        words = [dict(quota.own_spent) for quota in self.quotas]
+        count = len(self.quotas)
+        for to, quota in enumerate(self.quotas):
+            heard = 1
+            for of, word in enumerate(words):
+                if of == to or (of in self.cut) != (to in self.cut):
+                    continue
+                heard += 1
+                quota.hear(f"10.0.0.{of}", self.incarnations[of], word)
+            quota.heard_share = heard / count
+
+    def most_in_window(self, window_s: float) -> float:
+        return max(
+            (
+                sum(c for at_s, c in self.spent if begin_s <= at_s < begin_s + window_s)
+                for begin_s, _ in self.spent
+            ),
+            default=0.0,
+        )
+
+
+class QuotaTests(unittest.TestCase):
+    def test_a_burst_passes_and_then_the_rate(self):
+        quota = FleetQuota()
+        organisation = make_organisation()
+        quota.configure({"acme": organisation}, 0.0)
+        self.assertEqual(quota.charge(organisation, 1000, 0.0), 0.0)
+        self.assertAlmostEqual(quota.charge(organisation, 500, 0.0), 0.5)
+        self.assertEqual(quota.charge(organisation, 500, 0.5), 0.0)
+
+    def test_what_has_not_run_is_given_back(self):
+        quota = FleetQuota()
+        organisation = make_organisation()
+        quota.configure({"acme": organisation}, 0.0)
+        quota.charge(organisation, 1000, 0.0)
+        quota.give_back(organisation, 1000)
+        self.assertEqual(quota.charge(organisation, 1000, 0.0), 0.0)
+        self.assertEqual(quota.own_spent["acme"], 1000)
+
+    def test_no_limit_is_no_limit(self):
+        quota = FleetQuota()
+        organisation = make_organisation(rate_per_s=0, burst=0)
+        self.assertEqual(quota.charge(organisation, 10**9, 0.0), 0.0)
+
+    def test_a_cost_beyond_the_burst_passes_a_full_bucket(self):
+        quota = FleetQuota()
+        organisation = make_organisation()
+        quota.configure({"acme": organisation}, 0.0)
+        self.assertEqual(quota.charge(organisation, 5000, 0.0), 0.0)
+        self.assertGreater(quota.charge(organisation, 1, 1.0), 0.0)
+
+    def test_a_lower_limit_holds_at_once(self):
+        quota = FleetQuota()
+        organisation = make_organisation()
+        quota.configure({"acme": organisation}, 0.0)
+        lower = replace(organisation, rate_per_s=10.0, burst=10.0)
+        quota.configure({"acme": lower}, 1.0)
+        self.assertEqual(quota.charge(lower, 10, 1.0), 0.0)
+        self.assertAlmostEqual(quota.charge(lower, 10, 1.0), 1.0)
+
+    def test_a_restarted_peer_takes_nothing_twice(self):
+        quota = FleetQuota()
+        organisation = make_organisation()
+        quota.configure({"acme": organisation}, 0.0)
+        quota.hear("10.0.0.1", 1, {"acme": 0})
+        quota.hear("10.0.0.1", 1, {"acme": 400})
+        quota.hear("10.0.0.1", 1, {"acme": 400})
+        quota.hear("10.0.0.1", 2, {"acme": 0})
+        self.assertEqual(quota.list_levels(), {"acme": 600})
+
+    def test_a_new_process_starts_from_its_peers_levels(self):
+        quota = FleetQuota()
+        organisation = make_organisation()
+        quota.configure({"acme": organisation}, 0.0)
+        quota.adopt_levels({"acme": 50.0}, 0.0)
+        self.assertGreater(quota.charge(organisation, 100, 0.0), 0.0)
+
+    def test_a_flood_stays_within_the_bound_through_cuts_and_restarts(self):
+        # The bound of the operators: rate x window + burst, a quarter over, and slack.
+        rate, window_s, slack = 47_000.0, 8.0, 190_000.0
+        bound = (rate * window_s + rate) * OVER + slack
+        for seed in range(20):
+            fleet = FleetOfBuckets(9, rate, seed)
+            with self.subTest(seed=seed):
+                for step in range(400):
+                    fleet.now_s = step * 0.1
+                    if step == 100:
+                        fleet.cut = {0, 1, 2}
+                    if step == 200:
+                        fleet.cut = set()
+                    if step == 260:
+                        for index in (3, 4):
+                            levels = fleet.quotas[0].list_levels()
+                            fleet.quotas[index] = fleet.start()
+                            fleet.quotas[index].adopt_levels(levels, fleet.now_s)
+                            fleet.incarnations[index] += 1
+                    # Four times the rate, as a hot organisation sends it.
+                    for _ in range(11):
+                        fleet.ask(fleet.random.randrange(9), 1700.0)
+                    if step % 10 == 0:
+                        fleet.gossip()
+                self.assertLessEqual(fleet.most_in_window(window_s), bound)
+
+    def test_demand_below_the_rate_is_never_refused(self):
+        fleet = FleetOfBuckets(9, 47_000.0, 1)
+        asked = 0
+        for step in range(400):
+            fleet.now_s = step * 0.1
+            fleet.ask(step % 2, 3000.0)
+            asked += 1
+            if step % 10 == 0:
+                fleet.gossip()
+        self.assertEqual(len(fleet.spent), asked)
+
+    @given(st.lists(st.tuples(st.floats(0, 2), st.floats(1, 2000)), max_size=60))
+    def test_one_process_alone_admits_at_most_rate_and_burst(self, asks):
+        quota = FleetQuota()
+        organisation = make_organisation()
+        quota.configure({"acme": organisation}, 0.0)
+        now_s, admitted = 0.0, 0.0
+        for pause_s, cost in asks:
+            now_s += pause_s
+            cost = min(cost, 1000.0)
+            if quota.charge(organisation, cost, now_s) == 0.0:
+                admitted += cost
+        self.assertLessEqual(admitted, 1000.0 + 1000.0 * now_s + 1e-6)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/entry/test_retry_budget.py
@@ -0,0 +1,46 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from banyanseam.entry.retry_budget import RetryBudget
+from tests.entry.common import BOUNDS
+
+
+class RetryBudgetTests(unittest.TestCase):
+    @given(st.integers(1, 9), st.lists(st.floats(0, 0.5), min_size=1, max_size=200))
+    def test_all_together_stay_inside_of_every_window(self, vms, pauses_s):
+        budgets = [RetryBudget(BOUNDS) for _ in range(vms)]
+        now_s, requests, retries = 0.0, [], []
+        for index, pause_s in enumerate(pauses_s):
+            now_s += pause_s
+            budget = budgets[index % vms]
+            budget.note_request("pool", vms, now_s)
+            requests.append(now_s)
+            while budget.take("pool", vms, now_s):
+                retries.append(now_s)
+        for begin_s in retries:
+            end_s = begin_s + BOUNDS.retry_window_s
+            made = sum(begin_s <= at_s < end_s for at_s in retries)
+            asked = sum(begin_s <= at_s < end_s for at_s in requests)
+            allowed = BOUNDS.retry_ratio * asked + BOUNDS.retry_extra
+            self.assertLessEqual(made, allowed)
+
+    def test_services_have_budgets_of_their_own(self):
+        budget = RetryBudget(BOUNDS)
+        while budget.take("pool", 9, 0.0):
+            pass
+        self.assertFalse(budget.has_any("pool", 9, 0.0))
+        self.assertTrue(budget.take("desk", 9, 0.0))
+
+    def test_requests_earn_retries(self):
+        budget = RetryBudget(BOUNDS)
+        while budget.take("pool", 9, 0.0):
+            pass
+        for _ in range(20):
+            budget.note_request("pool", 9, 0.1)
+        self.assertTrue(budget.take("pool", 9, 0.1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/entry/test_upstream_list.py
@@ -0,0 +1,84 @@
+import unittest
+
+from banyanseam.entry.const import DOUBT_S, FAILURES_TO_DOUBT, RETURN_COLD_S
+from banyanseam.entry.models import UpstreamState
+from banyanseam.entry.upstream_list import UpstreamList
+from tests.entry.common import make_upstream
+
+
+def list_ids(upstreams, now_s=0.0):
+    usable = upstreams.list_usable("pool", now_s)
+    return sorted(each.upstream.upstream_id for each in usable)
+
+
+class UpstreamListTests(unittest.TestCase):
+    def setUp(self):
+        self.upstreams = UpstreamList()
+        self.upstreams.adopt([make_upstream("e1"), make_upstream("e2")], 10, 0.0)
+
+    def test_an_older_listing_changes_nothing(self):
+        self.assertFalse(self.upstreams.adopt([], 9, 1.0))
+        self.assertEqual(list_ids(self.upstreams), ["e1", "e2"])
+        self.assertEqual(self.upstreams.fresh_s, 0.0)
+
+    def test_leaving_missing_and_evacuated_upstreams_get_nothing(self):
+        leaving = make_upstream("e1", state=UpstreamState.LEAVING, revision=11)
+        self.upstreams.adopt([leaving, make_upstream("e2")], 11, 1.0)
+        self.assertEqual(list_ids(self.upstreams), ["e2"])
+        self.upstreams.set_evacuated(frozenset({"gulf-a"}), 2.0)
+        self.assertEqual(list_ids(self.upstreams), [])
+        self.upstreams.set_evacuated(frozenset(), 3.0)
+        self.upstreams.adopt([leaving], 12, 3.0)
+        self.assertEqual(list_ids(self.upstreams), [])
+
+    def test_entries_that_lapsed_in_an_outage_are_kept_for_a_moment(self):
+        self.upstreams.keep_lapsed_until(12.0)
+        self.upstreams.adopt([], 11, 10.0)
+        self.assertEqual(list_ids(self.upstreams), ["e1", "e2"])
+        self.upstreams.adopt([make_upstream("e1")], 12, 12.1)
+        self.assertEqual(list_ids(self.upstreams), ["e1"])
+
+    def test_a_new_incarnation_starts_anew(self):
+        tracked = self.upstreams.find("e1")
+        tracked.usage.requests = 5
+        reborn = make_upstream("e1", started_ms=2, cold_ms=3000, revision=11)
+        self.upstreams.adopt([reborn], 11, 1.0)
+        tracked = self.upstreams.find("e1")
+        self.assertEqual(tracked.usage.requests, 0)
+        self.assertTrue(self.upstreams.is_cold(tracked, 3.9))
+        self.assertFalse(self.upstreams.is_cold(tracked, 4.1))
+
+    def test_an_upstream_becomes_cold_again_at_any_moment(self):
+        cold = make_upstream("e1", cold_ms=2000, revision=11)
+        self.upstreams.adopt([cold], 11, 5.0)
+        self.assertTrue(self.upstreams.is_cold(self.upstreams.find("e1"), 6.9))
+
+    def test_a_data_centre_that_returns_counts_as_cold(self):
+        self.upstreams.set_evacuated(frozenset({"gulf-a"}), 0.0)
+        self.upstreams.set_evacuated(frozenset(), 5.0)
+        tracked = self.upstreams.find("e1")
+        self.assertTrue(self.upstreams.is_cold(tracked, 5.1))
+        self.assertFalse(self.upstreams.is_cold(tracked, 5.1 + RETURN_COLD_S))
+
+    def test_short_notice_ends_use_in_time(self):
+        noticed = make_upstream("e1", remaining_ms=500, revision=11)
+        self.upstreams.adopt([noticed], 11, 1.0)
+        self.assertEqual(list_ids(self.upstreams, 1.4), ["e1"])
+        self.assertEqual(list_ids(self.upstreams, 1.6), [])
+
+    def test_no_connection_casts_doubt_at_once_and_broken_answers_in_a_row(self):
+        tracked = self.upstreams.find("e1")
+        self.upstreams.note_failure(tracked, 1.0, is_connect=True)
+        self.assertTrue(self.upstreams.is_cold(tracked, 1.0 + DOUBT_S / 2))
+        tracked = self.upstreams.find("e2")
+        for _ in range(FAILURES_TO_DOUBT - 1):
+            self.upstreams.note_failure(tracked, 1.0, is_connect=False)
+        self.assertFalse(self.upstreams.is_cold(tracked, 1.1))
+        self.upstreams.note_failure(tracked, 1.0, is_connect=False)
+        self.assertTrue(self.upstreams.is_cold(tracked, 1.1))
+        self.upstreams.note_success(tracked)
+        self.assertEqual(tracked.usage.failures_in_row, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/faults/test_ports.py
+++ b/tests/faults/test_ports.py
@@ -144,7 +144,10 @@
                 self.assertEqual([one for one in chats if not one.is_whole], [])
                 self.assertTrue(daemon.child.is_running)
 
-        anyio.run(scenario)
+        # On the loop that daemons run on: asyncio's own does not note that a closed
+        # transport is lost once it has written what it still held, and a second close
+        # of it fails.
+        anyio.run(scenario, backend_options={"use_uvloop": True})
 
     async def check_forged_peers(self, fleet: Fleet) -> None:
         """Check that who cannot prove to be of the fleet gets no link."""
--- /dev/null
+++ b/tests/platform/test_borders.py
@@ -0,0 +1,94 @@
+"""The platform's folder decides nothing, and its words stay inside of it."""
+
+import ast
+import re
+import unittest
+from pathlib import Path
+
+import banyanseam
+from banyanseam.platform import wire
+
+ROOT = Path(banyanseam.__file__).parent
+# What composes the daemon may know the folder; what decides may not.
+COMPOSITION = {"entry/main.py"}
+ALLOWED_INSIDE = {
+    "banyanseam.config.errors",
+    "banyanseam.entry.errors",
+    "banyanseam.entry.models",
+    "banyanseam.errors",
+    "banyanseam.peers.network",
+    "banyanseam.pipe.errors",
+    "banyanseam.settings",
+    "banyanseam.upstreams.connections",
+}
+
+
+def list_sources():
+    for path in sorted(ROOT.rglob("*.py")):
+        yield path.relative_to(ROOT).as_posix(), path.read_text()
+
+
+def list_imports(source):
+    for node in ast.walk(ast.parse(source)):
+        if isinstance(node, ast.ImportFrom):
+            yield node.module
+        elif isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+
+
+def list_words():
+    for value in vars(wire).values():
+        if isinstance(value, bytes):
+            yield value.decode()
+        elif isinstance(value, str) and "/" in value:
+            yield value
+        elif isinstance(value, frozenset):
+            yield from (each.decode() for each in value)
+
+
+class BorderTests(unittest.TestCase):
+    def test_what_decides_imports_nothing_of_the_platform(self):
+        for name, source in list_sources():
+            if name.startswith("platform/") or name in COMPOSITION:
+                continue
+            found = [
+                each
+                for each in list_imports(source)
+                if each.startswith("banyanseam.platform")
+            ]
+            with self.subTest(name):
+                self.assertEqual(found, [])
+
+    def test_the_folder_imports_types_errors_and_plumbing_only(self):
+        for name, source in list_sources():
+            if not name.startswith("platform/"):
+                continue
+            found = {
+                each
+                for each in list_imports(source)
+                if each.startswith("banyanseam.")
+                and not each.startswith("banyanseam.platform")
+            }
+            with self.subTest(name):
+                self.assertEqual(found - ALLOWED_INSIDE, set())
+
+    def test_no_word_of_the_wire_stands_outside(self):
+        common = {"authorization", "model", "hold"}
+        words = [word for word in list_words() if word not in common]
+        pattern = re.compile("|".join(map(re.escape, words)), re.IGNORECASE)
+        for name, source in list_sources():
+            if name.startswith("platform/"):
+                continue
+            with self.subTest(name):
+                strings = [
+                    node.value if isinstance(node.value, str) else node.value.decode()
+                    for node in ast.walk(ast.parse(source))
+                    if isinstance(node, ast.Constant)
+                    and isinstance(node.value, str | bytes)
+                ]
+                found = [text for text in strings if pattern.fullmatch(text)]
+                self.assertEqual(found, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,134 @@
+import unittest
+
+from banyanseam.entry.models import SendOrder
+from banyanseam.errors import Problem
+from banyanseam.pipe.errors import RequestMalformed
+from banyanseam.platform.documents import digest_key
+from banyanseam.platform.requests import (
+    read_answer,
+    read_request,
+    write_headers,
+    write_refusal,
+)
+from banyanseam.platform.wire import SYSTEM_HEADERS
+
+HEADERS = [
+    (b"host", b"A.example"),
+    (b"request-id", b"r1"),
+    (b"request-deadline", b"4000"),
+    (b"authorization", b"Bearer secret"),
+    (b"model", b"m"),
+    (b"token-usage", b"1460,80"),
+    (b"prompt-prefix", b"5c1e:800,91bd:410,e440:250"),
+    (b"length-hint", b"12"),
+    (b"connection", b"keep-alive, x-private"),
+    (b"x-private", b"1"),
+    (b"content-length", b"5"),
+]
+ORDER = SendOrder("i-1", "acme", 1500, 12, "3")
+
+
+def read(extra=(), without=()):
+    kept = [header for header in HEADERS if header[0] not in without]
+    return read_request("POST", "/a/x", b"/a/x?y=1", [*kept, *extra])
+
+
+class RequestTests(unittest.TestCase):
+    def test_a_request_is_decoded_once(self):
+        head = read()
+        self.assertEqual(head.host, "a.example")
+        self.assertEqual(head.key_digest, digest_key(b"secret"))
+        self.assertEqual(head.deadline_ms, 4000)
+        self.assertEqual(head.prompt.prompt_tokens, 1460)
+        self.assertEqual(head.prompt.max_output_tokens, 80)
+        self.assertEqual([part.tokens for part in head.prompt.parts], [800, 410, 250])
+
+    def test_what_only_the_system_may_set_is_dropped(self):
+        # Found by an earlier trial: a caller's own values reached the upstream.
+        forged = [(name, b"forged") for name in sorted(SYSTEM_HEADERS)]
+        head = read(
+            [
+                header
+                for header in forged
+                if header[0] not in (b"authorization", b"request-deadline")
+            ]
+        )
+        sent = write_headers(head, ORDER)
+        self.assertNotIn(b"forged", [value for _, value in sent])
+
+    def test_no_key_and_no_header_of_the_connection_goes_on(self):
+        sent = dict(write_headers(read(), ORDER))
+        for name in (b"authorization", b"connection", b"x-private", b"content-length"):
+            self.assertNotIn(name, sent)
+        self.assertEqual(sent[b"tenant-id"], b"acme")
+        self.assertEqual(sent[b"expect-instance"], b"i-1")
+        self.assertEqual(sent[b"request-deadline"], b"1500")
+        self.assertEqual(sent[b"request-priority"], b"9")
+        self.assertEqual(sent[b"last-event-id"], b"3")
+        self.assertEqual(sent[b"length-hint"], b"12")
+        self.assertEqual(sent[b"request-id"], b"r1")
+
+    def test_ambiguous_and_unreadable_requests_are_refused(self):
+        for name, extra, without in (
+            ("no id", (), (b"request-id",)),
+            ("two ids", [(b"request-id", b"r2")], ()),
+            ("two models", [(b"model", b"n")], ()),
+            ("two deadlines", [(b"request-deadline", b"1")], ()),
+            ("tokens", [(b"token-usage", b"many")], (b"token-usage",)),
+        ):
+            with self.subTest(name), self.assertRaises(RequestMalformed):
+                read(extra, without)
+
+    def test_other_schemes_are_no_key(self):
+        head = read([(b"authorization", b"Basic abc")], (b"authorization",))
+        self.assertIsNone(head.key_digest)
+
+
+class AnswerTests(unittest.TestCase):
+    def test_what_an_answer_says_of_the_run(self):
+        for status, headers, not_run in (
+            (503, [(b"Not-Executed", b"1")], True),
+            (429, [(b"Not-Executed", b"1")], True),
+            (421, [], True),
+            (503, [], False),
+            (500, [(b"Not-Executed", b"1")], False),
+            (200, [(b"Not-Executed", b"1")], False),
+        ):
+            with self.subTest(status=status, headers=headers):
+                answer = read_answer(status, headers)
+                self.assertEqual(answer.is_surely_not_run, not_run)
+
+    def test_headers_of_the_connection_end_here(self):
+        answer = read_answer(
+            200,
+            [
+                (b"Upstream-Signature", b"s"),
+                (b"Request-Id", b"r1"),
+                (b"Transfer-Encoding", b"chunked"),
+                (b"Connection", b"close"),
+                (b"Content-Encoding", b"gzip"),
+            ],
+        )
+        self.assertTrue(answer.is_signed)
+        self.assertTrue(answer.is_encoded)
+        self.assertEqual(answer.request_id, "r1")
+        names = {name for name, _ in answer.headers}
+        self.assertFalse(names & {b"transfer-encoding", b"connection"})
+
+    def test_a_refusal_tells_when_to_return_in_seconds(self):
+        problem = Problem(
+            type="t",
+            title="t",
+            status=503,
+            detail="d",
+            code="c",
+            not_run=True,
+            request_id="r1",
+            retry_after_ms=1250,
+        )
+        headers, _ = write_refusal(problem, 4000)
+        self.assertEqual(dict(headers)[b"retry-after"], b"1.250")
+
+
+if __name__ == "__main__":
+    unittest.main()
