--- /dev/null
+++ b/standins/platform_upstream.py
@@ -0,0 +1,159 @@
+"""An upstream of the users' platform: signed answers, event streams and faults.
+
+It writes its answers byte by byte itself, since most of its faults are answers that no
+HTTP library would send.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Final
+
+EVENTS: Final = 6
+EVENT_PAUSE_S: Final = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """A request as the upstream got it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class PlatformUpstream:
+    """One upstream; `faults` are taken one a request, the first one first."""
+
+    upstream_id: str
+    is_stream: bool = False
+    pause_s: float = EVENT_PAUSE_S
+    faults: list[str] = field(default_factory=list)
+    # Every request that began to run.
+    runs: list[Seen] = field(default_factory=list)
+    # How many runs the caller's leaving has ended.
+    cancelled: int = 0
+
+    @asynccontextmanager
+    async def serve(self) -> AsyncIterator[str]:
+        """Serve while the context is open and give the address."""
+        server = await asyncio.start_server(self._serve_connection, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        try:
+            yield f"127.0.0.1:{port}"
+        finally:
+            server.close()
+
+    async def _serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            seen = await _read_request(reader)
+            gone = asyncio.ensure_future(reader.read(1))
+            run = asyncio.ensure_future(self._answer(seen, writer))
+            await asyncio.wait({gone, run}, return_when=asyncio.FIRST_COMPLETED)
+            if not run.done():
+                self.cancelled += 1
+                run.cancel()
+            gone.cancel()
+            await asyncio.gather(run, gone, return_exceptions=True)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        fault = self.faults.pop(0) if self.faults else ""
+        expected = seen.headers.get("expect-instance")
+        if expected not in (None, self.upstream_id):
+            writer.write(b"HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n")
+            await writer.drain()
+            return
+        if fault == "full":
+            writer.write(
+                b"HTTP/1.1 503 Full\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
+            )
+            await writer.drain()
+            return
+        self.runs.append(seen)
+        if fault == "no answer":
+            return
+        if fault == "hang":
+            await asyncio.sleep(60)
+        if fault == "garbage":
+            writer.write(b"this is no answer\r\n\r\n")
+            await writer.drain()
+            return
+        await self._write_answer(seen, writer, fault)
+
+    async def _write_answer(
+        self, seen: Seen, writer: asyncio.StreamWriter, fault: str
+    ) -> None:
+        status = "500 Failed" if fault == "error" else "200 OK"
+        request_id = "other" if fault == "crossed" else seen.headers["request-id"]
+        head = [f"HTTP/1.1 {status}", f"request-id: {request_id}"]
+        if fault != "unsigned":
+            head.append(f"upstream-signature: {self.upstream_id}.s")
+        if fault == "encoded":
+            head.append("content-encoding: gzip")
+        if self.is_stream and status.startswith("200"):
+            await self._write_stream(seen, writer, head, fault)
+            return
+        body = b"answer to " + seen.headers["request-id"].encode()
+        if fault != "unframed":
+            head.append(f"content-length: {len(body)}")
+        writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
+        if fault == "truncated":
+            writer.write(body[:4])
+            await writer.drain()
+            writer.transport.abort()
+            return
+        await asyncio.sleep(self.pause_s)
+        writer.write(body)
+        if fault == "extra":
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore")
+        await writer.drain()
+
+    async def _write_stream(
+        self, seen: Seen, writer: asyncio.StreamWriter, head: list[str], fault: str
+    ) -> None:
+        head += ["content-type: text/event-stream", "transfer-encoding: chunked"]
+        writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
+        first = int(seen.headers.get("last-event-id", "0")) + 1
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(self.pause_s)
+            event = b"id: %d\ndata: word %d\n\n" % (number, number)
+            if fault == "cut" and number == 3:
+                writer.write(_chunk(event[:7]))
+                await writer.drain()
+                writer.transport.abort()
+                return
+            if fault == "skip" and number == 3:
+                continue
+            writer.write(_chunk(event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
+def whole_stream() -> bytes:
+    """Return the body of a whole stream."""
+    make: Callable[[int], bytes] = lambda n: b"id: %d\ndata: word %d\n\n" % (n, n)  # noqa: E731
+    return b"".join(make(number) for number in range(1, EVENTS + 1))
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Seen:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.strip().split("\r\n")
+    method, target, _ = first.split(" ")
+    pairs = (line.split(":", 1) for line in lines)
+    headers = {name.lower(): value.strip() for name, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Seen(method, target, headers, body)
