--- /dev/null
+++ b/tests/entry/test_upstreams.py
@@ -0,0 +1,142 @@
+import random
+import unittest
+
+from banyanseam.entry.models import EngineLimits, Service
+from banyanseam.entry.upstream_list import UpstreamList
+from banyanseam.entry.upstreams import (
+    Loads,
+    hold,
+    list_local,
+    may_send_cold,
+    note_read,
+)
+from tests.entry.common import (
+    BOUNDS,
+    make_candidate,
+    make_catalogue,
+    make_member,
+    make_members,
+    make_prompt,
+    make_upstream,
+)
+
+COLD_PER_S = 4.5
+
+
+def make_processes(count, views=lambda _: True):
+    """Return members and lists of processes that know those that `views` lets them."""
+    processes = []
+    ips = [f"10.1.0.{number}" for number in range(1, count + 1)]
+    for index, ip in enumerate(ips):
+        members = make_members(ip)
+        rows = [make_member(other) for other in ips if other != ip and views(index)]
+        members.merge(rows, 0.0)
+        upstreams = UpstreamList()
+        upstreams.adopt([make_upstream("e1", cold_ms=60_000)], 1, 0.0)
+        processes.append((members, upstreams))
+    return processes
+
+
+class ColdTests(unittest.TestCase):
+    def most_in_a_second(self, processes, steps=300):
+        chance = random.Random(7)
+        sent = []
+        for step in range(steps):
+            now_s = step * 0.005
+            for members, upstreams in chance.sample(processes, len(processes)):
+                tracked = upstreams.find("e1")
+                if may_send_cold(tracked, members, now_s):
+                    tracked.usage.cold_sent_s = now_s
+                    sent.append(now_s)
+        return max(sum(at_s <= each < at_s + 1 for each in sent) for at_s in sent)
+
+    def test_all_together_keep_the_pace_of_a_cold_upstream(self):
+        bound = COLD_PER_S * BOUNDS.cold_excess_ratio + BOUNDS.cold_excess_requests
+        for count in (1, 3, 9, 22):
+            with self.subTest(count=count):
+                most = self.most_in_a_second(make_processes(count))
+                self.assertLessEqual(most, bound)
+                self.assertGreater(most, 1)
+
+    def test_they_do_while_one_of_them_hears_nobody(self):
+        bound = COLD_PER_S * BOUNDS.cold_excess_ratio + BOUNDS.cold_excess_requests
+        processes = make_processes(3, lambda index: index != 0)
+        self.assertLessEqual(self.most_in_a_second(processes), bound)
+
+
+class CandidateTests(unittest.TestCase):
+    def setUp(self):
+        self.members = make_members()
+        self.upstreams = UpstreamList()
+        self.loads = Loads(self.upstreams, "gulf")
+
+    def list(self, *upstreams, now_s=0.0, **fields):
+        self.upstreams.adopt(upstreams, 1, 0.0)
+        catalogue = make_catalogue(**fields)
+        return list_local(
+            catalogue, "pool", self.upstreams, self.loads, self.members, now_s
+        )
+
+    def test_upstreams_of_other_regions_cannot_be_reached(self):
+        found = self.list(
+            make_upstream("e1"), make_upstream("e2", data_centre="delta-a")
+        )
+        self.assertEqual([each.upstream_id for each in found], ["e1"])
+
+    def test_what_all_of_the_region_hold_counts(self):
+        self.list(make_upstream("e1"))
+        tracked = self.upstreams.find("e1")
+        self.loads.hear("10.1.0.2", {"e1": (3, 250.0, 9000)}, 0.0)
+        with hold(tracked, make_prompt(), is_kept=True) as reading:
+            found = self.list(make_upstream("e1"))[0]
+            self.assertEqual(found.requests, 4)
+            self.assertGreater(found.prefill_ms, 250 + 3720 / 37.9)
+            self.assertEqual(found.held_tokens, 9000 + 3720 + 120)
+            note_read(tracked, reading)
+            found = self.list(make_upstream("e1"))[0]
+            self.assertEqual((found.requests, found.prefill_ms), (4, 250.0))
+        # A process that has fallen silent holds nothing any more.
+        found = self.list(make_upstream("e1"), now_s=10.0)[0]
+        self.assertEqual((found.requests, found.prefill_ms), (0, 0.0))
+
+    def test_connections_are_capped_over_all_vms(self):
+        self.members.merge([make_member("10.1.0.2")], 0.0)
+        services = {"pool": Service("pool", 4, 0, 0, EngineLimits(64, 294_902))}
+        self.list(make_upstream("e1"))
+        tracked = self.upstreams.find("e1")
+        with hold(tracked, None, is_kept=False):
+            self.assertEqual(self.list(make_upstream("e1"), services=services), [])
+
+
+class KeptTests(unittest.TestCase):
+    def test_where_parts_are_kept_is_heard_of(self):
+        upstreams = UpstreamList()
+        upstreams.adopt([make_upstream("e1"), make_upstream("e2")], 1, 0.0)
+        loads = Loads(upstreams, "gulf")
+        loads.engine_memory_tokens = 294_902
+        loads.note_own_part("e1", "h1", 13_300, 0.0)
+        self.assertEqual(loads.list_part_uses(0.1), [("e1", "h1", 13_300)])
+        self.assertEqual(loads.list_part_uses(9.0), [])
+        self.assertEqual(loads.list_region_parts(), ["h1"])
+        members = make_members()
+        found = {
+            each.upstream_id: loads.is_kept("h1", each)
+            for each in list_local(
+                make_catalogue(), "pool", upstreams, loads, members, 0.0
+            )
+        }
+        self.assertEqual(found, {"e1": True, "e2": False})
+
+    def test_another_region_says_what_it_keeps(self):
+        loads = Loads(UpstreamList(), "gulf")
+        loads.engine_memory_tokens = 294_902
+        far = make_candidate("e1", "delta")
+        self.assertFalse(loads.is_kept("h1", far))
+        loads.hear_region("delta", {}, ["h1"], 0.0)
+        self.assertTrue(loads.is_kept("h1", far))
+        loads.note_forwarded_part("delta", "h2", 100)
+        self.assertTrue(loads.is_kept("h2", far))
+
+
+if __name__ == "__main__":
+    unittest.main()
