Hold long prompts back, blur choices, and let regions say that they have nothing

Change: a prompt that takes over 120 ms to read waits at the entry until its engine has little left to read, and accepts more the longer it has waited; what is held back counts for other long prompts; costs are blurred by 30 ms; the pace of long answers counts; an empty list of candidates is taken; requests wait for the first configuration of a process that has just started.

Ruled out: urgency of the requests (an organisation's rank goes before the route's, and admission is immediate while places are free).

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -124,6 +124,7 @@
             self.retries,
             self.suspects,
             settings.peers_port,
+            self.fleet.announce,
         )
         budget_bytes = int(settings.memory_mb * 1024 * 1024 * BODY_MEMORY_SHARE)
         self.gate = Gate(
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -56,6 +56,26 @@
 STRAY_MS: Final = 60.0
 # Of an engine's memory, what may be counted on for shared parts.
 KEPT_MEMORY_SHARE: Final = 0.6
+# Several processes choose on the same news, a quarter of a second old. Each choice is
+# blurred by about what they send meanwhile, so that they do not all choose alike.
+BLUR_MS: Final = 30.0
+# Tokens of an answer beyond this do not count for placing: few answers are so long.
+MAX_COUNTED_OUTPUT_TOKENS: Final = 120
+# A forwarded request's own reading, for news that do not hold it yet.
+FORWARDED_MS: Final = 12.0
+# A prompt that takes longer than this to read is held back while its engine reads
+# others, so that short ones never wait behind several of them.
+LONG_PREFILL_MS: Final = 120.0
+# What an engine may have left to read when the next long prompt is sent, and how much
+# that grows with the time that the prompt has waited.
+LONG_AHEAD_MS: Final = 80.0
+LONG_AHEAD_GROWTH: Final = 0.4
+QUEUE_PERIOD_S: Final = 0.03
+# How long a request waits for an upstream to be registered or to have memory, as a
+# share of the time that it has.
+ROOM_PATIENCE_SHARE: Final = 0.15
+# How long a process that has just started lets requests wait for its configuration.
+START_PATIENCE_S: Final = 1.0
 STEP_MS: Final = 4.63
 STEP_MS_PER_RUNNING: Final = 0.153
 # Prompt parts below this are cheaper to read again than to steer by.
--- a/banyanseam/entry/fleet.py
+++ b/banyanseam/entry/fleet.py
@@ -243,7 +243,8 @@
                     self._loads.hear_region(
                         region, _from_rows(rows), parts, now_s, is_relayed=True
                     )
-        elif gossip.candidates:
+        elif gossip.upstreams is None:
+            # A region that has none says so as well.
             candidates = _from_rows(gossip.candidates)
             self._loads.hear_region(
                 sender.region, candidates, gossip.region_parts, now_s
--- a/banyanseam/entry/gate.py
+++ b/banyanseam/entry/gate.py
@@ -10,7 +10,7 @@
 
 from banyanseam.config.errors import NotReady
 from banyanseam.daemon.lifecycle import Lifecycle
-from banyanseam.entry.const import MIN_RETRY_AFTER_MS
+from banyanseam.entry.const import MIN_RETRY_AFTER_MS, START_PATIENCE_S
 from banyanseam.entry.crash_suspects import CrashSuspects, fingerprint
 from banyanseam.entry.errors import (
     CrashSuspected,
@@ -206,6 +206,9 @@
     declared_bytes = read_declared_bytes(headers)
     with gate.budget.reserve_body(declared_bytes, MAX_BODY_BYTES) as reservation:
         body = await read_body(receive, reservation.grow_to)
+        if gate.values.catalogue is None:
+            with anyio.move_on_after(START_PATIENCE_S):
+                await gate.values.complete.wait()
         exchange = _admit(gate, head, body, story)
         story.exchange = exchange
         await _run(gate, exchange, scope["extensions"][CONNECTION])
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -12,7 +12,7 @@
 
 MemberRow = tuple[str, str, str, str, int, int, bool, bool, int]
 UpstreamRow = tuple[str, str, str, str, bool, int, int, int | None, int, int]
-CandidateRow = tuple[str, str, int, int, int, float, int, bool]
+CandidateRow = tuple[str, str, int, int, int, float, int, float, bool]
 
 
 class Gossip(BaseModel):
@@ -24,8 +24,9 @@
     members: list[MemberRow]
     config_version: int = 0
     evacuation_revision: int = 0
-    # Requests, time to read their prompts and memory held, by upstream, of the sender.
-    loads: dict[str, tuple[int, float, int]] = {}
+    # By upstream, of the sender: requests, time to read their prompts, memory held, and
+    # time to read the prompts that are held back.
+    loads: dict[str, tuple[int, float, int, float]] = {}
     # Shared parts that the sender had read: upstream, part, tokens.
     part_uses: list[tuple[str, str, int]] = []
     # Upstreams of the sender's region by service, for another region.
@@ -115,5 +116,6 @@
         candidate.requests,
         round(candidate.prefill_ms),
         candidate.held_tokens,
+        round(candidate.queued_ms),
         candidate.is_reserve,
     )
--- a/banyanseam/entry/placing.py
+++ b/banyanseam/entry/placing.py
@@ -9,6 +9,11 @@
 
 from banyanseam.entry.const import (
     ATTENTION_MS_PER_MILLION_PAIRS,
+    BLUR_MS,
+    LONG_AHEAD_GROWTH,
+    LONG_AHEAD_MS,
+    LONG_PREFILL_MS,
+    MAX_COUNTED_OUTPUT_TOKENS,
     MEMORY_SHARE,
     MIN_SHARED_TOKENS,
     PREFILL_TOKENS_PER_MS,
@@ -40,6 +45,8 @@
     # How long it will read what it was sent before.
     prefill_ms: float
     held_tokens: int
+    # How long it will read the long prompts that are held back for it.
+    queued_ms: float = 0.0
     # It may be used only when nothing else is left: cold or in doubt.
     is_reserve: bool = False
 
@@ -123,7 +130,32 @@
     # A request that finds the batch full waits for others to end: as many steps as an
     # answer has tokens, shared by all that run.
     queue_ms = over * step_ms * 60 / max(candidate.slots, 1)
-    return away_ms + candidate.prefill_ms + reading_ms + 4 * step_ms + queue_ms
+    ahead_ms = candidate.prefill_ms
+    if reading_ms >= LONG_PREFILL_MS:
+        ahead_ms += candidate.queued_ms
+    return away_ms + ahead_ms + reading_ms + 4 * step_ms + queue_ms
+
+
+def is_its_turn(place: Place, prompt: Prompt | None, waited_ms: float) -> bool:
+    """Say whether a request may be sent now, or is held back for shorter ones.
+
+    It answers the first seconds of a busy day: every history is read for the first
+    time, and short questions would wait behind three of them in each engine.
+    """
+    reading_ms = estimate_prefill_ms(prompt, is_kept=place.is_kept)
+    if reading_ms < LONG_PREFILL_MS:
+        return True
+    allowed_ms = LONG_AHEAD_MS + LONG_AHEAD_GROWTH * waited_ms
+    return place.candidate.prefill_ms <= allowed_ms
+
+
+def estimate_pace_ms(candidate: Candidate, prompt: Prompt | None) -> float:
+    """Return what the others that run there add to the time of the whole answer."""
+    if prompt is None:
+        return 0.0
+    tokens = min(prompt.max_output_tokens, MAX_COUNTED_OUTPUT_TOKENS)
+    running = min(candidate.requests, candidate.slots)
+    return tokens * running * STEP_MS_PER_RUNNING
 
 
 def has_memory(candidate: Candidate, ask: Ask) -> bool:
@@ -150,7 +182,7 @@
             continue
         is_kept = bool(part_id) and kept(part_id, each)
         wait_ms = estimate_wait_ms(each, ask, is_kept=is_kept)
-        cost_ms = wait_ms
+        cost_ms = wait_ms + estimate_pace_ms(each, ask.prompt)
         if part_id and not is_kept:
             if is_kept_anywhere:
                 cost_ms += REREAD_MS_PER_TOKEN * shared_tokens
@@ -160,9 +192,22 @@
     return weighed
 
 
-def choose(candidates: list[Candidate], ask: Ask, kept: Kept) -> Place | None:
-    """Return the place that costs the least, or None if there is no room at all."""
+def choose(
+    candidates: list[Candidate],
+    ask: Ask,
+    kept: Kept,
+    blur: Callable[[], float] = lambda: 0.0,
+) -> Place | None:
+    """Return the place that costs the least, or None if there is no room at all.
+
+    `blur` gives a random number from 0 to 1 by which costs that are alike are told
+    apart, another way in each process.
+    """
     weighed = weigh_places(candidates, ask, kept)
     if not weighed:
         return None
-    return min(weighed, key=lambda each: (each[1].candidate.is_reserve, each[0]))[1]
+    blurred = [
+        (place.candidate.is_reserve, cost_ms + BLUR_MS * blur(), index)
+        for index, (cost_ms, place) in enumerate(weighed)
+    ]
+    return weighed[min(blurred)[2]][1]
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -7,8 +7,8 @@
 import anyio
 
 from banyanseam.entry.const import (
-    COLD_PAUSE_S,
     CONNECT_TIMEOUT_S,
+    LONG_PREFILL_MS,
     MAX_BUFFERED_ANSWER_BYTES,
     MAX_RETRY_AFTER_MS,
     MAX_WAIT_SHARE,
@@ -17,6 +17,8 @@
     MOVE_PERIOD_S,
     MOVE_TARGET_SHARE,
     PATIENCE_SHARE,
+    QUEUE_PERIOD_S,
+    ROOM_PATIENCE_SHARE,
     ROUND_TRIP_MS,
 )
 from banyanseam.entry.crash_suspects import CrashSuspects
@@ -38,11 +40,12 @@
     Place,
     choose,
     find_shared_part,
+    is_its_turn,
 )
 from banyanseam.entry.retry_budget import RetryBudget
 from banyanseam.entry.sending import Incoming, Outgoing, send
 from banyanseam.entry.upstream_list import Tracked, UpstreamList
-from banyanseam.entry.upstreams import Loads, hold, list_local, note_read
+from banyanseam.entry.upstreams import Loads, hold, list_local, note_read, queue
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.events import SEND_FAILED, UPSTREAM_CHOSEN, log
 from banyanseam.pipe.errors import AnswerCrossed, AnswerGap, AnswerTruncated
@@ -72,6 +75,8 @@
     retries: RetryBudget
     suspects: CrashSuspects
     peers_port: int
+    # Tells the region at once what this process holds.
+    announce: Callable[[], Awaitable[None]]
 
     async def serve(self, exchange: Exchange) -> None:
         """Answer a request; raise why it cannot be answered."""
@@ -117,24 +122,50 @@
         return [each for each in found if each.upstream_id not in exchange.unreachable]
 
     async def _find_place(self, exchange: Exchange) -> Place:
-        """Return where to send; raise NoUpstreamKnown or RegionsFull."""
-        now_s = anyio.current_time()
-        left_ms = exchange.left_ms(now_s)
-        candidates = self.list_candidates(exchange, now_s)
-        if not candidates and left_ms > 4 * COLD_PAUSE_S * 1000:
-            # Upstreams that are paced or about to come back have room soon.
-            await anyio.sleep(random.uniform(0.5, 1.0) * COLD_PAUSE_S)
+        """Return where to send, once it is the request's turn there.
+
+        Raise NoUpstreamKnown or RegionsFull as soon as it cannot be served in time.
+        """
+        began_s = anyio.current_time()
+        patience_s = ROOM_PATIENCE_SHARE * exchange.left_ms(began_s) / 1000
+        while True:
             now_s = anyio.current_time()
+            left_ms = exchange.left_ms(now_s)
+            waited_ms = (now_s - began_s) * 1000
             candidates = self.list_candidates(exchange, now_s)
+            place = self._choose(exchange, candidates)
+            if place is None:
+                if now_s - began_s >= patience_s:
+                    kind = RegionsFull if candidates else NoUpstreamKnown
+                    raise kind(retry_after_ms=choose_retry_after_ms(500.0, left_ms))
+                await anyio.sleep(QUEUE_PERIOD_S)
+                continue
+            late_ms = place.wait_ms - MAX_WAIT_SHARE * left_ms
+            if late_ms > 0:
+                retry_after_ms = choose_retry_after_ms(late_ms, left_ms)
+                raise RegionsFull(retry_after_ms=retry_after_ms)
+            if self._is_turn(exchange, place, waited_ms):
+                self._log_choice(exchange, place, len(candidates), waited_ms)
+                return place
+            tracked = self.upstreams.find(place.candidate.upstream_id)
+            with queue(tracked, exchange.head.prompt, is_kept=place.is_kept):
+                await anyio.sleep(QUEUE_PERIOD_S * random.uniform(0.7, 1.3))
+
+    def _choose(self, exchange: Exchange, candidates: list[Candidate]) -> Place | None:
         ask = Ask(exchange.head.prompt, len(exchange.body), self.members.me.region)
         untried = _prefer_untried(candidates, exchange.tried)
-        place = choose(untried, ask, self.loads.is_kept)
-        if place is None:
-            kind = RegionsFull if candidates else NoUpstreamKnown
-            raise kind(retry_after_ms=choose_retry_after_ms(500.0, left_ms))
-        late_ms = place.wait_ms - MAX_WAIT_SHARE * left_ms
-        if late_ms > 0:
-            raise RegionsFull(retry_after_ms=choose_retry_after_ms(late_ms, left_ms))
+        return choose(untried, ask, self.loads.is_kept, random.random)
+
+    def _is_turn(self, exchange: Exchange, place: Place, waited_ms: float) -> bool:
+        if place.candidate.region != self.members.me.region:
+            # The other region holds it back where it has to.
+            return True
+        return is_its_turn(place, exchange.head.prompt, waited_ms)
+
+    def _log_choice(
+        self, exchange: Exchange, place: Place, candidates: int, waited_ms: float
+    ) -> None:
+        now_s = anyio.current_time()
         log(
             UPSTREAM_CHOSEN,
             request_id=exchange.head.request_id,
@@ -142,11 +173,11 @@
             region=place.candidate.region,
             wait_ms=round(place.wait_ms),
             is_kept=place.is_kept,
-            candidates=len(candidates),
+            candidates=candidates,
+            waited_ms=round(waited_ms),
             version=exchange.catalogue.version,
             list_age_ms=round((now_s - self.upstreams.fresh_s) * 1000),
         )
-        return place
 
     async def _attempt(self, exchange: Exchange, place: Place) -> None:
         if place.candidate.region != self.members.me.region:
@@ -160,6 +191,8 @@
             tracked.usage.cold_sent_s = now_s
         prompt = exchange.head.prompt
         with hold(tracked, prompt, is_kept=place.is_kept) as reading:
+            if reading[0] >= LONG_PREFILL_MS:
+                await self.announce()
             outgoing = self._make_outgoing(exchange, tracked, now_s)
             async with send(
                 outgoing,
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -18,6 +18,7 @@
 
     requests: int = 0
     prefill_ms: float = 0.0
+    queued_ms: float = 0.0
     memory_tokens: int = 0
     failures_in_row: int = 0
     doubted_until_s: float = 0.0
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -3,11 +3,13 @@
 from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from typing import Final
 
 from banyanseam.entry.const import (
     COLD_PAUSE_S,
     COLD_SENDERS,
+    FORWARDED_MS,
     GOSSIP_PERIOD_S,
     KEPT_MEMORY_SHARE,
     MEMORY_SHARE,
@@ -25,7 +27,7 @@
 from banyanseam.entry.upstream_list import Tracked, UpstreamList
 from banyanseam.peers.rendezvous import rank
 
-Load = tuple[int, float, int]
+Load = tuple[int, float, int, float]
 # An upstream, a part and the part's tokens.
 PartUse = tuple[str, str, int]
 
@@ -104,11 +106,12 @@
         found = {}
         for upstream in self._upstreams.list_upstreams():
             usage = self._upstreams.find(upstream.upstream_id).usage
-            if usage.requests:
+            if usage.requests or usage.queued_ms:
                 found[upstream.upstream_id] = (
                     usage.requests,
                     usage.prefill_ms,
                     usage.memory_tokens,
+                    usage.queued_ms,
                 )
         return found
 
@@ -144,7 +147,12 @@
     def sum_region(self, upstream_id: str, now_s: float) -> Load:
         """Return what all of the region are known to hold at an upstream."""
         usage = self._upstreams.find(upstream_id).usage
-        sums = [usage.requests, usage.prefill_ms, usage.memory_tokens]
+        sums = [
+            usage.requests,
+            usage.prefill_ms,
+            usage.memory_tokens,
+            usage.queued_ms,
+        ]
         for heard_s, loads in self._heard.values():
             if now_s - heard_s <= PEER_TERM_S and upstream_id in loads:
                 for index, part in enumerate(loads[upstream_id]):
@@ -152,11 +160,23 @@
         return tuple(sums)
 
     def list_remote(self, region: str, service: str, now_s: float) -> list[Candidate]:
-        """Return another region's candidates, unless the word is too old."""
+        """Return another region's candidates, unless the word is too old.
+
+        What this process has forwarded there itself is added to what was said.
+        """
         heard = self._regions.get(region)
         if heard is None or now_s - heard[0] > REMOTE_PEER_TERM_S:
             return []
-        return heard[1].get(service, [])
+        candidates = heard[1].get(service, [])
+        share = self.forwarded.get(region, 0) / max(len(candidates), 1)
+        return [
+            replace(
+                each,
+                requests=each.requests + round(share),
+                prefill_ms=each.prefill_ms + FORWARDED_MS * share,
+            )
+            for each in candidates
+        ]
 
 
 @contextmanager
@@ -179,6 +199,17 @@
         usage.memory_tokens -= memory_tokens
 
 
+@contextmanager
+def queue(tracked: Tracked, prompt: Prompt | None, *, is_kept: bool) -> Iterator[None]:
+    """Count a long prompt as held back for an upstream while the context is open."""
+    queued_ms = estimate_prefill_ms(prompt, is_kept=is_kept)
+    tracked.usage.queued_ms += queued_ms
+    try:
+        yield
+    finally:
+        tracked.usage.queued_ms -= queued_ms
+
+
 def note_read(tracked: Tracked, reading: list[float]) -> None:
     """Count a prompt as read, once its first token has come."""
     tracked.usage.prefill_ms -= reading[0]
@@ -226,7 +257,7 @@
             continue
         if cap is not None and tracked.usage.requests >= cap:
             continue
-        requests, prefill_ms, held_tokens = loads.sum_region(
+        requests, prefill_ms, held_tokens, queued_ms = loads.sum_region(
             upstream.upstream_id, now_s
         )
         engine = service.engine
@@ -239,6 +270,7 @@
                 requests=requests,
                 prefill_ms=prefill_ms,
                 held_tokens=held_tokens,
+                queued_ms=queued_ms,
                 is_reserve=is_cold,
             )
         )
--- /dev/null
+++ b/tests/entry/test_messages.py
@@ -0,0 +1,49 @@
+import unittest
+
+import cbor2
+
+from banyanseam.entry.messages import (
+    Gossip,
+    decode_gossip,
+    encode_gossip,
+    from_upstream_row,
+    to_member_row,
+    to_upstream_row,
+)
+from banyanseam.entry.models import UpstreamState
+from banyanseam.peers.errors import InvalidPeerMessage
+from tests.entry.common import make_member, make_upstream
+
+
+class MessageTests(unittest.TestCase):
+    def test_a_heartbeat_arrives_as_it_was_sent(self):
+        leaving = make_upstream("e1", state=UpstreamState.LEAVING, remaining_ms=5)
+        gossip = Gossip(
+            members=[to_member_row(make_member())],
+            loads={"e1": (1, 2.5, 3, 4.5)},
+            part_uses=[("e1", "h1", 100)],
+            spent=[("10.1.0.1", 7, {"acme": 5.0})],
+            relayed={"delta": ({"pool": []}, ["h1"])},
+            upstreams=[to_upstream_row(leaving)],
+        )
+        heard = decode_gossip(encode_gossip(gossip))
+        self.assertEqual(heard, gossip)
+        self.assertEqual(from_upstream_row(heard.upstreams[0]), leaving)
+
+    def test_what_is_no_heartbeat_is_refused(self):
+        row = list(to_member_row(make_member()))
+        for name, data in (
+            ("no bytes", b""),
+            ("no CBOR", b"\xff\xff"),
+            ("no map", cbor2.dumps([1])),
+            ("no members", cbor2.dumps({"members": []})),
+            ("another protocol", cbor2.dumps({"members": [row], "protocol": 99})),
+            ("a short row", cbor2.dumps({"members": [row[:3]]})),
+            ("loads of another type", cbor2.dumps({"members": [row], "loads": 3})),
+        ):
+            with self.subTest(name), self.assertRaises(InvalidPeerMessage):
+                decode_gossip(data)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/entry/test_placing.py
+++ b/tests/entry/test_placing.py
@@ -1,12 +1,15 @@
+import random
 import unittest
 from collections import Counter
 
 from banyanseam.entry.models import Prompt, PromptPart
 from banyanseam.entry.placing import (
     Ask,
+    Place,
     count_memory_tokens,
     estimate_prefill_ms,
     find_shared_part,
+    is_its_turn,
 )
 from banyanseam.entry.placing import (
     choose as choose_place,
@@ -89,6 +92,47 @@
         chosen = choose([make_candidate("here"), waiting], ask_for(prompt), {"other"})
         self.assertEqual(chosen.candidate.upstream_id, "here")
 
+    def test_processes_with_the_same_news_do_not_all_choose_alike(self):
+        # Found on a hot day: for half a second all VMs sent every short query to the
+        # engine that had the fewest, and it took three seconds for each.
+        query = Prompt(383, 45, (PromptPart("p", 92), PromptPart("own", 291)))
+        chance = random.Random(3)
+        places = Counter(
+            choose_place(
+                HERE, ask_for(query, 770), lambda *_: False, chance.random
+            ).candidate.upstream_id
+            for _ in range(300)
+        )
+        self.assertGreater(min(places.values()), 60)
+
+    def test_an_engine_that_runs_many_is_slower_for_long_answers(self):
+        query = Prompt(383, 180, (PromptPart("p", 92), PromptPart("own", 291)))
+        busy = make_candidate("busy", requests=40)
+        reading = make_candidate("reading", prefill_ms=300.0)
+        chosen = choose([busy, reading], ask_for(query, 770))
+        self.assertEqual(chosen.candidate.upstream_id, "reading")
+
+    def test_long_prompts_are_held_back_and_short_ones_never(self):
+        # Found in the first seconds of every day: all histories are read anew, and
+        # short questions waited behind three of them.
+        reading = Place(make_candidate("e1", prefill_ms=450.0), 900.0, is_kept=False)
+        free = Place(make_candidate("e1"), 450.0, is_kept=False)
+        query = Prompt(383, 45, ())
+        self.assertTrue(is_its_turn(reading, query, 0.0))
+        self.assertTrue(is_its_turn(free, make_prompt(), 0.0))
+        self.assertFalse(is_its_turn(reading, make_prompt(), 0.0))
+        # Who has waited long goes before those that come later.
+        self.assertTrue(is_its_turn(reading, make_prompt(), 1000.0))
+
+    def test_what_is_held_back_counts_for_long_prompts_only(self):
+        queued = make_candidate("queued", queued_ms=2000.0)
+        reading = make_candidate("reading", prefill_ms=300.0)
+        query = Prompt(383, 45, ())
+        chosen = choose([queued, reading], ask_for(query, 770))
+        self.assertEqual(chosen.candidate.upstream_id, "queued")
+        chosen = choose([queued, reading], ask_for(make_prompt()))
+        self.assertEqual(chosen.candidate.upstream_id, "reading")
+
     def test_plain_services_go_where_the_fewest_wait(self):
         full = make_candidate("full", slots=6, memory_tokens=0, requests=6)
         free = make_candidate("free", slots=6, memory_tokens=0, requests=1)
