Import only what an entry daemon uses

Cause: its main module imported the whole seats-based daemon for one function, and the border imported the peers' websockets for another; starts count after every kill.

Change: report_failure stands in daemon/failures.py, split_address in config/addresses.py.

--- a/banyanseam/config/addresses.py
+++ b/banyanseam/config/addresses.py
@@ -31,3 +31,9 @@
     host, _, port = address.rpartition(":")
     parsed = ip_address(host.strip("[]"))
     return port != "0" and not parsed.is_unspecified and not parsed.is_multicast
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of `host:port`, with IPv6 hosts in brackets."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- a/banyanseam/daemon/main.py
+++ b/banyanseam/daemon/main.py
@@ -8,9 +8,9 @@
 
 from banyanseam.daemon.app import Daemon
 from banyanseam.daemon.const import EXIT_FAILED, EXIT_SETTINGS
+from banyanseam.daemon.failures import report_failure
 from banyanseam.errors import BanyanseamError
-from banyanseam.observe.events import DAEMON_FAILED, INTERNAL_FAILURE, log
-from banyanseam.observe.logs import Logs, describe_trace, set_up_logs
+from banyanseam.observe.logs import Logs, set_up_logs
 from banyanseam.settings import Settings, read_settings
 
 
@@ -57,24 +57,5 @@
         sys.exit(EXIT_FAILED)
 
 
-def report_failure(error: Exception) -> None:
-    """Log why the daemon cannot go on, in one line."""
-    known = find_known(error)
-    if known is not None:
-        log(DAEMON_FAILED, code=known.code, detail=known.detail)
-    else:
-        log(INTERNAL_FAILURE, error=repr(error), trace=describe_trace(error))
-
-
-def find_known(error: BaseException) -> BanyanseamError | None:
-    """Return the first of the project's own failures in a group of exceptions."""
-    if isinstance(error, BanyanseamError):
-        return error
-    if isinstance(error, BaseExceptionGroup):
-        found = (find_known(each) for each in error.exceptions)
-        return next((each for each in found if each is not None), None)
-    return None
-
-
 if __name__ == "__main__":
     main()
--- a/banyanseam/entry/main.py
+++ b/banyanseam/entry/main.py
@@ -8,7 +8,7 @@
 import click
 
 from banyanseam.daemon.const import EXIT_FAILED, EXIT_SETTINGS
-from banyanseam.daemon.main import report_failure
+from banyanseam.daemon.failures import report_failure
 from banyanseam.entry.app import Entry
 from banyanseam.entry.gate import Border
 from banyanseam.entry.models import EntrySettings
--- a/banyanseam/entry/sending.py
+++ b/banyanseam/entry/sending.py
@@ -12,10 +12,10 @@
 import anyio
 import httpcore
 
+from banyanseam.config.addresses import split_address
 from banyanseam.entry.errors import SlowerThanOthers
 from banyanseam.entry.models import Headers
 from banyanseam.errors import BanyanseamError
-from banyanseam.peers.network import split_address
 from banyanseam.upstreams.errors import (
     UpstreamFailed,
     UpstreamTimedOut,
--- a/banyanseam/peers/network.py
+++ b/banyanseam/peers/network.py
@@ -11,6 +11,7 @@
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import InvalidHandshake, WebSocketException
 
+from banyanseam.config.addresses import split_address
 from banyanseam.observe.events import LINK_DOWN, LINK_REFUSED, LINK_UP, log
 from banyanseam.peers.const import (
     HANDSHAKE_TIMEOUT_S,
@@ -45,12 +46,6 @@
 }
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of `host:port`, with IPv6 hosts in brackets."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 class PeerNetwork:
     """Implements `banyanseam.peers.contract.Network` for one process."""
 
--- a/banyanseam/platform/store.py
+++ b/banyanseam/platform/store.py
@@ -9,10 +9,10 @@
 import httpcore
 from pydantic import BaseModel, ConfigDict, ValidationError
 
+from banyanseam.config.addresses import split_address
 from banyanseam.config.errors import ConfigServiceOverLimit, ConfigServiceUnavailable
 from banyanseam.entry.errors import HistoryForgotten
 from banyanseam.entry.models import Changes, Listing, Published
-from banyanseam.peers.network import split_address
 from banyanseam.platform.wire import RANGE_PATH, WATCH_PATH
 from banyanseam.upstreams.connections import Connections
 
--- a/banyanseam/server/serve.py
+++ b/banyanseam/server/serve.py
@@ -9,8 +9,8 @@
 import anyio
 import uvicorn
 
+from banyanseam.config.addresses import split_address
 from banyanseam.peers.errors import CannotListen
-from banyanseam.peers.network import split_address
 from banyanseam.server.callers import AnswerBroken, Asgi
 from banyanseam.server.const import KEEP_ALIVE_S, LISTEN_BACKLOG, MAX_CONNECTIONS
 from banyanseam.server.protocol import LimitedProtocol
--- a/tests/platform/test_borders.py
+++ b/tests/platform/test_borders.py
@@ -16,7 +16,7 @@
     "banyanseam.entry.errors",
     "banyanseam.entry.models",
     "banyanseam.errors",
-    "banyanseam.peers.network",
+    "banyanseam.config.addresses",
     "banyanseam.pipe.errors",
     "banyanseam.settings",
     "banyanseam.upstreams.connections",
