--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -19,6 +19,8 @@
 LIST_PERIOD_S: Final = 0.7
 LIST_PATIENCE_S: Final = 0.7
 LIST_RANK_STEP_S: Final = 0.35
+# How long the store's copies are not asked once they were found to be behind.
+COPIES_BEHIND_S: Final = 5.0
 WATCH_WAIT_S: Final = 4.0
 STORE_TIMEOUT_S: Final = 1.2
 STORE_RETRY_S: Final = 0.4
--- a/banyanseam/entry/feed.py
+++ b/banyanseam/entry/feed.py
@@ -13,6 +13,7 @@
 
 from banyanseam.config.errors import ConfigServiceUnavailable
 from banyanseam.entry.const import (
+    COPIES_BEHIND_S,
     LAPSED_ENTRY_S,
     LIST_PATIENCE_S,
     LIST_PERIOD_S,
@@ -30,9 +31,6 @@
 from banyanseam.entry.values import Values
 from banyanseam.observe.events import CONFIG_SERVICE_BACK, CONFIG_SERVICE_DOWN, log
 
-# A list that is no newer for so long is read past the store's own copies.
-MAX_STALE_S = 2.0
-
 
 class Store(Protocol):
     """What the platform offers for reading."""
@@ -70,6 +68,8 @@
         self._operator_prefix = operator_prefix
         self._upstream_prefix = upstream_prefix
         self._down_since_s: dict[str, float] = {}
+        # Until when the store's copies are passed by, since they were found behind.
+        self._copies_behind_until_s = -1e9
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -116,7 +116,9 @@
             age_s = now_s - self._upstreams.fresh_s
             if age_s >= LIST_PERIOD_S + late_s and now_s - read_s >= LIST_PERIOD_S:
                 read_s = now_s
-                await self._read_upstreams(may_be_stale=age_s < MAX_STALE_S)
+                is_first = self._upstreams.revision < 0
+                may_be_stale = not is_first and now_s >= self._copies_behind_until_s
+                await self._read_upstreams(may_be_stale=may_be_stale)
             await anyio.sleep(0.1)
 
     async def _read_upstreams(self, *, may_be_stale: bool) -> None:
@@ -136,6 +138,11 @@
         found = self._values.read_upstreams(listing)
         if self._values.adopt_upstreams(found, listing.revision, now_s):
             await self._share_upstreams()
+            return
+        # A copy that shows what was there before hides who leaves now.
+        self._copies_behind_until_s = now_s + COPIES_BEHIND_S
+        if may_be_stale:
+            await self._read_upstreams(may_be_stale=False)
 
     def _note_down(self, what: str, error: ConfigServiceUnavailable) -> None:
         if what not in self._down_since_s:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 import signal
-import socket
 import tempfile
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -27,6 +26,7 @@
     make_overlay,
     write_settings,
 )
+from standins.ports import find_free_ports
 from standins.processes import Child, Children
 
 __all__ = ["Daemon", "Fleet", "FleetPlan", "OrganisationPlan", "start_fleet"]
@@ -318,11 +318,7 @@
 
 
 def _free_addresses(host: str, count: int) -> list[str]:
-    sockets = [socket.create_server((host, 0)) for _ in range(count)]
-    addresses = [f"{host}:{one.getsockname()[1]}" for one in sockets]
-    for one in sockets:
-        one.close()
-    return addresses
+    return [f"{host}:{port}" for port in find_free_ports(host, count)]
 
 
 @asynccontextmanager
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -2,7 +2,6 @@
 
 import json
 import signal
-import socket
 import tempfile
 import uuid
 from collections.abc import AsyncIterator
@@ -16,6 +15,7 @@
 
 from standins.platform_store import PlatformStore
 from standins.platform_upstream import PlatformUpstream
+from standins.ports import find_free_ports
 from standins.processes import Child, Children
 from standins.serving import serve
 
@@ -189,17 +189,6 @@
     return Answer(status, seen, bytes(received))
 
 
-def _find_ports(count: int) -> list[int]:
-    listeners = [socket.socket() for _ in range(count)]
-    try:
-        for listener in listeners:
-            listener.bind(("127.0.0.1", 0))
-        return [listener.getsockname()[1] for listener in listeners]
-    finally:
-        for listener in listeners:
-            listener.close()
-
-
 def make_config() -> dict[str, Any]:
     """Return a configuration with each kind of route."""
 
@@ -256,10 +245,11 @@
 ) -> AsyncIterator[PlatformFleet]:
     """Start VMs by region, and upstreams by id with their service and region."""
     names = ("front", "ready", "control", "directory", "peers")
-    ports = dict(zip(names, _find_ports(len(names)), strict=True))
+    ports = dict(zip(names, find_free_ports("127.0.0.1", len(names)), strict=True))
     with tempfile.TemporaryDirectory() as folder:
         fleet = PlatformFleet(Path(folder), Children(Path(folder)), ports)
         fleet.config = make_config()
+        # An address for each VM, apart from those of a fleet beside this one.
         block = 100 + ports["front"] % 100
         for index, (region, count) in enumerate(regions.items()):
             for number in range(1, count + 1):
