Refuse short requests beyond their target, and reckon the wait as engines take it

Change: the wait counts chunks and steps; a short request is refused when it would wait longer than its target or a quarter of its time, a long one than 2.5 targets.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -88,6 +88,18 @@
 TRANSFER_MS_PER_KIB: Final = 4.0
 # A share of the caller's time that the wait before the first byte may take.
 MAX_WAIT_SHARE: Final = 0.8
+# An engine reads a chunk of prompts between two tokens of those that run.
+# Source: the operators' sheets, 1024 tokens.
+CHUNK_MS: Final = 27.0
+# An answer's tokens, where nothing else is known. Source: the operators' sheets.
+USUAL_OUTPUT_TOKENS: Final = 45
+# Beyond this share of the target a short request is refused instead of queued: while
+# more comes than can be served, a longer queue serves nobody more and all of them late.
+ADMIT_TARGET_SHARE: Final = 1.0
+# Callers that have more time are worth a longer queue.
+ADMIT_LEFT_SHARE: Final = 0.25
+# Long prompts wait longer, since a refusal loses more.
+ADMIT_LONG_TARGET_SHARE: Final = 2.5
 MEMORY_SHARE: Final = 0.92
 SERVICE_MS: Final = 45.0
 
--- a/banyanseam/entry/placing.py
+++ b/banyanseam/entry/placing.py
@@ -8,12 +8,17 @@
 from dataclasses import dataclass
 
 from banyanseam.entry.const import (
+    ADMIT_LEFT_SHARE,
+    ADMIT_LONG_TARGET_SHARE,
+    ADMIT_TARGET_SHARE,
     ATTENTION_MS_PER_MILLION_PAIRS,
     BLUR_MS,
+    CHUNK_MS,
     LONG_AHEAD_GROWTH,
     LONG_AHEAD_MS,
     LONG_PREFILL_MS,
     MAX_COUNTED_OUTPUT_TOKENS,
+    MAX_WAIT_SHARE,
     MEMORY_SHARE,
     MIN_SHARED_TOKENS,
     PREFILL_TOKENS_PER_MS,
@@ -24,6 +29,7 @@
     STEP_MS_PER_RUNNING,
     STRAY_MS,
     TRANSFER_MS_PER_KIB,
+    USUAL_OUTPUT_TOKENS,
 )
 from banyanseam.entry.models import Prompt
 from banyanseam.peers.rendezvous import weigh
@@ -127,13 +133,28 @@
     running = min(candidate.requests, candidate.slots)
     step_ms = STEP_MS + STEP_MS_PER_RUNNING * running
     reading_ms = estimate_prefill_ms(ask.prompt, is_kept=is_kept)
-    # A request that finds the batch full waits for others to end: as many steps as an
-    # answer has tokens, shared by all that run.
-    queue_ms = over * step_ms * 60 / max(candidate.slots, 1)
     ahead_ms = candidate.prefill_ms
     if reading_ms >= LONG_PREFILL_MS:
         ahead_ms += candidate.queued_ms
-    return away_ms + ahead_ms + reading_ms + 4 * step_ms + queue_ms
+    # Those that run take a step after each chunk that is read.
+    slowdown = 1 + step_ms / CHUNK_MS if running else 1.0
+    # A request that finds the batch full waits until others have ended.
+    turn_ms = USUAL_OUTPUT_TOKENS * (step_ms + CHUNK_MS / 2) / max(candidate.slots, 1)
+    return away_ms + (ahead_ms + reading_ms) * slowdown + 2 * step_ms + over * turn_ms
+
+
+def is_admitted(
+    place: Place, prompt: Prompt | None, target_ms: float, left_ms: float
+) -> bool:
+    """Say whether a request should wait for its place rather than be refused.
+
+    It answers a load beyond what the engines can do for many seconds.
+    """
+    share = ADMIT_TARGET_SHARE
+    if estimate_prefill_ms(prompt, is_kept=place.is_kept) >= LONG_PREFILL_MS:
+        share = ADMIT_LONG_TARGET_SHARE
+    bound_ms = max(share * target_ms, ADMIT_LEFT_SHARE * left_ms)
+    return place.wait_ms <= min(bound_ms, MAX_WAIT_SHARE * left_ms)
 
 
 def is_its_turn(place: Place, prompt: Prompt | None, waited_ms: float) -> bool:
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -11,7 +11,6 @@
     LONG_PREFILL_MS,
     MAX_BUFFERED_ANSWER_BYTES,
     MAX_RETRY_AFTER_MS,
-    MAX_WAIT_SHARE,
     MIN_RETRY_AFTER_MS,
     MIN_RETRY_LEFT_MS,
     MOVE_PERIOD_S,
@@ -40,6 +39,7 @@
     Place,
     choose,
     find_shared_part,
+    is_admitted,
     is_its_turn,
 )
 from banyanseam.entry.retry_budget import RetryBudget
@@ -140,10 +140,13 @@
                     raise kind(retry_after_ms=choose_retry_after_ms(500.0, left_ms))
                 await anyio.sleep(QUEUE_PERIOD_S)
                 continue
-            late_ms = place.wait_ms - MAX_WAIT_SHARE * left_ms
-            if late_ms > 0:
-                retry_after_ms = choose_retry_after_ms(late_ms, left_ms)
-                raise RegionsFull(retry_after_ms=retry_after_ms)
+            target_ms = exchange.route.target_ms
+            if not is_admitted(place, exchange.head.prompt, target_ms, left_ms):
+                retry_after_ms = choose_retry_after_ms(2 * place.wait_ms, left_ms)
+                raise RegionsFull(
+                    f"it would wait for {place.wait_ms:.0f} ms",
+                    retry_after_ms=retry_after_ms,
+                )
             if self._is_turn(exchange, place, waited_ms):
                 self._log_choice(exchange, place, len(candidates), waited_ms)
                 return place
--- a/tests/entry/test_placing.py
+++ b/tests/entry/test_placing.py
@@ -9,6 +9,7 @@
     count_memory_tokens,
     estimate_prefill_ms,
     find_shared_part,
+    is_admitted,
     is_its_turn,
 )
 from banyanseam.entry.placing import (
@@ -133,6 +134,27 @@
         chosen = choose([queued, reading], ask_for(make_prompt()))
         self.assertEqual(chosen.candidate.upstream_id, "reading")
 
+    def test_a_load_beyond_the_engines_is_refused_before_all_are_late(self):
+        # Found on a day with 427 short queries a second for engines that do 250: all
+        # waited for one to three seconds, and none was served within its target.
+        query = Prompt(383, 45, ())
+        target_ms, left_ms = 800.0, 5000.0
+        for requests, prefill_ms, admitted in (
+            (30, 200.0, True),
+            (64, 300.0, True),
+            (64, 1200.0, False),
+            (250, 300.0, False),
+        ):
+            engine = make_candidate(requests=requests, prefill_ms=prefill_ms)
+            place = choose([engine], ask_for(query, 770))
+            with self.subTest(requests=requests, prefill_ms=prefill_ms):
+                self.assertIs(is_admitted(place, query, target_ms, left_ms), admitted)
+        history = make_prompt()
+        place = choose([make_candidate(prefill_ms=600.0)], ask_for(history))
+        self.assertTrue(is_admitted(place, history, 1200.0, 8000.0))
+        # Nobody waits for what comes after the caller has gone.
+        self.assertFalse(is_admitted(place, history, 1200.0, 1000.0))
+
     def test_plain_services_go_where_the_fewest_wait(self):
         full = make_candidate("full", slots=6, memory_tokens=0, requests=6)
         free = make_candidate("free", slots=6, memory_tokens=0, requests=1)
