--- a/banyanseam/entry/crash_suspects.py
+++ b/banyanseam/entry/crash_suspects.py
@@ -34,8 +34,14 @@
         self._records: OrderedDict[int, _Record] = OrderedDict()
 
     def note_crash(self, suspect: int, upstream_id: str, now_s: float) -> None:
-        """Count a crash of an upstream while the request ran there."""
+        """Count a crash of an upstream while the request ran there.
+
+        One that is known already is no news, though it is heard again and again.
+        """
         record = self._records.pop(suspect, None) or _Record(set(), now_s)
+        if upstream_id in record.upstreams:
+            self._records[suspect] = record
+            return
         record.upstreams.add(upstream_id)
         record.last_s = now_s
         self._records[suspect] = record
--- a/banyanseam/entry/errors.py
+++ b/banyanseam/entry/errors.py
@@ -2,7 +2,7 @@
 
 from banyanseam.config.errors import ConfigServiceUnavailable
 from banyanseam.errors import BanyanseamError
-from banyanseam.upstreams.errors import UpstreamTimedOut
+from banyanseam.upstreams.errors import UpstreamFailed, UpstreamTimedOut
 
 
 class HistoryForgotten(ConfigServiceUnavailable):
@@ -88,3 +88,11 @@
     code = "entry.slower_than_others"
     event = 1927
     title = "Another upstream would begin sooner"
+
+
+class ConnectionBroken(UpstreamFailed):
+    """The connection ended while the request may have been running."""
+
+    code = "entry.connection_broken"
+    event = 1928
+    title = "The upstream's connection broke"
--- a/banyanseam/entry/main.py
+++ b/banyanseam/entry/main.py
@@ -15,6 +15,7 @@
 from banyanseam.entry.relay import Wire
 from banyanseam.entry.values import Decoders
 from banyanseam.errors import BanyanseamError
+from banyanseam.observe.line_writer import LineWriter
 from banyanseam.observe.logs import set_up_logs
 from banyanseam.platform.documents import (
     decode_config,
@@ -80,7 +81,8 @@
     except BanyanseamError as error:
         click.echo(f"{error.code}: {error.detail}", err=True)
         sys.exit(EXIT_SETTINGS)
-    set_up_logs("INFO", seat=settings.vm)
+    writer = LineWriter(sys.stdout.fileno())
+    set_up_logs("INFO", seat=settings.vm, writer=writer)
     try:
         anyio.run(
             run_entry, settings_path, settings, backend_options={"use_uvloop": True}
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -23,6 +23,7 @@
 from banyanseam.entry.crash_suspects import CrashSuspects
 from banyanseam.entry.errors import (
     AnswerUnproven,
+    ConnectionBroken,
     NoUpstreamKnown,
     RegionsFull,
     SlowerThanOthers,
@@ -418,6 +419,8 @@
             error, SlowerThanOthers
         ):
             self.upstreams.note_failure(tracked, now_s, is_connect=False)
+        if isinstance(error, ConnectionBroken) and exchange.suspect:
+            self.suspects.note_crash(exchange.suspect, upstream_id, now_s)
 
     def _may_try_again(
         self, exchange: Exchange, error: BanyanseamError, vms: int
--- a/banyanseam/entry/sending.py
+++ b/banyanseam/entry/sending.py
@@ -13,11 +13,10 @@
 import httpcore
 
 from banyanseam.config.addresses import split_address
-from banyanseam.entry.errors import SlowerThanOthers
+from banyanseam.entry.errors import ConnectionBroken, SlowerThanOthers
 from banyanseam.entry.models import Headers
 from banyanseam.errors import BanyanseamError
 from banyanseam.upstreams.errors import (
-    UpstreamFailed,
     UpstreamTimedOut,
     UpstreamUnreachable,
 )
@@ -62,7 +61,7 @@
     """Send a request and give its answer while the context is open.
 
     `note_started` is called just before the first byte is written. Raise
-    UpstreamUnreachable before that, later UpstreamFailed or UpstreamTimedOut; reading
+    UpstreamUnreachable before that, later ConnectionBroken or UpstreamTimedOut; reading
     the body may raise them too. When `wait_for_better` returns before the answer has
     begun, the request is given up and SlowerThanOthers raised.
     """
@@ -135,7 +134,7 @@
         raise UpstreamTimedOut(f"{outgoing.address}: no answer") from error
     except _HTTP_ERRORS as error:
         detail = f"{outgoing.address}: {type(error).__name__}"
-        raise UpstreamFailed(detail) from error
+        raise ConnectionBroken(detail) from error
     return Incoming(response.status, response.headers, _prepend(first, body))
 
 
@@ -150,4 +149,4 @@
         async for chunk in response.stream:
             yield chunk
     except _HTTP_ERRORS as error:
-        raise UpstreamFailed(f"{address}: {type(error).__name__}") from error
+        raise ConnectionBroken(f"{address}: {type(error).__name__}") from error
--- a/banyanseam/observe/logs.py
+++ b/banyanseam/observe/logs.py
@@ -1,4 +1,4 @@
-"""Log lines as JSON on standard error: the project's own and those of libraries."""
+"""Log lines as JSON: the project's own and those of libraries."""
 
 import logging
 import sys
@@ -16,6 +16,7 @@
     Event,
     log,
 )
+from banyanseam.observe.line_writer import LineWriter
 from banyanseam.observe.recent import RecentLines
 from banyanseam.observe.redact import ToJson, make_to_json
 
@@ -52,14 +53,21 @@
         )
 
 
-def set_up_logs(level: str, *, seat: str, secrets: Iterable[str] = ()) -> Logs:
-    """Send every log line of this process to standard error as JSON.
+def set_up_logs(
+    level: str,
+    *,
+    seat: str,
+    secrets: Iterable[str] = (),
+    writer: LineWriter | None = None,
+) -> Logs:
+    """Send every log line of this process to a writer, or to standard error, as JSON.
 
     No line holds any of the secrets, nor what looks like a caller's key.
     """
     logs = Logs(make_to_json(secrets), RecentLines())
     logger.remove()
-    logger.add(_make_sink(logs), level=level, diagnose=False, backtrace=False)
+    sink = _make_sink(logs, writer)
+    logger.add(sink, level=level, diagnose=False, backtrace=False)
     logger.configure(extra={"seat": seat})
     library_level = logging.INFO if level == "DEBUG" else logging.WARNING
     logging.basicConfig(handlers=[LibraryHandler()], level=library_level, force=True)
@@ -78,7 +86,7 @@
     return LIBRARY_WARNING if level >= logging.WARNING else LIBRARY_NOTE
 
 
-def _make_sink(logs: Logs) -> Callable[["Message"], None]:
+def _make_sink(logs: Logs, writer: LineWriter | None) -> Callable[["Message"], None]:
     def write(message: "Message") -> None:
         record = message.record
         line = {
@@ -91,6 +99,9 @@
             line["exception"] = repr(record["exception"].value)
         text = logs.to_json(line)
         logs.recent.note(line.get("event", 0), line["time"], text)
-        sys.stderr.write(text + "\n")
+        if writer is None:
+            sys.stderr.write(text + "\n")
+            return
+        writer.write(text, is_urgent=record["level"].no >= logging.WARNING)
 
     return write
--- a/tests/entry/test_crash_suspects.py
+++ b/tests/entry/test_crash_suspects.py
@@ -14,6 +14,17 @@
         self.assertTrue(suspects.is_refused(1, 0.4))
         self.assertFalse(suspects.is_refused(1, 0.4 + CRASH_MEMORY_S))
 
+    def test_what_peers_repeat_does_not_live_for_ever(self):
+        one, other = CrashSuspects(), CrashSuspects()
+        one.note_crash(1, "e1", 0.0)
+        for step in range(40):
+            now_s = step * 0.25
+            for source, target in ((one, other), (other, one)):
+                for suspect, upstream_id in source.list_recent(now_s - 5.0):
+                    target.note_crash(suspect, upstream_id, now_s)
+        self.assertEqual(one.list_recent(5.0), [])
+        self.assertEqual(other.list_recent(5.5), [])
+
     def test_a_good_end_clears_a_bystander(self):
         suspects = CrashSuspects()
         suspects.note_crash(1, "e1", 0.0)
--- a/tests/faults/test_platform.py
+++ b/tests/faults/test_platform.py
@@ -140,6 +140,31 @@
 
         run(scenario)
 
+    def test_a_request_that_crashes_engines_is_not_fed_a_third_one(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 1}, ONE_REGION) as fleet:
+                statuses = []
+                engines = [fleet.upstreams[name] for name in ("e1", "e2")]
+                for _ in range(12):
+                    for engine in engines:
+                        engine.faults[:] = ["no answer"]
+                    answer = await fleet.ask(
+                        "gulf-1", "/summary/x", headers=USAGE, body=b"crash"
+                    )
+                    statuses.append(answer.status)
+                self.assertEqual(statuses[-1], 503, statuses)
+                runs = [run for engine in engines for run in engine.runs]
+                self.assertEqual(statuses.count(502), len(runs))
+                self.assertLess(len(runs), 12)
+                for engine in engines:
+                    engine.faults[:] = []
+                answer = await fleet.ask(
+                    "gulf-1", "/summary/x", headers=USAGE, body=b"another"
+                )
+                self.assertEqual(answer.status, 200)
+
+        run(scenario)
+
     def test_a_caller_that_leaves_frees_its_engine(self):
         async def scenario():
             async with start_platform_fleet({"gulf": 1}, ONE_REGION) as fleet:
--- /dev/null
+++ b/tests/observe/test_line_writer.py
@@ -0,0 +1,92 @@
+import os
+import time
+import unittest
+
+from banyanseam.observe.line_writer import (
+    MAX_LINES_PER_S,
+    MAX_URGENT_LINES_PER_S,
+    MAX_WAITING_BYTES,
+    LineWriter,
+)
+
+
+class LineWriterTests(unittest.TestCase):
+    def setUp(self):
+        self.reader, self.pipe = os.pipe()
+        self.addCleanup(self.close, self.reader)
+        self.addCleanup(self.close, self.pipe)
+        # A budget that begins in the middle of a second would make counts vary.
+        while time.monotonic() % 1 > 0.2:
+            time.sleep(0.01)
+
+    def close(self, descriptor):
+        try:
+            os.close(descriptor)
+        except OSError:
+            return
+
+    def read_all(self):
+        os.set_blocking(self.reader, False)
+        data = bytearray()
+        while True:
+            try:
+                part = os.read(self.reader, 1 << 20)
+            except BlockingIOError:
+                return bytes(data)
+            if not part:
+                return bytes(data)
+            data += part
+
+    def test_nobody_reads_and_nothing_waits(self):
+        writer = LineWriter(self.pipe)
+        begun_s = time.monotonic()
+        for number in range(600):
+            writer.write(f"{number} " + "x" * 1000, is_urgent=True)
+        self.assertLess(time.monotonic() - begun_s, 0.5)
+        self.assertGreater(writer.left_out, 0)
+        self.assertLessEqual(len(writer._waiting), MAX_WAITING_BYTES)
+        left_out = writer.left_out
+        # A reader that comes back gets whole lines, and is told what is missing.
+        text = self.read_all()
+        while writer._waiting:
+            writer.write("again", is_urgent=True)
+            text += self.read_all()
+        writer.write("last", is_urgent=True)
+        text += self.read_all()
+        lines = text.decode().splitlines()
+        self.assertEqual(lines[-1], "last")
+        told = [line for line in lines if "lines_left_out" in line]
+        self.assertEqual(len(told), 1)
+        self.assertIn(str(left_out), told[0])
+        for number, line in enumerate(lines[: 600 - left_out]):
+            self.assertTrue(line.startswith(f"{number} x"))
+
+    def test_a_closed_reader_costs_lines_and_nothing_else(self):
+        writer = LineWriter(self.pipe)
+        os.close(self.reader)
+        for _ in range(10):
+            writer.write("line", is_urgent=True)
+        self.assertEqual(writer.left_out, 10)
+
+    def test_a_closed_descriptor_costs_lines_and_nothing_else(self):
+        os.close(self.pipe)
+        writer = LineWriter(self.pipe)
+        writer.write("line", is_urgent=True)
+        self.assertEqual(writer.left_out, 1)
+
+    def test_failures_are_told_beyond_the_budget_of_the_rest(self):
+        writer = LineWriter(self.pipe)
+        for _ in range(MAX_LINES_PER_S + 50):
+            writer.write("ok", is_urgent=False)
+        for _ in range(100):
+            writer.write("failed", is_urgent=True)
+        text = self.read_all().decode()
+        self.assertEqual(text.count("ok\n"), MAX_LINES_PER_S)
+        self.assertEqual(text.count("failed\n"), 100)
+        for _ in range(MAX_URGENT_LINES_PER_S):
+            writer.write("failed", is_urgent=True)
+        self.assertGreater(writer.left_out, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
