--- a/banyanseam/entry/members.py
+++ b/banyanseam/entry/members.py
@@ -62,8 +62,7 @@
             if known is None:
                 self._known[row.ip] = _Known(row, now_s)
                 continue
-            old = known.member
-            if (row.incarnation, row.beat) > (old.incarnation, old.beat):
+            if self._is_newer(row, known, now_s):
                 known.member = row
                 known.heard_s = now_s
 
@@ -123,6 +122,14 @@
         """Return the rows to pass on: this process and those that live."""
         return [self.me, *self.list_alive(now_s)]
 
+    def _is_newer(self, row: Member, known: _Known, now_s: float) -> bool:
+        old = known.member
+        if (row.incarnation, row.beat) > (old.incarnation, old.beat):
+            return True
+        # Incarnations come from the clock of the VM: after it was set back, a process
+        # that has just started has a lower one than the process that died there.
+        return row.incarnation != old.incarnation and not self._is_alive(known, now_s)
+
     def _is_alive(self, known: _Known, now_s: float) -> bool:
         is_near = known.member.region == self.me.region
         term_s = PEER_TERM_S if is_near else REMOTE_PEER_TERM_S
--- a/tests/entry/test_members.py
+++ b/tests/entry/test_members.py
@@ -29,6 +29,18 @@
         members.merge([make_member("10.1.0.2", incarnation=1, beat=901)], 0.2)
         self.assertEqual(members.find("10.1.0.2"), fresh)
 
+    def test_a_process_that_starts_after_its_clock_was_set_back_is_heard(self):
+        members = make_members()
+        members.merge([make_member("10.1.0.2", incarnation=9000, beat=50)], 0.0)
+        back = make_member("10.1.0.2", incarnation=7000, beat=1)
+        members.merge([back], PEER_TERM_S / 2)
+        self.assertEqual(members.find("10.1.0.2").incarnation, 9000)
+        for beat in range(2, 6):
+            now_s = PEER_TERM_S + beat / 4
+            members.merge([make_member("10.1.0.2", incarnation=7000, beat=beat)], now_s)
+        self.assertEqual(members.find("10.1.0.2").incarnation, 7000)
+        self.assertEqual(len(members.list_alive(now_s)), 1)
+
     def test_nobody_speaks_for_this_process(self):
         members = make_members()
         members.merge([make_member("10.1.0.1", beat=10**9, is_serving=False)], 0.0)
