Divide relay and gate, pace cold upstreams by their published rate, drop unused settings

Change: answers.py, admission.py and own_ports.py take their parts; the pause follows from the service's rate with a margin; the directory's validity keeps to the published limit.

--- /dev/null
+++ b/banyanseam/entry/admission.py
@@ -0,0 +1,139 @@
+"""Whether a request may run: its key, its route, its deadline and its quota."""
+
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+
+from banyanseam.config.errors import NotReady
+from banyanseam.entry.const import MIN_RETRY_AFTER_MS
+from banyanseam.entry.crash_suspects import CrashSuspects, fingerprint
+from banyanseam.entry.errors import CrashSuspected
+from banyanseam.entry.exchange import Exchange, Reply
+from banyanseam.entry.models import (
+    Catalogue,
+    Forwarding,
+    Organisation,
+    RequestHead,
+    Route,
+)
+from banyanseam.entry.quota import FleetQuota
+from banyanseam.entry.relay import choose_retry_after_ms
+from banyanseam.entry.values import Values
+from banyanseam.pipe.errors import KeyMissing, KeyUnknown, RouteUnknown
+from banyanseam.quota.errors import QuotaExceeded
+
+# Answers leave a little before the caller stops to wait. Source: 3 ms to callers.
+ANSWER_MARGIN_S: Final = 0.02
+
+
+@dataclass(slots=True)
+class Admission:
+    """What decides whether a request may run."""
+
+    values: Values
+    quota: FleetQuota
+    suspects: CrashSuspects
+    # When this process ends, once a planned stop has begun.
+    stop_s: float | None = None
+
+
+def admit(
+    admission: Admission,
+    head: RequestHead,
+    body: bytes,
+    reply: Reply,
+    received_s: float,
+    forwarding: Forwarding | None,
+) -> Exchange:
+    """Check key, route and quota; raise why the request may not run."""
+    catalogue = admission.values.catalogue
+    if catalogue is None:
+        raise NotReady(retry_after_ms=MIN_RETRY_AFTER_MS)
+    route = catalogue.find_route(head.host, head.path)
+    if route is None or not route.services:
+        raise RouteUnknown(f"version {catalogue.version}")
+    organisation = _find_organisation(catalogue, route, head, forwarding)
+    now_s = anyio.current_time()
+    limit_ms = route.timeout_ms if forwarding is None else forwarding.left_ms
+    if head.deadline_ms is not None and forwarding is None:
+        limit_ms = min(limit_ms, head.deadline_ms)
+    deadline_s = received_s + limit_ms / 1000 - ANSWER_MARGIN_S
+    if admission.stop_s is not None:
+        deadline_s = min(deadline_s, admission.stop_s)
+    exchange = Exchange(
+        head=head,
+        body=body,
+        received_s=received_s,
+        deadline_s=deadline_s,
+        catalogue=catalogue,
+        route=route,
+        organisation=organisation,
+        service=_choose_service(route, head.request_id),
+        reply=reply,
+        forwarding=forwarding,
+    )
+    if organisation is not None and body:
+        exchange.suspect = fingerprint(
+            organisation.name, head.method, head.target, body
+        )
+        if admission.suspects.is_refused(exchange.suspect, now_s):
+            raise CrashSuspected
+    if forwarding is None and organisation is not None:
+        _charge(admission, exchange, organisation, now_s)
+    return exchange
+
+
+def _find_organisation(
+    catalogue: Catalogue,
+    route: Route,
+    head: RequestHead,
+    forwarding: Forwarding | None,
+) -> Organisation | None:
+    if forwarding is not None:
+        if forwarding.organisation is None:
+            if route.is_public:
+                return None
+            raise NotReady("the route is not public here")
+        organisation = catalogue.organisations.get(forwarding.organisation)
+        if organisation is None:
+            raise NotReady(f"no such organisation in version {catalogue.version}")
+        return organisation
+    if route.is_public or not catalogue.organisations:
+        return None
+    if head.key_digest is None:
+        raise KeyMissing
+    organisation = catalogue.organisations_by_key.get(head.key_digest)
+    if organisation is None:
+        raise KeyUnknown(f"version {catalogue.version}")
+    return organisation
+
+
+def _choose_service(route: Route, request_id: str) -> str:
+    """Return a service by the route's weights, alike for one request everywhere."""
+    if len(route.services) == 1:
+        return route.services[0][0]
+    total = sum(weight for _, weight in route.services)
+    point = fingerprint(route.name, "", request_id.encode(), b"") / 2**64 * total
+    for service, weight in route.services:
+        point -= weight
+        if point < 0:
+            return service
+    return route.services[-1][0]
+
+
+def _charge(
+    admission: Admission, exchange: Exchange, organisation: Organisation, now_s: float
+) -> None:
+    prompt = exchange.head.prompt
+    cost = organisation.default_cost
+    if organisation.counts_tokens and prompt is not None:
+        cost = prompt.prompt_tokens + prompt.max_output_tokens
+    wait_s = admission.quota.charge(organisation, cost, now_s)
+    if wait_s > 0:
+        left_ms = exchange.left_ms(now_s)
+        raise QuotaExceeded(
+            f"{organisation.name} has used its rate",
+            retry_after_ms=choose_retry_after_ms(wait_s * 1000, left_ms),
+        )
+    exchange.cost = cost
--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -11,6 +11,7 @@
 from pydantic import ValidationError
 
 from banyanseam.daemon.lifecycle import Lifecycle, Stage
+from banyanseam.entry.admission import Admission
 from banyanseam.entry.const import (
     BODY_MEMORY_SHARE,
     CONNECT_TIMEOUT_S,
@@ -29,15 +30,14 @@
     Border,
     Gate,
     make_callers_app,
-    make_directory_app,
     make_peers_app,
-    make_readiness_app,
 )
 from banyanseam.entry.members import Member, Members
 from banyanseam.entry.messages import ValuesMessage
 from banyanseam.entry.metrics import Metrics
 from banyanseam.entry.models import Catalogue, EntrySettings
 from banyanseam.entry.operators import make_operators_app
+from banyanseam.entry.own_ports import make_directory_app, make_readiness_app
 from banyanseam.entry.quota import FleetQuota
 from banyanseam.entry.relay import Relay, Wire
 from banyanseam.entry.retry_budget import RetryBudget
@@ -129,9 +129,7 @@
         budget_bytes = int(settings.memory_mb * 1024 * 1024 * BODY_MEMORY_SHARE)
         self.gate = Gate(
             border,
-            self.values,
-            self.quota,
-            self.suspects,
+            Admission(self.values, self.quota, self.suspects),
             relay,
             ByteBudget(budget_bytes),
             self.lifecycle,
@@ -170,13 +168,17 @@
 
     def _make_servers(self) -> list[EmbeddedServer]:
         settings = self.settings
+        validity_s = int(min(LIST_VALIDITY_S, settings.bounds.max_list_age_s))
         peers_address = f"{settings.ip}:{settings.peers_port}"
         return [
             make_server(make_callers_app(self.gate), settings.callers_address),
             make_server(make_peers_app(self.gate), peers_address),
-            make_server(make_readiness_app(self.gate), settings.readiness_address),
             make_server(
-                make_directory_app(self.gate, self._list_entries, LIST_VALIDITY_S),
+                make_readiness_app(self.gate.border, self.lifecycle),
+                settings.readiness_address,
+            ),
+            make_server(
+                make_directory_app(self.gate.border, self._list_entries, validity_s),
                 settings.directory_address,
             ),
             make_server(make_operators_app(self), settings.operators_address),
@@ -286,14 +288,14 @@
         grace_s = self.settings.bounds.stop_grace_s
         log(DRAIN_BEGUN, grace_s=grace_s, running=self.lifecycle.running_requests)
         self.lifecycle.begin_drain()
-        self.gate.stop_s = began_s + grace_s - STOP_MARGIN_S
+        self.gate.admission.stop_s = began_s + grace_s - STOP_MARGIN_S
         await self.fleet.announce()
         await anyio.sleep(min(LEAVE_S, grace_s / 3))
         # From here on requests are refused; those that run end on their own.
         self.lifecycle.begin_closing()
         await self.fleet.announce()
         self._servers[0].should_exit = True
-        with anyio.move_on_at(self.gate.stop_s + STOP_MARGIN_S / 2):
+        with anyio.move_on_at(self.gate.admission.stop_s + STOP_MARGIN_S / 2):
             await self.lifecycle.wait_idle()
 
     async def _follow_settings(self) -> None:
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -37,10 +37,11 @@
 
 # Upstreams.
 CONNECT_TIMEOUT_S: Final = 0.5
-# Two processes share the pace of a cold upstream, each with this pause between two
-# requests: the published 4.5 requests a second with a margin.
+# So many processes of a region share the pace of a cold upstream, which is slowed by
+# the margin; without a published pace, an upstream in doubt gets one request a pause.
 COLD_SENDERS: Final = 2
-COLD_PAUSE_S: Final = 0.5
+COLD_MARGIN: Final = 1.1
+DOUBT_PAUSE_S: Final = 0.5
 # How long an upstream counts as cold after its data centre came back into use, unless
 # a newer registration says otherwise.
 RETURN_COLD_S: Final = 3.0
--- a/banyanseam/entry/gate.py
+++ b/banyanseam/entry/gate.py
@@ -3,17 +3,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Final
-from urllib.parse import parse_qs
 
 import anyio
 import cbor2
 
-from banyanseam.config.errors import NotReady
 from banyanseam.daemon.lifecycle import Lifecycle
+from banyanseam.entry.admission import Admission, admit
 from banyanseam.entry.const import MIN_RETRY_AFTER_MS, START_PATIENCE_S
-from banyanseam.entry.crash_suspects import CrashSuspects, fingerprint
 from banyanseam.entry.errors import (
-    CrashSuspected,
     EntryLeaving,
     PeerUntrusted,
     RegionsFull,
@@ -21,21 +18,16 @@
 from banyanseam.entry.exchange import Exchange, Reply
 from banyanseam.entry.metrics import Metrics
 from banyanseam.entry.models import (
-    Catalogue,
     Forwarding,
     Headers,
-    Organisation,
     RequestHead,
-    Route,
 )
 from banyanseam.entry.peer_headers import (
     read_forwarding,
     strip_peer_headers,
     write_peer_failure,
 )
-from banyanseam.entry.quota import FleetQuota
-from banyanseam.entry.relay import Relay, choose_retry_after_ms
-from banyanseam.entry.values import Values
+from banyanseam.entry.relay import Relay
 from banyanseam.errors import BanyanseamError, Problem
 from banyanseam.observe.events import (
     INTERNAL_FAILURE,
@@ -47,20 +39,14 @@
 from banyanseam.pipe.errors import (
     CallerGone,
     DeadlineExceeded,
-    KeyMissing,
-    KeyUnknown,
-    RouteUnknown,
 )
-from banyanseam.quota.errors import QuotaExceeded
 from banyanseam.server.budget import ByteBudget
 from banyanseam.server.callers import AnswerBroken, Asgi, read_body, read_declared_bytes
 from banyanseam.server.connection import CONNECTION, Connection
-from banyanseam.server.reply import AsgiReceive, AsgiSend
+from banyanseam.server.reply import AsgiReceive, AsgiSend, send_body
 from banyanseam.upstreams.errors import UpstreamFailed
 
 VALUES_PATH: Final = "/banyanseam/values"
-# Answers leave a little before the caller stops to wait. Source: 3 ms to callers.
-ANSWER_MARGIN_S: Final = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,16 +66,12 @@
     """What stands between a connection and the relay."""
 
     border: Border
-    values: Values
-    quota: FleetQuota
-    suspects: CrashSuspects
+    admission: Admission
     relay: Relay
     budget: ByteBudget
     lifecycle: Lifecycle
     metrics: Metrics
     first_peers: frozenset[str] = field(default_factory=frozenset)
-    # When this process ends, once a planned stop has begun.
-    stop_s: float | None = None
 
 
 def make_callers_app(gate: Gate) -> Asgi:
@@ -107,7 +89,8 @@
 
     async def app(scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend) -> None:
         if scope["path"] == VALUES_PATH:
-            await _send_values(gate, send)
+            body = cbor2.dumps(gate.admission.values.to_message().model_dump())
+            await send_body(send, 200, body, [(b"content-type", b"application/cbor")])
             return
         headers = list(scope["headers"])
         forwarding: Forwarding | BanyanseamError
@@ -128,21 +111,6 @@
     return gate.relay.members.find(ip) is not None or ip in gate.first_peers
 
 
-async def _send_values(gate: Gate, send: AsgiSend) -> None:
-    body = cbor2.dumps(gate.values.to_message().model_dump())
-    await _send_whole(send, 200, [(b"content-type", b"application/cbor")], body)
-
-
-async def _send_whole(
-    send: AsgiSend, status: int, headers: Headers, body: bytes
-) -> None:
-    length = (b"content-length", str(len(body)).encode())
-    await send(
-        {"type": "http.response.start", "status": status, "headers": [*headers, length]}
-    )
-    await send({"type": "http.response.body", "body": body})
-
-
 async def _serve(
     gate: Gate,
     scope: dict[str, Any],
@@ -206,109 +174,21 @@
     declared_bytes = read_declared_bytes(headers)
     with gate.budget.reserve_body(declared_bytes, MAX_BODY_BYTES) as reservation:
         body = await read_body(receive, reservation.grow_to)
-        if gate.values.catalogue is None:
+        if gate.admission.values.catalogue is None:
             with anyio.move_on_after(START_PATIENCE_S):
-                await gate.values.complete.wait()
-        exchange = _admit(gate, head, body, story)
+                await gate.admission.values.complete.wait()
+        exchange = admit(
+            gate.admission,
+            head,
+            body,
+            story.reply,
+            story.received_s,
+            story.forwarding,
+        )
         story.exchange = exchange
         await _run(gate, exchange, scope["extensions"][CONNECTION])
 
 
-def _admit(gate: Gate, head: RequestHead, body: bytes, story: _Story) -> Exchange:
-    """Check key, route and quota; raise why the request may not run."""
-    catalogue = gate.values.catalogue
-    if catalogue is None:
-        raise NotReady(retry_after_ms=MIN_RETRY_AFTER_MS)
-    route = catalogue.find_route(head.host, head.path)
-    if route is None or not route.services:
-        raise RouteUnknown(f"version {catalogue.version}")
-    forwarding = story.forwarding
-    organisation = _find_organisation(catalogue, route, head, forwarding)
-    now_s = anyio.current_time()
-    limit_ms = route.timeout_ms if forwarding is None else forwarding.left_ms
-    if head.deadline_ms is not None and forwarding is None:
-        limit_ms = min(limit_ms, head.deadline_ms)
-    deadline_s = story.received_s + limit_ms / 1000 - ANSWER_MARGIN_S
-    if gate.stop_s is not None:
-        deadline_s = min(deadline_s, gate.stop_s)
-    exchange = Exchange(
-        head=head,
-        body=body,
-        received_s=story.received_s,
-        deadline_s=deadline_s,
-        catalogue=catalogue,
-        route=route,
-        organisation=organisation,
-        service=_choose_service(route, head.request_id),
-        reply=story.reply,
-        forwarding=forwarding,
-    )
-    if organisation is not None and body:
-        exchange.suspect = fingerprint(
-            organisation.name, head.method, head.target, body
-        )
-        if gate.suspects.is_refused(exchange.suspect, now_s):
-            raise CrashSuspected
-    if forwarding is None and organisation is not None:
-        _charge(gate, exchange, organisation, now_s)
-    return exchange
-
-
-def _find_organisation(
-    catalogue: Catalogue,
-    route: Route,
-    head: RequestHead,
-    forwarding: Forwarding | None,
-) -> Organisation | None:
-    if forwarding is not None:
-        if forwarding.organisation is None:
-            if route.is_public:
-                return None
-            raise NotReady("the route is not public here")
-        organisation = catalogue.organisations.get(forwarding.organisation)
-        if organisation is None:
-            raise NotReady(f"no such organisation in version {catalogue.version}")
-        return organisation
-    if route.is_public or not catalogue.organisations:
-        return None
-    if head.key_digest is None:
-        raise KeyMissing
-    organisation = catalogue.organisations_by_key.get(head.key_digest)
-    if organisation is None:
-        raise KeyUnknown(f"version {catalogue.version}")
-    return organisation
-
-
-def _choose_service(route: Route, request_id: str) -> str:
-    """Return a service by the route's weights, alike for one request everywhere."""
-    if len(route.services) == 1:
-        return route.services[0][0]
-    total = sum(weight for _, weight in route.services)
-    point = fingerprint(route.name, "", request_id.encode(), b"") / 2**64 * total
-    for service, weight in route.services:
-        point -= weight
-        if point < 0:
-            return service
-    return route.services[-1][0]
-
-
-def _charge(
-    gate: Gate, exchange: Exchange, organisation: Organisation, now_s: float
-) -> None:
-    prompt = exchange.head.prompt
-    cost = organisation.default_cost
-    if organisation.counts_tokens and prompt is not None:
-        cost = prompt.prompt_tokens + prompt.max_output_tokens
-    wait_s = gate.quota.charge(organisation, cost, now_s)
-    if wait_s > 0:
-        left_ms = exchange.left_ms(now_s)
-        raise QuotaExceeded(
-            f"{organisation.name} has used its rate",
-            retry_after_ms=choose_retry_after_ms(wait_s * 1000, left_ms),
-        )
-    exchange.cost = cost
-
-
 async def _run(gate: Gate, exchange: Exchange, connection: Connection) -> None:
     """Run the request until its deadline, or until the caller leaves."""
     has_left = False
@@ -324,7 +204,7 @@
                 await gate.relay.serve(exchange)
         finally:
             if exchange.cost and not exchange.may_have_run:
-                gate.quota.give_back(exchange.organisation, exchange.cost)
+                gate.admission.quota.give_back(exchange.organisation, exchange.cost)
     if not scope.cancelled_caught:
         return
     if has_left:
@@ -367,7 +247,7 @@
     fields: dict[str, Any] = {
         "request_id": story.request_id,
         "took_ms": round((now_s - story.received_s) * 1000),
-        "version": gate.values.version,
+        "version": gate.admission.values.version,
     }
     route, organisation = "-", "-"
     if exchange is not None:
@@ -388,36 +268,3 @@
         log(REQUEST_ENDED, status=reply.status, **fields)
     else:
         log(REQUEST_FAILED, code=error.code, detail=error.detail, **fields)
-
-
-def make_readiness_app(gate: Gate) -> Asgi:
-    """Return the application that says whether callers should come here."""
-
-    async def app(scope: dict[str, Any], _: AsgiReceive, send: AsgiSend) -> None:
-        if scope["path"] != gate.border.ready_path:
-            await _send_whole(send, 404, [], b"")
-            return
-        await _send_whole(send, 200 if gate.lifecycle.is_ready else 503, [], b"")
-
-    return app
-
-
-def make_directory_app(
-    gate: Gate, list_addresses: Callable[[str, str], list[str]], validity_s: int
-) -> Asgi:
-    """Return the application that tells callers which VMs to use."""
-
-    async def app(scope: dict[str, Any], _: AsgiReceive, send: AsgiSend) -> None:
-        if scope["path"] != gate.border.resolve_path:
-            await _send_whole(send, 404, [], b"")
-            return
-        query = parse_qs(scope["query_string"].decode("latin-1"))
-        addresses = list_addresses(*gate.border.read_resolve_query(query))
-        headers = [(b"content-type", b"application/json")]
-        if not addresses:
-            await _send_whole(send, 503, headers, b"{}")
-            return
-        body = gate.border.write_addresses(addresses, validity_s)
-        await _send_whole(send, 200, headers, body)
-
-    return app
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -13,14 +13,10 @@
 
     stop_grace_s: float
     max_list_age_s: float
-    drain_ms: int
-    config_apply_ms: int
     retry_ratio: float
     retry_window_s: float
     retry_extra: float
     quota_slack_tokens: float
-    cold_excess_ratio: float
-    cold_excess_requests: float
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/banyanseam/entry/own_ports.py
@@ -0,0 +1,44 @@
+"""What a daemon answers itself: readiness and the directory."""
+
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+from banyanseam.daemon.lifecycle import Lifecycle
+from banyanseam.entry.gate import Border
+from banyanseam.server.callers import Asgi
+from banyanseam.server.reply import AsgiReceive, AsgiSend, send_body
+
+
+def make_readiness_app(border: Border, lifecycle: Lifecycle) -> Asgi:
+    """Return the application that says whether callers should come here."""
+
+    async def app(scope: dict[str, Any], _: AsgiReceive, send: AsgiSend) -> None:
+        if scope["path"] != border.ready_path:
+            await send_body(send, 404, b"", [])
+            return
+        status = 200 if lifecycle.is_ready else 503
+        await send_body(send, status, b"", [])
+
+    return app
+
+
+def make_directory_app(
+    border: Border, list_addresses: Callable[[str, str], list[str]], validity_s: int
+) -> Asgi:
+    """Return the application that tells callers which VMs to use."""
+
+    async def app(scope: dict[str, Any], _: AsgiReceive, send: AsgiSend) -> None:
+        if scope["path"] != border.resolve_path:
+            await send_body(send, 404, b"", [])
+            return
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        addresses = list_addresses(*border.read_resolve_query(query))
+        headers = [(b"content-type", b"application/json")]
+        if not addresses:
+            await send_body(send, 503, b"{}", headers)
+            return
+        body = border.write_addresses(addresses, validity_s)
+        await send_body(send, 200, body, headers)
+
+    return app
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -6,10 +6,10 @@
 
 import anyio
 
+from banyanseam.entry.answers import check_answer, pass_on
 from banyanseam.entry.const import (
     CONNECT_TIMEOUT_S,
     LONG_PREFILL_MS,
-    MAX_BUFFERED_ANSWER_BYTES,
     MAX_RETRY_AFTER_MS,
     MIN_RETRY_AFTER_MS,
     MIN_RETRY_LEFT_MS,
@@ -22,14 +22,12 @@
 )
 from banyanseam.entry.crash_suspects import CrashSuspects
 from banyanseam.entry.errors import (
-    AnswerUnproven,
     ConnectionBroken,
     NoUpstreamKnown,
     RegionsFull,
     SlowerThanOthers,
     UpstreamReplaced,
 )
-from banyanseam.entry.event_stream import EventSplitter, StreamEvent
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.members import Members
 from banyanseam.entry.models import AnswerHead, Headers, RequestHead, SendOrder
@@ -49,7 +47,6 @@
 from banyanseam.entry.upstreams import Loads, hold, list_local, note_read, queue
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.events import SEND_FAILED, UPSTREAM_CHOSEN, log
-from banyanseam.pipe.errors import AnswerCrossed, AnswerGap, AnswerTruncated
 from banyanseam.upstreams.errors import (
     UpstreamFailed,
     UpstreamRefused,
@@ -206,7 +203,7 @@
                 answer = self._check(exchange, incoming, tracked)
                 note_read(tracked, reading)
                 self._note_part(exchange, place)
-                await self._pass_on(exchange, answer, incoming)
+                await pass_on(exchange, answer, incoming)
         self.upstreams.note_success(tracked)
         self.suspects.clear(exchange.suspect)
 
@@ -237,9 +234,9 @@
                         _note_not_run(exchange)
                     raise failure
                 answer = self.wire.read_answer(incoming.status, incoming.headers)
-                _check_answer(exchange, answer)
+                check_answer(exchange, answer)
                 self._note_part(exchange, place)
-                await self._pass_on(exchange, answer, incoming)
+                await pass_on(exchange, answer, incoming)
         except UpstreamUnreachable:
             exchange.unreachable.add(peer.ip)
             raise
@@ -302,7 +299,7 @@
             raise UpstreamRefused(
                 upstream_id, retry_after_ms=choose_retry_after_ms(300.0, left_ms)
             )
-        _check_answer(exchange, answer)
+        check_answer(exchange, answer)
         if answer.status >= 500 and self._may_repeat(exchange):
             raise UpstreamFailed(f"{upstream_id}: status {answer.status}")
         return answer
@@ -318,24 +315,6 @@
             )
         )
 
-    async def _pass_on(
-        self, exchange: Exchange, answer: AnswerHead, incoming: Incoming
-    ) -> None:
-        if exchange.route.is_stream and answer.status == 200:
-            await _pass_events(exchange, answer, incoming)
-            return
-        body = bytearray()
-        async for chunk in incoming.body:
-            body += chunk
-            if len(body) > MAX_BUFFERED_ANSWER_BYTES:
-                await _pass_long(exchange, answer, bytes(body), incoming)
-                return
-        if answer.length_bytes is not None and answer.length_bytes != len(body):
-            raise AnswerTruncated("the body is shorter than announced")
-        length = (b"content-length", str(len(body)).encode())
-        await exchange.reply.start(answer.status, [*answer.headers, length])
-        await exchange.reply.finish(bytes(body))
-
     def _note_part(self, exchange: Exchange, place: Place) -> None:
         """Remember where a shared part was read, once its first token has come."""
         part_id, tokens = find_shared_part(exchange.head.prompt)
@@ -464,61 +443,3 @@
     # Only the last send is proved not to have run; an earlier one keeps its doubt.
     if exchange.sends == 1:
         exchange.may_have_run = False
-
-
-def _check_answer(exchange: Exchange, answer: AnswerHead) -> None:
-    """Raise unless the answer is this request's own and the upstream's."""
-    if answer.request_id not in (None, exchange.head.request_id):
-        raise AnswerCrossed("the answer names another request")
-    if answer.is_encoded:
-        raise AnswerUnproven("the body has an encoding that nobody asked for")
-    if answer.status < 300 and not answer.is_signed:
-        raise AnswerUnproven("a success without the upstream's signature")
-    if answer.status < 200 or 300 <= answer.status < 400:
-        raise AnswerUnproven(f"status {answer.status}")
-    if answer.status >= 500 and not answer.is_signed:
-        raise UpstreamFailed(f"status {answer.status} without a signature")
-
-
-async def _pass_events(
-    exchange: Exchange, answer: AnswerHead, incoming: Incoming
-) -> None:
-    """Pass whole events on as they come; raise AnswerTruncated at a break."""
-    splitter = EventSplitter()
-    async for chunk in incoming.body:
-        for event in splitter.feed(chunk):
-            await _pass_event(exchange, answer, event)
-    if splitter.has_rest:
-        raise AnswerTruncated("the stream ends inside of an event")
-    if not exchange.reply.is_started:
-        await exchange.reply.start(answer.status, answer.headers)
-    await exchange.reply.finish()
-
-
-async def _pass_event(
-    exchange: Exchange, answer: AnswerHead, event: StreamEvent
-) -> None:
-    last = exchange.last_event
-    if event.number is not None and last is not None and event.number != last + 1:
-        if event.number <= last:
-            return
-        raise AnswerGap(f"event {event.number} follows {last}")
-    if not exchange.reply.is_started:
-        await exchange.reply.start(answer.status, answer.headers)
-    if event.number is not None:
-        exchange.last_event = event.number
-    await exchange.reply.write(event.data)
-
-
-async def _pass_long(
-    exchange: Exchange, answer: AnswerHead, begun: bytes, incoming: Incoming
-) -> None:
-    """Pass on an answer that is too long to be held as a whole."""
-    headers = answer.headers
-    if answer.length_bytes is not None:
-        headers = [*headers, (b"content-length", str(answer.length_bytes).encode())]
-    await exchange.reply.start(answer.status, headers)
-    await exchange.reply.write(begun)
-    async for chunk in incoming.body:
-        await exchange.reply.write(chunk)
-    await exchange.reply.finish()
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -7,8 +7,9 @@
 from typing import Final
 
 from banyanseam.entry.const import (
-    COLD_PAUSE_S,
+    COLD_MARGIN,
     COLD_SENDERS,
+    DOUBT_PAUSE_S,
     FORWARDED_MS,
     GOSSIP_PERIOD_S,
     KEPT_MEMORY_SHARE,
@@ -216,7 +217,19 @@
     reading[0] = 0.0
 
 
-def may_send_cold(tracked: Tracked, members: Members, now_s: float) -> bool:
+def choose_cold_pause_s(requests_per_s: float) -> float:
+    """Return the pause between two requests of one process to a cold upstream.
+
+    The upstreams of a service without a rate of its own are only in doubt.
+    """
+    if requests_per_s <= 0:
+        return DOUBT_PAUSE_S
+    return COLD_MARGIN * COLD_SENDERS / requests_per_s
+
+
+def may_send_cold(
+    tracked: Tracked, members: Members, pause_s: float, now_s: float
+) -> bool:
     """Say whether this process may send one request to a cold upstream now.
 
     Only a few processes of a region send to it at all, each at its own pace, so that
@@ -227,7 +240,7 @@
     if me.ip not in serving:
         serving.append(me.ip)
     senders = rank(serving, tracked.upstream.upstream_id)[:COLD_SENDERS]
-    return me.ip in senders and now_s - tracked.usage.cold_sent_s >= COLD_PAUSE_S
+    return me.ip in senders and now_s - tracked.usage.cold_sent_s >= pause_s
 
 
 def list_local(
@@ -244,6 +257,7 @@
         return []
     vms = max(1, members.count_recent(now_s, members.me.region))
     cap = int(service.max_connections * MEMORY_SHARE / vms) or None
+    pause_s = choose_cold_pause_s(service.cold_requests_per_s)
     found = []
     for tracked in upstreams.list_usable(service_name, now_s):
         upstream = tracked.upstream
@@ -253,7 +267,8 @@
         is_limited = service.cold_requests_per_s > 0 or (
             now_s < tracked.usage.doubted_until_s
         )
-        if is_cold and is_limited and not may_send_cold(tracked, members, now_s):
+        is_paced = is_cold and is_limited
+        if is_paced and not may_send_cold(tracked, members, pause_s, now_s):
             continue
         if cap is not None and tracked.usage.requests >= cap:
             continue
--- a/banyanseam/platform/settings.py
+++ b/banyanseam/platform/settings.py
@@ -28,14 +28,10 @@
     # Where a deployment leaves a bound out, the published examples' value holds.
     grace_s: float = 8
     ttl_max_s: float = 5
-    drain_ms: int = 3000
-    config_apply_ms: int = 3000
     budget_ratio: float = 0.2
     budget_window_s: float = 10
     budget_extra: float = 50
     quota_slack: float = 0
-    cold_over: float = 1.5
-    cold_slack: float = 3
 
 
 class _Platform(_Document):
@@ -92,13 +88,9 @@
         bounds=Bounds(
             stop_grace_s=bounds.grace_s,
             max_list_age_s=bounds.ttl_max_s,
-            drain_ms=bounds.drain_ms,
-            config_apply_ms=bounds.config_apply_ms,
             retry_ratio=bounds.budget_ratio,
             retry_window_s=bounds.budget_window_s,
             retry_extra=bounds.budget_extra,
             quota_slack_tokens=bounds.quota_slack,
-            cold_excess_ratio=bounds.cold_over,
-            cold_excess_requests=bounds.cold_slack,
         ),
     )
--- a/banyanseam/platform/wire.py
+++ b/banyanseam/platform/wire.py
@@ -38,7 +38,6 @@
 # Calls.
 READY_PATH: Final = "/v1/ready"
 RESOLVE_PATH: Final = "/v1/resolve"
-KEY_PATH: Final = "/v1/kv-key"
 RANGE_PATH: Final = "/v1/kv-range"
 WATCH_PATH: Final = "/v1/kv-watch"
 
--- a/tests/entry/common.py
+++ b/tests/entry/common.py
@@ -22,14 +22,10 @@
 BOUNDS = Bounds(
     stop_grace_s=8,
     max_list_age_s=5,
-    drain_ms=3000,
-    config_apply_ms=3000,
     retry_ratio=0.2,
     retry_window_s=10,
     retry_extra=58,
     quota_slack_tokens=190_000,
-    cold_excess_ratio=1.5,
-    cold_excess_requests=3,
 )
 
 
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -5,13 +5,13 @@
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import (
     Loads,
+    choose_cold_pause_s,
     hold,
     list_local,
     may_send_cold,
     note_read,
 )
 from tests.entry.common import (
-    BOUNDS,
     make_candidate,
     make_catalogue,
     make_member,
@@ -20,7 +20,9 @@
     make_upstream,
 )
 
+# The published pace, and what it may be exceeded by in a second.
 COLD_PER_S = 4.5
+COLD_BOUND = COLD_PER_S * 1.5 + 3
 
 
 def make_processes(count, views=lambda _: True):
@@ -40,28 +42,27 @@
 class ColdTests(unittest.TestCase):
     def most_in_a_second(self, processes, steps=300):
         chance = random.Random(7)
+        pause_s = choose_cold_pause_s(COLD_PER_S)
         sent = []
         for step in range(steps):
             now_s = step * 0.005
             for members, upstreams in chance.sample(processes, len(processes)):
                 tracked = upstreams.find("e1")
-                if may_send_cold(tracked, members, now_s):
+                if may_send_cold(tracked, members, pause_s, now_s):
                     tracked.usage.cold_sent_s = now_s
                     sent.append(now_s)
         return max(sum(at_s <= each < at_s + 1 for each in sent) for at_s in sent)
 
     def test_all_together_keep_the_pace_of_a_cold_upstream(self):
-        bound = COLD_PER_S * BOUNDS.cold_excess_ratio + BOUNDS.cold_excess_requests
         for count in (1, 3, 9, 22):
             with self.subTest(count=count):
                 most = self.most_in_a_second(make_processes(count))
-                self.assertLessEqual(most, bound)
+                self.assertLessEqual(most, COLD_BOUND)
                 self.assertGreater(most, 1)
 
     def test_they_do_while_one_of_them_hears_nobody(self):
-        bound = COLD_PER_S * BOUNDS.cold_excess_ratio + BOUNDS.cold_excess_requests
         processes = make_processes(3, lambda index: index != 0)
-        self.assertLessEqual(self.most_in_a_second(processes), bound)
+        self.assertLessEqual(self.most_in_a_second(processes), COLD_BOUND)
 
 
 class CandidateTests(unittest.TestCase):
