Try another region, or the same a moment later, when one did not run a request

Change: the queue's filter goes to this region's pool, then to another region, after one that proved that it did not run the request; a region that cannot be reached is sought again for as long as an upstream is (SEEK_AGAIN_S). Ruled out: telling summaries' ages apart, since the summary was in its term.

--- a/banyanseam/pipe/models.py
+++ b/banyanseam/pipe/models.py
@@ -91,6 +91,8 @@
     grant: Grant | None = None
     # Upstreams that failed this request; another try goes elsewhere.
     avoided_upstreams: set[str] = field(default_factory=set)
+    # Regions that could not be reached or proved that they did not run it.
+    avoided_regions: set[str] = field(default_factory=set)
 
     @property
     def is_surely_not_run(self) -> bool:
--- a/banyanseam/pipe/queue.py
+++ b/banyanseam/pipe/queue.py
@@ -7,8 +7,9 @@
 
 from banyanseam.config.compiled import Config
 from banyanseam.errors import BanyanseamError
+from banyanseam.pipe.errors import RegionUnreachable
 from banyanseam.pipe.models import Exchange, Filter, Next
-from banyanseam.upstreams.choose import LocalPool, Place, RemoteRegion
+from banyanseam.upstreams.choose import Place, RemoteRegion
 from banyanseam.upstreams.const import PLACE_RETRY_S, SEEK_AGAIN_S
 from banyanseam.upstreams.errors import (
     AllTried,
@@ -54,11 +55,17 @@
                     raise
                 await anyio.sleep(PLACE_RETRY_S)
                 continue
-            except (UpstreamUnreachable, NoUpstreamAvailable) as error:
+            except (
+                UpstreamUnreachable,
+                NoUpstreamAvailable,
+                RegionUnreachable,
+            ) as error:
                 failure = failure or error
                 if not _may_seek_again(exchange, give_up_s):
                     raise failure from error
-            # Nothing was sent: the keeper learns within moments who is gone.
+            # Nothing was sent: the keeper learns within moments who is gone, and a
+            # region whose heartbeats were late is heard again.
+            exchange.avoided_regions.clear()
             give_up_s = min(give_up_s, anyio.current_time() + SEEK_AGAIN_S)
             await anyio.sleep(PLACE_RETRY_S)
 
@@ -66,14 +73,15 @@
         demand = make_demand(exchange)
         serves = get_served(exchange)
         place = await _wait_for_place(places, exchange, serves, demand, give_up_s)
-        if isinstance(place, RemoteRegion):
+        while isinstance(place, RemoteRegion):
             try:
                 await forward(exchange, place.region)
                 return
             except BanyanseamError as error:
                 if not error.not_run or exchange.upstream_started:
                     raise
-                place = _choose_local(places, exchange, serves, demand, error)
+                exchange.avoided_regions.add(place.region)
+                place = _choose_next(places, exchange, serves, error)
         try:
             grant = await _reserve_usable(room, place.pool, demand, give_up_s)
         except NoneUsable:
@@ -85,10 +93,10 @@
 
 
 def _may_seek_again(exchange: Exchange, give_up_s: float) -> bool:
-    """Say whether another place may be sought after an upstream was not reached."""
+    """Say whether another place may be sought after one was not reached."""
     has_time = anyio.current_time() + PLACE_RETRY_S < give_up_s
-    is_unreached = bool(exchange.avoided_upstreams) and not exchange.upstream_started
-    return has_time and is_unreached
+    is_known = bool(exchange.avoided_upstreams or exchange.avoided_regions)
+    return has_time and is_known and not exchange.upstream_started
 
 
 async def _wait_for_place(
@@ -123,6 +131,7 @@
         max_output_tokens=exchange.cost.max_output_tokens,
         prefix=hash_prefix(prompt),
         avoid=frozenset(exchange.avoided_upstreams),
+        avoid_regions=frozenset(exchange.avoided_regions),
     )
 
 
@@ -143,18 +152,23 @@
         return b""
 
 
-def _choose_local(
-    places: Places,
-    exchange: Exchange,
-    serves: str,
-    demand: Demand,
-    error: BanyanseamError,
-) -> LocalPool:
-    """Return a pool of this region, or raise what the other region said."""
-    try:
-        return places.choose(serves, demand, exchange.regions, may_forward=False)
-    except BanyanseamError:
-        raise error from None
+def _choose_next(
+    places: Places, exchange: Exchange, serves: str, error: BanyanseamError
+) -> Place:
+    """Return a place after a region did not run the request, this region's first.
+
+    Raise what that region said when there is no other.
+    """
+    demand = make_demand(exchange)
+    for may_forward in (False, True):
+        try:
+            return places.choose(
+                serves, demand, exchange.regions, may_forward=may_forward
+            )
+        except (NoUpstreamAvailable, NoUpstreamAllowed):
+            # What the region said tells the caller more.
+            continue
+    raise error
 
 
 async def _reserve_usable(
--- a/banyanseam/upstreams/models.py
+++ b/banyanseam/upstreams/models.py
@@ -51,6 +51,7 @@
     # Hashes of the leading blocks, each over all that goes before it.
     prefix: tuple[int, ...] = ()
     avoid: frozenset[str] = field(default_factory=frozenset)
+    avoid_regions: frozenset[str] = field(default_factory=frozenset)
 
     @property
     def tokens(self) -> int:
--- a/banyanseam/upstreams/places.py
+++ b/banyanseam/upstreams/places.py
@@ -107,7 +107,7 @@
         others = [
             summary
             for summary in self._regions.list_summaries(serves, now_s)
-            if summary.region in allowed - {home}
+            if summary.region in allowed - {home} - demand.avoid_regions
         ]
         policy = self._context.get_config().policies[home]
         place = pick_place(pools, others, demand, policy, spill, self._random, now_s)
--- a/tests/pipe/test_queue.py
+++ b/tests/pipe/test_queue.py
@@ -5,6 +5,7 @@
 
 from banyanseam.errors import BanyanseamError
 from banyanseam.peers.errors import PeerUnreachable
+from banyanseam.pipe.errors import ForwardFailed, RegionUnreachable
 from banyanseam.pipe.models import Cost, Exchange
 from banyanseam.pipe.queue import make_queue, read_prompt
 from banyanseam.upstreams.choose import RegionSummary, RemoteRegion
@@ -185,6 +186,83 @@
 
         self.assertEqual(run_mocked(run), 0)
 
+    def play_without_local_upstream(self, forward, regions=("delta", "piedmont")):
+        """Return the error of a request that only other regions can serve."""
+
+        async def run() -> BanyanseamError | None:
+            gulf = Gulf()
+            async with gulf.run():
+                places = gulf.places[SEATS[0]]
+                places._list_pools = lambda *_: []
+                places._list_allowed = lambda *_: {"gulf", *regions}
+                places._regions.list_summaries = lambda *_: [
+                    RegionSummary(name, 50_000, 50_000, 10 * index, 1000.0, -100.0)
+                    for index, name in enumerate(regions)
+                ]
+                filter_ = make_queue(
+                    gulf.rooms[SEATS[0]],
+                    places,
+                    "gulf",
+                    lambda: gulf.config,
+                    forward,
+                    lambda exchange: None,
+                )
+                try:
+                    await filter_(make_exchange(gulf), None)
+                except BanyanseamError as error:
+                    return error
+            return None
+
+        return run_mocked(run)
+
+    def test_a_region_that_has_none_sends_the_request_to_the_next(self):
+        """Its summary may be older than the configuration that took them away."""
+        asked = []
+
+        async def forward(exchange, region) -> None:
+            asked.append(region)
+            if region == "delta":
+                raise ForwardFailed(
+                    "upstreams.none_allowed", "oak", 421, not_run=True, retry_after_ms=1
+                )
+
+        self.assertIsNone(self.play_without_local_upstream(forward))
+        self.assertEqual(asked, ["delta", "piedmont"])
+
+    def test_a_region_in_doubt_for_a_moment_is_tried_again(self):
+        """Heartbeats may be late while the region is up."""
+        asked = []
+
+        async def forward(exchange, region) -> None:
+            asked.append(region)
+            if len(asked) < 5:
+                raise RegionUnreachable(region)
+
+        self.assertIsNone(self.play_without_local_upstream(forward, ("delta",)))
+        self.assertEqual(asked, ["delta"] * 5)
+
+    def test_a_region_that_stays_away_is_told_in_time(self):
+        async def forward(exchange, region) -> None:
+            raise RegionUnreachable(region)
+
+        caught = self.play_without_local_upstream(forward, ("delta",))
+        self.assertIsInstance(caught, RegionUnreachable)
+        self.assertTrue(caught.not_run)
+
+    def test_no_region_is_asked_after_one_that_may_have_run_it(self):
+        asked = []
+
+        async def forward(exchange, region) -> None:
+            asked.append(region)
+            exchange.upstream_started = True
+            raise ForwardFailed(
+                "upstreams.failed", "oak", 502, not_run=False, retry_after_ms=None
+            )
+
+        caught = self.play_without_local_upstream(forward)
+        self.assertIsInstance(caught, ForwardFailed)
+        self.assertEqual(asked, ["delta"])
+
     def test_lost_forward_is_not_tried_again(self):
         async def next_(exchange) -> None:
             self.fail("a request that may have run was run again")
