Log what decided a place, and the last event of a stream

Change: event 3010 has route, prompt and output sizes, requests and prefill at the candidate; 3001 and 3002 the last event.

--- a/banyanseam/entry/gate.py
+++ b/banyanseam/entry/gate.py
@@ -260,6 +260,7 @@
             "sends": exchange.sends,
             "tried": exchange.tried,
             "forwarded": exchange.forwarding is not None,
+            "last_event": exchange.last_event,
         }
     if first_s is not None:
         fields["first_ms"] = round((first_s - story.received_s) * 1000)
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -167,11 +167,17 @@
         self, exchange: Exchange, place: Place, candidates: int, waited_ms: float
     ) -> None:
         now_s = anyio.current_time()
+        prompt = exchange.head.prompt
         log(
             UPSTREAM_CHOSEN,
             request_id=exchange.head.request_id,
+            route=exchange.route.name,
+            prompt_tokens=0 if prompt is None else prompt.prompt_tokens,
+            max_output_tokens=0 if prompt is None else prompt.max_output_tokens,
             upstream=place.candidate.upstream_id,
             region=place.candidate.region,
+            requests=place.candidate.requests,
+            prefill_ms=round(place.candidate.prefill_ms),
             wait_ms=round(place.wait_ms),
             is_kept=place.is_kept,
             candidates=candidates,
