Count sends over a hand-over, take words in order, and let few speak for a region

Change: the peer says how often it has sent, a silent one counts as having used its grant, and a stream that breaks is resumed by the entry that the caller uses; a refusal that proves not run restores the doubt of before, however many sends there were. Totals carry the number of their heartbeat and travel as a table, to another region only from two processes and only of their own region; near heartbeats carry what is new. A refusal by quota logs level, rate and share heard.

The new tests of quota and of the hand-over fail on the code before.

--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -132,8 +132,11 @@
     wait_s = admission.quota.charge(organisation, cost, now_s)
     if wait_s > 0:
         left_ms = exchange.left_ms(now_s)
+        level = admission.quota.read_level(organisation)
         raise QuotaExceeded(
-            f"{organisation.name} has used its rate",
+            f"{organisation.name} has used its rate of {organisation.rate_per_s:.0f}: "
+            f"{level:.0f} left of {organisation.burst:.0f}, {cost:.0f} needed, "
+            f"{admission.quota.heard_share:.2f} of the fleet heard",
             retry_after_ms=choose_retry_after_ms(wait_s * 1000, left_ms),
         )
     exchange.cost = cost
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -6,6 +6,8 @@
 # dead VMs to callers is several times as long. Source: docs/design/platform.md.
 GOSSIP_PERIOD_S: Final = 0.25
 REGION_GOSSIP_PERIOD_S: Final = 1.0
+# So many processes tell other regions of theirs, the second for when one is cut off.
+REGION_SPEAKERS: Final = 2
 JOIN_PERIOD_S: Final = 0.3
 PEER_TERM_S: Final = 1.6
 REMOTE_PEER_TERM_S: Final = 4.0
@@ -126,6 +128,8 @@
 # Requests that crash upstreams.
 CRASHES_TO_REFUSE: Final = 2
 CRASH_MEMORY_S: Final = 60.0
+# How long heartbeats tell of a crash.
+CRASH_NEWS_S: Final = 5.0
 MAX_CRASH_RECORDS: Final = 1000
 
 # Life cycle.
--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -1,5 +1,6 @@
 """One request on its way through this process."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -23,6 +24,8 @@
         self.is_started = False
         self.first_sent_s: float | None = None
         self.status = 0
+        # What is said beside the answer's own headers, asked for when it begins.
+        self.list_extra_headers: Callable[[], Headers] = list
         self._send = send
         self._close = close
 
@@ -30,8 +33,9 @@
         """Send status and headers."""
         self.is_started = True
         self.status = status
+        headers = [*headers, *self.list_extra_headers()]
         if self._close:
-            headers = [*headers, (b"connection", b"close")]
+            headers.append((b"connection", b"close"))
         await self._send(
             {"type": "http.response.start", "status": status, "headers": headers}
         )
@@ -71,6 +75,8 @@
     # How often it was sent, and whether it may have run because of that.
     sends: int = 0
     may_have_run: bool = False
+    # Whether it may have run because of sends before the last one.
+    was_in_doubt: bool = False
     # The number of the last event that went to the caller.
     last_event: int | None = None
     unreachable: set[str] = field(default_factory=set)
@@ -91,6 +97,11 @@
             return min(self.route.max_attempts, self.forwarding.max_attempts)
         return self.route.max_attempts
 
+    @property
+    def attempts_left(self) -> int:
+        """Return how often it may still be sent; one that comes so far goes out."""
+        return max(1, self.max_attempts - self.sends)
+
     @property
     def urgency(self) -> int:
         """Return the rank among others; 0 is the most urgent."""
@@ -103,7 +114,10 @@
         """Say whether another run may follow one that may have run."""
         if not self.route.is_idempotent:
             return False
-        return not self.reply.is_started or self.route.is_resumable
+        if not self.reply.is_started:
+            return True
+        # Who handed it over was told the sends up to the answer's begin, and sends on.
+        return self.route.is_resumable and self.forwarding is None
 
     def allowed_regions(self, regions: set[str]) -> set[str]:
         """Return the regions where route and organisation let it be served."""
--- a/banyanseam/entry/fleet.py
+++ b/banyanseam/entry/fleet.py
@@ -6,11 +6,13 @@
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 from anyio.abc import UDPSocket
 
 from banyanseam.entry.const import (
+    CRASH_NEWS_S,
     FLEET_TERM_S,
     GOSSIP_PERIOD_S,
     JOIN_PERIOD_S,
@@ -19,6 +21,7 @@
     MAX_ROWS,
     PEER_TERM_S,
     REGION_GOSSIP_PERIOD_S,
+    REGION_SPEAKERS,
     REMOTE_PEER_TERM_S,
 )
 from banyanseam.entry.crash_suspects import CrashSuspects
@@ -35,6 +38,7 @@
 from banyanseam.entry.models import EntrySettings
 from banyanseam.entry.placing import Candidate
 from banyanseam.entry.quota import FleetQuota
+from banyanseam.entry.spending import Spending, Spendings, from_table, to_table
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import Loads
 from banyanseam.entry.values import Values
@@ -74,7 +78,7 @@
         # to another region.
         self.list_candidates: Callable[[], dict[str, list[Candidate]]] = dict
         # What others said they have spent, for those who do not hear them.
-        self._spent: dict[str, tuple[int, dict[str, float]]] = {}
+        self._spendings = Spendings()
         self.note_peer_values: Callable[[str, int, int], None] = lambda *_: None
         self.describe_me: Callable[[], tuple[bool, bool, int]] = lambda: (
             False,
@@ -157,15 +161,25 @@
     async def _beat_between_regions(self) -> None:
         while True:
             now_s = anyio.current_time()
-            for region in sorted(set(self.settings.regions.values())):
-                if region == self.settings.region:
-                    continue
+            for region in self._list_regions_to_tell(now_s):
                 alive = self.members.list_alive(now_s, region)
                 if alive:
                     await self._send(random.choice(alive).ip, self._describe(region))
             self.members.forget(now_s)
             await anyio.sleep(REGION_GOSSIP_PERIOD_S * random.uniform(0.9, 1.1))
 
+    def _list_regions_to_tell(self, now_s: float) -> list[str]:
+        """Return the other regions, if this process speaks for its own.
+
+        A few speak for a region, since all of them would say the same. While two
+        processes disagree on who lives, more or fewer speak for a moment.
+        """
+        region = self.settings.region
+        alive = [each.ip for each in self.members.list_alive(now_s, region)]
+        if sum(1 for ip in alive if ip < self.settings.ip) >= REGION_SPEAKERS:
+            return []
+        return sorted(set(self.settings.regions.values()) - {region})
+
     def _beat(self) -> None:
         is_serving, is_accepting, running = self.describe_me()
         self.members.beat(
@@ -179,30 +193,70 @@
         return random.sample(alive, MAX_GOSSIP_PEERS)
 
     def _describe(self, region: str | None) -> Gossip:
+        """Return a heartbeat for this region, for another, or for who has just come."""
+        if region == self.settings.region:
+            return self._describe_near()
+        if region is None:
+            return self._describe_all()
+        return self._describe_region()
+
+    def _describe_near(self) -> Gossip:
+        """Return what this process holds, and what it has just heard of others."""
+        now_s = anyio.current_time()
+        news_s = now_s - 2 * GOSSIP_PERIOD_S
+        elsewhere = [
+            member.ip
+            for member in self.members.list_alive(now_s)
+            if member.region != self.settings.region
+        ]
+        return self._make_gossip(
+            self.members.list_rows_since(news_s, now_s),
+            self._spendings.list_since(news_s, elsewhere),
+            loads=self._loads.list_own(),
+            part_uses=self._loads.list_part_uses(now_s),
+            relayed=self._describe_relayed(now_s),
+            levels=self._quota.list_levels(),
+        )
+
+    def _describe_region(self) -> Gossip:
+        """Return what another region needs of this one."""
+        now_s = anyio.current_time()
+        rows = self.members.list_rows(now_s, self.settings.region)
+        return self._make_gossip(
+            rows,
+            self._spendings.list_of(row.ip for row in rows),
+            region_parts=self._loads.list_region_parts(),
+            candidates=_to_rows(self.list_candidates()),
+        )
+
+    def _describe_all(self) -> Gossip:
+        """Return all that a process needs that knows nobody."""
         now_s = anyio.current_time()
         rows = self.members.list_rows(now_s)
+        return self._make_gossip(
+            rows,
+            self._spendings.list_of(row.ip for row in rows),
+            region_parts=self._loads.list_region_parts(),
+            candidates=_to_rows(self.list_candidates()),
+            levels=self._quota.list_levels(),
+        )
+
+    def _make_gossip(
+        self, rows: list[Member], spendings: list[Spending], **fields: Any
+    ) -> Gossip:
+        me = self.members.me
         if len(rows) > MAX_ROWS:
             rows = [rows[0], *random.sample(rows[1:], MAX_ROWS - 1)]
-        is_near = region == self.settings.region
-        me = self.members.me
-        spent = [(me.ip, me.incarnation, _round(self._quota.own_spent))]
-        for member in self.members.list_alive(now_s):
-            known = self._spent.get(member.ip)
-            if known is not None and (is_near or member.region != region):
-                spent.append((member.ip, *known))
-        candidates = {} if is_near else self.list_candidates()
+        mine = Spending(me.ip, me.incarnation, me.beat, self._quota.own_spent)
+        names, spent = to_table([mine, *spendings])
         return Gossip(
             members=[to_member_row(row) for row in rows],
             config_version=self._values.version,
             evacuation_revision=self._values.evacuation_revision,
-            loads=self._loads.list_own() if is_near else {},
-            part_uses=self._loads.list_part_uses(now_s) if is_near else [],
-            region_parts=[] if is_near else self._loads.list_region_parts(),
-            candidates=_to_rows(candidates),
-            relayed=self._describe_relayed(now_s) if is_near else {},
+            spent_names=names,
             spent=spent,
-            levels=self._quota.list_levels(),
-            crashes=self._suspects.list_recent(now_s - 5.0),
+            crashes=self._suspects.list_recent(anyio.current_time() - CRASH_NEWS_S),
+            **fields,
         )
 
     def _describe_relayed(
@@ -220,10 +274,8 @@
         rows = [Member(*row) for row in gossip.members]
         sender = rows[0]
         self.members.merge(rows, now_s)
-        for ip, incarnation, spent in gossip.spent:
-            if ip != self.settings.ip:
-                self._spent[ip] = (incarnation, spent)
-                self._quota.hear(ip, incarnation, spent)
+        for spending in from_table(gossip.spent_names, gossip.spent):
+            self._take_spending(spending, now_s)
         if now_s - self._started_s < PEER_TERM_S:
             self._quota.adopt_levels(gossip.levels, now_s)
         for suspect, upstream_id in gossip.crashes:
@@ -250,6 +302,14 @@
                 sender.region, candidates, gossip.region_parts, now_s
             )
 
+    def _take_spending(self, spending: Spending, now_s: float) -> None:
+        member = self.members.find(spending.ip)
+        if member is None or member.incarnation != spending.incarnation:
+            # This process itself, or one that has been replaced since.
+            return
+        if self._spendings.take(spending, now_s):
+            self._quota.hear(spending)
+
     def _note_changes(self) -> None:
         """Log who appeared and who fell silent, and note the share that is heard."""
         now_s = anyio.current_time()
@@ -274,10 +334,6 @@
             log(MESSAGE_DROPPED, code="peers.unreachable", ip=ip, error=repr(error))
 
 
-def _round(spent: dict[str, float]) -> dict[str, float]:
-    return {name: round(total) for name, total in spent.items()}
-
-
 def _to_rows(candidates: dict[str, list[Candidate]]) -> dict[str, list[CandidateRow]]:
     return {
         service: [to_candidate_row(each) for each in found]
--- a/banyanseam/entry/gate.py
+++ b/banyanseam/entry/gate.py
@@ -26,6 +26,7 @@
     read_forwarding,
     strip_peer_headers,
     write_peer_failure,
+    write_sends,
 )
 from banyanseam.entry.relay import Relay
 from banyanseam.errors import BanyanseamError, Problem
@@ -186,6 +187,8 @@
             story.forwarding,
         )
         story.exchange = exchange
+        if exchange.forwarding is not None:
+            story.reply.list_extra_headers = lambda: write_sends(exchange)
         await _run(gate, exchange, scope["extensions"][CONNECTION])
 
 
--- a/banyanseam/entry/members.py
+++ b/banyanseam/entry/members.py
@@ -118,9 +118,20 @@
         for ip in [ip for ip, each in self._known.items() if each.heard_s < limit_s]:
             del self._known[ip]
 
-    def list_rows(self, now_s: float) -> list[Member]:
-        """Return the rows to pass on: this process and those that live."""
-        return [self.me, *self.list_alive(now_s)]
+    def list_rows(self, now_s: float, region: str | None = None) -> list[Member]:
+        """Return this process and those that live, of one region or of all."""
+        return [self.me, *self.list_alive(now_s, region)]
+
+    def list_rows_since(self, since_s: float, now_s: float) -> list[Member]:
+        """Return this process and those of whom something new was heard since."""
+        return [
+            self.me,
+            *(
+                known.member
+                for known in self._known.values()
+                if known.heard_s >= since_s and self._is_alive(known, now_s)
+            ),
+        ]
 
     def _is_newer(self, row: Member, known: _Known, now_s: float) -> bool:
         old = known.member
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -6,9 +6,10 @@
 from banyanseam.entry.members import Member
 from banyanseam.entry.models import Upstream, UpstreamState
 from banyanseam.entry.placing import Candidate
+from banyanseam.entry.spending import SpentRow
 from banyanseam.peers.errors import InvalidPeerMessage
 
-GOSSIP_VERSION = 1
+GOSSIP_VERSION = 2
 
 MemberRow = tuple[str, str, str, str, int, int, bool, bool, int]
 UpstreamRow = tuple[str, str, str, str, bool, int, int, int | None, int, int]
@@ -34,8 +35,9 @@
     region_parts: list[str] = []
     # What other regions have just said of theirs, for who did not hear it.
     relayed: dict[str, tuple[dict[str, list[CandidateRow]], list[str]]] = {}
-    # Charged so far, by process and organisation.
-    spent: list[tuple[str, int, dict[str, float]]] = []
+    # Charged so far: a total for each of the names in the row of each process.
+    spent_names: list[str] = []
+    spent: list[SpentRow] = []
     levels: dict[str, float] = {}
     crashes: list[tuple[int, str]] = []
     # The registered upstreams, from who has just read them.
--- a/banyanseam/entry/peer_headers.py
+++ b/banyanseam/entry/peer_headers.py
@@ -16,17 +16,17 @@
 LEFT_MS: Final = b"x-banyanseam-left-ms"
 ATTEMPTS: Final = b"x-banyanseam-attempts"
 FAILURE: Final = b"x-banyanseam-failure"
+SENDS: Final = b"x-banyanseam-sends"
 PREFIX: Final = b"x-banyanseam-"
 
 
 def write_forwarding(exchange: Exchange, sender_ip: str) -> Headers:
     """Return what goes to a peer beside the request's own headers."""
     left_ms = max(1, int(exchange.deadline_left_ms()))
-    attempts = max(1, exchange.route.max_attempts - exchange.sends)
     headers = [
         (SENDER, sender_ip.encode()),
         (LEFT_MS, str(left_ms).encode()),
-        (ATTEMPTS, str(attempts).encode()),
+        (ATTEMPTS, str(exchange.attempts_left).encode()),
     ]
     if exchange.organisation is not None:
         headers.append((ORGANISATION, exchange.organisation.name.encode()))
@@ -53,6 +53,17 @@
     return [header for header in headers if not header[0].startswith(PREFIX)]
 
 
+def write_sends(exchange: Exchange) -> Headers:
+    """Return how often a serving daemon has sent a request to upstreams so far."""
+    return [(SENDS, str(exchange.sends).encode())]
+
+
+def read_sends(headers: Headers) -> int | None:
+    """Return how often a peer says that it has sent a request, if it says so."""
+    value = {name.lower(): value for name, value in headers}.get(SENDS, b"")
+    return int(value) if value.isdigit() else None
+
+
 def write_peer_failure(error: BanyanseamError, problem: Problem) -> Headers:
     """Return how a serving daemon marks a failure of its own."""
     outcome = "not-run" if problem.not_run else "unknown"
--- a/banyanseam/entry/placing.py
+++ b/banyanseam/entry/placing.py
@@ -138,9 +138,11 @@
         ahead_ms += candidate.queued_ms
     # Those that run take a step after each chunk that is read.
     slowdown = 1 + step_ms / CHUNK_MS if running else 1.0
-    # A request that finds the batch full waits until others have ended.
+    # A request that finds the batch full waits until others have ended. Their prompts
+    # are read in that time, so that the longer of the two waits holds.
     turn_ms = USUAL_OUTPUT_TOKENS * (step_ms + CHUNK_MS / 2) / max(candidate.slots, 1)
-    return away_ms + (ahead_ms + reading_ms) * slowdown + 2 * step_ms + over * turn_ms
+    ahead_ms = max(ahead_ms * slowdown, over * turn_ms)
+    return away_ms + ahead_ms + reading_ms * slowdown + 2 * step_ms
 
 
 def is_admitted(
--- a/banyanseam/entry/quota.py
+++ b/banyanseam/entry/quota.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from banyanseam.entry.models import Organisation
+from banyanseam.entry.spending import Spending
 
 # The published tolerance on the rate, of which a part covers what travels.
 # Source: the operators' bounds, a quarter over.
@@ -42,8 +43,8 @@
         self._buckets: dict[str, _Bucket] = {}
         # What this process has charged in all, by organisation.
         self.own_spent: dict[str, float] = {}
-        # What each other process, by its address and incarnation, said it has charged.
-        self._heard: dict[tuple[str, int], dict[str, float]] = {}
+        # What each other process last said it has charged.
+        self._heard: dict[str, Spending] = {}
         self.heard_share = 1.0
 
     def charge(self, organisation: Organisation, cost: float, now_s: float) -> float:
@@ -61,6 +62,11 @@
         self.own_spent[name] = self.own_spent.get(name, 0.0) + cost
         return 0.0
 
+    def read_level(self, organisation: Organisation) -> float:
+        """Return what the bucket held when it was last charged."""
+        bucket = self._buckets.get(organisation.name)
+        return 0.0 if bucket is None else bucket.level
+
     def give_back(self, organisation: Organisation, cost: float) -> None:
         """Return the charge of a request that surely has not run."""
         bucket = self._buckets.get(organisation.name)
@@ -69,22 +75,23 @@
         bucket.level = min(bucket.level + cost, self._burst(organisation))
         self.own_spent[organisation.name] -= cost
 
-    def hear(self, ip: str, incarnation: int, spent: dict[str, float]) -> None:
+    def hear(self, spending: Spending) -> None:
         """Take over what another process says it has charged in all.
 
         The first word of a process counts as a start: what it spent before this
-        process heard of it is in the past of a bucket that was not there.
+        process heard of it is in the past of a bucket that was not there. A word that
+        is older than the last one is passed over: it would fill a bucket that is full
+        already, and the next word would then empty it.
         """
-        key = (ip, incarnation)
-        if key not in self._heard:
-            for old in [each for each in self._heard if each[0] == ip]:
-                del self._heard[old]
-            self._heard[key] = dict(spent)
+        known = self._heard.get(spending.ip)
+        if known is None or known.incarnation != spending.incarnation:
+            self._heard[spending.ip] = spending
+            return
+        if spending.beat <= known.beat:
             return
-        known = self._heard[key]
-        for name, total in spent.items():
-            more = total - known.get(name, 0.0)
-            known[name] = total
+        self._heard[spending.ip] = spending
+        for name, total in spending.totals.items():
+            more = total - known.totals.get(name, 0.0)
             bucket = self._buckets.get(name)
             if bucket is not None:
                 burst = self._burst(bucket.organisation)
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -31,7 +31,12 @@
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.members import Members
 from banyanseam.entry.models import AnswerHead, Headers, RequestHead, SendOrder
-from banyanseam.entry.peer_headers import read_peer_failure, write_forwarding
+from banyanseam.entry.peer_headers import (
+    read_peer_failure,
+    read_sends,
+    strip_peer_headers,
+    write_forwarding,
+)
 from banyanseam.entry.placing import (
     Ask,
     Candidate,
@@ -232,14 +237,22 @@
             patience_s=self._choose_patience_s(exchange, now_s),
         )
         self.loads.forwarded[region] = self.loads.forwarded.get(region, 0) + 1
+        sends = exchange.sends
+        # A peer that falls silent may have used all that it was granted.
+        granted = exchange.attempts_left
         try:
-            async with send(outgoing, lambda: _note_sent(exchange)) as incoming:
+            async with send(
+                outgoing, lambda: _note_sent(exchange, granted)
+            ) as incoming:
+                told = read_sends(incoming.headers)
+                if told is not None:
+                    exchange.sends = sends + told
                 failure = read_peer_failure(incoming.headers, incoming.status)
                 if failure is not None:
                     if failure.not_run:
                         _note_not_run(exchange)
                     raise failure
-                answer = self.wire.read_answer(incoming.status, incoming.headers)
+                answer = self.wire.read_answer(incoming.status, _strip(incoming))
                 check_answer(exchange, answer)
                 self._note_part(exchange, place)
                 await pass_on(exchange, answer, incoming)
@@ -440,12 +453,17 @@
     return untried or candidates
 
 
-def _note_sent(exchange: Exchange) -> None:
-    exchange.sends += 1
+def _strip(incoming: Incoming) -> Headers:
+    lowered = [(name.lower(), value) for name, value in incoming.headers]
+    return strip_peer_headers(lowered)
+
+
+def _note_sent(exchange: Exchange, sends: int = 1) -> None:
+    exchange.sends += sends
+    exchange.was_in_doubt = exchange.may_have_run
     exchange.may_have_run = True
 
 
 def _note_not_run(exchange: Exchange) -> None:
     # Only the last send is proved not to have run; an earlier one keeps its doubt.
-    if exchange.sends == 1:
-        exchange.may_have_run = False
+    exchange.may_have_run = exchange.was_in_doubt
--- /dev/null
+++ b/banyanseam/entry/spending.py
@@ -0,0 +1,79 @@
+"""What each process says it has charged in all, as it travels and as it is kept."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+# A process's address, its incarnation, its heartbeat's number, a total for each name.
+SpentRow = tuple[str, int, int, list[int]]
+
+
+@dataclass(frozen=True, slots=True)
+class Spending:
+    """What a process had charged by organisation when it sent a heartbeat."""
+
+    ip: str
+    incarnation: int
+    beat: int
+    totals: dict[str, float]
+
+
+@dataclass(slots=True)
+class _Heard:
+    spending: Spending
+    heard_s: float
+
+
+class Spendings:
+    """The newest word of each other process."""
+
+    def __init__(self) -> None:
+        """Know of none."""
+        self._heard: dict[str, _Heard] = {}
+
+    def take(self, spending: Spending, now_s: float) -> bool:
+        """Keep a word unless it is as old as the one that is known; say if it is new.
+
+        Words travel over several peers, so older ones arrive after newer ones.
+        """
+        known = self._heard.get(spending.ip)
+        if known is not None:
+            old = known.spending
+            if old.incarnation == spending.incarnation and old.beat >= spending.beat:
+                return False
+        self._heard[spending.ip] = _Heard(spending, now_s)
+        return True
+
+    def list_of(self, ips: Iterable[str]) -> list[Spending]:
+        """Return the words of some processes."""
+        return [self._heard[ip].spending for ip in ips if ip in self._heard]
+
+    def list_since(self, since_s: float, ips: Iterable[str]) -> list[Spending]:
+        """Return the words of some processes that were heard lately."""
+        return [
+            self._heard[ip].spending
+            for ip in ips
+            if ip in self._heard and self._heard[ip].heard_s >= since_s
+        ]
+
+
+def to_table(spendings: list[Spending]) -> tuple[list[str], list[SpentRow]]:
+    """Return names and rows of totals, so that each name travels once."""
+    names = sorted({name for each in spendings for name in each.totals})
+    rows = [
+        (
+            each.ip,
+            each.incarnation,
+            each.beat,
+            [round(each.totals.get(name, 0)) for name in names],
+        )
+        for each in spendings
+    ]
+    return names, rows
+
+
+def from_table(names: list[str], rows: Iterable[SpentRow]) -> list[Spending]:
+    """Return what names and rows of totals say."""
+    return [
+        Spending(ip, incarnation, beat, dict(zip(names, totals, strict=False)))
+        for ip, incarnation, beat, totals in rows
+    ]
--- a/tests/entry/test_messages.py
+++ b/tests/entry/test_messages.py
@@ -22,7 +22,8 @@
             members=[to_member_row(make_member())],
             loads={"e1": (1, 2.5, 3, 4.5)},
             part_uses=[("e1", "h1", 100)],
-            spent=[("10.1.0.1", 7, {"acme": 5.0})],
+            spent_names=["acme"],
+            spent=[("10.1.0.1", 7, 3, [5])],
             relayed={"delta": ({"pool": []}, ["h1"])},
             upstreams=[to_upstream_row(leaving)],
         )
--- a/tests/entry/test_quota.py
+++ b/tests/entry/test_quota.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from banyanseam.entry.quota import FleetQuota
+from banyanseam.entry.spending import Spending
 from tests.entry.common import make_organisation
 
 OVER = 1.25
@@ -23,6 +24,7 @@
         self.cut: set[int] = set()
         self.spent: list[tuple[float, float]] = []
         self.now_s = 0.0
+        self.beat = 0
 
     def start(self) -> FleetQuota:
         quota = FleetQuota(SLACK)
@@ -34,6 +36,7 @@
             self.spent.append((self.now_s, cost))
 
     def gossip(self) -> None:
+        self.beat += 1
         words = [dict(quota.own_spent) for quota in self.quotas]
         count = len(self.quotas)
         for to, quota in enumerate(self.quotas):
@@ -42,7 +45,9 @@
                 if of == to or (of in self.cut) != (to in self.cut):
                     continue
                 heard += 1
-                quota.hear(f"10.0.0.{of}", self.incarnations[of], word)
+                quota.hear(
+                    Spending(f"10.0.0.{of}", self.incarnations[of], self.beat, word)
+                )
             quota.heard_share = heard / count
 
     def most_in_window(self, window_s: float) -> float:
@@ -98,12 +103,29 @@
         quota = FleetQuota()
         organisation = make_organisation()
         quota.configure({"acme": organisation}, 0.0)
-        quota.hear("10.0.0.1", 1, {"acme": 0})
-        quota.hear("10.0.0.1", 1, {"acme": 400})
-        quota.hear("10.0.0.1", 1, {"acme": 400})
-        quota.hear("10.0.0.1", 2, {"acme": 0})
+        for incarnation, beat, total in (
+            (1, 1, 0),
+            (1, 2, 400),
+            (1, 3, 400),
+            (2, 1, 0),
+        ):
+            quota.hear(Spending("10.0.0.1", incarnation, beat, {"acme": total}))
         self.assertEqual(quota.list_levels(), {"acme": 600})
 
+    def test_a_word_that_arrives_late_empties_no_bucket(self):
+        # Found on a hot day: words that came over other peers were older than the
+        # direct ones, and each full bucket lost what had been charged between the two.
+        quota = FleetQuota()
+        organisation = make_organisation()
+        quota.configure({"acme": organisation}, 0.0)
+        for beat, total in ((1, 0), (2, 400), (3, 400)):
+            quota.hear(Spending("10.0.0.1", 1, beat, {"acme": total}))
+        quota.charge(organisation, 0, 1.0)
+        self.assertEqual(quota.list_levels(), {"acme": 1000})
+        for beat, total in ((1, 0), (4, 400), (2, 0), (5, 400)):
+            quota.hear(Spending("10.0.0.1", 1, beat, {"acme": total}))
+        self.assertEqual(quota.list_levels(), {"acme": 1000})
+
     def test_a_new_process_starts_from_its_peers_levels(self):
         quota = FleetQuota()
         organisation = make_organisation()
--- a/tests/faults/test_platform.py
+++ b/tests/faults/test_platform.py
@@ -289,6 +289,26 @@
 
         run(scenario)
 
+    def test_two_regions_together_send_no_more_than_the_route_allows(self):
+        # Found on a day of 66 VMs: the region that was asked sent twice, and then the
+        # region that had asked it sent once more.
+        async def scenario():
+            engines = {f"e{number}": ("pool", "gulf") for number in range(1, 5)}
+            regions = {"gulf": 1, "delta": 1}
+            async with start_platform_fleet(regions, engines) as fleet:
+                await self.wait_served(fleet, "delta-1", "/query/x")
+                for fault in ("no answer", "garbage", "cut"):
+                    for engine in fleet.upstreams.values():
+                        engine.faults[:] = [fault] * 8
+                        engine.runs.clear()
+                    answer = await fleet.ask("delta-1", "/query/x", headers=USAGE)
+                    runs = [len(each.runs) for each in fleet.upstreams.values()]
+                    with self.subTest(fault):
+                        self.assertTrue(answer.status == 502 or answer.broken, answer)
+                        self.assertEqual(sum(runs), 2)
+
+        run(scenario)
+
     def test_a_planned_stop_cuts_nothing_and_the_directory_forgets_the_vm(self):
         async def scenario():
             async with start_platform_fleet({"gulf": 2}, ONE_REGION) as fleet:
