Move streams that fall silent, pay for moves first, and refuse at once what has no upstream

Cause: (1) a stream whose connection falls silent for good was waited for until its caller left; a move to an engine that would begin sooner gave the first one up before the budget of retries was asked, so that it could end with neither.

Change: entry/moving.py (out of relay.py) stops reading a resumable stream after 0.8 s of silence when another place would go on within 0.4 s, between two parts only, and takes the budget before it does so. Where no registered upstream may serve a request it is refused at once, to come back as late as callers do. tests/entry/test_overload.py plays loads before a model of engines.

The tests of silence, of evacuation and of the foretold wait fail on the code before.

--- a/banyanseam/entry/answers.py
+++ b/banyanseam/entry/answers.py
@@ -5,6 +5,7 @@
 from banyanseam.entry.event_stream import EventSplitter, StreamEvent
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.models import AnswerHead
+from banyanseam.entry.moving import Progress
 from banyanseam.entry.sending import Incoming
 from banyanseam.pipe.errors import AnswerCrossed, AnswerGap, AnswerTruncated
 from banyanseam.upstreams.errors import UpstreamFailed
@@ -24,10 +25,15 @@
         raise UpstreamFailed(f"status {answer.status} without a signature")
 
 
-async def pass_on(exchange: Exchange, answer: AnswerHead, incoming: Incoming) -> None:
-    """Send an answer on, streams event by event, all else as a whole if it can."""
+async def pass_on(
+    exchange: Exchange, answer: AnswerHead, incoming: Incoming, progress: Progress
+) -> None:
+    """Send an answer on, streams event by event, all else as a whole if it can.
+
+    Raise SlowerThanOthers once `progress` has been stopped.
+    """
     if exchange.route.is_stream and answer.status == 200:
-        await _pass_events(exchange, answer, incoming)
+        await _pass_events(exchange, answer, incoming, progress)
         return
     body = bytearray()
     async for chunk in incoming.body:
@@ -43,11 +49,11 @@
 
 
 async def _pass_events(
-    exchange: Exchange, answer: AnswerHead, incoming: Incoming
+    exchange: Exchange, answer: AnswerHead, incoming: Incoming, progress: Progress
 ) -> None:
     """Pass whole events on as they come; raise AnswerTruncated at a break."""
     splitter = EventSplitter()
-    async for chunk in incoming.body:
+    while (chunk := await progress.read(incoming.body)) is not None:
         for event in splitter.feed(chunk):
             await _pass_event(exchange, answer, event)
     if splitter.has_rest:
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -115,6 +115,10 @@
 # that would begin it much sooner.
 MOVE_TARGET_SHARE: Final = 0.45
 MOVE_PERIOD_S: Final = 0.1
+# A stream that is silent for twice the longest pause of an answer in time moves to
+# where it would go on within such a pause. Source: the operators' sheets, 400 ms.
+STREAM_SILENCE_MS: Final = 800.0
+STREAM_MOVE_WAIT_MS: Final = 400.0
 MIN_RETRY_LEFT_MS: Final = 50.0
 
 # Refusals.
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -13,8 +13,7 @@
     MAX_RETRY_AFTER_MS,
     MIN_RETRY_AFTER_MS,
     MIN_RETRY_LEFT_MS,
-    MOVE_PERIOD_S,
-    MOVE_TARGET_SHARE,
+    OUTAGE_S,
     PATIENCE_SHARE,
     QUEUE_PERIOD_S,
     ROOM_PATIENCE_SHARE,
@@ -31,6 +30,7 @@
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.members import Members
 from banyanseam.entry.models import AnswerHead, Headers, RequestHead, SendOrder
+from banyanseam.entry.moving import Moves, Progress
 from banyanseam.entry.peer_headers import (
     read_peer_failure,
     read_sends,
@@ -47,7 +47,7 @@
     is_its_turn,
 )
 from banyanseam.entry.retry_budget import RetryBudget
-from banyanseam.entry.sending import Incoming, Outgoing, send
+from banyanseam.entry.sending import Incoming, Outgoing, run_beside, send
 from banyanseam.entry.upstream_list import Tracked, UpstreamList
 from banyanseam.entry.upstreams import Loads, hold, list_local, note_read, queue
 from banyanseam.errors import BanyanseamError
@@ -81,6 +81,11 @@
     # Tells the region at once what this process holds.
     announce: Callable[[], Awaitable[None]]
 
+    @property
+    def moves(self) -> Moves:
+        """Return what decides whether a request that was sent goes on elsewhere."""
+        return Moves(self.members, self.loads, self.retries, self.list_candidates)
+
     async def serve(self, exchange: Exchange) -> None:
         """Answer a request; raise why it cannot be answered."""
         now_s = anyio.current_time()
@@ -138,6 +143,10 @@
             candidates = self.list_candidates(exchange, now_s)
             place = self._choose(exchange, candidates)
             if place is None:
+                if not candidates and self._is_none_registered(exchange, now_s):
+                    # Until the operators change that, so as late as a caller comes.
+                    retry_after_ms = choose_retry_after_ms(left_ms, left_ms)
+                    raise NoUpstreamKnown(retry_after_ms=retry_after_ms)
                 if now_s - began_s >= patience_s:
                     kind = RegionsFull if candidates else NoUpstreamKnown
                     raise kind(retry_after_ms=choose_retry_after_ms(500.0, left_ms))
@@ -157,6 +166,17 @@
             with queue(tracked, exchange.head.prompt, is_kept=place.is_kept):
                 await anyio.sleep(QUEUE_PERIOD_S * random.uniform(0.7, 1.3))
 
+    def _is_none_registered(self, exchange: Exchange, now_s: float) -> bool:
+        """Say whether surely no upstream may serve the request, cold ones included."""
+        if now_s - self.upstreams.fresh_s > OUTAGE_S:
+            return False
+        regions = self.members.regions
+        allowed = exchange.allowed_regions(set(regions.values()))
+        return not any(
+            regions.get(tracked.upstream.data_centre) in allowed
+            for tracked in self.upstreams.list_usable(exchange.service, now_s)
+        )
+
     def _choose(self, exchange: Exchange, candidates: list[Candidate]) -> Place | None:
         ask = Ask(exchange.head.prompt, len(exchange.body), self.members.me.region)
         untried = _prefer_untried(candidates, exchange.tried)
@@ -209,12 +229,12 @@
             async with send(
                 outgoing,
                 lambda: _note_sent(exchange),
-                self._make_wait_for_better(exchange, place),
+                self.moves.make_wait_for_better(exchange, place),
             ) as incoming:
                 answer = self._check(exchange, incoming, tracked)
                 note_read(tracked, reading)
                 self._note_part(exchange, place)
-                await pass_on(exchange, answer, incoming)
+                await self._pass_on(exchange, place, answer, incoming)
         self.upstreams.note_success(tracked)
         self.suspects.clear(exchange.suspect)
 
@@ -255,13 +275,25 @@
                 answer = self.wire.read_answer(incoming.status, _strip(incoming))
                 check_answer(exchange, answer)
                 self._note_part(exchange, place)
-                await pass_on(exchange, answer, incoming)
+                await self._pass_on(exchange, place, answer, incoming)
         except UpstreamUnreachable:
             exchange.unreachable.add(peer.ip)
             raise
         finally:
             self.loads.forwarded[region] -= 1
 
+    async def _pass_on(
+        self, exchange: Exchange, place: Place, answer: AnswerHead, incoming: Incoming
+    ) -> None:
+        progress = Progress(anyio.current_time())
+        passing = pass_on(exchange, answer, incoming, progress)
+        if not exchange.route.is_resumable or exchange.forwarding is not None:
+            await passing
+            return
+        await run_beside(
+            passing, lambda: self.moves.stop_silent_stream(exchange, place, progress)
+        )
+
     def _make_outgoing(
         self, exchange: Exchange, tracked: Tracked, now_s: float
     ) -> Outgoing:
@@ -346,41 +378,6 @@
         else:
             self.loads.note_forwarded_part(candidate.region, part_id, tokens)
 
-    def _make_wait_for_better(
-        self, exchange: Exchange, place: Place
-    ) -> Callable[[], Awaitable[None]] | None:
-        """Return what waits until another place would begin the request much sooner.
-
-        It answers the moment at which an engine turns out to read a long prompt that
-        nobody expected, and short requests wait behind it.
-        """
-        if not exchange.may_go_on or exchange.sends + 1 >= exchange.max_attempts:
-            return None
-        soon_ms = MOVE_TARGET_SHARE * exchange.route.target_ms
-
-        async def wait() -> None:
-            pause_s = max(soon_ms, 1.5 * place.wait_ms) / 1000
-            await anyio.sleep(pause_s)
-            # Loads change with every heartbeat, so they are looked at again.
-            while not self._has_better(exchange, place, soon_ms):  # noqa: ASYNC110
-                await anyio.sleep(MOVE_PERIOD_S)
-
-        return wait
-
-    def _has_better(self, exchange: Exchange, place: Place, soon_ms: float) -> bool:
-        now_s = anyio.current_time()
-        vms = self.members.count_recent(now_s)
-        if not self.retries.has_any(exchange.service, vms, now_s):
-            return False
-        others = [
-            each
-            for each in self.list_candidates(exchange, now_s)
-            if each.upstream_id != place.candidate.upstream_id and not each.is_reserve
-        ]
-        ask = Ask(exchange.head.prompt, len(exchange.body), self.members.me.region)
-        best = choose(others, ask, self.loads.is_kept)
-        return best is not None and best.wait_ms < soon_ms
-
     def _list_peers(self, exchange: Exchange, region: str, now_s: float) -> list:
         return [
             peer
@@ -426,6 +423,9 @@
         now_s = anyio.current_time()
         if exchange.left_ms(now_s) < MIN_RETRY_LEFT_MS:
             return False
+        if isinstance(error, SlowerThanOthers):
+            # It was paid for before the upstream was given up.
+            return True
         if isinstance(error, UpstreamUnreachable | UpstreamReplaced):
             # Nothing has reached an upstream that could run it.
             return exchange.may_go_on or not exchange.may_have_run
--- a/banyanseam/entry/sending.py
+++ b/banyanseam/entry/sending.py
@@ -86,27 +86,39 @@
     wait_for_better: Callable[[], Awaitable[None]],
     address: str,
 ) -> Incoming:
-    outcome: list[Incoming | BanyanseamError] = []
-    async with anyio.create_task_group() as tasks:
+    outcome: list[Incoming] = []
+    with anyio.CancelScope() as scope:
 
         async def answer() -> None:
-            # Kept aside, since a task group would wrap what is raised in it.
-            try:
-                outcome.append(await exchange)
-            except BanyanseamError as error:
-                outcome.append(error)
-            tasks.cancel_scope.cancel()
-
-        tasks.start_soon(answer)
-        await wait_for_better()
-        tasks.cancel_scope.cancel()
+            outcome.append(await exchange)
+
+        async def give_up() -> None:
+            await wait_for_better()
+            scope.cancel()
+
+        await run_beside(answer(), give_up)
     if not outcome:
         raise SlowerThanOthers(address)
-    if isinstance(outcome[0], BanyanseamError):
-        raise outcome[0]
     return outcome[0]
 
 
+async def run_beside(
+    main: Awaitable[None], watch: Callable[[], Awaitable[None]]
+) -> None:
+    """Await `main` while `watch` runs, and raise what `main` raises."""
+    # Kept aside, since a task group would wrap what is raised in it.
+    failures: list[BanyanseamError] = []
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch)
+        try:
+            await main
+        except BanyanseamError as error:
+            failures.append(error)
+        tasks.cancel_scope.cancel()
+    if failures:
+        raise failures[0]
+
+
 async def _exchange(
     stream: UpstreamStream, outgoing: Outgoing, host: str, port: int
 ) -> Incoming:
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -12,6 +12,8 @@
 
 EVENTS: Final = 6
 EVENT_PAUSE_S: Final = 0.01
+# How long a stream that stalls is silent: longer than an answer may take to be in time.
+STALL_S: Final = 1.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +128,8 @@
         for number in range(first, EVENTS + 1):
             await asyncio.sleep(self.pause_s)
             event = b"id: %d\ndata: word %d\n\n" % (number, number)
+            if fault == "stall" and number == 3:
+                await asyncio.sleep(STALL_S)
             if fault == "cut" and number == 3:
                 writer.write(_chunk(event[:7]))
                 await writer.drain()
--- a/tests/entry/engine_model.py
+++ b/tests/entry/engine_model.py
@@ -36,6 +36,8 @@
     unread_tokens: int = 0
     made_tokens: int = 0
     tries: int = 0
+    taken_ms: float = 0.0
+    foretold_ms: float = 0.0
     first_ms: float | None = None
     ended_ms: float | None = None
 
@@ -114,8 +116,17 @@
     chance: random.Random
     _news_ms: float = -1e9
     _news: dict[str, Candidate] = field(default_factory=dict)
+    _taken: list[Call] = field(default_factory=list)
     refusals: int = 0
 
+    def list_waits(self) -> list[tuple[float, float]]:
+        """Return the foretold and the real wait for the first token of each call."""
+        return [
+            (call.foretold_ms, call.first_ms - call.taken_ms)
+            for call in self._taken
+            if call.first_ms is not None
+        ]
+
     def play(self, calls: list[Call], make_ask: Callable[[Call], Ask]) -> None:
         """Play all calls to their end; each refused caller comes back once."""
         coming = deque(sorted(calls, key=lambda call: call.asked_ms))
@@ -159,6 +170,8 @@
                 pause_ms = choose_retry_after_ms(2 * place.wait_ms, left_ms)
                 returning.append((now_ms + pause_ms, call))
             return
+        call.taken_ms, call.foretold_ms = now_ms, place.wait_ms
+        self._taken.append(call)
         name = place.candidate.upstream_id
         call.unread_tokens = call.prompt.prompt_tokens
         self.engines[name].waiting.append(call)
--- a/tests/faults/test_platform.py
+++ b/tests/faults/test_platform.py
@@ -6,7 +6,7 @@
 import anyio
 
 from standins.platform_fleet import KEY, PlatformFleet, start_platform_fleet
-from standins.platform_upstream import whole_stream
+from standins.platform_upstream import STALL_S, whole_stream
 from tests.common import wait_until
 
 USAGE = {"model": "m", "token-usage": "400,40", "prompt-prefix": "a1:92,b2:308"}
@@ -86,6 +86,30 @@
 
         run(scenario)
 
+    def test_a_stream_that_falls_silent_goes_on_elsewhere_if_it_may(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 1}, ONE_REGION) as fleet:
+                stalling, other = fleet.upstreams["e1"], fleet.upstreams["e2"]
+                stalling.faults[:] = ["stall"]
+                for _ in range(50):
+                    begun_s = anyio.current_time()
+                    answer = await fleet.ask("gulf-1", "/query/x", headers=USAGE)
+                    self.assertEqual(answer.body, whole_stream())
+                    if stalling.runs:
+                        break
+                self.assertLess(anyio.current_time() - begun_s, STALL_S)
+                resumed = [run for run in other.runs if "last-event-id" in run.headers]
+                self.assertEqual(len(resumed), 1)
+                # What may not be resumed is waited for.
+                for engine in (stalling, other):
+                    engine.faults[:] = ["stall"]
+                    engine.runs.clear()
+                answer = await fleet.ask("gulf-1", "/summary/x", headers=USAGE)
+                self.assertEqual((answer.body, answer.broken), (whole_stream(), None))
+                self.assertEqual(len(stalling.runs) + len(other.runs), 1)
+
+        run(scenario)
+
     async def wait_status(self, fleet, name, path, status):
         async def has_status():
             return (await fleet.ask(name, path)).status == status
@@ -255,7 +279,10 @@
             async with start_platform_fleet({"gulf": 1}, ONE_REGION) as fleet:
                 fleet.store.put("op/evacuate/gulf-a", {})
                 await anyio.sleep(1.0)
+                begun_s = anyio.current_time()
                 self.assertEqual((await fleet.ask("gulf-1", "/book/x")).status, 503)
+                # It is known that nothing can serve it, so the caller is told at once.
+                self.assertLess(anyio.current_time() - begun_s, 0.2)
                 fleet.store.delete("op/evacuate/gulf-a")
                 await anyio.sleep(1.0)
                 self.assertEqual((await fleet.ask("gulf-1", "/book/x")).status, 200)
