Choose places in a module of its own, and let streams that have begun wait

Change: choosing.py takes the search for a place; a request of which the caller has a part waits for as long as it can bear. tests/entry/test_choosing.py plays both, and refusals at once.

Ruled out: a module for the sending half alone, which would need the chooser as well.

--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -6,6 +6,7 @@
 import anyio
 
 from banyanseam.config.errors import NotReady
+from banyanseam.entry.choosing import choose_retry_after_ms
 from banyanseam.entry.const import MIN_RETRY_AFTER_MS
 from banyanseam.entry.crash_suspects import CrashSuspects, fingerprint
 from banyanseam.entry.errors import CrashSuspected
@@ -18,7 +19,6 @@
     Route,
 )
 from banyanseam.entry.quota import FleetQuota
-from banyanseam.entry.relay import choose_retry_after_ms
 from banyanseam.entry.values import Values
 from banyanseam.pipe.errors import KeyMissing, KeyUnknown, RouteUnknown
 from banyanseam.quota.errors import QuotaExceeded
--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -109,6 +109,11 @@
             return self.organisation.urgency
         return self.route.urgency
 
+    @property
+    def is_resumed(self) -> bool:
+        """Say whether the caller has a part of the answer already."""
+        return self.last_event is not None or self.head.last_event_id is not None
+
     @property
     def may_go_on(self) -> bool:
         """Say whether another run may follow one that may have run."""
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -7,23 +7,17 @@
 import anyio
 
 from banyanseam.entry.answers import check_answer, pass_on
+from banyanseam.entry.choosing import Chooser, choose_retry_after_ms
 from banyanseam.entry.const import (
     CONNECT_TIMEOUT_S,
     LONG_PREFILL_MS,
-    MAX_RETRY_AFTER_MS,
-    MIN_RETRY_AFTER_MS,
     MIN_RETRY_LEFT_MS,
-    OUTAGE_S,
     PATIENCE_SHARE,
-    QUEUE_PERIOD_S,
-    ROOM_PATIENCE_SHARE,
     ROUND_TRIP_MS,
 )
 from banyanseam.entry.crash_suspects import CrashSuspects
 from banyanseam.entry.errors import (
     ConnectionBroken,
-    NoUpstreamKnown,
-    RegionsFull,
     SlowerThanOthers,
     UpstreamReplaced,
 )
@@ -38,20 +32,15 @@
     write_forwarding,
 )
 from banyanseam.entry.placing import (
-    Ask,
-    Candidate,
     Place,
-    choose,
     find_shared_part,
-    is_admitted,
-    is_its_turn,
 )
 from banyanseam.entry.retry_budget import RetryBudget
 from banyanseam.entry.sending import Incoming, Outgoing, run_beside, send
 from banyanseam.entry.upstream_list import Tracked, UpstreamList
-from banyanseam.entry.upstreams import Loads, hold, list_local, note_read, queue
+from banyanseam.entry.upstreams import Loads, hold, note_read
 from banyanseam.errors import BanyanseamError
-from banyanseam.observe.events import SEND_FAILED, UPSTREAM_CHOSEN, log
+from banyanseam.observe.events import SEND_FAILED, log
 from banyanseam.upstreams.errors import (
     UpstreamFailed,
     UpstreamRefused,
@@ -81,10 +70,17 @@
     # Tells the region at once what this process holds.
     announce: Callable[[], Awaitable[None]]
 
+    @property
+    def chooser(self) -> Chooser:
+        """Return what finds places for requests."""
+        return Chooser(self.members, self.upstreams, self.loads)
+
     @property
     def moves(self) -> Moves:
         """Return what decides whether a request that was sent goes on elsewhere."""
-        return Moves(self.members, self.loads, self.retries, self.list_candidates)
+        return Moves(
+            self.members, self.loads, self.retries, self.chooser.list_candidates
+        )
 
     async def serve(self, exchange: Exchange) -> None:
         """Answer a request; raise why it cannot be answered."""
@@ -95,7 +91,7 @@
         failure: BanyanseamError | None = None
         while True:
             try:
-                place = await self._find_place(exchange)
+                place = await self.chooser.find_place(exchange)
             except BanyanseamError as error:
                 # What went wrong first says more than that nothing else is left.
                 raise failure or error from error
@@ -109,108 +105,6 @@
             else:
                 return
 
-    def list_candidates(self, exchange: Exchange, now_s: float) -> list[Candidate]:
-        """Return every place that may serve the request, here and elsewhere."""
-        here = self.members.me.region
-        allowed = exchange.allowed_regions(set(self.members.regions.values()))
-        found = []
-        if here in allowed:
-            found += list_local(
-                exchange.catalogue,
-                exchange.service,
-                self.upstreams,
-                self.loads,
-                self.members,
-                now_s,
-            )
-        if exchange.forwarding is None:
-            for region in allowed - {here}:
-                if self._list_peers(exchange, region, now_s):
-                    found += self.loads.list_remote(region, exchange.service, now_s)
-        return [each for each in found if each.upstream_id not in exchange.unreachable]
-
-    async def _find_place(self, exchange: Exchange) -> Place:
-        """Return where to send, once it is the request's turn there.
-
-        Raise NoUpstreamKnown or RegionsFull as soon as it cannot be served in time.
-        """
-        began_s = anyio.current_time()
-        patience_s = ROOM_PATIENCE_SHARE * exchange.left_ms(began_s) / 1000
-        while True:
-            now_s = anyio.current_time()
-            left_ms = exchange.left_ms(now_s)
-            waited_ms = (now_s - began_s) * 1000
-            candidates = self.list_candidates(exchange, now_s)
-            place = self._choose(exchange, candidates)
-            if place is None:
-                if not candidates and self._is_none_registered(exchange, now_s):
-                    # Until the operators change that, so as late as a caller comes.
-                    retry_after_ms = choose_retry_after_ms(left_ms, left_ms)
-                    raise NoUpstreamKnown(retry_after_ms=retry_after_ms)
-                if now_s - began_s >= patience_s:
-                    kind = RegionsFull if candidates else NoUpstreamKnown
-                    raise kind(retry_after_ms=choose_retry_after_ms(500.0, left_ms))
-                await anyio.sleep(QUEUE_PERIOD_S)
-                continue
-            target_ms = exchange.route.target_ms
-            if not is_admitted(place, exchange.head.prompt, target_ms, left_ms):
-                retry_after_ms = choose_retry_after_ms(2 * place.wait_ms, left_ms)
-                raise RegionsFull(
-                    f"it would wait for {place.wait_ms:.0f} ms",
-                    retry_after_ms=retry_after_ms,
-                )
-            if self._is_turn(exchange, place, waited_ms):
-                self._log_choice(exchange, place, len(candidates), waited_ms)
-                return place
-            tracked = self.upstreams.find(place.candidate.upstream_id)
-            with queue(tracked, exchange.head.prompt, is_kept=place.is_kept):
-                await anyio.sleep(QUEUE_PERIOD_S * random.uniform(0.7, 1.3))
-
-    def _is_none_registered(self, exchange: Exchange, now_s: float) -> bool:
-        """Say whether surely no upstream may serve the request, cold ones included."""
-        if now_s - self.upstreams.fresh_s > OUTAGE_S:
-            return False
-        regions = self.members.regions
-        allowed = exchange.allowed_regions(set(regions.values()))
-        return not any(
-            regions.get(tracked.upstream.data_centre) in allowed
-            for tracked in self.upstreams.list_usable(exchange.service, now_s)
-        )
-
-    def _choose(self, exchange: Exchange, candidates: list[Candidate]) -> Place | None:
-        ask = Ask(exchange.head.prompt, len(exchange.body), self.members.me.region)
-        untried = _prefer_untried(candidates, exchange.tried)
-        return choose(untried, ask, self.loads.is_kept, random.random)
-
-    def _is_turn(self, exchange: Exchange, place: Place, waited_ms: float) -> bool:
-        if place.candidate.region != self.members.me.region:
-            # The other region holds it back where it has to.
-            return True
-        return is_its_turn(place, exchange.head.prompt, waited_ms)
-
-    def _log_choice(
-        self, exchange: Exchange, place: Place, candidates: int, waited_ms: float
-    ) -> None:
-        now_s = anyio.current_time()
-        prompt = exchange.head.prompt
-        log(
-            UPSTREAM_CHOSEN,
-            request_id=exchange.head.request_id,
-            route=exchange.route.name,
-            prompt_tokens=0 if prompt is None else prompt.prompt_tokens,
-            max_output_tokens=0 if prompt is None else prompt.max_output_tokens,
-            upstream=place.candidate.upstream_id,
-            region=place.candidate.region,
-            requests=place.candidate.requests,
-            prefill_ms=round(place.candidate.prefill_ms),
-            wait_ms=round(place.wait_ms),
-            is_kept=place.is_kept,
-            candidates=candidates,
-            waited_ms=round(waited_ms),
-            version=exchange.catalogue.version,
-            list_age_ms=round((now_s - self.upstreams.fresh_s) * 1000),
-        )
-
     async def _attempt(self, exchange: Exchange, place: Place) -> None:
         if place.candidate.region != self.members.me.region:
             await self._attempt_elsewhere(exchange, place)
@@ -241,7 +135,7 @@
     async def _attempt_elsewhere(self, exchange: Exchange, place: Place) -> None:
         region = place.candidate.region
         now_s = anyio.current_time()
-        peers = self._list_peers(exchange, region, now_s)
+        peers = self.chooser.list_peers(exchange, region, now_s)
         if not peers:
             raise UpstreamUnreachable(region)
         peer = min(random.sample(peers, min(2, len(peers))), key=lambda p: p.running)
@@ -378,13 +272,6 @@
         else:
             self.loads.note_forwarded_part(candidate.region, part_id, tokens)
 
-    def _list_peers(self, exchange: Exchange, region: str, now_s: float) -> list:
-        return [
-            peer
-            for peer in self.members.list_serving(now_s, region)
-            if peer.ip not in exchange.unreachable
-        ]
-
     def _note_failed(
         self, exchange: Exchange, place: Place, error: BanyanseamError
     ) -> None:
@@ -438,21 +325,6 @@
         return self.retries.take(exchange.service, vms, now_s)
 
 
-def choose_retry_after_ms(base_ms: float, left_ms: float) -> int:
-    """Return when to come back: spread, so that not all return at once.
-
-    A caller waits for at most a third of what it has left, so it is told no more.
-    """
-    spread_ms = base_ms * random.uniform(1.0, 1.6)
-    bounded_ms = min(max(spread_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
-    return int(min(bounded_ms, max(left_ms / 3, MIN_RETRY_AFTER_MS)))
-
-
-def _prefer_untried(candidates: list[Candidate], tried: list[str]) -> list[Candidate]:
-    untried = [each for each in candidates if each.upstream_id not in tried]
-    return untried or candidates
-
-
 def _strip(incoming: Incoming) -> Headers:
     lowered = [(name.lower(), value) for name, value in incoming.headers]
     return strip_peer_headers(lowered)
--- a/tests/entry/engine_model.py
+++ b/tests/entry/engine_model.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from banyanseam.entry.choosing import choose_retry_after_ms
 from banyanseam.entry.const import (
     PREFILL_TOKENS_PER_MS,
     STEP_MS,
@@ -16,7 +17,6 @@
 )
 from banyanseam.entry.models import Prompt
 from banyanseam.entry.placing import Ask, Candidate, choose, is_admitted
-from banyanseam.entry.relay import choose_retry_after_ms
 from tests.entry.common import make_candidate
 
 CHUNK_TOKENS = 1024
--- /dev/null
+++ b/tests/entry/test_choosing.py
@@ -0,0 +1,109 @@
+import unittest
+
+import anyio
+
+from banyanseam.entry.choosing import Chooser, choose_retry_after_ms
+from banyanseam.entry.errors import NoUpstreamKnown, RegionsFull
+from banyanseam.entry.exchange import Exchange
+from banyanseam.entry.models import Prompt, RequestHead
+from banyanseam.entry.upstream_list import UpstreamList
+from banyanseam.entry.upstreams import Loads
+from tests.common import run_mocked
+from tests.entry.common import (
+    make_catalogue,
+    make_members,
+    make_organisation,
+    make_upstream,
+)
+
+QUERY = Prompt(383, 180, ())
+FULL = {"e1": (200, 1500.0, 0, 0.0)}
+
+
+def make_exchange(now_s: float, **fields) -> Exchange:
+    catalogue = make_catalogue()
+    known = {
+        "head": RequestHead(
+            "r1", "POST", "a.example", "/query/x", b"/query/x", None, 4000, QUERY, None
+        ),
+        "body": b"{}",
+        "received_s": now_s,
+        "deadline_s": now_s + 4.0,
+        "catalogue": catalogue,
+        "route": catalogue.find_route("a.example", "/query/x"),
+        "organisation": make_organisation(),
+        "service": "pool",
+        "reply": None,
+    }
+    return Exchange(**(known | fields))
+
+
+class ChooserTests(unittest.TestCase):
+    def find(self, *, upstreams=None, loads=None, **fields):
+        """Return the place or the refusal of one request, and how long that took."""
+
+        async def run():
+            now_s = anyio.current_time()
+            listed = UpstreamList()
+            listed.adopt(
+                [make_upstream()] if upstreams is None else upstreams, 1, now_s
+            )
+            known = Loads(listed, "gulf")
+            known.hear("10.1.0.2", loads or {}, now_s)
+            chooser = Chooser(make_members(), listed, known)
+            try:
+                found = await chooser.find_place(make_exchange(now_s, **fields))
+            except (NoUpstreamKnown, RegionsFull) as error:
+                found = error
+            return found, anyio.current_time() - now_s
+
+        return run_mocked(run)
+
+    def test_a_free_engine_is_found_at_once(self):
+        place, took_s = self.find()
+        self.assertEqual((place.candidate.upstream_id, took_s), ("e1", 0.0))
+
+    def test_what_cannot_begin_in_time_is_refused_at_once(self):
+        refusal, took_s = self.find(loads=FULL)
+        self.assertIsInstance(refusal, RegionsFull)
+        self.assertTrue(refusal.not_run)
+        self.assertEqual(took_s, 0.0)
+
+    def test_a_stream_that_has_begun_is_not_refused_for_a_wait_it_can_bear(self):
+        place, _ = self.find(loads=FULL, last_event=7)
+        self.assertEqual(place.candidate.upstream_id, "e1")
+        hopeless, _ = self.find(loads=FULL, last_event=7, deadline_s=0.5)
+        self.assertIsInstance(hopeless, RegionsFull)
+
+    def test_what_surely_nothing_serves_is_refused_at_once(self):
+        elsewhere = make_upstream(data_centre="delta-a")
+        for name, upstreams in (
+            ("no upstream", []),
+            ("another service", [make_upstream(service="desk")]),
+            ("a home without any", [elsewhere]),
+        ):
+            fields = {}
+            if name == "a home without any":
+                homes = frozenset({"gulf"})
+                fields["organisation"] = make_organisation(home_regions=homes)
+            refusal, took_s = self.find(upstreams=upstreams, **fields)
+            with self.subTest(name):
+                self.assertIsInstance(refusal, NoUpstreamKnown)
+                self.assertEqual(took_s, 0.0)
+                self.assertGreater(refusal.retry_after_ms, 1000)
+
+    def test_what_may_soon_be_served_elsewhere_waits(self):
+        """Another region has an upstream, but its processes are not heard yet."""
+        refusal, took_s = self.find(upstreams=[make_upstream(data_centre="delta-a")])
+        self.assertIsInstance(refusal, NoUpstreamKnown)
+        self.assertGreater(took_s, 0.3)
+
+    def test_callers_come_back_spread_and_within_what_they_wait(self):
+        advice = {choose_retry_after_ms(400.0, 4000.0) for _ in range(200)}
+        self.assertGreater(len(advice), 50)
+        self.assertLessEqual(max(advice), 4000 / 3)
+        self.assertGreaterEqual(min(advice), 400)
+
+
+if __name__ == "__main__":
+    unittest.main()
