--- a/banyanseam/entry/moving.py
+++ b/banyanseam/entry/moving.py
@@ -18,12 +18,7 @@
 from banyanseam.entry.errors import SlowerThanOthers
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.members import Members
-from banyanseam.entry.placing import (
-    Ask,
-    Candidate,
-    Place,
-    choose,
-)
+from banyanseam.entry.placing import Ask, Candidate, Place, choose
 from banyanseam.entry.retry_budget import RetryBudget
 from banyanseam.entry.upstreams import Loads
 
