Pass on what a process spends wherever it is passed on that it lives

One that cannot hear a peer of its region, but a third that can, would have counted that peer as heard, refilled the whole rate and not seen what the peer spends.

Change: totals go with the rows.

Ruled out: leaving out rows of the own region, which would end the relay of liveness where datagrams are lost.

--- a/banyanseam/entry/fleet.py
+++ b/banyanseam/entry/fleet.py
@@ -45,8 +45,6 @@
 from banyanseam.observe.events import MESSAGE_DROPPED, PEER_HEARD, PEER_SILENT, log
 from banyanseam.peers.errors import InvalidPeerMessage
 
-OnUpstreams = Callable[[Gossip, float], None]
-
 
 class Fleet:
     """Sends and takes heartbeats, and keeps what they say where it is used."""
@@ -203,15 +201,12 @@
     def _describe_near(self) -> Gossip:
         """Return what this process holds, and what it has just heard of others."""
         now_s = anyio.current_time()
-        news_s = now_s - 2 * GOSSIP_PERIOD_S
-        elsewhere = [
-            member.ip
-            for member in self.members.list_alive(now_s)
-            if member.region != self.settings.region
-        ]
+        rows = self.members.list_rows_since(now_s - 2 * GOSSIP_PERIOD_S, now_s)
         return self._make_gossip(
-            self.members.list_rows_since(news_s, now_s),
-            self._spendings.list_since(news_s, elsewhere),
+            rows,
+            # Who passes on that a process lives passes on what it spends: a peer that
+            # hears of the one alone would take the whole of the rate for its own.
+            self._spendings.list_of(row.ip for row in rows),
             loads=self._loads.list_own(),
             part_uses=self._loads.list_part_uses(now_s),
             relayed=self._describe_relayed(now_s),
@@ -275,7 +270,7 @@
         sender = rows[0]
         self.members.merge(rows, now_s)
         for spending in from_table(gossip.spent_names, gossip.spent):
-            self._take_spending(spending, now_s)
+            self._take_spending(spending)
         if now_s - self._started_s < PEER_TERM_S:
             self._quota.adopt_levels(gossip.levels, now_s)
         for suspect, upstream_id in gossip.crashes:
@@ -302,12 +297,12 @@
                 sender.region, candidates, gossip.region_parts, now_s
             )
 
-    def _take_spending(self, spending: Spending, now_s: float) -> None:
+    def _take_spending(self, spending: Spending) -> None:
         member = self.members.find(spending.ip)
         if member is None or member.incarnation != spending.incarnation:
             # This process itself, or one that has been replaced since.
             return
-        if self._spendings.take(spending, now_s):
+        if self._spendings.take(spending):
             self._quota.hear(spending)
 
     def _note_changes(self) -> None:
--- a/banyanseam/entry/spending.py
+++ b/banyanseam/entry/spending.py
@@ -17,43 +17,28 @@
     totals: dict[str, float]
 
 
-@dataclass(slots=True)
-class _Heard:
-    spending: Spending
-    heard_s: float
-
-
 class Spendings:
     """The newest word of each other process."""
 
     def __init__(self) -> None:
         """Know of none."""
-        self._heard: dict[str, _Heard] = {}
+        self._heard: dict[str, Spending] = {}
 
-    def take(self, spending: Spending, now_s: float) -> bool:
+    def take(self, spending: Spending) -> bool:
         """Keep a word unless it is as old as the one that is known; say if it is new.
 
         Words travel over several peers, so older ones arrive after newer ones.
         """
-        known = self._heard.get(spending.ip)
-        if known is not None:
-            old = known.spending
-            if old.incarnation == spending.incarnation and old.beat >= spending.beat:
-                return False
-        self._heard[spending.ip] = _Heard(spending, now_s)
+        old = self._heard.get(spending.ip)
+        is_same_process = old is not None and old.incarnation == spending.incarnation
+        if is_same_process and old.beat >= spending.beat:
+            return False
+        self._heard[spending.ip] = spending
         return True
 
     def list_of(self, ips: Iterable[str]) -> list[Spending]:
         """Return the words of some processes."""
-        return [self._heard[ip].spending for ip in ips if ip in self._heard]
-
-    def list_since(self, since_s: float, ips: Iterable[str]) -> list[Spending]:
-        """Return the words of some processes that were heard lately."""
-        return [
-            self._heard[ip].spending
-            for ip in ips
-            if ip in self._heard and self._heard[ip].heard_s >= since_s
-        ]
+        return [self._heard[ip] for ip in ips if ip in self._heard]
 
 
 def to_table(spendings: list[Spending]) -> tuple[list[str], list[SpentRow]]:
--- a/tests/entry/test_spending.py
+++ b/tests/entry/test_spending.py
@@ -39,14 +39,12 @@
     def test_only_newer_words_are_kept_and_told(self):
         spendings = Spendings()
         new = Spending("10.0.0.1", 1, 5, {"acme": 50})
-        self.assertTrue(spendings.take(new, 1.0))
-        self.assertFalse(spendings.take(Spending("10.0.0.1", 1, 4, {"acme": 40}), 2.0))
-        self.assertFalse(spendings.take(new, 3.0))
+        self.assertTrue(spendings.take(new))
+        self.assertFalse(spendings.take(Spending("10.0.0.1", 1, 4, {"acme": 40})))
+        self.assertFalse(spendings.take(new))
         self.assertEqual(spendings.list_of(["10.0.0.1", "10.0.0.2"]), [new])
-        self.assertEqual(spendings.list_since(1.0, ["10.0.0.1"]), [new])
-        self.assertEqual(spendings.list_since(1.5, ["10.0.0.1"]), [])
         restarted = Spending("10.0.0.1", 2, 1, {"acme": 0})
-        self.assertTrue(spendings.take(restarted, 4.0))
+        self.assertTrue(spendings.take(restarted))
         self.assertEqual(spendings.list_of(["10.0.0.1"]), [restarted])
 
 
