--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -62,6 +62,8 @@
 
         async def run():
             first, third, other = (make_fleet(f"10.1.0.{n}") for n in (1, 3, 2))
+            # From here on they no longer start from one another's levels.
+            await anyio.sleep(PEER_TERM_S + 0.1)
             for cost in (0, 300, 200):
                 first._quota.charge(ORGANISATION, cost, anyio.current_time())
                 third._take(speak(first, to="gulf"))
