Wait until a daemon has heard the others before asking whom it names

The test asked as soon as each daemon called itself ready, which says nothing of having heard the others; a late heartbeat is allowed there.

Ruled out: a fault of the list, which names every daemon that is alive by heartbeats, as tests.peers hold.

--- a/tests/faults/test_path.py
+++ b/tests/faults/test_path.py
@@ -7,6 +7,7 @@
 
 from standins.callers import Caller, ChatResult
 from standins.fleet import Fleet, FleetPlan, start_fleet
+from standins.fleet_plan import Daemon
 
 ENGINE = "gulf-engine-1"
 LONG_TOKENS = 100
@@ -100,13 +101,7 @@
                 Caller(fleet.keys["acme"]) as caller,
             ):
                 gulf, delta = fleet.daemons["gulf-1"], fleet.daemons["delta-1"]
-                entries = await caller.request(
-                    "GET", gulf.callers_address, "/v1/entries"
-                )
-                self.assertIn(
-                    delta.callers_address,
-                    [entry["address"] for entry in entries.value["entries"]],
-                )
+                await self.wait_for_entry(caller, gulf, delta.callers_address)
                 local = await caller.chat(gulf.callers_address, max_tokens=5)
                 self.assertTrue(local.is_whole, local)
                 self.assertEqual(local.chunk_ids, {local.headers["x-request-id"]})
@@ -148,6 +143,23 @@
             self.assertFalse(result.is_done)
             self.assertFalse(result.problem and result.problem["not_run"])
 
+    async def wait_for_entry(
+        self, caller: Caller, daemon: Daemon, address: str
+    ) -> None:
+        """Wait until a daemon names another one to callers.
+
+        Being ready says nothing of having heard the others.
+        """
+        with anyio.fail_after(REACH_TIMEOUT_S):
+            while True:
+                answer = await caller.request(
+                    "GET", daemon.callers_address, "/v1/entries"
+                )
+                named = [entry["address"] for entry in answer.value["entries"]]
+                if address in named:
+                    return
+                await anyio.sleep(0.05)
+
     async def wait_for_quota(self, fleet: Fleet, caller: Caller) -> None:
         """Wait until no home withholds its part of the quota any more.
 
