Cover late words of spending by the refill that went unused

Cause: the first heartbeat after a cut, or after this process was stopped, names all that a peer spent meanwhile. Change: buckets note the refill that found no room; a word after more than two seconds of silence is covered by what went unused since the word before it. Ruled out: dividing by the number of peers, which leaves a debt where one region spends most. Three of the new tests failed on the code before; the flood test of the bound holds.

--- a/banyanseam/entry/fleet.py
+++ b/banyanseam/entry/fleet.py
@@ -270,7 +270,7 @@
         sender = rows[0]
         self.members.merge(rows, now_s)
         for spending in from_table(gossip.spent_names, gossip.spent):
-            self._take_spending(spending)
+            self._take_spending(spending, now_s)
         if now_s - self._started_s < PEER_TERM_S:
             self._quota.adopt_levels(gossip.levels, now_s)
         for suspect, upstream_id in gossip.crashes:
@@ -297,13 +297,13 @@
                 sender.region, candidates, gossip.region_parts, now_s
             )
 
-    def _take_spending(self, spending: Spending) -> None:
+    def _take_spending(self, spending: Spending, now_s: float) -> None:
         member = self.members.find(spending.ip)
         if member is None or member.incarnation != spending.incarnation:
             # This process itself, or one that has been replaced since.
             return
         if self._spendings.take(spending):
-            self._quota.hear(spending)
+            self._quota.hear(spending, now_s)
 
     def _note_changes(self) -> None:
         """Log who appeared and who fell silent, and note the share that is heard."""
@@ -316,6 +316,7 @@
         self._alive = alive
         recent = self.members.count_recent(now_s)
         self._quota.heard_share = (len(alive) + 1) / max(recent, 1)
+        self._quota.remember_unused(now_s)
 
     async def _send(self, ip: str, gossip: Gossip) -> None:
         data = encode_gossip(gossip)
--- a/banyanseam/entry/quota.py
+++ b/banyanseam/entry/quota.py
@@ -7,9 +7,11 @@
 one another together spend no more than the rate.
 """
 
+from collections import deque
 from dataclasses import dataclass
 from typing import Final
 
+from banyanseam.entry.const import FLEET_TERM_S, REGION_GOSSIP_PERIOD_S
 from banyanseam.entry.models import Organisation
 from banyanseam.entry.spending import Spending
 
@@ -21,6 +23,11 @@
 # The deepest debt that is remembered: what a flood of several times the rate spends
 # before the word of it is everywhere. Source: the operators' hot organisations.
 MAX_DEBT_BURSTS: Final = 8.0
+# A word after a longer silence tells of spending that refill lost to a full bucket has
+# covered. Source: two of the heartbeats between regions, the slowest.
+LATE_WORD_S: Final = 2 * REGION_GOSSIP_PERIOD_S
+# How often the refill that found no room is noted.
+UNUSED_PERIOD_S: Final = 0.5
 
 
 @dataclass(slots=True)
@@ -28,6 +35,14 @@
     organisation: Organisation
     level: float
     updated_s: float
+    # Refill of the whole rate that was not taken, less what late words have used of it.
+    unused: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    spending: Spending
+    heard_s: float
 
 
 class FleetQuota:
@@ -44,8 +59,10 @@
         # What this process has charged in all, by organisation.
         self.own_spent: dict[str, float] = {}
         # What each other process last said it has charged.
-        self._heard: dict[str, Spending] = {}
+        self._heard: dict[str, _Heard] = {}
         self.heard_share = 1.0
+        # What was unused by organisation, at moments of the last while.
+        self._unused: deque[tuple[float, dict[str, float]]] = deque()
 
     def charge(self, organisation: Organisation, cost: float, now_s: float) -> float:
         """Take a cost and return 0, or return how long until it could be taken."""
@@ -75,7 +92,7 @@
         bucket.level = min(bucket.level + cost, self._burst(organisation))
         self.own_spent[organisation.name] -= cost
 
-    def hear(self, spending: Spending) -> None:
+    def hear(self, spending: Spending, now_s: float) -> None:
         """Take over what another process says it has charged in all.
 
         The first word of a process counts as a start: what it spent before this
@@ -84,19 +101,57 @@
         already, and the next word would then empty it.
         """
         known = self._heard.get(spending.ip)
-        if known is None or known.incarnation != spending.incarnation:
-            self._heard[spending.ip] = spending
+        if known is None or known.spending.incarnation != spending.incarnation:
+            self._heard[spending.ip] = _Heard(spending, now_s)
             return
-        if spending.beat <= known.beat:
+        if spending.beat <= known.spending.beat:
             return
-        self._heard[spending.ip] = spending
+        self._heard[spending.ip] = _Heard(spending, now_s)
+        is_late = now_s - known.heard_s > LATE_WORD_S
         for name, total in spending.totals.items():
-            more = total - known.totals.get(name, 0.0)
+            more = total - known.spending.totals.get(name, 0.0)
             bucket = self._buckets.get(name)
-            if bucket is not None:
-                burst = self._burst(bucket.organisation)
-                level = max(bucket.level - more, -MAX_DEBT_BURSTS * burst)
-                bucket.level = min(level, burst)
+            if bucket is None or more == 0:
+                continue
+            self._refill(bucket.organisation, now_s)
+            if is_late:
+                more -= self._use_unused(bucket, more, known.heard_s)
+            burst = self._burst(bucket.organisation)
+            level = max(bucket.level - more, -MAX_DEBT_BURSTS * burst)
+            bucket.level = min(level, burst)
+
+    def remember_unused(self, now_s: float) -> None:
+        """Note how much refill has found no room so far; call this often."""
+        if self._unused and now_s - self._unused[-1][0] < UNUSED_PERIOD_S:
+            return
+        for bucket in self._buckets.values():
+            self._refill(bucket.organisation, now_s)
+        unused = {name: bucket.unused for name, bucket in self._buckets.items()}
+        self._unused.append((now_s, unused))
+        while now_s - self._unused[0][0] > FLEET_TERM_S:
+            self._unused.popleft()
+
+    def _use_unused(self, bucket: _Bucket, spent: float, since_s: float) -> float:
+        """Return how much of a spending was covered by refill that went unused.
+
+        Words that were held up by a cut or a stop name at once what was spent over
+        all of it. Meanwhile this bucket may have been full, or refilled by a part of
+        the rate only. No refill is used for two words.
+        """
+        before = next(
+            (
+                unused
+                for noted_s, unused in reversed(self._unused)
+                if noted_s <= since_s
+            ),
+            self._unused[0][1] if self._unused else {},
+        )
+        if bucket.organisation.name not in before:
+            return 0.0
+        unused = bucket.unused - before[bucket.organisation.name]
+        used = max(0.0, min(spent, unused))
+        bucket.unused -= used
+        return used
 
     def adopt_levels(self, levels: dict[str, float], now_s: float) -> None:
         """Start from another process's levels where they are lower.
@@ -145,6 +200,8 @@
             self._buckets[organisation.name] = bucket
         elapsed_s = max(0.0, now_s - bucket.updated_s)
         bucket.updated_s = now_s
-        level = bucket.level + elapsed_s * self._rate(organisation)
+        before = bucket.level
+        level = before + elapsed_s * self._rate(organisation)
         bucket.level = min(level, self._burst(organisation))
+        bucket.unused += elapsed_s * organisation.rate_per_s - (bucket.level - before)
         return bucket
--- a/tests/entry/test_quota.py
+++ b/tests/entry/test_quota.py
@@ -46,9 +46,11 @@
                     continue
                 heard += 1
                 quota.hear(
-                    Spending(f"10.0.0.{of}", self.incarnations[of], self.beat, word)
+                    Spending(f"10.0.0.{of}", self.incarnations[of], self.beat, word),
+                    self.now_s,
                 )
             quota.heard_share = heard / count
+            quota.remember_unused(self.now_s)
 
     def most_in_window(self, window_s: float) -> float:
         return max(
@@ -109,7 +111,7 @@
             (1, 3, 400),
             (2, 1, 0),
         ):
-            quota.hear(Spending("10.0.0.1", incarnation, beat, {"acme": total}))
+            quota.hear(Spending("10.0.0.1", incarnation, beat, {"acme": total}), 0.0)
         self.assertEqual(quota.list_levels(), {"acme": 600})
 
     def test_a_word_that_arrives_late_empties_no_bucket(self):
@@ -119,11 +121,11 @@
         organisation = make_organisation()
         quota.configure({"acme": organisation}, 0.0)
         for beat, total in ((1, 0), (2, 400), (3, 400)):
-            quota.hear(Spending("10.0.0.1", 1, beat, {"acme": total}))
+            quota.hear(Spending("10.0.0.1", 1, beat, {"acme": total}), 0.0)
         quota.charge(organisation, 0, 1.0)
         self.assertEqual(quota.list_levels(), {"acme": 1000})
         for beat, total in ((1, 0), (4, 400), (2, 0), (5, 400)):
-            quota.hear(Spending("10.0.0.1", 1, beat, {"acme": total}))
+            quota.hear(Spending("10.0.0.1", 1, beat, {"acme": total}), 1.0)
         self.assertEqual(quota.list_levels(), {"acme": 1000})
 
     def test_a_new_process_starts_from_its_peers_levels(self):
@@ -170,6 +172,66 @@
                 fleet.gossip()
         self.assertEqual(len(fleet.spent), asked)
 
+    def test_demand_below_the_rate_is_not_refused_when_a_cut_heals(self):
+        # Found on a day with regions cut from one another: the first word after it
+        # named all that had been spent meanwhile, and the refill of that time was lost.
+        for cut_s in (3, 6, 15):
+            for seed in range(5):
+                fleet = FleetOfBuckets(9, 47_000.0, seed)
+                asked = 0
+                for step in range(400):
+                    fleet.now_s = step * 0.1
+                    if step == 100:
+                        fleet.cut = {0, 1, 2}
+                    if step == 100 + 10 * cut_s:
+                        fleet.cut = set()
+                    # Either side asks for 0.3 of the rate.
+                    fleet.ask(step % 3, 1410.0)
+                    fleet.ask(3 + step % 6, 1410.0)
+                    asked += 2
+                    if step % 3 == 0:
+                        fleet.gossip()
+                with self.subTest(cut_s=cut_s, seed=seed):
+                    self.assertEqual(len(fleet.spent), asked)
+
+    def test_a_process_that_was_stopped_goes_on_where_the_fleet_is(self):
+        quota = FleetQuota()
+        organisation = make_organisation()
+        quota.configure({"acme": organisation}, 0.0)
+        for step in range(8):
+            now_s = step * 0.25
+            quota.hear(Spending("10.0.0.1", 1, step, {"acme": 0}), now_s)
+            quota.remember_unused(now_s)
+        # Stopped from 2 s to 7 s; a request came before the peer's word, and the peer
+        # spent 0.8 of the rate.
+        self.assertEqual(quota.charge(organisation, 100, 7.0), 0.0)
+        quota.hear(Spending("10.0.0.1", 1, 30, {"acme": 4200}), 7.0)
+        self.assertEqual(quota.charge(organisation, 500, 7.0), 0.0)
+
+    def test_what_was_spent_beyond_the_rate_in_a_cut_is_owed(self):
+        quota = FleetQuota()
+        organisation = make_organisation()
+        quota.configure({"acme": organisation}, 0.0)
+        for step in range(8):
+            now_s = step * 0.25
+            quota.hear(Spending("10.0.0.1", 1, step, {"acme": 0}), now_s)
+            quota.remember_unused(now_s)
+        quota.hear(Spending("10.0.0.1", 1, 30, {"acme": 7000}), 7.0)
+        self.assertGreater(quota.charge(organisation, 500, 7.0), 0.0)
+
+    def test_two_words_do_not_use_the_same_refill(self):
+        quota = FleetQuota()
+        organisation = make_organisation()
+        quota.configure({"acme": organisation}, 0.0)
+        for step in range(8):
+            now_s = step * 0.25
+            for peer in (1, 2):
+                quota.hear(Spending(f"10.0.0.{peer}", 1, step, {"acme": 0}), now_s)
+            quota.remember_unused(now_s)
+        for peer in (1, 2):
+            quota.hear(Spending(f"10.0.0.{peer}", 1, 30, {"acme": 4200}), 7.0)
+        self.assertGreater(quota.charge(organisation, 500, 7.0), 0.0)
+
     @given(st.lists(st.tuples(st.floats(0, 2), st.floats(1, 2000)), max_size=60))
     def test_one_process_alone_admits_at_most_rate_and_burst(self, asks):
         quota = FleetQuota()
