Let heartbeats tell what is new, and pass by regions that do not answer

Cause: at 66 VMs each VM sent 299 KB/s (bound 28). Rows that were heard were passed on by everybody and came back as news: 43 rows of 70 B in each heartbeat, each with the totals of all organisations; the list of upstreams travelled in full. Change: rows are short unless they may not be known; two peers of the region and what other regions have just told are passed on; totals travel while they have changed lately (spending.py joins them, and dates what was spent in a silence); a list that is as it was travels as its digest; eight peers are told at a time, in turn.

Regions that do not answer. Cause: in a cut between regions each request that was handed over waited half a second for a connection, up to 502 in four seconds (event 3011). Change: who could not be connected to is passed by for a second; if two of a region do not answer, one connection at a time tries whether it is back (reach.py).

Logs: a line at each start (2007) and each hand-over (3012). relay.py: what goes beside a request is in outgoing.py.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -32,6 +32,7 @@
     make_callers_app,
     make_peers_app,
 )
+from banyanseam.entry.heartbeats import Heartbeats
 from banyanseam.entry.members import Member, Members
 from banyanseam.entry.messages import ValuesMessage
 from banyanseam.entry.metrics import Metrics
@@ -39,6 +40,7 @@
 from banyanseam.entry.operators import make_operators_app
 from banyanseam.entry.own_ports import make_directory_app, make_readiness_app
 from banyanseam.entry.quota import FleetQuota
+from banyanseam.entry.reach import PeerReach
 from banyanseam.entry.relay import Relay, Wire
 from banyanseam.entry.retry_budget import RetryBudget
 from banyanseam.entry.sending import Outgoing, send
@@ -48,6 +50,7 @@
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.events import (
     DAEMON_READY,
+    DAEMON_STARTED,
     DAEMON_STOPPED,
     DRAIN_BEGUN,
     ENTRIES_ELSEWHERE,
@@ -99,8 +102,7 @@
         self.values = Values(decoders, self.upstreams)
         self.retries = RetryBudget(settings.bounds)
         self.metrics = Metrics()
-        self.fleet = Fleet(
-            settings,
+        self.heartbeats = Heartbeats(
             self.members,
             self.values,
             self.upstreams,
@@ -108,6 +110,9 @@
             self.quota,
             self.suspects,
         )
+        self.fleet = Fleet(
+            settings, self.members, self.upstreams, self.quota, self.heartbeats
+        )
         self.feed = Feed(
             store,
             self.values,
@@ -123,6 +128,7 @@
             self.loads,
             self.retries,
             self.suspects,
+            PeerReach(),
             settings.peers_port,
             self.fleet.announce,
         )
@@ -142,14 +148,22 @@
 
     async def run(self) -> None:
         """Serve until a planned stop has ended."""
+        log(
+            DAEMON_STARTED,
+            ip=self.settings.ip,
+            region=self.settings.region,
+            data_centre=self.settings.data_centre,
+            incarnation=self.members.me.incarnation,
+            first_peers=list(self.settings.first_peers),
+        )
         self.values.on_adopted(self._adopt)
-        self.fleet.list_candidates = self._list_candidates
+        self.heartbeats.list_candidates = self._list_candidates
         self.fleet.describe_me = lambda: (
             self.lifecycle.is_ready,
             self.lifecycle.state in (Stage.SERVING, Stage.LEAVING),
             self.lifecycle.running_requests,
         )
-        self.fleet.note_peer_values = self._note_peer_values
+        self.heartbeats.note_peer_values = self._note_peer_values
         self._servers = self._make_servers()
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -24,6 +24,7 @@
     is_admitted,
     is_its_turn,
 )
+from banyanseam.entry.reach import PeerReach
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import Loads, list_local, queue
 from banyanseam.observe.events import UPSTREAM_CHOSEN, log
@@ -36,6 +37,7 @@
     members: Members
     upstreams: UpstreamList
     loads: Loads
+    reach: PeerReach
 
     def list_candidates(self, exchange: Exchange, now_s: float) -> list[Candidate]:
         """Return every place that may serve the request, here and elsewhere."""
@@ -147,9 +149,10 @@
 
     def list_peers(self, exchange: Exchange, region: str, now_s: float) -> list[Member]:
         """Return who of another region may be handed the request."""
+        serving = self.members.list_serving(now_s, region)
         return [
             peer
-            for peer in self.members.list_serving(now_s, region)
+            for peer in self.reach.filter_reachable(serving, now_s)
             if peer.ip not in exchange.unreachable
         ]
 
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -13,9 +13,19 @@
 REMOTE_PEER_TERM_S: Final = 4.0
 # How long a dead VM still counts when limits are divided over the fleet.
 FLEET_TERM_S: Final = 20.0
-MAX_GOSSIP_PEERS: Final = 10
+# Of a larger region, so many are told at a time, each in its turn.
+MAX_GOSSIP_PEERS: Final = 8
+# Others of the region whose word a heartbeat passes on, for who does not hear them.
+MAX_RELAYED_PEERS: Final = 2
+# A row travels in full this long after a change, and once in so many heartbeats.
+FULL_ROW_S: Final = 2.5
+FULL_ROW_BEATS: Final = 8
+# How long a changed total is told; a few heartbeats between regions.
+RECENT_SPENDING_S: Final = 2.5
 MAX_ROWS: Final = 64
 MAX_DATAGRAM_BYTES: Final = 60_000
+# A list of upstreams that stays as it is travels in full once in this time.
+FULL_LIST_PERIOD_S: Final = 10.0
 
 # Published values.
 LIST_PERIOD_S: Final = 0.7
@@ -106,6 +116,11 @@
 MEMORY_SHARE: Final = 0.92
 SERVICE_MS: Final = 45.0
 
+# How long a process of another region that could not be connected to is passed by, and
+# how many such stand for their whole region.
+PEER_DOUBT_S: Final = 1.0
+CUT_PEERS: Final = 2
+
 # Retries.
 RETRY_BUDGET_SHARE: Final = 0.7
 # Of the time left, how long an idempotent request waits for a first byte while it may
--- /dev/null
+++ b/banyanseam/entry/heartbeats.py
@@ -0,0 +1,272 @@
+"""What heartbeats say, and where what they say is kept.
+
+A heartbeat names what is new: rows of processes in full only while they may not be
+known, totals that have changed lately, and of other regions what has just arrived.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from banyanseam.entry.const import (
+    CRASH_NEWS_S,
+    GOSSIP_PERIOD_S,
+    MAX_GOSSIP_PEERS,
+    MAX_RELAYED_PEERS,
+    MAX_ROWS,
+    PEER_TERM_S,
+)
+from banyanseam.entry.crash_suspects import CrashSuspects
+from banyanseam.entry.members import Member, Members
+from banyanseam.entry.messages import (
+    CandidateRow,
+    Gossip,
+    from_candidate_row,
+    make_digest,
+    to_beat_row,
+    to_candidate_row,
+    to_member_row,
+    to_upstream_row,
+)
+from banyanseam.entry.placing import Candidate
+from banyanseam.entry.quota import FleetQuota
+from banyanseam.entry.spending import Spending, Spendings, from_table, to_table
+from banyanseam.entry.upstream_list import UpstreamList
+from banyanseam.entry.upstreams import Loads
+from banyanseam.entry.values import Values
+
+
+class Heartbeats:
+    """Composes heartbeats and takes them in."""
+
+    def __init__(
+        self,
+        members: Members,
+        values: Values,
+        upstreams: UpstreamList,
+        loads: Loads,
+        quota: FleetQuota,
+        suspects: CrashSuspects,
+    ) -> None:
+        """Take the places where heartbeats' contents are kept."""
+        self._members = members
+        self._values = values
+        self._upstreams = upstreams
+        self._loads = loads
+        self._quota = quota
+        self._suspects = suspects
+        self._started_s = anyio.current_time()
+        self._spendings = Spendings()
+        # When another region itself told of a process of its own.
+        self._told_s: dict[str, float] = {}
+        # The services and their candidates in this region, asked for at each heartbeat
+        # to another region.
+        self.list_candidates: Callable[[], dict[str, list[Candidate]]] = dict
+        self.note_peer_values: Callable[[str, int, int], None] = lambda *_: None
+
+    def describe_near(self) -> Gossip:
+        """Return what this process holds, and what it has just heard of others."""
+        now_s = anyio.current_time()
+        window_s = self._relay_window_s(now_s)
+        others = [*self._choose_near(now_s), *self._list_told(now_s, window_s)]
+        levels = self._quota.list_levels() if self._members.has_new(now_s) else {}
+        return self._make_gossip(
+            [self._members.me, *others],
+            loads=self._loads.list_own(),
+            part_uses=self._loads.list_part_uses(now_s),
+            relayed={
+                region: (_to_rows(candidates), sorted(parts))
+                for region, (candidates, parts) in self._loads.list_just_heard(
+                    now_s, window_s
+                ).items()
+            },
+            levels=levels,
+        )
+
+    def describe_region(self) -> Gossip:
+        """Return what another region needs of this one."""
+        now_s = anyio.current_time()
+        return self._make_gossip(
+            self._members.list_rows(now_s, self._members.me.region),
+            region_parts=self._loads.list_region_parts(),
+            candidates=_to_rows(self.list_candidates()),
+        )
+
+    def describe_all(self) -> Gossip:
+        """Return all that a process needs that knows nobody."""
+        now_s = anyio.current_time()
+        return self._make_gossip(
+            self._members.list_rows(now_s),
+            is_full=True,
+            region_parts=self._loads.list_region_parts(),
+            candidates=_to_rows(self.list_candidates()),
+            levels=self._quota.list_levels(),
+        )
+
+    def describe_upstreams(self, *, is_known: bool) -> Gossip:
+        """Return the list of upstreams, or its digest for those that have it."""
+        gossip = self._make_gossip([self._members.me], is_full=True)
+        gossip.upstreams_revision = self._upstreams.revision
+        upstreams = self._upstreams.list_upstreams()
+        if is_known:
+            gossip.upstreams_digest = make_digest(upstreams)
+        else:
+            gossip.upstreams = [to_upstream_row(each) for each in upstreams]
+        return gossip
+
+    def ask_for_upstreams(self) -> Gossip:
+        """Return the wish for the whole list of upstreams."""
+        return Gossip(sender=self._members.me.ip, wants_upstreams=True)
+
+    def note_own_spending(self) -> None:
+        """Keep what this process has charged, as its next words tell it."""
+        me = self._members.me
+        spending = Spending(me.ip, me.incarnation, me.beat, self._quota.own_spent)
+        self._spendings.take(spending, anyio.current_time())
+
+    def take(self, gossip: Gossip) -> bool:
+        """Take a heartbeat in; return False if its sender is not known.
+
+        Raise InvalidPeerMessage for one whose totals have no name.
+        """
+        now_s = anyio.current_time()
+        spendings = from_table(gossip.spent_names, gossip.spent)
+        rows = [Member(*row) for row in gossip.members]
+        self._members.merge(rows, now_s)
+        short = [self._members.read_beat(*row) for row in gossip.beats]
+        rows += [row for row in short if row is not None]
+        self._members.merge(rows, now_s)
+        sender = self._members.find(gossip.sender)
+        if sender is None:
+            return False
+        for spending in spendings:
+            self._take_spending(spending, now_s)
+        if now_s - self._started_s < PEER_TERM_S:
+            self._quota.adopt_levels(gossip.levels, now_s)
+        for suspect, upstream_id in gossip.crashes:
+            self._suspects.note_crash(suspect, upstream_id, now_s)
+        self.note_peer_values(
+            sender.ip, gossip.config_version, gossip.evacuation_revision
+        )
+        if sender.region != self._members.me.region:
+            self._take_region(gossip, sender.region, rows, now_s)
+        elif gossip.upstreams is None and gossip.upstreams_digest is None:
+            self._take_near(gossip, now_s)
+        return True
+
+    def is_behind(self, gossip: Gossip) -> bool:
+        """Take word of the upstreams; return whether the whole list is needed."""
+        now_s = anyio.current_time()
+        sender = self._members.find(gossip.sender)
+        if sender is None or sender.region != self._members.me.region:
+            return False
+        if gossip.upstreams is not None:
+            self._values.take_upstreams(gossip, now_s)
+            return False
+        if gossip.upstreams_digest is None:
+            return False
+        if gossip.upstreams_digest != make_digest(self._upstreams.list_upstreams()):
+            return True
+        self._upstreams.confirm(gossip.upstreams_revision, now_s)
+        return False
+
+    def _take_near(self, gossip: Gossip, now_s: float) -> None:
+        self._loads.hear(gossip.sender, gossip.loads, now_s)
+        for use in gossip.part_uses:
+            self._loads.note_part(*use)
+        for region, (rows, parts) in gossip.relayed.items():
+            self._loads.hear_region(
+                region, _from_rows(rows, region), parts, now_s, is_relayed=True
+            )
+
+    def _take_region(
+        self, gossip: Gossip, region: str, rows: list[Member], now_s: float
+    ) -> None:
+        self._told_s |= {row.ip: now_s for row in rows if row.region == region}
+        # A region that has no candidates says so as well.
+        candidates = _from_rows(gossip.candidates, region)
+        self._loads.hear_region(region, candidates, gossip.region_parts, now_s)
+
+    def _take_spending(self, spending: Spending, now_s: float) -> None:
+        member = self._members.find(spending.ip)
+        if member is None or member.incarnation != spending.incarnation:
+            # This process itself, or one that has been replaced since.
+            return
+        charges = self._spendings.take(spending, now_s)
+        if charges:
+            self._quota.hear(charges, now_s)
+
+    def _choose_near(self, now_s: float) -> list[Member]:
+        """Return a few of the region, whose words are passed on.
+
+        Each is passed on by a few others, so that one that is cut off from some is
+        heard by them all the same.
+        """
+        region = self._members.me.region
+        heard = [
+            row
+            for row in self._members.list_heard_since(
+                now_s - 2 * GOSSIP_PERIOD_S, now_s
+            )
+            if row.region == region
+        ]
+        return random.sample(heard, min(len(heard), MAX_RELAYED_PEERS))
+
+    def _list_told(self, now_s: float, window_s: float) -> list[Member]:
+        """Return the processes of other regions of which these have just told."""
+        self._told_s = {
+            ip: told_s
+            for ip, told_s in self._told_s.items()
+            if now_s - told_s <= window_s
+        }
+        found = [self._members.find(ip) for ip in self._told_s]
+        return [member for member in found if member is not None]
+
+    def _relay_window_s(self, now_s: float) -> float:
+        """Return how long it takes until each of the region has had its turn."""
+        count = len(self._members.list_alive(now_s, self._members.me.region))
+        return GOSSIP_PERIOD_S * max(1, -(-count // MAX_GOSSIP_PEERS))
+
+    def _make_gossip(
+        self, rows: list[Member], *, is_full: bool = False, **fields: Any
+    ) -> Gossip:
+        now_s = anyio.current_time()
+        if len(rows) > MAX_ROWS:
+            rows = [rows[0], *random.sample(rows[1:], MAX_ROWS - 1)]
+        # Who passes on that a process lives passes on what it spends: a peer that
+        # hears of the one alone would take the whole of the rate for its own.
+        spendings = self._spendings.list_recent((row.ip for row in rows), now_s)
+        names, spent = to_table(spendings)
+        full = [
+            row for row in rows if is_full or self._members.needs_full_row(row, now_s)
+        ]
+        short = [row for row in rows if row not in full]
+        return Gossip(
+            sender=self._members.me.ip,
+            members=[to_member_row(row) for row in full],
+            beats=[to_beat_row(row) for row in short],
+            config_version=self._values.version,
+            evacuation_revision=self._values.evacuation_revision,
+            spent_names=names,
+            spent=spent,
+            crashes=self._suspects.list_recent(now_s - CRASH_NEWS_S),
+            **fields,
+        )
+
+
+def _to_rows(candidates: dict[str, list[Candidate]]) -> dict[str, list[CandidateRow]]:
+    return {
+        service: [to_candidate_row(each) for each in found]
+        for service, found in candidates.items()
+    }
+
+
+def _from_rows(
+    rows: dict[str, list[CandidateRow]], region: str
+) -> dict[str, list[Candidate]]:
+    return {
+        service: [from_candidate_row(row, region) for row in found]
+        for service, found in rows.items()
+    }
--- a/banyanseam/entry/members.py
+++ b/banyanseam/entry/members.py
@@ -5,10 +5,17 @@
 a moment, and every use of this view is safe while they do.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 
-from banyanseam.entry.const import FLEET_TERM_S, PEER_TERM_S, REMOTE_PEER_TERM_S
+from banyanseam.entry.const import (
+    FLEET_TERM_S,
+    FULL_ROW_BEATS,
+    FULL_ROW_S,
+    PEER_TERM_S,
+    REMOTE_PEER_TERM_S,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +39,8 @@
 class _Known:
     member: Member
     heard_s: float
+    # When anything but its beat and its load changed last.
+    changed_s: float
 
 
 class Members:
@@ -42,16 +51,23 @@
         self.me = me
         self.regions = regions
         self._known: dict[str, _Known] = {}
+        # Nobody knows this process yet.
+        self._changed_s = math.inf
 
-    def beat(self, *, is_serving: bool, is_accepting: bool, running: int) -> None:
+    def beat(
+        self, *, is_serving: bool, is_accepting: bool, running: int, now_s: float
+    ) -> None:
         """Count up, so that the others hear that this process lives."""
+        before = self.me
         self.me = replace(
-            self.me,
-            beat=self.me.beat + 1,
+            before,
+            beat=before.beat + 1,
             is_serving=is_serving,
             is_accepting=is_accepting,
             running=running,
         )
+        if self._changed_s == math.inf or not _is_alike(before, self.me):
+            self._changed_s = now_s
 
     def merge(self, rows: Iterable[Member], now_s: float) -> None:
         """Take over rows that are newer than what is known."""
@@ -60,12 +76,33 @@
                 continue
             known = self._known.get(row.ip)
             if known is None:
-                self._known[row.ip] = _Known(row, now_s)
+                self._known[row.ip] = _Known(row, now_s, now_s)
                 continue
             if self._is_newer(row, known, now_s):
+                if not _is_alike(known.member, row):
+                    known.changed_s = now_s
                 known.member = row
                 known.heard_s = now_s
 
+    def read_beat(
+        self, ip: str, incarnation: int, beat: int, running: int
+    ) -> Member | None:
+        """Return the row that a short one stands for, or None if it is not known."""
+        known = self._known.get(ip)
+        if known is None or known.member.incarnation != incarnation:
+            return None
+        return replace(known.member, beat=beat, running=running)
+
+    def needs_full_row(self, member: Member, now_s: float) -> bool:
+        """Say whether others may not know more of a member than its beat."""
+        if member.ip == self.me.ip:
+            changed_s = self._changed_s
+        else:
+            known = self._known.get(member.ip)
+            changed_s = math.inf if known is None else known.changed_s
+        is_new = now_s - changed_s <= FULL_ROW_S
+        return is_new or member.beat % FULL_ROW_BEATS == 0
+
     def find(self, ip: str) -> Member | None:
         """Return what is known of a process, alive or not."""
         known = self._known.get(ip)
@@ -122,17 +159,20 @@
         """Return this process and those that live, of one region or of all."""
         return [self.me, *self.list_alive(now_s, region)]
 
-    def list_rows_since(self, since_s: float, now_s: float) -> list[Member]:
-        """Return this process and those of whom something new was heard since."""
+    def list_heard_since(self, since_s: float, now_s: float) -> list[Member]:
+        """Return those of whom something new was heard since."""
         return [
-            self.me,
-            *(
-                known.member
-                for known in self._known.values()
-                if known.heard_s >= since_s and self._is_alive(known, now_s)
-            ),
+            known.member
+            for known in self._known.values()
+            if known.heard_s >= since_s and self._is_alive(known, now_s)
         ]
 
+    def has_new(self, now_s: float) -> bool:
+        """Say whether anybody has come or changed lately."""
+        return any(
+            now_s - known.changed_s <= FULL_ROW_S for known in self._known.values()
+        )
+
     def _is_newer(self, row: Member, known: _Known, now_s: float) -> bool:
         old = known.member
         if (row.incarnation, row.beat) > (old.incarnation, old.beat):
@@ -145,3 +185,8 @@
         is_near = known.member.region == self.me.region
         term_s = PEER_TERM_S if is_near else REMOTE_PEER_TERM_S
         return now_s - known.heard_s <= term_s
+
+
+def _is_alike(one: Member, other: Member) -> bool:
+    """Say whether two rows of a process differ in its beat and its load alone."""
+    return one == replace(other, beat=one.beat, running=one.running)
--- a/banyanseam/entry/quota.py
+++ b/banyanseam/entry/quota.py
@@ -8,12 +8,13 @@
 """
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
 from banyanseam.entry.const import FLEET_TERM_S, REGION_GOSSIP_PERIOD_S
 from banyanseam.entry.models import Organisation
-from banyanseam.entry.spending import Spending
+from banyanseam.entry.spending import Charge
 
 # The published tolerance on the rate, of which a part covers what travels.
 # Source: the operators' bounds, a quarter over.
@@ -39,12 +40,6 @@
     unused: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class _Heard:
-    spending: Spending
-    heard_s: float
-
-
 class FleetQuota:
     """The buckets of all organisations, as one process sees them."""
 
@@ -58,8 +53,6 @@
         self._buckets: dict[str, _Bucket] = {}
         # What this process has charged in all, by organisation.
         self.own_spent: dict[str, float] = {}
-        # What each other process last said it has charged.
-        self._heard: dict[str, _Heard] = {}
         self.heard_share = 1.0
         # What was unused by organisation, at moments of the last while.
         self._unused: deque[tuple[float, dict[str, float]]] = deque()
@@ -92,41 +85,30 @@
         bucket.level = min(bucket.level + cost, self._burst(organisation))
         self.own_spent[organisation.name] -= cost
 
-    def hear(self, spending: Spending, now_s: float) -> None:
-        """Take over what another process says it has charged in all.
-
-        The first word of a process counts as a start: what it spent before this
-        process heard of it is in the past of a bucket that was not there. A word that
-        is older than the last one is passed over: it would fill a bucket that is full
-        already, and the next word would then empty it.
-        """
-        known = self._heard.get(spending.ip)
-        if known is None or known.spending.incarnation != spending.incarnation:
-            self._heard[spending.ip] = _Heard(spending, now_s)
-            return
-        if spending.beat <= known.spending.beat:
-            return
-        self._heard[spending.ip] = _Heard(spending, now_s)
-        is_late = now_s - known.heard_s > LATE_WORD_S
-        for name, total in spending.totals.items():
-            more = total - known.spending.totals.get(name, 0.0)
-            bucket = self._buckets.get(name)
-            if bucket is None or more == 0:
+    def hear(self, charges: Iterable[Charge], now_s: float) -> None:
+        """Take over what another process has charged since its last word."""
+        for charge in charges:
+            bucket = self._buckets.get(charge.organisation)
+            if bucket is None or charge.cost == 0:
                 continue
-            self._refill(bucket.organisation, now_s)
-            if is_late:
-                more -= self._use_unused(bucket, more, known.heard_s)
+            cost = charge.cost
+            if now_s - charge.since_s > LATE_WORD_S:
+                self._refill(bucket.organisation, now_s)
+                cost -= self._use_unused(bucket, cost, charge.since_s)
+            # Of a word that is not late, the refill since the bucket was last used
+            # comes after it: it was spent meanwhile, and covered by that refill.
             burst = self._burst(bucket.organisation)
-            level = max(bucket.level - more, -MAX_DEBT_BURSTS * burst)
+            level = max(bucket.level - cost, -MAX_DEBT_BURSTS * burst)
             bucket.level = min(level, burst)
 
     def remember_unused(self, now_s: float) -> None:
         """Note how much refill has found no room so far; call this often."""
         if self._unused and now_s - self._unused[-1][0] < UNUSED_PERIOD_S:
             return
-        for bucket in self._buckets.values():
-            self._refill(bucket.organisation, now_s)
-        unused = {name: bucket.unused for name, bucket in self._buckets.items()}
+        unused = {
+            name: bucket.unused + self._offer(bucket, now_s)[1]
+            for name, bucket in self._buckets.items()
+        }
         self._unused.append((now_s, unused))
         while now_s - self._unused[0][0] > FLEET_TERM_S:
             self._unused.popleft()
@@ -198,10 +180,16 @@
         if bucket is None:
             bucket = _Bucket(organisation, self._burst(organisation), now_s)
             self._buckets[organisation.name] = bucket
-        elapsed_s = max(0.0, now_s - bucket.updated_s)
+        gained, unused = self._offer(bucket, now_s)
         bucket.updated_s = now_s
-        before = bucket.level
-        level = before + elapsed_s * self._rate(organisation)
-        bucket.level = min(level, self._burst(organisation))
-        bucket.unused += elapsed_s * organisation.rate_per_s - (bucket.level - before)
+        bucket.level += gained
+        bucket.unused += unused
         return bucket
+
+    def _offer(self, bucket: _Bucket, now_s: float) -> tuple[float, float]:
+        """Return what the refill up to now adds, and what of the rate it does not."""
+        organisation = bucket.organisation
+        elapsed_s = max(0.0, now_s - bucket.updated_s)
+        room = self._burst(organisation) - bucket.level
+        gained = min(elapsed_s * self._rate(organisation), room)
+        return gained, elapsed_s * organisation.rate_per_s - gained
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -9,10 +9,8 @@
 from banyanseam.entry.answers import check_answer, pass_on
 from banyanseam.entry.choosing import Chooser, choose_retry_after_ms
 from banyanseam.entry.const import (
-    CONNECT_TIMEOUT_S,
     LONG_PREFILL_MS,
     MIN_RETRY_LEFT_MS,
-    PATIENCE_SHARE,
     ROUND_TRIP_MS,
 )
 from banyanseam.entry.crash_suspects import CrashSuspects
@@ -25,6 +23,7 @@
 from banyanseam.entry.members import Members
 from banyanseam.entry.models import AnswerHead, Headers, RequestHead, SendOrder
 from banyanseam.entry.moving import Moves, Progress
+from banyanseam.entry.outgoing import make_order, make_outgoing
 from banyanseam.entry.peer_headers import (
     read_peer_failure,
     read_sends,
@@ -35,12 +34,13 @@
     Place,
     find_shared_part,
 )
+from banyanseam.entry.reach import PeerReach
 from banyanseam.entry.retry_budget import RetryBudget
-from banyanseam.entry.sending import Incoming, Outgoing, run_beside, send
+from banyanseam.entry.sending import Incoming, run_beside, send
 from banyanseam.entry.upstream_list import Tracked, UpstreamList
 from banyanseam.entry.upstreams import Loads, hold, note_read
 from banyanseam.errors import BanyanseamError
-from banyanseam.observe.events import SEND_FAILED, log
+from banyanseam.observe.events import REQUEST_HANDED_OVER, SEND_FAILED, log
 from banyanseam.upstreams.errors import (
     UpstreamFailed,
     UpstreamRefused,
@@ -66,6 +66,7 @@
     loads: Loads
     retries: RetryBudget
     suspects: CrashSuspects
+    reach: PeerReach
     peers_port: int
     # Tells the region at once what this process holds.
     announce: Callable[[], Awaitable[None]]
@@ -73,7 +74,7 @@
     @property
     def chooser(self) -> Chooser:
         """Return what finds places for requests."""
-        return Chooser(self.members, self.upstreams, self.loads)
+        return Chooser(self.members, self.upstreams, self.loads, self.reach)
 
     @property
     def moves(self) -> Moves:
@@ -119,7 +120,10 @@
         with hold(tracked, prompt, is_kept=place.is_kept) as reading:
             if reading[0] >= LONG_PREFILL_MS:
                 await self.announce()
-            outgoing = self._make_outgoing(exchange, tracked, now_s)
+            upstream = tracked.upstream
+            order = make_order(exchange, upstream.upstream_id, now_s)
+            headers = self.wire.write_headers(exchange.head, order)
+            outgoing = make_outgoing(exchange, upstream.address, headers, now_s)
             async with send(
                 outgoing,
                 lambda: _note_sent(exchange),
@@ -139,16 +143,23 @@
         if not peers:
             raise UpstreamUnreachable(region)
         peer = min(random.sample(peers, min(2, len(peers))), key=lambda p: p.running)
-        order = self._make_order(exchange, None, now_s, left_cut_ms=ROUND_TRIP_MS / 2)
+        log(
+            REQUEST_HANDED_OVER,
+            request_id=exchange.head.request_id,
+            peer=peer.ip,
+            region=region,
+            running=peer.running,
+            peers=len(peers),
+            left_ms=round(exchange.left_ms(now_s)),
+        )
+        self.reach.note_tried(peer, now_s)
+        order = make_order(exchange, None, now_s, left_cut_ms=ROUND_TRIP_MS / 2)
         headers = self.wire.write_headers(exchange.head, order)
-        outgoing = Outgoing(
-            address=f"{peer.ip}:{self.peers_port}",
-            method=exchange.head.method,
-            target=exchange.head.target,
-            headers=headers + write_forwarding(exchange, self.members.me.ip),
-            body=exchange.body,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-            patience_s=self._choose_patience_s(exchange, now_s),
+        outgoing = make_outgoing(
+            exchange,
+            f"{peer.ip}:{self.peers_port}",
+            headers + write_forwarding(exchange, self.members.me.ip),
+            now_s,
         )
         self.loads.forwarded[region] = self.loads.forwarded.get(region, 0) + 1
         sends = exchange.sends
@@ -158,6 +169,7 @@
             async with send(
                 outgoing, lambda: _note_sent(exchange, granted)
             ) as incoming:
+                self.reach.note_answered(peer, self.members.list_serving(now_s, region))
                 told = read_sends(incoming.headers)
                 if told is not None:
                     exchange.sends = sends + told
@@ -172,6 +184,7 @@
                 await self._pass_on(exchange, place, answer, incoming)
         except UpstreamUnreachable:
             exchange.unreachable.add(peer.ip)
+            self.reach.note_failed(peer, anyio.current_time())
             raise
         finally:
             self.loads.forwarded[region] -= 1
@@ -188,46 +201,6 @@
             passing, lambda: self.moves.stop_silent_stream(exchange, place, progress)
         )
 
-    def _make_outgoing(
-        self, exchange: Exchange, tracked: Tracked, now_s: float
-    ) -> Outgoing:
-        order = self._make_order(exchange, tracked.upstream.upstream_id, now_s)
-        return Outgoing(
-            address=tracked.upstream.address,
-            method=exchange.head.method,
-            target=exchange.head.target,
-            headers=self.wire.write_headers(exchange.head, order),
-            body=exchange.body,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-            patience_s=self._choose_patience_s(exchange, now_s),
-        )
-
-    def _make_order(
-        self,
-        exchange: Exchange,
-        upstream_id: str | None,
-        now_s: float,
-        left_cut_ms: float = 0.0,
-    ) -> SendOrder:
-        organisation = exchange.organisation
-        last_event_id = exchange.head.last_event_id
-        if exchange.last_event is not None:
-            last_event_id = str(exchange.last_event)
-        return SendOrder(
-            upstream_id=upstream_id,
-            organisation=None if organisation is None else organisation.name,
-            left_ms=int(exchange.left_ms(now_s) - left_cut_ms),
-            urgency=exchange.urgency,
-            last_event_id=last_event_id,
-        )
-
-    def _choose_patience_s(self, exchange: Exchange, now_s: float) -> float:
-        left_s = exchange.left_ms(now_s) / 1000
-        is_last = exchange.sends + 1 >= exchange.max_attempts
-        if is_last or not exchange.may_go_on:
-            return left_s
-        return left_s * PATIENCE_SHARE
-
     def _check(
         self, exchange: Exchange, incoming: Incoming, tracked: Tracked
     ) -> AnswerHead:
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -68,6 +68,12 @@
                 del self._tracked[upstream_id]
         return True
 
+    def confirm(self, revision: int, now_s: float) -> None:
+        """Note that the store still lists what is known."""
+        if revision >= self.revision:
+            self.revision = revision
+            self.fresh_s = now_s
+
     def keep_lapsed_until(self, until_s: float) -> None:
         """Keep entries that are missing from listings until a time.
 
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -110,9 +110,9 @@
             if usage.requests or usage.queued_ms:
                 found[upstream.upstream_id] = (
                     usage.requests,
-                    usage.prefill_ms,
+                    round(usage.prefill_ms),
                     usage.memory_tokens,
-                    usage.queued_ms,
+                    round(usage.queued_ms),
                 )
         return found
 
@@ -136,13 +136,13 @@
         self._region_parts[region] = set(parts)
 
     def list_just_heard(
-        self, now_s: float
+        self, now_s: float, window_s: float
     ) -> dict[str, tuple[dict[str, list[Candidate]], set[str]]]:
-        """Return what other regions said to this process since its last heartbeat."""
+        """Return what other regions have said to this process within a time."""
         return {
             region: (candidates, self._region_parts.get(region, set()))
             for region, (_, candidates) in self._regions.items()
-            if now_s - self._direct.get(region, -1e9) <= GOSSIP_PERIOD_S
+            if now_s - self._direct.get(region, -1e9) <= window_s
         }
 
     def sum_region(self, upstream_id: str, now_s: float) -> Load:
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -20,6 +20,7 @@
 
 
 INTERNAL_FAILURE: Final = Event(2000, "ERROR", "A fault in the daemon itself")
+DAEMON_STARTED: Final = Event(2007, "INFO", "The daemon has started")
 DAEMON_READY: Final = Event(2001, "INFO", "The daemon serves callers")
 DRAIN_BEGUN: Final = Event(2003, "INFO", "A planned stop has begun")
 DAEMON_STOPPED: Final = Event(2002, "INFO", "The daemon has stopped")
@@ -31,6 +32,9 @@
 REQUEST_FAILED: Final = Event(3002, "WARNING", "A request was refused or failed")
 UPSTREAM_CHOSEN: Final = Event(3010, "INFO", "A place for a request was chosen")
 SEND_FAILED: Final = Event(3011, "WARNING", "A send of a request failed")
+REQUEST_HANDED_OVER: Final = Event(
+    3012, "INFO", "A request is handed to a VM of another region"
+)
 SETTINGS_RELOADED: Final = Event(2005, "INFO", "Changed settings are in force")
 SETTINGS_REJECTED: Final = Event(2006, "ERROR", "Changed settings are not valid")
 LINK_UP: Final = Event(4001, "INFO", "A link to a peer is up")
--- a/tests/entry/test_choosing.py
+++ b/tests/entry/test_choosing.py
@@ -6,6 +6,7 @@
 from banyanseam.entry.errors import NoUpstreamKnown, RegionsFull
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.models import Prompt, RequestHead
+from banyanseam.entry.reach import PeerReach
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import Loads
 from tests.common import run_mocked
@@ -50,7 +51,7 @@
             )
             known = Loads(listed, "gulf")
             known.hear("10.1.0.2", loads or {}, now_s)
-            chooser = Chooser(make_members(), listed, known)
+            chooser = Chooser(make_members(), listed, known, PeerReach())
             try:
                 found = await chooser.find_place(make_exchange(now_s, **fields))
             except (NoUpstreamKnown, RegionsFull) as error:
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -2,18 +2,31 @@
 
 import anyio
 
-from banyanseam.entry.const import PEER_TERM_S
+from banyanseam.entry.const import (
+    FULL_ROW_BEATS,
+    FULL_ROW_S,
+    GOSSIP_PERIOD_S,
+    MAX_GOSSIP_PEERS,
+    PEER_TERM_S,
+)
 from banyanseam.entry.crash_suspects import CrashSuspects
 from banyanseam.entry.fleet import Fleet
+from banyanseam.entry.heartbeats import Heartbeats
 from banyanseam.entry.members import Members
-from banyanseam.entry.messages import Gossip, to_member_row
+from banyanseam.entry.messages import Gossip, decode_gossip, encode_gossip
 from banyanseam.entry.models import EntrySettings
 from banyanseam.entry.quota import FleetQuota
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import Loads
 from banyanseam.entry.values import Decoders, Values
 from tests.common import run_mocked
-from tests.entry.common import BOUNDS, REGIONS, make_member, make_organisation
+from tests.entry.common import (
+    BOUNDS,
+    REGIONS,
+    make_member,
+    make_organisation,
+    make_upstream,
+)
 
 ORGANISATION = make_organisation()
 
@@ -36,24 +49,37 @@
         memory_mb=300,
         bounds=BOUNDS,
     )
+    members = Members(make_member(ip, region), REGIONS)
     upstreams = UpstreamList()
     quota = FleetQuota()
     quota.configure({"acme": ORGANISATION}, anyio.current_time())
     decoders = Decoders("", lambda _: None, lambda _: None, lambda _: None)
-    return Fleet(
-        settings,
-        Members(make_member(ip, region), REGIONS),
+    heartbeats = Heartbeats(
+        members,
         Values(decoders, upstreams),
         upstreams,
         Loads(upstreams, region),
         quota,
         CrashSuspects(),
     )
+    return Fleet(settings, members, upstreams, quota, heartbeats)
 
 
 def speak(fleet: Fleet, *, to: str | None) -> Gossip:
-    fleet.members.beat(is_serving=True, is_accepting=True, running=0)
-    return fleet._describe(to)
+    """Return a heartbeat for this region, for another, or for who has just come."""
+    fleet._beat()
+    heartbeats = fleet._heartbeats
+    if to is None:
+        gossip = heartbeats.describe_all()
+    elif to == fleet.settings.region:
+        gossip = heartbeats.describe_near()
+    else:
+        gossip = heartbeats.describe_region()
+    return decode_gossip(encode_gossip(gossip))
+
+
+def list_named(gossip: Gossip) -> list[str]:
+    return sorted(row[0] for row in [*gossip.members, *gossip.beats])
 
 
 class FleetTests(unittest.TestCase):
@@ -84,7 +110,7 @@
             mine._take(speak(far, to="gulf"))
             told = speak(mine, to="delta")
             everything = speak(mine, to=None)
-            return [row[0] for row in told.members], len(everything.members)
+            return list_named(told), len(everything.members)
 
         told, known = run_mocked(run)
         self.assertEqual(told, ["10.1.0.1", "10.1.0.2"])
@@ -122,10 +148,93 @@
             first = speak(mine, to="gulf")
             await anyio.sleep(1.0)
             second = speak(mine, to="gulf")
-            own = to_member_row(mine.members.me)
-            return len(first.members), second.members == [own]
+            return list_named(first), list_named(second)
+
+        both = ["10.1.0.1", "10.1.0.2"]
+        self.assertEqual(run_mocked(run), (both, both[:1]))
+
+    def test_rows_are_short_once_they_are_known(self):
+        async def run():
+            mine, near = make_fleet("10.1.0.1"), make_fleet("10.1.0.2")
+            near._take(speak(mine, to="gulf"))
+            await anyio.sleep(FULL_ROW_S + 0.1)
+            heard = [speak(mine, to="gulf") for _ in range(FULL_ROW_BEATS)]
+            for gossip in heard:
+                near._take(gossip)
+            beat = near.members.find("10.1.0.1").beat
+            mine.describe_me = lambda: (True, True, 0)
+            changed = speak(mine, to="gulf")
+            return [len(each.members) for each in heard], beat, changed.members
+
+        sizes, beat, changed = run_mocked(run)
+        self.assertEqual(sorted(sizes), [0] * (FULL_ROW_BEATS - 1) + [1])
+        self.assertEqual(beat, 2 + FULL_ROW_BEATS)
+        self.assertEqual([row[6] for row in changed], [True])
+
+    def test_who_hears_a_short_row_of_a_stranger_asks_for_the_rest(self):
+        async def run():
+            mine, stranger = make_fleet("10.1.0.1"), make_fleet("10.1.0.2")
+            speak(stranger, to="gulf")
+            await anyio.sleep(FULL_ROW_S + 0.1)
+            hello = mine._take(speak(stranger, to="gulf"))
+            answer = stranger._take(hello)
+            self.assertIsNone(mine._take(answer))
+            return hello.is_hello, len(mine.members.list_alive(anyio.current_time()))
+
+        self.assertEqual(run_mocked(run), (True, 1))
+
+    def test_each_of_a_large_region_is_told_in_its_turn(self):
+        async def run():
+            mine = make_fleet("10.1.0.1")
+            rows = [make_member(f"10.1.0.{number}") for number in range(2, 40)]
+            mine.members.merge(rows, anyio.current_time())
+            told = [mine._take_turns() for _ in range(-(-38 // MAX_GOSSIP_PEERS))]
+            self.assertLessEqual(max(map(len, told)), MAX_GOSSIP_PEERS)
+            return {ip for ips in told for ip in ips} == {row.ip for row in rows}
+
+        self.assertTrue(run_mocked(run))
+
+    def test_a_list_of_upstreams_that_is_known_travels_as_its_digest(self):
+        async def run():
+            reader, near = make_fleet("10.1.0.1"), make_fleet("10.1.0.2")
+            reader._upstreams.adopt([make_upstream("e1")], 5, 0.0)
+            near._take(speak(reader, to="gulf"))
+            digest = reader._heartbeats.describe_upstreams(is_known=True)
+            wish = near._take(digest)
+            near._take(reader._take(wish))
+            self.assertIsNotNone(near._upstreams.find("e1"))
+            await anyio.sleep(1.0)
+            self.assertIsNone(near._take(digest))
+            return near._upstreams.fresh_s == anyio.current_time()
 
-        self.assertEqual(run_mocked(run), (2, True))
+        self.assertTrue(run_mocked(run))
+
+    def test_a_heartbeat_of_a_large_fleet_stays_small(self):
+        """Sixty-six processes, of whom all are known and each charges some."""
+
+        async def run():
+            fleets = {
+                f"10.{place}.0.{number}": make_fleet(f"10.{place}.0.{number}", region)
+                for place, region in enumerate(("gulf", "piedmont", "delta"))
+                for number in range(22)
+            }
+            mine = fleets["10.0.0.0"]
+            await anyio.sleep(PEER_TERM_S + 0.1)
+            for _ in range(12):
+                for fleet in fleets.values():
+                    fleet._quota.charge(ORGANISATION, 1, anyio.current_time())
+                    region = fleet.settings.region
+                    mine._take(speak(fleet, to="gulf" if region == "gulf" else "any"))
+                await anyio.sleep(GOSSIP_PERIOD_S)
+            await anyio.sleep(FULL_ROW_S)
+            for fleet in fleets.values():
+                mine._take(speak(fleet, to="gulf"))
+            await anyio.sleep(4 * GOSSIP_PERIOD_S)
+            return len(encode_gossip(mine._heartbeats.describe_near()))
+
+        # Within what control may send: 28 KB/s.
+        sent_per_s = MAX_GOSSIP_PEERS / GOSSIP_PERIOD_S
+        self.assertLess(run_mocked(run), 28_000 / sent_per_s)
 
 
 if __name__ == "__main__":
--- a/tests/entry/test_messages.py
+++ b/tests/entry/test_messages.py
@@ -7,6 +7,7 @@
     decode_gossip,
     encode_gossip,
     from_upstream_row,
+    to_beat_row,
     to_member_row,
     to_upstream_row,
 )
@@ -19,11 +20,13 @@
     def test_a_heartbeat_arrives_as_it_was_sent(self):
         leaving = make_upstream("e1", state=UpstreamState.LEAVING, remaining_ms=5)
         gossip = Gossip(
+            sender="10.1.0.1",
             members=[to_member_row(make_member())],
-            loads={"e1": (1, 2.5, 3, 4.5)},
+            beats=[to_beat_row(make_member("10.1.0.2"))],
+            loads={"e1": (1, 2, 3, 4)},
             part_uses=[("e1", "h1", 100)],
             spent_names=["acme"],
-            spent=[("10.1.0.1", 7, 3, [5])],
+            spent=[("10.1.0.1", 7, 3, True, [(0, 5)])],
             relayed={"delta": ({"pool": []}, ["h1"])},
             upstreams=[to_upstream_row(leaving)],
         )
@@ -33,14 +36,16 @@
 
     def test_what_is_no_heartbeat_is_refused(self):
         row = list(to_member_row(make_member()))
+        known = {"sender": "10.1.0.1", "members": [row]}
         for name, data in (
             ("no bytes", b""),
             ("no CBOR", b"\xff\xff"),
             ("no map", cbor2.dumps([1])),
-            ("no members", cbor2.dumps({"members": []})),
-            ("another protocol", cbor2.dumps({"members": [row], "protocol": 99})),
-            ("a short row", cbor2.dumps({"members": [row[:3]]})),
-            ("loads of another type", cbor2.dumps({"members": [row], "loads": 3})),
+            ("no sender", cbor2.dumps({"members": [row]})),
+            ("another protocol", cbor2.dumps(known | {"protocol": 99})),
+            ("a short row", cbor2.dumps(known | {"members": [row[:3]]})),
+            ("a beat without a number", cbor2.dumps(known | {"beats": [row[:2]]})),
+            ("loads of another type", cbor2.dumps(known | {"loads": 3})),
         ):
             with self.subTest(name), self.assertRaises(InvalidPeerMessage):
                 decode_gossip(data)
--- a/tests/entry/test_quota.py
+++ b/tests/entry/test_quota.py
@@ -1,16 +1,25 @@
 import random
 import unittest
 from dataclasses import replace
+from weakref import WeakKeyDictionary
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from banyanseam.entry.quota import FleetQuota
-from banyanseam.entry.spending import Spending
+from banyanseam.entry.spending import Spending, Spendings
 from tests.entry.common import make_organisation
 
 OVER = 1.25
 SLACK = 190_000.0
+# What each process under test has heard.
+KNOWN: WeakKeyDictionary[FleetQuota, Spendings] = WeakKeyDictionary()
+
+
+def hear(quota: FleetQuota, spending: Spending, now_s: float) -> None:
+    """Take a word in as heartbeats do."""
+    spendings = KNOWN.setdefault(quota, Spendings())
+    quota.hear(spendings.take(spending, now_s) or [], now_s)
 
 
 class FleetOfBuckets:
@@ -45,7 +54,8 @@
                 if of == to or (of in self.cut) != (to in self.cut):
                     continue
                 heard += 1
-                quota.hear(
+                hear(
+                    quota,
                     Spending(f"10.0.0.{of}", self.incarnations[of], self.beat, word),
                     self.now_s,
                 )
@@ -111,7 +121,7 @@
             (1, 3, 400),
             (2, 1, 0),
         ):
-            quota.hear(Spending("10.0.0.1", incarnation, beat, {"acme": total}), 0.0)
+            hear(quota, Spending("10.0.0.1", incarnation, beat, {"acme": total}), 0.0)
         self.assertEqual(quota.list_levels(), {"acme": 600})
 
     def test_a_word_that_arrives_late_empties_no_bucket(self):
@@ -121,11 +131,11 @@
         organisation = make_organisation()
         quota.configure({"acme": organisation}, 0.0)
         for beat, total in ((1, 0), (2, 400), (3, 400)):
-            quota.hear(Spending("10.0.0.1", 1, beat, {"acme": total}), 0.0)
+            hear(quota, Spending("10.0.0.1", 1, beat, {"acme": total}), 0.0)
         quota.charge(organisation, 0, 1.0)
         self.assertEqual(quota.list_levels(), {"acme": 1000})
         for beat, total in ((1, 0), (4, 400), (2, 0), (5, 400)):
-            quota.hear(Spending("10.0.0.1", 1, beat, {"acme": total}), 1.0)
+            hear(quota, Spending("10.0.0.1", 1, beat, {"acme": total}), 1.0)
         self.assertEqual(quota.list_levels(), {"acme": 1000})
 
     def test_a_new_process_starts_from_its_peers_levels(self):
@@ -200,12 +210,12 @@
         quota.configure({"acme": organisation}, 0.0)
         for step in range(8):
             now_s = step * 0.25
-            quota.hear(Spending("10.0.0.1", 1, step, {"acme": 0}), now_s)
+            hear(quota, Spending("10.0.0.1", 1, step, {"acme": 0}), now_s)
             quota.remember_unused(now_s)
         # Stopped from 2 s to 7 s; a request came before the peer's word, and the peer
         # spent 0.8 of the rate.
         self.assertEqual(quota.charge(organisation, 100, 7.0), 0.0)
-        quota.hear(Spending("10.0.0.1", 1, 30, {"acme": 4200}), 7.0)
+        hear(quota, Spending("10.0.0.1", 1, 30, {"acme": 4200}), 7.0)
         self.assertEqual(quota.charge(organisation, 500, 7.0), 0.0)
 
     def test_what_was_spent_beyond_the_rate_in_a_cut_is_owed(self):
@@ -214,11 +224,22 @@
         quota.configure({"acme": organisation}, 0.0)
         for step in range(8):
             now_s = step * 0.25
-            quota.hear(Spending("10.0.0.1", 1, step, {"acme": 0}), now_s)
+            hear(quota, Spending("10.0.0.1", 1, step, {"acme": 0}), now_s)
             quota.remember_unused(now_s)
-        quota.hear(Spending("10.0.0.1", 1, 30, {"acme": 7000}), 7.0)
+        hear(quota, Spending("10.0.0.1", 1, 30, {"acme": 7000}), 7.0)
         self.assertGreater(quota.charge(organisation, 500, 7.0), 0.0)
 
+    def test_the_refill_between_two_words_covers_what_they_tell(self):
+        quota = FleetQuota()
+        organisation = make_organisation()
+        quota.configure({"acme": organisation}, 0.0)
+        for step in range(20):
+            # A peer spends the whole rate, and this process nothing.
+            now_s = step * 0.25
+            hear(quota, Spending("10.0.0.1", 1, step, {"acme": 250 * step}), now_s)
+            quota.remember_unused(now_s)
+        self.assertEqual(quota.charge(organisation, 1000, now_s), 0.0)
+
     def test_two_words_do_not_use_the_same_refill(self):
         quota = FleetQuota()
         organisation = make_organisation()
@@ -226,10 +247,10 @@
         for step in range(8):
             now_s = step * 0.25
             for peer in (1, 2):
-                quota.hear(Spending(f"10.0.0.{peer}", 1, step, {"acme": 0}), now_s)
+                hear(quota, Spending(f"10.0.0.{peer}", 1, step, {"acme": 0}), now_s)
             quota.remember_unused(now_s)
         for peer in (1, 2):
-            quota.hear(Spending(f"10.0.0.{peer}", 1, 30, {"acme": 4200}), 7.0)
+            hear(quota, Spending(f"10.0.0.{peer}", 1, 30, {"acme": 4200}), 7.0)
         self.assertGreater(quota.charge(organisation, 500, 7.0), 0.0)
 
     @given(st.lists(st.tuples(st.floats(0, 2), st.floats(1, 2000)), max_size=60))
