Tell a request's story from log files, and show the platform's path in the demo

Cause: on-call engineers had to grep the id over the logs of all VMs, put the lines in order themselves, though clocks differ, and look up what each VM believed. It reads once, a line at a time.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 demo: setup
 	$(RUN) -m standins.demo
+	$(RUN) -m standins.platform_demo
 
 bench: setup
 	$(VENV)/bin/pip install -q -r requirements-bench.lock
--- a/banyanseam/cli/errors.py
+++ b/banyanseam/cli/errors.py
@@ -29,6 +29,16 @@
     not_run = True
 
 
+class RequestNotInLogs(BanyanseamError):
+    """No line of the given files names the request."""
+
+    code = "cli.request_not_in_logs"
+    event = 1905
+    status = 404
+    title = "The request is in none of the files"
+    not_run = True
+
+
 class DaemonUnreachable(BanyanseamError):
     """Nothing answers at the operators' address."""
 
--- a/banyanseam/cli/main.py
+++ b/banyanseam/cli/main.py
@@ -10,6 +10,7 @@
 from banyanseam.cli.daemon import drain, entries, explain, status
 from banyanseam.cli.diagnostics import diagnostics
 from banyanseam.cli.errors import ErrorGroup
+from banyanseam.cli.explain_log import explain_log
 from banyanseam.cli.histograms import histograms
 from banyanseam.cli.keys import key_group
 from banyanseam.cli.orders import orders
@@ -45,6 +46,7 @@
     entries,
     histograms,
     explain,
+    explain_log,
     orders,
     diagnostics,
     drain,
--- /dev/null
+++ b/banyanseam/observe/log_files.py
@@ -0,0 +1,61 @@
+"""Reading logs of any size back, a line at a time."""
+
+import json
+import re
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from datetime import datetime
+from pathlib import Path
+from typing import Any, Final
+
+# What a collector may have put before the line: a time or the name of a machine.
+MAX_PREFIX_BYTES: Final = 200
+MAX_LINE_BYTES: Final = 64 * 1024
+_EVENT: Final = re.compile(rb'"event": ?(\d+)')
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line of a process's log."""
+
+    vm: str
+    at: datetime
+    event: int
+    message: str
+    fields: dict[str, Any]
+
+
+def read_event_number(line: bytes) -> int | None:
+    """Return a line's event without decoding the line, or None if it has none."""
+    found = _EVENT.search(line)
+    return None if found is None else int(found[1])
+
+
+def decode_line(line: bytes) -> LogLine | None:
+    """Return what a line says, or None for one that no process of ours wrote."""
+    begin = line.find(b"{", 0, MAX_PREFIX_BYTES)
+    if begin < 0:
+        return None
+    try:
+        fields = json.loads(line[begin:])
+        return LogLine(
+            vm=str(fields.pop("seat")),
+            at=datetime.fromisoformat(fields.pop("time")),
+            event=int(fields.pop("event")),
+            message=str(fields.pop("message")),
+            fields=fields,
+        )
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
+def iterate_lines(path: Path, note_bytes: Callable[[int], None]) -> Iterator[bytes]:
+    """Yield a file's lines; raise OSError.
+
+    A line beyond the longest that a process writes is cut, so that memory stays bounded
+    whatever the file is.
+    """
+    with path.open("rb") as file:
+        while line := file.readline(MAX_LINE_BYTES):
+            note_bytes(len(line))
+            yield line
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -84,7 +84,7 @@
         path = self.folder / f"{name}.toml"
         path.write_text(self._render_settings(vm))
         command = ("banyanseam.entry.main", "--settings", str(path))
-        vm.child = self.children.start(name, *command)
+        vm.child = self.children.start(name, *command, keep_output=True)
 
     async def wait_ready(self, *names: str) -> None:
         """Return once the VMs say that they are ready; raise TimeoutError."""
@@ -122,6 +122,10 @@
         method = options.pop("method", "POST")
         return await call(address, method, path, headers=headers, **options)
 
+    def list_logs(self) -> list[str]:
+        """Return the paths of the log files of all VMs."""
+        return [str(vm.child.log_path) for vm in self.vms.values() if vm.child]
+
     def stop(self, name: str, number: int = signal.SIGTERM) -> None:
         """Signal a VM's process."""
         self.vms[name].child.signal(number)
@@ -273,3 +277,4 @@
                 yield fleet
             finally:
                 fleet.children.close()
+                fleet.store.close()
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -33,6 +33,7 @@
     # None, or the status that every call is answered with; 0 drops the connection.
     failing: int | None = None
     calls: int = 0
+    is_closing: bool = False
 
     def put(self, key: str, value: Any) -> None:
         """Write a value; bytes are kept as they are, all else as JSON."""
@@ -47,6 +48,11 @@
         """Drop the history of changes."""
         self.forgotten = self.revision
 
+    def close(self) -> None:
+        """End all watches."""
+        self.is_closing = True
+        self.changed.set()
+
     async def handle(self, request: Request) -> None:
         """Answer one call."""
         self.calls += 1
@@ -90,7 +96,7 @@
         with anyio.move_on_after(
             min(request.query_int("wait_ms", 0) / 1000, MAX_WAIT_S)
         ):
-            while not self._find_changes(prefix, after):
+            while not self.is_closing and not self._find_changes(prefix, after):
                 await self.changed.wait()
         events = [self._show(key) for key in self._find_changes(prefix, after)]
         await request.answer(200, {"events": events, "at": self.revision})
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -64,7 +64,7 @@
         return announcement
 
     def read_log(self) -> str:
-        """Return what the process wrote to standard error."""
+        """Return what the process wrote to its file."""
         return self.log_path.read_text(errors="replace")
 
 
@@ -79,14 +79,17 @@
         """End the processes also when the program ends early."""
         atexit.register(self.close)
 
-    def start(self, name: str, *command: str) -> Child:
-        """Start a Python module; its errors go to a file in the folder."""
+    def start(self, name: str, *command: str, keep_output: bool = False) -> Child:
+        """Start a Python module; its errors go to a file in the folder.
+
+        What it prints goes there as well, or waits for whoever reads it.
+        """
         log_path = self.folder / f"{name}.log"
         with log_path.open("ab") as log:
             popen = subprocess.Popen(
                 [sys.executable, "-m", *command],
                 stdin=subprocess.DEVNULL,
-                stdout=subprocess.PIPE,
+                stdout=log if keep_output else subprocess.PIPE,
                 stderr=log,
                 cwd=ROOT,
                 env=os.environ | {"PYTHONPATH": str(ROOT)},
@@ -102,5 +105,6 @@
             child.signal(signal.SIGKILL)
         for child in self.running:
             child.popen.wait()
-            child.popen.stdout.close()
+            if child.popen.stdout is not None:
+                child.popen.stdout.close()
         self.running.clear()
--- /dev/null
+++ b/tests/faults/test_explain.py
@@ -0,0 +1,112 @@
+"""From a failed request's id to its cause, as docs/OPERATIONS.md walks it."""
+
+import json
+import unittest
+
+import anyio
+from click.testing import CliRunner
+
+from banyanseam.cli.main import main
+from standins.platform_fleet import START_S, PlatformFleet, start_platform_fleet
+from tests.faults.test_platform import ONE_REGION, USAGE, run
+
+
+def explain(fleet: PlatformFleet, request_id: str) -> list[dict]:
+    """Return the steps that the logs of all VMs tell of a request."""
+    arguments = ["explain-log", *fleet.list_logs(), "--request", request_id, "--json"]
+    result = CliRunner().invoke(main, arguments)
+    if result.exit_code != 0:
+        raise AssertionError(result.stderr)
+    return json.loads(result.stdout)["steps"]
+
+
+def find(steps: list[dict], event: int) -> dict:
+    return next(step for step in steps if step["event"] == event)
+
+
+def name_beliefs(step: dict) -> dict[str, dict]:
+    return {belief["message"]: belief for belief in step["beliefs"]}
+
+
+class ExplainTests(unittest.TestCase):
+    def test_a_refusal_for_the_rate(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 1}, ONE_REGION) as fleet:
+                heavy = USAGE | {"token-usage": "30000,70000"}
+                await fleet.ask("gulf-1", "/query/x", headers=heavy)
+                answer = await fleet.ask(
+                    "gulf-1", "/query/x", headers=heavy | {"request-id": "refused"}
+                )
+                self.assertEqual(answer.status, 429)
+                (step,) = explain(fleet, "refused")
+                self.assertEqual(step["fields"]["code"], "quota.exceeded")
+                for part in ("100000", "needed", "1.00 of the fleet heard"):
+                    self.assertIn(part, step["fields"]["detail"])
+                belief = name_beliefs(step)["A configuration is in force"]
+                self.assertEqual(belief["fields"]["version"], 1)
+                self.assertGreaterEqual(belief["age_ms"], 0)
+
+        run(scenario)
+
+    def test_a_late_stream(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 1}, ONE_REGION) as fleet:
+                for name in ("e1", "e2"):
+                    fleet.upstreams[name].pause_s = 0.3
+                headers = USAGE | {"request-id": "late"}
+                answer = await fleet.ask("gulf-1", "/summary/x", headers=headers)
+                self.assertEqual(answer.status, 200)
+                steps = explain(fleet, "late")
+                chosen, ended = find(steps, 3010), find(steps, 3001)
+                # The engine was expected to begin at once, and was slow.
+                self.assertLess(chosen["fields"]["wait_ms"], 200)
+                self.assertLess(chosen["fields"]["waited_ms"], 200)
+                self.assertGreater(ended["fields"]["took_ms"], 1000)
+                self.assertIn("An upstream is registered", name_beliefs(chosen))
+
+        run(scenario)
+
+    def test_a_booking_with_an_unknown_outcome_that_was_handed_over(self):
+        async def scenario():
+            regions = {"gulf": 1, "piedmont": 1}
+            async with start_platform_fleet(regions, ONE_REGION) as fleet:
+                # Until the two have heard of each other.
+                with anyio.fail_after(START_S):
+                    while True:
+                        answer = await fleet.ask("piedmont-1", "/read/x")
+                        if answer.status == 200:
+                            break
+                        await anyio.sleep(0.05)
+                fleet.upstreams["d1"].faults[:] = ["no answer"]
+                answer = await fleet.ask(
+                    "piedmont-1", "/book/x", headers={"request-id": "unknown"}
+                )
+                self.assertEqual(answer.status, 502)
+                await anyio.sleep(0.1)
+                steps = explain(fleet, "unknown")
+                told = [(each["vm"], each["event"], each["depth"]) for each in steps]
+                expected = [
+                    ("piedmont-1", 3010, 0),
+                    ("piedmont-1", 3012, 0),
+                    ("gulf-1", 3010, 1),
+                    ("gulf-1", 3011, 1),
+                    ("gulf-1", 3002, 1),
+                    ("piedmont-1", 3011, 0),
+                    ("piedmont-1", 3002, 0),
+                ]
+                self.assertEqual(told, expected)
+                failed = find(steps, 3011)["fields"]
+                self.assertEqual(failed["upstream"], "d1")
+                self.assertTrue(failed["may_have_run"])
+                (seen,) = [
+                    each
+                    for each in fleet.upstreams["d1"].runs
+                    if each.headers["request-id"] == "unknown"
+                ]
+                self.assertEqual(seen.method, "POST")
+
+        run(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/observe/test_story.py
@@ -0,0 +1,108 @@
+import json
+import unittest
+
+from banyanseam.observe.log_files import MAX_LINE_BYTES, decode_line
+from banyanseam.observe.story import MAX_BELIEFS, MAX_STORY_LINES, Story
+
+ID = "86a0e449cc3e3422"
+
+
+def make_line(vm: str, at_s: float, event: int, **fields) -> bytes:
+    known = {
+        "time": f"2026-12-04T10:{int(at_s // 60):02}:{at_s % 60:06.3f}+00:00",
+        "level": "INFO",
+        "message": f"event {event}",
+        "seat": vm,
+        "event": event,
+    }
+    return json.dumps(known | fields).encode()
+
+
+def tell(*lines: bytes) -> list[tuple[str, int, int]]:
+    story = Story(ID)
+    for line in lines:
+        story.take(line)
+    return [(step.line.vm, step.line.event, step.depth) for step in story.tell()]
+
+
+# A request that g1 handed to p1, whose clock is three seconds ahead.
+HANDED_OVER = [
+    make_line("p1", 13.0, 2007, ip="10.2.0.1"),
+    make_line("p1", 23.3, 3010, request_id=ID, upstream="e1"),
+    make_line("p1", 23.5, 3011, request_id=ID, upstream="e1"),
+    make_line("p1", 23.6, 3002, request_id=ID, forwarded=True),
+    make_line("g1", 20.2, 3010, request_id=ID, upstream="e1"),
+    make_line("g1", 20.3, 3012, request_id=ID, peer="10.2.0.1"),
+    make_line("g1", 20.7, 3002, request_id=ID, forwarded=False),
+]
+
+
+class StoryTests(unittest.TestCase):
+    def test_what_another_vm_did_stands_below_the_hand_over(self):
+        expected = [
+            ("g1", 3010, 0),
+            ("g1", 3012, 0),
+            ("p1", 3010, 1),
+            ("p1", 3011, 1),
+            ("p1", 3002, 1),
+            ("g1", 3002, 0),
+        ]
+        self.assertEqual(tell(*HANDED_OVER), expected)
+        self.assertEqual(tell(*HANDED_OVER[4:], *HANDED_OVER[:4]), expected)
+
+    def test_without_the_start_of_a_vm_its_steps_follow_the_callers(self):
+        told = tell(*HANDED_OVER[1:])
+        self.assertEqual([vm for vm, _, _ in told], ["g1"] * 3 + ["p1"] * 3)
+
+    def test_beliefs_carry_their_age_and_end_with_the_process(self):
+        story = Story(ID)
+        for line in (
+            make_line("g1", 1.0, 5001, version=3),
+            make_line("g1", 2.0, 4021, peer="10.2.0.1"),
+            make_line("g1", 3.0, 4021, peer="10.2.0.2"),
+            make_line("g1", 3.5, 4020, peer="10.2.0.2"),
+            make_line("g1", 4.0, 6020, upstream="e1"),
+            make_line("g1", 5.0, 3010, request_id=ID, upstream="e1"),
+            make_line("g1", 6.0, 2007, ip="10.1.0.1"),
+            make_line("g1", 7.0, 3002, request_id=ID),
+        ):
+            story.take(line)
+        chosen, ended = story.tell()
+        self.assertEqual(
+            [(each.message, each.age_ms) for each in chosen.beliefs],
+            [("event 5001", 4000), ("event 4021", 3000), ("event 6020", 1000)],
+        )
+        self.assertEqual([each.message for each in ended.beliefs], ["event 2007"])
+
+    def test_other_requests_and_what_is_no_line_are_passed_over(self):
+        self.assertEqual(
+            tell(
+                make_line("g1", 1.0, 3001, request_id="another", detail=ID),
+                b"",
+                b"no line",
+                b'{"event": 3001, "request_id": "' + ID.encode() + b'"',
+                b'["event": 3001]',
+                b"\xff\xfe" + ID.encode(),
+                b"{" * MAX_LINE_BYTES,
+                make_line("g1", 2.0, 3001, request_id=ID)[:-9],
+            ),
+            [],
+        )
+
+    def test_a_prefix_of_a_collector_is_passed_over(self):
+        line = decode_line(b"  12.5 front-a-1 " + make_line("g1", 1.0, 3001))
+        self.assertEqual((line.vm, line.event), ("g1", 3001))
+
+    def test_memory_is_bounded(self):
+        story = Story(ID)
+        for number in range(MAX_BELIEFS + 100):
+            story.take(make_line("g1", 1.0, 6020, upstream=f"e{number}"))
+        for _ in range(MAX_STORY_LINES + 7):
+            story.take(make_line("g1", 2.0, 3011, request_id=ID))
+        self.assertEqual(len(story._vms["g1"].beliefs), MAX_BELIEFS)
+        self.assertEqual(len(story.tell()), MAX_STORY_LINES)
+        self.assertEqual(story.left_out, 7)
+
+
+if __name__ == "__main__":
+    unittest.main()
