Drive whole daemons through plans of faults, and mend a resume that got a failure

Change: tests/entry/world.py runs real entry daemons of two regions in one process on a paused clock; only sockets are replaced. Plans of requests, faults of each send and hand-over, cuts, lost heartbeats, restarts, upstreams that go, keys that some know as withdrawn, homes and evacuations are made by hypothesis and judged by what callers and upstreams see: at most one run, true refusals, whole answers, homes, keys, deadlines, sends within the route's bound. Found: a stream that had begun, was cut and was resumed at an upstream that answered 500 began its answer a second time. It is a failed send now, and tried again if that is allowed. Checked: the tests fail on the code before (17 cases).

--- a/banyanseam/entry/answers.py
+++ b/banyanseam/entry/answers.py
@@ -30,8 +30,11 @@
 ) -> None:
     """Send an answer on, streams event by event, all else as a whole if it can.
 
-    Raise SlowerThanOthers once `progress` has been stopped.
+    Raise SlowerThanOthers once `progress` has been stopped, and UpstreamFailed for a
+    stream that was to go on and did not.
     """
+    if exchange.reply.is_started and answer.status != 200:
+        raise UpstreamFailed(f"status {answer.status} instead of the rest")
     if exchange.route.is_stream and answer.status == 200:
         await _pass_events(exchange, answer, incoming, progress)
         return
--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -145,6 +145,14 @@
         self._fetching = False
         self._tasks: TaskGroup | None = None
         self._servers: list[EmbeddedServer] = []
+        self.values.on_adopted(self._adopt)
+        self.heartbeats.list_candidates = self._list_candidates
+        self.heartbeats.note_peer_values = self._note_peer_values
+        self.fleet.describe_me = lambda: (
+            self.lifecycle.is_ready,
+            self.lifecycle.state in (Stage.SERVING, Stage.LEAVING),
+            self.lifecycle.running_requests,
+        )
 
     async def run(self) -> None:
         """Serve until a planned stop has ended."""
@@ -156,14 +164,6 @@
             incarnation=self.members.me.incarnation,
             first_peers=list(self.settings.first_peers),
         )
-        self.values.on_adopted(self._adopt)
-        self.heartbeats.list_candidates = self._list_candidates
-        self.fleet.describe_me = lambda: (
-            self.lifecycle.is_ready,
-            self.lifecycle.state in (Stage.SERVING, Stage.LEAVING),
-            self.lifecycle.running_requests,
-        )
-        self.heartbeats.note_peer_values = self._note_peer_values
         self._servers = self._make_servers()
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
--- /dev/null
+++ b/tests/entry/test_world.py
@@ -0,0 +1,188 @@
+"""What callers and upstreams see of whole daemons, whatever becomes of each send."""
+
+import json
+import unittest
+from itertools import product
+from typing import Any
+
+import anyio
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from tests.common import run_mocked
+from tests.entry.world import (
+    FAULTS,
+    MAX_ATTEMPTS,
+    PEER_FAULTS,
+    Caller,
+    World,
+    make_body,
+    start_world,
+    whole_stream,
+)
+
+VMS = ("10.1.0.1", "10.1.0.2", "10.2.0.1", "10.2.0.2")
+STREAMS = {"/query/x", "/summary/x", "/kept/x"}
+MAY_REPEAT = {"/query/x", "/kept/x", "/read/x"}
+# Without these a region hands everything over.
+GONE = ("pool-piedmont", "pool-two-piedmont", "desk-piedmont")
+PATHS = (*sorted(STREAMS), "/book/x", "/read/x")
+
+FAULT_LISTS = st.lists(st.sampled_from(("", *FAULTS)), max_size=4)
+PEER_FAULT_LISTS = st.lists(st.sampled_from(("", *PEER_FAULTS)), max_size=3)
+ASK = st.tuples(
+    st.just("ask"),
+    st.sampled_from(VMS),
+    st.sampled_from(PATHS),
+    FAULT_LISTS,
+    PEER_FAULT_LISTS,
+)
+STEPS = st.lists(
+    st.one_of(
+        ASK,
+        ASK,
+        st.tuples(st.just("wait"), st.sampled_from([0.01, 0.3, 1.0, 5.0])),
+        st.tuples(st.just("cut"), st.booleans()),
+        st.tuples(st.just("gossip"), st.booleans()),
+        st.tuples(st.just("restart"), st.sampled_from(VMS)),
+        st.tuples(st.just("gone"), st.sampled_from(GONE)),
+        st.tuples(st.just("withdraw key"), st.sets(st.sampled_from(VMS), min_size=1)),
+        st.tuples(st.just("move home"), st.sampled_from(["gulf", "piedmont"])),
+        st.tuples(st.just("evacuate"), st.sampled_from(["", "gulf-a"])),
+    ),
+    min_size=1,
+    max_size=14,
+)
+
+
+async def do(world: World, step: tuple[Any, ...]) -> None:
+    """Do one step of a plan."""
+    kind, *rest = step
+    if kind == "ask":
+        world.ask(*rest)
+    elif kind == "wait":
+        await anyio.sleep(rest[0])
+    elif kind == "cut":
+        world.is_cut = rest[0]
+    elif kind == "gossip":
+        world.gossip(lost=rest[0])
+    elif kind == "restart":
+        # Requests that run there go on: what they wrote is in the network already.
+        world.start_vm(rest[0], world.entries[rest[0]].settings.region)
+    elif kind == "gone":
+        world.upstreams.pop(rest[0], None)
+    elif kind == "withdraw key":
+        world.config["tenants"][0]["api_keys"] = []
+        world.publish(to=rest[0])
+    elif kind == "move home":
+        world.config["tenants"][0]["home_regions"] = [rest[0]]
+        world.publish()
+    elif kind == "evacuate":
+        world.publish(evacuated=rest[0])
+
+
+class WorldTests(unittest.TestCase):
+    def play(self, steps: list[tuple[Any, ...]]) -> World:
+        async def run() -> World:
+            async with start_world() as world:
+                for step in steps:
+                    await do(world, step)
+            return world
+
+        return run_mocked(run)
+
+    def check(self, world: World) -> None:
+        self.assertEqual(world.internal_failures, [])
+        for caller in world.callers:
+            self.check_runs(world, caller)
+            self.check_answer(world, caller)
+
+    def check_runs(self, world: World, caller: Caller) -> None:
+        runs = world.runs.get(caller.request_id, [])
+        if caller.path not in MAY_REPEAT:
+            self.assertLessEqual(len(runs), 1, "ran more than once")
+        self.assertLessEqual(len(runs), MAX_ATTEMPTS)
+        if caller.is_key_withdrawn:
+            self.assertEqual(runs, [], "ran with a key that was known as withdrawn")
+        for run in runs:
+            self.assertEqual(run.headers.get("tenant-id"), "acme")
+            self.assertNotIn("authorization", run.headers)
+            self.assertFalse([name for name in run.headers if "banyanseam" in name])
+            if caller.path == "/kept/x":
+                self.assertEqual(run.region, "gulf", "ran away from its home")
+            if caller.homes:
+                self.assertIn(run.region, caller.homes, "ran away from its home")
+            left_ms = 4000 - (run.at_s - caller.sent_s) * 1000
+            self.assertLessEqual(float(run.headers["request-deadline"]), left_ms)
+
+    def check_answer(self, world: World, caller: Caller) -> None:
+        runs = world.runs.get(caller.request_id, [])
+        if caller.status in (408, 421, 429, 503):
+            self.assertEqual(runs, [], "refused, and ran")
+            self.assertTrue(caller.is_whole)
+        if caller.status >= 400 and "upstream-signature" not in caller.headers:
+            problem = json.loads(caller.body)
+            if problem.get("not_run"):
+                self.assertEqual(runs, [], "called not run, and ran")
+        if caller.status == 200 and caller.path in STREAMS:
+            expected = whole_stream(caller.request_id)
+            self.assertTrue(expected.startswith(caller.body), caller.body)
+            if caller.is_whole:
+                self.assertEqual(caller.body, expected)
+        elif caller.status == 200:
+            self.assertTrue(caller.is_whole)
+            self.assertEqual(caller.body, make_body(caller.request_id))
+        if caller.status == 200:
+            self.assertIn("upstream-signature", caller.headers)
+        self.assertNotEqual(caller.status, 0, "no answer at all")
+
+    @settings(
+        max_examples=100,
+        deadline=None,
+        suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+    )
+    @given(STEPS)
+    def test_no_plan_of_faults_breaks_a_promise(self, steps):
+        self.check(self.play(steps))
+
+    def test_without_faults_each_kind_is_served_everywhere(self):
+        steps = [("ask", vm, path, [], []) for vm in VMS for path in PATHS]
+        world = self.play(steps)
+        self.check(world)
+        for caller in world.callers:
+            with self.subTest(caller.path, vm=caller.vm):
+                self.assertEqual((caller.status, caller.is_whole), (200, True))
+
+    def test_each_fault_alone_at_each_kind(self):
+        steps = [
+            ("ask", vm, path, [fault], [])
+            for vm in VMS[1:3]
+            for path in PATHS
+            for fault in FAULTS
+        ]
+        # One after the other: each fault casts doubt on the upstream for a while.
+        for step in steps:
+            with self.subTest(step):
+                self.check(self.play([step]))
+
+    def test_each_two_faults_one_after_the_other(self):
+        for path, first, second in product(("/query/x", "/book/x"), FAULTS, FAULTS):
+            with self.subTest(path, first=first, second=second):
+                self.check(self.play([("ask", "10.1.0.1", path, [first, second], [])]))
+
+    def test_each_fault_of_a_hand_over_and_beyond_it(self):
+        gone = [("gone", name) for name in GONE]
+        for path, peer_fault, fault, following in product(
+            ("/query/x", "/book/x"),
+            ("", *PEER_FAULTS),
+            ("", *FAULTS),
+            ("cut", "error"),
+        ):
+            faults = [fault, following, following]
+            ask = ("ask", "10.2.0.1", path, faults, [peer_fault])
+            with self.subTest(path, faults=faults, peer_fault=peer_fault):
+                self.check(self.play([*gone, ("gossip", False), ask]))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/entry/world.py
@@ -0,0 +1,458 @@
+"""Entry daemons in one process on a paused clock, each connection under control.
+
+All decisions are the daemons' own: only sockets are replaced. What an upstream or a
+peer does with a request is told by name, one name for each send in its order.
+"""
+
+import json
+import math
+from collections.abc import AsyncIterator, Callable
+from contextlib import ExitStack, asynccontextmanager, suppress
+from dataclasses import dataclass, field
+from typing import Any
+from unittest import mock
+
+import anyio
+from anyio.abc import TaskGroup
+
+from banyanseam.entry.app import Entry
+from banyanseam.entry.errors import ConnectionBroken, SlowerThanOthers
+from banyanseam.entry.gate import Border, make_callers_app, make_peers_app
+from banyanseam.entry.messages import ValuesMessage, decode_gossip, encode_gossip
+from banyanseam.entry.models import EntrySettings, Upstream
+from banyanseam.entry.relay import Wire
+from banyanseam.entry.sending import Incoming, Outgoing
+from banyanseam.entry.values import Decoders
+from banyanseam.observe.events import INTERNAL_FAILURE, Event
+from banyanseam.platform.documents import (
+    decode_config,
+    decode_evacuated,
+    decode_upstream,
+)
+from banyanseam.platform.requests import (
+    read_answer,
+    read_request,
+    read_resolve_query,
+    write_addresses,
+    write_headers,
+    write_refusal,
+)
+from banyanseam.platform.wire import (
+    CONFIG_KEY,
+    OPERATOR_PREFIX,
+    READY_PATH,
+    RESOLVE_PATH,
+    UPSTREAM_PREFIX,
+)
+from banyanseam.server.callers import AnswerBroken
+from banyanseam.server.connection import CONNECTION, Connection
+from banyanseam.upstreams.errors import UpstreamTimedOut, UpstreamUnreachable
+from standins.platform_fleet import HOST, KEY, make_config
+from tests.entry.common import BOUNDS, make_upstream
+
+REGIONS = {"gulf-a": "gulf", "piedmont-a": "piedmont"}
+PEERS_PORT = 7000
+EVENTS = 5
+EVENT_PAUSE_S = 0.02
+STALL_S = 2.5
+MAX_ATTEMPTS = 2
+# What may become of one send. Those of the first row never run.
+NOT_RUN = ("refused", "lost", "full", "misdirected")
+FAULTS = (
+    *NOT_RUN,
+    "error",
+    "no answer",
+    "silent",
+    "cut",
+    "stall",
+    "crossed",
+    "unsigned",
+    "skip",
+    "short",
+)
+# What may become of a hand-over; the peer does its part unless it is not reached.
+PEER_FAULTS = ("refused", "lost", "answer lost", "cut")
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A request that an upstream has begun to work on."""
+
+    upstream_id: str
+    region: str
+    headers: dict[str, str]
+    at_s: float
+
+
+@dataclass(slots=True)
+class Caller:
+    """What a caller asked for and what it got."""
+
+    request_id: str
+    path: str
+    vm: str
+    sent_s: float
+    # Whether the VM that took it knew then that the key was withdrawn.
+    is_key_withdrawn: bool = False
+    # The regions where that VM knew then that the organisation is at home, if anywhere.
+    homes: frozenset[str] = frozenset()
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    is_whole: bool = False
+
+
+@dataclass(slots=True)
+class World:
+    """Two regions of two VMs, two engines and a desk in each."""
+
+    tasks: TaskGroup
+    entries: dict[str, Entry] = field(default_factory=dict)
+    upstreams: dict[str, Upstream] = field(default_factory=dict)
+    config: dict[str, Any] = field(default_factory=make_config)
+    runs: dict[str, list[Run]] = field(default_factory=dict)
+    callers: list[Caller] = field(default_factory=list)
+    # What becomes of the sends of a request to upstreams and to peers, in their order.
+    faults: dict[str, list[str]] = field(default_factory=dict)
+    peer_faults: dict[str, list[str]] = field(default_factory=dict)
+    is_cut: bool = False
+    revision: int = 1
+    # Faults in the daemons themselves.
+    internal_failures: list[str] = field(default_factory=list)
+
+    def start(self) -> None:
+        """Start all VMs, which know everything."""
+        for route in self.config["routes"]:
+            route["max_attempts"] = MAX_ATTEMPTS
+        for place, region in enumerate(("gulf", "piedmont"), start=1):
+            for kind in ("pool", "pool-two", "desk"):
+                name = f"{kind}-{region}"
+                self.upstreams[name] = make_upstream(
+                    name,
+                    service=kind.partition("-")[0],
+                    address=f"10.9.{place}.{len(self.upstreams)}:80",
+                    data_centre=f"{region}-a",
+                )
+            for number in (1, 2):
+                self.start_vm(f"10.{place}.0.{number}", region)
+        self.publish()
+        self.gossip()
+
+    def start_vm(self, ip: str, region: str) -> None:
+        """Start a VM, or one in its place that knows nothing."""
+        settings = EntrySettings(
+            vm=ip,
+            ip=ip,
+            data_centre=f"{region}-a",
+            region=region,
+            regions=REGIONS,
+            callers_address=f"{ip}:1",
+            readiness_address=f"{ip}:2",
+            directory_address=f"{ip}:3",
+            operators_address=f"{ip}:4",
+            peers_port=PEERS_PORT,
+            gossip_port=PEERS_PORT,
+            first_peers=("10.1.0.1", "10.2.0.1"),
+            platform_address="10.8.0.1:6",
+            memory_mb=300,
+            bounds=BOUNDS,
+        )
+        entry = Entry(
+            settings,
+            None,
+            Decoders(CONFIG_KEY, decode_config, decode_evacuated, decode_upstream),
+            Wire(write_headers, read_answer),
+            Border(
+                read_request,
+                write_refusal,
+                READY_PATH,
+                RESOLVE_PATH,
+                read_resolve_query,
+                write_addresses,
+            ),
+            (OPERATOR_PREFIX, UPSTREAM_PREFIX),
+            lambda: settings,
+        )
+        entry.lifecycle.begin_serving()
+        self.entries[ip] = entry
+
+    def publish(self, *, to: set[str] | None = None, evacuated: str = "") -> None:
+        """Publish a configuration; only some VMs may hear of it for now."""
+        self.revision += 1
+        self.config["version"] = self.revision
+        message = ValuesMessage(
+            config=json.dumps(self.config).encode(),
+            evacuated=[evacuated] if evacuated else [],
+            evacuation_revision=self.revision,
+        )
+        for ip, entry in self.entries.items():
+            if to is None or ip in to:
+                entry.values.take_message(message, anyio.current_time())
+
+    def gossip(self, *, lost: bool = False) -> None:
+        """Exchange heartbeats twice between all that reach one another."""
+        now_s = anyio.current_time()
+        for entry in self.entries.values():
+            entry.values.adopt_upstreams(self.upstreams.values(), self.revision, now_s)
+        for _ in range(2):
+            for ip, entry in self.entries.items():
+                entry.fleet._beat()
+                near = encode_gossip(entry.heartbeats.describe_near())
+                everything = encode_gossip(entry.heartbeats.describe_all())
+                for other_ip, other in self.entries.items():
+                    if other_ip == ip or lost or not self._reaches(ip, other_ip):
+                        continue
+                    is_near = other.settings.region == entry.settings.region
+                    data = near if is_near else everything
+                    other.fleet._take(decode_gossip(data))
+
+    def ask(self, vm: str, path: str, faults: list[str], peer_faults: list[str]) -> int:
+        """Send a caller's request to a VM, and return its number among all."""
+        number = len(self.callers)
+        request_id = f"request-{number}"
+        self.faults[request_id] = list(faults)
+        self.peer_faults[request_id] = list(peer_faults)
+        caller = Caller(request_id, path, vm, anyio.current_time())
+        self.callers.append(caller)
+        self.tasks.start_soon(self._ask, self.entries[vm], caller)
+        return number
+
+    async def _ask(self, entry: Entry, caller: Caller) -> None:
+        catalogue = entry.values.catalogue
+        if catalogue is not None:
+            caller.is_key_withdrawn = not catalogue.organisations_by_key
+            caller.homes = catalogue.organisations["acme"].home_regions
+        headers = [
+            (b"host", HOST.encode()),
+            (b"request-id", caller.request_id.encode()),
+            (b"request-deadline", b"4000"),
+            (b"authorization", f"Bearer {KEY}".encode()),
+            (b"model", b"m"),
+            (b"token-usage", b"400,40"),
+        ]
+        outgoing = Outgoing("", "POST", caller.path.encode(), headers, b"{}", 1.0, 60.0)
+        app = make_callers_app(entry.gate)
+        with suppress(ConnectionBroken):
+            async with self._call_app(app, outgoing, "10.7.0.1") as incoming:
+                caller.status = incoming.status
+                pairs = [(a.decode(), b.decode()) for a, b in incoming.headers]
+                caller.headers = dict(pairs)
+                async for part in incoming.body:
+                    caller.body += part
+                caller.is_whole = True
+
+    @asynccontextmanager
+    async def send(
+        self,
+        outgoing: Outgoing,
+        note_started: Callable[[], None],
+        wait_for_better: Callable[[], Any] | None = None,
+    ) -> AsyncIterator[Incoming]:
+        """Do what sending does, in memory."""
+        headers = {a.decode().lower(): b.decode() for a, b in outgoing.headers}
+        request_id = headers["request-id"]
+        ip = outgoing.address.partition(":")[0]
+        peer = self.entries.get(ip)
+        queues = self.faults if peer is None else self.peer_faults
+        fault = queues[request_id].pop(0) if queues[request_id] else ""
+        if peer is not None and not self._reaches(headers["x-banyanseam-sender"], ip):
+            fault = "refused"
+        listening = [
+            each for each in self.upstreams.values() if each.address == outgoing.address
+        ]
+        if fault == "refused" or (peer is None and not listening):
+            await anyio.sleep(outgoing.connect_timeout_s)
+            raise UpstreamUnreachable(outgoing.address)
+        note_started()
+        if fault == "lost":
+            await anyio.sleep(outgoing.patience_s)
+            raise UpstreamTimedOut(outgoing.address)
+        if peer is not None:
+            app = make_peers_app(peer.gate)
+            sender = headers["x-banyanseam-sender"]
+            async with self._call_app(app, outgoing, sender, fault) as incoming:
+                yield incoming
+            return
+        incoming = await self._run(listening[0], headers, fault)
+        if incoming is None and fault == "no answer":
+            raise ConnectionBroken(outgoing.address)
+        if incoming is None:
+            with anyio.move_on_after(outgoing.patience_s):
+                await (wait_for_better or anyio.sleep_forever)()
+                raise SlowerThanOthers(outgoing.address)
+            raise UpstreamTimedOut(outgoing.address)
+        yield incoming
+
+    async def _run(
+        self, upstream: Upstream, headers: dict[str, str], fault: str
+    ) -> Incoming | None:
+        """Let an upstream run a request; return None if it never answers."""
+        if fault == "full":
+            return Incoming(503, [(b"not-executed", b"1")], _stream([b""]))
+        if fault == "misdirected" or headers["expect-instance"] != upstream.upstream_id:
+            return Incoming(421, [], _stream([b""]))
+        region = REGIONS[upstream.data_centre]
+        run = Run(upstream.upstream_id, region, headers, anyio.current_time())
+        self.runs.setdefault(headers["request-id"], []).append(run)
+        if fault in ("no answer", "silent"):
+            return None
+        known = "other" if fault == "crossed" else headers["request-id"]
+        answer = [(b"request-id", known.encode())]
+        if fault != "unsigned":
+            answer.append((b"upstream-signature", b"s"))
+        if fault == "error":
+            return Incoming(500, answer, _stream([b"failed"]))
+        if upstream.service == "desk":
+            body = make_body(known)
+            answer.append((b"content-length", str(len(body)).encode()))
+            parts = {"cut": [body[:4], None], "short": [body[:4]]}.get(fault, [body])
+            return Incoming(200, answer, _stream(parts))
+        first = int(headers.get("last-event-id", "0")) + 1
+        parts = _list_events(first, fault, known)
+        return Incoming(200, answer, _stream(parts))
+
+    @asynccontextmanager
+    async def _call_app(
+        self, app: Any, outgoing: Outgoing, client_ip: str, fault: str = ""
+    ) -> AsyncIterator[Incoming]:
+        """Call an application as a connection does, and lose it on leaving."""
+        messages, received = anyio.create_memory_object_stream[Any](math.inf)
+        connection = Connection()
+        path, _, query = outgoing.target.partition(b"?")
+        scope = {
+            "type": "http",
+            "method": outgoing.method,
+            "path": path.decode(),
+            "raw_path": path,
+            "query_string": query,
+            "headers": [(name.lower(), value) for name, value in outgoing.headers],
+            "client": (client_ip, 1),
+            "extensions": {CONNECTION: connection},
+        }
+
+        async def receive() -> dict[str, Any]:
+            return {"type": "http.request", "body": outgoing.body, "more_body": False}
+
+        has_begun = False
+
+        async def send(message: dict[str, Any]) -> None:
+            nonlocal has_begun
+            is_begin = message["type"] == "http.response.start"
+            if is_begin == has_begun:
+                raise RuntimeError("an answer begins once, and before its body")
+            has_begun = True
+            # What is sent to who has left goes nowhere.
+            with suppress(anyio.BrokenResourceError):
+                await messages.send(message)
+
+        async def run() -> None:
+            with messages, suppress(AnswerBroken):
+                await app(scope, receive, send)
+
+        self.tasks.start_soon(run)
+        try:
+            with anyio.move_on_after(outgoing.patience_s):
+                head = await received.receive()
+                body = _read_body(received, "cut" if fault == "cut" else "")
+                first = await anext(body, b"")
+                if fault != "answer lost":
+                    yield Incoming(head["status"], head["headers"], _join(first, body))
+                    return
+            if fault == "answer lost":
+                raise ConnectionBroken(client_ip)
+            raise UpstreamTimedOut(client_ip)
+        except anyio.EndOfStream:
+            raise ConnectionBroken(client_ip) from None
+        finally:
+            connection.lose()
+            received.close()
+
+    def log(self, event: Event, **fields: Any) -> None:
+        """Take the place of the gate's log."""
+        if event is INTERNAL_FAILURE:
+            self.internal_failures.append(fields["error"])
+
+    def _reaches(self, ip: str, other_ip: str) -> bool:
+        regions = {self.entries[each].settings.region for each in (ip, other_ip)}
+        return not self.is_cut or len(regions) == 1
+
+
+def make_body(request_id: str) -> bytes:
+    """Return a desk's answer."""
+    return b"answer to " + request_id.encode()
+
+
+def make_event(number: int, request_id: str) -> bytes:
+    """Return an event of an engine's answer."""
+    return f"id: {number}\ndata: word {number} of {request_id}\n\n".encode()
+
+
+def whole_stream(request_id: str) -> bytes:
+    """Return all events of an engine's answer."""
+    events = [make_event(number, request_id) for number in range(1, EVENTS + 1)]
+    return b"".join(events)
+
+
+def _list_events(first: int, fault: str, request_id: str) -> list[bytes | float | None]:
+    parts: list[bytes | float | None] = []
+    for number in range(first, EVENTS + 1):
+        parts.append(EVENT_PAUSE_S)
+        if number == first + 1:
+            if fault == "cut":
+                return [*parts, make_event(number, request_id)[:5], None]
+            if fault == "short":
+                return [*parts, make_event(number, request_id)[:5]]
+            if fault == "stall":
+                parts.append(STALL_S)
+            if fault == "skip":
+                continue
+        parts.append(make_event(number, request_id))
+    return parts
+
+
+async def _stream(parts: list[bytes | float | None]) -> AsyncIterator[bytes]:
+    """Yield bytes, wait for numbers of seconds, break off at None."""
+    for part in parts:
+        if part is None:
+            raise ConnectionBroken("cut")
+        if isinstance(part, float):
+            await anyio.sleep(part)
+        else:
+            yield part
+
+
+async def _read_body(received: Any, fault: str) -> AsyncIterator[bytes]:
+    count = 0
+    while True:
+        try:
+            message = await received.receive()
+        except anyio.EndOfStream:
+            raise ConnectionBroken("cut") from None
+        count += 1
+        if fault == "cut" and count == 2:
+            raise ConnectionBroken("cut")
+        if message["body"]:
+            yield message["body"]
+        if not message.get("more_body", False):
+            return
+
+
+async def _join(first: bytes, rest: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    yield first
+    async for part in rest:
+        yield part
+
+
+@asynccontextmanager
+async def start_world() -> AsyncIterator[World]:
+    """Start the world on the running clock; leave it once everything has ended."""
+    with ExitStack() as stack:
+        async with anyio.create_task_group() as tasks:
+            world = World(tasks)
+            for name, replacement in (
+                ("banyanseam.entry.relay.send", world.send),
+                ("banyanseam.entry.gate.log", world.log),
+            ):
+                stack.enter_context(mock.patch(name, replacement))
+            world.start()
+            yield world
