Build the platform's daemon in one place, and wait for the end of a story

Cause: the new test world spelled out what entry/main.py composes. A walk of tests.faults.test_explain failed twice of ten runs: it read the logs before the VM had written of the request's end, which comes after the answer. Change: main.make_entry composes the daemon, for the test world too; settings of tests come from tests/entry/common.py. The walk waits for the end's line.

--- a/banyanseam/entry/main.py
+++ b/banyanseam/entry/main.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import anyio
@@ -10,6 +11,7 @@
 from banyanseam.daemon.const import EXIT_FAILED, EXIT_SETTINGS
 from banyanseam.daemon.failures import report_failure
 from banyanseam.entry.app import Entry
+from banyanseam.entry.feed import Store
 from banyanseam.entry.gate import Border
 from banyanseam.entry.models import EntrySettings
 from banyanseam.entry.relay import Wire
@@ -42,11 +44,15 @@
 )
 
 
-async def run_entry(path: Path, settings: EntrySettings) -> None:
-    """Build and run the daemon on the running event loop."""
-    entry = Entry(
+def make_entry(
+    settings: EntrySettings,
+    store: Store,
+    reload_settings: Callable[[], EntrySettings],
+) -> Entry:
+    """Return a daemon that speaks the platform's formats."""
+    return Entry(
         settings,
-        PlatformStore(settings.platform_address),
+        store,
         Decoders(CONFIG_KEY, decode_config, decode_evacuated, decode_upstream),
         Wire(write_headers, read_answer),
         Border(
@@ -58,9 +64,14 @@
             write_addresses,
         ),
         (OPERATOR_PREFIX, UPSTREAM_PREFIX),
-        lambda: read_settings(path),
+        reload_settings,
     )
-    await entry.run()
+
+
+async def run_entry(path: Path, settings: EntrySettings) -> None:
+    """Build and run the daemon on the running event loop."""
+    store = PlatformStore(settings.platform_address)
+    await make_entry(settings, store, lambda: read_settings(path)).run()
 
 
 @click.command(help="Serve callers on the users' platform until SIGTERM.")
--- a/standins/platform_demo.py
+++ b/standins/platform_demo.py
@@ -24,6 +24,7 @@
 }
 USAGE = {"model": "m", "token-usage": "400,40", "prompt-prefix": "a1:92,b2:308"}
 SETTLE_TIMEOUT_S = 10.0
+LOG_S = 0.3
 
 
 async def wait_known(fleet: PlatformFleet) -> None:
@@ -93,6 +94,8 @@
     fleet.upstreams["desk-1"].faults[:] = ["no answer"]
     what = "a booking whose answer is lost"
     good &= await ask(fleet, "piedmont-2", what, "/book/x", 502)
+    # A VM writes of the end of a request just after the answer is out.
+    await anyio.sleep(LOG_S)
     good &= tell_story(fleet, "demo-book-piedmont-2")
     return good
 
--- a/tests/entry/common.py
+++ b/tests/entry/common.py
@@ -8,6 +8,7 @@
     CallerLimits,
     Catalogue,
     EngineLimits,
+    EntrySettings,
     Organisation,
     Prompt,
     PromptPart,
@@ -29,6 +30,27 @@
 )
 
 
+def make_settings(ip: str = "10.1.0.1", region: str = "gulf") -> EntrySettings:
+    """Return the settings of a VM among others."""
+    return EntrySettings(
+        vm=ip,
+        ip=ip,
+        data_centre=f"{region}-a",
+        region=region,
+        regions=REGIONS,
+        callers_address=f"{ip}:1",
+        readiness_address=f"{ip}:2",
+        directory_address=f"{ip}:3",
+        operators_address=f"{ip}:4",
+        peers_port=5,
+        gossip_port=5,
+        first_peers=(),
+        platform_address="10.9.0.1:6",
+        memory_mb=300,
+        bounds=BOUNDS,
+    )
+
+
 def make_member(ip: str = "10.1.0.1", region: str = "gulf", **fields: Any) -> Member:
     """Return a member that serves."""
     known = {
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -14,17 +14,16 @@
 from banyanseam.entry.heartbeats import Heartbeats
 from banyanseam.entry.members import Members
 from banyanseam.entry.messages import Gossip, decode_gossip, encode_gossip
-from banyanseam.entry.models import EntrySettings
 from banyanseam.entry.quota import FleetQuota
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import Loads
 from banyanseam.entry.values import Decoders, Values
 from tests.common import run_mocked
 from tests.entry.common import (
-    BOUNDS,
     REGIONS,
     make_member,
     make_organisation,
+    make_settings,
     make_upstream,
 )
 
@@ -32,23 +31,7 @@
 
 
 def make_fleet(ip: str = "10.1.0.1", region: str = "gulf") -> Fleet:
-    settings = EntrySettings(
-        vm=ip,
-        ip=ip,
-        data_centre=f"{region}-a",
-        region=region,
-        regions=REGIONS,
-        callers_address=f"{ip}:1",
-        readiness_address=f"{ip}:2",
-        directory_address=f"{ip}:3",
-        operators_address=f"{ip}:4",
-        peers_port=5,
-        gossip_port=5,
-        first_peers=(),
-        platform_address="10.9.0.1:6",
-        memory_mb=300,
-        bounds=BOUNDS,
-    )
+    settings = make_settings(ip, region)
     members = Members(make_member(ip, region), REGIONS)
     upstreams = UpstreamList()
     quota = FleetQuota()
--- a/tests/entry/world.py
+++ b/tests/entry/world.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import AsyncIterator, Callable
 from contextlib import ExitStack, asynccontextmanager, suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 from unittest import mock
 
@@ -17,41 +17,19 @@
 
 from banyanseam.entry.app import Entry
 from banyanseam.entry.errors import ConnectionBroken, SlowerThanOthers
-from banyanseam.entry.gate import Border, make_callers_app, make_peers_app
+from banyanseam.entry.gate import make_callers_app, make_peers_app
+from banyanseam.entry.main import make_entry
 from banyanseam.entry.messages import ValuesMessage, decode_gossip, encode_gossip
-from banyanseam.entry.models import EntrySettings, Upstream
-from banyanseam.entry.relay import Wire
+from banyanseam.entry.models import Upstream
 from banyanseam.entry.sending import Incoming, Outgoing
-from banyanseam.entry.values import Decoders
 from banyanseam.observe.events import INTERNAL_FAILURE, Event
-from banyanseam.platform.documents import (
-    decode_config,
-    decode_evacuated,
-    decode_upstream,
-)
-from banyanseam.platform.requests import (
-    read_answer,
-    read_request,
-    read_resolve_query,
-    write_addresses,
-    write_headers,
-    write_refusal,
-)
-from banyanseam.platform.wire import (
-    CONFIG_KEY,
-    OPERATOR_PREFIX,
-    READY_PATH,
-    RESOLVE_PATH,
-    UPSTREAM_PREFIX,
-)
 from banyanseam.server.callers import AnswerBroken
 from banyanseam.server.connection import CONNECTION, Connection
 from banyanseam.upstreams.errors import UpstreamTimedOut, UpstreamUnreachable
 from standins.platform_fleet import HOST, KEY, make_config
-from tests.entry.common import BOUNDS, make_upstream
+from tests.entry.common import make_settings, make_upstream
 
 REGIONS = {"gulf-a": "gulf", "piedmont-a": "piedmont"}
-PEERS_PORT = 7000
 EVENTS = 5
 EVENT_PAUSE_S = 0.02
 STALL_S = 2.5
@@ -140,39 +118,10 @@
 
     def start_vm(self, ip: str, region: str) -> None:
         """Start a VM, or one in its place that knows nothing."""
-        settings = EntrySettings(
-            vm=ip,
-            ip=ip,
-            data_centre=f"{region}-a",
-            region=region,
-            regions=REGIONS,
-            callers_address=f"{ip}:1",
-            readiness_address=f"{ip}:2",
-            directory_address=f"{ip}:3",
-            operators_address=f"{ip}:4",
-            peers_port=PEERS_PORT,
-            gossip_port=PEERS_PORT,
-            first_peers=("10.1.0.1", "10.2.0.1"),
-            platform_address="10.8.0.1:6",
-            memory_mb=300,
-            bounds=BOUNDS,
-        )
-        entry = Entry(
-            settings,
-            None,
-            Decoders(CONFIG_KEY, decode_config, decode_evacuated, decode_upstream),
-            Wire(write_headers, read_answer),
-            Border(
-                read_request,
-                write_refusal,
-                READY_PATH,
-                RESOLVE_PATH,
-                read_resolve_query,
-                write_addresses,
-            ),
-            (OPERATOR_PREFIX, UPSTREAM_PREFIX),
-            lambda: settings,
+        settings = replace(
+            make_settings(ip, region), first_peers=("10.1.0.1", "10.2.0.1")
         )
+        entry = make_entry(settings, None, lambda: settings)
         entry.lifecycle.begin_serving()
         self.entries[ip] = entry
 
--- a/tests/faults/test_explain.py
+++ b/tests/faults/test_explain.py
@@ -10,14 +10,23 @@
 from standins.platform_fleet import START_S, PlatformFleet, start_platform_fleet
 from tests.faults.test_platform import ONE_REGION, USAGE, run
 
+ENDS = (3001, 3002)
 
-def explain(fleet: PlatformFleet, request_id: str) -> list[dict]:
-    """Return the steps that the logs of all VMs tell of a request."""
+
+async def explain(fleet: PlatformFleet, request_id: str) -> list[dict]:
+    """Return the steps that the logs of all VMs tell of a request that has ended.
+
+    A VM writes of the end once the answer is out, so the line may come after it.
+    """
     arguments = ["explain-log", *fleet.list_logs(), "--request", request_id, "--json"]
-    result = CliRunner().invoke(main, arguments)
-    if result.exit_code != 0:
-        raise AssertionError(result.stderr)
-    return json.loads(result.stdout)["steps"]
+    with anyio.fail_after(START_S):
+        while True:
+            result = CliRunner().invoke(main, arguments)
+            if result.exit_code == 0:
+                steps = json.loads(result.stdout)["steps"]
+                if steps[-1]["depth"] == 0 and steps[-1]["event"] in ENDS:
+                    return steps
+            await anyio.sleep(0.05)
 
 
 def find(steps: list[dict], event: int) -> dict:
@@ -38,7 +47,7 @@
                     "gulf-1", "/query/x", headers=heavy | {"request-id": "refused"}
                 )
                 self.assertEqual(answer.status, 429)
-                (step,) = explain(fleet, "refused")
+                (step,) = await explain(fleet, "refused")
                 self.assertEqual(step["fields"]["code"], "quota.exceeded")
                 for part in ("100000", "needed", "1.00 of the fleet heard"):
                     self.assertIn(part, step["fields"]["detail"])
@@ -56,7 +65,7 @@
                 headers = USAGE | {"request-id": "late"}
                 answer = await fleet.ask("gulf-1", "/summary/x", headers=headers)
                 self.assertEqual(answer.status, 200)
-                steps = explain(fleet, "late")
+                steps = await explain(fleet, "late")
                 chosen, ended = find(steps, 3010), find(steps, 3001)
                 # The engine was expected to begin at once, and was slow.
                 self.assertLess(chosen["fields"]["wait_ms"], 200)
@@ -82,8 +91,7 @@
                     "piedmont-1", "/book/x", headers={"request-id": "unknown"}
                 )
                 self.assertEqual(answer.status, 502)
-                await anyio.sleep(0.1)
-                steps = explain(fleet, "unknown")
+                steps = await explain(fleet, "unknown")
                 told = [(each["vm"], each["event"], each["depth"]) for each in steps]
                 expected = [
                     ("piedmont-1", 3010, 0),
