--- /dev/null
+++ b/banyanseam/platform/check.py
@@ -0,0 +1,96 @@
+"""Checks of the platform's documents, before a daemon reads them."""
+
+import json
+import tomllib
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, get_args
+
+from pydantic import BaseModel
+
+from banyanseam.platform.documents import ConfigDocument, decode_config
+from banyanseam.platform.settings import SettingsDocument, read_settings
+
+
+@dataclass(slots=True)
+class Checked:
+    """What a daemon makes of a document."""
+
+    kind: str
+    counts: dict[str, int | str]
+    # Fields that no daemon of this version reads.
+    passed_over: list[str] = field(default_factory=list)
+    # What is valid and cannot be meant.
+    doubts: list[str] = field(default_factory=list)
+
+
+def check_settings(path: Path) -> Checked:
+    """Check a process's settings; raise InvalidSettings."""
+    settings = read_settings(path)
+    document = tomllib.loads(path.read_text())
+    checked = Checked("settings", {"vm": settings.vm, "region": settings.region})
+    checked.passed_over = sorted(_find_unknown(SettingsDocument, document, ""))
+    if settings.regions.get(settings.data_centre) != settings.region:
+        checked.doubts.append(
+            f"data centre {settings.data_centre} is not listed in {settings.region}"
+        )
+    if not settings.first_peers:
+        checked.doubts.append("no first peers: this VM finds no other one by itself")
+    return checked
+
+
+def check_config(value: bytes) -> Checked:
+    """Check a published configuration; raise InvalidConfig."""
+    catalogue = decode_config(value)
+    document = ConfigDocument.model_validate_json(value)
+    checked = Checked(
+        "configuration",
+        {
+            "version": catalogue.version,
+            "routes": len(document.routes),
+            "services": len(catalogue.services),
+            "organisations": len(catalogue.organisations),
+        },
+    )
+    unknown = _find_unknown(ConfigDocument, json.loads(value), "")
+    checked.passed_over = sorted(set(unknown))
+    for routes in catalogue.routes.values():
+        for route in routes:
+            names = [name for name, _ in route.services]
+            missing = [name for name in names if name not in catalogue.services]
+            where = f"route {route.name or route.path_prefix}"
+            if not names:
+                checked.doubts.append(f"{where} has no service and is refused")
+            for name in missing:
+                checked.doubts.append(f"{where} names the unknown service {name}")
+    keys = [key for tenant in document.tenants for key in tenant.api_keys]
+    if len(keys) != len(set(keys)):
+        checked.doubts.append("two organisations hold the same key; the later has it")
+    return checked
+
+
+def _find_unknown(
+    model: type[BaseModel], document: dict[str, Any], path: str
+) -> Iterator[str]:
+    """Yield the paths of fields that a model does not read; lists show as []."""
+    for name, value in document.items():
+        known = model.model_fields.get(name)
+        if known is None:
+            yield f"{path}{name}"
+            continue
+        nested = _find_model(known.annotation)
+        if nested is None:
+            continue
+        if isinstance(value, dict):
+            yield from _find_unknown(nested, value, f"{path}{name}.")
+        elif isinstance(value, list):
+            for each in value:
+                yield from _find_unknown(nested, each, f"{path}{name}[].")
+
+
+def _find_model(annotation: Any) -> type[BaseModel] | None:
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return annotation
+    found = (_find_model(each) for each in get_args(annotation))
+    return next((model for model in found if model is not None), None)
--- a/banyanseam/platform/documents.py
+++ b/banyanseam/platform/documents.py
@@ -86,7 +86,9 @@
     idle_timeout_ms: int = 15000
 
 
-class _Config(_Document):
+class ConfigDocument(_Document):
+    """A published configuration; fields that are not named here are passed over."""
+
     version: int
     routes: list[_Route] = Field(default_factory=list)
     services: list[_Service] = Field(default_factory=list)
@@ -116,7 +118,7 @@
 def decode_config(value: bytes) -> Catalogue:
     """Return a published configuration; raise InvalidConfig."""
     try:
-        document = _Config.model_validate_json(value)
+        document = ConfigDocument.model_validate_json(value)
     except ValidationError as error:
         first = error.errors(include_input=False, include_url=False)[0]
         where = ".".join(str(part) for part in first["loc"]) or "$"
--- a/banyanseam/platform/settings.py
+++ b/banyanseam/platform/settings.py
@@ -38,7 +38,9 @@
     address: str
 
 
-class _Settings(_Document):
+class SettingsDocument(_Document):
+    """A process's settings; fields that are not named here are passed over."""
+
     node: str
     ip: str
     zone: str
@@ -56,7 +58,7 @@
 def read_settings(path: Path) -> EntrySettings:
     """Read and check the platform's file; raise InvalidSettings with the reason."""
     try:
-        document = _Settings.model_validate(tomllib.loads(path.read_text()))
+        document = SettingsDocument.model_validate(tomllib.loads(path.read_text()))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise InvalidSettings(f"{path}: {error}") from error
     except ValidationError as error:
@@ -66,7 +68,7 @@
     return _to_settings(document)
 
 
-def _to_settings(document: _Settings) -> EntrySettings:
+def _to_settings(document: SettingsDocument) -> EntrySettings:
     bounds = document.bounds
     return EntrySettings(
         vm=document.node,
--- /dev/null
+++ b/tests/platform/test_check.py
@@ -0,0 +1,99 @@
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from banyanseam.cli.main import main
+from standins.platform_fleet import make_config
+
+SETTINGS = """
+node = "gulf-1"
+ip = "10.1.0.25"
+zone = "gulf-a"
+region = "gulf"
+port_range = [7600, 7615]
+seeds = ["10.1.0.25:8229"]
+colour = "green"
+[zones]
+gulf-a = "gulf"
+[listen]
+front = "10.1.0.25:8221"
+ready = "10.1.0.25:8224"
+control = "10.1.0.25:8229"
+directory = "10.1.0.25:8220"
+[limits]
+memory_mb = 300
+cores = 2
+[platform]
+address = "10.200.1.7:8225"
+"""
+
+
+class CheckPlatformTests(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def check(self, name: str, text: str, *options: str):
+        path = self.folder / name
+        path.write_text(text)
+        arguments = ["config", "check-platform", str(path), *options]
+        return CliRunner().invoke(main, arguments)
+
+    def test_settings_that_are_valid(self):
+        result = self.check("boot.toml", SETTINGS)
+        self.assertEqual(result.exit_code, 0, result.output)
+        self.assertIn("valid settings: vm gulf-1, region gulf", result.stdout)
+        self.assertIn("passed over: colour, limits.cores", result.stdout)
+        self.assertNotIn("doubtful", result.stdout)
+
+    def test_settings_that_are_wrong_are_refused_by_name(self):
+        for old, new, name in (
+            ("memory_mb = 300", "memory_mb = 0", "limits.memory_mb"),
+            ('ip = "10.1.0.25"\n', "", "ip"),
+            ("[7600, 7615]", '"many"', "port_range"),
+            ("node =", "node", "boot.toml"),
+        ):
+            with self.subTest(name):
+                result = self.check("boot.toml", SETTINGS.replace(old, new))
+                self.assertEqual(result.exit_code, 1)
+                self.assertIn(name, result.stderr)
+
+    def test_a_configuration_that_is_valid(self):
+        config = make_config() | {"version": 3, "season": "dry"}
+        config["routes"][0]["colour"] = "green"
+        result = self.check("config.json", json.dumps(config), "--json")
+        (checked,) = json.loads(result.stdout).values()
+        self.assertEqual(checked["counts"]["version"], 3)
+        self.assertEqual(checked["passed_over"], ["routes[].colour", "season"])
+        self.assertEqual(checked["doubts"], [])
+
+    def test_a_configuration_that_cannot_be_meant(self):
+        config = make_config()
+        config["routes"][0]["service"] = "nothing"
+        config["routes"][1]["service"] = None
+        config["tenants"].append(config["tenants"][0] | {"name": "birch"})
+        result = self.check("config.json", json.dumps(config))
+        self.assertEqual(result.exit_code, 0)
+        for doubt in ("unknown service nothing", "no service", "the same key"):
+            self.assertIn(doubt, result.stdout)
+
+    def test_a_configuration_that_is_wrong_is_refused_by_name(self):
+        config = make_config()
+        config["routes"][2]["timeout_ms"] = 0
+        result = self.check("config.json", json.dumps(config))
+        self.assertEqual(result.exit_code, 1)
+        self.assertIn("routes.2.timeout_ms", result.stderr)
+
+    def test_a_file_that_is_missing(self):
+        arguments = ["config", "check-platform", str(self.folder / "none.json")]
+        result = CliRunner().invoke(main, arguments)
+        self.assertEqual(result.exit_code, 1)
+        self.assertIn("cli.unreadable_file", result.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
