Untie the daemon's status, diagnostics and operations from its composition

Cause: they knew the daemon by its class in app.py, which imports them: a circle that a newcomer has to walk, hidden by imports for type checks only. Change: daemon/parts.py holds what they describe and operate; app.py adds how it runs. tests.daemon and tests.cli.test_against_daemon pass; nothing else changes. The like in entry/operators.py is left.

--- a/banyanseam/daemon/app.py
+++ b/banyanseam/daemon/app.py
@@ -1,20 +1,18 @@
 """The daemon: join the fleet, serve, stop as planned."""
 
 import gc
-import random
 import signal
 
 import anyio
 from anyio.abc import TaskGroup
 
-from banyanseam.daemon.fleet_view import FleetView
 from banyanseam.daemon.lifecycle import drain, leave
 from banyanseam.daemon.operations import make_operations
-from banyanseam.daemon.quota_parts import make_quota_parts
+from banyanseam.daemon.parts import DaemonParts
 from banyanseam.daemon.serving import Serving, make_serving
 from banyanseam.observe.events import DAEMON_READY, DAEMON_STOPPED, DRAIN_BEGUN, log
 from banyanseam.observe.logs import Logs
-from banyanseam.peers.entries import ENTRIES_VALIDITY_MS, Entries, list_entries
+from banyanseam.peers.entries import ENTRIES_VALIDITY_MS
 from banyanseam.server.budget import ByteBudget
 from banyanseam.server.callers import Asgi, CallersPort, make_callers_app
 from banyanseam.server.operators import make_operators_app
@@ -27,32 +25,15 @@
 from banyanseam.settings import Settings
 
 
-class Daemon:
+class Daemon(DaemonParts):
     """One process at one seat."""
 
     def __init__(self, settings: Settings, logs: Logs) -> None:
         """Build what does not need a configuration."""
-        self.settings = settings
-        self.logs = logs
-        self.started_s = anyio.current_time()
-        self.view = FleetView(settings, random.Random())
-        self.quota = make_quota_parts(self.view)
-        self.lifecycle = self.view.control.lifecycle
-        self.serving: Serving | None = None
-        self.budget: ByteBudget | None = None
-        self._drain_wanted = anyio.Event()
+        super().__init__(settings, logs)
         self._superseded = anyio.Event()
         self.view.membership.on_superseded(lambda _: self._superseded.set())
 
-    @property
-    def is_ready(self) -> bool:
-        """Say whether new requests should come here."""
-        return self.lifecycle.is_ready and self.view.control.accepts_requests
-
-    def begin_drain(self) -> None:
-        """Ask for a planned stop; safe to repeat."""
-        self._drain_wanted.set()
-
     async def run(self) -> None:
         """Serve until a planned stop has ended or a newer process took the seat."""
         async with anyio.create_task_group() as tasks:
@@ -71,10 +52,6 @@
             tasks.cancel_scope.cancel()
         log(DAEMON_STOPPED)
 
-    def list_entries(self, caller: str) -> Entries:
-        """Return the daemons that a caller should use, best first."""
-        return list_entries(self.view.get_config(), self.view.membership, caller)
-
     async def _start_serving(self, tasks: TaskGroup) -> EmbeddedServer | None:
         """Return the callers' server, or None when told to stop before."""
         if not await self._join(tasks):
@@ -99,19 +76,19 @@
         async with anyio.create_task_group() as joining:
 
             async def give_up() -> None:
-                await self._drain_wanted.wait()
+                await self.drain_wanted.wait()
                 joining.cancel_scope.cancel()
 
             joining.start_soon(give_up)
             await self.view.join(tasks)
             joining.cancel_scope.cancel()
-        return not self._drain_wanted.is_set()
+        return not self.drain_wanted.is_set()
 
     async def _wait_for_end(self) -> None:
         async with anyio.create_task_group() as ends:
 
             async def drain_when_wanted() -> None:
-                await self._drain_wanted.wait()
+                await self.drain_wanted.wait()
                 log(DRAIN_BEGUN)
                 pace = self.view.membership.pace
                 await drain(
--- a/banyanseam/daemon/diagnostics.py
+++ b/banyanseam/daemon/diagnostics.py
@@ -5,9 +5,9 @@
 import platform
 import sys
 from importlib.metadata import PackageNotFoundError, version
-from typing import TYPE_CHECKING
 
 from banyanseam.config.snapshot import Snapshot
+from banyanseam.daemon.parts import DaemonParts
 from banyanseam.daemon.status import describe_status
 from banyanseam.peers.const import PROTOCOL_VERSION
 from banyanseam.server.operator_models import (
@@ -17,11 +17,8 @@
     ValueDigest,
 )
 
-if TYPE_CHECKING:
-    from banyanseam.daemon.app import Daemon
 
-
-async def describe_diagnostics(daemon: "Daemon") -> DiagnosticsReply:
+async def describe_diagnostics(daemon: DaemonParts) -> DiagnosticsReply:
     """Return the bundle.
 
     Secrets of the settings are hidden by their type, the configuration is told by
--- a/banyanseam/daemon/operations.py
+++ b/banyanseam/daemon/operations.py
@@ -1,10 +1,11 @@
 """What the operators' port answers."""
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from banyanseam.config.errors import NotReady
 from banyanseam.daemon.diagnostics import describe_diagnostics
 from banyanseam.daemon.order_parts import describe_orders
+from banyanseam.daemon.parts import DaemonParts
 from banyanseam.daemon.probes import make_probes
 from banyanseam.daemon.status import describe_status
 from banyanseam.peers.entries import ENTRIES_VALIDITY_MS
@@ -12,11 +13,8 @@
 from banyanseam.server.operator_models import DrainReply
 from banyanseam.server.operators import Operation
 
-if TYPE_CHECKING:
-    from banyanseam.daemon.app import Daemon
 
-
-def make_operations(daemon: "Daemon") -> dict[tuple[str, str], Operation]:
+def make_operations(daemon: DaemonParts) -> dict[tuple[str, str], Operation]:
     """Return the operations by method and path."""
 
     async def answer_live(body: bytes) -> dict[str, Any]:
--- a/banyanseam/daemon/status.py
+++ b/banyanseam/daemon/status.py
@@ -1,10 +1,9 @@
 """What `banyanseam status` shows of one daemon; it holds no secrets."""
 
-from typing import TYPE_CHECKING
-
 import anyio
 
 from banyanseam.config.compiled import Upstream
+from banyanseam.daemon.parts import DaemonParts
 from banyanseam.daemon.upstream_parts import UpstreamParts
 from banyanseam.errors import BanyanseamError
 from banyanseam.server.operator_models import (
@@ -19,11 +18,8 @@
 from banyanseam.upstreams.messages import LookAtPool, UpstreamSeen
 from banyanseam.upstreams.pools import Pool
 
-if TYPE_CHECKING:
-    from banyanseam.daemon.app import Daemon
-
 
-async def describe_status(daemon: "Daemon") -> StatusReply:
+async def describe_status(daemon: DaemonParts) -> StatusReply:
     """Return what this daemon knows of itself and of its fleet.
 
     Upstreams are described by their keepers, which are asked; one that does not
@@ -50,14 +46,14 @@
     return None if at_s is None else round((now_s - at_s) * 1000)
 
 
-def name_state(daemon: "Daemon") -> DaemonState:
+def name_state(daemon: DaemonParts) -> DaemonState:
     """Return the word for the daemon's phase."""
     if daemon.serving is None:
         return "starting"
     return "draining" if daemon.lifecycle.is_stopping else "serving"
 
 
-def _describe_config(daemon: "Daemon", now_s: float) -> ConfigStatus:
+def _describe_config(daemon: DaemonParts, now_s: float) -> ConfigStatus:
     store, control = daemon.view.store, daemon.view.control
     answered_ms_ago = _to_ms_ago(control.watch.answered_s, now_s)
     if store.config is None:
@@ -77,7 +73,7 @@
     )
 
 
-def _describe_load(daemon: "Daemon") -> LoadStatus:
+def _describe_load(daemon: DaemonParts) -> LoadStatus:
     if daemon.serving is None or daemon.budget is None:
         return LoadStatus()
     return LoadStatus(
@@ -89,7 +85,7 @@
     )
 
 
-def _describe_peers(daemon: "Daemon", now_s: float) -> list[PeerStatus]:
+def _describe_peers(daemon: DaemonParts, now_s: float) -> list[PeerStatus]:
     config = daemon.view.store.config
     if config is None:
         return []
@@ -109,7 +105,7 @@
     ]
 
 
-async def _describe_upstreams(daemon: "Daemon") -> list[UpstreamStatus]:
+async def _describe_upstreams(daemon: DaemonParts) -> list[UpstreamStatus]:
     config = daemon.view.store.config
     if config is None:
         return []
