--- a/banyanseam/entry/fleet.py
+++ b/banyanseam/entry/fleet.py
@@ -122,7 +122,7 @@
         if not is_known:
             # Its short rows say nothing to who has not had the full one.
             return self._make_hello()
-        if self._heartbeats.is_behind(gossip):
+        if self._heartbeats.take_upstreams(gossip):
             return self._heartbeats.ask_for_upstreams()
         return None
 
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -156,8 +156,8 @@
             self._take_near(gossip, now_s)
         return True
 
-    def is_behind(self, gossip: Gossip) -> bool:
-        """Take word of the upstreams; return whether the whole list is needed."""
+    def take_upstreams(self, gossip: Gossip) -> bool:
+        """Take a list of upstreams or its digest; return whether the list is needed."""
         now_s = anyio.current_time()
         sender = self._members.find(gossip.sender)
         if sender is None or sender.region != self._members.me.region:
