--- a/banyanseam/cli/main.py
+++ b/banyanseam/cli/main.py
@@ -14,7 +14,6 @@
 from banyanseam.cli.histograms import histograms
 from banyanseam.cli.keys import key_group
 from banyanseam.cli.orders import orders
-from banyanseam.cli.platform_check import check_platform
 
 HELP = """Check and divide the configuration, make keys, and ask daemons.
 
@@ -40,7 +39,6 @@
     """Run a command."""
 
 
-config_group.add_command(check_platform)
 for command in (
     config_group,
     key_group,
--- a/banyanseam/entry/main.py
+++ b/banyanseam/entry/main.py
@@ -19,6 +19,7 @@
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.line_writer import LineWriter
 from banyanseam.observe.logs import set_up_logs
+from banyanseam.platform.check import check_document
 from banyanseam.platform.documents import (
     decode_config,
     decode_evacuated,
@@ -82,8 +83,17 @@
     default=lambda: os.environ.get(SETTINGS_VARIABLE),
     help=f"The platform's settings file; else the one that {SETTINGS_VARIABLE} names.",
 )
-def main(settings_path: Path | None) -> None:
-    """Run the daemon and exit."""
+@click.option(
+    "--check",
+    "documents",
+    type=click.Path(path_type=Path, dir_okay=False),
+    multiple=True,
+    help="Only check a document: settings (.toml) or a published configuration.",
+)
+def main(settings_path: Path | None, documents: tuple[Path, ...]) -> None:
+    """Run the daemon and exit, or check documents and exit."""
+    if documents:
+        sys.exit(_check(documents))
     if settings_path is None:
         raise click.UsageError(f"neither --settings nor {SETTINGS_VARIABLE} is given")
     settings_path = Path(settings_path)
@@ -103,5 +113,18 @@
         sys.exit(EXIT_FAILED)
 
 
+def _check(documents: tuple[Path, ...]) -> int:
+    """Print what a daemon makes of each document and return the exit code."""
+    code = 0
+    for path in documents:
+        try:
+            for line in check_document(path).to_lines():
+                click.echo(f"{path}: {line}")
+        except BanyanseamError as error:
+            click.echo(f"{path}: {error.code}: {error.detail}", err=True)
+            code = EXIT_SETTINGS
+    return code
+
+
 if __name__ == "__main__":
     main()
--- a/banyanseam/platform/check.py
+++ b/banyanseam/platform/check.py
@@ -9,6 +9,7 @@
 
 from pydantic import BaseModel
 
+from banyanseam.config.errors import InvalidConfig
 from banyanseam.platform.documents import ConfigDocument, decode_config
 from banyanseam.platform.settings import SettingsDocument, read_settings
 
@@ -24,6 +25,28 @@
     # What is valid and cannot be meant.
     doubts: list[str] = field(default_factory=list)
 
+    def to_lines(self) -> list[str]:
+        """Return what was found, for people."""
+        counts = ", ".join(f"{name} {value}" for name, value in self.counts.items())
+        lines = [f"valid {self.kind}: {counts}"]
+        if self.passed_over:
+            lines.append(f"  passed over: {', '.join(self.passed_over)}")
+        return lines + [f"  doubtful: {doubt}" for doubt in self.doubts]
+
+
+def check_document(path: Path) -> Checked:
+    """Check settings in a .toml file, or a configuration in any other one.
+
+    Raise InvalidSettings or InvalidConfig.
+    """
+    if path.suffix == ".toml":
+        return check_settings(path)
+    try:
+        value = path.read_bytes()
+    except OSError as error:
+        raise InvalidConfig(str(path), str(error)) from error
+    return check_config(value)
+
 
 def check_settings(path: Path) -> Checked:
     """Check a process's settings; raise InvalidSettings."""
