Choose again when a new configuration removes the pool of a waiting request

Cause: a request that waits for a lease in a pool, or whose grant names an upstream that has just been removed, went on asking the keepers for that pool by name until its deadline: every keeper answers that it does not keep it, which counted as a passing disagreement. Ruled out: reports of other regions (the allowed regions come from the own configuration) and a lost heartbeat (the reply would name the region).

Change: without the pool in the configuration in force, the reservation ends with NoneUsable, and the queue filter chooses another pool or a region.

--- a/banyanseam/upstreams/lease_client.py
+++ b/banyanseam/upstreams/lease_client.py
@@ -105,7 +105,8 @@
     async def reserve(self, pool: str, demand: Demand, deadline_s: float) -> Grant:
         """Wait for a lease on an upstream of a pool in this region.
 
-        Raise NoUpstreamAvailable or RequestTooLarge; the request has not run then.
+        Raise NoUpstreamAvailable or RequestTooLarge, and NoneUsable if the
+        configuration no longer has the pool; the request has not run then.
         """
         self._waiting += 1
         try:
@@ -118,6 +119,9 @@
             now_s = anyio.current_time()
             if now_s >= deadline_s:
                 raise NoUpstreamAvailable("no keeper answered", retry_after_ms=1000)
+            if pool not in self._context.read_pools():
+                # A new configuration has removed the pool: choose another or a region.
+                raise NoneUsable(pool, retry_after_ms=1000)
             keeper = self._context.find_keeper(pool)
             number = next(self._numbers)
             if keeper is not None:
--- a/tests/upstreams/test_lease_client.py
+++ b/tests/upstreams/test_lease_client.py
@@ -2,15 +2,18 @@
 import unittest
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from functools import partial
 
 import anyio
 
 from banyanseam.config.compile import compile_config
+from banyanseam.config.compiled import Config
 from banyanseam.peers.messages import PeerIdentity
 from banyanseam.upstreams.choose import LocalPool
 from banyanseam.upstreams.context import Context
 from banyanseam.upstreams.destinations import DestinationChooser
 from banyanseam.upstreams.errors import (
+    NoneUsable,
     NoUpstreamAllowed,
     NoUpstreamAvailable,
     RequestTooLarge,
@@ -39,6 +42,11 @@
         overlays["gulf"]["upstreams"] = {"gulf-engine-1": engine}
         self.config = compile_config(1, base, overlays)
         (self.pool,) = list_pools(self.config, "gulf")
+        # The same configuration without the engine, and the seats that have it.
+        del overlays["gulf"]["upstreams"]["gulf-engine-1"]
+        self.without_engine = compile_config(2, base, overlays)
+        self.updated: set[str] = set()
+        self.refused: list[str] = []
         self.alive = list(SEATS)
         self.running: dict[str, int] = {}
         self.most_held = 0
@@ -59,10 +67,15 @@
     def list_alive(self, region: str) -> list[str]:
         return list(self.alive) if region == "gulf" else []
 
+    def get_config(self, seat: str) -> Config:
+        return self.without_engine if seat in self.updated else self.config
+
     async def run_daemon(self, seat: str, incarnation: int = 1) -> None:
         me = PeerIdentity(seat, incarnation)
         network = self.fabric.join(seat, incarnation)
-        context = Context(me, "gulf", network, lambda: self.config, self.list_alive)
+        context = Context(
+            me, "gulf", network, lambda: self.get_config(seat), self.list_alive
+        )
         keeper = Keeper(context, self.fetch_report)
         self.destinations[seat] = DestinationChooser(
             context, RegionSummaries(), random.Random(2)
@@ -122,6 +135,40 @@
 
         run_with_mock_clock(run)
 
+    def test_a_request_does_not_wait_for_a_pool_that_was_removed(self):
+        """The new configuration reaches entry and keeper at different times."""
+
+        async def run(order: tuple[str, ...], *, waits: bool) -> None:
+            gulf = Gulf()
+            async with gulf.run():
+                entry = next(seat for seat in SEATS if seat != gulf.keeper)
+                seats = {"entry": entry, "keeper": gulf.keeper}
+                entry = entry if "entry" in order else gulf.keeper
+                if waits:
+                    await gulf.reserve(entry, 9_000)
+                else:
+                    gulf.updated.update(SEATS)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self.expect_none_usable, gulf, entry)
+                    for place in order:
+                        await anyio.sleep(0.5)
+                        gulf.updated.add(seats[place])
+                    await anyio.sleep(2)
+                    self.assertEqual(gulf.refused, [entry])
+                    tasks.cancel_scope.cancel()
+
+        for order in (("entry",), ("entry", "keeper"), ("keeper", "entry")):
+            for waits in (True, False):
+                with self.subTest(order=order, waits=waits):
+                    run_with_mock_clock(partial(run, order, waits=waits))
+        with self.subTest("the entry is the keeper"):
+            run_with_mock_clock(partial(run, ("keeper",), waits=True))
+
+    async def expect_none_usable(self, gulf, seat) -> None:
+        with self.assertRaises(NoneUsable):
+            await gulf.reserve(seat, 5_000, patience_s=60)
+        gulf.refused.append(seat)
+
     async def hold_lease(self, gulf, seat, tokens, run_s) -> None:
         try:
             grant = await gulf.reserve(seat, tokens, patience_s=60)
