--- a/tests/daemon/test_probes.py
+++ b/tests/daemon/test_probes.py
@@ -17,10 +17,10 @@
 from standins.fleet import FleetPlan, start_fleet
 from tests.common import make_documents, make_exchange
 
-# More than all requests of these tests cost: a home that can grant this much at once has
-# stopped withholding its part.
-SETTLED_PROMPT_TOKENS = 50_000
 CHAT = {"path": "/v1/chat/completions", "organisation": "acme", "model": "oak"}
+# It costs more than all requests of these tests: a home that can grant this much has
+# stopped withholding its part.
+SETTLED_CHAT = CHAT | {"prompt_tokens": 50_000}
 BODY = b'{"slot": 9}'
 
 
@@ -54,10 +54,9 @@
         """Wait until each seat grants its quota part and accepts new keys."""
         with anyio.fail_after(60):
             for seat in seats:
-                settled = CHAT | {"prompt_tokens": SETTLED_PROMPT_TOKENS}
                 # Either home may be asked, so ask several times.
                 for _ in range(10):
-                    await self.wait_passing(seat, "quota", lambda: settled)
+                    await self.wait_passing(seat, "quota", lambda: SETTLED_CHAT)
                     await self.wait_passing(
                         seat, "idempotency", lambda: book(str(uuid7()))
                     )
