Arrange the heartbeats of large regions in grids of data centres

Cause: in a region of more than nine VMs, each sent its heartbeat to 8 peers at a time, so a round of 65 VMs took 2.0 s, longer than the 1.6 s after which a peer counts as silent; loads reached a peer only with the direct heartbeat, so loads of a fifth of the region were missing; and a VM that received another region's report sent it with every heartbeat for a whole round, mostly across data centres.

Change: regions of up to nine VMs stay a full mesh. In larger ones each data centre is a grid; a VM sends to its row and its column by turns, each row sends to the columns of the other data centres, and what arrives is passed on once, with loads and charges, by a second path without loads. A repair of all rows to a random VM makes disagreeing views converge. The term of silence is 3.0 s there (1.6 s in a mesh). Rows are packed, loads carry a tag of the upstream, lists of live VMs are kept for 0.1 s, sums of loads are kept up to date, and long prompts are announced to the neighbours only. Ruled out: a longer term alone (loads would stay 2 s old), a ring with chords (each row crosses data centres several times).

The heartbeats' version is 4: VMs of both versions do not see each other during an upgrade.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -133,7 +133,7 @@
             self.suspects,
             PeerReachability(),
             settings.peers_port,
-            self.gossip.announce,
+            self.gossip.announce_loads,
         )
         budget_bytes = int(settings.memory_mb * 1024 * 1024 * BODY_MEMORY_SHARE)
         self.frontend = Frontend(
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -12,21 +12,34 @@
 REGION_REPORTERS: Final = 2
 JOIN_PERIOD_S: Final = 0.3
 PEER_TERM_S: Final = 1.6
+# In a region that is too large for a full mesh, heartbeats arrive half as often.
+LARGE_REGION_PEER_TERM_S: Final = 3.0
 REMOTE_PEER_TERM_S: Final = 4.0
 # How long a dead VM still counts when limits are divided among the fleet.
 FLEET_TERM_S: Final = 20.0
-# In a larger region, a heartbeat goes to this many peers at a time, in rotation.
-MAX_GOSSIP_PEERS: Final = 8
-# Number of other processes of the region whose reports a heartbeat relays, for peers
+# In a region with more peers, heartbeats go to the row and the column of a process in
+# the region's grid by turns.
+MAX_MESH_PEERS: Final = 8
+# In a large region, each process sends all rows to a random one of its data centre, or
+# of another one, once in this many heartbeats, and across once in this many repairs.
+# For a while after a process of the region fell silent, it does so with each heartbeat.
+REPAIR_HEARTBEATS: Final = 4
+FREQUENT_REPAIR_S: Final = 2.0
+REPAIR_ROW_AGE_S: Final = 1.0
+REPAIRS_PER_REPAIR_ACROSS: Final = 4
+# Number of other processes of a small region whose rows a heartbeat relays, for peers
 # that do not receive them directly.
 MAX_RELAYED_PEERS: Final = 2
+# How long a view of the live processes is reused, unless one joins or changes.
+ALIVE_VIEW_S: Final = 0.1
 # A process's row in heartbeats has all fields for this long after a change, and once in
 # this many heartbeats; otherwise it is short.
 FULL_ROW_S: Final = 2.5
 FULL_ROW_HEARTBEATS: Final = 8
 # How long a changed total of charges is reported: a few heartbeats between regions.
-RECENT_SPENDING_S: Final = 2.5
-MAX_ROWS: Final = 64
+RECENT_SPENDING_S: Final = 1.6
+# Rows of one heartbeat; a region of the size to design for has 114 processes.
+MAX_ROWS: Final = 256
 MAX_DATAGRAM_BYTES: Final = 60_000
 # Interval at which an unchanged list of upstreams is sent in full.
 FULL_LIST_PERIOD_S: Final = 10.0
@@ -39,7 +52,12 @@
 LIST_RANK_STEP_S: Final = 0.35
 # How long the store's replicas are not queried after they were found to be stale.
 STALE_REPLICA_S: Final = 5.0
+# How long the store holds a watch. Each call has a price, so watches of a larger fleet
+# wait longer, and the fleet renews at most WATCH_RENEWALS_PER_S of them a second. A
+# process whose watch hangs gets changes from its peers.
 WATCH_WAIT_S: Final = 4.0
+MAX_WATCH_WAIT_S: Final = 20.0
+WATCH_RENEWALS_PER_S: Final = 12.0
 STORE_TIMEOUT_S: Final = 1.2
 STORE_RETRY_S: Final = 0.4
 STORE_RETRY_LIMIT_S: Final = 1.5
--- a/banyanseam/entry/gossip.py
+++ b/banyanseam/entry/gossip.py
@@ -12,21 +12,26 @@
 
 from banyanseam.entry.const import (
     FLEET_TERM_S,
+    FREQUENT_REPAIR_S,
     FULL_LIST_PERIOD_S,
     GOSSIP_PERIOD_S,
     JOIN_PERIOD_S,
     MAX_DATAGRAM_BYTES,
-    MAX_GOSSIP_PEERS,
+    MAX_MESH_PEERS,
     PEER_TERM_S,
     REGION_GOSSIP_PERIOD_S,
     REGION_REPORTERS,
     REMOTE_PEER_TERM_S,
+    REPAIR_HEARTBEATS,
+    REPAIRS_PER_REPAIR_ACROSS,
 )
 from banyanseam.entry.heartbeats import Heartbeats
 from banyanseam.entry.members import Member, Members
 from banyanseam.entry.messages import Gossip, decode_gossip, encode_gossip, make_digest
 from banyanseam.entry.models import EntrySettings
 from banyanseam.entry.quota import FleetQuota
+from banyanseam.entry.region_grid import Neighbours, choose_neighbours
+from banyanseam.entry.relay_log import Direction
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.observe.events import MESSAGE_DROPPED, PEER_ALIVE, PEER_SILENT, log
 from banyanseam.peers.errors import InvalidPeerMessage
@@ -54,8 +59,12 @@
         self._send_lock = anyio.Lock()
         self._alive_ips: set[str] = set()
         self._started_s = anyio.current_time()
-        # Peers of the region still to be sent a heartbeat in the current round.
-        self._pending_ips: list[str] = []
+        # The region's live processes by data centre and address, and the neighbours
+        # that follow from them.
+        self._places: list[tuple[str, str]] = []
+        self._neighbours: Neighbours | None = None
+        # When a process of the region last fell silent.
+        self._peer_silent_s = -1e9
         # Digest and time of the list of upstreams that was last sent in full.
         self._full_list_digest = -1
         self._full_list_sent_s = -1e9
@@ -85,9 +94,23 @@
         """Send a heartbeat to the whole region at once, after a state change."""
         self._update_own_row()
         await self._send(
-            self._list_region_ips(), self._heartbeats.compose_for_own_region()
+            self._list_region_ips(),
+            self._heartbeats.compose_own_loads(Direction.REGION),
         )
 
+    async def announce_loads(self) -> None:
+        """Send this process's loads to its neighbours at once."""
+        neighbours = self._find_neighbours()
+        if neighbours is None:
+            await self.announce()
+            return
+        self._update_own_row()
+        for ips, direction in (
+            (neighbours.row, Direction.ROW),
+            (neighbours.column, Direction.COLUMN),
+        ):
+            await self._send(ips, self._heartbeats.compose_own_loads(direction))
+
     async def share_upstreams(self) -> None:
         """Send the list of upstreams that was just read to the region.
 
@@ -158,14 +181,51 @@
         return known is None or known.region not in alive_regions
 
     async def _gossip_in_region(self) -> None:
+        turn = 0
         while True:
             self._update_own_row()
             self._update_liveness()
-            await self._send(
-                self._choose_region_peers(), self._heartbeats.compose_for_own_region()
-            )
+            neighbours = self._find_neighbours()
+            if neighbours is None:
+                await self._send_region(self._list_region_ips(), Direction.REGION)
+            elif turn % 2 == 0:
+                await self._send_region(neighbours.row, Direction.ROW)
+            else:
+                across = neighbours.list_across(turn // 2)
+                await self._send_region(neighbours.column, Direction.COLUMN)
+                await self._send_region(across, Direction.ACROSS)
+            if neighbours is not None and self._is_repair_due(turn):
+                await self._send_repair()
+            turn += 1
             await anyio.sleep(GOSSIP_PERIOD_S)
 
+    def _is_repair_due(self, turn: int) -> bool:
+        silent_since_s = anyio.current_time() - self._peer_silent_s
+        return silent_since_s < FREQUENT_REPAIR_S or turn % REPAIR_HEARTBEATS == 0
+
+    async def _send_repair(self) -> None:
+        """Send all rows of the region to one process, even to a silent one.
+
+        Processes that disagree on who is alive have different grids, and heartbeats in
+        these do not reach everyone. This makes them agree again, for example after half
+        of a region has been killed. Most repairs stay in the data centre.
+        """
+        is_across = random.randrange(REPAIRS_PER_REPAIR_ACROSS) == 0
+        own = self.settings.data_centre
+        candidates = [
+            each.ip
+            for each in self.members.list_recent(
+                anyio.current_time(), self.settings.region
+            )
+            if (each.data_centre != own) == is_across
+        ]
+        if candidates:
+            gossip = self._heartbeats.compose_repair()
+            await self._send([random.choice(candidates)], gossip)
+
+    async def _send_region(self, ips: Iterable[str], direction: Direction) -> None:
+        await self._send(ips, self._heartbeats.compose_for_own_region(direction))
+
     async def _gossip_between_regions(self) -> None:
         while True:
             now_s = anyio.current_time()
@@ -204,18 +264,24 @@
         alive: list[Member] = self.members.list_alive(now_s, self.settings.region)
         return [member.ip for member in alive]
 
-    def _choose_region_peers(self) -> list[str]:
-        """Return the region's peers to send to now: all, or the next few in turn."""
-        alive = self._list_region_ips()
-        if len(alive) <= MAX_GOSSIP_PEERS:
-            return alive
-        self._pending_ips = [ip for ip in self._pending_ips if ip in alive]
-        if len(self._pending_ips) < MAX_GOSSIP_PEERS:
-            not_pending = [ip for ip in alive if ip not in self._pending_ips]
-            self._pending_ips += random.sample(not_pending, len(not_pending))
-        chosen = self._pending_ips[:MAX_GOSSIP_PEERS]
-        del self._pending_ips[:MAX_GOSSIP_PEERS]
-        return chosen
+    def _find_neighbours(self) -> Neighbours | None:
+        """Return the neighbours in the region's grid, or None in a small region."""
+        now_s = anyio.current_time()
+        alive = self.members.list_alive(now_s, self.settings.region)
+        if len(alive) <= MAX_MESH_PEERS:
+            return None
+        places = sorted(
+            (each.data_centre, each.ip) for each in [*alive, self.members.me]
+        )
+        if places != self._places:
+            self._places = places
+            ips: dict[str, list[str]] = {}
+            for data_centre, ip in places:
+                ips.setdefault(data_centre, []).append(ip)
+            self._neighbours = choose_neighbours(
+                self.settings.ip, self.settings.data_centre, ips
+            )
+        return self._neighbours
 
     def _update_liveness(self) -> None:
         """Log appeared and silent peers; pass the share of live ones to the quota."""
@@ -225,6 +291,9 @@
             log(PEER_ALIVE, peer=ip)
         for ip in sorted(self._alive_ips - alive_ips):
             log(PEER_SILENT, peer=ip, fleet_term_s=FLEET_TERM_S)
+            member = self.members.find(ip)
+            if member is not None and member.region == self.settings.region:
+                self._peer_silent_s = now_s
         self._alive_ips = alive_ips
         recent = self.members.count_recent(now_s)
         self._quota.heard_share = (len(alive_ips) + 1) / max(recent, 1)
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -13,25 +13,28 @@
 from banyanseam.entry.const import (
     CRASH_REPORT_S,
     GOSSIP_PERIOD_S,
-    MAX_GOSSIP_PEERS,
     MAX_RELAYED_PEERS,
     MAX_ROWS,
     PEER_TERM_S,
+    REPAIR_ROW_AGE_S,
 )
 from banyanseam.entry.crash_suspects import CrashSuspects
-from banyanseam.entry.members import Member, Members
+from banyanseam.entry.members import Member, Members, make_incarnation_tag
 from banyanseam.entry.messages import (
     CandidateRow,
     Gossip,
     from_candidate_row,
     make_digest,
+    pack_ip,
     to_candidate_row,
     to_heartbeat_row,
     to_member_row,
     to_upstream_row,
+    unpack_ip,
 )
 from banyanseam.entry.placing import Candidate
 from banyanseam.entry.quota import FleetQuota
+from banyanseam.entry.relay_log import Direction, RelayLog
 from banyanseam.entry.spending import (
     SpendingReport,
     SpendingTotals,
@@ -64,39 +67,76 @@
         self._suspects = suspects
         self._started_s = anyio.current_time()
         self._spendings = SpendingTotals()
-        # When each process of another region was last reported by that region itself.
-        self._reported_s: dict[str, float] = {}
+        self._relay_log = RelayLog()
         # Returns this region's candidates by service, for heartbeats to other regions.
         self.list_candidates: Callable[[], dict[str, list[Candidate]]] = dict
         # Called with a peer's address and its versions of the configuration and of the
         # evacuations, so that newer ones can be fetched.
         self.on_peer_versions: Callable[[str, int, int], None] = lambda *_: None
 
-    def compose_for_own_region(self) -> Gossip:
-        """Return a heartbeat for this region: own state and recent reports of peers."""
+    def compose_for_own_region(self, direction: Direction = Direction.REGION) -> Gossip:
+        """Return a heartbeat for peers of this region, with what it passes on to them.
+
+        What it passes on is not passed on in the same direction again.
+        """
         now_s = anyio.current_time()
-        window_s = self._relay_window_s(now_s)
-        others = [
-            *self._choose_rows_to_relay(now_s),
-            *self._list_recently_reported(now_s, window_s),
-        ]
-        # Only a process that has just started adopts quota levels from its peers.
-        levels = (
-            self._quota.list_levels() if self._members.has_recent_changes(now_s) else {}
-        )
+        pending = self._relay_log.take(direction)
+        found = [self._members.find(ip) for ip in pending.list_ips()]
+        others = [member for member in found if member is not None]
+        if direction is Direction.REGION:
+            others += self._choose_rows_to_relay(now_s)
+        peer_loads = self._loads.list_peer_loads(pending.ips)
+        own_uses = self._loads.list_segment_uses(now_s)
         return self._compose(
             [self._members.me, *others],
+            direction=direction,
             loads=self._loads.list_own_loads(),
-            part_uses=self._loads.list_segment_uses(now_s),
+            peer_loads={pack_ip(ip): table for ip, table in peer_loads.items()},
+            part_uses=[*own_uses, *pending.segment_uses],
             relayed={
-                region: (_to_rows(candidates), sorted(segments))
-                for region, (candidates, segments) in self._loads.list_direct_reports(
-                    now_s, window_s
-                ).items()
+                region: self._make_region_table(region) for region in pending.reports
             },
-            levels=levels,
+            levels=self._list_levels_for_new_peers(now_s),
+        )
+
+    def compose_own_loads(self, direction: Direction) -> Gossip:
+        """Return a heartbeat with this process's own state only."""
+        return self._compose(
+            [self._members.me],
+            direction=direction,
+            loads=self._loads.list_own_loads(),
+            part_uses=self._loads.list_segment_uses(anyio.current_time()),
         )
 
+    def compose_repair(self) -> Gossip:
+        """Return a heartbeat with all rows of this region that are up to date.
+
+        Older rows would make silent processes look alive for longer.
+        """
+        now_s = anyio.current_time()
+        return self._compose(
+            [self._members.me, *self._list_updated(REPAIR_ROW_AGE_S, now_s)],
+            loads=self._loads.list_own_loads(),
+        )
+
+    def _list_updated(self, max_age_s: float, now_s: float) -> list[Member]:
+        """Return the live peers of this region whose rows are no older than that."""
+        region = self._members.me.region
+        updated = self._members.list_updated_since(now_s - max_age_s, now_s)
+        return [row for row in updated if row.region == region]
+
+    def _list_levels_for_new_peers(self, now_s: float) -> dict[str, float]:
+        # Only a process that has just started adopts quota levels from its peers.
+        if not self._members.has_recent_changes(now_s):
+            return {}
+        return self._quota.list_levels()
+
+    def _make_region_table(
+        self, region: str
+    ) -> tuple[dict[str, list[CandidateRow]], list[str]]:
+        candidates, segments = self._loads.find_region_report(region)
+        return _to_rows(candidates), sorted(segments)
+
     def compose_for_other_regions(self) -> Gossip:
         """Return a heartbeat with what other regions need of this one."""
         now_s = anyio.current_time()
@@ -115,6 +155,7 @@
         return self._compose(
             self._members.list_rows(now_s),
             is_full=True,
+            loads=self._loads.list_own_loads(),
             region_parts=self._loads.list_region_segments(),
             candidates=_to_rows(self.list_candidates()),
             levels=self._quota.list_levels(),
@@ -139,7 +180,10 @@
         """Record this process's total charges for its next heartbeats."""
         me = self._members.me
         spending = SpendingReport(
-            me.ip, me.incarnation, me.heartbeat_count, self._quota.own_spent
+            me.ip,
+            make_incarnation_tag(me.incarnation),
+            me.heartbeat_count,
+            self._quota.own_spent,
         )
         self._spendings.merge(spending, anyio.current_time())
 
@@ -149,12 +193,15 @@
         Raise InvalidPeerMessage if a total refers to a missing name.
         """
         now_s = anyio.current_time()
-        spendings = from_table(gossip.spent_names, gossip.spent)
+        spendings = from_table(
+            gossip.spent_names, gossip.spent, unpack_ip, self._spendings.is_newer
+        )
         rows = [Member(*row) for row in gossip.members]
         self._members.merge(rows, now_s)
-        short = [self._members.expand_short_row(*row) for row in gossip.beats]
-        rows += [row for row in short if row is not None]
-        self._members.merge(rows, now_s)
+        for packed_ip, *fields in gossip.beats:
+            row = self._members.merge_short_row(unpack_ip(packed_ip), *fields, now_s)
+            if row is not None:
+                rows.append(row)
         sender = self._members.find(gossip.sender)
         if sender is None:
             return False
@@ -170,7 +217,7 @@
         if sender.region != self._members.me.region:
             self._apply_other_region(gossip, sender.region, rows, now_s)
         elif gossip.upstreams is None and gossip.upstreams_digest is None:
-            self._apply_own_region(gossip, now_s)
+            self._apply_own_region(gossip, rows, now_s)
         return True
 
     def apply_upstreams(self, gossip: Gossip) -> bool:
@@ -189,26 +236,46 @@
         self._upstreams.confirm(gossip.upstreams_revision, now_s)
         return False
 
-    def _apply_own_region(self, gossip: Gossip, now_s: float) -> None:
-        self._loads.record_peer_loads(gossip.sender, gossip.loads, now_s)
+    def _apply_own_region(
+        self, gossip: Gossip, rows: list[Member], now_s: float
+    ) -> None:
+        by_ip = {row.ip: row for row in rows}
+        tables = {unpack_ip(each): table for each, table in gossip.peer_loads.items()}
+        # The row of a report tells whether the report is newer than the stored one.
+        for ip, table in ({gossip.sender: gossip.loads} | tables).items():
+            if ip in by_ip:
+                self._loads.record_peer_loads(by_ip[ip], table, now_s)
         for use in gossip.part_uses:
             self._loads.record_segment(*use)
-        for region, (rows, segments) in gossip.relayed.items():
-            self._loads.store_region_report(
-                region, _from_rows(rows, region), segments, now_s, is_relayed=True
-            )
+        own_region = self._members.me.region
+        others = [ip for ip, row in by_ip.items() if row.region == own_region]
+        self._relay_log.record_heartbeat(
+            gossip.sender,
+            tables.keys() & by_ip.keys(),
+            [ip for ip in others if ip not in tables and ip != gossip.sender],
+            gossip.direction,
+            gossip.part_uses,
+        )
+        for region, (candidate_rows, segments) in gossip.relayed.items():
+            candidates = _from_rows(candidate_rows, region)
+            self._loads.store_region_report(region, candidates, segments, now_s)
+            ips = [row.ip for row in rows if row.region == region]
+            self._relay_log.record_report(region, ips, gossip.direction)
 
     def _apply_other_region(
         self, gossip: Gossip, region: str, rows: list[Member], now_s: float
     ) -> None:
-        self._reported_s |= {row.ip: now_s for row in rows if row.region == region}
         # An empty report counts too: the region then has no candidates.
         candidates = _from_rows(gossip.candidates, region)
         self._loads.store_region_report(region, candidates, gossip.region_parts, now_s)
+        ips = [row.ip for row in rows if row.region == region]
+        self._relay_log.record_report(region, ips, None)
 
     def _apply_spending(self, spending: SpendingReport, now_s: float) -> None:
         member = self._members.find(spending.ip)
-        if member is None or member.incarnation != spending.incarnation:
+        if member is None or spending.incarnation_tag != make_incarnation_tag(
+            member.incarnation
+        ):
             # The charges are those of this process, of one whose full row is missing,
             # or of a replaced incarnation.
             return
@@ -222,31 +289,9 @@
         Several peers relay each row, so that it also reaches processes that are
         partitioned from its origin.
         """
-        region = self._members.me.region
-        updated = [
-            row
-            for row in self._members.list_updated_since(
-                now_s - 2 * GOSSIP_PERIOD_S, now_s
-            )
-            if row.region == region
-        ]
+        updated = self._list_updated(2 * GOSSIP_PERIOD_S, now_s)
         return random.sample(updated, min(len(updated), MAX_RELAYED_PEERS))
 
-    def _list_recently_reported(self, now_s: float, window_s: float) -> list[Member]:
-        """Return processes of other regions, as just reported by those regions."""
-        self._reported_s = {
-            ip: reported_s
-            for ip, reported_s in self._reported_s.items()
-            if now_s - reported_s <= window_s
-        }
-        found = [self._members.find(ip) for ip in self._reported_s]
-        return [member for member in found if member is not None]
-
-    def _relay_window_s(self, now_s: float) -> float:
-        """Return how long a round of heartbeats to every peer of the region takes."""
-        count = len(self._members.list_alive(now_s, self._members.me.region))
-        return GOSSIP_PERIOD_S * max(1, -(-count // MAX_GOSSIP_PEERS))
-
     def _compose(
         self, rows: list[Member], *, is_full: bool = False, **fields: Any
     ) -> Gossip:
@@ -256,15 +301,17 @@
         # A relayed row comes with the spending of its process: a peer that received
         # only the row would refill at the full rate without subtracting those charges.
         spendings = self._spendings.list_recent((row.ip for row in rows), now_s)
-        names, spent = to_table(spendings)
-        full = [
-            row for row in rows if is_full or self._members.needs_full_row(row, now_s)
-        ]
-        short = [row for row in rows if row not in full]
+        names, spent = to_table(spendings, pack_ip)
+        members, beats = [], []
+        for row in rows:
+            if is_full or self._members.needs_full_row(row, now_s):
+                members.append(to_member_row(row))
+            else:
+                beats.append(to_heartbeat_row(row))
         return Gossip(
             sender=self._members.me.ip,
-            members=[to_member_row(row) for row in full],
-            beats=[to_heartbeat_row(row) for row in short],
+            members=members,
+            beats=beats,
             config_version=self._values.version,
             evacuation_revision=self._values.evacuation_revision,
             spent_names=names,
--- a/banyanseam/entry/members.py
+++ b/banyanseam/entry/members.py
@@ -6,17 +6,29 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
+from typing import Final
 
 from banyanseam.entry.const import (
+    ALIVE_VIEW_S,
     FLEET_TERM_S,
     FULL_ROW_HEARTBEATS,
     FULL_ROW_S,
+    LARGE_REGION_PEER_TERM_S,
+    MAX_MESH_PEERS,
     PEER_TERM_S,
     REMOTE_PEER_TERM_S,
 )
 
+_TAG_BITS: Final = 32
+
+
+def make_incarnation_tag(incarnation: int) -> int:
+    """Return the part of an incarnation that tells it apart from others of its VM."""
+    return incarnation % 2**_TAG_BITS
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
@@ -50,9 +62,18 @@
         """Start without peers; `regions` maps data centres to their regions."""
         self.me = me
         self.regions = regions
+        # Ordered by address.
         self._records: dict[str, _Record] = {}
         # Infinite until the first heartbeat: no peer has this process's row yet.
         self._changed_s = math.inf
+        # When any peer last joined or changed.
+        self._peers_changed_s = -math.inf
+        self._region_counts: Counter[str] = Counter()
+        # The live peers and the number of recently live ones by region (None: of all),
+        # and when they were listed.
+        self._alive: dict[str | None, list[_Record]] = {}
+        self._recent_counts: Counter[str | None] = Counter()
+        self._listed_s = -math.inf
 
     def increment_heartbeat_count(
         self, *, is_serving: bool, is_accepting: bool, running: int, now_s: float
@@ -77,21 +98,45 @@
             record = self._records.get(row.ip)
             if record is None:
                 self._records[row.ip] = _Record(row, now_s, now_s)
-                continue
-            if self._is_newer(row, record, now_s):
+                self._records = dict(sorted(self._records.items()))
+                self._region_counts[row.region] += 1
+                self._note_change(now_s)
+            elif self._is_newer(row, record, now_s):
                 if not _differs_only_in_load(record.member, row):
                     record.changed_s = now_s
-                record.member = row
-                record.updated_s = now_s
+                    self._note_change(now_s)
+                self._update(record, row, now_s)
 
-    def expand_short_row(
-        self, ip: str, incarnation: int, heartbeat_count: int, running: int
+    def merge_short_row(
+        self,
+        ip: str,
+        incarnation_tag: int,
+        heartbeat_count: int,
+        running: int,
+        now_s: float,
     ) -> Member | None:
-        """Return the full row for a short one, or None if no full row was received."""
+        """Merge a short row; return the full row, or None if none was received."""
         record = self._records.get(ip)
-        if record is None or record.member.incarnation != incarnation:
+        if record is None:
             return None
-        return replace(record.member, heartbeat_count=heartbeat_count, running=running)
+        old = record.member
+        if make_incarnation_tag(old.incarnation) != incarnation_tag:
+            return None
+        if heartbeat_count <= old.heartbeat_count:
+            return old
+        row = Member(
+            old.ip,
+            old.region,
+            old.data_centre,
+            old.callers_address,
+            old.incarnation,
+            heartbeat_count,
+            old.is_serving,
+            old.is_accepting,
+            running,
+        )
+        self._update(record, row, now_s)
+        return row
 
     def needs_full_row(self, member: Member, now_s: float) -> bool:
         """Return whether peers may still lack the full row of a member."""
@@ -109,19 +154,21 @@
         return None if record is None else record.member
 
     def list_alive(self, now_s: float, region: str | None = None) -> list[Member]:
-        """Return the other processes that are alive, in one region or in all."""
-        return [
-            record.member
-            for record in self._records.values()
-            if region in (None, record.member.region) and self._is_alive(record, now_s)
-        ]
+        """Return the other processes that are alive, in one region or in all.
+
+        They are ordered by address. A process that has just fallen silent may be
+        included for up to ALIVE_VIEW_S.
+        """
+        self._refresh_lists(now_s)
+        return [record.member for record in self._alive.get(region, ())]
 
     def list_serving(self, now_s: float, region: str) -> list[Member]:
         """Return the region's processes open to new callers, including this one."""
         found = [each for each in self.list_alive(now_s, region) if each.is_serving]
         if self.me.region == region and self.me.is_serving:
             found.append(self.me)
-        return sorted(found, key=lambda member: member.ip)
+            found.sort(key=lambda member: member.ip)
+        return found
 
     def list_accepting(self, now_s: float) -> list[Member]:
         """Return all processes that accept requests, including leaving ones."""
@@ -141,13 +188,18 @@
         Limits that are divided over the fleet are divided by this number, since an
         unreachable peer may still be using its share.
         """
+        self._refresh_lists(now_s)
         mine = 1 if region in (None, self.me.region) else 0
-        return mine + sum(
-            1
+        return mine + self._recent_counts[region]
+
+    def list_recent(self, now_s: float, region: str) -> list[Member]:
+        """Return the other processes of a region that were alive recently."""
+        return [
+            record.member
             for record in self._records.values()
-            if region in (None, record.member.region)
+            if record.member.region == region
             and now_s - record.updated_s <= FLEET_TERM_S
-        )
+        ]
 
     def drop_expired(self, now_s: float) -> None:
         """Drop peers that have been silent for three times the fleet term."""
@@ -155,7 +207,8 @@
         for ip in [
             ip for ip, each in self._records.items() if each.updated_s < limit_s
         ]:
-            del self._records[ip]
+            self._region_counts[self._records.pop(ip).member.region] -= 1
+            self._listed_s = -math.inf
 
     def list_rows(self, now_s: float, region: str | None = None) -> list[Member]:
         """Return this process and the live ones, in one region or in all."""
@@ -171,9 +224,32 @@
 
     def has_recent_changes(self, now_s: float) -> bool:
         """Return whether any peer has joined or changed recently."""
-        return any(
-            now_s - record.changed_s <= FULL_ROW_S for record in self._records.values()
-        )
+        return now_s - self._peers_changed_s <= FULL_ROW_S
+
+    def _refresh_lists(self, now_s: float) -> None:
+        if 0 <= now_s - self._listed_s < ALIVE_VIEW_S:
+            return
+        self._listed_s = now_s
+        self._alive = {None: []}
+        self._recent_counts.clear()
+        for record in self._records.values():
+            region = record.member.region
+            if now_s - record.updated_s <= FLEET_TERM_S:
+                self._recent_counts[None] += 1
+                self._recent_counts[region] += 1
+            if self._is_alive(record, now_s):
+                self._alive[None].append(record)
+                self._alive.setdefault(region, []).append(record)
+
+    def _note_change(self, now_s: float) -> None:
+        self._peers_changed_s = now_s
+        self._listed_s = -math.inf
+
+    def _update(self, record: _Record, row: Member, now_s: float) -> None:
+        if not self._is_alive(record, now_s):
+            self._listed_s = -math.inf
+        record.member = row
+        record.updated_s = now_s
 
     def _is_newer(self, row: Member, record: _Record, now_s: float) -> bool:
         old = record.member
@@ -187,13 +263,24 @@
         return row.incarnation != old.incarnation and not self._is_alive(record, now_s)
 
     def _is_alive(self, record: _Record, now_s: float) -> bool:
-        is_same_region = record.member.region == self.me.region
-        term_s = PEER_TERM_S if is_same_region else REMOTE_PEER_TERM_S
-        return now_s - record.updated_s <= term_s
+        silent_s = now_s - record.updated_s
+        if record.member.region != self.me.region:
+            return silent_s <= REMOTE_PEER_TERM_S
+        return silent_s <= PEER_TERM_S or (
+            silent_s <= LARGE_REGION_PEER_TERM_S and self._is_region_large()
+        )
+
+    def _is_region_large(self) -> bool:
+        return self._region_counts[self.me.region] > MAX_MESH_PEERS
 
 
 def _differs_only_in_load(one: Member, other: Member) -> bool:
     """Return whether two rows differ at most in heartbeat count and load."""
-    return one == replace(
-        other, heartbeat_count=one.heartbeat_count, running=one.running
+    return (
+        one.incarnation == other.incarnation
+        and one.is_serving == other.is_serving
+        and one.is_accepting == other.is_accepting
+        and one.callers_address == other.callers_address
+        and one.data_centre == other.data_centre
+        and one.region == other.region
     )
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -1,27 +1,36 @@
 """Messages between entry daemons, validated when they are received."""
 
+import socket
 from collections.abc import Iterable
+from functools import lru_cache
+from typing import Annotated
 from zlib import crc32
 
 import cbor2
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from banyanseam.entry.members import Member
+from banyanseam.entry.members import Member, make_incarnation_tag
 from banyanseam.entry.models import Upstream, UpstreamState
 from banyanseam.entry.placing import Candidate
+from banyanseam.entry.relay_log import Direction
 from banyanseam.entry.spending import SpentRow
 from banyanseam.peers.errors import InvalidPeerMessage
 
-GOSSIP_VERSION = 3
+GOSSIP_VERSION = 4
 
 MemberRow = tuple[str, str, str, str, int, int, bool, bool, int]
-# The fields of a short row, sent with each heartbeat: address, incarnation, heartbeat
-# count, running requests.
-HeartbeatRow = tuple[str, int, int, int]
+# An IPv4 address as a number, which is shorter than its text.
+PackedIp = Annotated[int, Field(ge=0, lt=2**32)]
+# The fields of a short row, sent with each heartbeat: address, tag of the incarnation,
+# heartbeat count, running requests.
+HeartbeatRow = tuple[PackedIp, int, int, int]
 UpstreamRow = tuple[str, str, str, str, bool, int, int, int | None, int, int]
 # Times are whole milliseconds, since a float takes nine bytes in CBOR.
 CandidateRow = tuple[str, int, int, int, int, int, int, bool]
+# Requests, prefill time, reserved memory tokens, prefill time of waiting prompts.
 LoadRow = tuple[int, int, int, int]
+# Loads by tag of the upstream.
+LoadTable = dict[int, LoadRow]
 
 
 class Gossip(BaseModel):
@@ -31,29 +40,32 @@
 
     protocol: int = GOSSIP_VERSION
     sender: str
+    direction: Direction = Direction.REGION
     # Full rows of new or changed processes, and short rows of the others.
-    members: list[MemberRow] = []
-    beats: list[HeartbeatRow] = []
+    members: list[MemberRow] = Field(default_factory=list)
+    beats: list[HeartbeatRow] = Field(default_factory=list)
     config_version: int = 0
     evacuation_revision: int = 0
-    # The sender's load by upstream: requests, their prefill time, memory reserved for
-    # them, and the prefill time of prompts that wait at the sender.
-    loads: dict[str, LoadRow] = {}
+    # The sender's own load, and those of processes whose heartbeats it passes on.
+    loads: LoadTable = Field(default_factory=dict)
+    peer_loads: dict[PackedIp, LoadTable] = Field(default_factory=dict)
     # Shared prefix segments prefilled for the sender: upstream, segment, tokens.
-    part_uses: list[tuple[str, str, int]] = []
+    part_uses: list[tuple[str, str, int]] = Field(default_factory=list)
     # For other regions: the upstreams of the sender's region by service, and the prefix
     # segments that they have cached.
-    candidates: dict[str, list[CandidateRow]] = {}
-    region_parts: list[str] = []
+    candidates: dict[str, list[CandidateRow]] = Field(default_factory=dict)
+    region_parts: list[str] = Field(default_factory=list)
     # Other regions' latest reports, relayed to processes that didn't receive them.
-    relayed: dict[str, tuple[dict[str, list[CandidateRow]], list[str]]] = {}
+    relayed: dict[str, tuple[dict[str, list[CandidateRow]], list[str]]] = Field(
+        default_factory=dict
+    )
     # Total charges that changed recently, one row for each process.
-    spent_names: list[str] = []
-    spent: list[SpentRow] = []
+    spent_names: list[str] = Field(default_factory=list)
+    spent: list[SpentRow] = Field(default_factory=list)
     # Levels of the sender's quota buckets, for processes that have just started.
-    levels: dict[str, float] = {}
+    levels: dict[str, float] = Field(default_factory=dict)
     # Recent crashes: a request that was running, by fingerprint, and the upstream.
-    crashes: list[tuple[int, str]] = []
+    crashes: list[tuple[int, str]] = Field(default_factory=list)
     # The registered upstreams, sent by the process that has just read them.
     upstreams: list[UpstreamRow] | None = None
     upstreams_revision: int = -1
@@ -88,6 +100,24 @@
     evacuation_revision: int
 
 
+@lru_cache(maxsize=4096)
+def pack_ip(ip: str) -> int:
+    """Return an IPv4 address as a number."""
+    return int.from_bytes(socket.inet_aton(ip))
+
+
+@lru_cache(maxsize=4096)
+def unpack_ip(packed: int) -> str:
+    """Return the IPv4 address of a number below 2**32."""
+    return socket.inet_ntoa(packed.to_bytes(4))
+
+
+@lru_cache(maxsize=4096)
+def make_upstream_tag(upstream_id: str) -> int:
+    """Return a number for an upstream that is shorter than its id."""
+    return crc32(upstream_id.encode())
+
+
 def to_member_row(member: Member) -> MemberRow:
     """Return the full row of a member, in the order of its fields."""
     return (
@@ -105,7 +135,12 @@
 
 def to_heartbeat_row(member: Member) -> HeartbeatRow:
     """Return the short row of a member, for peers that have its full row."""
-    return member.ip, member.incarnation, member.heartbeat_count, member.running
+    return (
+        pack_ip(member.ip),
+        make_incarnation_tag(member.incarnation),
+        member.heartbeat_count,
+        member.running,
+    )
 
 
 def to_upstream_row(upstream: Upstream) -> UpstreamRow:
--- a/banyanseam/entry/spending.py
+++ b/banyanseam/entry/spending.py
@@ -4,15 +4,16 @@
 traffic and not on the number of organisations.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from banyanseam.entry.const import RECENT_SPENDING_S
 from banyanseam.peers.errors import InvalidPeerMessage
 
-# A process's address, incarnation and heartbeat number, whether no total is left out,
-# and for each organisation its index in the list of names and its total.
-SpentRow = tuple[str, int, int, bool, list[tuple[int, int]]]
+# A process's packed address, tag of its incarnation and heartbeat number, whether no
+# total is left out, and by turns an organisation's index in the list of names and its
+# total.
+SpentRow = tuple[int, int, int, bool, list[int]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,7 +21,7 @@
     """A process's total charges by organisation when it sent a heartbeat."""
 
     ip: str
-    incarnation: int
+    incarnation_tag: int
     heartbeat_count: int
     totals: dict[str, float]
     # Whether organisations that are not listed have been charged nothing.
@@ -38,7 +39,7 @@
 
 @dataclass(slots=True)
 class _MergedTotals:
-    incarnation: int
+    incarnation_tag: int
     heartbeat_count: int
     totals: dict[str, float]
     is_complete: bool
@@ -65,9 +66,9 @@
         not charged, as the buckets here did not exist then.
         """
         merged = self._by_ip.get(spending.ip)
-        if merged is None or merged.incarnation != spending.incarnation:
+        if merged is None or merged.incarnation_tag != spending.incarnation_tag:
             self._by_ip[spending.ip] = _MergedTotals(
-                spending.incarnation,
+                spending.incarnation_tag,
                 spending.heartbeat_count,
                 dict(spending.totals),
                 spending.is_complete,
@@ -75,7 +76,9 @@
                 dict.fromkeys(spending.totals, now_s),
             )
             return []
-        if spending.heartbeat_count <= merged.heartbeat_count:
+        if not self.is_newer(
+            spending.ip, spending.incarnation_tag, spending.heartbeat_count
+        ):
             return None
         if now_s - merged.last_report_s > RECENT_SPENDING_S:
             # Totals that changed in the silence, but not recently, are not reported.
@@ -94,6 +97,15 @@
             merged.uncertain.clear()
         return charges
 
+    def is_newer(self, ip: str, incarnation_tag: int, heartbeat_count: int) -> bool:
+        """Return whether a report of a process is newer than the merged ones."""
+        merged = self._by_ip.get(ip)
+        return (
+            merged is None
+            or merged.incarnation_tag != incarnation_tag
+            or merged.heartbeat_count < heartbeat_count
+        )
+
     def _update_total(
         self, merged: _MergedTotals, name: str, total: float, now_s: float
     ) -> Charge | None:
@@ -127,35 +139,58 @@
         recent = {name: merged.totals[name] for name in merged.changed_s}
         is_complete = merged.is_complete and len(recent) == len(merged.totals)
         return SpendingReport(
-            ip, merged.incarnation, merged.heartbeat_count, recent, is_complete
+            ip, merged.incarnation_tag, merged.heartbeat_count, recent, is_complete
         )
 
 
-def to_table(spendings: list[SpendingReport]) -> tuple[list[str], list[SpentRow]]:
+def to_table(
+    spendings: list[SpendingReport], pack_ip: Callable[[str], int]
+) -> tuple[list[str], list[SpentRow]]:
     """Return names and rows of totals, so that each name is sent only once."""
     names = sorted({name for each in spendings for name in each.totals})
     indexes = {name: index for index, name in enumerate(names)}
-    rows = [
-        (
-            each.ip,
-            each.incarnation,
-            each.heartbeat_count,
-            each.is_complete,
-            [(indexes[name], round(total)) for name, total in each.totals.items()],
+    rows = []
+    for each in spendings:
+        totals: list[int] = []
+        for name, total in each.totals.items():
+            totals += indexes[name], round(total)
+        rows.append(
+            (
+                pack_ip(each.ip),
+                each.incarnation_tag,
+                each.heartbeat_count,
+                each.is_complete,
+                totals,
+            )
         )
-        for each in spendings
-    ]
     return names, rows
 
 
-def from_table(names: list[str], rows: Iterable[SpentRow]) -> list[SpendingReport]:
-    """Decode names and rows; raise InvalidPeerMessage if a name is missing."""
+def from_table(
+    names: list[str],
+    rows: Iterable[SpentRow],
+    unpack_ip: Callable[[int], str],
+    is_newer: Callable[[str, int, int], bool] = lambda *_: True,
+) -> list[SpendingReport]:
+    """Decode names and the rows that are newer than what was received before.
+
+    Raise InvalidPeerMessage if a name or total is missing.
+    """
     found = []
-    for ip, incarnation, heartbeat_count, is_complete, totals in rows:
-        if any(not 0 <= index < len(names) for index, _ in totals):
+    for packed_ip, tag, heartbeat_count, is_complete, totals in rows:
+        if not is_newer(unpack_ip(packed_ip), tag, heartbeat_count):
+            continue
+        indexes, amounts = totals[::2], totals[1::2]
+        if len(indexes) != len(amounts):
+            raise InvalidPeerMessage("an organisation has no total")
+        if indexes and not 0 <= min(indexes) <= max(indexes) < len(names):
             raise InvalidPeerMessage("a total refers to a name that is not in the list")
-        by_name = {names[index]: total for index, total in totals}
+        by_name = {
+            names[index]: total for index, total in zip(indexes, amounts, strict=True)
+        }
         found.append(
-            SpendingReport(ip, incarnation, heartbeat_count, by_name, is_complete)
+            SpendingReport(
+                unpack_ip(packed_ip), tag, heartbeat_count, by_name, is_complete
+            )
         )
     return found
--- a/banyanseam/entry/store_watcher.py
+++ b/banyanseam/entry/store_watcher.py
@@ -17,11 +17,13 @@
     LIST_PATIENCE_S,
     LIST_PERIOD_S,
     LIST_RANK_STEP_S,
+    MAX_WATCH_WAIT_S,
     OUTAGE_S,
     STALE_REPLICA_S,
     STORE_RETRY_LIMIT_S,
     STORE_RETRY_S,
     STORE_TIMEOUT_S,
+    WATCH_RENEWALS_PER_S,
     WATCH_WAIT_S,
 )
 from banyanseam.entry.errors import HistoryForgotten
@@ -32,6 +34,11 @@
 from banyanseam.observe.events import CONFIG_SERVICE_BACK, CONFIG_SERVICE_DOWN, log
 
 
+def choose_watch_wait_s(vms: int) -> float:
+    """Return how long a watch waits in a fleet of this size, so that calls are few."""
+    return min(max(WATCH_WAIT_S, vms / WATCH_RENEWALS_PER_S), MAX_WATCH_WAIT_S)
+
+
 class Store(Protocol):
     """The read interface of the platform's store."""
 
@@ -101,8 +108,9 @@
             )
             self._values.apply_listing(listing, anyio.current_time())
             return listing.revision
+        vms = self._members.count_recent(anyio.current_time())
         changes = await self._store.wait_for_changes(
-            self._operator_prefix, after, WATCH_WAIT_S, STORE_TIMEOUT_S
+            self._operator_prefix, after, choose_watch_wait_s(vms), STORE_TIMEOUT_S
         )
         self._values.apply_changes(changes, anyio.current_time())
         return changes.revision
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -1,9 +1,9 @@
 """Loads of upstreams: from this process, its region's peers and other regions."""
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Final
 
 from banyanseam.entry.cached_prefixes import CachedPrefixes
@@ -18,26 +18,34 @@
     REMOTE_PEER_TERM_S,
     SUSPECT_PAUSE_S,
 )
-from banyanseam.entry.members import Members
+from banyanseam.entry.members import Member, Members
+from banyanseam.entry.messages import LoadTable, make_upstream_tag
 from banyanseam.entry.models import Catalogue, Prompt
 from banyanseam.entry.placing import (
     Candidate,
     count_memory_tokens,
     estimate_prefill_ms,
 )
+from banyanseam.entry.relay_log import SegmentUse
 from banyanseam.entry.upstream_list import ListedUpstream, UpstreamList
 from banyanseam.peers.rendezvous import rank
 
 # Requests, prefill time, reserved memory tokens, prefill time of waiting prompts.
 Load = tuple[int, float, int, float]
-# Upstream, prefix segment and the segment's tokens.
-SegmentUse = tuple[str, str, int]
 
 # Limits on the shared prefix segments in a heartbeat.
 MAX_SEGMENT_USES: Final = 64
 MAX_REGION_SEGMENTS: Final = 64
 
 
+@dataclass(frozen=True, slots=True)
+class _PeerLoads:
+    received_s: float
+    incarnation: int
+    heartbeat_count: int
+    table: LoadTable
+
+
 class UpstreamLoads:
     """Requests, prefill time, reserved memory and cached prefixes by upstream."""
 
@@ -47,11 +55,12 @@
         self._own_region = own_region
         # Memory of the smallest engine of any service, set from the configuration.
         self.engine_memory_tokens = 0
-        self._peer_loads: dict[str, tuple[float, dict[str, Load]]] = {}
+        # Loads that peers reported, the oldest report first, and their sums. The keys
+        # of the tables are tags of upstreams.
+        self._peer_loads: dict[str, _PeerLoads] = {}
+        self._peer_sums: dict[int, list[float]] = {}
         self._region_reports: dict[str, tuple[float, dict[str, list[Candidate]]]] = {}
         self._region_segments: dict[str, set[str]] = {}
-        # When this process last received a report directly from another region.
-        self._direct_report_s: dict[str, float] = {}
         # Segments recently prefilled for this process, for heartbeats to its region.
         self._segment_uses: deque[tuple[float, SegmentUse]] = deque(
             maxlen=MAX_SEGMENT_USES
@@ -109,13 +118,13 @@
             return True
         return segment_id in self._forwarded_segments.get(candidate.region, ())
 
-    def list_own_loads(self) -> dict[str, Load]:
-        """Return this process's own load on each upstream."""
+    def list_own_loads(self) -> LoadTable:
+        """Return this process's own load by tag of the upstream."""
         found = {}
         for upstream in self._upstreams.list_upstreams():
             usage = self._upstreams.find(upstream.upstream_id).usage
             if usage.requests or usage.queued_ms:
-                found[upstream.upstream_id] = (
+                found[make_upstream_tag(upstream.upstream_id)] = (
                     usage.requests,
                     round(usage.prefill_ms),
                     usage.memory_tokens,
@@ -123,9 +132,30 @@
                 )
         return found
 
-    def record_peer_loads(self, ip: str, loads: dict[str, Load], now_s: float) -> None:
-        """Store the loads that another process of the region reports."""
-        self._peer_loads[ip] = (now_s, loads)
+    def record_peer_loads(self, peer: Member, table: LoadTable, now_s: float) -> None:
+        """Store the loads that a process of the region reported with its row.
+
+        A report that is not newer than the stored one is ignored: reports are passed
+        on, so an older one may arrive later.
+        """
+        self._drop_old_loads(now_s)
+        previous = self._peer_loads.get(peer.ip)
+        if previous is not None:
+            is_same = previous.incarnation == peer.incarnation
+            if is_same and peer.heartbeat_count <= previous.heartbeat_count:
+                return
+            self._remove_loads(peer.ip)
+        self._peer_loads[peer.ip] = _PeerLoads(
+            now_s, peer.incarnation, peer.heartbeat_count, table
+        )
+        for tag, row in table.items():
+            sums = self._peer_sums.setdefault(tag, [0, 0, 0, 0])
+            for index, value in enumerate(row):
+                sums[index] += value
+
+    def list_peer_loads(self, ips: Iterable[str]) -> dict[str, LoadTable]:
+        """Return the stored loads of processes of the region, also empty ones."""
+        return {ip: self._peer_loads[ip].table for ip in ips if ip in self._peer_loads}
 
     def store_region_report(
         self,
@@ -133,42 +163,44 @@
         candidates: dict[str, list[Candidate]],
         segments: list[str],
         now_s: float,
-        *,
-        is_relayed: bool = False,
     ) -> None:
-        """Store another region's report of its candidates and cached segments.
-
-        Reports that a peer of the own region has relayed do not count as direct ones.
-        """
-        if not is_relayed:
-            self._direct_report_s[region] = now_s
+        """Store another region's report of its candidates and cached segments."""
         self._region_reports[region] = (now_s, candidates)
         self._region_segments[region] = set(segments)
 
-    def list_direct_reports(
-        self, now_s: float, window_s: float
-    ) -> dict[str, tuple[dict[str, list[Candidate]], set[str]]]:
-        """Return the reports received directly from other regions in `window_s`."""
-        return {
-            region: (candidates, self._region_segments.get(region, set()))
-            for region, (_, candidates) in self._region_reports.items()
-            if now_s - self._direct_report_s.get(region, -1e9) <= window_s
-        }
+    def find_region_report(
+        self, region: str
+    ) -> tuple[dict[str, list[Candidate]], set[str]]:
+        """Return the candidates and cached segments that a region has reported."""
+        _, candidates = self._region_reports.get(region, (0.0, {}))
+        return candidates, self._region_segments.get(region, set())
 
     def sum_region_load(self, upstream_id: str, now_s: float) -> Load:
         """Return the region's total load on an upstream, as far as reported."""
+        self._drop_old_loads(now_s)
         usage = self._upstreams.find(upstream_id).usage
-        sums = [
-            usage.requests,
-            usage.prefill_ms,
-            usage.memory_tokens,
-            usage.queued_ms,
-        ]
-        for received_s, loads in self._peer_loads.values():
-            if now_s - received_s <= PEER_TERM_S and upstream_id in loads:
-                for index, value in enumerate(loads[upstream_id]):
-                    sums[index] += value
-        return tuple(sums)
+        peers = self._peer_sums.get(make_upstream_tag(upstream_id), (0, 0, 0, 0))
+        return (
+            usage.requests + peers[0],
+            usage.prefill_ms + peers[1],
+            usage.memory_tokens + peers[2],
+            usage.queued_ms + peers[3],
+        )
+
+    def _drop_old_loads(self, now_s: float) -> None:
+        while self._peer_loads:
+            ip, reported = next(iter(self._peer_loads.items()))
+            if now_s - reported.received_s <= PEER_TERM_S:
+                return
+            self._remove_loads(ip)
+
+    def _remove_loads(self, ip: str) -> None:
+        for tag, row in self._peer_loads.pop(ip).table.items():
+            sums = self._peer_sums[tag]
+            for index, value in enumerate(row):
+                sums[index] -= value
+            if not any(sums):
+                del self._peer_sums[tag]
 
     def list_remote_candidates(
         self, region: str, service: str, now_s: float
@@ -181,9 +213,10 @@
         if report is None or now_s - report[0] > REMOTE_PEER_TERM_S:
             return []
         candidates = report[1].get(service, [])
-        forwarded_per_candidate = self.forwarded.get(region, 0) / max(
-            len(candidates), 1
-        )
+        forwarded = self.forwarded.get(region, 0)
+        if not forwarded:
+            return candidates
+        forwarded_per_candidate = forwarded / max(len(candidates), 1)
         return [
             replace(
                 each,
--- a/tests/entry/test_store_watcher.py
+++ b/tests/entry/test_store_watcher.py
@@ -3,10 +3,11 @@
 import anyio
 
 from banyanseam.config.errors import ConfigServiceUnavailable, InvalidConfig
+from banyanseam.entry.const import MAX_WATCH_WAIT_S, WATCH_RENEWALS_PER_S
 from banyanseam.entry.errors import HistoryForgotten
 from banyanseam.entry.messages import ValuesMessage
 from banyanseam.entry.models import Listing, PublishedValue, ValueChanges
-from banyanseam.entry.store_watcher import StoreWatcher
+from banyanseam.entry.store_watcher import StoreWatcher, choose_watch_wait_s
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.values import Decoders, PublishedValues
 from tests.common import run_with_mock_clock
@@ -27,6 +28,16 @@
 )
 
 
+class WatchWaitTests(unittest.TestCase):
+    def test_the_watches_of_a_fleet_are_renewed_at_a_limited_rate(self):
+        for vms in (1, 9, 70, 195):
+            with self.subTest(vms=vms):
+                renewals_per_s = vms / choose_watch_wait_s(vms)
+                self.assertLessEqual(renewals_per_s, WATCH_RENEWALS_PER_S)
+        # The store keeps its history for 20 s at least.
+        self.assertEqual(choose_watch_wait_s(342), MAX_WATCH_WAIT_S)
+
+
 class FakeStore:
     """A store with lagging replicas, truncated history and outages on demand."""
 
