Serve metrics on a fixed port that the deploy file names

Change: the operators' paths are also served on port 9464; a port in use is logged and does no harm.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -17,6 +17,7 @@
     CONNECT_TIMEOUT_S,
     LEAVE_S,
     LIST_VALIDITY_S,
+    METRICS_PORT,
     SETTINGS_PERIOD_S,
     STOP_MARGIN_S,
     STORE_TIMEOUT_S,
@@ -54,11 +55,13 @@
     DAEMON_STOPPED,
     DRAIN_STARTED,
     ENTRIES_IN_OTHER_REGION,
+    METRICS_NOT_SERVED,
     SETTINGS_REJECTED,
     SETTINGS_RELOADED,
     VALUES_NOT_FETCHED,
     log,
 )
+from banyanseam.peers.errors import CannotListen
 from banyanseam.peers.incarnation import make_incarnation
 from banyanseam.server.budget import ByteBudget
 from banyanseam.server.serve import EmbeddedServer, make_server
@@ -174,6 +177,7 @@
                 tasks.start_soon(server.serve)
             for server in self._servers:
                 await server.listening.wait()
+            tasks.start_soon(self._serve_metrics)
             tasks.start_soon(self.gossip.run)
             tasks.start_soon(self.store_watcher.run)
             tasks.start_soon(self._begin_serving)
@@ -203,6 +207,13 @@
             make_server(make_operators_app(self), settings.operators_address),
         ]
 
+    async def _serve_metrics(self) -> None:
+        address = f"{self.settings.ip}:{METRICS_PORT}"
+        try:
+            await make_server(make_operators_app(self), address).serve()
+        except CannotListen as error:
+            log(METRICS_NOT_SERVED, address=address, detail=error.detail)
+
     async def _begin_serving(self) -> None:
         # Without a configuration and upstreams, every request would be refused, so the
         # directory does not list this VM before it has both.
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -184,6 +184,10 @@
 CRASH_REPORT_S: Final = 5.0
 MAX_CRASH_RECORDS: Final = 1000
 
+# Metrics are served on this port too, since the platform's own ports differ between
+# deployments. deploy/system.toml names it.
+METRICS_PORT: Final = 9464
+
 # Life cycle.
 SETTINGS_PERIOD_S: Final = 2.0
 # How long a leaving process still accepts requests. After that callers have a newer
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -25,6 +25,9 @@
 DRAIN_STARTED: Final = Event(
     2003, "INFO", "The daemon is draining before a planned stop"
 )
+METRICS_NOT_SERVED: Final = Event(
+    2024, "WARNING", "The port for metrics is in use; metrics are not served on it"
+)
 DAEMON_STOPPED: Final = Event(2002, "INFO", "The daemon stopped")
 DAEMON_FAILED: Final = Event(2004, "ERROR", "The daemon failed and is exiting")
 LIBRARY_ERROR: Final = Event(2010, "ERROR", "A library logged an error")
