End answers that never become one: heads, comments and blank events without end

Found while looking for what the operators reported (bytes without end; stalled streams that send a byte now and then). On the entry daemon, interim answers without end kept a VM's processor busy until the time for the first byte was over; comments or blank events without end were relayed until the route's time was over; and any byte counted as progress, so a stalled stream that sent comments was never resumed elsewhere. Endless heads and events were bounded already: the tests show it.

Not looked at: the seats-based daemon, and whether other callers of the VM notice anything.

--- a/banyanseam/entry/answers.py
+++ b/banyanseam/entry/answers.py
@@ -1,5 +1,7 @@
 """Checks upstreams' answers and relays them to callers, complete and in order."""
 
+import anyio
+
 from banyanseam.entry.const import MAX_BUFFERED_ANSWER_BYTES
 from banyanseam.entry.errors import AnswerUnproven
 from banyanseam.entry.event_stream import EventSplitter, StreamEvent
@@ -60,6 +62,8 @@
     splitter = EventSplitter()
     while (chunk := await progress.read(incoming.body)) is not None:
         for event in splitter.feed(chunk):
+            if not event.is_comment:
+                progress.record_event(anyio.current_time())
             await _relay_event(exchange, answer, event)
     if splitter.has_partial_event:
         raise AnswerTruncated("the stream ends within an event")
--- a/banyanseam/entry/event_stream.py
+++ b/banyanseam/entry/event_stream.py
@@ -17,6 +17,11 @@
     data: bytes
     number: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Return whether the event has comment lines only, as sent to keep alive."""
+        return all(line[:1] in (b"", b":") for line in self.data.split(b"\n"))
+
 
 class EventSplitter:
     """Splits received bytes into whole events."""
@@ -24,6 +29,8 @@
     def __init__(self) -> None:
         """Start with an empty buffer."""
         self._buffer = bytearray()
+        # Bytes of comments since the last event that has contents.
+        self._comment_bytes = 0
 
     @property
     def has_partial_event(self) -> bool:
@@ -38,8 +45,10 @@
             event = bytes(self._buffer[: end + len(_EVENT_END)])
             del self._buffer[: end + len(_EVENT_END)]
             events.append(StreamEvent(event, _read_number(event)))
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise AnswerMalformed("an event exceeds the maximum size")
+            is_comment = events[-1].is_comment
+            self._comment_bytes = self._comment_bytes + len(event) if is_comment else 0
+        if len(self._buffer) + self._comment_bytes > MAX_EVENT_BYTES:
+            raise AnswerMalformed("an event or comment exceeds the maximum size")
         return events
 
 
--- a/banyanseam/entry/moving.py
+++ b/banyanseam/entry/moving.py
@@ -24,17 +24,22 @@
 
 
 class Progress:
-    """Records when body data last arrived, and lets `stop` end the reading.
+    """Records when the last event arrived, and lets `stop` end the reading.
 
-    Reading stops only between two chunks, never while one is being relayed.
+    Comments and parts of events are no progress: a stalled upstream may send a byte now
+    and then. Reading stops only between two chunks, never while one is being relayed.
     """
 
     def __init__(self, now_s: float) -> None:
-        """Start at the arrival of the first chunk."""
+        """Start when the answer has begun."""
         self.last_s = now_s
         self._is_stopped = False
         self._reading: anyio.CancelScope | None = None
 
+    def record_event(self, now_s: float) -> None:
+        """Record the arrival of a whole event."""
+        self.last_s = now_s
+
     def stop(self) -> None:
         """Make the pending or the next read raise SlowerThanOthers."""
         self._is_stopped = True
@@ -46,7 +51,6 @@
         if not self._is_stopped:
             with anyio.CancelScope() as self._reading:
                 chunk = await anext(body, None)
-                self.last_s = anyio.current_time()
                 self._reading = None
                 return chunk
         raise SlowerThanOthers("the stream has sent no data for too long")
--- a/banyanseam/entry/sending.py
+++ b/banyanseam/entry/sending.py
@@ -13,6 +13,7 @@
 import httpcore
 
 from banyanseam.config.addresses import split_address
+from banyanseam.entry.const import MAX_HEAD_BYTES
 from banyanseam.entry.errors import ConnectionBroken, SlowerThanOthers
 from banyanseam.entry.models import Headers
 from banyanseam.errors import BanyanseamError
@@ -140,7 +141,10 @@
     )
     try:
         with anyio.fail_after(outgoing.first_byte_timeout_s):
+            # Interim answers count too: they may come without end.
+            stream.max_read_bytes = MAX_HEAD_BYTES
             response = await http.handle_async_request(request)
+            stream.max_read_bytes = None
             body = _read_body(response, outgoing.address)
             first = await anext(body, b"")
     except TimeoutError as error:
--- a/banyanseam/upstreams/network.py
+++ b/banyanseam/upstreams/network.py
@@ -22,6 +22,9 @@
         """Start unconnected; asyncio calls `connection_made` once connected."""
         # Called once, just before the next byte is written.
         self.before_write: Callable[[], None] | None = None
+        # While set, reading fails once this many bytes have been read.
+        self.max_read_bytes: int | None = None
+        self._read_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._read_buffer = bytearray()
         self._is_at_end = False
@@ -61,10 +64,13 @@
         self._wake()
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Return the buffered data, empty at the end; raise ReadTimeout or ReadError.
+        """Return the buffered data, empty at the end.
 
+        Raise ReadTimeout, ReadError, or RemoteProtocolError above `max_read_bytes`.
         More than `max_bytes` may be returned, as the buffer is bounded already.
         """
+        if self.max_read_bytes is not None and self._read_bytes >= self.max_read_bytes:
+            raise httpcore.RemoteProtocolError("the answer's head is too long")
         if not self._can_read():
             await self._wait(self._can_read, timeout, httpcore.ReadTimeout)
         if not self._read_buffer:
@@ -72,6 +78,7 @@
                 return b""
             raise httpcore.ReadError
         data = bytes(self._read_buffer)
+        self._read_bytes += len(data)
         self._read_buffer.clear()
         if len(data) > READ_AHEAD_BYTES and not self._is_lost:
             self._transport.resume_reading()
--- a/tests/entry/test_moving.py
+++ b/tests/entry/test_moving.py
@@ -22,6 +22,7 @@
             body = chunks_with_pauses((1, 2))
             chunks = []
             while (chunk := await progress.read(body)) is not None:
+                progress.record_event(anyio.current_time())
                 chunks.append((chunk, progress.last_s - started_s))
             return chunks
 
