Keep a peer's older evacuations from replacing what the store has said since

A new process that had read an empty set had revision 0, so a peer that was behind could make it take a data centre out of use that had long been taken back, until the next change; a watch that lagged behind a peer's newer set reverted it; and a set that was equal was fetched again with every heartbeat.

Change: the revision up to which the set is known to be unchanged is kept beside it and decides what is newer. A share of a connection limit below one counted as no limit; it is one now.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -269,7 +269,7 @@
     ) -> None:
         is_newer = (
             version > self.values.version
-            or evacuation_revision > self.values.evacuation_revision
+            or evacuation_revision > self.values.confirmed_evacuation_revision
         )
         if is_newer and not self._fetching and self._tasks is not None:
             self._fetching = True
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -311,7 +311,10 @@
         return []
     vm_count = max(1, members.count_recent(now_s, members.me.region))
     # This process's share of the connections that the service allows an upstream.
-    max_requests = int(service.max_connections * MEMORY_SHARE / vm_count) or None
+    max_requests = None
+    if service.max_connections > 0:
+        share = int(service.max_connections * MEMORY_SHARE / vm_count)
+        max_requests = max(1, share)
     pause_s = choose_cold_pause_s(service.cold_requests_per_s)
     found = []
     for listed in upstreams.list_usable(service_name, now_s):
--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -46,7 +46,10 @@
     def __init__(self, decoders: Decoders, upstreams: UpstreamList) -> None:
         """Start without values."""
         self.catalogue: Catalogue | None = None
+        # The store's revision of the last change, and the latest one up to which there
+        # was no other.
         self.evacuation_revision = 0
+        self.confirmed_evacuation_revision = 0
         self.evacuated: frozenset[str] = frozenset()
         self.config_value = b""
         self._decoders = decoders
@@ -69,7 +72,7 @@
         config = listing.values.get(self._decoders.config_key)
         if config is not None:
             self._apply_config(config.value)
-        if listing.revision >= self.evacuation_revision:
+        if listing.revision >= self.confirmed_evacuation_revision:
             found = (self._decoders.decode_evacuated(key) for key in listing.values)
             evacuated = frozenset(each for each in found if each is not None)
             self._set_evacuated(evacuated, listing.revision, now_s)
@@ -87,12 +90,13 @@
                 evacuated.discard(data_centre)
             else:
                 evacuated.add(data_centre)
-        self._set_evacuated(frozenset(evacuated), changes.revision, now_s)
+        if changes.revision >= self.confirmed_evacuation_revision:
+            self._set_evacuated(frozenset(evacuated), changes.revision, now_s)
 
     def apply_message(self, message: ValuesMessage, now_s: float) -> None:
         """Adopt a peer's values where they are newer."""
         self._apply_config(message.config)
-        if message.evacuation_revision > self.evacuation_revision:
+        if message.evacuation_revision > self.confirmed_evacuation_revision:
             evacuated = frozenset(message.evacuated)
             self._set_evacuated(evacuated, message.evacuation_revision, now_s)
 
@@ -168,6 +172,9 @@
     def _set_evacuated(
         self, evacuated: frozenset[str], revision: int, now_s: float
     ) -> None:
+        self.confirmed_evacuation_revision = max(
+            revision, self.confirmed_evacuation_revision
+        )
         if evacuated == self.evacuated:
             return
         self.evacuated = evacuated
--- a/tests/entry/test_store_watcher.py
+++ b/tests/entry/test_store_watcher.py
@@ -248,6 +248,39 @@
 
         run_scenario(scenario)
 
+    def test_an_older_evacuation_of_a_peer_is_ignored_by_a_new_process(self):
+        """The process has read that no data centre is evacuated any more."""
+
+        async def scenario(setup):
+            for _ in range(200):
+                setup.store.put("other")
+            await anyio.sleep(0.1)
+            outdated = ValuesMessage(
+                config=b"1", evacuated=["gulf-a"], evacuation_revision=150
+            )
+            setup.values.apply_message(outdated, anyio.current_time())
+            self.assertEqual(setup.values.evacuated, set())
+            # Nothing newer is fetched from that peer either.
+            self.assertGreater(setup.values.confirmed_evacuation_revision, 150)
+
+        run_scenario(scenario)
+
+    def test_a_watch_that_lags_behind_a_peer_does_not_revert_an_evacuation(self):
+        async def scenario(setup):
+            now_s = anyio.current_time()
+            setup.values.apply_message(
+                ValuesMessage(
+                    config=b"1", evacuated=["gulf-a"], evacuation_revision=900
+                ),
+                now_s,
+            )
+            for revision, expected in ((850, {"gulf-a"}), (950, set())):
+                changes = ValueChanges((("out/gulf-a", None),), revision)
+                setup.values.apply_changes(changes, now_s)
+                self.assertEqual(setup.values.evacuated, expected)
+
+        run_scenario(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -130,6 +130,16 @@
         with count_request(listed, None, is_cached=False):
             self.assertEqual(self.list(make_upstream("e1"), services=services), [])
 
+    def test_a_share_below_one_connection_is_still_a_limit(self):
+        rows = [make_member(f"10.1.0.{number}") for number in range(2, 30)]
+        self.members.merge(rows, 0.0)
+        services = {"pool": Service("pool", 4, 0, 0, EngineLimits(64, 294_902))}
+        self.list(make_upstream("e1"))
+        listed = self.upstreams.find("e1")
+        self.assertEqual(len(self.list(make_upstream("e1"), services=services)), 1)
+        with count_request(listed, None, is_cached=False):
+            self.assertEqual(self.list(make_upstream("e1"), services=services), [])
+
 
 class CachedSegmentTests(unittest.TestCase):
     def test_cached_segments_are_announced_to_peers(self):
