Count the reports in the sums of peers' loads

Cause: the sum of an upstream's loads was deleted once it was zero. Two peers may both report zero (a waiting prompt of less than half a millisecond), and replacing the second report then raised KeyError, which ended the daemon.

Change: the number of reports in a sum decides. The test failed on the code before.

--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -55,8 +55,8 @@
         self._own_region = own_region
         # Memory of the smallest engine of any service, set from the configuration.
         self.engine_memory_tokens = 0
-        # Loads that peers reported, the oldest report first, and their sums. The keys
-        # of the tables are tags of upstreams.
+        # Loads that peers reported, the oldest report first, and by tag of the upstream
+        # their sums and the number of reports in these.
         self._peer_loads: dict[str, _PeerLoads] = {}
         self._peer_sums: dict[int, list[float]] = {}
         self._region_reports: dict[str, tuple[float, dict[str, list[Candidate]]]] = {}
@@ -149,8 +149,8 @@
             now_s, peer.incarnation, peer.heartbeat_count, table
         )
         for tag, row in table.items():
-            sums = self._peer_sums.setdefault(tag, [0, 0, 0, 0])
-            for index, value in enumerate(row):
+            sums = self._peer_sums.setdefault(tag, [0] * 5)
+            for index, value in enumerate((*row, 1)):
                 sums[index] += value
 
     def list_peer_loads(self, ips: Iterable[str]) -> dict[str, LoadTable]:
@@ -197,9 +197,9 @@
     def _remove_loads(self, ip: str) -> None:
         for tag, row in self._peer_loads.pop(ip).table.items():
             sums = self._peer_sums[tag]
-            for index, value in enumerate(row):
+            for index, value in enumerate((*row, 1)):
                 sums[index] -= value
-            if not any(sums):
+            if sums[-1] == 0:
                 del self._peer_sums[tag]
 
     def list_remote_candidates(
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -130,6 +130,15 @@
         with count_request(listed, None, is_cached=False):
             self.assertEqual(self.list(make_upstream("e1"), services=services), [])
 
+    def test_loads_that_are_all_zero_are_replaced_like_others(self):
+        self.list(make_upstream("e1"))
+        table = {make_upstream_tag("e1"): (0, 0, 0, 0)}
+        for heartbeat_count in (1, 2, 3):
+            for ip in ("10.1.0.2", "10.1.0.3"):
+                peer = make_member(ip, heartbeat_count=heartbeat_count)
+                self.loads.record_peer_loads(peer, table, 0.0)
+        self.assertEqual(self.list(make_upstream("e1"), now_s=9.0)[0].requests, 0)
+
     def test_a_share_below_one_connection_is_still_a_limit(self):
         rows = [make_member(f"10.1.0.{number}") for number in range(2, 30)]
         self.members.merge(rows, 0.0)
