Repair disagreeing views of a region for longer after a process fell silent

Frequent repairs ended 2 s after the last process had fallen silent, and processes notice up to 1.5 s apart.

Change: frequent repairs go on for 4 s.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -24,7 +24,7 @@
 # of another one, once in this many heartbeats, and across once in this many repairs.
 # For a while after a process of the region fell silent, it does so with each heartbeat.
 REPAIR_HEARTBEATS: Final = 4
-FREQUENT_REPAIR_S: Final = 2.0
+FREQUENT_REPAIR_S: Final = 4.0
 REPAIR_ROW_AGE_S: Final = 1.0
 REPAIRS_PER_REPAIR_ACROSS: Final = 4
 # Number of other processes of a small region whose rows a heartbeat relays, for peers
