Keep replaced upstreams out until their entries expire, and tell peers

Cause: an upstream that answers 421 is gone, but its entry stays in the store's list for three missed heartbeats, so the next listing, 0.7 s later, brought it back, on every VM anew; a request went through up to five of them, and none of these sends was charged to the retry budget, though the upstreams count them.

Change: an incarnation that was found to be replaced stays out while its entry is listed, heartbeats report it for 2 s, and of two entries with one address the one that started earlier is gone. Sending on after a 421 is charged to the budget; without budget the request is refused as not run, which is certain. Ruled out: refusing at once (most requests find a sound upstream at the second try).

The tests failed on the code before (the list's for lack of the functions).

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -85,6 +85,8 @@
 # newer registration says otherwise.
 RETURN_COLD_S: Final = 3.0
 FAILURES_TO_SUSPECT: Final = 3
+# How long heartbeats report that an incarnation of an upstream has been replaced.
+REPLACED_REPORT_S: Final = 2.0
 SUSPECT_S: Final = 1.5
 
 # Placement. Performance figures of the engines. Source: the operators' sheets.
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -215,6 +215,8 @@
             self._quota.adopt_levels(gossip.levels, now_s)
         for suspect, upstream_id in gossip.crashes:
             self._suspects.record_crash(suspect, upstream_id, now_s)
+        for upstream_id, started_ms in gossip.replaced:
+            self._upstreams.record_replaced(upstream_id, started_ms, now_s)
         self.on_peer_versions(
             sender.ip, gossip.config_version, gossip.evacuation_revision
         )
@@ -327,6 +329,7 @@
             spent_names=names,
             spent=spent,
             crashes=self._suspects.list_recent(now_s - CRASH_REPORT_S),
+            replaced=self._upstreams.list_replaced(now_s),
             **fields,
         )
 
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -66,6 +66,8 @@
     levels: dict[str, float] = Field(default_factory=dict)
     # Recent crashes: a request that was running, by fingerprint, and the upstream.
     crashes: list[tuple[int, str]] = Field(default_factory=list)
+    # Incarnations of upstreams, by id and start in ms, whose address another one has.
+    replaced: list[tuple[str, int]] = Field(default_factory=list)
     # The registered upstreams, sent by the process that has just read them.
     upstreams: list[UpstreamRow] | None = None
     upstreams_revision: int = -1
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -112,7 +112,8 @@
             return
         listed = self.upstreams.find(placement.candidate.upstream_id)
         if listed is None:
-            raise UpstreamReplaced(placement.candidate.upstream_id)
+            # It was deregistered after it had been chosen; nothing was sent.
+            raise UpstreamUnreachable(placement.candidate.upstream_id)
         now_s = anyio.current_time()
         if placement.candidate.is_reserve:
             listed.usage.cold_sent_s = now_s
@@ -224,7 +225,7 @@
         upstream_id = listed.upstream.upstream_id
         if answer.status == 421:
             _record_not_run(exchange)
-            self.upstreams.drop(upstream_id)
+            self.upstreams.drop(upstream_id, anyio.current_time())
             raise UpstreamReplaced(upstream_id)
         if answer.is_surely_not_run and answer.status != 400:
             _record_not_run(exchange)
@@ -303,9 +304,13 @@
         if isinstance(error, SlowerThanOthers):
             # The retry budget was charged before the upstream was given up.
             return True
-        if isinstance(error, UpstreamUnreachable | UpstreamReplaced):
-            # This attempt reached no upstream that could run the request.
+        if isinstance(error, UpstreamUnreachable):
+            # This attempt reached no upstream.
             return exchange.may_resend or not exchange.may_have_run
+        if isinstance(error, UpstreamReplaced):
+            # Another one got the request and did not run it: the budget counts that.
+            may_resend = exchange.may_resend or not exchange.may_have_run
+            return may_resend and self.retries.try_spend(exchange.service, vms, now_s)
         if not error.not_run and not exchange.may_resend:
             return False
         if exchange.may_have_run and not exchange.may_resend:
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -6,6 +6,7 @@
 from banyanseam.entry.cached_prefixes import CachedPrefixes
 from banyanseam.entry.const import (
     FAILURES_TO_SUSPECT,
+    REPLACED_REPORT_S,
     RETURN_COLD_S,
     SUSPECT_S,
 )
@@ -50,6 +51,9 @@
         self._evacuated: frozenset[str] = frozenset()
         self._returned_s: dict[str, float] = {}
         self._retain_expired_until_s = -1e9
+        # Incarnations whose address another one has taken over, by id and start, and
+        # when that was noticed. The store lists them until their entries expire.
+        self._replaced_s: dict[tuple[str, int], float] = {}
 
     def adopt(self, upstreams: Iterable[Upstream], revision: int, now_s: float) -> bool:
         """Adopt a listing unless it is older than the last one.
@@ -61,6 +65,17 @@
         self.revision = revision
         self.confirmed_s = now_s
         by_id = {each.upstream_id: each for each in upstreams}
+        listed = {(each.upstream_id, each.started_ms) for each in by_id.values()}
+        self._replaced_s = {
+            key: at_s
+            for key, at_s in self._replaced_s.items()
+            if key in listed or now_s - at_s < REPLACED_REPORT_S
+        }
+        for upstream_id in _list_superseded(by_id.values()) | {
+            upstream_id for upstream_id, _ in self._replaced_s.keys() & listed
+        }:
+            del by_id[upstream_id]
+            self._listed.pop(upstream_id, None)
         for upstream in by_id.values():
             self._track(upstream, now_s)
         if now_s >= self._retain_expired_until_s:
@@ -130,9 +145,25 @@
         """Reset the count of consecutive failures."""
         listed.usage.consecutive_failures = 0
 
-    def drop(self, upstream_id: str) -> None:
+    def drop(self, upstream_id: str, now_s: float) -> None:
         """Remove an upstream whose address another incarnation has taken over."""
-        self._listed.pop(upstream_id, None)
+        listed = self._listed.pop(upstream_id, None)
+        if listed is not None:
+            self._replaced_s[upstream_id, listed.upstream.started_ms] = now_s
+
+    def record_replaced(self, upstream_id: str, started_ms: int, now_s: float) -> None:
+        """Remove an upstream if a peer has noticed that this incarnation is gone."""
+        listed = self._listed.get(upstream_id)
+        if listed is not None and listed.upstream.started_ms == started_ms:
+            self.drop(upstream_id, now_s)
+
+    def list_replaced(self, now_s: float) -> list[tuple[str, int]]:
+        """Return the incarnations that were just noticed to be gone, for peers."""
+        return [
+            key
+            for key, at_s in self._replaced_s.items()
+            if now_s - at_s < REPLACED_REPORT_S
+        ]
 
     def _track(self, upstream: Upstream, now_s: float) -> None:
         listed = self._listed.get(upstream.upstream_id)
@@ -158,3 +189,15 @@
         if upstream.data_centre in self._evacuated:
             return False
         return listed.stops_at_s is None or now_s < listed.stops_at_s
+
+
+def _list_superseded(upstreams: Iterable[Upstream]) -> set[str]:
+    """Return the upstreams whose address belongs to one that started later."""
+    newest: dict[str, Upstream] = {}
+    superseded = set()
+    for each in sorted(upstreams, key=lambda upstream: upstream.started_ms):
+        previous = newest.get(each.address)
+        if previous is not None and previous.started_ms < each.started_ms:
+            superseded.add(previous.upstream_id)
+        newest[each.address] = each
+    return superseded
--- a/tests/entry/test_upstream_list.py
+++ b/tests/entry/test_upstream_list.py
@@ -1,4 +1,5 @@
 import unittest
+from dataclasses import replace
 
 from banyanseam.entry.const import FAILURES_TO_SUSPECT, RETURN_COLD_S, SUSPECT_S
 from banyanseam.entry.models import UpstreamState
@@ -48,6 +49,41 @@
         self.assertTrue(self.upstreams.is_cold(listed, 3.9))
         self.assertFalse(self.upstreams.is_cold(listed, 4.1))
 
+    def test_an_upstream_that_was_replaced_stays_out_while_its_entry_is_listed(self):
+        """Its entry expires only after three missed heartbeats."""
+        old = make_upstream("e1", address="10.9.0.9:80")
+        new = replace(old, started_ms=2, revision=12)
+        self.upstreams.drop("e1", 0.0)
+        for revision in (11, 12):
+            self.upstreams.adopt([old, make_upstream("e2")], revision, revision * 1.0)
+            self.assertEqual(list_ids(self.upstreams), ["e2"])
+        self.upstreams.adopt([new, make_upstream("e2")], 13, 13.0)
+        self.assertEqual(list_ids(self.upstreams), ["e1", "e2"])
+
+    def test_peers_learn_which_upstreams_were_replaced(self):
+        peer = UpstreamList()
+        peer.adopt([make_upstream("e1"), make_upstream("e2")], 10, 0.0)
+        self.upstreams.drop("e1", 1.0)
+        for upstream_id, started_ms in self.upstreams.list_replaced(1.0):
+            peer.record_replaced(upstream_id, started_ms, 1.5)
+        self.assertEqual(list_ids(peer), ["e2"])
+        # A report about an older incarnation says nothing about the newer one.
+        peer.adopt([make_upstream("e2", started_ms=9, revision=11)], 11, 2.0)
+        peer.record_replaced("e2", 1, 2.0)
+        self.assertEqual(list_ids(peer), ["e2"])
+
+    def test_of_two_upstreams_with_one_address_the_older_one_is_gone(self):
+        older = make_upstream("e1", address="10.9.0.1:80", started_ms=1)
+        newer = make_upstream("e3", address="10.9.0.1:80", started_ms=5)
+        other = make_upstream("e2", address="10.9.0.2:80")
+        self.upstreams.adopt([older, newer, other], 11, 1.0)
+        self.assertEqual(list_ids(self.upstreams), ["e2", "e3"])
+        elsewhere = make_upstream(
+            "e4", address="10.9.0.2:80", service="desk", started_ms=9
+        )
+        self.upstreams.adopt([older, newer, other, elsewhere], 12, 2.0)
+        self.assertEqual(list_ids(self.upstreams), ["e3"])
+
     def test_a_newer_registration_can_make_an_upstream_cold_again(self):
         cold = make_upstream("e1", cold_ms=2000, revision=11)
         self.upstreams.adopt([cold], 11, 5.0)
