--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH := $(CURDIR)
 SEED ?= 1
 
-.PHONY: setup demo test lint unit bench bench-policy bench-capacity soak
+.PHONY: setup demo test lint unit bench bench-policy bench-capacity bench-fleet soak
 
 setup: $(VENV)/.ready
 
@@ -39,5 +39,8 @@
 bench-capacity: setup
 	$(RUN) -m bench.capacity
 
+bench-fleet: setup
+	$(RUN) -m bench.fleet
+
 soak: setup
 	$(RUN) -m tests.faults.soak --seed $(SEED)
