Compare addresses of upstreams within one service only

Found while reading the diff: an entry of an unknown service, which another writer may leave in the store, names no upstream to use and may have any address. With a later start it would have taken a sound upstream out of use.

--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -192,12 +192,17 @@
 
 
 def _list_superseded(upstreams: Iterable[Upstream]) -> set[str]:
-    """Return the upstreams whose address belongs to one that started later."""
-    newest: dict[str, Upstream] = {}
+    """Return the upstreams whose address belongs to one that started later.
+
+    Only upstreams of the same service are compared, since an entry of an unknown
+    service may have any address.
+    """
+    newest: dict[tuple[str, str], Upstream] = {}
     superseded = set()
     for each in sorted(upstreams, key=lambda upstream: upstream.started_ms):
-        previous = newest.get(each.address)
+        key = each.service, each.address
+        previous = newest.get(key)
         if previous is not None and previous.started_ms < each.started_ms:
             superseded.add(previous.upstream_id)
-        newest[each.address] = each
+        newest[key] = each
     return superseded
