Count each comment of a stream towards the limit of an event

An event of two bytes counted two, so 32,768 of them were split off one by one from the front of a buffer and relayed before the limit was reached.

Change: a comment counts at least 64 bytes, the limit is checked at each event, and a chunk is split at once.

--- a/banyanseam/entry/event_stream.py
+++ b/banyanseam/entry/event_stream.py
@@ -7,6 +7,8 @@
 
 # Larger than any engine's events: 330 bytes according to the operators' sheets.
 MAX_EVENT_BYTES: Final = 64 * 1024
+# Each comment counts for at least this much, since each has to be handled.
+MIN_COMMENT_BYTES: Final = 64
 _EVENT_END: Final = b"\n\n"
 
 
@@ -40,16 +42,23 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that are now complete; raise AnswerMalformed."""
         self._buffer += data
+        *whole, rest = self._buffer.split(_EVENT_END)
+        self._buffer = rest
         events = []
-        while (end := self._buffer.find(_EVENT_END)) >= 0:
-            event = bytes(self._buffer[: end + len(_EVENT_END)])
-            del self._buffer[: end + len(_EVENT_END)]
+        for part in whole:
+            event = bytes(part) + _EVENT_END
             events.append(StreamEvent(event, _read_number(event)))
-            is_comment = events[-1].is_comment
-            self._comment_bytes = self._comment_bytes + len(event) if is_comment else 0
+            if events[-1].is_comment:
+                self._comment_bytes += max(len(event), MIN_COMMENT_BYTES)
+            else:
+                self._comment_bytes = 0
+            self._check_size()
+        self._check_size()
+        return events
+
+    def _check_size(self) -> None:
         if len(self._buffer) + self._comment_bytes > MAX_EVENT_BYTES:
             raise AnswerMalformed("an event or comment exceeds the maximum size")
-        return events
 
 
 def _read_number(event: bytes) -> int | None:
