Log where a configuration came from, and of each end whether it was forwarded

Two of three hypotheses on requests refused by an older configuration could not be told apart from logs: a VM's own refusal and that of a request forwarded to it had the same event 3002 without the field 'forwarded' if they were refused before admission, and event 5001 did not say whether the store or a peer gave the version. Unit tests of the watcher, the simulation and the catalogues pass.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -290,7 +290,7 @@
                 async with send(outgoing, lambda: None) as incoming:
                     body = b"".join([chunk async for chunk in incoming.body])
             message = ValuesMessage.model_validate(cbor2.loads(body))
-            self.values.apply_message(message, anyio.current_time())
+            self.values.apply_message(message, ip, anyio.current_time())
         except (
             BanyanseamError,
             TimeoutError,
--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -260,6 +260,7 @@
         "request_id": state.request_id,
         "took_ms": round((now_s - state.received_s) * 1000),
         "version": frontend.admission.values.version,
+        "forwarded": state.forwarding is not None,
     }
     route, organisation = "-", "-"
     if exchange is not None:
@@ -271,7 +272,6 @@
             "organisation": organisation,
             "sends": exchange.sends,
             "tried": exchange.tried,
-            "forwarded": exchange.forwarding is not None,
             "last_event": exchange.last_event,
         }
     if first_s is not None:
--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Final
 
 import anyio
 
@@ -29,6 +30,9 @@
     log,
 )
 
+# In logs, the source of a value that did not come from a peer.
+STORE: Final = "store"
+
 
 @dataclass(frozen=True, slots=True)
 class Decoders:
@@ -71,7 +75,7 @@
         """Adopt a full listing of the operators' values."""
         config = listing.values.get(self._decoders.config_key)
         if config is not None:
-            self._apply_config(config.value)
+            self._apply_config(config.value, STORE)
         if listing.revision >= self.confirmed_evacuation_revision:
             found = (self._decoders.decode_evacuated(key) for key in listing.values)
             evacuated = frozenset(each for each in found if each is not None)
@@ -82,7 +86,7 @@
         evacuated = set(self.evacuated)
         for key, published in changes.values:
             if key == self._decoders.config_key and published is not None:
-                self._apply_config(published.value)
+                self._apply_config(published.value, STORE)
             data_centre = self._decoders.decode_evacuated(key)
             if data_centre is None:
                 continue
@@ -93,9 +97,9 @@
         if changes.revision >= self.confirmed_evacuation_revision:
             self._set_evacuated(frozenset(evacuated), changes.revision, now_s)
 
-    def apply_message(self, message: ValuesMessage, now_s: float) -> None:
-        """Adopt a peer's values where they are newer."""
-        self._apply_config(message.config)
+    def apply_message(self, message: ValuesMessage, peer: str, now_s: float) -> None:
+        """Adopt the values of the peer at an address where they are newer."""
+        self._apply_config(message.config, peer)
         if message.evacuation_revision > self.confirmed_evacuation_revision:
             evacuated = frozenset(message.evacuated)
             self._set_evacuated(evacuated, message.evacuation_revision, now_s)
@@ -152,19 +156,19 @@
         if self.catalogue is not None and self._upstreams.revision >= 0:
             self.complete.set()
 
-    def _apply_config(self, value: bytes) -> None:
+    def _apply_config(self, value: bytes, source: str) -> None:
         if not value or value == self.config_value:
             return
         try:
             catalogue = self._decoders.decode_config(value)
         except InvalidConfig as error:
-            log(CONFIG_REJECTED, code=error.code, detail=error.detail)
+            log(CONFIG_REJECTED, code=error.code, detail=error.detail, source=source)
             return
         if catalogue.version <= self.version:
             return
         self.catalogue = catalogue
         self.config_value = value
-        log(CONFIG_ADOPTED, version=catalogue.version)
+        log(CONFIG_ADOPTED, version=catalogue.version, source=source)
         for callback in self._callbacks:
             callback(catalogue)
         self._update_complete()
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -136,7 +136,7 @@
         )
         for ip, entry in self.entries.items():
             if to is None or ip in to:
-                entry.values.apply_message(message, anyio.current_time())
+                entry.values.apply_message(message, "test", anyio.current_time())
 
     def gossip(self, *, lost: bool = False) -> None:
         """Exchange heartbeats twice between all VMs that can reach each other."""
--- a/tests/entry/test_store_watcher.py
+++ b/tests/entry/test_store_watcher.py
@@ -238,11 +238,11 @@
             message = ValuesMessage(
                 config=b"8", evacuated=["delta-a"], evacuation_revision=10**9
             )
-            setup.values.apply_message(message, anyio.current_time())
+            setup.values.apply_message(message, "10.1.0.2", anyio.current_time())
             self.assertEqual(setup.values.version, 8)
             self.assertEqual(setup.values.evacuated, {"delta-a"})
             outdated = message.model_copy(update={"config": b"3", "evacuated": []})
-            setup.values.apply_message(outdated, anyio.current_time())
+            setup.values.apply_message(outdated, "10.1.0.2", anyio.current_time())
             self.assertEqual(setup.values.version, 8)
             self.assertEqual(setup.values.evacuated, {"delta-a"})
 
@@ -258,7 +258,7 @@
             outdated = ValuesMessage(
                 config=b"1", evacuated=["gulf-a"], evacuation_revision=150
             )
-            setup.values.apply_message(outdated, anyio.current_time())
+            setup.values.apply_message(outdated, "10.1.0.2", anyio.current_time())
             self.assertEqual(setup.values.evacuated, set())
             # Nothing newer is fetched from that peer either.
             self.assertGreater(setup.values.confirmed_evacuation_revision, 150)
@@ -272,6 +272,7 @@
                 ValuesMessage(
                     config=b"1", evacuated=["gulf-a"], evacuation_revision=900
                 ),
+                "10.1.0.2",
                 now_s,
             )
             for revision, expected in ((850, {"gulf-a"}), (950, set())):
