Serve forwarded requests by a configuration no older than the sender's

Callers of a VM in touch got 404 (or 401 by another way of refusing) for a route that had been added long before: a request that is forwarded to another region was checked there against that VM's own configuration, and a VM that had just been stopped, slowed or partitioned may hold an older one. The VM that the caller used passed its refusal on as it was. By the same way an older service could run it.

Forwarded requests now name the version by which they were admitted. The fetching moves to values_fetcher.py.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -6,26 +6,20 @@
 from typing import Any
 
 import anyio
-import cbor2
-from anyio.abc import TaskGroup
-from pydantic import ValidationError
 
 from banyanseam.daemon.lifecycle import Lifecycle, Stage
 from banyanseam.entry.admission import Admission
 from banyanseam.entry.const import (
     BODY_MEMORY_SHARE,
-    CONNECT_TIMEOUT_S,
     LEAVE_S,
     LIST_VALIDITY_S,
     METRICS_PORT,
     SETTINGS_PERIOD_S,
     STOP_MARGIN_S,
-    STORE_TIMEOUT_S,
 )
 from banyanseam.entry.crash_suspects import CrashSuspects
 from banyanseam.entry.directory import choose_entries
 from banyanseam.entry.frontend import (
-    VALUES_PATH,
     CallerFormat,
     Frontend,
     make_callers_app,
@@ -35,7 +29,6 @@
 from banyanseam.entry.heartbeats import Heartbeats
 from banyanseam.entry.local_endpoints import make_directory_app, make_readiness_app
 from banyanseam.entry.members import Member, Members
-from banyanseam.entry.messages import ValuesMessage
 from banyanseam.entry.metrics import Metrics
 from banyanseam.entry.models import Catalogue, EntrySettings
 from banyanseam.entry.operators import make_operators_app
@@ -43,11 +36,11 @@
 from banyanseam.entry.reach import PeerReachability
 from banyanseam.entry.relay import Relay, UpstreamFormat
 from banyanseam.entry.retry_budget import RetryBudget
-from banyanseam.entry.sending import OutgoingRequest, send
 from banyanseam.entry.store_watcher import Store, StoreWatcher
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads, list_local_candidates
 from banyanseam.entry.values import Decoders, PublishedValues
+from banyanseam.entry.values_fetcher import ValuesFetcher
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.events import (
     DAEMON_READY,
@@ -58,7 +51,6 @@
     METRICS_NOT_SERVED,
     SETTINGS_REJECTED,
     SETTINGS_RELOADED,
-    VALUES_NOT_FETCHED,
     log,
 )
 from banyanseam.peers.errors import CannotListen
@@ -106,6 +98,9 @@
         self.quota = FleetQuota(settings.bounds.quota_slack_tokens)
         self.suspects = CrashSuspects()
         self.values = PublishedValues(decoders, self.upstreams)
+        self.values_fetcher = ValuesFetcher(
+            self.values, settings.ip, settings.peers_port
+        )
         self.retries = RetryBudget(settings.bounds)
         self.metrics = Metrics()
         self.heartbeats = Heartbeats(
@@ -143,17 +138,16 @@
             caller_format,
             Admission(self.values, self.quota, self.suspects),
             relay,
+            self.values_fetcher,
             ByteBudget(budget_bytes),
             self.lifecycle,
             self.metrics,
             frozenset(settings.first_peers),
         )
-        self._fetching = False
-        self._tasks: TaskGroup | None = None
         self._servers: list[EmbeddedServer] = []
         self.values.on_adopted(self._apply_catalogue)
         self.heartbeats.list_candidates = self._list_candidates
-        self.heartbeats.on_peer_versions = self._fetch_newer_values
+        self.heartbeats.on_peer_versions = self.values_fetcher.start_if_newer
         self.gossip.get_own_state = lambda: (
             self.lifecycle.is_ready,
             self.lifecycle.state in (Stage.SERVING, Stage.LEAVING),
@@ -172,7 +166,7 @@
         )
         self._servers = self._make_servers()
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
+            self.values_fetcher.tasks = tasks
             for server in self._servers:
                 tasks.start_soon(server.serve)
             for server in self._servers:
@@ -264,43 +258,6 @@
             )
         return [member.callers_address for member in chosen]
 
-    def _fetch_newer_values(
-        self, ip: str, version: int, evacuation_revision: int
-    ) -> None:
-        is_newer = (
-            version > self.values.version
-            or evacuation_revision > self.values.confirmed_evacuation_revision
-        )
-        if is_newer and not self._fetching and self._tasks is not None:
-            self._fetching = True
-            self._tasks.start_soon(self._fetch_values, ip)
-
-    async def _fetch_values(self, ip: str) -> None:
-        outgoing = OutgoingRequest(
-            address=f"{ip}:{self.settings.peers_port}",
-            method="GET",
-            target=VALUES_PATH.encode(),
-            headers=[(b"host", ip.encode())],
-            body=b"",
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-            first_byte_timeout_s=STORE_TIMEOUT_S,
-        )
-        try:
-            with anyio.fail_after(2 * STORE_TIMEOUT_S):
-                async with send(outgoing, lambda: None) as incoming:
-                    body = b"".join([chunk async for chunk in incoming.body])
-            message = ValuesMessage.model_validate(cbor2.loads(body))
-            self.values.apply_message(message, ip, anyio.current_time())
-        except (
-            BanyanseamError,
-            TimeoutError,
-            cbor2.CBORDecodeError,
-            ValidationError,
-        ) as error:
-            log(VALUES_NOT_FETCHED, peer=ip, error=repr(error)[:200])
-        finally:
-            self._fetching = False
-
     async def _wait_for_stop(self) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -2,14 +2,15 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import Any
 
 import anyio
 import cbor2
 
+from banyanseam.config.errors import NotReady
 from banyanseam.daemon.lifecycle import Lifecycle
 from banyanseam.entry.admission import Admission, admit
-from banyanseam.entry.const import MIN_RETRY_AFTER_MS, START_WAIT_S
+from banyanseam.entry.const import CATCH_UP_S, MIN_RETRY_AFTER_MS, START_WAIT_S
 from banyanseam.entry.errors import (
     EntryLeaving,
     PeerUntrusted,
@@ -29,6 +30,7 @@
     write_sends,
 )
 from banyanseam.entry.relay import Relay
+from banyanseam.entry.values_fetcher import VALUES_PATH, ValuesFetcher
 from banyanseam.errors import BanyanseamError, Problem
 from banyanseam.observe.events import (
     INTERNAL_FAILURE,
@@ -52,8 +54,6 @@
 from banyanseam.server.reply import AsgiReceive, AsgiSend, send_body
 from banyanseam.upstreams.errors import UpstreamFailed
 
-VALUES_PATH: Final = "/banyanseam/values"
-
 
 @dataclass(frozen=True, slots=True)
 class CallerFormat:
@@ -74,6 +74,7 @@
     caller_format: CallerFormat
     admission: Admission
     relay: Relay
+    values_fetcher: ValuesFetcher
     budget: ByteBudget
     lifecycle: Lifecycle
     metrics: Metrics
@@ -182,6 +183,8 @@
     declared_bytes = read_content_length(headers)
     with frontend.budget.reserve_body(declared_bytes, MAX_BODY_BYTES) as reservation:
         body = await read_body(receive, reservation.grow_to)
+        if state.forwarding is not None:
+            await _adopt_senders_version(frontend, state.forwarding)
         if frontend.admission.values.catalogue is None:
             with anyio.move_on_after(START_WAIT_S):
                 await frontend.admission.values.complete.wait()
@@ -195,10 +198,30 @@
         )
         state.exchange = exchange
         if exchange.forwarding is not None:
-            state.reply.list_extra_headers = lambda: write_sends(exchange)
+            state.reply.list_extra_headers = lambda: write_sends(exchange.sends)
         await _run(frontend, exchange, scope["extensions"][CONNECTION])
 
 
+async def _adopt_senders_version(frontend: Frontend, forwarding: Forwarding) -> None:
+    """Get the configuration by which the sender has admitted a request.
+
+    By an older one, its route or organisation may be missing or differ. Raise NotReady
+    if the sender's version cannot be fetched in time.
+    """
+    values = frontend.admission.values
+    if values.version >= forwarding.config_version:
+        return
+    await frontend.values_fetcher.catch_up(
+        forwarding.sender_ip, forwarding.config_version, CATCH_UP_S
+    )
+    if values.version < forwarding.config_version:
+        raise NotReady(
+            f"configuration version {values.version} is in force here, the request "
+            f"was forwarded under {forwarding.config_version}",
+            retry_after_ms=MIN_RETRY_AFTER_MS,
+        )
+
+
 async def _run(frontend: Frontend, exchange: Exchange, connection: Connection) -> None:
     """Run the request until its deadline, or until the caller disconnects."""
     is_disconnected = False
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -223,6 +223,8 @@
     sender_ip: str
     left_ms: int
     max_attempts: int
+    # Version by which the sender has admitted the request.
+    config_version: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/banyanseam/entry/peer_headers.py
+++ b/banyanseam/entry/peer_headers.py
@@ -15,6 +15,7 @@
 SENDER: Final = b"x-banyanseam-sender"
 LEFT_MS: Final = b"x-banyanseam-left-ms"
 ATTEMPTS: Final = b"x-banyanseam-attempts"
+CONFIG_VERSION: Final = b"x-banyanseam-config-version"
 FAILURE: Final = b"x-banyanseam-failure"
 SENDS: Final = b"x-banyanseam-sends"
 PREFIX: Final = b"x-banyanseam-"
@@ -27,6 +28,7 @@
         (SENDER, sender_ip.encode()),
         (LEFT_MS, str(left_ms).encode()),
         (ATTEMPTS, str(exchange.attempts_left).encode()),
+        (CONFIG_VERSION, str(exchange.catalogue.version).encode()),
     ]
     if exchange.organisation is not None:
         headers.append((ORGANISATION, exchange.organisation.name.encode()))
@@ -40,11 +42,14 @@
     if not (left_ms.isdigit() and attempts.isdigit() and SENDER in by_name):
         raise RequestMalformed("headers of a forwarded request are missing or invalid")
     organisation = by_name.get(ORGANISATION)
+    # Senders of an older release do not name their version.
+    version = by_name.get(CONFIG_VERSION, b"")
     return Forwarding(
         organisation=None if organisation is None else organisation.decode(),
         sender_ip=by_name[SENDER].decode("latin-1"),
         left_ms=int(left_ms),
         max_attempts=int(attempts),
+        config_version=int(version) if version.isdigit() else 0,
     )
 
 
@@ -53,9 +58,9 @@
     return [header for header in headers if not header[0].startswith(PREFIX)]
 
 
-def write_sends(exchange: Exchange) -> Headers:
+def write_sends(sends: int) -> Headers:
     """Return the header that reports the sends to upstreams so far."""
-    return [(SENDS, str(exchange.sends).encode())]
+    return [(SENDS, str(sends).encode())]
 
 
 def read_sends(headers: Headers) -> int | None:
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -201,11 +201,12 @@
     ) -> AsyncIterator[IncomingAnswer]:
         """Replace `sending.send`: apply a fault or answer in memory."""
         headers = {a.decode().lower(): b.decode() for a, b in outgoing.headers}
-        request_id = headers["request-id"]
+        # Fetches of published values have no request id; their faults go by the path.
+        request_id = headers.get("request-id", outgoing.target.decode())
         ip = outgoing.address.partition(":")[0]
         peer = self.entries.get(ip)
         queues = self.faults if peer is None else self.peer_faults
-        fault = queues[request_id].pop(0) if queues[request_id] else ""
+        fault = queues[request_id].pop(0) if queues.get(request_id) else ""
         if peer is not None and not self._can_reach(headers["x-banyanseam-sender"], ip):
             fault = "refused"
         listening = [
@@ -404,6 +405,7 @@
             simulation = Simulation(tasks)
             for name, replacement in (
                 ("banyanseam.entry.relay.send", simulation.send),
+                ("banyanseam.entry.values_fetcher.send", simulation.send),
                 ("banyanseam.entry.frontend.log", simulation.log),
             ):
                 stack.enter_context(mock.patch(name, replacement))
--- /dev/null
+++ b/tests/entry/test_forwarding.py
@@ -0,0 +1,56 @@
+"""Checks requests forwarded between VMs with different configurations."""
+
+import unittest
+
+from banyanseam.entry.values_fetcher import VALUES_PATH
+from tests.common import run_with_mock_clock
+from tests.entry.simulation import Caller, Simulation, make_body, start_simulation
+
+PIEDMONT_VMS = {"10.2.0.1", "10.2.0.2"}
+
+
+def empty_piedmont(simulation: Simulation) -> None:
+    """Remove the upstreams of a region, which then forwards all its requests."""
+    for name in list(simulation.upstreams):
+        if name.endswith("piedmont"):
+            del simulation.upstreams[name]
+    simulation.gossip()
+
+
+def publish_route(simulation: Simulation, to: set[str]) -> None:
+    """Add the route /new/ in the configuration of the VMs in `to` only."""
+    routes = simulation.config["routes"]
+    template = next(route for route in routes if route["name"] == "read")
+    routes.append(template | {"name": "new", "path_prefix": "/new/"})
+    simulation.publish(to=to)
+
+
+def ask_for_new_route(values_faults: list[str]) -> tuple[Simulation, Caller]:
+    """Ask a VM for a route that VMs of the region with upstreams don't know yet."""
+
+    async def run() -> Simulation:
+        async with start_simulation() as simulation:
+            empty_piedmont(simulation)
+            publish_route(simulation, to=PIEDMONT_VMS)
+            simulation.peer_faults[VALUES_PATH] = values_faults
+            simulation.ask("10.2.0.1", "/new/x", [], [])
+        return simulation
+
+    simulation = run_with_mock_clock(run)
+    return simulation, simulation.callers[0]
+
+
+class OlderConfigurationTests(unittest.TestCase):
+    def test_an_added_route_is_served_by_a_region_that_lacks_it(self):
+        _, caller = ask_for_new_route([])
+        self.assertEqual(
+            (caller.status, caller.body), (200, make_body(caller.request_id))
+        )
+
+    def test_an_older_configuration_refuses_no_request_as_unknown(self):
+        simulation, caller = ask_for_new_route(["lost"] * 4)
+        self.assertEqual((caller.status, simulation.runs), (503, {}))
+
+
+if __name__ == "__main__":
+    unittest.main()
