Send what a VM of another region refuses by itself to another VM there

A forwarded request that a VM refused before admission, since it was leaving, did not know its sender or had no fitting configuration, came back without a count of sends. The sender counted all attempts that it had granted, so the caller got the refusal at once though other VMs of that region could serve it.

VMs now report their sends, also none, with every answer to a peer. Such a refusal costs no retry, since no upstream was reached, and the request goes to another VM. Waiting for a configuration is limited to a quarter of the remaining time, so that there is time left for that.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -70,8 +70,10 @@
 # heartbeats, which are 1.2 s apart. Source: the published heartbeat.
 OUTAGE_S: Final = 3.0
 
-# How long a forwarded request waits for the configuration of the VM that sent it.
-CATCH_UP_S: Final = 1.0
+# How long a forwarded request waits for the configuration of the VM that sent it, also
+# as a share of its remaining time: another VM can then still serve it.
+CATCH_UP_S: Final = 0.6
+CATCH_UP_SHARE: Final = 0.25
 
 # Directory.
 LIST_VALIDITY_S: Final = 2
--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -10,7 +10,12 @@
 from banyanseam.config.errors import NotReady
 from banyanseam.daemon.lifecycle import Lifecycle
 from banyanseam.entry.admission import Admission, admit
-from banyanseam.entry.const import CATCH_UP_S, MIN_RETRY_AFTER_MS, START_WAIT_S
+from banyanseam.entry.const import (
+    CATCH_UP_S,
+    CATCH_UP_SHARE,
+    MIN_RETRY_AFTER_MS,
+    START_WAIT_S,
+)
 from banyanseam.entry.errors import (
     EntryLeaving,
     PeerUntrusted,
@@ -130,6 +135,8 @@
     received_s = anyio.current_time()
     reply = Reply(send, frontend.lifecycle.is_stopping)
     state = _RequestState(received_s, reply, forwarding)
+    if forwarding is not None:
+        reply.list_extra_headers = lambda: write_sends(state.sends)
     frontend.lifecycle.request_started()
     try:
         await _admit_and_run(frontend, scope, headers, state, receive)
@@ -159,6 +166,11 @@
     head: RequestHead | None = None
     exchange: Exchange | None = None
 
+    @property
+    def sends(self) -> int:
+        """Return the sends to upstreams so far, none before the admission."""
+        return 0 if self.exchange is None else self.exchange.sends
+
 
 async def _admit_and_run(
     frontend: Frontend,
@@ -197,8 +209,6 @@
             state.forwarding,
         )
         state.exchange = exchange
-        if exchange.forwarding is not None:
-            state.reply.list_extra_headers = lambda: write_sends(exchange.sends)
         await _run(frontend, exchange, scope["extensions"][CONNECTION])
 
 
@@ -211,8 +221,9 @@
     values = frontend.admission.values
     if values.version >= forwarding.config_version:
         return
+    timeout_s = min(CATCH_UP_S, CATCH_UP_SHARE * forwarding.left_ms / 1000)
     await frontend.values_fetcher.catch_up(
-        forwarding.sender_ip, forwarding.config_version, CATCH_UP_S
+        forwarding.sender_ip, forwarding.config_version, timeout_s
     )
     if values.version < forwarding.config_version:
         raise NotReady(
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -3,9 +3,11 @@
 import random
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
+from typing import Final
 
 import anyio
 
+from banyanseam.config.errors import NotReady
 from banyanseam.entry.answers import check_answer, relay_answer
 from banyanseam.entry.choosing import Chooser, choose_retry_after_ms
 from banyanseam.entry.const import (
@@ -16,6 +18,8 @@
 from banyanseam.entry.crash_suspects import CrashSuspects
 from banyanseam.entry.errors import (
     ConnectionBroken,
+    EntryLeaving,
+    PeerUntrusted,
     SlowerThanOthers,
     UpstreamReplaced,
 )
@@ -47,6 +51,11 @@
     UpstreamUnreachable,
 )
 
+# Refusals of a VM itself, which another VM of its region may not share.
+VM_NOT_SERVING_CODES: Final = frozenset(
+    {EntryLeaving.code, NotReady.code, PeerUntrusted.code}
+)
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamFormat:
@@ -186,6 +195,8 @@
                 if failure is not None:
                     if failure.not_run:
                         _record_not_run(exchange)
+                    if failure.code in VM_NOT_SERVING_CODES:
+                        exchange.unreachable.add(peer.ip)
                     raise failure
                 answer = self.upstream_format.read_answer(
                     incoming.status, _strip_headers(incoming)
@@ -304,7 +315,7 @@
         if isinstance(error, SlowerThanOthers):
             # The retry budget was charged before the upstream was given up.
             return True
-        if isinstance(error, UpstreamUnreachable):
+        if isinstance(error, UpstreamUnreachable) or error.code in VM_NOT_SERVING_CODES:
             # This attempt reached no upstream.
             return exchange.may_resend or not exchange.may_have_run
         if isinstance(error, UpstreamReplaced):
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -51,6 +51,10 @@
         simulation, caller = ask_for_new_route(["lost"] * 4)
         self.assertEqual((caller.status, simulation.runs), (503, {}))
 
+    def test_another_vm_of_the_region_serves_what_one_cannot_check(self):
+        _, caller = ask_for_new_route(["lost"])
+        self.assertEqual(caller.status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
