Let a seats-based daemon serve forwarded requests by the sender's configuration

The cause of the requests refused by an older configuration, looked for elsewhere: the daemon with published seats also checked a forwarded request against its own configuration only, so that a route or an organisation added a moment ago was refused with 404 or 401 by a region that had been partitioned.

Forwarded requests name the version in which their route was found; the serving daemon waits until it is in force, at most 0.6 s or a quarter of the remaining time, and then refuses as not ready and not run. The field has a default, so both builds understand each other. The new test failed before (request.no_route).

--- a/banyanseam/daemon/serving.py
+++ b/banyanseam/daemon/serving.py
@@ -96,6 +96,7 @@
         pipelines.from_peers,
     )
     view.network.on_link_lost(forward_server.cancel_requests_from)
+    view.store.on_adopted(forward_server.resume_waiting)
     view.store.on_adopted(
         lambda config: tasks.start_soon(upstreams.close_unpublished, config)
     )
--- a/banyanseam/peers/forward_messages.py
+++ b/banyanseam/peers/forward_messages.py
@@ -35,6 +35,9 @@
     # may run a request with it.
     is_granted: bool
     credit_bytes: int
+    # Version by which the forwarding daemon has admitted the request; 0 if it is of a
+    # release that does not send it.
+    config_version: int = 0
 
 
 class ForwardHead(Message):
--- a/banyanseam/pipe/const.py
+++ b/banyanseam/pipe/const.py
@@ -35,5 +35,9 @@
 # The pipeline's own deadline normally ends a read first; this margin bounds a read
 # that the deadline does not end.
 READ_TIMEOUT_MARGIN_S: Final = 5.0
+# How long a forwarded request waits until the configuration by which it was admitted is
+# in force here too, also as a share of its remaining time.
+VERSION_WAIT_S: Final = 0.6
+VERSION_WAIT_SHARE: Final = 0.25
 # Maximum number of daemons of a region that are tried, while nothing was sent to any.
 MAX_FORWARD_ATTEMPTS: Final = 3
--- a/banyanseam/pipe/forward.py
+++ b/banyanseam/pipe/forward.py
@@ -146,6 +146,7 @@
         may_have_run=exchange.may_have_run,
         is_granted=exchange.is_granted,
         credit_bytes=FORWARD_WINDOW_BYTES,
+        config_version=exchange.config_version,
     )
 
 
--- a/banyanseam/pipe/models.py
+++ b/banyanseam/pipe/models.py
@@ -70,6 +70,8 @@
     key_digest: bytes | None = None
     organisation: Organisation | None = None
     route: Route | None = None
+    # Version of the configuration that the route was found in.
+    config_version: int = 0
     # Regions that may serve the request; None allows every region.
     regions: frozenset[str] | None = None
     deadline_s: float = 0.0
--- a/banyanseam/pipe/route.py
+++ b/banyanseam/pipe/route.py
@@ -49,7 +49,9 @@
 
     async def filter_(exchange: Exchange, next_: Next) -> None:
         refuse_dot_segments(exchange.path)
-        found = find_route(get_config(), exchange.path)
+        config = get_config()
+        found = find_route(config, exchange.path)
+        exchange.config_version = config.version
         if exchange.organisation is None and not found.open_to_all:
             raise KeyMissing
         set_route(exchange, found)
--- a/banyanseam/pipe/serve_forwarded.py
+++ b/banyanseam/pipe/serve_forwarded.py
@@ -21,6 +21,7 @@
 )
 from banyanseam.peers.messages import Message, PeerIdentity
 from banyanseam.pipe.authenticate import check_key
+from banyanseam.pipe.const import VERSION_WAIT_S, VERSION_WAIT_SHARE
 from banyanseam.pipe.errors import DeadlineExceeded, KeyUnknown, ResidencyExcluded
 from banyanseam.pipe.models import Exchange, Headers, Next
 from banyanseam.pipe.residency import narrow_regions
@@ -84,10 +85,17 @@
         self._running: dict[
             tuple[PeerIdentity, int], tuple[RemoteSink, anyio.CancelScope, Exchange]
         ] = {}
+        # Set and replaced each time that a configuration comes into force.
+        self._adopted = anyio.Event()
         network.handle_cast(ForwardOpen, self._open)
         network.handle_cast(ForwardCredit, self._credit)
         network.handle_cast(ForwardCancel, self._cancel)
 
+    def resume_waiting(self, _config: Config) -> None:
+        """Check again whether requests that wait for a configuration may run."""
+        self._adopted.set()
+        self._adopted = anyio.Event()
+
     def cancel_requests_from(self, peer: PeerIdentity) -> None:
         """Cancel a lost process's requests, except those that must not run twice."""
         for (holder, _), (_, scope, exchange) in self._running.items():
@@ -128,6 +136,7 @@
 
     async def _answer(self, exchange: Exchange, opened: ForwardOpen) -> ForwardEnd:
         try:
+            await self._wait_for_version(opened)
             self._admit(exchange, opened)
             await self._serve(exchange)
         except BanyanseamError as error:
@@ -141,6 +150,22 @@
             stream=opened.stream, outcome="whole", **_make_end_fields(exchange)
         )
 
+    async def _wait_for_version(self, opened: ForwardOpen) -> None:
+        """Wait for the sender's configuration; raise NotReady if it takes too long.
+
+        By an older one, the route or the organisation may be missing.
+        """
+        share_s = VERSION_WAIT_SHARE * opened.remaining_ms / 1000
+        with anyio.move_on_after(min(VERSION_WAIT_S, share_s)):
+            while self._get_version() < opened.config_version:
+                await self._adopted.wait()
+        if self._get_version() < opened.config_version:
+            raise NotReady(f"version {opened.config_version} is not in force here")
+
+    def _get_version(self) -> int:
+        config = self._get_config()
+        return 0 if config is None else config.version
+
     def _admit(self, exchange: Exchange, opened: ForwardOpen) -> None:
         """Check key, route and residency against this daemon's own configuration."""
         config = self._get_config()
--- a/tests/pipe/test_forward.py
+++ b/tests/pipe/test_forward.py
@@ -50,6 +50,45 @@
                     )
                     self.assertEqual(exchange.upstream_started, was_started)
 
+    def test_an_older_configuration_refuses_no_forwarded_request_as_unknown(self):
+        older = make_config()
+        base, overlays = make_documents()
+        base["routes"]["new"] = {**base["routes"]["chat"], "path_prefix": "/new/"}
+        newer = compile_config(2, base, overlays)
+
+        async def forward(adopted_after_s):
+            fabric = FakeFabric()
+            entry, delta = fabric.join("gulf-1"), fabric.join("delta-1")
+            started_s = anyio.current_time()
+            configs = [older]
+
+            async def adopt():
+                await anyio.sleep(adopted_after_s)
+                configs[0] = newer
+                server.resume_waiting(newer)
+
+            async def serve(exchange):
+                pass
+
+            async with anyio.create_task_group() as tasks:
+                server = ForwardServer(delta, tasks, "delta", lambda: configs[0], serve)
+                tasks.start_soon(adopt)
+                exchange = make_exchange(
+                    path="/new/x",
+                    organisation=newer.organisations["acme"],
+                    deadline_s=started_s + 5,
+                )
+                exchange.route = newer.routes["new"]
+                exchange.config_version = newer.version
+                try:
+                    await Forwarder(entry).forward(exchange, "delta-1")
+                except ForwardFailed as error:
+                    return error.code, error.not_run
+            return "served"
+
+        self.assertEqual(run_with_mock_clock(forward, 0.2), "served")
+        self.assertEqual(run_with_mock_clock(forward, 60.0), ("config.not_ready", True))
+
     def test_the_stricter_residency_of_two_versions_applies(self):
         open_config = make_config()
         base, overlays = make_documents()
