Pass on at once what a newer configuration of another region refuses

A refusal with a status below 500 by a peer, whose configuration is at least as new, is final. The new test failed before: the second forward was made.

--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -45,12 +45,15 @@
 from banyanseam.entry.upstreams import UpstreamLoads, count_request, mark_prefilled
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.events import REQUEST_FORWARDED, SEND_FAILED, log
+from banyanseam.pipe.errors import ForwardFailed
 from banyanseam.upstreams.errors import (
     UpstreamFailed,
     UpstreamRefused,
     UpstreamUnreachable,
 )
 
+# Refusals with a lower status are final.
+MIN_SERVER_ERROR_STATUS: Final = 500
 # Refusals of a VM itself, which another VM of its region may not share.
 VM_NOT_SERVING_CODES: Final = frozenset(
     {EntryLeaving.code, NotReady.code, PeerUntrusted.code}
@@ -312,6 +315,9 @@
         now_s = anyio.current_time()
         if exchange.left_ms(now_s) < MIN_RETRY_LEFT_MS:
             return False
+        if isinstance(error, ForwardFailed) and error.status < MIN_SERVER_ERROR_STATUS:
+            # The peer's configuration is newer and does not allow the request.
+            return False
         if isinstance(error, SlowerThanOthers):
             # The retry budget was charged before the upstream was given up.
             return True
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -51,6 +51,20 @@
         simulation, caller = ask_for_new_route(["lost"] * 4)
         self.assertEqual((caller.status, simulation.runs), (503, {}))
 
+    def test_a_route_that_a_newer_configuration_dropped_is_refused_at_once(self):
+        async def run() -> Simulation:
+            async with start_simulation() as simulation:
+                empty_piedmont(simulation)
+                simulation.config["routes"].pop(4)
+                simulation.publish(to={"10.1.0.1", "10.1.0.2"})
+                simulation.ask("10.2.0.1", "/read/x", [], ["", "refused"])
+            return simulation
+
+        simulation = run_with_mock_clock(run)
+        caller = simulation.callers[0]
+        self.assertEqual((caller.status, simulation.runs), (404, {}))
+        self.assertEqual(simulation.peer_faults[caller.request_id], ["refused"])
+
     def test_another_vm_of_the_region_serves_what_one_cannot_check(self):
         _, caller = ask_for_new_route(["lost"])
         self.assertEqual(caller.status, 200)
