Refuse a prompt segment that crashes each engine that answers with it

Crashes were recorded by a fingerprint of the whole request, but these requests differ in all else, so none was recognised; retries doubled the crashes.

Crashes are now also counted by segment, without the last one, over the whole fleet: a request that an engine was about to answer when it broke off (at most one event) casts suspicion on its segments. A whole answer proves the segments of its prompt to be sound for a minute, and VMs report that to those that suspect one. After three crashes a segment is refused while requests with it come; the check is made again before each send. Crashes that a worse segment explains count neither for other segments nor for requests that merely ran beside it.

A success is recorded before the caller can disconnect; for forwarded requests and callers that close at once it never had been.

--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -19,6 +19,7 @@
     Route,
 )
 from banyanseam.entry.quota import FleetQuota
+from banyanseam.entry.segment_suspects import make_segment_keys
 from banyanseam.entry.values import PublishedValues
 from banyanseam.pipe.errors import KeyMissing, KeyUnknown, RouteUnknown
 from banyanseam.quota.errors import QuotaExceeded
@@ -74,13 +75,16 @@
         service=_choose_service(route, head.request_id),
         reply=reply,
         forwarding=forwarding,
+        segment_keys=make_segment_keys(head.prompt),
     )
     if organisation is not None and body:
         exchange.fingerprint = fingerprint(
             organisation.name, head.method, head.target, body
         )
-        if admission.suspects.is_refused(exchange.fingerprint, now_s):
-            raise CrashSuspected
+    if admission.suspects.is_refused(
+        exchange.fingerprint, exchange.segment_keys, now_s
+    ):
+        raise CrashSuspected
     if forwarding is None and organisation is not None:
         _charge(admission, exchange, organisation, now_s)
     return exchange
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -190,6 +190,19 @@
 # Requests that crash upstreams.
 CRASHES_TO_REFUSE: Final = 2
 CRASH_MEMORY_S: Final = 60.0
+# A prompt segment is refused after this many crashes of engines that were about to
+# answer with it, for as long as requests with it come and a while after the last one.
+# Source of the limit of five: the operators' rules.
+SEGMENT_CRASHES_TO_REFUSE: Final = 3
+REFUSAL_MEMORY_S: Final = 600.0
+# How long a whole answer proves that the segments of its prompt are sound.
+SOUND_MEMORY_S: Final = 60.0
+MAX_SOUND_SEGMENTS: Final = 4096
+# Suspected and sound segments that a heartbeat reports, and crashes of each of them.
+MAX_REPORTED_SEGMENTS: Final = 32
+MAX_REPORTED_CRASHES: Final = 8
+# An engine that broke off after more events of an answer did not crash because of it.
+MAX_EVENTS_BEFORE_CRASH: Final = 1
 # How long heartbeats report a crash.
 CRASH_REPORT_S: Final = 5.0
 MAX_CRASH_RECORDS: Final = 1000
--- a/banyanseam/entry/crash_suspects.py
+++ b/banyanseam/entry/crash_suspects.py
@@ -1,7 +1,9 @@
 """Detect requests that were running each time an upstream crashed."""
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass
+from zlib import crc32
 
 import xxhash
 
@@ -10,6 +12,13 @@
     CRASHES_TO_REFUSE,
     MAX_CRASH_RECORDS,
 )
+from banyanseam.entry.models import Upstream
+from banyanseam.entry.segment_suspects import SegmentSuspects
+
+
+def make_crash_tag(upstream: Upstream) -> str:
+    """Return a short name for the crash of an incarnation of an upstream."""
+    return f"{crc32(f'{upstream.upstream_id}@{upstream.started_ms}'.encode()):08x}"
 
 
 def fingerprint(organisation: str, method: str, target: bytes, body: bytes) -> int:
@@ -22,7 +31,7 @@
 
 @dataclass(slots=True)
 class _Record:
-    upstreams: set[str]
+    crashes: set[str]
     last_s: float
 
 
@@ -35,18 +44,20 @@
 
     def __init__(self) -> None:
         """Start without records."""
+        self.segments = SegmentSuspects()
         self._records: OrderedDict[int, _Record] = OrderedDict()
 
-    def record_crash(self, suspect: int, upstream_id: str, now_s: float) -> None:
+    def record_crash(self, suspect: int, crash: str, now_s: float) -> None:
         """Record a crash of an upstream while the request was running there.
 
-        A repeated report of the same crash does not extend the record's lifetime.
+        `crash` identifies the incarnation of the upstream that crashed. A repeated
+        report of the same crash does not extend the record's lifetime.
         """
         record = self._records.pop(suspect, None) or _Record(set(), now_s)
-        if upstream_id in record.upstreams:
+        if crash in record.crashes:
             self._records[suspect] = record
             return
-        record.upstreams.add(upstream_id)
+        record.crashes.add(crash)
         record.last_s = now_s
         self._records[suspect] = record
         while len(self._records) > MAX_CRASH_RECORDS:
@@ -56,18 +67,27 @@
         """Remove the record of a request that succeeded, and so caused no crash."""
         self._records.pop(suspect, None)
 
-    def is_refused(self, suspect: int, now_s: float) -> bool:
-        """Return whether the request was running at enough recent crashes."""
+    def is_refused(
+        self, suspect: int, segment_keys: Iterable[int], now_s: float
+    ) -> bool:
+        """Return whether a request, or a segment of its prompt, crashes upstreams.
+
+        A request that was merely running beside others with such a segment is not
+        refused.
+        """
+        if self.segments.is_refused(segment_keys, now_s):
+            return True
         record = self._records.get(suspect)
         if record is None or now_s - record.last_s > CRASH_MEMORY_S:
             return False
-        return len(record.upstreams) >= CRASHES_TO_REFUSE
+        unexplained = record.crashes - self.segments.explain(record.crashes)
+        return len(unexplained) >= CRASHES_TO_REFUSE
 
     def list_recent(self, since_s: float) -> list[tuple[int, str]]:
         """Return the crashes to report to other processes."""
         return [
-            (suspect, upstream_id)
+            (suspect, crash)
             for suspect, record in self._records.items()
             if record.last_s >= since_s
-            for upstream_id in record.upstreams
+            for crash in record.crashes
         ]
--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -74,6 +74,10 @@
     cost: float = 0.0
     # Fingerprint that identifies the request in crash records; 0 if it has none.
     fingerprint: int = 0
+    # Hashes of the prompt segments that other requests may share.
+    segment_keys: list[int] = field(default_factory=list)
+    # Number of events that the last send has brought.
+    events_of_send: int = 0
     # Number of sends, and whether the request may have run because of them.
     sends: int = 0
     may_have_run: bool = False
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -4,6 +4,7 @@
 changed recently, and of other regions only reports that have just arrived.
 """
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -163,6 +164,7 @@
             region_parts=self._loads.list_region_segments(),
             candidates=_to_rows(self.list_candidates()),
             levels=self._quota.list_levels(),
+            segment_crashes=self._suspects.segments.list_crashes(-math.inf),
         )
 
     def compose_upstreams(self, *, is_known: bool) -> Gossip:
@@ -213,8 +215,11 @@
             self._apply_spending(spending, now_s)
         if now_s - self._started_s < PEER_TERM_S:
             self._quota.adopt_levels(gossip.levels, now_s)
-        for suspect, upstream_id in gossip.crashes:
-            self._suspects.record_crash(suspect, upstream_id, now_s)
+        for suspect, crash in gossip.crashes:
+            self._suspects.record_crash(suspect, crash, now_s)
+        for key, crash in gossip.segment_crashes:
+            self._suspects.segments.record_crash([key], crash, now_s)
+        self._suspects.segments.record_disproved(gossip.sound_segments, now_s)
         for upstream_id, started_ms in gossip.replaced:
             self._upstreams.record_replaced(upstream_id, started_ms, now_s)
         self.on_peer_versions(
@@ -320,6 +325,10 @@
                 members.append(to_member_row(row))
             else:
                 beats.append(to_heartbeat_row(row))
+        crashes_since_s = now_s - CRASH_REPORT_S
+        fields.setdefault(
+            "segment_crashes", self._suspects.segments.list_crashes(crashes_since_s)
+        )
         return Gossip(
             sender=self._members.me.ip,
             members=members,
@@ -328,7 +337,8 @@
             evacuation_revision=self._values.evacuation_revision,
             spent_names=names,
             spent=spent,
-            crashes=self._suspects.list_recent(now_s - CRASH_REPORT_S),
+            crashes=self._suspects.list_recent(crashes_since_s),
+            sound_segments=self._suspects.segments.list_disproved(crashes_since_s),
             replaced=self._upstreams.list_replaced(now_s),
             **fields,
         )
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -64,8 +64,11 @@
     spent: list[SpentRow] = Field(default_factory=list)
     # Levels of the sender's quota buckets, for processes that have just started.
     levels: dict[str, float] = Field(default_factory=dict)
-    # Recent crashes: a request that was running, by fingerprint, and the upstream.
+    # Recent crashes: a request that was running, by fingerprint, and the crash.
     crashes: list[tuple[int, str]] = Field(default_factory=list)
+    # The same for prompt segments by hash, and suspected ones that are proved sound.
+    segment_crashes: list[tuple[int, str]] = Field(default_factory=list)
+    sound_segments: list[int] = Field(default_factory=list)
     # Incarnations of upstreams, by id and start in ms, whose address another one has.
     replaced: list[tuple[str, int]] = Field(default_factory=list)
     # The registered upstreams, sent by the process that has just read them.
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -12,12 +12,14 @@
 from banyanseam.entry.choosing import Chooser, choose_retry_after_ms
 from banyanseam.entry.const import (
     LONG_PREFILL_MS,
+    MAX_EVENTS_BEFORE_CRASH,
     MIN_RETRY_LEFT_MS,
     ROUND_TRIP_MS,
 )
-from banyanseam.entry.crash_suspects import CrashSuspects
+from banyanseam.entry.crash_suspects import CrashSuspects, make_crash_tag
 from banyanseam.entry.errors import (
     ConnectionBroken,
+    CrashSuspected,
     EntryLeaving,
     PeerUntrusted,
     SlowerThanOthers,
@@ -108,6 +110,9 @@
             except BanyanseamError as error:
                 # The failed attempt explains more than the lack of another upstream.
                 raise failure or error from error
+            if self._is_suspected(exchange):
+                # It may have become a suspect while it waited or was tried.
+                raise CrashSuspected from failure
             try:
                 await self._attempt(exchange, placement)
             except BanyanseamError as error:
@@ -118,6 +123,11 @@
             else:
                 return
 
+    def _is_suspected(self, exchange: Exchange) -> bool:
+        return self.suspects.is_refused(
+            exchange.fingerprint, exchange.segment_keys, anyio.current_time()
+        )
+
     async def _attempt(self, exchange: Exchange, placement: Placement) -> None:
         if placement.candidate.region != self.members.me.region:
             await self._forward_to_region(exchange, placement)
@@ -149,7 +159,6 @@
                 self._record_shared_prefix(exchange, placement)
                 await self._relay_answer(exchange, placement, answer, incoming)
         self.upstreams.record_success(listed)
-        self.suspects.clear(exchange.fingerprint)
 
     async def _forward_to_region(
         self, exchange: Exchange, placement: Placement
@@ -222,7 +231,18 @@
         incoming: IncomingAnswer,
     ) -> None:
         progress = Progress(anyio.current_time())
-        relaying = relay_answer(exchange, answer, incoming, progress)
+
+        async def relay() -> None:
+            await relay_answer(exchange, answer, incoming, progress)
+            # Nothing is awaited in between: callers that have the whole answer
+            # disconnect, which cancels this task.
+            self.suspects.clear(exchange.fingerprint)
+            if answer.status == 200:
+                self.suspects.segments.record_answer(
+                    exchange.segment_keys, anyio.current_time()
+                )
+
+        relaying = relay()
         if not exchange.route.is_resumable or exchange.forwarding is not None:
             await relaying
             return
@@ -306,8 +326,15 @@
             error, SlowerThanOthers
         ):
             self.upstreams.record_failure(listed, now_s, is_connect=False)
-        if isinstance(error, ConnectionBroken) and exchange.fingerprint:
-            self.suspects.record_crash(exchange.fingerprint, upstream_id, now_s)
+        if isinstance(error, ConnectionBroken):
+            self._record_crash(exchange, make_crash_tag(listed.upstream))
+
+    def _record_crash(self, exchange: Exchange, crash: str) -> None:
+        now_s = anyio.current_time()
+        if exchange.fingerprint:
+            self.suspects.record_crash(exchange.fingerprint, crash, now_s)
+        if exchange.events_of_send <= MAX_EVENTS_BEFORE_CRASH:
+            self.suspects.segments.record_crash(exchange.segment_keys, crash, now_s)
 
     def _may_retry_error(
         self, exchange: Exchange, error: BanyanseamError, vms: int
@@ -344,6 +371,7 @@
 
 def _record_sends(exchange: Exchange, sends: int = 1) -> None:
     exchange.sends += sends
+    exchange.events_of_send = 0
     exchange.may_have_run_before = exchange.may_have_run
     exchange.may_have_run = True
 
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -72,6 +72,8 @@
     sent_s: float
     # Whether the VM knew that the key was withdrawn when the request was sent.
     is_key_withdrawn: bool = False
+    # The shared and own segments of the prompt, as the header names them.
+    segments: bytes = b""
     # The organisation's home regions as the VM knew them then; empty if it has none.
     homes: frozenset[str] = frozenset()
     status: int = 0
@@ -155,13 +157,20 @@
                     data = near if is_near else everything
                     other.gossip._handle_heartbeat(decode_gossip(data))
 
-    def ask(self, vm: str, path: str, faults: list[str], peer_faults: list[str]) -> int:
+    def ask(
+        self,
+        vm: str,
+        path: str,
+        faults: list[str],
+        peer_faults: list[str],
+        segments: bytes = b"",
+    ) -> int:
         """Send a caller's request to a VM, and return its index in `callers`."""
         number = len(self.callers)
         request_id = f"request-{number}"
         self.faults[request_id] = list(faults)
         self.peer_faults[request_id] = list(peer_faults)
-        caller = Caller(request_id, path, vm, anyio.current_time())
+        caller = Caller(request_id, path, vm, anyio.current_time(), segments=segments)
         self.callers.append(caller)
         self.tasks.start_soon(self._ask, self.entries[vm], caller)
         return number
@@ -178,9 +187,10 @@
             (b"authorization", f"Bearer {KEY}".encode()),
             (b"model", b"m"),
             (b"token-usage", b"400,40"),
+            (b"prompt-prefix", caller.segments),
         ]
         outgoing = OutgoingRequest(
-            "", "POST", caller.path.encode(), headers, b"{}", 1.0, 60.0
+            "", "POST", caller.path.encode(), headers, caller.segments, 1.0, 60.0
         )
         app = make_callers_app(entry.frontend)
         with suppress(ConnectionBroken):
