--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -90,6 +90,9 @@
 # newer registration says otherwise.
 RETURN_COLD_S: Final = 3.0
 FAILURES_TO_SUSPECT: Final = 3
+# How long an upstream that said in an answer that it is leaving gets no new requests.
+# Incarnations without a start time can't be told apart, so this must end.
+LEAVING_MEMORY_S: Final = 600.0
 # How long heartbeats report that an incarnation of an upstream has been replaced.
 REPLACED_REPORT_S: Final = 2.0
 SUSPECT_S: Final = 1.5
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -210,6 +210,9 @@
     is_signed: bool
     is_encoded: bool
     is_surely_not_run: bool
+    # Whether the upstream is leaving, and how long it wants no requests from this VM.
+    is_leaving: bool
+    pause_s: float
     length_bytes: int | None
     # Headers for the caller, without hop-by-hop headers.
     headers: Headers
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -257,13 +257,18 @@
         """Return the answer's head; raise if invalid, not run or to be retried."""
         answer = self.upstream_format.read_answer(incoming.status, incoming.headers)
         upstream_id = listed.upstream.upstream_id
+        now_s = anyio.current_time()
+        if answer.is_leaving:
+            self.upstreams.record_leaving(listed.upstream, now_s)
+        if answer.pause_s > 0:
+            self.upstreams.record_pause(listed.upstream, answer.pause_s, now_s)
         if answer.status == 421:
             _record_not_run(exchange)
-            self.upstreams.drop(upstream_id, anyio.current_time())
+            self.upstreams.drop(upstream_id, now_s)
             raise UpstreamReplaced(upstream_id)
         if answer.is_surely_not_run and answer.status != 400:
             _record_not_run(exchange)
-            left_ms = exchange.left_ms(anyio.current_time())
+            left_ms = exchange.left_ms(now_s)
             raise UpstreamRefused(
                 upstream_id, retry_after_ms=choose_retry_after_ms(300.0, left_ms)
             )
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -6,6 +6,7 @@
 from banyanseam.entry.cached_prefixes import CachedPrefixes
 from banyanseam.entry.const import (
     FAILURES_TO_SUSPECT,
+    LEAVING_MEMORY_S,
     REPLACED_REPORT_S,
     RETURN_COLD_S,
     SUSPECT_S,
@@ -54,6 +55,8 @@
         # Incarnations whose address another one has taken over, by id and start, and
         # when that was noticed. The store lists them until their entries expire.
         self._replaced_s: dict[tuple[str, int], float] = {}
+        # Until when incarnations get no requests because their answers said so.
+        self._excluded_until_s: dict[tuple[str, int], float] = {}
 
     def adopt(self, upstreams: Iterable[Upstream], revision: int, now_s: float) -> bool:
         """Adopt a listing unless it is older than the last one.
@@ -71,6 +74,11 @@
             for key, at_s in self._replaced_s.items()
             if key in listed or now_s - at_s < REPLACED_REPORT_S
         }
+        self._excluded_until_s = {
+            key: until_s
+            for key, until_s in self._excluded_until_s.items()
+            if now_s < until_s
+        }
         for upstream_id in _list_superseded(by_id.values()) | {
             upstream_id for upstream_id, _ in self._replaced_s.keys() & listed
         }:
@@ -145,6 +153,22 @@
         """Reset the count of consecutive failures."""
         listed.usage.consecutive_failures = 0
 
+    def record_leaving(self, upstream: Upstream, now_s: float) -> None:
+        """Send nothing more to an upstream that has answered that it is leaving."""
+        self._exclude_until(upstream, now_s + LEAVING_MEMORY_S)
+
+    def record_pause(self, upstream: Upstream, pause_s: float, now_s: float) -> None:
+        """Send nothing for a time to an upstream that has asked for a pause."""
+        self._exclude_until(upstream, now_s + pause_s)
+
+    def _exclude_until(self, upstream: Upstream, until_s: float) -> None:
+        key = upstream.upstream_id, upstream.started_ms
+        self._excluded_until_s[key] = max(until_s, self._excluded_until_s.get(key, 0.0))
+
+    def _is_excluded(self, upstream: Upstream, now_s: float) -> bool:
+        key = upstream.upstream_id, upstream.started_ms
+        return now_s < self._excluded_until_s.get(key, 0.0)
+
     def drop(self, upstream_id: str, now_s: float) -> None:
         """Remove an upstream whose address another incarnation has taken over."""
         listed = self._listed.pop(upstream_id, None)
@@ -188,6 +212,8 @@
             return False
         if upstream.data_centre in self._evacuated:
             return False
+        if self._is_excluded(upstream, now_s):
+            return False
         return listed.stops_at_s is None or now_s < listed.stops_at_s
 
 
--- a/banyanseam/platform/requests.py
+++ b/banyanseam/platform/requests.py
@@ -19,10 +19,12 @@
     DEADLINE,
     EXPECT_INSTANCE,
     LAST_EVENT_ID,
+    LEAVING,
     NOT_EXECUTED,
     PREFIX,
     PRIORITY,
     REQUEST_ID,
+    RETRY_AFTER,
     SIGNATURE,
     SINGLE_HEADERS,
     SYSTEM_HEADERS,
@@ -30,6 +32,8 @@
     USAGE,
 )
 
+# The longest pause that an upstream may ask for.
+MAX_PAUSE_S: Final = 3600.0
 _BEARER: Final = b"bearer "
 _MAX_URGENCY: Final = 9
 _CONNECTION_HEADERS: Final = frozenset(
@@ -107,6 +111,8 @@
         is_signed=SIGNATURE in by_name,
         is_encoded=encoding != b"identity",
         is_surely_not_run=is_refusal or status == 421,
+        is_leaving=by_name.get(LEAVING, b"").strip() == b"1",
+        pause_s=_read_seconds(by_name.get(RETRY_AFTER)) if status == 503 else 0.0,
         length_bytes=_read_number(by_name.get(b"content-length")),
         headers=_filter_headers(lowered, frozenset({NOT_EXECUTED})),
     )
@@ -152,6 +158,16 @@
     return int(value)
 
 
+def _read_seconds(value: bytes | None) -> float:
+    """Return a number of seconds, possibly with a fraction; 0 if it is not one."""
+    if value is None:
+        return 0.0
+    whole, point, fraction = value.strip().partition(b".")
+    if not whole.isdigit() or (point and not fraction.isdigit()):
+        return 0.0
+    return min(float(value), MAX_PAUSE_S)
+
+
 def _read_prompt(usage: bytes | None, prefix: bytes | None) -> Prompt | None:
     if usage is None:
         return None
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -35,7 +35,9 @@
 STALL_S = 2.5
 MAX_ATTEMPTS = 2
 # Faults of a send to an upstream. A send with one of NOT_RUN never runs.
-NOT_RUN = ("refused", "lost", "full", "misdirected")
+NOT_RUN = ("refused", "lost", "full", "pause", "misdirected")
+# How long an upstream asks for no requests with the fault "pause".
+PAUSE_S = 2
 FAULTS = (
     *NOT_RUN,
     "error",
@@ -47,6 +49,7 @@
     "unsigned",
     "skip",
     "short",
+    "leaving",
 )
 # Faults of a send to a peer, which serves the request unless it is unreachable.
 PEER_FAULTS = ("refused", "lost", "answer lost", "cut")
@@ -251,6 +254,9 @@
         """Run a request on an upstream; return None if it never answers."""
         if fault == "full":
             return IncomingAnswer(503, [(b"not-executed", b"1")], _stream([b""]))
+        if fault == "pause":
+            pause = (b"retry-after", str(PAUSE_S).encode())
+            return IncomingAnswer(503, [(b"not-executed", b"1"), pause], _stream([b""]))
         if fault == "misdirected" or headers["expect-instance"] != upstream.upstream_id:
             return IncomingAnswer(421, [], _stream([b""]))
         region = REGIONS[upstream.data_centre]
@@ -260,6 +266,8 @@
             return None
         answer_id = "other" if fault == "crossed" else headers["request-id"]
         answer = [(b"request-id", answer_id.encode())]
+        if fault == "leaving":
+            answer.append((b"server-leaving", b"1"))
         if fault != "unsigned":
             answer.append((b"upstream-signature", b"s"))
         if fault == "error":
--- a/tests/entry/test_upstream_list.py
+++ b/tests/entry/test_upstream_list.py
@@ -32,6 +32,25 @@
         self.upstreams.adopt([leaving], 12, 3.0)
         self.assertEqual(list_ids(self.upstreams), [])
 
+    def test_an_upstream_whose_answers_say_that_it_leaves_gets_nothing_more(self):
+        self.upstreams.record_leaving(make_upstream("e1"), 1.0)
+        # Its registration still says that it is ready, and may expire and return.
+        for revision, listing in ((11, ["e2"]), (12, ["e1", "e2"])):
+            found = [make_upstream(each, revision=revision) for each in listing]
+            self.upstreams.adopt(found, revision, 2.0)
+            self.assertEqual(list_ids(self.upstreams, 30.0), ["e2"])
+        restarted = make_upstream(
+            "e1", started_ms=2, address="10.9.0.2:80", revision=13
+        )
+        self.upstreams.adopt([restarted, make_upstream("e2")], 13, 31.0)
+        self.assertEqual(list_ids(self.upstreams, 31.0), ["e1", "e2"])
+
+    def test_an_upstream_that_asks_for_a_pause_gets_it(self):
+        self.upstreams.record_pause(make_upstream("e1"), 2.5, 1.0)
+        self.upstreams.record_pause(make_upstream("e1"), 0.5, 1.1)
+        self.assertEqual(list_ids(self.upstreams, 3.4), ["e2"])
+        self.assertEqual(list_ids(self.upstreams, 3.6), ["e1", "e2"])
+
     def test_entries_that_expired_in_an_outage_are_retained_for_a_while(self):
         self.upstreams.retain_expired_until(12.0)
         self.upstreams.adopt([], 11, 10.0)
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -5,6 +5,7 @@
 from banyanseam.pipe.errors import RequestMalformed
 from banyanseam.platform.documents import digest_key
 from banyanseam.platform.requests import (
+    MAX_PAUSE_S,
     read_answer,
     read_request,
     write_headers,
@@ -100,6 +101,22 @@
                 answer = read_answer(status, headers)
                 self.assertEqual(answer.is_surely_not_run, not_run)
 
+    def test_an_upstream_that_leaves_or_asks_for_a_pause(self):
+        for status, headers, expected in (
+            (200, [(b"Server-Leaving", b"1")], (True, 0.0)),
+            (200, [(b"Server-Leaving", b"0")], (False, 0.0)),
+            (503, [(b"Retry-After", b"2")], (False, 2.0)),
+            (503, [(b"Retry-After", b" 0.25 ")], (False, 0.25)),
+            (503, [(b"Retry-After", b"99999999")], (False, MAX_PAUSE_S)),
+            (200, [(b"Retry-After", b"2")], (False, 0.0)),
+            (503, [(b"Retry-After", b"-1")], (False, 0.0)),
+            (503, [(b"Retry-After", b"nan")], (False, 0.0)),
+            (503, [(b"Retry-After", b"Fri, 04 Dec 2026 20:00:00 GMT")], (False, 0.0)),
+        ):
+            with self.subTest(status=status, headers=headers):
+                answer = read_answer(status, headers)
+                self.assertEqual((answer.is_leaving, answer.pause_s), expected)
+
     def test_hop_by_hop_headers_of_answers_are_removed(self):
         answer = read_answer(
             200,
