Take a stream that ends with its connection before any event for broken

One whose engine was lost before its first event then looked like a whole, empty answer: callers got 200 with an empty body, or a resumed stream ended as if it were whole. Such a stream has now been broken off, unless the caller itself resumed it.

--- a/banyanseam/entry/answers.py
+++ b/banyanseam/entry/answers.py
@@ -68,6 +68,14 @@
             await _relay_event(exchange, answer, event)
     if splitter.has_partial_event:
         raise AnswerTruncated("the stream ends within an event")
+    is_resumed_by_caller = exchange.head.last_event_id is not None
+    if (
+        not answer.is_framed
+        and exchange.events_of_send == 0
+        and not is_resumed_by_caller
+    ):
+        # Without a length or chunks, a lost connection looks like the end.
+        raise AnswerTruncated("the stream ends before its first event")
     if not exchange.reply.is_started:
         await exchange.reply.start(answer.status, answer.headers)
     await exchange.reply.finish()
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -214,6 +214,8 @@
     is_leaving: bool
     pause_s: float
     length_bytes: int | None
+    # False if the answer ends with its connection.
+    is_framed: bool
     # Headers for the caller, without hop-by-hop headers.
     headers: Headers
 
--- a/banyanseam/platform/requests.py
+++ b/banyanseam/platform/requests.py
@@ -104,6 +104,7 @@
     by_name = dict(lowered)
     request_id = by_name.get(REQUEST_ID)
     encoding = by_name.get(b"content-encoding", b"identity").strip().lower()
+    length_bytes = _read_number(by_name.get(b"content-length"))
     is_refusal = status in (400, 421, 429, 503) and NOT_EXECUTED in by_name
     return AnswerHead(
         status=status,
@@ -113,7 +114,8 @@
         is_surely_not_run=is_refusal or status == 421,
         is_leaving=by_name.get(LEAVING, b"").strip() == b"1",
         pause_s=_read_seconds(by_name.get(RETRY_AFTER)) if status == 503 else 0.0,
-        length_bytes=_read_number(by_name.get(b"content-length")),
+        length_bytes=length_bytes,
+        is_framed=length_bytes is not None or b"transfer-encoding" in by_name,
         headers=_filter_headers(lowered, frozenset({NOT_EXECUTED})),
     )
 
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -50,6 +50,7 @@
     "skip",
     "short",
     "leaving",
+    "empty",
 )
 # Faults of a send to a peer, which serves the request unless it is unreachable.
 PEER_FAULTS = ("refused", "lost", "answer lost", "cut")
@@ -275,7 +276,9 @@
         if upstream.service == "desk":
             body = make_body(answer_id)
             answer.append((b"content-length", str(len(body)).encode()))
-            parts = {"cut": [body[:4], None], "short": [body[:4]]}.get(fault, [body])
+            parts = {"cut": [body[:4], None], "short": [body[:4]], "empty": []}.get(
+                fault, [body]
+            )
             return IncomingAnswer(200, answer, _stream(parts))
         first = int(headers.get("last-event-id", "0")) + 1
         parts = _list_events(first, fault, answer_id)
@@ -368,6 +371,8 @@
 def _list_events(first: int, fault: str, request_id: str) -> list[bytes | float | None]:
     parts: list[bytes | float | None] = []
     for number in range(first, EVENTS + 1):
+        if fault == "empty":
+            break
         parts.append(EVENT_PAUSE_S)
         if number == first + 1:
             if fault == "cut":
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -101,6 +101,15 @@
                 answer = read_answer(status, headers)
                 self.assertEqual(answer.is_surely_not_run, not_run)
 
+    def test_an_answer_without_length_or_chunks_ends_with_its_connection(self):
+        for headers, is_framed in (
+            ([(b"Content-Length", b"0")], True),
+            ([(b"Transfer-Encoding", b"chunked")], True),
+            ([(b"Connection", b"close")], False),
+        ):
+            with self.subTest(headers):
+                self.assertEqual(read_answer(200, headers).is_framed, is_framed)
+
     def test_an_upstream_that_leaves_or_asks_for_a_pause(self):
         for status, headers, expected in (
             (200, [(b"Server-Leaving", b"1")], (True, 0.0)),
