Check the key of a forwarded request against the serving VM's configuration

The other way round of requests that an older configuration refused: a VM that had been partitioned admitted a request by a key that had been withdrawn meanwhile and forwarded it with the organisation's name only, so a VM that knew of the withdrawal ran it. The digest of the key now goes along, as between seats-based daemons.

The new test failed before: 200 and a run, where 401 and none are expected.

--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -106,6 +106,12 @@
             raise NotReady(
                 f"organisation unknown in configuration version {catalogue.version}"
             )
+        if (
+            forwarding.key_digest is not None
+            and catalogue.organisations_by_key.get(forwarding.key_digest)
+            is not organisation
+        ):
+            raise KeyUnknown(f"configuration version {catalogue.version}")
         return organisation
     if route.is_public or not catalogue.organisations:
         return None
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -230,6 +230,8 @@
     max_attempts: int
     # Version by which the sender has admitted the request.
     config_version: int
+    # Digest of the caller's key; None without a key or from an older release.
+    key_digest: bytes | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/banyanseam/entry/peer_headers.py
+++ b/banyanseam/entry/peer_headers.py
@@ -16,6 +16,7 @@
 LEFT_MS: Final = b"x-banyanseam-left-ms"
 ATTEMPTS: Final = b"x-banyanseam-attempts"
 CONFIG_VERSION: Final = b"x-banyanseam-config-version"
+KEY_DIGEST: Final = b"x-banyanseam-key-digest"
 FAILURE: Final = b"x-banyanseam-failure"
 SENDS: Final = b"x-banyanseam-sends"
 PREFIX: Final = b"x-banyanseam-"
@@ -32,6 +33,8 @@
     ]
     if exchange.organisation is not None:
         headers.append((ORGANISATION, exchange.organisation.name.encode()))
+        if exchange.head.key_digest is not None:
+            headers.append((KEY_DIGEST, exchange.head.key_digest.hex().encode()))
     return headers
 
 
@@ -50,9 +53,19 @@
         left_ms=int(left_ms),
         max_attempts=int(attempts),
         config_version=int(version) if version.isdigit() else 0,
+        key_digest=_read_hex(by_name.get(KEY_DIGEST)),
     )
 
 
+def _read_hex(value: bytes | None) -> bytes | None:
+    if value is None:
+        return None
+    try:
+        return bytes.fromhex(value.decode("ascii"))
+    except ValueError as error:
+        raise RequestMalformed("a header of a forwarded request is no hex") from error
+
+
 def strip_peer_headers(headers: Headers) -> Headers:
     """Return the headers without private ones, which no caller may set."""
     return [header for header in headers if not header[0].startswith(PREFIX)]
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -65,6 +65,18 @@
         self.assertEqual((caller.status, simulation.runs), (404, {}))
         self.assertEqual(simulation.peer_faults[caller.request_id], ["refused"])
 
+    def test_a_key_that_a_newer_configuration_withdrew_runs_nothing(self):
+        async def run() -> Simulation:
+            async with start_simulation() as simulation:
+                empty_piedmont(simulation)
+                simulation.config["tenants"][0]["api_keys"] = []
+                simulation.publish(to={"10.1.0.1", "10.1.0.2"})
+                simulation.ask("10.2.0.1", "/read/x", [], [])
+            return simulation
+
+        simulation = run_with_mock_clock(run)
+        self.assertEqual((simulation.callers[0].status, simulation.runs), (401, {}))
+
     def test_another_vm_of_the_region_serves_what_one_cannot_check(self):
         _, caller = ask_for_new_route(["lost"])
         self.assertEqual(caller.status, 200)
