Name the segment that a refused request crashes engines with

Operators saw 'entry.crash_suspected' without a way to find the segment. The detail of the refusal names it; one function refuses suspects at admission and before each send. Refused segments are the last to be evicted when records are full, and the newest crashes are reported first.

--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -81,15 +81,22 @@
         exchange.fingerprint = fingerprint(
             organisation.name, head.method, head.target, body
         )
-    if admission.suspects.is_refused(
-        exchange.fingerprint, exchange.segment_keys, now_s
-    ):
-        raise CrashSuspected
+    refuse_suspect(admission.suspects, exchange, now_s)
     if forwarding is None and organisation is not None:
         _charge(admission, exchange, organisation, now_s)
     return exchange
 
 
+def refuse_suspect(suspects: CrashSuspects, exchange: Exchange, now_s: float) -> None:
+    """Raise CrashSuspected if the request, or a segment of it, crashes upstreams."""
+    refused = suspects.segments.find_refused(exchange.segment_keys, now_s)
+    if refused is not None:
+        segment = exchange.head.prompt.segments[exchange.segment_keys.index(refused)]
+        raise CrashSuspected(f"engines crashed over segment {segment.segment_id}")
+    if suspects.is_refused(exchange.fingerprint, now_s):
+        raise CrashSuspected
+
+
 def _find_organisation(
     catalogue: Catalogue,
     route: Route,
--- a/banyanseam/entry/crash_suspects.py
+++ b/banyanseam/entry/crash_suspects.py
@@ -1,7 +1,6 @@
 """Detect requests that were running each time an upstream crashed."""
 
 from collections import OrderedDict
-from collections.abc import Iterable
 from dataclasses import dataclass
 from zlib import crc32
 
@@ -67,16 +66,12 @@
         """Remove the record of a request that succeeded, and so caused no crash."""
         self._records.pop(suspect, None)
 
-    def is_refused(
-        self, suspect: int, segment_keys: Iterable[int], now_s: float
-    ) -> bool:
-        """Return whether a request, or a segment of its prompt, crashes upstreams.
+    def is_refused(self, suspect: int, now_s: float) -> bool:
+        """Return whether the request was running at enough recent crashes.
 
-        A request that was merely running beside others with such a segment is not
-        refused.
+        Crashes that were caused by a refused prompt segment of another request do not
+        count.
         """
-        if self.segments.is_refused(segment_keys, now_s):
-            return True
         record = self._records.get(suspect)
         if record is None or now_s - record.last_s > CRASH_MEMORY_S:
             return False
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -8,6 +8,7 @@
 import anyio
 
 from banyanseam.config.errors import NotReady
+from banyanseam.entry.admission import refuse_suspect
 from banyanseam.entry.answers import check_answer, relay_answer
 from banyanseam.entry.choosing import Chooser, choose_retry_after_ms
 from banyanseam.entry.const import (
@@ -19,7 +20,6 @@
 from banyanseam.entry.crash_suspects import CrashSuspects, make_crash_tag
 from banyanseam.entry.errors import (
     ConnectionBroken,
-    CrashSuspected,
     EntryLeaving,
     PeerUntrusted,
     SlowerThanOthers,
@@ -110,9 +110,8 @@
             except BanyanseamError as error:
                 # The failed attempt explains more than the lack of another upstream.
                 raise failure or error from error
-            if self._is_suspected(exchange):
-                # It may have become a suspect while it waited or was tried.
-                raise CrashSuspected from failure
+            # It may have become a suspect while it waited or was tried.
+            refuse_suspect(self.suspects, exchange, anyio.current_time())
             try:
                 await self._attempt(exchange, placement)
             except BanyanseamError as error:
@@ -123,11 +122,6 @@
             else:
                 return
 
-    def _is_suspected(self, exchange: Exchange) -> bool:
-        return self.suspects.is_refused(
-            exchange.fingerprint, exchange.segment_keys, anyio.current_time()
-        )
-
     async def _attempt(self, exchange: Exchange, placement: Placement) -> None:
         if placement.candidate.region != self.members.me.region:
             await self._forward_to_region(exchange, placement)
--- a/banyanseam/entry/segment_suspects.py
+++ b/banyanseam/entry/segment_suspects.py
@@ -95,8 +95,8 @@
         fresh = [key for key in keys if not self._is_sound(key, now_s)]
         self.record_answer(fresh, now_s)
 
-    def is_refused(self, keys: Iterable[int], now_s: float) -> bool:
-        """Return whether a prompt has a segment that caused several crashes.
+    def find_refused(self, keys: Iterable[int], now_s: float) -> int | None:
+        """Return the first of the segments that caused several crashes, if any.
 
         A crash that another segment with more crashes explains does not count.
         """
@@ -110,8 +110,9 @@
             if len(own.difference(*worse)) >= SEGMENT_CRASHES_TO_REFUSE:
                 # It is remembered for as long as such requests keep coming.
                 suspicion.last_s = now_s
-                return True
-        return False
+                self._suspicions.move_to_end(key)
+                return key
+        return None
 
     def explain(self, crashes: set[str]) -> set[str]:
         """Return those of the crashes that a refused segment has caused."""
@@ -124,7 +125,7 @@
             for key, each in self._suspicions.items()
             if each.last_s >= since_s
         ]
-        recent.sort(key=lambda item: -len(item[1].crashes))
+        recent.sort(key=lambda item: (-len(item[1].crashes), -item[1].last_s))
         return [
             (key, crash)
             for key, each in recent[:MAX_REPORTED_SEGMENTS]
--- a/tests/entry/test_crash_suspects.py
+++ b/tests/entry/test_crash_suspects.py
@@ -9,10 +9,10 @@
         suspects = CrashSuspects()
         suspects.record_crash(1, "e1", 0.0)
         suspects.record_crash(1, "e1", 0.1)
-        self.assertFalse(suspects.is_refused(1, [], 0.2))
+        self.assertFalse(suspects.is_refused(1, 0.2))
         suspects.record_crash(1, "e2", 0.3)
-        self.assertTrue(suspects.is_refused(1, [], 0.4))
-        self.assertFalse(suspects.is_refused(1, [], 0.4 + CRASH_MEMORY_S))
+        self.assertTrue(suspects.is_refused(1, 0.4))
+        self.assertFalse(suspects.is_refused(1, 0.4 + CRASH_MEMORY_S))
 
     def test_repeated_reports_of_peers_expire(self):
         one, other = CrashSuspects(), CrashSuspects()
@@ -30,7 +30,7 @@
         suspects.record_crash(1, "e1", 0.0)
         suspects.clear(1)
         suspects.record_crash(1, "e2", 0.1)
-        self.assertFalse(suspects.is_refused(1, [], 0.2))
+        self.assertFalse(suspects.is_refused(1, 0.2))
 
     def test_memory_is_bounded(self):
         suspects = CrashSuspects()
--- a/tests/entry/test_segment_suspects.py
+++ b/tests/entry/test_segment_suspects.py
@@ -27,19 +27,19 @@
 class SegmentSuspectTests(unittest.TestCase):
     def test_only_the_segment_without_any_whole_answer_is_refused(self):
         suspects = make_refusing()
-        self.assertTrue(suspects.is_refused([SHARED, DEADLY], 2.0))
-        self.assertFalse(suspects.is_refused([SHARED, SESSION], 2.0))
+        self.assertIsNotNone(suspects.find_refused([SHARED, DEADLY], 2.0))
+        self.assertIsNone(suspects.find_refused([SHARED, SESSION], 2.0))
 
     def test_fewer_crashes_or_one_crash_seen_by_many_refuse_nothing(self):
         suspects = SegmentSuspects()
         for crash in (*CRASHES[:-1], *CRASHES[:-1]):
             suspects.record_crash([DEADLY], crash, 0.0)
-        self.assertFalse(suspects.is_refused([DEADLY], 0.0))
+        self.assertIsNone(suspects.find_refused([DEADLY], 0.0))
 
     def test_a_whole_answer_after_the_crashes_ends_the_refusal(self):
         suspects = make_refusing()
         suspects.record_answer([DEADLY], 2.0)
-        self.assertFalse(suspects.is_refused([DEADLY], 2.0))
+        self.assertIsNone(suspects.find_refused([DEADLY], 2.0))
         self.assertEqual(suspects.list_disproved(0.0), [SHARED, DEADLY])
 
     def test_crashes_that_a_worse_segment_explains_do_not_count(self):
@@ -47,23 +47,23 @@
         for crash in CRASHES:
             suspects.record_crash([SESSION, DEADLY], crash, 0.0)
         suspects.record_crash([DEADLY], "another", 0.0)
-        self.assertTrue(suspects.is_refused([DEADLY], 0.0))
-        self.assertFalse(suspects.is_refused([SESSION], 0.0))
+        self.assertIsNotNone(suspects.find_refused([DEADLY], 0.0))
+        self.assertIsNone(suspects.find_refused([SESSION], 0.0))
 
     def test_a_bystander_of_such_crashes_is_not_refused(self):
         suspects = CrashSuspects()
         for crash in CRASHES:
             suspects.record_crash(9, crash, 0.0)
-        self.assertTrue(suspects.is_refused(9, [], 0.0))
+        self.assertTrue(suspects.is_refused(9, 0.0))
         for crash in CRASHES:
             suspects.segments.record_crash([DEADLY], crash, 0.0)
-        self.assertFalse(suspects.is_refused(9, [], 0.0))
+        self.assertFalse(suspects.is_refused(9, 0.0))
 
     def test_a_refusal_lasts_while_such_requests_come(self):
         suspects = make_refusing()
         for now_s in range(0, 3600, 300):
-            self.assertTrue(suspects.is_refused([DEADLY], now_s))
-        self.assertFalse(suspects.is_refused([DEADLY], 3600 + 600.0))
+            self.assertIsNotNone(suspects.find_refused([DEADLY], now_s))
+        self.assertIsNone(suspects.find_refused([DEADLY], 3600 + 600.0))
 
     def test_a_few_crashes_are_forgotten(self):
         suspects = SegmentSuspects()
@@ -71,7 +71,7 @@
             suspects.record_crash([DEADLY], crash, 0.0)
         suspects.record_crash([DEADLY], CRASHES[-1], CRASH_MEMORY_S + 1)
         suspects.record_crash([DEADLY], "another", CRASH_MEMORY_S + 2)
-        self.assertFalse(suspects.is_refused([DEADLY], CRASH_MEMORY_S + 2))
+        self.assertIsNone(suspects.find_refused([DEADLY], CRASH_MEMORY_S + 2))
 
     def test_peers_agree_and_their_reports_end(self):
         """A VM without own answers with the shared segment does not refuse it."""
@@ -89,8 +89,8 @@
                         target.record_crash([key], crash, now_s)
                     target.record_disproved(disproved, now_s)
         for each in suspects:
-            self.assertTrue(each.is_refused([DEADLY], now_s))
-            self.assertFalse(each.is_refused([SHARED], now_s))
+            self.assertIsNotNone(each.find_refused([DEADLY], now_s))
+            self.assertIsNone(each.find_refused([SHARED], now_s))
             self.assertEqual(each.list_disproved(now_s - CRASH_REPORT_S), [])
 
     def test_a_proof_is_valid_for_a_time_only(self):
@@ -98,7 +98,7 @@
         suspects.record_answer([DEADLY], 0.0)
         for crash in CRASHES:
             suspects.record_crash([DEADLY], crash, SOUND_MEMORY_S + 1)
-        self.assertTrue(suspects.is_refused([DEADLY], SOUND_MEMORY_S + 1))
+        self.assertIsNotNone(suspects.find_refused([DEADLY], SOUND_MEMORY_S + 1))
 
     def test_reports_are_bounded_and_name_the_worst_first(self):
         suspects = SegmentSuspects()
