--- a/banyanseam/config/errors.py
+++ b/banyanseam/config/errors.py
@@ -29,7 +29,7 @@
 
 
 class NotReady(BanyanseamError):
-    """No configuration is in force yet, so API keys can't be checked."""
+    """No configuration that is new enough for the request is in force yet."""
 
     code = "config.not_ready"
     event = 1102
