Take the longest pause of a stream from its route

Routes declare the pause (gap_aim_ms); 400 ms is the default.

The new test fails with the constant: the stream moves after 0.9 s both for pauses of 300 and of 2,000 ms, where 0.6 and 4.0 s are expected.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -174,11 +174,9 @@
 # upstream that would start it much sooner.
 MOVE_TARGET_SHARE: Final = 0.45
 MOVE_PERIOD_S: Final = 0.1
-# The longest pause of a stream that still counts as in time is 400 ms. After twice that
-# without data, a stream moves to an upstream that would continue it within one such
-# pause. Source: the operators' sheets.
-STREAM_SILENCE_MS: Final = 800.0
-STREAM_MOVE_WAIT_MS: Final = 400.0
+# A stream that has sent no data for this many of its route's longest pauses moves to an
+# upstream that would continue it within one of them.
+SILENT_PAUSES_TO_MOVE: Final = 2
 MIN_RETRY_LEFT_MS: Final = 50.0
 
 # Refusals.
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -73,6 +73,8 @@
     is_public: bool
     timeout_ms: int
     target_ms: int
+    # The longest pause between two events of a stream that still counts as in time.
+    max_pause_ms: float
     max_attempts: int
     urgency: int
     home_regions: frozenset[str]
--- a/banyanseam/entry/moving.py
+++ b/banyanseam/entry/moving.py
@@ -12,8 +12,7 @@
 from banyanseam.entry.const import (
     MOVE_PERIOD_S,
     MOVE_TARGET_SHARE,
-    STREAM_MOVE_WAIT_MS,
-    STREAM_SILENCE_MS,
+    SILENT_PAUSES_TO_MOVE,
 )
 from banyanseam.entry.errors import SlowerThanOthers
 from banyanseam.entry.exchange import Exchange
@@ -100,13 +99,14 @@
         This handles engines that hang in the middle of an answer, and connections that
         stop delivering data without a reset.
         """
+        max_pause_ms = exchange.route.max_pause_ms
         while exchange.may_resend and exchange.sends < exchange.max_attempts:
             await anyio.sleep(MOVE_PERIOD_S)
             silent_ms = (anyio.current_time() - progress.last_s) * 1000
-            if silent_ms < STREAM_SILENCE_MS:
+            if silent_ms < SILENT_PAUSES_TO_MOVE * max_pause_ms:
                 continue
             best = self._find_best_alternative(exchange, placement)
-            if best is None or best.wait_ms > STREAM_MOVE_WAIT_MS:
+            if best is None or best.wait_ms > max_pause_ms:
                 continue
             if self._charge_retry(exchange):
                 progress.stop()
--- a/banyanseam/platform/documents.py
+++ b/banyanseam/platform/documents.py
@@ -20,6 +20,7 @@
 )
 from banyanseam.platform.wire import EVACUATION_PREFIX, UPSTREAM_PREFIX
 
+DEFAULT_MAX_PAUSE_MS = 400
 _STREAM = "streaming"
 _SAFE = "safe"
 _DRAINING = "draining"
@@ -46,6 +47,8 @@
     traffic_split: list[_Split] = Field(default_factory=list)
     timeout_ms: int = Field(gt=0)
     target_latency_ms: int = 1000
+    # Declared for streams only.
+    gap_aim_ms: Number | None = None
     max_attempts: int = 1
     # 0 is the most urgent.
     priority: int = 5
@@ -192,6 +195,7 @@
         is_public=route.public,
         timeout_ms=route.timeout_ms,
         target_ms=route.target_latency_ms,
+        max_pause_ms=route.gap_aim_ms or DEFAULT_MAX_PAUSE_MS,
         max_attempts=max(1, route.max_attempts),
         urgency=route.priority,
         home_regions=frozenset(route.home_regions),
--- a/tests/entry/common.py
+++ b/tests/entry/common.py
@@ -96,6 +96,7 @@
         "is_public": False,
         "timeout_ms": 4000,
         "target_ms": 800,
+        "max_pause_ms": 400,
         "max_attempts": 2,
         "urgency": 0,
         "home_regions": frozenset(),
--- a/tests/entry/test_endless_answers.py
+++ b/tests/entry/test_endless_answers.py
@@ -95,9 +95,11 @@
         exchange = SimpleNamespace(
             route=SimpleNamespace(is_stream=True),
             reply=Reply(discard, close=False),
+            head=SimpleNamespace(last_event_id=None),
             last_event=None,
+            events_of_send=0,
         )
-        answer = SimpleNamespace(status=incoming.status, headers=[])
+        answer = SimpleNamespace(status=incoming.status, headers=[], is_framed=True)
         await relay_answer(exchange, answer, incoming, Progress(anyio.current_time()))
 
 
@@ -165,10 +167,12 @@
             exchange = SimpleNamespace(
                 route=SimpleNamespace(is_stream=True),
                 reply=Reply(discard, close=False),
+                head=SimpleNamespace(last_event_id=None),
                 last_event=None,
+                events_of_send=0,
             )
             progress = Progress(anyio.current_time())
-            answer = SimpleNamespace(status=200, headers=[])
+            answer = SimpleNamespace(status=200, headers=[], is_framed=True)
             incoming = SimpleNamespace(body=chunks())
             await relay_answer(exchange, answer, incoming, progress)
             return anyio.current_time() - progress.last_s
--- a/tests/entry/test_moving.py
+++ b/tests/entry/test_moving.py
@@ -1,12 +1,17 @@
 import unittest
+from types import SimpleNamespace
+from unittest import mock
 
 import anyio
 
 from banyanseam.entry.errors import SlowerThanOthers
-from banyanseam.entry.moving import Progress
+from banyanseam.entry.moving import MovePolicy, Progress
+from banyanseam.entry.placing import Placement
 from banyanseam.entry.sending import run_with_watch
 from banyanseam.upstreams.errors import UpstreamFailed
 from tests.common import run_with_mock_clock
+from tests.entry.common import make_candidate, make_members, make_route
+from tests.entry.test_choosing import make_exchange
 
 
 async def chunks_with_pauses(pauses_s):
@@ -76,6 +81,31 @@
         self.assertEqual(run_with_mock_clock(run), [b"part"])
 
 
+class StalledStreamTests(unittest.TestCase):
+    def test_a_stream_moves_after_two_of_its_routes_longest_pauses(self):
+        async def measure_s(max_pause_ms):
+            exchange = make_exchange(
+                anyio.current_time(), route=make_route(max_pause_ms=max_pause_ms)
+            )
+            exchange.reply = SimpleNamespace(is_started=True)
+            policy = MovePolicy(
+                make_members(),
+                mock.Mock(),
+                SimpleNamespace(try_spend=lambda *_: True),
+                lambda *_: [make_candidate("e2")],
+            )
+            tried = Placement(make_candidate("e1"), 0.0, is_cached=False)
+            progress = Progress(anyio.current_time())
+            with anyio.fail_after(60):
+                await policy.stop_stalled_stream(exchange, tried, progress)
+            return anyio.current_time() - progress.last_s
+
+        for max_pause_ms in (300, 400, 2000):
+            with self.subTest(max_pause_ms):
+                silent_s = run_with_mock_clock(measure_s, max_pause_ms)
+                self.assertAlmostEqual(silent_s, 2 * max_pause_ms / 1000, delta=0.11)
+
+
 class RunWithWatchTests(unittest.TestCase):
     def test_errors_of_the_main_task_are_raised_unchanged(self):
         async def fail():
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -4,6 +4,7 @@
 from banyanseam.config.errors import InvalidConfig
 from banyanseam.entry.models import PublishedValue, UpstreamState
 from banyanseam.platform.documents import (
+    DEFAULT_MAX_PAUSE_MS,
     decode_config,
     decode_evacuated,
     decode_upstream,
@@ -20,6 +21,7 @@
             "kind": "streaming",
             "timeout_ms": 4000,
             "target_latency_ms": 800,
+            "gap_aim_ms": 300,
             "priority": 0,
             "service": "pool",
             "max_attempts": 2,
@@ -106,6 +108,12 @@
     def setUp(self):
         self.catalogue = decode_config(json.dumps(CONFIG).encode())
 
+    def test_a_route_declares_the_longest_pause_of_its_streams(self):
+        routes = decode_config(json.dumps(CONFIG).encode()).routes["a.example"]
+        pauses = {route.name: route.max_pause_ms for route in routes}
+        self.assertEqual(pauses["short"], 300)
+        self.assertEqual(pauses["long"], DEFAULT_MAX_PAUSE_MS)
+
     def test_the_longest_prefix_of_the_host_wins(self):
         find = self.catalogue.find_route
         self.assertEqual(find("a.example", "/a/x").name, "short")
