Count an answer as a success of its upstream though its caller disconnects at once

Found while refused segments were mended: successes were recorded after the answer's connection had been closed, and the caller's disconnection had cancelled that. The count of consecutive failures of an upstream then never fell for forwarded requests and for callers that close, so that single failures apart from each other made it suspect for 1.5 s.

--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -151,8 +151,7 @@
                 answer = self._check_upstream_answer(exchange, incoming, listed)
                 mark_prefilled(listed, pending_prefill_ms)
                 self._record_shared_prefix(exchange, placement)
-                await self._relay_answer(exchange, placement, answer, incoming)
-        self.upstreams.record_success(listed)
+                await self._relay_answer(exchange, placement, answer, incoming, listed)
 
     async def _forward_to_region(
         self, exchange: Exchange, placement: Placement
@@ -223,6 +222,7 @@
         placement: Placement,
         answer: AnswerHead,
         incoming: IncomingAnswer,
+        listed: ListedUpstream | None = None,
     ) -> None:
         progress = Progress(anyio.current_time())
 
@@ -231,6 +231,8 @@
             # Nothing is awaited in between: callers that have the whole answer
             # disconnect, which cancels this task.
             self.suspects.clear(exchange.fingerprint)
+            if listed is not None:
+                self.upstreams.record_success(listed)
             if answer.status == 200:
                 self.suspects.segments.record_answer(
                     exchange.segment_keys, anyio.current_time()
