Serve after a restart by the newest configuration that peers have reported

Of the reports of other operators: after a restart a key that had been withdrawn was in use again. A process that can't read the store takes its configuration from the first peer that answers, which may be behind the others, and served by it until another heartbeat.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -11,6 +11,7 @@
 from banyanseam.entry.admission import Admission
 from banyanseam.entry.const import (
     BODY_MEMORY_SHARE,
+    CATCH_UP_S,
     LEAVE_S,
     LIST_VALIDITY_S,
     METRICS_PORT,
@@ -212,6 +213,8 @@
         # Without a configuration and upstreams, every request would be refused, so the
         # directory does not list this VM before it has both.
         await self.values.complete.wait()
+        # The peer that answered first may have been behind the others.
+        await self.values_fetcher.catch_up_with_peers(CATCH_UP_S)
         gc.collect()
         gc.freeze()
         if not self.lifecycle.is_stopping:
--- a/banyanseam/entry/values_fetcher.py
+++ b/banyanseam/entry/values_fetcher.py
@@ -27,11 +27,14 @@
         self._values = values
         self._own_ip = own_ip
         self._peers_port = peers_port
+        # The newest configuration that a peer has reported, and that peer.
+        self._newest: tuple[int, str] = (0, "")
         # Set when the running fetch from the peer at an address has ended.
         self._ended: dict[str, anyio.Event] = {}
 
     def start_if_newer(self, ip: str, version: int, evacuation_revision: int) -> None:
         """Start to fetch a peer's values if it reports newer ones."""
+        self._newest = max(self._newest, (version, ip))
         is_newer = (
             version > self._values.version
             or evacuation_revision > self._values.confirmed_evacuation_revision
@@ -39,6 +42,11 @@
         if is_newer and not self._ended and self.tasks is not None:
             self.tasks.start_soon(self._fetch, ip)
 
+    async def catch_up_with_peers(self, timeout_s: float) -> None:
+        """Fetch the newest configuration that a peer has reported, as `catch_up`."""
+        version, ip = self._newest
+        await self.catch_up(ip, version, timeout_s)
+
     async def catch_up(self, ip: str, version: int, timeout_s: float) -> None:
         """Fetch a peer's values unless a version is in force; give up at the timeout.
 
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -1,7 +1,11 @@
 """Checks requests forwarded between VMs with different configurations."""
 
 import unittest
+from unittest.mock import AsyncMock
 
+import anyio
+
+from banyanseam.daemon.lifecycle import Lifecycle
 from banyanseam.entry.values_fetcher import VALUES_PATH
 from tests.common import run_with_mock_clock
 from tests.entry.simulation import Caller, Simulation, make_body, start_simulation
@@ -82,5 +86,29 @@
         self.assertEqual(caller.status, 200)
 
 
+class RestartTests(unittest.TestCase):
+    def test_a_restarted_vm_serves_by_the_newest_version_that_peers_report(self):
+        """A key that has been withdrawn must not work again after a restart."""
+
+        async def run() -> tuple[int, int]:
+            async with start_simulation() as simulation:
+                older = simulation.entries["10.1.0.1"].values.to_message()
+                simulation.config["tenants"][0]["api_keys"] = []
+                simulation.publish(to={"10.2.0.1"})
+                simulation.start_vm("10.1.0.2", "gulf")
+                entry = simulation.entries["10.1.0.2"]
+                entry.lifecycle = Lifecycle()
+                entry.gossip.announce = AsyncMock()
+                entry.values_fetcher.start_if_newer("10.2.0.1", simulation.revision, 0)
+                entry.values.apply_message(older, "10.1.0.1", anyio.current_time())
+                upstreams = simulation.upstreams.values()
+                entry.values.adopt_upstreams(upstreams, 1, anyio.current_time())
+                await entry._begin_serving()
+                return entry.values.version, simulation.revision
+
+        version, newest = run_with_mock_clock(run)
+        self.assertEqual(version, newest)
+
+
 if __name__ == "__main__":
     unittest.main()
