--- a/banyanseam/entry/values_fetcher.py
+++ b/banyanseam/entry/values_fetcher.py
@@ -40,7 +40,7 @@
             or evacuation_revision > self._values.confirmed_evacuation_revision
         )
         if is_newer and not self._ended and self.tasks is not None:
-            self.tasks.start_soon(self._fetch, ip)
+            self.tasks.start_soon(self._fetch, ip, self._claim(ip))
 
     async def catch_up_with_peers(self, timeout_s: float) -> None:
         """Fetch the newest configuration that a peer has reported, as `catch_up`."""
@@ -59,12 +59,16 @@
                     return
                 ended = self._ended.get(ip)
                 if ended is None:
-                    await self._fetch(ip)
+                    await self._fetch(ip, self._claim(ip))
                     return
                 await ended.wait()
 
-    async def _fetch(self, ip: str) -> None:
+    def _claim(self, ip: str) -> anyio.Event:
+        """Mark a fetch as running before its task starts; return what ends it."""
         ended = self._ended[ip] = anyio.Event()
+        return ended
+
+    async def _fetch(self, ip: str, ended: anyio.Event) -> None:
         try:
             with anyio.fail_after(2 * STORE_TIMEOUT_S):
                 async with send(self._make_request(ip), lambda: None) as incoming:
