--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -92,7 +92,9 @@
     refused = suspects.segments.find_refused(exchange.segment_keys, now_s)
     if refused is not None:
         segment = exchange.head.prompt.segments[exchange.segment_keys.index(refused)]
-        raise CrashSuspected(f"engines crashed over segment {segment.segment_id}")
+        raise CrashSuspected(
+            f"engines crash when they answer with segment {segment.segment_id}"
+        )
     if suspects.is_refused(exchange.fingerprint, now_s):
         raise CrashSuspected
 
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -7,6 +7,7 @@
 from banyanseam.entry.const import (
     FAILURES_TO_SUSPECT,
     LEAVING_MEMORY_S,
+    MAX_PAUSE_S,
     REPLACED_REPORT_S,
     RETURN_COLD_S,
     SUSPECT_S,
@@ -159,7 +160,7 @@
 
     def record_pause(self, upstream: Upstream, pause_s: float, now_s: float) -> None:
         """Send nothing for a time to an upstream that has asked for a pause."""
-        self._exclude_until(upstream, now_s + pause_s)
+        self._exclude_until(upstream, now_s + min(pause_s, MAX_PAUSE_S))
 
     def _exclude_until(self, upstream: Upstream, until_s: float) -> None:
         key = upstream.upstream_id, upstream.started_ms
--- a/banyanseam/platform/requests.py
+++ b/banyanseam/platform/requests.py
@@ -31,8 +31,6 @@
     USAGE,
 )
 
-# The longest pause that an upstream may ask for.
-MAX_PAUSE_S: Final = 3600.0
 _BEARER: Final = b"bearer "
 _MAX_URGENCY: Final = 9
 _CONNECTION_HEADERS: Final = frozenset(
@@ -166,7 +164,7 @@
     whole, point, fraction = value.strip().partition(b".")
     if not whole.isdigit() or (point and not fraction.isdigit()):
         return 0.0
-    return min(float(value), MAX_PAUSE_S)
+    return float(value)
 
 
 def _read_prompt(usage: bytes | None, prefix: bytes | None) -> Prompt | None:
--- a/tests/entry/test_upstream_list.py
+++ b/tests/entry/test_upstream_list.py
@@ -1,7 +1,12 @@
 import unittest
 from dataclasses import replace
 
-from banyanseam.entry.const import FAILURES_TO_SUSPECT, RETURN_COLD_S, SUSPECT_S
+from banyanseam.entry.const import (
+    FAILURES_TO_SUSPECT,
+    MAX_PAUSE_S,
+    RETURN_COLD_S,
+    SUSPECT_S,
+)
 from banyanseam.entry.models import UpstreamState
 from banyanseam.entry.upstream_list import UpstreamList
 from tests.entry.common import make_upstream
@@ -50,6 +55,8 @@
         self.upstreams.record_pause(make_upstream("e1"), 0.5, 1.1)
         self.assertEqual(list_ids(self.upstreams, 3.4), ["e2"])
         self.assertEqual(list_ids(self.upstreams, 3.6), ["e1", "e2"])
+        self.upstreams.record_pause(make_upstream("e1"), 1e300, 4.0)
+        self.assertEqual(list_ids(self.upstreams, 4.1 + MAX_PAUSE_S), ["e1", "e2"])
 
     def test_entries_that_expired_in_an_outage_are_retained_for_a_while(self):
         self.upstreams.retain_expired_until(12.0)
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -5,7 +5,6 @@
 from banyanseam.pipe.errors import RequestMalformed
 from banyanseam.platform.documents import digest_key
 from banyanseam.platform.requests import (
-    MAX_PAUSE_S,
     read_answer,
     read_request,
     write_headers,
@@ -116,7 +115,7 @@
             (200, [(b"Server-Leaving", b"0")], (False, 0.0)),
             (503, [(b"Retry-After", b"2")], (False, 2.0)),
             (503, [(b"Retry-After", b" 0.25 ")], (False, 0.25)),
-            (503, [(b"Retry-After", b"99999999")], (False, MAX_PAUSE_S)),
+            (503, [(b"Retry-After", b"99999999")], (False, 99999999.0)),
             (200, [(b"Retry-After", b"2")], (False, 0.0)),
             (503, [(b"Retry-After", b"-1")], (False, 0.0)),
             (503, [(b"Retry-After", b"nan")], (False, 0.0)),
