Limit the heads of answers to 16 KiB, as heads of requests are

Traced: the 1,872 interim answers of 64 KiB are handled one by one and took 0.24 s of processor alone, in which the daemon's loop serves nobody else; the other kinds of endless heads took 0.01 to 0.05 s. The limit is now the one that operators publish for heads of requests.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -185,8 +185,9 @@
 MIN_RETRY_AFTER_MS: Final = 150
 MAX_RETRY_AFTER_MS: Final = 2500
 
-# Buffering. An answer's head, with the interim answers before it, is at most this long.
-MAX_HEAD_BYTES: Final = 64 * 1024
+# Buffering. An answer's head, with the interim answers before it, is at most this long:
+# the operators' limit for heads of requests.
+MAX_HEAD_BYTES: Final = 16 * 1024
 MAX_BUFFERED_ANSWER_BYTES: Final = 256 * 1024
 BODY_MEMORY_SHARE: Final = 0.3
 
