Notice replicas of the store that lag evenly behind it

The store's replicas were seconds behind from 11.6 to 25.6 s. A stale listing was noticed only if it was older than the one before; a replica that lags evenly never is, so leaving upstreams were seen 4.4 s late.

Reads that replicas don't answer, such as each watch, give the store's revision at a known time. A listing that lacks a revision more than a second old is lagging: the store itself is read at once and for the next 5 s. The new test failed before.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -52,8 +52,10 @@
 LIST_PERIOD_S: Final = 0.7
 LIST_PATIENCE_S: Final = 0.7
 LIST_RANK_STEP_S: Final = 0.35
-# How long the store's replicas are not queried after they were found to be stale.
+# How long the store's replicas are not queried after they were found to be stale: to be
+# older than the last listing, or further behind the store than this.
 STALE_REPLICA_S: Final = 5.0
+MAX_REPLICA_LAG_S: Final = 1.0
 # How long the store holds a watch. Each call has a price, so watches of a larger fleet
 # wait longer, and the fleet renews at most WATCH_RENEWALS_PER_S of them a second. A
 # process whose watch hangs gets changes from its peers.
--- a/banyanseam/entry/store_watcher.py
+++ b/banyanseam/entry/store_watcher.py
@@ -6,8 +6,9 @@
 """
 
 import random
+from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import Final, Protocol
 
 import anyio
 
@@ -17,6 +18,7 @@
     LIST_PATIENCE_S,
     LIST_PERIOD_S,
     LIST_RANK_STEP_S,
+    MAX_REPLICA_LAG_S,
     MAX_WATCH_WAIT_S,
     OUTAGE_S,
     STALE_REPLICA_S,
@@ -33,6 +35,9 @@
 from banyanseam.entry.values import PublishedValues
 from banyanseam.observe.events import CONFIG_SERVICE_BACK, CONFIG_SERVICE_DOWN, log
 
+# Revisions remembered to notice lagging replicas.
+MAX_REVISIONS: Final = 8
+
 
 def choose_watch_wait_s(vms: int) -> float:
     """Return how long a watch waits in a fleet of this size, so that calls are few."""
@@ -77,6 +82,8 @@
         self._down_since_s: dict[str, float] = {}
         # Time until which replicas of the store aren't read, as one was found to lag.
         self._replicas_lag_until_s = -1e9
+        # The store's revision at recent times, from reads that replicas don't answer.
+        self._revisions: deque[tuple[float, int]] = deque(maxlen=MAX_REVISIONS)
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -106,12 +113,14 @@
             listing = await self._store.list_values(
                 self._operator_prefix, may_be_stale=False, timeout_s=STORE_TIMEOUT_S
             )
+            self._revisions.append((anyio.current_time(), listing.revision))
             self._values.apply_listing(listing, anyio.current_time())
             return listing.revision
         vms = self._members.count_recent(anyio.current_time())
         changes = await self._store.wait_for_changes(
             self._operator_prefix, after, choose_watch_wait_s(vms), STORE_TIMEOUT_S
         )
+        self._revisions.append((anyio.current_time(), changes.revision))
         self._values.apply_changes(changes, anyio.current_time())
         return changes.revision
 
@@ -150,16 +159,26 @@
         if has_list and now_s - self._upstreams.confirmed_s >= OUTAGE_S:
             self._upstreams.retain_expired_until(now_s + EXPIRED_ENTRY_GRACE_S)
         self._record_recovery("upstreams")
+        if not may_be_stale:
+            self._revisions.append((now_s, listing.revision))
         found = self._values.decode_upstreams(listing)
-        if self._values.adopt_upstreams(found, listing.revision, now_s):
+        is_adopted = self._values.adopt_upstreams(found, listing.revision, now_s)
+        if is_adopted:
             await self._share_upstreams()
-            return
-        # The listing is older than the current one. A lagging replica would not show
-        # which upstreams are leaving now.
+            if not (may_be_stale and self._is_lagging(listing.revision, now_s)):
+                return
+        # A lagging replica would not show which upstreams are leaving now.
         self._replicas_lag_until_s = now_s + STALE_REPLICA_S
         if may_be_stale:
             await self._read_upstreams(may_be_stale=False)
 
+    def _is_lagging(self, revision: int, now_s: float) -> bool:
+        """Return whether the store was past a listing's revision some time ago."""
+        return any(
+            revision < known and now_s - at_s > MAX_REPLICA_LAG_S
+            for at_s, known in self._revisions
+        )
+
     def _record_failure(self, what: str, error: ConfigServiceUnavailable) -> None:
         if what not in self._down_since_s:
             self._down_since_s[what] = anyio.current_time()
--- a/tests/entry/test_store_watcher.py
+++ b/tests/entry/test_store_watcher.py
@@ -98,6 +98,8 @@
         self.values = PublishedValues(DECODERS, self.upstreams)
         self.members = make_members("10.1.0.1")
         self.shared_count = 0
+        # What the store held at each of the last tenths of a second.
+        self.past = [(dict(self.store.values), 1)] * 50
         self.watcher = StoreWatcher(
             self.store,
             self.values,
@@ -111,6 +113,14 @@
     async def share(self):
         self.shared_count += 1
 
+    async def lag_for(self, lag_s, for_s):
+        """Write often while the store's replicas show what it held `lag_s` before."""
+        for _ in range(round(for_s * 10)):
+            self.store.put("e2")
+            self.past.append((dict(self.store.values), self.store.revision))
+            self.store.replica = self.past[-1 - round(lag_s * 10)]
+            await anyio.sleep(0.1)
+
     def list_ids(self):
         return sorted(each.upstream_id for each in self.upstreams.list_upstreams())
 
@@ -128,6 +138,26 @@
 
 
 class StoreWatcherTests(unittest.TestCase):
+    def test_a_replica_that_lags_evenly_is_noticed(self):
+        """Each of its answers is newer than the one before, but seconds old."""
+
+        async def scenario(setup):
+            await setup.lag_for(4.0, 12.0)
+            setup.store.drop("e1")
+            await setup.lag_for(4.0, 2.0)
+            self.assertEqual(setup.list_ids(), ["e2"])
+
+        run_scenario(scenario)
+
+    def test_replicas_that_lag_little_are_read(self):
+        async def scenario(setup):
+            setup.store.reads.clear()
+            await setup.lag_for(0.5, 12.0)
+            reads = [stale for prefix, stale in setup.store.reads if prefix == "e"]
+            self.assertTrue(all(reads))
+
+        run_scenario(scenario)
+
     def test_changes_apply_at_once_and_versions_never_go_back(self):
         async def scenario(setup):
             self.assertTrue(setup.values.complete.is_set())
