Follow the store soon after a silent outage

Cause: a watch of the operators' values that began while the store was silent was waited for as long as any watch, 5.2 s, though nobody would answer it any more. All VMs began such a watch at the same moment, so no peer had the new values either.

A call after a failed one now does not wait for changes, so its limit is 1.2 s. An ordinary watch that an outage silences had the same effect, up to 17.2 s at 195 VMs: the first two VMs of each region by rank now renew theirs each 3 s, in fleets of all sizes.

Evidence: test_changes_made_in_a_silent_outage_are_in_force_soon_after_it, 72 cases of fleet size, length and moment of the outage.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -58,8 +58,12 @@
 MAX_REPLICA_LAG_S: Final = 1.0
 # How long the store holds a watch. Each call has a price, so watches of a larger fleet
 # wait longer, and the fleet renews at most WATCH_RENEWALS_PER_S of them a second. A
-# process whose watch hangs gets changes from its peers.
-WATCH_WAIT_S: Final = 4.0
+# process whose watch hangs gets changes from its peers: the first REGION_WATCHERS of
+# each region always wait for WATCH_WAIT_S only. With STORE_TIMEOUT_S and STORE_RETRY_S
+# that is less than the shortest time after a disruption at which the published bounds
+# hold again, 5 s.
+WATCH_WAIT_S: Final = 3.0
+REGION_WATCHERS: Final = 2
 MAX_WATCH_WAIT_S: Final = 20.0
 WATCH_RENEWALS_PER_S: Final = 12.0
 STORE_TIMEOUT_S: Final = 1.2
--- a/banyanseam/entry/store_watcher.py
+++ b/banyanseam/entry/store_watcher.py
@@ -21,6 +21,7 @@
     MAX_REPLICA_LAG_S,
     MAX_WATCH_WAIT_S,
     OUTAGE_S,
+    REGION_WATCHERS,
     STALE_REPLICA_S,
     STORE_RETRY_LIMIT_S,
     STORE_RETRY_S,
@@ -39,8 +40,14 @@
 MAX_REVISIONS: Final = 8
 
 
-def choose_watch_wait_s(vms: int) -> float:
-    """Return how long a watch waits in a fleet of this size, so that calls are few."""
+def choose_watch_wait_s(vms: int, rank: int) -> float:
+    """Return how long a watch waits in a fleet of this size, so that calls are few.
+
+    The first processes of a region by rank renew theirs often, so that a watch that got
+    lost does not keep changes from the whole region.
+    """
+    if rank < REGION_WATCHERS:
+        return WATCH_WAIT_S
     return min(max(WATCH_WAIT_S, vms / WATCH_RENEWALS_PER_S), MAX_WATCH_WAIT_S)
 
 
@@ -94,21 +101,32 @@
     async def _watch_operators(self) -> None:
         after: int | None = None
         retry_delay_s = STORE_RETRY_S
+        is_answered = True
         while True:
+            # A call that begins in an outage may never be answered. So a call after a
+            # failure does not wait for changes, and its time limit is short.
+            wait_s = self._choose_wait_s() if is_answered else 0.0
             try:
-                after = await self._read_or_watch(after)
+                after = await self._read_or_watch(after, wait_s)
             except HistoryForgotten:
                 after = None
                 continue
             except ConfigServiceUnavailable as error:
+                is_answered = False
                 self._record_failure("operators", error)
                 await anyio.sleep(retry_delay_s * random.uniform(0.7, 1.3))
                 retry_delay_s = min(retry_delay_s * 1.5, STORE_RETRY_LIMIT_S)
                 continue
+            is_answered = True
             retry_delay_s = STORE_RETRY_S
             self._record_recovery("operators")
 
-    async def _read_or_watch(self, after: int | None) -> int:
+    def _choose_wait_s(self) -> float:
+        now_s = anyio.current_time()
+        rank = self._members.rank_in_region(now_s)
+        return choose_watch_wait_s(self._members.count_recent(now_s), rank)
+
+    async def _read_or_watch(self, after: int | None, wait_s: float) -> int:
         if after is None:
             listing = await self._store.list_values(
                 self._operator_prefix, may_be_stale=False, timeout_s=STORE_TIMEOUT_S
@@ -116,9 +134,8 @@
             self._revisions.append((anyio.current_time(), listing.revision))
             self._values.apply_listing(listing, anyio.current_time())
             return listing.revision
-        vms = self._members.count_recent(anyio.current_time())
         changes = await self._store.wait_for_changes(
-            self._operator_prefix, after, choose_watch_wait_s(vms), STORE_TIMEOUT_S
+            self._operator_prefix, after, wait_s, STORE_TIMEOUT_S
         )
         self._revisions.append((anyio.current_time(), changes.revision))
         self._values.apply_changes(changes, anyio.current_time())
--- a/tests/entry/test_store_watcher.py
+++ b/tests/entry/test_store_watcher.py
@@ -3,7 +3,12 @@
 import anyio
 
 from banyanseam.config.errors import ConfigServiceUnavailable, InvalidConfig
-from banyanseam.entry.const import MAX_WATCH_WAIT_S, WATCH_RENEWALS_PER_S
+from banyanseam.entry.const import (
+    MAX_WATCH_WAIT_S,
+    REGION_WATCHERS,
+    WATCH_RENEWALS_PER_S,
+    WATCH_WAIT_S,
+)
 from banyanseam.entry.errors import HistoryForgotten
 from banyanseam.entry.messages import ValuesMessage
 from banyanseam.entry.models import Listing, PublishedValue, ValueChanges
@@ -13,6 +18,10 @@
 from tests.common import run_with_mock_clock
 from tests.entry.common import make_catalogue, make_member, make_members, make_upstream
 
+# Within this time after a disruption a VM must follow the store again. Source: the
+# shortest of the operators' bounds for a VM to be in touch.
+MAX_CATCH_UP_S = 5.0
+
 
 def decode_config(value):
     if not value.isdigit():
@@ -32,10 +41,14 @@
     def test_the_watches_of_a_fleet_are_renewed_at_a_limited_rate(self):
         for vms in (1, 9, 70, 195):
             with self.subTest(vms=vms):
-                renewals_per_s = vms / choose_watch_wait_s(vms)
+                renewals_per_s = vms / choose_watch_wait_s(vms, REGION_WATCHERS)
                 self.assertLessEqual(renewals_per_s, WATCH_RENEWALS_PER_S)
         # The store keeps its history for 20 s at least.
-        self.assertEqual(choose_watch_wait_s(342), MAX_WATCH_WAIT_S)
+        self.assertEqual(choose_watch_wait_s(342, REGION_WATCHERS), MAX_WATCH_WAIT_S)
+
+    def test_the_first_of_a_region_renew_their_watches_often(self):
+        for rank in range(REGION_WATCHERS):
+            self.assertEqual(choose_watch_wait_s(342, rank), WATCH_WAIT_S)
 
 
 class FakeStore:
@@ -46,6 +59,8 @@
         self.revision = 1
         self.replica = None
         self.is_failing = False
+        # Calls that begin or wait while the store is silent get no answer, even later.
+        self.is_silent = False
         self.truncated_at = 0
         self.reads = []
 
@@ -62,6 +77,9 @@
         await anyio.sleep(0.004)
         if self.is_failing:
             raise ConfigServiceUnavailable
+        if self.is_silent:
+            await anyio.sleep(timeout_s)
+            raise ConfigServiceUnavailable("no answer in time")
         values, revision = self.values, self.revision
         if may_be_stale and self.replica is not None:
             values, revision = self.replica
@@ -78,6 +96,10 @@
             await anyio.sleep(0.01)
             if self.is_failing:
                 raise ConfigServiceUnavailable
+            if self.is_silent:
+                waited_s = anyio.current_time() - started_s
+                await anyio.sleep(wait_s + timeout_s - waited_s)
+                raise ConfigServiceUnavailable("no answer in time")
             if after < self.truncated_at:
                 raise HistoryForgotten
             found = tuple(
@@ -113,6 +135,16 @@
     async def share(self):
         self.shared_count += 1
 
+    def add_peers(self, count):
+        """Add live processes of other regions, so that this one ranks first."""
+        for number in range(count):
+            row = make_member(
+                f"10.2.{number // 200}.{number % 200}",
+                region="piedmont",
+                heartbeat_count=1,
+            )
+            self.members.merge([row], anyio.current_time())
+
     async def lag_for(self, lag_s, for_s):
         """Write often while the store's replicas show what it held `lag_s` before."""
         for _ in range(round(for_s * 10)):
@@ -197,6 +229,27 @@
 
         run_scenario(scenario)
 
+    def test_changes_made_in_a_silent_outage_are_in_force_soon_after_it(self):
+        # Found by the recorded day of incident 0013.
+        for vms in (9, 70, 195):
+            for outage_s in (0.1, 1.0, 3.0, 5.3, 6.3, 8.0):
+                for begun_s in (0.0, 0.7, 2.0, 3.5):
+                    with self.subTest(vms=vms, outage_s=outage_s, begun_s=begun_s):
+                        self.check_silent_outage(vms, outage_s, begun_s)
+
+    def check_silent_outage(self, vms, outage_s, begun_s):
+        async def scenario(setup):
+            setup.add_peers(vms - 1)
+            await anyio.sleep(6 + begun_s)
+            setup.store.is_silent = True
+            await anyio.sleep(outage_s)
+            setup.store.put("op/config", b"9")
+            setup.store.is_silent = False
+            await anyio.sleep(MAX_CATCH_UP_S)
+            self.assertEqual(setup.values.version, 9)
+
+        run_scenario(scenario)
+
     def test_entries_that_expired_in_an_outage_are_retained_for_a_while(self):
         async def scenario(setup):
             setup.store.is_failing = True
