Watch the list of upstreams for changes, not only its replicas

Cause: the list of upstreams is read from replicas of the store, which may be seconds behind. That is noticed by revisions that the store itself has given, and in a quiet store the only such revision is the answer of a watch of the operators' values, once in 3 s or more, which counts after another second. An upstream that leaves in a store that is otherwise quiet, while replicas lag by 6 s, was noticed up to 5 s later.

Whoever reads the list now also watches the store for changes of it, and reads it from the store itself when it has changed. Costs one call in 3 s for each region, and one for each change, at most one in 0.7 s.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -52,6 +52,9 @@
 LIST_PERIOD_S: Final = 0.7
 LIST_PATIENCE_S: Final = 0.7
 LIST_RANK_STEP_S: Final = 0.35
+LIST_CHECK_S: Final = 0.1
+# A process that has read the list within this time also watches for changes of it.
+LIST_READER_S: Final = 2.5
 # How long the store's replicas are not queried after they were found to be stale: to be
 # older than the last listing, or further behind the store than this.
 STALE_REPLICA_S: Final = 5.0
--- a/banyanseam/entry/store_watcher.py
+++ b/banyanseam/entry/store_watcher.py
@@ -3,6 +3,8 @@
 Every process watches the operators' values itself, since a withdrawn key must stop
 working everywhere. The list of upstreams is read by one process of a region, which
 sends it to the others; if the list gets too old, the next process in rank reads it.
+Listings come from the store's replicas, since those are cheap; whoever reads them also
+watches the store itself for changes.
 """
 
 import random
@@ -15,9 +17,11 @@
 from banyanseam.config.errors import ConfigServiceUnavailable
 from banyanseam.entry.const import (
     EXPIRED_ENTRY_GRACE_S,
+    LIST_CHECK_S,
     LIST_PATIENCE_S,
     LIST_PERIOD_S,
     LIST_RANK_STEP_S,
+    LIST_READER_S,
     MAX_REPLICA_LAG_S,
     MAX_WATCH_WAIT_S,
     OUTAGE_S,
@@ -87,6 +91,10 @@
         self._operator_prefix = operator_prefix
         self._upstream_prefix = upstream_prefix
         self._down_since_s: dict[str, float] = {}
+        # The store's revision up to which the operators' values are known.
+        self._operators_revision: int | None = None
+        # When this process last read the list of upstreams.
+        self._list_read_s = -1e9
         # Time until which replicas of the store aren't read, as one was found to lag.
         self._replicas_lag_until_s = -1e9
         # The store's revision at recent times, from reads that replicas don't answer.
@@ -96,50 +104,99 @@
         """Read until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_operators)
+            tasks.start_soon(self._watch_upstreams)
             tasks.start_soon(self._list_upstreams)
 
     async def _watch_operators(self) -> None:
-        after: int | None = None
+        await self._watch("operators", lambda: True, self._read_operators)
+
+    async def _watch_upstreams(self) -> None:
+        await self._watch(
+            "changes of upstreams", self._is_list_reader, self._read_upstream_changes
+        )
+
+    async def _watch(
+        self,
+        what: str,
+        is_due: Callable[[], bool],
+        read: Callable[[float], Awaitable[None]],
+    ) -> None:
+        """Call `read` with the time to wait for changes, over and over while due."""
         retry_delay_s = STORE_RETRY_S
         is_answered = True
         while True:
+            if not is_due():
+                await anyio.sleep(LIST_CHECK_S)
+                continue
             # A call that begins in an outage may never be answered. So a call after a
             # failure does not wait for changes, and its time limit is short.
-            wait_s = self._choose_wait_s() if is_answered else 0.0
             try:
-                after = await self._read_or_watch(after, wait_s)
-            except HistoryForgotten:
-                after = None
-                continue
+                await read(self._choose_wait_s() if is_answered else 0.0)
             except ConfigServiceUnavailable as error:
                 is_answered = False
-                self._record_failure("operators", error)
+                self._record_failure(what, error)
                 await anyio.sleep(retry_delay_s * random.uniform(0.7, 1.3))
                 retry_delay_s = min(retry_delay_s * 1.5, STORE_RETRY_LIMIT_S)
                 continue
             is_answered = True
             retry_delay_s = STORE_RETRY_S
-            self._record_recovery("operators")
+            self._record_recovery(what)
 
     def _choose_wait_s(self) -> float:
         now_s = anyio.current_time()
         rank = self._members.rank_in_region(now_s)
         return choose_watch_wait_s(self._members.count_recent(now_s), rank)
 
-    async def _read_or_watch(self, after: int | None, wait_s: float) -> int:
+    async def _read_operators(self, wait_s: float) -> None:
+        after = self._operators_revision
         if after is None:
             listing = await self._store.list_values(
                 self._operator_prefix, may_be_stale=False, timeout_s=STORE_TIMEOUT_S
             )
-            self._revisions.append((anyio.current_time(), listing.revision))
+            self._record_revision(listing.revision)
             self._values.apply_listing(listing, anyio.current_time())
-            return listing.revision
-        changes = await self._store.wait_for_changes(
-            self._operator_prefix, after, wait_s, STORE_TIMEOUT_S
-        )
-        self._revisions.append((anyio.current_time(), changes.revision))
+            self._operators_revision = listing.revision
+            return
+        try:
+            changes = await self._store.wait_for_changes(
+                self._operator_prefix, after, wait_s, STORE_TIMEOUT_S
+            )
+        except HistoryForgotten:
+            self._operators_revision = None
+            return
+        self._record_revision(changes.revision)
         self._values.apply_changes(changes, anyio.current_time())
-        return changes.revision
+        self._operators_revision = changes.revision
+
+    def _is_list_reader(self) -> bool:
+        """Return whether the region's list of upstreams now comes from this process."""
+        read_age_s = anyio.current_time() - self._list_read_s
+        return self._upstreams.revision >= 0 and read_age_s < LIST_READER_S
+
+    async def _read_upstream_changes(self, wait_s: float) -> None:
+        """Read the list from the store itself as soon as it has changed.
+
+        The store's replicas may be seconds behind.
+        """
+        try:
+            changes = await self._store.wait_for_changes(
+                self._upstream_prefix,
+                self._upstreams.revision,
+                wait_s,
+                STORE_TIMEOUT_S,
+            )
+        except HistoryForgotten:
+            has_changed = True
+        else:
+            self._record_revision(changes.revision)
+            has_changed = bool(changes.values)
+        if has_changed:
+            await self._read_upstreams(may_be_stale=False)
+            # Limits the calls while many upstreams start or stop.
+            await anyio.sleep(LIST_PERIOD_S)
+
+    def _record_revision(self, revision: int) -> None:
+        self._revisions.append((anyio.current_time(), revision))
 
     async def _list_upstreams(self) -> None:
         last_read_s = -1e9
@@ -156,7 +213,7 @@
                 is_first = self._upstreams.revision < 0
                 may_be_stale = not is_first and now_s >= self._replicas_lag_until_s
                 await self._read_upstreams(may_be_stale=may_be_stale)
-            await anyio.sleep(0.1)
+            await anyio.sleep(LIST_CHECK_S)
 
     async def _read_upstreams(self, *, may_be_stale: bool) -> None:
         try:
@@ -176,8 +233,9 @@
         if has_list and now_s - self._upstreams.confirmed_s >= OUTAGE_S:
             self._upstreams.retain_expired_until(now_s + EXPIRED_ENTRY_GRACE_S)
         self._record_recovery("upstreams")
+        self._list_read_s = now_s
         if not may_be_stale:
-            self._revisions.append((now_s, listing.revision))
+            self._record_revision(listing.revision)
         found = self._values.decode_upstreams(listing)
         is_adopted = self._values.adopt_upstreams(found, listing.revision, now_s)
         if is_adopted:
