Read the list at the usual rate while the first in rank cannot

Cause: a process reads the list of upstreams only if it is older than its rank allows: 1.4 s and 0.35 s for each process before it. If those are alive but the store turns them away, that holds for each read again. At rank 10 the list was read once in 4.9 s, so an upstream that leaves could be noticed that much later (DRAIN).

Whoever confirmed the list last now goes on at the usual period, until another process confirms it first.

--- a/banyanseam/entry/store_watcher.py
+++ b/banyanseam/entry/store_watcher.py
@@ -203,7 +203,10 @@
         while True:
             now_s = anyio.current_time()
             rank = self._members.rank_in_region(now_s)
-            delay_s = LIST_PATIENCE_S + LIST_RANK_STEP_S * rank if rank else 0.0
+            # Whoever confirmed the list last goes on, even if a process that ranks
+            # before it is alive: the store may be out of reach of that one only.
+            is_reader = rank == 0 or self._upstreams.confirmed_s == self._list_read_s
+            delay_s = 0.0 if is_reader else LIST_PATIENCE_S + LIST_RANK_STEP_S * rank
             age_s = now_s - self._upstreams.confirmed_s
             if (
                 age_s >= LIST_PERIOD_S + delay_s
--- a/tests/entry/test_store_watcher.py
+++ b/tests/entry/test_store_watcher.py
@@ -4,6 +4,7 @@
 
 from banyanseam.config.errors import ConfigServiceUnavailable, InvalidConfig
 from banyanseam.entry.const import (
+    LIST_PERIOD_S,
     MAX_WATCH_WAIT_S,
     REGION_WATCHERS,
     WATCH_RENEWALS_PER_S,
@@ -335,6 +336,22 @@
 
         run_scenario(scenario)
 
+    def test_a_low_rank_reads_as_often_as_the_first_while_those_before_cannot(self):
+        async def scenario(setup):
+            for step in range(60):
+                rows = [
+                    make_member(f"10.1.0.0.{rank}", heartbeat_count=10**6 + step)
+                    for rank in range(10)
+                ]
+                setup.members.merge(rows, anyio.current_time())
+                if step == 30:
+                    setup.store.reads.clear()
+                await anyio.sleep(0.5)
+            list_reads = [read for read in setup.store.reads if read[0] == "e"]
+            self.assertGreaterEqual(len(list_reads), 15 / (LIST_PERIOD_S + 0.2))
+
+        run_scenario(scenario)
+
     def test_newer_values_of_a_peer_are_adopted(self):
         async def scenario(setup):
             message = ValuesMessage(
