Take odd registrations of upstreams for invalid instead of ending

It could happen here: a cold or remaining time of 1e999 raised OverflowError in the task that reads the list, which ends the daemon, and one of 400 digits did so when it was added to a time. A port out of range, an octet out of range or digits of another script made an upstream to which each request fails. An id that is not printable ASCII could not be written into its header. Deeply nested entries were rejected by the parser already.

Numbers now have limits, addresses are checked like those of the configuration, and ids must be printable.

--- a/banyanseam/platform/documents.py
+++ b/banyanseam/platform/documents.py
@@ -1,11 +1,21 @@
 """The platform's published values, decoded into the entry daemon's types."""
 
 import hashlib
+import re
 from collections import defaultdict
-from typing import Annotated, Literal
-
-from pydantic import BaseModel, ConfigDict, Field, StrictInt, StrictStr, ValidationError
+from typing import Annotated, Final, Literal
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    StrictInt,
+    StrictStr,
+    ValidationError,
+)
 
+from banyanseam.config.addresses import is_connectable, normalise_address
 from banyanseam.config.errors import InvalidConfig
 from banyanseam.entry.models import (
     CallerLimits,
@@ -26,7 +36,17 @@
 _DRAINING = "draining"
 _TOKENS = "token_stream"
 
+_IPV4_AND_PORT = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
+# Ids are sent in a header.
+_UPSTREAM_ID = re.compile(r"[!-~]+")
+
+# Registrations with larger numbers are invalid: slots, and durations and starts in ms.
+MAX_SLOTS: Final = 1_000_000
+MAX_DURATION_MS: Final = 7 * 86_400_000
+MAX_START_MS: Final = 2**53
+
 Number = Annotated[float, Field(ge=0)]
+Duration = Annotated[float, Field(strict=True, ge=0, le=MAX_DURATION_MS)]
 
 
 class _Document(BaseModel):
@@ -99,18 +119,27 @@
     limits: _Limits = Field(default_factory=_Limits)
 
 
+def _check_address(address: str) -> str:
+    normalised = normalise_address(address)
+    if not is_connectable(normalised):
+        raise ValueError("no connection can be made to this address")
+    return normalised
+
+
 class _Server(_Document):
     """An upstream's registration; its writer may omit or mistype any field."""
 
     service: StrictStr
-    address: StrictStr = Field(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")
+    address: Annotated[
+        StrictStr, Field(pattern=_IPV4_AND_PORT), AfterValidator(_check_address)
+    ]
     zone: StrictStr
     state: Literal["ready", "draining"]
-    slots: StrictInt = Field(gt=0)
-    cold_remaining_ms: Annotated[int | float, Field(ge=0)] = 0
-    remaining_ms: Annotated[int | float, Field(ge=0)] | None = None
+    slots: Annotated[StrictInt, Field(gt=0, le=MAX_SLOTS)]
+    cold_remaining_ms: Duration = 0
+    remaining_ms: Duration | None = None
     # When the incarnation started, in Unix milliseconds.
-    born: StrictInt = 0
+    born: Annotated[StrictInt, Field(ge=0, le=MAX_START_MS)] = 0
 
 
 def digest_key(key: bytes) -> bytes:
@@ -151,6 +180,9 @@
 
 def decode_upstream(item: PublishedValue) -> Upstream | None:
     """Return the upstream that a value registers, or None if the value is invalid."""
+    upstream_id = item.key.removeprefix(UPSTREAM_PREFIX)
+    if _UPSTREAM_ID.fullmatch(upstream_id) is None:
+        return None
     try:
         server = _Server.model_validate_json(item.value)
     except ValidationError:
@@ -158,7 +190,7 @@
     is_leaving = server.state == _DRAINING
     remaining_ms = server.remaining_ms
     return Upstream(
-        upstream_id=item.key.removeprefix(UPSTREAM_PREFIX),
+        upstream_id=upstream_id,
         service=server.service,
         address=server.address,
         data_centre=server.zone,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -82,6 +82,13 @@
     "sequence": 4,
     "born": 17,
 }
+
+
+def add_field(field):
+    """Return a registration with a field that json.dumps would not write."""
+    return json.dumps(SERVER)[:-1] + "," + field + "}"
+
+
 INVALID_SERVERS = {
     "no json": b"\xff\x00",
     "no object": b"[]",
@@ -96,7 +103,23 @@
     "negative cold time": json.dumps({**SERVER, "cold_remaining_ms": -1}),
     "start of another type": json.dumps({**SERVER, "born": "today"}),
     "nothing": b"",
+    "cold time of another type": json.dumps({**SERVER, "cold_remaining_ms": "5"}),
+    "deeply nested": b"[" * 100_000,
+    "deeply nested beside the fields": add_field('"x":' + "[" * 9999 + "]" * 9999),
+    "endless cold time": add_field('"cold_remaining_ms":1e999'),
+    "cold time beyond any float": add_field('"cold_remaining_ms":' + "9" * 400),
+    "endless remaining time": add_field('"remaining_ms":Infinity'),
+    "remaining time that is no number": add_field('"remaining_ms":NaN'),
+    "start beyond 64 bits": add_field('"born":' + "9" * 400),
+    "slots beyond 64 bits": add_field('"slots":' + "9" * 400),
+    "port out of range": json.dumps({**SERVER, "address": "10.0.0.1:99999"}),
+    "port zero": json.dumps({**SERVER, "address": "10.0.0.1:0"}),
+    "octet out of range": json.dumps({**SERVER, "address": "10.0.0.999:80"}),
+    "digits of another script": json.dumps({**SERVER, "address": "10.0.0.1:\u0668"}),
+    "unspecified address": json.dumps({**SERVER, "address": "0.0.0.0:80"}),
 }
+# An id is sent in a header.
+INVALID_IDS = ("", "two words", "line\r\nbreak", "\u1234")
 
 
 def publish(value, key="servers/i-1"):
@@ -169,6 +192,12 @@
             with self.subTest(name):
                 self.assertIsNone(decode_upstream(publish(value)))
 
+    def test_an_id_that_no_header_can_carry_names_no_upstream(self):
+        for upstream_id in INVALID_IDS:
+            with self.subTest(upstream_id):
+                item = publish(json.dumps(SERVER), f"servers/{upstream_id}")
+                self.assertIsNone(decode_upstream(item))
+
     def test_evacuations(self):
         self.assertEqual(decode_evacuated("op/evacuate/gulf-a"), "gulf-a")
         self.assertIsNone(decode_evacuated("op/config"))
