Check whose refusal it is before a request counts as not run

Other operators reported replicas that wrote an earlier refusal once more on a kept connection: callers were told that requests had not run which had, or such requests ran twice.

Here each request to an upstream of the entry daemon has a connection of its own, so a refusal that is still in a connection cannot reach the next request. But a refusal with the id of another request was believed all the same, since the id was checked after it: a faulty upstream that mixes up its answers would have had the same effect. Now a refusal counts only with the id of this very request. One without an id may have run, and a status that promises otherwise is not passed on without the upstream's signature.

The daemon with published seats reuses connections for idempotent requests and had the same order of checks. A refusal without an id still counts there: its interface does not ask upstreams to return the id.

--- a/banyanseam/entry/answers.py
+++ b/banyanseam/entry/answers.py
@@ -1,5 +1,7 @@
 """Checks upstreams' answers and relays them to callers, complete and in order."""
 
+from typing import Final
+
 import anyio
 
 from banyanseam.entry.const import MAX_BUFFERED_ANSWER_BYTES
@@ -12,11 +14,29 @@
 from banyanseam.pipe.errors import AnswerCrossed, AnswerGap, AnswerTruncated
 from banyanseam.upstreams.errors import UpstreamFailed
 
+# Statuses that promise callers that the request has not run and never will.
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
-def check_answer(exchange: Exchange, answer: AnswerHead) -> None:
-    """Raise unless the answer belongs to this request and comes from the upstream."""
+
+def check_owner(exchange: Exchange, answer: AnswerHead) -> None:
+    """Raise AnswerCrossed if the answer has the id of another request."""
     if answer.request_id not in (None, exchange.head.request_id):
         raise AnswerCrossed("the answer has the id of another request")
+
+
+def proves_not_run(exchange: Exchange, answer: AnswerHead) -> bool:
+    """Return whether the upstream says that it did not run this very request.
+
+    A refusal without an id may be an earlier one that was written once more.
+    """
+    return answer.is_surely_not_run and answer.request_id == exchange.head.request_id
+
+
+def check_answer(exchange: Exchange, answer: AnswerHead) -> None:
+    """Raise unless the answer belongs to this request and comes from the upstream."""
+    check_owner(exchange, answer)
+    if answer.status in NOT_RUN_STATUSES and not answer.is_signed:
+        raise AnswerUnproven(f"status {answer.status} without a signature")
     if answer.is_encoded:
         raise AnswerUnproven("the body has an encoding that was not requested")
     if answer.status < 300 and not answer.is_signed:
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -9,7 +9,12 @@
 
 from banyanseam.config.errors import NotReady
 from banyanseam.entry.admission import refuse_suspect
-from banyanseam.entry.answers import check_answer, relay_answer
+from banyanseam.entry.answers import (
+    check_answer,
+    check_owner,
+    proves_not_run,
+    relay_answer,
+)
 from banyanseam.entry.choosing import Chooser, choose_retry_after_ms
 from banyanseam.entry.const import (
     LONG_PREFILL_MS,
@@ -258,6 +263,7 @@
     ) -> AnswerHead:
         """Return the answer's head; raise if invalid, not run or to be retried."""
         answer = self.upstream_format.read_answer(incoming.status, incoming.headers)
+        check_owner(exchange, answer)
         upstream_id = listed.upstream.upstream_id
         now_s = anyio.current_time()
         if answer.is_leaving:
@@ -265,11 +271,12 @@
         if answer.pause_s > 0:
             self.upstreams.record_pause(listed.upstream, answer.pause_s, now_s)
         self._record_limit(listed, answer.limit_per_s, now_s)
-        if answer.status == 421:
+        is_not_run = proves_not_run(exchange, answer)
+        if is_not_run and answer.status == 421:
             _record_not_run(exchange)
             self.upstreams.drop(upstream_id, now_s)
             raise UpstreamReplaced(upstream_id)
-        if answer.is_surely_not_run and answer.status != 400:
+        if is_not_run and answer.status != 400:
             _record_not_run(exchange)
             left_ms = exchange.left_ms(now_s)
             raise UpstreamRefused(
--- a/banyanseam/upstreams/client.py
+++ b/banyanseam/upstreams/client.py
@@ -214,13 +214,13 @@
 def _check_answer(
     upstream: Upstream, request: UpstreamRequest, response: httpcore.Response
 ) -> None:
-    """Raise if the answer proves a refusal or belongs to another request."""
+    """Raise if the answer belongs to another request or proves a refusal."""
     headers = dict(_lower_names(response.headers))
-    if response.status == 503 and headers.get(b"x-not-started") == b"true":
-        raise UpstreamRefused(upstream.name, retry_after_ms=_parse_retry_ms(headers))
     answer_id = headers.get(b"x-request-id")
     if answer_id is not None and answer_id != request.request_id.encode():
         raise UpstreamFailed(f"{upstream.name} sent the answer to another request")
+    if response.status == 503 and headers.get(b"x-not-started") == b"true":
+        raise UpstreamRefused(upstream.name, retry_after_ms=_parse_retry_ms(headers))
 
 
 def _parse_retry_ms(headers: dict[bytes, bytes]) -> int | None:
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -51,6 +51,10 @@
     "short",
     "leaving",
     "empty",
+    "rejected",
+    "old refusal",
+    "old misdirection",
+    "refusal without id",
 )
 # Faults of a send to a peer, which serves the request unless it is unreachable.
 PEER_FAULTS = ("refused", "lost", "answer lost", "cut")
@@ -258,18 +262,28 @@
         self, upstream: Upstream, headers: dict[str, str], fault: str
     ) -> IncomingAnswer | None:
         """Run a request on an upstream; return None if it never answers."""
+        own_id = (b"request-id", headers["request-id"].encode())
+        old_id = (b"request-id", b"other")
+        refusal = (b"not-executed", b"1")
         if fault == "full":
-            return IncomingAnswer(503, [(b"not-executed", b"1")], _stream([b""]))
+            return IncomingAnswer(503, [refusal, own_id], _stream([b""]))
         if fault == "pause":
             pause = (b"retry-after", str(PAUSE_S).encode())
-            return IncomingAnswer(503, [(b"not-executed", b"1"), pause], _stream([b""]))
+            return IncomingAnswer(503, [refusal, own_id, pause], _stream([b""]))
         if fault == "misdirected" or headers["expect-instance"] != upstream.upstream_id:
-            return IncomingAnswer(421, [], _stream([b""]))
+            return IncomingAnswer(421, [own_id], _stream([b""]))
         region = REGIONS[upstream.data_centre]
         run = Run(upstream.upstream_id, region, headers, anyio.current_time())
         self.runs.setdefault(headers["request-id"], []).append(run)
         if fault in ("no answer", "silent"):
             return None
+        # The request runs, but what comes back belongs to an earlier one, or may do so.
+        if fault == "old refusal":
+            return IncomingAnswer(503, [refusal, old_id], _stream([b"full"]))
+        if fault == "old misdirection":
+            return IncomingAnswer(421, [old_id], _stream([b""]))
+        if fault == "refusal without id":
+            return IncomingAnswer(503, [refusal], _stream([b"full"]))
         answer_id = "other" if fault == "crossed" else headers["request-id"]
         answer = [(b"request-id", answer_id.encode())]
         if fault == "leaving":
@@ -279,6 +293,8 @@
             answer.append((b"server-limit", limit.encode()))
         if fault != "unsigned":
             answer.append((b"upstream-signature", b"s"))
+        if fault == "rejected":
+            return IncomingAnswer(400, answer, _stream([b"rejected"]))
         if fault == "error":
             return IncomingAnswer(500, answer, _stream([b"failed"]))
         if upstream.service == "desk":
--- a/tests/upstreams/test_client.py
+++ b/tests/upstreams/test_client.py
@@ -86,6 +86,7 @@
             b"content-length: 0\r\n\r\n"
         )
         crossed = OK + b"x-request-id: r2\r\n\r\nok"
+        old_refusal = refused.replace(b"retry-after: 2", b"x-request-id: r2")
         cases = {
             "closed after reading": (b"", UpstreamFailed),
             "closed at accept": (b"close at once", UpstreamFailed),
@@ -94,6 +95,7 @@
             "no HTTP": (b"what?\r\n\r\n", UpstreamFailed),
             "refused": (refused, UpstreamRefused),
             "crossed": (crossed, UpstreamFailed),
+            "refusal of another request": (old_refusal, UpstreamFailed),
         }
         for name, (answer, error) in cases.items():
 
