End a begun stream visibly at an event without a number

Other operators reported streams that broke off and went on with the text of an error, or ended as if complete. But an upstream that wrote an error into its own stream got it through, if the text ended in a blank line, and the stream then ended as complete.

All events of a stream have numbers. One without, after one with a number, is now taken for the end of the run: the rest comes from another upstream, or the stream ends visibly.

--- a/banyanseam/entry/answers.py
+++ b/banyanseam/entry/answers.py
@@ -105,6 +105,8 @@
     exchange: Exchange, answer: AnswerHead, event: StreamEvent
 ) -> None:
     last = exchange.last_event
+    if event.number is None and last is not None and not event.is_comment:
+        raise AnswerGap(f"an event without a number follows {last}")
     if event.number is not None and last is not None and event.number != last + 1:
         if event.number <= last:
             return
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -52,6 +52,7 @@
     "leaving",
     "empty",
     "rejected",
+    "error inside",
     "old refusal",
     "old misdirection",
     "refusal without id",
@@ -403,6 +404,8 @@
                 return [*parts, make_event(number, request_id)[:5], None]
             if fault == "short":
                 return [*parts, make_event(number, request_id)[:5]]
+            if fault == "error inside":
+                return [*parts, b"HTTP/1.1 500 Failed\n\n"]
             if fault == "stall":
                 parts.append(STALL_S)
             if fault == "skip":
