Keep load and limit of an upstream whose entry comes back

An entry can expire while the store is away, and another writer may spoil one for a moment. The upstream was then tracked as a new one: its running requests were not counted any more, and a limit that it had named (LIMIT) was forgotten until its next answer.

The usage of an incarnation is now kept for a minute. test_an_upstream_that_is_listed_again_keeps_its_load_and_limit failed before.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -102,6 +102,8 @@
 # How long an upstream that said in an answer that it is leaving gets no new requests.
 # Incarnations without a start time can't be told apart, so this must end.
 LEAVING_MEMORY_S: Final = 600.0
+# How long the usage of an upstream is kept after it was deregistered.
+FORMER_USAGE_S: Final = 60.0
 # The longest pause that an upstream may ask for.
 MAX_PAUSE_S: Final = 3600.0
 # How long heartbeats report that an incarnation of an upstream has been replaced.
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -6,6 +6,7 @@
 from banyanseam.entry.cached_prefixes import CachedPrefixes
 from banyanseam.entry.const import (
     FAILURES_TO_SUSPECT,
+    FORMER_USAGE_S,
     LEAVING_MEMORY_S,
     MAX_PAUSE_S,
     REPLACED_REPORT_S,
@@ -58,6 +59,9 @@
         # Incarnations whose address another one has taken over, by id and start, and
         # when that was noticed. The store lists them until their entries expire.
         self._replaced_s: dict[tuple[str, int], float] = {}
+        # Usage of incarnations that are no longer listed, and since when. They may be
+        # listed again: their entries can expire while the store is away.
+        self._former: dict[tuple[str, int], tuple[float, UpstreamUsage]] = {}
         # Until when incarnations get no requests because their answers said so.
         self._excluded_until_s: dict[tuple[str, int], float] = {}
 
@@ -91,9 +95,19 @@
             self._track(upstream, now_s)
         if now_s >= self._retain_expired_until_s:
             for upstream_id in set(self._listed) - set(by_id):
-                del self._listed[upstream_id]
+                self._forget(self._listed.pop(upstream_id), now_s)
         return True
 
+    def _forget(self, listed: ListedUpstream, now_s: float) -> None:
+        self._former = {
+            key: (at_s, usage)
+            for key, (at_s, usage) in self._former.items()
+            if now_s - at_s < FORMER_USAGE_S
+        }
+        upstream = listed.upstream
+        key = upstream.upstream_id, upstream.started_ms
+        self._former[key] = now_s, listed.usage
+
     def confirm(self, revision: int, now_s: float) -> None:
         """Record that the store's list is unchanged."""
         if revision >= self.revision:
@@ -199,8 +213,10 @@
             stops_at_s = now_s + upstream.remaining_ms / 1000
         cold_until_s = now_s + upstream.cold_ms / 1000 if upstream.cold_ms > 0 else 0.0
         if listed is None or listed.upstream.started_ms != upstream.started_ms:
+            key = upstream.upstream_id, upstream.started_ms
+            _, usage = self._former.pop(key, (now_s, UpstreamUsage()))
             self._listed[upstream.upstream_id] = ListedUpstream(
-                upstream, cold_until_s, stops_at_s, now_s
+                upstream, cold_until_s, stops_at_s, now_s, usage
             )
             return
         if upstream.revision <= listed.upstream.revision:
--- a/tests/entry/test_upstream_list.py
+++ b/tests/entry/test_upstream_list.py
@@ -65,6 +65,16 @@
         self.upstreams.adopt([make_upstream("e1")], 12, 12.1)
         self.assertEqual(list_ids(self.upstreams), ["e1"])
 
+    def test_an_upstream_that_is_listed_again_keeps_its_load_and_limit(self):
+        usage = self.upstreams.find("e1").usage
+        usage.requests = 5
+        usage.pace.set_limit(2.0, 3, 0, 1.0)
+        self.upstreams.adopt([make_upstream("e2")], 11, 1.0)
+        self.assertIsNone(self.upstreams.find("e1"))
+        again = [make_upstream("e1", revision=12), make_upstream("e2")]
+        self.upstreams.adopt(again, 12, 3.0)
+        self.assertIs(self.upstreams.find("e1").usage, usage)
+
     def test_a_new_incarnation_resets_usage(self):
         listed = self.upstreams.find("e1")
         listed.usage.requests = 5
