Read the store itself once for a change of the list

A replica now counts as lagging only if it lacks a revision that is more than a second old; the revision of the list in force is one of these.

test_a_change_costs_one_read_of_the_store_if_its_replicas_lag_little failed before.

--- a/banyanseam/entry/store_watcher.py
+++ b/banyanseam/entry/store_watcher.py
@@ -240,21 +240,20 @@
         if not may_be_stale:
             self._record_revision(listing.revision)
         found = self._values.decode_upstreams(listing)
-        is_adopted = self._values.adopt_upstreams(found, listing.revision, now_s)
-        if is_adopted:
+        is_lagging = may_be_stale and self._is_lagging(listing.revision, now_s)
+        if self._values.adopt_upstreams(found, listing.revision, now_s):
             await self._share_upstreams()
-            if not (may_be_stale and self._is_lagging(listing.revision, now_s)):
-                return
-        # A lagging replica would not show which upstreams are leaving now.
-        self._replicas_lag_until_s = now_s + STALE_REPLICA_S
-        if may_be_stale:
+        if is_lagging:
+            # A lagging replica would not show which upstreams are leaving now.
+            self._replicas_lag_until_s = now_s + STALE_REPLICA_S
             await self._read_upstreams(may_be_stale=False)
 
     def _is_lagging(self, revision: int, now_s: float) -> bool:
         """Return whether the store was past a listing's revision some time ago."""
+        last_list = self._upstreams.confirmed_s, self._upstreams.revision
         return any(
             revision < known and now_s - at_s > MAX_REPLICA_LAG_S
-            for at_s, known in self._revisions
+            for at_s, known in (*self._revisions, last_list)
         )
 
     def _record_failure(self, what: str, error: ConfigServiceUnavailable) -> None:
--- a/tests/entry/test_store_watcher.py
+++ b/tests/entry/test_store_watcher.py
@@ -213,6 +213,18 @@
 
         run_scenario(scenario)
 
+    def test_a_change_costs_one_read_of_the_store_if_its_replicas_lag_little(self):
+        async def scenario(setup):
+            await setup.lag_for(0.9, 3.0, key="other")
+            setup.store.reads.clear()
+            setup.store.put("e2")
+            await setup.lag_for(0.9, 6.0, key="other")
+            reads = [stale for prefix, stale in setup.store.reads if prefix == "e"]
+            self.assertEqual(reads.count(False), 1)
+            self.assertEqual(setup.list_ids(), ["e1", "e2"])
+
+        run_scenario(scenario)
+
     def test_changes_apply_at_once_and_versions_never_go_back(self):
         async def scenario(setup):
             self.assertTrue(setup.values.complete.is_set())
