--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -143,7 +143,9 @@
         now_s = anyio.current_time()
         if placement.candidate.is_reserve:
             listed.usage.cold_sent_s = now_s
-        listed.usage.pace.record_send(self._count_region_vms(now_s), now_s)
+        if listed.usage.pace.limit_per_s is not None:
+            vms = self.members.count_recent(now_s, self.members.me.region)
+            listed.usage.pace.record_send(vms, now_s)
         prompt = exchange.head.prompt
         with count_request(
             listed, prompt, is_cached=placement.is_cached
@@ -290,9 +292,12 @@
     def _record_limit(
         self, listed: ListedUpstream, limit_per_s: float | None, now_s: float
     ) -> None:
-        vms = self._count_region_vms(now_s)
+        pace = listed.usage.pace
+        if limit_per_s is None and pace.limit_per_s is None:
+            return
+        vms = self.members.count_recent(now_s, self.members.me.region)
         rank = self.members.rank_in_region(now_s)
-        if listed.usage.pace.set_limit(limit_per_s, vms, rank, now_s):
+        if pace.set_limit(limit_per_s, vms, rank, now_s):
             log(
                 UPSTREAM_LIMIT_CHANGED,
                 upstream=listed.upstream.upstream_id,
@@ -300,9 +305,6 @@
                 vms=vms,
             )
 
-    def _count_region_vms(self, now_s: float) -> int:
-        return self.members.count_recent(now_s, self.members.me.region)
-
     def _may_retry_status(self, exchange: Exchange) -> bool:
         now_s = anyio.current_time()
         return (
