--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -83,7 +83,7 @@
             candidates = self.list_candidates(exchange, now_s)
             placement = self._choose(exchange, candidates)
             if placement is None:
-                self._refuse_if_hopeless(exchange, candidates, started_s, max_wait_s)
+                self._refuse_if_unservable(exchange, candidates, started_s, max_wait_s)
                 await anyio.sleep(QUEUE_PERIOD_S)
                 continue
             if not self._is_admitted(exchange, placement, left_ms):
@@ -101,7 +101,7 @@
             ):
                 await anyio.sleep(QUEUE_PERIOD_S * random.uniform(0.7, 1.3))
 
-    def _refuse_if_hopeless(
+    def _refuse_if_unservable(
         self,
         exchange: Exchange,
         candidates: list[Candidate],
@@ -126,7 +126,7 @@
             )
         if paced_s is not None and waited_s + paced_s > max_wait_s:
             raise RegionsFull(
-                f"all upstreams have named a limit, for {paced_s:.2f} s",
+                f"all upstreams have named limits; the next turn is in {paced_s:.2f} s",
                 retry_after_ms=choose_retry_after_ms(1000 * paced_s, left_ms),
             )
 
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -55,8 +55,8 @@
 LIST_CHECK_S: Final = 0.1
 # A process that has read the list within this time also watches for changes of it.
 LIST_READER_S: Final = 2.5
-# How long the store's replicas are not queried after they were found to be stale: to be
-# older than the last listing, or further behind the store than this.
+# How long the store's replicas are not queried after they were found to lag: to lack a
+# revision that the store had this long ago.
 STALE_REPLICA_S: Final = 5.0
 MAX_REPLICA_LAG_S: Final = 1.0
 # How long the store holds a watch. Each call has a price, so watches of a larger fleet
