--- a/tests/entry/test_store_watcher.py
+++ b/tests/entry/test_store_watcher.py
@@ -28,7 +28,7 @@
 # of the operators' bounds is 3 s, and 5 s where regions have more than three VMs.
 MAX_NOTICE_S = 2.0
 # The same where a process has to notice first that others cannot read the list.
-MAX_TAKEOVER_S = 3
+MAX_TAKEOVER_S = 3.0
 
 
 def decode_config(value):
@@ -153,6 +153,20 @@
             )
             self.members.merge([row], anyio.current_time())
 
+    async def keep_ranks_before_alive(self, count, for_s, *, has_list=False):
+        """Send heartbeats of processes that rank first, and their list if any."""
+        end_s = anyio.current_time() + for_s
+        while (now_s := anyio.current_time()) < end_s:
+            beat = 10**6 + round(now_s * 1000)
+            rows = [
+                make_member(f"10.1.0.0.{rank}", heartbeat_count=beat)
+                for rank in range(count)
+            ]
+            self.members.merge(rows, now_s)
+            if has_list:
+                self.values.adopt_upstreams([make_upstream("e1")], 1, now_s)
+            await anyio.sleep(0.25)
+
     async def lag_for(self, lag_s, for_s, key="e2"):
         """Write often while the store's replicas show what it held `lag_s` before."""
         for _ in range(round(for_s * 10)):
@@ -354,34 +368,18 @@
         """In a large region the store may turn away many that rank before it."""
 
         async def scenario(setup):
-            for step in range(60):
-                rows = [
-                    make_member(f"10.1.0.0.{rank}", heartbeat_count=10**6 + step)
-                    for rank in range(60)
-                ]
-                now_s = anyio.current_time()
-                setup.members.merge(rows, now_s)
-                if step == 40:
-                    setup.store.drop("e1")
-                if step < 40:
-                    setup.values.adopt_upstreams([make_upstream("e1")], 1, now_s)
-                await anyio.sleep(0.25)
-                if step == 40 + MAX_TAKEOVER_S * 4:
-                    self.assertEqual(setup.list_ids(), [])
+            await setup.keep_ranks_before_alive(60, 10.0, has_list=True)
+            setup.store.drop("e1")
+            await setup.keep_ranks_before_alive(60, MAX_TAKEOVER_S)
+            self.assertEqual(setup.list_ids(), [])
 
         run_scenario(scenario)
 
     def test_a_low_rank_reads_as_often_as_the_first_while_those_before_cannot(self):
         async def scenario(setup):
-            for step in range(60):
-                rows = [
-                    make_member(f"10.1.0.0.{rank}", heartbeat_count=10**6 + step)
-                    for rank in range(10)
-                ]
-                setup.members.merge(rows, anyio.current_time())
-                if step == 30:
-                    setup.store.reads.clear()
-                await anyio.sleep(0.5)
+            await setup.keep_ranks_before_alive(10, 15.0)
+            setup.store.reads.clear()
+            await setup.keep_ranks_before_alive(10, 15.0)
             list_reads = [read for read in setup.store.reads if read[0] == "e"]
             self.assertGreaterEqual(len(list_reads), 15 / (LIST_PERIOD_S + 0.2))
 
