Let only the reader of the list watch it for changes

When all VMs start together, each reads the list once and so watched it for changes.

Only the process from which the region's list comes watches now, and a watch that ends after another process has taken over reads nothing.

test_whoever_no_longer_reads_the_list_stops_watching_it failed before.

--- a/banyanseam/entry/store_watcher.py
+++ b/banyanseam/entry/store_watcher.py
@@ -94,8 +94,10 @@
         self._down_since_s: dict[str, float] = {}
         # The store's revision up to which the operators' values are known.
         self._operators_revision: int | None = None
-        # When this process last read the list of upstreams.
+        # When this process last read the list of upstreams, and when it last confirmed
+        # the list in force by that.
         self._list_read_s = -1e9
+        self._list_confirmed_s = -1e9
         # Time until which replicas of the store aren't read, as one was found to lag.
         self._replicas_lag_until_s = -1e9
         # The store's revision at recent times, from reads that replicas don't answer.
@@ -116,7 +118,7 @@
     async def _watch_upstreams(self) -> None:
         await self._watch(
             "changes of upstreams",
-            self._is_list_reader,
+            self._is_change_watcher,
             lambda: WATCH_WAIT_S,
             self._read_upstream_changes,
         )
@@ -176,9 +178,17 @@
         self._operators_revision = changes.revision
 
     def _is_list_reader(self) -> bool:
-        """Return whether the region's list of upstreams now comes from this process."""
+        """Return whether the region's list of upstreams comes from this process.
+
+        Whoever confirmed the list last goes on, even if a process that ranks before it
+        is alive: the store may be out of reach of that one only.
+        """
+        rank = self._members.rank_in_region(anyio.current_time())
+        return rank == 0 or self._upstreams.confirmed_s == self._list_confirmed_s
+
+    def _is_change_watcher(self) -> bool:
         read_age_s = anyio.current_time() - self._list_read_s
-        return self._upstreams.revision >= 0 and read_age_s < LIST_READER_S
+        return read_age_s < LIST_READER_S and self._is_list_reader()
 
     async def _read_upstream_changes(self, wait_s: float) -> None:
         """Read the list from the store itself as soon as it has changed.
@@ -197,7 +207,8 @@
         else:
             self._record_revision(changes.revision)
             has_changed = bool(changes.values)
-        if has_changed:
+        # Another process may have become the reader in the meantime.
+        if has_changed and self._is_list_reader():
             await self._read_upstreams(may_be_stale=False)
             # Limits the calls while many upstreams start or stop.
             await anyio.sleep(LIST_PERIOD_S)
@@ -210,11 +221,10 @@
         while True:
             now_s = anyio.current_time()
             rank = self._members.rank_in_region(now_s)
-            # Whoever confirmed the list last goes on, even if a process that ranks
-            # before it is alive: the store may be out of reach of that one only.
-            is_reader = rank == 0 or self._upstreams.confirmed_s == self._list_read_s
             steps = min(rank, MAX_LIST_RANK)
-            delay_s = 0.0 if is_reader else LIST_PATIENCE_S + LIST_RANK_STEP_S * steps
+            delay_s = LIST_PATIENCE_S + LIST_RANK_STEP_S * steps
+            if self._is_list_reader():
+                delay_s = 0.0
             age_s = now_s - self._upstreams.confirmed_s
             if (
                 age_s >= LIST_PERIOD_S + delay_s
@@ -250,6 +260,7 @@
         found = self._values.decode_upstreams(listing)
         is_lagging = may_be_stale and self._is_lagging(listing.revision, now_s)
         if self._values.adopt_upstreams(found, listing.revision, now_s):
+            self._list_confirmed_s = now_s
             await self._share_upstreams()
         if is_lagging:
             # A lagging replica would not show which upstreams are leaving now.
--- a/tests/entry/test_store_watcher.py
+++ b/tests/entry/test_store_watcher.py
@@ -364,6 +364,26 @@
 
         run_scenario(scenario)
 
+    def test_whoever_no_longer_reads_the_list_stops_watching_it(self):
+        """All processes of a region read the list when they start together."""
+
+        async def scenario(setup):
+            for step in range(40):
+                setup.store.put("e2")
+                beat = 10**6 + step
+                now_s = anyio.current_time()
+                row = make_member("10.1.0.0", heartbeat_count=beat)
+                setup.members.merge([row], now_s)
+                found = [make_upstream("e1"), make_upstream("e2")]
+                setup.values.adopt_upstreams(found, setup.store.revision, now_s)
+                if step == 20:
+                    setup.store.reads.clear()
+                await anyio.sleep(0.25)
+            list_reads = [read for read in setup.store.reads if read[0] == "e"]
+            self.assertEqual(list_reads, [])
+
+        run_scenario(scenario)
+
     def test_a_low_rank_takes_over_in_time_from_all_that_cannot_read(self):
         """In a large region the store may turn away many that rank before it."""
 
