--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -72,15 +72,12 @@
     ) -> None:
         fault = self.faults.pop(0) if self.faults else ""
         expected = request.headers.get("expect-instance")
+        own_id = f"request-id: {request.headers['request-id']}\r\n"
         if expected not in (None, self.upstream_id):
-            writer.write(b"HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n")
-            await writer.drain()
+            await _write_refusal(writer, "421 Misdirected", own_id)
             return
         if fault == "full":
-            writer.write(
-                b"HTTP/1.1 503 Full\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
-            )
-            await writer.drain()
+            await _write_refusal(writer, "503 Full", f"not-executed: 1\r\n{own_id}")
             return
         self.runs.append(request)
         if fault == "no answer":
@@ -159,6 +156,14 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+async def _write_refusal(
+    writer: asyncio.StreamWriter, status: str, headers: str
+) -> None:
+    head = f"HTTP/1.1 {status}\r\n{headers}content-length: 0\r\n\r\n"
+    writer.write(head.encode())
+    await writer.drain()
+
+
 async def _read_request(reader: asyncio.StreamReader) -> ReceivedRequest:
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     first, *lines = head.strip().split("\r\n")
