--- a/review/harness.py
+++ b/review/harness.py
@@ -536,35 +536,27 @@
         path: str,
         headers: Headers | None = None,
         body: bytes = b"",
-        read_body: Callable[[asyncio.StreamReader, Answer], Awaitable[None]]
-        | None = None,
         leave_after_s: float = 30.0,
-        segment_bytes: int | None = None,
-        pause_s: float = 0.0,
     ) -> Answer:
         """Send a request on its own connection; leave when the time is over."""
         answer = Answer("-")
         writer = None
         try:
             async with asyncio.timeout(leave_after_s):
-                reader, writer = await _connect(ip, port, segment_bytes)
+                reader, writer = await asyncio.open_connection(ip, port)
                 fields = dict(headers or {"Host": "machine"})
                 if body or method == "POST":
                     fields["Content-Length"] = str(len(body))
                 answer.sent_s = time.monotonic()
                 answer.end = "no answer"
                 head = render_head(f"{method} {path} HTTP/1.1", fields)
-                writer.write(head)
-                if pause_s:
-                    await writer.drain()
-                    await asyncio.sleep(pause_s)
-                writer.write(body)
+                writer.write(head + body)
                 await writer.drain()
                 message = await read_head(reader)
                 answer.status = int(message.first.split(" ")[1])
                 answer.headers = message.headers
                 answer.end = "broken off"
-                await (read_body or read_whole_body)(reader, answer)
+                await read_whole_body(reader, answer)
                 answer.end = "whole"
         except TimeoutError:
             answer.end = "the client left"
@@ -577,24 +569,6 @@
         return answer
 
 
-async def _connect(
-    ip: str, port: int, segment_bytes: int | None
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Connect; segments as on a real network keep the kernel's buffers small."""
-    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    connection.setblocking(False)
-    if segment_bytes is not None:
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes)
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
-    try:
-        await asyncio.get_running_loop().sock_connect(connection, (ip, port))
-    except BaseException:
-        connection.close()
-        raise
-    limit = 4096 if segment_bytes is not None else 65536
-    return await asyncio.open_connection(sock=connection, limit=limit)
-
-
 async def read_whole_body(reader: asyncio.StreamReader, answer: Answer) -> None:
     """Read a body with a length or in chunks; raise IncompleteReadError."""
     if answer.headers.get("transfer-encoding") != "chunked":
@@ -610,21 +584,6 @@
         answer.body += chunk[:-2]
 
 
-def make_slow_reader(
-    bytes_per_s: float,
-) -> Callable[[asyncio.StreamReader, Answer], Awaitable[None]]:
-    """Return a function that reads a body with a length at a steady pace."""
-
-    async def read(reader: asyncio.StreamReader, answer: Answer) -> None:
-        length = int(answer.headers["content-length"])
-        while len(answer.body) < length:
-            before = len(answer.body)
-            await _read_some(reader, answer, min(4096, length - before))
-            await asyncio.sleep((len(answer.body) - before) / bytes_per_s)
-
-    return read
-
-
 async def _read_some(
     reader: asyncio.StreamReader, answer: Answer, most_bytes: int
 ) -> None:
