Handle signals from the start of an entry daemon until its stop has ended

What callers saw: requests that a VM was running in a planned stop ended without an answer, or with a stream that breaks off, bookings too, as soon as the VM's settings changed during the drain.

Cause: the signal receiver was a context that ended when the first SIGTERM had been taken, before the drain. Leaving it restores the default action of SIGHUP, SIGTERM and SIGINT, which ends the process. It also began only after all ports listened, so that a SIGHUP ended a process that was starting.

Change: the receiver is open for the whole run, and a task of its own reads it; further signals to stop change nothing. Before the daemon's imports, and so in nearly all of the start, SIGHUP is ignored: the settings are read afterwards, and once more when the daemon begins to run. For that the daemon is now started as `python -m banyanseam.entry`; `banyanseam.entry.main` still works.

What remains: SIGHUP in the interpreter's own start, before the first line of the package, and in its last milliseconds after the stop.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -2,7 +2,7 @@
 
 import gc
 import signal
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 
@@ -146,6 +146,7 @@
             frozenset(settings.first_peers),
         )
         self._servers: list[EmbeddedServer] = []
+        self._stop_requested = anyio.Event()
         self.values.on_adopted(self._apply_catalogue)
         self.heartbeats.list_candidates = self._list_candidates
         self.heartbeats.on_peer_versions = self.values_fetcher.start_if_newer
@@ -157,6 +158,17 @@
 
     async def run(self) -> None:
         """Serve until a planned stop has ended."""
+        # A signal without a handler would end the process at once, together with all
+        # requests that it is running, so the handlers stay until the stop has ended.
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            await self._serve_until_stopped(signals)
+        log(DAEMON_STOPPED)
+
+    async def _serve_until_stopped(
+        self, signals: AsyncIterator[signal.Signals]
+    ) -> None:
         log(
             DAEMON_STARTED,
             ip=self.settings.ip,
@@ -167,6 +179,7 @@
         )
         self._servers = self._make_servers()
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._handle_signals, signals)
             self.values_fetcher.tasks = tasks
             for server in self._servers:
                 tasks.start_soon(server.serve)
@@ -177,10 +190,9 @@
             tasks.start_soon(self.store_watcher.run)
             tasks.start_soon(self._begin_serving)
             tasks.start_soon(self._follow_settings)
-            await self._wait_for_stop()
+            await self._stop_requested.wait()
             await self._stop()
             tasks.cancel_scope.cancel()
-        log(DAEMON_STOPPED)
 
     def _make_servers(self) -> list[EmbeddedServer]:
         settings = self.settings
@@ -270,14 +282,12 @@
             )
         return [member.callers_address for member in chosen]
 
-    async def _wait_for_stop(self) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    return
+    async def _handle_signals(self, signals: AsyncIterator[signal.Signals]) -> None:
+        async for number in signals:
+            if number == signal.SIGHUP:
                 self._reload()
+            else:
+                self._stop_requested.set()
 
     async def _stop(self) -> None:
         """Leave the directory, serve callers that still connect, then stop.
@@ -301,8 +311,8 @@
 
     async def _follow_settings(self) -> None:
         while True:
-            await anyio.sleep(SETTINGS_PERIOD_S)
             self._reload()
+            await anyio.sleep(SETTINGS_PERIOD_S)
 
     def _reload(self) -> None:
         try:
--- a/banyanseam/entry/main.py
+++ b/banyanseam/entry/main.py
@@ -14,6 +14,7 @@
 from banyanseam.entry.frontend import CallerFormat
 from banyanseam.entry.models import EntrySettings
 from banyanseam.entry.relay import UpstreamFormat
+from banyanseam.entry.signals import ignore_settings_changes
 from banyanseam.entry.store_watcher import Store
 from banyanseam.entry.values import Decoders
 from banyanseam.errors import BanyanseamError
@@ -97,6 +98,7 @@
     if settings_path is None:
         raise click.UsageError(f"neither --settings nor {SETTINGS_VARIABLE} is given")
     settings_path = Path(settings_path)
+    ignore_settings_changes()
     try:
         settings = read_settings(settings_path)
     except BanyanseamError as error:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -83,7 +83,7 @@
         vm = self.vms[name]
         path = self.folder / f"{name}.toml"
         path.write_text(self._render_settings(vm))
-        command = ("banyanseam.entry.main", "--settings", str(path))
+        command = ("banyanseam.entry", "--settings", str(path))
         vm.child = self.children.start(name, *command, log_output=True)
 
     async def wait_ready(self, *names: str) -> None:
