Let SIGHUP end the daemon with published seats no more

What callers would see: requests cut off when a supervisor, or the end of a terminal session, sends SIGHUP to banyanseamd.

The daemon handles SIGTERM and SIGINT for its whole run, but had nothing for SIGHUP, whose default action ends a process. It reads its settings at the start only, so the signal is ignored, which its help now says.

--- a/banyanseam/daemon/main.py
+++ b/banyanseam/daemon/main.py
@@ -1,5 +1,6 @@
 """The command that starts the daemon."""
 
+import signal
 import sys
 from pathlib import Path
 
@@ -21,6 +22,8 @@
 
 HELP = """Serve callers and peers at this VM's seat until SIGTERM.
 
+The settings are read at the start only, and SIGHUP is ignored.
+
 \b
 Exit codes:
   0  stopped as planned, or superseded by a newer process at its seat
@@ -43,6 +46,8 @@
 )
 def main(settings_path: Path) -> None:
     """Run the daemon and exit."""
+    # By default SIGHUP would end the process, together with the requests it is running.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         settings = read_settings(settings_path)
     except BanyanseamError as error:
--- a/tests/faults/test_signals.py
+++ b/tests/faults/test_signals.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from standins.fleet import FleetPlan, start_fleet
 from standins.platform_demo import USAGE_HEADERS
 from standins.platform_fleet import start_platform_fleet
 from standins.platform_upstream import complete_stream_body
@@ -88,5 +89,20 @@
         anyio.run(scenario, backend_options={"use_uvloop": True})
 
 
+class DaemonTests(unittest.TestCase):
+    # Incident 0016: the daemon with published seats had no handler for SIGHUP at all.
+    def test_a_hangup_does_not_end_the_daemon(self):
+        async def scenario():
+            async with start_fleet(FleetPlan(regions=("gulf",), seats=1)) as fleet:
+                seat = next(iter(fleet.daemons))
+                child = fleet.daemons[seat].child
+                child.signal(signal.SIGHUP)
+                await anyio.sleep(0.3)
+                child.signal(signal.SIGHUP)
+                self.assertEqual(await fleet.stop(seat), 0)
+
+        anyio.run(scenario, backend_options={"use_uvloop": True})
+
+
 if __name__ == "__main__":
     unittest.main()
