Share the list of upstreams as the store has it, without what a VM retains

What callers saw: requests still went to an upstream more than three seconds after it had left, from VMs that had already dropped it.

Cause: after an outage of the store, the process that reads the list first keeps entries that are missing from it for 2.6 s, since live upstreams may not have renewed them. It took any list of its own that was older than 3 s for an outage, also when it had itself been suspended while its peers read the store. And it shared what it kept as if the store had listed it, under the newest revision, so that peers took back what they knew to be gone. A VM that had been cut off from the store and from its peers did the same.

Change: peers get the registrations as the store lists them. Each process decides for itself what to retain, by the age of its own list, and counts only the time in which it ran since it was last suspended (a gap of more than 1 s). The retention now also ends when the list stays the same.

The test of UpstreamList that set the retention directly now lets time pass instead, with the same checks.

Related paths, read: a listing that was asked for before a suspension and arrives after it has an older revision, which peers refuse; rows of members have heartbeat counts, values have versions and revisions, so an older view of these is never adopted; reports of replaced upstreams end after 2 s also while a process is suspended. What remains: a VM that the network cut off from both its peers and the store may itself use a removed upstream for up to 2.6 s more.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -81,6 +81,8 @@
 # In a shorter outage of the store no upstream's entry expires: that takes three missed
 # heartbeats, which are 1.2 s apart. Source: the published heartbeat.
 OUTAGE_S: Final = 3.0
+# A process that has not run for longer was suspended.
+SUSPENDED_S: Final = 1.0
 
 # How long a forwarded request waits for the configuration of the VM that sent it, also
 # as a share of its remaining time: another VM can then still serve it.
--- a/banyanseam/entry/gossip.py
+++ b/banyanseam/entry/gossip.py
@@ -117,7 +117,7 @@
         An unchanged list is sent as its digest only.
         """
         now_s = anyio.current_time()
-        digest = make_digest(self._upstreams.list_upstreams())
+        digest = make_digest(self._upstreams.listing)
         is_unchanged = (
             digest == self._full_list_digest
             and now_s - self._full_list_sent_s < FULL_LIST_PERIOD_S
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -168,14 +168,18 @@
         )
 
     def compose_upstreams(self, *, is_known: bool) -> Gossip:
-        """Return the list of upstreams, or only its digest if peers have the list."""
+        """Return the store's list of upstreams, or only its digest if peers have it.
+
+        Each process decides for itself what to retain beside the list: peers may know
+        that an upstream has left, while this process assumes that its entry expired.
+        """
         gossip = self._compose([self._members.me], is_full=True)
         gossip.upstreams_revision = self._upstreams.revision
-        upstreams = self._upstreams.list_upstreams()
+        listing = self._upstreams.listing
         if is_known:
-            gossip.upstreams_digest = make_digest(upstreams)
+            gossip.upstreams_digest = make_digest(listing)
         else:
-            gossip.upstreams = [to_upstream_row(each) for each in upstreams]
+            gossip.upstreams = [to_upstream_row(each) for each in listing]
         return gossip
 
     def compose_upstreams_request(self) -> Gossip:
@@ -242,9 +246,9 @@
             return False
         if gossip.upstreams_digest is None:
             return False
-        if gossip.upstreams_digest != make_digest(self._upstreams.list_upstreams()):
+        if gossip.upstreams_digest != make_digest(self._upstreams.listing):
             return True
-        self._upstreams.confirm(gossip.upstreams_revision, now_s)
+        self._values.confirm_upstreams(gossip.upstreams_revision, now_s)
         return False
 
     def _apply_own_region(
--- a/banyanseam/entry/store_watcher.py
+++ b/banyanseam/entry/store_watcher.py
@@ -16,7 +16,6 @@
 
 from banyanseam.config.errors import ConfigServiceUnavailable
 from banyanseam.entry.const import (
-    EXPIRED_ENTRY_GRACE_S,
     LIST_CHECK_S,
     LIST_PATIENCE_S,
     LIST_PERIOD_S,
@@ -25,7 +24,6 @@
     MAX_LIST_RANK,
     MAX_REPLICA_LAG_S,
     MAX_WATCH_WAIT_S,
-    OUTAGE_S,
     REGION_WATCHERS,
     STALE_REPLICA_S,
     STORE_RETRY_LIMIT_S,
@@ -109,6 +107,12 @@
             tasks.start_soon(self._watch_operators)
             tasks.start_soon(self._watch_upstreams)
             tasks.start_soon(self._list_upstreams)
+            tasks.start_soon(self._record_running)
+
+    async def _record_running(self) -> None:
+        while True:
+            self._upstreams.record_running(anyio.current_time())
+            await anyio.sleep(LIST_CHECK_S)
 
     async def _watch_operators(self) -> None:
         await self._watch(
@@ -247,12 +251,6 @@
             self._record_failure("upstreams", error)
             return
         now_s = anyio.current_time()
-        # An upstream's entry expires only if it couldn't be renewed. As long as any
-        # process of the region could read the store, upstreams are assumed to have
-        # reached it too, so a missing entry counts as removed.
-        has_list = self._upstreams.revision >= 0
-        if has_list and now_s - self._upstreams.confirmed_s >= OUTAGE_S:
-            self._upstreams.retain_expired_until(now_s + EXPIRED_ENTRY_GRACE_S)
         self._record_recovery("upstreams")
         self._list_read_s = now_s
         if not may_be_stale:
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -5,13 +5,16 @@
 
 from banyanseam.entry.cached_prefixes import CachedPrefixes
 from banyanseam.entry.const import (
+    EXPIRED_ENTRY_GRACE_S,
     FAILURES_TO_SUSPECT,
     FORMER_USAGE_S,
     LEAVING_MEMORY_S,
     MAX_PAUSE_S,
+    OUTAGE_S,
     REPLACED_REPORT_S,
     RETURN_COLD_S,
     SUSPECT_S,
+    SUSPENDED_S,
 )
 from banyanseam.entry.limit_pace import LimitPace
 from banyanseam.entry.models import Upstream, UpstreamState
@@ -50,11 +53,20 @@
     def __init__(self) -> None:
         """Start without upstreams."""
         self.revision = -1
+        # The registrations as the store last listed them, which peers get. What this
+        # process retains or knows to be replaced differs from them.
+        self.listing: tuple[Upstream, ...] = ()
         # When this process or a peer last confirmed the list with the store.
         self.confirmed_s = -1e9
+        # When this process last ran, and when it last ran again after a suspension.
+        self._running_s = -1e9
+        self._resumed_s = -1e9
         self._listed: dict[str, ListedUpstream] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._returned_s: dict[str, float] = {}
+        # Ids of the listing's upstreams that are in use.
+        self._registered: set[str] = set()
+        # Until when entries that are missing from listings are retained.
         self._retain_expired_until_s = -1e9
         # Incarnations whose address another one has taken over, by id and start, and
         # when that was noticed. The store lists them until their entries expire.
@@ -72,9 +84,9 @@
         """
         if revision < self.revision:
             return False
-        self.revision = revision
-        self.confirmed_s = now_s
-        by_id = {each.upstream_id: each for each in upstreams}
+        self._record_confirmation(revision, now_s)
+        self.listing = tuple(upstreams)
+        by_id = {each.upstream_id: each for each in self.listing}
         listed = {(each.upstream_id, each.started_ms) for each in by_id.values()}
         self._replaced_s = {
             key: at_s
@@ -93,11 +105,44 @@
             self._listed.pop(upstream_id, None)
         for upstream in by_id.values():
             self._track(upstream, now_s)
-        if now_s >= self._retain_expired_until_s:
-            for upstream_id in set(self._listed) - set(by_id):
-                self._forget(self._listed.pop(upstream_id), now_s)
+        self._registered = set(by_id)
+        self._drop_unregistered(now_s)
         return True
 
+    def confirm(self, revision: int, now_s: float) -> None:
+        """Record that the store's list is unchanged."""
+        if revision >= self.revision:
+            self._record_confirmation(revision, now_s)
+            self._drop_unregistered(now_s)
+
+    def record_running(self, now_s: float) -> None:
+        """Record that this process runs; call this several times a second.
+
+        A gap shows that the process was suspended.
+        """
+        if now_s - self._running_s > SUSPENDED_S:
+            self._resumed_s = now_s
+        self._running_s = now_s
+
+    def _record_confirmation(self, revision: int, now_s: float) -> None:
+        self.record_running(now_s)
+        # An upstream's entry expires only if it couldn't be renewed. As long as any
+        # process of the region could read the store, upstreams are assumed to have
+        # reached it too, so a missing entry counts as removed. While this process was
+        # suspended, its peers may have read the store.
+        unconfirmed_s = now_s - max(self.confirmed_s, self._resumed_s)
+        if self.revision >= 0 and unconfirmed_s >= OUTAGE_S:
+            # The owner of an expired entry needs a moment to write it again.
+            self._retain_expired_until_s = now_s + EXPIRED_ENTRY_GRACE_S
+        self.revision = revision
+        self.confirmed_s = now_s
+
+    def _drop_unregistered(self, now_s: float) -> None:
+        if now_s < self._retain_expired_until_s:
+            return
+        for upstream_id in self._listed.keys() - self._registered:
+            self._forget(self._listed.pop(upstream_id), now_s)
+
     def _forget(self, listed: ListedUpstream, now_s: float) -> None:
         self._former = {
             key: (at_s, usage)
@@ -108,20 +153,6 @@
         key = upstream.upstream_id, upstream.started_ms
         self._former[key] = now_s, listed.usage
 
-    def confirm(self, revision: int, now_s: float) -> None:
-        """Record that the store's list is unchanged."""
-        if revision >= self.revision:
-            self.revision = revision
-            self.confirmed_s = now_s
-
-    def retain_expired_until(self, until_s: float) -> None:
-        """Until the given time, retain entries that are missing from listings.
-
-        Right after an outage, the entry of a live upstream may have expired: its owner
-        needs a moment to write it again.
-        """
-        self._retain_expired_until_s = until_s
-
     def set_evacuated(self, data_centres: frozenset[str], now_s: float) -> None:
         """Set the evacuated data centres, and record when former ones return to use."""
         for data_centre in self._evacuated - data_centres:
@@ -129,7 +160,7 @@
         self._evacuated = data_centres
 
     def list_upstreams(self) -> list[Upstream]:
-        """Return all registrations as they were read."""
+        """Return the registrations of all upstreams in use."""
         return [listed.upstream for listed in self._listed.values()]
 
     def find(self, upstream_id: str) -> ListedUpstream | None:
--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -126,9 +126,23 @@
         self, upstreams: Iterable[Upstream], revision: int, now_s: float
     ) -> bool:
         """Adopt a list of upstreams and log changes; return False if it is stale."""
-        before = {each.upstream_id: each for each in self._upstreams.list_upstreams()}
+        before = self._index_upstreams()
         is_adopted = self._upstreams.adopt(upstreams, revision, now_s)
-        after = {each.upstream_id: each for each in self._upstreams.list_upstreams()}
+        self._log_changes(before, revision)
+        self._update_complete()
+        return is_adopted
+
+    def confirm_upstreams(self, revision: int, now_s: float) -> None:
+        """Record that a peer has found the list of upstreams unchanged."""
+        before = self._index_upstreams()
+        self._upstreams.confirm(revision, now_s)
+        self._log_changes(before, revision)
+
+    def _index_upstreams(self) -> dict[str, Upstream]:
+        return {each.upstream_id: each for each in self._upstreams.list_upstreams()}
+
+    def _log_changes(self, before: dict[str, Upstream], revision: int) -> None:
+        after = self._index_upstreams()
         for upstream_id, upstream in after.items():
             old = before.get(upstream_id)
             if old is None or old.started_ms != upstream.started_ms:
@@ -149,8 +163,6 @@
                 )
         for upstream_id in before.keys() - after.keys():
             log(UPSTREAM_DEREGISTERED, upstream=upstream_id, revision=revision)
-        self._update_complete()
-        return is_adopted
 
     def _update_complete(self) -> None:
         if self.catalogue is not None and self._upstreams.revision >= 0:
--- a/tests/entry/test_upstream_list.py
+++ b/tests/entry/test_upstream_list.py
@@ -2,6 +2,7 @@
 from dataclasses import replace
 
 from banyanseam.entry.const import (
+    EXPIRED_ENTRY_GRACE_S,
     FAILURES_TO_SUSPECT,
     MAX_PAUSE_S,
     RETURN_COLD_S,
@@ -58,13 +59,37 @@
         self.upstreams.record_pause(make_upstream("e1"), 1e300, 4.0)
         self.assertEqual(list_ids(self.upstreams, 4.1 + MAX_PAUSE_S), ["e1", "e2"])
 
+    def run_until(self, end_s):
+        """Record that the process has run all the time."""
+        for tenth in range(round(end_s * 10) + 1):
+            self.upstreams.record_running(tenth / 10)
+
     def test_entries_that_expired_in_an_outage_are_retained_for_a_while(self):
-        self.upstreams.retain_expired_until(12.0)
+        self.run_until(10.0)
         self.upstreams.adopt([], 11, 10.0)
         self.assertEqual(list_ids(self.upstreams), ["e1", "e2"])
-        self.upstreams.adopt([make_upstream("e1")], 12, 12.1)
+        self.upstreams.adopt([make_upstream("e1")], 12, 9.9 + EXPIRED_ENTRY_GRACE_S)
+        self.assertEqual(list_ids(self.upstreams), ["e1", "e2"])
+        self.upstreams.adopt([make_upstream("e1")], 12, 10.1 + EXPIRED_ENTRY_GRACE_S)
+        self.assertEqual(list_ids(self.upstreams), ["e1"])
+
+    def test_what_is_retained_ends_though_the_list_stays_the_same(self):
+        self.run_until(10.0)
+        self.upstreams.adopt([], 11, 10.0)
+        self.upstreams.confirm(11, 10.1 + EXPIRED_ENTRY_GRACE_S)
+        self.assertEqual(list_ids(self.upstreams), [])
+
+    def test_a_list_that_is_old_since_the_process_was_suspended_shows_no_outage(self):
+        self.run_until(1.0)
+        self.upstreams.adopt([make_upstream("e1")], 11, 10.0)
         self.assertEqual(list_ids(self.upstreams), ["e1"])
 
+    def test_peers_get_the_list_as_the_store_has_it(self):
+        self.run_until(10.0)
+        found = make_upstream("e1")
+        self.upstreams.adopt([found], 11, 10.0)
+        self.assertEqual(self.upstreams.listing, (found,))
+
     def test_an_upstream_that_is_listed_again_keeps_its_load_and_limit(self):
         usage = self.upstreams.find("e1").usage
         usage.requests = 5
