Refuse a request that is whole only after a stopping VM takes no more

Reported by another operator: in a planned stop, requests that came late in the grace period were passed on and then cut.

It is now checked again when the body is whole; the refusal says that the request has not run, and the caller can use another VM at once.

Evidence: the new test failed before: the request of which the last byte came 3 s after SIGTERM ran at the upstream. It passes now.

--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -189,12 +189,12 @@
     state.request_id = head.request_id
     if isinstance(state.forwarding, BanyanseamError):
         raise state.forwarding
-    if frontend.lifecycle.closes_connections:
-        # The request might outlast this process, and the caller can use another VM.
-        raise EntryLeaving(retry_after_ms=0)
+    _refuse_while_closing(frontend)
     declared_bytes = read_content_length(headers)
     with frontend.budget.reserve_body(declared_bytes, MAX_BODY_BYTES) as reservation:
         body = await read_body(receive, reservation.grow_to)
+        # A slow caller may have sent the body's end long after its beginning.
+        _refuse_while_closing(frontend)
         if state.forwarding is not None:
             await _adopt_senders_version(frontend, state.forwarding)
         if frontend.admission.values.catalogue is None:
@@ -212,6 +212,15 @@
         await _run(frontend, exchange, scope["extensions"][CONNECTION])
 
 
+def _refuse_while_closing(frontend: Frontend) -> None:
+    """Raise EntryLeaving if a new request might outlast this process.
+
+    The caller can use another VM.
+    """
+    if frontend.lifecycle.closes_connections:
+        raise EntryLeaving(retry_after_ms=0)
+
+
 async def _adopt_senders_version(frontend: Frontend, forwarding: Forwarding) -> None:
     """Get the configuration by which the sender has admitted a request.
 
--- /dev/null
+++ b/tests/faults/test_late_in_a_stop.py
@@ -0,0 +1,76 @@
+"""Guards against requests that a planned stop cuts off without an answer."""
+
+import asyncio
+import signal
+import unittest
+
+import anyio
+
+from standins.platform_fleet import HOST, KEY, PlatformFleet, start_platform_fleet
+
+UPSTREAMS = {"e1": ("pool", "gulf"), "d1": ("desk", "gulf")}
+# After this time a VM that stops takes no more requests, and within the grace it ends.
+CLOSING_S = 3.0
+GRACE_S = 8.0
+OUTLASTS_GRACE_S = 20.0
+BODY = b"a booking"
+
+
+def make_head(path: str) -> bytes:
+    lines = [
+        f"POST {path} HTTP/1.1",
+        f"host: {HOST}",
+        "request-id: late-1",
+        "request-deadline: 20000",
+        f"authorization: Bearer {KEY}",
+        f"content-length: {len(BODY)}",
+    ]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+async def send_body_late(fleet: PlatformFleet, path: str, pause_s: float) -> bytes:
+    """Send the last byte of a request after a pause; return the answer's bytes."""
+    ip, port = fleet.vms["gulf-1"].ip, fleet.ports["front"]
+    reader, writer = await asyncio.open_connection(ip, port)
+    try:
+        writer.write(make_head(path) + BODY[:-1])
+        await anyio.sleep(pause_s)
+        writer.write(BODY[-1:])
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+async def lengthen_timeouts(fleet: PlatformFleet) -> None:
+    """Let requests take longer than a stop."""
+    for route in fleet.config["routes"]:
+        route["timeout_ms"] = 1000 * OUTLASTS_GRACE_S
+    fleet.publish()
+    await anyio.sleep(1.0)
+
+
+class LateRequestTests(unittest.TestCase):
+    # A request whose body ended late in the stop was passed on, with no time left.
+    def test_a_request_that_is_whole_only_late_in_a_stop_does_not_run(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 1}, UPSTREAMS) as fleet:
+                await lengthen_timeouts(fleet)
+                answers = []
+
+                async def send():
+                    answers.append(await send_body_late(fleet, "/book/x", CLOSING_S))
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(send)
+                    await anyio.sleep(0.2)
+                    fleet.stop("gulf-1", signal.SIGTERM)
+                self.assertTrue(answers[0].startswith(b"HTTP/1.1 503 "), answers[0])
+                self.assertIn(b"entry.leaving", answers[0])
+                self.assertEqual(fleet.upstreams["d1"].runs, [])
+                self.assertEqual(await fleet.vms["gulf-1"].child.wait(GRACE_S), 0)
+
+        anyio.run(scenario, backend_options={"use_uvloop": True})
+
+
+if __name__ == "__main__":
+    unittest.main()
