Answer requests that outlast the grace period of a planned stop

Those that outlasted the grace period were cancelled with the servers; the HTTP library then wrote a bare 500, with neither a code nor whether the request may have run. Now the stop limits the deadlines of running requests too, so that their callers get 504, with time for it to be sent. A stream that has begun still ends visibly broken.

Evidence: the new test got 500 instead of 504 before on three kinds of routes; it passes now.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -299,14 +299,15 @@
         grace_s = self.settings.bounds.stop_grace_s
         log(DRAIN_STARTED, grace_s=grace_s, running=self.lifecycle.running_requests)
         self.lifecycle.begin_drain()
-        self.frontend.admission.stop_s = began_s + grace_s - STOP_MARGIN_S
+        stop_s = began_s + grace_s - STOP_MARGIN_S
+        self.frontend.limit_deadlines(stop_s)
         await self.gossip.announce()
         await anyio.sleep(min(LEAVE_S, grace_s / 3))
         # New requests are refused from here on; running ones complete.
         self.lifecycle.begin_closing()
         await self.gossip.announce()
         self._servers[0].should_exit = True
-        with anyio.move_on_at(self.frontend.admission.stop_s + STOP_MARGIN_S / 2):
+        with anyio.move_on_at(stop_s + STOP_MARGIN_S / 2):
             await self.lifecycle.wait_idle()
 
     async def _follow_settings(self) -> None:
--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -84,6 +84,18 @@
     lifecycle: Lifecycle
     metrics: Metrics
     first_peers: frozenset[str] = field(default_factory=frozenset)
+    # The requests that are running, by the scope that ends them at their deadline.
+    running: dict[anyio.CancelScope, Exchange] = field(default_factory=dict)
+
+    def limit_deadlines(self, stop_s: float) -> None:
+        """End all requests by the time at which this process stops.
+
+        Callers then get an answer instead of a closed connection.
+        """
+        self.admission.stop_s = stop_s
+        for scope, exchange in self.running.items():
+            scope.deadline = min(scope.deadline, stop_s)
+            exchange.deadline_s = min(exchange.deadline_s, stop_s)
 
 
 def make_callers_app(frontend: Frontend) -> AsgiApp:
@@ -252,10 +264,12 @@
             is_disconnected = True
             scope.cancel()
 
+        frontend.running[scope] = exchange
         try:
             with connection.watch(on_disconnect):
                 await frontend.relay.serve(exchange)
         finally:
+            del frontend.running[scope]
             if exchange.cost and not exchange.may_have_run:
                 frontend.admission.quota.refund(exchange.organisation, exchange.cost)
     if not scope.cancelled_caught:
--- a/tests/faults/test_late_in_a_stop.py
+++ b/tests/faults/test_late_in_a_stop.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from standins.platform_demo import USAGE_HEADERS
 from standins.platform_fleet import HOST, KEY, PlatformFleet, start_platform_fleet
 
 UPSTREAMS = {"e1": ("pool", "gulf"), "d1": ("desk", "gulf")}
@@ -71,6 +72,33 @@
 
         anyio.run(scenario, backend_options={"use_uvloop": True})
 
+    # Requests that outlasted the grace period ended with their connection.
+    def test_a_request_that_outlasts_the_grace_period_gets_an_answer(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 1}, UPSTREAMS) as fleet:
+                await lengthen_timeouts(fleet)
+                for upstream in fleet.upstreams.values():
+                    upstream.pause_s = OUTLASTS_GRACE_S
+                answers = {}
+
+                async def ask(path):
+                    headers = USAGE_HEADERS | {"request-deadline": "20000"}
+                    answers[path] = await fleet.ask(
+                        "gulf-1", path, headers=headers, timeout_s=OUTLASTS_GRACE_S
+                    )
+
+                async with anyio.create_task_group() as tasks:
+                    for path in ("/book/x", "/read/x", "/query/x"):
+                        tasks.start_soon(ask, path)
+                    await anyio.sleep(0.3)
+                    fleet.stop("gulf-1", signal.SIGTERM)
+                for path, answer in answers.items():
+                    with self.subTest(path):
+                        self.assertEqual((answer.status, answer.broken), (504, None))
+                self.assertEqual(await fleet.vms["gulf-1"].child.wait(GRACE_S), 0)
+
+        anyio.run(scenario, backend_options={"use_uvloop": True})
+
 
 if __name__ == "__main__":
     unittest.main()
