Test that a head that stops at any byte is never taken for an answer

Reported by another operator: a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

It cannot happen here. Both daemons give a head to the HTTP library until it is whole, and the end of the connection before that is an error; the status is not used earlier.

--- a/tests/upstreams/test_client.py
+++ b/tests/upstreams/test_client.py
@@ -117,6 +117,21 @@
             with self.subTest(name):
                 anyio.run(run)
 
+    # Reported by another operator: a 200 with an empty body, framed as whole.
+    def test_a_head_that_stops_at_any_byte_is_no_answer(self):
+        head = OK + b"x-request-id: r1\r\n\r\n"
+
+        async def run() -> None:
+            parts = [head[:end] for end in range(1, len(head))]
+            async with RawServer(*parts).run() as upstream:
+                client = UpstreamClient()
+                for part in parts:
+                    with self.subTest(part=part), self.assertRaises(UpstreamFailed):
+                        await send(client, upstream, make_request())
+                await client.aclose()
+
+        anyio.run(run)
+
     def test_unreachable_means_that_nothing_was_written(self):
         async def run() -> None:
             started = []
