Limit the heads of answers in the daemon with published seats

Reported by another operator: bytes without end in a head or a body used up the memory of the machine that had called a faulty replica.

The entry daemon limits heads since. The other daemon did not: the HTTP library drops interim answers as they come, so their memory is bounded, but only the route's deadline ended the request, and until then the event loop was kept busy for all callers. A head is now at most 64 KiB with its interim answers.

--- a/banyanseam/entry/sending.py
+++ b/banyanseam/entry/sending.py
@@ -142,9 +142,9 @@
     try:
         with anyio.fail_after(outgoing.first_byte_timeout_s):
             # Interim answers count too: they may come without end.
-            stream.max_read_bytes = MAX_HEAD_BYTES
+            stream.limit_reads(MAX_HEAD_BYTES)
             response = await http.handle_async_request(request)
-            stream.max_read_bytes = None
+            stream.limit_reads(None)
             body = _read_body(response, outgoing.address)
             first = await anext(body, b"")
     except TimeoutError as error:
--- a/banyanseam/upstreams/client.py
+++ b/banyanseam/upstreams/client.py
@@ -16,6 +16,7 @@
 from banyanseam.upstreams.connections import Connection, ConnectionPool
 from banyanseam.upstreams.const import (
     CONNECT_TIMEOUT_S,
+    MAX_ANSWER_HEAD_BYTES,
     POOL_TIMEOUT_S,
     READ_TIMEOUT_S,
     SPARE_CONNECTIONS,
@@ -122,7 +123,10 @@
             try:
                 connection = await connections.acquire(POOL_TIMEOUT_S)
                 connection.stream.before_write = mark_started
+                # Interim answers count too: they may come without end.
+                connection.stream.limit_reads(MAX_ANSWER_HEAD_BYTES)
                 response = await connection.http.handle_async_request(message)
+                connection.stream.limit_reads(None)
             except _HTTP_ERRORS as error:
                 raise _make_upstream_error(error, upstream, is_started) from error
             _check_answer(upstream, request, response)
--- a/banyanseam/upstreams/const.py
+++ b/banyanseam/upstreams/const.py
@@ -117,5 +117,7 @@
 IDLE_CONNECTION_S: Final = 5.0
 # The bytes that a connection buffers for a request that reads its answer slowly.
 READ_AHEAD_BYTES: Final = 64 * 1024
+# An answer's head, with the interim answers before it.
+MAX_ANSWER_HEAD_BYTES: Final = 64 * 1024
 MAX_LOAD_BODY_BYTES: Final = 64 * 1024
 VIA: Final = b"1.1 banyanseam"
--- a/banyanseam/upstreams/network.py
+++ b/banyanseam/upstreams/network.py
@@ -22,8 +22,8 @@
         """Start unconnected; asyncio calls `connection_made` once connected."""
         # Called once, just before the next byte is written.
         self.before_write: Callable[[], None] | None = None
-        # While set, reading fails once this many bytes have been read.
-        self.max_read_bytes: int | None = None
+        # While set, reading fails once this many bytes have been read in total.
+        self._max_read_bytes: int | None = None
         self._read_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._read_buffer = bytearray()
@@ -32,6 +32,12 @@
         self._is_write_paused = False
         self._waiter: asyncio.Future[None] | None = None
 
+    def limit_reads(self, max_bytes: int | None) -> None:
+        """Fail reads once this many more bytes have been read; None lifts the limit."""
+        self._max_read_bytes = None
+        if max_bytes is not None:
+            self._max_read_bytes = self._read_bytes + max_bytes
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self._transport = transport
@@ -66,10 +72,11 @@
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return the buffered data, empty at the end.
 
-        Raise ReadTimeout, ReadError, or RemoteProtocolError above `max_read_bytes`.
+        Raise ReadTimeout, ReadError, or RemoteProtocolError above the limit of reads.
         More than `max_bytes` may be returned, as the buffer is bounded already.
         """
-        if self.max_read_bytes is not None and self._read_bytes >= self.max_read_bytes:
+        limit_bytes = self._max_read_bytes
+        if limit_bytes is not None and self._read_bytes >= limit_bytes:
             raise httpcore.RemoteProtocolError("the answer's head is too long")
         if not self._can_read():
             await self._wait(self._can_read, timeout, httpcore.ReadTimeout)
--- a/tests/upstreams/test_client.py
+++ b/tests/upstreams/test_client.py
@@ -5,6 +5,7 @@
 import anyio
 
 from banyanseam.upstreams.client import UpstreamClient, UpstreamRequest
+from banyanseam.upstreams.const import MAX_ANSWER_HEAD_BYTES
 from banyanseam.upstreams.errors import (
     UpstreamFailed,
     UpstreamRefused,
@@ -13,6 +14,7 @@
 )
 from banyanseam.upstreams.reports import make_fetch_report, read_report
 from tests.common import make_config
+from tests.entry.test_endless_answers import HEADS, SOCKET_BYTES, EndlessUpstream
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
 
@@ -132,6 +134,26 @@
 
         anyio.run(run)
 
+    # Reported by another operator: a head without end exhausted the memory.
+    def test_an_endless_head_ends_the_connection(self):
+        for name, (start, rest) in HEADS.items():
+
+            async def run(start=start, rest=rest) -> int:
+                endless = EndlessUpstream(start, rest, 0.0)
+                server = RawServer()
+                server.handle = endless.serve
+                async with server.run() as upstream:
+                    client = UpstreamClient()
+                    with anyio.fail_after(5.0), self.assertRaises(UpstreamFailed):
+                        await send(client, upstream, make_request())
+                    await client.aclose()
+                    with anyio.fail_after(5.0):
+                        await endless.is_closed.wait()
+                return endless.sent_bytes
+
+            with self.subTest(name):
+                self.assertLess(anyio.run(run), MAX_ANSWER_HEAD_BYTES + SOCKET_BYTES)
+
     def test_unreachable_means_that_nothing_was_written(self):
         async def run() -> None:
             started = []
