Bound the memory of answers that do not end

Reported by another operator: a faulty replica sent bytes without end in a head or a body until the caller closed; the machine kept them all and ran out of memory, and the requests of its other clients ended with it.

It can happen here, though nothing is kept without end: each answer that is no stream is buffered up to 256 KiB so that a broken one can be retried. The buffer stayed, twice, while the rest was relayed to a caller that reads slowly or not at all; the caller's connection got it in one piece, beyond its own limit; and each read from an upstream could bring 256 KiB more.

Change: a fifth of the VM's memory is for buffered answers, and when it is used an answer is relayed as it comes; the buffer is freed before the rest is relayed; a caller's connection gets 16 KiB at a time; a read brings at most 64 KiB.

--- a/banyanseam/entry/answers.py
+++ b/banyanseam/entry/answers.py
@@ -7,11 +7,19 @@
 from banyanseam.entry.const import MAX_BUFFERED_ANSWER_BYTES
 from banyanseam.entry.errors import AnswerUnproven
 from banyanseam.entry.event_stream import EventSplitter, StreamEvent
-from banyanseam.entry.exchange import Exchange
+from banyanseam.entry.exchange import Exchange, Reply
 from banyanseam.entry.models import AnswerHead
 from banyanseam.entry.moving import Progress
 from banyanseam.entry.sending import IncomingAnswer
-from banyanseam.pipe.errors import AnswerCrossed, AnswerGap, AnswerTruncated
+from banyanseam.pipe.errors import (
+    AnswerCrossed,
+    AnswerGap,
+    AnswerTruncated,
+    BodyTooLarge,
+)
+from banyanseam.server.budget import ByteBudget
+from banyanseam.server.const import CHUNK_BYTES
+from banyanseam.server.errors import BudgetExhausted
 from banyanseam.upstreams.errors import UpstreamFailed
 
 # Statuses that promise callers that the request has not run and never will.
@@ -48,12 +56,17 @@
 
 
 async def relay_answer(
-    exchange: Exchange, answer: AnswerHead, incoming: IncomingAnswer, progress: Progress
+    exchange: Exchange,
+    answer: AnswerHead,
+    incoming: IncomingAnswer,
+    progress: Progress,
+    budget: ByteBudget,
 ) -> None:
     """Relay an answer: streams event by event, others whole if they fit in the buffer.
 
-    Raise SlowerThanOthers once `progress` has been stopped, and UpstreamFailed if a
-    stream that should resume did not.
+    `budget` limits the memory of all answers that are buffered at the same time. Raise
+    SlowerThanOthers once `progress` has been stopped, and UpstreamFailed if a stream
+    that should resume did not.
     """
     if exchange.reply.is_started and answer.status != 200:
         raise UpstreamFailed(
@@ -63,16 +76,19 @@
         await _relay_events(exchange, answer, incoming, progress)
         return
     body = bytearray()
-    async for chunk in incoming.body:
-        body += chunk
-        if len(body) > MAX_BUFFERED_ANSWER_BYTES:
-            await _relay_unbuffered(exchange, answer, bytes(body), incoming)
+    with budget.reserve_body(None, MAX_BUFFERED_ANSWER_BYTES) as reservation:
+        try:
+            async for chunk in incoming.body:
+                body += chunk
+                reservation.grow_to(len(body))
+        except (BodyTooLarge, BudgetExhausted):
+            await _relay_unbuffered(exchange, answer, body, incoming)
             return
-    if answer.length_bytes is not None and answer.length_bytes != len(body):
-        raise AnswerTruncated("the body's length differs from content-length")
-    length = (b"content-length", str(len(body)).encode())
-    await exchange.reply.start(answer.status, [*answer.headers, length])
-    await exchange.reply.finish(bytes(body))
+        if answer.length_bytes is not None and answer.length_bytes != len(body):
+            raise AnswerTruncated("the body's length differs from content-length")
+        length = (b"content-length", str(len(body)).encode())
+        await exchange.reply.start(answer.status, [*answer.headers, length])
+        await exchange.reply.finish(bytes(body))
 
 
 async def _relay_events(
@@ -119,14 +135,24 @@
 
 
 async def _relay_unbuffered(
-    exchange: Exchange, answer: AnswerHead, buffered: bytes, incoming: IncomingAnswer
+    exchange: Exchange,
+    answer: AnswerHead,
+    buffered: bytearray,
+    incoming: IncomingAnswer,
 ) -> None:
     """Relay an answer that is too long to be buffered."""
     headers = answer.headers
     if answer.length_bytes is not None:
         headers = [*headers, (b"content-length", str(answer.length_bytes).encode())]
     await exchange.reply.start(answer.status, headers)
-    await exchange.reply.write(buffered)
+    await _write_in_parts(exchange.reply, buffered)
+    buffered.clear()
     async for chunk in incoming.body:
-        await exchange.reply.write(chunk)
+        await _write_in_parts(exchange.reply, chunk)
     await exchange.reply.finish()
+
+
+async def _write_in_parts(reply: Reply, data: bytes | bytearray) -> None:
+    """Write data so that the caller's connection buffers only a part of it."""
+    for start in range(0, len(data), CHUNK_BYTES):
+        await reply.write(bytes(data[start : start + CHUNK_BYTES]))
--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -9,6 +9,7 @@
 from banyanseam.daemon.lifecycle import Lifecycle, Stage
 from banyanseam.entry.admission import Admission
 from banyanseam.entry.const import (
+    ANSWER_MEMORY_SHARE,
     BODY_MEMORY_SHARE,
     CATCH_UP_S,
     LEAVE_S,
@@ -123,6 +124,7 @@
             self.gossip.share_upstreams,
             *prefixes,
         )
+        memory_bytes = settings.memory_mb * 1024 * 1024
         relay = Relay(
             upstream_format,
             self.members,
@@ -133,14 +135,14 @@
             PeerReachability(),
             settings.peers_port,
             self.gossip.announce_loads,
+            ByteBudget(int(memory_bytes * ANSWER_MEMORY_SHARE)),
         )
-        budget_bytes = int(settings.memory_mb * 1024 * 1024 * BODY_MEMORY_SHARE)
         self.frontend = Frontend(
             caller_format,
             Admission(self.values, self.quota, self.suspects),
             relay,
             self.values_fetcher,
-            ByteBudget(budget_bytes),
+            ByteBudget(int(memory_bytes * BODY_MEMORY_SHARE)),
             self.lifecycle,
             self.metrics,
             frozenset(settings.first_peers),
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -205,7 +205,9 @@
 # the operators' limit for heads of requests.
 MAX_HEAD_BYTES: Final = 16 * 1024
 MAX_BUFFERED_ANSWER_BYTES: Final = 256 * 1024
+# Parts of the VM's memory for the bodies of requests and for buffered answers.
 BODY_MEMORY_SHARE: Final = 0.3
+ANSWER_MEMORY_SHARE: Final = 0.2
 
 # Requests that crash upstreams.
 CRASHES_TO_REFUSE: Final = 2
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -58,6 +58,7 @@
     log,
 )
 from banyanseam.pipe.errors import ForwardFailed
+from banyanseam.server.budget import ByteBudget
 from banyanseam.upstreams.errors import (
     UpstreamFailed,
     UpstreamRefused,
@@ -94,6 +95,8 @@
     peers_port: int
     # Sends this process's loads to the peers of its region at once.
     announce: Callable[[], Awaitable[None]]
+    # Limits the memory of answers that are buffered until they are whole.
+    answer_budget: ByteBudget
 
     @property
     def chooser(self) -> Chooser:
@@ -240,7 +243,7 @@
         progress = Progress(anyio.current_time())
 
         async def relay() -> None:
-            await relay_answer(exchange, answer, incoming, progress)
+            await relay_answer(exchange, answer, incoming, progress, self.answer_budget)
             # Nothing is awaited in between: callers that have the whole answer
             # disconnect, which cancels this task.
             self.suspects.clear(exchange.fingerprint)
--- a/banyanseam/upstreams/network.py
+++ b/banyanseam/upstreams/network.py
@@ -14,8 +14,12 @@
 
 from banyanseam.upstreams.const import READ_AHEAD_BYTES
 
+# Every read of the event loop goes here first and is copied at once. Reads into a
+# buffer of the loop's own would be four times as large.
+_received = memoryview(bytearray(READ_AHEAD_BYTES))
 
-class UpstreamStream(asyncio.Protocol, httpcore.AsyncNetworkStream):
+
+class UpstreamStream(asyncio.BufferedProtocol, httpcore.AsyncNetworkStream):
     """A connection to an upstream; at most one read or write may wait at a time."""
 
     def __init__(self) -> None:
@@ -42,9 +46,13 @@
         """Store the transport."""
         self._transport = transport
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the event loop puts what it receives."""
+        return _received
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Buffer data for the next read; pause reading beyond READ_AHEAD_BYTES."""
-        self._read_buffer += data
+        self._read_buffer += _received[:nbytes]
         if len(self._read_buffer) > READ_AHEAD_BYTES:
             self._transport.pause_reading()
         self._wake()
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -14,6 +14,12 @@
 EVENT_PAUSE_S: Final = 0.01
 # Silence of a stalled stream: longer than an answer may take to be in time.
 STALL_S: Final = 1.6
+_OK: Final = b"HTTP/1.1 200 OK\r\nupstream-signature: d1.s\r\n"
+# Faults of an answer that never ends: its beginning, and what is repeated after it.
+ENDLESS: Final = {
+    "endless head": (_OK, b"a: b\r\n" * 2000),
+    "endless body": (_OK + b"\r\n", b"x" * 64 * 1024),
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +94,8 @@
             writer.write(b"this is no answer\r\n\r\n")
             await writer.drain()
             return
+        if fault in ENDLESS:
+            await _write_endlessly(writer, *ENDLESS[fault])
         await self._write_answer(request, writer, fault)
 
     async def _write_answer(
@@ -164,6 +172,15 @@
     await writer.drain()
 
 
+async def _write_endlessly(
+    writer: asyncio.StreamWriter, start: bytes, rest: bytes
+) -> None:
+    writer.write(start)
+    while True:
+        writer.write(rest)
+        await writer.drain()
+
+
 async def _read_request(reader: asyncio.StreamReader) -> ReceivedRequest:
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     first, *lines = head.strip().split("\r\n")
--- a/tests/entry/test_endless_answers.py
+++ b/tests/entry/test_endless_answers.py
@@ -18,6 +18,8 @@
 from banyanseam.entry.sending import OutgoingRequest, send
 from banyanseam.errors import BanyanseamError
 from banyanseam.pipe.errors import AnswerMalformed
+from banyanseam.server.budget import ByteBudget
+from banyanseam.server.const import CHUNK_BYTES
 from banyanseam.upstreams.const import READ_AHEAD_BYTES
 from banyanseam.upstreams.errors import UpstreamTimedOut
 from tests.common import run_with_mock_clock
@@ -100,7 +102,8 @@
             events_of_send=0,
         )
         answer = SimpleNamespace(status=incoming.status, headers=[], is_framed=True)
-        await relay_answer(exchange, answer, incoming, Progress(anyio.current_time()))
+        progress = Progress(anyio.current_time())
+        await relay_answer(exchange, answer, incoming, progress, ByteBudget(0))
 
 
 class EndlessAnswerTests(unittest.TestCase):
@@ -156,6 +159,50 @@
                 self.assertIsInstance(error, UpstreamTimedOut)
 
 
+class PlainAnswerTests(unittest.TestCase):
+    def relay(self, size_bytes: int, budget: ByteBudget) -> list[dict]:
+        """Return the messages by which an answer is relayed."""
+
+        async def run():
+            sent = []
+
+            async def record(message: dict) -> None:
+                sent.append(message)
+
+            async def chunks():
+                for _ in range(size_bytes // 1024):
+                    yield b"x" * 1024
+
+            exchange = SimpleNamespace(
+                route=SimpleNamespace(is_stream=False),
+                reply=Reply(record, close=False),
+            )
+            answer = SimpleNamespace(
+                status=200, headers=[], length_bytes=size_bytes, is_framed=True
+            )
+            incoming = SimpleNamespace(body=chunks())
+            await relay_answer(exchange, answer, incoming, Progress(0.0), budget)
+            return sent
+
+        return run_with_mock_clock(run)
+
+    def test_answers_are_relayed_in_parts_if_too_much_is_buffered(self):
+        size_bytes = 64 * 1024
+        for budget_bytes, is_buffered in ((10**6, True), (4096, False)):
+            with self.subTest(budget_bytes=budget_bytes):
+                budget = ByteBudget(budget_bytes)
+                sent = self.relay(size_bytes, budget)
+                bodies = [each["body"] for each in sent[1:]]
+                self.assertEqual(sum(map(len, bodies)), size_bytes)
+                self.assertEqual(len(bodies) == 1, is_buffered)
+                self.assertEqual(budget.held_bytes, 0)
+
+    def test_a_long_answer_is_written_in_parts(self):
+        bodies = [each["body"] for each in self.relay(2**20, ByteBudget(10**7))[1:]]
+        self.assertEqual(sum(map(len, bodies)), 2**20)
+        self.assertLessEqual(max(map(len, bodies)), CHUNK_BYTES)
+
+
 class StalledStreamTests(unittest.TestCase):
     def find_last_event_s(self, chunks: Callable) -> float:
         """Return how long before the end of a stream its last event arrived."""
@@ -174,7 +221,7 @@
             progress = Progress(anyio.current_time())
             answer = SimpleNamespace(status=200, headers=[], is_framed=True)
             incoming = SimpleNamespace(body=chunks())
-            await relay_answer(exchange, answer, incoming, progress)
+            await relay_answer(exchange, answer, incoming, progress, ByteBudget(0))
             return anyio.current_time() - progress.last_s
 
         return run_with_mock_clock(run)
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -15,7 +15,7 @@
     def may_retry(self, error: Exception, *, has_budget: bool) -> bool:
         async def run() -> bool:
             retries = SimpleNamespace(try_spend=lambda *_: has_budget)
-            relay = Relay(*[mock.Mock()] * 4, retries, *[mock.Mock()] * 4)
+            relay = Relay(*[mock.Mock()] * 4, retries, *[mock.Mock()] * 5)
             exchange = make_exchange(anyio.current_time())
             exchange.reply = SimpleNamespace(is_started=False)
             return relay._may_retry_error(exchange, error, vms=9)
