Soak entry daemons with overlapping signals, removals and changes

Real daemons get SIGTERM, SIGHUP, SIGINT, SIGKILL, SIGSTOP and SIGCONT in series and overlapping, while draining and starting too; upstreams leave and versions are published meanwhile. Callers use their open connections until the process is gone. Checked are: bookings run once, refusals that say "not run" are true, answers are whole and their own, nothing that ran is cut off unless its VM was killed or suspended, upstreams that left get nothing after 3 s, and planned stops exit with 0 in time.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 RUN := $(VENV)/bin/python
 export PYTHONPATH := $(CURDIR)
 SEED ?= 1
+SECONDS ?= 30
+VMS ?= 6
 
-.PHONY: setup demo test lint unit bench bench-policy bench-capacity bench-fleet soak
+.PHONY: setup demo test lint unit bench bench-policy bench-capacity bench-fleet soak soak-entry
 
 setup: $(VENV)/.ready
 
@@ -44,3 +46,6 @@
 
 soak: setup
 	$(RUN) -m tests.faults.soak --seed $(SEED)
+
+soak-entry: setup
+	$(RUN) -m tests.faults.entry_soak --seed $(SEED) --seconds $(SECONDS) --vms $(VMS)
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -42,6 +42,8 @@
     faults: list[str] = field(default_factory=list)
     # Every request whose execution began.
     runs: list[ReceivedRequest] = field(default_factory=list)
+    # Called with each request whose execution begins.
+    on_run: Callable[[ReceivedRequest], None] = lambda _: None
     # Number of runs cancelled because the caller disconnected.
     cancelled: int = 0
 
@@ -86,6 +88,7 @@
             await _write_refusal(writer, "503 Full", f"not-executed: 1\r\n{own_id}")
             return
         self.runs.append(request)
+        self.on_run(request)
         if fault == "no answer":
             return
         if fault == "hang":
--- a/tests/run.py
+++ b/tests/run.py
@@ -34,6 +34,7 @@
 LONGEST = (
     "tests.faults.test_quota_bound",
     "tests.faults.test_platform",
+    "tests.faults.test_entry_soak",
     "tests.faults.test_stop",
     "tests.faults.test_bookings",
     "tests.faults.test_path",
