--- a/tests/entry/test_store_watcher.py
+++ b/tests/entry/test_store_watcher.py
@@ -23,6 +23,9 @@
 # shortest of the operators' bounds for a VM to be in touch.
 MAX_CATCH_UP_S = 5.0
 
+# From this time after a disruption on, all other bounds hold again for a VM.
+CONTACT_S = 5.0
+
 # Within this time after the store's acknowledgement no request may reach an upstream
 # that leaves; peers and requests on their way need a part of it. Source: the shortest
 # of the operators' bounds is 3 s, and 5 s where regions have more than three VMs.
@@ -301,6 +304,32 @@
 
         run_scenario(scenario)
 
+    def test_calls_made_in_the_last_moments_of_a_silent_outage_delay_no_change(self):
+        """Such calls are never answered, and later changes must not wait for them."""
+        for begun_s in (0.0, 1.1, 2.3):
+            for outage_s in (3.1, 3.3, 3.5):
+                for changed_s in (CONTACT_S, CONTACT_S + 1.2, CONTACT_S + 3.7):
+                    with self.subTest(
+                        begun_s=begun_s, outage_s=outage_s, changed_s=changed_s
+                    ):
+                        self.check_change_after_outage(begun_s, outage_s, changed_s)
+
+    def check_change_after_outage(self, begun_s, outage_s, changed_s):
+        async def scenario(setup):
+            setup.add_peers(8)
+            await anyio.sleep(6 + begun_s)
+            setup.store.is_silent = True
+            await anyio.sleep(outage_s)
+            setup.store.is_silent = False
+            await anyio.sleep(changed_s)
+            setup.store.put("op/config", b"9")
+            setup.store.drop("e1")
+            await anyio.sleep(MAX_NOTICE_S)
+            self.assertEqual(setup.values.version, 9)
+            self.assertEqual(setup.list_ids(), [])
+
+        run_scenario(scenario)
+
     def test_entries_that_expired_in_an_outage_are_retained_for_a_while(self):
         async def scenario(setup):
             setup.store.is_failing = True
