Replace signal handlers directly, without the default action in between

The daemon now installs handlers of its own that call it on its event loop, and replaces them directly: SIGHUP is ignored, then handled, then ignored with the others once the stop has ended, also if the daemon fails.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -2,7 +2,7 @@
 
 import gc
 import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 import anyio
 
@@ -38,7 +38,7 @@
 from banyanseam.entry.reach import PeerReachability
 from banyanseam.entry.relay import Relay, UpstreamFormat
 from banyanseam.entry.retry_budget import RetryBudget
-from banyanseam.entry.signals import HANDLED_SIGNALS, ignore_signals
+from banyanseam.entry.signals import ignore_signals, receive_signals
 from banyanseam.entry.store_watcher import Store, StoreWatcher
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads, list_local_candidates
@@ -161,16 +161,14 @@
 
     async def run(self) -> None:
         """Serve until a planned stop has ended."""
-        # A signal without a handler would end the process at once, together with all
-        # requests that it is running, so the handlers stay until the stop has ended.
-        with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
-            await self._serve_until_stopped(signals)
-        ignore_signals()
+        receive_signals(self._handle_signal)
+        try:
+            await self._serve_until_stopped()
+        finally:
+            ignore_signals()
         log(DAEMON_STOPPED)
 
-    async def _serve_until_stopped(
-        self, signals: AsyncIterator[signal.Signals]
-    ) -> None:
+    async def _serve_until_stopped(self) -> None:
         log(
             DAEMON_STARTED,
             ip=self.settings.ip,
@@ -181,7 +179,6 @@
         )
         self._servers = self._make_servers()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._handle_signals, signals)
             self.values_fetcher.tasks = tasks
             for server in self._servers:
                 tasks.start_soon(server.serve)
@@ -284,12 +281,11 @@
             )
         return [member.callers_address for member in chosen]
 
-    async def _handle_signals(self, signals: AsyncIterator[signal.Signals]) -> None:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                self._reload()
-            else:
-                self._stop_requested.set()
+    def _handle_signal(self, number: int) -> None:
+        if number == signal.SIGHUP:
+            self._reload()
+        else:
+            self._stop_requested.set()
 
     async def _stop(self) -> None:
         """Leave the directory, serve callers that still connect, then stop.
--- a/tests/faults/test_signals.py
+++ b/tests/faults/test_signals.py
@@ -7,8 +7,9 @@
 
 from standins.fleet import FleetPlan, start_fleet
 from standins.platform_demo import USAGE_HEADERS
-from standins.platform_fleet import start_platform_fleet
+from standins.platform_fleet import PlatformFleet, start_platform_fleet
 from standins.platform_upstream import complete_stream_body
+from standins.processes import Child
 from tests.common import wait_until
 
 UPSTREAMS = {"e1": ("pool", "gulf"), "d1": ("desk", "gulf")}
@@ -16,6 +17,16 @@
 FURTHER_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
+async def start_again(fleet: PlatformFleet) -> tuple[Child, int]:
+    """Start a VM anew; return its process and how often the VM had started before."""
+    fleet.stop("gulf-1", signal.SIGKILL)
+    old = fleet.vms["gulf-1"].child
+    await old.wait()
+    starts = old.read_log().count(STARTED_EVENT)
+    fleet.start_vm("gulf-1")
+    return fleet.vms["gulf-1"].child, starts
+
+
 class EntryTests(unittest.TestCase):
     # Incident 0016: a settings change ended a process that was draining.
     def test_signals_during_a_planned_stop_cut_off_no_request(self):
@@ -50,11 +61,7 @@
     def test_a_settings_change_does_not_end_a_process_that_starts(self):
         async def scenario():
             async with start_platform_fleet({"gulf": 1}, UPSTREAMS) as fleet:
-                fleet.stop("gulf-1", signal.SIGKILL)
-                await fleet.vms["gulf-1"].child.wait()
-                fleet.start_vm("gulf-1")
-                child = fleet.vms["gulf-1"].child
-                starts = child.read_log().count(STARTED_EVENT)
+                child, starts = await start_again(fleet)
                 await wait_until(lambda: child.survives_hangup)
                 self.assertEqual(child.read_log().count(STARTED_EVENT), starts)
                 while child.is_running and not await fleet.is_ready("gulf-1"):
@@ -82,11 +89,7 @@
     def test_a_process_that_starts_stops_as_planned(self):
         async def scenario():
             async with start_platform_fleet({"gulf": 1}, UPSTREAMS) as fleet:
-                fleet.stop("gulf-1", signal.SIGKILL)
-                await fleet.vms["gulf-1"].child.wait()
-                fleet.start_vm("gulf-1")
-                child = fleet.vms["gulf-1"].child
-                starts = child.read_log().count(STARTED_EVENT)
+                child, starts = await start_again(fleet)
                 await wait_until(lambda: child.read_log().count(STARTED_EVENT) > starts)
                 fleet.stop("gulf-1", signal.SIGTERM)
                 self.assertEqual(await child.wait(8.0), 0)
