Release the memory of an answer as soon as it is no longer buffered

A follow-up to: an answer that is relayed as it comes kept its part of the budget until its end, so that a few of them left the others unbuffered, which then could not be retried. Its part is released once the caller's connection has taken what was buffered.

Evidence: the new test sees the budget held until the last message before, and released now.

--- a/banyanseam/entry/answers.py
+++ b/banyanseam/entry/answers.py
@@ -82,7 +82,9 @@
                 body += chunk
                 reservation.grow_to(len(body))
         except (BodyTooLarge, BudgetExhausted):
-            await _relay_unbuffered(exchange, answer, body, incoming)
+            await _start_unbuffered(exchange, answer, body)
+            reservation.release()
+            await _relay_rest(exchange, incoming)
             return
         if answer.length_bytes is not None and answer.length_bytes != len(body):
             raise AnswerTruncated("the body's length differs from content-length")
@@ -134,19 +136,19 @@
     await exchange.reply.write(event.data)
 
 
-async def _relay_unbuffered(
-    exchange: Exchange,
-    answer: AnswerHead,
-    buffered: bytearray,
-    incoming: IncomingAnswer,
+async def _start_unbuffered(
+    exchange: Exchange, answer: AnswerHead, buffered: bytearray
 ) -> None:
-    """Relay an answer that is too long to be buffered."""
+    """Begin to relay an answer that is too long to be buffered; empty the buffer."""
     headers = answer.headers
     if answer.length_bytes is not None:
         headers = [*headers, (b"content-length", str(answer.length_bytes).encode())]
     await exchange.reply.start(answer.status, headers)
     await _write_in_parts(exchange.reply, buffered)
     buffered.clear()
+
+
+async def _relay_rest(exchange: Exchange, incoming: IncomingAnswer) -> None:
     async for chunk in incoming.body:
         await _write_in_parts(exchange.reply, chunk)
     await exchange.reply.finish()
--- a/banyanseam/server/budget.py
+++ b/banyanseam/server/budget.py
@@ -48,6 +48,11 @@
             self._budget.acquire_for_body(more_bytes)
             self.held_bytes = size_bytes
 
+    def release(self) -> None:
+        """Release the memory; the end of the context does it too."""
+        self._budget.release_body(self.held_bytes)
+        self.held_bytes = 0
+
 
 class StreamWindow:
     """An answer that is sent in chunks to a reader that may be slow."""
@@ -136,8 +141,7 @@
             reservation.grow_to(declared_bytes or 0)
             yield reservation
         finally:
-            self.body_bytes -= reservation.held_bytes
-            self._release(reservation.held_bytes)
+            reservation.release()
 
     @asynccontextmanager
     async def hold(self, size_bytes: int) -> AsyncIterator[None]:
@@ -175,6 +179,11 @@
         self.body_bytes = body_bytes
         self._allocate(size_bytes)
 
+    def release_body(self, size_bytes: int) -> None:
+        """Release memory that was acquired for a body."""
+        self.body_bytes -= size_bytes
+        self._release(size_bytes)
+
     async def acquire(self, size_bytes: int) -> None:
         """Acquire memory; while too little is free, wait and abort slow answers."""
         if not self._waiters and self._fits(size_bytes):
--- a/tests/entry/test_endless_answers.py
+++ b/tests/entry/test_endless_answers.py
@@ -160,7 +160,12 @@
 
 
 class PlainAnswerTests(unittest.TestCase):
-    def relay(self, size_bytes: int, budget: ByteBudget) -> list[dict]:
+    def relay(
+        self,
+        size_bytes: int,
+        budget: ByteBudget,
+        on_message: Callable[[], None] = lambda: None,
+    ) -> list[dict]:
         """Return the messages by which an answer is relayed."""
 
         async def run():
@@ -168,6 +173,7 @@
 
             async def record(message: dict) -> None:
                 sent.append(message)
+                on_message()
 
             async def chunks():
                 for _ in range(size_bytes // 1024):
@@ -197,6 +203,13 @@
                 self.assertEqual(len(bodies) == 1, is_buffered)
                 self.assertEqual(budget.held_bytes, 0)
 
+    def test_an_answer_that_is_not_buffered_holds_no_memory(self):
+        budget = ByteBudget(4096)
+        held_bytes = []
+        self.relay(64 * 1024, budget, lambda: held_bytes.append(budget.held_bytes))
+        self.assertGreater(max(held_bytes), 0)
+        self.assertEqual(held_bytes[-1], 0)
+
     def test_a_long_answer_is_written_in_parts(self):
         bodies = [each["body"] for each in self.relay(2**20, ByteBudget(10**7))[1:]]
         self.assertEqual(sum(map(len, bodies)), 2**20)
