--- a/tests/run.py
+++ b/tests/run.py
@@ -35,6 +35,7 @@
     "tests.faults.test_quota_bound",
     "tests.faults.test_platform",
     "tests.faults.test_entry_soak",
+    "tests.faults.test_signals",
     "tests.faults.test_stop",
     "tests.faults.test_bookings",
     "tests.faults.test_path",
