Log each crash that is recorded for a request

The logs named the upstreams whose connections broke but not which requests are repeats of one another, nor whether a crash was counted: its hypotheses could not be told apart. Event 3013 now gives the request's fingerprint, the crashes known for it and the suspected segments. No decision changes.

--- a/banyanseam/entry/crash_suspects.py
+++ b/banyanseam/entry/crash_suspects.py
@@ -78,6 +78,11 @@
         unexplained = record.crashes - self.segments.explain(record.crashes)
         return len(unexplained) >= CRASHES_TO_REFUSE
 
+    def count(self, suspect: int) -> int:
+        """Return the number of known crashes while the request was running."""
+        record = self._records.get(suspect)
+        return 0 if record is None else len(record.crashes)
+
     def list_recent(self, since_s: float) -> list[tuple[int, str]]:
         """Return the crashes to report to other processes."""
         return [
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -52,6 +52,7 @@
 from banyanseam.entry.upstreams import UpstreamLoads, count_request, mark_prefilled
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.events import (
+    CRASH_RECORDED,
     REQUEST_FORWARDED,
     SEND_FAILED,
     UPSTREAM_LIMIT_CHANGED,
@@ -369,8 +370,18 @@
         now_s = anyio.current_time()
         if exchange.fingerprint:
             self.suspects.record_crash(exchange.fingerprint, crash, now_s)
+        segments = []
         if exchange.events_of_send <= MAX_EVENTS_BEFORE_CRASH:
-            self.suspects.segments.record_crash(exchange.segment_keys, crash, now_s)
+            segments = exchange.segment_keys
+            self.suspects.segments.record_crash(segments, crash, now_s)
+        log(
+            CRASH_RECORDED,
+            request_id=exchange.head.request_id,
+            crash=crash,
+            fingerprint=f"{exchange.fingerprint:016x}",
+            crashes=self.suspects.count(exchange.fingerprint),
+            segments=len(segments),
+        )
 
     def _may_retry_error(
         self, exchange: Exchange, error: BanyanseamError, vms: int
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -40,6 +40,9 @@
 REQUEST_FORWARDED: Final = Event(
     3012, "INFO", "A request is forwarded to a VM of another region"
 )
+CRASH_RECORDED: Final = Event(
+    3013, "WARNING", "An upstream's connection broke while it ran a request"
+)
 SETTINGS_RELOADED: Final = Event(2005, "INFO", "Changed settings were applied")
 SETTINGS_REJECTED: Final = Event(
     2006, "ERROR", "Changed settings are invalid and were not applied"
