--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -81,6 +81,8 @@
     sent_s: float
     # Whether the VM knew that the key was withdrawn when the request was sent.
     is_key_withdrawn: bool = False
+    method: str = "POST"
+    body_sent: bytes = b""
     # The shared and own segments of the prompt, as the header names them.
     segments: bytes = b""
     # The organisation's home regions as the VM knew them then; empty if it has none.
@@ -140,6 +142,13 @@
         entry.lifecycle.begin_serving()
         self.entries[ip] = entry
 
+    def replace_upstreams(self, number: int) -> None:
+        """Let all upstreams be new incarnations, with new ids."""
+        for name, upstream in self.upstreams.items():
+            self.upstreams[name] = replace(
+                upstream, upstream_id=f"{name}-{number}", started_ms=number
+            )
+
     def publish(self, *, to: set[str] | None = None, evacuated: str = "") -> None:
         """Publish a configuration to all VMs, or only to the VMs in `to`."""
         self.revision += 1
@@ -177,13 +186,21 @@
         faults: list[str],
         peer_faults: list[str],
         segments: bytes = b"",
+        *,
+        method: str = "POST",
+        body: bytes | None = None,
     ) -> int:
-        """Send a caller's request to a VM, and return its index in `callers`."""
+        """Send a caller's request to a VM, and return its index in `callers`.
+
+        The body is by default the segments.
+        """
         number = len(self.callers)
         request_id = f"request-{number}"
         self.faults[request_id] = list(faults)
         self.peer_faults[request_id] = list(peer_faults)
         caller = Caller(request_id, path, vm, anyio.current_time(), segments=segments)
+        caller.method = method
+        caller.body_sent = segments if body is None else body
         self.callers.append(caller)
         self.tasks.start_soon(self._ask, self.entries[vm], caller)
         return number
@@ -203,7 +220,13 @@
             (b"prompt-prefix", caller.segments),
         ]
         outgoing = OutgoingRequest(
-            "", "POST", caller.path.encode(), headers, caller.segments, 1.0, 60.0
+            "",
+            caller.method,
+            caller.path.encode(),
+            headers,
+            caller.body_sent,
+            1.0,
+            60.0,
         )
         app = make_callers_app(entry.frontend)
         with suppress(ConnectionBroken):
