Serve sound requests again soon after crashes that they ran beside

Cause: a whole answer cleared the request's record only at the VM that got it, peers kept reporting the crashes, and nothing but the time ended a refusal. Change: whole answers are reported like those of segments, with their age, and end all crashes before them; a request answered within a minute is refused after four crashes rather than two; a refused request is tried again after 2, 20 and 120 s, by one VM at a time, and never after that. A request whose crashes one with more crashes explains is not refused. A refusal says when the next trial is due, and is final for the VM that forwarded the request.

--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -87,16 +87,27 @@
     return exchange
 
 
-def refuse_suspect(suspects: CrashSuspects, exchange: Exchange, now_s: float) -> None:
-    """Raise CrashSuspected if the request, or a segment of it, crashes upstreams."""
+def refuse_suspect(suspects: CrashSuspects, exchange: Exchange, now_s: float) -> bool:
+    """Raise CrashSuspected if the request, or a segment of it, crashes upstreams.
+
+    Return whether a suspected request is due for a trial.
+    """
     refused = suspects.segments.find_refused(exchange.segment_keys, now_s)
     if refused is not None:
         segment = exchange.head.prompt.segments[exchange.segment_keys.index(refused)]
         raise CrashSuspected(
             f"engines crash when they answer with segment {segment.segment_id}"
         )
-    if suspects.is_refused(exchange.fingerprint, now_s):
-        raise CrashSuspected
+    wait_s = suspects.find_wait_s(exchange.fingerprint, now_s)
+    if wait_s is None or exchange.trial_crashes == suspects.count(exchange.fingerprint):
+        return False
+    is_peers_trial = exchange.is_trial and exchange.trial_crashes is None
+    if wait_s == 0 or is_peers_trial:
+        return True
+    raise CrashSuspected(
+        f"fingerprint {exchange.fingerprint:016x}",
+        retry_after_ms=choose_retry_after_ms(wait_s * 1000, exchange.left_ms(now_s)),
+    )
 
 
 def _find_organisation(
--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -18,7 +18,7 @@
     SETTINGS_PERIOD_S,
     STOP_MARGIN_S,
 )
-from banyanseam.entry.crash_suspects import CrashSuspects
+from banyanseam.entry.crash_suspects import CrashSuspects, make_choose_trial_delay
 from banyanseam.entry.directory import choose_entries
 from banyanseam.entry.frontend import (
     CallerFormat,
@@ -99,7 +99,11 @@
         self.upstreams = UpstreamList()
         self.loads = UpstreamLoads(self.upstreams, settings.region)
         self.quota = FleetQuota(settings.bounds.quota_slack_tokens)
-        self.suspects = CrashSuspects()
+        self.suspects = CrashSuspects(
+            make_choose_trial_delay(
+                settings.ip, settings.region, settings.regions.values()
+            )
+        )
         self.values = PublishedValues(decoders, self.upstreams)
         self.values_fetcher = ValuesFetcher(
             self.values, settings.ip, settings.peers_port
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -212,12 +212,26 @@
 # Requests that crash upstreams.
 CRASHES_TO_REFUSE: Final = 2
 CRASH_MEMORY_S: Final = 60.0
+# A request that was answered in full within SOUND_MEMORY_S probably ran beside crashes
+# of another cause.
+CRASHES_TO_REFUSE_ANSWERED: Final = 4
+# Pauses before the first trial of a refused request, before the second and so on; after
+# the last it is refused for good. Source of the limit of three runs after the third
+# crash: the operators' rules. Parts of a partitioned fleet make trials of their own.
+TRIAL_PAUSES_S: Final = (2.0, 20.0, 120.0)
+# Trials become due one region after the other, and within a region spread over this.
+TRIAL_REGION_STEP_S: Final = 2.0
+TRIAL_SPREAD_S: Final = 1.0
+MAX_SOUND_REQUESTS: Final = 4096
+# Suspected and sound requests that a heartbeat reports: as many as one engine runs.
+MAX_REPORTED_SUSPECTS: Final = 64
 # A prompt segment is refused after this many crashes of engines that were about to
 # answer with it, for as long as requests with it come and a while after the last one.
 # Source of the limit of five: the operators' rules.
 SEGMENT_CRASHES_TO_REFUSE: Final = 3
 REFUSAL_MEMORY_S: Final = 600.0
-# How long a whole answer proves that the segments of its prompt are sound.
+# How long a whole answer proves that the segments of its prompt are sound, and makes it
+# likely that the request is.
 SOUND_MEMORY_S: Final = 60.0
 MAX_SOUND_SEGMENTS: Final = 4096
 # Suspected and sound segments that a heartbeat reports, and crashes of each of them.
--- a/banyanseam/entry/crash_suspects.py
+++ b/banyanseam/entry/crash_suspects.py
@@ -1,19 +1,38 @@
-"""Detect requests that were running each time an upstream crashed."""
+"""Detect requests that were running each time an upstream crashed.
 
+A request that crashes each upstream which runs it can't be told from one that merely
+ran beside it, until one of them runs again. A suspect is therefore refused, except for
+a few trials far apart, and a whole answer ends the suspicion at all VMs.
+"""
+
+import math
 from collections import OrderedDict
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 from zlib import crc32
 
 import xxhash
 
 from banyanseam.entry.const import (
     CRASH_MEMORY_S,
+    CRASH_REPORT_S,
     CRASHES_TO_REFUSE,
+    CRASHES_TO_REFUSE_ANSWERED,
     MAX_CRASH_RECORDS,
+    MAX_REPORTED_SUSPECTS,
+    MAX_SOUND_REQUESTS,
+    SOUND_MEMORY_S,
+    TRIAL_PAUSES_S,
+    TRIAL_REGION_STEP_S,
+    TRIAL_SPREAD_S,
 )
 from banyanseam.entry.models import Upstream
 from banyanseam.entry.segment_suspects import SegmentSuspects
 
+# Returns how much later than the first VM this one may try a request, by the request's
+# fingerprint and its number of crashes.
+ChooseTrialDelay = Callable[[int, int], float]
+
 
 def make_crash_tag(upstream: Upstream) -> str:
     """Return a short name for the crash of an incarnation of an upstream."""
@@ -28,10 +47,52 @@
     return digest.intdigest()
 
 
+def make_choose_trial_delay(
+    ip: str, region: str, regions: Iterable[str]
+) -> ChooseTrialDelay:
+    """Return a function that spreads the trials of a request over the VMs.
+
+    The VMs of a region learn of a trial at once, others a second later. So the regions
+    have their turns one after the other, in an order that depends on the request.
+    """
+    all_regions = {region, *regions}
+
+    def choose(suspect: int, crashes: int) -> float:
+        def place(name: str) -> int:
+            return xxhash.xxh3_64_intdigest(f"{suspect:x} {crashes} {name}".encode())
+
+        earlier = sum(1 for each in all_regions if place(each) < place(region))
+        return earlier * TRIAL_REGION_STEP_S + place(ip) / 2**64 * TRIAL_SPREAD_S
+
+    return choose
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectReport:
+    """A suspected request as peers report it, with ages instead of times.
+
+    The ages are those of the last evidence, of the last trial if there was one, and of
+    each crash.
+    """
+
+    suspect: int
+    seen_age_s: float
+    tried_age_s: float | None
+    crash_ages_s: tuple[tuple[str, float], ...]
+
+
 @dataclass(slots=True)
-class _Record:
-    crashes: set[str]
-    last_s: float
+class _Suspicion:
+    """Crashes of upstreams while a request was running there, with their times."""
+
+    # When the request last crashed an upstream or was tried, at any VM.
+    seen_s: float
+    tried_s: float = -math.inf
+    crashes: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def is_certain(self) -> bool:
+        return len(self.crashes) >= CRASHES_TO_REFUSE
 
 
 class CrashSuspects:
@@ -41,53 +102,159 @@
     fingerprint of a request.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, choose_trial_delay: ChooseTrialDelay = lambda *_: 0.0) -> None:
         """Start without records."""
         self.segments = SegmentSuspects()
-        self._records: OrderedDict[int, _Record] = OrderedDict()
+        self._choose_trial_delay = choose_trial_delay
+        self._suspicions: OrderedDict[int, _Suspicion] = OrderedDict()
+        # When requests were last answered in full, the oldest answer first.
+        self._answered_s: OrderedDict[int, float] = OrderedDict()
+        # When the answer to a suspected request began to be reported to peers.
+        self._disproved_s: dict[int, float] = {}
 
-    def record_crash(self, suspect: int, crash: str, now_s: float) -> None:
+    def record_crash(
+        self, suspect: int, crash: str, now_s: float, age_s: float = 0.0
+    ) -> None:
         """Record a crash of an upstream while the request was running there.
 
         `crash` identifies the incarnation of the upstream that crashed. A repeated
         report of the same crash does not extend the record's lifetime.
         """
-        record = self._records.pop(suspect, None) or _Record(set(), now_s)
-        if crash in record.crashes:
-            self._records[suspect] = record
+        at_s = now_s - age_s
+        if self._was_answered(suspect, now_s):
+            self._disproved_s.setdefault(suspect, now_s)
+        if at_s < self._answered_s.get(suspect, -math.inf):
             return
-        record.crashes.add(crash)
-        record.last_s = now_s
-        self._records[suspect] = record
-        while len(self._records) > MAX_CRASH_RECORDS:
-            self._records.popitem(last=False)
+        self._drop_expired(suspect, now_s)
+        suspicion = self._suspicions.setdefault(suspect, _Suspicion(at_s))
+        if crash not in suspicion.crashes:
+            suspicion.crashes[crash] = at_s
+            suspicion.seen_s = max(suspicion.seen_s, at_s)
+            self._suspicions.move_to_end(suspect)
+        while len(self._suspicions) > MAX_CRASH_RECORDS:
+            self._evict_one()
 
-    def clear(self, suspect: int) -> None:
-        """Remove the record of a request that succeeded, and so caused no crash."""
-        self._records.pop(suspect, None)
+    def record_answer(self, suspect: int, now_s: float, age_s: float = 0.0) -> None:
+        """Record a whole answer: the request did not cause the crashes before it."""
+        at_s = now_s - age_s
+        self._answered_s[suspect] = max(at_s, self._answered_s.get(suspect, -math.inf))
+        self._answered_s.move_to_end(suspect)
+        while len(self._answered_s) > MAX_SOUND_REQUESTS:
+            self._answered_s.popitem(last=False)
+        suspicion = self._suspicions.get(suspect)
+        if suspicion is None:
+            return
+        later = {
+            crash: each for crash, each in suspicion.crashes.items() if each > at_s
+        }
+        if len(later) < len(suspicion.crashes):
+            self._disproved_s[suspect] = now_s
+        suspicion.crashes = later
+        if not later:
+            del self._suspicions[suspect]
 
-    def is_refused(self, suspect: int, now_s: float) -> bool:
-        """Return whether the request was running at enough recent crashes.
+    def find_wait_s(self, suspect: int, now_s: float) -> float | None:
+        """Return how long this VM refuses the request; None if it doesn't.
 
-        Crashes that were caused by a refused prompt segment of another request do not
-        count.
+        At 0 the request may be tried once. Crashes that were caused by a refused
+        prompt segment, or by a request with more crashes, do not count.
         """
-        record = self._records.get(suspect)
-        if record is None or now_s - record.last_s > CRASH_MEMORY_S:
-            return False
-        unexplained = record.crashes - self.segments.explain(record.crashes)
-        return len(unexplained) >= CRASHES_TO_REFUSE
+        self._drop_expired(suspect, now_s)
+        suspicion = self._suspicions.get(suspect)
+        if suspicion is None or not suspicion.is_certain:
+            return None
+        crashes = self._list_unexplained(suspicion)
+        failed_trials = len(crashes) - (
+            CRASHES_TO_REFUSE_ANSWERED
+            if self._was_answered(suspect, now_s)
+            else CRASHES_TO_REFUSE
+        )
+        if failed_trials < 0:
+            return None
+        if failed_trials >= len(TRIAL_PAUSES_S):
+            return math.inf
+        last_s = max(suspicion.tried_s, *(suspicion.crashes[each] for each in crashes))
+        delay_s = self._choose_trial_delay(suspect, len(crashes))
+        return max(0.0, last_s + TRIAL_PAUSES_S[failed_trials] + delay_s - now_s)
+
+    def record_trial(self, suspect: int, now_s: float) -> None:
+        """Record that a suspected request is sent once more."""
+        suspicion = self._suspicions.get(suspect)
+        if suspicion is not None:
+            suspicion.tried_s = suspicion.seen_s = now_s
 
     def count(self, suspect: int) -> int:
         """Return the number of known crashes while the request was running."""
-        record = self._records.get(suspect)
-        return 0 if record is None else len(record.crashes)
+        suspicion = self._suspicions.get(suspect)
+        return 0 if suspicion is None else len(suspicion.crashes)
+
+    def list_reports(self, now_s: float) -> list[SuspectReport]:
+        """Return the suspects with recent evidence, the most crashes first."""
+        recent = [
+            suspect
+            for suspect, each in self._suspicions.items()
+            if now_s - each.seen_s <= CRASH_REPORT_S
+        ]
+        return self._make_reports(recent, now_s)
+
+    def apply_report(self, report: SuspectReport, now_s: float) -> None:
+        """Add a peer's evidence against a request."""
+        for crash, age_s in report.crash_ages_s:
+            self.record_crash(report.suspect, crash, now_s, age_s)
+        suspicion = self._suspicions.get(report.suspect)
+        if suspicion is None:
+            return
+        suspicion.seen_s = max(suspicion.seen_s, now_s - report.seen_age_s)
+        if report.tried_age_s is not None:
+            suspicion.tried_s = max(suspicion.tried_s, now_s - report.tried_age_s)
 
-    def list_recent(self, since_s: float) -> list[tuple[int, str]]:
-        """Return the crashes to report to other processes."""
+    def list_disproved(self, now_s: float) -> list[tuple[int, float]]:
+        """Return suspected requests that were answered, with the age of the answer."""
+        self._disproved_s = {
+            suspect: since_s
+            for suspect, since_s in self._disproved_s.items()
+            if now_s - since_s <= CRASH_REPORT_S and suspect in self._answered_s
+        }
         return [
-            (suspect, crash)
-            for suspect, record in self._records.items()
-            if record.last_s >= since_s
-            for crash in record.crashes
+            (suspect, now_s - self._answered_s[suspect])
+            for suspect in list(self._disproved_s)[-MAX_REPORTED_SUSPECTS:]
         ]
+
+    def _make_reports(
+        self, suspects: Iterable[int], now_s: float
+    ) -> list[SuspectReport]:
+        found = [(each, self._suspicions[each]) for each in suspects]
+        found.sort(key=lambda item: (-len(item[1].crashes), -item[1].seen_s))
+        return [
+            SuspectReport(
+                suspect,
+                now_s - each.seen_s,
+                None if each.tried_s == -math.inf else now_s - each.tried_s,
+                tuple((crash, now_s - at_s) for crash, at_s in each.crashes.items()),
+            )
+            for suspect, each in found[:MAX_REPORTED_SUSPECTS]
+        ]
+
+    def _list_unexplained(self, suspicion: _Suspicion) -> set[str]:
+        crashes = set(suspicion.crashes)
+        worse = [
+            each.crashes
+            for each in self._suspicions.values()
+            if each.is_certain and len(each.crashes) > len(crashes)
+        ]
+        return crashes.difference(*worse) - self.segments.explain(crashes)
+
+    def _was_answered(self, suspect: int, now_s: float) -> bool:
+        return now_s - self._answered_s.get(suspect, -math.inf) < SOUND_MEMORY_S
+
+    def _evict_one(self) -> None:
+        evicted = next(
+            (each for each, found in self._suspicions.items() if not found.is_certain),
+            next(iter(self._suspicions)),
+        )
+        del self._suspicions[evicted]
+
+    def _drop_expired(self, suspect: int, now_s: float) -> None:
+        suspicion = self._suspicions.get(suspect)
+        if suspicion is not None and now_s - suspicion.seen_s > CRASH_MEMORY_S:
+            del self._suspicions[suspect]
--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -74,6 +74,8 @@
     cost: float = 0.0
     # Fingerprint that identifies the request in crash records; 0 if it has none.
     fingerprint: int = 0
+    # Number of crashes with which a trial of the suspected request began.
+    trial_crashes: int | None = None
     # Hashes of the prompt segments that other requests may share.
     segment_keys: list[int] = field(default_factory=list)
     # Number of events that the last send has brought.
@@ -117,6 +119,12 @@
             return self.organisation.urgency
         return self.route.urgency
 
+    @property
+    def is_trial(self) -> bool:
+        """Return whether this is a trial of a request that may crash upstreams."""
+        is_peers_trial = self.forwarding is not None and self.forwarding.is_trial
+        return is_peers_trial or self.trial_crashes is not None
+
     @property
     def is_resumed(self) -> bool:
         """Return whether the caller already has a part of the answer."""
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -27,11 +27,13 @@
     CandidateRow,
     Gossip,
     from_candidate_row,
+    from_suspect_row,
     make_digest,
     pack_ip,
     to_candidate_row,
     to_heartbeat_row,
     to_member_row,
+    to_suspect_row,
     to_upstream_row,
     unpack_ip,
 )
@@ -219,8 +221,10 @@
             self._apply_spending(spending, now_s)
         if now_s - self._started_s < PEER_TERM_S:
             self._quota.adopt_levels(gossip.levels, now_s)
-        for suspect, crash in gossip.crashes:
-            self._suspects.record_crash(suspect, crash, now_s)
+        for row in gossip.suspects:
+            self._suspects.apply_report(from_suspect_row(row), now_s)
+        for suspect, age_ms in gossip.sound_requests:
+            self._suspects.record_answer(suspect, now_s, age_ms / 1000)
         for key, crash in gossip.segment_crashes:
             self._suspects.segments.record_crash([key], crash, now_s)
         self._suspects.segments.record_disproved(gossip.sound_segments, now_s)
@@ -329,6 +333,7 @@
                 members.append(to_member_row(row))
             else:
                 beats.append(to_heartbeat_row(row))
+        suspects = self._suspects.list_reports(now_s)
         crashes_since_s = now_s - CRASH_REPORT_S
         fields.setdefault(
             "segment_crashes", self._suspects.segments.list_crashes(crashes_since_s)
@@ -341,7 +346,11 @@
             evacuation_revision=self._values.evacuation_revision,
             spent_names=names,
             spent=spent,
-            crashes=self._suspects.list_recent(crashes_since_s),
+            suspects=[to_suspect_row(each) for each in suspects],
+            sound_requests=[
+                (suspect, round(age_s * 1000))
+                for suspect, age_s in self._suspects.list_disproved(now_s)
+            ],
             sound_segments=self._suspects.segments.list_disproved(crashes_since_s),
             replaced=self._upstreams.list_replaced(now_s),
             **fields,
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -9,6 +9,7 @@
 import cbor2
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from banyanseam.entry.crash_suspects import SuspectReport
 from banyanseam.entry.members import Member, make_incarnation_tag
 from banyanseam.entry.models import Upstream, UpstreamState
 from banyanseam.entry.placing import Candidate
@@ -29,6 +30,12 @@
 CandidateRow = tuple[str, int, int, int, int, int, int, bool]
 # Requests, prefill time, reserved memory tokens, prefill time of waiting prompts.
 LoadRow = tuple[int, int, int, int]
+Milliseconds = Annotated[int, Field(ge=0)]
+# A suspected request by fingerprint: ages of the last evidence and of the last trial,
+# and the crashes with their ages.
+SuspectRow = tuple[
+    int, Milliseconds, Milliseconds | None, list[tuple[str, Milliseconds]]
+]
 # Loads by tag of the upstream.
 LoadTable = dict[int, LoadRow]
 
@@ -64,9 +71,11 @@
     spent: list[SpentRow] = Field(default_factory=list)
     # Levels of the sender's quota buckets, for processes that have just started.
     levels: dict[str, float] = Field(default_factory=dict)
-    # Recent crashes: a request that was running, by fingerprint, and the crash.
-    crashes: list[tuple[int, str]] = Field(default_factory=list)
-    # The same for prompt segments by hash, and suspected ones that are proved sound.
+    # Requests that were running when upstreams crashed, and suspected ones by
+    # fingerprint that were answered in full, with the age of the answer.
+    suspects: list[SuspectRow] = Field(default_factory=list)
+    sound_requests: list[tuple[int, Milliseconds]] = Field(default_factory=list)
+    # Crashes of prompt segments by hash, and suspected ones that are proved sound.
     segment_crashes: list[tuple[int, str]] = Field(default_factory=list)
     sound_segments: list[int] = Field(default_factory=list)
     # Incarnations of upstreams, by id and start in ms, whose address another one has.
@@ -179,6 +188,28 @@
     return crc32(cbor2.dumps(registrations))
 
 
+def to_suspect_row(report: SuspectReport) -> SuspectRow:
+    """Return the row of a suspected request."""
+    tried_age_s = report.tried_age_s
+    return (
+        report.suspect,
+        round(report.seen_age_s * 1000),
+        None if tried_age_s is None else round(tried_age_s * 1000),
+        [(crash, round(age_s * 1000)) for crash, age_s in report.crash_ages_s],
+    )
+
+
+def from_suspect_row(row: SuspectRow) -> SuspectReport:
+    """Return the suspected request of a row."""
+    suspect, seen_age_ms, tried_age_ms, crash_ages_ms = row
+    return SuspectReport(
+        suspect,
+        seen_age_ms / 1000,
+        None if tried_age_ms is None else tried_age_ms / 1000,
+        tuple((crash, age_ms / 1000) for crash, age_ms in crash_ages_ms),
+    )
+
+
 def to_candidate_row(candidate: Candidate) -> CandidateRow:
     """Return the row of a candidate: its fields in order, without the region."""
     return (
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -236,6 +236,8 @@
     config_version: int
     # Digest of the caller's key; None without a key or from an older release.
     key_digest: bytes | None
+    # Whether the sender tries a request that may crash upstreams.
+    is_trial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/banyanseam/entry/peer_headers.py
+++ b/banyanseam/entry/peer_headers.py
@@ -17,6 +17,7 @@
 ATTEMPTS: Final = b"x-banyanseam-attempts"
 CONFIG_VERSION: Final = b"x-banyanseam-config-version"
 KEY_DIGEST: Final = b"x-banyanseam-key-digest"
+TRIAL: Final = b"x-banyanseam-trial"
 FAILURE: Final = b"x-banyanseam-failure"
 SENDS: Final = b"x-banyanseam-sends"
 PREFIX: Final = b"x-banyanseam-"
@@ -31,6 +32,8 @@
         (ATTEMPTS, str(exchange.attempts_left).encode()),
         (CONFIG_VERSION, str(exchange.catalogue.version).encode()),
     ]
+    if exchange.is_trial:
+        headers.append((TRIAL, b"1"))
     if exchange.organisation is not None:
         headers.append((ORGANISATION, exchange.organisation.name.encode()))
         if exchange.head.key_digest is not None:
@@ -54,6 +57,7 @@
         max_attempts=int(attempts),
         config_version=int(version) if version.isdigit() else 0,
         key_digest=_read_hex(by_name.get(KEY_DIGEST)),
+        is_trial=TRIAL in by_name,
     )
 
 
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -25,6 +25,7 @@
 from banyanseam.entry.crash_suspects import CrashSuspects, make_crash_tag
 from banyanseam.entry.errors import (
     ConnectionBroken,
+    CrashSuspected,
     EntryLeaving,
     PeerUntrusted,
     SlowerThanOthers,
@@ -55,6 +56,7 @@
     CRASH_RECORDED,
     REQUEST_FORWARDED,
     SEND_FAILED,
+    SUSPECT_TRIED,
     UPSTREAM_LIMIT_CHANGED,
     log,
 )
@@ -125,7 +127,8 @@
                 # The failed attempt explains more than the lack of another upstream.
                 raise failure or error from error
             # It may have become a suspect while it waited or was tried.
-            refuse_suspect(self.suspects, exchange, anyio.current_time())
+            if refuse_suspect(self.suspects, exchange, anyio.current_time()):
+                await self._begin_trial(exchange)
             try:
                 await self._attempt(exchange, placement)
             except BanyanseamError as error:
@@ -136,6 +139,18 @@
             else:
                 return
 
+    async def _begin_trial(self, exchange: Exchange) -> None:
+        exchange.trial_crashes = self.suspects.count(exchange.fingerprint)
+        self.suspects.record_trial(exchange.fingerprint, anyio.current_time())
+        log(
+            SUSPECT_TRIED,
+            request_id=exchange.head.request_id,
+            fingerprint=f"{exchange.fingerprint:016x}",
+            crashes=exchange.trial_crashes,
+        )
+        # Other VMs that have the same request must not try it too.
+        await self.announce()
+
     async def _attempt(self, exchange: Exchange, placement: Placement) -> None:
         if placement.candidate.region != self.members.me.region:
             await self._forward_to_region(exchange, placement)
@@ -247,13 +262,13 @@
             await relay_answer(exchange, answer, incoming, progress, self.answer_budget)
             # Nothing is awaited in between: callers that have the whole answer
             # disconnect, which cancels this task.
-            self.suspects.clear(exchange.fingerprint)
+            now_s = anyio.current_time()
+            if not answer.is_surely_not_run:
+                self.suspects.record_answer(exchange.fingerprint, now_s)
             if listed is not None:
                 self.upstreams.record_success(listed)
             if answer.status == 200:
-                self.suspects.segments.record_answer(
-                    exchange.segment_keys, anyio.current_time()
-                )
+                self.suspects.segments.record_answer(exchange.segment_keys, now_s)
 
         relaying = relay()
         if not exchange.route.is_resumable or exchange.forwarding is not None:
@@ -371,7 +386,8 @@
         if exchange.fingerprint:
             self.suspects.record_crash(exchange.fingerprint, crash, now_s)
         segments = []
-        if exchange.events_of_send <= MAX_EVENTS_BEFORE_CRASH:
+        # A trial tests the whole request; others may share its segments.
+        if exchange.events_of_send <= MAX_EVENTS_BEFORE_CRASH and not exchange.is_trial:
             segments = exchange.segment_keys
             self.suspects.segments.record_crash(segments, crash, now_s)
         log(
@@ -392,6 +408,10 @@
         if isinstance(error, ForwardFailed) and error.status < MIN_SERVER_ERROR_STATUS:
             # The peer's configuration is newer and does not allow the request.
             return False
+        if exchange.is_trial and error.code == ConnectionBroken.code:
+            return False
+        if error.code == CrashSuspected.code:
+            return False
         if isinstance(error, SlowerThanOthers):
             # The retry budget was charged before the upstream was given up.
             return True
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -40,6 +40,9 @@
 REQUEST_FORWARDED: Final = Event(
     3012, "INFO", "A request is forwarded to a VM of another region"
 )
+SUSPECT_TRIED: Final = Event(
+    3014, "WARNING", "A request that may crash upstreams is tried once more"
+)
 CRASH_RECORDED: Final = Event(
     3013, "WARNING", "An upstream's connection broke while it ran a request"
 )
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -6,9 +6,10 @@
 
 import json
 import math
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import ExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any
 from unittest import mock
 
@@ -19,7 +20,12 @@
 from banyanseam.entry.errors import ConnectionBroken, SlowerThanOthers
 from banyanseam.entry.frontend import make_callers_app, make_peers_app
 from banyanseam.entry.main import make_entry
-from banyanseam.entry.messages import ValuesMessage, decode_gossip, encode_gossip
+from banyanseam.entry.messages import (
+    Gossip,
+    ValuesMessage,
+    decode_gossip,
+    encode_gossip,
+)
 from banyanseam.entry.models import Upstream
 from banyanseam.entry.sending import IncomingAnswer, OutgoingRequest
 from banyanseam.observe.events import INTERNAL_FAILURE, Event
@@ -111,6 +117,8 @@
     # Requests a second that upstreams name as their limit, by id.
     limits_per_s: dict[str, float] = field(default_factory=dict)
     is_partitioned: bool = False
+    # VMs that no other VM reaches.
+    cut_off: set[str] = field(default_factory=set)
     revision: int = 1
     # Unexpected exceptions in the daemons.
     internal_failures: list[str] = field(default_factory=list)
@@ -140,8 +148,22 @@
         )
         entry = make_entry(settings, None, lambda: settings)
         entry.lifecycle.begin_serving()
+        entry.gossip._send = partial(self._deliver, ip)
         self.entries[ip] = entry
 
+    def restart_vm(self, ip: str) -> None:
+        """Restart a VM, which gets the full state of a peer before it serves."""
+        self.start_vm(ip, self.entries[ip].settings.region)
+        self.publish()
+        entry = self.entries[ip]
+        peer = next(
+            each for each in self.entries if self._can_reach(ip, each) and each != ip
+        )
+        hello = entry.gossip._compose_hello()
+        reply = self.entries[peer].gossip._handle_heartbeat(hello)
+        entry.gossip._handle_heartbeat(reply)
+        self.gossip()
+
     def replace_upstreams(self, number: int) -> None:
         """Let all upstreams be new incarnations, with new ids."""
         for name, upstream in self.upstreams.items():
@@ -390,12 +412,23 @@
             connection.mark_lost()
             received.close()
 
+    async def _deliver(
+        self, sender_ip: str, ips: Iterable[str], gossip: Gossip
+    ) -> None:
+        """Replace the sending of heartbeats: deliver one at once to each address."""
+        data = encode_gossip(gossip)
+        for ip in ips:
+            if self._can_reach(sender_ip, ip):
+                self.entries[ip].gossip._handle_heartbeat(decode_gossip(data))
+
     def log(self, event: Event, **fields: Any) -> None:
         """Replace `log` of the request applications."""
         if event is INTERNAL_FAILURE:
             self.internal_failures.append(fields["error"])
 
     def _can_reach(self, ip: str, other_ip: str) -> bool:
+        if self.cut_off & {ip, other_ip}:
+            return False
         regions = {self.entries[each].settings.region for each in (ip, other_ip)}
         return not self.is_partitioned or len(regions) == 1
 
