Remember a request that crashes upstreams for as long as it comes

Cause: a record ended 60 s after the last crash, however often the refused request still came. Repeated each 7.2 s it ran again after each 65 s (5 of 30 in the trial); each 60 s it was never held. Change: a refusal, here or at a peer, counts as evidence too; a record ends 600 s after the last, as that of a segment does.

--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -104,6 +104,7 @@
     is_peers_trial = exchange.is_trial and exchange.trial_crashes is None
     if wait_s == 0 or is_peers_trial:
         return True
+    suspects.record_refusal(exchange.fingerprint, now_s)
     raise CrashSuspected(
         f"fingerprint {exchange.fingerprint:016x}",
         retry_after_ms=choose_retry_after_ms(wait_s * 1000, exchange.left_ms(now_s)),
--- a/banyanseam/entry/crash_suspects.py
+++ b/banyanseam/entry/crash_suspects.py
@@ -14,13 +14,13 @@
 import xxhash
 
 from banyanseam.entry.const import (
-    CRASH_MEMORY_S,
     CRASH_REPORT_S,
     CRASHES_TO_REFUSE,
     CRASHES_TO_REFUSE_ANSWERED,
     MAX_CRASH_RECORDS,
     MAX_REPORTED_SUSPECTS,
     MAX_SOUND_REQUESTS,
+    REFUSAL_MEMORY_S,
     SOUND_MEMORY_S,
     TRIAL_PAUSES_S,
     TRIAL_REGION_STEP_S,
@@ -85,7 +85,7 @@
 class _Suspicion:
     """Crashes of upstreams while a request was running there, with their times."""
 
-    # When the request last crashed an upstream or was tried, at any VM.
+    # When the request last crashed an upstream, was tried or was refused, at any VM.
     seen_s: float
     tried_s: float = -math.inf
     crashes: dict[str, float] = field(default_factory=dict)
@@ -183,6 +183,12 @@
         if suspicion is not None:
             suspicion.tried_s = suspicion.seen_s = now_s
 
+    def record_refusal(self, suspect: int, now_s: float) -> None:
+        """Record that the request still comes, and so must be remembered."""
+        suspicion = self._suspicions.get(suspect)
+        if suspicion is not None:
+            suspicion.seen_s = now_s
+
     def count(self, suspect: int) -> int:
         """Return the number of known crashes while the request was running."""
         suspicion = self._suspicions.get(suspect)
@@ -256,5 +262,5 @@
 
     def _drop_expired(self, suspect: int, now_s: float) -> None:
         suspicion = self._suspicions.get(suspect)
-        if suspicion is not None and now_s - suspicion.seen_s > CRASH_MEMORY_S:
+        if suspicion is not None and now_s - suspicion.seen_s > REFUSAL_MEMORY_S:
             del self._suspicions[suspect]
--- a/tests/entry/test_crashing_request.py
+++ b/tests/entry/test_crashing_request.py
@@ -16,6 +16,7 @@
 # The operators allow three more runs later than this after the third crash.
 CONTACT_S = 5.0
 MAX_LATE_RUNS = 3
+HEARTBEAT_S = 0.6
 # How long sound requests may be refused after the last crash that they ran beside.
 SOON_S = 6.0
 WITHOUT_BODY = ("GET", "/read/x", b"")
@@ -30,7 +31,10 @@
     pause_s: float = 0.6,
     disturb: Disturb = lambda *_: None,
 ) -> Simulation:
-    """Send a deadly request again and again; `disturb` is called before each."""
+    """Send a deadly request again and again; `disturb` is called before each.
+
+    Heartbeats go on between the arrivals.
+    """
     method, path, body = request
     async with start_simulation() as simulation:
         for number in range(1, arrivals + 1):
@@ -40,7 +44,9 @@
             vm = VMS[number % len(VMS)]
             crash = ["no answer"] * 3
             simulation.ask(vm, path, crash, [], method=method, body=body)
-            await anyio.sleep(pause_s)
+            for _ in range(round(pause_s / HEARTBEAT_S)):
+                await anyio.sleep(HEARTBEAT_S)
+                simulation.gossip()
     return simulation
 
 
@@ -54,7 +60,7 @@
             faults = ["no answer"] * 2 if number % 6 == 0 else []
             vm = VMS[number % len(VMS)]
             simulation.ask(vm, path, faults, [], method=method, body=body)
-            await anyio.sleep(0.6)
+            await anyio.sleep(HEARTBEAT_S)
     return simulation
 
 
@@ -91,6 +97,13 @@
     def test_a_crashing_request_without_a_body_stops_reaching_upstreams(self):
         self.check(run_with_mock_clock(repeat_deadly, WITHOUT_BODY))
 
+    def test_a_request_that_comes_rarely_is_remembered_while_it_comes(self):
+        for pause_s, arrivals in ((7.2, 30), (60.0, 6), (300.0, 5)):
+            with self.subTest(pause_s=pause_s):
+                self.check(
+                    run_with_mock_clock(repeat_deadly, WITH_BODY, arrivals, pause_s)
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
