Let VMs that start or return know the requests that crash upstreams

Cause: heartbeats named the crashes of requests for 5 s, and so did the full state that a starting VM asks for, while those of segments were named whole. A VM that started, or was cut off or suspended for longer, ran the request twice more. Change: the full state holds all suspects, and each heartbeat one of those that are refused, with the ages of their crashes, so that all VMs forget them at the same time and reports do not keep one another alive.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -225,6 +225,8 @@
 MAX_SOUND_REQUESTS: Final = 4096
 # Suspected and sound requests that a heartbeat reports: as many as one engine runs.
 MAX_REPORTED_SUSPECTS: Final = 64
+# The full state of the largest fleet must still fit into one datagram.
+MAX_SUSPECTS_IN_FULL_STATE: Final = 128
 # A prompt segment is refused after this many crashes of engines that were about to
 # answer with it, for as long as requests with it come and a while after the last one.
 # Source of the limit of five: the operators' rules.
--- a/banyanseam/entry/crash_suspects.py
+++ b/banyanseam/entry/crash_suspects.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import random
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -20,6 +21,7 @@
     MAX_CRASH_RECORDS,
     MAX_REPORTED_SUSPECTS,
     MAX_SOUND_REQUESTS,
+    MAX_SUSPECTS_IN_FULL_STATE,
     REFUSAL_MEMORY_S,
     SOUND_MEMORY_S,
     TRIAL_PAUSES_S,
@@ -195,13 +197,31 @@
         return 0 if suspicion is None else len(suspicion.crashes)
 
     def list_reports(self, now_s: float) -> list[SuspectReport]:
-        """Return the suspects with recent evidence, the most crashes first."""
-        recent = [
+        """Return the suspects with recent evidence, the most crashes first.
+
+        One of the others that are refused follows, for VMs that were cut off or
+        suspended while their crashes were recent.
+        """
+        recent, others = [], []
+        for suspect, each in self._suspicions.items():
+            age_s = now_s - each.seen_s
+            if age_s <= CRASH_REPORT_S:
+                recent.append(suspect)
+            elif each.is_certain and age_s <= REFUSAL_MEMORY_S:
+                others.append(suspect)
+        reports = self._make_reports(recent, now_s, MAX_REPORTED_SUSPECTS)
+        if others:
+            reports += self._make_reports([random.choice(others)], now_s, 1)
+        return reports
+
+    def list_all_reports(self, now_s: float) -> list[SuspectReport]:
+        """Return all suspects for a VM that has just started, the worst first."""
+        known = [
             suspect
             for suspect, each in self._suspicions.items()
-            if now_s - each.seen_s <= CRASH_REPORT_S
+            if now_s - each.seen_s <= REFUSAL_MEMORY_S
         ]
-        return self._make_reports(recent, now_s)
+        return self._make_reports(known, now_s, MAX_SUSPECTS_IN_FULL_STATE)
 
     def apply_report(self, report: SuspectReport, now_s: float) -> None:
         """Add a peer's evidence against a request."""
@@ -227,7 +247,7 @@
         ]
 
     def _make_reports(
-        self, suspects: Iterable[int], now_s: float
+        self, suspects: Iterable[int], now_s: float, limit: int
     ) -> list[SuspectReport]:
         found = [(each, self._suspicions[each]) for each in suspects]
         found.sort(key=lambda item: (-len(item[1].crashes), -item[1].seen_s))
@@ -238,7 +258,7 @@
                 None if each.tried_s == -math.inf else now_s - each.tried_s,
                 tuple((crash, now_s - at_s) for crash, at_s in each.crashes.items()),
             )
-            for suspect, each in found[:MAX_REPORTED_SUSPECTS]
+            for suspect, each in found[:limit]
         ]
 
     def _list_unexplained(self, suspicion: _Suspicion) -> set[str]:
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -21,11 +21,12 @@
     REGION_RECENT_SPENDING_S,
     REPAIR_ROW_AGE_S,
 )
-from banyanseam.entry.crash_suspects import CrashSuspects
+from banyanseam.entry.crash_suspects import CrashSuspects, SuspectReport
 from banyanseam.entry.members import Member, Members, make_incarnation_tag
 from banyanseam.entry.messages import (
     CandidateRow,
     Gossip,
+    SuspectRow,
     from_candidate_row,
     from_suspect_row,
     make_digest,
@@ -166,6 +167,7 @@
             region_parts=self._loads.list_region_segments(),
             candidates=_to_rows(self.list_candidates()),
             levels=self._quota.list_levels(),
+            suspects=_to_suspect_rows(self._suspects.list_all_reports(now_s)),
             segment_crashes=self._suspects.segments.list_crashes(-math.inf),
         )
 
@@ -333,7 +335,9 @@
                 members.append(to_member_row(row))
             else:
                 beats.append(to_heartbeat_row(row))
-        suspects = self._suspects.list_reports(now_s)
+        fields.setdefault(
+            "suspects", _to_suspect_rows(self._suspects.list_reports(now_s))
+        )
         crashes_since_s = now_s - CRASH_REPORT_S
         fields.setdefault(
             "segment_crashes", self._suspects.segments.list_crashes(crashes_since_s)
@@ -346,7 +350,6 @@
             evacuation_revision=self._values.evacuation_revision,
             spent_names=names,
             spent=spent,
-            suspects=[to_suspect_row(each) for each in suspects],
             sound_requests=[
                 (suspect, round(age_s * 1000))
                 for suspect, age_s in self._suspects.list_disproved(now_s)
@@ -357,6 +360,10 @@
         )
 
 
+def _to_suspect_rows(reports: list[SuspectReport]) -> list[SuspectRow]:
+    return [to_suspect_row(each) for each in reports]
+
+
 def _to_rows(candidates: dict[str, list[Candidate]]) -> dict[str, list[CandidateRow]]:
     return {
         service: [to_candidate_row(each) for each in found]
--- a/tests/entry/test_crash_suspects.py
+++ b/tests/entry/test_crash_suspects.py
@@ -6,6 +6,7 @@
     CRASHES_TO_REFUSE_ANSWERED,
     MAX_CRASH_RECORDS,
     MAX_REPORTED_SUSPECTS,
+    REFUSAL_MEMORY_S,
     TRIAL_PAUSES_S,
     TRIAL_REGION_STEP_S,
     TRIAL_SPREAD_S,
@@ -134,6 +135,29 @@
         self.assertEqual(one.list_disproved(11.0 + 2 * CRASH_REPORT_S), [])
         self.assertEqual(other.list_disproved(11.0 + 2 * CRASH_REPORT_S), [])
 
+    def test_a_refused_request_is_forgotten_at_the_same_time_everywhere(self):
+        one, other = CrashSuspects(), CrashSuspects()
+        for crash in ("e1", "e2"):
+            one.record_crash(1, crash, 0.0)
+        one.record_refusal(1, 5.0)
+        step_s = REFUSAL_MEMORY_S / 100
+        for step in range(120):
+            now_s = 5.0 + step * step_s
+            exchange_reports(one, other, now_s)
+            for each in (one, other):
+                is_known = each.find_wait_s(1, now_s) is not None
+                self.assertEqual(is_known, now_s - 5.0 <= REFUSAL_MEMORY_S)
+
+    def test_a_vm_that_starts_learns_of_all_suspects(self):
+        one, other = CrashSuspects(), CrashSuspects()
+        one.record_crash(1, "e1", 0.0)
+        for crash in ("e1", "e2"):
+            one.record_crash(2, crash, 0.0)
+        for report in one.list_all_reports(300.0):
+            other.apply_report(report, 300.0)
+        self.assertEqual([other.count(1), other.count(2)], [1, 2])
+        self.assertEqual(other.find_wait_s(2, 300.0), one.find_wait_s(2, 300.0))
+
     def test_a_successful_request_is_cleared(self):
         suspects = CrashSuspects()
         suspects.record_crash(1, "e1", 0.0)
--- a/tests/entry/test_crashing_request.py
+++ b/tests/entry/test_crashing_request.py
@@ -97,6 +97,53 @@
     def test_a_crashing_request_without_a_body_stops_reaching_upstreams(self):
         self.check(run_with_mock_clock(repeat_deadly, WITHOUT_BODY))
 
+    def test_vms_that_start_anew_know_the_request(self):
+        def restart(simulation: Simulation, number: int) -> None:
+            if number % 4 == 0:
+                simulation.restart_vm(VMS[number // 4 % len(VMS)])
+
+        for pause_s in (0.6, 7.2):
+            with self.subTest(pause_s=pause_s):
+                self.check(
+                    run_with_mock_clock(repeat_deadly, WITH_BODY, 60, pause_s, restart)
+                )
+
+    def test_vms_that_were_cut_off_know_the_request(self):
+        # The VM is back after the others have stopped to report the crashes as new.
+        last_crash, back, first_arrival = 5, 20, 22
+
+        async def scenario() -> Simulation:
+            async with start_simulation() as simulation:
+                simulation.cut_off = {VMS[0]}
+                for number in range(1, 60):
+                    simulation.replace_upstreams(number)
+                    if number == back:
+                        simulation.cut_off = set()
+                    simulation.gossip()
+                    if number <= last_crash or number >= first_arrival:
+                        vm = VMS[0] if number >= back else VMS[1 + number % 3]
+                        crash = ["no answer"] * 3
+                        simulation.ask(vm, "/read/x", crash, [], body=b"body")
+                    await anyio.sleep(HEARTBEAT_S)
+            return simulation
+
+        simulation = run_with_mock_clock(scenario)
+        self.check(simulation)
+        # Later ones are trials.
+        arrival_s = (first_arrival - 1.5) * HEARTBEAT_S
+        at_arrival = [
+            at_s
+            for at_s in list_run_times(simulation)
+            if arrival_s <= at_s < arrival_s + 3 * HEARTBEAT_S
+        ]
+        self.assertLessEqual(len(at_arrival), 1)
+
+    def test_regions_that_were_cut_from_one_another_know_the_request(self):
+        def cut(simulation: Simulation, number: int) -> None:
+            simulation.is_partitioned = 5 <= number < 25
+
+        self.check(run_with_mock_clock(repeat_deadly, WITH_BODY, 120, 0.6, cut))
+
     def test_a_request_that_comes_rarely_is_remembered_while_it_comes(self):
         for pause_s, arrivals in ((7.2, 30), (60.0, 6), (300.0, 5)):
             with self.subTest(pause_s=pause_s):
