Count crashes of requests without a body or an organisation too

Cause: admit gave a fingerprint only to requests with a body and an organisation. A read without a body, and any request of a public route, was never counted and never refused. Change: each request has a fingerprint, of organisation, host, method, target and body. Organisations and hosts with the same target are told apart, so that one's answers prove nothing for the other.

--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -4,11 +4,12 @@
 from typing import Final
 
 import anyio
+import xxhash
 
 from banyanseam.config.errors import NotReady
 from banyanseam.entry.choosing import choose_retry_after_ms
 from banyanseam.entry.const import MIN_RETRY_AFTER_MS
-from banyanseam.entry.crash_suspects import CrashSuspects, fingerprint
+from banyanseam.entry.crash_suspects import CrashSuspects, make_fingerprint
 from banyanseam.entry.errors import CrashSuspected
 from banyanseam.entry.exchange import Exchange, Reply
 from banyanseam.entry.models import (
@@ -75,12 +76,11 @@
         service=_choose_service(route, head.request_id),
         reply=reply,
         forwarding=forwarding,
+        fingerprint=make_fingerprint(
+            None if organisation is None else organisation.name, head, body
+        ),
         segment_keys=make_segment_keys(head.prompt),
     )
-    if organisation is not None and body:
-        exchange.fingerprint = fingerprint(
-            organisation.name, head.method, head.target, body
-        )
     refuse_suspect(admission.suspects, exchange, now_s)
     if forwarding is None and organisation is not None:
         _charge(admission, exchange, organisation, now_s)
@@ -149,7 +149,8 @@
     if len(route.services) == 1:
         return route.services[0][0]
     total = sum(weight for _, weight in route.services)
-    point = fingerprint(route.name, "", request_id.encode(), b"") / 2**64 * total
+    key = f"{route.name}\0\0{request_id}\0"
+    point = xxhash.xxh3_64_intdigest(key.encode()) / 2**64 * total
     for service, weight in route.services:
         point -= weight
         if point < 0:
--- a/banyanseam/entry/crash_suspects.py
+++ b/banyanseam/entry/crash_suspects.py
@@ -28,7 +28,7 @@
     TRIAL_REGION_STEP_S,
     TRIAL_SPREAD_S,
 )
-from banyanseam.entry.models import Upstream
+from banyanseam.entry.models import RequestHead, Upstream
 from banyanseam.entry.segment_suspects import SegmentSuspects
 
 # Returns how much later than the first VM this one may try a request, by the request's
@@ -41,11 +41,15 @@
     return f"{crc32(f'{upstream.upstream_id}@{upstream.started_ms}'.encode()):08x}"
 
 
-def fingerprint(organisation: str, method: str, target: bytes, body: bytes) -> int:
-    """Return a hash of a request's content, which repeats of the request share."""
-    digest = xxhash.xxh3_64(organisation.encode())
-    digest.update(b"\0" + method.encode() + b"\0" + target + b"\0")
-    digest.update(body)
+def make_fingerprint(organisation: str | None, head: RequestHead, body: bytes) -> int:
+    """Return a hash of a request's content, which repeats of the request share.
+
+    Reads without a body have one too. Another organisation's request is another
+    request, also with the same target; those of a public route are not told apart.
+    """
+    digest = xxhash.xxh3_64((organisation or "").encode())
+    for part in (head.host.encode(), head.method.encode(), head.target, body):
+        digest.update(b"\0" + part)
     return digest.intdigest()
 
 
--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -72,7 +72,7 @@
     forwarding: Forwarding | None = None
     # Charged to the organisation's quota; refunded if the request has not run.
     cost: float = 0.0
-    # Fingerprint that identifies the request in crash records; 0 if it has none.
+    # Identifies the request and its repeats in crash records.
     fingerprint: int = 0
     # Number of crashes with which a trial of the suspected request began.
     trial_crashes: int | None = None
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -383,8 +383,7 @@
 
     def _record_crash(self, exchange: Exchange, crash: str) -> None:
         now_s = anyio.current_time()
-        if exchange.fingerprint:
-            self.suspects.record_crash(exchange.fingerprint, crash, now_s)
+        self.suspects.record_crash(exchange.fingerprint, crash, now_s)
         segments = []
         # A trial tests the whole request; others may share its segments.
         if exchange.events_of_send <= MAX_EVENTS_BEFORE_CRASH and not exchange.is_trial:
--- a/tests/entry/test_crash_suspects.py
+++ b/tests/entry/test_crash_suspects.py
@@ -13,13 +13,22 @@
 )
 from banyanseam.entry.crash_suspects import (
     CrashSuspects,
-    fingerprint,
     make_choose_trial_delay,
+    make_fingerprint,
 )
+from banyanseam.entry.models import RequestHead
 
 REGIONS = ("gulf", "piedmont", "delta")
 
 
+def digest(
+    organisation: str | None, host: str, method: str, target: bytes, body: bytes
+) -> int:
+    """Return the fingerprint of a request."""
+    head = RequestHead("r1", method, host, "/a", target, None, None, None, None)
+    return make_fingerprint(organisation, head, body)
+
+
 def exchange_reports(one: CrashSuspects, other: CrashSuspects, now_s: float) -> None:
     """Let each of two VMs apply what the other reports."""
     for source, target in ((one, other), (other, one)):
@@ -180,10 +189,14 @@
         self.assertEqual(reports[0].suspect, -1)
 
     def test_a_fingerprint_tells_requests_apart(self):
-        one = fingerprint("acme", "POST", b"/a", b"x")
-        self.assertEqual(one, fingerprint("acme", "POST", b"/a", b"x"))
-        self.assertNotEqual(one, fingerprint("other", "POST", b"/a", b"x"))
-        self.assertNotEqual(one, fingerprint("acme", "POST", b"/a", b"y"))
+        base = ("acme", "a.example", "GET", b"/a", b"")
+        for place, other in enumerate(("other", "b.example", "POST", b"/b", b"x")):
+            changed = (*base[:place], other, *base[place + 1 :])
+            with self.subTest(changed=changed):
+                self.assertNotEqual(digest(*base), digest(*changed))
+        self.assertEqual(digest(*base), digest(*base))
+        self.assertNotEqual(digest(*base), digest(None, *base[1:]))
+        self.assertNotEqual(digest(*base), 0)
 
 
 if __name__ == "__main__":
--- a/tests/entry/test_crashing_request.py
+++ b/tests/entry/test_crashing_request.py
@@ -20,6 +20,7 @@
 # How long sound requests may be refused after the last crash that they ran beside.
 SOON_S = 6.0
 WITHOUT_BODY = ("GET", "/read/x", b"")
+ON_A_PUBLIC_ROUTE = ("GET", "/open/x", b"")
 WITH_BODY = ("POST", "/read/x", b"body")
 
 Disturb = Callable[[Simulation, int], None]
@@ -97,6 +98,9 @@
     def test_a_crashing_request_without_a_body_stops_reaching_upstreams(self):
         self.check(run_with_mock_clock(repeat_deadly, WITHOUT_BODY))
 
+    def test_a_crashing_request_of_a_public_route_stops_reaching_upstreams(self):
+        self.check(run_with_mock_clock(repeat_deadly, ON_A_PUBLIC_ROUTE))
+
     def test_vms_that_start_anew_know_the_request(self):
         def restart(simulation: Simulation, number: int) -> None:
             if number % 4 == 0:
