Make two or three trials of a refused request, however it came to be refused

A hot read that several VMs run at the same time may meet more than four crashes at once, which left it without any trial: the number of crashes decided how many trials were made, not the trials themselves. Trials are now counted and shared. The second comes after 5 s instead of 20, so that a read is served again within 10 s after a storm of crashes; one fewer is made if three crashes came without any, since the operators count from the third. A request that was ever answered in full is tried once a minute after that, and not refused for good. An upstream's server error is no longer taken for a proof that the request is sound, since a failing upstream may send it without running the request.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -216,9 +216,11 @@
 # of another cause.
 CRASHES_TO_REFUSE_ANSWERED: Final = 4
 # Pauses before the first trial of a refused request, before the second and so on; after
-# the last it is refused for good. Source of the limit of three runs after the third
-# crash: the operators' rules. Parts of a partitioned fleet make trials of their own.
-TRIAL_PAUSES_S: Final = (2.0, 20.0, 120.0)
+# the last it is refused for good, unless it was ever answered in full.
+TRIAL_PAUSES_S: Final = (2.0, 5.0, 60.0)
+# The operators allow three runs after the third crash. Two VMs may make a trial at the
+# same time, so one trial fewer is made if it took no trial to reach the third crash.
+CRASHES_BEFORE_LIMIT: Final = 3
 # Trials become due one region after the other, and within a region spread over this.
 TRIAL_REGION_STEP_S: Final = 2.0
 TRIAL_SPREAD_S: Final = 1.0
--- a/banyanseam/entry/crash_suspects.py
+++ b/banyanseam/entry/crash_suspects.py
@@ -16,6 +16,7 @@
 
 from banyanseam.entry.const import (
     CRASH_REPORT_S,
+    CRASHES_BEFORE_LIMIT,
     CRASHES_TO_REFUSE,
     CRASHES_TO_REFUSE_ANSWERED,
     MAX_CRASH_RECORDS,
@@ -32,7 +33,7 @@
 from banyanseam.entry.segment_suspects import SegmentSuspects
 
 # Returns how much later than the first VM this one may try a request, by the request's
-# fingerprint and its number of crashes.
+# fingerprint and the number of earlier trials.
 ChooseTrialDelay = Callable[[int, int], float]
 
 
@@ -63,9 +64,9 @@
     """
     all_regions = {region, *regions}
 
-    def choose(suspect: int, crashes: int) -> float:
+    def choose(suspect: int, trials: int) -> float:
         def place(name: str) -> int:
-            return xxhash.xxh3_64_intdigest(f"{suspect:x} {crashes} {name}".encode())
+            return xxhash.xxh3_64_intdigest(f"{suspect:x} {trials} {name}".encode())
 
         earlier = sum(1 for each in all_regions if place(each) < place(region))
         return earlier * TRIAL_REGION_STEP_S + place(ip) / 2**64 * TRIAL_SPREAD_S
@@ -83,6 +84,7 @@
 
     suspect: int
     seen_age_s: float
+    trials: int
     tried_age_s: float | None
     crash_ages_s: tuple[tuple[str, float], ...]
 
@@ -94,6 +96,7 @@
     # When the request last crashed an upstream, was tried or was refused, at any VM.
     seen_s: float
     tried_s: float = -math.inf
+    trials: int = 0
     crashes: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -170,24 +173,26 @@
         if suspicion is None or not suspicion.is_certain:
             return None
         crashes = self._list_unexplained(suspicion)
-        failed_trials = len(crashes) - (
-            CRASHES_TO_REFUSE_ANSWERED
-            if self._was_answered(suspect, now_s)
-            else CRASHES_TO_REFUSE
-        )
-        if failed_trials < 0:
+        was_answered = self._was_answered(suspect, now_s)
+        if len(crashes) < (
+            CRASHES_TO_REFUSE_ANSWERED if was_answered else CRASHES_TO_REFUSE
+        ):
             return None
-        if failed_trials >= len(TRIAL_PAUSES_S):
-            return math.inf
+        trials = suspicion.trials
+        if trials >= _count_permitted_trials(len(suspicion.crashes) - trials):
+            if suspect not in self._answered_s:
+                return math.inf
+            trials = len(TRIAL_PAUSES_S) - 1
         last_s = max(suspicion.tried_s, *(suspicion.crashes[each] for each in crashes))
-        delay_s = self._choose_trial_delay(suspect, len(crashes))
-        return max(0.0, last_s + TRIAL_PAUSES_S[failed_trials] + delay_s - now_s)
+        delay_s = self._choose_trial_delay(suspect, suspicion.trials)
+        return max(0.0, last_s + TRIAL_PAUSES_S[trials] + delay_s - now_s)
 
     def record_trial(self, suspect: int, now_s: float) -> None:
         """Record that a suspected request is sent once more."""
         suspicion = self._suspicions.get(suspect)
         if suspicion is not None:
             suspicion.tried_s = suspicion.seen_s = now_s
+            suspicion.trials += 1
 
     def record_refusal(self, suspect: int, now_s: float) -> None:
         """Record that the request still comes, and so must be remembered."""
@@ -235,6 +240,7 @@
         if suspicion is None:
             return
         suspicion.seen_s = max(suspicion.seen_s, now_s - report.seen_age_s)
+        suspicion.trials = max(suspicion.trials, report.trials)
         if report.tried_age_s is not None:
             suspicion.tried_s = max(suspicion.tried_s, now_s - report.tried_age_s)
 
@@ -259,6 +265,7 @@
             SuspectReport(
                 suspect,
                 now_s - each.seen_s,
+                each.trials,
                 None if each.tried_s == -math.inf else now_s - each.tried_s,
                 tuple((crash, now_s - at_s) for crash, at_s in each.crashes.items()),
             )
@@ -288,3 +295,9 @@
         suspicion = self._suspicions.get(suspect)
         if suspicion is not None and now_s - suspicion.seen_s > REFUSAL_MEMORY_S:
             del self._suspicions[suspect]
+
+
+def _count_permitted_trials(crashes_without_trial: int) -> int:
+    if crashes_without_trial < CRASHES_BEFORE_LIMIT:
+        return len(TRIAL_PAUSES_S)
+    return len(TRIAL_PAUSES_S) - 1
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -31,10 +31,10 @@
 # Requests, prefill time, reserved memory tokens, prefill time of waiting prompts.
 LoadRow = tuple[int, int, int, int]
 Milliseconds = Annotated[int, Field(ge=0)]
-# A suspected request by fingerprint: ages of the last evidence and of the last trial,
-# and the crashes with their ages.
+# A suspected request by fingerprint: age of the last evidence, number of trials, age of
+# the last trial, and the crashes with their ages.
 SuspectRow = tuple[
-    int, Milliseconds, Milliseconds | None, list[tuple[str, Milliseconds]]
+    int, Milliseconds, int, Milliseconds | None, list[tuple[str, Milliseconds]]
 ]
 # Loads by tag of the upstream.
 LoadTable = dict[int, LoadRow]
@@ -194,6 +194,7 @@
     return (
         report.suspect,
         round(report.seen_age_s * 1000),
+        report.trials,
         None if tried_age_s is None else round(tried_age_s * 1000),
         [(crash, round(age_s * 1000)) for crash, age_s in report.crash_ages_s],
     )
@@ -201,10 +202,11 @@
 
 def from_suspect_row(row: SuspectRow) -> SuspectReport:
     """Return the suspected request of a row."""
-    suspect, seen_age_ms, tried_age_ms, crash_ages_ms = row
+    suspect, seen_age_ms, trials, tried_age_ms, crash_ages_ms = row
     return SuspectReport(
         suspect,
         seen_age_ms / 1000,
+        trials,
         None if tried_age_ms is None else tried_age_ms / 1000,
         tuple((crash, age_ms / 1000) for crash, age_ms in crash_ages_ms),
     )
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -263,7 +263,8 @@
             # Nothing is awaited in between: callers that have the whole answer
             # disconnect, which cancels this task.
             now_s = anyio.current_time()
-            if not answer.is_surely_not_run:
+            # An upstream that fails may do so without running the request.
+            if answer.status < MIN_SERVER_ERROR_STATUS and not answer.is_surely_not_run:
                 self.suspects.record_answer(exchange.fingerprint, now_s)
             if listed is not None:
                 self.upstreams.record_success(listed)
--- a/tests/entry/test_crash_suspects.py
+++ b/tests/entry/test_crash_suspects.py
@@ -1,3 +1,4 @@
+import math
 import unittest
 
 from banyanseam.entry.const import (
@@ -53,18 +54,40 @@
         for crash in ("e1", "e2"):
             suspects.record_crash(1, crash, 0.0)
         suspects.record_trial(1, 10.0)
-        self.assertEqual(suspects.find_wait_s(1, 10.0), TRIAL_PAUSES_S[0])
+        self.assertEqual(suspects.find_wait_s(1, 10.0), TRIAL_PAUSES_S[1])
 
     def test_trials_that_crash_more_upstreams_come_to_an_end(self):
         suspects = CrashSuspects()
         now_s, crashes = 0.0, 0
         while (wait_s := suspects.find_wait_s(1, now_s)) is None or wait_s < 1e6:
-            now_s += wait_s or 0.0
-            suspects.record_trial(1, now_s)
+            if wait_s is not None:
+                now_s += wait_s
+                suspects.record_trial(1, now_s)
             suspects.record_crash(1, f"e{crashes}", now_s)
             crashes += 1
         self.assertEqual(crashes, CRASHES_TO_REFUSE + len(TRIAL_PAUSES_S))
 
+    def test_at_most_two_trials_follow_three_crashes_at_once(self):
+        suspects = CrashSuspects()
+        for crash in ("e1", "e2", "e3"):
+            suspects.record_crash(1, crash, 0.0)
+        now_s = 0.0
+        for number in range(2):
+            now_s += suspects.find_wait_s(1, now_s)
+            suspects.record_trial(1, now_s)
+            suspects.record_crash(1, f"trial {number}", now_s)
+        self.assertEqual(suspects.find_wait_s(1, now_s), math.inf)
+
+    def test_a_request_that_was_ever_answered_is_tried_again_and_again(self):
+        suspects = CrashSuspects()
+        suspects.record_answer(1, 0.0)
+        now_s = 1.0
+        for number in range(20):
+            now_s += suspects.find_wait_s(1, now_s) or 0.0
+            suspects.record_trial(1, now_s)
+            suspects.record_crash(1, f"e{number}", now_s)
+        self.assertEqual(suspects.find_wait_s(1, now_s), TRIAL_PAUSES_S[-1])
+
     def test_a_whole_answer_ends_the_refusal_at_all_vms(self):
         one, other = CrashSuspects(), CrashSuspects()
         for crash in ("e1", "e2"):
@@ -105,7 +128,7 @@
         one.record_trial(1, 3.0)
         exchange_reports(one, other, 3.5)
         wait_s = other.find_wait_s(1, 3.5)
-        self.assertAlmostEqual(wait_s, TRIAL_PAUSES_S[0] - 0.5, places=2)
+        self.assertAlmostEqual(wait_s, TRIAL_PAUSES_S[1] - 0.5, places=2)
 
     def test_vms_of_different_regions_make_trials_one_region_after_the_other(self):
         delays_s = {
--- a/tests/entry/test_crashing_request.py
+++ b/tests/entry/test_crashing_request.py
@@ -17,8 +17,9 @@
 CONTACT_S = 5.0
 MAX_LATE_RUNS = 3
 HEARTBEAT_S = 0.6
-# How long sound requests may be refused after the last crash that they ran beside.
-SOON_S = 6.0
+# How long sound requests may be refused after the last crash that they ran beside: the
+# operators ask for sound requests to be served again from then on.
+SOON_S = 2 * CONTACT_S
 WITHOUT_BODY = ("GET", "/read/x", b"")
 ON_A_PUBLIC_ROUTE = ("GET", "/open/x", b"")
 WITH_BODY = ("POST", "/read/x", b"body")
@@ -87,6 +88,32 @@
                 self.assertTrue(all(each.sent_s <= SOON_S for each in waiting))
                 self.assertTrue(all(each.status == 503 for each in waiting))
 
+    def test_a_hot_read_is_served_again_at_all_vms_after_a_storm_of_crashes(self):
+        storm_s, arrivals, pause_s = 4.0, 300, 0.1
+
+        async def scenario() -> Simulation:
+            async with start_simulation() as simulation:
+                for number in range(arrivals):
+                    if number % 6 == 0:
+                        simulation.replace_upstreams(number + 1)
+                        simulation.gossip()
+                    is_storm = number * pause_s < storm_s
+                    for vm in VMS:
+                        faults = ["no answer"] * 2 if is_storm else []
+                        simulation.ask(vm, "/read/x", faults, [], method="GET")
+                    await anyio.sleep(pause_s)
+            return simulation
+
+        simulation = run_with_mock_clock(scenario)
+        for vm in VMS:
+            with self.subTest(vm=vm):
+                refused = [
+                    each
+                    for each in simulation.callers
+                    if each.vm == vm and each.status != 200
+                ]
+                self.assertLessEqual(refused[-1].sent_s, storm_s + SOON_S)
+
     def test_a_refusal_says_when_to_return(self):
         simulation = run_with_mock_clock(repeat_deadly, WITH_BODY)
         refused = [each for each in simulation.callers if each.status == 503]
@@ -95,6 +122,21 @@
             self.assertNotIn(each.request_id, simulation.runs)
             self.assertGreater(float(each.headers["retry-after"]), 0)
 
+    def test_failures_of_an_upstream_do_not_prove_a_request_sound(self):
+        faults = ("no answer", "error")
+
+        async def scenario() -> Simulation:
+            async with start_simulation() as simulation:
+                for number in range(40):
+                    simulation.replace_upstreams(number + 1)
+                    simulation.gossip()
+                    fault = faults[number % 2]
+                    simulation.ask(VMS[number % 4], "/read/x", [fault] * 3, [])
+                    await anyio.sleep(HEARTBEAT_S)
+            return simulation
+
+        self.check(run_with_mock_clock(scenario))
+
     def test_a_crashing_request_without_a_body_stops_reaching_upstreams(self):
         self.check(run_with_mock_clock(repeat_deadly, WITHOUT_BODY))
 
