Count crashes that show as silence or as a truncated answer

Cause: only a broken connection counted. Silence alone cannot count, since an upstream that is slow or overloaded shows the same. Change: a run that ends in silence, with its caller or at its deadline, is kept with the upstream for 10 s, and counts once that upstream is no longer listed without having been leaving. An answer that is shorter than announced, or ends inside an event, counts at once; a garbled one of a sound request costs nothing, since the next whole answer ends the suspicion. A trial is one run only: it is neither moved nor retried. Also, in code of this series: a trial that a peer forwards is counted once, and a heartbeat reports at most 16 suspects, others by turns, since 64 would take 72 KB/s for 5 s at a VM with 32 heartbeats a second (calculated). The relay's part moved to crash_watch.py.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -19,6 +19,7 @@
     STOP_MARGIN_S,
 )
 from banyanseam.entry.crash_suspects import CrashSuspects, make_choose_trial_delay
+from banyanseam.entry.crash_watch import CrashWatch
 from banyanseam.entry.directory import choose_entries
 from banyanseam.entry.frontend import (
     CallerFormat,
@@ -130,13 +131,15 @@
             *prefixes,
         )
         memory_bytes = settings.memory_mb * 1024 * 1024
+        crashes = CrashWatch(self.suspects, self.upstreams)
+        self.upstreams.on_lost = crashes.record_lost
         relay = Relay(
             upstream_format,
             self.members,
             self.upstreams,
             self.loads,
             self.retries,
-            self.suspects,
+            crashes,
             PeerReachability(),
             settings.peers_port,
             self.gossip.announce_loads,
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -225,8 +225,8 @@
 TRIAL_REGION_STEP_S: Final = 2.0
 TRIAL_SPREAD_S: Final = 1.0
 MAX_SOUND_REQUESTS: Final = 4096
-# Suspected and sound requests that a heartbeat reports: as many as one engine runs.
-MAX_REPORTED_SUSPECTS: Final = 64
+# Suspected and sound requests that one heartbeat reports; others follow in the next.
+MAX_REPORTED_SUSPECTS: Final = 16
 # The full state of the largest fleet must still fit into one datagram.
 MAX_SUSPECTS_IN_FULL_STATE: Final = 128
 # A prompt segment is refused after this many crashes of engines that were about to
@@ -243,6 +243,10 @@
 MAX_REPORTED_CRASHES: Final = 8
 # An engine that broke off after more events of an answer did not crash because of it.
 MAX_EVENTS_BEFORE_CRASH: Final = 1
+# An upstream that disappears within this time of a run that it did not finish crashed
+# under it: three missed heartbeats of 1.2 s and the readers' delay, with as much again.
+UNFINISHED_MEMORY_S: Final = 10.0
+MAX_UNFINISHED_RUNS: Final = 64
 # How long heartbeats report a crash.
 CRASH_REPORT_S: Final = 5.0
 MAX_CRASH_RECORDS: Final = 1000
--- a/banyanseam/entry/crash_suspects.py
+++ b/banyanseam/entry/crash_suspects.py
@@ -187,11 +187,16 @@
         delay_s = self._choose_trial_delay(suspect, suspicion.trials)
         return max(0.0, last_s + TRIAL_PAUSES_S[trials] + delay_s - now_s)
 
-    def record_trial(self, suspect: int, now_s: float) -> None:
-        """Record that a suspected request is sent once more."""
+    def record_trial(self, suspect: int, now_s: float, *, is_peers: bool) -> None:
+        """Record that a suspected request is sent once more.
+
+        The peer that has forwarded a request for a trial counts it itself.
+        """
         suspicion = self._suspicions.get(suspect)
-        if suspicion is not None:
-            suspicion.tried_s = suspicion.seen_s = now_s
+        if suspicion is None:
+            return
+        suspicion.tried_s = suspicion.seen_s = now_s
+        if not is_peers:
             suspicion.trials += 1
 
     def record_refusal(self, suspect: int, now_s: float) -> None:
@@ -212,11 +217,12 @@
         suspended while their crashes were recent.
         """
         recent, others = [], []
-        for suspect, each in self._suspicions.items():
-            age_s = now_s - each.seen_s
-            if age_s <= CRASH_REPORT_S:
+        for suspect in list(self._suspicions):
+            self._drop_expired(suspect, now_s)
+            each = self._suspicions.get(suspect)
+            if each is not None and now_s - each.seen_s <= CRASH_REPORT_S:
                 recent.append(suspect)
-            elif each.is_certain and age_s <= REFUSAL_MEMORY_S:
+            elif each is not None and each.is_certain:
                 others.append(suspect)
         reports = self._make_reports(recent, now_s, MAX_REPORTED_SUSPECTS)
         if others:
@@ -260,7 +266,9 @@
         self, suspects: Iterable[int], now_s: float, limit: int
     ) -> list[SuspectReport]:
         found = [(each, self._suspicions[each]) for each in suspects]
-        found.sort(key=lambda item: (-len(item[1].crashes), -item[1].seen_s))
+        # Each heartbeat reports others of those with equally many crashes.
+        random.shuffle(found)
+        found.sort(key=lambda item: -len(item[1].crashes))
         return [
             SuspectReport(
                 suspect,
--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -78,6 +78,8 @@
     trial_crashes: int | None = None
     # Hashes of the prompt segments that other requests may share.
     segment_keys: list[int] = field(default_factory=list)
+    # Whether the caller has got the whole answer.
+    is_answered: bool = False
     # Number of events that the last send has brought.
     events_of_send: int = 0
     # Number of sends, and whether the request may have run because of them.
@@ -133,7 +135,8 @@
     @property
     def may_resend(self) -> bool:
         """Return whether the request may be sent again although it may have run."""
-        if not self.route.is_idempotent:
+        # A trial shows by a single run whether the request crashes upstreams.
+        if not self.route.is_idempotent or self.is_trial:
             return False
         if not self.reply.is_started:
             return True
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -18,13 +18,11 @@
 from banyanseam.entry.choosing import Chooser, choose_retry_after_ms
 from banyanseam.entry.const import (
     LONG_PREFILL_MS,
-    MAX_EVENTS_BEFORE_CRASH,
     MIN_RETRY_LEFT_MS,
     ROUND_TRIP_MS,
 )
-from banyanseam.entry.crash_suspects import CrashSuspects, make_crash_tag
+from banyanseam.entry.crash_watch import MIN_SERVER_ERROR_STATUS, CrashWatch
 from banyanseam.entry.errors import (
-    ConnectionBroken,
     CrashSuspected,
     EntryLeaving,
     PeerUntrusted,
@@ -53,10 +51,8 @@
 from banyanseam.entry.upstreams import UpstreamLoads, count_request, mark_prefilled
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.events import (
-    CRASH_RECORDED,
     REQUEST_FORWARDED,
     SEND_FAILED,
-    SUSPECT_TRIED,
     UPSTREAM_LIMIT_CHANGED,
     log,
 )
@@ -68,8 +64,6 @@
     UpstreamUnreachable,
 )
 
-# Refusals with a lower status are final.
-MIN_SERVER_ERROR_STATUS: Final = 500
 # Refusals of a VM itself, which another VM of its region may not share.
 VM_NOT_SERVING_CODES: Final = frozenset(
     {EntryLeaving.code, NotReady.code, PeerUntrusted.code}
@@ -93,7 +87,7 @@
     upstreams: UpstreamList
     loads: UpstreamLoads
     retries: RetryBudget
-    suspects: CrashSuspects
+    crashes: CrashWatch
     reachability: PeerReachability
     peers_port: int
     # Sends this process's loads to the peers of its region at once.
@@ -127,8 +121,10 @@
                 # The failed attempt explains more than the lack of another upstream.
                 raise failure or error from error
             # It may have become a suspect while it waited or was tried.
-            if refuse_suspect(self.suspects, exchange, anyio.current_time()):
-                await self._begin_trial(exchange)
+            if refuse_suspect(self.crashes.suspects, exchange, anyio.current_time()):
+                self.crashes.record_trial(exchange)
+                # Other VMs that have the same request must not try it too.
+                await self.announce()
             try:
                 await self._attempt(exchange, placement)
             except BanyanseamError as error:
@@ -139,18 +135,6 @@
             else:
                 return
 
-    async def _begin_trial(self, exchange: Exchange) -> None:
-        exchange.trial_crashes = self.suspects.count(exchange.fingerprint)
-        self.suspects.record_trial(exchange.fingerprint, anyio.current_time())
-        log(
-            SUSPECT_TRIED,
-            request_id=exchange.head.request_id,
-            fingerprint=f"{exchange.fingerprint:016x}",
-            crashes=exchange.trial_crashes,
-        )
-        # Other VMs that have the same request must not try it too.
-        await self.announce()
-
     async def _attempt(self, exchange: Exchange, placement: Placement) -> None:
         if placement.candidate.region != self.members.me.region:
             await self._forward_to_region(exchange, placement)
@@ -175,15 +159,18 @@
             metadata = make_send_metadata(exchange, upstream.upstream_id, now_s)
             headers = self.upstream_format.write_headers(exchange.head, metadata)
             outgoing = make_outgoing(exchange, upstream.address, headers, now_s)
-            async with send(
-                outgoing,
-                lambda: _record_sends(exchange),
-                self.moves.make_wait_for_better(exchange, placement),
-            ) as incoming:
-                answer = self._check_upstream_answer(exchange, incoming, listed)
-                mark_prefilled(listed, pending_prefill_ms)
-                self._record_shared_prefix(exchange, placement)
-                await self._relay_answer(exchange, placement, answer, incoming, listed)
+            with self.crashes.watch_run(exchange, listed):
+                async with send(
+                    outgoing,
+                    lambda: _record_sends(exchange),
+                    self.moves.make_wait_for_better(exchange, placement),
+                ) as incoming:
+                    answer = self._check_upstream_answer(exchange, incoming, listed)
+                    mark_prefilled(listed, pending_prefill_ms)
+                    self._record_shared_prefix(exchange, placement)
+                    await self._relay_answer(
+                        exchange, placement, answer, incoming, listed
+                    )
 
     async def _forward_to_region(
         self, exchange: Exchange, placement: Placement
@@ -262,14 +249,9 @@
             await relay_answer(exchange, answer, incoming, progress, self.answer_budget)
             # Nothing is awaited in between: callers that have the whole answer
             # disconnect, which cancels this task.
-            now_s = anyio.current_time()
-            # An upstream that fails may do so without running the request.
-            if answer.status < MIN_SERVER_ERROR_STATUS and not answer.is_surely_not_run:
-                self.suspects.record_answer(exchange.fingerprint, now_s)
+            self.crashes.record_answer(exchange, answer)
             if listed is not None:
                 self.upstreams.record_success(listed)
-            if answer.status == 200:
-                self.suspects.segments.record_answer(exchange.segment_keys, now_s)
 
         relaying = relay()
         if not exchange.route.is_resumable or exchange.forwarding is not None:
@@ -379,25 +361,6 @@
             error, SlowerThanOthers
         ):
             self.upstreams.record_failure(listed, now_s, is_connect=False)
-        if isinstance(error, ConnectionBroken):
-            self._record_crash(exchange, make_crash_tag(listed.upstream))
-
-    def _record_crash(self, exchange: Exchange, crash: str) -> None:
-        now_s = anyio.current_time()
-        self.suspects.record_crash(exchange.fingerprint, crash, now_s)
-        segments = []
-        # A trial tests the whole request; others may share its segments.
-        if exchange.events_of_send <= MAX_EVENTS_BEFORE_CRASH and not exchange.is_trial:
-            segments = exchange.segment_keys
-            self.suspects.segments.record_crash(segments, crash, now_s)
-        log(
-            CRASH_RECORDED,
-            request_id=exchange.head.request_id,
-            crash=crash,
-            fingerprint=f"{exchange.fingerprint:016x}",
-            crashes=self.suspects.count(exchange.fingerprint),
-            segments=len(segments),
-        )
 
     def _may_retry_error(
         self, exchange: Exchange, error: BanyanseamError, vms: int
@@ -408,8 +371,6 @@
         if isinstance(error, ForwardFailed) and error.status < MIN_SERVER_ERROR_STATUS:
             # The peer's configuration is newer and does not allow the request.
             return False
-        if exchange.is_trial and error.code == ConnectionBroken.code:
-            return False
         if error.code == CrashSuspected.code:
             return False
         if isinstance(error, SlowerThanOthers):
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -1,6 +1,6 @@
 """The registered upstreams, and whether each may get new requests now."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from banyanseam.entry.cached_prefixes import CachedPrefixes
@@ -10,16 +10,29 @@
     FORMER_USAGE_S,
     LEAVING_MEMORY_S,
     MAX_PAUSE_S,
+    MAX_UNFINISHED_RUNS,
     OUTAGE_S,
     REPLACED_REPORT_S,
     RETURN_COLD_S,
     SUSPECT_S,
     SUSPENDED_S,
+    UNFINISHED_MEMORY_S,
 )
 from banyanseam.entry.limit_pace import LimitPace
 from banyanseam.entry.models import Upstream, UpstreamState
 
 
+@dataclass(frozen=True, slots=True)
+class UnfinishedRun:
+    """A request that an upstream got and did not answer in full."""
+
+    request_id: str
+    fingerprint: int
+    # The prompt segments that the upstream was about to answer with.
+    segment_keys: tuple[int, ...]
+    ended_s: float
+
+
 @dataclass(slots=True)
 class UpstreamUsage:
     """This process's own load on an upstream, and its recent failures there."""
@@ -34,6 +47,21 @@
     pace: LimitPace = field(default_factory=LimitPace)
     # Prefix segments cached by the engine, from the requests of all VMs of the region.
     cached_segments: CachedPrefixes = field(default_factory=CachedPrefixes)
+    # Recent runs that ended in silence, with the caller or at their deadline.
+    unfinished: list[UnfinishedRun] = field(default_factory=list)
+
+    def record_unfinished(self, run: UnfinishedRun) -> None:
+        """Record a run that this process gave up, and drop old ones."""
+        recent = self.list_unfinished(run.ended_s)[1 - MAX_UNFINISHED_RUNS :]
+        self.unfinished = [*recent, run]
+
+    def list_unfinished(self, now_s: float) -> list[UnfinishedRun]:
+        """Return the runs that were given up recently."""
+        return [
+            each
+            for each in self.unfinished
+            if now_s - each.ended_s <= UNFINISHED_MEMORY_S
+        ]
 
 
 @dataclass(slots=True)
@@ -74,6 +102,8 @@
         # Usage of incarnations that are no longer listed, and since when. They may be
         # listed again: their entries can expire while the store is away.
         self._former: dict[tuple[str, int], tuple[float, UpstreamUsage]] = {}
+        # Called when an upstream that was not leaving is no longer listed.
+        self.on_lost: Callable[[ListedUpstream], None] = lambda _: None
         # Until when incarnations get no requests because their answers said so.
         self._excluded_until_s: dict[tuple[str, int], float] = {}
 
@@ -102,7 +132,7 @@
             upstream_id for upstream_id, _ in self._replaced_s.keys() & listed
         }:
             del by_id[upstream_id]
-            self._listed.pop(upstream_id, None)
+            self._remove(upstream_id)
         for upstream in by_id.values():
             self._track(upstream, now_s)
         self._registered = set(by_id)
@@ -141,7 +171,15 @@
         if now_s < self._retain_expired_until_s:
             return
         for upstream_id in self._listed.keys() - self._registered:
-            self._forget(self._listed.pop(upstream_id), now_s)
+            listed = self._remove(upstream_id)
+            if listed is not None:
+                self._forget(listed, now_s)
+
+    def _remove(self, upstream_id: str) -> ListedUpstream | None:
+        listed = self._listed.pop(upstream_id, None)
+        if listed is not None and self.is_lost(listed):
+            self.on_lost(listed)
+        return listed
 
     def _forget(self, listed: ListedUpstream, now_s: float) -> None:
         self._former = {
@@ -167,6 +205,16 @@
         """Return an upstream by its id."""
         return self._listed.get(upstream_id)
 
+    def is_lost(self, listed: ListedUpstream) -> bool:
+        """Return whether an upstream disappeared without having been leaving."""
+        upstream = listed.upstream
+        key = upstream.upstream_id, upstream.started_ms
+        return (
+            self._listed.get(upstream.upstream_id) is not listed
+            and upstream.state is UpstreamState.READY
+            and key not in self._excluded_until_s
+        )
+
     def list_usable(self, service: str, now_s: float) -> list[ListedUpstream]:
         """Return the upstreams of a service that may get new requests."""
         return [
@@ -219,7 +267,7 @@
 
     def drop(self, upstream_id: str, now_s: float) -> None:
         """Remove an upstream whose address another incarnation has taken over."""
-        listed = self._listed.pop(upstream_id, None)
+        listed = self._remove(upstream_id)
         if listed is not None:
             self._replaced_s[upstream_id, listed.upstream.started_ms] = now_s
 
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -44,7 +44,7 @@
     3014, "WARNING", "A request that may crash upstreams is tried once more"
 )
 CRASH_RECORDED: Final = Event(
-    3013, "WARNING", "An upstream's connection broke while it ran a request"
+    3013, "WARNING", "An upstream crashed while it ran a request"
 )
 SETTINGS_RELOADED: Final = Event(2005, "INFO", "Changed settings were applied")
 SETTINGS_REJECTED: Final = Event(
--- a/tests/entry/test_crash_suspects.py
+++ b/tests/entry/test_crash_suspects.py
@@ -53,7 +53,7 @@
         suspects = CrashSuspects()
         for crash in ("e1", "e2"):
             suspects.record_crash(1, crash, 0.0)
-        suspects.record_trial(1, 10.0)
+        suspects.record_trial(1, 10.0, is_peers=False)
         self.assertEqual(suspects.find_wait_s(1, 10.0), TRIAL_PAUSES_S[1])
 
     def test_trials_that_crash_more_upstreams_come_to_an_end(self):
@@ -62,7 +62,7 @@
         while (wait_s := suspects.find_wait_s(1, now_s)) is None or wait_s < 1e6:
             if wait_s is not None:
                 now_s += wait_s
-                suspects.record_trial(1, now_s)
+                suspects.record_trial(1, now_s, is_peers=False)
             suspects.record_crash(1, f"e{crashes}", now_s)
             crashes += 1
         self.assertEqual(crashes, CRASHES_TO_REFUSE + len(TRIAL_PAUSES_S))
@@ -74,7 +74,7 @@
         now_s = 0.0
         for number in range(2):
             now_s += suspects.find_wait_s(1, now_s)
-            suspects.record_trial(1, now_s)
+            suspects.record_trial(1, now_s, is_peers=False)
             suspects.record_crash(1, f"trial {number}", now_s)
         self.assertEqual(suspects.find_wait_s(1, now_s), math.inf)
 
@@ -84,10 +84,22 @@
         now_s = 1.0
         for number in range(20):
             now_s += suspects.find_wait_s(1, now_s) or 0.0
-            suspects.record_trial(1, now_s)
+            suspects.record_trial(1, now_s, is_peers=False)
             suspects.record_crash(1, f"e{number}", now_s)
         self.assertEqual(suspects.find_wait_s(1, now_s), TRIAL_PAUSES_S[-1])
 
+    def test_a_trial_that_a_peer_forwarded_counts_once(self):
+        one, other = CrashSuspects(), CrashSuspects()
+        for crash in ("e1", "e2"):
+            one.record_crash(1, crash, 0.0)
+        exchange_reports(one, other, 0.1)
+        one.record_trial(1, 3.0, is_peers=False)
+        exchange_reports(one, other, 3.0)
+        other.record_trial(1, 3.1, is_peers=True)
+        for suspects in (one, other):
+            (report,) = suspects.list_reports(3.2)
+            self.assertEqual(report.trials, 1)
+
     def test_a_whole_answer_ends_the_refusal_at_all_vms(self):
         one, other = CrashSuspects(), CrashSuspects()
         for crash in ("e1", "e2"):
@@ -125,7 +137,7 @@
         for crash in ("e1", "e2"):
             one.record_crash(1, crash, 0.0)
         exchange_reports(one, other, 0.1)
-        one.record_trial(1, 3.0)
+        one.record_trial(1, 3.0, is_peers=False)
         exchange_reports(one, other, 3.5)
         wait_s = other.find_wait_s(1, 3.5)
         self.assertAlmostEqual(wait_s, TRIAL_PAUSES_S[1] - 0.5, places=2)
--- a/tests/entry/test_crashing_request.py
+++ b/tests/entry/test_crashing_request.py
@@ -6,6 +6,7 @@
 
 import unittest
 from collections.abc import Callable
+from functools import partial
 
 import anyio
 
@@ -32,6 +33,8 @@
     arrivals: int = 60,
     pause_s: float = 0.6,
     disturb: Disturb = lambda *_: None,
+    *,
+    fault: str = "no answer",
 ) -> Simulation:
     """Send a deadly request again and again; `disturb` is called before each.
 
@@ -44,7 +47,7 @@
             simulation.gossip()
             disturb(simulation, number)
             vm = VMS[number % len(VMS)]
-            crash = ["no answer"] * 3
+            crash = [fault] * 3
             simulation.ask(vm, path, crash, [], method=method, body=body)
             for _ in range(round(pause_s / HEARTBEAT_S)):
                 await anyio.sleep(HEARTBEAT_S)
@@ -75,7 +78,7 @@
     def check(self, simulation: Simulation) -> None:
         """Check the operators' rule for a request that crashes what runs it."""
         times = list_run_times(simulation)
-        late = [at_s for at_s in times if at_s > times[2] + CONTACT_S]
+        late = [at_s for at_s in times[3:] if at_s > times[2] + CONTACT_S]
         self.assertLessEqual(len(late), MAX_LATE_RUNS, times)
 
     def test_sound_requests_beside_crashes_are_served_again_soon(self):
@@ -190,6 +193,35 @@
 
         self.check(run_with_mock_clock(repeat_deadly, WITH_BODY, 120, 0.6, cut))
 
+    def test_every_way_in_which_an_upstream_may_crash_counts(self):
+        # Silent upstreams are lost with the next arrival.
+        stream = ("POST", "/query/x", b"body")
+        for request, fault in (
+            (WITHOUT_BODY, "silent"),
+            (WITHOUT_BODY, "cut"),
+            (stream, "silent"),
+            (stream, "cut"),
+            (stream, "short"),
+        ):
+            with self.subTest(request=request, fault=fault):
+                crash = partial(repeat_deadly, request, fault=fault)
+                self.check(run_with_mock_clock(crash))
+
+    def test_silence_of_upstreams_that_stay_is_no_crash(self):
+        async def scenario() -> Simulation:
+            async with start_simulation() as simulation:
+                for number in range(30):
+                    simulation.gossip()
+                    fault = "silent" if number < 20 else ""
+                    vm = VMS[number % len(VMS)]
+                    simulation.ask(vm, "/read/x", [fault] * 3, [], method="GET")
+                    await anyio.sleep(HEARTBEAT_S)
+            return simulation
+
+        callers = run_with_mock_clock(scenario).callers
+        self.assertTrue(all(each.status == 200 for each in callers[20:]))
+        self.assertTrue(all(each.status == 504 for each in callers[:20]))
+
     def test_a_request_that_comes_rarely_is_remembered_while_it_comes(self):
         for pause_s, arrivals in ((7.2, 30), (60.0, 6), (300.0, 5)):
             with self.subTest(pause_s=pause_s):
