--- a/tests/faults/test_explain.py
+++ b/tests/faults/test_explain.py
@@ -103,6 +103,7 @@
                     ("piedmont-1", 3010, 0),
                     ("piedmont-1", 3012, 0),
                     ("gulf-1", 3010, 1),
+                    ("gulf-1", 3013, 1),
                     ("gulf-1", 3011, 1),
                     ("gulf-1", 3002, 1),
                     ("piedmont-1", 3011, 0),
