Report condemned requests that other daemons observed too

Change: a heartbeat's section goes on with the records of condemned requests of others, as far as its 1 KB allows; ids of crashes and ages keep them from being counted twice or renewed. Evidence: test_a_daemon_that_starts_learns_of_crashes_that_a_lost_one_observed failed before (0 crashes known, 2 expected). Refuted for this daemon: it takes a fingerprint of requests without a body or an organisation as well; a test says so now.

--- a/banyanseam/poison/suspects.py
+++ b/banyanseam/poison/suspects.py
@@ -96,20 +96,24 @@
             self._cleared.popitem(last=False)
 
     def section(self, now_s: float) -> bytes:
-        """Encode this daemon's own crash records for heartbeats, the latest first."""
+        """Encode crash records for heartbeats: the own ones first, then the latest.
+
+        Other daemons' records of condemned requests follow: a daemon that starts must
+        learn of them also when the one that observed the crash is gone.
+        """
         self._expire(now_s)
-        own = [
-            (crash.at_s, fingerprint, crash_id, crash)
+        reports = [
+            (crash.is_own, crash.at_s, fingerprint, crash_id, crash)
             for fingerprint, crashes in self._crashes.items()
             for crash_id, crash in crashes.items()
-            if crash.is_own
+            if crash.is_own or len(crashes) >= CONDEMNED_CRASHES
         ]
-        own.sort(key=lambda report: report[0], reverse=True)
+        reports.sort(key=lambda report: report[:2], reverse=True)
         return b"".join(
             _ROW.pack(
                 fingerprint, crash_id, crash.upstream_digest, int((now_s - at_s) * 1000)
             )
-            for at_s, fingerprint, crash_id, crash in own[
+            for _, at_s, fingerprint, crash_id, crash in reports[
                 : MAX_SECTION_BYTES // _ROW.size
             ]
         )
--- a/tests/poison/test_suspects.py
+++ b/tests/poison/test_suspects.py
@@ -35,6 +35,20 @@
         second.apply_section("gulf-1", section, 2.0)
         self.assertEqual(second.count(name(1), 2.0), 0)
 
+    def test_a_daemon_that_starts_learns_of_crashes_that_a_lost_one_observed(self):
+        lost, other, started = Suspects(), Suspects(), Suspects()
+        for upstream in ("oak-1", "oak-2"):
+            lost.record_crash(name(1), upstream, 0.0)
+        other.apply_section("gulf-1", lost.section(0.1), 0.1)
+        started.apply_section("gulf-2", other.section(60.0), 60.0)
+        self.assertEqual(started.count(name(1), 60.0), 2)
+        # Both forget them at the same time, however often they report them.
+        for now_s in range(100, int(SUSPECT_TTL_S), 50):
+            other.apply_section("gulf-3", started.section(now_s), now_s)
+            started.apply_section("gulf-2", other.section(now_s), now_s)
+        for suspects in (other, started):
+            self.assertEqual(suspects.count(name(1), SUSPECT_TTL_S + 0.2), 0)
+
     def test_suspicion_ends(self):
         suspects = Suspects()
         suspects.record_crash(name(1), "oak-1", 0.0)
@@ -127,6 +141,17 @@
         ):
             self.assertEqual(self.make(body), first)
 
+    def test_reads_without_a_body_are_recognised_with_or_without_an_organisation(self):
+        first, public = self.make(b""), self.make(b"", None)
+        self.assertEqual(self.make(b""), first)
+        self.assertEqual(self.make(b"", None), public)
+        self.assertNotEqual(first, public)
+        suspects = Suspects()
+        for upstream in ("oak-1", "oak-2"):
+            suspects.record_crash(public, upstream, 0.0)
+        self.assertEqual(suspects.count(public, 1.0), 2)
+        self.assertEqual(suspects.count(first, 1.0), 0)
+
     def test_other_bodies_and_organisations_differ(self):
         first = self.make(b'{"messages":["a"]}')
         self.assertNotEqual(self.make(b'{"messages":["b"]}'), first)
