Notice the loss of an upstream that starts again under its id

A run that ended in silence counts as a crash once its upstream is lost. One that came back under the id that it had replaced its entry without being taken for lost.

--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -292,6 +292,7 @@
             stops_at_s = now_s + upstream.remaining_ms / 1000
         cold_until_s = now_s + upstream.cold_ms / 1000 if upstream.cold_ms > 0 else 0.0
         if listed is None or listed.upstream.started_ms != upstream.started_ms:
+            self._remove(upstream.upstream_id)
             key = upstream.upstream_id, upstream.started_ms
             _, usage = self._former.pop(key, (now_s, UpstreamUsage()))
             self._listed[upstream.upstream_id] = ListedUpstream(
--- a/tests/entry/test_upstream_list.py
+++ b/tests/entry/test_upstream_list.py
@@ -5,11 +5,13 @@
     EXPIRED_ENTRY_GRACE_S,
     FAILURES_TO_SUSPECT,
     MAX_PAUSE_S,
+    MAX_UNFINISHED_RUNS,
     RETURN_COLD_S,
     SUSPECT_S,
+    UNFINISHED_MEMORY_S,
 )
 from banyanseam.entry.models import UpstreamState
-from banyanseam.entry.upstream_list import UpstreamList
+from banyanseam.entry.upstream_list import UnfinishedRun, UpstreamList, UpstreamUsage
 from tests.entry.common import make_upstream
 
 
@@ -51,6 +53,31 @@
         self.upstreams.adopt([restarted, make_upstream("e2")], 13, 31.0)
         self.assertEqual(list_ids(self.upstreams, 31.0), ["e1", "e2"])
 
+    def test_upstreams_that_disappear_without_leaving_are_lost(self):
+        lost = []
+        self.upstreams.on_lost = lambda listed: lost.append(listed.upstream.upstream_id)
+        leaving = make_upstream("e2", state=UpstreamState.LEAVING, revision=11)
+        self.upstreams.adopt([make_upstream("e1"), leaving], 11, 1.0)
+        self.assertEqual(lost, [])
+        self.upstreams.adopt([make_upstream("e1")], 12, 1.1)
+        self.assertEqual(lost, [], "it was leaving")
+        restarted = make_upstream("e1", started_ms=2, revision=13)
+        self.upstreams.adopt([restarted], 13, 1.2)
+        self.assertEqual(lost, ["e1"], "it started again under its id")
+        replacing = make_upstream("e3", started_ms=3, revision=14)
+        self.upstreams.adopt([restarted, replacing], 14, 1.3)
+        self.assertEqual(lost, ["e1", "e1"], "another one has its address")
+        self.upstreams.record_leaving(replacing, 1.4)
+        self.upstreams.adopt([], 15, 1.5)
+        self.assertEqual(lost, ["e1", "e1"], "its answers said that it was leaving")
+
+    def test_unfinished_runs_are_remembered_for_a_time_and_in_number(self):
+        usage = UpstreamUsage()
+        for number in range(2 * MAX_UNFINISHED_RUNS):
+            usage.record_unfinished(UnfinishedRun(str(number), number, (), 1.0))
+        self.assertEqual(len(usage.unfinished), MAX_UNFINISHED_RUNS)
+        self.assertEqual(usage.list_unfinished(1.1 + UNFINISHED_MEMORY_S), [])
+
     def test_an_upstream_that_asks_for_a_pause_gets_it(self):
         self.upstreams.record_pause(make_upstream("e1"), 2.5, 1.0)
         self.upstreams.record_pause(make_upstream("e1"), 0.5, 1.1)
