Report all crashes of a request that has come for long, and bound them

A VM that started after a refused request had come for more than 600 s learnt of its last crash only, since the report's crashes were older than the memory of the record that they made anew: two more runs at each such start. The record now has the age of the report's evidence. And a request that was ever answered, which is tried once a minute, had a record that grew without end; 16 crashes are kept.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -250,6 +250,8 @@
 # How long heartbeats report a crash.
 CRASH_REPORT_S: Final = 5.0
 MAX_CRASH_RECORDS: Final = 1000
+# Crashes that are remembered of one request, the latest.
+MAX_CRASHES_OF_REQUEST: Final = 16
 
 # Metrics are served on this port too, since the platform's own ports differ between
 # deployments. deploy/system.toml names it.
--- a/banyanseam/entry/crash_suspects.py
+++ b/banyanseam/entry/crash_suspects.py
@@ -20,6 +20,7 @@
     CRASHES_TO_REFUSE,
     CRASHES_TO_REFUSE_ANSWERED,
     MAX_CRASH_RECORDS,
+    MAX_CRASHES_OF_REQUEST,
     MAX_REPORTED_SUSPECTS,
     MAX_SOUND_REQUESTS,
     MAX_SUSPECTS_IN_FULL_STATE,
@@ -107,8 +108,7 @@
 class CrashSuspects:
     """Records which upstreams crashed while a request was running there.
 
-    A connection that breaks during a request counts as a crash. Each `suspect` is the
-    fingerprint of a request.
+    Each `suspect` is the fingerprint of a request.
     """
 
     def __init__(self, choose_trial_delay: ChooseTrialDelay = lambda *_: 0.0) -> None:
@@ -129,19 +129,7 @@
         `crash` identifies the incarnation of the upstream that crashed. A repeated
         report of the same crash does not extend the record's lifetime.
         """
-        at_s = now_s - age_s
-        if self._was_answered(suspect, now_s):
-            self._disproved_s.setdefault(suspect, now_s)
-        if at_s < self._answered_s.get(suspect, -math.inf):
-            return
-        self._drop_expired(suspect, now_s)
-        suspicion = self._suspicions.setdefault(suspect, _Suspicion(at_s))
-        if crash not in suspicion.crashes:
-            suspicion.crashes[crash] = at_s
-            suspicion.seen_s = max(suspicion.seen_s, at_s)
-            self._suspicions.move_to_end(suspect)
-        while len(self._suspicions) > MAX_CRASH_RECORDS:
-            self._evict_one()
+        self._record_crashes(suspect, {crash: now_s - age_s}, now_s - age_s, now_s)
 
     def record_answer(self, suspect: int, now_s: float, age_s: float = 0.0) -> None:
         """Record a whole answer: the request did not cause the crashes before it."""
@@ -240,12 +228,13 @@
 
     def apply_report(self, report: SuspectReport, now_s: float) -> None:
         """Add a peer's evidence against a request."""
-        for crash, age_s in report.crash_ages_s:
-            self.record_crash(report.suspect, crash, now_s, age_s)
+        crashes = {crash: now_s - age_s for crash, age_s in report.crash_ages_s}
+        seen_s = now_s - report.seen_age_s
+        self._record_crashes(report.suspect, crashes, seen_s, now_s)
         suspicion = self._suspicions.get(report.suspect)
         if suspicion is None:
             return
-        suspicion.seen_s = max(suspicion.seen_s, now_s - report.seen_age_s)
+        suspicion.seen_s = max(suspicion.seen_s, seen_s)
         suspicion.trials = max(suspicion.trials, report.trials)
         if report.tried_age_s is not None:
             suspicion.tried_s = max(suspicion.tried_s, now_s - report.tried_age_s)
@@ -262,6 +251,29 @@
             for suspect in list(self._disproved_s)[-MAX_REPORTED_SUSPECTS:]
         ]
 
+    def _record_crashes(
+        self, suspect: int, crashes: dict[str, float], seen_s: float, now_s: float
+    ) -> None:
+        if self._was_answered(suspect, now_s):
+            self._disproved_s.setdefault(suspect, now_s)
+        answered_s = self._answered_s.get(suspect, -math.inf)
+        self._drop_expired(suspect, now_s)
+        known = self._suspicions.get(suspect)
+        new = {
+            crash: at_s
+            for crash, at_s in crashes.items()
+            if at_s >= answered_s and (known is None or crash not in known.crashes)
+        }
+        if not new:
+            return
+        suspicion = self._suspicions.setdefault(suspect, _Suspicion(seen_s))
+        suspicion.seen_s = max(suspicion.seen_s, seen_s)
+        latest = sorted((suspicion.crashes | new).items(), key=lambda item: item[1])
+        suspicion.crashes = dict(latest[-MAX_CRASHES_OF_REQUEST:])
+        self._suspicions.move_to_end(suspect)
+        while len(self._suspicions) > MAX_CRASH_RECORDS:
+            self._evict_one()
+
     def _make_reports(
         self, suspects: Iterable[int], now_s: float, limit: int
     ) -> list[SuspectReport]:
--- a/tests/entry/test_crash_suspects.py
+++ b/tests/entry/test_crash_suspects.py
@@ -6,6 +6,7 @@
     CRASHES_TO_REFUSE,
     CRASHES_TO_REFUSE_ANSWERED,
     MAX_CRASH_RECORDS,
+    MAX_CRASHES_OF_REQUEST,
     MAX_REPORTED_SUSPECTS,
     REFUSAL_MEMORY_S,
     TRIAL_PAUSES_S,
@@ -202,6 +203,24 @@
         self.assertEqual([other.count(1), other.count(2)], [1, 2])
         self.assertEqual(other.find_wait_s(2, 300.0), one.find_wait_s(2, 300.0))
 
+    def test_a_vm_that_starts_learns_of_crashes_older_than_the_memory(self):
+        one, other = CrashSuspects(), CrashSuspects()
+        for crash in ("e1", "e2", "e3"):
+            one.record_crash(1, crash, 0.0)
+        for now_s in (500.0, 1000.0, 1500.0):
+            one.record_refusal(1, now_s)
+        for report in one.list_all_reports(1501.0):
+            other.apply_report(report, 1501.0)
+        self.assertEqual(other.count(1), 3)
+
+    def test_few_crashes_of_a_request_are_remembered(self):
+        one, other = CrashSuspects(), CrashSuspects()
+        for number in range(3 * MAX_CRASHES_OF_REQUEST):
+            one.record_crash(1, f"e{number}", number)
+            exchange_reports(one, other, number)
+        for suspects in (one, other):
+            self.assertEqual(suspects.count(1), MAX_CRASHES_OF_REQUEST)
+
     def test_a_successful_request_is_cleared(self):
         suspects = CrashSuspects()
         suspects.record_crash(1, "e1", 0.0)
