--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -9,9 +9,10 @@
 from banyanseam.config.errors import NotReady
 from banyanseam.entry.choosing import choose_retry_after_ms
 from banyanseam.entry.const import MIN_RETRY_AFTER_MS
-from banyanseam.entry.crash_suspects import CrashSuspects, make_fingerprint
+from banyanseam.entry.crash_suspects import CrashSuspects
 from banyanseam.entry.errors import CrashSuspected
 from banyanseam.entry.exchange import Exchange, Reply
+from banyanseam.entry.fingerprints import make_fingerprint
 from banyanseam.entry.models import (
     Catalogue,
     Forwarding,
--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -18,7 +18,8 @@
     SETTINGS_PERIOD_S,
     STOP_MARGIN_S,
 )
-from banyanseam.entry.crash_suspects import CrashSuspects, make_choose_trial_delay
+from banyanseam.entry.crash_suspects import CrashSuspects
+from banyanseam.entry.crash_trials import make_choose_trial_delay
 from banyanseam.entry.crash_watch import CrashWatch
 from banyanseam.entry.directory import choose_entries
 from banyanseam.entry.frontend import (
--- a/banyanseam/entry/crash_suspects.py
+++ b/banyanseam/entry/crash_suspects.py
@@ -8,11 +8,8 @@
 import math
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from zlib import crc32
-
-import xxhash
 
 from banyanseam.entry.const import (
     CRASH_REPORT_S,
@@ -27,53 +24,10 @@
     REFUSAL_MEMORY_S,
     SOUND_MEMORY_S,
     TRIAL_PAUSES_S,
-    TRIAL_REGION_STEP_S,
-    TRIAL_SPREAD_S,
 )
-from banyanseam.entry.models import RequestHead, Upstream
+from banyanseam.entry.crash_trials import ChooseTrialDelay
 from banyanseam.entry.segment_suspects import SegmentSuspects
 
-# Returns how much later than the first VM this one may try a request, by the request's
-# fingerprint and the number of earlier trials.
-ChooseTrialDelay = Callable[[int, int], float]
-
-
-def make_crash_tag(upstream: Upstream) -> str:
-    """Return a short name for the crash of an incarnation of an upstream."""
-    return f"{crc32(f'{upstream.upstream_id}@{upstream.started_ms}'.encode()):08x}"
-
-
-def make_fingerprint(organisation: str | None, head: RequestHead, body: bytes) -> int:
-    """Return a hash of a request's content, which repeats of the request share.
-
-    Reads without a body have one too. Another organisation's request is another
-    request, also with the same target; those of a public route are not told apart.
-    """
-    digest = xxhash.xxh3_64((organisation or "").encode())
-    for part in (head.host.encode(), head.method.encode(), head.target, body):
-        digest.update(b"\0" + part)
-    return digest.intdigest()
-
-
-def make_choose_trial_delay(
-    ip: str, region: str, regions: Iterable[str]
-) -> ChooseTrialDelay:
-    """Return a function that spreads the trials of a request over the VMs.
-
-    The VMs of a region learn of a trial at once, others a second later. So the regions
-    have their turns one after the other, in an order that depends on the request.
-    """
-    all_regions = {region, *regions}
-
-    def choose(suspect: int, trials: int) -> float:
-        def place(name: str) -> int:
-            return xxhash.xxh3_64_intdigest(f"{suspect:x} {trials} {name}".encode())
-
-        earlier = sum(1 for each in all_regions if place(each) < place(region))
-        return earlier * TRIAL_REGION_STEP_S + place(ip) / 2**64 * TRIAL_SPREAD_S
-
-    return choose
-
 
 @dataclass(frozen=True, slots=True)
 class SuspectReport:
--- a/banyanseam/entry/crash_watch.py
+++ b/banyanseam/entry/crash_watch.py
@@ -8,9 +8,10 @@
 import anyio
 
 from banyanseam.entry.const import MAX_EVENTS_BEFORE_CRASH
-from banyanseam.entry.crash_suspects import CrashSuspects, make_crash_tag
+from banyanseam.entry.crash_suspects import CrashSuspects
 from banyanseam.entry.errors import ConnectionBroken
 from banyanseam.entry.exchange import Exchange
+from banyanseam.entry.fingerprints import make_crash_tag
 from banyanseam.entry.models import AnswerHead
 from banyanseam.entry.upstream_list import (
     ListedUpstream,
