Let candidates carry the performance that waits are estimated with

Cause: every estimate of time came from constants of one sheet. Change: the figures move from entry/const.py to entry/performance/models.py, and each candidate has its own, still the same for all. No change of behaviour; the tests pass the figures where they passed none.

--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -21,6 +21,7 @@
     Placement,
     PlacementRequest,
     choose,
+    estimate_own_prefill_ms,
     is_admitted,
     may_be_sent,
 )
@@ -96,9 +97,8 @@
                 self._log_choice(exchange, placement, len(candidates), waited_ms)
                 return placement
             listed = self.upstreams.find(placement.candidate.upstream_id)
-            with count_waiting_prompt(
-                listed, exchange.head.prompt, is_cached=placement.is_cached
-            ):
+            queued_ms = estimate_own_prefill_ms(placement, exchange.head.prompt)
+            with count_waiting_prompt(listed, queued_ms):
                 await anyio.sleep(QUEUE_PERIOD_S * random.uniform(0.7, 1.3))
 
     def _refuse_if_unservable(
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -115,10 +115,6 @@
 REPLACED_REPORT_S: Final = 2.0
 SUSPECT_S: Final = 1.5
 
-# Placement. Performance figures of the engines. Source: the operators' sheets.
-PREFILL_TOKENS_PER_MS: Final = 37.9
-# Each prefilled token attends to all tokens before it.
-ATTENTION_MS_PER_MILLION_PAIRS: Final = 0.248
 # Cost of prefilling a shared prefix again, on top of the time that it takes, expressed
 # as waiting time. Source: the operators' prices, a third of the value of a summary.
 REPEATED_PREFILL_MS_PER_TOKEN: Final = 0.035
@@ -147,9 +143,6 @@
 NO_CAPACITY_WAIT_SHARE: Final = 0.15
 # How long requests to a newly started process wait for its configuration.
 START_WAIT_S: Final = 1.0
-# Duration of a decode step, and what each running request adds to it.
-STEP_MS: Final = 4.63
-STEP_MS_PER_RUNNING: Final = 0.153
 # Shorter prefixes do not affect placement: prefilling them again costs less than
 # choosing an engine by them.
 MIN_SHARED_TOKENS: Final = 512
@@ -159,11 +152,6 @@
 TRANSFER_MS_PER_KIB: Final = 4.0
 # Share of the caller's remaining time that the wait for the first byte may take.
 MAX_WAIT_SHARE: Final = 0.8
-# Time to prefill one chunk of prompts, which an engine does between two decode steps.
-# Source: the operators' sheets, 1024 tokens.
-CHUNK_MS: Final = 27.0
-# Assumed output tokens of the running requests. Source: the operators' sheets.
-USUAL_OUTPUT_TOKENS: Final = 45
 # A short request whose estimated wait exceeds this share of its target latency is
 # refused instead of queued: under overload, a longer queue serves no more requests and
 # makes all of them late.
@@ -175,8 +163,6 @@
 ADMIT_LONG_TARGET_SHARE: Final = 2.5
 # Share of an engine's memory, and of an upstream's connections, that requests may use.
 MEMORY_SHARE: Final = 0.92
-# Assumed duration of a request to a service without engines.
-SERVICE_MS: Final = 45.0
 
 # How long a process of another region is skipped after a failed connection, and how
 # many such processes make the whole region count as unreachable.
--- /dev/null
+++ b/banyanseam/entry/performance/__init__.py
@@ -0,0 +1,1 @@
+"""Performance of engines and services, as observed from their answers."""
--- a/banyanseam/entry/placing.py
+++ b/banyanseam/entry/placing.py
@@ -11,8 +11,6 @@
     ADMIT_LEFT_SHARE,
     ADMIT_LONG_TARGET_SHARE,
     ADMIT_TARGET_SHARE,
-    ATTENTION_MS_PER_MILLION_PAIRS,
-    CHUNK_MS,
     COST_JITTER_MS,
     LONG_PREFILL_BACKLOG_GROWTH,
     LONG_PREFILL_BACKLOG_MS,
@@ -22,16 +20,12 @@
     MEMORY_SHARE,
     MIN_SHARED_TOKENS,
     NON_PREFERRED_ENGINE_MS,
-    PREFILL_TOKENS_PER_MS,
     REPEATED_PREFILL_MS_PER_TOKEN,
     ROUND_TRIP_MS,
-    SERVICE_MS,
-    STEP_MS,
-    STEP_MS_PER_RUNNING,
     TRANSFER_MS_PER_KIB,
-    USUAL_OUTPUT_TOKENS,
 )
 from banyanseam.entry.models import Prompt
+from banyanseam.entry.performance.models import INITIAL_PERFORMANCE, Performance
 from banyanseam.peers.rendezvous import weigh
 
 # Returns whether a candidate is assumed to have a shared prefix in its cache.
@@ -55,6 +49,7 @@
     queued_ms: float = 0.0
     # Cold or suspect: used only if there is no other candidate.
     is_reserve: bool = False
+    performance: Performance = INITIAL_PERFORMANCE
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +107,9 @@
     return prompt.prompt_tokens - shared_tokens + prompt.max_output_tokens
 
 
-def estimate_prefill_ms(prompt: Prompt | None, *, is_cached: bool) -> float:
+def estimate_prefill_ms(
+    prompt: Prompt | None, performance: Performance, *, is_cached: bool
+) -> float:
     """Return the prefill time of a prompt; `is_cached`: its shared prefix is cached."""
     if prompt is None:
         return 0.0
@@ -120,38 +117,46 @@
     cached_tokens = shared_tokens if is_cached else 0
     tokens = max(0, prompt.prompt_tokens - cached_tokens)
     pairs = tokens * (cached_tokens + tokens / 2)
-    attention_ms = pairs / 1e6 * ATTENTION_MS_PER_MILLION_PAIRS
-    return tokens / PREFILL_TOKENS_PER_MS + attention_ms
+    attention_ms = pairs / 1e6 * performance.attention_ms_per_million_pairs
+    return tokens / performance.prefill_tokens_per_ms + attention_ms
 
 
 def estimate_wait_ms(
     candidate: Candidate, request: PlacementRequest, *, is_cached: bool
 ) -> float:
     """Return the estimated wait for the first byte, in ms."""
+    performance = candidate.performance
     network_ms = 0.0
     if candidate.region != request.region:
         network_ms = ROUND_TRIP_MS + TRANSFER_MS_PER_KIB * request.body_bytes / 1024
     excess_requests = max(0, candidate.requests + 1 - candidate.slots)
     if request.prompt is None:
         rounds = candidate.requests / max(candidate.slots, 1)
-        return network_ms + SERVICE_MS * rounds
+        return network_ms + performance.call_ms * rounds
     running = min(candidate.requests, candidate.slots)
-    step_ms = STEP_MS + STEP_MS_PER_RUNNING * running
-    own_prefill_ms = estimate_prefill_ms(request.prompt, is_cached=is_cached)
+    step_ms = performance.step_ms + performance.step_ms_per_running * running
+    own_prefill_ms = estimate_prefill_ms(
+        request.prompt, performance, is_cached=is_cached
+    )
     backlog_ms = candidate.prefill_ms
     if own_prefill_ms >= LONG_PREFILL_MS:
         backlog_ms += candidate.queued_ms
     # Running requests take a decode step after each prefill chunk.
-    slowdown = 1 + step_ms / CHUNK_MS if running else 1.0
+    slowdown = 1 + step_ms / performance.chunk_ms if running else 1.0
     # If the batch is full, a request waits until others have finished. Their prompts
     # are prefilled in the meantime, so the longer of the two waits applies.
-    slot_wait_ms = (
-        USUAL_OUTPUT_TOKENS * (step_ms + CHUNK_MS / 2) / max(candidate.slots, 1)
-    )
+    usual_decode_ms = performance.output_tokens * (step_ms + performance.chunk_ms / 2)
+    slot_wait_ms = usual_decode_ms / max(candidate.slots, 1)
     backlog_ms = max(backlog_ms * slowdown, excess_requests * slot_wait_ms)
     return network_ms + backlog_ms + own_prefill_ms * slowdown + 2 * step_ms
 
 
+def estimate_own_prefill_ms(placement: Placement, prompt: Prompt | None) -> float:
+    """Return the prefill time of a prompt at the place that was chosen for it."""
+    performance = placement.candidate.performance
+    return estimate_prefill_ms(prompt, performance, is_cached=placement.is_cached)
+
+
 def is_admitted(
     placement: Placement, prompt: Prompt | None, target_ms: float, left_ms: float
 ) -> bool:
@@ -160,7 +165,7 @@
     This limits queues when the load exceeds the engines' capacity for many seconds.
     """
     share = ADMIT_TARGET_SHARE
-    if estimate_prefill_ms(prompt, is_cached=placement.is_cached) >= LONG_PREFILL_MS:
+    if estimate_own_prefill_ms(placement, prompt) >= LONG_PREFILL_MS:
         share = ADMIT_LONG_TARGET_SHARE
     bound_ms = max(share * target_ms, ADMIT_LEFT_SHARE * left_ms)
     return placement.wait_ms <= min(bound_ms, MAX_WAIT_SHARE * left_ms)
@@ -172,7 +177,7 @@
     In the first seconds of a busy day every shared history is prefilled for the first
     time; short queries would otherwise wait behind three such prompts in each engine.
     """
-    own_prefill_ms = estimate_prefill_ms(prompt, is_cached=placement.is_cached)
+    own_prefill_ms = estimate_own_prefill_ms(placement, prompt)
     if own_prefill_ms < LONG_PREFILL_MS:
         return True
     allowed_ms = LONG_PREFILL_BACKLOG_MS + LONG_PREFILL_BACKLOG_GROWTH * waited_ms
@@ -185,7 +190,7 @@
         return 0.0
     tokens = min(prompt.max_output_tokens, MAX_COUNTED_OUTPUT_TOKENS)
     running = min(candidate.requests, candidate.slots)
-    return tokens * running * STEP_MS_PER_RUNNING
+    return tokens * running * candidate.performance.step_ms_per_running
 
 
 def has_memory(candidate: Candidate, request: PlacementRequest) -> bool:
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -42,6 +42,7 @@
 )
 from banyanseam.entry.placing import (
     Placement,
+    estimate_own_prefill_ms,
     find_shared_prefix,
 )
 from banyanseam.entry.reach import PeerReachability
@@ -150,9 +151,8 @@
             vms = self.members.count_recent(now_s, self.members.me.region)
             listed.usage.pace.record_send(vms, now_s)
         prompt = exchange.head.prompt
-        with count_request(
-            listed, prompt, is_cached=placement.is_cached
-        ) as pending_prefill_ms:
+        prefill_ms = estimate_own_prefill_ms(placement, prompt)
+        with count_request(listed, prompt, prefill_ms) as pending_prefill_ms:
             if pending_prefill_ms[0] >= LONG_PREFILL_MS:
                 await self.announce()
             upstream = listed.upstream
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -24,7 +24,6 @@
 from banyanseam.entry.placing import (
     Candidate,
     count_memory_tokens,
-    estimate_prefill_ms,
 )
 from banyanseam.entry.relay_log import SegmentUse
 from banyanseam.entry.upstream_list import ListedUpstream, UpstreamList
@@ -240,15 +239,14 @@
 
 @contextmanager
 def count_request(
-    listed: ListedUpstream, prompt: Prompt | None, *, is_cached: bool
+    listed: ListedUpstream, prompt: Prompt | None, prefill_ms: float
 ) -> Iterator[list[float]]:
-    """Count a request at an upstream while it runs there.
+    """Count a request and its prefill time at an upstream while it runs there.
 
     Yield a one-element list with the prefill time that is still counted, which
     `mark_prefilled` sets to 0.
     """
     usage = listed.usage
-    prefill_ms = estimate_prefill_ms(prompt, is_cached=is_cached)
     memory_tokens = count_memory_tokens(prompt)
     usage.requests += 1
     usage.prefill_ms += prefill_ms
@@ -263,11 +261,8 @@
 
 
 @contextmanager
-def count_waiting_prompt(
-    listed: ListedUpstream, prompt: Prompt | None, *, is_cached: bool
-) -> Iterator[None]:
-    """Count a long prompt as waiting for an upstream while the context is open."""
-    queued_ms = estimate_prefill_ms(prompt, is_cached=is_cached)
+def count_waiting_prompt(listed: ListedUpstream, queued_ms: float) -> Iterator[None]:
+    """Count a long prompt's prefill time as waiting while the context is open."""
     listed.usage.queued_ms += queued_ms
     try:
         yield
--- a/tests/entry/engine_model.py
+++ b/tests/entry/engine_model.py
@@ -2,7 +2,7 @@
 
 Engines run in steps: each running request decodes a token, and up to one chunk of the
 waiting prompts is prefilled. The figures come from the operators' sheets, as in
-entry/const.py.
+entry/performance/models.py.
 """
 
 import random
@@ -11,12 +11,8 @@
 from dataclasses import dataclass, field, replace
 
 from banyanseam.entry.choosing import choose_retry_after_ms
-from banyanseam.entry.const import (
-    PREFILL_TOKENS_PER_MS,
-    STEP_MS,
-    STEP_MS_PER_RUNNING,
-)
 from banyanseam.entry.models import Prompt
+from banyanseam.entry.performance.models import INITIAL_PERFORMANCE
 from banyanseam.entry.placing import Candidate, PlacementRequest, choose, is_admitted
 from tests.entry.common import make_candidate
 
@@ -73,7 +69,7 @@
             self.name,
             slots=self.slots,
             requests=len(self.running) + len(self.waiting),
-            prefill_ms=unprefilled_tokens / PREFILL_TOKENS_PER_MS,
+            prefill_ms=unprefilled_tokens / INITIAL_PERFORMANCE.prefill_tokens_per_ms,
         )
 
     def step(self) -> None:
@@ -90,9 +86,9 @@
             if call.unprefilled_tokens == 0:
                 decoding.append(call)
         self.now_ms += (
-            STEP_MS
-            + STEP_MS_PER_RUNNING * len(decoding)
-            + (CHUNK_TOKENS - budget) / PREFILL_TOKENS_PER_MS
+            INITIAL_PERFORMANCE.step_ms
+            + INITIAL_PERFORMANCE.step_ms_per_running * len(decoding)
+            + (CHUNK_TOKENS - budget) / INITIAL_PERFORMANCE.prefill_tokens_per_ms
         )
         for call in decoding:
             call.decoded_tokens += 1
@@ -183,5 +179,5 @@
             reported,
             requests=reported.requests + 1,
             prefill_ms=reported.prefill_ms
-            + call.prompt.prompt_tokens / PREFILL_TOKENS_PER_MS,
+            + call.prompt.prompt_tokens / INITIAL_PERFORMANCE.prefill_tokens_per_ms,
         )
--- a/tests/entry/test_placing.py
+++ b/tests/entry/test_placing.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from banyanseam.entry.models import PrefixSegment, Prompt
+from banyanseam.entry.performance.models import INITIAL_PERFORMANCE
 from banyanseam.entry.placing import (
     Placement,
     PlacementRequest,
@@ -80,10 +81,10 @@
 
     def test_prefill_time_grows_faster_than_the_prompt(self):
         short_ms = estimate_prefill_ms(
-            make_prompt(shared=0, own=10_000), is_cached=False
+            make_prompt(shared=0, own=10_000), INITIAL_PERFORMANCE, is_cached=False
         )
         long_ms = estimate_prefill_ms(
-            make_prompt(shared=0, own=50_000), is_cached=False
+            make_prompt(shared=0, own=50_000), INITIAL_PERFORMANCE, is_cached=False
         )
         self.assertGreater(long_ms, 5.5 * short_ms)
 
@@ -188,9 +189,9 @@
     def test_counting_tokens(self):
         prompt = make_prompt(shared=1000, own=200)
         self.assertEqual(find_shared_prefix(prompt), ("h1", 1000))
-        cached_ms = estimate_prefill_ms(prompt, is_cached=True)
+        cached_ms = estimate_prefill_ms(prompt, INITIAL_PERFORMANCE, is_cached=True)
         self.assertAlmostEqual(cached_ms, 200 / 37.9, delta=0.1)
-        uncached_ms = estimate_prefill_ms(prompt, is_cached=False)
+        uncached_ms = estimate_prefill_ms(prompt, INITIAL_PERFORMANCE, is_cached=False)
         self.assertAlmostEqual(uncached_ms, 1200 / 37.9, delta=0.2)
         self.assertEqual(count_memory_tokens(prompt), 320)
         self.assertEqual(find_shared_prefix(make_prompt(shared=100)), ("", 0))
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -3,6 +3,8 @@
 
 from banyanseam.entry.messages import make_upstream_tag
 from banyanseam.entry.models import EngineLimits, Service
+from banyanseam.entry.performance.models import INITIAL_PERFORMANCE
+from banyanseam.entry.placing import estimate_prefill_ms
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import (
     UpstreamLoads,
@@ -92,7 +94,9 @@
         listed = self.upstreams.find("e1")
         table = {make_upstream_tag("e1"): (3, 250, 9000, 70)}
         self.loads.record_peer_loads(make_member("10.1.0.2"), table, 0.0)
-        with count_request(listed, make_prompt(), is_cached=True) as pending_prefill_ms:
+        prompt = make_prompt()
+        prefill_ms = estimate_prefill_ms(prompt, INITIAL_PERFORMANCE, is_cached=True)
+        with count_request(listed, prompt, prefill_ms) as pending_prefill_ms:
             found = self.list(make_upstream("e1"))[0]
             self.assertEqual(found.requests, 4)
             self.assertEqual(found.queued_ms, 70.0)
@@ -127,7 +131,7 @@
         services = {"pool": Service("pool", 4, 0, 0, EngineLimits(64, 294_902))}
         self.list(make_upstream("e1"))
         listed = self.upstreams.find("e1")
-        with count_request(listed, None, is_cached=False):
+        with count_request(listed, None, 0.0):
             self.assertEqual(self.list(make_upstream("e1"), services=services), [])
 
     def test_loads_that_are_all_zero_are_replaced_like_others(self):
@@ -146,7 +150,7 @@
         self.list(make_upstream("e1"))
         listed = self.upstreams.find("e1")
         self.assertEqual(len(self.list(make_upstream("e1"), services=services)), 1)
-        with count_request(listed, None, is_cached=False):
+        with count_request(listed, None, 0.0):
             self.assertEqual(self.list(make_upstream("e1"), services=services), [])
 
 
