Let short requests pass while reports of a flood leave an organisation in debt

What many VMs admit before their reports arrive is debt, and while there is debt nothing passes. Change: requests of at most half of the organisation's usual cost may overdraw such a bucket, by a part of the published excess. Where the settings name no excess, or a part of the fleet is silent, none may. The bound of the property test stays.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -100,7 +100,11 @@
         )
         self.upstreams = UpstreamList()
         self.loads = UpstreamLoads(self.upstreams, settings.region)
-        self.quota = FleetQuota(settings.bounds.quota_slack_tokens)
+        self.quota = FleetQuota(
+            settings.bounds.quota_slack_tokens,
+            settings.bounds.quota_period_s,
+            settings.bounds.quota_excess_share,
+        )
         self.suspects = CrashSuspects(
             make_choose_trial_delay(
                 settings.ip, settings.region, settings.regions.values()
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -17,6 +17,9 @@
     retry_window_s: float
     retry_extra: float
     quota_slack_tokens: float
+    # In any such period, spending may exceed a quota by this share of it.
+    quota_period_s: float = 0.0
+    quota_excess_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/banyanseam/entry/quota.py
+++ b/banyanseam/entry/quota.py
@@ -14,6 +14,11 @@
 
 from banyanseam.entry.const import FLEET_TERM_S, REGION_GOSSIP_PERIOD_S
 from banyanseam.entry.models import Organisation
+from banyanseam.entry.overdraft import (
+    choose_overdraft,
+    compute_limit,
+    update_usual_cost,
+)
 from banyanseam.entry.spending import Charge
 
 # The refill rate is multiplied by the reachable share of the fleet times this factor,
@@ -41,19 +46,33 @@
     updated_s: float
     # Sum of refill at the full rate that was not added, less what late reports used.
     unused: float = 0.0
+    # Mean cost of the latest requests that this process got, also of refused ones.
+    usual_cost: float = 0.0
+    # Whether other processes' charges took the level below zero.
+    is_overspent: bool = False
 
 
 class FleetQuota:
     """One process's copy of the buckets of all organisations."""
 
-    def __init__(self, slack_tokens: float = 0.0) -> None:
+    def __init__(
+        self,
+        slack_tokens: float = 0.0,
+        period_s: float = 0.0,
+        excess_share: float = 0.0,
+    ) -> None:
         """Start without organisations; the published slack is allowed on top of rates.
 
+        So is `excess_share` of what a quota allows in any `period_s`; a part of that is
+        for small requests.
+
         A share of the slack is added to each burst, so that demand within the rate is
         not refused because of delayed reports; the other part of the slack covers what
         is spent while reports are in transit.
         """
         self._extra_burst = slack_tokens * SLACK_SHARE
+        self._period_s = period_s
+        self._excess_share = excess_share
         self._buckets: dict[str, _Bucket] = {}
         # Total charges of this process, by organisation.
         self.own_spent: dict[str, float] = {}
@@ -69,6 +88,9 @@
         bucket = self._refill(organisation, now_s)
         # A full bucket accepts a cost above the burst, which could not pass otherwise.
         needed = min(cost, self._burst(organisation))
+        bucket.usual_cost = update_usual_cost(bucket.usual_cost, cost)
+        if bucket.is_overspent:
+            needed -= self._choose_overdraft(bucket, cost)
         if bucket.level < needed:
             rate = max(self._rate(organisation), 1e-9)
             return (needed - bucket.level) / rate
@@ -105,6 +127,7 @@
             burst = self._burst(bucket.organisation)
             level = max(bucket.level - cost, -MAX_DEBT_BURSTS * burst)
             bucket.level = min(level, burst)
+            bucket.is_overspent |= bucket.level < 0
 
     def record_unused_refill(self, now_s: float) -> None:
         """Record how much refill did not fit into the buckets; call this often."""
@@ -187,6 +210,16 @@
             1.0, REACHABLE_TOLERANCE * self.heard_share
         )
 
+    def _choose_overdraft(self, bucket: _Bucket, cost: float) -> float:
+        organisation = bucket.organisation
+        limit = compute_limit(
+            organisation.rate_per_s,
+            organisation.burst,
+            self._period_s,
+            self._excess_share,
+        )
+        return choose_overdraft(cost, bucket.usual_cost, limit, self.heard_share)
+
     def _refill(self, organisation: Organisation, now_s: float) -> _Bucket:
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
@@ -195,6 +228,7 @@
         added, unused = self._compute_refill(bucket, now_s)
         bucket.updated_s = now_s
         bucket.level += added
+        bucket.is_overspent &= bucket.level < 0
         bucket.unused += unused
         return bucket
 
--- a/banyanseam/platform/settings.py
+++ b/banyanseam/platform/settings.py
@@ -32,6 +32,8 @@
     budget_window_s: float = 10
     budget_extra: float = 50
     quota_slack: float = 0
+    quota_window_s: float = 0
+    quota_over: float = 0
 
 
 class _Platform(_Document):
@@ -94,5 +96,7 @@
             retry_window_s=bounds.budget_window_s,
             retry_extra=bounds.budget_extra,
             quota_slack_tokens=bounds.quota_slack,
+            quota_period_s=bounds.quota_window_s,
+            quota_excess_share=bounds.quota_over,
         ),
     )
--- a/tests/entry/test_quota.py
+++ b/tests/entry/test_quota.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 from dataclasses import replace
+from unittest import mock
 from weakref import WeakKeyDictionary
 
 from hypothesis import given
@@ -12,6 +13,7 @@
 
 TOLERANCE = 1.25
 SLACK = 190_000.0
+WINDOW_S = 8.0
 # The reports that each process under test has received.
 RECEIVED: WeakKeyDictionary[FleetQuota, SpendingTotals] = WeakKeyDictionary()
 
@@ -36,7 +38,7 @@
         self.heartbeat_count = 0
 
     def start(self) -> FleetQuota:
-        quota = FleetQuota(SLACK)
+        quota = FleetQuota(SLACK, WINDOW_S, TOLERANCE - 1)
         quota.configure({"acme": self.organisation}, getattr(self, "now_s", 0.0))
         return quota
 
@@ -68,13 +70,39 @@
             quota.record_unused_refill(self.now_s)
 
     def max_spent_in_window(self, window_s: float) -> float:
-        return max(
-            (
-                sum(c for at_s, c in self.spent if begin_s <= at_s < begin_s + window_s)
-                for begin_s, _ in self.spent
-            ),
-            default=0.0,
-        )
+        most = spent = 0.0
+        first = 0
+        for at_s, cost in self.spent:
+            spent += cost
+            while at_s - self.spent[first][0] >= window_s:
+                spent -= self.spent[first][1]
+                first += 1
+            most = max(most, spent)
+        return most
+
+
+SHORT, LONG = 400.0, 17_000.0
+
+
+def flood_with_short_requests(
+    rate: float, seed: int
+) -> tuple[dict[float, float], SimulatedFleet]:
+    """Return the share of requests that passed, by their cost, and the fleet."""
+    fleet = SimulatedFleet(40, rate, seed)
+    asked = {SHORT: 0, LONG: 0}
+    for step in range(120):
+        fleet.now_s = step * 0.1
+        for cost, count in ((LONG, 27), (SHORT, 100)):
+            for _ in range(count):
+                fleet.charge_once(fleet.rng.randrange(40), cost)
+                asked[cost] += 1
+        if step % 5 == 0:
+            fleet.gossip()
+    passed = {
+        cost: sum(spent == cost for _, spent in fleet.spent) / count
+        for cost, count in asked.items()
+    }
+    return passed, fleet
 
 
 class QuotaTests(unittest.TestCase):
@@ -190,6 +218,41 @@
                         fleet.gossip()
                 self.assertLessEqual(fleet.max_spent_in_window(window_s), bound)
 
+    def test_short_requests_pass_while_long_ones_flood_the_rate(self):
+        # Three times the rate, most of it in long prompts, on as many processes as a
+        # large fleet has, whose reports take up to half a second.
+        rate = 1_600_000.0
+        bound = (rate * WINDOW_S + rate) * TOLERANCE + SLACK
+        for seed in (1, 2):
+            served, spent = flood_with_short_requests(rate, seed)
+            with mock.patch("banyanseam.entry.quota.choose_overdraft", lambda *_: 0.0):
+                before, _ = flood_with_short_requests(rate, seed)
+            with self.subTest(seed=seed):
+                self.assertLess(before[SHORT], 0.75)
+                self.assertGreater(served[SHORT], 0.98)
+                # Long prompts pay for it, and are still served.
+                self.assertGreater(served[LONG], 0.8 * before[LONG])
+                self.assertLessEqual(spent.max_spent_in_window(WINDOW_S), bound)
+
+    def test_a_flood_of_short_requests_stays_within_the_bound(self):
+        rate = 47_000.0
+        bound = (rate * WINDOW_S + rate) * TOLERANCE + SLACK
+        for seed in range(10):
+            fleet = SimulatedFleet(24, rate, seed)
+            with self.subTest(seed=seed):
+                for step in range(300):
+                    fleet.now_s = step * 0.1
+                    if step == 100:
+                        fleet.partitioned = set(range(8))
+                    if step == 200:
+                        fleet.partitioned = set()
+                    fleet.charge_once(fleet.rng.randrange(24), 17_000.0)
+                    for _ in range(40):
+                        fleet.charge_once(fleet.rng.randrange(24), 300.0)
+                    if step % 10 == 0:
+                        fleet.gossip()
+                self.assertLessEqual(fleet.max_spent_in_window(WINDOW_S), bound)
+
     def test_demand_below_the_rate_is_never_refused(self):
         fleet = SimulatedFleet(9, 47_000.0, 1)
         charged = 0
