Report the prefixes that a region used last, and remember reports for a while

Cause: a report of at most 64 prefixes named those of the first engines of the list only, and replaced the report before, so that other regions knew few of a region's prefixes and read them again. Change: each report names the latest uses of all engines; receivers add them up for ten seconds. The messages keep their shape. Measured: unit tests only, so far.

--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -141,7 +141,7 @@
         self, region: str
     ) -> tuple[dict[str, list[CandidateRow]], list[str]]:
         candidates, segments = self._loads.find_region_report(region)
-        return _to_rows(candidates), sorted(segments)
+        return _to_rows(candidates), segments
 
     def compose_for_other_regions(self) -> Gossip:
         """Return a heartbeat with what other regions need of this one."""
@@ -267,7 +267,7 @@
             if ip in by_ip:
                 self._loads.record_peer_loads(by_ip[ip], table, now_s)
         for use in gossip.part_uses:
-            self._loads.record_segment(*use)
+            self._loads.record_segment(*use, now_s)
         own_region = self._members.me.region
         others = [ip for ip, row in by_ip.items() if row.region == own_region]
         self._relay_log.record_heartbeat(
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -25,6 +25,7 @@
     Candidate,
     count_memory_tokens,
 )
+from banyanseam.entry.recent_prefixes import RecentPrefixes
 from banyanseam.entry.relay_log import SegmentUse
 from banyanseam.entry.upstream_list import ListedUpstream, UpstreamList
 from banyanseam.peers.rendezvous import rank
@@ -59,7 +60,9 @@
         self._peer_loads: dict[str, _PeerLoads] = {}
         self._peer_sums: dict[int, tuple[int, int, int, int, int]] = {}
         self._region_reports: dict[str, tuple[float, dict[str, list[Candidate]]]] = {}
-        self._region_segments: dict[str, set[str]] = {}
+        # Prefix segments used in this region, and in others according to their reports.
+        self._own_segments = RecentPrefixes()
+        self._region_segments: dict[str, RecentPrefixes] = {}
         # Segments recently prefilled for this process, for heartbeats to its region.
         self._segment_uses: deque[tuple[float, SegmentUse]] = deque(
             maxlen=MAX_SEGMENT_USES
@@ -68,18 +71,21 @@
         self.forwarded: dict[str, int] = {}
         self._forwarded_segments: dict[str, CachedPrefixes] = {}
 
-    def record_segment(self, upstream_id: str, segment_id: str, tokens: int) -> None:
+    def record_segment(
+        self, upstream_id: str, segment_id: str, tokens: int, now_s: float
+    ) -> None:
         """Record that an upstream prefilled or used a shared prefix segment."""
         listed = self._upstreams.find(upstream_id)
         if listed is not None:
             memory_tokens = PREFIX_CACHE_MEMORY_SHARE * self.engine_memory_tokens
             listed.usage.cached_segments.record_use(segment_id, tokens, memory_tokens)
+            self._own_segments.record_uses([segment_id], now_s)
 
     def record_own_segment(
         self, upstream_id: str, segment_id: str, tokens: int, now_s: float
     ) -> None:
         """Record a segment prefilled for this process, and queue it for heartbeats."""
-        self.record_segment(upstream_id, segment_id, tokens)
+        self.record_segment(upstream_id, segment_id, tokens, now_s)
         self._segment_uses.append((now_s, (upstream_id, segment_id, tokens)))
 
     def record_forwarded_segment(
@@ -100,12 +106,8 @@
         ]
 
     def list_region_segments(self) -> list[str]:
-        """Return the segments cached by this region's upstreams, for other regions."""
-        found: dict[str, None] = {}
-        for upstream in self._upstreams.list_upstreams():
-            segments = self._upstreams.find(upstream.upstream_id).usage.cached_segments
-            found.update(dict.fromkeys(segments.list_newest(MAX_REGION_SEGMENTS)))
-        return list(found)[:MAX_REGION_SEGMENTS]
+        """Return the segments that this region used last, for other regions."""
+        return self._own_segments.list_newest(MAX_REGION_SEGMENTS)
 
     def is_cached(self, segment_id: str, candidate: Candidate) -> bool:
         """Return whether a candidate probably has a segment cached."""
@@ -179,14 +181,16 @@
     ) -> None:
         """Store another region's report of its candidates and cached segments."""
         self._region_reports[region] = (now_s, candidates)
-        self._region_segments[region] = set(segments)
+        known = self._region_segments.setdefault(region, RecentPrefixes())
+        known.record_uses(segments, now_s)
 
     def find_region_report(
         self, region: str
-    ) -> tuple[dict[str, list[Candidate]], set[str]]:
-        """Return the candidates and cached segments that a region has reported."""
+    ) -> tuple[dict[str, list[Candidate]], list[str]]:
+        """Return a region's candidates and its last segments, to pass them on."""
         _, candidates = self._region_reports.get(region, (0.0, {}))
-        return candidates, self._region_segments.get(region, set())
+        known = self._region_segments.get(region, RecentPrefixes())
+        return candidates, known.list_newest(MAX_REGION_SEGMENTS)
 
     def sum_region_load(self, upstream_id: str, now_s: float) -> Load:
         """Return the region's total load on an upstream, as far as reported."""
