Show what clients outside the limits do to a process

Change: tests of real processes on loopback, one process and one crowd at a time: 40 connections of up to 6 MB, or 400 that only open. `memory_mb` 160 and `max_fds` 400 in the settings; the daemon with published seats, whose settings name no limits, gets 200 descriptors from the system in one test. Checked are only that the process lives, that its memory stays under 160 MB and its descriptors under 200, and that an ordinary request is answered while the crowd is connected. The stand-in's settings take both limits, and its VMs get addresses that differ between concurrent test workers, since all of them use one port for metrics.

Odd splits are left to the property tests of the protocol.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -15,7 +15,7 @@
 
 from standins.platform_store import PlatformStore
 from standins.platform_upstream import PlatformUpstream
-from standins.ports import find_free_ports
+from standins.ports import PORTS_PER_LANE, find_free_ports
 from standins.processes import Child, Children
 from standins.serving import serve
 
@@ -56,6 +56,9 @@
     vms: dict[str, EntryVm] = field(default_factory=dict)
     upstreams: dict[str, PlatformUpstream] = field(default_factory=dict)
     config: dict[str, Any] = field(default_factory=dict)
+    # Limits that the settings give each VM.
+    memory_mb: int = 300
+    max_fds: int = 4100
 
     def publish(self, **changes: Any) -> None:
         """Publish the next version of the configuration."""
@@ -146,7 +149,8 @@
             f'region = "{vm.region}"\n'
             f"port_range = [{self.ports['peers']}, {self.ports['peers']}]\n"
             f"seeds = [{listed}]\n[zones]\n{zones}\n[listen]\n{listen}\n"
-            f"[limits]\nmemory_mb = 300\n[bounds]\ngrace_s = 8\n"
+            f"[limits]\nmemory_mb = {self.memory_mb}\nmax_fds = {self.max_fds}\n"
+            f"[bounds]\ngrace_s = 8\n"
             f'quota_slack = 0\n[platform]\naddress = "{self.store_address}"\n'
         )
 
@@ -245,20 +249,25 @@
 
 @asynccontextmanager
 async def start_platform_fleet(
-    regions: dict[str, int], upstreams: dict[str, tuple[str, str]]
+    regions: dict[str, int], upstreams: dict[str, tuple[str, str]], **limits: int
 ) -> AsyncIterator[PlatformFleet]:
-    """Start `regions` (region to VM count) and `upstreams` (id to service, region)."""
+    """Start `regions` (region to VM count) and `upstreams` (id to service, region).
+
+    `limits` are the VMs' `memory_mb` and `max_fds`.
+    """
     names = ("front", "ready", "control", "directory", "peers")
     ports = dict(zip(names, find_free_ports("127.0.0.1", len(names)), strict=True))
     with tempfile.TemporaryDirectory() as folder:
-        fleet = PlatformFleet(Path(folder), Children(Path(folder)), ports)
+        fleet = PlatformFleet(Path(folder), Children(Path(folder)), ports, **limits)
         fleet.config = make_config()
-        # One address per VM, distinct from those of a fleet that runs concurrently.
-        block = 100 + ports["front"] % 100
+        # One address per VM, distinct from those of a fleet that runs concurrently:
+        # all daemons use the same port for metrics.
+        lane = 100 + ports["front"] // PORTS_PER_LANE
+        first = 10 * (ports["front"] // len(names) % 20) + 1
         for index, (region, count) in enumerate(regions.items()):
             for number in range(1, count + 1):
                 name = f"{region}-{number}"
-                ip = f"127.{block}.{index + 1}.{number}"
+                ip = f"127.{lane}.{first + index}.{number}"
                 fleet.vms[name] = EntryVm(name, ip, region)
         async with AsyncExitStack() as stack:
             address = await stack.enter_async_context(serve(fleet.store.handle))
--- a/tests/run.py
+++ b/tests/run.py
@@ -32,6 +32,7 @@
 MODULE_TIMEOUT_S = 900
 # These modules take long and start first, so that none runs alone at the end.
 LONGEST = (
+    "tests.faults.test_untrusted_clients",
     "tests.faults.test_quota_bound",
     "tests.faults.test_platform",
     "tests.faults.test_entry_soak",
