Tell callers truly whether a request has run, and wait for a peer's answer

Cause: a request that reached no upstream or peer was answered 502, which promises nothing, so callers of what may run only once could not ask again. And a VM gave up a forwarded request after 0.45 of the time left, as if it could be sent again, while all attempts had been granted to the peer: the answer came some 10 to 350 ms later and was thrown away with a 504. Change: a failure that certainly has not run is answered 503 with Retry-After, in one pure function (entry/refusals.py); a forwarded request without attempts left waits for its answer.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -186,6 +186,8 @@
 # Refusals.
 MIN_RETRY_AFTER_MS: Final = 150
 MAX_RETRY_AFTER_MS: Final = 2500
+# After a failure of one upstream or peer, others may serve the next request.
+FAILURE_RETRY_AFTER_MS: Final = 300.0
 
 # Buffering. An answer's head, with the interim answers before it, is at most this long:
 # the operators' limit for heads of requests.
--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -34,6 +34,7 @@
     write_peer_failure,
     write_sends,
 )
+from banyanseam.entry.refusals import make_problem
 from banyanseam.entry.relay import Relay
 from banyanseam.entry.values_fetcher import VALUES_PATH, ValuesFetcher
 from banyanseam.errors import BanyanseamError, Problem
@@ -57,7 +58,6 @@
 )
 from banyanseam.server.connection import CONNECTION, Connection
 from banyanseam.server.reply import AsgiReceive, AsgiSend, send_body
-from banyanseam.upstreams.errors import UpstreamFailed
 
 
 @dataclass(frozen=True, slots=True)
@@ -289,18 +289,11 @@
         raise AnswerAborted(error.code)
     exchange = state.exchange
     may_have_run = exchange is not None and exchange.may_have_run
-    if may_have_run and error.status in (408, 421, 429, 503):
-        # These statuses guarantee the caller that the request did not run.
-        error = UpstreamFailed(f"{error.code}: {error.detail}")
-    problem = error.to_problem(state.request_id, is_surely_not_run=not may_have_run)
-    if error.status == 421:
-        problem.status = 503
-    left_ms = None
-    if exchange is not None:
-        left_ms = exchange.deadline_left_ms()
+    left_ms = None if exchange is None else exchange.deadline_left_ms()
+    problem = make_problem(error, state.request_id, left_ms, may_have_run=may_have_run)
     headers, body = frontend.caller_format.write_refusal(problem, left_ms)
     if state.forwarding is not None:
-        headers += write_peer_failure(error, problem)
+        headers += write_peer_failure(problem)
     await state.reply.start(problem.status, headers)
     await state.reply.finish(body)
 
--- a/banyanseam/entry/outgoing.py
+++ b/banyanseam/entry/outgoing.py
@@ -11,11 +11,14 @@
     address: str,
     headers: Headers,
     now_s: float,
+    *,
+    attempts: int = 1,
     max_idle_s: float = 0.0,
 ) -> OutgoingRequest:
     """Return a request to an upstream or a peer.
 
-    `max_idle_s`: how long a connection may have been idle that it reuses.
+    `attempts`: how many of the request's attempts the receiver may use. `max_idle_s`:
+    how long a connection may have been idle that it reuses.
     """
     return OutgoingRequest(
         address=address,
@@ -24,7 +27,7 @@
         headers=headers,
         body=exchange.body,
         connect_timeout_s=CONNECT_TIMEOUT_S,
-        first_byte_timeout_s=_choose_first_byte_timeout_s(exchange, now_s),
+        first_byte_timeout_s=_choose_first_byte_timeout_s(exchange, now_s, attempts),
         max_idle_s=max_idle_s,
     )
 
@@ -53,9 +56,11 @@
     )
 
 
-def _choose_first_byte_timeout_s(exchange: Exchange, now_s: float) -> float:
+def _choose_first_byte_timeout_s(
+    exchange: Exchange, now_s: float, attempts: int
+) -> float:
     left_s = exchange.left_ms(now_s) / 1000
-    is_last = exchange.sends + 1 >= exchange.max_attempts
+    is_last = exchange.sends + attempts >= exchange.max_attempts
     if is_last or not exchange.may_resend:
         return left_s
     return left_s * FIRST_BYTE_WAIT_SHARE
--- a/banyanseam/entry/peer_headers.py
+++ b/banyanseam/entry/peer_headers.py
@@ -8,7 +8,7 @@
 
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.models import Forwarding, Headers
-from banyanseam.errors import BanyanseamError, Problem
+from banyanseam.errors import Problem
 from banyanseam.pipe.errors import ForwardFailed, RequestMalformed
 
 ORGANISATION: Final = b"x-banyanseam-organisation"
@@ -86,10 +86,10 @@
     return int(value) if value.isdigit() else None
 
 
-def write_peer_failure(error: BanyanseamError, problem: Problem) -> Headers:
+def write_peer_failure(problem: Problem) -> Headers:
     """Return the header that tells this daemon's error from an upstream's answer."""
     outcome = "not-run" if problem.not_run else "unknown"
-    retry_after_ms = error.retry_after_ms or 0
+    retry_after_ms = problem.retry_after_ms or 0
     value = f"{outcome} {problem.status} {retry_after_ms} {problem.code}"
     return [(FAILURE, value.encode())]
 
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -205,17 +205,18 @@
             exchange, None, now_s, latency_ms=ROUND_TRIP_MS / 2
         )
         headers = self.upstream_format.write_headers(exchange.head, metadata)
+        # A peer that sends no reply may have used all attempts granted to it.
+        granted = exchange.attempts_left
         outgoing = make_outgoing(
             exchange,
             f"{peer.ip}:{self.peers_port}",
             headers + write_forwarding(exchange, self.members.me.ip),
             now_s,
-            max_idle_s,
+            attempts=granted,
+            max_idle_s=max_idle_s,
         )
         self.loads.forwarded[region] = self.loads.forwarded.get(region, 0) + 1
         sends = exchange.sends
-        # A peer that sends no reply may have used all attempts granted to it.
-        granted = exchange.attempts_left
         try:
             async with send(
                 outgoing,
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -40,6 +40,8 @@
 EVENTS = 5
 EVENT_PAUSE_S = 0.02
 STALL_S = 2.5
+# Longer than a VM waits for a first byte if it could send the request again.
+SLOW_S = 2.0
 MAX_ATTEMPTS = 2
 # Faults of a send to an upstream. A send with one of NOT_RUN never runs.
 NOT_RUN = ("refused", "lost", "full", "pause", "misdirected")
@@ -320,6 +322,8 @@
             return IncomingAnswer(503, [refusal, own_id, pause], _stream([b""]))
         if fault == "misdirected" or headers["expect-instance"] != upstream.upstream_id:
             return IncomingAnswer(421, [own_id], _stream([b""]))
+        if fault == "slow":
+            await anyio.sleep(SLOW_S)
         region = REGIONS[upstream.data_centre]
         run = Run(upstream.upstream_id, region, headers, anyio.current_time())
         self.runs.setdefault(headers["request-id"], []).append(run)
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -86,6 +86,24 @@
         self.assertEqual(caller.status, 200)
 
 
+class SlowPeerTests(unittest.TestCase):
+    def test_an_answer_that_a_peer_gets_late_is_waited_for(self):
+        """After a silent peer there is no attempt left, so giving up gains nothing."""
+
+        async def run() -> Simulation:
+            async with start_simulation() as simulation:
+                empty_piedmont(simulation)
+                simulation.ask("10.2.0.1", "/read/x", ["slow"], [])
+            return simulation
+
+        simulation = run_with_mock_clock(run)
+        caller = simulation.callers[0]
+        self.assertEqual(
+            (caller.status, caller.body), (200, make_body(caller.request_id))
+        )
+        self.assertEqual(len(simulation.runs[caller.request_id]), 1)
+
+
 class RestartTests(unittest.TestCase):
     def test_a_restarted_vm_serves_by_the_newest_version_that_peers_report(self):
         """A key that has been withdrawn must not work again after a restart."""
