Hold back prompts that delay more urgent ones, and rank by organisation and route

Cause: published priorities of organisations hid those of the routes, so engines were given one rank for questions and for long prompts; and VMs sent long prompts to engines that had others to prefill, before which urgent requests waited. Change: the rank is the organisation's priority, then the route's. Measured: unit tests only, so far.

--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -152,7 +152,10 @@
         self, exchange: Exchange, candidates: list[Candidate]
     ) -> Placement | None:
         request = PlacementRequest(
-            exchange.head.prompt, len(exchange.body), self.members.me.region
+            exchange.head.prompt,
+            len(exchange.body),
+            self.members.me.region,
+            exchange.hold_rule,
         )
         untried = _prefer_untried(candidates, exchange.tried)
         return choose(untried, request, self.loads.is_cached, random.random)
@@ -164,7 +167,9 @@
             # A stream that has begun is not refused if the deadline allows the wait.
             return placement.wait_ms <= MAX_WAIT_SHARE * left_ms
         target_ms = exchange.route.target_ms
-        return is_admitted(placement, exchange.head.prompt, target_ms, left_ms)
+        return is_admitted(
+            placement, exchange.head.prompt, target_ms, left_ms, exchange.hold_rule
+        )
 
     def _may_be_sent(
         self, exchange: Exchange, placement: Placement, waited_ms: float
@@ -172,7 +177,13 @@
         if placement.candidate.region != self.members.me.region:
             # The other region queues the request if necessary.
             return True
-        return may_be_sent(placement, exchange.head.prompt, waited_ms)
+        return may_be_sent(
+            placement,
+            exchange.head.prompt,
+            waited_ms,
+            exchange.hold_rule,
+            random.random(),
+        )
 
     def _log_choice(
         self,
--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -13,6 +13,7 @@
     RequestHead,
     Route,
 )
+from banyanseam.entry.scarcity.holding import HoldRule, choose_hold_rule
 from banyanseam.server.reply import AsgiSend
 
 
@@ -117,9 +118,13 @@
     @property
     def urgency(self) -> int:
         """Return the rank among requests; 0 is the most urgent."""
-        if self.organisation is not None and self.organisation.urgency is not None:
-            return self.organisation.urgency
-        return self.route.urgency
+        return self.catalogue.find_rank(self.organisation, self.route)
+
+    @property
+    def hold_rule(self) -> HoldRule:
+        """Return when the request is held back for more urgent ones."""
+        target_ms = self.catalogue.find_urgent_target_ms(self.service, self.route)
+        return choose_hold_rule(target_ms)
 
     @property
     def is_trial(self) -> bool:
--- a/banyanseam/entry/placing.py
+++ b/banyanseam/entry/placing.py
@@ -12,9 +12,6 @@
     ADMIT_LONG_TARGET_SHARE,
     ADMIT_TARGET_SHARE,
     COST_JITTER_MS,
-    LONG_PREFILL_BACKLOG_GROWTH,
-    LONG_PREFILL_BACKLOG_MS,
-    LONG_PREFILL_MS,
     MAX_COUNTED_OUTPUT_TOKENS,
     MAX_WAIT_SHARE,
     MEMORY_SHARE,
@@ -26,6 +23,7 @@
 )
 from banyanseam.entry.models import Prompt
 from banyanseam.entry.performance.models import INITIAL_PERFORMANCE, Performance
+from banyanseam.entry.scarcity.holding import USUAL_RULE, HoldRule, find_send_share
 from banyanseam.peers.rendezvous import weigh
 
 # Returns whether a candidate is assumed to have a shared prefix in its cache.
@@ -59,6 +57,8 @@
     prompt: Prompt | None
     body_bytes: int
     region: str
+    # Whether it is held back for others, and then waits behind what else is.
+    hold_rule: HoldRule = USUAL_RULE
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,7 +139,7 @@
         request.prompt, performance, is_cached=is_cached
     )
     backlog_ms = candidate.prefill_ms
-    if own_prefill_ms >= LONG_PREFILL_MS:
+    if own_prefill_ms >= request.hold_rule.min_prefill_ms:
         backlog_ms += candidate.queued_ms
     # Running requests take a decode step after each prefill chunk.
     slowdown = 1 + step_ms / performance.chunk_ms if running else 1.0
@@ -158,30 +158,44 @@
 
 
 def is_admitted(
-    placement: Placement, prompt: Prompt | None, target_ms: float, left_ms: float
+    placement: Placement,
+    prompt: Prompt | None,
+    target_ms: float,
+    left_ms: float,
+    hold_rule: HoldRule = USUAL_RULE,
 ) -> bool:
     """Return whether a request should be queued rather than refused.
 
     This limits queues when the load exceeds the engines' capacity for many seconds.
     """
     share = ADMIT_TARGET_SHARE
-    if estimate_own_prefill_ms(placement, prompt) >= LONG_PREFILL_MS:
+    if estimate_own_prefill_ms(placement, prompt) >= hold_rule.min_prefill_ms:
         share = ADMIT_LONG_TARGET_SHARE
     bound_ms = max(share * target_ms, ADMIT_LEFT_SHARE * left_ms)
     return placement.wait_ms <= min(bound_ms, MAX_WAIT_SHARE * left_ms)
 
 
-def may_be_sent(placement: Placement, prompt: Prompt | None, waited_ms: float) -> bool:
+def may_be_sent(
+    placement: Placement,
+    prompt: Prompt | None,
+    waited_ms: float,
+    hold_rule: HoldRule = USUAL_RULE,
+    random_share: float = 0.0,
+) -> bool:
     """Return whether a request may be sent now, or is held back for shorter ones.
 
     In the first seconds of a busy day every shared history is prefilled for the first
     time; short queries would otherwise wait behind three such prompts in each engine.
+    `random_share` is a random number from 0 to 1.
     """
-    own_prefill_ms = estimate_own_prefill_ms(placement, prompt)
-    if own_prefill_ms < LONG_PREFILL_MS:
-        return True
-    allowed_ms = LONG_PREFILL_BACKLOG_MS + LONG_PREFILL_BACKLOG_GROWTH * waited_ms
-    return placement.candidate.prefill_ms <= allowed_ms
+    share = find_send_share(
+        hold_rule,
+        estimate_own_prefill_ms(placement, prompt),
+        placement.candidate.prefill_ms,
+        placement.candidate.queued_ms,
+        waited_ms,
+    )
+    return random_share < share
 
 
 def estimate_batch_delay_ms(candidate: Candidate, prompt: Prompt | None) -> float:
