Check a configuration before it is sent: unservable entries, limits, differences

Cause: a configuration was checked by its fields only, the first error ended the check, and nothing said what it would change. Not checked: a request that no engine's memory holds, attempts beyond the retry budget (both need more than the configuration).

--- /dev/null
+++ b/banyanseam/entry/catalogue_check/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a configuration before it is published; a daemon never runs them."""
--- a/banyanseam/entry/main.py
+++ b/banyanseam/entry/main.py
@@ -1,9 +1,13 @@
 """The command that starts an entry daemon on the users' platform."""
 
+import json
 import os
 import sys
 from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import asdict
 from pathlib import Path
+from typing import Any, Final
 
 import anyio
 import click
@@ -11,6 +15,9 @@
 from banyanseam.daemon.const import EXIT_FAILED, EXIT_SETTINGS
 from banyanseam.daemon.failures import report_failure
 from banyanseam.entry.app import Entry
+from banyanseam.entry.catalogue_check.changes import list_changes
+from banyanseam.entry.catalogue_check.limits import list_contradictions
+from banyanseam.entry.catalogue_check.matching import list_unservable
 from banyanseam.entry.frontend import CallerFormat
 from banyanseam.entry.models import EntrySettings
 from banyanseam.entry.relay import UpstreamFormat
@@ -20,7 +27,12 @@
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.line_writer import LineWriter
 from banyanseam.observe.logs import set_up_logs
-from banyanseam.platform.check import check_document
+from banyanseam.platform.check import (
+    CheckReport,
+    check_document,
+    list_errors,
+    read_value,
+)
 from banyanseam.platform.documents import (
     decode_config,
     decode_evacuated,
@@ -45,6 +57,9 @@
     UPSTREAM_PREFIX,
 )
 
+# Valid, with --strict and warnings.
+EXIT_WARNINGS: Final = 1
+
 
 def make_entry(
     settings: EntrySettings,
@@ -91,10 +106,26 @@
     multiple=True,
     help="Only check a document: settings (.toml) or a published configuration.",
 )
-def main(settings_path: Path | None, documents: tuple[Path, ...]) -> None:
+@click.option(
+    "--against",
+    "in_force",
+    type=click.Path(path_type=Path, dir_okay=False),
+    help="With --check: the configuration in force, to list what changes.",
+)
+@click.option(
+    "--strict", is_flag=True, help="With --check: exit with 1 if there are warnings."
+)
+@click.option("--json", "as_json", is_flag=True, help="With --check: print JSON.")
+def main(
+    settings_path: Path | None,
+    documents: tuple[Path, ...],
+    in_force: Path | None,
+    strict: bool,
+    as_json: bool,
+) -> None:
     """Run the daemon and exit, or check documents and exit."""
     if documents:
-        sys.exit(_check(documents))
+        sys.exit(_check(documents, in_force, strict=strict, as_json=as_json))
     if settings_path is None:
         raise click.UsageError(f"neither --settings nor {SETTINGS_VARIABLE} is given")
     settings_path = Path(settings_path)
@@ -115,18 +146,65 @@
         sys.exit(EXIT_FAILED)
 
 
-def _check(documents: tuple[Path, ...]) -> int:
+def _check(
+    documents: tuple[Path, ...], in_force: Path | None, *, strict: bool, as_json: bool
+) -> int:
     """Print the check result of each document and return the exit code."""
     code = 0
+    regions = _read_regions(documents)
+    results: dict[str, Any] = {}
     for path in documents:
         try:
-            for line in check_document(path).to_lines():
-                click.echo(f"{path}: {line}")
+            report = _check_document(path, in_force, regions)
         except BanyanseamError as error:
-            click.echo(f"{path}: {error.code}: {error.detail}", err=True)
+            results[str(path)] = {"errors": _print_errors(path, error)}
             code = EXIT_SETTINGS
+            continue
+        if strict and report.warnings and code == 0:
+            code = EXIT_WARNINGS
+        results[str(path)] = asdict(report) | {"errors": []}
+        if not as_json:
+            for line in report.to_lines():
+                click.echo(f"{path}: {line}")
+    if as_json:
+        click.echo(json.dumps(results, indent=2, sort_keys=True))
     return code
 
 
+def _check_document(
+    path: Path, in_force: Path | None, regions: frozenset[str] | None
+) -> CheckReport:
+    """Check a document's fields, and what a valid configuration means."""
+    report = check_document(path)
+    if path.suffix == ".toml":
+        return report
+    catalogue = decode_config(read_value(path))
+    report.warnings += list_unservable(catalogue, regions)
+    report.warnings += list_contradictions(catalogue)
+    if in_force is not None:
+        before = decode_config(read_value(in_force))
+        report.changes = list(list_changes(before, catalogue))
+    return report
+
+
+def _read_regions(documents: tuple[Path, ...]) -> frozenset[str] | None:
+    """Return the regions of the settings that are checked too, if any are valid."""
+    for path in documents:
+        if path.suffix == ".toml":
+            with suppress(BanyanseamError):
+                return frozenset(read_settings(path).regions.values())
+    return None
+
+
+def _print_errors(path: Path, error: BanyanseamError) -> list[str]:
+    """Print all errors of a document, and return them."""
+    details = [error.detail]
+    if path.suffix != ".toml" and path.exists():
+        details = list_errors(path.read_bytes()) or details
+    for detail in details:
+        click.echo(f"{path}: {error.code}: {detail}", err=True)
+    return details
+
+
 if __name__ == "__main__":
     main()
--- a/banyanseam/platform/check.py
+++ b/banyanseam/platform/check.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any, get_args
 
-from pydantic import BaseModel
+from pydantic import BaseModel, ValidationError
 
 from banyanseam.config.errors import InvalidConfig
 from banyanseam.platform.documents import ConfigDocument, decode_config
@@ -24,6 +24,8 @@
     ignored_fields: list[str] = field(default_factory=list)
     # Contents that are valid but probably not intended.
     warnings: list[str] = field(default_factory=list)
+    # Differences from the configuration in force, None if it was not given.
+    changes: list[str] | None = None
 
     def to_lines(self) -> list[str]:
         """Return the result as text for operators."""
@@ -31,7 +33,10 @@
         lines = [f"valid {self.kind}: {counts}"]
         if self.ignored_fields:
             lines.append(f"  ignored fields: {', '.join(self.ignored_fields)}")
-        return lines + [f"  warning: {warning}" for warning in self.warnings]
+        lines += [f"  warning: {warning}" for warning in self.warnings]
+        if self.changes == []:
+            lines.append("  changes nothing")
+        return lines + [f"  change: {change}" for change in self.changes or ()]
 
 
 def check_document(path: Path) -> CheckReport:
@@ -41,11 +46,15 @@
     """
     if path.suffix == ".toml":
         return check_settings(path)
+    return check_config(read_value(path))
+
+
+def read_value(path: Path) -> bytes:
+    """Return a file's content; raise InvalidConfig."""
     try:
-        value = path.read_bytes()
+        return path.read_bytes()
     except OSError as error:
         raise InvalidConfig(str(path), str(error)) from error
-    return check_config(value)
 
 
 def check_settings(path: Path) -> CheckReport:
@@ -66,7 +75,7 @@
 
 
 def check_config(value: bytes) -> CheckReport:
-    """Check a published configuration; raise InvalidConfig."""
+    """Check a published configuration's fields; raise InvalidConfig."""
     catalogue = decode_config(value)
     document = ConfigDocument.model_validate_json(value)
     report = CheckReport(
@@ -80,25 +89,29 @@
     )
     unknown = _find_unknown(ConfigDocument, json.loads(value), "")
     report.ignored_fields = sorted(set(unknown))
-    for routes in catalogue.routes.values():
-        for route in routes:
-            names = [name for name, _ in route.services]
-            missing = [name for name in names if name not in catalogue.services]
-            where = f"route {route.name or route.path_prefix}"
-            if not names:
-                report.warnings.append(
-                    f"{where} has no service; its requests are refused"
-                )
-            for name in missing:
-                report.warnings.append(f"{where} names the unknown service {name}")
     keys = [key for tenant in document.tenants for key in tenant.api_keys]
     if len(keys) != len(set(keys)):
         report.warnings.append(
             "two organisations have the same key; the later one is used"
         )
+    names = [each.name for each in (*document.services, *document.tenants)]
+    for name in sorted({each for each in names if names.count(each) > 1}):
+        report.warnings.append(f"{name} is defined twice; the later one is used")
     return report
 
 
+def list_errors(value: bytes) -> list[str]:
+    """Return each field of a configuration that a daemon refuses, with the reason."""
+    try:
+        ConfigDocument.model_validate_json(value)
+    except ValidationError as error:
+        return [
+            f"{'.'.join(str(part) for part in each['loc']) or '$'}: {each['msg']}"
+            for each in error.errors(include_input=False, include_url=False)
+        ]
+    return []
+
+
 def _find_unknown(
     model: type[BaseModel], document: dict[str, Any], path: str
 ) -> Iterator[str]:
--- a/tests/platform/test_check.py
+++ b/tests/platform/test_check.py
@@ -89,6 +89,31 @@
         self.assertEqual(result.exit_code, EXIT_SETTINGS)
         self.assertIn("routes.2.timeout_ms", result.stderr)
 
+    def test_what_changes_against_the_configuration_in_force(self):
+        in_force = self.folder / "in-force.json"
+        in_force.write_text(json.dumps(make_config()))
+        config = make_config() | {"version": 4}
+        config["routes"][0]["timeout_ms"] = 4000
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(config))
+        arguments = ["--check", str(path), "--against", str(in_force)]
+        result = CliRunner().invoke(main, arguments)
+        self.assertEqual(result.exit_code, 0, result.output)
+        self.assertIn("change: route query: timeout_ms 3000 becomes", result.stdout)
+        result = CliRunner().invoke(main, [*arguments, "--json"])
+        report = json.loads(result.stdout)[str(path)]
+        self.assertEqual(report["errors"], [])
+        self.assertEqual(len(report["changes"]), 1)
+
+    def test_warnings_fail_a_strict_check(self):
+        config = make_config()
+        config["routes"][0]["service"] = "nothing"
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(config))
+        for arguments, code in (([], 0), (["--strict"], 1)):
+            result = CliRunner().invoke(main, ["--check", str(path), *arguments])
+            self.assertEqual(result.exit_code, code, result.output)
+
     def test_a_file_that_is_missing(self):
         for name in ("none.json", "none.toml"):
             path = str(self.folder / name)
