--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -138,8 +138,6 @@
 LONG_PREFILL_BACKLOG_MS: Final = 80.0
 LONG_PREFILL_BACKLOG_GROWTH: Final = 0.4
 QUEUE_PERIOD_S: Final = 0.03
-# Mean age of what a process knows of its peers' requests at an upstream.
-LOAD_REPORT_AGE_S: Final = 0.125
 # How long a request waits until an upstream is registered or has enough memory, as a
 # share of its remaining time.
 NO_CAPACITY_WAIT_SHARE: Final = 0.15
--- a/banyanseam/entry/scarcity/holding.py
+++ b/banyanseam/entry/scarcity/holding.py
@@ -1,17 +1,16 @@
 """Hold back prompts that would delay more urgent requests.
 
-Pure functions. They answer bursts of long, less urgent prompts beside many urgent
-short ones: an engine prefills the prompts that it has got in turn, so
-urgent requests wait behind all that was sent before them. What is held back waits at
-its VM, in the order of its deadline; a short prompt is never held back, since it frees
-next to nothing.
+Pure functions. They answer bursts of long, less urgent prompts beside many urgent short
+ones: an engine prefills the prompts that it has got in turn, so urgent requests wait
+behind all that was sent before them. What is held back waits at its VM. A short prompt
+never is, since that would free next to nothing.
 """
 
 from dataclasses import dataclass
 from typing import Final
 
 from banyanseam.entry.const import (
-    LOAD_REPORT_AGE_S,
+    GOSSIP_PERIOD_S,
     LONG_PREFILL_BACKLOG_GROWTH,
     LONG_PREFILL_BACKLOG_MS,
     LONG_PREFILL_MS,
@@ -24,7 +23,7 @@
 BACKLOG_SHARE: Final = 0.4
 # What a prompt that is held back for long may add to it for each millisecond, so that
 # none waits for ever.
-BACKLOG_GROWTH: Final = 0.1
+BACKLOG_GROWTH: Final = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,4 +78,4 @@
         return 0.0
     if not rule.is_shared or held_ms <= own_prefill_ms:
         return 1.0
-    return min(1.0, room_ms * QUEUE_PERIOD_S / LOAD_REPORT_AGE_S / held_ms)
+    return min(1.0, room_ms * QUEUE_PERIOD_S / GOSSIP_PERIOD_S / held_ms)
