Observe how fast upstreams work, and estimate waits with it

Cause: every wait was estimated with the figures of one sheet, so engines that are faster, slower or unlike were placed on as if they were equal. Change: entry/performance/ keeps recent samples of each upstream (time apart from the prefill, prefill or call, output) from the relay's answers, shares them in heartbeats of the region and reports speeds to other regions. A configuration without engines observes nothing.

--- a/banyanseam/entry/gossip.py
+++ b/banyanseam/entry/gossip.py
@@ -250,6 +250,7 @@
         return sorted(set(self.settings.regions.values()) - {region})
 
     def _update_own_row(self) -> None:
+        self._heartbeats.refresh_performance()
         is_serving, is_accepting, running = self.get_own_state()
         self.members.increment_heartbeat_count(
             is_serving=is_serving,
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -24,16 +24,16 @@
 from banyanseam.entry.crash_suspects import CrashSuspects, SuspectReport
 from banyanseam.entry.members import Member, Members, make_incarnation_tag
 from banyanseam.entry.messages import (
-    CandidateRow,
     Gossip,
     SuspectRow,
-    from_candidate_row,
+    from_candidate_rows,
     from_suspect_row,
     make_digest,
     pack_ip,
-    to_candidate_row,
+    to_candidate_rows,
     to_heartbeat_row,
     to_member_row,
+    to_speed_table,
     to_suspect_row,
     to_upstream_row,
     unpack_ip,
@@ -50,6 +50,7 @@
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads
 from banyanseam.entry.values import PublishedValues
+from banyanseam.observe.events import PERFORMANCE_CHANGED, log
 
 
 class Heartbeats:
@@ -86,6 +87,7 @@
         What it passes on is not passed on in the same direction again.
         """
         now_s = anyio.current_time()
+        self._relay_log.record_own_samples(self._loads.performance.take_samples())
         pending = self._relay_log.take(direction)
         found = [self._members.find(ip) for ip in pending.list_ips()]
         others = [member for member in found if member is not None]
@@ -93,6 +95,9 @@
             others += self._choose_rows_to_relay(now_s)
         peer_loads = self._loads.list_peer_loads(pending.ips)
         own_uses = self._loads.list_segment_uses(now_s)
+        reports = {
+            region: self._loads.find_region_report(region) for region in pending.reports
+        }
         return self._compose(
             [self._members.me, *others],
             direction=direction,
@@ -100,8 +105,15 @@
             peer_loads={pack_ip(ip): table for ip, table in peer_loads.items()},
             part_uses=[*own_uses, *pending.segment_uses],
             relayed={
-                region: self._make_region_table(region) for region in pending.reports
+                region: (to_candidate_rows(candidates), sorted(segments))
+                for region, (candidates, segments) in reports.items()
             },
+            relayed_speeds={
+                region: speeds
+                for region, (candidates, _) in reports.items()
+                if (speeds := to_speed_table(candidates))
+            },
+            samples=pending.samples,
             levels=self._list_levels_for_new_peers(now_s),
         )
 
@@ -137,20 +149,16 @@
             return {}
         return self._quota.list_levels()
 
-    def _make_region_table(
-        self, region: str
-    ) -> tuple[dict[str, list[CandidateRow]], list[str]]:
-        candidates, segments = self._loads.find_region_report(region)
-        return _to_rows(candidates), sorted(segments)
-
     def compose_for_other_regions(self) -> Gossip:
         """Return a heartbeat with what other regions need of this one."""
         now_s = anyio.current_time()
+        candidates = self.list_candidates()
         return self._compose(
             self._members.list_rows(now_s, self._members.me.region),
             recent_s=RECENT_SPENDING_S,
             region_parts=self._loads.list_region_segments(),
-            candidates=_to_rows(self.list_candidates()),
+            candidates=to_candidate_rows(candidates),
+            speeds=to_speed_table(candidates),
         )
 
     def compose_full(self) -> Gossip:
@@ -159,13 +167,16 @@
         It is sent as a hello, which asks a peer for its full state, and as the reply.
         """
         now_s = anyio.current_time()
+        candidates = self.list_candidates()
         return self._compose(
             self._members.list_rows(now_s),
             is_full=True,
             recent_s=RECENT_SPENDING_S,
             loads=self._loads.list_own_loads(),
             region_parts=self._loads.list_region_segments(),
-            candidates=_to_rows(self.list_candidates()),
+            candidates=to_candidate_rows(candidates),
+            speeds=to_speed_table(candidates),
+            samples=self._loads.performance.list_samples(),
             levels=self._quota.list_levels(),
             suspects=_to_suspect_rows(self._suspects.list_all_reports(now_s)),
             segment_crashes=self._suspects.segments.list_crashes(-math.inf),
@@ -201,6 +212,19 @@
         )
         self._spendings.merge(spending, anyio.current_time())
 
+    def refresh_performance(self) -> None:
+        """Estimate the upstreams' performance anew, and log what has changed."""
+        changes = self._loads.refresh_performance(anyio.current_time())
+        for service, (before, after) in changes.items():
+            log(
+                PERFORMANCE_CHANGED,
+                service=service,
+                work_percent=after.work_percent,
+                work_percent_before=before.work_percent,
+                output_percent=after.output_percent,
+                output_percent_before=before.output_percent,
+            )
+
     def apply(self, gossip: Gossip) -> bool:
         """Apply a heartbeat; return False if no full row of its sender was received.
 
@@ -268,6 +292,8 @@
                 self._loads.record_peer_loads(by_ip[ip], table, now_s)
         for use in gossip.part_uses:
             self._loads.record_segment(*use)
+        if self._loads.has_engines:
+            self._loads.performance.record_peer_samples(gossip.samples, now_s)
         own_region = self._members.me.region
         others = [ip for ip, row in by_ip.items() if row.region == own_region]
         self._relay_log.record_heartbeat(
@@ -277,8 +303,10 @@
             gossip.direction,
             gossip.part_uses,
         )
+        self._relay_log.record_samples(gossip.samples, gossip.direction)
         for region, (candidate_rows, segments) in gossip.relayed.items():
-            candidates = _from_rows(candidate_rows, region)
+            speeds = gossip.relayed_speeds.get(region, {})
+            candidates = from_candidate_rows(candidate_rows, region, speeds)
             self._loads.store_region_report(region, candidates, segments, now_s)
             ips = [row.ip for row in rows if row.region == region]
             self._relay_log.record_report(region, ips, gossip.direction)
@@ -287,7 +315,7 @@
         self, gossip: Gossip, region: str, rows: list[Member], now_s: float
     ) -> None:
         # An empty report counts too: the region then has no candidates.
-        candidates = _from_rows(gossip.candidates, region)
+        candidates = from_candidate_rows(gossip.candidates, region, gossip.speeds)
         self._loads.store_region_report(region, candidates, gossip.region_parts, now_s)
         ips = [row.ip for row in rows if row.region == region]
         self._relay_log.record_report(region, ips, None)
@@ -362,19 +390,3 @@
 
 def _to_suspect_rows(reports: list[SuspectReport]) -> list[SuspectRow]:
     return [to_suspect_row(each) for each in reports]
-
-
-def _to_rows(candidates: dict[str, list[Candidate]]) -> dict[str, list[CandidateRow]]:
-    return {
-        service: [to_candidate_row(each) for each in found]
-        for service, found in candidates.items()
-    }
-
-
-def _from_rows(
-    rows: dict[str, list[CandidateRow]], region: str
-) -> dict[str, list[Candidate]]:
-    return {
-        service: [from_candidate_row(row, region) for row in found]
-        for service, found in rows.items()
-    }
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Iterable
 from functools import lru_cache
+from itertools import zip_longest
 from typing import Annotated
 from zlib import crc32
 
@@ -12,6 +13,13 @@
 from banyanseam.entry.crash_suspects import SuspectReport
 from banyanseam.entry.members import Member, make_incarnation_tag
 from banyanseam.entry.models import Upstream, UpstreamState
+from banyanseam.entry.performance.models import (
+    INITIAL_FACTORS,
+    Factors,
+    find_factors,
+    scale_performance,
+)
+from banyanseam.entry.performance.observer import SampleRow
 from banyanseam.entry.placing import Candidate
 from banyanseam.entry.relay_log import Direction
 from banyanseam.entry.spending import SpentRow
@@ -36,6 +44,12 @@
 SuspectRow = tuple[
     int, Milliseconds, int, Milliseconds | None, list[tuple[str, Milliseconds]]
 ]
+# An upstream's durations in percent of the initial performance: work, output.
+Percent = Annotated[int, Field(gt=0, le=10_000)]
+SpeedRow = tuple[Percent, Percent]
+# The upstreams of a service in the order of their candidate rows; services of which all
+# have the initial performance are left out.
+SpeedTable = dict[str, list[SpeedRow]]
 # Loads by tag of the upstream.
 LoadTable = dict[int, LoadRow]
 
@@ -66,6 +80,11 @@
     relayed: dict[str, tuple[dict[str, list[CandidateRow]], list[str]]] = Field(
         default_factory=dict
     )
+    # Speeds of `candidates` and, by region, of those in `relayed`.
+    speeds: SpeedTable = Field(default_factory=dict)
+    relayed_speeds: dict[str, SpeedTable] = Field(default_factory=dict)
+    # Samples of the speed of the region's upstreams, from the sender and passed on.
+    samples: list[SampleRow] = Field(default_factory=list)
     # Total charges that changed recently, one row for each process.
     spent_names: list[str] = Field(default_factory=list)
     spent: list[SpentRow] = Field(default_factory=list)
@@ -226,6 +245,45 @@
     )
 
 
-def from_candidate_row(row: CandidateRow, region: str) -> Candidate:
+def to_candidate_rows(
+    candidates: dict[str, list[Candidate]],
+) -> dict[str, list[CandidateRow]]:
+    """Return the rows of a region's candidates by service."""
+    return {
+        service: [to_candidate_row(each) for each in found]
+        for service, found in candidates.items()
+    }
+
+
+def to_speed_table(candidates: dict[str, list[Candidate]]) -> SpeedTable:
+    """Return the speeds of a region's candidates by service."""
+    table = {}
+    for service, found in candidates.items():
+        factors = [find_factors(each.performance) for each in found]
+        if any(each != INITIAL_FACTORS for each in factors):
+            table[service] = [
+                (each.work_percent, each.output_percent) for each in factors
+            ]
+    return table
+
+
+def from_candidate_row(
+    row: CandidateRow, region: str, factors: Factors = INITIAL_FACTORS
+) -> Candidate:
     """Return the candidate of a row that a region reported."""
-    return Candidate(row[0], region, *row[1:])
+    return Candidate(row[0], region, *row[1:], performance=scale_performance(factors))
+
+
+def from_candidate_rows(
+    rows: dict[str, list[CandidateRow]], region: str, speeds: SpeedTable
+) -> dict[str, list[Candidate]]:
+    """Return the candidates that a region reported; an older VM reports no speeds."""
+    return {
+        service: [
+            from_candidate_row(
+                row, region, INITIAL_FACTORS if speed is None else Factors(*speed)
+            )
+            for row, speed in zip_longest(found, speeds.get(service, [])[: len(found)])
+        ]
+        for service, found in rows.items()
+    }
--- a/banyanseam/entry/moving.py
+++ b/banyanseam/entry/moving.py
@@ -32,12 +32,18 @@
     def __init__(self, now_s: float) -> None:
         """Start when the answer has begun."""
         self.last_s = now_s
+        # Called with the time of the first event.
+        self.on_first: Callable[[float], None] = lambda _: None
+        self._has_event = False
         self._is_stopped = False
         self._reading: anyio.CancelScope | None = None
 
     def record_event(self, now_s: float) -> None:
         """Record the arrival of a whole event."""
         self.last_s = now_s
+        if not self._has_event:
+            self._has_event = True
+            self.on_first(now_s)
 
     def stop(self) -> None:
         """Make the pending or the next read raise SlowerThanOthers."""
--- a/banyanseam/entry/operators.py
+++ b/banyanseam/entry/operators.py
@@ -1,10 +1,12 @@
 """The operators' port of an entry daemon: its state and its metrics."""
 
 import json
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 import anyio
 
+from banyanseam.entry.messages import make_upstream_tag
 from banyanseam.server.callers import AsgiApp
 from banyanseam.server.reply import AsgiReceive, AsgiSend, send_body
 
@@ -39,6 +41,10 @@
         "evacuated": sorted(entry.values.evacuated),
         "upstreams_revision": entry.upstreams.revision,
         "upstreams_age_ms": round((now_s - entry.upstreams.confirmed_s) * 1000),
+        "observed_speeds": {
+            service: asdict(factors)
+            for service, factors in entry.loads.performance.service_factors.items()
+        },
         "heard_share": entry.quota.heard_share,
         "peers": [
             {"ip": each.ip, "region": each.region, "is_serving": each.is_serving}
@@ -49,6 +55,11 @@
                 "id": each.upstream_id,
                 "service": each.service,
                 "state": each.state,
+                "speed": asdict(
+                    entry.loads.performance.find_factors(
+                        make_upstream_tag(each.upstream_id)
+                    )
+                ),
                 "load": entry.loads.sum_region_load(each.upstream_id, now_s),
             }
             for each in entry.upstreams.list_upstreams()
--- a/banyanseam/entry/performance/models.py
+++ b/banyanseam/entry/performance/models.py
@@ -1,6 +1,6 @@
 """How fast an upstream works, in the terms that placement estimates waits with."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 
@@ -32,3 +32,42 @@
     output_tokens=45.0,
     call_ms=45.0,
 )
+
+
+@dataclass(frozen=True, slots=True)
+class Factors:
+    """Durations relative to INITIAL_PERFORMANCE, in percent.
+
+    `work` is the prefill of an engine or the calls of a service without engines,
+    `output` the time from the first token to the last.
+    """
+
+    work_percent: int = 100
+    output_percent: int = 100
+
+
+INITIAL_FACTORS: Final = Factors()
+
+
+def find_factors(performance: Performance) -> Factors:
+    """Return the durations of a performance that `scale_performance` returned."""
+    initial = INITIAL_PERFORMANCE
+    work = initial.prefill_tokens_per_ms / performance.prefill_tokens_per_ms
+    output = performance.output_tokens / initial.output_tokens
+    return Factors(round(100 * work), round(100 * output))
+
+
+def scale_performance(factors: Factors) -> Performance:
+    """Return the performance that has these durations."""
+    if factors == INITIAL_FACTORS:
+        return INITIAL_PERFORMANCE
+    work = factors.work_percent / 100
+    initial = INITIAL_PERFORMANCE
+    return replace(
+        initial,
+        prefill_tokens_per_ms=initial.prefill_tokens_per_ms / work,
+        attention_ms_per_million_pairs=initial.attention_ms_per_million_pairs * work,
+        chunk_ms=initial.chunk_ms * work,
+        output_tokens=initial.output_tokens * factors.output_percent / 100,
+        call_ms=initial.call_ms * work,
+    )
--- /dev/null
+++ b/banyanseam/entry/performance/observer.py
@@ -0,0 +1,223 @@
+"""Estimate the performance of upstreams from samples of all VMs of the region.
+
+Pure code without I/O; `now_s` is the runtime's clock. It answers the load of a pool
+whose engines are faster, slower or less alike than assumed: waits that are estimated
+too long refuse callers while there is room, and waits estimated too short queue them
+where there is none. It is read by `placing` through `Candidate.performance`.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from statistics import median
+from typing import Final
+
+from banyanseam.entry.performance.models import (
+    INITIAL_FACTORS,
+    INITIAL_PERFORMANCE,
+    Factors,
+    Performance,
+    scale_performance,
+)
+from banyanseam.entry.performance.samples import (
+    Measure,
+    Run,
+    measure_first,
+    measure_output,
+)
+from banyanseam.entry.performance.window import Window
+
+# Tag of the upstream, measure, value.
+SampleRow = tuple[int, int, int]
+
+MIN_FACTOR_PERCENT: Final = 10
+MAX_FACTOR_PERCENT: Final = 1000
+MAX_START_MS: Final = 1000
+# A service's figure needs this many samples.
+MIN_SERVICE_SAMPLES: Final = 6
+# An upstream's own samples count against this many of its service's figure.
+PRIOR_SAMPLES: Final = 4
+# Smaller differences are noise: the initial figures, or the service's, then apply.
+MIN_DIFFERENCE: Final = 1.2
+REFRESH_PERIOD_S: Final = 0.5
+MAX_UPSTREAMS: Final = 4096
+# Samples that wait for the next heartbeat; they come again within a second.
+MAX_PENDING_SAMPLES: Final = 6
+# Unknown requests before it only make an answer later, so the upper part is left out.
+AVERAGED_SHARES: Final[Mapping[Measure, tuple[float, float]]] = {
+    Measure.START: (0.1, 0.5),
+    Measure.WORK: (0.1, 0.6),
+    Measure.OUTPUT: (0.1, 0.9),
+}
+
+
+class PerformanceObserver:
+    """The speed of this region's upstreams, by tag of the upstream."""
+
+    def __init__(self) -> None:
+        """Start with the initial performance for every upstream."""
+        self._windows: dict[int, dict[Measure, Window]] = {}
+        self._factors: dict[int, Factors] = {}
+        self._performances: dict[int, Performance] = {}
+        self.service_factors: dict[str, Factors] = {}
+        self._start_ms: dict[str, float] = {}
+        self._services: dict[int, str] = {}
+        self._pending: list[SampleRow] = []
+        self._refreshed_s = -1e9
+
+    def find(self, tag: int) -> Performance:
+        """Return the performance to estimate an upstream's waits with."""
+        return self._performances.get(tag, INITIAL_PERFORMANCE)
+
+    def find_factors(self, tag: int) -> Factors:
+        """Return an upstream's durations relative to the initial performance."""
+        return self._factors.get(tag, INITIAL_FACTORS)
+
+    def record_first(self, tag: int, run: Run) -> None:
+        """Record a first token, or the answer of a service without engines."""
+        start_ms = self._start_ms.get(
+            self._services.get(tag, ""), 2 * INITIAL_PERFORMANCE.step_ms
+        )
+        sample = measure_first(run, start_ms)
+        if sample is not None:
+            self._record_own(tag, *sample, run.first_s)
+
+    def record_output(self, tag: int, run: Run) -> None:
+        """Record a stream that has ended."""
+        sample = measure_output(run)
+        if sample is not None:
+            self._record_own(tag, *sample, run.last_s)
+
+    def _record_own(
+        self, tag: int, measure: Measure, value: float, now_s: float
+    ) -> None:
+        row = (tag, int(measure), round(value))
+        self._record_row(row, now_s)
+        # The other VMs have samples of the start themselves.
+        if measure is not Measure.START and len(self._pending) < MAX_PENDING_SAMPLES:
+            self._pending.append(row)
+
+    def record_peer_samples(self, rows: Iterable[SampleRow], now_s: float) -> None:
+        """Record samples of another VM of the region; unknown measures are ignored."""
+        for row in rows:
+            self._record_row(row, now_s)
+
+    def _record_row(self, row: SampleRow, now_s: float) -> None:
+        tag, number, value = row
+        if number not in AVERAGED_SHARES:
+            return
+        if tag not in self._windows and len(self._windows) >= MAX_UPSTREAMS:
+            return
+        windows = self._windows.setdefault(tag, {})
+        window = windows.setdefault(Measure(number), Window())
+        window.record(_limit(Measure(number), value), now_s)
+
+    def take_samples(self) -> list[SampleRow]:
+        """Return this VM's samples since the last call, for the region's other VMs."""
+        pending, self._pending = self._pending, []
+        return pending
+
+    def list_samples(self) -> list[SampleRow]:
+        """Return one sample of each measure, for a VM that has just started."""
+        return [
+            (tag, int(measure), round(_average(window, measure)))
+            for tag, windows in self._windows.items()
+            for measure, window in windows.items()
+            if len(window)
+        ]
+
+    def refresh(
+        self, services: Mapping[int, str], now_s: float
+    ) -> dict[str, tuple[Factors, Factors]]:
+        """Estimate anew; drop upstreams that are not in `services`, by tag.
+
+        Return the services' figures that have changed: before and after.
+        """
+        if now_s - self._refreshed_s < REFRESH_PERIOD_S:
+            return {}
+        self._refreshed_s = now_s
+        self._services = dict(services)
+        for tag in self._windows.keys() - services.keys():
+            del self._windows[tag]
+        for windows in self._windows.values():
+            for window in windows.values():
+                window.drop_old(now_s)
+        before = self.service_factors
+        by_service: dict[str, list[int]] = {}
+        for tag, service in services.items():
+            by_service.setdefault(service, []).append(tag)
+        self.service_factors = {
+            service: self._estimate_service(service, tags)
+            for service, tags in by_service.items()
+        }
+        self._factors = {
+            tag: self._estimate_upstream(tag, self.service_factors[service])
+            for tag, service in services.items()
+        }
+        self._performances = {
+            tag: scale_performance(factors) for tag, factors in self._factors.items()
+        }
+        return {
+            service: (before.get(service, INITIAL_FACTORS), factors)
+            for service, factors in self.service_factors.items()
+            if factors != before.get(service, INITIAL_FACTORS)
+        }
+
+    def _estimate_service(self, service: str, tags: list[int]) -> Factors:
+        """Return a service's figure; the last one applies while samples are missing."""
+        known = self.service_factors.get(service, INITIAL_FACTORS)
+        start_ms = self._find_median(tags, Measure.START)
+        if start_ms is not None:
+            self._start_ms[service] = start_ms
+        work = self._find_median(tags, Measure.WORK)
+        output = self._find_median(tags, Measure.OUTPUT)
+        return Factors(
+            known.work_percent if work is None else _round(work, 100),
+            known.output_percent if output is None else _round(output, 100),
+        )
+
+    def _find_median(self, tags: list[int], measure: Measure) -> float | None:
+        """Return the median of the upstreams' averages, None with few samples."""
+        windows = [
+            window
+            for tag in tags
+            if (window := self._windows.get(tag, {}).get(measure)) is not None
+            and len(window)
+        ]
+        if sum(map(len, windows)) < MIN_SERVICE_SAMPLES:
+            return None
+        return median(_average(window, measure) for window in windows)
+
+    def _estimate_upstream(self, tag: int, service: Factors) -> Factors:
+        windows = self._windows.get(tag, {})
+        return Factors(
+            _shrink(windows.get(Measure.WORK), Measure.WORK, service.work_percent),
+            service.output_percent,
+        )
+
+
+def _shrink(window: Window | None, measure: Measure, prior_percent: int) -> int:
+    """Return an upstream's figure, nearer to the prior the fewer samples it has."""
+    if window is None or not len(window):
+        return prior_percent
+    count = len(window)
+    own = math.log(max(_average(window, measure), MIN_FACTOR_PERCENT))
+    mean = count * own + PRIOR_SAMPLES * math.log(prior_percent)
+    return _round(math.exp(mean / (count + PRIOR_SAMPLES)), prior_percent)
+
+
+def _round(percent: float, prior_percent: int) -> int:
+    """Return a bounded whole percent, or the prior if the difference is small."""
+    ratio = percent / prior_percent
+    if 1 / MIN_DIFFERENCE <= ratio <= MIN_DIFFERENCE:
+        return prior_percent
+    return round(min(max(percent, MIN_FACTOR_PERCENT), MAX_FACTOR_PERCENT))
+
+
+def _average(window: Window, measure: Measure) -> float:
+    return window.average(*AVERAGED_SHARES[measure])
+
+
+def _limit(measure: Measure, value: float) -> float:
+    if measure is Measure.START:
+        return min(max(value, 0.0), MAX_START_MS)
+    return min(max(value, MIN_FACTOR_PERCENT), MAX_FACTOR_PERCENT)
--- a/banyanseam/entry/placing.py
+++ b/banyanseam/entry/placing.py
@@ -121,6 +121,23 @@
     return tokens / performance.prefill_tokens_per_ms + attention_ms
 
 
+def estimate_step_ms(candidate: Candidate) -> float:
+    """Return the duration of a decode step of an engine's running requests."""
+    performance = candidate.performance
+    running = min(candidate.requests, candidate.slots)
+    return performance.step_ms + performance.step_ms_per_running * running
+
+
+def estimate_slowdown(candidate: Candidate) -> float:
+    """Return how many times longer a prefill takes beside running requests.
+
+    They take a decode step after each prefill chunk.
+    """
+    if min(candidate.requests, candidate.slots) == 0:
+        return 1.0
+    return 1 + estimate_step_ms(candidate) / candidate.performance.chunk_ms
+
+
 def estimate_wait_ms(
     candidate: Candidate, request: PlacementRequest, *, is_cached: bool
 ) -> float:
@@ -133,16 +150,14 @@
     if request.prompt is None:
         rounds = candidate.requests / max(candidate.slots, 1)
         return network_ms + performance.call_ms * rounds
-    running = min(candidate.requests, candidate.slots)
-    step_ms = performance.step_ms + performance.step_ms_per_running * running
+    step_ms = estimate_step_ms(candidate)
     own_prefill_ms = estimate_prefill_ms(
         request.prompt, performance, is_cached=is_cached
     )
     backlog_ms = candidate.prefill_ms
     if own_prefill_ms >= LONG_PREFILL_MS:
         backlog_ms += candidate.queued_ms
-    # Running requests take a decode step after each prefill chunk.
-    slowdown = 1 + step_ms / performance.chunk_ms if running else 1.0
+    slowdown = estimate_slowdown(candidate)
     # If the batch is full, a request waits until others have finished. Their prompts
     # are prefilled in the meantime, so the longer of the two waits applies.
     usual_decode_ms = performance.output_tokens * (step_ms + performance.chunk_ms / 2)
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -31,6 +31,7 @@
 )
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.members import Members
+from banyanseam.entry.messages import make_upstream_tag
 from banyanseam.entry.models import AnswerHead, Headers, RequestHead, SendMetadata
 from banyanseam.entry.moving import MovePolicy, Progress
 from banyanseam.entry.outgoing import make_outgoing, make_send_metadata
@@ -40,6 +41,7 @@
     strip_peer_headers,
     write_forwarding,
 )
+from banyanseam.entry.performance.recorder import RunRecorder
 from banyanseam.entry.placing import (
     Placement,
     estimate_own_prefill_ms,
@@ -159,19 +161,33 @@
             metadata = make_send_metadata(exchange, upstream.upstream_id, now_s)
             headers = self.upstream_format.write_headers(exchange.head, metadata)
             outgoing = make_outgoing(exchange, upstream.address, headers, now_s)
+            recorder = self._make_recorder(exchange, placement)
+
+            def record_write() -> None:
+                _record_sends(exchange)
+                recorder.record_write(anyio.current_time())
+
             with self.crashes.watch_run(exchange, listed):
                 async with send(
                     outgoing,
-                    lambda: _record_sends(exchange),
+                    record_write,
                     self.moves.make_wait_for_better(exchange, placement),
                 ) as incoming:
                     answer = self._check_upstream_answer(exchange, incoming, listed)
                     mark_prefilled(listed, pending_prefill_ms)
                     self._record_shared_prefix(exchange, placement)
                     await self._relay_answer(
-                        exchange, placement, answer, incoming, listed
+                        exchange, placement, answer, incoming, listed, recorder
                     )
 
+    def _make_recorder(self, exchange: Exchange, placement: Placement) -> RunRecorder:
+        return RunRecorder(
+            self.loads.performance,
+            make_upstream_tag(placement.candidate.upstream_id),
+            placement,
+            exchange.head.prompt,
+        )
+
     async def _forward_to_region(
         self, exchange: Exchange, placement: Placement
     ) -> None:
@@ -242,8 +258,19 @@
         answer: AnswerHead,
         incoming: IncomingAnswer,
         listed: ListedUpstream | None = None,
+        recorder: RunRecorder | None = None,
     ) -> None:
         progress = Progress(anyio.current_time())
+        is_observed = (
+            recorder is not None
+            and self.loads.has_engines
+            and answer.status == 200
+            and not exchange.is_resumed
+        )
+        if is_observed and exchange.route.is_stream:
+            progress.on_first = recorder.record_first
+        elif is_observed and exchange.head.prompt is None:
+            recorder.record_first(anyio.current_time())
 
         async def relay() -> None:
             await relay_answer(exchange, answer, incoming, progress, self.answer_budget)
@@ -252,6 +279,8 @@
             self.crashes.record_answer(exchange, answer)
             if listed is not None:
                 self.upstreams.record_success(listed)
+            if is_observed:
+                recorder.record_end(progress.last_s)
 
         relaying = relay()
         if not exchange.route.is_resumable or exchange.forwarding is not None:
--- a/banyanseam/entry/relay_log.py
+++ b/banyanseam/entry/relay_log.py
@@ -9,11 +9,15 @@
 from enum import IntEnum
 from typing import Final
 
+from banyanseam.entry.performance.observer import SampleRow
+
 # Upstream, prefix segment and the segment's tokens.
 SegmentUse = tuple[str, str, int]
 
 # Uses of prefix segments to pass on; older ones are dropped.
 MAX_PENDING_USES: Final = 256
+# Samples of the upstreams' speed to pass on; older ones are dropped.
+MAX_PENDING_SAMPLES: Final = 64
 
 
 class Direction(IntEnum):
@@ -60,6 +64,7 @@
     # Other regions that have reported, with the processes of their reports.
     reports: dict[str, list[str]] = field(default_factory=dict)
     segment_uses: list[SegmentUse] = field(default_factory=list)
+    samples: list[SampleRow] = field(default_factory=list)
 
     def list_ips(self) -> list[str]:
         """Return all processes whose rows are passed on."""
@@ -100,6 +105,22 @@
         for following in _WITHOUT_LOADS[direction]:
             self._pending[following].ips_without_loads |= ips | others
 
+    def record_own_samples(self, samples: list[SampleRow]) -> None:
+        """Record samples of this process, sent once in each direction."""
+        self._record_samples(samples, Direction)
+
+    def record_samples(self, samples: list[SampleRow], direction: Direction) -> None:
+        """Record samples that a heartbeat of the region has brought."""
+        self._record_samples(samples, _WITH_LOADS[direction])
+
+    def _record_samples(
+        self, samples: list[SampleRow], directions: Iterable[Direction]
+    ) -> None:
+        for each in directions:
+            pending = self._pending[each]
+            pending.samples += samples
+            del pending.samples[:-MAX_PENDING_SAMPLES]
+
     def record_report(
         self, region: str, ips: list[str], direction: Direction | None
     ) -> None:
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -21,6 +21,8 @@
 from banyanseam.entry.members import Member, Members
 from banyanseam.entry.messages import LoadRow, LoadTable, make_upstream_tag
 from banyanseam.entry.models import Catalogue, Prompt
+from banyanseam.entry.performance.models import Factors
+from banyanseam.entry.performance.observer import PerformanceObserver
 from banyanseam.entry.placing import (
     Candidate,
     count_memory_tokens,
@@ -54,6 +56,7 @@
         self._own_region = own_region
         # Memory of the smallest engine of any service, set from the configuration.
         self.engine_memory_tokens = 0
+        self.performance = PerformanceObserver()
         # Loads that peers reported, the oldest report first, and by tag of the upstream
         # their sums and the number of reports in these.
         self._peer_loads: dict[str, _PeerLoads] = {}
@@ -68,6 +71,19 @@
         self.forwarded: dict[str, int] = {}
         self._forwarded_segments: dict[str, CachedPrefixes] = {}
 
+    @property
+    def has_engines(self) -> bool:
+        """Return whether the configuration names engines, whose speed is observed."""
+        return self.engine_memory_tokens > 0
+
+    def refresh_performance(self, now_s: float) -> dict[str, tuple[Factors, Factors]]:
+        """Estimate the upstreams' performance anew; return what has changed."""
+        services = {
+            make_upstream_tag(each.upstream_id): each.service
+            for each in self._upstreams.list_upstreams()
+        }
+        return self.performance.refresh(services, now_s)
+
     def record_segment(self, upstream_id: str, segment_id: str, tokens: int) -> None:
         """Record that an upstream prefilled or used a shared prefix segment."""
         listed = self._upstreams.find(upstream_id)
@@ -369,6 +385,9 @@
                 held_tokens=held_tokens,
                 queued_ms=queued_ms,
                 is_reserve=is_cold,
+                performance=loads.performance.find(
+                    make_upstream_tag(upstream.upstream_id)
+                ),
             )
         )
     return found
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -93,6 +93,9 @@
 UPSTREAM_LIMIT_CHANGED: Final = Event(
     6023, "INFO", "An upstream changed the limit of requests that it takes"
 )
+PERFORMANCE_CHANGED: Final = Event(
+    6024, "INFO", "The observed speed of a service changed"
+)
 KEEPER_CHANGED: Final = Event(6001, "INFO", "A pool of upstreams changed its keeper")
 UPSTREAM_POLL_FAILED: Final = Event(
     6002, "WARNING", "An upstream did not report its load"
