Tell upstreams of a service apart by first tokens and streams

Cause: under load few prompts find little to wait for, and a busy engine looks slow. Change: the pace of streams is a second measure; an upstream differs from its service only if both say so. Small differences keep the initial figures. The model of engines in the tests gets speeds.

--- a/banyanseam/entry/performance/models.py
+++ b/banyanseam/entry/performance/models.py
@@ -38,8 +38,8 @@
 class Factors:
     """Durations relative to INITIAL_PERFORMANCE, in percent.
 
-    `work` is the prefill of an engine or the calls of a service without engines,
-    `output` the time from the first token to the last.
+    `work` is the prefill of an engine, with its steps, or the calls of a service
+    without engines, `output` the output of a usual request.
     """
 
     work_percent: int = 100
@@ -67,6 +67,8 @@
         initial,
         prefill_tokens_per_ms=initial.prefill_tokens_per_ms / work,
         attention_ms_per_million_pairs=initial.attention_ms_per_million_pairs * work,
+        step_ms=initial.step_ms * work,
+        step_ms_per_running=initial.step_ms_per_running * work,
         chunk_ms=initial.chunk_ms * work,
         output_tokens=initial.output_tokens * factors.output_percent / 100,
         call_ms=initial.call_ms * work,
--- a/banyanseam/entry/performance/observer.py
+++ b/banyanseam/entry/performance/observer.py
@@ -22,7 +22,7 @@
     Measure,
     Run,
     measure_first,
-    measure_output,
+    measure_stream,
 )
 from banyanseam.entry.performance.window import Window
 
@@ -32,12 +32,18 @@
 MIN_FACTOR_PERCENT: Final = 10
 MAX_FACTOR_PERCENT: Final = 1000
 MAX_START_MS: Final = 1000
+MAX_PACE_PERCENT: Final = 100_000
 # A service's figure needs this many samples.
 MIN_SERVICE_SAMPLES: Final = 6
+# Fewer samples of an upstream don't count.
+MIN_UPSTREAM_SAMPLES: Final = 4
 # An upstream's own samples count against this many of its service's figure.
 PRIOR_SAMPLES: Final = 4
-# Smaller differences are noise: the initial figures, or the service's, then apply.
-MIN_DIFFERENCE: Final = 1.2
+# Smaller differences are noise: the initial figures, or the service's, then apply. The
+# measured output depends on the load too.
+MIN_SERVICE_DIFFERENCE: Final = 1.25
+MIN_UPSTREAM_DIFFERENCE: Final = 1.4
+MIN_OUTPUT_DIFFERENCE: Final = 1.7
 REFRESH_PERIOD_S: Final = 0.5
 MAX_UPSTREAMS: Final = 4096
 # Samples that wait for the next heartbeat; they come again within a second.
@@ -45,8 +51,10 @@
 # Unknown requests before it only make an answer later, so the upper part is left out.
 AVERAGED_SHARES: Final[Mapping[Measure, tuple[float, float]]] = {
     Measure.START: (0.1, 0.5),
-    Measure.WORK: (0.1, 0.6),
-    Measure.OUTPUT: (0.1, 0.9),
+    Measure.WORK: (0.2, 0.8),
+    # The longer ones decide how long a full batch keeps others waiting.
+    Measure.OUTPUT: (0.4, 1.0),
+    Measure.PACE: (0.2, 0.8),
 }
 
 
@@ -81,10 +89,9 @@
         if sample is not None:
             self._record_own(tag, *sample, run.first_s)
 
-    def record_output(self, tag: int, run: Run) -> None:
+    def record_stream(self, tag: int, run: Run) -> None:
         """Record a stream that has ended."""
-        sample = measure_output(run)
-        if sample is not None:
+        for sample in measure_stream(run):
             self._record_own(tag, *sample, run.last_s)
 
     def _record_own(
@@ -149,8 +156,14 @@
             service: self._estimate_service(service, tags)
             for service, tags in by_service.items()
         }
+        paces = {
+            service: self._find_median(tags, Measure.PACE)
+            for service, tags in by_service.items()
+        }
         self._factors = {
-            tag: self._estimate_upstream(tag, self.service_factors[service])
+            tag: self._estimate_upstream(
+                tag, self.service_factors[service], paces[service]
+            )
             for tag, service in services.items()
         }
         self._performances = {
@@ -171,8 +184,12 @@
         work = self._find_median(tags, Measure.WORK)
         output = self._find_median(tags, Measure.OUTPUT)
         return Factors(
-            known.work_percent if work is None else _round(work, 100),
-            known.output_percent if output is None else _round(output, 100),
+            known.work_percent
+            if work is None
+            else _round(work, 100, MIN_SERVICE_DIFFERENCE),
+            known.output_percent
+            if output is None
+            else _round(output, 100, MIN_OUTPUT_DIFFERENCE),
         )
 
     def _find_median(self, tags: list[int], measure: Measure) -> float | None:
@@ -187,28 +204,44 @@
             return None
         return median(_average(window, measure) for window in windows)
 
-    def _estimate_upstream(self, tag: int, service: Factors) -> Factors:
+    def _estimate_upstream(
+        self, tag: int, service: Factors, service_pace: float | None
+    ) -> Factors:
+        """Return an upstream's figures, nearer to the service's with few samples.
+
+        An upstream that happens to be busier than reported has late first tokens or
+        slow streams, one that is slower has both. Under load, few prompts find little
+        to wait for; then the streams alone have to tell.
+        """
         windows = self._windows.get(tag, {})
+        logarithms = [
+            _find_deviation(windows[measure], measure, typical)
+            for measure, typical in (
+                (Measure.WORK, service.work_percent),
+                (Measure.PACE, service_pace),
+            )
+            if typical and len(windows.get(measure, ())) >= MIN_UPSTREAM_SAMPLES
+        ]
+        deviation = 0.0
+        if logarithms and (min(logarithms) > 0 or max(logarithms) < 0):
+            deviation = min(logarithms, key=abs)
+        percent = service.work_percent * math.exp(deviation)
         return Factors(
-            _shrink(windows.get(Measure.WORK), Measure.WORK, service.work_percent),
+            _round(percent, service.work_percent, MIN_UPSTREAM_DIFFERENCE),
             service.output_percent,
         )
 
 
-def _shrink(window: Window | None, measure: Measure, prior_percent: int) -> int:
-    """Return an upstream's figure, nearer to the prior the fewer samples it has."""
-    if window is None or not len(window):
-        return prior_percent
-    count = len(window)
-    own = math.log(max(_average(window, measure), MIN_FACTOR_PERCENT))
-    mean = count * own + PRIOR_SAMPLES * math.log(prior_percent)
-    return _round(math.exp(mean / (count + PRIOR_SAMPLES)), prior_percent)
+def _find_deviation(window: Window, measure: Measure, typical: float) -> float:
+    """Return the logarithm of an upstream's figure against its service's."""
+    ratio = max(_average(window, measure), 1.0) / typical
+    return math.log(ratio) * len(window) / (len(window) + PRIOR_SAMPLES)
 
 
-def _round(percent: float, prior_percent: int) -> int:
+def _round(percent: float, prior_percent: int, min_difference: float) -> int:
     """Return a bounded whole percent, or the prior if the difference is small."""
     ratio = percent / prior_percent
-    if 1 / MIN_DIFFERENCE <= ratio <= MIN_DIFFERENCE:
+    if 1 / min_difference <= ratio <= min_difference:
         return prior_percent
     return round(min(max(percent, MIN_FACTOR_PERCENT), MAX_FACTOR_PERCENT))
 
@@ -220,4 +253,6 @@
 def _limit(measure: Measure, value: float) -> float:
     if measure is Measure.START:
         return min(max(value, 0.0), MAX_START_MS)
+    if measure is Measure.PACE:
+        return min(max(value, 1.0), MAX_PACE_PERCENT)
     return min(max(value, MIN_FACTOR_PERCENT), MAX_FACTOR_PERCENT)
--- a/banyanseam/entry/performance/recorder.py
+++ b/banyanseam/entry/performance/recorder.py
@@ -35,10 +35,17 @@
         self._first_s = now_s
         self._observer.record_first(self._tag, self._make_run(now_s))
 
-    def record_end(self, last_s: float) -> None:
+    def record_end(self, last_s: float, events: int) -> None:
         """Record that the answer is whole; `last_s`: the time of its last event."""
         if self._first_s is not None:
-            self._observer.record_output(self._tag, self._make_run(last_s))
-
-    def _make_run(self, last_s: float) -> Run:
-        return Run(self._placement, self._prompt, self._sent_s, self._first_s, last_s)
+            self._observer.record_stream(self._tag, self._make_run(last_s, events))
+
+    def _make_run(self, last_s: float, events: int = 0) -> Run:
+        return Run(
+            self._placement,
+            self._prompt,
+            self._sent_s,
+            self._first_s,
+            last_s,
+            events,
+        )
--- a/banyanseam/entry/performance/samples.py
+++ b/banyanseam/entry/performance/samples.py
@@ -11,7 +11,6 @@
 from banyanseam.entry.models import Prompt
 from banyanseam.entry.performance.models import INITIAL_PERFORMANCE
 from banyanseam.entry.placing import (
-    Candidate,
     Placement,
     estimate_prefill_ms,
     estimate_slowdown,
@@ -23,10 +22,13 @@
 # By the initial performance, a prompt with more shows how fast an engine prefills.
 SAMPLED_PREFILL_MS: Final = 60.0
 # Known backlog at which a prompt is a sample, as a share of its own prefill time.
-SAMPLED_BACKLOG_SHARE: Final = 0.5
+SAMPLED_BACKLOG_SHARE: Final = 0.25
 # Share of the slots at which an engine's batch counts as full.
 FULL_BATCH_SHARE: Final = 0.75
 
+# A stream with fewer events doesn't show the time between two of them.
+MIN_PACE_EVENTS: Final = 3
+
 
 class Measure(IntEnum):
     """What a sample tells of an upstream."""
@@ -35,8 +37,11 @@
     START = 0
     # Prefill or call, in percent of the initial performance.
     WORK = 1
-    # Time from the first to the last token, in percent of the initial performance.
+    # Output of a request, in percent of the initial performance.
     OUTPUT = 2
+    # Time between two events of a stream, in percent of an initial step. Streams differ
+    # in tokens an event, so it only compares the upstreams of a service.
+    PACE = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,8 +53,9 @@
     sent_s: float
     # The first event of a stream, or the answer's first byte.
     first_s: float
-    # The last event of a stream so far.
+    # The last event of a stream so far, and the number of its events.
     last_s: float
+    events: int = 0
 
     @property
     def first_ms(self) -> float:
@@ -68,7 +74,10 @@
     `start_ms` is the upstream's time to the first token apart from the prefill.
     """
     candidate = run.placement.candidate
-    if candidate.is_reserve or candidate.requests >= candidate.slots:
+    is_full = candidate.requests >= candidate.slots
+    if candidate.is_reserve:
+        return None
+    if run.prompt is None and is_full:
         return None
     if run.prompt is None:
         return Measure.WORK, 100 * run.first_ms / INITIAL_PERFORMANCE.call_ms
@@ -77,32 +86,36 @@
         run.prompt, INITIAL_PERFORMANCE, is_cached=is_cached
     )
     own_ms = estimate_prefill_ms(run.prompt, candidate.performance, is_cached=is_cached)
-    if initial_ms < SHORT_PREFILL_MS and candidate.prefill_ms < SHORT_PREFILL_MS:
+    if initial_ms < SAMPLED_PREFILL_MS:
+        if initial_ms > SHORT_PREFILL_MS or candidate.prefill_ms > SHORT_PREFILL_MS:
+            return None
+        if is_full:
+            return None
         return Measure.START, max(0.0, run.first_ms - own_ms - candidate.prefill_ms)
-    if (
-        initial_ms < SAMPLED_PREFILL_MS
-        or candidate.prefill_ms > SAMPLED_BACKLOG_SHARE * own_ms
-    ):
-        return None
+    prefill_ms = run.first_ms - start_ms
+    if is_full or candidate.prefill_ms > SAMPLED_BACKLOG_SHARE * own_ms:
+        # Whatever else the engine had to do, the prefill took no longer than this.
+        if prefill_ms > own_ms:
+            return None
+        return Measure.WORK, max(0.0, 100 * prefill_ms / initial_ms)
     # The backlog was estimated by the same performance as the prompt itself.
-    backlog_share = 1 + candidate.prefill_ms / own_ms
-    prefill_ms = (run.first_ms - start_ms) / backlog_share
-    return (
-        Measure.WORK,
-        max(0.0, 100 * prefill_ms / (initial_ms * estimate_slowdown(candidate))),
-    )
+    prefill_ms /= (1 + candidate.prefill_ms / own_ms) * estimate_slowdown(candidate)
+    return Measure.WORK, max(0.0, 100 * prefill_ms / initial_ms)
 
 
-def measure_output(run: Run) -> tuple[Measure, float] | None:
-    """Return the sample that a whole stream gives, if its engine's batch was full."""
+def measure_stream(run: Run) -> list[tuple[Measure, float]]:
+    """Return the samples that a whole stream gives."""
     candidate = run.placement.candidate
     if candidate.is_reserve or run.prompt is None:
-        return None
-    if candidate.requests < FULL_BATCH_SHARE * candidate.slots:
-        return None
-    return Measure.OUTPUT, 100 * run.output_ms / _estimate_initial_output_ms(candidate)
-
-
-def _estimate_initial_output_ms(candidate: Candidate) -> float:
-    token_ms = estimate_step_ms(candidate) + candidate.performance.chunk_ms / 2
-    return INITIAL_PERFORMANCE.output_tokens * token_ms
+        return []
+    found = []
+    step_ms = estimate_step_ms(candidate)
+    if run.events >= MIN_PACE_EVENTS:
+        work = INITIAL_PERFORMANCE.step_ms / candidate.performance.step_ms
+        event_ms = run.output_ms / (run.events - 1)
+        found.append((Measure.PACE, 100 * event_ms / (step_ms * work)))
+    if candidate.requests >= FULL_BATCH_SHARE * candidate.slots:
+        token_ms = step_ms + candidate.performance.chunk_ms / 2
+        tokens = run.output_ms / token_ms
+        found.append((Measure.OUTPUT, 100 * tokens / INITIAL_PERFORMANCE.output_tokens))
+    return found
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -280,7 +280,7 @@
             if listed is not None:
                 self.upstreams.record_success(listed)
             if is_observed:
-                recorder.record_end(progress.last_s)
+                recorder.record_end(progress.last_s, exchange.events_of_send)
 
         relaying = relay()
         if not exchange.route.is_resumable or exchange.forwarding is not None:
--- a/tests/entry/engine_model.py
+++ b/tests/entry/engine_model.py
@@ -2,7 +2,7 @@
 
 Engines run in steps: each running request decodes a token, and up to one chunk of the
 waiting prompts is prefilled. The figures come from the operators' sheets, as in
-entry/performance/models.py.
+entry/performance/models.py; an engine of another speed is faster in all of them.
 """
 
 import random
@@ -12,8 +12,16 @@
 
 from banyanseam.entry.choosing import choose_retry_after_ms
 from banyanseam.entry.models import Prompt
-from banyanseam.entry.performance.models import INITIAL_PERFORMANCE
-from banyanseam.entry.placing import Candidate, PlacementRequest, choose, is_admitted
+from banyanseam.entry.messages import make_upstream_tag
+from banyanseam.entry.performance.models import INITIAL_PERFORMANCE, Performance
+from banyanseam.entry.performance.observer import PerformanceObserver
+from banyanseam.entry.performance.recorder import RunRecorder
+from banyanseam.entry.placing import (
+    Candidate,
+    PlacementRequest,
+    choose,
+    is_admitted,
+)
 from tests.entry.common import make_candidate
 
 CHUNK_TOKENS = 1024
@@ -34,6 +42,7 @@
     decoded_tokens: int = 0
     attempts: int = 0
     sent_ms: float = 0.0
+    recorder: RunRecorder | None = None
     estimated_wait_ms: float = 0.0
     first_ms: float | None = None
     ended_ms: float | None = None
@@ -56,11 +65,12 @@
 
     name: str
     slots: int = 64
+    speed: float = 1.0
     now_ms: float = 0.0
     running: list[Call] = field(default_factory=list)
     waiting: deque[Call] = field(default_factory=deque)
 
-    def describe(self) -> Candidate:
+    def describe(self, performance: Performance) -> Candidate:
         """Return the engine's load as an entry process sees it."""
         unprefilled_tokens = sum(
             call.unprefilled_tokens for call in (*self.running, *self.waiting)
@@ -69,7 +79,8 @@
             self.name,
             slots=self.slots,
             requests=len(self.running) + len(self.waiting),
-            prefill_ms=unprefilled_tokens / INITIAL_PERFORMANCE.prefill_tokens_per_ms,
+            prefill_ms=unprefilled_tokens / performance.prefill_tokens_per_ms,
+            performance=performance,
         )
 
     def step(self) -> None:
@@ -89,13 +100,15 @@
             INITIAL_PERFORMANCE.step_ms
             + INITIAL_PERFORMANCE.step_ms_per_running * len(decoding)
             + (CHUNK_TOKENS - budget) / INITIAL_PERFORMANCE.prefill_tokens_per_ms
-        )
+        ) / self.speed
         for call in decoding:
             call.decoded_tokens += 1
             if call.first_ms is None:
                 call.first_ms = self.now_ms
+                call.recorder.record_first(self.now_ms / 1000)
             if call.decoded_tokens >= call.output_tokens:
                 call.ended_ms = self.now_ms
+                call.recorder.record_end(self.now_ms / 1000, call.decoded_tokens)
         self.running = [call for call in self.running if call.ended_ms is None]
 
     def _drop_timed_out(self) -> None:
@@ -107,10 +120,15 @@
 
 @dataclass(slots=True)
 class Pool:
-    """Engines and callers; each request sent is added to the last reported loads."""
+    """Engines and callers; each request sent is added to the last reported loads.
+
+    With `is_observing`, waits are estimated with the observed performance.
+    """
 
     engines: dict[str, Engine]
     rng: random.Random
+    is_observing: bool = False
+    observer: PerformanceObserver = field(default_factory=PerformanceObserver)
     _reported_ms: float = -1e9
     _reported: dict[str, Candidate] = field(default_factory=dict)
     _sent: list[Call] = field(default_factory=list)
@@ -154,8 +172,11 @@
         left_ms = call.end_by_ms - now_ms
         if now_ms - self._reported_ms >= LOAD_REPORT_PERIOD_MS:
             self._reported_ms = now_ms
+            tags = {make_upstream_tag(name): "pool" for name in self.engines}
+            self.observer.refresh(tags, now_ms / 1000)
             self._reported = {
-                name: engine.describe() for name, engine in self.engines.items()
+                name: engine.describe(self._find_performance(name))
+                for name, engine in self.engines.items()
             }
         placement = choose(
             list(self._reported.values()),
@@ -173,11 +194,20 @@
         self._sent.append(call)
         name = placement.candidate.upstream_id
         call.unprefilled_tokens = call.prompt.prompt_tokens
+        call.recorder = RunRecorder(
+            self.observer, make_upstream_tag(name), placement, call.prompt
+        )
+        call.recorder.record_write(now_ms / 1000)
         self.engines[name].waiting.append(call)
         reported = self._reported[name]
         self._reported[name] = replace(
             reported,
             requests=reported.requests + 1,
             prefill_ms=reported.prefill_ms
-            + call.prompt.prompt_tokens / INITIAL_PERFORMANCE.prefill_tokens_per_ms,
+            + call.prompt.prompt_tokens / reported.performance.prefill_tokens_per_ms,
         )
+
+    def _find_performance(self, name: str) -> Performance:
+        if not self.is_observing:
+            return INITIAL_PERFORMANCE
+        return self.observer.find(make_upstream_tag(name))
