--- a/banyanseam/entry/performance/observer.py
+++ b/banyanseam/entry/performance/observer.py
@@ -44,6 +44,7 @@
 MIN_SERVICE_DIFFERENCE: Final = 1.25
 MIN_UPSTREAM_DIFFERENCE: Final = 1.4
 MIN_OUTPUT_DIFFERENCE: Final = 1.7
+MIN_LOGGED_CHANGE: Final = 1.5
 REFRESH_PERIOD_S: Final = 0.5
 MAX_UPSTREAMS: Final = 4096
 # Samples that wait for the next heartbeat; they come again within a second.
@@ -67,6 +68,8 @@
         self._factors: dict[int, Factors] = {}
         self._performances: dict[int, Performance] = {}
         self.service_factors: dict[str, Factors] = {}
+        # The services' figures as operators know them from the log.
+        self._known_factors: dict[str, Factors] = {}
         self._start_ms: dict[str, float] = {}
         self._services: dict[int, str] = {}
         self._pending: list[SampleRow] = []
@@ -124,12 +127,12 @@
         return pending
 
     def list_samples(self) -> list[SampleRow]:
-        """Return one sample of each measure, for a VM that has just started."""
+        """Return some samples of each measure, for a VM that has just started."""
         return [
             (tag, int(measure), round(_average(window, measure)))
             for tag, windows in self._windows.items()
             for measure, window in windows.items()
-            if len(window)
+            for _ in range(min(len(window), MIN_UPSTREAM_SAMPLES))
         ]
 
     def refresh(
@@ -137,7 +140,7 @@
     ) -> dict[str, tuple[Factors, Factors]]:
         """Estimate anew; drop upstreams that are not in `services`, by tag.
 
-        Return the services' figures that have changed: before and after.
+        Return the services' figures that have changed by much: before and after.
         """
         if now_s - self._refreshed_s < REFRESH_PERIOD_S:
             return {}
@@ -148,7 +151,6 @@
         for windows in self._windows.values():
             for window in windows.values():
                 window.drop_old(now_s)
-        before = self.service_factors
         by_service: dict[str, list[int]] = {}
         for tag, service in services.items():
             by_service.setdefault(service, []).append(tag)
@@ -169,11 +171,17 @@
         self._performances = {
             tag: scale_performance(factors) for tag, factors in self._factors.items()
         }
-        return {
-            service: (before.get(service, INITIAL_FACTORS), factors)
-            for service, factors in self.service_factors.items()
-            if factors != before.get(service, INITIAL_FACTORS)
-        }
+        return self._take_changes()
+
+    def _take_changes(self) -> dict[str, tuple[Factors, Factors]]:
+        """Return the services that differ much from when they were last returned."""
+        changes = {}
+        for service, factors in self.service_factors.items():
+            before = self._known_factors.get(service, INITIAL_FACTORS)
+            if _differ_much(before, factors):
+                changes[service] = before, factors
+                self._known_factors[service] = factors
+        return changes
 
     def _estimate_service(self, service: str, tags: list[int]) -> Factors:
         """Return a service's figure; the last one applies while samples are missing."""
@@ -232,6 +240,12 @@
         )
 
 
+def _differ_much(before: Factors, after: Factors) -> bool:
+    work = after.work_percent / before.work_percent
+    output = after.output_percent / before.output_percent
+    return max(work, 1 / work, output, 1 / output) >= MIN_LOGGED_CHANGE
+
+
 def _find_deviation(window: Window, measure: Measure, typical: float) -> float:
     """Return the logarithm of an upstream's figure against its service's."""
     ratio = max(_average(window, measure), 1.0) / typical
--- a/tests/entry/engine_model.py
+++ b/tests/entry/engine_model.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field, replace
 
 from banyanseam.entry.choosing import choose_retry_after_ms
-from banyanseam.entry.models import Prompt
 from banyanseam.entry.messages import make_upstream_tag
+from banyanseam.entry.models import Prompt
 from banyanseam.entry.performance.models import INITIAL_PERFORMANCE, Performance
 from banyanseam.entry.performance.observer import PerformanceObserver
 from banyanseam.entry.performance.recorder import RunRecorder
