Estimate the way to another region from the connections to it

Cause: a forwarded request opens a connection, so it takes two round trips; the estimate had one, and forwarded requests took some 200 ms longer than estimated. Change: the time of connections to a region is kept, twice its lower part is the time on the way; without recent connections the initial time applies. It concerns all deployments with several regions.

--- a/banyanseam/entry/placing.py
+++ b/banyanseam/entry/placing.py
@@ -50,6 +50,8 @@
     # Cold or suspect: used only if there is no other candidate.
     is_reserve: bool = False
     performance: Performance = INITIAL_PERFORMANCE
+    # Time on the way to another region and back.
+    network_ms: float = ROUND_TRIP_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,7 +147,8 @@
     performance = candidate.performance
     network_ms = 0.0
     if candidate.region != request.region:
-        network_ms = ROUND_TRIP_MS + TRANSFER_MS_PER_KIB * request.body_bytes / 1024
+        transfer_ms = TRANSFER_MS_PER_KIB * request.body_bytes / 1024
+        network_ms = candidate.network_ms + transfer_ms
     excess_requests = max(0, candidate.requests + 1 - candidate.slots)
     if request.prompt is None:
         rounds = candidate.requests / max(candidate.slots, 1)
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -221,10 +221,15 @@
         sends = exchange.sends
         # A peer that sends no reply may have used all attempts granted to it.
         granted = exchange.attempts_left
+
+        def record_write() -> None:
+            _record_sends(exchange, granted)
+            written_s = anyio.current_time()
+            connect_ms = (written_s - now_s) * 1000
+            self.loads.network.record_connect(region, connect_ms, written_s)
+
         try:
-            async with send(
-                outgoing, lambda: _record_sends(exchange, granted)
-            ) as incoming:
+            async with send(outgoing, record_write) as incoming:
                 self.reachability.record_reachable(
                     peer, self.members.list_serving(now_s, region)
                 )
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -22,6 +22,7 @@
 from banyanseam.entry.messages import LoadRow, LoadTable, make_upstream_tag
 from banyanseam.entry.models import Catalogue, Prompt
 from banyanseam.entry.performance.models import Factors
+from banyanseam.entry.performance.network import NetworkTimes
 from banyanseam.entry.performance.observer import PerformanceObserver
 from banyanseam.entry.placing import (
     Candidate,
@@ -57,6 +58,7 @@
         # Memory of the smallest engine of any service, set from the configuration.
         self.engine_memory_tokens = 0
         self.performance = PerformanceObserver()
+        self.network = NetworkTimes()
         # Loads that peers reported, the oldest report first, and by tag of the upstream
         # their sums and the number of reports in these.
         self._peer_loads: dict[str, _PeerLoads] = {}
@@ -194,7 +196,14 @@
         now_s: float,
     ) -> None:
         """Store another region's report of its candidates and cached segments."""
-        self._region_reports[region] = (now_s, candidates)
+        network_ms = self.network.find_ms(region, now_s)
+        self._region_reports[region] = (
+            now_s,
+            {
+                service: [replace(each, network_ms=network_ms) for each in found]
+                for service, found in candidates.items()
+            },
+        )
         self._region_segments[region] = set(segments)
 
     def find_region_report(
