--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -219,10 +219,8 @@
             log(
                 PERFORMANCE_CHANGED,
                 service=service,
-                work_percent=after.work_percent,
-                work_percent_before=before.work_percent,
-                output_percent=after.output_percent,
-                output_percent_before=before.output_percent,
+                work_percent=after,
+                work_percent_before=before,
             )
 
     def apply(self, gossip: Gossip) -> bool:
@@ -292,8 +290,7 @@
                 self._loads.record_peer_loads(by_ip[ip], table, now_s)
         for use in gossip.part_uses:
             self._loads.record_segment(*use)
-        if self._loads.has_engines:
-            self._loads.performance.record_peer_samples(gossip.samples, now_s)
+        self._loads.performance.record_peer_samples(gossip.samples, now_s)
         own_region = self._members.me.region
         others = [ip for ip, row in by_ip.items() if row.region == own_region]
         self._relay_log.record_heartbeat(
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -14,9 +14,8 @@
 from banyanseam.entry.members import Member, make_incarnation_tag
 from banyanseam.entry.models import Upstream, UpstreamState
 from banyanseam.entry.performance.models import (
-    INITIAL_FACTORS,
-    Factors,
-    find_factors,
+    INITIAL_PERCENT,
+    find_work_percent,
     scale_performance,
 )
 from banyanseam.entry.performance.observer import SampleRow
@@ -44,12 +43,9 @@
 SuspectRow = tuple[
     int, Milliseconds, int, Milliseconds | None, list[tuple[str, Milliseconds]]
 ]
-# An upstream's durations in percent of the initial performance: work, output.
-Percent = Annotated[int, Field(gt=0, le=10_000)]
-SpeedRow = tuple[Percent, Percent]
-# The upstreams of a service in the order of their candidate rows; services of which all
-# have the initial performance are left out.
-SpeedTable = dict[str, list[SpeedRow]]
+# Durations of a service's upstreams in percent of the initial performance, in the order
+# of their candidate rows; services of which all have 100 are left out.
+SpeedTable = dict[str, list[Annotated[int, Field(gt=0, le=10_000)]]]
 # Loads by tag of the upstream.
 LoadTable = dict[int, LoadRow]
 
@@ -259,19 +255,19 @@
     """Return the speeds of a region's candidates by service."""
     table = {}
     for service, found in candidates.items():
-        factors = [find_factors(each.performance) for each in found]
-        if any(each != INITIAL_FACTORS for each in factors):
-            table[service] = [
-                (each.work_percent, each.output_percent) for each in factors
-            ]
+        percents = [find_work_percent(each.performance) for each in found]
+        if any(percent != INITIAL_PERCENT for percent in percents):
+            table[service] = percents
     return table
 
 
 def from_candidate_row(
-    row: CandidateRow, region: str, factors: Factors = INITIAL_FACTORS
+    row: CandidateRow, region: str, work_percent: int = INITIAL_PERCENT
 ) -> Candidate:
     """Return the candidate of a row that a region reported."""
-    return Candidate(row[0], region, *row[1:], performance=scale_performance(factors))
+    return Candidate(
+        row[0], region, *row[1:], performance=scale_performance(work_percent)
+    )
 
 
 def from_candidate_rows(
@@ -280,10 +276,12 @@
     """Return the candidates that a region reported; an older VM reports no speeds."""
     return {
         service: [
-            from_candidate_row(
-                row, region, INITIAL_FACTORS if speed is None else Factors(*speed)
+            from_candidate_row(row, region, percent)
+            for row, percent in zip_longest(
+                found,
+                speeds.get(service, [])[: len(found)],
+                fillvalue=INITIAL_PERCENT,
             )
-            for row, speed in zip_longest(found, speeds.get(service, [])[: len(found)])
         ]
         for service, found in rows.items()
     }
--- a/banyanseam/entry/operators.py
+++ b/banyanseam/entry/operators.py
@@ -1,7 +1,6 @@
 """The operators' port of an entry daemon: its state and its metrics."""
 
 import json
-from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -41,10 +40,7 @@
         "evacuated": sorted(entry.values.evacuated),
         "upstreams_revision": entry.upstreams.revision,
         "upstreams_age_ms": round((now_s - entry.upstreams.confirmed_s) * 1000),
-        "observed_speeds": {
-            service: asdict(factors)
-            for service, factors in entry.loads.performance.service_factors.items()
-        },
+        "work_percents": entry.loads.performance.service_percents,
         "heard_share": entry.quota.heard_share,
         "peers": [
             {"ip": each.ip, "region": each.region, "is_serving": each.is_serving}
@@ -55,10 +51,8 @@
                 "id": each.upstream_id,
                 "service": each.service,
                 "state": each.state,
-                "speed": asdict(
-                    entry.loads.performance.find_factors(
-                        make_upstream_tag(each.upstream_id)
-                    )
+                "work_percent": entry.loads.performance.find_work_percent(
+                    make_upstream_tag(each.upstream_id)
                 ),
                 "load": entry.loads.sum_region_load(each.upstream_id, now_s),
             }
--- a/banyanseam/entry/performance/observer.py
+++ b/banyanseam/entry/performance/observer.py
@@ -12,9 +12,8 @@
 from typing import Final
 
 from banyanseam.entry.performance.models import (
-    INITIAL_FACTORS,
+    INITIAL_PERCENT,
     INITIAL_PERFORMANCE,
-    Factors,
     Performance,
     scale_performance,
 )
@@ -22,7 +21,7 @@
     Measure,
     Run,
     measure_first,
-    measure_stream,
+    measure_pace,
 )
 from banyanseam.entry.performance.window import Window
 
@@ -37,13 +36,13 @@
 MIN_SERVICE_SAMPLES: Final = 6
 # Fewer samples of an upstream don't count.
 MIN_UPSTREAM_SAMPLES: Final = 4
+# Work and pace.
+MEASURES_TO_DIFFER: Final = 2
 # An upstream's own samples count against this many of its service's figure.
 PRIOR_SAMPLES: Final = 4
-# Smaller differences are noise: the initial figures, or the service's, then apply. The
-# measured output depends on the load too.
+# Smaller differences are noise: the initial figures, or the service's, then apply.
 MIN_SERVICE_DIFFERENCE: Final = 1.25
 MIN_UPSTREAM_DIFFERENCE: Final = 1.4
-MIN_OUTPUT_DIFFERENCE: Final = 1.7
 MIN_LOGGED_CHANGE: Final = 1.5
 REFRESH_PERIOD_S: Final = 0.5
 MAX_UPSTREAMS: Final = 4096
@@ -53,8 +52,6 @@
 AVERAGED_SHARES: Final[Mapping[Measure, tuple[float, float]]] = {
     Measure.START: (0.1, 0.5),
     Measure.WORK: (0.2, 0.8),
-    # The longer ones decide how long a full batch keeps others waiting.
-    Measure.OUTPUT: (0.4, 1.0),
     Measure.PACE: (0.2, 0.8),
 }
 
@@ -65,11 +62,12 @@
     def __init__(self) -> None:
         """Start with the initial performance for every upstream."""
         self._windows: dict[int, dict[Measure, Window]] = {}
-        self._factors: dict[int, Factors] = {}
+        # Durations in percent of the initial ones, by tag and by service.
+        self._work_percents: dict[int, int] = {}
         self._performances: dict[int, Performance] = {}
-        self.service_factors: dict[str, Factors] = {}
+        self.service_percents: dict[str, int] = {}
         # The services' figures as operators know them from the log.
-        self._known_factors: dict[str, Factors] = {}
+        self._known_percents: dict[str, int] = {}
         self._start_ms: dict[str, float] = {}
         self._services: dict[int, str] = {}
         self._pending: list[SampleRow] = []
@@ -79,9 +77,9 @@
         """Return the performance to estimate an upstream's waits with."""
         return self._performances.get(tag, INITIAL_PERFORMANCE)
 
-    def find_factors(self, tag: int) -> Factors:
-        """Return an upstream's durations relative to the initial performance."""
-        return self._factors.get(tag, INITIAL_FACTORS)
+    def find_work_percent(self, tag: int) -> int:
+        """Return an upstream's durations in percent of the initial ones."""
+        return self._work_percents.get(tag, INITIAL_PERCENT)
 
     def record_first(self, tag: int, run: Run) -> None:
         """Record a first token, or the answer of a service without engines."""
@@ -94,7 +92,8 @@
 
     def record_stream(self, tag: int, run: Run) -> None:
         """Record a stream that has ended."""
-        for sample in measure_stream(run):
+        sample = measure_pace(run)
+        if sample is not None:
             self._record_own(tag, *sample, run.last_s)
 
     def _record_own(
@@ -137,12 +136,13 @@
 
     def refresh(
         self, services: Mapping[int, str], now_s: float
-    ) -> dict[str, tuple[Factors, Factors]]:
+    ) -> dict[str, tuple[int, int]]:
         """Estimate anew; drop upstreams that are not in `services`, by tag.
 
         Return the services' figures that have changed by much: before and after.
         """
-        if now_s - self._refreshed_s < REFRESH_PERIOD_S:
+        # A VM that has just started may get samples before the list of upstreams.
+        if not services or now_s - self._refreshed_s < REFRESH_PERIOD_S:
             return {}
         self._refreshed_s = now_s
         self._services = dict(services)
@@ -154,7 +154,7 @@
         by_service: dict[str, list[int]] = {}
         for tag, service in services.items():
             by_service.setdefault(service, []).append(tag)
-        self.service_factors = {
+        self.service_percents = {
             service: self._estimate_service(service, tags)
             for service, tags in by_service.items()
         }
@@ -162,43 +162,37 @@
             service: self._find_median(tags, Measure.PACE)
             for service, tags in by_service.items()
         }
-        self._factors = {
+        self._work_percents = {
             tag: self._estimate_upstream(
-                tag, self.service_factors[service], paces[service]
+                tag, self.service_percents[service], paces[service]
             )
             for tag, service in services.items()
         }
         self._performances = {
-            tag: scale_performance(factors) for tag, factors in self._factors.items()
+            tag: scale_performance(percent)
+            for tag, percent in self._work_percents.items()
         }
         return self._take_changes()
 
-    def _take_changes(self) -> dict[str, tuple[Factors, Factors]]:
+    def _take_changes(self) -> dict[str, tuple[int, int]]:
         """Return the services that differ much from when they were last returned."""
         changes = {}
-        for service, factors in self.service_factors.items():
-            before = self._known_factors.get(service, INITIAL_FACTORS)
-            if _differ_much(before, factors):
-                changes[service] = before, factors
-                self._known_factors[service] = factors
+        for service, percent in self.service_percents.items():
+            before = self._known_percents.get(service, INITIAL_PERCENT)
+            if max(percent / before, before / percent) >= MIN_LOGGED_CHANGE:
+                changes[service] = before, percent
+                self._known_percents[service] = percent
         return changes
 
-    def _estimate_service(self, service: str, tags: list[int]) -> Factors:
+    def _estimate_service(self, service: str, tags: list[int]) -> int:
         """Return a service's figure; the last one applies while samples are missing."""
-        known = self.service_factors.get(service, INITIAL_FACTORS)
         start_ms = self._find_median(tags, Measure.START)
         if start_ms is not None:
             self._start_ms[service] = start_ms
         work = self._find_median(tags, Measure.WORK)
-        output = self._find_median(tags, Measure.OUTPUT)
-        return Factors(
-            known.work_percent
-            if work is None
-            else _round(work, 100, MIN_SERVICE_DIFFERENCE),
-            known.output_percent
-            if output is None
-            else _round(output, 100, MIN_OUTPUT_DIFFERENCE),
-        )
+        if work is None:
+            return self.service_percents.get(service, INITIAL_PERCENT)
+        return _round(work, INITIAL_PERCENT, MIN_SERVICE_DIFFERENCE)
 
     def _find_median(self, tags: list[int], measure: Measure) -> float | None:
         """Return the median of the upstreams' averages, None with few samples."""
@@ -213,37 +207,29 @@
         return median(_average(window, measure) for window in windows)
 
     def _estimate_upstream(
-        self, tag: int, service: Factors, service_pace: float | None
-    ) -> Factors:
-        """Return an upstream's figures, nearer to the service's with few samples.
+        self, tag: int, service_percent: int, service_pace: float | None
+    ) -> int:
+        """Return an upstream's figure, nearer to the service's with few samples.
 
         An upstream that happens to be busier than reported has late first tokens or
-        slow streams, one that is slower has both. Under load, few prompts find little
-        to wait for; then the streams alone have to tell.
+        slow streams, one that is slower has both.
         """
         windows = self._windows.get(tag, {})
         logarithms = [
             _find_deviation(windows[measure], measure, typical)
             for measure, typical in (
-                (Measure.WORK, service.work_percent),
+                (Measure.WORK, service_percent),
                 (Measure.PACE, service_pace),
             )
             if typical and len(windows.get(measure, ())) >= MIN_UPSTREAM_SAMPLES
         ]
         deviation = 0.0
-        if logarithms and (min(logarithms) > 0 or max(logarithms) < 0):
+        if len(logarithms) == MEASURES_TO_DIFFER and (
+            min(logarithms) > 0 or max(logarithms) < 0
+        ):
             deviation = min(logarithms, key=abs)
-        percent = service.work_percent * math.exp(deviation)
-        return Factors(
-            _round(percent, service.work_percent, MIN_UPSTREAM_DIFFERENCE),
-            service.output_percent,
-        )
-
-
-def _differ_much(before: Factors, after: Factors) -> bool:
-    work = after.work_percent / before.work_percent
-    output = after.output_percent / before.output_percent
-    return max(work, 1 / work, output, 1 / output) >= MIN_LOGGED_CHANGE
+        percent = service_percent * math.exp(deviation)
+        return _round(percent, service_percent, MIN_UPSTREAM_DIFFERENCE)
 
 
 def _find_deviation(window: Window, measure: Measure, typical: float) -> float:
--- a/banyanseam/entry/performance/samples.py
+++ b/banyanseam/entry/performance/samples.py
@@ -23,8 +23,6 @@
 SAMPLED_PREFILL_MS: Final = 60.0
 # Known backlog at which a prompt is a sample, as a share of its own prefill time.
 SAMPLED_BACKLOG_SHARE: Final = 0.25
-# Share of the slots at which an engine's batch counts as full.
-FULL_BATCH_SHARE: Final = 0.75
 
 # A stream with fewer events doesn't show the time between two of them.
 MIN_PACE_EVENTS: Final = 3
@@ -37,11 +35,9 @@
     START = 0
     # Prefill or call, in percent of the initial performance.
     WORK = 1
-    # Output of a request, in percent of the initial performance.
-    OUTPUT = 2
     # Time between two events of a stream, in percent of an initial step. Streams differ
     # in tokens an event, so it only compares the upstreams of a service.
-    PACE = 3
+    PACE = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,19 +99,12 @@
     return Measure.WORK, max(0.0, 100 * prefill_ms / initial_ms)
 
 
-def measure_stream(run: Run) -> list[tuple[Measure, float]]:
-    """Return the samples that a whole stream gives."""
+def measure_pace(run: Run) -> tuple[Measure, float] | None:
+    """Return the sample that a whole stream gives, if any."""
     candidate = run.placement.candidate
-    if candidate.is_reserve or run.prompt is None:
-        return []
-    found = []
-    step_ms = estimate_step_ms(candidate)
-    if run.events >= MIN_PACE_EVENTS:
-        work = INITIAL_PERFORMANCE.step_ms / candidate.performance.step_ms
-        event_ms = run.output_ms / (run.events - 1)
-        found.append((Measure.PACE, 100 * event_ms / (step_ms * work)))
-    if candidate.requests >= FULL_BATCH_SHARE * candidate.slots:
-        token_ms = step_ms + candidate.performance.chunk_ms / 2
-        tokens = run.output_ms / token_ms
-        found.append((Measure.OUTPUT, 100 * tokens / INITIAL_PERFORMANCE.output_tokens))
-    return found
+    if candidate.is_reserve or run.prompt is None or run.events < MIN_PACE_EVENTS:
+        return None
+    work = candidate.performance.step_ms / INITIAL_PERFORMANCE.step_ms
+    initial_step_ms = estimate_step_ms(candidate) / work
+    event_ms = run.output_ms / (run.events - 1)
+    return Measure.PACE, 100 * event_ms / initial_step_ms
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -21,7 +21,6 @@
 from banyanseam.entry.members import Member, Members
 from banyanseam.entry.messages import LoadRow, LoadTable, make_upstream_tag
 from banyanseam.entry.models import Catalogue, Prompt
-from banyanseam.entry.performance.models import Factors
 from banyanseam.entry.performance.network import NetworkTimes
 from banyanseam.entry.performance.observer import PerformanceObserver
 from banyanseam.entry.placing import (
@@ -78,7 +77,7 @@
         """Return whether the configuration names engines, whose speed is observed."""
         return self.engine_memory_tokens > 0
 
-    def refresh_performance(self, now_s: float) -> dict[str, tuple[Factors, Factors]]:
+    def refresh_performance(self, now_s: float) -> dict[str, tuple[int, int]]:
         """Estimate the upstreams' performance anew; return what has changed."""
         services = {
             make_upstream_tag(each.upstream_id): each.service
