Give a VM that starts as many samples as a service's figure needs

Cause: a service with one upstream needs six samples, and a VM that started got four. Change: the full state has up to six of each measure. Measured: tests.entry.performance.test_sharing, test_observer and test_messages pass (25); the first failed for this before.

--- a/banyanseam/entry/performance/observer.py
+++ b/banyanseam/entry/performance/observer.py
@@ -131,7 +131,7 @@
             (tag, int(measure), round(_average(window, measure)))
             for tag, windows in self._windows.items()
             for measure, window in windows.items()
-            for _ in range(min(len(window), MIN_UPSTREAM_SAMPLES))
+            for _ in range(min(len(window), MIN_SERVICE_SAMPLES))
         ]
 
     def refresh(
