--- a/banyanseam/entry/performance/models.py
+++ b/banyanseam/entry/performance/models.py
@@ -21,6 +21,11 @@
     # Duration of a call to a service without engines.
     call_ms: float
 
+    @property
+    def slowness(self) -> float:
+        """Return how many times longer all of it takes than initially assumed."""
+        return self.call_ms / INITIAL_PERFORMANCE.call_ms
+
 
 # Assumed until answers have been observed. Source: the operators' sheets.
 INITIAL_PERFORMANCE: Final = Performance(
@@ -56,4 +61,4 @@
 
 def find_work_percent(performance: Performance) -> int:
     """Return the durations of a performance, in percent of the initial ones."""
-    return round(INITIAL_PERCENT * performance.call_ms / INITIAL_PERFORMANCE.call_ms)
+    return round(INITIAL_PERCENT * performance.slowness)
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -255,7 +255,9 @@
                 each,
                 requests=each.requests + round(forwarded_per_candidate),
                 prefill_ms=each.prefill_ms
-                + FORWARDED_PREFILL_MS * forwarded_per_candidate,
+                + FORWARDED_PREFILL_MS
+                * each.performance.slowness
+                * forwarded_per_candidate,
             )
             for each in candidates
         ]
