--- a/banyanseam/entry/placing.py
+++ b/banyanseam/entry/placing.py
@@ -262,10 +262,8 @@
     costs = estimate_costs(candidates, request, is_segment_cached)
     if not costs:
         return None
-    jittered = []
-    for index, (cost_ms, placement) in enumerate(costs):
-        candidate = placement.candidate
-        # What the own requests of processes add is shorter on faster upstreams.
-        jitter_ms = COST_JITTER_MS * candidate.performance.slowness * jitter()
-        jittered.append((candidate.is_reserve, cost_ms + jitter_ms, index))
+    jittered = [
+        (placement.candidate.is_reserve, cost_ms + COST_JITTER_MS * jitter(), index)
+        for index, (cost_ms, placement) in enumerate(costs)
+    ]
     return costs[min(jittered)[2]][1]
