--- a/banyanseam/entry/performance/observer.py
+++ b/banyanseam/entry/performance/observer.py
@@ -48,10 +48,11 @@
 MAX_UPSTREAMS: Final = 4096
 # Samples that wait for the next heartbeat; they come again within a second.
 MAX_PENDING_SAMPLES: Final = 6
-# Unknown requests before it only make an answer later, so the upper part is left out.
+# Requests that this VM does not know of only make an answer later, so the upper part is
+# left out.
 AVERAGED_SHARES: Final[Mapping[Measure, tuple[float, float]]] = {
     Measure.START: (0.1, 0.5),
-    Measure.WORK: (0.2, 0.8),
+    Measure.WORK: (0.05, 0.4),
     Measure.PACE: (0.2, 0.8),
 }
 
