--- a/banyanseam/entry/performance/models.py
+++ b/banyanseam/entry/performance/models.py
@@ -1,6 +1,6 @@
 """How fast an upstream works, in the terms that placement estimates waits with."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 
@@ -21,6 +21,11 @@
     # Duration of a call to a service without engines.
     call_ms: float
 
+    @property
+    def slowness(self) -> float:
+        """Return how many times longer all of it takes than initially assumed."""
+        return self.call_ms / INITIAL_PERFORMANCE.call_ms
+
 
 # Assumed until answers have been observed. Source: the operators' sheets.
 INITIAL_PERFORMANCE: Final = Performance(
@@ -32,3 +37,28 @@
     output_tokens=45.0,
     call_ms=45.0,
 )
+
+
+INITIAL_PERCENT: Final = 100
+
+
+def scale_performance(work_percent: int) -> Performance:
+    """Return the performance whose durations are that share of the initial ones."""
+    if work_percent == INITIAL_PERCENT:
+        return INITIAL_PERFORMANCE
+    work = work_percent / INITIAL_PERCENT
+    initial = INITIAL_PERFORMANCE
+    return replace(
+        initial,
+        prefill_tokens_per_ms=initial.prefill_tokens_per_ms / work,
+        attention_ms_per_million_pairs=initial.attention_ms_per_million_pairs * work,
+        step_ms=initial.step_ms * work,
+        step_ms_per_running=initial.step_ms_per_running * work,
+        chunk_ms=initial.chunk_ms * work,
+        call_ms=initial.call_ms * work,
+    )
+
+
+def find_work_percent(performance: Performance) -> int:
+    """Return the durations of a performance, in percent of the initial ones."""
+    return round(INITIAL_PERCENT * performance.slowness)
--- a/banyanseam/entry/sending.py
+++ b/banyanseam/entry/sending.py
@@ -8,7 +8,7 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 import httpcore
@@ -56,6 +56,8 @@
     status: int
     headers: Headers
     body: AsyncIterator[bytes]
+    # How long a new connection took; None if one was reused.
+    connect_ms: float | None = None
 
     async def skip_body(self) -> None:
         """Read the body to its end, so that the connection can be reused."""
@@ -78,13 +80,13 @@
     begun, the request is abandoned and SlowerThanOthers raised. One of `connections` is
     reused, and kept once its answer has been read to the end.
     """
-    connection = await _take_or_connect(outgoing, connections)
+    connection, connect_ms = await _take_or_connect(outgoing, connections)
     connection.stream.before_write = before_write
     try:
         pending = _request_answer(connection, outgoing, is_kept=connections is not None)
         if wait_for_better is not None:
             pending = _race(pending, wait_for_better, outgoing.address)
-        yield await pending
+        yield replace(await pending, connect_ms=connect_ms)
     finally:
         if connections is None:
             await connection.stream.aclose()
@@ -94,12 +96,13 @@
 
 async def _take_or_connect(
     outgoing: OutgoingRequest, connections: PeerConnections | None
-) -> Connection:
+) -> tuple[Connection, float | None]:
+    """Return a connection, and how long it took in ms unless it is reused."""
+    began_s = anyio.current_time()
     if connections is not None:
-        now_s = anyio.current_time()
-        found = connections.take(outgoing.address, now_s, outgoing.max_idle_s)
+        found = connections.take(outgoing.address, began_s, outgoing.max_idle_s)
         if found is not None:
-            return found
+            return found, None
     host, port = split_address(outgoing.address)
     try:
         stream = await connect(host, port, outgoing.connect_timeout_s)
@@ -110,7 +113,7 @@
     connection = Connection(httpcore.AsyncHTTP11Connection(origin, stream), stream)
     if connections is not None:
         limit_unacknowledged(connection)
-    return connection
+    return connection, (anyio.current_time() - began_s) * 1000
 
 
 async def _race(
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -21,6 +21,8 @@
 from banyanseam.entry.members import Member, Members
 from banyanseam.entry.messages import LoadRow, LoadTable, make_upstream_tag
 from banyanseam.entry.models import Catalogue, Prompt
+from banyanseam.entry.performance.network import NetworkTimes
+from banyanseam.entry.performance.observer import PerformanceObserver
 from banyanseam.entry.placing import (
     Candidate,
     count_memory_tokens,
@@ -55,6 +57,8 @@
         self._own_region = own_region
         # Memory of the smallest engine of any service, set from the configuration.
         self.engine_memory_tokens = 0
+        self.performance = PerformanceObserver()
+        self.network = NetworkTimes()
         # Loads that peers reported, the oldest report first, and by tag of the upstream
         # their sums and the number of reports in these.
         self._peer_loads: dict[str, _PeerLoads] = {}
@@ -71,6 +75,19 @@
         self.forwarded: dict[str, int] = {}
         self._forwarded_segments: dict[str, CachedPrefixes] = {}
 
+    @property
+    def has_engines(self) -> bool:
+        """Return whether the configuration names engines, whose speed is observed."""
+        return self.engine_memory_tokens > 0
+
+    def refresh_performance(self, now_s: float) -> dict[str, tuple[int, int]]:
+        """Estimate the upstreams' performance anew; return what has changed."""
+        services = {
+            make_upstream_tag(each.upstream_id): each.service
+            for each in self._upstreams.list_upstreams()
+        }
+        return self.performance.refresh(services, now_s)
+
     def record_segment(
         self, upstream_id: str, segment_id: str, tokens: int, now_s: float
     ) -> None:
@@ -180,7 +197,14 @@
         now_s: float,
     ) -> None:
         """Store another region's report of its candidates and cached segments."""
-        self._region_reports[region] = (now_s, candidates)
+        network_ms = self.network.find_ms(region, now_s)
+        self._region_reports[region] = (
+            now_s,
+            {
+                service: [replace(each, network_ms=network_ms) for each in found]
+                for service, found in candidates.items()
+            },
+        )
         known = self._region_segments.setdefault(region, RecentPrefixes())
         known.record_uses(segments, now_s)
 
@@ -235,7 +259,9 @@
                 each,
                 requests=each.requests + round(forwarded_per_candidate),
                 prefill_ms=each.prefill_ms
-                + FORWARDED_PREFILL_MS * forwarded_per_candidate,
+                + FORWARDED_PREFILL_MS
+                * each.performance.slowness
+                * forwarded_per_candidate,
             )
             for each in candidates
         ]
@@ -373,6 +399,9 @@
                 held_tokens=held_tokens,
                 queued_ms=queued_ms,
                 is_reserve=is_cold,
+                performance=loads.performance.find(
+                    make_upstream_tag(upstream.upstream_id)
+                ),
             )
         )
     return found
