Give engines the published rank as before

Suspected, not traced: engines short of memory preempt the least urgent, so long prompts are read again for the sake of questions. Change: the rank that engines get is the organisation's, else the route's, as before; only what a VM holds back goes by the routes' priorities.

--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -118,7 +118,9 @@
     @property
     def urgency(self) -> int:
         """Return the rank among requests; 0 is the most urgent."""
-        return self.catalogue.find_rank(self.organisation, self.route)
+        if self.organisation is not None and self.organisation.urgency is not None:
+            return self.organisation.urgency
+        return self.route.urgency
 
     @property
     def hold_rule(self) -> HoldRule:
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -4,8 +4,6 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from banyanseam.entry.scarcity.ranks import rank_urgencies
-
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -121,17 +119,12 @@
     organisations: Mapping[str, Organisation]
     organisations_by_key: Mapping[bytes, Organisation]
     limits: CallerLimits
-    # Ranks by the urgencies of an organisation and of a route.
-    _ranks: Mapping[tuple[int | None, int], int] = field(init=False, repr=False)
     # The shortest target of a service's routes of each urgency.
     _targets_ms: Mapping[str, Mapping[int, int]] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
         """Derive what each request would have to look up in all routes."""
         routes = [route for each in self.routes.values() for route in each]
-        organisations = {each.urgency for each in self.organisations.values()}
-        ranks = rank_urgencies(organisations, {route.urgency for route in routes})
-        object.__setattr__(self, "_ranks", ranks)
         targets_ms: dict[str, dict[int, int]] = {}
         for route in routes:
             for service, _ in route.services:
@@ -140,11 +133,6 @@
                 found[route.urgency] = min(target_ms, route.target_ms)
         object.__setattr__(self, "_targets_ms", targets_ms)
 
-    def find_rank(self, organisation: Organisation | None, route: Route) -> int:
-        """Return the rank of a request among all; 0 is the most urgent."""
-        urgency = None if organisation is None else organisation.urgency
-        return self._ranks[urgency, route.urgency]
-
     def find_urgent_target_ms(self, service: str, route: Route) -> float | None:
         """Return the shortest target of the service's more urgent routes, if any."""
         found = self._targets_ms.get(service, {})
