--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -20,7 +20,8 @@
 )
 from banyanseam.entry.members import Member, Members
 from banyanseam.entry.messages import LoadRow, LoadTable, make_upstream_tag
-from banyanseam.entry.models import Catalogue, Prompt
+from banyanseam.entry.models import Catalogue, Prompt, Service, Upstream
+from banyanseam.entry.performance.models import INITIAL_PERFORMANCE, Performance
 from banyanseam.entry.performance.network import NetworkTimes
 from banyanseam.entry.performance.observer import PerformanceObserver
 from banyanseam.entry.placing import (
@@ -399,13 +400,22 @@
                 held_tokens=held_tokens,
                 queued_ms=queued_ms,
                 is_reserve=is_cold,
-                performance=loads.performance.find(
-                    make_upstream_tag(upstream.upstream_id)
-                ),
+                performance=_find_performance(loads, service, upstream),
             )
         )
     return found
 
 
+def _find_performance(
+    loads: UpstreamLoads, service: Service, upstream: Upstream
+) -> Performance:
+    """Return what waits are estimated with: of engines, what was observed."""
+    if service.engine is None:
+        # Its calls are observed for operators only: under load they wait at upstreams
+        # for others that no report includes, which looks like slow calls.
+        return INITIAL_PERFORMANCE
+    return loads.performance.find(make_upstream_tag(upstream.upstream_id))
+
+
 def _find_region(data_centre: str, members: Members) -> str:
     return members.regions.get(data_centre, "")
