Try a forward that reached no upstream at another VM, with a true time to return

Cause: a peer that could reach no upstream was treated as a refusal of an upstream, so another try was charged to the retry budget and often not made; and the caller of a request that had reached nothing got no time at which there will be room. Change: such a forward is tried at another VM like one to a VM that is not serving; the refusal that follows names the time.

--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -72,9 +72,15 @@
     UpstreamUnreachable,
 )
 
-# Refusals of a VM itself, which another VM of its region may not share.
+# Refusals of a VM itself, which another VM of its region may not share. The request has
+# reached no upstream.
 VM_NOT_SERVING_CODES: Final = frozenset(
-    {EntryLeaving.code, NotReady.code, PeerUntrusted.code}
+    {
+        EntryLeaving.code,
+        NotReady.code,
+        PeerUntrusted.code,
+        UpstreamUnreachable.code,
+    }
 )
 
 
@@ -127,8 +133,11 @@
             try:
                 placement = await self.chooser.wait_for_placement(exchange)
             except BanyanseamError as error:
+                if failure is None or not exchange.may_have_run:
+                    # Only the refusal knows when there will be room.
+                    raise
                 # The failed attempt explains more than the lack of another upstream.
-                raise failure or error from error
+                raise failure from error
             # It may have become a suspect while it waited or was tried.
             if refuse_suspect(self.crashes.suspects, exchange, anyio.current_time()):
                 self.crashes.record_trial(exchange)
@@ -423,7 +432,12 @@
         if isinstance(error, SlowerThanOthers):
             # The retry budget was charged before the upstream was given up.
             return True
-        if isinstance(error, UpstreamUnreachable) or error.code in VM_NOT_SERVING_CODES:
+        is_used_up = (
+            isinstance(error, ForwardFailed)
+            and error.code == UpstreamUnreachable.code
+            and exchange.sends >= exchange.max_attempts
+        )
+        if error.code in VM_NOT_SERVING_CODES and not is_used_up:
             # This attempt reached no upstream.
             return exchange.may_resend or not exchange.may_have_run
         if isinstance(error, UpstreamReplaced):
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -6,17 +6,18 @@
 
 from banyanseam.entry.errors import UpstreamReplaced
 from banyanseam.entry.relay import Relay
+from banyanseam.pipe.errors import ForwardFailed
 from banyanseam.upstreams.errors import UpstreamUnreachable
 from tests.common import run_with_mock_clock
 from tests.entry.test_choosing import make_exchange
 
 
 class RetryTests(unittest.TestCase):
-    def may_retry(self, error: Exception, *, has_budget: bool) -> bool:
+    def may_retry(self, error: Exception, *, has_budget: bool, sends: int = 0) -> bool:
         async def run() -> bool:
             retries = SimpleNamespace(try_spend=lambda *_: has_budget)
             relay = Relay(*[mock.Mock()] * 4, retries, *[mock.Mock()] * 5)
-            exchange = make_exchange(anyio.current_time())
+            exchange = make_exchange(anyio.current_time(), sends=sends)
             exchange.reply = SimpleNamespace(is_started=False)
             return relay._may_retry_error(exchange, error, vms=9)
 
@@ -32,6 +33,13 @@
         error = UpstreamUnreachable("e1")
         self.assertTrue(self.may_retry(error, has_budget=False))
 
+    def test_a_peer_that_could_not_reach_an_upstream_is_not_charged(self):
+        error = ForwardFailed(
+            UpstreamUnreachable.code, "", 503, not_run=True, retry_after_ms=None
+        )
+        self.assertTrue(self.may_retry(error, has_budget=False))
+        self.assertFalse(self.may_retry(error, has_budget=True, sends=2))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/observe/catalogues.py
+++ b/tests/observe/catalogues.py
@@ -23,7 +23,8 @@
 a response, operators in the log (where `event` is its number) and on the command line.
 *Not run* tells whether a refusal may state that nothing was executed. This no longer
 applies once the first byte was sent to an upstream, unless the upstream proved that it
-did not start.
+did not start. A 5xx that may state it is sent as 503 with `retry-after`, whatever
+its status here; a 408, 421, 429 or 503 that may not is sent as 502.
 
 This page is generated from the code by `python -m tests.observe.catalogues`. Only the
 remedies are written by hand. A test checks that the page is up to date.
