--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -30,6 +30,7 @@
 )
 from banyanseam.entry.gossip import GossipExchange
 from banyanseam.entry.heartbeats import Heartbeats
+from banyanseam.entry.local_candidates import list_local_candidates
 from banyanseam.entry.local_endpoints import make_directory_app, make_readiness_app
 from banyanseam.entry.members import Member, Members
 from banyanseam.entry.metrics import Metrics
@@ -43,7 +44,7 @@
 from banyanseam.entry.signals import ignore_signals, receive_signals
 from banyanseam.entry.store_watcher import Store, StoreWatcher
 from banyanseam.entry.upstream_list import UpstreamList
-from banyanseam.entry.upstreams import UpstreamLoads, list_local_candidates
+from banyanseam.entry.upstreams import UpstreamLoads
 from banyanseam.entry.values import Decoders, PublishedValues
 from banyanseam.entry.values_fetcher import ValuesFetcher
 from banyanseam.errors import BanyanseamError
--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -15,6 +15,7 @@
 )
 from banyanseam.entry.errors import NoUpstreamKnown, RegionsFull
 from banyanseam.entry.exchange import Exchange
+from banyanseam.entry.local_candidates import find_next_send_s, list_local_candidates
 from banyanseam.entry.members import Member, Members
 from banyanseam.entry.placing import (
     Candidate,
@@ -27,12 +28,8 @@
 )
 from banyanseam.entry.reach import PeerReachability
 from banyanseam.entry.upstream_list import UpstreamList
-from banyanseam.entry.upstreams import (
-    UpstreamLoads,
-    count_waiting_prompt,
-    find_next_send_s,
-    list_local_candidates,
-)
+from banyanseam.entry.upstreams import UpstreamLoads
+from banyanseam.entry.usage_counts import count_waiting_prompt
 from banyanseam.observe.events import UPSTREAM_CHOSEN, log
 
 
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -56,7 +56,8 @@
 from banyanseam.entry.retry_budget import RetryBudget
 from banyanseam.entry.sending import IncomingAnswer, run_with_watch, send
 from banyanseam.entry.upstream_list import ListedUpstream, UpstreamList
-from banyanseam.entry.upstreams import UpstreamLoads, count_request, mark_prefilled
+from banyanseam.entry.upstreams import UpstreamLoads
+from banyanseam.entry.usage_counts import count_request, mark_prefilled
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.events import (
     REQUEST_FORWARDED,
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -1,37 +1,28 @@
 """Loads of upstreams: from this process, its region's peers and other regions."""
 
 from collections import deque
-from collections.abc import Iterable, Iterator
-from contextlib import contextmanager
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Final
 
 from banyanseam.entry.cached_prefixes import CachedPrefixes
 from banyanseam.entry.const import (
-    COLD_MARGIN,
-    COLD_SENDERS,
     FORWARDED_PREFILL_MS,
     GOSSIP_PERIOD_S,
-    MEMORY_SHARE,
     PEER_TERM_S,
     PREFIX_CACHE_MEMORY_SHARE,
     REMOTE_PEER_TERM_S,
-    SUSPECT_PAUSE_S,
 )
-from banyanseam.entry.members import Member, Members
+from banyanseam.entry.members import Member
 from banyanseam.entry.messages import LoadRow, LoadTable, make_upstream_tag
-from banyanseam.entry.models import Catalogue, Prompt, Service, Upstream
-from banyanseam.entry.performance.models import INITIAL_PERFORMANCE, Performance
 from banyanseam.entry.performance.network import NetworkTimes
 from banyanseam.entry.performance.observer import PerformanceObserver
 from banyanseam.entry.placing import (
     Candidate,
-    count_memory_tokens,
 )
 from banyanseam.entry.recent_prefixes import RecentPrefixes
 from banyanseam.entry.relay_log import SegmentUse
-from banyanseam.entry.upstream_list import ListedUpstream, UpstreamList
-from banyanseam.peers.rendezvous import rank
+from banyanseam.entry.upstream_list import UpstreamList
 
 # Requests, prefill time, reserved memory tokens, prefill time of waiting prompts.
 Load = tuple[int, float, int, float]
@@ -266,156 +257,3 @@
             )
             for each in candidates
         ]
-
-
-@contextmanager
-def count_request(
-    listed: ListedUpstream, prompt: Prompt | None, prefill_ms: float
-) -> Iterator[list[float]]:
-    """Count a request and its prefill time at an upstream while it runs there.
-
-    Yield a one-element list with the prefill time that is still counted, which
-    `mark_prefilled` sets to 0.
-    """
-    usage = listed.usage
-    memory_tokens = count_memory_tokens(prompt)
-    usage.requests += 1
-    usage.prefill_ms += prefill_ms
-    usage.memory_tokens += memory_tokens
-    pending_prefill_ms = [prefill_ms]
-    try:
-        yield pending_prefill_ms
-    finally:
-        usage.requests -= 1
-        usage.prefill_ms -= pending_prefill_ms[0]
-        usage.memory_tokens -= memory_tokens
-
-
-@contextmanager
-def count_waiting_prompt(listed: ListedUpstream, queued_ms: float) -> Iterator[None]:
-    """Count a long prompt's prefill time as waiting while the context is open."""
-    listed.usage.queued_ms += queued_ms
-    try:
-        yield
-    finally:
-        listed.usage.queued_ms -= queued_ms
-
-
-def mark_prefilled(listed: ListedUpstream, pending_prefill_ms: list[float]) -> None:
-    """Stop counting a prompt's prefill time, once its first token has arrived."""
-    listed.usage.prefill_ms -= pending_prefill_ms[0]
-    pending_prefill_ms[0] = 0.0
-
-
-def choose_cold_pause_s(requests_per_s: float) -> float:
-    """Return the pause between two requests of one process to a cold upstream.
-
-    Without a configured rate, only suspected upstreams are paced.
-    """
-    if requests_per_s <= 0:
-        return SUSPECT_PAUSE_S
-    return COLD_MARGIN * COLD_SENDERS / requests_per_s
-
-
-def may_send_cold(
-    listed: ListedUpstream, members: Members, pause_s: float, now_s: float
-) -> bool:
-    """Return whether this process may send one request to a cold upstream now.
-
-    Only a few processes of a region send to it, each at its own pace, so that together
-    they stay within the upstream's limit without coordination.
-    """
-    me = members.me
-    serving = [member.ip for member in members.list_serving(now_s, me.region)]
-    if me.ip not in serving:
-        serving.append(me.ip)
-    senders = rank(serving, listed.upstream.upstream_id)[:COLD_SENDERS]
-    return me.ip in senders and now_s - listed.usage.cold_sent_s >= pause_s
-
-
-def find_next_send_s(
-    service_name: str, upstreams: UpstreamList, members: Members, now_s: float
-) -> float | None:
-    """Return how long all upstreams of this region take no request from this process.
-
-    Return None if there are none, or if one does not pace its requests.
-    """
-    waits_s = [
-        listed.usage.pace.wait_s(now_s)
-        for listed in upstreams.list_usable(service_name, now_s)
-        if _find_region(listed.upstream.data_centre, members) == members.me.region
-    ]
-    if not waits_s or min(waits_s) == 0:
-        return None
-    return min(waits_s)
-
-
-def list_local_candidates(
-    catalogue: Catalogue,
-    service_name: str,
-    upstreams: UpstreamList,
-    loads: UpstreamLoads,
-    members: Members,
-    now_s: float,
-) -> list[Candidate]:
-    """Return this region's candidates for a service."""
-    service = catalogue.services.get(service_name)
-    if service is None:
-        return []
-    vm_count = max(1, members.count_recent(now_s, members.me.region))
-    # This process's share of the connections that the service allows an upstream.
-    max_requests = None
-    if service.max_connections > 0:
-        share = int(service.max_connections * MEMORY_SHARE / vm_count)
-        max_requests = max(1, share)
-    pause_s = choose_cold_pause_s(service.cold_requests_per_s)
-    found = []
-    for listed in upstreams.list_usable(service_name, now_s):
-        upstream = listed.upstream
-        if members.me.region != _find_region(upstream.data_centre, members):
-            continue
-        is_cold = upstreams.is_cold(listed, now_s)
-        has_limit = service.cold_requests_per_s > 0 or (
-            now_s < listed.usage.suspected_until_s
-        )
-        is_paced = is_cold and has_limit
-        if is_paced and not may_send_cold(listed, members, pause_s, now_s):
-            continue
-        if max_requests is not None and listed.usage.requests >= max_requests:
-            continue
-        if listed.usage.pace.wait_s(now_s) > 0:
-            continue
-        requests, prefill_ms, held_tokens, queued_ms = loads.sum_region_load(
-            upstream.upstream_id, now_s
-        )
-        engine = service.engine
-        found.append(
-            Candidate(
-                upstream_id=upstream.upstream_id,
-                region=members.me.region,
-                slots=engine.slots if engine is not None else upstream.slots,
-                memory_tokens=engine.memory_tokens if engine is not None else 0,
-                requests=requests,
-                prefill_ms=prefill_ms,
-                held_tokens=held_tokens,
-                queued_ms=queued_ms,
-                is_reserve=is_cold,
-                performance=_find_performance(loads, service, upstream),
-            )
-        )
-    return found
-
-
-def _find_performance(
-    loads: UpstreamLoads, service: Service, upstream: Upstream
-) -> Performance:
-    """Return what waits are estimated with: of engines, what was observed."""
-    if service.engine is None:
-        # Its calls are observed for operators only: under load they wait at upstreams
-        # for others that no report includes, which looks like slow calls.
-        return INITIAL_PERFORMANCE
-    return loads.performance.find(make_upstream_tag(upstream.upstream_id))
-
-
-def _find_region(data_centre: str, members: Members) -> str:
-    return members.regions.get(data_centre, "")
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -1,19 +1,18 @@
 import random
 import unittest
 
+from banyanseam.entry.local_candidates import (
+    choose_cold_pause_s,
+    list_local_candidates,
+    may_send_cold,
+)
 from banyanseam.entry.messages import make_upstream_tag
 from banyanseam.entry.models import EngineLimits, Service
 from banyanseam.entry.performance.models import INITIAL_PERFORMANCE
 from banyanseam.entry.placing import estimate_prefill_ms
 from banyanseam.entry.upstream_list import UpstreamList
-from banyanseam.entry.upstreams import (
-    UpstreamLoads,
-    choose_cold_pause_s,
-    count_request,
-    list_local_candidates,
-    mark_prefilled,
-    may_send_cold,
-)
+from banyanseam.entry.upstreams import UpstreamLoads
+from banyanseam.entry.usage_counts import count_request, mark_prefilled
 from tests.entry.common import (
     make_candidate,
     make_catalogue,
