Rank by organisation and route, and hold back, where memory holds a full batch

Change: ranks and holding back apply to services whose published engine memory has room for long prompts in all slots. Elsewhere ranks and rules are those of before.

--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -118,9 +118,7 @@
     @property
     def urgency(self) -> int:
         """Return the rank among requests; 0 is the most urgent."""
-        if self.organisation is not None and self.organisation.urgency is not None:
-            return self.organisation.urgency
-        return self.route.urgency
+        return self.catalogue.find_rank(self.organisation, self.route, self.service)
 
     @property
     def hold_rule(self) -> HoldRule:
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -3,9 +3,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Final
+
+from banyanseam.entry.scarcity.ranks import rank_urgencies
 
 Headers = list[tuple[bytes, bytes]]
 
+# Few prompts are much longer.
+LONG_PROMPT_TOKENS: Final = 8192
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -52,6 +58,11 @@
     slots: int
     memory_tokens: int
 
+    @property
+    def holds_full_batch(self) -> bool:
+        """Return whether its memory has room for long prompts in all slots."""
+        return self.memory_tokens >= LONG_PROMPT_TOKENS * self.slots
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
@@ -119,12 +130,17 @@
     organisations: Mapping[str, Organisation]
     organisations_by_key: Mapping[bytes, Organisation]
     limits: CallerLimits
+    # Ranks by the urgencies of an organisation and of a route.
+    _ranks: Mapping[tuple[int | None, int], int] = field(init=False, repr=False)
     # The shortest target of a service's routes of each urgency.
     _targets_ms: Mapping[str, Mapping[int, int]] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
         """Derive what each request would have to look up in all routes."""
         routes = [route for each in self.routes.values() for route in each]
+        organisations = {each.urgency for each in self.organisations.values()}
+        ranks = rank_urgencies(organisations, {route.urgency for route in routes})
+        object.__setattr__(self, "_ranks", ranks)
         targets_ms: dict[str, dict[int, int]] = {}
         for route in routes:
             for service, _ in route.services:
@@ -133,8 +149,34 @@
                 found[route.urgency] = min(target_ms, route.target_ms)
         object.__setattr__(self, "_targets_ms", targets_ms)
 
+    def find_rank(
+        self, organisation: Organisation | None, route: Route, service: str
+    ) -> int:
+        """Return the rank that engines of a service give a request; 0 is served first.
+
+        Engines that run out of memory stop running prompts of the lowest rank and read
+        them again later, so there the organisation's urgency alone decides.
+        """
+        urgency = None if organisation is None else organisation.urgency
+        if self._goes_by_route(service):
+            return self._ranks[urgency, route.urgency]
+        return route.urgency if urgency is None else urgency
+
+    def _goes_by_route(self, service: str) -> bool:
+        found = self.services.get(service)
+        return (
+            found is not None
+            and found.engine is not None
+            and found.engine.holds_full_batch
+        )
+
     def find_urgent_target_ms(self, service: str, route: Route) -> float | None:
-        """Return the shortest target of the service's more urgent routes, if any."""
+        """Return the shortest target of the service's more urgent routes, if any.
+
+        None also for engines whose memory limits what they get before their slots do.
+        """
+        if not self._goes_by_route(service):
+            return None
         found = self._targets_ms.get(service, {})
         return min(
             (
