Log bytes that are no HTTP request, as before

Cause: the protocol feeds the parser itself since the limits for clients, and left out the warning of the server library; tests.cli.test_against_daemon found it. Measured: tests.cli.test_against_daemon, tests.server.test_protocol and test_untrusted_bytes pass.

--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -210,7 +210,9 @@
             if self.cycle is not None:
                 self.cycle.keep_alive = False
         except httptools.HttpParserError:
-            self.send_400_response("")
+            message = "Invalid HTTP request received."
+            self.logger.warning(message)
+            self.send_400_response(message)
 
     def _limit_held(self) -> None:
         splitter = self._splitter
