Mend what two reviews of the joined parts found

Forwarding: a connection with bytes behind its answer is not kept; a forward that may have run is charged to the retry budget again; a refusal is recorded before the rest of its body is read, which takes 50 ms at most; connections may stay unacknowledged for 2 s; prefixes that a region no longer uses are forgotten; a single connected VM is not preferred, so that the less busy of two is chosen. Scarcity: what a prompt was held back counts for its admission; targets of 0 hold back nothing without work. Check of a configuration: an invalid configuration in force is named itself, documents are read once, routes of one name are told apart, services and organisations may have equal names; numbers without end are refused, by daemons too.

--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -163,9 +163,13 @@
         if exchange.is_resumed:
             # A stream that has begun is not refused if the deadline allows the wait.
             return placement.wait_ms <= MAX_WAIT_SHARE * left_ms
-        target_ms = exchange.route.target_ms
         return is_admitted(
-            placement, exchange.head.prompt, target_ms, left_ms, exchange.hold_rule
+            placement,
+            exchange.head.prompt,
+            exchange.route.target_ms,
+            left_ms,
+            exchange.hold_rule,
+            waited_ms=(anyio.current_time() - exchange.received_s) * 1000,
         )
 
     def _may_be_sent(
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -96,7 +96,8 @@
         peer_loads = self._loads.list_peer_loads(pending.ips)
         own_uses = self._loads.list_segment_uses(now_s)
         reports = {
-            region: self._loads.find_region_report(region) for region in pending.reports
+            region: self._loads.find_region_report(region, now_s)
+            for region in pending.reports
         }
         return self._compose(
             [self._members.me, *others],
@@ -156,7 +157,7 @@
         return self._compose(
             self._members.list_rows(now_s, self._members.me.region),
             recent_s=RECENT_SPENDING_S,
-            region_parts=self._loads.list_region_segments(),
+            region_parts=self._loads.list_region_segments(now_s),
             candidates=to_candidate_rows(candidates),
             speeds=to_speed_table(candidates),
         )
@@ -173,7 +174,7 @@
             is_full=True,
             recent_s=RECENT_SPENDING_S,
             loads=self._loads.list_own_loads(),
-            region_parts=self._loads.list_region_segments(),
+            region_parts=self._loads.list_region_segments(now_s),
             candidates=to_candidate_rows(candidates),
             speeds=to_speed_table(candidates),
             samples=self._loads.performance.list_samples(),
--- a/banyanseam/entry/main.py
+++ b/banyanseam/entry/main.py
@@ -19,7 +19,7 @@
 from banyanseam.entry.catalogue_check.limits import list_contradictions
 from banyanseam.entry.catalogue_check.matching import list_unservable
 from banyanseam.entry.frontend import CallerFormat
-from banyanseam.entry.models import EntrySettings
+from banyanseam.entry.models import Catalogue, EntrySettings
 from banyanseam.entry.relay import UpstreamFormat
 from banyanseam.entry.signals import ignore_settings_changes
 from banyanseam.entry.store_watcher import Store
@@ -29,7 +29,8 @@
 from banyanseam.observe.logs import set_up_logs
 from banyanseam.platform.check import (
     CheckReport,
-    check_document,
+    check_config,
+    check_settings,
     list_errors,
     read_value,
 )
@@ -152,12 +153,24 @@
     """Print the check result of each document and return the exit code."""
     code = 0
     regions = _read_regions(documents)
+    before = None
+    if in_force is not None:
+        try:
+            before = decode_config(read_value(in_force))
+        except BanyanseamError as error:
+            click.echo(f"{in_force}: {error.code}: {error.detail}", err=True)
+            return EXIT_SETTINGS
     results: dict[str, Any] = {}
     for path in documents:
+        value = None
         try:
-            report = _check_document(path, in_force, regions)
+            if path.suffix == ".toml":
+                report = check_settings(path)
+            else:
+                value = read_value(path)
+                report = _check_config(value, before, regions)
         except BanyanseamError as error:
-            results[str(path)] = {"errors": _print_errors(path, error)}
+            results[str(path)] = {"errors": _print_errors(path, value, error)}
             code = EXIT_SETTINGS
             continue
         if strict and report.warnings and code == 0:
@@ -171,18 +184,15 @@
     return code
 
 
-def _check_document(
-    path: Path, in_force: Path | None, regions: frozenset[str] | None
+def _check_config(
+    value: bytes, before: Catalogue | None, regions: frozenset[str] | None
 ) -> CheckReport:
-    """Check a document's fields, and what a valid configuration means."""
-    report = check_document(path)
-    if path.suffix == ".toml":
-        return report
-    catalogue = decode_config(read_value(path))
+    """Check a configuration's fields, and what it means if it is valid."""
+    report = check_config(value)
+    catalogue = decode_config(value)
     report.warnings += list_unservable(catalogue, regions)
     report.warnings += list_contradictions(catalogue)
-    if in_force is not None:
-        before = decode_config(read_value(in_force))
+    if before is not None:
         report.changes = list(list_changes(before, catalogue))
     return report
 
@@ -196,11 +206,11 @@
     return None
 
 
-def _print_errors(path: Path, error: BanyanseamError) -> list[str]:
+def _print_errors(path: Path, value: bytes | None, error: BanyanseamError) -> list[str]:
     """Print all errors of a document, and return them."""
     details = [error.detail]
-    if path.suffix != ".toml" and path.exists():
-        details = list_errors(path.read_bytes()) or details
+    if value is not None:
+        details = list_errors(value) or details
     for detail in details:
         click.echo(f"{path}: {error.code}: {detail}", err=True)
     return details
--- a/banyanseam/entry/peer_connections.py
+++ b/banyanseam/entry/peer_connections.py
@@ -22,8 +22,9 @@
 # does not answer.
 MAX_IDLE_ONCE_S: Final = 0.4
 # How long sent bytes may stay unacknowledged. A peer that is cut off later than that is
-# noticed only by this: it is longer than a lost packet takes to be repeated.
-MAX_UNACKNOWLEDGED_MS: Final = 1000
+# noticed only by this. It is longer than a lost packet takes to be repeated, and than a
+# busy peer takes to read on.
+MAX_UNACKNOWLEDGED_MS: Final = 2000
 MAX_IDLE_CONNECTIONS: Final = 64
 EXPIRY_PERIOD_S: Final = 1.0
 
@@ -58,7 +59,7 @@
 
     async def put(self, address: str, connection: Connection, now_s: float) -> None:
         """Keep a connection if its last answer is complete; close it otherwise."""
-        if not connection.http.is_idle():
+        if not connection.http.is_idle() or _has_more_bytes(connection):
             await connection.http.aclose()
             return
         self._idle.append((now_s, address, connection))
@@ -85,9 +86,15 @@
 def prefer_connected(
     peers: list[Member], port: int, connected: Collection[str]
 ) -> list[Member]:
-    """Return the peers with an idle connection, or all if there is none."""
+    """Return the peers with an idle connection, or all if there is no choice of two."""
     found = [peer for peer in peers if f"{peer.ip}:{port}" in connected]
-    return found or peers
+    return found if len(found) > 1 else peers
+
+
+def _has_more_bytes(connection: Connection) -> bool:
+    """Return whether something follows the answer, which no request has asked for."""
+    received, _ = connection.http._h11_state.trailing_data
+    return bool(received) or connection.http.has_expired()
 
 
 def limit_unacknowledged(connection: Connection) -> None:
--- a/banyanseam/entry/placing.py
+++ b/banyanseam/entry/placing.py
@@ -181,15 +181,21 @@
     target_ms: float,
     left_ms: float,
     hold_rule: HoldRule = USUAL_RULE,
+    waited_ms: float = 0.0,
 ) -> bool:
     """Return whether a request should be queued rather than refused.
 
     This limits queues when the load exceeds the engines' capacity for many seconds.
+    `waited_ms` counts for prompts that are held back for more urgent requests: nothing
+    shows how long that goes on.
     """
     share = ADMIT_TARGET_SHARE
-    if estimate_own_prefill_ms(placement, prompt) >= hold_rule.min_prefill_ms:
+    is_long = estimate_own_prefill_ms(placement, prompt) >= hold_rule.min_prefill_ms
+    if is_long:
         share = ADMIT_LONG_TARGET_SHARE
     bound_ms = max(share * target_ms, ADMIT_LEFT_SHARE * left_ms)
+    if is_long and hold_rule.is_shared:
+        bound_ms = share * target_ms - waited_ms
     return placement.wait_ms <= min(bound_ms, MAX_WAIT_SHARE * left_ms)
 
 
--- a/banyanseam/entry/recent_prefixes.py
+++ b/banyanseam/entry/recent_prefixes.py
@@ -36,6 +36,7 @@
                 return
             self._used_s.popitem(last=False)
 
-    def list_newest(self, count: int) -> list[str]:
-        """Return the latest prefixes, the newest last."""
+    def list_newest(self, count: int, now_s: float) -> list[str]:
+        """Return the latest prefixes that are not too old, the newest last."""
+        self.record_uses((), now_s)
         return list(self._used_s)[-count:]
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -260,11 +260,11 @@
                     exchange.sends = sends + reported
                 failure = read_peer_failure(incoming.headers, incoming.status)
                 if failure is not None:
-                    await incoming.skip_body()
                     if failure.not_run:
                         _record_not_run(exchange)
                     if failure.code in VM_NOT_SERVING_CODES:
                         exchange.unreachable.add(peer.ip)
+                    await incoming.skip_body()
                     raise failure
                 answer = self.upstream_format.read_answer(
                     incoming.status, _strip_headers(incoming)
@@ -438,7 +438,7 @@
             and error.code == UpstreamUnreachable.code
             and exchange.sends >= exchange.max_attempts
         )
-        if error.code in VM_NOT_SERVING_CODES and not is_used_up:
+        if error.code in VM_NOT_SERVING_CODES and error.not_run and not is_used_up:
             # This attempt reached no upstream.
             return exchange.may_resend or not exchange.may_have_run
         if isinstance(error, UpstreamReplaced):
--- a/banyanseam/entry/scarcity/holding.py
+++ b/banyanseam/entry/scarcity/holding.py
@@ -51,7 +51,7 @@
     if urgent_target_ms is None:
         return USUAL_RULE
     return HoldRule(
-        min(LONG_PREFILL_MS, MIN_PREFILL_SHARE * urgent_target_ms),
+        min(LONG_PREFILL_MS, max(1.0, MIN_PREFILL_SHARE * urgent_target_ms)),
         max(LONG_PREFILL_BACKLOG_MS, BACKLOG_SHARE * urgent_target_ms),
         BACKLOG_GROWTH,
         is_shared=True,
--- a/banyanseam/entry/sending.py
+++ b/banyanseam/entry/sending.py
@@ -7,8 +7,9 @@
 """
 
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, replace
+from typing import Final
 
 import anyio
 import httpcore
@@ -26,6 +27,9 @@
 )
 from banyanseam.upstreams.network import connect
 
+# The rest of an error that has begun to arrive.
+SKIP_BODY_S: Final = 0.05
+
 _HTTP_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -60,9 +64,10 @@
     connect_ms: float | None = None
 
     async def skip_body(self) -> None:
-        """Read the body to its end, so that the connection can be reused."""
-        async for _ in self.body:
-            pass
+        """Read a short body to its end, so that the connection can be reused."""
+        with anyio.move_on_after(SKIP_BODY_S), suppress(ConnectionBroken):
+            async for _ in self.body:
+                pass
 
 
 @asynccontextmanager
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -114,9 +114,9 @@
             if now_s - used_s <= 2 * GOSSIP_PERIOD_S
         ]
 
-    def list_region_segments(self) -> list[str]:
+    def list_region_segments(self, now_s: float) -> list[str]:
         """Return the segments that this region used last, for other regions."""
-        return self._own_segments.list_newest(MAX_REGION_SEGMENTS)
+        return self._own_segments.list_newest(MAX_REGION_SEGMENTS, now_s)
 
     def is_cached(self, segment_id: str, candidate: Candidate) -> bool:
         """Return whether a candidate probably has a segment cached."""
@@ -201,12 +201,12 @@
         known.record_uses(segments, now_s)
 
     def find_region_report(
-        self, region: str
+        self, region: str, now_s: float
     ) -> tuple[dict[str, list[Candidate]], list[str]]:
         """Return a region's candidates and its last segments, to pass them on."""
         _, candidates = self._region_reports.get(region, (0.0, {}))
         known = self._region_segments.get(region, RecentPrefixes())
-        return candidates, known.list_newest(MAX_REGION_SEGMENTS)
+        return candidates, known.list_newest(MAX_REGION_SEGMENTS, now_s)
 
     def sum_region_load(self, upstream_id: str, now_s: float) -> Load:
         """Return the region's total load on an upstream, as far as reported."""
--- a/banyanseam/platform/check.py
+++ b/banyanseam/platform/check.py
@@ -2,6 +2,7 @@
 
 import json
 import tomllib
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -39,16 +40,6 @@
         return lines + [f"  change: {change}" for change in self.changes or ()]
 
 
-def check_document(path: Path) -> CheckReport:
-    """Check settings in a .toml file, or a configuration in any other one.
-
-    Raise InvalidSettings or InvalidConfig.
-    """
-    if path.suffix == ".toml":
-        return check_settings(path)
-    return check_config(read_value(path))
-
-
 def read_value(path: Path) -> bytes:
     """Return a file's content; raise InvalidConfig."""
     try:
@@ -91,12 +82,16 @@
     report.ignored_fields = sorted(set(unknown))
     keys = [key for tenant in document.tenants for key in tenant.api_keys]
     if len(keys) != len(set(keys)):
-        report.warnings.append(
-            "two organisations have the same key; the later one is used"
-        )
-    names = [each.name for each in (*document.services, *document.tenants)]
-    for name in sorted({each for each in names if names.count(each) > 1}):
-        report.warnings.append(f"{name} is defined twice; the later one is used")
+        report.warnings.append("a key is given twice; the later one is used")
+    for kind, entries in (
+        ("service", document.services),
+        ("organisation", document.tenants),
+    ):
+        counts = Counter(each.name for each in entries)
+        for name in sorted(name for name, count in counts.items() if count > 1):
+            report.warnings.append(
+                f"{kind} {name} is defined twice; the later one is used"
+            )
     return report
 
 
--- a/banyanseam/platform/documents.py
+++ b/banyanseam/platform/documents.py
@@ -45,7 +45,7 @@
 MAX_DURATION_MS: Final = 7 * 86_400_000
 MAX_START_MS: Final = 2**53
 
-Number = Annotated[float, Field(ge=0)]
+Number = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 Duration = Annotated[float, Field(strict=True, ge=0, le=MAX_DURATION_MS)]
 
 
--- a/tests/entry/catalogue_check/test_catalogue_check.py
+++ b/tests/entry/catalogue_check/test_catalogue_check.py
@@ -83,6 +83,15 @@
     def test_a_version_that_is_not_newer_is_said(self):
         self.assertIn("version 0 is not newer than 0", self.list(make_config())[0])
 
+    def test_routes_of_one_name_are_told_apart(self):
+        before, after = make_config(), make_config()
+        for config in (before, after):
+            config["routes"][1]["name"] = "query"
+        after["routes"][0]["timeout_ms"] = 4000
+        found = list(list_changes(decode(before), decode(after | {"version": 1})))
+        self.assertEqual(len(found), 1)
+        self.assertIn("query (a.example/query/): timeout_ms 3000 becomes", found[0])
+
     def test_each_difference_is_named_with_its_effect(self):
         config = change("routes", 0, timeout_ms=4000) | {"version": 2}
         removed = config["routes"].pop(3)
--- a/tests/entry/test_placing.py
+++ b/tests/entry/test_placing.py
@@ -16,6 +16,7 @@
 from banyanseam.entry.placing import (
     choose as choose_placement,
 )
+from banyanseam.entry.scarcity.holding import choose_hold_rule
 from tests.entry.common import make_candidate, make_prompt
 
 HERE = [make_candidate("e1"), make_candidate("e2"), make_candidate("e3")]
@@ -168,6 +169,16 @@
         # A request whose answer would come after the deadline is refused.
         self.assertFalse(is_admitted(placement, history, 1200.0, 1000.0))
 
+    def test_a_prompt_that_is_held_back_is_refused_when_it_would_be_far_too_late(self):
+        history, rule = make_prompt(), choose_hold_rule(500.0)
+        placement = choose([make_candidate(prefill_ms=600.0)], make_request(history))
+        for waited_ms, admitted in ((0.0, True), (1000.0, True), (2500.0, False)):
+            with self.subTest(waited_ms=waited_ms):
+                self.assertIs(
+                    is_admitted(placement, history, 1200.0, 20_000.0, rule, waited_ms),
+                    admitted,
+                )
+
     def test_services_without_engines_use_the_least_loaded_upstream(self):
         full = make_candidate("full", slots=6, memory_tokens=0, requests=6)
         free = make_candidate("free", slots=6, memory_tokens=0, requests=1)
