--- a/banyanseam/entry/performance/samples.py
+++ b/banyanseam/entry/performance/samples.py
@@ -29,7 +29,7 @@
 
 
 class Measure(IntEnum):
-    """What a sample tells of an upstream."""
+    """What a sample shows of an upstream."""
 
     # Time to the first token apart from the prefill, in ms.
     START = 0
--- a/banyanseam/entry/refusals.py
+++ b/banyanseam/entry/refusals.py
@@ -1,8 +1,8 @@
-"""Decide what a caller is told about a request that was refused or has failed.
+"""Decide the answer to a request that was refused or has failed.
 
 Pure functions. They answer loads in which upstreams and links fail while callers wait:
-a caller asks again for what may run only once if, and only if, it is told that the
-request has not run.
+a caller sends a request that may run only once again if, and only if, the answer says
+that it has not run.
 """
 
 from typing import Final
