--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -111,6 +111,9 @@
 FORMER_USAGE_S: Final = 60.0
 # The longest pause that an upstream may ask for.
 MAX_PAUSE_S: Final = 3600.0
+# Recent requests to an upstream that are logged when it is found to have started again.
+RECENT_SENDS_S: Final = 1.0
+MAX_RECENT_SENDS: Final = 32
 # How long heartbeats report that an incarnation of an upstream has been replaced.
 REPLACED_REPORT_S: Final = 2.0
 SUSPECT_S: Final = 1.5
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -181,6 +181,7 @@
 
             def record_write() -> None:
                 _record_sends(exchange)
+                listed.usage.sent_s.append(anyio.current_time())
                 recorder.record_write(anyio.current_time())
 
             with self.crashes.watch_run(exchange, listed):
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -1,5 +1,6 @@
 """The registered upstreams, and whether each may get new requests now."""
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -10,8 +11,10 @@
     FORMER_USAGE_S,
     LEAVING_MEMORY_S,
     MAX_PAUSE_S,
+    MAX_RECENT_SENDS,
     MAX_UNFINISHED_RUNS,
     OUTAGE_S,
+    RECENT_SENDS_S,
     REPLACED_REPORT_S,
     RETURN_COLD_S,
     SUSPECT_S,
@@ -43,7 +46,10 @@
     memory_tokens: int = 0
     consecutive_failures: int = 0
     suspected_until_s: float = 0.0
+    failed_s: float = -1e9
     cold_sent_s: float = -1e9
+    # When the last requests were sent.
+    sent_s: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_RECENT_SENDS))
     pace: LimitPace = field(default_factory=LimitPace)
     # Prefix segments cached by the engine, from the requests of all VMs of the region.
     cached_segments: CachedPrefixes = field(default_factory=CachedPrefixes)
@@ -55,6 +61,10 @@
         recent = self.list_unfinished(run.ended_s)[1 - MAX_UNFINISHED_RUNS :]
         self.unfinished = [*recent, run]
 
+    def count_recent_sends(self, now_s: float) -> int:
+        """Return how many requests were sent recently, at most MAX_RECENT_SENDS."""
+        return sum(now_s - sent_s <= RECENT_SENDS_S for sent_s in self.sent_s)
+
     def list_unfinished(self, now_s: float) -> list[UnfinishedRun]:
         """Return the runs that were given up recently."""
         return [
@@ -102,6 +112,8 @@
         # Usage of incarnations that are no longer listed, and since when. They may be
         # listed again: their entries can expire while the store is away.
         self._former: dict[tuple[str, int], tuple[float, UpstreamUsage]] = {}
+        # Called when an upstream is found to have started again under its id.
+        self.on_restarted: Callable[[ListedUpstream, Upstream], None] = lambda *_: None
         # Called when an upstream that was not leaving is no longer listed.
         self.on_lost: Callable[[ListedUpstream], None] = lambda _: None
         # Until when incarnations get no requests because their answers said so.
@@ -240,6 +252,7 @@
         """Count a failure; suspect the upstream after several or a failed connect."""
         usage = listed.usage
         usage.consecutive_failures += 1
+        usage.failed_s = now_s
         if is_connect or usage.consecutive_failures >= FAILURES_TO_SUSPECT:
             usage.suspected_until_s = now_s + SUSPECT_S
             usage.cold_sent_s = now_s
@@ -293,6 +306,8 @@
         cold_until_s = now_s + upstream.cold_ms / 1000 if upstream.cold_ms > 0 else 0.0
         if listed is None or listed.upstream.started_ms != upstream.started_ms:
             self._remove(upstream.upstream_id)
+            if listed is not None:
+                self.on_restarted(listed, upstream)
             key = upstream.upstream_id, upstream.started_ms
             _, usage = self._former.pop(key, (now_s, UpstreamUsage()))
             self._listed[upstream.upstream_id] = ListedUpstream(
--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -19,13 +19,14 @@
     Upstream,
     ValueChanges,
 )
-from banyanseam.entry.upstream_list import UpstreamList
+from banyanseam.entry.upstream_list import ListedUpstream, UpstreamList
 from banyanseam.observe.events import (
     CONFIG_ADOPTED,
     CONFIG_REJECTED,
     EVACUATION_CHANGED,
     UPSTREAM_DEREGISTERED,
     UPSTREAM_REGISTERED,
+    UPSTREAM_RESTARTED,
     UPSTREAM_STATE_CHANGED,
     log,
 )
@@ -58,6 +59,7 @@
         self.config_value = b""
         self._decoders = decoders
         self._upstreams = upstreams
+        upstreams.on_restarted = self._log_restart
         # Set once a configuration and a list of upstreams have been adopted.
         self.complete = anyio.Event()
         self._callbacks: list[Callable[[Catalogue], None]] = []
@@ -145,7 +147,7 @@
         after = self._index_upstreams()
         for upstream_id, upstream in after.items():
             old = before.get(upstream_id)
-            if old is None or old.started_ms != upstream.started_ms:
+            if old is None:
                 log(
                     UPSTREAM_REGISTERED,
                     upstream=upstream_id,
@@ -164,6 +166,20 @@
         for upstream_id in before.keys() - after.keys():
             log(UPSTREAM_DEREGISTERED, upstream=upstream_id, revision=revision)
 
+    def _log_restart(self, before: ListedUpstream, upstream: Upstream) -> None:
+        """Log a restart, and what this process did until it was known."""
+        now_s = anyio.current_time()
+        failed_s = before.usage.failed_s
+        log(
+            UPSTREAM_RESTARTED,
+            upstream=upstream.upstream_id,
+            started_ms=upstream.started_ms,
+            previous_start_ms=before.upstream.started_ms,
+            cold_ms=upstream.cold_ms,
+            recent_requests=before.usage.count_recent_sends(now_s),
+            failed_ms_ago=round((now_s - failed_s) * 1000) if failed_s > 0 else None,
+        )
+
     def _update_complete(self) -> None:
         if self.catalogue is not None and self._upstreams.revision >= 0:
             self.complete.set()
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -99,6 +99,9 @@
 PERFORMANCE_CHANGED: Final = Event(
     6024, "INFO", "The observed speed of a service changed"
 )
+UPSTREAM_RESTARTED: Final = Event(
+    6025, "INFO", "An upstream has started again under its id"
+)
 KEEPER_CHANGED: Final = Event(6001, "INFO", "A pool of upstreams changed its keeper")
 UPSTREAM_POLL_FAILED: Final = Event(
     6002, "WARNING", "An upstream did not report its load"
