--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -14,6 +14,7 @@
 from unittest import mock
 
 import anyio
+import httpcore
 from anyio.abc import TaskGroup
 
 from banyanseam.entry.app import Entry
@@ -120,6 +121,10 @@
     # Requests a second that upstreams name as their limit, by id.
     limits_per_s: dict[str, float] = field(default_factory=dict)
     is_partitioned: bool = False
+    # Upstreams that refuse connections, by name.
+    down: set[str] = field(default_factory=set)
+    # Registrations of upstreams that have started again since, by name.
+    old_registrations: dict[str, Upstream] = field(default_factory=dict)
     # VMs that no other VM reaches.
     cut_off: set[str] = field(default_factory=set)
     revision: int = 1
@@ -174,6 +179,21 @@
                 upstream, upstream_id=f"{name}-{number}", started_ms=number
             )
 
+    def restart_upstream(self, name: str) -> None:
+        """Let an upstream start again under its id; the list does not show it yet."""
+        upstream = self.upstreams[name]
+        self.old_registrations.setdefault(name, upstream)
+        self.upstreams[name] = replace(upstream, started_ms=upstream.started_ms + 1)
+        self.down.discard(name)
+
+    def register_restart(self, name: str, cold_ms: int) -> None:
+        """Let the list show the latest start of an upstream."""
+        del self.old_registrations[name]
+        self.revision += 1
+        self.upstreams[name] = replace(
+            self.upstreams[name], cold_ms=cold_ms, revision=self.revision
+        )
+
     def publish(self, *, to: set[str] | None = None, evacuated: str = "") -> None:
         """Publish a configuration to all VMs, or only to the VMs in `to`."""
         self.revision += 1
@@ -190,8 +210,9 @@
     def gossip(self, *, lost: bool = False) -> None:
         """Exchange heartbeats twice between all VMs that can reach each other."""
         now_s = anyio.current_time()
+        listing = {**self.upstreams, **self.old_registrations}
         for entry in self.entries.values():
-            entry.values.adopt_upstreams(self.upstreams.values(), self.revision, now_s)
+            entry.values.adopt_upstreams(listing.values(), self.revision, now_s)
         for _ in range(2):
             for ip, entry in self.entries.items():
                 entry.gossip._update_own_row()
@@ -282,9 +303,16 @@
         fault = queues[request_id].pop(0) if queues.get(request_id) else ""
         if peer is not None and not self._can_reach(headers["x-banyanseam-sender"], ip):
             fault = "refused"
-        listening = [
-            each for each in self.upstreams.values() if each.address == outgoing.address
-        ]
+        at_address = {
+            name: each
+            for name, each in self.upstreams.items()
+            if each.address == outgoing.address
+        }
+        listening = list(at_address.values())
+        if self.down & at_address.keys():
+            refusal = httpcore.ConnectError()
+            refusal.__cause__ = ConnectionRefusedError()
+            raise UpstreamUnreachable(outgoing.address) from refusal
         if fault == "refused" or (peer is None and not listening):
             await anyio.sleep(outgoing.connect_timeout_s)
             raise UpstreamUnreachable(outgoing.address)
