Ask an upstream for its start after a failed connection before using it again

Callers saw upstreams crash again right after a restart under their old id (FAILBACK): a cold upstream got all its usual requests. Cause: a suspicion ended by time, 1.5 s after the last failure, and not by what was learned of the upstream; each VM had its own; and a new start was known from the list only, which shows it 0.4 to 1.1 s late or, while the store is away, not at all.

A connection that an upstream refuses or breaks off now holds it back until the VM has read its start from its report. A refused connection holds it back at all VMs of the region, which take the finding from heartbeats; the two VMs that may send to it while it is cold ask again until it answers. Another start than the listed one makes it a new incarnation everywhere, cold from then on, whatever the list still shows. It is asked once more before it counts as warm, since it may have started again meanwhile. A VM that starts gets the findings with the full state.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -42,6 +42,7 @@
 from banyanseam.entry.relay import Relay, UpstreamFormat
 from banyanseam.entry.retry_budget import RetryBudget
 from banyanseam.entry.signals import ignore_signals, receive_signals
+from banyanseam.entry.start_checks import StartChecks
 from banyanseam.entry.store_watcher import Store, StoreWatcher
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads
@@ -141,6 +142,17 @@
         )
         crashes = CrashWatch(self.suspects, self.upstreams)
         self.upstreams.on_lost = crashes.record_lost
+        self.start_checks = StartChecks(
+            upstream_format.report,
+            self.upstreams,
+            self.members,
+            lambda: self.values.catalogue,
+            self.gossip.announce,
+        )
+        self.upstreams.on_held = self.start_checks.follow
+        self.upstreams.on_restarted.append(
+            lambda _, listed: self.start_checks.follow_cold(listed)
+        )
         relay = Relay(
             upstream_format,
             self.members,
@@ -148,6 +160,7 @@
             self.loads,
             self.retries,
             crashes,
+            self.start_checks,
             PeerReachability(),
             settings.peers_port,
             self.gossip.announce_loads,
@@ -195,6 +208,7 @@
         self._servers = self._make_servers()
         async with anyio.create_task_group() as tasks:
             self.values_fetcher.tasks = tasks
+            self.start_checks.tasks = tasks
             for server in self._servers:
                 tasks.start_soon(server.serve)
             for server in self._servers:
@@ -252,6 +266,9 @@
     def _apply_catalogue(self, catalogue: Catalogue) -> None:
         now_s = anyio.current_time()
         self.quota.configure(dict(catalogue.organisations), now_s)
+        self.upstreams.warmups_s = {
+            each.name: each.warmup_s for each in catalogue.services.values()
+        }
         engines = [each.engine for each in catalogue.services.values() if each.engine]
         self.loads.engine_memory_tokens = min(
             (engine.memory_tokens for engine in engines), default=0
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -117,6 +117,19 @@
 # How long heartbeats report that an incarnation of an upstream has been replaced.
 REPLACED_REPORT_S: Final = 2.0
 SUSPECT_S: Final = 1.5
+# Checks of the start of an upstream that can't be reached. The processes that may send
+# to it while it is cold repeat them; the others if those report nothing for a while.
+START_CHECK_TIMEOUT_S: Final = 0.5
+START_CHECK_PERIOD_S: Final = 0.2
+START_REPORT_PATIENCE_S: Final = 1.0
+# An upstream that may be warm again is checked this long before, as it may have started
+# once more while few requests went to it.
+START_CHECK_LEAD_S: Final = 0.1
+# How long heartbeats report what a check has found.
+START_REPORT_S: Final = 2.0
+# All processes that had requests running at an upstream notice its crash at once. Their
+# reports are spread over this for each process of the region, and most are not needed.
+START_ANNOUNCE_SPREAD_S: Final = 0.0005
 
 # Cost of prefilling a shared prefix again, on top of the time that it takes, expressed
 # as waiting time. Source: the operators' prices, a third of the value of a summary.
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -20,13 +20,16 @@
     RECENT_SPENDING_S,
     REGION_RECENT_SPENDING_S,
     REPAIR_ROW_AGE_S,
+    START_REPORT_S,
 )
 from banyanseam.entry.crash_suspects import CrashSuspects, SuspectReport
 from banyanseam.entry.members import Member, Members, make_incarnation_tag
 from banyanseam.entry.messages import (
     Gossip,
+    StartRow,
     SuspectRow,
     from_candidate_rows,
+    from_start_row,
     from_suspect_row,
     make_digest,
     pack_ip,
@@ -34,6 +37,7 @@
     to_heartbeat_row,
     to_member_row,
     to_speed_table,
+    to_start_row,
     to_suspect_row,
     to_upstream_row,
     unpack_ip,
@@ -181,6 +185,7 @@
             levels=self._quota.list_levels(),
             suspects=_to_suspect_rows(self._suspects.list_all_reports(now_s)),
             segment_crashes=self._suspects.segments.list_crashes(-math.inf),
+            starts=self._list_starts(-math.inf),
         )
 
     def compose_upstreams(self, *, is_known: bool) -> Gossip:
@@ -196,6 +201,7 @@
             gossip.upstreams_digest = make_digest(listing)
         else:
             gossip.upstreams = [to_upstream_row(each) for each in listing]
+            gossip.starts = self._list_starts(-math.inf)
         return gossip
 
     def compose_upstreams_request(self) -> Gossip:
@@ -255,6 +261,8 @@
         self._suspects.segments.record_disproved(gossip.sound_segments, now_s)
         for upstream_id, started_ms in gossip.replaced:
             self._upstreams.record_replaced(upstream_id, started_ms, now_s)
+        for row in gossip.starts:
+            self._upstreams.record_reported_start(from_start_row(row, now_s), now_s)
         self.on_peer_versions(
             sender.ip, gossip.config_version, gossip.evacuation_revision
         )
@@ -330,6 +338,12 @@
         if charges:
             self._quota.receive(charges, now_s)
 
+    def _list_starts(self, since_s: float) -> list[StartRow]:
+        """Return what checks of upstreams have found since a time."""
+        now_s = anyio.current_time()
+        findings = self._upstreams.starts.list_findings(since_s)
+        return [to_start_row(each, now_s) for each in findings]
+
     def _choose_rows_to_relay(self, now_s: float) -> list[Member]:
         """Return a few recently updated peers of the region whose rows are relayed.
 
@@ -364,6 +378,7 @@
         fields.setdefault(
             "suspects", _to_suspect_rows(self._suspects.list_reports(now_s))
         )
+        fields.setdefault("starts", self._list_starts(now_s - START_REPORT_S))
         crashes_since_s = now_s - CRASH_REPORT_S
         fields.setdefault(
             "segment_crashes", self._suspects.segments.list_crashes(crashes_since_s)
--- a/banyanseam/entry/local_candidates.py
+++ b/banyanseam/entry/local_candidates.py
@@ -34,12 +34,20 @@
     Only a few processes of a region send to it, each at its own pace, so that together
     they stay within the upstream's limit without coordination.
     """
+    if members.me.ip not in list_cold_senders(listed, members, now_s):
+        return False
+    return now_s - listed.usage.cold_sent_s >= pause_s
+
+
+def list_cold_senders(
+    listed: ListedUpstream, members: Members, now_s: float
+) -> list[str]:
+    """Return the processes of this region that may send to a cold upstream."""
     me = members.me
     serving = [member.ip for member in members.list_serving(now_s, me.region)]
     if me.ip not in serving:
         serving.append(me.ip)
-    senders = rank(serving, listed.upstream.upstream_id)[:COLD_SENDERS]
-    return me.ip in senders and now_s - listed.usage.cold_sent_s >= pause_s
+    return rank(serving, listed.upstream.upstream_id)[:COLD_SENDERS]
 
 
 def find_next_send_s(
@@ -83,6 +91,8 @@
         upstream = listed.upstream
         if members.me.region != _find_region(upstream.data_centre, members):
             continue
+        if upstreams.starts.is_held(upstream):
+            continue
         is_cold = upstreams.is_cold(listed, now_s)
         has_limit = service.cold_requests_per_s > 0 or (
             now_s < listed.usage.suspected_until_s
--- a/banyanseam/entry/main.py
+++ b/banyanseam/entry/main.py
@@ -22,6 +22,7 @@
 from banyanseam.entry.models import Catalogue, EntrySettings
 from banyanseam.entry.relay import UpstreamFormat
 from banyanseam.entry.signals import ignore_settings_changes
+from banyanseam.entry.start_checks import ReportFormat
 from banyanseam.entry.store_watcher import Store
 from banyanseam.entry.values import Decoders
 from banyanseam.errors import BanyanseamError
@@ -43,6 +44,7 @@
     read_answer,
     read_request,
     read_resolve_query,
+    read_start,
     write_addresses,
     write_headers,
     write_refusal,
@@ -53,6 +55,7 @@
     CONFIG_KEY,
     OPERATOR_PREFIX,
     READY_PATH,
+    REPORT_PATH,
     RESOLVE_PATH,
     SETTINGS_VARIABLE,
     UPSTREAM_PREFIX,
@@ -72,7 +75,9 @@
         settings,
         store,
         Decoders(CONFIG_KEY, decode_config, decode_evacuated, decode_upstream),
-        UpstreamFormat(write_headers, read_answer),
+        UpstreamFormat(
+            write_headers, read_answer, ReportFormat(REPORT_PATH.encode(), read_start)
+        ),
         CallerFormat(
             read_request,
             write_refusal,
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -22,6 +22,7 @@
 from banyanseam.entry.placing import Candidate
 from banyanseam.entry.relay_log import Direction
 from banyanseam.entry.spending import SpentRow
+from banyanseam.entry.upstream_starts import StartFinding
 from banyanseam.peers.errors import InvalidPeerMessage
 
 GOSSIP_VERSION = 4
@@ -43,6 +44,9 @@
 SuspectRow = tuple[
     int, Milliseconds, int, Milliseconds | None, list[tuple[str, Milliseconds]]
 ]
+# What a check of an upstream found: its id, its listed start, the start that it named
+# (None if it refused the connection) and the age of that.
+StartRow = tuple[str, int, int | None, Milliseconds]
 # Durations of a service's upstreams in percent of the initial performance, in the order
 # of their candidate rows; services of which all have 100 are left out.
 SpeedTable = dict[str, list[Annotated[int, Field(gt=0, le=10_000)]]]
@@ -95,6 +99,8 @@
     sound_segments: list[int] = Field(default_factory=list)
     # Incarnations of upstreams, by id and start in ms, whose address another one has.
     replaced: list[tuple[str, int]] = Field(default_factory=list)
+    # What checks of upstreams have found recently.
+    starts: list[StartRow] = Field(default_factory=list)
     # The registered upstreams, sent by the process that has just read them.
     upstreams: list[UpstreamRow] | None = None
     upstreams_revision: int = -1
@@ -227,6 +233,17 @@
     )
 
 
+def to_start_row(finding: StartFinding, now_s: float) -> StartRow:
+    """Return the row of a finding about an upstream's start."""
+    return (*finding.key, finding.found_ms, round((now_s - finding.at_s) * 1000))
+
+
+def from_start_row(row: StartRow, now_s: float) -> StartFinding:
+    """Return the finding of a row that was just received."""
+    upstream_id, listed_start_ms, found_ms, age_ms = row
+    return StartFinding((upstream_id, listed_start_ms), found_ms, now_s - age_ms / 1000)
+
+
 def to_candidate_row(candidate: Candidate) -> CandidateRow:
     """Return the row of a candidate: its fields in order, without the region."""
     return (
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -23,6 +23,7 @@
 )
 from banyanseam.entry.crash_watch import MIN_SERVER_ERROR_STATUS, CrashWatch
 from banyanseam.entry.errors import (
+    ConnectionBroken,
     CrashSuspected,
     EntryLeaving,
     PeerUntrusted,
@@ -55,6 +56,7 @@
 from banyanseam.entry.reach import PeerReachability
 from banyanseam.entry.retry_budget import RetryBudget
 from banyanseam.entry.sending import IncomingAnswer, run_with_watch, send
+from banyanseam.entry.start_checks import ReportFormat, StartChecks
 from banyanseam.entry.upstream_list import ListedUpstream, UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads
 from banyanseam.entry.usage_counts import count_request, mark_prefilled
@@ -65,7 +67,7 @@
     UPSTREAM_LIMIT_CHANGED,
     log,
 )
-from banyanseam.pipe.errors import ForwardFailed
+from banyanseam.pipe.errors import AnswerTruncated, ForwardFailed
 from banyanseam.server.budget import ByteBudget
 from banyanseam.upstreams.errors import (
     UpstreamFailed,
@@ -84,6 +86,9 @@
     }
 )
 
+# Failures after which an upstream may have started again.
+_CONNECTION_FAILURES: Final = (AnswerTruncated, ConnectionBroken, UpstreamUnreachable)
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamFormat:
@@ -91,6 +96,7 @@
 
     write_headers: Callable[[RequestHead, SendMetadata], Headers]
     read_answer: Callable[[int, Iterable[tuple[bytes, bytes]]], AnswerHead]
+    report: ReportFormat
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +109,7 @@
     loads: UpstreamLoads
     retries: RetryBudget
     crashes: CrashWatch
+    start_checks: StartChecks
     reachability: PeerReachability
     peers_port: int
     # Sends this process's loads to the peers of its region at once.
@@ -412,6 +419,8 @@
         listed = self.upstreams.find(upstream_id)
         if listed is None or placement.candidate.region != self.members.me.region:
             return
+        if isinstance(error, _CONNECTION_FAILURES):
+            self.start_checks.start(listed)
         if isinstance(error, UpstreamUnreachable):
             exchange.unreachable.add(upstream_id)
             self.upstreams.record_failure(listed, now_s, is_connect=True)
--- a/banyanseam/entry/sending.py
+++ b/banyanseam/entry/sending.py
@@ -99,6 +99,14 @@
             await connections.put(outgoing.address, connection, anyio.current_time())
 
 
+def is_refused(error: UpstreamUnreachable) -> bool:
+    """Return whether a host refused the connection, as when nothing listens there."""
+    cause = error.__cause__
+    return isinstance(cause, httpcore.ConnectError) and isinstance(
+        cause.__cause__, ConnectionError
+    )
+
+
 async def _take_or_connect(
     outgoing: OutgoingRequest, connections: PeerConnections | None
 ) -> tuple[Connection, float | None]:
--- /dev/null
+++ b/banyanseam/entry/start_checks.py
@@ -0,0 +1,194 @@
+"""Asks upstreams for their start when connections to them fail.
+
+A refused or broken connection may mean that the upstream has started again under its
+id. Nothing is sent to it until that is known: an upstream that has just started takes
+few requests, and crashes when it gets more.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from banyanseam.entry.const import (
+    START_ANNOUNCE_SPREAD_S,
+    START_CHECK_LEAD_S,
+    START_CHECK_PERIOD_S,
+    START_CHECK_TIMEOUT_S,
+    START_REPORT_PATIENCE_S,
+)
+from banyanseam.entry.errors import ConnectionBroken
+from banyanseam.entry.local_candidates import list_cold_senders
+from banyanseam.entry.members import Members
+from banyanseam.entry.models import Catalogue, Upstream
+from banyanseam.entry.sending import OutgoingRequest, is_refused, send
+from banyanseam.entry.upstream_list import ListedUpstream, UpstreamList
+from banyanseam.entry.upstream_starts import StartFinding, make_start_key
+from banyanseam.observe.events import UPSTREAM_CHECKED, log
+from banyanseam.upstreams.errors import UpstreamTimedOut, UpstreamUnreachable
+
+# A report lists the running requests, of which an engine has a few hundred at most.
+MAX_REPORT_BYTES: Final = 64 * 1024
+
+
+class Failure(Enum):
+    """Why a check has found no start."""
+
+    REFUSED = auto()
+    UNREACHABLE = auto()
+    # Connected, but without a valid report.
+    UNTOLD = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class ReportFormat:
+    """The platform's path of an upstream's report, and what reads its start."""
+
+    target: bytes
+    # Takes the status and the body; returns Unix milliseconds.
+    read_start: Callable[[int, bytes], int | None]
+
+
+@dataclass(slots=True)
+class StartChecks:
+    """Checks the upstreams of this region's engines, one task for each."""
+
+    report_format: ReportFormat
+    upstreams: UpstreamList
+    members: Members
+    get_catalogue: Callable[[], Catalogue | None]
+    # Sends the findings to all peers of the region.
+    announce: Callable[[], Awaitable[None]]
+    # Set before the first check.
+    tasks: TaskGroup | None = None
+    _running: set[tuple[str, int]] = field(default_factory=set)
+
+    def start(self, listed: ListedUpstream) -> None:
+        """Check an upstream to which a connection has failed; hold it until then."""
+        if self._can_check(listed.upstream):
+            self.upstreams.starts.hold(listed.upstream)
+            self.follow(listed)
+
+    def follow(self, listed: ListedUpstream) -> None:
+        """Check an upstream again and again until it is no longer held."""
+        key = make_start_key(listed.upstream)
+        if key in self._running or not self._can_check(listed.upstream):
+            return
+        self._running.add(key)
+        self.tasks.start_soon(self._follow, listed)
+
+    def follow_cold(self, listed: ListedUpstream) -> None:
+        """Check an upstream that has started again once more before it is warm."""
+        if self._can_check(listed.upstream):
+            self.tasks.start_soon(self._follow_cold, listed)
+
+    def _can_check(self, upstream: Upstream) -> bool:
+        """Return whether it is an engine, which reports its start, of this region."""
+        catalogue = self.get_catalogue()
+        if self.tasks is None or catalogue is None:
+            return False
+        service = catalogue.services.get(upstream.service)
+        if service is None or service.engine is None:
+            return False
+        region = self.members.regions.get(upstream.data_centre)
+        return region == self.members.me.region
+
+    async def _follow(self, listed: ListedUpstream) -> None:
+        upstream = listed.upstream
+        starts = self.upstreams.starts
+        try:
+            while starts.is_held(upstream) and self.upstreams.is_listed(listed):
+                wait_s = self._find_wait_s(listed)
+                if wait_s > 0:
+                    await anyio.sleep(wait_s)
+                    continue
+                await self._check(upstream)
+                if starts.is_held(upstream):
+                    await anyio.sleep(START_CHECK_PERIOD_S * random.uniform(0.8, 1.2))
+        finally:
+            starts.release(upstream)
+            self._running.discard(make_start_key(upstream))
+
+    async def _follow_cold(self, listed: ListedUpstream) -> None:
+        await anyio.sleep_until(listed.cold_until_s - START_CHECK_LEAD_S)
+        if self._is_sender(listed) and self.upstreams.is_listed(listed):
+            await self._check(listed.upstream)
+            if self.upstreams.starts.is_held(listed.upstream):
+                self.follow(listed)
+
+    def _is_sender(self, listed: ListedUpstream) -> bool:
+        """Return whether this process checks a cold upstream for its region."""
+        now_s = anyio.current_time()
+        return self.members.me.ip in list_cold_senders(listed, self.members, now_s)
+
+    def _find_wait_s(self, listed: ListedUpstream) -> float:
+        """Return how long others are left to check an upstream that is down.
+
+        The processes that may send to it while it is cold check it for their region.
+        """
+        finding = self.upstreams.starts.find(listed.upstream)
+        if finding is None or finding.found_ms is not None:
+            return 0.0
+        period_s = START_REPORT_PATIENCE_S
+        if self._is_sender(listed):
+            period_s = START_CHECK_PERIOD_S
+        return finding.at_s + period_s - anyio.current_time()
+
+    async def _check(self, upstream: Upstream) -> None:
+        found = await self._ask(upstream)
+        now_s = anyio.current_time()
+        if found is Failure.UNREACHABLE:
+            # Another VM may reach it, so peers are not told.
+            self.upstreams.starts.hold(upstream)
+            return
+        self.upstreams.starts.release(upstream)
+        if found is Failure.UNTOLD:
+            return
+        found_ms = None if found is Failure.REFUSED else found
+        finding = StartFinding(make_start_key(upstream), found_ms, now_s)
+        if not self.upstreams.record_start(finding, now_s):
+            return
+        log(
+            UPSTREAM_CHECKED,
+            upstream=upstream.upstream_id,
+            listed_start_ms=upstream.started_ms,
+            found_start_ms=found_ms,
+        )
+        await self._announce(finding)
+
+    async def _announce(self, finding: StartFinding) -> None:
+        """Send a finding to the region unless a peer is quicker."""
+        vms = self.members.count_recent(anyio.current_time(), self.members.me.region)
+        await anyio.sleep(random.uniform(0, START_ANNOUNCE_SPREAD_S * vms))
+        if not self.upstreams.starts.is_reported(finding):
+            await self.announce()
+
+    async def _ask(self, upstream: Upstream) -> int | Failure:
+        """Return the start that an upstream reports."""
+        outgoing = OutgoingRequest(
+            address=upstream.address,
+            method="GET",
+            target=self.report_format.target,
+            headers=[(b"host", upstream.address.encode())],
+            body=b"",
+            connect_timeout_s=START_CHECK_TIMEOUT_S,
+            first_byte_timeout_s=START_CHECK_TIMEOUT_S,
+        )
+        body = bytearray()
+        try:
+            with anyio.fail_after(2 * START_CHECK_TIMEOUT_S):
+                async with send(outgoing, lambda: None) as incoming:
+                    async for chunk in incoming.body:
+                        body += chunk
+                        if len(body) > MAX_REPORT_BYTES:
+                            return Failure.UNTOLD
+        except UpstreamUnreachable as error:
+            return Failure.REFUSED if is_refused(error) else Failure.UNREACHABLE
+        except (ConnectionBroken, UpstreamTimedOut, TimeoutError):
+            return Failure.UNTOLD
+        found_ms = self.report_format.read_start(incoming.status, bytes(body))
+        return Failure.UNTOLD if found_ms is None else found_ms
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -1,8 +1,8 @@
 """The registered upstreams, and whether each may get new requests now."""
 
 from collections import deque
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
 
 from banyanseam.entry.cached_prefixes import CachedPrefixes
 from banyanseam.entry.const import (
@@ -23,6 +23,7 @@
 )
 from banyanseam.entry.limit_pace import LimitPace
 from banyanseam.entry.models import Upstream, UpstreamState
+from banyanseam.entry.upstream_starts import StartFinding, UpstreamStarts
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,9 +114,14 @@
         # listed again: their entries can expire while the store is away.
         self._former: dict[tuple[str, int], tuple[float, UpstreamUsage]] = {}
         # Called when an upstream is found to have started again under its id.
-        self.on_restarted: Callable[[ListedUpstream, Upstream], None] = lambda *_: None
+        self.on_restarted: list[Callable[[ListedUpstream, ListedUpstream], None]] = []
         # Called when an upstream that was not leaving is no longer listed.
         self.on_lost: Callable[[ListedUpstream], None] = lambda _: None
+        # What checks have found, and how long a service's upstreams are cold.
+        self.starts = UpstreamStarts()
+        self.warmups_s: Mapping[str, float] = {}
+        # Called when an upstream must be checked before it is used.
+        self.on_held: Callable[[ListedUpstream], None] = lambda _: None
         # Until when incarnations get no requests because their answers said so.
         self._excluded_until_s: dict[tuple[str, int], float] = {}
 
@@ -130,6 +136,7 @@
         self.listing = tuple(upstreams)
         by_id = {each.upstream_id: each for each in self.listing}
         listed = {(each.upstream_id, each.started_ms) for each in by_id.values()}
+        self.starts.prune(listed, now_s)
         self._replaced_s = {
             key: at_s
             for key, at_s in self._replaced_s.items()
@@ -146,7 +153,7 @@
             del by_id[upstream_id]
             self._remove(upstream_id)
         for upstream in by_id.values():
-            self._track(upstream, now_s)
+            self._track(self._apply_restart(upstream, now_s), now_s)
         self._registered = set(by_id)
         self._drop_unregistered(now_s)
         return True
@@ -290,6 +297,46 @@
         if listed is not None and listed.upstream.started_ms == started_ms:
             self.drop(upstream_id, now_s)
 
+    def is_listed(self, listed: ListedUpstream) -> bool:
+        """Return whether an incarnation is still in use."""
+        return self._listed.get(listed.upstream.upstream_id) is listed
+
+    def record_start(self, finding: StartFinding, now_s: float) -> bool:
+        """Record what this process found about an incarnation; see `record`."""
+        is_news = self.starts.record(finding)
+        self._apply_finding(finding, now_s)
+        return is_news
+
+    def record_reported_start(self, finding: StartFinding, now_s: float) -> None:
+        """Record what a peer found about an incarnation."""
+        self.starts.record_report(finding)
+        self._apply_finding(finding, now_s)
+
+    def _apply_finding(self, finding: StartFinding, now_s: float) -> None:
+        upstream_id, listed_start_ms = finding.key
+        listed = self._listed.get(upstream_id)
+        if listed is None or listed.upstream.started_ms != listed_start_ms:
+            return
+        if finding.is_restart:
+            self._track(self._apply_restart(listed.upstream, now_s), now_s)
+        elif self.starts.is_held(listed.upstream):
+            self.on_held(listed)
+
+    def _apply_restart(self, upstream: Upstream, now_s: float) -> Upstream:
+        """Return the incarnation that has taken the place of a registered one.
+
+        It may have started at the time of the check, so it is cold from then on.
+        """
+        finding = self.starts.find_restart(upstream)
+        while finding is not None:
+            warmup_s = self.warmups_s.get(upstream.service, 0.0)
+            cold_s = max(0.0, finding.at_s + warmup_s - now_s)
+            upstream = replace(
+                upstream, started_ms=finding.found_ms, cold_ms=int(cold_s * 1000)
+            )
+            finding = self.starts.find_restart(upstream)
+        return upstream
+
     def list_replaced(self, now_s: float) -> list[tuple[str, int]]:
         """Return the incarnations that were just noticed to be gone, for peers."""
         return [
@@ -305,14 +352,16 @@
             stops_at_s = now_s + upstream.remaining_ms / 1000
         cold_until_s = now_s + upstream.cold_ms / 1000 if upstream.cold_ms > 0 else 0.0
         if listed is None or listed.upstream.started_ms != upstream.started_ms:
-            self._remove(upstream.upstream_id)
-            if listed is not None:
-                self.on_restarted(listed, upstream)
+            before = self._remove(upstream.upstream_id)
             key = upstream.upstream_id, upstream.started_ms
             _, usage = self._former.pop(key, (now_s, UpstreamUsage()))
-            self._listed[upstream.upstream_id] = ListedUpstream(
-                upstream, cold_until_s, stops_at_s, now_s, usage
-            )
+            listed = ListedUpstream(upstream, cold_until_s, stops_at_s, now_s, usage)
+            self._listed[upstream.upstream_id] = listed
+            if before is not None:
+                for callback in self.on_restarted:
+                    callback(before, listed)
+            if self.starts.is_held(upstream):
+                self.on_held(listed)
             return
         if upstream.revision <= listed.upstream.revision:
             return
--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -59,7 +59,7 @@
         self.config_value = b""
         self._decoders = decoders
         self._upstreams = upstreams
-        upstreams.on_restarted = self._log_restart
+        upstreams.on_restarted.append(self._log_restart)
         # Set once a configuration and a list of upstreams have been adopted.
         self.complete = anyio.Event()
         self._callbacks: list[Callable[[Catalogue], None]] = []
@@ -166,9 +166,10 @@
         for upstream_id in before.keys() - after.keys():
             log(UPSTREAM_DEREGISTERED, upstream=upstream_id, revision=revision)
 
-    def _log_restart(self, before: ListedUpstream, upstream: Upstream) -> None:
+    def _log_restart(self, before: ListedUpstream, after: ListedUpstream) -> None:
         """Log a restart, and what this process did until it was known."""
         now_s = anyio.current_time()
+        upstream = after.upstream
         failed_s = before.usage.failed_s
         log(
             UPSTREAM_RESTARTED,
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -102,6 +102,9 @@
 UPSTREAM_RESTARTED: Final = Event(
     6025, "INFO", "An upstream has started again under its id"
 )
+UPSTREAM_CHECKED: Final = Event(
+    6026, "INFO", "An upstream was asked for its start after a failed connection"
+)
 KEEPER_CHANGED: Final = Event(6001, "INFO", "A pool of upstreams changed its keeper")
 UPSTREAM_POLL_FAILED: Final = Event(
     6002, "WARNING", "An upstream did not report its load"
--- a/banyanseam/platform/requests.py
+++ b/banyanseam/platform/requests.py
@@ -2,7 +2,9 @@
 
 import json
 from collections.abc import Iterable
-from typing import Any, Final
+from typing import Annotated, Any, Final
+
+from pydantic import BaseModel, ConfigDict, Field, StrictInt, ValidationError
 
 from banyanseam.entry.models import (
     AnswerHead,
@@ -14,7 +16,7 @@
 )
 from banyanseam.errors import Problem
 from banyanseam.pipe.errors import RequestMalformed
-from banyanseam.platform.documents import digest_key
+from banyanseam.platform.documents import MAX_START_MS, digest_key
 from banyanseam.platform.wire import (
     DEADLINE,
     EXPECT_INSTANCE,
@@ -51,6 +53,12 @@
 )
 
 
+class _Report(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    born: Annotated[StrictInt, Field(ge=0, le=MAX_START_MS)]
+
+
 def read_request(
     method: str, path: str, target: bytes, headers: Headers
 ) -> RequestHead:
@@ -120,6 +128,16 @@
     )
 
 
+def read_start(status: int, body: bytes) -> int | None:
+    """Return the start that an upstream's report names, None if it is no report."""
+    if status != 200:
+        return None
+    try:
+        return _Report.model_validate_json(body).born
+    except ValidationError:
+        return None
+
+
 def write_refusal(problem: Problem, left_ms: float | None) -> tuple[Headers, bytes]:
     """Return headers and body for an error of the gateway itself.
 
--- a/banyanseam/platform/wire.py
+++ b/banyanseam/platform/wire.py
@@ -40,6 +40,7 @@
 # Paths of calls.
 READY_PATH: Final = "/v1/ready"
 RESOLVE_PATH: Final = "/v1/resolve"
+REPORT_PATH: Final = "/v1/report"
 RANGE_PATH: Final = "/v1/kv-range"
 WATCH_PATH: Final = "/v1/kv-watch"
 
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -31,6 +31,7 @@
 from banyanseam.entry.peer_connections import PeerConnections
 from banyanseam.entry.sending import IncomingAnswer, OutgoingRequest
 from banyanseam.observe.events import INTERNAL_FAILURE, Event
+from banyanseam.platform.wire import REPORT_PATH
 from banyanseam.server.callers import AnswerAborted
 from banyanseam.server.connection import CONNECTION, Connection
 from banyanseam.upstreams.errors import UpstreamTimedOut, UpstreamUnreachable
@@ -157,6 +158,7 @@
         entry = make_entry(settings, None, lambda: settings)
         entry.lifecycle.begin_serving()
         entry.gossip._send = partial(self._deliver, ip)
+        entry.start_checks.tasks = self.tasks
         self.entries[ip] = entry
 
     def restart_vm(self, ip: str) -> None:
@@ -317,6 +319,10 @@
             await anyio.sleep(outgoing.connect_timeout_s)
             raise UpstreamUnreachable(outgoing.address)
         before_write()
+        if outgoing.target == REPORT_PATH.encode():
+            body = json.dumps({"born": listening[0].started_ms}).encode()
+            yield IncomingAnswer(200, [], _stream([body]))
+            return
         if fault == "lost":
             await anyio.sleep(outgoing.first_byte_timeout_s)
             raise UpstreamTimedOut(outgoing.address)
@@ -334,7 +340,18 @@
                 await (wait_for_better or anyio.sleep_forever)()
                 raise SlowerThanOthers(outgoing.address)
             raise UpstreamTimedOut(outgoing.address)
-        yield incoming
+        (name,) = at_address
+        yield replace(incoming, body=self._break_at_crash(name, incoming.body))
+
+    async def _break_at_crash(
+        self, name: str, body: AsyncIterator[bytes]
+    ) -> AsyncIterator[bytes]:
+        """Yield an upstream's answer as long as it does not start again."""
+        started_ms = self.upstreams[name].started_ms
+        async for part in body:
+            if name in self.down or self.upstreams[name].started_ms != started_ms:
+                raise ConnectionBroken(name)
+            yield part
 
     async def _run(
         self, upstream: Upstream, headers: dict[str, str], fault: str
@@ -546,6 +563,7 @@
             for name, replacement in (
                 ("banyanseam.entry.relay.send", simulation.send),
                 ("banyanseam.entry.values_fetcher.send", simulation.send),
+                ("banyanseam.entry.start_checks.send", simulation.send),
                 ("banyanseam.entry.frontend.log", simulation.log),
             ):
                 stack.enter_context(mock.patch(name, replacement))
--- a/tests/entry/test_restarted_upstream.py
+++ b/tests/entry/test_restarted_upstream.py
@@ -43,6 +43,10 @@
     async with start_simulation() as simulation:
         for number in range(3, VMS + 1):
             simulation.start_vm(f"10.1.0.{number}", "gulf")
+        simulation.config["services"][0] |= {
+            "warmup_s": WARMUP_S,
+            "cold_per_s": COLD_PER_S,
+        }
         simulation.publish()
         simulation.gossip()
         began_s = anyio.current_time()
@@ -60,9 +64,11 @@
             if step % round(HEARTBEAT_S / STEP_S) == 0:
                 simulation.gossip()
             is_quiet = NAME in simulation.down and not day.has_callers_while_down
-            for vm in vms[:1] if is_quiet else vms:
-                simulation.ask(vm, "/query/x", [], [])
-            await anyio.sleep(began_s + now_s + STEP_S - anyio.current_time())
+            for place, vm in enumerate(vms):
+                await anyio.sleep_until(began_s + now_s + place * STEP_S / VMS)
+                if place == 0 or not is_quiet:
+                    simulation.ask(vm, "/query/x", [], [])
+            await anyio.sleep_until(began_s + now_s + STEP_S)
     times = sorted(
         run.at_s - began_s
         for runs in simulation.runs.values()
