Count peers' loads and cached segments by the incarnation of an upstream

After a restart under the same id, VMs chose by loads and prefix segments of the earlier incarnation, which peers that had not learned of it went on to report: prompts went to an engine that had to read them again, and past one that was idle. Cause: heartbeats named upstreams by id alone. Now loads, and the uses of segments, name the incarnation, by a tag and by the short name that crashes have. A VM of another release does not know these names and ignores such reports, as it does those of unknown upstreams.

Both tests of RestartTests failed before in substance: (1, 200, 3840, 0) requests and loads of the earlier incarnation counted for the new one, and its segment as cached.

--- a/banyanseam/entry/crash_watch.py
+++ b/banyanseam/entry/crash_watch.py
@@ -11,7 +11,7 @@
 from banyanseam.entry.crash_suspects import CrashSuspects
 from banyanseam.entry.errors import ConnectionBroken
 from banyanseam.entry.exchange import Exchange
-from banyanseam.entry.fingerprints import make_crash_tag
+from banyanseam.entry.fingerprints import make_start_tag
 from banyanseam.entry.models import AnswerHead
 from banyanseam.entry.upstream_list import (
     ListedUpstream,
@@ -86,7 +86,7 @@
 
     def _record_crash(self, run: UnfinishedRun, listed: ListedUpstream) -> None:
         now_s = anyio.current_time()
-        crash = make_crash_tag(listed.upstream)
+        crash = make_start_tag(listed.upstream)
         age_s = now_s - run.ended_s
         self.suspects.record_crash(run.fingerprint, crash, now_s, age_s)
         self.suspects.segments.record_crash(run.segment_keys, crash, now_s)
--- a/banyanseam/entry/fingerprints.py
+++ b/banyanseam/entry/fingerprints.py
@@ -7,8 +7,8 @@
 from banyanseam.entry.models import RequestHead, Upstream
 
 
-def make_crash_tag(upstream: Upstream) -> str:
-    """Return a short name for the crash of an incarnation of an upstream."""
+def make_start_tag(upstream: Upstream) -> str:
+    """Return a short name for an incarnation of an upstream, and for its crash."""
     return f"{crc32(f'{upstream.upstream_id}@{upstream.started_ms}'.encode()):08x}"
 
 
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -50,7 +50,7 @@
 # Durations of a service's upstreams in percent of the initial performance, in the order
 # of their candidate rows; services of which all have 100 are left out.
 SpeedTable = dict[str, list[Annotated[int, Field(gt=0, le=10_000)]]]
-# Loads by tag of the upstream.
+# Loads by tag of the upstream's incarnation.
 LoadTable = dict[int, LoadRow]
 
 
@@ -70,7 +70,8 @@
     # The sender's own load, and those of processes whose heartbeats it passes on.
     loads: LoadTable = Field(default_factory=dict)
     peer_loads: dict[PackedIp, LoadTable] = Field(default_factory=dict)
-    # Shared prefix segments prefilled for the sender: upstream, segment, tokens.
+    # Shared prefix segments prefilled for the sender: name of the upstream's
+    # incarnation, segment, tokens.
     part_uses: list[tuple[str, str, int]] = Field(default_factory=list)
     # For other regions: the upstreams of the sender's region by service, and the prefix
     # segments that they have cached.
@@ -153,6 +154,16 @@
     return crc32(upstream_id.encode())
 
 
+def make_load_tag(upstream: Upstream) -> int:
+    """Return a number for an incarnation: loads of an earlier one have ended."""
+    return _make_load_tag(upstream.upstream_id, upstream.started_ms)
+
+
+@lru_cache(maxsize=4096)
+def _make_load_tag(upstream_id: str, started_ms: int) -> int:
+    return crc32(f"{upstream_id}@{started_ms}".encode())
+
+
 def to_member_row(member: Member) -> MemberRow:
     """Return the full row of a member, in the order of its fields."""
     return (
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -199,7 +199,7 @@
                 ) as incoming:
                     answer = self._check_upstream_answer(exchange, incoming, listed)
                     mark_prefilled(listed, pending_prefill_ms)
-                    self._record_shared_prefix(exchange, placement)
+                    self._record_shared_prefix(exchange, placement, listed)
                     await self._relay_answer(
                         exchange, placement, answer, incoming, listed, recorder
                     )
@@ -383,19 +383,22 @@
             )
         )
 
-    def _record_shared_prefix(self, exchange: Exchange, placement: Placement) -> None:
+    def _record_shared_prefix(
+        self,
+        exchange: Exchange,
+        placement: Placement,
+        listed: ListedUpstream | None = None,
+    ) -> None:
         """Record where a shared prefix was prefilled, after the first token."""
         segment_id, tokens = find_shared_prefix(exchange.head.prompt)
         if not segment_id:
             return
-        candidate = placement.candidate
-        if candidate.region == self.members.me.region:
-            now_s = anyio.current_time()
-            self.loads.record_own_segment(
-                candidate.upstream_id, segment_id, tokens, now_s
-            )
-        else:
-            self.loads.record_forwarded_segment(candidate.region, segment_id, tokens)
+        if listed is None:
+            region = placement.candidate.region
+            self.loads.record_forwarded_segment(region, segment_id, tokens)
+            return
+        now_s = anyio.current_time()
+        self.loads.record_own_segment(listed.upstream, segment_id, tokens, now_s)
 
     def _record_failure(
         self, exchange: Exchange, placement: Placement, error: BanyanseamError
--- a/banyanseam/entry/relay_log.py
+++ b/banyanseam/entry/relay_log.py
@@ -11,7 +11,7 @@
 
 from banyanseam.entry.performance.observer import SampleRow
 
-# Upstream, prefix segment and the segment's tokens.
+# Name of an upstream's incarnation, prefix segment and the segment's tokens.
 SegmentUse = tuple[str, str, int]
 
 # Uses of prefix segments to pass on; older ones are dropped.
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -21,6 +21,7 @@
     SUSPENDED_S,
     UNFINISHED_MEMORY_S,
 )
+from banyanseam.entry.fingerprints import make_start_tag
 from banyanseam.entry.limit_pace import LimitPace
 from banyanseam.entry.models import Upstream, UpstreamState
 from banyanseam.entry.upstream_starts import StartFinding, UpstreamStarts
@@ -101,6 +102,8 @@
         self._running_s = -1e9
         self._resumed_s = -1e9
         self._listed: dict[str, ListedUpstream] = {}
+        # The same by name of the incarnation.
+        self._by_start_tag: dict[str, ListedUpstream] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._returned_s: dict[str, float] = {}
         # Ids of the listing's upstreams that are in use.
@@ -196,7 +199,10 @@
 
     def _remove(self, upstream_id: str) -> ListedUpstream | None:
         listed = self._listed.pop(upstream_id, None)
-        if listed is not None and self.is_lost(listed):
+        if listed is None:
+            return None
+        del self._by_start_tag[make_start_tag(listed.upstream)]
+        if self.is_lost(listed):
             self.on_lost(listed)
         return listed
 
@@ -224,6 +230,10 @@
         """Return an upstream by its id."""
         return self._listed.get(upstream_id)
 
+    def find_incarnation(self, start_tag: str) -> ListedUpstream | None:
+        """Return an upstream by the name of its incarnation."""
+        return self._by_start_tag.get(start_tag)
+
     def is_lost(self, listed: ListedUpstream) -> bool:
         """Return whether an upstream disappeared without having been leaving."""
         upstream = listed.upstream
@@ -357,6 +367,7 @@
             _, usage = self._former.pop(key, (now_s, UpstreamUsage()))
             listed = ListedUpstream(upstream, cold_until_s, stops_at_s, now_s, usage)
             self._listed[upstream.upstream_id] = listed
+            self._by_start_tag[make_start_tag(upstream)] = listed
             if before is not None:
                 for callback in self.on_restarted:
                     callback(before, listed)
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -13,8 +13,15 @@
     PREFIX_CACHE_MEMORY_SHARE,
     REMOTE_PEER_TERM_S,
 )
+from banyanseam.entry.fingerprints import make_start_tag
 from banyanseam.entry.members import Member
-from banyanseam.entry.messages import LoadRow, LoadTable, make_upstream_tag
+from banyanseam.entry.messages import (
+    LoadRow,
+    LoadTable,
+    make_load_tag,
+    make_upstream_tag,
+)
+from banyanseam.entry.models import Upstream
 from banyanseam.entry.performance.network import NetworkTimes
 from banyanseam.entry.performance.observer import PerformanceObserver
 from banyanseam.entry.placing import (
@@ -81,21 +88,22 @@
         return self.performance.refresh(services, now_s)
 
     def record_segment(
-        self, upstream_id: str, segment_id: str, tokens: int, now_s: float
+        self, start_tag: str, segment_id: str, tokens: int, now_s: float
     ) -> None:
-        """Record that an upstream prefilled or used a shared prefix segment."""
-        listed = self._upstreams.find(upstream_id)
+        """Record that an incarnation prefilled or used a shared prefix segment."""
+        listed = self._upstreams.find_incarnation(start_tag)
         if listed is not None:
             memory_tokens = PREFIX_CACHE_MEMORY_SHARE * self.engine_memory_tokens
             listed.usage.cached_segments.record_use(segment_id, tokens, memory_tokens)
             self._own_segments.record_uses([segment_id], now_s)
 
     def record_own_segment(
-        self, upstream_id: str, segment_id: str, tokens: int, now_s: float
+        self, upstream: Upstream, segment_id: str, tokens: int, now_s: float
     ) -> None:
         """Record a segment prefilled for this process, and queue it for heartbeats."""
-        self.record_segment(upstream_id, segment_id, tokens, now_s)
-        self._segment_uses.append((now_s, (upstream_id, segment_id, tokens)))
+        start_tag = make_start_tag(upstream)
+        self.record_segment(start_tag, segment_id, tokens, now_s)
+        self._segment_uses.append((now_s, (start_tag, segment_id, tokens)))
 
     def record_forwarded_segment(
         self, region: str, segment_id: str, tokens: int
@@ -129,12 +137,12 @@
         return segment_id in self._forwarded_segments.get(candidate.region, ())
 
     def list_own_loads(self) -> LoadTable:
-        """Return this process's own load by tag of the upstream."""
+        """Return this process's own load by tag of the upstream's incarnation."""
         found = {}
         for upstream in self._upstreams.list_upstreams():
             usage = self._upstreams.find(upstream.upstream_id).usage
             if usage.requests or usage.queued_ms:
-                found[make_upstream_tag(upstream.upstream_id)] = (
+                found[make_load_tag(upstream)] = (
                     usage.requests,
                     round(usage.prefill_ms),
                     usage.memory_tokens,
@@ -211,8 +219,9 @@
     def sum_region_load(self, upstream_id: str, now_s: float) -> Load:
         """Return the region's total load on an upstream, as far as reported."""
         self._drop_old_loads(now_s)
-        usage = self._upstreams.find(upstream_id).usage
-        peers = self._peer_sums.get(make_upstream_tag(upstream_id), (0, 0, 0, 0))
+        listed = self._upstreams.find(upstream_id)
+        usage = listed.usage
+        peers = self._peer_sums.get(make_load_tag(listed.upstream), (0, 0, 0, 0))
         return (
             usage.requests + peers[0],
             usage.prefill_ms + peers[1],
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -125,11 +125,11 @@
         now_s = anyio.current_time()
         exchange._quota.charge(self.rng.choice(ORGANISATIONS), REQUEST_TOKENS, now_s)
         upstream = self.rng.choice(exchange._upstreams.list_upstreams())
-        upstream_id = upstream.upstream_id
-        exchange._upstreams.find(upstream_id).usage.requests = self.rng.randrange(3)
+        listed = exchange._upstreams.find(upstream.upstream_id)
+        listed.usage.requests = self.rng.randrange(3)
         segment = f"{self.rng.randrange(10**8):08x}"
         exchange._heartbeats._loads.record_own_segment(
-            upstream_id, segment, SEGMENT_TOKENS, now_s
+            upstream, segment, SEGMENT_TOKENS, now_s
         )
 
     def _count_silent(self) -> None:
--- a/tests/entry/test_choosing.py
+++ b/tests/entry/test_choosing.py
@@ -5,7 +5,7 @@
 from banyanseam.entry.choosing import Chooser, choose_retry_after_ms
 from banyanseam.entry.errors import NoUpstreamKnown, RegionsFull
 from banyanseam.entry.exchange import Exchange
-from banyanseam.entry.messages import make_upstream_tag
+from banyanseam.entry.messages import make_load_tag
 from banyanseam.entry.models import Prompt, RequestHead
 from banyanseam.entry.reach import PeerReachability
 from banyanseam.entry.upstream_list import UpstreamList
@@ -20,7 +20,7 @@
 )
 
 QUERY = Prompt(383, 180, ())
-FULL = {make_upstream_tag("e1"): (200, 1500, 0, 0)}
+FULL = {make_load_tag(make_upstream("e1")): (200, 1500, 0, 0)}
 
 
 def make_exchange(now_s: float, **fields) -> Exchange:
--- a/tests/entry/test_messages.py
+++ b/tests/entry/test_messages.py
@@ -7,7 +7,7 @@
     decode_gossip,
     encode_gossip,
     from_upstream_row,
-    make_upstream_tag,
+    make_load_tag,
     pack_ip,
     to_heartbeat_row,
     to_member_row,
@@ -28,8 +28,10 @@
             members=[to_member_row(make_member())],
             beats=[to_heartbeat_row(make_member("10.1.0.2"))],
             direction=Direction.ACROSS,
-            loads={make_upstream_tag("e1"): (1, 2, 3, 4)},
-            peer_loads={pack_ip("10.1.0.2"): {make_upstream_tag("e2"): (1, 2, 3, 4)}},
+            loads={make_load_tag(make_upstream("e1")): (1, 2, 3, 4)},
+            peer_loads={
+                pack_ip("10.1.0.2"): {make_load_tag(make_upstream("e2")): (1, 2, 3, 4)}
+            },
             part_uses=[("e1", "h1", 100)],
             spent_names=["acme"],
             spent=[(pack_ip("10.1.0.1"), 7, 3, True, [0, 5])],
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -1,12 +1,13 @@
 import random
 import unittest
 
+from banyanseam.entry.fingerprints import make_start_tag
 from banyanseam.entry.local_candidates import (
     choose_cold_pause_s,
     list_local_candidates,
     may_send_cold,
 )
-from banyanseam.entry.messages import make_upstream_tag
+from banyanseam.entry.messages import make_load_tag
 from banyanseam.entry.models import EngineLimits, Service
 from banyanseam.entry.performance.models import INITIAL_PERFORMANCE
 from banyanseam.entry.placing import estimate_prefill_ms
@@ -91,7 +92,7 @@
     def test_loads_of_all_processes_of_the_region_count(self):
         self.list(make_upstream("e1"))
         listed = self.upstreams.find("e1")
-        table = {make_upstream_tag("e1"): (3, 250, 9000, 70)}
+        table = {make_load_tag(make_upstream("e1")): (3, 250, 9000, 70)}
         self.loads.record_peer_loads(make_member("10.1.0.2"), table, 0.0)
         prompt = make_prompt()
         prefill_ms = estimate_prefill_ms(prompt, INITIAL_PERFORMANCE, is_cached=True)
@@ -115,7 +116,7 @@
             peer = make_member(
                 "10.1.0.2", incarnation=incarnation, heartbeat_count=heartbeat_count
             )
-            table = {make_upstream_tag("e1"): (requests, 0, 0, 0)}
+            table = {make_load_tag(make_upstream("e1")): (requests, 0, 0, 0)}
             self.loads.record_peer_loads(peer, table, 0.0)
             return self.list(make_upstream("e1"))[0].requests
 
@@ -135,7 +136,7 @@
 
     def test_loads_that_are_all_zero_are_replaced_like_others(self):
         self.list(make_upstream("e1"))
-        table = {make_upstream_tag("e1"): (0, 0, 0, 0)}
+        table = {make_load_tag(make_upstream("e1")): (0, 0, 0, 0)}
         for heartbeat_count in (1, 2, 3):
             for ip in ("10.1.0.2", "10.1.0.3"):
                 peer = make_member(ip, heartbeat_count=heartbeat_count)
@@ -159,8 +160,9 @@
         upstreams.adopt([make_upstream("e1"), make_upstream("e2")], 1, 0.0)
         loads = UpstreamLoads(upstreams, "gulf")
         loads.engine_memory_tokens = 294_902
-        loads.record_own_segment("e1", "h1", 13_300, 0.0)
-        self.assertEqual(loads.list_segment_uses(0.1), [("e1", "h1", 13_300)])
+        loads.record_own_segment(make_upstream("e1"), "h1", 13_300, 0.0)
+        uses = [(make_start_tag(make_upstream("e1")), "h1", 13_300)]
+        self.assertEqual(loads.list_segment_uses(0.1), uses)
         self.assertEqual(loads.list_segment_uses(9.0), [])
         self.assertEqual(loads.list_region_segments(0.1), ["h1"])
         # Engines may have evicted what was not used for long.
@@ -185,5 +187,37 @@
         self.assertTrue(loads.is_cached("h2", remote))
 
 
+class RestartTests(unittest.TestCase):
+    """A peer reports what it did with an earlier incarnation, or with a later one."""
+
+    def setUp(self):
+        self.before = make_upstream("e1")
+        self.after = make_upstream("e1", started_ms=2, revision=2)
+        self.peer = make_member("10.1.0.2")
+
+    def make_loads(self, upstream):
+        upstreams = UpstreamList()
+        upstreams.adopt([upstream], upstream.revision, 0.0)
+        return UpstreamLoads(upstreams, "gulf")
+
+    def test_loads_of_another_incarnation_are_not_counted(self):
+        for known, reported in ((self.after, self.before), (self.before, self.after)):
+            with self.subTest(known=known.started_ms):
+                loads, peer = self.make_loads(known), self.make_loads(reported)
+                with count_request(peer._upstreams.find("e1"), make_prompt(), 200.0):
+                    loads.record_peer_loads(self.peer, peer.list_own_loads(), 0.0)
+                self.assertEqual(loads.sum_region_load("e1", 0.1), (0, 0, 0, 0))
+
+    def test_segments_cached_by_another_incarnation_do_not_count_as_cached(self):
+        for known, reported in ((self.after, self.before), (self.before, self.after)):
+            with self.subTest(known=known.started_ms):
+                loads, peer = self.make_loads(known), self.make_loads(reported)
+                loads.engine_memory_tokens = 294_902
+                peer.record_own_segment(reported, "h1", 13_300, 0.0)
+                for use in peer.list_segment_uses(0.1):
+                    loads.record_segment(*use, 0.1)
+                self.assertFalse(loads.is_cached("h1", make_candidate("e1")))
+
+
 if __name__ == "__main__":
     unittest.main()
