Count a failure for the incarnation that the request was sent to

A request that broke with an upstream's earlier incarnation marked the new one as suspected, held it back and emptied what was known of its cache. Cause: the failure was recorded for whatever upstream had the id by then. It is now recorded where the request was sent, and an incarnation that is no longer listed is not checked.

The new test calls what replaces the recording, so it can't run on the code before; there _record_failure looked the upstream up by its id.

--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -1,7 +1,8 @@
 """Relays admitted requests: choose an upstream, send, retry and resume."""
 
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -191,7 +192,10 @@
                 listed.usage.sent_s.append(anyio.current_time())
                 recorder.record_write(anyio.current_time())
 
-            with self.crashes.watch_run(exchange, listed):
+            with (
+                self._watch_failures(exchange, listed),
+                self.crashes.watch_run(exchange, listed),
+            ):
                 async with send(
                     outgoing,
                     record_write,
@@ -403,7 +407,6 @@
     def _record_failure(
         self, exchange: Exchange, placement: Placement, error: BanyanseamError
     ) -> None:
-        now_s = anyio.current_time()
         upstream_id = placement.candidate.upstream_id
         exchange.tried.append(upstream_id)
         log(
@@ -416,21 +419,30 @@
             sends=exchange.sends,
             may_have_run=exchange.may_have_run,
         )
-        if isinstance(error, UpstreamReplaced):
-            exchange.unreachable.add(upstream_id)
-            return
-        listed = self.upstreams.find(upstream_id)
-        if listed is None or placement.candidate.region != self.members.me.region:
-            return
-        if isinstance(error, _CONNECTION_FAILURES):
-            self.start_checks.start(listed)
-        if isinstance(error, UpstreamUnreachable):
-            exchange.unreachable.add(upstream_id)
-            self.upstreams.record_failure(listed, now_s, is_connect=True)
-        elif isinstance(error, UpstreamFailed) and not isinstance(
-            error, SlowerThanOthers
-        ):
-            self.upstreams.record_failure(listed, now_s, is_connect=False)
+
+    @contextmanager
+    def _watch_failures(
+        self, exchange: Exchange, listed: ListedUpstream
+    ) -> Iterator[None]:
+        """Record a failure for the incarnation that the request is sent to.
+
+        The upstream may have started again by the time of the failure.
+        """
+        try:
+            yield
+        except BanyanseamError as error:
+            now_s = anyio.current_time()
+            is_unreachable = isinstance(error, UpstreamUnreachable)
+            if is_unreachable or isinstance(error, UpstreamReplaced):
+                exchange.unreachable.add(listed.upstream.upstream_id)
+            if isinstance(error, _CONNECTION_FAILURES):
+                self.start_checks.start(listed)
+            if is_unreachable or (
+                isinstance(error, UpstreamFailed)
+                and not isinstance(error, SlowerThanOthers)
+            ):
+                self.upstreams.record_failure(listed, now_s, is_connect=is_unreachable)
+            raise
 
     def _may_retry_error(
         self, exchange: Exchange, error: BanyanseamError, vms: int
--- a/banyanseam/entry/start_checks.py
+++ b/banyanseam/entry/start_checks.py
@@ -69,7 +69,7 @@
 
     def start(self, listed: ListedUpstream) -> None:
         """Check an upstream to which a connection has failed; hold it until then."""
-        if self._can_check(listed.upstream):
+        if self.upstreams.is_listed(listed) and self._can_check(listed.upstream):
             self.upstreams.starts.hold(listed.upstream)
             self.follow(listed)
 
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -111,6 +111,8 @@
     """Two regions, each with two VMs, two engines and a desk."""
 
     tasks: TaskGroup
+    # For checks of upstreams.
+    checks: TaskGroup
     entries: dict[str, Entry] = field(default_factory=dict)
     upstreams: dict[str, Upstream] = field(default_factory=dict)
     config: dict[str, Any] = field(default_factory=make_config)
@@ -158,7 +160,7 @@
         entry = make_entry(settings, None, lambda: settings)
         entry.lifecycle.begin_serving()
         entry.gossip._send = partial(self._deliver, ip)
-        entry.start_checks.tasks = self.tasks
+        entry.start_checks.tasks = self.checks
         self.entries[ip] = entry
 
     def restart_vm(self, ip: str) -> None:
@@ -556,16 +558,19 @@
 
 @asynccontextmanager
 async def start_simulation() -> AsyncIterator[Simulation]:
-    """Start the simulation on the running clock; wait on exit until all tasks end."""
+    """Start the simulation on the running clock; wait on exit until requests end."""
     with ExitStack() as stack:
-        async with anyio.create_task_group() as tasks:
-            simulation = Simulation(tasks)
-            for name, replacement in (
-                ("banyanseam.entry.relay.send", simulation.send),
-                ("banyanseam.entry.values_fetcher.send", simulation.send),
-                ("banyanseam.entry.start_checks.send", simulation.send),
-                ("banyanseam.entry.frontend.log", simulation.log),
-            ):
-                stack.enter_context(mock.patch(name, replacement))
-            simulation.start()
-            yield simulation
+        async with anyio.create_task_group() as checks:
+            async with anyio.create_task_group() as tasks:
+                simulation = Simulation(tasks, checks)
+                for name, replacement in (
+                    ("banyanseam.entry.relay.send", simulation.send),
+                    ("banyanseam.entry.values_fetcher.send", simulation.send),
+                    ("banyanseam.entry.start_checks.send", simulation.send),
+                    ("banyanseam.entry.frontend.log", simulation.log),
+                ):
+                    stack.enter_context(mock.patch(name, replacement))
+                simulation.start()
+                yield simulation
+            # Checks of upstreams that stay down do not end by themselves.
+            checks.cancel_scope.cancel()
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -6,11 +6,15 @@
 
 from banyanseam.entry.errors import UpstreamReplaced
 from banyanseam.entry.relay import Relay
+from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.pipe.errors import ForwardFailed
 from banyanseam.upstreams.errors import UpstreamUnreachable
 from tests.common import run_with_mock_clock
+from tests.entry.common import make_upstream
 from tests.entry.test_choosing import make_exchange
 
+FAKES = [mock.Mock()] * 4
+
 
 class RetryTests(unittest.TestCase):
     def may_retry(self, error: Exception, *, has_budget: bool, sends: int = 0) -> bool:
@@ -47,5 +51,31 @@
         self.assertFalse(self.may_retry(error, has_budget=True, sends=2))
 
 
+class FailureTests(unittest.TestCase):
+    def test_a_failure_of_an_earlier_incarnation_does_not_count_for_the_new_one(self):
+        async def fail() -> None:
+            upstreams = UpstreamList()
+            upstreams.adopt([make_upstream("e1")], 1, 0.0)
+            before = upstreams.find("e1")
+            checks = mock.Mock()
+            relay = Relay(
+                *[mock.Mock()] * 2, upstreams, *[mock.Mock()] * 3, checks, *FAKES
+            )
+            exchange = make_exchange(0.0, sends=0)
+            with (
+                self.assertRaises(UpstreamUnreachable),
+                relay._watch_failures(exchange, before),
+            ):
+                restarted = make_upstream("e1", started_ms=2, revision=2)
+                upstreams.adopt([restarted], 2, 1.0)
+                raise UpstreamUnreachable("e1")
+            checks.start.assert_called_once_with(before)
+            after = upstreams.find("e1")
+            self.assertEqual(after.usage.consecutive_failures, 0)
+            self.assertEqual(after.usage.suspected_until_s, 0.0)
+
+        run_with_mock_clock(fail)
+
+
 if __name__ == "__main__":
     unittest.main()
