Keep a pause that a restarted upstream asked for before its restart was known

A VM that did not know yet of a restart got the new incarnation's 503 with a time, and dropped the pause when the list showed the new start, so that requests reached the upstream within it. A pause asked for in the last 2 s before a new start becomes known now applies to the new incarnation. A leaving mark does not: an upstream often leaves just before it starts again.

test_a_pause_that_a_new_incarnation_asked_for_is_kept failed before (e1 was used at once) and passes.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -117,6 +117,9 @@
 # How long heartbeats report that an incarnation of an upstream has been replaced.
 REPLACED_REPORT_S: Final = 2.0
 SUSPECT_S: Final = 1.5
+# How long a restart goes unnoticed at most while the list is up to date: a heartbeat of
+# the upstream and the readers' delay.
+UNNOTICED_RESTART_S: Final = 2.0
 # Checks of the start of an upstream that can't be reached. The processes that may send
 # to it while it is cold repeat them; the others if those report nothing for a while.
 START_CHECK_TIMEOUT_S: Final = 0.5
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -20,11 +20,17 @@
     SUSPECT_S,
     SUSPENDED_S,
     UNFINISHED_MEMORY_S,
+    UNNOTICED_RESTART_S,
 )
 from banyanseam.entry.fingerprints import make_start_tag
 from banyanseam.entry.limit_pace import LimitPace
 from banyanseam.entry.models import Upstream, UpstreamState
-from banyanseam.entry.upstream_starts import StartFinding, UpstreamStarts
+from banyanseam.entry.upstream_starts import (
+    StartFinding,
+    StartKey,
+    UpstreamStarts,
+    make_start_key,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +133,8 @@
         self.on_held: Callable[[ListedUpstream], None] = lambda _: None
         # Until when incarnations get no requests because their answers said so.
         self._excluded_until_s: dict[tuple[str, int], float] = {}
+        # The pauses among them, and when they were asked for.
+        self._paused_until_s: dict[StartKey, tuple[float, float]] = {}
 
     def adopt(self, upstreams: Iterable[Upstream], revision: int, now_s: float) -> bool:
         """Adopt a listing unless it is older than the last one.
@@ -150,6 +158,11 @@
             for key, until_s in self._excluded_until_s.items()
             if now_s < until_s
         }
+        self._paused_until_s = {
+            key: (until_s, asked_s)
+            for key, (until_s, asked_s) in self._paused_until_s.items()
+            if now_s < until_s
+        }
         for upstream_id in _list_superseded(by_id.values()) | {
             upstream_id for upstream_id, _ in self._replaced_s.keys() & listed
         }:
@@ -285,7 +298,18 @@
 
     def record_pause(self, upstream: Upstream, pause_s: float, now_s: float) -> None:
         """Send nothing for a time to an upstream that has asked for a pause."""
-        self._exclude_until(upstream, now_s + min(pause_s, MAX_PAUSE_S))
+        until_s = now_s + min(pause_s, MAX_PAUSE_S)
+        self._paused_until_s[make_start_key(upstream)] = until_s, now_s
+        self._exclude_until(upstream, until_s)
+
+    def _keep_pause(self, before: Upstream, after: Upstream, now_s: float) -> None:
+        """Apply a pause that the new incarnation may have asked for to it.
+
+        It may have answered while this process took it for the earlier one.
+        """
+        until_s, asked_s = self._paused_until_s.get(make_start_key(before), (0.0, 0.0))
+        if now_s - asked_s < UNNOTICED_RESTART_S:
+            self._exclude_until(after, until_s)
 
     def _exclude_until(self, upstream: Upstream, until_s: float) -> None:
         key = upstream.upstream_id, upstream.started_ms
@@ -363,6 +387,8 @@
         cold_until_s = now_s + upstream.cold_ms / 1000 if upstream.cold_ms > 0 else 0.0
         if listed is None or listed.upstream.started_ms != upstream.started_ms:
             before = self._remove(upstream.upstream_id)
+            if before is not None:
+                self._keep_pause(before.upstream, upstream, now_s)
             key = upstream.upstream_id, upstream.started_ms
             _, usage = self._former.pop(key, (now_s, UpstreamUsage()))
             listed = ListedUpstream(upstream, cold_until_s, stops_at_s, now_s, usage)
--- a/tests/entry/test_upstream_list.py
+++ b/tests/entry/test_upstream_list.py
@@ -53,6 +53,17 @@
         self.upstreams.adopt([restarted, make_upstream("e2")], 13, 31.0)
         self.assertEqual(list_ids(self.upstreams, 31.0), ["e1", "e2"])
 
+    def test_a_pause_that_a_new_incarnation_asked_for_is_kept(self):
+        for asked_s, expected in ((29.5, ["e2"]), (20.0, ["e1", "e2"])):
+            with self.subTest(asked_s=asked_s):
+                self.setUp()
+                self.upstreams.record_pause(make_upstream("e1"), 20.0, asked_s)
+                restarted = make_upstream(
+                    "e1", started_ms=2, address="10.9.0.2:80", revision=11
+                )
+                self.upstreams.adopt([restarted, make_upstream("e2")], 11, 30.0)
+                self.assertEqual(list_ids(self.upstreams, 31.0), expected)
+
     def test_upstreams_that_disappear_without_leaving_are_lost(self):
         lost = []
         self.upstreams.on_lost = lambda listed: lost.append(listed.upstream.upstream_id)
