Confirm the list after standing still before sending to cold upstreams

A VM that was suspended or cut off sent its waiting requests to upstreams that had started again meanwhile, as to those before. Cause: after its return it used its old list until the next digest, up to 0.7 s later, and no finding is repeated for that long. It now asks three peers for the list and the findings at once, and sends nothing to upstreams of services with a cold rate until a peer or the store has confirmed its list, for 0.4 s at most. Suspensions that the runtime's clock does not count are noticed by the boot clock.

The simulation now delivers replies to announced heartbeats, as a socket does.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -17,6 +17,7 @@
     METRICS_PORT,
     SETTINGS_PERIOD_S,
     STOP_MARGIN_S,
+    SUSPENDED_S,
 )
 from banyanseam.entry.crash_suspects import CrashSuspects
 from banyanseam.entry.crash_trials import make_choose_trial_delay
@@ -61,7 +62,11 @@
     log,
 )
 from banyanseam.peers.errors import CannotListen
-from banyanseam.peers.incarnation import make_incarnation
+from banyanseam.peers.incarnation import (
+    SuspensionDetector,
+    make_incarnation,
+    read_boot_clock_s,
+)
 from banyanseam.server.budget import ByteBudget
 from banyanseam.server.connections import make_connection_table
 from banyanseam.server.serve import EmbeddedServer, make_server
@@ -142,6 +147,11 @@
         )
         crashes = CrashWatch(self.suspects, self.upstreams)
         self.upstreams.on_lost = crashes.record_lost
+        # The runtime's clock does not count the time of some suspensions.
+        self.suspension_detector = SuspensionDetector(SUSPENDED_S, read_boot_clock_s)
+        self.suspension_detector.on_suspended(
+            lambda _: self.upstreams.record_resumed(anyio.current_time())
+        )
         self.start_checks = StartChecks(
             upstream_format.report,
             self.upstreams,
@@ -209,6 +219,10 @@
         async with anyio.create_task_group() as tasks:
             self.values_fetcher.tasks = tasks
             self.start_checks.tasks = tasks
+            self.upstreams.on_resumed = lambda: tasks.start_soon(
+                self.gossip.request_upstreams
+            )
+            tasks.start_soon(self.suspension_detector.run)
             for server in self._servers:
                 tasks.start_soon(server.serve)
             for server in self._servers:
--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -47,6 +47,8 @@
 
         A forwarded request is served in this region only.
         """
+        # After a suspension, requests may be handled before any other task.
+        self.upstreams.record_running(now_s)
         here = self.members.me.region
         allowed = exchange.allowed_regions(set(self.members.regions.values()))
         found = []
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -83,6 +83,10 @@
 OUTAGE_S: Final = 3.0
 # A process that has not run for longer was suspended.
 SUSPENDED_S: Final = 1.0
+# How long it then sends nothing to upstreams that may be cold until its list has been
+# confirmed, and how many peers it asks for theirs.
+RESUMED_PATIENCE_S: Final = 0.4
+RESUMED_ASKED_PEERS: Final = 3
 
 # How long a forwarded request waits for the configuration of the VM that sent it, also
 # as a share of its remaining time: another VM can then still serve it.
--- a/banyanseam/entry/gossip.py
+++ b/banyanseam/entry/gossip.py
@@ -18,12 +18,14 @@
     JOIN_PERIOD_S,
     MAX_DATAGRAM_BYTES,
     MAX_MESH_PEERS,
+    OUTAGE_S,
     PEER_TERM_S,
     REGION_GOSSIP_PERIOD_S,
     REGION_REPORTERS,
     REMOTE_PEER_TERM_S,
     REPAIR_HEARTBEATS,
     REPAIRS_PER_REPAIR_ACROSS,
+    RESUMED_ASKED_PEERS,
 )
 from banyanseam.entry.heartbeats import Heartbeats
 from banyanseam.entry.members import Member, Members
@@ -111,6 +113,17 @@
         ):
             await self._send(ips, self._heartbeats.compose_own_loads(direction))
 
+    async def request_upstreams(self) -> None:
+        """Ask a few processes of the region for the full list of upstreams.
+
+        After a suspension all seem silent, so any that was alive recently may be asked.
+        """
+        now_s = anyio.current_time()
+        recent = self.members.list_recent(now_s, self.settings.region)
+        asked = random.sample(recent, min(len(recent), RESUMED_ASKED_PEERS))
+        request = self._heartbeats.compose_upstreams_request()
+        await self._send([member.ip for member in asked], request)
+
     async def share_upstreams(self) -> None:
         """Send the list of upstreams that was just read to the region.
 
@@ -288,6 +301,10 @@
         """Log appeared and silent peers; pass the share of live ones to the quota."""
         now_s = anyio.current_time()
         alive_ips = {member.ip for member in self.members.list_alive(now_s)}
+        is_old = now_s - self._upstreams.confirmed_s > OUTAGE_S
+        if is_old and alive_ips and not self._alive_ips:
+            # It was cut off from its peers and from the store.
+            self._upstreams.record_resumed(now_s)
         for ip in sorted(alive_ips - self._alive_ips):
             log(PEER_ALIVE, peer=ip)
         for ip in sorted(self._alive_ips - alive_ips):
--- a/banyanseam/entry/local_candidates.py
+++ b/banyanseam/entry/local_candidates.py
@@ -79,6 +79,9 @@
     service = catalogue.services.get(service_name)
     if service is None:
         return []
+    has_cold_rate = service.cold_requests_per_s > 0
+    if has_cold_rate and upstreams.is_outdated(now_s):
+        return []
     vm_count = max(1, members.count_recent(now_s, members.me.region))
     # This process's share of the connections that the service allows an upstream.
     max_requests = None
@@ -94,9 +97,7 @@
         if upstreams.starts.is_held(upstream):
             continue
         is_cold = upstreams.is_cold(listed, now_s)
-        has_limit = service.cold_requests_per_s > 0 or (
-            now_s < listed.usage.suspected_until_s
-        )
+        has_limit = has_cold_rate or now_s < listed.usage.suspected_until_s
         is_paced = is_cold and has_limit
         if is_paced and not may_send_cold(listed, members, pause_s, now_s):
             continue
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -16,6 +16,7 @@
     OUTAGE_S,
     RECENT_SENDS_S,
     REPLACED_REPORT_S,
+    RESUMED_PATIENCE_S,
     RETURN_COLD_S,
     SUSPECT_S,
     SUSPENDED_S,
@@ -129,6 +130,8 @@
         # What checks have found, and how long a service's upstreams are cold.
         self.starts = UpstreamStarts()
         self.warmups_s: Mapping[str, float] = {}
+        # Called when the list may be outdated.
+        self.on_resumed: Callable[[], None] = lambda: None
         # Called when an upstream must be checked before it is used.
         self.on_held: Callable[[ListedUpstream], None] = lambda _: None
         # Until when incarnations get no requests because their answers said so.
@@ -186,9 +189,23 @@
         A gap shows that the process was suspended.
         """
         if now_s - self._running_s > SUSPENDED_S:
-            self._resumed_s = now_s
+            self.record_resumed(now_s)
         self._running_s = now_s
 
+    def record_resumed(self, now_s: float) -> None:
+        """Record that this process runs again, or reaches its peers again."""
+        self._resumed_s = now_s
+        if self.revision >= 0:
+            self.on_resumed()
+
+    def is_outdated(self, now_s: float) -> bool:
+        """Return whether upstreams may have started again while this process was away.
+
+        Its peers answer at once, so an unconfirmed list is used again after a moment.
+        """
+        is_unconfirmed = self.confirmed_s < self._resumed_s
+        return is_unconfirmed and now_s - self._resumed_s < RESUMED_PATIENCE_S
+
     def _record_confirmation(self, revision: int, now_s: float) -> None:
         self.record_running(now_s)
         # An upstream's entry expires only if it couldn't be renewed. As long as any
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -161,6 +161,9 @@
         entry.lifecycle.begin_serving()
         entry.gossip._send = partial(self._deliver, ip)
         entry.start_checks.tasks = self.checks
+        entry.upstreams.on_resumed = lambda: self.checks.start_soon(
+            entry.gossip.request_upstreams
+        )
         self.entries[ip] = entry
 
     def restart_vm(self, ip: str) -> None:
@@ -215,8 +218,9 @@
         """Exchange heartbeats twice between all VMs that can reach each other."""
         now_s = anyio.current_time()
         listing = {**self.upstreams, **self.old_registrations}
-        for entry in self.entries.values():
-            entry.values.adopt_upstreams(listing.values(), self.revision, now_s)
+        for ip, entry in self.entries.items():
+            if ip not in self.cut_off:
+                entry.values.adopt_upstreams(listing.values(), self.revision, now_s)
         for _ in range(2):
             for ip, entry in self.entries.items():
                 entry.gossip._update_own_row()
@@ -472,7 +476,9 @@
         data = encode_gossip(gossip)
         for ip in ips:
             if self._can_reach(sender_ip, ip):
-                self.entries[ip].gossip._handle_heartbeat(decode_gossip(data))
+                reply = self.entries[ip].gossip._handle_heartbeat(decode_gossip(data))
+                if reply is not None:
+                    await self._deliver(ip, [sender_ip], reply)
 
     def log(self, event: Event, **fields: Any) -> None:
         """Replace `log` of the request applications."""
--- a/tests/entry/test_restarted_upstream.py
+++ b/tests/entry/test_restarted_upstream.py
@@ -34,6 +34,8 @@
     # Whether callers come while the upstream is down, but for one.
     has_callers_while_down: bool = True
     length_s: float = 8.0
+    # VMs that no other callers use.
+    asleep: set[str] = field(default_factory=set)
     # Called at each step with the simulation and the time since the start.
     disturb: Callable[[Simulation, float], None] = lambda *_: None
 
@@ -66,7 +68,7 @@
             is_quiet = NAME in simulation.down and not day.has_callers_while_down
             for place, vm in enumerate(vms):
                 await anyio.sleep_until(began_s + now_s + place * STEP_S / VMS)
-                if place == 0 or not is_quiet:
+                if vm not in day.asleep and (place == 0 or not is_quiet):
                     simulation.ask(vm, "/query/x", [], [])
             await anyio.sleep_until(began_s + now_s + STEP_S)
     times = sorted(
@@ -120,6 +122,19 @@
 
         self.check_cold(Day(disturb=restart_vms))
 
+    def test_a_vm_that_stood_still_does_not_flood_a_restarted_upstream(self):
+        vm = "10.1.0.5"
+
+        def suspend(simulation: Simulation, now_s: float) -> None:
+            if now_s == 0.5:
+                simulation.cut_off.add(vm)
+            if now_s == 4.5:
+                simulation.cut_off.discard(vm)
+                for _ in range(60):
+                    simulation.ask(vm, "/query/x", [], [])
+
+        self.check_cold(Day(up_s=[3.0], listed_s=3.4, disturb=suspend, asleep={vm}))
+
 
 if __name__ == "__main__":
     unittest.main()
