Take the cache of a restarted upstream as empty

Callers: an upstream that restarted within less than a poll, with at most two requests running, kept its entries in the prefix table. Prompts that it knew before counted as cached, so the limit of half a second of prefill let all of them through, and callers waited inside the cold engine while others were idle.

Cause: nothing told a restarted process from the one before. Only an ejection, after three failures in a row, cleared the table.

The load report may carry `incarnation`, a text that is new with each start; a report with another one than the last clears the upstream's prefixes (event 6003). The model engine reports it. Reports without it are read as before, older daemons ignore it.

Measured: with the field read but not used, the new test placed ten prompts of 4,000 tokens at once, four seconds of prefill; it now places two. An older report, which the ledger ignores, no longer changes the backlog either.

--- a/banyanseam/upstreams/keeper.py
+++ b/banyanseam/upstreams/keeper.py
@@ -8,7 +8,12 @@
 
 from banyanseam.config.compiled import Upstream
 from banyanseam.errors import BanyanseamError
-from banyanseam.observe.events import KEEPER_CHANGED, UPSTREAM_POLL_FAILED, log
+from banyanseam.observe.events import (
+    KEEPER_CHANGED,
+    UPSTREAM_POLL_FAILED,
+    UPSTREAM_RESTARTED,
+    log,
+)
 from banyanseam.peers.messages import PeerIdentity
 from banyanseam.ticks import sleep_until_tick
 from banyanseam.upstreams.const import (
@@ -339,7 +344,8 @@
         now_s = anyio.current_time()
         for scheduler in self._schedulers.values():
             if upstream.name in scheduler.upstreams:
-                scheduler.observe(upstream.name, report, now_s)
+                if scheduler.observe(upstream.name, report, now_s):
+                    log(UPSTREAM_RESTARTED, upstream=upstream.name)
                 self._dispatch(scheduler, now_s)
 
 
--- a/banyanseam/upstreams/models.py
+++ b/banyanseam/upstreams/models.py
@@ -39,6 +39,8 @@
     as_of_s: float
     # The loaded models and adapters; None if the upstream does not report them.
     ready: frozenset[str] | None = None
+    # Changes with each start of the upstream's process; None if it is not reported.
+    incarnation: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/banyanseam/upstreams/pool_scheduler.py
+++ b/banyanseam/upstreams/pool_scheduler.py
@@ -218,10 +218,15 @@
         for name in leases.keys() & self.tracked.keys():
             self.tracked[name].ledger.take_over(leases[name], now_s)
 
-    def observe(self, upstream: str, report: LoadReport | None, now_s: float) -> None:
-        """Apply a polled load report, or None if the poll failed."""
-        if upstream in self.tracked:
-            self.tracked[upstream].observe(report, now_s)
+    def observe(self, upstream: str, report: LoadReport | None, now_s: float) -> bool:
+        """Apply a polled load report, or None if the poll failed.
+
+        Return whether the upstream has restarted since its last report.
+        """
+        is_restarted = self.tracked[upstream].observe(report, now_s)
+        if is_restarted:
+            self.prefixes.forget(upstream)
+        return is_restarted
 
     def restart(self, now_s: float) -> None:
         """Act as a new keeper again, as after a suspension of the process."""
--- a/banyanseam/upstreams/reports.py
+++ b/banyanseam/upstreams/reports.py
@@ -25,6 +25,7 @@
     as_of_ms_ago: int = Field(ge=0, le=3_600_000)
     # The models and adapters that are loaded.
     ready: list[str] | None = None
+    incarnation: str | None = Field(default=None, max_length=64)
 
 
 def make_fetch_report(
@@ -59,6 +60,7 @@
         leaving=document.leaving,
         as_of_s=now_s - document.as_of_ms_ago / 1000,
         ready=None if document.ready is None else frozenset(document.ready),
+        incarnation=document.incarnation,
     )
 
 
--- a/banyanseam/upstreams/tracked_upstream.py
+++ b/banyanseam/upstreams/tracked_upstream.py
@@ -79,12 +79,18 @@
             ),
         )
 
-    def observe(self, report: LoadReport | None, now_s: float) -> None:
-        """Apply a polled load report, or None if the poll failed."""
+    def observe(self, report: LoadReport | None, now_s: float) -> bool:
+        """Apply a polled load report, or None if the poll failed.
+
+        Return whether the report is the first of a new process of the upstream.
+        """
         self.health.record_poll(is_answered=report is not None)
         if report is None:
-            return
+            return False
+        previous = self.ledger.report
         self.ledger.observe(report, now_s)
+        if self.ledger.report is not report:
+            return False
         self._recent_prompts = [
             prompt for prompt in self._recent_prompts if prompt[0] > report.as_of_s
         ]
@@ -93,6 +99,7 @@
         self._queued_as_of_s = report.as_of_s
         for sent_s, tokens in self._recent_prompts:
             self._add_queued(tokens, sent_s)
+        return previous is not None and previous.incarnation != report.incarnation
 
     def expire(self, seats: frozenset[str], now_s: float) -> None:
         """Expire leases, and prompts old enough to be assumed prefilled."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -39,6 +39,7 @@
     batch: Batch = field(init=False)
     # None for an engine whose models are fixed and that accepts no orders.
     orders: OrderExecutor | None = None
+    incarnation: str = field(default_factory=lambda: os.urandom(8).hex())
 
     def __post_init__(self) -> None:
         """Create the batch, which crashes the engine when memory runs out."""
@@ -68,6 +69,8 @@
     def revive(self) -> None:
         """Serve again after a crash, with an empty cache."""
         self.faults.is_dead = False
+        self.incarnation = os.urandom(8).hex()
+        self.loads = LoadHistory(self.limits.load_lag_ms / 1000)
 
     def set_faults(self, **changes: Any) -> None:
         """Set the given faults and leave the others unchanged."""
@@ -195,6 +198,7 @@
         self._record_load()
         report = self.loads.describe_visible(anyio.current_time())
         report["leaving"] = self.faults.leaving or self.faults.reports_leaving
+        report["incarnation"] = self.incarnation
         if self.orders is not None:
             report["ready"] = self.orders.list_ready()
         return report
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -93,7 +93,11 @@
                     with self.subTest(content[:8]):
                         await caller.chat(address, content, max_tokens=max_tokens)
                         self.assertEqual(engine.deaths, 1)
+                        lost_incarnation = engine.incarnation
                         engine.revive()
+                        report = await caller.request("GET", address, "/load")
+                        self.assertIn(b"incarnation", report.content)
+                        self.assertNotIn(lost_incarnation.encode(), report.content)
                         result = await caller.chat(address, "hello")
                         self.assertTrue(result.is_whole)
 
--- a/tests/upstreams/test_client.py
+++ b/tests/upstreams/test_client.py
@@ -228,7 +228,7 @@
     def test_load_report_is_read_or_refused(self):
         body = (
             b'{"held_tokens":5,"queued_tokens":1,"running":2,"leaving":true,'
-            b'"as_of_ms_ago":300}'
+            b'"as_of_ms_ago":300,"incarnation":"7f3a"}'
         )
 
         async def run(answer: bytes):
@@ -238,6 +238,7 @@
         head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n"
         report = anyio.run(run, head % len(body) + body)
         self.assertEqual((report.held_tokens, report.leaving), (5, True))
+        self.assertEqual(report.incarnation, "7f3a")
         for bad in (b"[]", b'{"held_tokens":-1}', b"\xff"):
             with self.subTest(bad), self.assertRaises(UpstreamFailed):
                 read_report(bad, 10.0)
--- /dev/null
+++ b/tests/upstreams/test_pool_scheduler.py
@@ -0,0 +1,59 @@
+import unittest
+
+from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, Outcome
+from banyanseam.upstreams.pool_scheduler import PoolScheduler
+from banyanseam.upstreams.pools import list_pools
+from banyanseam.upstreams.prefix import hash_prefix
+from tests.common import make_config
+
+NAME = "gulf-engine-1"
+PROMPT_TOKENS = 4_000
+PROMPTS = 10
+
+
+class RestartTests(unittest.TestCase):
+    """An upstream that starts again under its name has lost its cache and its runs."""
+
+    def setUp(self):
+        self.pool = next(iter(list_pools(make_config(), "gulf").values()))
+        self.scheduler = PoolScheduler(self.pool, frozenset(), 0.0)
+        ledger = self.scheduler.tracked[NAME].ledger
+        ledger.learning_until_s = 0.0
+        ledger.no_conflict_since_s = -60.0
+        self.numbers = 0
+
+    def report(self, incarnation, now_s):
+        report = LoadReport(0, 0, 0, False, now_s, incarnation=incarnation)
+        self.scheduler.observe(NAME, report, now_s)
+
+    def send(self, prompt, now_s):
+        """Queue a request and return the keys of all that are granted now."""
+        self.numbers += 1
+        key = LeaseKey("gulf-1", 1, self.numbers)
+        prefix = hash_prefix(bytes([prompt]) * 4 * PROMPT_TOKENS)
+        demand = Demand("acme", 1.0, PROMPT_TOKENS, 0, prefix)
+        self.scheduler.enqueue(key, demand, now_s + 60, now_s)
+        return [each.key for each in self.scheduler.dispatch(now_s)[0]]
+
+    def warm_up(self):
+        for prompt in range(PROMPTS):
+            now_s = float(prompt)
+            self.report("first", now_s)
+            for key in self.send(prompt, now_s):
+                self.scheduler.release(key, NAME, Outcome.COMPLETED, 0, now_s)
+        return float(PROMPTS)
+
+    def count_sent(self, now_s):
+        return sum(len(self.send(prompt, now_s)) for prompt in range(PROMPTS))
+
+    def test_known_prompts_do_not_flood_an_upstream_that_restarted(self):
+        for incarnation, expected in (("first", PROMPTS), ("second", 2)):
+            with self.subTest(incarnation):
+                self.setUp()
+                now_s = self.warm_up()
+                self.report(incarnation, now_s)
+                self.assertEqual(self.count_sent(now_s), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
