Drop cache and failures of a republished upstream

Callers: prompts known to an upstream that was removed from the configuration and published again were sent to it as cached, past the limit of prefill ahead. One published with another address kept cache and ejection too: a sound process waited out a pause of up to 60 s, and a pool of one upstream refused its callers meanwhile.

Cause: the prefix table and the health are kept by name; removal dropped the second only, a new address neither. A poll in flight to the old address counted for the new one.

Removal and a new address now drop both, and a report from an address that is no longer published is ignored. Other changes, such as the limit in flight, still keep them.

Measured: the new test failed in both cases before (cached prefix found) and, with the prefixes alone dropped, on the ejection.

--- a/banyanseam/upstreams/keeper.py
+++ b/banyanseam/upstreams/keeper.py
@@ -343,7 +343,9 @@
             self._polling.discard(upstream.name)
         now_s = anyio.current_time()
         for scheduler in self._schedulers.values():
-            if upstream.name in scheduler.upstreams:
+            published = scheduler.upstreams.get(upstream.name)
+            # Another address was published while this one was polled.
+            if published is not None and published.address == upstream.address:
                 if scheduler.observe(upstream.name, report, now_s):
                     log(UPSTREAM_RESTARTED, upstream=upstream.name)
                 self._dispatch(scheduler, now_s)
--- a/banyanseam/upstreams/pool_scheduler.py
+++ b/banyanseam/upstreams/pool_scheduler.py
@@ -88,9 +88,11 @@
         for name, upstream in self.upstreams.items():
             if name not in self.tracked:
                 self.tracked[name] = TrackedUpstream(upstream, terms, now_s)
-            self.tracked[name].update(upstream, terms)
+            if self.tracked[name].update(upstream, terms):
+                self.prefixes.forget(name)
         for name in self.tracked.keys() - self.upstreams.keys():
             del self.tracked[name]
+            self.prefixes.forget(name)
 
     def enqueue(
         self, key: LeaseKey, demand: Demand, deadline_s: float, now_s: float
--- a/banyanseam/upstreams/tracked_upstream.py
+++ b/banyanseam/upstreams/tracked_upstream.py
@@ -29,12 +29,19 @@
         self._queued_tokens = 0.0
         self._queued_as_of_s = now_s
 
-    def update(self, upstream: Upstream, terms: Terms) -> None:
-        """Apply the published upstream and the lease terms of its region."""
+    def update(self, upstream: Upstream, terms: Terms) -> bool:
+        """Apply the published upstream and the lease terms of its region.
+
+        Return whether it has another address, and so is another process.
+        """
+        has_moved = upstream.address != self.upstream.address
+        if has_moved:
+            self.health = Health()
         self.ledger.terms = terms
         self.upstream = upstream
         self.ledger.memory_tokens = upstream.memory_tokens
         self.ledger.max_in_flight = upstream.max_in_flight
+        return has_moved
 
     @property
     def is_leaving(self) -> bool:
--- a/tests/upstreams/test_pool_scheduler.py
+++ b/tests/upstreams/test_pool_scheduler.py
@@ -1,5 +1,7 @@
 import unittest
+from dataclasses import replace
 
+from banyanseam.upstreams.const import FAILURES_TO_EJECT
 from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, Outcome
 from banyanseam.upstreams.pool_scheduler import PoolScheduler
 from banyanseam.upstreams.pools import list_pools
@@ -54,6 +56,34 @@
                 self.report(incarnation, now_s)
                 self.assertEqual(self.count_sent(now_s), expected)
 
+    def test_a_republished_name_keeps_neither_cache_nor_ejection(
+        self,
+    ):
+        engine = self.pool.upstreams[0]
+        moved = replace(engine, address="127.0.0.1:9")
+        cases = {
+            "removed": [replace(self.pool, upstreams=()), self.pool],
+            "other address": [replace(self.pool, upstreams=(moved,))],
+            "same address": [
+                replace(self.pool, upstreams=(replace(engine, max_in_flight=100),))
+            ],
+        }
+        for name, pools in cases.items():
+            with self.subTest(name):
+                self.setUp()
+                self.warm_up()
+                for _ in range(FAILURES_TO_EJECT):
+                    self.scheduler.tracked[NAME].health.record_failure(10.0)
+                for pool in pools:
+                    self.scheduler.update(pool, frozenset(), frozenset(), 10.0)
+                cached = self.scheduler.prefixes.count_cached_tokens(
+                    hash_prefix(b"\0" * 4 * PROMPT_TOKENS), NAME
+                )
+                is_same = name == "same address"
+                self.assertEqual(cached > 0, is_same)
+                is_usable = self.scheduler.tracked[NAME].is_usable(10.0)
+                self.assertEqual(is_usable, not is_same)
+
 
 if __name__ == "__main__":
     unittest.main()
