Poll an upstream soon after it failed a request

Callers: an idle upstream is polled each 2 s, and so are all of a large pool. A request that it could not take or refused is the first sign of a restart, yet the keeper sent it more by the report of before until the next poll: to engines whose models were no longer loaded, or past the limit of prefill ahead.

Cause: an outcome changed the health only, and one or two failures do not eject.

After an outcome that is neither complete nor stopped by the caller, the next poll comes 0.5 s after the last one. The rate stays bounded at two polls a second and upstream, the usual rate of a busy one.

Measured: in the new test no poll had come 0.5 s after the last one, for either outcome; now one has, and a completed request is still followed by one after 2.0 s.

--- a/banyanseam/upstreams/keeper.py
+++ b/banyanseam/upstreams/keeper.py
@@ -40,7 +40,7 @@
     Reserve,
     UpstreamDescription,
 )
-from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, PoolRow
+from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, Outcome, PoolRow
 from banyanseam.upstreams.pool_scheduler import Placement, PoolScheduler
 from banyanseam.upstreams.terms import digest_leases, make_terms
 
@@ -79,6 +79,8 @@
         self._polling: set[str] = set()
         # Upstreams whose last poll failed, so that only the first failure is logged.
         self._failed_polls: set[str] = set()
+        # Upstreams that failed or refused a request since they were last polled.
+        self._failed_requests: set[str] = set()
         self._handovers = Handovers(context)
         context.network.handle_call(Reserve, self.reserve)
         context.network.handle_call(Renew, self.renew)
@@ -163,6 +165,8 @@
             scheduler.release(
                 key, message.upstream, message.outcome, message.output_tokens, now_s
             )
+            if message.outcome not in (Outcome.COMPLETED, Outcome.STOPPED):
+                self._failed_requests.add(message.upstream)
         else:
             scheduler.cancel(key, now_s)
             if key in self._pending:
@@ -323,9 +327,12 @@
             )
             may_poll_slowly = is_idle_and_undisputed and name not in self._failed_polls
             interval_s = MAX_POLL_PERIOD_S if may_poll_slowly else period_s
+            if name in self._failed_requests:
+                interval_s = MIN_POLL_PERIOD_S
             is_due = now_s >= self._polled_s.get(name, -math.inf) + interval_s
             if is_due and name not in self._polling:
                 self._polled_s[name] = now_s
+                self._failed_requests.discard(name)
                 due.append(tracked.upstream)
         return due
 
--- a/tests/upstreams/test_lease_client.py
+++ b/tests/upstreams/test_lease_client.py
@@ -10,6 +10,7 @@
 from banyanseam.config.compiled import Config
 from banyanseam.peers.messages import PeerIdentity
 from banyanseam.upstreams.choose import LocalPool
+from banyanseam.upstreams.const import MAX_POLL_PERIOD_S, MIN_POLL_PERIOD_S
 from banyanseam.upstreams.context import Context
 from banyanseam.upstreams.destinations import DestinationChooser
 from banyanseam.upstreams.errors import (
@@ -24,7 +25,7 @@
 from banyanseam.upstreams.models import Demand, LoadReport, Outcome
 from banyanseam.upstreams.pools import find_keeper, list_pools
 from banyanseam.upstreams.regions import RegionSummaries
-from tests.common import FakeFabric, make_documents, run_with_mock_clock
+from tests.common import FakeFabric, make_documents, run_with_mock_clock, wait_until
 
 SEATS = ["gulf-1", "gulf-2", "gulf-3"]
 STARTUP_S = 4
@@ -52,11 +53,13 @@
         self.most_held = 0
         self.leaving = False
         self.replies_to_polls = True
+        self.last_poll_s = 0.0
         self.lease_clients: dict[str, LeaseClient] = {}
         self.destinations: dict[str, DestinationChooser] = {}
         self.scopes: dict[str, anyio.CancelScope] = {}
 
     async def fetch_report(self, upstream) -> LoadReport:
+        self.last_poll_s = anyio.current_time()
         if not self.replies_to_polls:
             raise UpstreamTimedOut(upstream.name)
         held = sum(self.running.values())
@@ -301,6 +304,27 @@
             with self.subTest(name):
                 run_with_mock_clock(run)
 
+    def test_a_failure_at_an_idle_upstream_is_not_left_to_the_slow_poll(self):
+        async def run(outcome: Outcome, expected_s: float) -> None:
+            gulf = Gulf()
+            async with gulf.run():
+                await anyio.sleep(5)
+                before_s = anyio.current_time()
+                await wait_until(lambda: gulf.last_poll_s > before_s)
+                polled_s = gulf.last_poll_s
+                grant = await gulf.reserve("gulf-1", 10)
+                await gulf.release("gulf-1", grant, outcome)
+                await anyio.sleep(expected_s + 0.01)
+                self.assertAlmostEqual(gulf.last_poll_s, polled_s + expected_s, 1)
+
+        for outcome, expected_s in (
+            (Outcome.COMPLETED, MAX_POLL_PERIOD_S),
+            (Outcome.UNREACHABLE, MIN_POLL_PERIOD_S),
+            (Outcome.UNUSED, MIN_POLL_PERIOD_S),
+        ):
+            with self.subTest(outcome):
+                run_with_mock_clock(run, outcome, expected_s)
+
     def test_leaving_in_the_configuration_gets_nothing_new(self):
         async def run() -> None:
             gulf = Gulf()
