Drop the prefixes of an engine whose poll could not connect

Callers: an engine whose reports carry no incarnation could be down for seconds and return cold with its prefixes still in the table, if fewer than three requests failed in a row. Known prompts were then sent past the limit of prefill ahead.

Cause: missed polls stop new requests but do not eject, and only an ejection cleared the table.

A poll that cannot connect now clears it, unless the last report had an incarnation, which shows a restart by itself. A poll that times out does not: a stalled process keeps its cache. Outcomes of requests do not either, since one entry with a broken path would clear the table for all.

Measured: in the new test a prompt was granted with 1,000 cached tokens after two seconds of refused polls; now with none, and still with 1,000 after timeouts. The tests' `replies_to_polls` became the error that polls raise.

--- a/banyanseam/upstreams/keeper.py
+++ b/banyanseam/upstreams/keeper.py
@@ -26,7 +26,12 @@
     SUSPENSION_GAP_S,
 )
 from banyanseam.upstreams.context import Context
-from banyanseam.upstreams.errors import NoneUsable, NotKeeper, NoUpstreamAvailable
+from banyanseam.upstreams.errors import (
+    NoneUsable,
+    NotKeeper,
+    NoUpstreamAvailable,
+    UpstreamUnreachable,
+)
 from banyanseam.upstreams.handovers import Handovers
 from banyanseam.upstreams.messages import (
     Announce,
@@ -339,10 +344,12 @@
     async def _poll(self, upstream: Upstream) -> None:
         self._polling.add(upstream.name)
         report = None
+        is_unreachable = False
         try:
             report = await self._fetch_report(upstream)
             self._failed_polls.discard(upstream.name)
         except BanyanseamError as error:
+            is_unreachable = isinstance(error, UpstreamUnreachable)
             if upstream.name not in self._failed_polls:
                 log(UPSTREAM_POLL_FAILED, upstream=upstream.name, code=error.code)
             self._failed_polls.add(upstream.name)
@@ -355,6 +362,8 @@
             if published is not None and published.address == upstream.address:
                 if scheduler.observe(upstream.name, report, now_s):
                     log(UPSTREAM_RESTARTED, upstream=upstream.name)
+                if is_unreachable:
+                    scheduler.record_unreachable(upstream.name)
                 self._dispatch(scheduler, now_s)
 
 
--- a/banyanseam/upstreams/pool_scheduler.py
+++ b/banyanseam/upstreams/pool_scheduler.py
@@ -230,6 +230,12 @@
             self.prefixes.forget(upstream)
         return is_restarted
 
+    def record_unreachable(self, upstream: str) -> None:
+        """Assume a restart if the upstream's reports would not show one."""
+        report = self.tracked[upstream].ledger.report
+        if report is None or report.incarnation is None:
+            self.prefixes.forget(upstream)
+
     def restart(self, now_s: float) -> None:
         """Act as a new keeper again, as after a suspension of the process."""
         for tracked in self.tracked.values():
--- a/tests/upstreams/test_lease_client.py
+++ b/tests/upstreams/test_lease_client.py
@@ -8,6 +8,7 @@
 
 from banyanseam.config.compile import compile_config
 from banyanseam.config.compiled import Config
+from banyanseam.errors import BanyanseamError
 from banyanseam.peers.messages import PeerIdentity
 from banyanseam.upstreams.choose import LocalPool
 from banyanseam.upstreams.const import MAX_POLL_PERIOD_S, MIN_POLL_PERIOD_S
@@ -19,11 +20,13 @@
     NoUpstreamAvailable,
     RequestTooLarge,
     UpstreamTimedOut,
+    UpstreamUnreachable,
 )
 from banyanseam.upstreams.keeper import Keeper
 from banyanseam.upstreams.lease_client import LeaseClient
 from banyanseam.upstreams.models import Demand, LoadReport, Outcome
 from banyanseam.upstreams.pools import find_keeper, list_pools
+from banyanseam.upstreams.prefix import hash_prefix
 from banyanseam.upstreams.regions import RegionSummaries
 from tests.common import FakeFabric, make_documents, run_with_mock_clock, wait_until
 
@@ -52,7 +55,7 @@
         self.running: dict[str, int] = {}
         self.most_held = 0
         self.leaving = False
-        self.replies_to_polls = True
+        self.poll_error: type[BanyanseamError] | None = None
         self.last_poll_s = 0.0
         self.lease_clients: dict[str, LeaseClient] = {}
         self.destinations: dict[str, DestinationChooser] = {}
@@ -60,8 +63,8 @@
 
     async def fetch_report(self, upstream) -> LoadReport:
         self.last_poll_s = anyio.current_time()
-        if not self.replies_to_polls:
-            raise UpstreamTimedOut(upstream.name)
+        if self.poll_error is not None:
+            raise self.poll_error(upstream.name)
         held = sum(self.running.values())
         return LoadReport(
             held, 0, len(self.running), self.leaving, anyio.current_time()
@@ -282,7 +285,7 @@
             gulf.leaving = True
 
         def stop_replying(gulf) -> None:
-            gulf.replies_to_polls = False
+            gulf.poll_error = UpstreamTimedOut
 
         cases = {
             "too large": (lambda gulf: None, 9_500, RequestTooLarge),
@@ -325,6 +328,26 @@
             with self.subTest(outcome):
                 run_with_mock_clock(run, outcome, expected_s)
 
+    def test_an_engine_that_refused_connections_is_not_sent_known_prompts_as_cached(
+        self,
+    ):
+        async def run(error: type[BanyanseamError], *, is_lost: bool) -> None:
+            gulf = Gulf()
+            prefix = hash_prefix(b"x" * 4_096)
+            async with gulf.run():
+                for cached_tokens in (0, 0 if is_lost else 1_000):
+                    grant = await gulf.reserve("gulf-1", 2_000, prefix=prefix)
+                    await gulf.release("gulf-1", grant)
+                    self.assertEqual(grant.cached_tokens, cached_tokens)
+                    gulf.poll_error = error
+                    await anyio.sleep(MAX_POLL_PERIOD_S)
+                    gulf.poll_error = None
+                    await anyio.sleep(MAX_POLL_PERIOD_S)
+
+        for error, is_lost in ((UpstreamUnreachable, True), (UpstreamTimedOut, False)):
+            with self.subTest(error):
+                run_with_mock_clock(partial(run, error, is_lost=is_lost))
+
     def test_leaving_in_the_configuration_gets_nothing_new(self):
         async def run() -> None:
             gulf = Gulf()
