Free the memory of runs that a restart has lost

Callers: when the machine of an upstream restarted, no connection broke, and entries renewed the leases of their lost requests until these timed out. The new process was idle, yet its callers waited and were refused for lack of memory.

Cause: leases are renewed by number and upstream, whichever process runs them.

A new keeper still counts whatever entries announce.

Measured: in the new test the first request after a restart was refused at its deadline; now the whole memory is granted after each of three restarts. The property test of the ledger restarts the upstream too.

--- a/banyanseam/upstreams/const.py
+++ b/banyanseam/upstreams/const.py
@@ -120,4 +120,9 @@
 # An answer's head, with the interim answers before it.
 MAX_ANSWER_HEAD_BYTES: Final = 64 * 1024
 MAX_LOAD_BODY_BYTES: Final = 64 * 1024
+# The longest time between a grant and the first written byte of its request, with the
+# error of a report's sampling time.
+MAX_SEND_DELAY_S: Final = (
+    GRANT_VALIDITY_S + POOL_TIMEOUT_S + CONNECT_TIMEOUT_S + POLL_TIMEOUT_S / 2
+)
 VIA: Final = b"1.1 banyanseam"
--- a/banyanseam/upstreams/lease_ledger.py
+++ b/banyanseam/upstreams/lease_ledger.py
@@ -16,6 +16,7 @@
     LEARNING_SHARE,
     LINGER_S,
     MARGIN_SHARE,
+    MAX_SEND_DELAY_S,
     REPORT_TERM_S,
     REPORT_TIME_TOLERANCE_S,
     SUSPENSION_GAP_S,
@@ -35,6 +36,9 @@
     # When the memory counts as free; set when the entry releases the lease of a run
     # that may continue for a while, such as an aborted one.
     ends_s: float | None = None
+    # Whether its run ended with an earlier process of the upstream. The entry may not
+    # know that yet and renews the lease, which holds no memory.
+    is_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +80,7 @@
         # Tokens in the last report that this keeper's leases do not account for.
         self.unaccounted_tokens = 0
         self._leased_tokens = 0
+        self._lost_leases = 0
         self._granted_since_report_tokens = 0
         self._by_holder: dict[tuple[str, int], dict[int, Lease]] = {}
         # Until when each seat has promised to reserve at no other keeper.
@@ -96,6 +101,11 @@
             return self.memory_tokens
         return int(self.memory_tokens * (1 - MARGIN_SHARE))
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of leases that hold memory."""
+        return len(self.leases) - self._lost_leases
+
     @property
     def is_idle(self) -> bool:
         """Say whether no lease and, in the last report, no running request exists."""
@@ -207,10 +217,19 @@
             self.no_conflict_since_s = now_s
         self._was_fully_announced = is_fully_announced
 
-    def observe(self, report: LoadReport, now_s: float) -> None:
-        """Apply a load report; one older than the last is ignored."""
-        if self.report is not None and report.as_of_s < self.report.as_of_s:
-            return
+    def observe(self, report: LoadReport, now_s: float) -> bool:
+        """Apply a load report; one older than the last is ignored.
+
+        Return whether the report is the first of a new process of the upstream.
+        """
+        previous = self.report
+        if previous is not None and report.as_of_s < previous.as_of_s:
+            return False
+        is_restarted = (
+            previous is not None and previous.incarnation != report.incarnation
+        )
+        if is_restarted:
+            self._mark_lost(previous.as_of_s)
         self.report = report
         self._granted_since_report = {
             key: lease
@@ -223,6 +242,7 @@
         self.unaccounted_tokens = self._count_unaccounted_tokens(report)
         if self.unaccounted_tokens > 0:
             self.no_conflict_since_s = now_s
+        return is_restarted
 
     def count_held_tokens(self) -> int:
         """Return the most tokens that the upstream may hold with all current grants."""
@@ -245,7 +265,7 @@
 
     def count_free_tokens(self, seats: frozenset[str], now_s: float) -> int:
         """Return the largest request that may be granted now."""
-        if len(self.leases) >= self.max_in_flight:
+        if self.in_flight >= self.max_in_flight:
             return 0
         if not self.is_reported:
             return self.memory_tokens
@@ -271,7 +291,7 @@
         known = [
             lease.tokens
             for lease in self.leases.values()
-            if lease.granted_s <= at_s + REPORT_TIME_TOLERANCE_S
+            if not lease.is_lost and lease.granted_s <= at_s + REPORT_TIME_TOLERANCE_S
         ]
         known += [
             ended.tokens
@@ -295,6 +315,18 @@
         )
         return now_s < self._fully_announced_until_s
 
+    def _mark_lost(self, old_process_until_s: float) -> None:
+        """Stop counting the leases whose requests reached the upstream's old process.
+
+        It still ran at the given time; later grants may have reached the new one.
+        """
+        for lease in self.leases.values():
+            is_older = lease.granted_s + MAX_SEND_DELAY_S <= old_process_until_s
+            if is_older and not lease.is_lost:
+                lease.is_lost = True
+                self._lost_leases += 1
+                self._leased_tokens -= lease.tokens
+
     def _add(self, key: LeaseKey, lease: Lease) -> None:
         self.leases[key] = lease
         leases = self._by_holder.setdefault((key.seat, key.incarnation), {})
@@ -307,6 +339,9 @@
         del self._by_holder[holder][key.number]
         if not self._by_holder[holder]:
             del self._by_holder[holder]
+        if lease.is_lost:
+            self._lost_leases -= 1
+            return
         self._leased_tokens -= lease.tokens
         if self._granted_since_report.pop(key, None) is not None:
             self._granted_since_report_tokens -= lease.tokens
--- a/banyanseam/upstreams/tracked_upstream.py
+++ b/banyanseam/upstreams/tracked_upstream.py
@@ -76,7 +76,7 @@
         return UpstreamState(
             name=self.upstream.name,
             state=state,
-            in_flight=len(ledger.leases),
+            in_flight=ledger.in_flight,
             held_tokens=ledger.count_held_tokens(),
             free_tokens=(
                 ledger.count_free_tokens(seats, now_s) if state == "ready" else 0
@@ -94,8 +94,7 @@
         self.health.record_poll(is_answered=report is not None)
         if report is None:
             return False
-        previous = self.ledger.report
-        self.ledger.observe(report, now_s)
+        is_restarted = self.ledger.observe(report, now_s)
         if self.ledger.report is not report:
             return False
         self._recent_prompts = [
@@ -106,7 +105,7 @@
         self._queued_as_of_s = report.as_of_s
         for sent_s, tokens in self._recent_prompts:
             self._add_queued(tokens, sent_s)
-        return previous is not None and previous.incarnation != report.incarnation
+        return is_restarted
 
     def expire(self, seats: frozenset[str], now_s: float) -> None:
         """Expire leases, and prompts old enough to be assumed prefilled."""
@@ -136,7 +135,7 @@
             memory_tokens=self.upstream.memory_tokens,
             held_tokens=self.ledger.count_held_tokens(),
             queued_tokens=self.count_queued_tokens(now_s),
-            running=len(self.ledger.leases),
+            running=self.ledger.in_flight,
             decode_tokens_per_s=self.upstream.decode_tokens_per_s,
             prefill_tokens_per_s=self.upstream.prefill_tokens_per_s,
             cached_tokens=min(cached_tokens, demand.prompt_tokens),
--- a/tests/upstreams/test_lease_client.py
+++ b/tests/upstreams/test_lease_client.py
@@ -57,6 +57,7 @@
         self.leaving = False
         self.poll_error: type[BanyanseamError] | None = None
         self.last_poll_s = 0.0
+        self.engine_incarnation: int | None = 1
         self.lease_clients: dict[str, LeaseClient] = {}
         self.destinations: dict[str, DestinationChooser] = {}
         self.scopes: dict[str, anyio.CancelScope] = {}
@@ -67,7 +68,12 @@
             raise self.poll_error(upstream.name)
         held = sum(self.running.values())
         return LoadReport(
-            held, 0, len(self.running), self.leaving, anyio.current_time()
+            held,
+            0,
+            len(self.running),
+            self.leaving,
+            anyio.current_time(),
+            incarnation=self.engine_incarnation and str(self.engine_incarnation),
         )
 
     def list_alive(self, region: str) -> list[str]:
@@ -94,6 +100,11 @@
                 tasks.start_soon(keeper.run)
                 tasks.start_soon(self.lease_clients[seat].run)
 
+    def restart_engine(self) -> None:
+        """Restart the engine's machine, so that no entry sees a connection break."""
+        self.engine_incarnation += 1
+        self.running.clear()
+
     def kill(self, seat: str) -> None:
         self.scopes[seat].cancel()
         del self.fabric.networks[seat]
@@ -333,6 +344,7 @@
     ):
         async def run(error: type[BanyanseamError], *, is_lost: bool) -> None:
             gulf = Gulf()
+            gulf.engine_incarnation = None
             prefix = hash_prefix(b"x" * 4_096)
             async with gulf.run():
                 for cached_tokens in (0, 0 if is_lost else 1_000):
@@ -348,6 +360,39 @@
             with self.subTest(error):
                 run_with_mock_clock(partial(run, error, is_lost=is_lost))
 
+    def test_runs_lost_in_a_restart_do_not_hold_the_memory_of_the_new_process(self):
+        async def run() -> None:
+            gulf = Gulf()
+            async with gulf.run():
+                for _ in range(3):
+                    for seat in SEATS:
+                        await gulf.reserve(seat, 3_000)
+                    await anyio.sleep(10)
+                    gulf.restart_engine()
+                self.assertEqual(await self.count_granted(gulf, 3_000), 3)
+
+        run_with_mock_clock(run)
+
+    def test_leases_just_before_a_restart_count_until_they_are_released(self):
+        async def run() -> None:
+            gulf = Gulf()
+            async with gulf.run():
+                await anyio.sleep(10)
+                for seat in SEATS:
+                    await gulf.reserve(seat, 2_000)
+                gulf.restart_engine()
+                await anyio.sleep(1)
+                self.assertEqual(await self.count_granted(gulf, 3_000), 1)
+
+        run_with_mock_clock(run)
+
+    async def count_granted(self, gulf, tokens) -> int:
+        """Return how many requests are granted without any release."""
+        with anyio.move_on_after(3):
+            while True:
+                await gulf.reserve("gulf-1", tokens, patience_s=10)
+        return len(gulf.running)
+
     def test_leaving_in_the_configuration_gets_nothing_new(self):
         async def run() -> None:
             gulf = Gulf()
--- a/tests/upstreams/test_lease_ledger.py
+++ b/tests/upstreams/test_lease_ledger.py
@@ -47,9 +47,11 @@
         self.load = load
         self.now_s = 100.0
         self.processes = {seat: Process(seat, 1) for seat in SEATS}
-        # Requests running at the upstream, each with its tokens and its end.
+        # Requests sent to the upstream, each with its tokens and its end for the entry;
+        # one that the upstream lost in a restart has no tokens.
         self.runs: dict[LeaseKey, tuple[int, float]] = {}
-        self.history: list[tuple[float, int, int]] = []
+        self.restarts = 0
+        self.history: list[tuple[float, int, int, int]] = []
         self.partitions: set[frozenset[str]] = set()
         self.granted = 0
         self.most_held = 0
@@ -77,9 +79,9 @@
         for key, (_, ends_s) in list(self.runs.items()):
             if ends_s <= self.now_s:
                 self.end(key)
-        held = sum(tokens for tokens, _ in self.runs.values())
-        self.history.append((self.now_s, held, len(self.runs)))
-        self.most_held = max(self.most_held, held)
+        held = [tokens for tokens, _ in self.runs.values() if tokens]
+        self.history.append((self.now_s, sum(held), len(held), self.restarts))
+        self.most_held = max(self.most_held, sum(held))
 
     def end(self, key: LeaseKey) -> None:
         del self.runs[key]
@@ -127,8 +129,11 @@
         ledger.expire(SEATS, self.now_s)
         if self.history and self.rng.random() < STEP_S / 0.5:
             lag = self.rng.randint(1, min(7, len(self.history)))
-            as_of_s, tokens, running = self.history[-lag]
-            ledger.observe(LoadReport(tokens, 0, running, False, as_of_s), self.now_s)
+            as_of_s, tokens, running, restarts = self.history[-lag]
+            report = LoadReport(
+                tokens, 0, running, False, as_of_s, incarnation=str(restarts)
+            )
+            ledger.observe(report, self.now_s)
 
     def announce(self, process: Process, keeper: str) -> None:
         ledger = self.processes[keeper].ledger
@@ -170,9 +175,16 @@
             incarnation = self.processes[seat].incarnation + 1
             self.processes[seat] = Process(seat, incarnation)
 
+    def restart_upstream(self) -> None:
+        self.restarts += 1
+        for key, (_, ends_s) in self.runs.items():
+            self.runs[key] = (0, ends_s)
+
     def inject_fault(self, kind: str, seat: str) -> None:
         if kind == "kill":
             self.kill(seat)
+        elif kind == "restart upstream":
+            self.restart_upstream()
         elif kind == "restart":
             self.restart(seat)
         elif kind == "freeze":
@@ -186,7 +198,9 @@
 FAULTS = st.lists(
     st.tuples(
         st.integers(1, 60),
-        st.sampled_from(("kill", "restart", "freeze", "cut", "join")),
+        st.sampled_from(
+            ("kill", "restart", "freeze", "cut", "join", "restart upstream")
+        ),
         st.sampled_from(sorted(SEATS)),
     ),
     max_size=10,
