Count no restart as a sign of a single keeper

Callers: while a region was partitioned and its upstream restarted, two keepers could both grant the whole memory. The upstream then crashed with all its requests.

Cause: a keeper that not all seats announce to grants the whole memory after 10 s without a foreign request in the reports. A restart ends the other keeper's requests, so the reports were clean although it went on granting.

The first report of a new incarnation starts the 10 s anew. Where all published seats announce, nothing changes.

--- a/banyanseam/upstreams/lease_ledger.py
+++ b/banyanseam/upstreams/lease_ledger.py
@@ -230,6 +230,8 @@
         )
         if is_restarted:
             self._mark_lost(previous.as_of_s)
+            # The runs of another keeper would have been lost too.
+            self.no_conflict_since_s = now_s
         self.report = report
         self._granted_since_report = {
             key: lease
--- a/tests/upstreams/test_lease_ledger.py
+++ b/tests/upstreams/test_lease_ledger.py
@@ -261,6 +261,18 @@
         ledger.observe(LoadReport(40_000, 0, 1, False, now_s), now_s)
         self.assertEqual(ledger.count_free_tokens(SEATS, now_s), 12_500)
 
+    def test_a_restart_that_ends_foreign_runs_is_no_sign_of_a_single_keeper(self):
+        for are_all_announcing in (False, True):
+            with self.subTest(are_all_announcing=are_all_announcing):
+                ledger = LeaseLedger(MEMORY_TOKENS, 100, 0.0)
+                ledger.observe(LoadReport(0, 0, 0, False, 0.0, None, "1"), 0.0)
+                now_s = NO_CONFLICT_TERM_S
+                self.assertTrue(ledger.is_undisputed(SEATS, now_s))
+                for seat in SEATS if are_all_announcing else ():
+                    ledger.announce(seat, 1, {}, now_s)
+                ledger.observe(LoadReport(0, 0, 0, False, now_s, None, "2"), now_s)
+                self.assertEqual(ledger.is_undisputed(SEATS, now_s), are_all_announcing)
+
     def test_leases_without_renewal_expire(self):
         ledger = LeaseLedger(MEMORY_TOKENS, 100, 0.0)
         ledger.announce("two", 1, {7: 60_000}, 1.0)
