Judge a restarted upstream by its own requests

Callers: requests lost in the restart of an upstream's machine fail when they time out, seconds or minutes later. Three in a row then ejected the new process, which was sound, and cleared its prefixes; a pool of one upstream refused its callers. A probe that was lost held back the next one for up to 30 s.

Cause: outcomes were counted by the upstream's name.

The outcome of a lease whose run was lost changes the health no more, neither a failure nor a late success. A new incarnation permits the next probe at once. It does not end the pause of an ejection, which would cost an engine that crashes in a loop one request at each start.

Measured: the new tests failed before: the upstream was unusable after late failures, timed out or unreachable, and the second probe was refused.

--- a/banyanseam/upstreams/lease_ledger.py
+++ b/banyanseam/upstreams/lease_ledger.py
@@ -184,15 +184,19 @@
                 self._add(key, Lease(tokens, now_s, until_s))
         self.learning_until_s = min(self.learning_until_s, now_s)
 
-    def release(self, key: LeaseKey, now_s: float, *, lingers: bool) -> None:
-        """End a lease, after `LINGER_S` if its request may still be running."""
+    def release(self, key: LeaseKey, now_s: float, *, lingers: bool) -> bool:
+        """End a lease, after `LINGER_S` if its request may still be running.
+
+        Return whether its run was lost in a restart of the upstream.
+        """
         lease = self.leases.get(key)
         if lease is None:
-            return
-        if not lingers:
+            return False
+        if lease.is_lost or not lingers:
             self._end(key, now_s)
         elif lease.ends_s is None:
             lease.ends_s = now_s + LINGER_S
+        return lease.is_lost
 
     def expire(self, seats: frozenset[str], now_s: float) -> None:
         """End the leases that were not renewed and check that all seats still announce.
--- a/banyanseam/upstreams/pool_scheduler.py
+++ b/banyanseam/upstreams/pool_scheduler.py
@@ -173,8 +173,11 @@
         if tracked is None:
             return
         lingers = outcome in (Outcome.STOPPED, Outcome.FAILED)
-        tracked.ledger.release(key, now_s, lingers=lingers)
+        is_lost = tracked.ledger.release(key, now_s, lingers=lingers)
         self._settle_charge(key, outcome, output_tokens)
+        if is_lost:
+            # The outcome says nothing about the upstream's new process.
+            return
         if outcome is Outcome.UNUSED:
             tracked.health.record_unused()
         elif outcome is Outcome.COMPLETED:
--- a/banyanseam/upstreams/tracked_upstream.py
+++ b/banyanseam/upstreams/tracked_upstream.py
@@ -95,6 +95,9 @@
         if report is None:
             return False
         is_restarted = self.ledger.observe(report, now_s)
+        if is_restarted:
+            # The outcome of a probe of the old process would not count.
+            self.health.record_unused()
         if self.ledger.report is not report:
             return False
         self._recent_prompts = [
--- a/tests/upstreams/test_pool_scheduler.py
+++ b/tests/upstreams/test_pool_scheduler.py
@@ -1,11 +1,12 @@
 import unittest
 from dataclasses import replace
 
-from banyanseam.upstreams.const import FAILURES_TO_EJECT
+from banyanseam.upstreams.const import FAILURES_TO_EJECT, FIRST_PAUSE_S
 from banyanseam.upstreams.models import Demand, LeaseKey, LoadReport, Outcome
 from banyanseam.upstreams.pool_scheduler import PoolScheduler
 from banyanseam.upstreams.pools import list_pools
 from banyanseam.upstreams.prefix import hash_prefix
+from banyanseam.upstreams.terms import SMALL_REGION
 from tests.common import make_config
 
 NAME = "gulf-engine-1"
@@ -56,6 +57,38 @@
                 self.report(incarnation, now_s)
                 self.assertEqual(self.count_sent(now_s), expected)
 
+    def restart_after(self, now_s):
+        """Report the old process for 5 s and then the new one; return the time."""
+        self.scheduler.renew("gulf-1", 1, now_s + 3, SMALL_REGION)
+        self.report("first", now_s + 5)
+        self.report("second", now_s + 5.5)
+        return now_s + 5.5
+
+    def test_late_failures_of_lost_requests_do_not_eject_the_new_process(self):
+        for outcome in (Outcome.FAILED, Outcome.UNREACHABLE):
+            with self.subTest(outcome):
+                self.setUp()
+                now_s = self.warm_up()
+                lost = [key for _ in range(3) for key in self.send(0, now_s)]
+                self.assertEqual(len(lost), FAILURES_TO_EJECT)
+                now_s = self.restart_after(now_s)
+                (own,) = self.send(0, now_s)
+                self.scheduler.release(own, NAME, Outcome.COMPLETED, 0, now_s)
+                for key in lost:
+                    self.scheduler.release(key, NAME, outcome, 0, now_s)
+                self.assertTrue(self.scheduler.tracked[NAME].is_usable(now_s))
+
+    def test_a_probe_lost_in_a_restart_does_not_block_the_next(self):
+        self.report("first", 0.0)
+        health = self.scheduler.tracked[NAME].health
+        for _ in range(FAILURES_TO_EJECT):
+            health.record_failure(0.0)
+        (probe,) = self.send(0, FIRST_PAUSE_S)
+        now_s = self.restart_after(FIRST_PAUSE_S)
+        self.assertEqual(len(self.send(1, now_s)), 1)
+        self.scheduler.release(probe, NAME, Outcome.COMPLETED, 0, now_s)
+        self.assertFalse(health.may_send(now_s))
+
     def test_a_republished_name_keeps_neither_cache_nor_ejection(
         self,
     ):
