Count one crash under equal requests once

Callers: when an upstream restarted while it ran two equal sound requests, such as the same prompt sent twice, the request was refused for ten minutes (`poison.refused`), although one upstream had crashed once.

Cause: each run that a crash ended makes a record with an id of its own, and two records condemn.

--- a/banyanseam/poison/suspects.py
+++ b/banyanseam/poison/suspects.py
@@ -5,6 +5,7 @@
 reordered; heartbeats repeat them, so a report may be lost.
 """
 
+import math
 import secrets
 import struct
 from collections import OrderedDict
@@ -19,6 +20,7 @@
     MAX_CLEARED,
     MAX_SECTION_BYTES,
     MAX_SUSPECTS,
+    RERUN_DELAY_S,
     SAME_CRASH_WINDOW_S,
     SUSPECT_TTL_S,
 )
@@ -57,8 +59,20 @@
         self._add(fingerprint, crash_id, Crash(digest, now_s, is_own=True))
 
     def count(self, fingerprint: bytes, now_s: float) -> int:
-        """Return the number of known recent crashes under a request."""
-        return len(self._list_recent(fingerprint, now_s))
+        """Return the number of known recent crashes under a request.
+
+        Records of equal requests that ran on one upstream when it crashed count once.
+        """
+        crashes = self._list_recent(fingerprint, now_s)
+        # A rerun starts later, so a record within this time is of the same crash.
+        first_s: dict[int, float] = {}
+        number = 0
+        for crash in sorted(crashes, key=lambda crash: crash.at_s):
+            counted_s = first_s.get(crash.upstream_digest, -math.inf)
+            if crash.at_s - counted_s >= RERUN_DELAY_S:
+                first_s[crash.upstream_digest] = crash.at_s
+                number += 1
+        return number
 
     def find_last_crash_s(self, fingerprint: bytes) -> float:
         """Return the time of the last crash under a request."""
--- a/tests/poison/test_guard.py
+++ b/tests/poison/test_guard.py
@@ -1,5 +1,6 @@
 import unittest
 from collections import Counter
+from functools import partial
 
 import anyio
 
@@ -212,6 +213,22 @@
         self.assertEqual([len(usable) for usable in tried], [1, 1])
         self.assertNotEqual(tried[0], tried[1])
 
+    @with_fleet
+    async def test_one_crash_under_two_equal_requests_condemns_neither(
+        self, fleet, engines
+    ):
+        for seats in (("gulf-1", "gulf-1"), ("gulf-1", "delta-1")):
+            body = b" and ".join(seat.encode() for seat in seats)
+            with self.subTest(body):
+                async with anyio.create_task_group() as tasks:
+                    for seat in seats:
+                        ask = partial(fleet.ask, seat, body, retries=False)
+                        tasks.start_soon(ask)
+                    await anyio.sleep(0.1)
+                    engines.kills["oak-0"] += 1
+                await anyio.sleep(1)
+                self.assertIsNone(await fleet.ask("gulf-2", body))
+
     @with_fleet
     async def test_a_timeout_is_no_crash(self, fleet, engines):
         async def fall_silent(exchange):
