Close the idle connections of a lost upstream process

Callers: when the machine of an upstream restarted, its idle connections looked open. Each failed one request that was sent on it, up to 32 at each daemon, beyond the retry budget, and three in a row could eject the new process.

Cause: a failure closed the connection that it occurred on, and the next request took the next idle one, which the old process had accepted too.

A connection that breaks before an answer now closes the idle ones of the same upstream. The last used is reused first, so the others were used no later. Timeouts close none.

Measured: in the new test four of six requests failed, one on each idle connection; now one does.

--- a/banyanseam/upstreams/client.py
+++ b/banyanseam/upstreams/client.py
@@ -128,6 +128,9 @@
                 response = await connection.http.handle_async_request(message)
                 connection.stream.limit_reads(None)
             except _HTTP_ERRORS as error:
+                if not isinstance(error, httpcore.TimeoutException):
+                    # The process may be gone, and the idle connections with it.
+                    await connections.aclose()
                 raise _make_upstream_error(error, upstream, is_started) from error
             _check_answer(upstream, request, response)
             yield UpstreamAnswer(
--- a/tests/upstreams/test_client.py
+++ b/tests/upstreams/test_client.py
@@ -1,5 +1,5 @@
 import unittest
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
 
 import anyio
@@ -213,6 +213,43 @@
 
         self.assertEqual(anyio.run(run), count)
 
+    def test_one_idle_connection_of_a_lost_process_fails_not_all(self):
+        async def run() -> int:
+            process = "old"
+
+            async def handle(stream) -> None:
+                accepted_by = process
+                # Like a machine that restarted, it resets a connection that it does not
+                # know only when something arrives on it.
+                async with stream:
+                    async for _ in stream:
+                        if accepted_by != process:
+                            return
+                        await stream.send(OK + b"\r\nok")
+
+            server = RawServer()
+            server.handle = handle
+            failures = 0
+            async with server.run() as upstream:
+                client = UpstreamClient()
+                request = make_request(is_idempotent=True)
+                async with AsyncExitStack() as stack:
+                    for _ in range(4):
+                        opened = client.open(upstream, request, lambda: None)
+                        answer = await stack.enter_async_context(opened)
+                        async for _ in answer.body:
+                            pass
+                process = "new"
+                for _ in range(6):
+                    try:
+                        await send(client, upstream, request)
+                    except UpstreamFailed:
+                        failures += 1
+                await client.aclose()
+            return failures
+
+        self.assertEqual(anyio.run(run), 1)
+
     def test_caller_credentials_are_not_forwarded(self):
         async def run() -> None:
             server = RawServer(OK + b"\r\nok")
