--- a/tests/upstreams/test_pool_scheduler.py
+++ b/tests/upstreams/test_pool_scheduler.py
@@ -57,6 +57,14 @@
                 self.report(incarnation, now_s)
                 self.assertEqual(self.count_sent(now_s), expected)
 
+    def test_a_resumed_keeper_sends_nothing_by_reports_of_before(self):
+        now_s = self.warm_up() + 10
+        self.scheduler.restart(now_s)
+        self.assertEqual(self.count_sent(now_s), 0)
+        self.report("second", now_s)
+        # The first 5% of the memory hold one of these prompts.
+        self.assertEqual(self.count_sent(now_s), 1)
+
     def restart_after(self, now_s):
         """Report the old process for 5 s and then the new one; return the time."""
         self.scheduler.renew("gulf-1", 1, now_s + 3, SMALL_REGION)
