Give the two events of restarts names of their own

The merge of the keeper's event 6003 hid 6025, as both constants had one name: the entry daemon would have logged restarts under the keeper's number. Found by the test of the event catalogue.

--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -109,7 +109,7 @@
 UPSTREAM_POLL_FAILED: Final = Event(
     6002, "WARNING", "An upstream did not report its load"
 )
-UPSTREAM_RESTARTED: Final = Event(
+ENGINE_RESTARTED: Final = Event(
     6003, "WARNING", "An upstream restarted under the name that it had"
 )
 
--- a/banyanseam/upstreams/keeper.py
+++ b/banyanseam/upstreams/keeper.py
@@ -9,9 +9,9 @@
 from banyanseam.config.compiled import Upstream
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.events import (
+    ENGINE_RESTARTED,
     KEEPER_CHANGED,
     UPSTREAM_POLL_FAILED,
-    UPSTREAM_RESTARTED,
     log,
 )
 from banyanseam.peers.messages import PeerIdentity
@@ -361,7 +361,7 @@
             # Another address was published while this one was polled.
             if published is not None and published.address == upstream.address:
                 if scheduler.observe(upstream.name, report, now_s):
-                    log(UPSTREAM_RESTARTED, upstream=upstream.name)
+                    log(ENGINE_RESTARTED, upstream=upstream.name)
                 if is_unreachable:
                     scheduler.record_unreachable(upstream.name)
                 self._dispatch(scheduler, now_s)
