Name what is outdated: the list of upstreams

UpstreamList.is_outdated is is_list_outdated now, since upstreams and their registrations may be outdated too. A rename; nothing else changes.

--- a/banyanseam/entry/local_candidates.py
+++ b/banyanseam/entry/local_candidates.py
@@ -80,7 +80,7 @@
     if service is None:
         return []
     has_cold_rate = service.cold_requests_per_s > 0
-    if has_cold_rate and upstreams.is_outdated(now_s):
+    if has_cold_rate and upstreams.is_list_outdated(now_s):
         return []
     vm_count = max(1, members.count_recent(now_s, members.me.region))
     # This process's share of the connections that the service allows an upstream.
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -198,7 +198,7 @@
         if self.revision >= 0:
             self.on_resumed()
 
-    def is_outdated(self, now_s: float) -> bool:
+    def is_list_outdated(self, now_s: float) -> bool:
         """Return whether upstreams may have started again while this process was away.
 
         Its peers answer at once, so an unconfirmed list is used again after a moment.
