Hold an incarnation that the list does not show yet until it is checked

While the list showed an earlier start, each adoption of it released an upstream that the VM could not reach or was about to check: what was held was pruned by the list alone. An incarnation that is in use is kept too.

--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -150,7 +150,8 @@
         self.listing = tuple(upstreams)
         by_id = {each.upstream_id: each for each in self.listing}
         listed = {(each.upstream_id, each.started_ms) for each in by_id.values()}
-        self.starts.prune(listed, now_s)
+        known = {make_start_key(each) for each in self.list_upstreams()}
+        self.starts.prune(listed | known, now_s)
         self._replaced_s = {
             key: at_s
             for key, at_s in self._replaced_s.items()
