Take only a later start for a restart, and keep the latest by id

The class is one: what was found was a chain of pairs; now the latest start counts, which is kept by the upstream's id. The same finding that comes again through peers no longer looks new, since its age lacks the delays. A start that goes back, after a step of the upstream's clock, is known from the list only. An incarnation that left the list is now forgotten a minute later, and the test of that waits as long.

--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -349,9 +349,18 @@
         if listed is not None and listed.upstream.started_ms == started_ms:
             self.drop(upstream_id, now_s)
 
+    def follow_held(self) -> None:
+        """Let upstreams be checked that were held before checks were possible."""
+        for listed in list(self._listed.values()):
+            if self.starts.is_held(listed.upstream):
+                self.on_held(listed)
+
     def is_listed(self, listed: ListedUpstream) -> bool:
-        """Return whether an incarnation is still in use."""
-        return self._listed.get(listed.upstream.upstream_id) is listed
+        """Return whether an incarnation is in use, also if it was listed anew."""
+        current = self._listed.get(listed.upstream.upstream_id)
+        return current is not None and make_start_key(
+            current.upstream
+        ) == make_start_key(listed.upstream)
 
     def record_start(self, finding: StartFinding, now_s: float) -> bool:
         """Record what this process found about an incarnation; see `record`."""
@@ -364,13 +373,27 @@
         self.starts.record_report(finding)
         self._apply_finding(finding, now_s)
 
+    def record_untold(self, upstream: Upstream, now_s: float) -> None:
+        """Record that an upstream accepts connections and does not report its start.
+
+        If it refused them before, it may have started again.
+        """
+        listed = self._listed.get(upstream.upstream_id)
+        if listed is None or not self.starts.is_held(upstream):
+            return
+        self.starts.forget(upstream)
+        warmup_s = self.warmups_s.get(upstream.service, 0.0)
+        listed.cold_until_s = max(listed.cold_until_s, now_s + warmup_s)
+
     def _apply_finding(self, finding: StartFinding, now_s: float) -> None:
         upstream_id, listed_start_ms = finding.key
         listed = self._listed.get(upstream_id)
-        if listed is None or listed.upstream.started_ms != listed_start_ms:
+        if listed is None:
             return
-        if finding.is_restart:
+        if self.starts.find_restart(listed.upstream) is not None:
             self._track(self._apply_restart(listed.upstream, now_s), now_s)
+        elif listed.upstream.started_ms != listed_start_ms:
+            return
         elif self.starts.is_held(listed.upstream):
             self.on_held(listed)
 
@@ -380,14 +403,13 @@
         It may have started at the time of the check, so it is cold from then on.
         """
         finding = self.starts.find_restart(upstream)
-        while finding is not None:
-            warmup_s = self.warmups_s.get(upstream.service, 0.0)
-            cold_s = max(0.0, finding.at_s + warmup_s - now_s)
-            upstream = replace(
-                upstream, started_ms=finding.found_ms, cold_ms=int(cold_s * 1000)
-            )
-            finding = self.starts.find_restart(upstream)
-        return upstream
+        if finding is None:
+            return upstream
+        warmup_s = self.warmups_s.get(upstream.service, 0.0)
+        cold_s = max(0.0, finding.at_s + warmup_s - now_s)
+        return replace(
+            upstream, started_ms=finding.found_ms, cold_ms=int(cold_s * 1000)
+        )
 
     def list_replaced(self, now_s: float) -> list[tuple[str, int]]:
         """Return the incarnations that were just noticed to be gone, for peers."""
--- a/banyanseam/entry/upstream_starts.py
+++ b/banyanseam/entry/upstream_starts.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from banyanseam.entry.const import FORMER_USAGE_S
+from banyanseam.entry.const import FORMER_USAGE_S, START_CHECK_PERIOD_S
 from banyanseam.entry.models import Upstream
 
 # An upstream's id, and its start in Unix milliseconds as the list shows it.
@@ -33,8 +33,13 @@
 
     @property
     def is_restart(self) -> bool:
-        """Return whether another incarnation was found."""
-        return self.found_ms is not None and self.found_ms != self.key[1]
+        """Return whether a later incarnation was found."""
+        return self.found_ms is not None and self.found_ms > self.key[1]
+
+    @property
+    def is_sound(self) -> bool:
+        """Return whether no later incarnation was found, and connections work."""
+        return self.found_ms is not None and not self.is_restart
 
 
 class UpstreamStarts:
@@ -43,6 +48,8 @@
     def __init__(self) -> None:
         """Start without findings."""
         self._findings: dict[StartKey, StartFinding] = {}
+        # The latest start that was found, by the upstream's id.
+        self._restarts: dict[str, StartFinding] = {}
         # Incarnations that this process could not reach, or is about to check.
         self._unchecked: set[StartKey] = set()
         # What peers have reported last.
@@ -51,14 +58,24 @@
     def record(self, finding: StartFinding) -> bool:
         """Store a finding unless a later one is known; return whether it is news."""
         known = self._findings.get(finding.key)
-        if known is not None and (known.is_restart or known.at_s >= finding.at_s):
+        if known is not None and _is_outdated(finding, known):
             return False
         self._findings[finding.key] = finding
+        if finding.is_restart:
+            upstream_id = finding.key[0]
+            latest = self._restarts.get(upstream_id)
+            if latest is None or latest.found_ms < finding.found_ms:
+                self._restarts[upstream_id] = finding
         return known is None or known.found_ms != finding.found_ms
 
     def record_report(self, finding: StartFinding) -> bool:
         """Store a peer's finding, as `record`."""
         self._reported[finding.key] = finding.found_ms
+        known = self._findings.get(finding.key)
+        is_same = known is not None and known.found_ms == finding.found_ms
+        # The age of a finding lacks the delays of its way through the peers.
+        if is_same and finding.at_s - known.at_s < START_CHECK_PERIOD_S / 2:
+            return False
         return self.record(finding)
 
     def is_reported(self, finding: StartFinding) -> bool:
@@ -87,9 +104,15 @@
         return self._findings.get(make_start_key(upstream))
 
     def find_restart(self, upstream: Upstream) -> StartFinding | None:
-        """Return the finding that another incarnation has taken its place, if any."""
-        finding = self._findings.get(make_start_key(upstream))
-        return finding if finding is not None and finding.is_restart else None
+        """Return the finding of the latest start after that of `upstream`, if any."""
+        finding = self._restarts.get(upstream.upstream_id)
+        if finding is None or finding.found_ms <= upstream.started_ms:
+            return None
+        return finding
+
+    def forget(self, upstream: Upstream) -> None:
+        """Drop the finding about an incarnation."""
+        self._findings.pop(make_start_key(upstream), None)
 
     def list_findings(self, since_s: float) -> list[StartFinding]:
         """Return what was found since a time, for peers."""
@@ -98,10 +121,19 @@
     def prune(self, listed: Iterable[StartKey], now_s: float) -> None:
         """Forget old findings about incarnations that the store no longer lists."""
         kept = set(listed)
+        ids = {upstream_id for upstream_id, _ in kept}
+        self._restarts = {
+            upstream_id: finding
+            for upstream_id, finding in self._restarts.items()
+            if upstream_id in ids or now_s - finding.at_s < FORMER_USAGE_S
+        }
+        # The list does not show these yet.
+        kept |= {(key, each.found_ms) for key, each in self._restarts.items()}
         self._findings = {
             key: finding
             for key, finding in self._findings.items()
-            if key in kept or now_s - finding.at_s < FORMER_USAGE_S
+            if (key in kept and not finding.is_sound)
+            or now_s - finding.at_s < FORMER_USAGE_S
         }
         self._unchecked &= kept
         self._reported = {
@@ -109,3 +141,9 @@
             for key, found_ms in self._reported.items()
             if key in self._findings
         }
+
+
+def _is_outdated(finding: StartFinding, known: StartFinding) -> bool:
+    if known.is_restart:
+        return finding.found_ms is None or finding.found_ms <= known.found_ms
+    return known.at_s >= finding.at_s
--- a/tests/entry/test_restarted_upstream.py
+++ b/tests/entry/test_restarted_upstream.py
@@ -7,17 +7,23 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from unittest import mock
 
 import anyio
 
+from banyanseam.entry.const import START_CHECK_TIMEOUT_S
+from banyanseam.entry.models import Upstream
+from banyanseam.entry.start_checks import Failure, StartChecks
 from tests.common import run_with_mock_clock
 from tests.entry.simulation import Simulation, start_simulation
 
 NAME = "pool-gulf"
+OTHER_NAME = "pool-two-gulf"
 VMS = 12
 STEP_S = 0.1
 HEARTBEAT_S = 0.2
 WARMUP_S = 3.0
+REPORTS_FROM_S = 1.6
 # Of the configuration's rate for a cold upstream, in any second.
 COLD_PER_S = 4.5
 MAX_COLD_REQUESTS = COLD_PER_S * 1.5 + 3
@@ -80,6 +86,11 @@
     return simulation, times
 
 
+def stop_other(simulation: Simulation, _: float) -> None:
+    """Let the other engine of the region be down, for `Day.disturb`."""
+    simulation.down.add(OTHER_NAME)
+
+
 def count_most_per_s(times: list[float], from_s: float, until_s: float) -> int:
     """Return the most requests in one second of a time."""
     times = [at_s for at_s in times if from_s <= at_s < until_s]
@@ -135,6 +146,30 @@
 
         self.check_cold(Day(up_s=[3.0], listed_s=3.4, disturb=suspend, asleep={vm}))
 
+    def test_a_restarted_upstream_that_alone_has_room_gets_a_few_requests(self):
+        def leave_no_other(simulation: Simulation, now_s: float) -> None:
+            stop_other(simulation, now_s)
+            simulation.is_partitioned = True
+
+        day = Day(disturb=leave_no_other)
+        self.check_cold(day)
+        _, times = run_with_mock_clock(play, day)
+        cold_until_s = day.up_s[-1] + WARMUP_S
+        self.assertGreater(count_most_per_s(times, day.up_s[-1], cold_until_s), 1)
+
+    def test_an_upstream_that_reports_late_after_its_start_is_not_flooded(self):
+        ask = StartChecks._ask
+
+        async def ask_late(checks: StartChecks, upstream: Upstream) -> int | Failure:
+            found = await ask(checks, upstream)
+            if anyio.current_time() > REPORTS_FROM_S or found is Failure.REFUSED:
+                return found
+            await anyio.sleep(START_CHECK_TIMEOUT_S)
+            return Failure.UNTOLD
+
+        with mock.patch.object(StartChecks, "_ask", ask_late):
+            self.check_cold(Day(up_s=[1.0], listed_s=2.1, disturb=stop_other))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/entry/test_upstream_list.py
+++ b/tests/entry/test_upstream_list.py
@@ -1,9 +1,12 @@
+import math
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from banyanseam.entry.const import (
     EXPIRED_ENTRY_GRACE_S,
     FAILURES_TO_SUSPECT,
+    FORMER_USAGE_S,
     MAX_PAUSE_S,
     MAX_UNFINISHED_RUNS,
     RETURN_COLD_S,
@@ -12,6 +15,7 @@
 )
 from banyanseam.entry.models import UpstreamState
 from banyanseam.entry.upstream_list import UnfinishedRun, UpstreamList, UpstreamUsage
+from banyanseam.entry.upstream_starts import StartFinding
 from tests.entry.common import make_upstream
 
 
@@ -148,6 +152,45 @@
         self.assertTrue(self.upstreams.is_cold(listed, 3.9))
         self.assertFalse(self.upstreams.is_cold(listed, 4.1))
 
+    def test_an_older_start_in_the_list_does_not_replace_one_that_was_found(self):
+        before = make_upstream("e1", started_ms=1)
+        between = make_upstream("e1", started_ms=2, cold_ms=200, revision=11)
+        self.upstreams.warmups_s = {"pool": 3.0}
+        self.upstreams.record_start(
+            StartFinding(("e1", before.started_ms), 3, 4.0), 4.0
+        )
+        self.upstreams.adopt([between, make_upstream("e2")], 11, 4.2)
+        found = self.upstreams.find("e1")
+        self.assertEqual(found.upstream.started_ms, 3)
+        self.assertTrue(self.upstreams.is_cold(found, 6.9))
+
+    def test_a_second_restart_is_not_forgotten_while_the_list_shows_the_first_start(
+        self,
+    ):
+        for before_ms, after_ms, at_s in ((1, 2, 1.0), (2, 3, 5.0)):
+            finding = StartFinding(("e1", before_ms), after_ms, at_s)
+            self.upstreams.record_start(finding, at_s)
+        now_s = 2 * FORMER_USAGE_S
+        self.upstreams.adopt(self.upstreams.listing, 10, now_s)
+        self.assertEqual(self.upstreams.find("e1").upstream.started_ms, 3)
+
+    def test_what_showed_no_restart_is_not_sent_to_peers_for_ever(self):
+        self.upstreams.record_start(StartFinding(("e1", 1), 1, 1.0), 1.0)
+        self.upstreams.adopt(self.upstreams.listing, 10, 2 * FORMER_USAGE_S)
+        self.assertEqual(self.upstreams.starts.list_findings(-math.inf), [])
+
+    def test_an_upstream_that_names_two_starts_by_turns_does_not_stop_the_process(
+        self,
+    ):
+        starts = self.upstreams.starts
+        # Ends what would be an endless loop.
+        calls = mock.Mock(side_effect=[starts.find_restart] * 20)
+        with mock.patch.object(starts, "find_restart", lambda each: calls()(each)):
+            for before_ms, after_ms in ((1, 2), (2, 1), (1, 2)):
+                finding = StartFinding(("e1", before_ms), after_ms, 1.0)
+                self.upstreams.record_start(finding, 1.0)
+        self.assertIsNotNone(self.upstreams.find("e1"))
+
     def test_an_upstream_that_was_replaced_stays_out_while_its_entry_is_listed(self):
         """Its entry expires only after three missed heartbeats."""
         old = make_upstream("e1", address="10.9.0.9:80")
--- a/tests/entry/test_upstream_starts.py
+++ b/tests/entry/test_upstream_starts.py
@@ -41,8 +41,8 @@
         self.upstreams.starts.hold(restarted)
         self.upstreams.adopt([make_upstream("e1")], 11, 1.5)
         self.assertTrue(self.upstreams.starts.is_held(restarted))
-        self.upstreams.adopt([], 12, 2.0)
-        self.upstreams.adopt([], 13, 2.5)
+        for revision in (12, 13):
+            self.upstreams.adopt([], revision, 2.0 + FORMER_USAGE_S)
         self.assertFalse(self.upstreams.starts.is_held(restarted))
 
 
