Check an upstream again that accepts connections and reports no start yet

Such a check is repeated for a second now; after that the upstream is used, as a cold one if it had refused connections. Upstreams that were held before a VM had a configuration are checked once it has one. A heartbeat reports 64 findings at most, the latest first, and none to other regions.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -283,6 +283,7 @@
         self.upstreams.warmups_s = {
             each.name: each.warmup_s for each in catalogue.services.values()
         }
+        self.upstreams.follow_held()
         engines = [each.engine for each in catalogue.services.values() if each.engine]
         self.loads.engine_memory_tokens = min(
             (engine.memory_tokens for engine in engines), default=0
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -134,6 +134,7 @@
 START_CHECK_LEAD_S: Final = 0.1
 # How long heartbeats report what a check has found.
 START_REPORT_S: Final = 2.0
+MAX_REPORTED_STARTS: Final = 64
 # All processes that had requests running at an upstream notice its crash at once. Their
 # reports are spread over this for each process of the region, and most are not needed.
 START_ANNOUNCE_SPREAD_S: Final = 0.0005
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -15,6 +15,7 @@
     CRASH_REPORT_S,
     GOSSIP_PERIOD_S,
     MAX_RELAYED_PEERS,
+    MAX_REPORTED_STARTS,
     MAX_ROWS,
     PEER_TERM_S,
     RECENT_SPENDING_S,
@@ -164,6 +165,7 @@
             region_parts=self._loads.list_region_segments(now_s),
             candidates=to_candidate_rows(candidates),
             speeds=to_speed_table(candidates),
+            starts=[],
         )
 
     def compose_full(self) -> Gossip:
@@ -339,10 +341,11 @@
             self._quota.receive(charges, now_s)
 
     def _list_starts(self, since_s: float) -> list[StartRow]:
-        """Return what checks of upstreams have found since a time."""
+        """Return what checks of upstreams have found since a time, the latest first."""
         now_s = anyio.current_time()
         findings = self._upstreams.starts.list_findings(since_s)
-        return [to_start_row(each, now_s) for each in findings]
+        findings.sort(key=lambda each: -each.at_s)
+        return [to_start_row(each, now_s) for each in findings[:MAX_REPORTED_STARTS]]
 
     def _choose_rows_to_relay(self, now_s: float) -> list[Member]:
         """Return a few recently updated peers of the region whose rows are relayed.
--- a/banyanseam/entry/start_checks.py
+++ b/banyanseam/entry/start_checks.py
@@ -100,13 +100,14 @@
     async def _follow(self, listed: ListedUpstream) -> None:
         upstream = listed.upstream
         starts = self.upstreams.starts
+        began_s = anyio.current_time()
         try:
             while starts.is_held(upstream) and self.upstreams.is_listed(listed):
                 wait_s = self._find_wait_s(listed)
                 if wait_s > 0:
                     await anyio.sleep(wait_s)
                     continue
-                await self._check(upstream)
+                await self._check(upstream, began_s)
                 if starts.is_held(upstream):
                     await anyio.sleep(START_CHECK_PERIOD_S * random.uniform(0.8, 1.2))
         finally:
@@ -116,7 +117,7 @@
     async def _follow_cold(self, listed: ListedUpstream) -> None:
         await anyio.sleep_until(listed.cold_until_s - START_CHECK_LEAD_S)
         if self._is_sender(listed) and self.upstreams.is_listed(listed):
-            await self._check(listed.upstream)
+            await self._check(listed.upstream, anyio.current_time())
             if self.upstreams.starts.is_held(listed.upstream):
                 self.follow(listed)
 
@@ -138,15 +139,21 @@
             period_s = START_CHECK_PERIOD_S
         return finding.at_s + period_s - anyio.current_time()
 
-    async def _check(self, upstream: Upstream) -> None:
+    async def _check(self, upstream: Upstream, began_s: float) -> None:
         found = await self._ask(upstream)
         now_s = anyio.current_time()
         if found is Failure.UNREACHABLE:
             # Another VM may reach it, so peers are not told.
             self.upstreams.starts.hold(upstream)
             return
+        may_be_slow = now_s - began_s < START_REPORT_PATIENCE_S
+        if found is Failure.UNTOLD and may_be_slow:
+            # An upstream that has just started is slow.
+            self.upstreams.starts.hold(upstream)
+            return
         self.upstreams.starts.release(upstream)
         if found is Failure.UNTOLD:
+            self.upstreams.record_untold(upstream, now_s)
             return
         found_ms = None if found is Failure.REFUSED else found
         finding = StartFinding(make_start_key(upstream), found_ms, now_s)
