Read the era of the store's answers

The store may come back from a copy, older than what it has acknowledged; its header Store-Era rises by one each time. Its revisions have a meaning within an era only. The platform's client passes the era on in listings and changes; a store without the header is in era 0, and pages of two eras are no listing.

Nothing uses the era yet.

--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Final
+from typing import Final, NamedTuple
 
 from banyanseam.entry.scarcity.ranks import rank_urgencies
 
@@ -312,6 +312,16 @@
     is_trial: bool = False
 
 
+class StorePosition(NamedTuple):
+    """A revision of the store, and the era in which the store gave it out.
+
+    A store that was restored from a copy gives out revisions again, in a later era.
+    """
+
+    era: int
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class Listing:
     """All published values below a key prefix."""
@@ -319,6 +329,12 @@
     values: Mapping[str, "PublishedValue"]
     # The listing includes all changes up to this revision.
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the revision within its era."""
+        return StorePosition(self.era, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
@@ -336,3 +352,9 @@
 
     values: tuple[tuple[str, PublishedValue | None], ...]
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the revision within its era."""
+        return StorePosition(self.era, self.revision)
--- a/banyanseam/platform/store.py
+++ b/banyanseam/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+from dataclasses import dataclass
 from typing import Final, TypeVar
 from urllib.parse import urlencode
 
@@ -13,7 +14,7 @@
 from banyanseam.config.errors import ConfigServiceOverLimit, ConfigServiceUnavailable
 from banyanseam.entry.errors import HistoryForgotten
 from banyanseam.entry.models import Listing, PublishedValue, ValueChanges
-from banyanseam.platform.wire import RANGE_PATH, WATCH_PATH
+from banyanseam.platform.wire import RANGE_PATH, STORE_ERA, WATCH_PATH
 from banyanseam.upstreams.connections import ConnectionPool
 
 # Limit of one answer: a page of values and its encoding. Derived from the published
@@ -49,6 +50,13 @@
     at: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    body: bytes
+    # Rises when the store is restored from a copy; 0 if the store doesn't say.
+    era: int
+
+
 class PlatformStore:
     """Calls the store within a timeout; each waiting call has its own connection."""
 
@@ -65,6 +73,7 @@
         """Return the values below a key prefix; raise ConfigServiceUnavailable."""
         values: dict[str, PublishedValue] = {}
         revision: int | None = None
+        era: int | None = None
         after = ""
         for _ in range(MAX_PAGES):
             query = {"path_prefix": prefix}
@@ -72,7 +81,11 @@
                 query["after"] = after
             if may_be_stale:
                 query["allow_stale"] = "1"
-            page = _parse(_Range, await self._get(RANGE_PATH, query, timeout_s))
+            answer = await self._get(RANGE_PATH, query, timeout_s)
+            if era is not None and era != answer.era:
+                raise ConfigServiceUnavailable("the store was restored between pages")
+            era = answer.era
+            page = _parse(_Range, answer.body)
             for item in page.items:
                 after = item.key
                 published = _to_published(item)
@@ -81,7 +94,7 @@
             # Pages are not a snapshot: the listing is as old as its oldest page.
             revision = page.at if revision is None else min(revision, page.at)
             if not page.has_more or not page.items:
-                return Listing(values, revision)
+                return Listing(values, revision, era)
         raise ConfigServiceUnavailable("the listing has too many pages")
 
     async def wait_for_changes(
@@ -97,18 +110,19 @@
             "after": str(after),
             "wait_ms": str(round(wait_s * 1000)),
         }
-        answer = _parse(_Watch, await self._get(WATCH_PATH, query, wait_s + timeout_s))
+        answer = await self._get(WATCH_PATH, query, wait_s + timeout_s)
+        watch = _parse(_Watch, answer.body)
         changes = tuple(
             (item.key, None if item.deleted else _to_published(item))
-            for item in answer.events
+            for item in watch.events
         )
-        return ValueChanges(changes, answer.at)
+        return ValueChanges(changes, watch.at, answer.era)
 
     async def aclose(self) -> None:
         """Close the idle connections."""
         await self._connections.aclose()
 
-    async def _get(self, path: str, query: dict[str, str], timeout_s: float) -> bytes:
+    async def _get(self, path: str, query: dict[str, str], timeout_s: float) -> _Answer:
         try:
             with anyio.fail_after(timeout_s):
                 return await self._fetch(path, query, timeout_s)
@@ -121,7 +135,9 @@
         ) as error:
             raise ConfigServiceUnavailable(type(error).__name__) from error
 
-    async def _fetch(self, path: str, query: dict[str, str], timeout_s: float) -> bytes:
+    async def _fetch(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> _Answer:
         connection = await self._connections.acquire(timeout_s)
         is_complete = False
         try:
@@ -151,7 +167,7 @@
                     await connection.http.aclose()
             await self._connections.release(connection)
         _check_status(response.status)
-        return bytes(body)
+        return _Answer(bytes(body), _read_era(response.headers))
 
 
 def _check_status(status: int) -> None:
@@ -163,6 +179,15 @@
         raise ConfigServiceUnavailable(f"status {status}")
 
 
+def _read_era(headers: list[tuple[bytes, bytes]]) -> int:
+    for name, value in headers:
+        if name.lower() == STORE_ERA:
+            if not value.isdigit():
+                raise ConfigServiceUnavailable("the answer's era is not a number")
+            return int(value)
+    return 0
+
+
 def _parse(kind: type[Model], body: bytes) -> Model:
     try:
         return kind.model_validate_json(body)
--- a/banyanseam/platform/wire.py
+++ b/banyanseam/platform/wire.py
@@ -16,6 +16,7 @@
 PRIORITY: Final = b"request-priority"
 LEAVING: Final = b"server-leaving"
 REQUEST_LIMIT: Final = b"server-limit"
+STORE_ERA: Final = b"store-era"
 
 # Headers that only the gateway may send to an upstream; those of callers are dropped.
 SYSTEM_HEADERS: Final = frozenset(
