Log when the store was restored from a copy

Event 5007 names the eras and the revisions before and after, and the state on the operators' port has the era. Before, the logs showed a short outage only, and nothing told an ignored answer from a store without news.

--- a/banyanseam/entry/operators.py
+++ b/banyanseam/entry/operators.py
@@ -38,6 +38,7 @@
         "running": entry.lifecycle.running_requests,
         "config_version": entry.values.version,
         "evacuated": sorted(entry.values.evacuated),
+        "store_era": entry.values.store_position.era,
         "upstreams_revision": entry.upstreams.revision,
         "upstreams_age_ms": round((now_s - entry.upstreams.confirmed_s) * 1000),
         "work_percents": entry.loads.performance.service_percents,
--- a/banyanseam/entry/store_watcher.py
+++ b/banyanseam/entry/store_watcher.py
@@ -34,7 +34,7 @@
 )
 from banyanseam.entry.errors import HistoryForgotten
 from banyanseam.entry.members import Members
-from banyanseam.entry.models import Listing, ValueChanges
+from banyanseam.entry.models import Listing, StorePosition, ValueChanges
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.values import PublishedValues
 from banyanseam.observe.events import CONFIG_SERVICE_BACK, CONFIG_SERVICE_DOWN, log
@@ -166,7 +166,7 @@
             listing = await self._store.list_values(
                 self._operator_prefix, may_be_stale=False, timeout_s=STORE_TIMEOUT_S
             )
-            self._record_revision(listing.revision)
+            self._record_position(listing.position)
             self._values.apply_listing(listing, anyio.current_time())
             self._operators_revision = listing.revision
             return
@@ -177,7 +177,7 @@
         except HistoryForgotten:
             self._operators_revision = None
             return
-        self._record_revision(changes.revision)
+        self._record_position(changes.position)
         self._values.apply_changes(changes, anyio.current_time())
         self._operators_revision = changes.revision
 
@@ -209,7 +209,7 @@
         except HistoryForgotten:
             has_changed = True
         else:
-            self._record_revision(changes.revision)
+            self._record_position(changes.position)
             has_changed = bool(changes.values)
         # Another process may have become the reader in the meantime.
         if has_changed and self._is_list_reader():
@@ -217,8 +217,9 @@
             # Limits the calls while many upstreams start or stop.
             await anyio.sleep(LIST_PERIOD_S)
 
-    def _record_revision(self, revision: int) -> None:
-        self._revisions.append((anyio.current_time(), revision))
+    def _record_position(self, position: StorePosition) -> None:
+        self._values.record_position(position)
+        self._revisions.append((anyio.current_time(), position.revision))
 
     async def _list_upstreams(self) -> None:
         last_read_s = -1e9
@@ -254,7 +255,7 @@
         self._record_recovery("upstreams")
         self._list_read_s = now_s
         if not may_be_stale:
-            self._record_revision(listing.revision)
+            self._record_position(listing.position)
         found = self._values.decode_upstreams(listing)
         is_lagging = may_be_stale and self._is_lagging(listing.revision, now_s)
         if self._values.adopt_upstreams(found, listing.revision, now_s):
--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -16,6 +16,7 @@
     Catalogue,
     Listing,
     PublishedValue,
+    StorePosition,
     Upstream,
     ValueChanges,
 )
@@ -24,6 +25,7 @@
     CONFIG_ADOPTED,
     CONFIG_REJECTED,
     EVACUATION_CHANGED,
+    STORE_RESTORED,
     UPSTREAM_DEREGISTERED,
     UPSTREAM_REGISTERED,
     UPSTREAM_RESTARTED,
@@ -51,6 +53,8 @@
     def __init__(self, decoders: Decoders, upstreams: UpstreamList) -> None:
         """Start without values."""
         self.catalogue: Catalogue | None = None
+        # The latest position of the store that this process knows of.
+        self.store_position = StorePosition(-1, -1)
         # The store's revision of the last change, and the latest one up to which there
         # was no other.
         self.evacuation_revision = 0
@@ -73,6 +77,22 @@
         """Register a callback for each configuration that comes into force."""
         self._callbacks.append(callback)
 
+    def record_position(self, position: StorePosition) -> None:
+        """Record a position that the store has reached; log if it was restored."""
+        before = self.store_position
+        if position <= before:
+            return
+        self.store_position = position
+        if before.era in (-1, position.era):
+            return
+        log(
+            STORE_RESTORED,
+            era=position.era,
+            era_before=before.era,
+            revision=position.revision,
+            revision_before=before.revision,
+        )
+
     def apply_listing(self, listing: Listing, now_s: float) -> None:
         """Adopt a full listing of the operators' values."""
         config = listing.values.get(self._decoders.config_key)
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -85,6 +85,7 @@
 EVACUATION_CHANGED: Final = Event(
     5006, "INFO", "The set of evacuated data centres changed"
 )
+STORE_RESTORED: Final = Event(5007, "WARNING", "The store was restored from a copy")
 ENTRIES_IN_OTHER_REGION: Final = Event(
     4022, "INFO", "Callers are directed to VMs of another region"
 )
--- a/tests/entry/test_store_watcher.py
+++ b/tests/entry/test_store_watcher.py
@@ -68,6 +68,7 @@
     def __init__(self):
         self.values = {"op/config": (1, b"1"), "e1": (1, b"")}
         self.revision = 1
+        self.era = 0
         self.replica = None
         self.is_failing = False
         # Calls that begin or wait while the store is silent get no answer, even later.
@@ -83,6 +84,14 @@
         self.revision += 1
         self.values[key] = (self.revision, None)
 
+    def copy(self):
+        return dict(self.values), self.revision
+
+    def restore(self, copy):
+        """Go back to a copy; calls that wait are cut."""
+        self.values, self.revision = dict(copy[0]), copy[1]
+        self.era += 1
+
     async def list_values(self, prefix, *, may_be_stale, timeout_s):
         self.reads.append((prefix, may_be_stale))
         await anyio.sleep(0.004)
@@ -99,19 +108,19 @@
             for key, (at, value) in values.items()
             if value is not None and (prefix == "e") == key.startswith("e")
         }
-        return Listing(found, revision)
+        return Listing(found, revision, self.era)
 
     async def wait_for_changes(self, prefix, after, wait_s, timeout_s):
-        started_s = anyio.current_time()
+        started_s, era = anyio.current_time(), self.era
         while True:
             await anyio.sleep(0.01)
-            if self.is_failing:
+            if self.is_failing or era != self.era:
                 raise ConfigServiceUnavailable
             if self.is_silent:
                 waited_s = anyio.current_time() - started_s
                 await anyio.sleep(wait_s + timeout_s - waited_s)
                 raise ConfigServiceUnavailable("no answer in time")
-            if after < self.truncated_at:
+            if after < self.truncated_at or after > self.revision:
                 raise HistoryForgotten
             found = tuple(
                 (key, None if value is None else PublishedValue(key, value, at))
@@ -119,7 +128,7 @@
                 if at > after and (prefix == "e") == key.startswith("e")
             )
             if found or anyio.current_time() - started_s >= wait_s:
-                return ValueChanges(found, self.revision)
+                return ValueChanges(found, self.revision, self.era)
 
 
 class WatcherSetup:
