List the operators' values anew after a return of the store

A watch went on from its revision of before the return. Once the store had given out revisions again up to it, it answered with what came after, without 410, and a configuration written below that was missed until the next one.

A watch that is answered in another era than it began in is now followed by a listing.

--- a/banyanseam/entry/store_watcher.py
+++ b/banyanseam/entry/store_watcher.py
@@ -90,8 +90,8 @@
         self._operator_prefix = operator_prefix
         self._upstream_prefix = upstream_prefix
         self._down_since_s: dict[str, float] = {}
-        # The store's revision up to which the operators' values are known.
-        self._operators_revision: int | None = None
+        # The store's position up to which the operators' values are known.
+        self._operators_position: StorePosition | None = None
         # When this process last read the list of upstreams, and when it last confirmed
         # the list in force by that.
         self._list_read_s = -1e9
@@ -161,25 +161,30 @@
         return choose_watch_wait_s(self._members.count_recent(now_s), rank)
 
     async def _read_operators(self, wait_s: float) -> None:
-        after = self._operators_revision
+        after = self._operators_position
         if after is None:
             listing = await self._store.list_values(
                 self._operator_prefix, may_be_stale=False, timeout_s=STORE_TIMEOUT_S
             )
             self._record_position(listing.position)
             self._values.apply_listing(listing, anyio.current_time())
-            self._operators_revision = listing.revision
+            self._operators_position = listing.position
             return
         try:
             changes = await self._store.wait_for_changes(
-                self._operator_prefix, after, wait_s, STORE_TIMEOUT_S
+                self._operator_prefix, after.revision, wait_s, STORE_TIMEOUT_S
             )
         except HistoryForgotten:
-            self._operators_revision = None
+            self._operators_position = None
             return
         self._record_position(changes.position)
+        if changes.era != after.era:
+            # The restored store may have given out this revision again: what it wrote
+            # below that is not among the changes.
+            self._operators_position = None
+            return
         self._values.apply_changes(changes, anyio.current_time())
-        self._operators_revision = changes.revision
+        self._operators_position = changes.position
 
     def _is_list_reader(self) -> bool:
         """Return whether the region's list of upstreams comes from this process.
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -6,7 +6,7 @@
 import anyio
 
 from banyanseam.observe.events import STORE_RESTORED
-from tests.entry.test_store_watcher import run_scenario
+from tests.entry.test_store_watcher import MAX_CATCH_UP_S, run_scenario
 
 # How long the store is away.
 AWAY_S = 1.0
@@ -42,6 +42,25 @@
 
         run_scenario(scenario)
 
+    def test_no_change_is_missed_below_a_revision_that_was_given_out_again(self):
+        """A watch from such a revision gets no 410, and only what came after it."""
+        for rewritten in (0, 2, 3, 5):
+            with self.subTest(rewritten=rewritten):
+                self.check_missed_change(rewritten)
+
+    def check_missed_change(self, rewritten):
+        async def scenario(setup):
+            copy = setup.store.copy()
+            for _ in range(3):
+                setup.store.put("other")
+            await anyio.sleep(1)
+            others = [("other", b"")] * rewritten
+            await restore(setup, copy, ("op/config", b"7"), *others)
+            await anyio.sleep(MAX_CATCH_UP_S)
+            self.assertEqual(setup.values.version, 7)
+
+        run_scenario(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
