Order evacuations by the store's era before its revision

What callers see: requests sent to a data centre for as long as it is evacuated.

Positions in the store are compared by era and then revision, also those that peers report. A peer of the release before names no era: it is taken to mean the first that this process saw. Of the new tests, these failed before: an evacuation after a return, one of a later era from a peer, and one of an earlier era from a peer, with and without an era. The tests of the fetcher and of a restarted VM pass positions instead of revisions.

--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -43,6 +43,7 @@
     to_upstream_row,
     unpack_ip,
 )
+from banyanseam.entry.models import StorePosition
 from banyanseam.entry.placing import Candidate
 from banyanseam.entry.quota import FleetQuota
 from banyanseam.entry.relay_log import Direction, RelayLog
@@ -84,7 +85,9 @@
         self.list_candidates: Callable[[], dict[str, list[Candidate]]] = dict
         # Called with a peer's address and its versions of the configuration and of the
         # evacuations, so that newer ones can be fetched.
-        self.on_peer_versions: Callable[[str, int, int], None] = lambda *_: None
+        self.on_peer_versions: Callable[[str, int, StorePosition], None] = lambda *_: (
+            None
+        )
 
     def compose_for_own_region(self, direction: Direction = Direction.REGION) -> Gossip:
         """Return a heartbeat for peers of this region, with what it passes on to them.
@@ -266,7 +269,9 @@
         for row in gossip.starts:
             self._upstreams.record_reported_start(from_start_row(row, now_s), now_s)
         self.on_peer_versions(
-            sender.ip, gossip.config_version, gossip.evacuation_revision
+            sender.ip,
+            gossip.config_version,
+            self._values.locate(gossip.evacuation_era, gossip.evacuation_revision),
         )
         if sender.region != self._members.me.region:
             self._apply_other_region(gossip, sender.region, rows, now_s)
@@ -391,7 +396,8 @@
             members=members,
             beats=beats,
             config_version=self._values.version,
-            evacuation_revision=self._values.evacuation_revision,
+            evacuation_revision=self._values.evacuation_position.revision,
+            evacuation_era=self._values.evacuation_position.era,
             spent_names=names,
             spent=spent,
             sound_requests=[
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -67,6 +67,8 @@
     beats: list[HeartbeatRow] = Field(default_factory=list)
     config_version: int = 0
     evacuation_revision: int = 0
+    # The store's era of the revision; None from the release before.
+    evacuation_era: int | None = None
     # The sender's own load, and those of processes whose heartbeats it passes on.
     loads: LoadTable = Field(default_factory=dict)
     peer_loads: dict[PackedIp, LoadTable] = Field(default_factory=dict)
@@ -134,6 +136,7 @@
     config: bytes
     evacuated: list[str]
     evacuation_revision: int
+    evacuation_era: int | None = None
 
 
 @lru_cache(maxsize=4096)
--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -55,10 +55,12 @@
         self.catalogue: Catalogue | None = None
         # The latest position of the store that this process knows of.
         self.store_position = StorePosition(-1, -1)
-        # The store's revision of the last change, and the latest one up to which there
+        # The era that peers mean if they don't name one, as the release before.
+        self._first_era: int | None = None
+        # The store's position at the last change, and the latest one up to which there
         # was no other.
-        self.evacuation_revision = 0
-        self.confirmed_evacuation_revision = 0
+        self.evacuation_position = StorePosition(0, 0)
+        self.confirmed_evacuation_position = StorePosition(0, 0)
         self.evacuated: frozenset[str] = frozenset()
         self.config_value = b""
         self._decoders = decoders
@@ -83,6 +85,8 @@
         if position <= before:
             return
         self.store_position = position
+        if self._first_era is None:
+            self._first_era = position.era
         if before.era in (-1, position.era):
             return
         log(
@@ -98,10 +102,10 @@
         config = listing.values.get(self._decoders.config_key)
         if config is not None:
             self._apply_config(config.value, STORE)
-        if listing.revision >= self.confirmed_evacuation_revision:
+        if listing.position >= self.confirmed_evacuation_position:
             found = (self._decoders.decode_evacuated(key) for key in listing.values)
             evacuated = frozenset(each for each in found if each is not None)
-            self._set_evacuated(evacuated, listing.revision, now_s)
+            self._set_evacuated(evacuated, listing.position, now_s)
 
     def apply_changes(self, changes: ValueChanges, now_s: float) -> None:
         """Adopt changes of the operators' values."""
@@ -116,22 +120,29 @@
                 evacuated.discard(data_centre)
             else:
                 evacuated.add(data_centre)
-        if changes.revision >= self.confirmed_evacuation_revision:
-            self._set_evacuated(frozenset(evacuated), changes.revision, now_s)
+        if changes.position >= self.confirmed_evacuation_position:
+            self._set_evacuated(frozenset(evacuated), changes.position, now_s)
 
     def apply_message(self, message: ValuesMessage, peer: str, now_s: float) -> None:
         """Adopt the values of the peer at an address where they are newer."""
         self._apply_config(message.config, peer)
-        if message.evacuation_revision > self.confirmed_evacuation_revision:
-            evacuated = frozenset(message.evacuated)
-            self._set_evacuated(evacuated, message.evacuation_revision, now_s)
+        position = self.locate(message.evacuation_era, message.evacuation_revision)
+        if message.evacuation_era is not None:
+            self.record_position(position)
+        if position > self.confirmed_evacuation_position:
+            self._set_evacuated(frozenset(message.evacuated), position, now_s)
+
+    def locate(self, era: int | None, revision: int) -> StorePosition:
+        """Return the position that a peer means by a revision."""
+        return StorePosition((self._first_era or 0) if era is None else era, revision)
 
     def to_message(self) -> ValuesMessage:
         """Return the values for a peer that has older ones."""
         return ValuesMessage(
             config=self.config_value,
             evacuated=sorted(self.evacuated),
-            evacuation_revision=self.evacuation_revision,
+            evacuation_revision=self.evacuation_position.revision,
+            evacuation_era=self.evacuation_position.era,
         )
 
     def decode_upstreams(self, listing: Listing) -> list[Upstream]:
@@ -223,14 +234,19 @@
         self._update_complete()
 
     def _set_evacuated(
-        self, evacuated: frozenset[str], revision: int, now_s: float
+        self, evacuated: frozenset[str], position: StorePosition, now_s: float
     ) -> None:
-        self.confirmed_evacuation_revision = max(
-            revision, self.confirmed_evacuation_revision
+        self.confirmed_evacuation_position = max(
+            position, self.confirmed_evacuation_position
         )
         if evacuated == self.evacuated:
             return
         self.evacuated = evacuated
-        self.evacuation_revision = revision
+        self.evacuation_position = position
         self._upstreams.set_evacuated(evacuated, now_s)
-        log(EVACUATION_CHANGED, data_centres=sorted(evacuated), revision=revision)
+        log(
+            EVACUATION_CHANGED,
+            data_centres=sorted(evacuated),
+            era=position.era,
+            revision=position.revision,
+        )
--- a/banyanseam/entry/values_fetcher.py
+++ b/banyanseam/entry/values_fetcher.py
@@ -9,6 +9,7 @@
 
 from banyanseam.entry.const import CONNECT_TIMEOUT_S, STORE_TIMEOUT_S
 from banyanseam.entry.messages import ValuesMessage
+from banyanseam.entry.models import StorePosition
 from banyanseam.entry.peer_headers import SENDER
 from banyanseam.entry.sending import OutgoingRequest, send
 from banyanseam.entry.values import PublishedValues
@@ -32,12 +33,14 @@
         # Set when the running fetch from the peer at an address has ended.
         self._ended: dict[str, anyio.Event] = {}
 
-    def start_if_newer(self, ip: str, version: int, evacuation_revision: int) -> None:
+    def start_if_newer(
+        self, ip: str, version: int, evacuation_position: StorePosition
+    ) -> None:
         """Start to fetch a peer's values if it reports newer ones."""
         self._newest = max(self._newest, (version, ip))
         is_newer = (
             version > self._values.version
-            or evacuation_revision > self._values.confirmed_evacuation_revision
+            or evacuation_position > self._values.confirmed_evacuation_position
         )
         if is_newer and not self._ended and self.tasks is not None:
             self.tasks.start_soon(self._fetch, ip, self._claim(ip))
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -6,6 +6,7 @@
 import anyio
 
 from banyanseam.daemon.lifecycle import Lifecycle
+from banyanseam.entry.models import StorePosition
 from banyanseam.entry.values_fetcher import VALUES_PATH
 from tests.common import run_with_mock_clock
 from tests.entry.simulation import Caller, Simulation, make_body, start_simulation
@@ -117,7 +118,8 @@
                 entry = simulation.entries["10.1.0.2"]
                 entry.lifecycle = Lifecycle()
                 entry.gossip.announce = AsyncMock()
-                entry.values_fetcher.start_if_newer("10.2.0.1", simulation.revision, 0)
+                reported = simulation.revision, StorePosition(0, 0)
+                entry.values_fetcher.start_if_newer("10.2.0.1", *reported)
                 entry.values.apply_message(older, "10.1.0.1", anyio.current_time())
                 upstreams = simulation.upstreams.values()
                 entry.values.adopt_upstreams(upstreams, 1, anyio.current_time())
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -5,9 +5,11 @@
 
 import anyio
 
+from banyanseam.entry.messages import ValuesMessage
 from banyanseam.observe.events import STORE_RESTORED
 from tests.entry.test_store_watcher import MAX_CATCH_UP_S, run_scenario
 
+PEER = "10.1.0.2"
 # How long the store is away.
 AWAY_S = 1.0
 
@@ -61,6 +63,76 @@
 
         run_scenario(scenario)
 
+    def test_an_evacuation_after_a_return_is_in_force_though_its_revision_is_lower(
+        self,
+    ):
+        async def scenario(setup):
+            copy = setup.store.copy()
+            for _ in range(9):
+                setup.store.put("other")
+            await anyio.sleep(1)
+            await restore(setup, copy)
+            await anyio.sleep(1)
+            setup.store.put("out/gulf-a")
+            await anyio.sleep(MAX_CATCH_UP_S)
+            self.assertEqual(setup.values.evacuated, {"gulf-a"})
+            setup.store.drop("out/gulf-a")
+            await anyio.sleep(0.1)
+            self.assertEqual(setup.values.evacuated, set())
+
+        run_scenario(scenario)
+
+
+class PeerTests(unittest.TestCase):
+    """What a VM that has seen the return and one that has not tell each other."""
+
+    def test_an_evacuation_of_a_later_era_is_adopted_from_a_peer(self):
+        async def scenario(setup):
+            for _ in range(99):
+                setup.store.put("other")
+            await anyio.sleep(1)
+            self.adopt(setup, ["gulf-a"], 1, 50)
+            self.assertEqual(setup.values.evacuated, {"gulf-a"})
+            self.adopt(setup, [], 0, 99)
+            self.adopt(setup, [], 1, 49)
+            self.assertEqual(setup.values.evacuated, {"gulf-a"})
+
+        run_scenario(scenario)
+
+    def test_an_evacuation_of_an_earlier_era_is_not_adopted_from_a_peer(self):
+        """Nor one of a VM of the release before, which names no era."""
+        for era in (0, None):
+            with self.subTest(era=era):
+                self.check_earlier_era(era)
+
+    def check_earlier_era(self, era):
+        async def scenario(setup):
+            copy = setup.store.copy()
+            setup.store.put("other")
+            await anyio.sleep(1)
+            await restore(setup, copy)
+            await anyio.sleep(MAX_CATCH_UP_S)
+            self.adopt(setup, ["gulf-a"], era, 99)
+            self.assertEqual(setup.values.evacuated, set())
+
+        run_scenario(scenario)
+
+    def test_an_evacuation_is_adopted_from_the_release_before_until_a_return(self):
+        async def scenario(setup):
+            self.adopt(setup, ["gulf-a"], None, 99)
+            self.assertEqual(setup.values.evacuated, {"gulf-a"})
+
+        run_scenario(scenario)
+
+    def adopt(self, setup, evacuated, era, revision):
+        message = ValuesMessage(
+            config=b"1",
+            evacuated=evacuated,
+            evacuation_revision=revision,
+            evacuation_era=era,
+        )
+        setup.values.apply_message(message, PEER, anyio.current_time())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/entry/test_store_watcher.py
+++ b/tests/entry/test_store_watcher.py
@@ -471,7 +471,7 @@
             setup.values.apply_message(outdated, "10.1.0.2", anyio.current_time())
             self.assertEqual(setup.values.evacuated, set())
             # Nothing newer is fetched from that peer either.
-            self.assertGreater(setup.values.confirmed_evacuation_revision, 150)
+            self.assertGreater(setup.values.confirmed_evacuation_position, (0, 150))
 
         run_scenario(scenario)
 
--- a/tests/entry/test_values_fetcher.py
+++ b/tests/entry/test_values_fetcher.py
@@ -16,7 +16,7 @@
 class ValuesFetcherTests(unittest.TestCase):
     def fetch(self, use) -> tuple[int, int]:
         """Return the fetches made, and the version in force at the end."""
-        values = SimpleNamespace(version=1, confirmed_evacuation_revision=0)
+        values = SimpleNamespace(version=1, confirmed_evacuation_position=(0, 0))
         fetches = []
 
         def apply_message(message, peer, now_s):
@@ -47,13 +47,13 @@
     def test_heartbeats_that_arrive_together_start_one_fetch(self):
         async def use(fetcher, tasks):
             for _ in range(3):
-                fetcher.start_if_newer(PEER, 2, 0)
+                fetcher.start_if_newer(PEER, 2, (0, 0))
 
         self.assertEqual(self.fetch(use), (1, 2))
 
     def test_requests_share_the_fetch_that_a_heartbeat_has_started(self):
         async def use(fetcher, tasks):
-            fetcher.start_if_newer(PEER, 2, 0)
+            fetcher.start_if_newer(PEER, 2, (0, 0))
             for _ in range(3):
                 tasks.start_soon(fetcher.catch_up, PEER, 2, 1.0)
 
