Order lists of upstreams by the store's era before their revision

What callers see: requests sent to upstreams that have left, and none to new ones.

The list's position is compared by era and then revision, and so are those of its entries and those that tell lagging replicas. A digest from a peer counts within an era only, since registrations of two eras may have equal revisions.

Two of the new tests failed before ('e1' and 'e3' listed instead of 'e2'; 'e1' and 'e2', which a replica still showed, instead of 'e1' and 'e3'); the other two need the era in calls that did not take it.

--- a/banyanseam/entry/gossip.py
+++ b/banyanseam/entry/gossip.py
@@ -67,8 +67,9 @@
         self._neighbours: Neighbours | None = None
         # When a process of the region last fell silent.
         self._peer_silent_s = -1e9
-        # Digest and time of the list of upstreams that was last sent in full.
-        self._full_list_digest = -1
+        # The store's era, digest and time of the list of upstreams that was last sent
+        # in full.
+        self._full_list_digest = (-1, -1)
         self._full_list_sent_s = -1e9
         # Returns whether this process is open to new callers, whether it accepts
         # requests, and how many it is running.
@@ -130,7 +131,7 @@
         An unchanged list is sent as its digest only.
         """
         now_s = anyio.current_time()
-        digest = make_digest(self._upstreams.listing)
+        digest = self._upstreams.position.era, make_digest(self._upstreams.listing)
         is_unchanged = (
             digest == self._full_list_digest
             and now_s - self._full_list_sent_s < FULL_LIST_PERIOD_S
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -200,7 +200,7 @@
         that an upstream has left, while this process assumes that its entry expired.
         """
         gossip = self._compose([self._members.me], is_full=True)
-        gossip.upstreams_revision = self._upstreams.revision
+        gossip.upstreams_era, gossip.upstreams_revision = self._upstreams.position
         listing = self._upstreams.listing
         if is_known:
             gossip.upstreams_digest = make_digest(listing)
@@ -290,9 +290,14 @@
             return False
         if gossip.upstreams_digest is None:
             return False
+        position = self._values.locate(gossip.upstreams_era, gossip.upstreams_revision)
+        own_era = self._upstreams.position.era
+        if position.era != own_era:
+            # Equal revisions of two eras may belong to different registrations.
+            return position.era > own_era
         if gossip.upstreams_digest != make_digest(self._upstreams.listing):
             return True
-        self._values.confirm_upstreams(gossip.upstreams_revision, now_s)
+        self._values.confirm_upstreams(position, now_s)
         return False
 
     def _apply_own_region(
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -107,6 +107,8 @@
     # The registered upstreams, sent by the process that has just read them.
     upstreams: list[UpstreamRow] | None = None
     upstreams_revision: int = -1
+    # The store's era of the revision; None from the release before.
+    upstreams_era: int | None = None
     # Sent instead of the list if the sender has just read it and found it unchanged.
     upstreams_digest: int | None = None
     wants_upstreams: bool = False
--- a/banyanseam/entry/store_watcher.py
+++ b/banyanseam/entry/store_watcher.py
@@ -39,8 +39,8 @@
 from banyanseam.entry.values import PublishedValues
 from banyanseam.observe.events import CONFIG_SERVICE_BACK, CONFIG_SERVICE_DOWN, log
 
-# Revisions remembered to notice lagging replicas.
-MAX_REVISIONS: Final = 8
+# Positions remembered to notice lagging replicas.
+MAX_POSITIONS: Final = 8
 
 
 def choose_watch_wait_s(vms: int, rank: int) -> float:
@@ -98,8 +98,10 @@
         self._list_confirmed_s = -1e9
         # Time until which replicas of the store aren't read, as one was found to lag.
         self._replicas_lag_until_s = -1e9
-        # The store's revision at recent times, from reads that replicas don't answer.
-        self._revisions: deque[tuple[float, int]] = deque(maxlen=MAX_REVISIONS)
+        # The store's position at recent times, from reads that replicas don't answer.
+        self._positions: deque[tuple[float, StorePosition]] = deque(
+            maxlen=MAX_POSITIONS
+        )
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -204,18 +206,16 @@
 
         The store's replicas may be seconds behind.
         """
+        after = self._upstreams.position
         try:
             changes = await self._store.wait_for_changes(
-                self._upstream_prefix,
-                self._upstreams.revision,
-                wait_s,
-                STORE_TIMEOUT_S,
+                self._upstream_prefix, after.revision, wait_s, STORE_TIMEOUT_S
             )
         except HistoryForgotten:
             has_changed = True
         else:
             self._record_position(changes.position)
-            has_changed = bool(changes.values)
+            has_changed = bool(changes.values) or changes.era != after.era
         # Another process may have become the reader in the meantime.
         if has_changed and self._is_list_reader():
             await self._read_upstreams(may_be_stale=False)
@@ -224,7 +224,9 @@
 
     def _record_position(self, position: StorePosition) -> None:
         self._values.record_position(position)
-        self._revisions.append((anyio.current_time(), position.revision))
+        if self._positions and position.era > self._positions[-1][1].era:
+            self._replicas_lag_until_s = anyio.current_time() + STALE_REPLICA_S
+        self._positions.append((anyio.current_time(), position))
 
     async def _list_upstreams(self) -> None:
         last_read_s = -1e9
@@ -261,9 +263,11 @@
         self._list_read_s = now_s
         if not may_be_stale:
             self._record_position(listing.position)
-        found = self._values.decode_upstreams(listing)
-        is_lagging = may_be_stale and self._is_lagging(listing.revision, now_s)
-        if self._values.adopt_upstreams(found, listing.revision, now_s):
+        is_lagging = may_be_stale and self._is_lagging(listing.position, now_s)
+        if may_be_stale and listing.era != self._upstreams.position.era:
+            # A replica may still show what was there before the store was restored.
+            is_lagging = True
+        elif self._adopt_upstreams(listing, now_s):
             self._list_confirmed_s = now_s
             await self._share_upstreams()
         if is_lagging:
@@ -271,12 +275,18 @@
             self._replicas_lag_until_s = now_s + STALE_REPLICA_S
             await self._read_upstreams(may_be_stale=False)
 
-    def _is_lagging(self, revision: int, now_s: float) -> bool:
-        """Return whether the store was past a listing's revision some time ago."""
-        last_list = self._upstreams.confirmed_s, self._upstreams.revision
+    def _adopt_upstreams(self, listing: Listing, now_s: float) -> bool:
+        found = self._values.decode_upstreams(listing)
+        return self._values.adopt_upstreams(
+            found, listing.revision, now_s, era=listing.era
+        )
+
+    def _is_lagging(self, position: StorePosition, now_s: float) -> bool:
+        """Return whether the store was past a listing's position some time ago."""
+        last_list = self._upstreams.confirmed_s, self._upstreams.position
         return any(
-            revision < known and now_s - at_s > MAX_REPLICA_LAG_S
-            for at_s, known in (*self._revisions, last_list)
+            position < known and now_s - at_s > MAX_REPLICA_LAG_S
+            for at_s, known in (*self._positions, last_list)
         )
 
     def _record_failure(self, what: str, error: ConfigServiceUnavailable) -> None:
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -25,7 +25,7 @@
 )
 from banyanseam.entry.fingerprints import make_start_tag
 from banyanseam.entry.limit_pace import LimitPace
-from banyanseam.entry.models import Upstream, UpstreamState
+from banyanseam.entry.models import StorePosition, Upstream, UpstreamState
 from banyanseam.entry.upstream_starts import (
     StartFinding,
     StartKey,
@@ -92,6 +92,8 @@
     stops_at_s: float | None
     seen_s: float
     usage: UpstreamUsage = field(default_factory=UpstreamUsage)
+    # The store's era in which the registration was listed first.
+    era: int = 0
 
 
 class UpstreamList:
@@ -99,7 +101,8 @@
 
     def __init__(self) -> None:
         """Start without upstreams."""
-        self.revision = -1
+        # The store's position at the listing in force.
+        self.position = StorePosition(-1, -1)
         # The registrations as the store last listed them, which peers get. What this
         # process retains or knows to be replaced differs from them.
         self.listing: tuple[Upstream, ...] = ()
@@ -139,14 +142,22 @@
         # The pauses among them, and when they were asked for.
         self._paused_until_s: dict[StartKey, tuple[float, float]] = {}
 
-    def adopt(self, upstreams: Iterable[Upstream], revision: int, now_s: float) -> bool:
+    def adopt(
+        self,
+        upstreams: Iterable[Upstream],
+        revision: int,
+        now_s: float,
+        *,
+        era: int = 0,
+    ) -> bool:
         """Adopt a listing unless it is older than the last one.
 
         Return whether it was adopted.
         """
-        if revision < self.revision:
+        position = StorePosition(era, revision)
+        if position < self.position:
             return False
-        self._record_confirmation(revision, now_s)
+        self._record_confirmation(position, now_s)
         self.listing = tuple(upstreams)
         by_id = {each.upstream_id: each for each in self.listing}
         listed = {(each.upstream_id, each.started_ms) for each in by_id.values()}
@@ -178,10 +189,15 @@
         self._drop_unregistered(now_s)
         return True
 
-    def confirm(self, revision: int, now_s: float) -> None:
-        """Record that the store's list is unchanged."""
-        if revision >= self.revision:
-            self._record_confirmation(revision, now_s)
+    @property
+    def revision(self) -> int:
+        """Return the store's revision at the listing in force, -1 without one."""
+        return self.position.revision
+
+    def confirm(self, position: StorePosition, now_s: float) -> None:
+        """Record that the store's list is unchanged since the listing in force."""
+        if position.era == self.position.era and position >= self.position:
+            self._record_confirmation(position, now_s)
             self._drop_unregistered(now_s)
 
     def record_running(self, now_s: float) -> None:
@@ -207,7 +223,7 @@
         is_unconfirmed = self.confirmed_s < self._resumed_s
         return is_unconfirmed and now_s - self._resumed_s < RESUMED_PATIENCE_S
 
-    def _record_confirmation(self, revision: int, now_s: float) -> None:
+    def _record_confirmation(self, position: StorePosition, now_s: float) -> None:
         self.record_running(now_s)
         # An upstream's entry expires only if it couldn't be renewed. As long as any
         # process of the region could read the store, upstreams are assumed to have
@@ -217,7 +233,7 @@
         if self.revision >= 0 and unconfirmed_s >= OUTAGE_S:
             # The owner of an expired entry needs a moment to write it again.
             self._retain_expired_until_s = now_s + EXPIRED_ENTRY_GRACE_S
-        self.revision = revision
+        self.position = position
         self.confirmed_s = now_s
 
     def _drop_unregistered(self, now_s: float) -> None:
@@ -431,7 +447,9 @@
                 self._keep_pause(before.upstream, upstream, now_s)
             key = upstream.upstream_id, upstream.started_ms
             _, usage = self._former.pop(key, (now_s, UpstreamUsage()))
-            listed = ListedUpstream(upstream, cold_until_s, stops_at_s, now_s, usage)
+            listed = ListedUpstream(
+                upstream, cold_until_s, stops_at_s, now_s, usage, self.position.era
+            )
             self._listed[upstream.upstream_id] = listed
             self._by_start_tag[make_start_tag(upstream)] = listed
             if before is not None:
@@ -440,9 +458,11 @@
             if self.starts.is_held(upstream):
                 self.on_held(listed)
             return
-        if upstream.revision <= listed.upstream.revision:
+        position = StorePosition(self.position.era, upstream.revision)
+        if position <= (listed.era, listed.upstream.revision):
             return
         listed.upstream = upstream
+        listed.era = position.era
         listed.cold_until_s = max(listed.cold_until_s, cold_until_s)
         listed.stops_at_s = stops_at_s
 
--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -153,23 +153,31 @@
     def apply_gossip(self, gossip: Gossip, now_s: float) -> None:
         """Adopt a list of upstreams that a peer of the region has sent."""
         upstreams = [from_upstream_row(row) for row in gossip.upstreams or ()]
-        self.adopt_upstreams(upstreams, gossip.upstreams_revision, now_s)
+        position = self.locate(gossip.upstreams_era, gossip.upstreams_revision)
+        if gossip.upstreams_era is not None:
+            self.record_position(position)
+        self.adopt_upstreams(upstreams, position.revision, now_s, era=position.era)
 
     def adopt_upstreams(
-        self, upstreams: Iterable[Upstream], revision: int, now_s: float
+        self,
+        upstreams: Iterable[Upstream],
+        revision: int,
+        now_s: float,
+        *,
+        era: int = 0,
     ) -> bool:
         """Adopt a list of upstreams and log changes; return False if it is stale."""
         before = self._index_upstreams()
-        is_adopted = self._upstreams.adopt(upstreams, revision, now_s)
+        is_adopted = self._upstreams.adopt(upstreams, revision, now_s, era=era)
         self._log_changes(before, revision)
         self._update_complete()
         return is_adopted
 
-    def confirm_upstreams(self, revision: int, now_s: float) -> None:
+    def confirm_upstreams(self, position: StorePosition, now_s: float) -> None:
         """Record that a peer has found the list of upstreams unchanged."""
         before = self._index_upstreams()
-        self._upstreams.confirm(revision, now_s)
-        self._log_changes(before, revision)
+        self._upstreams.confirm(position, now_s)
+        self._log_changes(before, position.revision)
 
     def _index_upstreams(self) -> dict[str, Upstream]:
         return {each.upstream_id: each for each in self._upstreams.list_upstreams()}
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -5,8 +5,14 @@
 
 import anyio
 
-from banyanseam.entry.messages import ValuesMessage
+from banyanseam.entry.const import EXPIRED_ENTRY_GRACE_S
+from banyanseam.entry.messages import ValuesMessage, decode_gossip, encode_gossip
+from banyanseam.entry.models import StorePosition, UpstreamState
+from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.observe.events import STORE_RESTORED
+from tests.common import run_with_mock_clock
+from tests.entry.common import make_upstream
+from tests.entry.test_gossip import make_exchange
 from tests.entry.test_store_watcher import MAX_CATCH_UP_S, run_scenario
 
 PEER = "10.1.0.2"
@@ -82,6 +88,44 @@
 
         run_scenario(scenario)
 
+    def test_the_list_of_upstreams_follows_the_restored_store(self):
+        async def scenario(setup):
+            copy = setup.store.copy()
+            for _ in range(9):
+                setup.store.put("other")
+            setup.store.put("e3")
+            await anyio.sleep(1)
+            await restore(setup, copy)
+            await anyio.sleep(1)
+            setup.store.put("e2")
+            setup.store.drop("e1")
+            await anyio.sleep(MAX_CATCH_UP_S)
+            self.assertEqual(setup.list_ids(), ["e2"])
+
+        run_scenario(scenario)
+
+    def test_an_entry_that_is_written_again_with_a_lower_revision_counts(self):
+        upstreams = UpstreamList()
+        upstreams.adopt([make_upstream("e1", revision=9)], 9, 0.0)
+        again = make_upstream("e1", state=UpstreamState.LEAVING, revision=5)
+        upstreams.adopt([again], 5, 1.0, era=1)
+        self.assertEqual(upstreams.list_usable("pool", 1.0), [])
+        upstreams.adopt([make_upstream("e1", revision=9)], 9, 1.0)
+        self.assertEqual(upstreams.list_usable("pool", 1.0), [])
+
+    def test_replicas_that_show_what_was_before_a_return_are_not_read(self):
+        async def scenario(setup):
+            copy = setup.store.copy()
+            for _ in range(9):
+                setup.store.put("e2")
+            await anyio.sleep(1)
+            setup.store.replica = setup.store.copy()
+            await restore(setup, copy, ("e3", b""))
+            await anyio.sleep(EXPIRED_ENTRY_GRACE_S + 1)
+            self.assertEqual(setup.list_ids(), ["e1", "e3"])
+
+        run_scenario(scenario)
+
 
 class PeerTests(unittest.TestCase):
     """What a VM that has seen the return and one that has not tell each other."""
@@ -124,6 +168,31 @@
 
         run_scenario(scenario)
 
+    def test_a_list_of_a_later_era_is_adopted_from_a_peer_and_none_of_an_earlier(self):
+        async def run():
+            reader, other = make_exchange("10.1.0.1"), make_exchange("10.1.0.2")
+            other._heartbeats.apply(reader._heartbeats.compose_full())
+            other._heartbeats._values.record_position(StorePosition(0, 9))
+            # Registrations that look alike, of two eras.
+            other._upstreams.adopt([make_upstream("e1", revision=5)], 9, 0.0)
+            registered = make_upstream("e1", revision=5)
+            reader._upstreams.adopt([registered], 6, 0.0, era=1)
+            digest = self.transfer(reader, is_known=True)
+            self.assertTrue(other._heartbeats.apply_upstreams(digest))
+            other._heartbeats.apply_upstreams(self.transfer(reader))
+            self.assertEqual(other._upstreams.position, (1, 6))
+            for era in (0, None):
+                stale = self.transfer(reader)
+                stale.upstreams_era, stale.upstreams_revision = era, 9
+                other._heartbeats.apply_upstreams(stale)
+                self.assertEqual(other._upstreams.position, (1, 6))
+
+        run_with_mock_clock(run)
+
+    def transfer(self, exchange, *, is_known=False):
+        gossip = exchange._heartbeats.compose_upstreams(is_known=is_known)
+        return decode_gossip(encode_gossip(gossip))
+
     def adopt(self, setup, evacuated, era, revision):
         message = ValuesMessage(
             config=b"1",
--- a/tests/entry/test_upstream_list.py
+++ b/tests/entry/test_upstream_list.py
@@ -13,7 +13,7 @@
     SUSPECT_S,
     UNFINISHED_MEMORY_S,
 )
-from banyanseam.entry.models import UpstreamState
+from banyanseam.entry.models import StorePosition, UpstreamState
 from banyanseam.entry.upstream_list import UnfinishedRun, UpstreamList, UpstreamUsage
 from banyanseam.entry.upstream_starts import StartFinding
 from tests.entry.common import make_upstream
@@ -118,7 +118,7 @@
     def test_what_is_retained_ends_though_the_list_stays_the_same(self):
         self.run_until(10.0)
         self.upstreams.adopt([], 11, 10.0)
-        self.upstreams.confirm(11, 10.1 + EXPIRED_ENTRY_GRACE_S)
+        self.upstreams.confirm(StorePosition(0, 11), 10.1 + EXPIRED_ENTRY_GRACE_S)
         self.assertEqual(list_ids(self.upstreams), [])
 
     def test_a_list_that_is_old_since_the_process_was_suspended_shows_no_outage(self):
