Hold evacuations as they were known while the operators write them again

A copy of the store is older than what was confirmed. Once its revisions count, an evacuation that it lacks would end until the operators have written it again, and one that was ended since the copy was made would come back into force; both at each VM as it sees the return.

A change that is seen in the new era counts at once. Peers get what the store lists, and each VM holds what it knows itself. The evacuations have their own module now.

Of the new tests three failed before: an evacuation that the copy lacks was not in force after the return, an ended one was, and a peer's report of the copy did both.

--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -401,8 +401,8 @@
             members=members,
             beats=beats,
             config_version=self._values.version,
-            evacuation_revision=self._values.evacuation_position.revision,
-            evacuation_era=self._values.evacuation_position.era,
+            evacuation_revision=self._values.evacuations.position.revision,
+            evacuation_era=self._values.evacuations.position.era,
             spent_names=names,
             spent=spent,
             sound_requests=[
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -139,6 +139,8 @@
     evacuated: list[str]
     evacuation_revision: int
     evacuation_era: int | None = None
+    # The revision of each evacuation; missing from the release before.
+    evacuated_at: dict[str, int] = Field(default_factory=dict)
 
 
 @lru_cache(maxsize=4096)
--- a/banyanseam/entry/store_watcher.py
+++ b/banyanseam/entry/store_watcher.py
@@ -113,7 +113,9 @@
 
     async def _record_running(self) -> None:
         while True:
-            self._upstreams.record_running(anyio.current_time())
+            now_s = anyio.current_time()
+            self._upstreams.record_running(now_s)
+            self._values.update_evacuations(now_s)
             await anyio.sleep(LIST_CHECK_S)
 
     async def _watch_operators(self) -> None:
@@ -223,10 +225,11 @@
             await anyio.sleep(LIST_PERIOD_S)
 
     def _record_position(self, position: StorePosition) -> None:
-        self._values.record_position(position)
+        now_s = anyio.current_time()
+        self._values.record_position(position, now_s)
         if self._positions and position.era > self._positions[-1][1].era:
-            self._replicas_lag_until_s = anyio.current_time() + STALE_REPLICA_S
-        self._positions.append((anyio.current_time(), position))
+            self._replicas_lag_until_s = now_s + STALE_REPLICA_S
+        self._positions.append((now_s, position))
 
     async def _list_upstreams(self) -> None:
         last_read_s = -1e9
--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -11,6 +11,7 @@
 import anyio
 
 from banyanseam.config.errors import InvalidConfig
+from banyanseam.entry.evacuations import Evacuations
 from banyanseam.entry.messages import Gossip, ValuesMessage, from_upstream_row
 from banyanseam.entry.models import (
     Catalogue,
@@ -57,11 +58,7 @@
         self.store_position = StorePosition(-1, -1)
         # The era that peers mean if they don't name one, as the release before.
         self._first_era: int | None = None
-        # The store's position at the last change, and the latest one up to which there
-        # was no other.
-        self.evacuation_position = StorePosition(0, 0)
-        self.confirmed_evacuation_position = StorePosition(0, 0)
-        self.evacuated: frozenset[str] = frozenset()
+        self.evacuations = Evacuations()
         self.config_value = b""
         self._decoders = decoders
         self._upstreams = upstreams
@@ -75,12 +72,22 @@
         """Return the configuration version in force, or 0 before the first."""
         return 0 if self.catalogue is None else self.catalogue.version
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the data centres that are evacuated."""
+        return self.evacuations.in_force
+
+    @property
+    def confirmed_evacuation_position(self) -> StorePosition:
+        """Return the store's position up to which the evacuations are known."""
+        return self.evacuations.confirmed_position
+
     def on_adopted(self, callback: Callable[[Catalogue], None]) -> None:
         """Register a callback for each configuration that comes into force."""
         self._callbacks.append(callback)
 
-    def record_position(self, position: StorePosition) -> None:
-        """Record a position that the store has reached; log if it was restored."""
+    def record_position(self, position: StorePosition, now_s: float) -> None:
+        """Record a position that the store has reached, also that it was restored."""
         before = self.store_position
         if position <= before:
             return
@@ -96,6 +103,11 @@
             revision=position.revision,
             revision_before=before.revision,
         )
+        self.evacuations.record_return(now_s)
+
+    def update_evacuations(self, now_s: float) -> None:
+        """End what was held after a return of the store; call this regularly."""
+        self._set_evacuated(lambda: self.evacuations.update(now_s), now_s)
 
     def apply_listing(self, listing: Listing, now_s: float) -> None:
         """Adopt a full listing of the operators' values."""
@@ -103,34 +115,43 @@
         if config is not None:
             self._apply_config(config.value, STORE)
         if listing.position >= self.confirmed_evacuation_position:
-            found = (self._decoders.decode_evacuated(key) for key in listing.values)
-            evacuated = frozenset(each for each in found if each is not None)
-            self._set_evacuated(evacuated, listing.position, now_s)
+            evacuated = {
+                data_centre: published.revision
+                for key, published in listing.values.items()
+                if (data_centre := self._decoders.decode_evacuated(key)) is not None
+            }
+            self._adopt_evacuated(evacuated, listing.position, now_s)
 
     def apply_changes(self, changes: ValueChanges, now_s: float) -> None:
         """Adopt changes of the operators' values."""
-        evacuated = set(self.evacuated)
+        evacuated = dict(self.evacuations.listed)
+        written = []
         for key, published in changes.values:
             if key == self._decoders.config_key and published is not None:
                 self._apply_config(published.value, STORE)
             data_centre = self._decoders.decode_evacuated(key)
             if data_centre is None:
                 continue
+            written.append(data_centre)
             if published is None:
-                evacuated.discard(data_centre)
+                evacuated.pop(data_centre, None)
             else:
-                evacuated.add(data_centre)
+                evacuated[data_centre] = published.revision
         if changes.position >= self.confirmed_evacuation_position:
-            self._set_evacuated(frozenset(evacuated), changes.position, now_s)
+            self._adopt_evacuated(evacuated, changes.position, now_s, written)
 
     def apply_message(self, message: ValuesMessage, peer: str, now_s: float) -> None:
         """Adopt the values of the peer at an address where they are newer."""
         self._apply_config(message.config, peer)
         position = self.locate(message.evacuation_era, message.evacuation_revision)
         if message.evacuation_era is not None:
-            self.record_position(position)
+            self.record_position(position, now_s)
         if position > self.confirmed_evacuation_position:
-            self._set_evacuated(frozenset(message.evacuated), position, now_s)
+            evacuated = {
+                each: message.evacuated_at.get(each, position.revision)
+                for each in message.evacuated
+            }
+            self._adopt_evacuated(evacuated, position, now_s)
 
     def locate(self, era: int | None, revision: int) -> StorePosition:
         """Return the position that a peer means by a revision."""
@@ -140,9 +161,10 @@
         """Return the values for a peer that has older ones."""
         return ValuesMessage(
             config=self.config_value,
-            evacuated=sorted(self.evacuated),
-            evacuation_revision=self.evacuation_position.revision,
-            evacuation_era=self.evacuation_position.era,
+            evacuated=sorted(self.evacuations.listed),
+            evacuation_revision=self.evacuations.position.revision,
+            evacuation_era=self.evacuations.position.era,
+            evacuated_at=self.evacuations.listed,
         )
 
     def decode_upstreams(self, listing: Listing) -> list[Upstream]:
@@ -155,7 +177,7 @@
         upstreams = [from_upstream_row(row) for row in gossip.upstreams or ()]
         position = self.locate(gossip.upstreams_era, gossip.upstreams_revision)
         if gossip.upstreams_era is not None:
-            self.record_position(position)
+            self.record_position(position, now_s)
         self.adopt_upstreams(upstreams, position.revision, now_s, era=position.era)
 
     def adopt_upstreams(
@@ -241,20 +263,28 @@
             callback(catalogue)
         self._update_complete()
 
-    def _set_evacuated(
-        self, evacuated: frozenset[str], position: StorePosition, now_s: float
+    def _adopt_evacuated(
+        self,
+        evacuated: dict[str, int],
+        position: StorePosition,
+        now_s: float,
+        written: Iterable[str] = (),
     ) -> None:
-        self.confirmed_evacuation_position = max(
-            position, self.confirmed_evacuation_position
+        self._set_evacuated(
+            lambda: self.evacuations.adopt(evacuated, position, now_s, written=written),
+            now_s,
         )
-        if evacuated == self.evacuated:
+
+    def _set_evacuated(self, update: Callable[[], None], now_s: float) -> None:
+        before = self.evacuated
+        update()
+        if self.evacuated == before:
             return
-        self.evacuated = evacuated
-        self.evacuation_position = position
-        self._upstreams.set_evacuated(evacuated, now_s)
+        self._upstreams.set_evacuated(self.evacuated, now_s)
+        position = self.confirmed_evacuation_position
         log(
             EVACUATION_CHANGED,
-            data_centres=sorted(evacuated),
+            data_centres=sorted(self.evacuated),
             era=position.era,
             revision=position.revision,
         )
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -5,15 +5,20 @@
 
 import anyio
 
-from banyanseam.entry.const import EXPIRED_ENTRY_GRACE_S
+from banyanseam.entry.const import EVACUATIONS_REWRITTEN_S, EXPIRED_ENTRY_GRACE_S
 from banyanseam.entry.messages import ValuesMessage, decode_gossip, encode_gossip
-from banyanseam.entry.models import StorePosition, UpstreamState
+from banyanseam.entry.models import (
+    Listing,
+    PublishedValue,
+    StorePosition,
+    UpstreamState,
+)
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.observe.events import STORE_RESTORED
 from tests.common import run_with_mock_clock
 from tests.entry.common import make_upstream
 from tests.entry.test_gossip import make_exchange
-from tests.entry.test_store_watcher import MAX_CATCH_UP_S, run_scenario
+from tests.entry.test_store_watcher import MAX_CATCH_UP_S, WatcherSetup, run_scenario
 
 PEER = "10.1.0.2"
 # How long the store is away.
@@ -127,6 +132,93 @@
         run_scenario(scenario)
 
 
+class CopiedEvacuationTests(unittest.TestCase):
+    """What the copy shows of evacuations is older than what was confirmed."""
+
+    def test_an_evacuation_that_the_copy_lacks_stays_in_force_until_written_again(self):
+        async def scenario(setup):
+            copy = setup.store.copy()
+            setup.store.put("out/gulf-a")
+            await anyio.sleep(1)
+            await restore(setup, copy)
+            await self.check_in_force(setup, {"gulf-a"}, 3.0)
+            setup.store.put("out/gulf-a")
+            await self.check_in_force(setup, {"gulf-a"}, 5.0)
+            setup.store.drop("out/gulf-a")
+            await anyio.sleep(0.1)
+            self.assertEqual(setup.values.evacuated, set())
+
+        run_scenario(scenario)
+
+    def test_an_evacuation_that_the_copy_lacks_ends_if_it_is_not_written_again(self):
+        async def scenario(setup):
+            copy = setup.store.copy()
+            setup.store.put("out/gulf-a")
+            await anyio.sleep(1)
+            await restore(setup, copy)
+            await anyio.sleep(EVACUATIONS_REWRITTEN_S + 1.5)
+            self.assertEqual(setup.values.evacuated, set())
+
+        run_scenario(scenario)
+
+    def test_an_evacuation_that_was_ended_does_not_come_back_with_the_copy(self):
+        for returns in (1, 2):
+            with self.subTest(returns=returns):
+                self.check_ended(returns)
+
+    def check_ended(self, returns):
+        async def scenario(setup):
+            setup.store.put("out/gulf-a")
+            await anyio.sleep(1)
+            copy = setup.store.copy()
+            setup.store.drop("out/gulf-a")
+            await anyio.sleep(1)
+            for _ in range(returns):
+                await restore(setup, copy)
+                await self.check_in_force(setup, set(), 2.0)
+            setup.store.drop("out/gulf-a")
+            await self.check_in_force(setup, set(), 5.0)
+
+        run_scenario(scenario)
+
+    def test_an_ended_evacuation_that_is_written_anew_is_in_force_at_once(self):
+        async def scenario(setup):
+            setup.store.put("out/gulf-a")
+            await anyio.sleep(1)
+            copy = setup.store.copy()
+            setup.store.drop("out/gulf-a")
+            await anyio.sleep(1)
+            await restore(setup, copy)
+            await anyio.sleep(2)
+            setup.store.put("out/gulf-a")
+            await anyio.sleep(0.1)
+            self.assertEqual(setup.values.evacuated, {"gulf-a"})
+
+        run_scenario(scenario)
+
+    def test_a_peer_that_has_seen_the_copy_does_not_end_what_is_held(self):
+        async def scenario(setup):
+            setup.store.put("out/gulf-a")
+            setup.store.put("out/delta-a")
+            await anyio.sleep(1)
+            setup.store.drop("out/delta-a")
+            await anyio.sleep(1)
+            other = WatcherSetup().values
+            copied = {"out/delta-a": PublishedValue("out/delta-a", b"", 3)}
+            other.apply_listing(Listing(copied, 3, 1), 0.0)
+            message = other.to_message()
+            setup.values.apply_message(message, PEER, anyio.current_time())
+            self.assertEqual(setup.values.evacuated, {"gulf-a"})
+
+        run_scenario(scenario)
+
+    async def check_in_force(self, setup, data_centres, for_s):
+        end_s = anyio.current_time() + for_s
+        while anyio.current_time() < end_s:
+            self.assertEqual(setup.values.evacuated, data_centres)
+            await anyio.sleep(0.05)
+
+
 class PeerTests(unittest.TestCase):
     """What a VM that has seen the return and one that has not tell each other."""
 
@@ -172,7 +264,7 @@
         async def run():
             reader, other = make_exchange("10.1.0.1"), make_exchange("10.1.0.2")
             other._heartbeats.apply(reader._heartbeats.compose_full())
-            other._heartbeats._values.record_position(StorePosition(0, 9))
+            other._heartbeats._values.record_position(StorePosition(0, 9), 0.0)
             # Registrations that look alike, of two eras.
             other._upstreams.adopt([make_upstream("e1", revision=5)], 9, 0.0)
             registered = make_upstream("e1", revision=5)
