Keep what is known of upstreams while they write again to a restored store

A copy of the store shows upstreams as they were some seconds before. Once its revisions count, an upstream that was leaving was ready again, one that was gone was used until its copied entry expired, one that had come since was dropped until it wrote again, and one that had restarted went back to its earlier start, warm.

When a list of a later era is adopted, known incarnations that were leaving are excluded as if their answers had said so, those that are gone for as long as a copied entry needs to expire, missing ones are retained as after an outage, and a registration that is older than the known one is passed over until upstreams had time to write again. Departures are remembered for a minute.

All new tests but the one of an upstream that had returned before failed before: 'e1' usable again after it was leaving or gone, 'e1' missing, the start 1 instead of 2, and the same over two returns.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -80,10 +80,13 @@
 EXPIRED_ENTRY_GRACE_S: Final = 2.6
 # How long after a return of the store from a copy evacuations are held as they were
 # known: the operators write them again. That is less than the shortest time after a
-# disruption at which the published bounds hold again, 5 s. A copy is some seconds old;
-# ended evacuations are remembered for longer.
+# disruption at which the published bounds hold again, 5 s.
 EVACUATIONS_REWRITTEN_S: Final = 4.0
-EVACUATION_MEMORY_S: Final = 60.0
+# After a return, how long it takes until the entry of an upstream that is gone has
+# expired again: three missed heartbeats, and the readers' delay.
+COPIED_ENTRY_S: Final = 6.0
+# How long is remembered what a copy, which is some seconds old, may show again.
+RETURN_MEMORY_S: Final = 60.0
 # In a shorter outage of the store no upstream's entry expires: that takes three missed
 # heartbeats, which are 1.2 s apart. Source: the published heartbeat.
 OUTAGE_S: Final = 3.0
--- a/banyanseam/entry/evacuations.py
+++ b/banyanseam/entry/evacuations.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from banyanseam.entry.const import EVACUATION_MEMORY_S, EVACUATIONS_REWRITTEN_S
+from banyanseam.entry.const import EVACUATIONS_REWRITTEN_S, RETURN_MEMORY_S
 from banyanseam.entry.models import StorePosition
 
 
@@ -42,7 +42,7 @@
         self._suppressed = {
             each: revision
             for each, (revision, at_s) in self._ended.items()
-            if now_s - at_s < EVACUATION_MEMORY_S
+            if now_s - at_s < RETURN_MEMORY_S
         }
         self._rewritten_at_s = now_s + EVACUATIONS_REWRITTEN_S
 
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -6,6 +6,7 @@
 
 from banyanseam.entry.cached_prefixes import CachedPrefixes
 from banyanseam.entry.const import (
+    COPIED_ENTRY_S,
     EXPIRED_ENTRY_GRACE_S,
     FAILURES_TO_SUSPECT,
     FORMER_USAGE_S,
@@ -23,6 +24,7 @@
     UNFINISHED_MEMORY_S,
     UNNOTICED_RESTART_S,
 )
+from banyanseam.entry.departures import Departures, is_outdated
 from banyanseam.entry.fingerprints import make_start_tag
 from banyanseam.entry.limit_pace import LimitPace
 from banyanseam.entry.models import StorePosition, Upstream, UpstreamState
@@ -123,6 +125,12 @@
         # Incarnations whose address another one has taken over, by id and start, and
         # when that was noticed. The store lists them until their entries expire.
         self._replaced_s: dict[tuple[str, int], float] = {}
+        # Incarnations that are gone, and until when upstreams write again to a store
+        # that came back from a copy.
+        self._departures = Departures()
+        self._rewritten_at_s = -1e9
+        # Whether known registrations are kept instead of outdated ones of the listing.
+        self._has_outdated = False
         # Usage of incarnations that are no longer listed, and since when. They may be
         # listed again: their entries can expire while the store is away.
         self._former: dict[tuple[str, int], tuple[float, UpstreamUsage]] = {}
@@ -157,8 +165,27 @@
         position = StorePosition(era, revision)
         if position < self.position:
             return False
+        is_restored = 0 <= self.position.era < era
         self._record_confirmation(position, now_s)
+        if is_restored:
+            self._record_return(now_s)
         self.listing = tuple(upstreams)
+        self._apply_listing(now_s)
+        return True
+
+    def _record_return(self, now_s: float) -> None:
+        """Keep what is known until upstreams have written again to the store."""
+        self._rewritten_at_s = now_s + EXPIRED_ENTRY_GRACE_S
+        self._retain_expired_until_s = self._rewritten_at_s
+        known = self.list_upstreams()
+        keys = {(each.upstream_id, each.started_ms) for each in known}
+        for each in [*known, *self._departures.list_recent(now_s)]:
+            if each.state is UpstreamState.LEAVING:
+                self.record_leaving(each, now_s)
+            elif (each.upstream_id, each.started_ms) not in keys:
+                self._exclude_until(each, now_s + COPIED_ENTRY_S)
+
+    def _apply_listing(self, now_s: float) -> None:
         by_id = {each.upstream_id: each for each in self.listing}
         listed = {(each.upstream_id, each.started_ms) for each in by_id.values()}
         known = {make_start_key(each) for each in self.list_upstreams()}
@@ -182,12 +209,12 @@
             upstream_id for upstream_id, _ in self._replaced_s.keys() & listed
         }:
             del by_id[upstream_id]
-            self._remove(upstream_id)
+            self._remove(upstream_id, now_s)
+        self._has_outdated = False
         for upstream in by_id.values():
             self._track(self._apply_restart(upstream, now_s), now_s)
         self._registered = set(by_id)
         self._drop_unregistered(now_s)
-        return True
 
     @property
     def revision(self) -> int:
@@ -198,6 +225,8 @@
         """Record that the store's list is unchanged since the listing in force."""
         if position.era == self.position.era and position >= self.position:
             self._record_confirmation(position, now_s)
+            if self._has_outdated:
+                self._apply_listing(now_s)
             self._drop_unregistered(now_s)
 
     def record_running(self, now_s: float) -> None:
@@ -240,15 +269,16 @@
         if now_s < self._retain_expired_until_s:
             return
         for upstream_id in self._listed.keys() - self._registered:
-            listed = self._remove(upstream_id)
+            listed = self._remove(upstream_id, now_s)
             if listed is not None:
                 self._forget(listed, now_s)
 
-    def _remove(self, upstream_id: str) -> ListedUpstream | None:
+    def _remove(self, upstream_id: str, now_s: float) -> ListedUpstream | None:
         listed = self._listed.pop(upstream_id, None)
         if listed is None:
             return None
         del self._by_start_tag[make_start_tag(listed.upstream)]
+        self._departures.record(listed.upstream, now_s)
         if self.is_lost(listed):
             self.on_lost(listed)
         return listed
@@ -355,7 +385,7 @@
 
     def drop(self, upstream_id: str, now_s: float) -> None:
         """Remove an upstream whose address another incarnation has taken over."""
-        listed = self._remove(upstream_id)
+        listed = self._remove(upstream_id, now_s)
         if listed is not None:
             self._replaced_s[upstream_id, listed.upstream.started_ms] = now_s
 
@@ -437,12 +467,19 @@
 
     def _track(self, upstream: Upstream, now_s: float) -> None:
         listed = self._listed.get(upstream.upstream_id)
+        if (
+            listed is not None
+            and now_s < self._rewritten_at_s
+            and is_outdated(upstream, listed.upstream)
+        ):
+            self._has_outdated = True
+            return
         stops_at_s = None
         if upstream.remaining_ms is not None:
             stops_at_s = now_s + upstream.remaining_ms / 1000
         cold_until_s = now_s + upstream.cold_ms / 1000 if upstream.cold_ms > 0 else 0.0
         if listed is None or listed.upstream.started_ms != upstream.started_ms:
-            before = self._remove(upstream.upstream_id)
+            before = self._remove(upstream.upstream_id, now_s)
             if before is not None:
                 self._keep_pause(before.upstream, upstream, now_s)
             key = upstream.upstream_id, upstream.started_ms
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -5,7 +5,11 @@
 
 import anyio
 
-from banyanseam.entry.const import EVACUATIONS_REWRITTEN_S, EXPIRED_ENTRY_GRACE_S
+from banyanseam.entry.const import (
+    COPIED_ENTRY_S,
+    EVACUATIONS_REWRITTEN_S,
+    EXPIRED_ENTRY_GRACE_S,
+)
 from banyanseam.entry.messages import ValuesMessage, decode_gossip, encode_gossip
 from banyanseam.entry.models import (
     Listing,
@@ -219,6 +223,76 @@
             await anyio.sleep(0.05)
 
 
+class CopiedUpstreamTests(unittest.TestCase):
+    """What the copy shows of upstreams is older than what was known."""
+
+    def setUp(self):
+        self.upstreams = UpstreamList()
+        self.upstreams.adopt([make_upstream("e1"), make_upstream("e2")], 10, 0.0)
+
+    def list_usable(self, now_s):
+        found = self.upstreams.list_usable("pool", now_s)
+        return sorted(each.upstream.upstream_id for each in found)
+
+    def test_an_upstream_that_was_leaving_is_not_used_again(self):
+        leaving = make_upstream("e1", state=UpstreamState.LEAVING, revision=11)
+        for listed_before in ([leaving], []):
+            with self.subTest(listed_before=listed_before):
+                self.setUp()
+                self.upstreams.adopt([leaving, make_upstream("e2")], 11, 1.0)
+                self.upstreams.adopt([*listed_before, make_upstream("e2")], 12, 2.0)
+                for now_s in (4.0, 20.0):
+                    copied = [make_upstream("e1"), make_upstream("e2")]
+                    self.upstreams.adopt(copied, 10, now_s, era=1)
+                    self.assertEqual(self.list_usable(now_s), ["e2"])
+
+    def test_an_upstream_that_was_gone_is_not_used_until_its_entry_has_expired(self):
+        self.upstreams.adopt([make_upstream("e2")], 11, 1.0)
+        copied = [make_upstream("e1"), make_upstream("e2")]
+        # The entry expires three heartbeats of 1.2 s after the return.
+        for now_s in (3.0, 6.9):
+            self.upstreams.adopt(copied, 10, now_s, era=1)
+            self.assertEqual(self.list_usable(now_s), ["e2"])
+        # The store would have removed it if it were gone.
+        self.upstreams.adopt(copied, 10, 3.0 + COPIED_ENTRY_S, era=1)
+        self.assertEqual(self.list_usable(3.0 + COPIED_ENTRY_S), ["e1", "e2"])
+
+    def test_an_upstream_that_has_returned_before_is_used_after_a_return(self):
+        self.upstreams.adopt([make_upstream("e2")], 11, 1.0)
+        copied = [make_upstream("e1"), make_upstream("e2")]
+        self.upstreams.adopt(copied, 12, 1.5)
+        self.upstreams.adopt(copied, 10, 3.0, era=1)
+        self.assertEqual(self.list_usable(3.0), ["e1", "e2"])
+
+    def test_an_upstream_that_the_copy_lacks_is_used_until_it_writes_again(self):
+        self.upstreams.adopt([make_upstream("e2")], 8, 3.0, era=1)
+        # Entries are back within two seconds.
+        self.upstreams.confirm(StorePosition(1, 8), 5.0)
+        self.assertEqual(self.list_usable(5.0), ["e1", "e2"])
+        self.upstreams.confirm(StorePosition(1, 8), 3.0 + EXPIRED_ENTRY_GRACE_S)
+        self.assertEqual(self.list_usable(6.0), ["e2"])
+
+    def test_a_restarted_upstream_does_not_go_back_to_its_older_start(self):
+        again = make_upstream("e1", started_ms=2, cold_ms=3000, revision=11)
+        self.upstreams.adopt([again, make_upstream("e2")], 11, 2.0)
+        copied = [make_upstream("e1"), make_upstream("e2")]
+        self.upstreams.adopt(copied, 10, 3.0, era=1)
+        listed = self.upstreams.find("e1")
+        self.assertEqual(listed.upstream.started_ms, 2)
+        self.assertTrue(self.upstreams.is_cold(listed, 4.9))
+        # An older start that stays listed counts, also without a new listing.
+        self.upstreams.confirm(StorePosition(1, 10), 3.1 + EXPIRED_ENTRY_GRACE_S)
+        self.assertEqual(self.upstreams.find("e1").upstream.started_ms, 1)
+
+    def test_two_returns_in_a_row(self):
+        self.upstreams.adopt([make_upstream("e1"), make_upstream("e3")], 11, 1.0)
+        copied = [make_upstream("e1"), make_upstream("e2")]
+        self.upstreams.adopt(copied, 10, 3.0, era=1)
+        self.assertEqual(self.list_usable(3.0), ["e1", "e3"])
+        self.upstreams.adopt(copied, 10, 5.0, era=2)
+        self.assertEqual(self.list_usable(5.0), ["e1", "e3"])
+
+
 class PeerTests(unittest.TestCase):
     """What a VM that has seen the return and one that has not tell each other."""
 
