Ignore lists of an era before the one that the store is known to be in

A process that goes on reading what was there before the store's return, and ranks first in its region, confirmed that list to its peers. They had seen the return in their own watches, but never read the list themselves.

Lists and digests from peers count only in the store's latest known era, so that the next process in rank reads the list. The new test failed before: 'e4', which was registered after the return, was at none of three processes. The other new test, of a process that the store turns away, passed before.

--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -178,6 +178,8 @@
         position = self.locate(gossip.upstreams_era, gossip.upstreams_revision)
         if gossip.upstreams_era is not None:
             self.record_position(position, now_s)
+        if position.era < self.store_position.era:
+            return
         self.adopt_upstreams(upstreams, position.revision, now_s, era=position.era)
 
     def adopt_upstreams(
@@ -197,6 +199,8 @@
 
     def confirm_upstreams(self, position: StorePosition, now_s: float) -> None:
         """Record that a peer has found the list of upstreams unchanged."""
+        if position.era < self.store_position.era:
+            return
         before = self._index_upstreams()
         self._upstreams.confirm(position, now_s)
         self._log_changes(before, position.revision)
--- a/tests/entry/test_shared_list.py
+++ b/tests/entry/test_shared_list.py
@@ -99,6 +99,11 @@
         for vm in self.vms.values():
             vm.store.revision = revision
 
+    def restore(self, copy, vms):
+        """Let these processes see the store come back from a copy."""
+        for vm in vms:
+            vm.store.restore(copy)
+
     async def find_listed(self, upstream_id, vms, for_s):
         """Return the processes that list an upstream within a time."""
         found = set()
@@ -173,6 +178,41 @@
 
         run_scenario(scenario)
 
+    def test_a_process_that_still_reads_what_was_before_a_return_holds_nobody_up(self):
+        async def scenario(region):
+            copy = region.reader.store.copy()
+            for _ in range(9):
+                region.drop("e3")
+            await anyio.sleep(MAX_NOTICE_S)
+            region.restore(copy, region.others)
+            await anyio.sleep(MAX_NOTICE_S)
+            for vm in region.others:
+                vm.store.put("e4")
+            await anyio.sleep(MAX_NOTICE_S)
+            expected = {"e1", "e2", "e4"}
+            vms = region.vms.values()
+            self.assertEqual([vm.list_ids() for vm in vms], [expected] * 3)
+            eras = [vm.upstreams.position.era for vm in vms]
+            self.assertEqual(eras, [1, 1, 1])
+
+        run_scenario(scenario)
+
+    def test_a_process_that_the_store_turns_away_gets_the_list_after_a_return(self):
+        async def scenario(region):
+            copy = region.reader.store.copy()
+            region.drop("e2")
+            await anyio.sleep(MAX_NOTICE_S)
+            region.reader.store.is_failing = True
+            region.restore(copy, region.vms.values())
+            for vm in region.others:
+                vm.store.put("e3")
+            await anyio.sleep(MAX_NOTICE_S)
+            self.assertIn("e3", region.reader.list_ids())
+            usable = region.reader.upstreams.list_usable("pool", anyio.current_time())
+            self.assertNotIn("e2", [each.upstream.upstream_id for each in usable])
+
+        run_scenario(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
