--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -392,6 +392,7 @@
             "suspects", _to_suspect_rows(self._suspects.list_reports(now_s))
         )
         fields.setdefault("starts", self._list_starts(now_s - START_REPORT_S))
+        evacuated_at = self._values.evacuations.position
         crashes_since_s = now_s - CRASH_REPORT_S
         fields.setdefault(
             "segment_crashes", self._suspects.segments.list_crashes(crashes_since_s)
@@ -401,8 +402,9 @@
             members=members,
             beats=beats,
             config_version=self._values.version,
-            evacuation_revision=self._values.evacuations.position.revision,
-            evacuation_era=self._values.evacuations.position.era,
+            evacuation_revision=evacuated_at.revision,
+            # Only with a revision, to keep heartbeats short.
+            evacuation_era=evacuated_at.era if evacuated_at.revision else None,
             spent_names=names,
             spent=spent,
             sound_requests=[
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -334,6 +334,19 @@
 
         run_scenario(scenario)
 
+    def test_a_heartbeat_tells_that_evacuations_are_of_a_later_era(self):
+        async def run():
+            sender, other = make_exchange("10.1.0.1"), make_exchange("10.1.0.2")
+            known = sender._heartbeats._values
+            for expected in ((0, 0), (1, 5)):
+                other._heartbeats.on_peer_versions = reported = mock.Mock()
+                hello = encode_gossip(sender._heartbeats.compose_full())
+                other._heartbeats.apply(decode_gossip(hello))
+                reported.assert_called_once_with("10.1.0.1", 0, expected)
+                known.evacuations.adopt({"gulf-a": 5}, StorePosition(1, 5), 0.0)
+
+        run_with_mock_clock(run)
+
     def test_a_list_of_a_later_era_is_adopted_from_a_peer_and_none_of_an_earlier(self):
         async def run():
             reader, other = make_exchange("10.1.0.1"), make_exchange("10.1.0.2")
