Drop upstreams at once that a restored store has listed and then removes

Only what the restored store has not listed yet is awaited. The new test failed before: 'e1' was usable after its removal.

--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -176,7 +176,6 @@
     def _record_return(self, now_s: float) -> None:
         """Keep what is known until upstreams have written again to the store."""
         self._rewritten_at_s = now_s + EXPIRED_ENTRY_GRACE_S
-        self._retain_expired_until_s = self._rewritten_at_s
         known = self.list_upstreams()
         keys = {(each.upstream_id, each.started_ms) for each in known}
         for each in [*known, *self._departures.list_recent(now_s)]:
@@ -269,6 +268,10 @@
         if now_s < self._retain_expired_until_s:
             return
         for upstream_id in self._listed.keys() - self._registered:
+            # An entry that the restored store has listed was removed since.
+            is_awaited = self._listed[upstream_id].era < self.position.era
+            if is_awaited and now_s < self._rewritten_at_s:
+                continue
             listed = self._remove(upstream_id, now_s)
             if listed is not None:
                 self._forget(listed, now_s)
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -272,6 +272,12 @@
         self.upstreams.confirm(StorePosition(1, 8), 3.0 + EXPIRED_ENTRY_GRACE_S)
         self.assertEqual(self.list_usable(6.0), ["e2"])
 
+    def test_an_upstream_that_is_removed_after_a_return_is_not_retained(self):
+        copied = [make_upstream("e1"), make_upstream("e2")]
+        self.upstreams.adopt(copied, 8, 3.0, era=1)
+        self.upstreams.adopt([make_upstream("e2")], 9, 3.5, era=1)
+        self.assertEqual(self.list_usable(3.5), ["e2"])
+
     def test_a_restarted_upstream_does_not_go_back_to_its_older_start(self):
         again = make_upstream("e1", started_ms=2, cold_ms=3000, revision=11)
         self.upstreams.adopt([again, make_upstream("e2")], 11, 2.0)
