Name no era to peers before the first evacuation

The values that a process gave to a peer named era 0 if it had seen no evacuation. A process that started from them took the store's first answer for a return from a copy, and logged one. The new test failed before.

A second test holds that the configuration does not go back with the copy; it passed before, since a process adopts newer versions only.

--- a/banyanseam/entry/evacuations.py
+++ b/banyanseam/entry/evacuations.py
@@ -31,6 +31,11 @@
         self._suppressed: dict[str, int] = {}
         self._rewritten_at_s = -1e9
 
+    @property
+    def era(self) -> int | None:
+        """Return the store's era at the last change, None without one."""
+        return self.position.era if self.position.revision else None
+
     @property
     def in_force(self) -> frozenset[str]:
         """Return the data centres that are evacuated."""
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -58,6 +58,8 @@
 from banyanseam.entry.values import PublishedValues
 from banyanseam.observe.events import PERFORMANCE_CHANGED, log
 
+PeerVersionsCallback = Callable[[str, int, StorePosition], None]
+
 
 class Heartbeats:
     """Composes heartbeats and applies received ones."""
@@ -85,9 +87,7 @@
         self.list_candidates: Callable[[], dict[str, list[Candidate]]] = dict
         # Called with a peer's address and its versions of the configuration and of the
         # evacuations, so that newer ones can be fetched.
-        self.on_peer_versions: Callable[[str, int, StorePosition], None] = lambda *_: (
-            None
-        )
+        self.on_peer_versions: PeerVersionsCallback = lambda *_: None
 
     def compose_for_own_region(self, direction: Direction = Direction.REGION) -> Gossip:
         """Return a heartbeat for peers of this region, with what it passes on to them.
@@ -392,7 +392,6 @@
             "suspects", _to_suspect_rows(self._suspects.list_reports(now_s))
         )
         fields.setdefault("starts", self._list_starts(now_s - START_REPORT_S))
-        evacuated_at = self._values.evacuations.position
         crashes_since_s = now_s - CRASH_REPORT_S
         fields.setdefault(
             "segment_crashes", self._suspects.segments.list_crashes(crashes_since_s)
@@ -402,9 +401,8 @@
             members=members,
             beats=beats,
             config_version=self._values.version,
-            evacuation_revision=evacuated_at.revision,
-            # Only with a revision, to keep heartbeats short.
-            evacuation_era=evacuated_at.era if evacuated_at.revision else None,
+            evacuation_revision=self._values.evacuations.position.revision,
+            evacuation_era=self._values.evacuations.era,
             spent_names=names,
             spent=spent,
             sound_requests=[
--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -163,7 +163,7 @@
             config=self.config_value,
             evacuated=sorted(self.evacuations.listed),
             evacuation_revision=self.evacuations.position.revision,
-            evacuation_era=self.evacuations.position.era,
+            evacuation_era=self.evacuations.era,
             evacuated_at=self.evacuations.listed,
         )
 
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -59,6 +59,16 @@
 
         run_scenario(scenario)
 
+    def test_no_return_is_logged_by_a_process_that_starts_from_a_peer(self):
+        async def run():
+            own, peer = WatcherSetup().values, WatcherSetup().values
+            own.apply_message(peer.to_message(), PEER, 0.0)
+            with mock.patch("banyanseam.entry.values.log") as log:
+                own.record_position(StorePosition(1, 9), 0.0)
+            log.assert_not_called()
+
+        run_with_mock_clock(run)
+
     def test_no_change_is_missed_below_a_revision_that_was_given_out_again(self):
         """A watch from such a revision gets no 410, and only what came after it."""
         for rewritten in (0, 2, 3, 5):
@@ -78,6 +88,23 @@
 
         run_scenario(scenario)
 
+    def test_the_configuration_does_not_go_back_with_the_copy(self):
+        async def scenario(setup):
+            copy = setup.store.copy()
+            setup.store.put("op/config", b"5")
+            await anyio.sleep(1)
+            versions = []
+            setup.values.on_adopted(lambda each: versions.append(each.version))
+            await restore(setup, copy)
+            await anyio.sleep(MAX_CATCH_UP_S)
+            setup.store.put("op/config", b"5")
+            await anyio.sleep(1)
+            setup.store.put("op/config", b"6")
+            await anyio.sleep(1)
+            self.assertEqual(versions, [6])
+
+        run_scenario(scenario)
+
     def test_an_evacuation_after_a_return_is_in_force_though_its_revision_is_lower(
         self,
     ):
