Await after a long outage only what a restored store has not listed

The same as for a short one: an upstream that was removed right after the return was retained for 2.6 s if the store had been away for three seconds or more, since its entry might have expired meanwhile. What the restored store has listed has not. The test, extended to an outage of four seconds, failed before: 'e1' was usable after its removal.

--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -176,6 +176,8 @@
     def _record_return(self, now_s: float) -> None:
         """Keep what is known until upstreams have written again to the store."""
         self._rewritten_at_s = now_s + EXPIRED_ENTRY_GRACE_S
+        # Entries that expired while the store was away are awaited until then too.
+        self._retain_expired_until_s = now_s
         known = self.list_upstreams()
         keys = {(each.upstream_id, each.started_ms) for each in known}
         for each in [*known, *self._departures.list_recent(now_s)]:
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -9,6 +9,7 @@
     COPIED_ENTRY_S,
     EVACUATIONS_REWRITTEN_S,
     EXPIRED_ENTRY_GRACE_S,
+    OUTAGE_S,
 )
 from banyanseam.entry.messages import ValuesMessage, decode_gossip, encode_gossip
 from banyanseam.entry.models import (
@@ -300,10 +301,16 @@
         self.assertEqual(self.list_usable(6.0), ["e2"])
 
     def test_an_upstream_that_is_removed_after_a_return_is_not_retained(self):
-        copied = [make_upstream("e1"), make_upstream("e2")]
-        self.upstreams.adopt(copied, 8, 3.0, era=1)
-        self.upstreams.adopt([make_upstream("e2")], 9, 3.5, era=1)
-        self.assertEqual(self.list_usable(3.5), ["e2"])
+        for returned_s in (0.5, OUTAGE_S + 1):
+            with self.subTest(returned_s=returned_s):
+                self.setUp()
+                for tenth in range(round(returned_s * 10)):
+                    self.upstreams.record_running(tenth / 10)
+                copied = [make_upstream("e1"), make_upstream("e2")]
+                self.upstreams.adopt(copied, 8, returned_s, era=1)
+                removed_s = returned_s + 0.5
+                self.upstreams.adopt([make_upstream("e2")], 9, removed_s, era=1)
+                self.assertEqual(self.list_usable(removed_s), ["e2"])
 
     def test_a_restarted_upstream_does_not_go_back_to_its_older_start(self):
         again = make_upstream("e1", started_ms=2, cold_ms=3000, revision=11)
