Let the processes of a column send across to all columns

Cause: a live process counted as silent in another data centre of its region after a few lost datagrams. Its row sends across to all columns, but the second path, by its column, always ended in one of them, since all processes of a column sent to the same one. Most pairs so had one path of three messages, of which one in seven fails at 5% loss, and repairs reach random processes. Load has no part in it: trio draws the order of tasks without a seed, so each run of the test loses other messages.

Change: the column of the other data centre that is sent to, and the place in it, are shifted by the sender's row.

Messages are as many.

--- a/banyanseam/entry/region_grid.py
+++ b/banyanseam/entry/region_grid.py
@@ -20,21 +20,26 @@
 
     row: list[str]
     column: list[str]
-    # The columns of this process in its own grid, and those of each other data centre.
+    # The columns of this process in its own grid, the columns of each other data
+    # centre, and the number of this process's row.
     own_columns: list[int]
     other_grids: list[list[list[str]]]
+    own_row: int = 0
 
     def list_across(self, turn: int) -> list[str]:
         """Return the processes of other data centres to send to at a turn.
 
         The processes of a row send to all columns, each to another one at each turn, so
-        that a silent process delays its row's heartbeats by one turn only.
+        that a silent process delays its row's heartbeats by one turn only. The
+        processes of a column do so too: each heartbeat reaches all columns by its row
+        and, as what these pass on without loads, by its column.
         """
         found = {}
         for grid in self.other_grids:
             for place in self.own_columns:
-                column = grid[(place + turn) % len(grid)]
-                found[column[turn // len(grid) % len(column)]] = None
+                column = grid[(place + self.own_row + turn) % len(grid)]
+                number = turn // len(grid) + self.own_row
+                found[column[number % len(column)]] = None
         return list(found)
 
 
@@ -48,7 +53,9 @@
     """
     width = max(1, round(math.sqrt(max(map(len, ips.values())))))
     rows = _split(ips[data_centre], width)
-    own_row = next(row for row in rows if ip in row)
+    row_number, own_row = next(
+        (number, row) for number, row in enumerate(rows) if ip in row
+    )
     own_columns = _list_columns(own_row, ip, width)
     other_rows = [row for row in rows if row is not own_row]
     column = [
@@ -63,7 +70,7 @@
         if other != data_centre and ips[other]
     ]
     row = [each for each in own_row if each != ip]
-    return Neighbours(row, column, sorted(own_columns), other_grids)
+    return Neighbours(row, column, sorted(own_columns), other_grids, row_number)
 
 
 def _split(ips: Sequence[str], width: int) -> list[Sequence[str]]:
--- a/tests/entry/test_region_grid.py
+++ b/tests/entry/test_region_grid.py
@@ -88,6 +88,28 @@
         other_data_centre = {ip for ip in grid if ip.startswith("10.1.")}
         self.assertLessEqual(other_data_centre, reached)
 
+    def test_a_process_is_not_silent_in_another_data_centre_after_one_lost_message(
+        self,
+    ):
+        grid = choose_all(make_ips((33, 32)))
+        other_data_centre = {ip for ip in grid if ip.startswith("10.1.")}
+        for source in set(grid) - other_data_centre:
+            for turn in (0, 3, 8):
+                paths = [
+                    {
+                        each
+                        for ip in (source, *ips)
+                        for each in grid[ip].list_across(turn)
+                    }
+                    for ips in (grid[source].row, grid[source].column)
+                ]
+                with self.subTest(source=source, turn=turn):
+                    for receivers in paths:
+                        columns = [{ip, *grid[ip].column} for ip in receivers]
+                        self.assertLessEqual(other_data_centre, set().union(*columns))
+                    own = set(grid[source].list_across(turn))
+                    self.assertLessEqual(paths[0] & paths[1], own)
+
     def test_neighbours_are_mutual(self):
         grid = choose_all(make_ips((33, 32)))
         for ip, found in grid.items():
