Let requests wait while a resumed daemon checks its configuration

Cause: a daemon with published seats that did not run for over 1.5 s counts as suspended and refused all requests with 503 (config.not_ready) until a peer had confirmed its configuration, which takes a tenth of a second. Requests that had arrived meanwhile were refused at once, on a busy machine too.

Change: they wait for up to 1 s, as long as the refusal told callers to stay away, and are refused only then. Nothing is served earlier than before.

--- a/banyanseam/daemon/app.py
+++ b/banyanseam/daemon/app.py
@@ -135,6 +135,7 @@
             own_routes=routes,
             budget=budget,
             is_accepting=lambda: control.accepts_requests,
+            wait_until_accepting=control.wait_until_caught_up,
             closes_connections=lambda: self.lifecycle.closes_connections,
         )
         return make_callers_app(port)
--- a/banyanseam/daemon/control.py
+++ b/banyanseam/daemon/control.py
@@ -12,6 +12,7 @@
 from banyanseam.config.replication import Replicator
 from banyanseam.config.store import ConfigStore
 from banyanseam.config.watch import ServiceClient, ServiceWatcher
+from banyanseam.daemon.const import CATCH_UP_PATIENCE_S
 from banyanseam.daemon.lifecycle import Lifecycle, Stage
 from banyanseam.observe.events import (
     CONFIG_ADOPTED,
@@ -66,6 +67,7 @@
         self.adopted_s: float | None = None
         # True while the configuration may be outdated: after a start or a suspension.
         self._catching_up = True
+        self._caught_up = anyio.Event()
         self._suspension_detected = anyio.Event()
         self.store.on_adopted(self._apply_config)
         self.store.on_changed(self._log_rejection)
@@ -87,6 +89,12 @@
             and self.membership.superseded_by is None
         )
 
+    async def wait_until_caught_up(self) -> None:
+        """Wait while the configuration may be outdated, for CATCH_UP_PATIENCE_S."""
+        if self._catching_up:
+            with anyio.move_on_after(CATCH_UP_PATIENCE_S):
+                await self._caught_up.wait()
+
     async def run(self, group: TaskGroup) -> None:
         """Start the loops in a task group; return once the configuration is current."""
         for loop in (self.watch.run, self.replicator.run, self.suspension_detector.run):
@@ -107,6 +115,7 @@
     async def _catch_up(self) -> None:
         await wait_until_current(self.store, self.replicator, self._list_join_peers)
         self._catching_up = False
+        self._caught_up.set()
         self._update_leaving_flag()
 
     async def _catch_up_after_suspensions(self) -> None:
@@ -143,7 +152,9 @@
     def _handle_suspension(self, now_s: float) -> None:
         # API keys may have been withdrawn during the suspension, so no request is
         # accepted until the configuration is current again.
-        self._catching_up = True
+        if not self._catching_up:
+            self._catching_up = True
+            self._caught_up = anyio.Event()
         self._update_leaving_flag()
         self._suspension_detected.set()
         log(PROCESS_WAS_SUSPENDED, boot_clock_s=round(now_s, 3))
--- a/banyanseam/server/callers.py
+++ b/banyanseam/server/callers.py
@@ -35,6 +35,8 @@
     own_routes: dict[str, OwnRoute]
     budget: ByteBudget
     is_accepting: Callable[[], bool]
+    # Waits shortly, if this process is likely to accept requests again soon.
+    wait_until_accepting: Callable[[], Awaitable[None]]
     closes_connections: Callable[[], bool]
 
 
@@ -123,6 +125,8 @@
         if own is not None:
             await own(exchange, send)
             return
+        if not port.is_accepting():
+            await port.wait_until_accepting()
         if not port.is_accepting():
             raise NotReady(retry_after_ms=RETRY_AFTER_MS)
         await run_cancellable(port, exchange, connection)
--- a/tests/daemon/test_control.py
+++ b/tests/daemon/test_control.py
@@ -153,6 +153,8 @@
             control.suspension_detector.tick()
             self.assertFalse(control.accepts_requests)
             self.assertTrue(control.membership.is_leaving("gulf-1"))
+            await control.wait_until_caught_up()
+            self.assertFalse(control.accepts_requests)
             fleet.fabric.partitions.clear()
             await wait_for(lambda: control.accepts_requests)
             self.assertEqual(fleet.serving_acme(), set())
@@ -160,6 +162,17 @@
 
         self.run_fleet(scenario)
 
+    def test_a_request_waits_for_a_resumed_process_that_reaches_its_peers(self):
+        async def scenario(fleet):
+            control = fleet.controls["gulf-1"]
+            fleet.clock_ahead_s["gulf-1"] = SUSPENSION_TERM_S
+            control.suspension_detector.tick()
+            self.assertFalse(control.accepts_requests)
+            await control.wait_until_caught_up()
+            self.assertTrue(control.accepts_requests)
+
+        self.run_fleet(scenario)
+
     def test_process_that_does_not_serve_yet_is_not_alive(self):
         async def scenario(fleet):
             for seat in set(fleet.controls) - {"gulf-1"}:
--- a/tests/server/test_callers.py
+++ b/tests/server/test_callers.py
@@ -2,6 +2,7 @@
 from unittest import mock
 
 import anyio
+import anyio.lowlevel
 
 from banyanseam.server import budget
 from banyanseam.server.callers import CallersPort, make_callers_app
@@ -13,13 +14,16 @@
 
 
 class CallersTests(unittest.TestCase):
-    def run_pipeline(self, pipeline, talk):
+    def run_pipeline(
+        self, pipeline, talk, is_accepting=lambda: True, wait=anyio.lowlevel.checkpoint
+    ):
         """Send a request to a port with this pipeline; run `talk` on the stream."""
         port = CallersPort(
             pipeline=pipeline,
             own_routes={},
             budget=budget.ByteBudget(10**6),
-            is_accepting=lambda: True,
+            is_accepting=is_accepting,
+            wait_until_accepting=wait,
             closes_connections=lambda: False,
         )
 
@@ -62,6 +66,26 @@
                 self.run_pipeline(pipeline, disconnect)
                 self.assertEqual(steps, expected)
 
+    def test_a_request_is_not_refused_just_before_a_process_has_caught_up(self):
+        for status, catches_up in ((b"200", True), (b"503", False)):
+            caught_up, answers = [], []
+
+            async def catch_up(caught_up=caught_up, catches_up=catches_up):
+                await anyio.sleep(0.05)
+                caught_up.extend([True] * catches_up)
+
+            async def pipeline(exchange):
+                await exchange.reply.start(200, [])
+
+            async def read_status(stream, answers=answers):
+                answers.append((await stream.receive()).split()[1])
+
+            with self.subTest(status):
+                self.run_pipeline(
+                    pipeline, read_status, lambda found=caught_up: bool(found), catch_up
+                )
+                self.assertEqual(answers, [status])
+
     def test_the_answer_to_a_caller_that_does_not_read_is_aborted(self):
         ended = []
 
