Survive a link that closes while a handover or a release is sent

A daemon with published seats that resumed from a suspension ended (event 2004, peers.call_lost): it had lost its pool and handed its leases over while its links closed, and only PeerUnreachable was caught. A lost handover or release is now like an unreachable peer: the new keeper learns the leases from their entries' announcements, and an unreleased lease expires.

--- a/banyanseam/upstreams/handovers.py
+++ b/banyanseam/upstreams/handovers.py
@@ -2,7 +2,7 @@
 
 from anyio.abc import TaskGroup
 
-from banyanseam.peers.errors import PeerUnreachable
+from banyanseam.peers.errors import PeerCallLost, PeerUnreachable
 from banyanseam.upstreams.const import LEARNING_S
 from banyanseam.upstreams.context import Context
 from banyanseam.upstreams.messages import Handover
@@ -58,5 +58,6 @@
     async def _send(self, keeper: str, message: Handover) -> None:
         try:
             await self._context.network.cast(keeper, message)
-        except PeerUnreachable:
+        except (PeerUnreachable, PeerCallLost):
+            # The new keeper learns the leases from its entries' announcements.
             return
--- a/banyanseam/upstreams/lease_client.py
+++ b/banyanseam/upstreams/lease_client.py
@@ -266,7 +266,7 @@
             return
         try:
             await self._context.network.cast(keeper, message)
-        except PeerUnreachable:
+        except (PeerUnreachable, PeerCallLost):
             return
 
     async def _renew(self, keeper: str, pools: list[str], send: Send) -> None:
