Split the list of upstreams: what is listed, and what is excluded

The dataclasses of an upstream in use move to listed_upstream.py, exclusions and pauses to exclusions.py with a class of their own.

--- a/banyanseam/entry/crash_watch.py
+++ b/banyanseam/entry/crash_watch.py
@@ -12,12 +12,9 @@
 from banyanseam.entry.errors import ConnectionBroken
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.fingerprints import make_start_tag
+from banyanseam.entry.listed_upstream import ListedUpstream, UnfinishedRun
 from banyanseam.entry.models import AnswerHead
-from banyanseam.entry.upstream_list import (
-    ListedUpstream,
-    UnfinishedRun,
-    UpstreamList,
-)
+from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.observe.events import CRASH_RECORDED, SUSPECT_TRIED, log
 from banyanseam.pipe.errors import AnswerTruncated
 from banyanseam.upstreams.errors import UpstreamTimedOut
--- a/banyanseam/entry/local_candidates.py
+++ b/banyanseam/entry/local_candidates.py
@@ -6,12 +6,13 @@
     MEMORY_SHARE,
     SUSPECT_PAUSE_S,
 )
+from banyanseam.entry.listed_upstream import ListedUpstream
 from banyanseam.entry.members import Members
 from banyanseam.entry.messages import make_upstream_tag
 from banyanseam.entry.models import Catalogue, Service, Upstream
 from banyanseam.entry.performance.models import INITIAL_PERFORMANCE, Performance
 from banyanseam.entry.placing import Candidate
-from banyanseam.entry.upstream_list import ListedUpstream, UpstreamList
+from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads
 from banyanseam.peers.rendezvous import rank
 
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -32,6 +32,7 @@
     UpstreamReplaced,
 )
 from banyanseam.entry.exchange import Exchange
+from banyanseam.entry.listed_upstream import ListedUpstream
 from banyanseam.entry.members import Members
 from banyanseam.entry.messages import make_upstream_tag
 from banyanseam.entry.models import AnswerHead, Headers, RequestHead, SendMetadata
@@ -58,7 +59,7 @@
 from banyanseam.entry.retry_budget import RetryBudget
 from banyanseam.entry.sending import IncomingAnswer, run_with_watch, send
 from banyanseam.entry.start_checks import ReportFormat, StartChecks
-from banyanseam.entry.upstream_list import ListedUpstream, UpstreamList
+from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads
 from banyanseam.entry.usage_counts import count_request, mark_prefilled
 from banyanseam.errors import BanyanseamError
--- a/banyanseam/entry/start_checks.py
+++ b/banyanseam/entry/start_checks.py
@@ -22,11 +22,12 @@
     START_REPORT_PATIENCE_S,
 )
 from banyanseam.entry.errors import ConnectionBroken
+from banyanseam.entry.listed_upstream import ListedUpstream
 from banyanseam.entry.local_candidates import list_cold_senders
 from banyanseam.entry.members import Members
 from banyanseam.entry.models import Catalogue, Upstream
 from banyanseam.entry.sending import OutgoingRequest, is_refused, send
-from banyanseam.entry.upstream_list import ListedUpstream, UpstreamList
+from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstream_starts import StartFinding, make_start_key
 from banyanseam.observe.events import UPSTREAM_CHECKED, log
 from banyanseam.upstreams.errors import UpstreamTimedOut, UpstreamUnreachable
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -1,103 +1,33 @@
 """The registered upstreams, and whether each may get new requests now."""
 
-from collections import deque
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
-from banyanseam.entry.cached_prefixes import CachedPrefixes
 from banyanseam.entry.const import (
     COPIED_ENTRY_S,
     EXPIRED_ENTRY_GRACE_S,
     FAILURES_TO_SUSPECT,
     FORMER_USAGE_S,
     LEAVING_MEMORY_S,
-    MAX_PAUSE_S,
-    MAX_RECENT_SENDS,
-    MAX_UNFINISHED_RUNS,
     OUTAGE_S,
-    RECENT_SENDS_S,
     REPLACED_REPORT_S,
     RESUMED_PATIENCE_S,
     RETURN_COLD_S,
     SUSPECT_S,
     SUSPENDED_S,
-    UNFINISHED_MEMORY_S,
-    UNNOTICED_RESTART_S,
 )
 from banyanseam.entry.departures import Departures, is_outdated
+from banyanseam.entry.exclusions import Exclusions
 from banyanseam.entry.fingerprints import make_start_tag
-from banyanseam.entry.limit_pace import LimitPace
+from banyanseam.entry.listed_upstream import ListedUpstream, UpstreamUsage
 from banyanseam.entry.models import StorePosition, Upstream, UpstreamState
 from banyanseam.entry.upstream_starts import (
     StartFinding,
-    StartKey,
     UpstreamStarts,
     make_start_key,
 )
 
 
-@dataclass(frozen=True, slots=True)
-class UnfinishedRun:
-    """A request that an upstream got and did not answer in full."""
-
-    request_id: str
-    fingerprint: int
-    # The prompt segments that the upstream was about to answer with.
-    segment_keys: tuple[int, ...]
-    ended_s: float
-
-
-@dataclass(slots=True)
-class UpstreamUsage:
-    """This process's own load on an upstream, and its recent failures there."""
-
-    requests: int = 0
-    prefill_ms: float = 0.0
-    queued_ms: float = 0.0
-    memory_tokens: int = 0
-    consecutive_failures: int = 0
-    suspected_until_s: float = 0.0
-    failed_s: float = -1e9
-    cold_sent_s: float = -1e9
-    # When the last requests were sent.
-    sent_s: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_RECENT_SENDS))
-    pace: LimitPace = field(default_factory=LimitPace)
-    # Prefix segments cached by the engine, from the requests of all VMs of the region.
-    cached_segments: CachedPrefixes = field(default_factory=CachedPrefixes)
-    # Recent runs that ended in silence, with the caller or at their deadline.
-    unfinished: list[UnfinishedRun] = field(default_factory=list)
-
-    def record_unfinished(self, run: UnfinishedRun) -> None:
-        """Record a run that this process gave up, and drop old ones."""
-        recent = self.list_unfinished(run.ended_s)[1 - MAX_UNFINISHED_RUNS :]
-        self.unfinished = [*recent, run]
-
-    def count_recent_sends(self, now_s: float) -> int:
-        """Return how many requests were sent recently, at most MAX_RECENT_SENDS."""
-        return sum(now_s - sent_s <= RECENT_SENDS_S for sent_s in self.sent_s)
-
-    def list_unfinished(self, now_s: float) -> list[UnfinishedRun]:
-        """Return the runs that were given up recently."""
-        return [
-            each
-            for each in self.unfinished
-            if now_s - each.ended_s <= UNFINISHED_MEMORY_S
-        ]
-
-
-@dataclass(slots=True)
-class ListedUpstream:
-    """An upstream with its derived state and this process's usage."""
-
-    upstream: Upstream
-    cold_until_s: float
-    stops_at_s: float | None
-    seen_s: float
-    usage: UpstreamUsage = field(default_factory=UpstreamUsage)
-    # The store's era in which the registration was listed first.
-    era: int = 0
-
-
 class UpstreamList:
     """All registered upstreams by id."""
 
@@ -145,10 +75,8 @@
         self.on_resumed: Callable[[], None] = lambda: None
         # Called when an upstream must be checked before it is used.
         self.on_held: Callable[[ListedUpstream], None] = lambda _: None
-        # Until when incarnations get no requests because their answers said so.
-        self._excluded_until_s: dict[tuple[str, int], float] = {}
-        # The pauses among them, and when they were asked for.
-        self._paused_until_s: dict[StartKey, tuple[float, float]] = {}
+        # Incarnations that get no requests because their answers said so.
+        self._exclusions = Exclusions()
 
     def adopt(
         self,
@@ -184,7 +112,7 @@
             if each.state is UpstreamState.LEAVING:
                 self.record_leaving(each, now_s)
             elif (each.upstream_id, each.started_ms) not in keys:
-                self._exclude_until(each, now_s + COPIED_ENTRY_S)
+                self._exclusions.exclude(each, now_s + COPIED_ENTRY_S)
 
     def _apply_listing(self, now_s: float) -> None:
         by_id = {each.upstream_id: each for each in self.listing}
@@ -196,16 +124,7 @@
             for key, at_s in self._replaced_s.items()
             if key in listed or now_s - at_s < REPLACED_REPORT_S
         }
-        self._excluded_until_s = {
-            key: until_s
-            for key, until_s in self._excluded_until_s.items()
-            if now_s < until_s
-        }
-        self._paused_until_s = {
-            key: (until_s, asked_s)
-            for key, (until_s, asked_s) in self._paused_until_s.items()
-            if now_s < until_s
-        }
+        self._exclusions.prune(now_s)
         for upstream_id in _list_superseded(by_id.values()) | {
             upstream_id for upstream_id, _ in self._replaced_s.keys() & listed
         }:
@@ -318,12 +237,10 @@
 
     def is_lost(self, listed: ListedUpstream) -> bool:
         """Return whether an upstream disappeared without having been leaving."""
-        upstream = listed.upstream
-        key = upstream.upstream_id, upstream.started_ms
         return (
-            self._listed.get(upstream.upstream_id) is not listed
-            and upstream.state is UpstreamState.READY
-            and key not in self._excluded_until_s
+            self._listed.get(listed.upstream.upstream_id) is not listed
+            and listed.upstream.state is UpstreamState.READY
+            and not self._exclusions.is_known(listed.upstream)
         )
 
     def list_usable(self, service: str, now_s: float) -> list[ListedUpstream]:
@@ -363,30 +280,11 @@
 
     def record_leaving(self, upstream: Upstream, now_s: float) -> None:
         """Send nothing more to an upstream that has answered that it is leaving."""
-        self._exclude_until(upstream, now_s + LEAVING_MEMORY_S)
+        self._exclusions.exclude(upstream, now_s + LEAVING_MEMORY_S)
 
     def record_pause(self, upstream: Upstream, pause_s: float, now_s: float) -> None:
         """Send nothing for a time to an upstream that has asked for a pause."""
-        until_s = now_s + min(pause_s, MAX_PAUSE_S)
-        self._paused_until_s[make_start_key(upstream)] = until_s, now_s
-        self._exclude_until(upstream, until_s)
-
-    def _keep_pause(self, before: Upstream, after: Upstream, now_s: float) -> None:
-        """Apply a pause that the new incarnation may have asked for to it.
-
-        It may have answered while this process took it for the earlier one.
-        """
-        until_s, asked_s = self._paused_until_s.get(make_start_key(before), (0.0, 0.0))
-        if now_s - asked_s < UNNOTICED_RESTART_S:
-            self._exclude_until(after, until_s)
-
-    def _exclude_until(self, upstream: Upstream, until_s: float) -> None:
-        key = upstream.upstream_id, upstream.started_ms
-        self._excluded_until_s[key] = max(until_s, self._excluded_until_s.get(key, 0.0))
-
-    def _is_excluded(self, upstream: Upstream, now_s: float) -> bool:
-        key = upstream.upstream_id, upstream.started_ms
-        return now_s < self._excluded_until_s.get(key, 0.0)
+        self._exclusions.record_pause(upstream, pause_s, now_s)
 
     def drop(self, upstream_id: str, now_s: float) -> None:
         """Remove an upstream whose address another incarnation has taken over."""
@@ -486,7 +384,7 @@
         if listed is None or listed.upstream.started_ms != upstream.started_ms:
             before = self._remove(upstream.upstream_id, now_s)
             if before is not None:
-                self._keep_pause(before.upstream, upstream, now_s)
+                self._exclusions.keep_pause(before.upstream, upstream, now_s)
             key = upstream.upstream_id, upstream.started_ms
             _, usage = self._former.pop(key, (now_s, UpstreamUsage()))
             listed = ListedUpstream(
@@ -514,7 +412,7 @@
             return False
         if upstream.data_centre in self._evacuated:
             return False
-        if self._is_excluded(upstream, now_s):
+        if self._exclusions.is_excluded(upstream, now_s):
             return False
         return listed.stops_at_s is None or now_s < listed.stops_at_s
 
--- a/banyanseam/entry/usage_counts.py
+++ b/banyanseam/entry/usage_counts.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from banyanseam.entry.listed_upstream import ListedUpstream
 from banyanseam.entry.models import Prompt
 from banyanseam.entry.placing import count_memory_tokens
-from banyanseam.entry.upstream_list import ListedUpstream
 
 
 @contextmanager
--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -12,6 +12,7 @@
 
 from banyanseam.config.errors import InvalidConfig
 from banyanseam.entry.evacuations import Evacuations
+from banyanseam.entry.listed_upstream import ListedUpstream
 from banyanseam.entry.messages import Gossip, ValuesMessage, from_upstream_row
 from banyanseam.entry.models import (
     Catalogue,
@@ -21,7 +22,7 @@
     Upstream,
     ValueChanges,
 )
-from banyanseam.entry.upstream_list import ListedUpstream, UpstreamList
+from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.observe.events import (
     CONFIG_ADOPTED,
     CONFIG_REJECTED,
--- a/tests/entry/test_upstream_list.py
+++ b/tests/entry/test_upstream_list.py
@@ -13,8 +13,9 @@
     SUSPECT_S,
     UNFINISHED_MEMORY_S,
 )
+from banyanseam.entry.listed_upstream import UnfinishedRun, UpstreamUsage
 from banyanseam.entry.models import StorePosition, UpstreamState
-from banyanseam.entry.upstream_list import UnfinishedRun, UpstreamList, UpstreamUsage
+from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstream_starts import StartFinding
 from tests.entry.common import make_upstream
 
