--- a/tests/entry/test_start_checks.py
+++ b/tests/entry/test_start_checks.py
@@ -6,9 +6,9 @@
 
 import anyio
 
+from banyanseam.entry.listed_upstream import ListedUpstream
 from banyanseam.entry.models import Upstream
 from banyanseam.entry.start_checks import Failure, StartChecks
-from banyanseam.entry.upstream_list import ListedUpstream
 from tests.common import run_with_mock_clock
 from tests.entry.simulation import Simulation, start_simulation
 
