Take an era of too many digits for a failed answer of the store

int() raises ValueError for more than 4300 digits, which nothing caught, so that one answer of the store ended the daemon. An era has 18 digits at most now.

--- a/banyanseam/platform/store.py
+++ b/banyanseam/platform/store.py
@@ -21,6 +21,7 @@
 # limit of 1 MB per value, in base64.
 MAX_ANSWER_BYTES: Final = 4 * 1024 * 1024
 MAX_PAGES: Final = 100
+MAX_ERA_DIGITS: Final = 18
 
 Model = TypeVar("Model", bound=BaseModel)
 
@@ -182,7 +183,7 @@
 def _read_era(headers: list[tuple[bytes, bytes]]) -> int:
     for name, value in headers:
         if name.lower() == STORE_ERA:
-            if not value.isdigit():
+            if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
                 raise ConfigServiceUnavailable("the answer's era is not a number")
             return int(value)
     return 0
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -78,8 +78,10 @@
         self.assertIsNone(call(pages, list_all))
 
     def test_an_era_that_is_no_number_fails_the_answer(self):
-        answer = make_answer({"events": [], "at": 9}, b"store-era: new")
-        self.assertIsNone(call([answer], watch))
+        for era in (b"new", b"1" * 5000):
+            with self.subTest(digits=len(era)):
+                answer = make_answer({"events": [], "at": 9}, b"store-era: " + era)
+                self.assertIsNone(call([answer], watch))
 
 
 if __name__ == "__main__":
