Exclude gone upstreams until a restored store has been read for long enough

Upstreams that were gone before a return of the store, and that its copy listed again, were used again (DRAIN) six seconds after the first of two returns, or while the store was away again. Cause: the exclusion ended by the clock, and the second return did not renew it. It now lasts until a list of the same era is confirmed six seconds after the latest return.

--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -23,6 +23,7 @@
 from banyanseam.entry.models import StorePosition, Upstream, UpstreamState
 from banyanseam.entry.upstream_starts import (
     StartFinding,
+    StartKey,
     UpstreamStarts,
     make_start_key,
 )
@@ -59,6 +60,10 @@
         # that came back from a copy.
         self._departures = Departures()
         self._rewritten_at_s = -1e9
+        # Incarnations that were gone before that and may be listed by the copy, and
+        # when their entries have expired again if the store is then within reach.
+        self._copied: set[StartKey] = set()
+        self._copies_expired_at_s = -1e9
         # Whether known registrations are kept instead of outdated ones of the listing.
         self._has_outdated = False
         # Usage of incarnations that are no longer listed, and since when. They may be
@@ -112,7 +117,8 @@
             if each.state is UpstreamState.LEAVING:
                 self.record_leaving(each, now_s)
             elif (each.upstream_id, each.started_ms) not in keys:
-                self._exclusions.exclude(each, now_s + COPIED_ENTRY_S)
+                self._copied.add(make_start_key(each))
+        self._copies_expired_at_s = now_s + COPIED_ENTRY_S
 
     def _apply_listing(self, now_s: float) -> None:
         by_id = {each.upstream_id: each for each in self.listing}
@@ -182,6 +188,9 @@
         if self.revision >= 0 and unconfirmed_s >= OUTAGE_S:
             # The owner of an expired entry needs a moment to write it again.
             self._retain_expired_until_s = now_s + EXPIRED_ENTRY_GRACE_S
+        is_same_era = position.era == self.position.era
+        if is_same_era and now_s >= self._copies_expired_at_s:
+            self._copied.clear()
         self.position = position
         self.confirmed_s = now_s
 
@@ -241,6 +250,7 @@
             self._listed.get(listed.upstream.upstream_id) is not listed
             and listed.upstream.state is UpstreamState.READY
             and not self._exclusions.is_known(listed.upstream)
+            and make_start_key(listed.upstream) not in self._copied
         )
 
     def list_usable(self, service: str, now_s: float) -> list[ListedUpstream]:
@@ -414,6 +424,8 @@
             return False
         if self._exclusions.is_excluded(upstream, now_s):
             return False
+        if make_start_key(upstream) in self._copied:
+            return False
         return listed.stops_at_s is None or now_s < listed.stops_at_s
 
 
