Order evacuations of peers that know of none, and tell rewritten ones

Evacuations in force were not known, or suppressed, at VMs that the store turns away or that learn of its return late (EVAC). Causes, each with a test that failed before: a peer that knew of no evacuation counted as knowing so in the latest era; a VM that listed the store after a rewriting named the position of the era before; and an evacuation begun anew was taken for the ended one if its revision was lower than the known one. Now a peer without a revision orders before all others; a later era with the same set moves the position to that of its entries; and only the very revision that was ended is suppressed, as the copy shows that one. An ended evacuation whose revision came from a VM of the release before may so be in force for a moment.

--- a/banyanseam/entry/evacuations.py
+++ b/banyanseam/entry/evacuations.py
@@ -65,6 +65,9 @@
             self._suppressed.pop(each, None)
         if listed.keys() != self.listed.keys():
             self.position = position
+        elif listed and position.era > self.position.era:
+            # Peers may have listed the restored store before these were written again.
+            self.position = StorePosition(position.era, max(listed.values()))
         self.confirmed_position = max(position, self.confirmed_position)
         self.listed = dict(listed)
         self.update(now_s)
@@ -76,7 +79,7 @@
         found = {
             each: revision
             for each, revision in self.listed.items()
-            if revision > self._suppressed.get(each, -1)
+            if revision != self._suppressed.get(each)
         }
         found = self._retained | found
         for each, revision in self._in_force.items():
--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -155,7 +155,12 @@
             self._adopt_evacuated(evacuated, position, now_s)
 
     def locate(self, era: int | None, revision: int) -> StorePosition:
-        """Return the position that a peer means by a revision."""
+        """Return the position that a peer means by a revision.
+
+        Without a revision it knows of no evacuation, also of none that has ended.
+        """
+        if era is None and revision <= 0:
+            return StorePosition(0, revision)
         return StorePosition((self._first_era or 0) if era is None else era, revision)
 
     def to_message(self) -> ValuesMessage:
