--- a/banyanseam/entry/start_checks.py
+++ b/banyanseam/entry/start_checks.py
@@ -42,7 +42,7 @@
     REFUSED = auto()
     UNREACHABLE = auto()
     # Connected, but without a valid report.
-    UNTOLD = auto()
+    NO_REPORT = auto()
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,17 +144,17 @@
         found = await self._ask(upstream)
         now_s = anyio.current_time()
         if found is Failure.UNREACHABLE:
-            # Another VM may reach it, so peers are not told.
+            # Another VM may reach it, so this is not reported to peers.
             self.upstreams.starts.hold(upstream)
             return
         may_be_slow = now_s - began_s < START_REPORT_PATIENCE_S
-        if found is Failure.UNTOLD and may_be_slow:
+        if found is Failure.NO_REPORT and may_be_slow:
             # An upstream that has just started is slow.
             self.upstreams.starts.hold(upstream)
             return
         self.upstreams.starts.release(upstream)
-        if found is Failure.UNTOLD:
-            self.upstreams.record_untold(upstream, now_s)
+        if found is Failure.NO_REPORT:
+            self.upstreams.record_missing_report(upstream, now_s)
             return
         found_ms = None if found is Failure.REFUSED else found
         finding = StartFinding(make_start_key(upstream), found_ms, now_s)
@@ -193,10 +193,10 @@
                     async for chunk in incoming.body:
                         body += chunk
                         if len(body) > MAX_REPORT_BYTES:
-                            return Failure.UNTOLD
+                            return Failure.NO_REPORT
         except UpstreamUnreachable as error:
             return Failure.REFUSED if is_refused(error) else Failure.UNREACHABLE
         except (ConnectionBroken, UpstreamTimedOut, TimeoutError):
-            return Failure.UNTOLD
+            return Failure.NO_REPORT
         found_ms = self.report_format.read_start(incoming.status, bytes(body))
-        return Failure.UNTOLD if found_ms is None else found_ms
+        return Failure.NO_REPORT if found_ms is None else found_ms
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -332,7 +332,7 @@
         self.starts.record_report(finding)
         self._apply_finding(finding, now_s)
 
-    def record_untold(self, upstream: Upstream, now_s: float) -> None:
+    def record_missing_report(self, upstream: Upstream, now_s: float) -> None:
         """Record that an upstream accepts connections and does not report its start.
 
         If it refused them before, it may have started again.
--- a/banyanseam/entry/upstream_starts.py
+++ b/banyanseam/entry/upstream_starts.py
@@ -1,7 +1,7 @@
 """What checks have found of the starts of upstreams, without any I/O.
 
 An upstream that starts again keeps its id and its address. Until the list shows its new
-start, only the upstream itself can tell.
+start, only the upstream's own report does.
 """
 
 from collections.abc import Iterable
--- a/tests/entry/test_start_checks.py
+++ b/tests/entry/test_start_checks.py
@@ -68,7 +68,7 @@
 
     def test_an_upstream_that_refused_once_and_reports_no_start_is_freed(self):
         def find(_: Upstream, now_s: float) -> Finding:
-            return Failure.REFUSED if now_s < 1.0 else Failure.UNTOLD
+            return Failure.REFUSED if now_s < 1.0 else Failure.NO_REPORT
 
         async def act(simulation: Simulation, _: ListedUpstream) -> None:
             await anyio.sleep(2 * CHECK_S)
