Tell an upstream that answers without a start from one that does not answer

A check that got an answer without a start held the upstream back for a second, as one that is late: upstreams of a release without reports lost that second at each broken connection. Only a missing answer may come from an upstream that has just started. The stand-in of the users' upstreams now reports its start, as theirs do; before, a check took the fault that a test had set for a request.

--- a/banyanseam/entry/start_checks.py
+++ b/banyanseam/entry/start_checks.py
@@ -41,7 +41,9 @@
 
     REFUSED = auto()
     UNREACHABLE = auto()
-    # Connected, but without a valid report.
+    # Connected, but without an answer.
+    NO_ANSWER = auto()
+    # Answered without a start.
     NO_REPORT = auto()
 
 
@@ -148,12 +150,12 @@
             self.upstreams.starts.hold(upstream)
             return
         may_be_slow = now_s - began_s < START_REPORT_PATIENCE_S
-        if found is Failure.NO_REPORT and may_be_slow:
+        if found is Failure.NO_ANSWER and may_be_slow:
             # An upstream that has just started is slow.
             self.upstreams.starts.hold(upstream)
             return
         self.upstreams.starts.release(upstream)
-        if found is Failure.NO_REPORT:
+        if found in (Failure.NO_ANSWER, Failure.NO_REPORT):
             self.upstreams.record_missing_report(upstream, now_s)
             return
         found_ms = None if found is Failure.REFUSED else found
@@ -197,6 +199,6 @@
         except UpstreamUnreachable as error:
             return Failure.REFUSED if is_refused(error) else Failure.UNREACHABLE
         except (ConnectionBroken, UpstreamTimedOut, TimeoutError):
-            return Failure.NO_REPORT
+            return Failure.NO_ANSWER
         found_ms = self.report_format.read_start(incoming.status, bytes(body))
         return Failure.NO_REPORT if found_ms is None else found_ms
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import json
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -14,6 +15,7 @@
 EVENT_PAUSE_S: Final = 0.01
 # Silence of a stalled stream: longer than an answer may take to be in time.
 STALL_S: Final = 1.6
+REPORT_TARGET: Final = "/v1/report"
 _OK: Final = b"HTTP/1.1 200 OK\r\nupstream-signature: d1.s\r\n"
 # Faults of an answer that never ends: its beginning, and what is repeated after it.
 ENDLESS: Final = {
@@ -38,6 +40,8 @@
 
     upstream_id: str
     is_stream: bool = False
+    # As registered by default.
+    started_ms: int = 1
     pause_s: float = EVENT_PAUSE_S
     faults: list[str] = field(default_factory=list)
     # Every request whose execution began.
@@ -78,6 +82,9 @@
     async def _answer(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
+        if request.target == REPORT_TARGET:
+            await _write_report(writer, self.started_ms)
+            return
         fault = self.faults.pop(0) if self.faults else ""
         expected = request.headers.get("expect-instance")
         own_id = f"request-id: {request.headers['request-id']}\r\n"
@@ -167,6 +174,13 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+async def _write_report(writer: asyncio.StreamWriter, started_ms: int) -> None:
+    body = json.dumps({"born": started_ms}).encode()
+    head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n"
+    writer.write(head.encode() + body)
+    await writer.drain()
+
+
 async def _write_refusal(
     writer: asyncio.StreamWriter, status: str, headers: str
 ) -> None:
--- a/tests/entry/test_restarted_upstream.py
+++ b/tests/entry/test_restarted_upstream.py
@@ -165,7 +165,7 @@
             if anyio.current_time() > REPORTS_FROM_S or found is Failure.REFUSED:
                 return found
             await anyio.sleep(START_CHECK_TIMEOUT_S)
-            return Failure.NO_REPORT
+            return Failure.NO_ANSWER
 
         with mock.patch.object(StartChecks, "_ask", ask_late):
             self.check_cold(Day(up_s=[1.0], listed_s=2.1, disturb=stop_other))
