Log which software versions brought the events of a stream

Nothing told which version of an upstream's software a stream's events came from, nor that a request takes up a stream that another one began. No request is handled differently.

--- a/banyanseam/entry/answers.py
+++ b/banyanseam/entry/answers.py
@@ -102,7 +102,7 @@
         for event in splitter.feed(chunk):
             if not event.is_comment:
                 progress.record_event(anyio.current_time())
-                exchange.events_of_send += 1
+                exchange.record_event()
             await _relay_event(exchange, answer, event)
     if splitter.has_partial_event:
         raise AnswerTruncated("the stream ends within an event")
--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -13,6 +13,7 @@
     RequestHead,
     Route,
 )
+from banyanseam.entry.origins.models import StreamOrigin
 from banyanseam.entry.scarcity.holding import HoldRule, choose_hold_rule
 from banyanseam.server.reply import AsgiSend
 
@@ -83,6 +84,10 @@
     is_answered: bool = False
     # Number of events that the last send has brought.
     events_of_send: int = 0
+    # The upstream that the last send went to; None if a peer serves it.
+    sent_to: StreamOrigin | None = None
+    # Software of the upstreams whose events the caller got, in order.
+    software: list[str | None] = field(default_factory=list)
     # Number of sends, and whether the request may have run because of them.
     sends: int = 0
     may_have_run: bool = False
@@ -99,6 +104,13 @@
         """Return the time left until the deadline, when an answer becomes useless."""
         return (self.deadline_s - now_s) * 1000
 
+    def record_event(self) -> None:
+        """Record that the last send has brought an event."""
+        self.events_of_send += 1
+        if self.events_of_send == 1:
+            software = None if self.sent_to is None else self.sent_to.software
+            self.software.append(software)
+
     def deadline_left_ms(self) -> float:
         """Return the time from now to the deadline."""
         return self.left_ms(anyio.current_time())
--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -324,6 +324,11 @@
             "tried": exchange.tried,
             "last_event": exchange.last_event,
         }
+        if exchange.route.is_stream:
+            fields["software"] = exchange.software
+    if state.head is not None and state.head.last_event_id is not None:
+        fields["begun_as"] = state.head.begun_as
+        fields["after_event"] = state.head.last_event_id
     if first_s is not None:
         fields["first_ms"] = round((first_s - state.received_s) * 1000)
     frontend.metrics.record_end(
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -228,6 +228,8 @@
     # Start time of this incarnation, by the upstream's own clock.
     started_ms: int
     revision: int
+    # Version of its software; None if it isn't known.
+    software: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,6 +262,8 @@
     deadline_ms: int | None
     prompt: Prompt | None
     last_event_id: str | None
+    # The id of the request that brought the first event, if a stream is to go on.
+    begun_as: str | None = None
     # Headers to forward, without credentials and headers that only gateways may set.
     headers: Headers = field(default_factory=list)
 
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -37,6 +37,7 @@
 from banyanseam.entry.messages import make_upstream_tag
 from banyanseam.entry.models import AnswerHead, Headers, RequestHead, SendMetadata
 from banyanseam.entry.moving import MovePolicy, Progress
+from banyanseam.entry.origins.models import make_origin
 from banyanseam.entry.outgoing import make_outgoing, make_send_metadata
 from banyanseam.entry.peer_connections import (
     PeerConnections,
@@ -183,6 +184,7 @@
             if pending_prefill_ms[0] >= LONG_PREFILL_MS:
                 await self.announce()
             upstream = listed.upstream
+            exchange.sent_to = make_origin(upstream)
             metadata = make_send_metadata(exchange, upstream.upstream_id, now_s)
             headers = self.upstream_format.write_headers(exchange.head, metadata)
             outgoing = make_outgoing(exchange, upstream.address, headers, now_s)
@@ -221,6 +223,7 @@
         self, exchange: Exchange, placement: Placement
     ) -> None:
         region = placement.candidate.region
+        exchange.sent_to = None
         now_s = anyio.current_time()
         peers = self.chooser.list_peers(exchange, region, now_s)
         if not peers:
--- a/banyanseam/platform/documents.py
+++ b/banyanseam/platform/documents.py
@@ -44,6 +44,8 @@
 MAX_SLOTS: Final = 1_000_000
 MAX_DURATION_MS: Final = 7 * 86_400_000
 MAX_START_MS: Final = 2**53
+# Lists of upstreams are exchanged in one datagram.
+MAX_SOFTWARE_CHARACTERS: Final = 100
 
 Number = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 Duration = Annotated[float, Field(strict=True, ge=0, le=MAX_DURATION_MS)]
@@ -138,6 +140,8 @@
     slots: Annotated[StrictInt, Field(gt=0, le=MAX_SLOTS)]
     cold_remaining_ms: Duration = 0
     remaining_ms: Duration | None = None
+    # Where no upstream names its software, all have the same.
+    version: Annotated[StrictStr, Field(max_length=MAX_SOFTWARE_CHARACTERS)] = ""
     # When the incarnation started, in Unix milliseconds.
     born: Annotated[StrictInt, Field(ge=0, le=MAX_START_MS)] = 0
 
@@ -200,6 +204,7 @@
         remaining_ms=None if remaining_ms is None else int(remaining_ms),
         started_ms=server.born,
         revision=item.revision,
+        software=server.version,
     )
 
 
--- a/banyanseam/platform/requests.py
+++ b/banyanseam/platform/requests.py
@@ -27,6 +27,7 @@
     PRIORITY,
     REQUEST_ID,
     REQUEST_LIMIT,
+    RESUMES,
     SIGNATURE,
     SINGLE_HEADERS,
     SYSTEM_HEADERS,
@@ -71,7 +72,6 @@
     request_id = single.get(REQUEST_ID, b"").decode("latin-1")
     if not request_id:
         raise RequestMalformed("the request has no id")
-    last_event_id = single.get(LAST_EVENT_ID)
     return RequestHead(
         request_id=request_id,
         method=method,
@@ -81,9 +81,8 @@
         key_digest=_read_key(single.get(b"authorization")),
         deadline_ms=_read_number(single.get(DEADLINE)),
         prompt=_read_prompt(single.get(USAGE), single.get(PREFIX)),
-        last_event_id=None
-        if last_event_id is None
-        else last_event_id.decode("latin-1"),
+        last_event_id=_read_text(single.get(LAST_EVENT_ID)),
+        begun_as=_read_text(single.get(RESUMES)),
         headers=_filter_headers(headers, SYSTEM_HEADERS | {LAST_EVENT_ID}),
     )
 
@@ -172,6 +171,10 @@
     return digest_key(value[len(_BEARER) :].strip())
 
 
+def _read_text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1")
+
+
 def _read_number(value: bytes | None) -> int | None:
     if value is None or not value.isdigit() or len(value) > 12:
         return None
--- a/banyanseam/platform/wire.py
+++ b/banyanseam/platform/wire.py
@@ -9,6 +9,7 @@
 USAGE: Final = b"token-usage"
 MODEL: Final = b"model"
 LAST_EVENT_ID: Final = b"last-event-id"
+RESUMES: Final = b"resumes"
 SIGNATURE: Final = b"upstream-signature"
 TENANT: Final = b"tenant-id"
 EXPECT_INSTANCE: Final = b"expect-instance"
@@ -36,7 +37,15 @@
         b"authorization",
     }
 )
-SINGLE_HEADERS: Final = (REQUEST_ID, DEADLINE, PREFIX, USAGE, MODEL, LAST_EVENT_ID)
+SINGLE_HEADERS: Final = (
+    REQUEST_ID,
+    DEADLINE,
+    PREFIX,
+    USAGE,
+    MODEL,
+    LAST_EVENT_ID,
+    RESUMES,
+)
 
 # Paths of calls.
 READY_PATH: Final = "/v1/ready"
