Show that streams go on at another software version

Eleven tests on the paused clock with two versions per region: a stream that breaks within its answer, also forwarded; take-ups at the same VM, another one and another region, twice, after the VM that began the stream or all VMs started anew, at a VM that was away, after the version has left, and at an id that came back as another version.

--- a/tests/entry/common.py
+++ b/tests/entry/common.py
@@ -134,6 +134,7 @@
         "remaining_ms": None,
         "started_ms": 1,
         "revision": 1,
+        "software": "v1",
     }
     return Upstream(upstream_id=upstream_id, **(defaults | fields))
 
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -42,6 +42,8 @@
 EVENTS = 5
 EVENT_PAUSE_S = 0.02
 STALL_S = 2.5
+# Of a datagram.
+LATENCY_S = 0.005
 # Longer than a VM waits for a first byte if it could send the request again.
 SLOW_S = 2.0
 MAX_ATTEMPTS = 2
@@ -80,6 +82,7 @@
     region: str
     headers: dict[str, str]
     at_s: float
+    software: str | None = None
 
 
 @dataclass(slots=True)
@@ -104,6 +107,11 @@
     is_whole: bool = False
     # Time until the answer began.
     took_s: float = 0.0
+    # The request that brought the first event of a stream that is taken up, the last
+    # event that the caller has of it, and after how many events it disconnects.
+    begun_as: str | None = None
+    after_event: int = 0
+    leaves_after: int | None = None
 
 
 @dataclass(slots=True)
@@ -243,6 +251,9 @@
         *,
         method: str = "POST",
         body: bytes | None = None,
+        begun_as: str | None = None,
+        after_event: int = 0,
+        leaves_after: int | None = None,
     ) -> int:
         """Send a caller's request to a VM, and return its index in `callers`.
 
@@ -255,6 +266,8 @@
         caller = Caller(request_id, path, vm, anyio.current_time(), segments=segments)
         caller.method = method
         caller.body_sent = segments if body is None else body
+        caller.begun_as, caller.after_event = begun_as, after_event
+        caller.leaves_after = leaves_after
         self.callers.append(caller)
         self.tasks.start_soon(self._ask, self.entries[vm], caller)
         return number
@@ -273,6 +286,10 @@
             (b"token-usage", b"400,40"),
             (b"prompt-prefix", caller.segments),
         ]
+        if caller.begun_as is not None:
+            headers.append((b"resumes", caller.begun_as.encode()))
+        if caller.after_event:
+            headers.append((b"last-event-id", str(caller.after_event).encode()))
         outgoing = OutgoingRequest(
             "",
             caller.method,
@@ -291,6 +308,8 @@
                 caller.headers = dict(pairs)
                 async for part in incoming.body:
                     caller.body += part
+                    if caller.body.count(b"\n\n") == caller.leaves_after:
+                        return
                 caller.is_whole = True
 
     @asynccontextmanager
@@ -376,7 +395,13 @@
         if fault == "slow":
             await anyio.sleep(SLOW_S)
         region = REGIONS[upstream.data_centre]
-        run = Run(upstream.upstream_id, region, headers, anyio.current_time())
+        run = Run(
+            upstream.upstream_id,
+            region,
+            headers,
+            anyio.current_time(),
+            upstream.software,
+        )
         self.runs.setdefault(headers["request-id"], []).append(run)
         if fault in ("no answer", "silent"):
             return None
@@ -408,7 +433,7 @@
             )
             return IncomingAnswer(200, answer, _stream(parts))
         first = int(headers.get("last-event-id", "0")) + 1
-        parts = _list_events(first, fault, answer_id)
+        parts = _list_events(first, fault, answer_id, upstream.software)
         return IncomingAnswer(200, answer, _stream(parts))
 
     @asynccontextmanager
@@ -480,6 +505,12 @@
                 if reply is not None:
                     await self._deliver(ip, [sender_ip], reply)
 
+    async def _deliver_origins(self, sender_ip: str, ip: str, data: bytes) -> None:
+        """Replace the sending of messages about the origins of streams."""
+        if ip in self.entries and self._can_reach(sender_ip, ip):
+            await anyio.sleep(LATENCY_S)
+            await self.entries[ip].origins.receive(data, sender_ip)
+
     def log(self, event: Event, **fields: Any) -> None:
         """Replace `log` of the request applications."""
         if event is INTERNAL_FAILURE:
@@ -497,9 +528,10 @@
     return b"answer to " + request_id.encode()
 
 
-def make_event(number: int, request_id: str) -> bytes:
-    """Return an event of an engine's answer."""
-    return f"id: {number}\ndata: word {number} of {request_id}\n\n".encode()
+def make_event(number: int, request_id: str, software: str | None = "v1") -> bytes:
+    """Return an event of an engine's answer; it names other software than v1."""
+    author = "" if software == "v1" else f" by {software}"
+    return f"id: {number}\ndata: word {number} of {request_id}{author}\n\n".encode()
 
 
 def make_stream(request_id: str) -> bytes:
@@ -508,7 +540,9 @@
     return b"".join(events)
 
 
-def _list_events(first: int, fault: str, request_id: str) -> list[bytes | float | None]:
+def _list_events(
+    first: int, fault: str, request_id: str, software: str | None
+) -> list[bytes | float | None]:
     parts: list[bytes | float | None] = []
     for number in range(first, EVENTS + 1):
         if fault == "empty":
@@ -516,16 +550,16 @@
         parts.append(EVENT_PAUSE_S)
         if number == first + 1:
             if fault == "cut":
-                return [*parts, make_event(number, request_id)[:5], None]
+                return [*parts, make_event(number, request_id, software)[:5], None]
             if fault == "short":
-                return [*parts, make_event(number, request_id)[:5]]
+                return [*parts, make_event(number, request_id, software)[:5]]
             if fault == "error inside":
                 return [*parts, b"HTTP/1.1 500 Failed\n\n"]
             if fault == "stall":
                 parts.append(STALL_S)
             if fault == "skip":
                 continue
-        parts.append(make_event(number, request_id))
+        parts.append(make_event(number, request_id, software))
     return parts
 
 
--- /dev/null
+++ b/tests/entry/test_stream_versions.py
@@ -0,0 +1,331 @@
+"""Checks that streams go on only at the software version that began them.
+
+Two versions serve side by side. VMs start again, stand still or are cut off, upstreams
+leave or come back under their id as another version, and callers take streams up.
+"""
+
+import re
+import unittest
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+import anyio
+
+from tests.common import run_with_mock_clock
+from tests.entry.simulation import (
+    EVENTS,
+    Caller,
+    Simulation,
+    make_event,
+    start_simulation,
+)
+
+GULF, GULF_TWO, PIEDMONT = "10.1.0.1", "10.1.0.2", "10.2.0.1"
+VMS = (GULF, GULF_TWO, PIEDMONT, "10.2.0.2")
+# Longer than a stream may be taken up after it began.
+LONG_S = 25.0
+# A refusal that comes later was held back.
+AT_ONCE_S = 0.5
+STEP_S = 0.5
+AUTHOR = re.compile(rb"word \d+ of \S+(?: by (\S+))?\n")
+
+
+def list_authors(*callers: Caller) -> list[str]:
+    """Return the versions that wrote the events of callers, in order."""
+    found = [AUTHOR.findall(caller.body) for caller in callers]
+    return [(author or b"v1").decode() for authors in found for author in authors]
+
+
+def replace_upstream(simulation: Simulation, name: str, software: str) -> None:
+    """Let an upstream of another version take the place of one, under a new id."""
+    upstream = simulation.upstreams.pop(name)
+    new_name = f"{name}-{software}"
+    simulation.upstreams[new_name] = replace(
+        upstream,
+        upstream_id=new_name,
+        address=upstream.address.replace(":80", ":81"),
+        started_ms=upstream.started_ms + 1,
+        software=software,
+    )
+
+
+def mix(simulation: Simulation) -> None:
+    """Let the second engine of each region be of another version."""
+    for region in ("gulf", "piedmont"):
+        replace_upstream(simulation, f"pool-two-{region}", "v2")
+    simulation.revision += 1
+    simulation.gossip()
+
+
+async def let_pass(
+    simulation: Simulation, seconds: float, *, with_heartbeats: bool = True
+) -> None:
+    """Let time pass in which the VMs run and, unless told otherwise, gossip."""
+    for _ in range(round(seconds / STEP_S)):
+        await anyio.sleep(STEP_S)
+        for entry in simulation.entries.values():
+            entry.upstreams.record_running(anyio.current_time())
+        if with_heartbeats:
+            simulation.gossip()
+
+
+async def begin(simulation: Simulation, vm: str) -> Caller:
+    """Begin a stream that the caller has two events of when it breaks off."""
+    number = simulation.ask(vm, "/query/x", [], [], leaves_after=2)
+    await let_pass(simulation, STEP_S, with_heartbeats=False)
+    return simulation.callers[number]
+
+
+async def take_up(
+    simulation: Simulation,
+    vm: str,
+    first: Caller,
+    *,
+    after_event: int = 2,
+    leaves_after: int | None = None,
+) -> Caller:
+    """Take a stream up and return what came of it."""
+    number = simulation.ask(
+        vm,
+        "/query/x",
+        [],
+        [],
+        begun_as=first.request_id,
+        after_event=after_event,
+        leaves_after=leaves_after,
+    )
+    await let_pass(simulation, 2, with_heartbeats=False)
+    return simulation.callers[number]
+
+
+class StreamVersionTests(unittest.TestCase):
+    def play(
+        self, scenario: Callable[[Simulation], Awaitable[None]]
+    ) -> tuple[Simulation, list[Caller]]:
+        async def run() -> Simulation:
+            async with start_simulation() as simulation:
+                await scenario(simulation)
+            return simulation
+
+        simulation = run_with_mock_clock(run)
+        self.assertEqual(simulation.internal_failures, [])
+        return simulation, simulation.callers
+
+    def check_one_version(self, *callers: Caller) -> None:
+        """Check that one version wrote all that callers got of one stream."""
+        self.assertEqual(len(set(list_authors(*callers))), 1)
+
+    def check_goes_on(self, first: Caller, *later: Caller) -> None:
+        """Check that the last of some callers got the rest, by the same version."""
+        self.check_one_version(first, *later)
+        self.assertTrue(later[-1].is_whole)
+        last = make_event(EVENTS, later[-1].request_id, list_authors(first)[0])
+        self.assertTrue(later[-1].body.endswith(last))
+
+    def check_refused(self, simulation: Simulation, caller: Caller) -> None:
+        """Check that a request was refused at once and has run nowhere."""
+        self.assertEqual(caller.status, 503)
+        self.assertLess(caller.took_s, AT_ONCE_S)
+        self.assertNotIn(caller.request_id, simulation.runs)
+        self.assertIn("retry-after", caller.headers)
+
+    def check_takes_up(
+        self, disturb: Callable[[Simulation], Awaitable[None]], vms: tuple[str, ...]
+    ) -> None:
+        """Check that streams go on at their version after a disturbance."""
+        for vm in vms:
+            authors = set()
+            for _ in range(4):
+                calls: list[Caller] = []
+
+                async def scenario(
+                    simulation: Simulation, vm: str = vm, calls: list[Caller] = calls
+                ) -> None:
+                    mix(simulation)
+                    calls.append(await begin(simulation, GULF))
+                    await disturb(simulation)
+                    calls.append(await take_up(simulation, vm, calls[0]))
+
+                with self.subTest(vm):
+                    self.play(scenario)
+                    self.check_goes_on(*calls)
+                    authors.update(list_authors(calls[0]))
+
+    def test_a_stream_that_breaks_does_not_go_on_at_another_version(self):
+        async def scenario(simulation: Simulation) -> None:
+            mix(simulation)
+            for vm in VMS * 4:
+                for fault in ("cut", "error inside", "stall"):
+                    simulation.ask(vm, "/query/x", [fault], [])
+
+        _, callers = self.play(scenario)
+        for caller in callers:
+            self.check_one_version(caller)
+
+    def test_a_forwarded_stream_that_breaks_does_not_go_on_at_another_version(self):
+        async def scenario(simulation: Simulation) -> None:
+            mix(simulation)
+            for name in list(simulation.upstreams):
+                if "pool" in name and "gulf" in name:
+                    del simulation.upstreams[name]
+            simulation.gossip()
+            for fault in ("cut", "stall"):
+                simulation.ask(GULF, "/query/x", [fault], [])
+                simulation.ask(GULF_TWO, "/query/x", [], ["cut"])
+
+        resumed = 0
+        for _ in range(8):
+            simulation, callers = self.play(scenario)
+            for caller in callers:
+                self.check_one_version(caller)
+                resumed += len(simulation.runs[caller.request_id]) > 1
+        self.assertGreater(resumed, 8)
+
+    def test_a_stream_taken_up_at_any_vm_goes_on_at_its_version(self):
+        async def nothing(_: Simulation) -> None:
+            pass
+
+        self.check_takes_up(nothing, VMS)
+
+    def test_a_stream_goes_on_after_the_vm_that_began_it_started_anew(self):
+        async def restart(simulation: Simulation) -> None:
+            simulation.restart_vm(GULF)
+
+        self.check_takes_up(restart, VMS)
+
+    def test_a_stream_taken_up_twice_goes_on_at_its_version(self):
+        for _ in range(4):
+            calls: list[Caller] = []
+
+            async def scenario(
+                simulation: Simulation, calls: list[Caller] = calls
+            ) -> None:
+                mix(simulation)
+                calls.append(await begin(simulation, GULF))
+                calls.append(
+                    await take_up(simulation, PIEDMONT, calls[0], leaves_after=1)
+                )
+                simulation.restart_vm(GULF)
+                calls.append(
+                    await take_up(simulation, GULF_TWO, calls[0], after_event=3)
+                )
+
+            self.play(scenario)
+            self.check_goes_on(*calls)
+
+    def test_a_stream_taken_up_after_all_vms_started_anew_is_refused_at_once(self):
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            mix(simulation)
+            calls.append(await begin(simulation, GULF))
+            for vm in VMS:
+                simulation.start_vm(vm, simulation.entries[vm].settings.region)
+            simulation.publish()
+            simulation.gossip()
+            calls.append(await take_up(simulation, GULF, calls[0]))
+
+        simulation, _ = self.play(scenario)
+        self.check_refused(simulation, calls[1])
+
+    def test_one_listed_version_does_not_show_what_began_a_stream(self):
+        """All VMs start anew after the version that began the stream has left."""
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            calls.append(await begin(simulation, GULF))
+            for name in [name for name in simulation.upstreams if "pool" in name]:
+                replace_upstream(simulation, name, "v2")
+            simulation.revision += 1
+            for vm in VMS:
+                simulation.start_vm(vm, simulation.entries[vm].settings.region)
+            simulation.publish()
+            simulation.gossip()
+            calls.append(await take_up(simulation, GULF, calls[0]))
+
+        simulation, _ = self.play(scenario)
+        self.check_refused(simulation, calls[1])
+
+    def test_a_stream_whose_version_has_left_is_refused_at_once(self):
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            await let_pass(simulation, LONG_S)
+            calls.append(await begin(simulation, GULF))
+            for name in [name for name in simulation.upstreams if "pool" in name]:
+                replace_upstream(simulation, name, "v2")
+            simulation.revision += 1
+            simulation.gossip()
+            calls.append(await take_up(simulation, GULF, calls[0]))
+            calls.append(await take_up(simulation, PIEDMONT, calls[0]))
+
+        simulation, _ = self.play(scenario)
+        for caller in calls[1:]:
+            self.check_refused(simulation, caller)
+
+    def test_an_id_that_came_back_as_another_version_does_not_go_on(self):
+        """The list does not show the restart yet."""
+        for is_known in (False, True):
+            calls: list[Caller] = []
+
+            async def scenario(
+                simulation: Simulation,
+                calls: list[Caller] = calls,
+                is_known: bool = is_known,
+            ) -> None:
+                for name in list(simulation.upstreams):
+                    if "pool" in name and name != "pool-gulf":
+                        del simulation.upstreams[name]
+                simulation.gossip()
+                calls.append(await begin(simulation, GULF))
+                simulation.restart_upstream("pool-gulf")
+                simulation.upstreams["pool-gulf"] = replace(
+                    simulation.upstreams["pool-gulf"], software="v2"
+                )
+                if is_known:
+                    simulation.register_restart("pool-gulf", 0)
+                simulation.gossip()
+                calls.append(await take_up(simulation, GULF_TWO, calls[0]))
+
+            with self.subTest(is_known=is_known):
+                simulation, _ = self.play(scenario)
+                self.assertNotIn(calls[1].request_id, simulation.runs)
+
+    def test_a_vm_that_was_away_while_a_version_came_does_not_guess(self):
+        """It stood still or was cut off, and its list shows one version only."""
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            await let_pass(simulation, LONG_S)
+            simulation.cut_off.add(GULF_TWO)
+            for name in [name for name in simulation.upstreams if "pool" in name]:
+                replace_upstream(simulation, name, "v2")
+            simulation.revision += 1
+            await let_pass(simulation, 5)
+            calls.append(await begin(simulation, GULF))
+            calls.append(await take_up(simulation, GULF_TWO, calls[0]))
+            simulation.cut_off.clear()
+            simulation.gossip()
+            calls.append(await take_up(simulation, GULF_TWO, calls[0]))
+
+        simulation, _ = self.play(scenario)
+        self.check_refused(simulation, calls[1])
+        self.check_goes_on(calls[0], calls[2])
+
+    def test_streams_that_began_before_another_version_came_go_on(self):
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            await let_pass(simulation, LONG_S)
+            calls.append(await begin(simulation, GULF))
+            mix(simulation)
+            await anyio.sleep(0.5)
+            simulation.restart_vm(GULF)
+            calls.append(await take_up(simulation, PIEDMONT, calls[0]))
+
+        self.play(scenario)
+        self.check_goes_on(*calls)
+
+
+if __name__ == "__main__":
+    unittest.main()
