Resume a stream within its answer at the software version that began it

Cause: nothing in choosing, moving or forwarding knew that two upstreams of a service may not continue each other's streams; the class of fault is that of taking all upstreams of a service for the same.

Change: the exchange keeps where its stream began, the incarnation and its version. Candidates of other versions, or of an unknown one, are left out once an event was relayed, also for moves; where none is registered the answer ends at once. Heartbeats name the software of candidates and lists of upstreams in fields of their own, so that the release before reads the rest as before; what it sends has no version and is never resumed at. A forwarded request names its origin, the peer's answer names the upstream, and an answer that names none or another version is dropped before its first event. An upstream is asked for its start before a stream goes on there, since another version may have started under its id.

--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -19,6 +19,7 @@
     Organisation,
     RequestHead,
     Route,
+    StreamOrigin,
 )
 from banyanseam.entry.quota import FleetQuota
 from banyanseam.entry.segment_suspects import make_segment_keys
@@ -82,12 +83,23 @@
         ),
         segment_keys=make_segment_keys(head.prompt),
     )
+    if forwarding is not None:
+        _adopt_origin(exchange, forwarding.origin)
     refuse_suspect(admission.suspects, exchange, now_s)
     if forwarding is None and organisation is not None:
         _charge(admission, exchange, organisation, now_s)
     return exchange
 
 
+def _adopt_origin(exchange: Exchange, origin: StreamOrigin | None) -> None:
+    """Let a forwarded stream go on where its sender knows that it began."""
+    if origin is None:
+        return
+    exchange.origin = origin
+    if any(origin.service == service for service, _ in exchange.route.services):
+        exchange.service = origin.service
+
+
 def refuse_suspect(suspects: CrashSuspects, exchange: Exchange, now_s: float) -> bool:
     """Raise CrashSuspected if the request, or a segment of it, crashes upstreams.
 
--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -12,8 +12,9 @@
     NO_CAPACITY_WAIT_SHARE,
     OUTAGE_S,
     QUEUE_PERIOD_S,
+    RESUMED_CAPACITY_WAIT_SHARE,
 )
-from banyanseam.entry.errors import NoUpstreamKnown, RegionsFull
+from banyanseam.entry.errors import NoUpstreamKnown, RegionsFull, StreamVersionGone
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.local_candidates import find_next_send_s, list_local_candidates
 from banyanseam.entry.members import Member, Members
@@ -67,7 +68,12 @@
                     found += self.loads.list_remote_candidates(
                         region, exchange.service, now_s
                     )
-        return [each for each in found if each.upstream_id not in exchange.unreachable]
+        return [
+            each
+            for each in found
+            if each.upstream_id not in exchange.unreachable
+            and exchange.may_run_at(each.software)
+        ]
 
     async def wait_for_placement(self, exchange: Exchange) -> Placement:
         """Wait until the request may be sent, and return the chosen placement.
@@ -75,7 +81,11 @@
         Raise NoUpstreamKnown or RegionsFull as soon as it cannot be served in time.
         """
         started_s = anyio.current_time()
-        max_wait_s = NO_CAPACITY_WAIT_SHARE * exchange.left_ms(started_s) / 1000
+        share = NO_CAPACITY_WAIT_SHARE
+        if exchange.is_resumed:
+            # Fewer upstreams may serve it, and a part of it has been served.
+            share = RESUMED_CAPACITY_WAIT_SHARE
+        max_wait_s = share * exchange.left_ms(started_s) / 1000
         while True:
             now_s = anyio.current_time()
             left_ms = exchange.left_ms(now_s)
@@ -113,6 +123,10 @@
         if not candidates and self._is_none_registered(exchange, now_s):
             # The operators must provide an upstream first, so use the longest delay.
             retry_after_ms = choose_retry_after_ms(left_ms, left_ms)
+            if exchange.origin is not None:
+                raise StreamVersionGone(
+                    f"version {exchange.origin.software}", retry_after_ms=retry_after_ms
+                )
             raise NoUpstreamKnown(retry_after_ms=retry_after_ms)
         waited_s = now_s - started_s
         if waited_s >= max_wait_s:
@@ -144,6 +158,7 @@
         allowed = exchange.allowed_regions(set(regions.values()))
         return not any(
             regions.get(listed.upstream.data_centre) in allowed
+            and exchange.may_run_at(listed.upstream.software)
             for listed in self.upstreams.list_usable(exchange.service, now_s)
         )
 
--- a/banyanseam/entry/errors.py
+++ b/banyanseam/entry/errors.py
@@ -96,3 +96,13 @@
     code = "entry.connection_broken"
     event = 1928
     title = "The upstream's connection broke"
+
+
+class StreamVersionGone(BanyanseamError):
+    """No upstream of the software version that began the stream may serve it now."""
+
+    code = "entry.stream_version_gone"
+    event = 1930
+    status = 503
+    title = "The software version that began this stream no longer serves"
+    not_run = True
--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -12,8 +12,8 @@
     Organisation,
     RequestHead,
     Route,
+    StreamOrigin,
 )
-from banyanseam.entry.origins.models import StreamOrigin
 from banyanseam.entry.scarcity.holding import HoldRule, choose_hold_rule
 from banyanseam.server.reply import AsgiSend
 
@@ -84,8 +84,11 @@
     is_answered: bool = False
     # Number of events that the last send has brought.
     events_of_send: int = 0
-    # The upstream that the last send went to; None if a peer serves it.
+    # The upstream that the last send went to; None if a peer has not named it.
     sent_to: StreamOrigin | None = None
+    # Where the stream began of which the caller has a part; it may only go on at the
+    # same version of the software.
+    origin: StreamOrigin | None = None
     # Software of the upstreams whose events the caller got, in order.
     software: list[str | None] = field(default_factory=list)
     # Number of sends, and whether the request may have run because of them.
@@ -108,8 +111,10 @@
         """Record that the last send has brought an event."""
         self.events_of_send += 1
         if self.events_of_send == 1:
-            software = None if self.sent_to is None else self.sent_to.software
-            self.software.append(software)
+            sent_to = self.sent_to or StreamOrigin(self.service, None)
+            self.software.append(sent_to.software)
+            if self.origin is None:
+                self.origin = sent_to
 
     def deadline_left_ms(self) -> float:
         """Return the time from now to the deadline."""
@@ -149,6 +154,17 @@
         """Return whether the caller already has a part of the answer."""
         return self.last_event is not None or self.head.last_event_id is not None
 
+    def may_run_at(self, software: str | None) -> bool:
+        """Return whether the request may run at a version of the software.
+
+        A stream that has begun may only go on at the same version.
+        """
+        if self.origin is None:
+            return True
+        is_same_service = self.service == self.origin.service
+        is_same_software = software is not None and software == self.origin.software
+        return is_same_service and is_same_software
+
     @property
     def may_resend(self) -> bool:
         """Return whether the request may be sent again although it may have run."""
--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -27,12 +27,13 @@
     Forwarding,
     Headers,
     RequestHead,
+    StreamOrigin,
 )
 from banyanseam.entry.peer_headers import (
     read_forwarding,
     strip_peer_headers,
     write_peer_failure,
-    write_sends,
+    write_progress,
 )
 from banyanseam.entry.refusals import make_problem
 from banyanseam.entry.relay import Relay
@@ -148,7 +149,7 @@
     reply = Reply(send, frontend.lifecycle.is_stopping)
     state = _RequestState(received_s, reply, forwarding)
     if forwarding is not None:
-        reply.list_extra_headers = lambda: write_sends(state.sends)
+        reply.list_extra_headers = lambda: write_progress(state.sends, state.served_by)
     frontend.lifecycle.request_started()
     try:
         await _admit_and_run(frontend, scope, headers, state, receive)
@@ -183,6 +184,11 @@
         """Return the sends to upstreams so far, none before the admission."""
         return 0 if self.exchange is None else self.exchange.sends
 
+    @property
+    def served_by(self) -> StreamOrigin | None:
+        """Return the upstream that the last send went to, if there was one."""
+        return None if self.exchange is None else self.exchange.sent_to
+
 
 async def _admit_and_run(
     frontend: Frontend,
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -37,6 +37,8 @@
     to_candidate_rows,
     to_heartbeat_row,
     to_member_row,
+    to_software_row,
+    to_software_rows,
     to_speed_table,
     to_start_row,
     to_suspect_row,
@@ -122,6 +124,10 @@
                 for region, (candidates, _) in reports.items()
                 if (speeds := to_speed_table(candidates))
             },
+            relayed_software={
+                region: to_software_rows(candidates)
+                for region, (candidates, _) in reports.items()
+            },
             samples=pending.samples,
             levels=self._list_levels_for_new_peers(now_s),
         )
@@ -168,6 +174,7 @@
             region_parts=self._loads.list_region_segments(now_s),
             candidates=to_candidate_rows(candidates),
             speeds=to_speed_table(candidates),
+            software=to_software_rows(candidates),
             starts=[],
         )
 
@@ -186,6 +193,7 @@
             region_parts=self._loads.list_region_segments(now_s),
             candidates=to_candidate_rows(candidates),
             speeds=to_speed_table(candidates),
+            software=to_software_rows(candidates),
             samples=self._loads.performance.list_samples(),
             levels=self._quota.list_levels(),
             suspects=_to_suspect_rows(self._suspects.list_all_reports(now_s)),
@@ -206,6 +214,9 @@
             gossip.upstreams_digest = make_digest(listing)
         else:
             gossip.upstreams = [to_upstream_row(each) for each in listing]
+            gossip.upstreams_software = to_software_row(
+                each.software for each in listing
+            )
             gossip.starts = self._list_starts(-math.inf)
         return gossip
 
@@ -324,7 +335,8 @@
         self._relay_log.record_samples(gossip.samples, gossip.direction)
         for region, (candidate_rows, segments) in gossip.relayed.items():
             speeds = gossip.relayed_speeds.get(region, {})
-            candidates = from_candidate_rows(candidate_rows, region, speeds)
+            software = gossip.relayed_software.get(region, {})
+            candidates = from_candidate_rows(candidate_rows, region, speeds, software)
             self._loads.store_region_report(region, candidates, segments, now_s)
             ips = [row.ip for row in rows if row.region == region]
             self._relay_log.record_report(region, ips, gossip.direction)
@@ -333,7 +345,9 @@
         self, gossip: Gossip, region: str, rows: list[Member], now_s: float
     ) -> None:
         # An empty report counts too: the region then has no candidates.
-        candidates = from_candidate_rows(gossip.candidates, region, gossip.speeds)
+        candidates = from_candidate_rows(
+            gossip.candidates, region, gossip.speeds, gossip.software
+        )
         self._loads.store_region_report(region, candidates, gossip.region_parts, now_s)
         ips = [row.ip for row in rows if row.region == region]
         self._relay_log.record_report(region, ips, None)
--- a/banyanseam/entry/local_candidates.py
+++ b/banyanseam/entry/local_candidates.py
@@ -122,6 +122,7 @@
                 queued_ms=queued_ms,
                 is_reserve=is_cold,
                 performance=_find_performance(loads, service, upstream),
+                software=upstream.software,
             )
         )
     return found
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -50,6 +50,9 @@
 # Durations of a service's upstreams in percent of the initial performance, in the order
 # of their candidate rows; services of which all have 100 are left out.
 SpeedTable = dict[str, list[Annotated[int, Field(gt=0, le=10_000)]]]
+# The versions of the software of a list of upstreams (None: not known), and for each
+# upstream the index of its own; no indexes if all have the first.
+SoftwareRow = tuple[list[str | None], list[Annotated[int, Field(ge=0)]]]
 # Loads by tag of the upstream's incarnation.
 LoadTable = dict[int, LoadRow]
 
@@ -86,6 +89,9 @@
     # Speeds of `candidates` and, by region, of those in `relayed`.
     speeds: SpeedTable = Field(default_factory=dict)
     relayed_speeds: dict[str, SpeedTable] = Field(default_factory=dict)
+    # Software of `candidates` and, by region, of those in `relayed`.
+    software: dict[str, SoftwareRow] = Field(default_factory=dict)
+    relayed_software: dict[str, dict[str, SoftwareRow]] = Field(default_factory=dict)
     # Samples of the speed of the region's upstreams, from the sender and passed on.
     samples: list[SampleRow] = Field(default_factory=list)
     # Total charges that changed recently, one row for each process.
@@ -106,6 +112,8 @@
     starts: list[StartRow] = Field(default_factory=list)
     # The registered upstreams, sent by the process that has just read them.
     upstreams: list[UpstreamRow] | None = None
+    # Their software; None from the release before.
+    upstreams_software: SoftwareRow | None = None
     upstreams_revision: int = -1
     # The store's era of the revision; None from the release before.
     upstreams_era: int | None = None
@@ -212,10 +220,47 @@
     )
 
 
-def from_upstream_row(row: UpstreamRow) -> Upstream:
-    """Return the upstream of a row."""
-    state = UpstreamState.READY if row[4] else UpstreamState.LEAVING
-    return Upstream(*row[:4], state, *row[5:])
+def from_upstream_rows(
+    rows: list[UpstreamRow], software: SoftwareRow | None
+) -> list[Upstream]:
+    """Return the upstreams of rows."""
+    return [
+        Upstream(
+            *row[:4],
+            UpstreamState.READY if row[4] else UpstreamState.LEAVING,
+            *row[5:],
+            version,
+        )
+        for row, version in zip(
+            rows, from_software_row(software, len(rows)), strict=True
+        )
+    ]
+
+
+def to_software_row(versions: Iterable[str | None]) -> SoftwareRow:
+    """Return the row of the software of upstreams, given in their order."""
+    names: dict[str | None, int] = {}
+    indexes = [names.setdefault(version, len(names)) for version in versions]
+    return list(names), indexes if len(names) > 1 else []
+
+
+def from_software_row(row: SoftwareRow | None, count: int) -> list[str | None]:
+    """Return the software of so many upstreams; None where the row doesn't tell."""
+    names, indexes = row or ([], [])
+    if not indexes and len(names) == 1:
+        return names * count
+    found = [names[index] if index < len(names) else None for index in indexes[:count]]
+    return found + [None] * (count - len(found))
+
+
+def to_software_rows(
+    candidates: dict[str, list[Candidate]],
+) -> dict[str, SoftwareRow]:
+    """Return the software of a region's candidates by service."""
+    return {
+        service: to_software_row(each.software for each in found)
+        for service, found in candidates.items()
+    }
 
 
 def make_digest(upstreams: Iterable[Upstream]) -> int:
@@ -297,24 +342,38 @@
 
 
 def from_candidate_row(
-    row: CandidateRow, region: str, work_percent: int = INITIAL_PERCENT
+    row: CandidateRow,
+    region: str,
+    work_percent: int = INITIAL_PERCENT,
+    software: str | None = None,
 ) -> Candidate:
     """Return the candidate of a row that a region reported."""
     return Candidate(
-        row[0], region, *row[1:], performance=scale_performance(work_percent)
+        row[0],
+        region,
+        *row[1:],
+        performance=scale_performance(work_percent),
+        software=software,
     )
 
 
 def from_candidate_rows(
-    rows: dict[str, list[CandidateRow]], region: str, speeds: SpeedTable
+    rows: dict[str, list[CandidateRow]],
+    region: str,
+    speeds: SpeedTable,
+    software: dict[str, SoftwareRow],
 ) -> dict[str, list[Candidate]]:
-    """Return the candidates that a region reported; an older VM reports no speeds."""
+    """Return the candidates that a region reported.
+
+    An older VM reports neither speeds nor software.
+    """
     return {
         service: [
-            from_candidate_row(row, region, percent)
-            for row, percent in zip_longest(
+            from_candidate_row(row, region, percent, version)
+            for row, percent, version in zip_longest(
                 found,
                 speeds.get(service, [])[: len(found)],
+                from_software_row(software.get(service), len(found)),
                 fillvalue=INITIAL_PERCENT,
             )
         ]
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -211,6 +211,20 @@
     LEAVING = "leaving"
 
 
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """The incarnation of an upstream that brought the first event of a stream.
+
+    `upstream_id` is empty if only the software is known, and `software` is None if it
+    is not.
+    """
+
+    service: str
+    software: str | None
+    upstream_id: str = ""
+    started_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Upstream:
     """The last registration of an upstream."""
@@ -231,6 +245,13 @@
     # Version of its software; None if it isn't known.
     software: str | None = None
 
+    @property
+    def origin(self) -> StreamOrigin:
+        """Return the origin of the streams that this incarnation begins."""
+        return StreamOrigin(
+            self.service, self.software, self.upstream_id, self.started_ms
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class PrefixSegment:
@@ -314,6 +335,8 @@
     key_digest: bytes | None
     # Whether the sender tries a request that may crash upstreams.
     is_trial: bool = False
+    # Where the stream began that is to go on.
+    origin: StreamOrigin | None = None
 
 
 class StorePosition(NamedTuple):
--- a/banyanseam/entry/peer_headers.py
+++ b/banyanseam/entry/peer_headers.py
@@ -5,9 +5,10 @@
 """
 
 from typing import Final
+from urllib.parse import quote, unquote
 
 from banyanseam.entry.exchange import Exchange
-from banyanseam.entry.models import Forwarding, Headers
+from banyanseam.entry.models import Forwarding, Headers, StreamOrigin
 from banyanseam.errors import Problem
 from banyanseam.pipe.errors import ForwardFailed, RequestMalformed
 
@@ -20,6 +21,8 @@
 TRIAL: Final = b"x-banyanseam-trial"
 FAILURE: Final = b"x-banyanseam-failure"
 SENDS: Final = b"x-banyanseam-sends"
+# Of a request: where the stream began that is to go on. Of an answer: who serves it.
+ORIGIN: Final = b"x-banyanseam-origin"
 PREFIX: Final = b"x-banyanseam-"
 
 
@@ -34,6 +37,8 @@
     ]
     if exchange.is_trial:
         headers.append((TRIAL, b"1"))
+    if exchange.origin is not None:
+        headers.append((ORIGIN, _encode_origin(exchange.origin)))
     if exchange.organisation is not None:
         headers.append((ORGANISATION, exchange.organisation.name.encode()))
         if exchange.head.key_digest is not None:
@@ -58,6 +63,7 @@
         config_version=int(version) if version.isdigit() else 0,
         key_digest=_read_hex(by_name.get(KEY_DIGEST)),
         is_trial=TRIAL in by_name,
+        origin=_decode_origin(by_name.get(ORIGIN)),
     )
 
 
@@ -75,9 +81,37 @@
     return [header for header in headers if not header[0].startswith(PREFIX)]
 
 
-def write_sends(sends: int) -> Headers:
-    """Return the header that reports the sends to upstreams so far."""
-    return [(SENDS, str(sends).encode())]
+def write_progress(sends: int, served_by: StreamOrigin | None) -> Headers:
+    """Return the headers that report the sends so far, and to whom the last went."""
+    headers = [(SENDS, str(sends).encode())]
+    if served_by is not None:
+        headers.append((ORIGIN, _encode_origin(served_by)))
+    return headers
+
+
+def read_served_by(headers: Headers) -> StreamOrigin | None:
+    """Return the upstream that a peer names; one of an older release names none."""
+    return _decode_origin({name.lower(): value for name, value in headers}.get(ORIGIN))
+
+
+def _encode_origin(origin: StreamOrigin) -> bytes:
+    software = "" if origin.software is None else f"={quote(origin.software, safe='')}"
+    service, upstream_id = quote(origin.service, safe=""), origin.upstream_id
+    return f"{service} {software} {upstream_id} {origin.started_ms}".encode("latin-1")
+
+
+def _decode_origin(value: bytes | None) -> StreamOrigin | None:
+    parts = b"" if value is None else value
+    fields = parts.decode("latin-1").split(" ")
+    if len(fields) != 4 or not fields[3].isdigit():
+        return None
+    service, software, upstream_id, started_ms = fields
+    return StreamOrigin(
+        unquote(service),
+        unquote(software[1:]) if software else None,
+        upstream_id,
+        int(started_ms),
+    )
 
 
 def read_sends(headers: Headers) -> int | None:
--- a/banyanseam/entry/placing.py
+++ b/banyanseam/entry/placing.py
@@ -48,6 +48,8 @@
     # Cold or suspect: used only if there is no other candidate.
     is_reserve: bool = False
     performance: Performance = INITIAL_PERFORMANCE
+    # Version of its software; None if it isn't known.
+    software: str | None = None
     # Time on the way to another region and back.
     network_ms: float = ROUND_TRIP_MS
 
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -33,11 +33,10 @@
 )
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.listed_upstream import ListedUpstream
-from banyanseam.entry.members import Members
+from banyanseam.entry.members import Member, Members
 from banyanseam.entry.messages import make_upstream_tag
 from banyanseam.entry.models import AnswerHead, Headers, RequestHead, SendMetadata
 from banyanseam.entry.moving import MovePolicy, Progress
-from banyanseam.entry.origins.models import make_origin
 from banyanseam.entry.outgoing import make_outgoing, make_send_metadata
 from banyanseam.entry.peer_connections import (
     PeerConnections,
@@ -47,6 +46,7 @@
 from banyanseam.entry.peer_headers import (
     read_peer_failure,
     read_sends,
+    read_served_by,
     strip_peer_headers,
     write_forwarding,
 )
@@ -172,6 +172,8 @@
         if listed is None:
             # It was deregistered after it had been chosen; nothing was sent.
             raise UpstreamUnreachable(placement.candidate.upstream_id)
+        if exchange.origin is not None:
+            await self._check_start(exchange, listed)
         now_s = anyio.current_time()
         if placement.candidate.is_reserve:
             listed.usage.cold_sent_s = now_s
@@ -184,7 +186,7 @@
             if pending_prefill_ms[0] >= LONG_PREFILL_MS:
                 await self.announce()
             upstream = listed.upstream
-            exchange.sent_to = make_origin(upstream)
+            exchange.sent_to = upstream.origin
             metadata = make_send_metadata(exchange, upstream.upstream_id, now_s)
             headers = self.upstream_format.write_headers(exchange.head, metadata)
             outgoing = make_outgoing(exchange, upstream.address, headers, now_s)
@@ -211,6 +213,15 @@
                         exchange, placement, answer, incoming, listed, recorder
                     )
 
+    async def _check_start(self, exchange: Exchange, listed: ListedUpstream) -> None:
+        """Raise UpstreamUnreachable unless the listed incarnation answers.
+
+        Another version may have started under its id, and would go on with the stream.
+        """
+        if not await self.start_checks.is_running(listed.upstream):
+            exchange.unreachable.add(listed.upstream.upstream_id)
+            raise UpstreamUnreachable(listed.upstream.upstream_id)
+
     def _make_recorder(self, exchange: Exchange, placement: Placement) -> RunRecorder:
         return RunRecorder(
             self.loads.performance,
@@ -286,6 +297,7 @@
                     incoming.status, _strip_headers(incoming)
                 )
                 check_answer(exchange, answer)
+                self._check_served_by(exchange, answer, incoming.headers, peer)
                 self._record_shared_prefix(exchange, placement)
                 await self._relay_answer(exchange, placement, answer, incoming)
         except UpstreamUnreachable:
@@ -295,6 +307,19 @@
         finally:
             self.loads.forwarded[region] -= 1
 
+    def _check_served_by(
+        self, exchange: Exchange, answer: AnswerHead, headers: Headers, peer: Member
+    ) -> None:
+        """Record who serves a forwarded stream; raise if it may not go on there."""
+        exchange.sent_to = read_served_by(headers)
+        if exchange.origin is None or answer.status != 200:
+            return
+        if exchange.sent_to is None or not exchange.may_run_at(
+            exchange.sent_to.software
+        ):
+            exchange.unreachable.add(peer.ip)
+            raise UpstreamFailed(f"{peer.ip}: the stream may not go on at its upstream")
+
     async def _relay_answer(
         self,
         exchange: Exchange,
--- a/banyanseam/entry/start_checks.py
+++ b/banyanseam/entry/start_checks.py
@@ -89,6 +89,23 @@
         if self._can_check(listed.upstream):
             self.tasks.start_soon(self._follow_cold, listed)
 
+    async def is_running(self, upstream: Upstream) -> bool:
+        """Return whether an incarnation answers now, rather than a later one.
+
+        An upstream that reports no start is taken for the one that is listed.
+        """
+        found = await self._ask(upstream)
+        if found is Failure.NO_REPORT or upstream.started_ms == 0:
+            return True
+        if isinstance(found, Failure):
+            return False
+        if found > upstream.started_ms:
+            now_s = anyio.current_time()
+            finding = StartFinding(make_start_key(upstream), found, now_s)
+            if self.upstreams.record_start(finding, now_s):
+                await self._announce(finding)
+        return found == upstream.started_ms
+
     def _can_check(self, upstream: Upstream) -> bool:
         """Return whether it is an engine, which reports its start, of this region."""
         catalogue = self.get_catalogue()
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -102,10 +102,22 @@
         self._record_confirmation(position, now_s)
         if is_restored:
             self._record_return(now_s)
-        self.listing = tuple(upstreams)
+        self.listing = tuple(map(self._complete, upstreams))
         self._apply_listing(now_s)
         return True
 
+    def _complete(self, upstream: Upstream) -> Upstream:
+        """Return a registration with the software that its incarnation is known to run.
+
+        A list from a VM of the release before lacks it.
+        """
+        listed = self._listed.get(upstream.upstream_id)
+        if upstream.software is not None or listed is None:
+            return upstream
+        if make_start_key(listed.upstream) != make_start_key(upstream):
+            return upstream
+        return replace(upstream, software=listed.upstream.software)
+
     def _record_return(self, now_s: float) -> None:
         """Keep what is known until upstreams have written again to the store."""
         self._rewritten_at_s = now_s + EXPIRED_ENTRY_GRACE_S
@@ -367,7 +379,11 @@
         warmup_s = self.warmups_s.get(upstream.service, 0.0)
         cold_s = max(0.0, finding.at_s + warmup_s - now_s)
         return replace(
-            upstream, started_ms=finding.found_ms, cold_ms=int(cold_s * 1000)
+            upstream,
+            started_ms=finding.found_ms,
+            cold_ms=int(cold_s * 1000),
+            # The list does not show yet what has started.
+            software=None,
         )
 
     def list_replaced(self, now_s: float) -> list[tuple[str, int]]:
--- a/banyanseam/entry/values.py
+++ b/banyanseam/entry/values.py
@@ -13,7 +13,7 @@
 from banyanseam.config.errors import InvalidConfig
 from banyanseam.entry.evacuations import Evacuations
 from banyanseam.entry.listed_upstream import ListedUpstream
-from banyanseam.entry.messages import Gossip, ValuesMessage, from_upstream_row
+from banyanseam.entry.messages import Gossip, ValuesMessage, from_upstream_rows
 from banyanseam.entry.models import (
     Catalogue,
     Listing,
@@ -180,7 +180,9 @@
 
     def apply_gossip(self, gossip: Gossip, now_s: float) -> None:
         """Adopt a list of upstreams that a peer of the region has sent."""
-        upstreams = [from_upstream_row(row) for row in gossip.upstreams or ()]
+        upstreams = from_upstream_rows(
+            gossip.upstreams or [], gossip.upstreams_software
+        )
         position = self.locate(gossip.upstreams_era, gossip.upstreams_revision)
         if gossip.upstreams_era is not None:
             self.record_position(position, now_s)
--- a/tests/entry/performance/test_messages.py
+++ b/tests/entry/performance/test_messages.py
@@ -59,7 +59,7 @@
         )
         received = decode_gossip(encode_gossip(gossip))
         self.assertEqual(received, gossip)
-        found = from_candidate_rows(received.candidates, "gulf", received.speeds)
+        found = from_candidate_rows(received.candidates, "gulf", received.speeds, {})
         self.assertEqual(found, report)
 
     def test_a_vm_of_the_release_before_reads_and_sends_the_rows_as_before(self):
@@ -75,13 +75,13 @@
         self.assertEqual(set(fields) - set(old), {"speeds", "samples"})
         self.assertEqual([len(row) for row in old["candidates"]["pool"]], [8, 8])
         received = decode_gossip(cbor2.dumps(old))
-        found = from_candidate_rows(received.candidates, "gulf", received.speeds)
+        found = from_candidate_rows(received.candidates, "gulf", received.speeds, {})
         for candidate in found["pool"]:
             self.assertIs(candidate.performance, INITIAL_PERFORMANCE)
 
     def test_a_report_with_fewer_speeds_than_candidates_is_accepted(self):
         rows = to_candidate_rows(make_report(3, 40))
-        found = from_candidate_rows(rows, "gulf", {"pool": [40]})["pool"]
+        found = from_candidate_rows(rows, "gulf", {"pool": [40]}, {})["pool"]
         self.assertEqual(found[0].performance, scale_performance(40))
         self.assertIs(found[2].performance, INITIAL_PERFORMANCE)
 
--- a/tests/entry/test_messages.py
+++ b/tests/entry/test_messages.py
@@ -6,11 +6,12 @@
     Gossip,
     decode_gossip,
     encode_gossip,
-    from_upstream_row,
+    from_upstream_rows,
     make_load_tag,
     pack_ip,
     to_heartbeat_row,
     to_member_row,
+    to_software_row,
     to_upstream_row,
     unpack_ip,
 )
@@ -37,10 +38,12 @@
             spent=[(pack_ip("10.1.0.1"), 7, 3, True, [0, 5])],
             relayed={"delta": ({"pool": []}, ["h1"])},
             upstreams=[to_upstream_row(leaving)],
+            upstreams_software=to_software_row([leaving.software]),
         )
         received = decode_gossip(encode_gossip(gossip))
         self.assertEqual(received, gossip)
-        self.assertEqual(from_upstream_row(received.upstreams[0]), leaving)
+        found = from_upstream_rows(received.upstreams, received.upstreams_software)
+        self.assertEqual(found, [leaving])
         self.assertEqual(unpack_ip(received.beats[0][0]), "10.1.0.2")
 
     def test_malformed_heartbeats_are_rejected(self):
