Take up a stream at the software version that began it

Cause: no VM read which request began a stream, and none remembered where it began.

Change: the entry VM remembers where each stream began. While another version may have begun one, it tells two VMs of its region and one of each other, chosen by hash of the request; streams that are running are told when a second version appears. A VM that gets a take-up asks three VMs of each region, and goes on at the first origin that is named. Without one it goes on only if its list, or that of a VM that answers, has shown one version for 20 s without a gap and no VM that answers knows another; else it refuses at once with 503 (entry.stream_origin_unknown), or with entry.stream_version_gone if no upstream of the version is left. An origin counts as unknown while another version may have started under the same id before the list showed it.

--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -96,6 +96,7 @@
     if origin is None:
         return
     exchange.origin = origin
+    exchange.begun_s = exchange.received_s
     if any(origin.service == service for service, _ in exchange.route.services):
         exchange.service = origin.service
 
--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -37,6 +37,10 @@
 from banyanseam.entry.metrics import Metrics
 from banyanseam.entry.models import Catalogue, EntrySettings
 from banyanseam.entry.operators import make_operators_app
+from banyanseam.entry.origins.network import OriginNetwork
+from banyanseam.entry.origins.records import OriginRecords
+from banyanseam.entry.origins.takeups import TakeUps
+from banyanseam.entry.origins.versions import SoftwareVersions
 from banyanseam.entry.placing import Candidate
 from banyanseam.entry.quota import FleetQuota
 from banyanseam.entry.reach import PeerReachability
@@ -163,6 +167,11 @@
         self.upstreams.on_restarted.append(
             lambda _, listed: self.start_checks.follow_cold(listed)
         )
+        records = OriginRecords(self.upstreams)
+        versions = SoftwareVersions(self.upstreams)
+        self.origins = OriginNetwork(self.members, records, versions)
+        self.origins.send = self.gossip.send_data
+        self.gossip.on_origins = self.origins.receive
         relay = Relay(
             upstream_format,
             self.members,
@@ -171,6 +180,7 @@
             self.retries,
             crashes,
             self.start_checks,
+            TakeUps(records, versions, self.origins, self.suspension_detector.tick),
             PeerReachability(),
             settings.peers_port,
             self.gossip.announce_loads,
@@ -230,6 +240,7 @@
             tasks.start_soon(self._serve_metrics)
             tasks.start_soon(self.gossip.run)
             tasks.start_soon(self.store_watcher.run)
+            tasks.start_soon(self.origins.run)
             tasks.start_soon(self.frontend.relay.peer_connections.run)
             tasks.start_soon(self._begin_serving)
             tasks.start_soon(self._follow_settings)
--- a/banyanseam/entry/departures.py
+++ b/banyanseam/entry/departures.py
@@ -24,8 +24,12 @@
 
     def list_recent(self, now_s: float) -> Iterator[Upstream]:
         """Return the incarnations that went recently."""
+        return self.list_since(now_s - RETURN_MEMORY_S)
+
+    def list_since(self, since_s: float) -> Iterator[Upstream]:
+        """Return the incarnations that went after a time."""
         for upstream, at_s in self._gone.values():
-            if now_s - at_s < RETURN_MEMORY_S:
+            if at_s > since_s:
                 yield upstream
 
 
--- a/banyanseam/entry/errors.py
+++ b/banyanseam/entry/errors.py
@@ -98,6 +98,16 @@
     title = "The upstream's connection broke"
 
 
+class StreamOriginUnknown(BanyanseamError):
+    """No process knows which software version began the stream that is to go on."""
+
+    code = "entry.stream_origin_unknown"
+    event = 1929
+    status = 503
+    title = "The software version that began this stream is not known"
+    not_run = True
+
+
 class StreamVersionGone(BanyanseamError):
     """No upstream of the software version that began the stream may serve it now."""
 
--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -86,9 +86,12 @@
     events_of_send: int = 0
     # The upstream that the last send went to; None if a peer has not named it.
     sent_to: StreamOrigin | None = None
-    # Where the stream began of which the caller has a part; it may only go on at the
-    # same version of the software.
+    # Where the stream began of which the caller has a part, and when; it may only go on
+    # at the same version of the software.
     origin: StreamOrigin | None = None
+    begun_s: float = 0.0
+    # Called before the caller gets the first event of a stream.
+    on_begun: Callable[[], None] = lambda: None
     # Software of the upstreams whose events the caller got, in order.
     software: list[str | None] = field(default_factory=list)
     # Number of sends, and whether the request may have run because of them.
@@ -115,6 +118,7 @@
             self.software.append(sent_to.software)
             if self.origin is None:
                 self.origin = sent_to
+                self.on_begun()
 
     def deadline_left_ms(self) -> float:
         """Return the time from now to the deadline."""
@@ -154,6 +158,12 @@
         """Return whether the caller already has a part of the answer."""
         return self.last_event is not None or self.head.last_event_id is not None
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Return whether an earlier request has brought a part of the stream."""
+        has_events = (self.head.last_event_id or "0") != "0"
+        return self.route.is_stream and (has_events or self.head.begun_as is not None)
+
     def may_run_at(self, software: str | None) -> bool:
         """Return whether the request may run at a version of the software.
 
--- a/banyanseam/entry/gossip.py
+++ b/banyanseam/entry/gossip.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 from anyio.abc import UDPSocket
@@ -31,6 +31,7 @@
 from banyanseam.entry.members import Member, Members
 from banyanseam.entry.messages import Gossip, decode_gossip, encode_gossip, make_digest
 from banyanseam.entry.models import EntrySettings
+from banyanseam.entry.origins.messages import is_origins
 from banyanseam.entry.quota import FleetQuota
 from banyanseam.entry.region_grid import Neighbours, choose_neighbours
 from banyanseam.entry.relay_log import Direction
@@ -71,6 +72,8 @@
         # in full.
         self._full_list_digest = (-1, -1)
         self._full_list_sent_s = -1e9
+        # Handles a message about the origins of streams from an address.
+        self.on_origins: Callable[[bytes, str], Awaitable[None]] | None = None
         # Returns whether this process is open to new callers, whether it accepts
         # requests, and how many it is running.
         self.get_own_state: Callable[[], tuple[bool, bool, int]] = lambda: (
@@ -145,6 +148,9 @@
     async def _receive(self) -> None:
         async for data, (ip, _) in self._socket:
             try:
+                if is_origins(data):
+                    await self.on_origins(data, ip)
+                    continue
                 gossip = decode_gossip(data)
                 reply = self._handle_heartbeat(gossip)
             except InvalidPeerMessage as error:
@@ -321,9 +327,10 @@
     async def _send(self, ips: Iterable[str], gossip: Gossip) -> None:
         data = encode_gossip(gossip)
         for ip in ips:
-            await self._send_data(ip, data)
+            await self.send_data(ip, data)
 
-    async def _send_data(self, ip: str, data: bytes) -> None:
+    async def send_data(self, ip: str, data: bytes) -> None:
+        """Send a datagram to the process at an address; drop it if that fails."""
         if len(data) > MAX_DATAGRAM_BYTES:
             log(MESSAGE_DROPPED, code="peers.too_large", ip=ip, size_bytes=len(data))
             return
--- /dev/null
+++ b/banyanseam/entry/origins/network.py
@@ -0,0 +1,196 @@
+"""Tells a few peers where streams began, and asks them.
+
+While one version of the software serves, nothing is told: a question finds out that no
+other can have begun the stream.
+"""
+
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+
+import anyio
+
+from banyanseam.entry.members import Members
+from banyanseam.entry.origins.const import (
+    ASK_TIMEOUT_S,
+    ASKED_IN_REGION,
+    MAX_TOLD_ROWS,
+    OTHER_REGION_HOLDERS,
+    OWN_REGION_HOLDERS,
+    TAKE_UP_S,
+    TELL_PERIOD_S,
+)
+from banyanseam.entry.origins.messages import (
+    OriginMessage,
+    OriginQuestion,
+    OriginReply,
+    OriginRow,
+    decode_origins,
+    encode_origins,
+    from_origin_row,
+    to_origin_row,
+)
+from banyanseam.entry.origins.records import OriginRecord, OriginRecords
+from banyanseam.entry.origins.versions import SoftwareVersions
+from banyanseam.peers.rendezvous import rank
+
+
+@dataclass(slots=True)
+class _Question:
+    """A question that peers have not all answered."""
+
+    awaited: set[str]
+    replies: dict[str, OriginReply] = field(default_factory=dict)
+    answered: anyio.Event = field(default_factory=anyio.Event)
+
+
+class OriginNetwork:
+    """Exchanges the origins of streams with peers."""
+
+    def __init__(
+        self, members: Members, records: OriginRecords, versions: SoftwareVersions
+    ) -> None:
+        """Store what is told; `send` must be set before anything is."""
+        self._members = members
+        self._records = records
+        self._versions = versions
+        # Sends a datagram to the process at an address.
+        self.send: Callable[[str, bytes], Awaitable[None]] | None = None
+        # Streams that began here, that may be taken up and that no peer knows of.
+        self._untold: dict[int, OriginRecord] = {}
+        self._has_news = anyio.Event()
+        self._questions: dict[int, _Question] = {}
+
+    async def run(self) -> None:
+        """Tell peers of streams until cancelled."""
+        while True:
+            with anyio.move_on_after(TELL_PERIOD_S):
+                await self._has_news.wait()
+            self._has_news = anyio.Event()
+            await self._tell()
+
+    def add(self, key: int, record: OriginRecord) -> None:
+        """Tell peers where a stream began, as soon as another version may have."""
+        self._untold[key] = record
+        if self._must_be_told(record, record.begun_s):
+            self._has_news.set()
+
+    def discard(self, key: int) -> None:
+        """Don't tell peers of a stream that has ended well."""
+        self._untold.pop(key, None)
+
+    async def ask(self, key: int, services: Iterable[str]) -> dict[str, OriginReply]:
+        """Return peers' replies about a stream by address.
+
+        Stop at the first that knows its origin.
+        """
+        question = self._questions.get(key)
+        if question is not None:
+            with anyio.move_on_after(ASK_TIMEOUT_S):
+                await question.answered.wait()
+            return question.replies
+        question = _Question(set(self._choose_asked(key)))
+        self._questions[key] = question
+        body = OriginQuestion(key=key, services=sorted(services))
+        data = encode_origins(OriginMessage(question=body))
+        try:
+            with anyio.move_on_after(ASK_TIMEOUT_S):
+                for ip in sorted(question.awaited):
+                    await self.send(ip, data)
+                if question.awaited:
+                    await question.answered.wait()
+        finally:
+            del self._questions[key]
+            question.answered.set()
+        return question.replies
+
+    async def receive(self, data: bytes, ip: str) -> None:
+        """Handle a message of the peer at an address; raise InvalidPeerMessage."""
+        message = decode_origins(data)
+        now_s = anyio.current_time()
+        for row in message.begun:
+            record = from_origin_row(row, now_s)
+            self._records.record(row[0], record, now_s)
+            self._versions.record_told(record.origin, now_s)
+        if message.question is not None:
+            reply = OriginMessage(reply=self._make_reply(message.question, now_s))
+            await self.send(ip, encode_origins(reply))
+        if message.reply is not None:
+            self._accept(message.reply, ip)
+
+    def list_regions(self) -> set[str]:
+        """Return the other regions in which a process was alive recently."""
+        now_s = anyio.current_time()
+        others = set(self._members.regions.values()) - {self._members.me.region}
+        return {each for each in others if self._members.list_recent(now_s, each)}
+
+    def find_region(self, ip: str) -> str | None:
+        """Return the region of a peer."""
+        member = self._members.find(ip)
+        return None if member is None else member.region
+
+    def _make_reply(self, question: OriginQuestion, now_s: float) -> OriginReply:
+        record = self._records.find(question.key, now_s)
+        return OriginReply(
+            key=question.key,
+            found=None
+            if record is None
+            else to_origin_row(question.key, record, now_s),
+            versions=sorted(
+                self._versions.list_recent(question.services, now_s), key=str
+            ),
+            is_complete=self._versions.is_complete(now_s),
+        )
+
+    def _accept(self, reply: OriginReply, ip: str) -> None:
+        question = self._questions.get(reply.key)
+        if question is None:
+            return
+        question.replies[ip] = reply
+        question.awaited.discard(ip)
+        is_known = reply.found is not None and reply.found[2] is not None
+        if is_known or not question.awaited:
+            question.answered.set()
+
+    def _must_be_told(self, record: OriginRecord, now_s: float) -> bool:
+        service = record.origin.service
+        recent = self._versions.list_recent([service], now_s)
+        if (service, record.origin.software) not in recent:
+            return True
+        return self._versions.is_ambiguous([service], now_s)
+
+    async def _tell(self) -> None:
+        now_s = anyio.current_time()
+        rows: dict[str, list[OriginRow]] = {}
+        for key, record in list(self._untold.items()):
+            if now_s - record.begun_s > TAKE_UP_S:
+                del self._untold[key]
+            elif self._must_be_told(record, now_s):
+                del self._untold[key]
+                row = to_origin_row(key, record, now_s)
+                for ip in self._choose_holders(key, now_s):
+                    rows.setdefault(ip, []).append(row)
+        for ip, found in rows.items():
+            for start in range(0, len(found), MAX_TOLD_ROWS):
+                message = OriginMessage(begun=found[start : start + MAX_TOLD_ROWS])
+                await self.send(ip, encode_origins(message))
+
+    def _choose_holders(self, key: int, now_s: float) -> list[str]:
+        """Return the processes that remember where a stream began."""
+        own_region = self._members.me.region
+        holders = []
+        for region in sorted(set(self._members.regions.values())):
+            count = OTHER_REGION_HOLDERS
+            if region == own_region:
+                count = OWN_REGION_HOLDERS
+            alive = [each.ip for each in self._members.list_alive(now_s, region)]
+            holders += rank(alive, str(key))[:count]
+        return holders
+
+    def _choose_asked(self, key: int) -> list[str]:
+        """Return the processes that may remember a stream, also some that are gone."""
+        now_s = anyio.current_time()
+        asked = []
+        for region in sorted(set(self._members.regions.values())):
+            recent = [each.ip for each in self._members.list_recent(now_s, region)]
+            asked += rank(recent, str(key))[:ASKED_IN_REGION]
+        return asked
--- /dev/null
+++ b/banyanseam/entry/origins/takeups.py
@@ -0,0 +1,146 @@
+"""Finds the software version at which a stream may go on."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+
+import anyio
+
+from banyanseam.entry.choosing import choose_retry_after_ms
+from banyanseam.entry.errors import StreamOriginUnknown
+from banyanseam.entry.exchange import Exchange
+from banyanseam.entry.models import StreamOrigin
+from banyanseam.entry.origins.messages import OriginReply, from_origin_row
+from banyanseam.entry.origins.network import OriginNetwork
+from banyanseam.entry.origins.records import (
+    OriginRecord,
+    OriginRecords,
+    make_stream_key,
+)
+from banyanseam.entry.origins.versions import SoftwareVersions, has_unknown
+from banyanseam.observe.events import STREAM_TAKEN_UP, log
+
+
+@dataclass(frozen=True, slots=True)
+class TakeUps:
+    """Knows where streams began, by this process, by peers or since one version serves.
+
+    Nothing is guessed: a version that can't be known isn't found.
+    """
+
+    records: OriginRecords
+    versions: SoftwareVersions
+    network: OriginNetwork
+    # Notices a suspension that no task has noticed yet.
+    check_running: Callable[[], object]
+
+    def record_begin(self, exchange: Exchange) -> None:
+        """Record that the caller is about to get the first event of a stream."""
+        now_s = anyio.current_time()
+        key = _find_key(exchange)
+        record = OriginRecord(exchange.origin, now_s)
+        exchange.begun_s = now_s
+        self.records.record(key, record, now_s)
+        self.network.add(key, record)
+
+    def record_end(self, exchange: Exchange) -> None:
+        """Record that the caller has got the whole stream."""
+        self.network.discard(_find_key(exchange))
+
+    async def find(self, exchange: Exchange) -> None:
+        """Find the origin of a stream that is taken up; raise StreamOriginUnknown."""
+        self.check_running()
+        started_s = anyio.current_time()
+        key = _find_key(exchange)
+        services = [service for service, _ in exchange.route.services]
+        record = self.records.find(key, started_s)
+        source = "record"
+        replies: dict[str, OriginReply] = {}
+        if record is None:
+            replies = await self.network.ask(key, services)
+            record = self._adopt(key, replies.values())
+            source = "peer"
+        origin = None if record is None else record.origin
+        if origin is None or origin.software is None:
+            origin = self._infer(services, replies)
+            source = "only version"
+        now_s = anyio.current_time()
+        log(
+            STREAM_TAKEN_UP,
+            request_id=exchange.head.request_id,
+            begun_as=exchange.head.begun_as,
+            after_event=exchange.head.last_event_id,
+            software=None if origin is None else origin.software,
+            source=source,
+            replies=len(replies),
+            took_ms=round((now_s - started_s) * 1000),
+        )
+        if origin is None or origin.service not in services:
+            self._refuse(exchange)
+        exchange.origin = origin
+        exchange.service = origin.service
+        exchange.begun_s = now_s if record is None else record.begun_s
+        # Peers that knew of it may be gone before it is taken up once more.
+        record = OriginRecord(origin, exchange.begun_s)
+        self.records.record(key, record, now_s)
+        self.network.add(key, record)
+
+    def confirm(self, exchange: Exchange) -> None:
+        """Look again where a stream began that is to go on within its answer.
+
+        Raise StreamOriginUnknown if that is no longer certain: its upstream may turn
+        out to have started again as another version before.
+        """
+        record = OriginRecord(exchange.origin, exchange.begun_s)
+        origin = self.records.resolve(record)
+        if origin.software is None:
+            self.check_running()
+            origin = self._infer([origin.service], {})
+        if origin is None:
+            self._refuse(exchange)
+        exchange.origin = replace(origin, service=exchange.origin.service)
+
+    def _adopt(self, key: int, replies: Iterable[OriginReply]) -> OriginRecord | None:
+        """Record what peers know of a stream, and return it."""
+        now_s = anyio.current_time()
+        for reply in replies:
+            if reply.found is not None:
+                record = from_origin_row(reply.found, now_s)
+                self.records.record(key, record, now_s)
+        return self.records.find(key, now_s)
+
+    def _infer(
+        self, services: list[str], replies: dict[str, OriginReply]
+    ) -> StreamOrigin | None:
+        """Return the only version that may have begun a stream, None if others may."""
+        now_s = anyio.current_time()
+        found = set(self.versions.list_recent(services, now_s))
+        is_complete = self.versions.is_complete(now_s)
+        for reply in replies.values():
+            found.update(reply.versions)
+            is_complete = is_complete or reply.is_complete
+        if len(found) != 1 or has_unknown(found) or not is_complete:
+            return None
+        # A version that has just come may have begun the stream in another region.
+        regions = {self.network.find_region(ip) for ip in replies}
+        if not (
+            self.versions.is_current(now_s)
+            or self.network.list_regions().issubset(regions)
+        ):
+            return None
+        ((service, software),) = found
+        return StreamOrigin(service, software)
+
+    def _refuse(self, exchange: Exchange) -> None:
+        left_ms = exchange.deadline_left_ms()
+        raise StreamOriginUnknown(
+            f"stream {exchange.head.begun_as or exchange.head.request_id}",
+            retry_after_ms=choose_retry_after_ms(left_ms, left_ms),
+        )
+
+
+def _find_key(exchange: Exchange) -> int:
+    organisation = exchange.organisation
+    return make_stream_key(
+        None if organisation is None else organisation.name,
+        exchange.head.begun_as or exchange.head.request_id,
+    )
--- /dev/null
+++ b/banyanseam/entry/origins/versions.py
@@ -0,0 +1,66 @@
+"""The software versions that may have begun a stream that is taken up now."""
+
+from collections.abc import Iterable
+
+from banyanseam.entry.const import OUTAGE_S
+from banyanseam.entry.models import StreamOrigin
+from banyanseam.entry.origins.const import TAKE_UP_S, VERSIONS_VIEW_S
+from banyanseam.entry.upstream_list import UpstreamList
+
+# A service and a version of its upstreams' software; None if it isn't known.
+ServiceVersion = tuple[str, str | None]
+
+
+class SoftwareVersions:
+    """The versions of each service, also those that have left recently."""
+
+    def __init__(self, upstreams: UpstreamList) -> None:
+        """Follow a list of upstreams."""
+        self._upstreams = upstreams
+        self._seen: frozenset[ServiceVersion] = frozenset()
+        self._seen_s = -1e9
+        # Versions that peers have told of, and when. The list may not show them yet.
+        self._told_s: dict[ServiceVersion, float] = {}
+
+    def record_told(self, origin: StreamOrigin, now_s: float) -> None:
+        """Record that a peer has told of a stream that began somewhere."""
+        if origin.software is not None:
+            self._told_s[origin.service, origin.software] = now_s
+
+    def list_recent(
+        self, services: Iterable[str], now_s: float
+    ) -> frozenset[ServiceVersion]:
+        """Return the versions of services that may have begun a stream recently."""
+        if not 0 <= now_s - self._seen_s < VERSIONS_VIEW_S:
+            recent = self._upstreams.list_known_since(now_s - TAKE_UP_S)
+            self._told_s = {
+                version: at_s
+                for version, at_s in self._told_s.items()
+                if now_s - at_s < TAKE_UP_S
+            }
+            listed = {(each.service, each.software) for each in recent}
+            self._seen = frozenset(listed | self._told_s.keys())
+            self._seen_s = now_s
+        wanted = set(services)
+        return frozenset(each for each in self._seen if each[0] in wanted)
+
+    def is_complete(self, now_s: float) -> bool:
+        """Return whether no other version can have begun a stream recently.
+
+        False for a while after this process has started, stood still or was cut off.
+        """
+        return self._upstreams.find_complete_since_s(now_s) <= now_s - TAKE_UP_S
+
+    def is_current(self, now_s: float) -> bool:
+        """Return whether the list has been confirmed recently."""
+        return now_s - self._upstreams.confirmed_s < OUTAGE_S
+
+    def is_ambiguous(self, services: Iterable[str], now_s: float) -> bool:
+        """Return whether streams of these services may have begun at two versions."""
+        found = self.list_recent(services, now_s)
+        return len(found) > 1 or not self.is_complete(now_s) or has_unknown(found)
+
+
+def has_unknown(versions: Iterable[ServiceVersion]) -> bool:
+    """Return whether any of the versions isn't known."""
+    return any(software is None for _, software in versions)
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -37,6 +37,7 @@
 from banyanseam.entry.messages import make_upstream_tag
 from banyanseam.entry.models import AnswerHead, Headers, RequestHead, SendMetadata
 from banyanseam.entry.moving import MovePolicy, Progress
+from banyanseam.entry.origins.takeups import TakeUps
 from banyanseam.entry.outgoing import make_outgoing, make_send_metadata
 from banyanseam.entry.peer_connections import (
     PeerConnections,
@@ -113,6 +114,7 @@
     retries: RetryBudget
     crashes: CrashWatch
     start_checks: StartChecks
+    take_ups: TakeUps
     reachability: PeerReachability
     peers_port: int
     # Sends this process's loads to the peers of its region at once.
@@ -139,8 +141,14 @@
         vms = self.members.count_recent(now_s)
         if exchange.forwarding is None:
             self.retries.record_request(exchange.service, vms, now_s)
+        if exchange.is_taken_up and exchange.origin is None:
+            await self.take_ups.find(exchange)
+        if exchange.route.is_stream and exchange.forwarding is None:
+            exchange.on_begun = lambda: self.take_ups.record_begin(exchange)
         failure: BanyanseamError | None = None
         while True:
+            if exchange.reply.is_started and exchange.origin is not None:
+                self.take_ups.confirm(exchange)
             try:
                 placement = await self.chooser.wait_for_placement(exchange)
             except BanyanseamError as error:
@@ -346,6 +354,7 @@
             # Nothing is awaited in between: callers that have the whole answer
             # disconnect, which cancels this task.
             self.crashes.record_answer(exchange, answer)
+            self.take_ups.record_end(exchange)
             if listed is not None:
                 self.upstreams.record_success(listed)
             if is_observed:
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -1,6 +1,7 @@
 """The registered upstreams, and whether each may get new requests now."""
 
-from collections.abc import Callable, Iterable, Mapping
+import math
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import replace
 
 from banyanseam.entry.const import (
@@ -41,6 +42,10 @@
         self.listing: tuple[Upstream, ...] = ()
         # When this process or a peer last confirmed the list with the store.
         self.confirmed_s = -1e9
+        # The same before the last time.
+        self.previous_confirmed_s = -1e9
+        # Since when no registration can have come and gone unnoticed.
+        self._complete_since_s = math.inf
         # When this process last ran, and when it last ran again after a suspension.
         self._running_s = -1e9
         self._resumed_s = -1e9
@@ -203,9 +208,21 @@
         is_same_era = position.era == self.position.era
         if is_same_era and now_s >= self._copies_expired_at_s:
             self._copied.clear()
+        if self._is_interrupted(now_s):
+            self._complete_since_s = now_s
         self.position = position
+        self.previous_confirmed_s = self.confirmed_s
         self.confirmed_s = now_s
 
+    def _is_interrupted(self, now_s: float) -> bool:
+        """Return whether registrations may have come and gone since the last time."""
+        was_away = self.confirmed_s < self._resumed_s
+        return was_away or now_s - self.confirmed_s >= OUTAGE_S
+
+    def find_complete_since_s(self, now_s: float) -> float:
+        """Return since when each registration is known; infinite if the list is old."""
+        return math.inf if self._is_interrupted(now_s) else self._complete_since_s
+
     def _drop_unregistered(self, now_s: float) -> None:
         if now_s < self._retain_expired_until_s:
             return
@@ -248,6 +265,22 @@
         """Return the registrations of all upstreams in use."""
         return [listed.upstream for listed in self._listed.values()]
 
+    def list_known_since(self, since_s: float) -> Iterator[Upstream]:
+        """Return the registrations that are in use or listed, or were since a time."""
+        yield from self.listing
+        for listed in self._listed.values():
+            yield listed.upstream
+        yield from self._departures.list_since(since_s)
+
+    def find_software(self, upstream_id: str, started_ms: int) -> str | None:
+        """Return the software of an incarnation, None if it isn't known."""
+        for each in self.list_known_since(-math.inf):
+            if make_start_key(each) == (upstream_id, started_ms) and (
+                each.software is not None
+            ):
+                return each.software
+        return None
+
     def find(self, upstream_id: str) -> ListedUpstream | None:
         """Return an upstream by its id."""
         return self._listed.get(upstream_id)
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -49,6 +49,9 @@
 CRASH_RECORDED: Final = Event(
     3013, "WARNING", "An upstream crashed while it ran a request"
 )
+STREAM_TAKEN_UP: Final = Event(
+    3015, "INFO", "A caller takes up a stream that broke off"
+)
 SETTINGS_RELOADED: Final = Event(2005, "INFO", "Changed settings were applied")
 SETTINGS_REJECTED: Final = Event(
     2006, "ERROR", "Changed settings are invalid and were not applied"
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -169,6 +169,8 @@
         entry.lifecycle.begin_serving()
         entry.gossip._send = partial(self._deliver, ip)
         entry.start_checks.tasks = self.checks
+        entry.origins.send = partial(self._deliver_origins, ip)
+        self.checks.start_soon(entry.origins.run)
         entry.upstreams.on_resumed = lambda: self.checks.start_soon(
             entry.gossip.request_upstreams
         )
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -312,6 +312,25 @@
         self.check_refused(simulation, calls[1])
         self.check_goes_on(calls[0], calls[2])
 
+    def test_while_one_version_serves_streams_go_on_and_peers_are_told_nothing(self):
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            await let_pass(simulation, LONG_S)
+            told = []
+            for entry in simulation.entries.values():
+                entry.origins.receive = told.append
+            calls.append(await begin(simulation, GULF))
+            await let_pass(simulation, 1, with_heartbeats=False)
+            self.assertEqual(told, [])
+            for entry in simulation.entries.values():
+                del entry.origins.receive
+            simulation.restart_vm(GULF)
+            calls.append(await take_up(simulation, GULF, calls[0]))
+
+        self.play(scenario)
+        self.check_goes_on(*calls)
+
     def test_streams_that_began_before_another_version_came_go_on(self):
         calls: list[Caller] = []
 
