Tell streams to four VMs at the most, whatever the number of regions

A stream was told to one VM of each other region, five more at the size to design for. Two regions are chosen by hash of the stream now, besides the own one, and the same are asked.

--- a/banyanseam/entry/origins/const.py
+++ b/banyanseam/entry/origins/const.py
@@ -7,9 +7,11 @@
 # leaving upstream still serves are shorter together.
 TAKE_UP_S: Final = 20.0
 MAX_ORIGINS: Final = 16_384
-# Streams are told to this many processes of the own region, and of each other one.
+# Streams are told to this many processes of the own region, and of each of the regions
+# that a hash of the stream chooses.
 OWN_REGION_HOLDERS: Final = 2
 OTHER_REGION_HOLDERS: Final = 1
+CHOSEN_REGIONS: Final = 2
 # Processes of each region that are asked: some of the holders may be gone since, or
 # others have started that rank before them.
 ASKED_IN_REGION: Final = 3
--- a/banyanseam/entry/origins/network.py
+++ b/banyanseam/entry/origins/network.py
@@ -13,6 +13,7 @@
 from banyanseam.entry.origins.const import (
     ASK_TIMEOUT_S,
     ASKED_IN_REGION,
+    CHOSEN_REGIONS,
     MAX_TOLD_ROWS,
     OTHER_REGION_HOLDERS,
     OWN_REGION_HOLDERS,
@@ -117,16 +118,20 @@
         if message.reply is not None:
             self._accept(message.reply, ip)
 
-    def list_regions(self) -> set[str]:
-        """Return the other regions in which a process was alive recently."""
-        now_s = anyio.current_time()
-        others = set(self._members.regions.values()) - {self._members.me.region}
-        return {each for each in others if self._members.list_recent(now_s, each)}
+    def has_replies_of_all_regions(self, key: int, replies: Iterable[str]) -> bool:
+        """Return whether processes of each region that was asked have replied.
 
-    def find_region(self, ip: str) -> str | None:
-        """Return the region of a peer."""
-        member = self._members.find(ip)
-        return None if member is None else member.region
+        Regions without a process that was alive recently are left out.
+        """
+        now_s = anyio.current_time()
+        replied = {
+            member.region for ip in replies if (member := self._members.find(ip))
+        }
+        others = set(self._choose_regions(key)) - {self._members.me.region}
+        return all(
+            region in replied or not self._members.list_recent(now_s, region)
+            for region in others
+        )
 
     def _make_reply(self, question: OriginQuestion, now_s: float) -> OriginReply:
         record = self._records.find(question.key, now_s)
@@ -178,7 +183,7 @@
         """Return the processes that remember where a stream began."""
         own_region = self._members.me.region
         holders = []
-        for region in sorted(set(self._members.regions.values())):
+        for region in self._choose_regions(key):
             count = OTHER_REGION_HOLDERS
             if region == own_region:
                 count = OWN_REGION_HOLDERS
@@ -190,7 +195,13 @@
         """Return the processes that may remember a stream, also some that are gone."""
         now_s = anyio.current_time()
         asked = []
-        for region in sorted(set(self._members.regions.values())):
+        for region in self._choose_regions(key):
             recent = [each.ip for each in self._members.list_recent(now_s, region)]
             asked += rank(recent, str(key))[:ASKED_IN_REGION]
         return asked
+
+    def _choose_regions(self, key: int) -> list[str]:
+        """Return the own region and those that remember a stream wherever it began."""
+        own_region = self._members.me.region
+        chosen = rank(set(self._members.regions.values()), str(key))[:CHOSEN_REGIONS]
+        return [own_region, *(each for each in chosen if each != own_region)]
--- a/banyanseam/entry/origins/takeups.py
+++ b/banyanseam/entry/origins/takeups.py
@@ -61,7 +61,7 @@
             source = "peer"
         origin = None if record is None else record.origin
         if origin is None or origin.software is None:
-            origin = self._infer(services, replies)
+            origin = self._infer(key, services, replies)
             source = "only version"
         now_s = anyio.current_time()
         log(
@@ -94,7 +94,7 @@
         origin = self.records.resolve(record)
         if origin.software is None:
             self.check_running()
-            origin = self._infer([origin.service], {})
+            origin = self._infer(_find_key(exchange), [origin.service], {})
         if origin is None:
             self._refuse(exchange)
         exchange.origin = replace(origin, service=exchange.origin.service)
@@ -109,7 +109,7 @@
         return self.records.find(key, now_s)
 
     def _infer(
-        self, services: list[str], replies: dict[str, OriginReply]
+        self, key: int, services: list[str], replies: dict[str, OriginReply]
     ) -> StreamOrigin | None:
         """Return the only version that may have begun a stream, None if others may."""
         now_s = anyio.current_time()
@@ -121,11 +121,9 @@
         if len(found) != 1 or has_unknown(found) or not is_complete:
             return None
         # A version that has just come may have begun the stream in another region.
-        regions = {self.network.find_region(ip) for ip in replies}
-        if not (
-            self.versions.is_current(now_s)
-            or self.network.list_regions().issubset(regions)
-        ):
+        if not self.versions.is_current(
+            now_s
+        ) and not self.network.has_replies_of_all_regions(key, replies):
             return None
         ((service, software),) = found
         return StreamOrigin(service, software)
