Test rows of software, and forwarded streams beside the release before

A list or candidates from a VM of the release before have no version, a malformed row names none; a forwarded stream is not joined where one side names no origin.

--- a/tests/entry/test_messages.py
+++ b/tests/entry/test_messages.py
@@ -6,6 +6,7 @@
     Gossip,
     decode_gossip,
     encode_gossip,
+    from_software_row,
     from_upstream_rows,
     make_load_tag,
     pack_ip,
@@ -46,6 +47,18 @@
         self.assertEqual(found, [leaving])
         self.assertEqual(unpack_ip(received.beats[0][0]), "10.1.0.2")
 
+    def test_the_software_of_upstreams_arrives_in_their_order(self):
+        for versions in ([], ["v1"], ["v1"] * 3, ["v1", "v2", "v1"], ["v1", None]):
+            with self.subTest(versions):
+                row = to_software_row(versions)
+                self.assertEqual(from_software_row(row, len(versions)), versions)
+
+    def test_software_that_a_peer_does_not_tell_is_not_known(self):
+        """The release before sends none; a malformed row names too few."""
+        for row in (None, ([], []), (["v1", "v2"], []), (["v1"], [1, 7])):
+            with self.subTest(row):
+                self.assertEqual(from_software_row(row, 2), [None, None])
+
     def test_malformed_heartbeats_are_rejected(self):
         row = list(to_member_row(make_member()))
         valid = {"sender": "10.1.0.1", "members": [row]}
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -8,9 +8,13 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from unittest import mock
 
 import anyio
 
+from banyanseam.entry import frontend, relay
+from banyanseam.entry.models import Headers
+from banyanseam.entry.peer_headers import ORIGIN
 from tests.common import run_with_mock_clock
 from tests.entry.simulation import (
     EVENTS,
@@ -181,6 +185,37 @@
                 resumed += len(simulation.runs[caller.request_id]) > 1
         self.assertGreater(resumed, 8)
 
+    def test_beside_the_release_before_a_forwarded_stream_is_not_joined(self):
+        """One side names no origin: in requests, or in answers."""
+        write_forwarding = relay.write_forwarding
+        write_progress = frontend.write_progress
+
+        def forward_as_before(*args: object) -> Headers:
+            return [each for each in write_forwarding(*args) if each[0] != ORIGIN]
+
+        def answer_as_before(*args: object) -> Headers:
+            return [each for each in write_progress(*args) if each[0] != ORIGIN]
+
+        async def scenario(simulation: Simulation) -> None:
+            mix(simulation)
+            for name in list(simulation.upstreams):
+                if "pool" in name and "gulf" in name:
+                    del simulation.upstreams[name]
+            simulation.gossip()
+            for _ in range(2):
+                simulation.ask(GULF, "/query/x", ["cut"], [])
+                simulation.ask(GULF_TWO, "/query/x", [], ["cut"])
+
+        for name, replacement in (
+            ("banyanseam.entry.relay.write_forwarding", forward_as_before),
+            ("banyanseam.entry.frontend.write_progress", answer_as_before),
+        ):
+            with self.subTest(name), mock.patch(name, replacement):
+                for _ in range(4):
+                    _, callers = self.play(scenario)
+                    for caller in callers:
+                        self.check_one_version(caller)
+
     def test_a_stream_taken_up_at_any_vm_goes_on_at_its_version(self):
         async def nothing(_: Simulation) -> None:
             pass
