--- a/tests/entry/test_endless_answers.py
+++ b/tests/entry/test_endless_answers.py
@@ -100,6 +100,7 @@
             head=SimpleNamespace(last_event_id=None),
             last_event=None,
             events_of_send=0,
+            record_event=lambda: None,
         )
         answer = SimpleNamespace(status=incoming.status, headers=[], is_framed=True)
         progress = Progress(anyio.current_time())
@@ -230,6 +231,7 @@
                 head=SimpleNamespace(last_event_id=None),
                 last_event=None,
                 events_of_send=0,
+                record_event=lambda: None,
             )
             progress = Progress(anyio.current_time())
             answer = SimpleNamespace(status=200, headers=[], is_framed=True)
