Tell peers of streams whose route has several services

What callers saw: a stream of a route with two services, with one version each, was refused when it was taken up at another VM after its own had started anew; in a large region, where the VM that began it is seldom asked, also without that.

Cause: a VM told peers of a stream only if the service that it began at had two versions, but a VM that gets a take-up has to tell apart the versions of all services of the route.

Change: the services of the route decide whether a stream is told. Whether to tell at once is decided by the present time rather than by the time at which the stream began, for which the list of a take-up's time was read anew.

Evidence: the test failed before and passes.

--- a/banyanseam/entry/origins/network.py
+++ b/banyanseam/entry/origins/network.py
@@ -44,6 +44,14 @@
     answered: anyio.Event = field(default_factory=anyio.Event)
 
 
+@dataclass(frozen=True, slots=True)
+class _Untold:
+    """A stream that no peer knows of, and the services that may have begun it."""
+
+    record: OriginRecord
+    services: frozenset[str]
+
+
 class OriginNetwork:
     """Exchanges the origins of streams with peers."""
 
@@ -57,7 +65,7 @@
         # Sends a datagram to the process at an address.
         self.send: Callable[[str, bytes], Awaitable[None]] | None = None
         # Streams that began here, that may be taken up and that no peer knows of.
-        self._untold: dict[int, OriginRecord] = {}
+        self._untold: dict[int, _Untold] = {}
         self._has_news = anyio.Event()
         self._questions: dict[int, _Question] = {}
 
@@ -69,10 +77,14 @@
             self._has_news = anyio.Event()
             await self._tell()
 
-    def add(self, key: int, record: OriginRecord) -> None:
-        """Tell peers where a stream began, as soon as another version may have."""
-        self._untold[key] = record
-        if self._must_be_told(record, record.begun_s):
+    def add(self, key: int, record: OriginRecord, services: Iterable[str]) -> None:
+        """Tell peers where a stream began, as soon as another version may have.
+
+        `services` are those that the request's route allows.
+        """
+        untold = _Untold(record, frozenset(services))
+        self._untold[key] = untold
+        if self._must_be_told(untold, anyio.current_time()):
             self._has_news.set()
 
     def discard(self, key: int) -> None:
@@ -156,22 +168,22 @@
         if is_known or not question.awaited:
             question.answered.set()
 
-    def _must_be_told(self, record: OriginRecord, now_s: float) -> bool:
-        service = record.origin.service
-        recent = self._versions.list_recent([service], now_s)
-        if (service, record.origin.software) not in recent:
+    def _must_be_told(self, untold: _Untold, now_s: float) -> bool:
+        origin = untold.record.origin
+        recent = self._versions.list_recent(untold.services, now_s)
+        if (origin.service, origin.software) not in recent:
             return True
-        return self._versions.is_ambiguous([service], now_s)
+        return self._versions.is_ambiguous(untold.services, now_s)
 
     async def _tell(self) -> None:
         now_s = anyio.current_time()
         rows: dict[str, list[OriginRow]] = {}
-        for key, record in list(self._untold.items()):
-            if now_s - record.begun_s > TAKE_UP_S:
+        for key, untold in list(self._untold.items()):
+            if now_s - untold.record.begun_s > TAKE_UP_S:
                 del self._untold[key]
-            elif self._must_be_told(record, now_s):
+            elif self._must_be_told(untold, now_s):
                 del self._untold[key]
-                row = to_origin_row(key, record, now_s)
+                row = to_origin_row(key, untold.record, now_s)
                 for ip in self._choose_holders(key, now_s):
                     rows.setdefault(ip, []).append(row)
         for ip, found in rows.items():
--- a/banyanseam/entry/origins/takeups.py
+++ b/banyanseam/entry/origins/takeups.py
@@ -40,7 +40,7 @@
         record = OriginRecord(exchange.origin, now_s)
         exchange.begun_s = now_s
         self.records.record(key, record, now_s)
-        self.network.add(key, record)
+        self.network.add(key, record, _list_services(exchange))
 
     def record_end(self, exchange: Exchange) -> None:
         """Record that the caller has got the whole stream."""
@@ -51,7 +51,7 @@
         self.check_running()
         started_s = anyio.current_time()
         key = _find_key(exchange)
-        services = [service for service, _ in exchange.route.services]
+        services = _list_services(exchange)
         record = self.records.find(key, started_s)
         source = "record"
         replies: dict[str, OriginReply] = {}
@@ -82,7 +82,7 @@
         # Peers that knew of it may be gone before it is taken up once more.
         record = OriginRecord(origin, exchange.begun_s)
         self.records.record(key, record, now_s)
-        self.network.add(key, record)
+        self.network.add(key, record, services)
 
     def confirm(self, exchange: Exchange) -> None:
         """Look again where a stream began that is to go on within its answer.
@@ -136,6 +136,10 @@
         )
 
 
+def _list_services(exchange: Exchange) -> list[str]:
+    return [service for service, _ in exchange.route.services]
+
+
 def _find_key(exchange: Exchange) -> int:
     organisation = exchange.organisation
     return make_stream_key(
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -57,6 +57,23 @@
     simulation.gossip()
 
 
+def split_route(simulation: Simulation) -> None:
+    """Let the second engine of each region be of a second service of the route."""
+    simulation.revision += 1
+    for region in ("gulf", "piedmont"):
+        name = f"pool-two-{region}"
+        simulation.upstreams[name] = replace(
+            simulation.upstreams[name], service="spare", revision=simulation.revision
+        )
+    pool = simulation.config["services"][0]
+    simulation.config["services"].append(pool | {"name": "spare"})
+    simulation.config["routes"][0]["traffic_split"] = [
+        {"service": service, "weight": 1} for service in ("pool", "spare")
+    ]
+    simulation.publish()
+    simulation.gossip()
+
+
 async def let_pass(
     simulation: Simulation, seconds: float, *, with_heartbeats: bool = True
 ) -> None:
@@ -345,6 +362,20 @@
         self.play(scenario)
         self.check_goes_on(*calls)
 
+    def test_a_stream_of_a_route_with_two_services_goes_on(self):
+        """One version serves in each, and the VM that began the stream starts anew."""
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            split_route(simulation)
+            await let_pass(simulation, LONG_S)
+            calls.append(await begin(simulation, GULF))
+            simulation.restart_vm(GULF)
+            calls.append(await take_up(simulation, GULF_TWO, calls[0]))
+
+        self.play(scenario)
+        self.check_goes_on(*calls)
+
 
 if __name__ == "__main__":
     unittest.main()
