Learn an upstream's version from a later list of the same revision

What callers saw: during and after an update of the VMs, streams were never resumed, nor taken up, at upstreams of which a VM had first heard from a VM of the release before.

Cause: lists from that release lack the version, and the registration of a later list replaced the known one only if its revision was newer. An upstream's revision may stay the same for as long as it serves, so its version stayed unknown; an unknown one also keeps the VM from finding that only one version serves.

Change: a list of the same revision adds the version if it isn't known.

--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -459,6 +459,9 @@
             return
         position = StorePosition(self.position.era, upstream.revision)
         if position <= (listed.era, listed.upstream.revision):
+            if listed.upstream.software is None:
+                # The list was first sent by a VM of the release before.
+                listed.upstream = replace(listed.upstream, software=upstream.software)
             return
         listed.upstream = upstream
         listed.era = position.era
--- a/tests/entry/test_upstream_list.py
+++ b/tests/entry/test_upstream_list.py
@@ -35,6 +35,18 @@
         self.assertEqual(list_ids(self.upstreams), ["e1", "e2"])
         self.assertEqual(self.upstreams.confirmed_s, 0.0)
 
+    def test_a_version_that_the_first_list_lacked_is_known_from_the_next(self):
+        """A VM of the release before sent the first one."""
+        listed = UpstreamList()
+        listed.adopt([make_upstream(software=None)], 10, 0.0)
+        self.assertIsNone(listed.find("e1").upstream.software)
+        listed.adopt([make_upstream(software="v1")], 10, 1.0)
+        self.assertEqual(listed.find("e1").upstream.software, "v1")
+        # One of the release before sends a list once more.
+        listed.adopt([make_upstream(software=None)], 10, 2.0)
+        self.assertEqual(listed.find("e1").upstream.software, "v1")
+        self.assertEqual(listed.listing[0].software, "v1")
+
     def test_leaving_missing_and_evacuated_upstreams_are_not_usable(self):
         leaving = make_upstream("e1", state=UpstreamState.LEAVING, revision=11)
         self.upstreams.adopt([leaving, make_upstream("e2")], 11, 1.0)
