Ask only engines for their start before a stream goes on

A stream of a service without engines sent a question for its report to the upstream before each resend or take-up; an upstream that doesn't know the path may take that for a request, queue it or not answer it, and was then left out, up to a second later.

Cause: the check before a stream goes on left out the condition that the other checks of starts have, that the service has engines.

Change: other upstreams are taken for the listed incarnation without a question, and so are engines without a known start.

Evidence: the test failed before and passes. The limit remains that a restart of such an upstream as another version shows only in the list.

--- a/banyanseam/entry/start_checks.py
+++ b/banyanseam/entry/start_checks.py
@@ -94,8 +94,10 @@
 
         An upstream that reports no start is taken for the one that is listed.
         """
+        if upstream.started_ms == 0 or not self._can_check(upstream):
+            return True
         found = await self._ask(upstream)
-        if found is Failure.NO_REPORT or upstream.started_ms == 0:
+        if found is Failure.NO_REPORT:
             return True
         if isinstance(found, Failure):
             return False
--- a/tests/entry/test_start_checks.py
+++ b/tests/entry/test_start_checks.py
@@ -98,6 +98,28 @@
 
         self.play(find, act)
 
+    def test_only_engines_are_asked_before_a_stream_goes_on(self):
+        """Others would take the question for a request."""
+        asked = []
+
+        async def ask(_: StartChecks, upstream: Upstream) -> Finding:
+            asked.append(upstream.upstream_id)
+            return Failure.NO_ANSWER
+
+        async def run() -> None:
+            with mock.patch.object(StartChecks, "_ask", ask):
+                async with start_simulation() as simulation:
+                    entry = simulation.entries[VM]
+                    desk = entry.upstreams.find("desk-gulf")
+                    self.assertTrue(await entry.start_checks.is_running(desk.upstream))
+                    engine = entry.upstreams.find(NAME)
+                    self.assertFalse(
+                        await entry.start_checks.is_running(engine.upstream)
+                    )
+
+        run_with_mock_clock(run)
+        self.assertEqual(asked, [NAME])
+
 
 if __name__ == "__main__":
     unittest.main()
