Drop messages of peers with numbers and names that no peer sends

What callers saw: nothing; found by reading. A single datagram whose age of a stream, or of a check of an upstream's start in a heartbeat, was too large for a float ended the daemon that got it.

Cause: the receive loop ends with any error but InvalidPeerMessage, and ages had no upper bound: the conversion to seconds raised OverflowError. Ids of upstreams in messages about origins weren't checked either, and go into a header of a forwarded request.

Change: ages, starts, names and ids of such messages have bounds, and ids the characters that the platform's ids have. Ages in heartbeats have the same bound.

--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -38,7 +38,8 @@
 CandidateRow = tuple[str, int, int, int, int, int, int, bool]
 # Requests, prefill time, reserved memory tokens, prefill time of waiting prompts.
 LoadRow = tuple[int, int, int, int]
-Milliseconds = Annotated[int, Field(ge=0)]
+# Larger numbers may not fit into a float.
+Milliseconds = Annotated[int, Field(ge=0, le=2**53)]
 # A suspected request by fingerprint: age of the last evidence, number of trials, age of
 # the last trial, and the crashes with their ages.
 SuspectRow = tuple[
--- a/banyanseam/entry/origins/messages.py
+++ b/banyanseam/entry/origins/messages.py
@@ -17,8 +17,12 @@
 _ARRAY: Final = 4
 
 StreamKey = Annotated[int, Field(ge=0, lt=2**64)]
+Name = Annotated[str, Field(max_length=200)]
+# Ids are sent in a header. Empty if only the software is known.
+UpstreamId = Annotated[str, Field(max_length=200, pattern=r"^[!-~]*$")]
+Milliseconds = Annotated[int, Field(ge=0, le=2**53)]
 # Key of the stream, service, software, id and start of the upstream, age.
-OriginRow = tuple[StreamKey, str, str | None, str, int, Annotated[int, Field(ge=0)]]
+OriginRow = tuple[StreamKey, Name, Name | None, UpstreamId, Milliseconds, Milliseconds]
 
 
 class OriginQuestion(BaseModel):
@@ -27,7 +31,7 @@
     model_config = ConfigDict(extra="ignore")
 
     key: StreamKey
-    services: list[str]
+    services: list[Name]
 
 
 class OriginReply(BaseModel):
@@ -38,7 +42,7 @@
     key: StreamKey
     found: OriginRow | None = None
     # Services and versions.
-    versions: list[tuple[str, str | None]] = Field(default_factory=list)
+    versions: list[tuple[Name, Name | None]] = Field(default_factory=list)
     # Whether no other version can have begun the stream.
     is_complete: bool = False
 
--- a/tests/entry/test_messages.py
+++ b/tests/entry/test_messages.py
@@ -66,6 +66,10 @@
             ),
             ("an unknown direction", cbor2.dumps(valid | {"direction": 9})),
             ("loads of another type", cbor2.dumps(valid | {"loads": 3})),
+            (
+                "an age that no float holds",
+                cbor2.dumps(valid | {"starts": [["e1", 1, 2, 10**400]]}),
+            ),
         ):
             with self.subTest(name), self.assertRaises(InvalidPeerMessage):
                 decode_gossip(data)
