Doubt a stream's version for as long as its upstream's restart may go unlisted

What callers saw: a stream could go on at the version listed for an id although another version had started under it and had begun the stream: after an outage of the store, or its return from a copy, where the upstream writes again up to two seconds later and two lists lack the restart; after a long outage, once a second upstream was found to have started again; and when the upstream started once more.

Cause: streams were in doubt from two seconds before the confirmation before the last, whether or not upstreams had been able to write by then. Doubts were forgotten by the time from which they held rather than when they were noticed, and a later restart under an id replaced the doubt of an earlier one.

Change: after a gap in the confirmations or a new era, the list counts as showing restarts only once upstreams have had time to write again. Doubts are kept by incarnation, for as long after the restart was noticed as streams are taken up. A stream is in doubt if any later incarnation under the id has another version.

--- a/banyanseam/entry/origins/records.py
+++ b/banyanseam/entry/origins/records.py
@@ -1,7 +1,9 @@
 """Remembers where streams began, those of this process and those that peers tell."""
 
+import math
 from dataclasses import dataclass, replace
 
+import anyio
 import xxhash
 
 from banyanseam.entry.const import UNNOTICED_RESTART_S
@@ -9,6 +11,7 @@
 from banyanseam.entry.models import StreamOrigin
 from banyanseam.entry.origins.const import MAX_ORIGINS, TAKE_UP_S
 from banyanseam.entry.upstream_list import UpstreamList
+from banyanseam.entry.upstream_starts import StartKey, make_start_key
 
 
 def make_stream_key(organisation: str | None, request_id: str) -> int:
@@ -16,6 +19,17 @@
     return xxhash.xxh3_64_intdigest(f"{organisation or ''}\0{request_id}".encode())
 
 
+@dataclass(frozen=True, slots=True)
+class _Doubt:
+    """A restart of an upstream that showed in the list later than in its answers.
+
+    Streams that began from `since_s` on may have been begun by the new incarnation.
+    """
+
+    since_s: float
+    noticed_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class OriginRecord:
     """Where a stream began, and when by this process's clock."""
@@ -32,9 +46,8 @@
         self._upstreams = upstreams
         # In the order in which they were recorded.
         self._records: dict[int, OriginRecord] = {}
-        # By id of an upstream that has started again: from when on its streams may have
-        # been begun by the new incarnation, which was not known yet.
-        self._doubtful_since_s: dict[str, float] = {}
+        # By incarnation of an upstream that has started again.
+        self._doubts: dict[StartKey, _Doubt] = {}
         upstreams.on_restarted.append(self._record_restart)
 
     def record(self, key: int, record: OriginRecord, now_s: float) -> None:
@@ -62,30 +75,27 @@
         return replace(origin, software=software)
 
     def _is_doubtful(self, record: OriginRecord) -> bool:
-        """Return whether another version under the same id may have begun the stream.
-
-        A restart shows in the list later than in the answers.
-        """
+        """Return whether another version under the id may have begun a stream."""
         origin = record.origin
-        since_s = self._doubtful_since_s.get(origin.upstream_id)
-        if since_s is None or record.begun_s < since_s:
-            return False
-        listed = self._upstreams.find(origin.upstream_id)
-        if listed is None:
-            return True
-        if listed.upstream.started_ms <= origin.started_ms:
+        doubt = self._doubts.get((origin.upstream_id, origin.started_ms))
+        if doubt is None or record.begun_s < doubt.since_s:
             return False
-        return listed.upstream.software != origin.software
+        return any(
+            each.upstream_id == origin.upstream_id
+            and each.started_ms > origin.started_ms
+            and each.software != origin.software
+            for each in self._upstreams.list_known_since(-math.inf)
+        )
 
     def _record_restart(self, before: ListedUpstream, _: ListedUpstream) -> None:
-        oldest_s = self._upstreams.confirmed_s - 2 * TAKE_UP_S
-        self._doubtful_since_s = {
-            upstream_id: since_s
-            for upstream_id, since_s in self._doubtful_since_s.items()
-            if since_s > oldest_s
+        now_s = anyio.current_time()
+        self._doubts = {
+            key: doubt
+            for key, doubt in self._doubts.items()
+            if now_s - doubt.noticed_s <= TAKE_UP_S
         }
-        since_s = self._upstreams.previous_confirmed_s - UNNOTICED_RESTART_S
-        self._doubtful_since_s[before.upstream.upstream_id] = since_s
+        since_s = self._upstreams.restarts_known_s - UNNOTICED_RESTART_S
+        self._doubts[make_start_key(before.upstream)] = _Doubt(since_s, now_s)
 
     def _drop_old(self, now_s: float) -> None:
         while self._records:
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -10,6 +10,8 @@
     FAILURES_TO_SUSPECT,
     FORMER_USAGE_S,
     LEAVING_MEMORY_S,
+    LIST_PATIENCE_S,
+    LIST_PERIOD_S,
     OUTAGE_S,
     REPLACED_REPORT_S,
     RESUMED_PATIENCE_S,
@@ -42,8 +44,12 @@
         self.listing: tuple[Upstream, ...] = ()
         # When this process or a peer last confirmed the list with the store.
         self.confirmed_s = -1e9
-        # The same before the last time.
-        self.previous_confirmed_s = -1e9
+        # As of the confirmation before the last: until when the list is sure to show
+        # restarts, except for the latest ones, which go unnoticed for a while.
+        self.restarts_known_s = -1e9
+        self._next_restarts_known_s = -1e9
+        # Until when upstreams may still write again after a gap in the confirmations.
+        self._written_again_s = -1e9
         # Since when no registration can have come and gone unnoticed.
         self._complete_since_s = math.inf
         # When this process last ran, and when it last ran again after a suspension.
@@ -210,8 +216,13 @@
             self._copied.clear()
         if self._is_interrupted(now_s):
             self._complete_since_s = now_s
+        is_late = now_s - self.confirmed_s >= LIST_PERIOD_S + LIST_PATIENCE_S
+        if is_late or not is_same_era:
+            self._written_again_s = now_s + EXPIRED_ENTRY_GRACE_S
+        self.restarts_known_s = self._next_restarts_known_s
+        if now_s >= self._written_again_s:
+            self._next_restarts_known_s = now_s
         self.position = position
-        self.previous_confirmed_s = self.confirmed_s
         self.confirmed_s = now_s
 
     def _is_interrupted(self, now_s: float) -> bool:
