Share the doubt about a stream's version with peers

What callers saw: a stream whose upstream had started again as another version, unnoticed, could go on at the former version at a VM that asked a peer for the origin, although that peer knew of the doubt; also if the version was learned after the stream began.

Cause: a doubtful origin was sent without its version but with its upstream and start, by which the VM that asked found the former version in its own list. Doubts were applied only to origins that came with a version. What a VM told of streams was not looked at again.

Change: a doubtful origin is sent without its upstream, doubts are applied whenever a version is found, and streams are told as they are known at that time.

Evidence: both tests failed before and pass.

--- a/banyanseam/entry/origins/network.py
+++ b/banyanseam/entry/origins/network.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 
@@ -183,7 +183,8 @@
                 del self._untold[key]
             elif self._must_be_told(untold, now_s):
                 del self._untold[key]
-                row = to_origin_row(key, untold.record, now_s)
+                origin = self._records.resolve(untold.record)
+                row = to_origin_row(key, replace(untold.record, origin=origin), now_s)
                 for ip in self._choose_holders(key, now_s):
                     rows.setdefault(ip, []).append(row)
         for ip, found in rows.items():
--- a/banyanseam/entry/origins/records.py
+++ b/banyanseam/entry/origins/records.py
@@ -63,18 +63,22 @@
         return replace(record, origin=self.resolve(record))
 
     def resolve(self, record: OriginRecord) -> StreamOrigin:
-        """Return an origin with its software as far as that is known by now."""
+        """Return an origin with its software as far as that is known by now.
+
+        Of a doubtful one, the upstream is left out too: a peer that has not noticed
+        the restart would find the former version by it.
+        """
         origin = record.origin
         software = origin.software
         if software is None:
             software = self._upstreams.find_software(
                 origin.upstream_id, origin.started_ms
             )
-        elif self._is_doubtful(record):
-            software = None
+        if self._is_doubtful(record, software):
+            return StreamOrigin(origin.service, None)
         return replace(origin, software=software)
 
-    def _is_doubtful(self, record: OriginRecord) -> bool:
+    def _is_doubtful(self, record: OriginRecord, software: str | None) -> bool:
         """Return whether another version under the id may have begun a stream."""
         origin = record.origin
         doubt = self._doubts.get((origin.upstream_id, origin.started_ms))
@@ -83,7 +87,7 @@
         return any(
             each.upstream_id == origin.upstream_id
             and each.started_ms > origin.started_ms
-            and each.software != origin.software
+            and each.software != software
             for each in self._upstreams.list_known_since(-math.inf)
         )
 
--- a/tests/entry/origins/test_records.py
+++ b/tests/entry/origins/test_records.py
@@ -2,10 +2,12 @@
 
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 
 import anyio
 
 from banyanseam.entry.models import Upstream
+from banyanseam.entry.origins.messages import from_origin_row, to_origin_row
 from banyanseam.entry.origins.records import OriginRecord, OriginRecords
 from banyanseam.entry.upstream_list import UpstreamList
 from tests.common import run_with_mock_clock
@@ -111,6 +113,36 @@
 
         self.assertIsNone(self.find_software(choose, 9.0, 18.0))
 
+    def test_a_peer_that_has_not_noticed_a_restart_shares_the_doubt(self):
+        async def run() -> tuple[str | None, ...]:
+            now_s = anyio.current_time()
+            noticed, behind = UpstreamList(), UpstreamList()
+            for upstreams in (noticed, behind):
+                upstreams.adopt([FIRST], 1, now_s)
+            own, peers = OriginRecords(noticed), OriginRecords(behind)
+            own.record(KEY, OriginRecord(FIRST.origin, now_s), now_s)
+            noticed.adopt([SECOND], 2, now_s)
+            row = to_origin_row(KEY, own.find(KEY, now_s), now_s)
+            peers.record(KEY, from_origin_row(row, now_s), now_s)
+            found = [each.find(KEY, now_s).origin.software for each in (own, peers)]
+            behind.adopt([SECOND], 2, now_s)
+            return (*found, peers.find(KEY, now_s).origin.software)
+
+        self.assertEqual(run_with_mock_clock(run), (None, None, None))
+
+    def test_a_version_that_is_learned_late_is_in_doubt_too(self):
+        async def run() -> str | None:
+            now_s = anyio.current_time()
+            upstreams = UpstreamList()
+            upstreams.adopt([FIRST], 1, now_s)
+            records = OriginRecords(upstreams)
+            origin = replace(FIRST.origin, software=None)
+            records.record(KEY, OriginRecord(origin, now_s), now_s)
+            upstreams.adopt([SECOND], 2, now_s)
+            return records.find(KEY, now_s).origin.software
+
+        self.assertIsNone(run_with_mock_clock(run))
+
 
 if __name__ == "__main__":
     unittest.main()
