Refuse a stream at once whose upstreams could not be reached

What callers saw: a stream that was taken up while the last upstream of its version was down, but still listed, was held for 40 % of the time left (1.2 s in the test) and then refused.

Cause: an upstream that could not be reached is not tried again for the same request, but counted as registered, so the request waited for room there.

Change: for a stream that is to go on, such an upstream doesn't count. Other requests wait as before, for 15 % of the time left, since a new upstream may serve them.

Evidence: the test failed before and passes.

--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -150,6 +150,7 @@
     def _is_none_registered(self, exchange: Exchange, now_s: float) -> bool:
         """Return whether no usable upstream is registered, not even a cold one.
 
+        For a stream that is to go on, one that could not be reached does not count.
         False if the list of upstreams is too old to be certain.
         """
         if now_s - self.upstreams.confirmed_s > OUTAGE_S:
@@ -159,6 +160,10 @@
         return not any(
             regions.get(listed.upstream.data_centre) in allowed
             and exchange.may_run_at(listed.upstream.software)
+            and not (
+                exchange.origin is not None
+                and listed.upstream.upstream_id in exchange.unreachable
+            )
             for listed in self.upstreams.list_usable(exchange.service, now_s)
         )
 
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -93,6 +93,14 @@
     return simulation.callers[number]
 
 
+async def begin_at(simulation: Simulation, software: str) -> Caller:
+    """Begin streams until one is at a version."""
+    while True:
+        caller = await begin(simulation, GULF)
+        if list_authors(caller)[0] == software:
+            return caller
+
+
 async def take_up(
     simulation: Simulation,
     vm: str,
@@ -376,6 +384,23 @@
         self.play(scenario)
         self.check_goes_on(*calls)
 
+    def test_a_stream_whose_only_upstream_is_down_is_not_held(self):
+        """The list still shows the upstream."""
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            for name in [name for name in simulation.upstreams if "pool" in name]:
+                if name != "pool-gulf":
+                    replace_upstream(simulation, name, "v2")
+            simulation.revision += 1
+            simulation.gossip()
+            calls.append(await begin_at(simulation, "v1"))
+            simulation.down.add("pool-gulf")
+            calls.append(await take_up(simulation, GULF_TWO, calls[0]))
+
+        simulation, _ = self.play(scenario)
+        self.check_refused(simulation, calls[1])
+
 
 if __name__ == "__main__":
     unittest.main()
