Ignore a header about an origin whose start is no number

What callers saw: nothing; found by reading. A forwarded request, or its answer, ended with an internal failure if the header that names the upstream had a start such as a superscript digit or one of over 4,300 digits.

Cause: str.isdigit takes more characters for digits than int does, and int limits their number.

Change: the header is parsed as bytes, whose digits are those of ASCII, and its start may have 16 digits.

Evidence: the test of malformed headers failed before and passes; that of a round trip passed before.

--- a/banyanseam/entry/peer_headers.py
+++ b/banyanseam/entry/peer_headers.py
@@ -24,6 +24,8 @@
 # Of a request: where the stream began that is to go on. Of an answer: who serves it.
 ORIGIN: Final = b"x-banyanseam-origin"
 PREFIX: Final = b"x-banyanseam-"
+# Of a start in Unix milliseconds.
+MAX_START_DIGITS: Final = 16
 
 
 def write_forwarding(exchange: Exchange, sender_ip: str) -> Headers:
@@ -101,16 +103,15 @@
 
 
 def _decode_origin(value: bytes | None) -> StreamOrigin | None:
-    parts = b"" if value is None else value
-    fields = parts.decode("latin-1").split(" ")
-    if len(fields) != 4 or not fields[3].isdigit():
+    parts = (value or b"").split(b" ")
+    if len(parts) != 4 or not parts[3].isdigit() or len(parts[3]) > MAX_START_DIGITS:
         return None
-    service, software, upstream_id, started_ms = fields
+    service, software, upstream_id = (part.decode("latin-1") for part in parts[:3])
     return StreamOrigin(
         unquote(service),
         unquote(software[1:]) if software else None,
         upstream_id,
-        int(started_ms),
+        int(parts[3]),
     )
 
 
