--- a/banyanseam/entry/origins/network.py
+++ b/banyanseam/entry/origins/network.py
@@ -160,10 +160,10 @@
 
     def _accept(self, reply: OriginReply, ip: str) -> None:
         question = self._questions.get(reply.key)
-        if question is None:
+        if question is None or ip not in question.awaited:
             return
         question.replies[ip] = reply
-        question.awaited.discard(ip)
+        question.awaited.remove(ip)
         is_known = reply.found is not None and reply.found[2] is not None
         if is_known or not question.awaited:
             question.answered.set()
