Ask a region only once that can't serve a stream's version

Cause: the refusal of the peer said nothing about where else to go, so the region was chosen again by its last report.

Change: a region that has answered that the version no longer serves there is left out for the rest of the request, without a charge to the budget, since no upstream was reached. If no other region is left, the request is refused at once.

The simulation counts how often a request is forwarded.

--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -103,6 +103,8 @@
     last_event: int | None = None
     # Ids of upstreams and IPs of peers that this request is not sent to again.
     unreachable: set[str] = field(default_factory=set)
+    # Regions that can't serve the version of the stream that is to go on.
+    regions_without_version: set[str] = field(default_factory=set)
     # Ids of the upstreams chosen for failed attempts, in order.
     tried: list[str] = field(default_factory=list)
 
@@ -188,10 +190,13 @@
         return self.route.is_resumable and self.forwarding is None
 
     def allowed_regions(self, regions: set[str]) -> set[str]:
-        """Return those of the regions that route and organisation permit."""
+        """Return those of the regions that may serve the request.
+
+        Route and organisation permit them, and the stream may go on there.
+        """
         allowed = set(regions)
         if self.route.home_regions:
             allowed &= self.route.home_regions
         if self.organisation is not None and self.organisation.home_regions:
             allowed &= self.organisation.home_regions
-        return allowed
+        return allowed - self.regions_without_version
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -29,6 +29,7 @@
     EntryLeaving,
     PeerUntrusted,
     SlowerThanOthers,
+    StreamVersionGone,
     UpstreamReplaced,
 )
 from banyanseam.entry.exchange import Exchange
@@ -299,6 +300,8 @@
                         _record_not_run(exchange)
                     if failure.code in VM_NOT_SERVING_CODES:
                         exchange.unreachable.add(peer.ip)
+                    if failure.code == StreamVersionGone.code:
+                        exchange.regions_without_version.add(region)
                     await incoming.skip_body()
                     raise failure
                 answer = self.upstream_format.read_answer(
@@ -504,6 +507,9 @@
         if error.code in VM_NOT_SERVING_CODES and error.not_run and not is_used_up:
             # This attempt reached no upstream.
             return exchange.may_resend or not exchange.may_have_run
+        if error.code == StreamVersionGone.code:
+            # This attempt reached no upstream, and its region is left out from now on.
+            return exchange.may_resend or not exchange.may_have_run
         if isinstance(error, UpstreamReplaced):
             # Another one got the request and did not run it: the budget counts that.
             may_resend = exchange.may_resend or not exchange.may_have_run
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -6,6 +6,7 @@
 
 import json
 import math
+from collections import Counter
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import ExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
@@ -129,6 +130,8 @@
     # Faults of a request's sends to upstreams and to peers, in order.
     faults: dict[str, list[str]] = field(default_factory=dict)
     peer_faults: dict[str, list[str]] = field(default_factory=dict)
+    # How often a request was forwarded to a peer.
+    forwards: Counter[str] = field(default_factory=Counter)
     # Requests a second that upstreams name as their limit, by id.
     limits_per_s: dict[str, float] = field(default_factory=dict)
     is_partitioned: bool = False
@@ -356,6 +359,7 @@
         if peer is not None:
             app = make_peers_app(peer.frontend)
             sender = headers["x-banyanseam-sender"]
+            self.forwards[request_id] += 1
             async with self._call_app(app, outgoing, sender, fault) as incoming:
                 yield incoming
             return
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -93,10 +93,10 @@
     return simulation.callers[number]
 
 
-async def begin_at(simulation: Simulation, software: str) -> Caller:
+async def begin_at(simulation: Simulation, vm: str, software: str) -> Caller:
     """Begin streams until one is at a version."""
     while True:
-        caller = await begin(simulation, GULF)
+        caller = await begin(simulation, vm)
         if list_authors(caller)[0] == software:
             return caller
 
@@ -394,13 +394,30 @@
                     replace_upstream(simulation, name, "v2")
             simulation.revision += 1
             simulation.gossip()
-            calls.append(await begin_at(simulation, "v1"))
+            calls.append(await begin_at(simulation, GULF, "v1"))
             simulation.down.add("pool-gulf")
             calls.append(await take_up(simulation, GULF_TWO, calls[0]))
 
         simulation, _ = self.play(scenario)
         self.check_refused(simulation, calls[1])
 
+    def test_a_stream_whose_only_upstream_elsewhere_is_down_is_not_held(self):
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            for name in [name for name in simulation.upstreams if "pool" in name]:
+                if name != "pool-piedmont":
+                    replace_upstream(simulation, name, "v2")
+            simulation.revision += 1
+            simulation.gossip()
+            calls.append(await begin_at(simulation, PIEDMONT, "v1"))
+            simulation.down.add("pool-piedmont")
+            calls.append(await take_up(simulation, GULF, calls[0]))
+
+        simulation, _ = self.play(scenario)
+        self.check_refused(simulation, calls[1])
+        self.assertLessEqual(simulation.forwards[calls[1].request_id], 2)
+
 
 if __name__ == "__main__":
     unittest.main()
