Encode own messages about origins without validation

What callers saw: nothing; found by reading. A service's name of more characters than peers accept would have ended the daemon when it told of a stream or answered a question, since the bounds of the messages held for its own too.

Cause: a message that a daemon builds from its own state was validated like a received one; the error isn't one that the sender handles.

Change: only received messages are validated. Such a stream is known to its own VM only.

Evidence: the test failed before and passes.

--- a/banyanseam/entry/origins/network.py
+++ b/banyanseam/entry/origins/network.py
@@ -103,7 +103,7 @@
             return question.replies
         question = _Question(set(self._choose_asked(key)))
         self._questions[key] = question
-        body = OriginQuestion(key=key, services=sorted(services))
+        body = OriginQuestion.model_construct(key=key, services=sorted(services))
         data = encode_origins(OriginMessage(question=body))
         try:
             with anyio.move_on_after(ASK_TIMEOUT_S):
@@ -147,7 +147,7 @@
 
     def _make_reply(self, question: OriginQuestion, now_s: float) -> OriginReply:
         record = self._records.find(question.key, now_s)
-        return OriginReply(
+        return OriginReply.model_construct(
             key=question.key,
             found=None
             if record is None
@@ -189,7 +189,10 @@
                     rows.setdefault(ip, []).append(row)
         for ip, found in rows.items():
             for start in range(0, len(found), MAX_TOLD_ROWS):
-                message = OriginMessage(begun=found[start : start + MAX_TOLD_ROWS])
+                # Only peers check the rows: an error here would end the daemon.
+                message = OriginMessage.model_construct(
+                    begun=found[start : start + MAX_TOLD_ROWS]
+                )
                 await self.send(ip, encode_origins(message))
 
     def _choose_holders(self, key: int, now_s: float) -> list[str]:
--- a/tests/entry/origins/test_network.py
+++ b/tests/entry/origins/test_network.py
@@ -5,16 +5,18 @@
 
 import anyio
 
+from banyanseam.entry.models import StreamOrigin
 from banyanseam.entry.origins.const import ASK_TIMEOUT_S, MAX_TOLD_ROWS
 from banyanseam.entry.origins.messages import (
     OriginMessage,
+    OriginQuestion,
     OriginReply,
     OriginRow,
     decode_origins,
     encode_origins,
 )
 from banyanseam.entry.origins.network import OriginNetwork
-from banyanseam.entry.origins.records import OriginRecords
+from banyanseam.entry.origins.records import OriginRecord, OriginRecords
 from banyanseam.entry.origins.versions import SoftwareVersions
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.peers.errors import InvalidPeerMessage
@@ -94,6 +96,42 @@
         self.assertEqual(replies, list(PEERS))
 
 
+class TellTests(unittest.TestCase):
+    def test_a_stream_that_peers_would_drop_does_not_stop_the_others(self):
+        """Peers drop names that are too long; telling goes on."""
+
+        async def run() -> list[bytes]:
+            members = make_members("10.1.0.1")
+            now_s = anyio.current_time()
+            members.merge([make_member(PEERS[0])], now_s)
+            upstreams = UpstreamList()
+            records = OriginRecords(upstreams)
+            network = OriginNetwork(members, records, SoftwareVersions(upstreams))
+            sent = []
+
+            async def send(_: str, data: bytes) -> None:
+                sent.append(data)
+
+            network.send = send
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(network.run)
+                for key, service in enumerate(("s" * 1000, "pool")):
+                    origin = StreamOrigin(service, "v1", "e1", 1)
+                    record = OriginRecord(origin, anyio.current_time())
+                    records.record(key, record, anyio.current_time())
+                    network.add(key, record, [service])
+                    await anyio.sleep(1.0)
+                replies = await network.ask(KEY, ["s" * 1000])
+                question = OriginMessage(question=OriginQuestion(key=0, services=[]))
+                await network.receive(encode_origins(question), PEERS[0])
+                tasks.cancel_scope.cancel()
+            self.assertEqual(replies, {})
+            return sent
+
+        *_, last_told, _, _ = run_with_mock_clock(run)
+        self.assertEqual(decode_origins(last_told).begun[0][1], "pool")
+
+
 class MessageSizeTests(unittest.TestCase):
     def test_more_rows_than_any_peer_sends_are_dropped(self):
         for count in (MAX_TOLD_ROWS, MAX_TOLD_ROWS + 1):
