Say that a stream's service is gone rather than that its origin is unknown

What callers saw: a stream whose route had moved to another service was refused with "the software version that began this stream is not known", although it was known.

Change: that refusal is entry.stream_version_gone, whose detail names the service.

Evidence: the test failed before for the moved route, and passes; for a stream that no process remembers it passed before.

--- a/banyanseam/entry/errors.py
+++ b/banyanseam/entry/errors.py
@@ -109,7 +109,7 @@
 
 
 class StreamVersionGone(BanyanseamError):
-    """No upstream of the software version that began the stream may serve it now."""
+    """No upstream of the version, or service, that began the stream may serve it."""
 
     code = "entry.stream_version_gone"
     event = 1930
--- a/banyanseam/entry/origins/takeups.py
+++ b/banyanseam/entry/origins/takeups.py
@@ -6,7 +6,7 @@
 import anyio
 
 from banyanseam.entry.choosing import choose_retry_after_ms
-from banyanseam.entry.errors import StreamOriginUnknown
+from banyanseam.entry.errors import StreamOriginUnknown, StreamVersionGone
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.models import StreamOrigin
 from banyanseam.entry.origins.messages import OriginReply, from_origin_row
@@ -47,7 +47,10 @@
         self.network.discard(_find_key(exchange))
 
     async def find(self, exchange: Exchange) -> None:
-        """Find the origin of a stream that is taken up; raise StreamOriginUnknown."""
+        """Find the origin of a stream that is taken up.
+
+        Raise StreamOriginUnknown, or StreamVersionGone if the route leads elsewhere.
+        """
         self.check_running()
         started_s = anyio.current_time()
         key = _find_key(exchange)
@@ -74,8 +77,13 @@
             replies=len(replies),
             took_ms=round((now_s - started_s) * 1000),
         )
-        if origin is None or origin.service not in services:
+        if origin is None:
             self._refuse(exchange)
+        if origin.service not in services:
+            raise StreamVersionGone(
+                f"the route no longer leads to service {origin.service}",
+                retry_after_ms=_choose_retry_after_ms(exchange),
+            )
         exchange.origin = origin
         exchange.service = origin.service
         exchange.begun_s = now_s if record is None else record.begun_s
@@ -129,13 +137,18 @@
         return StreamOrigin(service, software)
 
     def _refuse(self, exchange: Exchange) -> None:
-        left_ms = exchange.deadline_left_ms()
         raise StreamOriginUnknown(
             f"stream {exchange.head.begun_as or exchange.head.request_id}",
-            retry_after_ms=choose_retry_after_ms(left_ms, left_ms),
+            retry_after_ms=_choose_retry_after_ms(exchange),
         )
 
 
+def _choose_retry_after_ms(exchange: Exchange) -> int:
+    """Return the longest delay, since the answer will hardly change in time."""
+    left_ms = exchange.deadline_left_ms()
+    return choose_retry_after_ms(left_ms, left_ms)
+
+
 def _list_services(exchange: Exchange) -> list[str]:
     return [service for service, _ in exchange.route.services]
 
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -418,6 +418,33 @@
         self.check_refused(simulation, calls[1])
         self.assertLessEqual(simulation.forwards[calls[1].request_id], 2)
 
+    def test_a_refusal_names_its_reason(self):
+        """The origin is known, but the route has moved to another service since."""
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            split_route(simulation)
+            mix(simulation)
+            calls.append(await begin_at(simulation, GULF, "v1"))
+            simulation.config["routes"][0]["traffic_split"] = [
+                {"service": "spare", "weight": 1}
+            ]
+            simulation.publish()
+            calls.append(await take_up(simulation, GULF, calls[0]))
+            simulation.start_vm(GULF, "gulf")
+            simulation.publish()
+            simulation.gossip()
+            calls.append(await take_up(simulation, GULF, Caller("-", "", GULF, 0.0)))
+
+        simulation, _ = self.play(scenario)
+        for caller, code in zip(
+            calls[1:],
+            (b"entry.stream_version_gone", b"entry.stream_origin_unknown"),
+            strict=True,
+        ):
+            self.check_refused(simulation, caller)
+            self.assertIn(code, caller.body)
+
 
 if __name__ == "__main__":
     unittest.main()
