Let the doubt of any peer about a stream's origin count

What callers saw: if one peer had noticed that a stream's upstream had started again and another had not, the stream went on at the former version or was refused, as the first reply said.

Change: of the replies that a VM has got, a doubtful one counts first. A reply that comes after a known origin has ended the question still doesn't count; peers notice a restart within a reading of the list of each other.

--- a/banyanseam/entry/origins/records.py
+++ b/banyanseam/entry/origins/records.py
@@ -37,6 +37,11 @@
     origin: StreamOrigin
     begun_s: float
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether another version than the listed one may have begun it."""
+        return self.origin.software is None and not self.origin.upstream_id
+
 
 class OriginRecords:
     """The origins of recent streams by key."""
@@ -74,11 +79,11 @@
             software = self._upstreams.find_software(
                 origin.upstream_id, origin.started_ms
             )
-        if self._is_doubtful(record, software):
+        if self._may_be_later(record, software):
             return StreamOrigin(origin.service, None)
         return replace(origin, software=software)
 
-    def _is_doubtful(self, record: OriginRecord, software: str | None) -> bool:
+    def _may_be_later(self, record: OriginRecord, software: str | None) -> bool:
         """Return whether another version under the id may have begun a stream."""
         origin = record.origin
         doubt = self._doubts.get((origin.upstream_id, origin.started_ms))
--- a/banyanseam/entry/origins/takeups.py
+++ b/banyanseam/entry/origins/takeups.py
@@ -110,10 +110,16 @@
     def _adopt(self, key: int, replies: Iterable[OriginReply]) -> OriginRecord | None:
         """Record what peers know of a stream, and return it."""
         now_s = anyio.current_time()
-        for reply in replies:
-            if reply.found is not None:
-                record = from_origin_row(reply.found, now_s)
-                self.records.record(key, record, now_s)
+        found = [
+            from_origin_row(reply.found, now_s)
+            for reply in replies
+            if reply.found is not None
+        ]
+        # The first counts. A peer that doubts an origin knows of a restart that others
+        # may not have noticed.
+        found.sort(key=lambda each: not each.is_doubtful)
+        for record in found:
+            self.records.record(key, record, now_s)
         return self.records.find(key, now_s)
 
     def _infer(
