--- a/banyanseam/entry/origins/takeups.py
+++ b/banyanseam/entry/origins/takeups.py
@@ -6,7 +6,7 @@
 import anyio
 
 from banyanseam.entry.choosing import choose_retry_after_ms
-from banyanseam.entry.errors import StreamOriginUnknown
+from banyanseam.entry.errors import StreamOriginUnknown, StreamVersionGone
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.models import StreamOrigin
 from banyanseam.entry.origins.messages import OriginReply, from_origin_row
@@ -40,18 +40,21 @@
         record = OriginRecord(exchange.origin, now_s)
         exchange.begun_s = now_s
         self.records.record(key, record, now_s)
-        self.network.add(key, record)
+        self.network.add(key, record, _list_services(exchange))
 
     def record_end(self, exchange: Exchange) -> None:
         """Record that the caller has got the whole stream."""
         self.network.discard(_find_key(exchange))
 
     async def find(self, exchange: Exchange) -> None:
-        """Find the origin of a stream that is taken up; raise StreamOriginUnknown."""
+        """Find the origin of a stream that is taken up.
+
+        Raise StreamOriginUnknown, or StreamVersionGone if the route leads elsewhere.
+        """
         self.check_running()
         started_s = anyio.current_time()
         key = _find_key(exchange)
-        services = [service for service, _ in exchange.route.services]
+        services = _list_services(exchange)
         record = self.records.find(key, started_s)
         source = "record"
         replies: dict[str, OriginReply] = {}
@@ -74,15 +77,20 @@
             replies=len(replies),
             took_ms=round((now_s - started_s) * 1000),
         )
-        if origin is None or origin.service not in services:
+        if origin is None:
             self._refuse(exchange)
+        if origin.service not in services:
+            raise StreamVersionGone(
+                f"the route no longer leads to service {origin.service}",
+                retry_after_ms=_choose_retry_after_ms(exchange),
+            )
         exchange.origin = origin
         exchange.service = origin.service
         exchange.begun_s = now_s if record is None else record.begun_s
         # Peers that knew of it may be gone before it is taken up once more.
         record = OriginRecord(origin, exchange.begun_s)
         self.records.record(key, record, now_s)
-        self.network.add(key, record)
+        self.network.add(key, record, services)
 
     def confirm(self, exchange: Exchange) -> None:
         """Look again where a stream began that is to go on within its answer.
@@ -102,10 +110,16 @@
     def _adopt(self, key: int, replies: Iterable[OriginReply]) -> OriginRecord | None:
         """Record what peers know of a stream, and return it."""
         now_s = anyio.current_time()
-        for reply in replies:
-            if reply.found is not None:
-                record = from_origin_row(reply.found, now_s)
-                self.records.record(key, record, now_s)
+        found = [
+            from_origin_row(reply.found, now_s)
+            for reply in replies
+            if reply.found is not None
+        ]
+        # The first counts. A peer that doubts an origin knows of a restart that others
+        # may not have noticed.
+        found.sort(key=lambda each: not each.is_doubtful)
+        for record in found:
+            self.records.record(key, record, now_s)
         return self.records.find(key, now_s)
 
     def _infer(
@@ -129,13 +143,22 @@
         return StreamOrigin(service, software)
 
     def _refuse(self, exchange: Exchange) -> None:
-        left_ms = exchange.deadline_left_ms()
         raise StreamOriginUnknown(
             f"stream {exchange.head.begun_as or exchange.head.request_id}",
-            retry_after_ms=choose_retry_after_ms(left_ms, left_ms),
+            retry_after_ms=_choose_retry_after_ms(exchange),
         )
 
 
+def _choose_retry_after_ms(exchange: Exchange) -> int:
+    """Return the longest delay, since the answer will hardly change in time."""
+    left_ms = exchange.deadline_left_ms()
+    return choose_retry_after_ms(left_ms, left_ms)
+
+
+def _list_services(exchange: Exchange) -> list[str]:
+    return [service for service, _ in exchange.route.services]
+
+
 def _find_key(exchange: Exchange) -> int:
     organisation = exchange.organisation
     return make_stream_key(
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -61,6 +61,23 @@
     simulation.gossip()
 
 
+def split_route(simulation: Simulation) -> None:
+    """Let the second engine of each region be of a second service of the route."""
+    simulation.revision += 1
+    for region in ("gulf", "piedmont"):
+        name = f"pool-two-{region}"
+        simulation.upstreams[name] = replace(
+            simulation.upstreams[name], service="spare", revision=simulation.revision
+        )
+    pool = simulation.config["services"][0]
+    simulation.config["services"].append(pool | {"name": "spare"})
+    simulation.config["routes"][0]["traffic_split"] = [
+        {"service": service, "weight": 1} for service in ("pool", "spare")
+    ]
+    simulation.publish()
+    simulation.gossip()
+
+
 async def let_pass(
     simulation: Simulation, seconds: float, *, with_heartbeats: bool = True
 ) -> None:
@@ -80,6 +97,14 @@
     return simulation.callers[number]
 
 
+async def begin_at(simulation: Simulation, vm: str, software: str) -> Caller:
+    """Begin streams until one is at a version."""
+    while True:
+        caller = await begin(simulation, vm)
+        if list_authors(caller)[0] == software:
+            return caller
+
+
 async def take_up(
     simulation: Simulation,
     vm: str,
@@ -380,6 +405,81 @@
         self.play(scenario)
         self.check_goes_on(*calls)
 
+    def test_a_stream_of_a_route_with_two_services_goes_on(self):
+        """One version serves in each, and the VM that began the stream starts anew."""
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            split_route(simulation)
+            await let_pass(simulation, LONG_S)
+            calls.append(await begin(simulation, GULF))
+            simulation.restart_vm(GULF)
+            calls.append(await take_up(simulation, GULF_TWO, calls[0]))
+
+        self.play(scenario)
+        self.check_goes_on(*calls)
+
+    def test_a_stream_whose_only_upstream_is_down_is_not_held(self):
+        """The list still shows the upstream."""
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            for name in [name for name in simulation.upstreams if "pool" in name]:
+                if name != "pool-gulf":
+                    replace_upstream(simulation, name, "v2")
+            simulation.revision += 1
+            simulation.gossip()
+            calls.append(await begin_at(simulation, GULF, "v1"))
+            simulation.down.add("pool-gulf")
+            calls.append(await take_up(simulation, GULF_TWO, calls[0]))
+
+        simulation, _ = self.play(scenario)
+        self.check_refused(simulation, calls[1])
+
+    def test_a_stream_whose_only_upstream_elsewhere_is_down_is_not_held(self):
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            for name in [name for name in simulation.upstreams if "pool" in name]:
+                if name != "pool-piedmont":
+                    replace_upstream(simulation, name, "v2")
+            simulation.revision += 1
+            simulation.gossip()
+            calls.append(await begin_at(simulation, PIEDMONT, "v1"))
+            simulation.down.add("pool-piedmont")
+            calls.append(await take_up(simulation, GULF, calls[0]))
+
+        simulation, _ = self.play(scenario)
+        self.check_refused(simulation, calls[1])
+        self.assertLessEqual(simulation.forwards[calls[1].request_id], 2)
+
+    def test_a_refusal_names_its_reason(self):
+        """The origin is known, but the route has moved to another service since."""
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            split_route(simulation)
+            mix(simulation)
+            calls.append(await begin_at(simulation, GULF, "v1"))
+            simulation.config["routes"][0]["traffic_split"] = [
+                {"service": "spare", "weight": 1}
+            ]
+            simulation.publish()
+            calls.append(await take_up(simulation, GULF, calls[0]))
+            simulation.start_vm(GULF, "gulf")
+            simulation.publish()
+            simulation.gossip()
+            calls.append(await take_up(simulation, GULF, Caller("-", "", GULF, 0.0)))
+
+        simulation, _ = self.play(scenario)
+        for caller, code in zip(
+            calls[1:],
+            (b"entry.stream_version_gone", b"entry.stream_origin_unknown"),
+            strict=True,
+        ):
+            self.check_refused(simulation, caller)
+            self.assertIn(code, caller.body)
+
 
 if __name__ == "__main__":
     unittest.main()
