Order versions of the published configuration by the era of their service

Cause: versions were revisions of the configuration service, compared as if it had one history. A service that came back from a copy gave a revision out again with another value; the daemon with published seats took it for the one that it had read, and two processes could differ for good.

Change: the service names its era, one that names none is in era 0. A version is the era and the revision in one number, so that all comparisons hold, messages stay as they are, and peers of the release before, which refuse unknown fields, order and relay it. Watches name their era, so that the service answers at once after a return. Operators see era and revision apart. The stand-in can return from a copy. A process of the release before keeps values that the copy lacks until it is replaced: docs/design/configuration.md.

The property test of versions out of order has a second era, a change between listing and reading may be a return, and the status on the command line has an era; their assertions are the same.

--- a/banyanseam/cli/daemon.py
+++ b/banyanseam/cli/daemon.py
@@ -8,6 +8,7 @@
 from banyanseam.cli.client import call_daemon, make_request, operators_option
 from banyanseam.cli.files import read_bytes
 from banyanseam.cli.output import emit, format_table, json_option
+from banyanseam.config.versions import describe_version
 from banyanseam.server.operator_models import (
     DrainReply,
     EntriesReply,
@@ -98,15 +99,16 @@
     lines = [
         f"{reply.seat} ({reply.region}, {reply.data_centre}) is {reply.state}, "
         f"up {reply.up_ms} ms, incarnation {reply.incarnation}",
-        f"configuration {config.version}, in force for {config.in_force_ms} ms, "
+        f"configuration {describe_version(config.era, config.version)}, "
+        f"in force for {config.in_force_ms} ms, "
         f"service answered {config.service_answered_ms_ago} ms ago",
         f"load: {load.in_flight} in flight, {load.queued} queued, "
         f"{load.held_bytes} of {load.byte_budget} bytes held",
     ]
     if config.rejected is not None:
-        lines.append(
-            f"REJECTED version {config.rejected.version}: {config.rejected.detail}"
-        )
+        rejected = config.rejected
+        version = describe_version(rejected.era, rejected.version)
+        lines.append(f"REJECTED version {version}: {rejected.detail}")
     if load.failures:
         rows = sorted(load.failures.items(), key=lambda row: -row[1])
         lines += ["", format_table(("failures", "count"), rows)]
@@ -150,4 +152,5 @@
 def _format_explanation(reply: ExplainReply) -> str:
     rows = [(one.filter, one.verdict, one.code, one.reason) for one in reply.steps]
     table = format_table(("filter", "verdict", "code", "why"), rows)
-    return f"{table}\n{reply.verdict}, by configuration {reply.config_version}"
+    version = describe_version(reply.config_era, reply.config_version)
+    return f"{table}\n{reply.verdict}, by configuration {version}"
--- a/banyanseam/config/compiled.py
+++ b/banyanseam/config/compiled.py
@@ -97,7 +97,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
-    """One accepted configuration; each that a process adopts has a higher `version`."""
+    """One accepted configuration; each that a process adopts has a higher `version`.
+
+    The version is a number that contains its era, see `banyanseam.config.versions`.
+    """
 
     version: int
     organisations: dict[str, Organisation]
--- a/banyanseam/config/messages.py
+++ b/banyanseam/config/messages.py
@@ -1,4 +1,7 @@
-"""Messages with which daemons replicate the configuration."""
+"""Messages with which daemons replicate the configuration.
+
+Versions and revisions are numbers that contain their era, see `versions.py`.
+"""
 
 import zlib
 
--- a/banyanseam/config/snapshot.py
+++ b/banyanseam/config/snapshot.py
@@ -1,8 +1,8 @@
 """Snapshots of the published values as of one version, and their compilation.
 
-The configuration service numbers all its changes in one sequence. The values as of
-version N are therefore the same in every process, so that any two processes agree on
-whether these values are valid.
+The configuration service numbers all its changes in one sequence for each of its eras.
+The values as of a version are therefore the same in every process, so that any two
+processes agree on whether these values are valid.
 """
 
 import json
@@ -23,6 +23,7 @@
 from banyanseam.config.organisations import ResidencyRules, Shard, compile_shard
 from banyanseam.config.sites import compile_site
 from banyanseam.config.validate import validate_document
+from banyanseam.config.versions import era_of
 
 Part = TypeVar("Part")
 
@@ -32,6 +33,7 @@
     """One published value; a removed value is published as JSON null."""
 
     key: str
+    # The version that last changed the value.
     revision: int
     content: bytes
 
@@ -79,11 +81,16 @@
 ) -> Snapshot:
     """Return `known` updated by a listing of the changes since it.
 
+    A listing of another era replaces `known`, whose values the service may have lost.
     Raise InconsistentValues if a listed revision is not among the values.
     """
+    era = era_of(listing.version)
     found = {(value.key, value.revision): value for value in values}
-    merged = dict(known.values)
+    merged = dict(known.values) if era_of(known.version) == era else {}
     for key, revision in listing.changed.items():
+        # Peers of the release before keep lost values of earlier eras.
+        if era_of(revision) != era:
+            continue
         if (key, revision) not in found:
             raise InconsistentValues(
                 f"{key} was listed at revision {revision}, which was not read"
--- a/banyanseam/config/watch.py
+++ b/banyanseam/config/watch.py
@@ -25,9 +25,16 @@
     WATCH_MS,
 )
 from banyanseam.config.errors import ConfigServiceUnavailable, InconsistentValues
-from banyanseam.config.snapshot import Listing, Snapshot, Value, extend_snapshot
+from banyanseam.config.snapshot import (
+    EMPTY_SNAPSHOT,
+    Listing,
+    Snapshot,
+    Value,
+    extend_snapshot,
+)
 from banyanseam.config.store import ConfigStore
-from banyanseam.observe.events import CONFIG_SERVICE_DOWN, log
+from banyanseam.config.versions import era_of, revision_of
+from banyanseam.observe.events import CONFIG_SERVICE_DOWN, STORE_RESTORED, log
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +42,7 @@
     """Calls to one address of the service; both raise ConfigServiceUnavailable."""
 
     # Takes the version to list changes since, and how long the service may wait, in ms.
+    # An answer in another era than the version's may lack changes.
     list_revisions: Callable[[int, int], Awaitable[Listing]]
     read: Callable[[str], Awaitable[Value]]
 
@@ -70,6 +78,7 @@
         self.last_answered_s: float | None = None
         # Values that were read for a listing that isn't complete yet.
         self._partial_values: dict[tuple[str, int], Value] = {}
+        self._logged_era = 0
         self._reach_callbacks: list[Callable[[bool], None]] = []
 
     def on_reachability(self, callback: Callable[[bool], None]) -> None:
@@ -109,6 +118,12 @@
             if listing.version < known.version:
                 self._try_next_address()
                 return
+            if known.version and era_of(listing.version) > era_of(known.version):
+                # The changes since a version of an earlier era lack those to values
+                # whose revisions are lower; all values must be listed.
+                self._log_return(known.version, listing.version)
+                known = EMPTY_SNAPSHOT
+                continue
             await self._read_missing(client, listing)
             snapshot = self._extend(known, listing)
             if snapshot is not None:
@@ -141,6 +156,18 @@
             # A value changed between the listing and the read: list again.
             return None
 
+    def _log_return(self, version_before: int, version: int) -> None:
+        era = era_of(version)
+        if era > self._logged_era:
+            self._logged_era = era
+            log(
+                STORE_RESTORED,
+                era=era,
+                revision=revision_of(version),
+                era_before=era_of(version_before),
+                revision_before=revision_of(version_before),
+            )
+
     async def _try_clients(self, wait_ms: int) -> bool:
         for _ in self._clients:
             try:
--- a/banyanseam/daemon/control.py
+++ b/banyanseam/daemon/control.py
@@ -11,6 +11,7 @@
 from banyanseam.config.readers import make_is_reader
 from banyanseam.config.replication import Replicator
 from banyanseam.config.store import ConfigStore
+from banyanseam.config.versions import era_of, revision_of
 from banyanseam.config.watch import ServiceClient, ServiceWatcher
 from banyanseam.daemon.const import CATCH_UP_PATIENCE_S
 from banyanseam.daemon.lifecycle import Lifecycle, Stage
@@ -140,13 +141,20 @@
     def _apply_config(self, config: Config) -> None:
         self.adopted_s = anyio.current_time()
         self.membership.set_config(config, self.adopted_s)
-        log(CONFIG_ADOPTED, version=config.version)
+        version = config.version
+        log(CONFIG_ADOPTED, version=revision_of(version), era=era_of(version))
 
     def _log_rejection(self) -> None:
         rejection = self.store.rejection
         reason = str(rejection) if rejection is not None else None
         if reason is not None and reason != self._logged_reason:
-            log(CONFIG_REJECTED, version=self.store.newest.version, detail=reason)
+            version = self.store.newest.version
+            log(
+                CONFIG_REJECTED,
+                version=revision_of(version),
+                era=era_of(version),
+                detail=reason,
+            )
         self._logged_reason = reason
 
     def _handle_suspension(self, now_s: float) -> None:
--- a/banyanseam/daemon/diagnostics.py
+++ b/banyanseam/daemon/diagnostics.py
@@ -7,6 +7,7 @@
 from importlib.metadata import PackageNotFoundError, version
 
 from banyanseam.config.snapshot import Snapshot
+from banyanseam.config.versions import era_of, revision_of
 from banyanseam.daemon.components import DaemonComponents
 from banyanseam.daemon.status import describe_status
 from banyanseam.peers.const import PROTOCOL_VERSION
@@ -53,7 +54,7 @@
 def _digest_snapshot(snapshot: Snapshot) -> ConfigDigest:
     values = {
         key: ValueDigest(
-            revision=value.revision,
+            revision=revision_of(value.revision),
             sha256_hex=hashlib.sha256(value.content).hexdigest(),
         )
         for key, value in sorted(snapshot.values.items())
@@ -62,5 +63,8 @@
     for key, value in values.items():
         whole.update(f"{key} {value.sha256_hex}\n".encode())
     return ConfigDigest(
-        version=snapshot.version, sha256_hex=whole.hexdigest(), values=values
+        version=revision_of(snapshot.version),
+        era=era_of(snapshot.version),
+        sha256_hex=whole.hexdigest(),
+        values=values,
     )
--- a/banyanseam/daemon/operations.py
+++ b/banyanseam/daemon/operations.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from banyanseam.config.errors import NotReady
+from banyanseam.config.versions import era_of, revision_of
 from banyanseam.daemon.components import DaemonComponents
 from banyanseam.daemon.diagnostics import describe_diagnostics
 from banyanseam.daemon.order_components import describe_orders
@@ -23,7 +24,8 @@
     async def answer_ready(body: bytes) -> dict[str, Any]:
         if not daemon.is_ready:
             raise NotReady
-        return {"version": daemon.view.get_config().version}
+        version = daemon.view.get_config().version
+        return {"version": revision_of(version), "era": era_of(version)}
 
     async def answer_status(body: bytes) -> dict[str, Any]:
         return (await describe_status(daemon)).model_dump()
--- a/banyanseam/daemon/status.py
+++ b/banyanseam/daemon/status.py
@@ -3,6 +3,7 @@
 import anyio
 
 from banyanseam.config.compiled import Upstream
+from banyanseam.config.versions import era_of, revision_of
 from banyanseam.daemon.components import DaemonComponents
 from banyanseam.daemon.upstream_components import UpstreamComponents
 from banyanseam.errors import BanyanseamError
@@ -61,12 +62,14 @@
     rejected = None
     if store.rejection is not None:
         rejected = RejectedVersion(
-            version=store.newest.version,
+            version=revision_of(store.newest.version),
+            era=era_of(store.newest.version),
             json_path=store.rejection.json_path,
             detail=store.rejection.detail,
         )
     return ConfigStatus(
-        version=store.config.version,
+        version=revision_of(store.config.version),
+        era=era_of(store.config.version),
         in_force_ms=_to_age_ms(control.adopted_s, now_s),
         service_answered_ms_ago=answered_ms_ago,
         rejected=rejected,
--- a/banyanseam/pipe/serve_forwarded.py
+++ b/banyanseam/pipe/serve_forwarded.py
@@ -7,6 +7,7 @@
 
 from banyanseam.config.compiled import Config
 from banyanseam.config.errors import NotReady
+from banyanseam.config.versions import describe_version, era_of, revision_of
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.events import INTERNAL_FAILURE, log
 from banyanseam.peers.contract import Network
@@ -160,7 +161,9 @@
             while self._get_version() < opened.config_version:
                 await self._adopted.wait()
         if self._get_version() < opened.config_version:
-            raise NotReady(f"version {opened.config_version} is not in force here")
+            version = opened.config_version
+            described = describe_version(era_of(version), revision_of(version))
+            raise NotReady(f"version {described} is not in force here")
 
     def _get_version(self) -> int:
         config = self._get_config()
--- a/banyanseam/server/explain.py
+++ b/banyanseam/server/explain.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from banyanseam.config.compiled import Config, Organisation, Route, Upstream
+from banyanseam.config.versions import era_of, revision_of
 from banyanseam.errors import BanyanseamError
 from banyanseam.idempotency.const import KEY_HEADER
 from banyanseam.pipe.cost import estimate_cost, parse_chat_request
@@ -61,7 +62,12 @@
         for verdict in ("refuse", "unknown", "wait", "pass")
         if verdict in verdicts
     )
-    return ExplainReply(config_version=config.version, verdict=worst, steps=steps)
+    return ExplainReply(
+        config_version=revision_of(config.version),
+        config_era=era_of(config.version),
+        verdict=worst,
+        steps=steps,
+    )
 
 
 def refuse_step(name: str, error: BanyanseamError, **facts: object) -> ExplainStep:
--- a/banyanseam/server/operator_models.py
+++ b/banyanseam/server/operator_models.py
@@ -31,14 +31,19 @@
     """The newest published version, if it was rejected as invalid."""
 
     version: int
+    era: int = 0
     json_path: str
     detail: str
 
 
 class ConfigStatus(OperatorReply):
-    """Which configuration is in force and how fresh it is."""
+    """Which configuration is in force and how fresh it is.
+
+    Versions of the service are compared by their era first.
+    """
 
     version: int | None = None
+    era: int = 0
     in_force_ms: int | None = None
     # Time since the configuration service last answered; None if it never has.
     service_answered_ms_ago: int | None = None
@@ -143,6 +148,7 @@
     """Digests of all values of a version; equal digests mean equal configurations."""
 
     version: int
+    era: int = 0
     sha256_hex: str
     values: dict[str, ValueDigest]
 
@@ -233,6 +239,7 @@
     """The filters' verdicts in order, up to the first refusal."""
 
     config_version: int
+    config_era: int = 0
     verdict: Verdict
     steps: list[ExplainStep]
 
--- a/standins/config_service.py
+++ b/standins/config_service.py
@@ -1,4 +1,8 @@
-"""The platform's configuration service: versioned values to read and watch."""
+"""The platform's configuration service: versioned values to read and watch.
+
+It can come back from a copy of its values. It names its era, the number of its
+returns, from the first return on.
+"""
 
 import json
 from collections import deque
@@ -14,6 +18,8 @@
 MAX_WAIT_MS = 60_000
 VALUES_PREFIX = "/v1/values/"
 PUBLISH_PREFIX = "/control/values/"
+COPY_PATH = "/control/copy"
+RETURN_PATH = "/control/return"
 NO_FAULTS = {
     "down": False,
     "stale": False,
@@ -31,6 +37,19 @@
     value: Any
 
 
+@dataclass(frozen=True, slots=True)
+class State:
+    """The values as of one revision of one era."""
+
+    era: int
+    revision: int
+    values: dict[str, Value]
+
+    def name_era(self) -> dict[str, int]:
+        """Return the part of an answer that names the era."""
+        return {"era": self.era} if self.era else {}
+
+
 @dataclass(slots=True)
 class ConfigService:
     """The service's values, faults and counters."""
@@ -40,10 +59,13 @@
     slow_ms: int = 0
     # "garbage" answers with invalid JSON, "too_large" with more than any value holds.
     answers: Literal["true", "garbage", "too_large"] = "true"
+    era: int = 0
     revision: int = 0
     values: dict[str, Value] = field(default_factory=dict)
     # State that a stale service serves: a copy taken when it became stale.
-    stale_snapshot: tuple[int, dict[str, Value]] | None = None
+    stale_state: State | None = None
+    # State that the service comes back with.
+    copy: State = field(default_factory=lambda: State(0, 0, {}))
     changed: anyio.Event = field(default_factory=anyio.Event)
     recent_calls: deque[float] = field(default_factory=deque)
     calls: int = 0
@@ -58,6 +80,17 @@
         self._notify_watches()
         return self.revision
 
+    def take_copy(self) -> None:
+        """Copy the values, to come back with them."""
+        self.copy = self._current_state()
+
+    def return_from_copy(self) -> None:
+        """Lose all changes since the copy, and begin the next era."""
+        self.era += 1
+        self.revision = self.copy.revision
+        self.values = dict(self.copy.values)
+        self._notify_watches()
+
     def set_faults(
         self,
         *,
@@ -71,7 +104,7 @@
         if down is not None:
             self.down = down
         if stale is not None:
-            self.stale_snapshot = (self.revision, dict(self.values)) if stale else None
+            self.stale_state = self._current_state() if stale else None
         if slow_ms is not None:
             self.slow_ms = slow_ms
         if calls_per_s is not None:
@@ -83,13 +116,14 @@
     def counters(self) -> dict[str, Any]:
         """Return the service's counters and its current faults."""
         return {
+            "era": self.era,
             "revision": self.revision,
             "calls": self.calls,
             "refused_calls": self.refused_calls,
             "watches": self.watches,
             "value_reads": self.value_reads,
             "down": self.down,
-            "stale": self.stale_snapshot is not None,
+            "stale": self.stale_state is not None,
             "slow_ms": self.slow_ms,
             "calls_per_s": self.calls_per_s,
             "answers": self.answers,
@@ -123,8 +157,11 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    def _visible_state(self) -> tuple[int, dict[str, Value]]:
-        return self.stale_snapshot or (self.revision, self.values)
+    def _current_state(self) -> State:
+        return State(self.era, self.revision, dict(self.values))
+
+    def _visible_state(self) -> State:
+        return self.stale_state or self._current_state()
 
     def _admit(self, now_s: float) -> bool:
         self.calls += 1
@@ -139,31 +176,38 @@
     async def _watch(self, request: Request) -> None:
         self.watches += 1
         after = request.query_int("after", 0)
+        era = request.query_int("era", 0)
         wait_ms = min(request.query_int("wait_ms", 0), MAX_WAIT_MS)
         with anyio.move_on_after(wait_ms / 1000):
-            while self._visible_state()[0] <= after and not self.down:
+            while not self.down and self._lacks_changes(era, after):
                 await self.changed.wait()
         if self.down:
             request.drop()
             return
-        revision, values = self._visible_state()
+        state = self._visible_state()
         changed = {
             key: value.revision
-            for key, value in values.items()
+            for key, value in state.values.items()
             if value.revision > after
         }
-        await request.answer(200, {"revision": revision, "changed": changed})
+        await request.answer(
+            200, {"revision": state.revision, "changed": changed} | state.name_era()
+        )
+
+    def _lacks_changes(self, era: int, after: int) -> bool:
+        state = self._visible_state()
+        return state.era == era and state.revision <= after
 
     async def _read(self, request: Request) -> None:
         self.value_reads += 1
         key = request.path.removeprefix(VALUES_PREFIX)
-        value = self._visible_state()[1].get(key)
+        state = self._visible_state()
+        value = state.values.get(key)
         if value is None:
             await request.answer(404, {"error": f"no value {key}"})
             return
-        await request.answer(
-            200, {"key": key, "revision": value.revision, "value": value.value}
-        )
+        found = {"key": key, "revision": value.revision, "value": value.value}
+        await request.answer(200, found | state.name_era())
 
     async def _handle_control(self, request: Request) -> None:
         if request.path.startswith(PUBLISH_PREFIX) and request.method == "PUT":
@@ -174,7 +218,11 @@
             revision = self.publish(key, json.loads(request.body))
             await request.answer(200, {"revision": revision})
             return
-        if request.method == "PUT":
+        if request.path == COPY_PATH:
+            self.take_copy()
+        elif request.path == RETURN_PATH:
+            self.return_from_copy()
+        elif request.method == "PUT":
             self.set_faults(**request.read_json())
         await request.answer(200, self.counters())
 
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -21,6 +21,7 @@
     "up_ms": 5,
     "config": {
         "version": 4,
+        "era": 1,
         "rejected": {"version": 5, "json_path": "$.x", "detail": "$.x: bad"},
     },
     "load": {"failures": {"quota.exhausted": 3}},
@@ -63,7 +64,10 @@
     "/drain": {"state": "draining", "validity_ms": 5, "in_flight": 1, "queued": 0},
 }
 COMMANDS = {
-    "/status": (["status"], ["gulf-1", "REJECTED version 5", "quota.exhausted  3"]),
+    "/status": (
+        ["status"],
+        ["gulf-1", "4 of era 1", "REJECTED version 5", "quota.exhausted  3"],
+    ),
     "/entries": (["entries"], ["10.0.0.1:80", "5000 ms"]),
     "/histograms": (["histograms", "--class", "quick"], ["first_token_ms", "####"]),
     "/explain": (["explain", "/v1/x"], ["residency.excluded", "no region"]),
--- a/tests/config/test_replication.py
+++ b/tests/config/test_replication.py
@@ -11,6 +11,7 @@
 from banyanseam.config.replication import Replicator
 from banyanseam.config.snapshot import Listing, Value
 from banyanseam.config.store import ConfigStore
+from banyanseam.config.versions import era_of, make_version, revision_of
 from banyanseam.config.watch import ServiceClient, ServiceWatcher
 from banyanseam.peers.errors import InvalidPeerMessage
 from tests.common import FakeFabric, run_with_mock_clock
@@ -21,7 +22,10 @@
 
 
 class FakeService:
-    """A configuration service that serves a history at a version set by tests."""
+    """A configuration service that serves a history at a version set by tests.
+
+    It names the era of its history, and takes a caller's revision for one of its own.
+    """
 
     def __init__(self, history, version=1):
         self.history = history
@@ -40,12 +44,14 @@
 
     async def list_revisions(self, after, wait_ms):
         self._register_call()
-        if self.version <= after:
+        if self.version <= revision_of(after):
             with anyio.move_on_after(wait_ms / 1000):
                 await self.changed.wait()
         self._register_call(0)
-        listing = self.history[self.version - 1].list_after(after)
-        return Listing(self.version, listing.changed)
+        snapshot = self.history[self.version - 1]
+        era = era_of(snapshot.version)
+        listing = snapshot.list_after(make_version(era, revision_of(after)))
+        return Listing(make_version(era, self.version), listing.changed)
 
     async def read(self, key):
         self._register_call()
@@ -324,8 +330,7 @@
         run_with_mock_clock(main)
 
     def test_change_between_listing_and_reading_is_listed_again(self):
-        async def main():
-            history = make_history([shard("one", 5), shard("one", 6)])
+        async def main(history):
             service = FakeService(history, 2)
             store = ConfigStore()
             watch = ServiceWatcher(
@@ -337,4 +342,7 @@
                 service.publish(3)
             self.assertEqual(store.in_force, history[2])
 
-        run_with_mock_clock(main)
+        within = make_history([shard("one", 5), shard("one", 6)])
+        for last in (within[2], make_history([shard("one", 6)], era=1)[1]):
+            with self.subTest(version=last.version):
+                run_with_mock_clock(main, [*within[:2], last])
--- a/tests/config/test_service_client.py
+++ b/tests/config/test_service_client.py
@@ -10,6 +10,7 @@
 from banyanseam.config.service_client import make_service_client
 from banyanseam.config.snapshot import Listing, Value
 from banyanseam.config.store import ConfigStore
+from banyanseam.config.versions import make_version
 from banyanseam.config.watch import ServiceWatcher
 from standins.config_service import NO_FAULTS, ConfigService
 from standins.serving import serve
@@ -70,6 +71,29 @@
 
         self.run_against(service.handle, scenario)
 
+    def test_answers_after_a_return_are_in_the_next_era(self):
+        service = ConfigService()
+        service.publish("base", {"a": 1})
+        service.take_copy()
+        service.publish("base", {"a": 2})
+        service.return_from_copy()
+        copied, changed = make_version(1, 1), make_version(1, 2)
+
+        async def scenario(client):
+            # Watches that wait longer than the test may take.
+            listing = await client.list_revisions(2, 1000 * WAIT_S)
+            self.assertEqual(listing, Listing(copied, {}))
+            with anyio.move_on_after(0.1):
+                await client.list_revisions(copied, 1000 * WAIT_S)
+                self.fail("the watch of the last revision ended")
+            value = await client.read("base")
+            self.assertEqual(value, Value("base", copied, b'{"a":1}'))
+            service.publish("base", {"a": 3})
+            listing = await client.list_revisions(copied, 1000 * WAIT_S)
+            self.assertEqual(listing, Listing(changed, {"base": changed}))
+
+        self.run_against(service.handle, scenario)
+
     def test_each_service_fault_raises_unavailable(self):
         def faulty(**faults):
             service = ConfigService()
--- a/tests/config/test_store.py
+++ b/tests/config/test_store.py
@@ -14,6 +14,7 @@
     extend_snapshot,
 )
 from banyanseam.config.store import ConfigStore
+from banyanseam.config.versions import make_version
 from tests.common import make_documents
 
 
@@ -27,12 +28,13 @@
     }
 
 
-def make_history(changes):
+def make_history(changes, era=0):
     """Return the snapshots as of each version; each change is (key, document)."""
-    history = [Snapshot(1, make_values())]
-    for revision, (key, document) in enumerate(changes, start=2):
-        value = Value(key, revision, encode_content(document))
-        history.append(Snapshot(revision, {**history[-1].values, key: value}))
+    first = make_version(era, 1)
+    history = [Snapshot(first, make_values(first))]
+    for version, (key, document) in enumerate(changes, start=first + 1):
+        value = Value(key, version, encode_content(document))
+        history.append(Snapshot(version, {**history[-1].values, key: value}))
     return history
 
 
@@ -175,9 +177,11 @@
         store.try_adopt(history[1])
         self.assertEqual(store.config.version, 2)
 
-    @given(CHANGES, st.data())
-    def test_out_of_order_versions_never_revert_and_converge(self, changes, data):
-        history = make_history(changes)
+    @given(CHANGES, CHANGES, st.data())
+    def test_out_of_order_versions_never_revert_and_converge(
+        self, changes, later, data
+    ):
+        history = make_history(changes) + make_history(later, era=1)
         stores = [ConfigStore() for _ in range(3)]
         versions = st.lists(st.sampled_from(history), max_size=5)
         for store in stores:
