Relay endless answers in tests to a whole exchange

tests.entry.test_endless_answers failed since with 3 errors: its stand-in for the exchange has no record_event. It uses the exchange itself now, which checks no less; the builder of test_choosing serves three tests from common.py.

Evidence: the file's tests failed before and pass.

--- a/tests/entry/common.py
+++ b/tests/entry/common.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.members import Member, Members
 from banyanseam.entry.models import (
     Bounds,
@@ -12,6 +13,7 @@
     Organisation,
     PrefixSegment,
     Prompt,
+    RequestHead,
     Route,
     Service,
     Upstream,
@@ -20,6 +22,7 @@
 from banyanseam.entry.placing import Candidate
 
 REGIONS = {"gulf-a": "gulf", "piedmont-a": "piedmont", "delta-a": "delta"}
+QUERY = Prompt(383, 180, ())
 BOUNDS = Bounds(
     stop_grace_s=8,
     max_list_age_s=5,
@@ -153,6 +156,25 @@
     return Candidate(upstream_id=upstream_id, region=region, **(defaults | fields))
 
 
+def make_exchange(now_s: float, **fields: Any) -> Exchange:
+    """Return a short request for a resumable stream."""
+    catalogue = make_catalogue()
+    defaults = {
+        "head": RequestHead(
+            "r1", "POST", "a.example", "/query/x", b"/query/x", None, 4000, QUERY, None
+        ),
+        "body": b"{}",
+        "received_s": now_s,
+        "deadline_s": now_s + 4.0,
+        "catalogue": catalogue,
+        "route": catalogue.find_route("a.example", "/query/x"),
+        "organisation": make_organisation(),
+        "service": "pool",
+        "reply": None,
+    }
+    return Exchange(**(defaults | fields))
+
+
 def make_prompt(history: str = "h1", shared: int = 13_300, own: int = 3_720) -> Prompt:
     """Return a prompt with a shared history prefix."""
     segments = (PrefixSegment(history, shared), PrefixSegment("own", own))
--- a/tests/entry/origins/test_takeups.py
+++ b/tests/entry/origins/test_takeups.py
@@ -1,13 +1,12 @@
 """Checks at which version a stream goes on when peers do not agree."""
 
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 import anyio
 
 from banyanseam.entry.errors import StreamOriginUnknown
-from banyanseam.entry.exchange import Exchange
-from banyanseam.entry.models import RequestHead
 from banyanseam.entry.origins.messages import OriginReply, OriginRow
 from banyanseam.entry.origins.network import OriginNetwork
 from banyanseam.entry.origins.records import OriginRecords, make_stream_key
@@ -16,10 +15,8 @@
 from banyanseam.entry.upstream_list import UpstreamList
 from tests.common import run_with_mock_clock
 from tests.entry.common import (
-    make_catalogue,
+    make_exchange,
     make_members,
-    make_organisation,
-    make_route,
     make_upstream,
 )
 
@@ -28,34 +25,6 @@
 DOUBTFUL: OriginRow = (KEY, "pool", None, "", 0, 0)
 
 
-def make_exchange() -> Exchange:
-    """Return a request that takes up a stream of the organisation's."""
-    now_s = anyio.current_time()
-    head = RequestHead(
-        "request-2",
-        "POST",
-        "a.example",
-        "/query/x",
-        b"/query/x",
-        None,
-        4000,
-        None,
-        "2",
-        "request-1",
-    )
-    return Exchange(
-        head=head,
-        body=b"",
-        received_s=now_s,
-        deadline_s=now_s + 4.0,
-        catalogue=make_catalogue(),
-        route=make_route(),
-        organisation=make_organisation(),
-        service="pool",
-        reply=mock.Mock(is_started=False),
-    )
-
-
 class TakeUpTests(unittest.TestCase):
     def find(self, *rows: OriginRow | None) -> str | None:
         """Return the version at which a stream goes on; peers reply with the rows."""
@@ -75,7 +44,11 @@
                 for number, row in enumerate(rows, start=2)
             }
             network.ask = mock.AsyncMock(return_value=replies)
-            exchange = make_exchange()
+            head = replace(
+                make_exchange(now_s).head, last_event_id="2", begun_as="request-1"
+            )
+            reply = mock.Mock(is_started=False)
+            exchange = make_exchange(now_s, head=head, reply=reply)
             take_ups = TakeUps(records, versions, network, lambda: None)
             try:
                 await take_ups.find(exchange)
--- a/tests/entry/test_choosing.py
+++ b/tests/entry/test_choosing.py
@@ -4,43 +4,22 @@
 
 from banyanseam.entry.choosing import Chooser, choose_retry_after_ms
 from banyanseam.entry.errors import NoUpstreamKnown, RegionsFull
-from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.messages import make_load_tag
-from banyanseam.entry.models import Prompt, RequestHead
 from banyanseam.entry.reach import PeerReachability
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads
 from tests.common import run_with_mock_clock
 from tests.entry.common import (
-    make_catalogue,
+    make_exchange,
     make_member,
     make_members,
     make_organisation,
     make_upstream,
 )
 
-QUERY = Prompt(383, 180, ())
 FULL = {make_load_tag(make_upstream("e1")): (200, 1500, 0, 0)}
 
 
-def make_exchange(now_s: float, **fields) -> Exchange:
-    catalogue = make_catalogue()
-    defaults = {
-        "head": RequestHead(
-            "r1", "POST", "a.example", "/query/x", b"/query/x", None, 4000, QUERY, None
-        ),
-        "body": b"{}",
-        "received_s": now_s,
-        "deadline_s": now_s + 4.0,
-        "catalogue": catalogue,
-        "route": catalogue.find_route("a.example", "/query/x"),
-        "organisation": make_organisation(),
-        "service": "pool",
-        "reply": None,
-    }
-    return Exchange(**(defaults | fields))
-
-
 class ChooserTests(unittest.TestCase):
     def find(self, *, upstreams=None, loads=None, **fields):
         """Return the placement or the error for one request, and the time it took."""
--- a/tests/entry/test_endless_answers.py
+++ b/tests/entry/test_endless_answers.py
@@ -23,6 +23,7 @@
 from banyanseam.upstreams.const import READ_AHEAD_BYTES
 from banyanseam.upstreams.errors import UpstreamTimedOut
 from tests.common import run_with_mock_clock
+from tests.entry.common import make_exchange
 
 TIMEOUT_S = 1.0
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -94,12 +95,8 @@
         return
 
     async with send(outgoing, lambda: None) as incoming:
-        exchange = SimpleNamespace(
-            route=SimpleNamespace(is_stream=True),
-            reply=Reply(discard, close=False),
-            head=SimpleNamespace(last_event_id=None),
-            last_event=None,
-            events_of_send=0,
+        exchange = make_exchange(
+            anyio.current_time(), reply=Reply(discard, close=False)
         )
         answer = SimpleNamespace(status=incoming.status, headers=[], is_framed=True)
         progress = Progress(anyio.current_time())
@@ -224,12 +221,8 @@
             async def discard(_: dict) -> None:
                 return
 
-            exchange = SimpleNamespace(
-                route=SimpleNamespace(is_stream=True),
-                reply=Reply(discard, close=False),
-                head=SimpleNamespace(last_event_id=None),
-                last_event=None,
-                events_of_send=0,
+            exchange = make_exchange(
+                anyio.current_time(), reply=Reply(discard, close=False)
             )
             progress = Progress(anyio.current_time())
             answer = SimpleNamespace(status=200, headers=[], is_framed=True)
