Resume an answer that a comment has begun at the same version

What callers saw: an answer whose upstream had sent a comment, but no event yet, when it broke off went on at any version, under the headers and signature of the first upstream.

Cause: the origin of a stream was recorded with its first event, but the answer begins with the first part that is relayed, a comment too.

Change: the origin is recorded before the answer begins.

Evidence: the test failed before (in 8 plays both versions ran) and passes.

--- a/banyanseam/entry/answers.py
+++ b/banyanseam/entry/answers.py
@@ -130,6 +130,7 @@
             return
         raise AnswerGap(f"event {event.number} follows {last}")
     if not exchange.reply.is_started:
+        exchange.record_begin()
         await exchange.reply.start(answer.status, answer.headers)
     if event.number is not None:
         exchange.last_event = event.number
--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -87,10 +87,10 @@
     # The upstream that the last send went to; None if a peer has not named it.
     sent_to: StreamOrigin | None = None
     # Where the stream began of which the caller has a part, and when; it may only go on
-    # at the same version of the software.
+    # at the same version of the software. The headers and a comment are a part too.
     origin: StreamOrigin | None = None
     begun_s: float = 0.0
-    # Called before the caller gets the first event of a stream.
+    # Called before the caller gets the first part of a stream.
     on_begun: Callable[[], None] = lambda: None
     # Software of the upstreams whose events the caller got, in order.
     software: list[str | None] = field(default_factory=list)
@@ -116,11 +116,15 @@
         """Record that the last send has brought an event."""
         self.events_of_send += 1
         if self.events_of_send == 1:
+            self.record_begin()
             sent_to = self.sent_to or StreamOrigin(self.service, None)
             self.software.append(sent_to.software)
-            if self.origin is None:
-                self.origin = sent_to
-                self.on_begun()
+
+    def record_begin(self) -> None:
+        """Record that the last send's upstream begins the stream, unless one has."""
+        if self.origin is None:
+            self.origin = self.sent_to or StreamOrigin(self.service, None)
+            self.on_begun()
 
     def deadline_left_ms(self) -> float:
         """Return the time from now to the deadline."""
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -554,6 +554,8 @@
         if fault == "empty":
             break
         parts.append(EVENT_PAUSE_S)
+        if fault == "comment":
+            return [*parts, b": working\n\n", EVENT_PAUSE_S, None]
         if number == first + 1:
             if fault == "cut":
                 return [*parts, make_event(number, request_id, software)[:5], None]
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -187,6 +187,19 @@
         for caller in callers:
             self.check_one_version(caller)
 
+    def test_an_answer_begun_by_a_comment_does_not_go_on_at_another_version(self):
+        """It has the headers of the upstream that sent the comment."""
+
+        async def scenario(simulation: Simulation) -> None:
+            mix(simulation)
+            simulation.ask(GULF, "/query/x", ["comment"], [])
+
+        for _ in range(8):
+            simulation, (caller,) = self.play(scenario)
+            runs = simulation.runs[caller.request_id]
+            self.assertEqual(len({run.software for run in runs}), 1)
+            self.assertTrue(caller.is_whole)
+
     def test_a_forwarded_stream_that_breaks_does_not_go_on_at_another_version(self):
         async def scenario(simulation: Simulation) -> None:
             mix(simulation)
