Check the upstream of a young stream before it goes on elsewhere

Cause: the origin names the incarnation that the list showed. That it was another one is known only once the list or a check of starts shows it, and nothing asked for it when a stream went on at another upstream.

Change: if the stream is younger than a restart may go unlisted, its upstream is asked for its start, for 0.15 s at the most, before it goes on within its answer or by a take-up. A later start puts the stream's version in doubt, as before.

--- a/banyanseam/entry/origins/const.py
+++ b/banyanseam/entry/origins/const.py
@@ -23,3 +23,5 @@
 MAX_TOLD_ROWS: Final = 256
 # How long the versions of a service are reused.
 VERSIONS_VIEW_S: Final = 0.1
+# A caller waits for the check of an upstream that may hang.
+CHECK_TIMEOUT_S: Final = 0.15
--- a/banyanseam/entry/origins/records.py
+++ b/banyanseam/entry/origins/records.py
@@ -8,7 +8,7 @@
 
 from banyanseam.entry.const import UNNOTICED_RESTART_S
 from banyanseam.entry.listed_upstream import ListedUpstream
-from banyanseam.entry.models import StreamOrigin
+from banyanseam.entry.models import StreamOrigin, Upstream
 from banyanseam.entry.origins.const import MAX_ORIGINS, TAKE_UP_S
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstream_starts import StartKey, make_start_key
@@ -67,6 +67,13 @@
             return None
         return replace(record, origin=self.resolve(record))
 
+    def find_upstream(self, record: OriginRecord) -> Upstream | None:
+        """Return the upstream that began a stream if no later start of it is known."""
+        listed = self._upstreams.find(record.origin.upstream_id)
+        if listed is None or listed.upstream.started_ms != record.origin.started_ms:
+            return None
+        return listed.upstream
+
     def resolve(self, record: OriginRecord) -> StreamOrigin:
         """Return an origin with its software as far as that is known by now.
 
--- a/banyanseam/entry/origins/takeups.py
+++ b/banyanseam/entry/origins/takeups.py
@@ -1,14 +1,16 @@
 """Finds the software version at which a stream may go on."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, replace
 
 import anyio
 
 from banyanseam.entry.choosing import choose_retry_after_ms
+from banyanseam.entry.const import UNNOTICED_RESTART_S
 from banyanseam.entry.errors import StreamOriginUnknown, StreamVersionGone
 from banyanseam.entry.exchange import Exchange
-from banyanseam.entry.models import StreamOrigin
+from banyanseam.entry.models import StreamOrigin, Upstream
+from banyanseam.entry.origins.const import CHECK_TIMEOUT_S
 from banyanseam.entry.origins.messages import OriginReply, from_origin_row
 from banyanseam.entry.origins.network import OriginNetwork
 from banyanseam.entry.origins.records import (
@@ -32,6 +34,8 @@
     network: OriginNetwork
     # Notices a suspension that no task has noticed yet.
     check_running: Callable[[], object]
+    # Asks an upstream for its start, and records it if it is a later one.
+    check_start: Callable[[Upstream], Awaitable[bool]]
 
     def record_begin(self, exchange: Exchange) -> None:
         """Record that the caller is about to get the first event of a stream."""
@@ -62,6 +66,9 @@
             replies = await self.network.ask(key, services)
             record = self._adopt(key, replies.values())
             source = "peer"
+        if record is not None:
+            await self._check_upstream(record)
+            record = self.records.find(key, anyio.current_time())
         origin = None if record is None else record.origin
         if origin is None or origin.software is None:
             origin = self._infer(key, services, replies)
@@ -92,13 +99,14 @@
         self.records.record(key, record, now_s)
         self.network.add(key, record, services)
 
-    def confirm(self, exchange: Exchange) -> None:
+    async def confirm(self, exchange: Exchange) -> None:
         """Look again where a stream began that is to go on within its answer.
 
         Raise StreamOriginUnknown if that is no longer certain: its upstream may turn
         out to have started again as another version before.
         """
         record = OriginRecord(exchange.origin, exchange.begun_s)
+        await self._check_upstream(record)
         origin = self.records.resolve(record)
         if origin.software is None:
             self.check_running()
@@ -107,6 +115,18 @@
             self._refuse(exchange)
         exchange.origin = replace(origin, service=exchange.origin.service)
 
+    async def _check_upstream(self, record: OriginRecord) -> None:
+        """Check the upstream of a young stream, unless that takes too long.
+
+        It may have started again before it began the stream, and not be listed yet.
+        """
+        now_s = anyio.current_time()
+        upstream = self.records.find_upstream(record)
+        if upstream is None or now_s - record.begun_s > UNNOTICED_RESTART_S:
+            return
+        with anyio.move_on_after(CHECK_TIMEOUT_S):
+            await self.check_start(upstream)
+
     def _adopt(self, key: int, replies: Iterable[OriginReply]) -> OriginRecord | None:
         """Record what peers know of a stream, and return it."""
         now_s = anyio.current_time()
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -149,7 +149,7 @@
         failure: BanyanseamError | None = None
         while True:
             if exchange.reply.is_started and exchange.origin is not None:
-                self.take_ups.confirm(exchange)
+                await self.take_ups.confirm(exchange)
             try:
                 placement = await self.chooser.wait_for_placement(exchange)
             except BanyanseamError as error:
--- a/tests/entry/origins/test_takeups.py
+++ b/tests/entry/origins/test_takeups.py
@@ -49,7 +49,8 @@
             )
             reply = mock.Mock(is_started=False)
             exchange = make_exchange(now_s, head=head, reply=reply)
-            take_ups = TakeUps(records, versions, network, lambda: None)
+            check_start = mock.AsyncMock(return_value=True)
+            take_ups = TakeUps(records, versions, network, lambda: None, check_start)
             try:
                 await take_ups.find(exchange)
             except StreamOriginUnknown:
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -103,6 +103,8 @@
         caller = await begin(simulation, vm)
         if list_authors(caller)[0] == software:
             return caller
+        # A list that is not confirmed counts as outdated after some of these.
+        simulation.gossip()
 
 
 async def take_up(
@@ -364,6 +366,41 @@
                 simulation, _ = self.play(scenario)
                 self.assertNotIn(calls[1].request_id, simulation.runs)
 
+    def test_a_stream_begun_by_an_unlisted_version_is_not_joined(self):
+        """Its upstream came back under its id just before, and no VM has noticed."""
+        for vm in (GULF, GULF_TWO):
+            calls: list[Caller] = []
+
+            async def scenario(
+                simulation: Simulation, vm: str = vm, calls: list[Caller] = calls
+            ) -> None:
+                del simulation.upstreams["pool-two-gulf"]
+                simulation.gossip()
+                simulation.restart_upstream("pool-gulf")
+                simulation.upstreams["pool-gulf"] = replace(
+                    simulation.upstreams["pool-gulf"], software="v2"
+                )
+                calls.append(await begin(simulation, GULF))
+                calls.append(await take_up(simulation, vm, calls[0]))
+
+            with self.subTest(vm):
+                simulation, _ = self.play(scenario)
+                self.assertEqual(list_authors(calls[0])[:1], ["v2"])
+                self.check_refused(simulation, calls[1])
+
+    def test_an_answer_begun_by_an_unlisted_version_is_not_joined(self):
+        async def scenario(simulation: Simulation) -> None:
+            del simulation.upstreams["pool-two-gulf"]
+            simulation.gossip()
+            simulation.restart_upstream("pool-gulf")
+            simulation.upstreams["pool-gulf"] = replace(
+                simulation.upstreams["pool-gulf"], software="v2"
+            )
+            simulation.ask(GULF, "/query/x", ["error inside"], [])
+
+        _, (caller,) = self.play(scenario)
+        self.assertEqual(set(list_authors(caller)), {"v2"})
+
     def test_a_vm_that_was_away_while_a_version_came_does_not_guess(self):
         """It stood still or was cut off, and its list shows one version only."""
         calls: list[Caller] = []
