Infer the only version only if a peer answers

A VM that no peer answered inferred the version from a list of up to 3 s ago, though another one may have begun the stream by then; a peer that had just stood still called its list complete; and an upstream whose registration changed while it was asked for its start got the stream.

Change: without an answer of any peer nothing is inferred, unless there are no peers; a question is answered only after a suspension has been noticed; the version is compared again after the check. Event 3015 names no source where none was found.

Evidence: one of four cases of the new test failed before and passes; the other two changes have no test of their own.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -171,6 +171,7 @@
         versions = SoftwareVersions(self.upstreams)
         self.origins = OriginNetwork(self.members, records, versions)
         self.origins.send = self.gossip.send_data
+        self.origins.check_running = self.suspension_detector.tick
         self.gossip.on_origins = self.origins.receive
         relay = Relay(
             upstream_format,
--- a/banyanseam/entry/origins/network.py
+++ b/banyanseam/entry/origins/network.py
@@ -64,6 +64,8 @@
         self._versions = versions
         # Sends a datagram to the process at an address.
         self.send: Callable[[str, bytes], Awaitable[None]] | None = None
+        # Notices a suspension that no task has noticed yet.
+        self.check_running: Callable[[], object] = lambda: None
         # Streams that began here, that may be taken up and that no peer knows of.
         self._untold: dict[int, _Untold] = {}
         self._has_news = anyio.Event()
@@ -139,13 +141,13 @@
         replied = {
             member.region for ip in replies if (member := self._members.find(ip))
         }
-        others = set(self._choose_regions(key)) - {self._members.me.region}
         return all(
             region in replied or not self._members.list_recent(now_s, region)
-            for region in others
+            for region in self._choose_regions(key)
         )
 
     def _make_reply(self, question: OriginQuestion, now_s: float) -> OriginReply:
+        self.check_running()
         record = self._records.find(question.key, now_s)
         return OriginReply.model_construct(
             key=question.key,
--- a/banyanseam/entry/origins/takeups.py
+++ b/banyanseam/entry/origins/takeups.py
@@ -72,7 +72,7 @@
         origin = None if record is None else record.origin
         if origin is None or origin.software is None:
             origin = self._infer(key, services, replies)
-            source = "only version"
+            source = "only version" if origin is not None else "none"
         now_s = anyio.current_time()
         log(
             STREAM_TAKEN_UP,
@@ -155,9 +155,8 @@
         if len(found) != 1 or has_unknown(found) or not is_complete:
             return None
         # A version that has just come may have begun the stream in another region.
-        if not self.versions.is_current(
-            now_s
-        ) and not self.network.has_replies_of_all_regions(key, replies):
+        has_answer = bool(replies) and self.versions.is_current(now_s)
+        if not has_answer and not self.network.has_replies_of_all_regions(key, replies):
             return None
         ((service, software),) = found
         return StreamOrigin(service, software)
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -227,7 +227,8 @@
 
         Another version may have started under its id, and would go on with the stream.
         """
-        if not await self.start_checks.is_running(listed.upstream):
+        is_running = await self.start_checks.is_running(listed.upstream)
+        if not is_running or not exchange.may_run_at(listed.upstream.software):
             exchange.unreachable.add(listed.upstream.upstream_id)
             raise UpstreamUnreachable(listed.upstream.upstream_id)
 
--- a/tests/entry/origins/test_takeups.py
+++ b/tests/entry/origins/test_takeups.py
@@ -7,6 +7,8 @@
 import anyio
 
 from banyanseam.entry.errors import StreamOriginUnknown
+from banyanseam.entry.members import Member
+from banyanseam.entry.origins.const import TAKE_UP_S
 from banyanseam.entry.origins.messages import OriginReply, OriginRow
 from banyanseam.entry.origins.network import OriginNetwork
 from banyanseam.entry.origins.records import OriginRecords, make_stream_key
@@ -16,6 +18,7 @@
 from tests.common import run_with_mock_clock
 from tests.entry.common import (
     make_exchange,
+    make_member,
     make_members,
     make_upstream,
 )
@@ -73,6 +76,37 @@
             with self.subTest(rows):
                 self.assertIsNone(self.find(*rows))
 
+    def test_the_only_version_is_inferred_only_if_a_peer_answers(self):
+        """Without answers, a version may serve that only other VMs have seen."""
+
+        async def run(peers: list[Member], replies: dict[str, OriginReply]) -> bool:
+            upstreams = UpstreamList()
+            for _ in range(round(TAKE_UP_S) + 4):
+                now_s = anyio.current_time()
+                upstreams.record_running(now_s)
+                upstreams.adopt([make_upstream("e1")], 1, now_s)
+                await anyio.sleep(0.9)
+            members = make_members()
+            members.merge(peers, anyio.current_time())
+            versions = SoftwareVersions(upstreams)
+            network = OriginNetwork(members, OriginRecords(upstreams), versions)
+            take_ups = TakeUps(mock.Mock(), versions, network, mock.Mock(), mock.Mock())
+            found = take_ups._infer(KEY, ["pool"], replies)
+            return found is not None
+
+        peer = make_member("10.1.0.2")
+        reply = {peer.ip: OriginReply(key=KEY, versions=[("pool", "v1")])}
+        other = {peer.ip: OriginReply(key=KEY, versions=[("pool", "v2")])}
+        for peers, replies, is_known in (
+            ([], {}, True),
+            ([peer], {}, False),
+            ([peer], reply, True),
+            ([peer], other, False),
+        ):
+            with self.subTest(replies):
+                found = run_with_mock_clock(run, peers, replies)
+                self.assertEqual(found, is_known)
+
 
 if __name__ == "__main__":
     unittest.main()
