Look once for each version whether its streams must be told

Cause: four times a second each VM looked for each of its running streams (160 at ten a second that last 16 s) whether another version may have begun it, though only the version of a stream matters.

Change: one look for each version in each round. What is told, and when, is as before.

--- a/banyanseam/entry/origins/network.py
+++ b/banyanseam/entry/origins/network.py
@@ -31,7 +31,7 @@
     to_origin_row,
 )
 from banyanseam.entry.origins.records import OriginRecord, OriginRecords
-from banyanseam.entry.origins.versions import SoftwareVersions
+from banyanseam.entry.origins.versions import ServiceVersion, SoftwareVersions
 from banyanseam.peers.rendezvous import rank
 
 
@@ -72,7 +72,8 @@
     def add(self, key: int, record: OriginRecord) -> None:
         """Tell peers where a stream began, as soon as another version may have."""
         self._untold[key] = record
-        if self._must_be_told(record, record.begun_s):
+        origin = record.origin
+        if self._must_be_told(origin.service, origin.software, record.begun_s):
             self._has_news.set()
 
     def discard(self, key: int) -> None:
@@ -156,20 +157,25 @@
         if is_known or not question.awaited:
             question.answered.set()
 
-    def _must_be_told(self, record: OriginRecord, now_s: float) -> bool:
-        service = record.origin.service
+    def _must_be_told(self, service: str, software: str | None, now_s: float) -> bool:
         recent = self._versions.list_recent([service], now_s)
-        if (service, record.origin.software) not in recent:
+        if (service, software) not in recent:
             return True
         return self._versions.is_ambiguous([service], now_s)
 
     async def _tell(self) -> None:
         now_s = anyio.current_time()
         rows: dict[str, list[OriginRow]] = {}
+        # Many streams have begun at few versions.
+        must_be_told: dict[ServiceVersion, bool] = {}
         for key, record in list(self._untold.items()):
             if now_s - record.begun_s > TAKE_UP_S:
                 del self._untold[key]
-            elif self._must_be_told(record, now_s):
+                continue
+            version = record.origin.service, record.origin.software
+            if version not in must_be_told:
+                must_be_told[version] = self._must_be_told(*version, now_s)
+            if must_be_told[version]:
                 del self._untold[key]
                 row = to_origin_row(key, record, now_s)
                 for ip in self._choose_holders(key, now_s):
