Look through the list of upstreams for versions only when it has changed

Cause: up to ten times a second each VM went through the listing, the upstreams in use and the recent departures (1,200 registrations and more at 600 upstreams) for the versions that may have begun streams.

Change: the list counts its changes, and what was found is reused until the count differs: when the last upstream of each version went. list_known replaces list_known_since and says when each registration went.

--- a/banyanseam/entry/departures.py
+++ b/banyanseam/entry/departures.py
@@ -1,6 +1,6 @@
 """Upstreams that have gone, in case a restored store lists them again."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from banyanseam.entry.const import RETURN_MEMORY_S
 from banyanseam.entry.models import Upstream, UpstreamState
@@ -24,14 +24,14 @@
 
     def list_recent(self, now_s: float) -> Iterator[Upstream]:
         """Return the incarnations that went recently."""
-        return self.list_since(now_s - RETURN_MEMORY_S)
-
-    def list_since(self, since_s: float) -> Iterator[Upstream]:
-        """Return the incarnations that went after a time."""
         for upstream, at_s in self._gone.values():
-            if at_s > since_s:
+            if at_s > now_s - RETURN_MEMORY_S:
                 yield upstream
 
+    def list_times(self) -> Iterable[tuple[Upstream, float]]:
+        """Return the incarnations that are remembered, and when each went."""
+        return self._gone.values()
+
 
 def is_outdated(upstream: Upstream, known: Upstream) -> bool:
     """Return whether a registration from a copy is older than the known one.
--- a/banyanseam/entry/origins/versions.py
+++ b/banyanseam/entry/origins/versions.py
@@ -17,6 +17,9 @@
     def __init__(self, upstreams: UpstreamList) -> None:
         """Follow a list of upstreams."""
         self._upstreams = upstreams
+        # When each version went, infinite while it is there, at a count of changes.
+        self._gone_s: dict[ServiceVersion, float] = {}
+        self._gone_changes = -1
         self._seen: frozenset[ServiceVersion] = frozenset()
         self._seen_s = -1e9
         # Versions that peers have told of, and when. The list may not show them yet.
@@ -32,18 +35,29 @@
     ) -> frozenset[ServiceVersion]:
         """Return the versions of services that may have begun a stream recently."""
         if not 0 <= now_s - self._seen_s < VERSIONS_VIEW_S:
-            recent = self._upstreams.list_known_since(now_s - TAKE_UP_S)
+            since_s = now_s - TAKE_UP_S
             self._told_s = {
                 version: at_s
                 for version, at_s in self._told_s.items()
                 if now_s - at_s < TAKE_UP_S
             }
-            listed = {(each.service, each.software) for each in recent}
-            self._seen = frozenset(listed | self._told_s.keys())
+            gone_s = self._find_gone_s()
+            known = {version for version, at_s in gone_s.items() if at_s > since_s}
+            self._seen = frozenset(known | self._told_s.keys())
             self._seen_s = now_s
         wanted = set(services)
         return frozenset(each for each in self._seen if each[0] in wanted)
 
+    def _find_gone_s(self) -> dict[ServiceVersion, float]:
+        """Return when the last upstream of each version went."""
+        if self._gone_changes != self._upstreams.changes:
+            self._gone_changes = self._upstreams.changes
+            self._gone_s = {}
+            for each, at_s in self._upstreams.list_known():
+                version = each.service, each.software
+                self._gone_s[version] = max(at_s, self._gone_s.get(version, at_s))
+        return self._gone_s
+
     def is_complete(self, now_s: float) -> bool:
         """Return whether no other version can have begun a stream recently.
 
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -40,6 +40,8 @@
         # The registrations as the store last listed them, which peers get. What this
         # process retains or knows to be replaced differs from them.
         self.listing: tuple[Upstream, ...] = ()
+        # Counts the changes of what `list_known` returns.
+        self.changes = 0
         # When this process or a peer last confirmed the list with the store.
         self.confirmed_s = -1e9
         # The same before the last time.
@@ -108,6 +110,7 @@
         if is_restored:
             self._record_return(now_s)
         self.listing = tuple(map(self._complete, upstreams))
+        self.changes += 1
         self._apply_listing(now_s)
         return True
 
@@ -241,6 +244,7 @@
             return None
         del self._by_start_tag[make_start_tag(listed.upstream)]
         self._departures.record(listed.upstream, now_s)
+        self.changes += 1
         if self.is_lost(listed):
             self.on_lost(listed)
         return listed
@@ -265,16 +269,20 @@
         """Return the registrations of all upstreams in use."""
         return [listed.upstream for listed in self._listed.values()]
 
-    def list_known_since(self, since_s: float) -> Iterator[Upstream]:
-        """Return the registrations that are in use or listed, or were since a time."""
-        yield from self.listing
+    def list_known(self) -> Iterator[tuple[Upstream, float]]:
+        """Return the known registrations and when they went.
+
+        That is infinite for those that are in use or listed.
+        """
+        for upstream in self.listing:
+            yield upstream, math.inf
         for listed in self._listed.values():
-            yield listed.upstream
-        yield from self._departures.list_since(since_s)
+            yield listed.upstream, math.inf
+        yield from self._departures.list_times()
 
     def find_software(self, upstream_id: str, started_ms: int) -> str | None:
         """Return the software of an incarnation, None if it isn't known."""
-        for each in self.list_known_since(-math.inf):
+        for each, _ in self.list_known():
             if make_start_key(each) == (upstream_id, started_ms) and (
                 each.software is not None
             ):
@@ -450,6 +458,7 @@
                 upstream, cold_until_s, stops_at_s, now_s, usage, self.position.era
             )
             self._listed[upstream.upstream_id] = listed
+            self.changes += 1
             self._by_start_tag[make_start_tag(upstream)] = listed
             if before is not None:
                 for callback in self.on_restarted:
@@ -461,6 +470,7 @@
         if position <= (listed.era, listed.upstream.revision):
             return
         listed.upstream = upstream
+        self.changes += 1
         listed.era = position.era
         listed.cold_until_s = max(listed.cold_until_s, cold_until_s)
         listed.stops_at_s = stops_at_s
