Rank only as many holders of a stream as are needed

Cause: for each stream that is told the VMs of two or three regions were ranked whole, each with a key built anew and a function of its own, though one or two of each are told.

--- a/banyanseam/entry/origins/network.py
+++ b/banyanseam/entry/origins/network.py
@@ -32,7 +32,7 @@
 )
 from banyanseam.entry.origins.records import OriginRecord, OriginRecords
 from banyanseam.entry.origins.versions import ServiceVersion, SoftwareVersions
-from banyanseam.peers.rendezvous import rank
+from banyanseam.peers.rendezvous import rank, rank_first
 
 
 @dataclass(slots=True)
@@ -194,7 +194,7 @@
             if region == own_region:
                 count = OWN_REGION_HOLDERS
             alive = [each.ip for each in self._members.list_alive(now_s, region)]
-            holders += rank(alive, str(key))[:count]
+            holders += rank_first(alive, str(key), count)
         return holders
 
     def _choose_asked(self, key: int) -> list[str]:
@@ -203,7 +203,7 @@
         asked = []
         for region in self._choose_regions(key):
             recent = [each.ip for each in self._members.list_recent(now_s, region)]
-            asked += rank(recent, str(key))[:ASKED_IN_REGION]
+            asked += rank_first(recent, str(key), ASKED_IN_REGION)
         return asked
 
     def _choose_regions(self, key: int) -> list[str]:
