--- a/banyanseam/entry/origins/network.py
+++ b/banyanseam/entry/origins/network.py
@@ -31,8 +31,8 @@
     to_origin_row,
 )
 from banyanseam.entry.origins.records import OriginRecord, OriginRecords
-from banyanseam.entry.origins.versions import SoftwareVersions
-from banyanseam.peers.rendezvous import rank
+from banyanseam.entry.origins.versions import ServiceVersion, SoftwareVersions
+from banyanseam.peers.rendezvous import rank, rank_first
 
 
 @dataclass(slots=True)
@@ -51,6 +51,11 @@
     record: OriginRecord
     services: frozenset[str]
 
+    @property
+    def version(self) -> ServiceVersion:
+        """Return the version that began it."""
+        return self.record.origin.service, self.record.origin.software
+
 
 class OriginNetwork:
     """Exchanges the origins of streams with peers."""
@@ -171,19 +176,24 @@
             question.answered.set()
 
     def _must_be_told(self, untold: _Untold, now_s: float) -> bool:
-        origin = untold.record.origin
         recent = self._versions.list_recent(untold.services, now_s)
-        if (origin.service, origin.software) not in recent:
+        if untold.version not in recent:
             return True
         return self._versions.is_ambiguous(untold.services, now_s)
 
     async def _tell(self) -> None:
         now_s = anyio.current_time()
         rows: dict[str, list[OriginRow]] = {}
+        # Many streams have begun at few versions.
+        must_be_told: dict[tuple[frozenset[str], ServiceVersion], bool] = {}
         for key, untold in list(self._untold.items()):
             if now_s - untold.record.begun_s > TAKE_UP_S:
                 del self._untold[key]
-            elif self._must_be_told(untold, now_s):
+                continue
+            kind = untold.services, untold.version
+            if kind not in must_be_told:
+                must_be_told[kind] = self._must_be_told(untold, now_s)
+            if must_be_told[kind]:
                 del self._untold[key]
                 origin = self._records.resolve(untold.record)
                 row = to_origin_row(key, replace(untold.record, origin=origin), now_s)
@@ -206,7 +216,7 @@
             if region == own_region:
                 count = OWN_REGION_HOLDERS
             alive = [each.ip for each in self._members.list_alive(now_s, region)]
-            holders += rank(alive, str(key))[:count]
+            holders += rank_first(alive, str(key), count)
         return holders
 
     def _choose_asked(self, key: int) -> list[str]:
@@ -215,7 +225,7 @@
         asked = []
         for region in self._choose_regions(key):
             recent = [each.ip for each in self._members.list_recent(now_s, region)]
-            asked += rank(recent, str(key))[:ASKED_IN_REGION]
+            asked += rank_first(recent, str(key), ASKED_IN_REGION)
         return asked
 
     def _choose_regions(self, key: int) -> list[str]:
--- a/banyanseam/entry/origins/records.py
+++ b/banyanseam/entry/origins/records.py
@@ -1,6 +1,5 @@
 """Remembers where streams began, those of this process and those that peers tell."""
 
-import math
 from dataclasses import dataclass, replace
 
 import anyio
@@ -100,7 +99,7 @@
             each.upstream_id == origin.upstream_id
             and each.started_ms > origin.started_ms
             and each.software != software
-            for each in self._upstreams.list_known_since(-math.inf)
+            for each, _ in self._upstreams.list_known()
         )
 
     def _record_restart(self, before: ListedUpstream, _: ListedUpstream) -> None:
