Report streams rather than tell of them, and wait shorter for replies

Names and comments of the origins of streams use the words that the rest of the daemon uses for what peers exchange. A question waits 0.2 s for peers that do not reply, instead of 0.25 s: after a kill a part of them is dead, and a caller whose pause may last 0.4 s waits meanwhile.

--- a/banyanseam/entry/origins/const.py
+++ b/banyanseam/entry/origins/const.py
@@ -7,8 +7,8 @@
 # leaving upstream still serves are shorter together.
 TAKE_UP_S: Final = 20.0
 MAX_ORIGINS: Final = 16_384
-# Streams are told to this many processes of the own region, and of each of the regions
-# that a hash of the stream chooses.
+# Streams are reported to this many processes of the own region, and of each of the
+# regions that a hash of the stream chooses.
 OWN_REGION_HOLDERS: Final = 2
 OTHER_REGION_HOLDERS: Final = 1
 CHOSEN_REGIONS: Final = 2
@@ -16,11 +16,11 @@
 # others have started that rank before them.
 ASKED_IN_REGION: Final = 3
 # More than the round trip to any other region.
-ASK_TIMEOUT_S: Final = 0.25
-# How often is looked whether streams must be told that began while one version served.
-TELL_PERIOD_S: Final = 0.25
+ASK_TIMEOUT_S: Final = 0.2
+# How often streams that began while one version served are examined again.
+REPORT_PERIOD_S: Final = 0.25
 # Rows in one datagram.
-MAX_TOLD_ROWS: Final = 256
+MAX_REPORTED_ROWS: Final = 256
 # How long the versions of a service are reused.
 VERSIONS_VIEW_S: Final = 0.1
 # A caller waits for the check of an upstream that may hang.
--- a/banyanseam/entry/origins/messages.py
+++ b/banyanseam/entry/origins/messages.py
@@ -10,7 +10,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from banyanseam.entry.models import StreamOrigin
-from banyanseam.entry.origins.const import MAX_TOLD_ROWS
+from banyanseam.entry.origins.const import MAX_REPORTED_ROWS
 from banyanseam.entry.origins.records import OriginRecord
 from banyanseam.peers.errors import InvalidPeerMessage
 
@@ -53,7 +53,7 @@
 
     model_config = ConfigDict(extra="ignore")
 
-    begun: list[OriginRow] = Field(default_factory=list, max_length=MAX_TOLD_ROWS)
+    begun: list[OriginRow] = Field(default_factory=list, max_length=MAX_REPORTED_ROWS)
     question: OriginQuestion | None = None
     reply: OriginReply | None = None
 
--- a/banyanseam/entry/origins/network.py
+++ b/banyanseam/entry/origins/network.py
@@ -1,7 +1,7 @@
-"""Tells a few peers where streams began, and asks them.
+"""Reports to a few peers where streams began, and asks them.
 
-While one version of the software serves, nothing is told: a question finds out that no
-other can have begun the stream.
+While one version of the software serves, nothing is reported, unless the list of
+upstreams is incomplete: a question shows that no other can have begun the stream.
 """
 
 from collections.abc import Awaitable, Callable, Iterable
@@ -14,11 +14,11 @@
     ASK_TIMEOUT_S,
     ASKED_IN_REGION,
     CHOSEN_REGIONS,
-    MAX_TOLD_ROWS,
+    MAX_REPORTED_ROWS,
     OTHER_REGION_HOLDERS,
     OWN_REGION_HOLDERS,
+    REPORT_PERIOD_S,
     TAKE_UP_S,
-    TELL_PERIOD_S,
 )
 from banyanseam.entry.origins.messages import (
     OriginMessage,
@@ -45,7 +45,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Untold:
+class _Unreported:
     """A stream that no peer knows of, and the services that may have begun it."""
 
     record: OriginRecord
@@ -63,7 +63,7 @@
     def __init__(
         self, members: Members, records: OriginRecords, versions: SoftwareVersions
     ) -> None:
-        """Store what is told; `send` must be set before anything is."""
+        """Store the state to exchange; `send` must be set before the first call."""
         self._members = members
         self._records = records
         self._versions = versions
@@ -72,31 +72,31 @@
         # Notices a suspension that no task has noticed yet.
         self.check_running: Callable[[], object] = lambda: None
         # Streams that began here, that may be taken up and that no peer knows of.
-        self._untold: dict[int, _Untold] = {}
+        self._unreported: dict[int, _Unreported] = {}
         self._has_news = anyio.Event()
         self._questions: dict[int, _Question] = {}
 
     async def run(self) -> None:
-        """Tell peers of streams until cancelled."""
+        """Report streams to peers until cancelled."""
         while True:
-            with anyio.move_on_after(TELL_PERIOD_S):
+            with anyio.move_on_after(REPORT_PERIOD_S):
                 await self._has_news.wait()
             self._has_news = anyio.Event()
-            await self._tell()
+            await self._report()
 
     def add(self, key: int, record: OriginRecord, services: Iterable[str]) -> None:
-        """Tell peers where a stream began, as soon as another version may have.
+        """Report a stream to peers, at once or when another version may have begun it.
 
         `services` are those that the request's route allows.
         """
-        untold = _Untold(record, frozenset(services))
-        self._untold[key] = untold
-        if self._must_be_told(untold, anyio.current_time()):
+        unreported = _Unreported(record, frozenset(services))
+        self._unreported[key] = unreported
+        if self._must_be_reported(unreported, anyio.current_time()):
             self._has_news.set()
 
     def discard(self, key: int) -> None:
-        """Don't tell peers of a stream that has ended well."""
-        self._untold.pop(key, None)
+        """Don't report a stream that has ended well."""
+        self._unreported.pop(key, None)
 
     async def ask(self, key: int, services: Iterable[str]) -> dict[str, OriginReply]:
         """Return peers' replies about a stream by address.
@@ -130,7 +130,7 @@
         for row in message.begun:
             record = from_origin_row(row, now_s)
             self._records.record(row[0], record, now_s)
-            self._versions.record_told(record.origin, now_s)
+            self._versions.record_reported(record.origin, now_s)
         if message.question is not None:
             reply = OriginMessage(reply=self._make_reply(message.question, now_s))
             await self.send(ip, encode_origins(reply))
@@ -175,35 +175,37 @@
         if is_known or not question.awaited:
             question.answered.set()
 
-    def _must_be_told(self, untold: _Untold, now_s: float) -> bool:
-        recent = self._versions.list_recent(untold.services, now_s)
-        if untold.version not in recent:
+    def _must_be_reported(self, unreported: _Unreported, now_s: float) -> bool:
+        recent = self._versions.list_recent(unreported.services, now_s)
+        if unreported.version not in recent:
             return True
-        return self._versions.is_ambiguous(untold.services, now_s)
+        return self._versions.is_ambiguous(unreported.services, now_s)
 
-    async def _tell(self) -> None:
+    async def _report(self) -> None:
         now_s = anyio.current_time()
         rows: dict[str, list[OriginRow]] = {}
         # Many streams have begun at few versions.
-        must_be_told: dict[tuple[frozenset[str], ServiceVersion], bool] = {}
-        for key, untold in list(self._untold.items()):
-            if now_s - untold.record.begun_s > TAKE_UP_S:
-                del self._untold[key]
+        must_be_reported: dict[tuple[frozenset[str], ServiceVersion], bool] = {}
+        for key, unreported in list(self._unreported.items()):
+            if now_s - unreported.record.begun_s > TAKE_UP_S:
+                del self._unreported[key]
                 continue
-            kind = untold.services, untold.version
-            if kind not in must_be_told:
-                must_be_told[kind] = self._must_be_told(untold, now_s)
-            if must_be_told[kind]:
-                del self._untold[key]
-                origin = self._records.resolve(untold.record)
-                row = to_origin_row(key, replace(untold.record, origin=origin), now_s)
+            kind = unreported.services, unreported.version
+            if kind not in must_be_reported:
+                must_be_reported[kind] = self._must_be_reported(unreported, now_s)
+            if must_be_reported[kind]:
+                del self._unreported[key]
+                origin = self._records.resolve(unreported.record)
+                row = to_origin_row(
+                    key, replace(unreported.record, origin=origin), now_s
+                )
                 for ip in self._choose_holders(key, now_s):
                     rows.setdefault(ip, []).append(row)
         for ip, found in rows.items():
-            for start in range(0, len(found), MAX_TOLD_ROWS):
+            for start in range(0, len(found), MAX_REPORTED_ROWS):
                 # Only peers check the rows: an error here would end the daemon.
                 message = OriginMessage.model_construct(
-                    begun=found[start : start + MAX_TOLD_ROWS]
+                    begun=found[start : start + MAX_REPORTED_ROWS]
                 )
                 await self.send(ip, encode_origins(message))
 
--- a/banyanseam/entry/origins/records.py
+++ b/banyanseam/entry/origins/records.py
@@ -1,4 +1,4 @@
-"""Remembers where streams began, those of this process and those that peers tell."""
+"""Remembers where streams began, at this process or by the reports of peers."""
 
 from dataclasses import dataclass, replace
 
--- a/banyanseam/entry/origins/versions.py
+++ b/banyanseam/entry/origins/versions.py
@@ -22,13 +22,13 @@
         self._gone_changes = -1
         self._seen: frozenset[ServiceVersion] = frozenset()
         self._seen_s = -1e9
-        # Versions that peers have told of, and when. The list may not show them yet.
-        self._told_s: dict[ServiceVersion, float] = {}
+        # Versions in reports of peers, and when. The list may not show them yet.
+        self._reported_s: dict[ServiceVersion, float] = {}
 
-    def record_told(self, origin: StreamOrigin, now_s: float) -> None:
-        """Record that a peer has told of a stream that began somewhere."""
+    def record_reported(self, origin: StreamOrigin, now_s: float) -> None:
+        """Record the version in a peer's report of a stream."""
         if origin.software is not None:
-            self._told_s[origin.service, origin.software] = now_s
+            self._reported_s[origin.service, origin.software] = now_s
 
     def list_recent(
         self, services: Iterable[str], now_s: float
@@ -36,14 +36,14 @@
         """Return the versions of services that may have begun a stream recently."""
         if not 0 <= now_s - self._seen_s < VERSIONS_VIEW_S:
             since_s = now_s - TAKE_UP_S
-            self._told_s = {
+            self._reported_s = {
                 version: at_s
-                for version, at_s in self._told_s.items()
+                for version, at_s in self._reported_s.items()
                 if now_s - at_s < TAKE_UP_S
             }
             gone_s = self._find_gone_s()
             known = {version for version, at_s in gone_s.items() if at_s > since_s}
-            self._seen = frozenset(known | self._told_s.keys())
+            self._seen = frozenset(known | self._reported_s.keys())
             self._seen_s = now_s
         wanted = set(services)
         return frozenset(each for each in self._seen if each[0] in wanted)
--- a/bench/origins.py
+++ b/bench/origins.py
@@ -125,6 +125,11 @@
     waits_s: list[float] = field(default_factory=list)
 
 
+async def _do_not_check(_: Upstream) -> bool:
+    """Take each upstream for the listed one."""
+    return True
+
+
 class OriginFleet:
     """The VMs of a fleet and the datagrams between them."""
 
@@ -168,7 +173,7 @@
         records, versions = OriginRecords(upstreams), SoftwareVersions(upstreams)
         network = OriginNetwork(members, records, versions)
         network.send = partial(self._send, ip)
-        take_ups = TakeUps(records, versions, network, lambda: None)
+        take_ups = TakeUps(records, versions, network, lambda: None, _do_not_check)
         return Vm(members, upstreams, network, take_ups)
 
     def publish(self, versions: int) -> None:
