Doubt an origin whose restart this VM has not seen

Cause: doubts are recorded where a VM sees an upstream start again under its id, and without one an origin was believed.

Change: if a later incarnation of another version is known, and when it came is not, the origin's version is unknown.

Evidence: two tests failed before and pass.

--- a/banyanseam/entry/origins/records.py
+++ b/banyanseam/entry/origins/records.py
@@ -93,7 +93,8 @@
         """Return whether another version under the id may have begun a stream."""
         origin = record.origin
         doubt = self._doubts.get((origin.upstream_id, origin.started_ms))
-        if doubt is None or record.begun_s < doubt.since_s:
+        # Without one, this process may not have seen when the upstream started again.
+        if doubt is not None and record.begun_s < doubt.since_s:
             return False
         return any(
             each.upstream_id == origin.upstream_id
--- a/tests/entry/origins/test_records.py
+++ b/tests/entry/origins/test_records.py
@@ -68,6 +68,18 @@
         )
         self.assertIsNone(software)
 
+    def test_a_list_that_lacked_the_upstream_in_between_leaves_a_doubt(self):
+        def choose_listing(at_s: float) -> tuple[list[Upstream], int]:
+            if at_s < 12:
+                return [FIRST, OTHER], 0
+            return ([OTHER] if at_s < 13 else [SECOND, OTHER]), 0
+
+        self.assertIsNone(self.find_software(choose_listing, 11.5, 15.0))
+
+    def test_a_process_that_started_after_a_restart_has_the_doubt(self):
+        software = self.find_software(lambda _: ([SECOND], 0), 1.0, 3.0)
+        self.assertIsNone(software)
+
     def test_a_restart_while_the_store_was_away_may_be_listed_after_its_return(self):
         """The upstream writes again a moment later, so two lists lack the restart."""
         for away_s in (2.0, 4.0, 60.0):
