--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -1,3 +1,4 @@
+import asyncio
 import unittest
 
 import anyio
@@ -7,6 +8,12 @@
 from standins.callers import Caller
 from standins.config_service import ConfigService
 from standins.engine import Engine, serve_engine
+from standins.platform_fleet import call
+from standins.platform_upstream import (
+    REPORT_TARGET,
+    PlatformUpstream,
+    complete_stream_body,
+)
 from standins.relay import Relay
 from standins.service import PlainService
 from standins.serving import serve
@@ -180,6 +187,35 @@
         run(check)
 
 
+class PlatformUpstreamTests(unittest.TestCase):
+    def test_events_name_an_unusual_software_and_a_restart_breaks_streams(self):
+        async def check():
+            upstream = PlatformUpstream("e1", is_stream=True)
+            headers = {"host": "a", "request-id": "r"}
+            async with upstream.serve() as address:
+                usual = await call(address, "POST", "/query/x", headers)
+                self.assertEqual(usual.body, complete_stream_body())
+                self.assertNotIn(b"by", usual.body)
+
+                def restart(_):
+                    upstream.on_run = lambda _: None
+                    loop = asyncio.get_running_loop()
+                    loop.call_later(3.5 * upstream.pause_s, upstream.restart, "v2")
+
+                upstream.on_run = restart
+                broken = await call(address, "POST", "/query/x", headers)
+                self.assertIsNotNone(broken.broken)
+                self.assertTrue(usual.body.startswith(broken.body))
+                later = headers | {"last-event-id": "2"}
+                rest = await call(address, "POST", "/query/x", later)
+                self.assertEqual(rest.body, complete_stream_body("v2", 2))
+                self.assertIn(b"id: 3\ndata: word 3 by v2\n\n", rest.body)
+                report = await call(address, "GET", REPORT_TARGET, headers)
+                self.assertEqual(report.body, b'{"born": 2}')
+
+        run(check)
+
+
 class RelayTests(unittest.TestCase):
     def test_delays_partitions_and_resets(self):
         async def check():
