--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -246,7 +246,7 @@
 
 
 def from_software_row(row: SoftwareRow | None, count: int) -> list[str | None]:
-    """Return the software of so many upstreams; None where the row doesn't tell."""
+    """Return the software of so many upstreams; None where it is missing."""
     names, indexes = row or ([], [])
     if not indexes and len(names) == 1:
         return names * count
--- a/banyanseam/entry/origins/records.py
+++ b/banyanseam/entry/origins/records.py
@@ -1,5 +1,7 @@
 """Remembers where streams began, at this process or by the reports of peers."""
 
+from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 import anyio
@@ -19,7 +21,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Doubt:
+class _LateRestart:
     """A restart of an upstream that showed in the list later than in its answers.
 
     Streams that began from `since_s` on may have been begun by the new incarnation.
@@ -37,7 +39,7 @@
     begun_s: float
 
     @property
-    def is_doubtful(self) -> bool:
+    def is_uncertain(self) -> bool:
         """Return whether another version than the listed one may have begun it."""
         return self.origin.software is None and not self.origin.upstream_id
 
@@ -51,7 +53,10 @@
         # In the order in which they were recorded.
         self._records: dict[int, OriginRecord] = {}
         # By incarnation of an upstream that has started again.
-        self._doubts: dict[StartKey, _Doubt] = {}
+        self._late_restarts: dict[StartKey, _LateRestart] = {}
+        # What `_find_starts` returns, at a count of changes of the list.
+        self._starts: dict[str, set[tuple[int, str | None]]] = {}
+        self._starts_changes = -1
         upstreams.on_restarted.append(self._record_restart)
 
     def record(self, key: int, record: OriginRecord, now_s: float) -> None:
@@ -76,7 +81,7 @@
     def resolve(self, record: OriginRecord) -> StreamOrigin:
         """Return an origin with its software as far as that is known by now.
 
-        Of a doubtful one, the upstream is left out too: a peer that has not noticed
+        Of an uncertain one, the upstream is left out too: a peer that has not noticed
         the restart would find the former version by it.
         """
         origin = record.origin
@@ -92,26 +97,34 @@
     def _may_be_later(self, record: OriginRecord, software: str | None) -> bool:
         """Return whether another version under the id may have begun a stream."""
         origin = record.origin
-        doubt = self._doubts.get((origin.upstream_id, origin.started_ms))
+        restart = self._late_restarts.get((origin.upstream_id, origin.started_ms))
         # Without one, this process may not have seen when the upstream started again.
-        if doubt is not None and record.begun_s < doubt.since_s:
+        if restart is not None and record.begun_s < restart.since_s:
             return False
         return any(
-            each.upstream_id == origin.upstream_id
-            and each.started_ms > origin.started_ms
-            and each.software != software
-            for each, _ in self._upstreams.list_known()
+            started_ms > origin.started_ms and later != software
+            for started_ms, later in self._find_starts().get(origin.upstream_id, ())
         )
 
+    def _find_starts(self) -> Mapping[str, set[tuple[int, str | None]]]:
+        """Return start and software of the known incarnations by upstream."""
+        if self._starts_changes != self._upstreams.changes:
+            self._starts_changes = self._upstreams.changes
+            self._starts = defaultdict(set)
+            for each, _ in self._upstreams.list_known():
+                self._starts[each.upstream_id].add((each.started_ms, each.software))
+        return self._starts
+
     def _record_restart(self, before: ListedUpstream, _: ListedUpstream) -> None:
         now_s = anyio.current_time()
-        self._doubts = {
-            key: doubt
-            for key, doubt in self._doubts.items()
-            if now_s - doubt.noticed_s <= TAKE_UP_S
+        self._late_restarts = {
+            key: restart
+            for key, restart in self._late_restarts.items()
+            if now_s - restart.noticed_s <= TAKE_UP_S
         }
         since_s = self._upstreams.restarts_known_s - UNNOTICED_RESTART_S
-        self._doubts[make_start_key(before.upstream)] = _Doubt(since_s, now_s)
+        key = make_start_key(before.upstream)
+        self._late_restarts[key] = _LateRestart(since_s, now_s)
 
     def _drop_old(self, now_s: float) -> None:
         while self._records:
--- a/banyanseam/entry/origins/takeups.py
+++ b/banyanseam/entry/origins/takeups.py
@@ -135,9 +135,9 @@
             for reply in replies
             if reply.found is not None
         ]
-        # The first counts. A peer that doubts an origin knows of a restart that others
+        # The first counts. A peer without the version may know of a restart that others
         # may not have noticed.
-        found.sort(key=lambda each: not each.is_doubtful)
+        found.sort(key=lambda each: not each.is_uncertain)
         for record in found:
             self.records.record(key, record, now_s)
         return self.records.find(key, now_s)
--- a/tests/entry/origins/test_takeups.py
+++ b/tests/entry/origins/test_takeups.py
@@ -25,7 +25,7 @@
 
 KEY = make_stream_key("acme", "request-1")
 KNOWN: OriginRow = (KEY, "pool", "v1", "e1", 1, 0)
-DOUBTFUL: OriginRow = (KEY, "pool", None, "", 0, 0)
+UNCERTAIN: OriginRow = (KEY, "pool", None, "", 0, 0)
 
 
 class TakeUpTests(unittest.TestCase):
@@ -72,7 +72,7 @@
 
     def test_the_doubt_of_any_peer_counts(self):
         """The others may not have noticed a restart yet."""
-        for rows in ((KNOWN, DOUBTFUL), (DOUBTFUL, KNOWN)):
+        for rows in ((KNOWN, UNCERTAIN), (UNCERTAIN, KNOWN)):
             with self.subTest(rows):
                 self.assertIsNone(self.find(*rows))
 
