Let streams wait longer for a place only while versions split the upstreams

Cause: streams that go on waited 40% of their time for a place instead of 15%, at any time; in an overload of one version they took places that new requests could have used in time.

Change: the longer wait holds only while the service has upstreams of another version that the stream may not use.

Evidence: the new test names both cases.

--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -12,7 +12,7 @@
     NO_CAPACITY_WAIT_SHARE,
     OUTAGE_S,
     QUEUE_PERIOD_S,
-    RESUMED_CAPACITY_WAIT_SHARE,
+    VERSION_CAPACITY_WAIT_SHARE,
 )
 from banyanseam.entry.errors import NoUpstreamKnown, RegionsFull, StreamVersionGone
 from banyanseam.entry.exchange import Exchange
@@ -81,10 +81,7 @@
         Raise NoUpstreamKnown or RegionsFull as soon as it cannot be served in time.
         """
         started_s = anyio.current_time()
-        share = NO_CAPACITY_WAIT_SHARE
-        if exchange.is_resumed:
-            # Fewer upstreams may serve it, and a part of it has been served.
-            share = RESUMED_CAPACITY_WAIT_SHARE
+        share = self.choose_wait_share(exchange, started_s)
         max_wait_s = share * exchange.left_ms(started_s) / 1000
         while True:
             now_s = anyio.current_time()
@@ -110,6 +107,19 @@
             with count_waiting_prompt(listed, queued_ms):
                 await anyio.sleep(QUEUE_PERIOD_S * random.uniform(0.7, 1.3))
 
+    def choose_wait_share(self, exchange: Exchange, now_s: float) -> float:
+        """Return how long a request waits for a place, as a share of its time left.
+
+        A stream that has begun waits longer if it competes with new requests for a part
+        of the upstreams only, those of its software version.
+        """
+        usable = []
+        if exchange.origin is not None:
+            usable = self.upstreams.list_usable(exchange.service, now_s)
+        if all(exchange.may_run_at(listed.upstream.software) for listed in usable):
+            return NO_CAPACITY_WAIT_SHARE
+        return VERSION_CAPACITY_WAIT_SHARE
+
     def _refuse_if_unservable(
         self,
         exchange: Exchange,
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -174,8 +174,8 @@
 # How long a request waits until an upstream is registered or has enough memory, as a
 # share of its remaining time.
 NO_CAPACITY_WAIT_SHARE: Final = 0.15
-# The same for a stream that has begun.
-RESUMED_CAPACITY_WAIT_SHARE: Final = 0.4
+# The same for a stream that may go on at a part of the upstreams only.
+VERSION_CAPACITY_WAIT_SHARE: Final = 0.4
 # How long requests to a newly started process wait for its configuration.
 START_WAIT_S: Final = 1.0
 # Shorter prefixes do not affect placement: prefilling them again costs less than
--- a/tests/entry/test_choosing.py
+++ b/tests/entry/test_choosing.py
@@ -3,6 +3,7 @@
 import anyio
 
 from banyanseam.entry.choosing import Chooser, choose_retry_after_ms
+from banyanseam.entry.const import NO_CAPACITY_WAIT_SHARE
 from banyanseam.entry.errors import NoUpstreamKnown, RegionsFull
 from banyanseam.entry.messages import make_load_tag
 from banyanseam.entry.reach import PeerReachability
@@ -20,6 +21,29 @@
 FULL = {make_load_tag(make_upstream("e1")): (200, 1500, 0, 0)}
 
 
+class WaitShareTests(unittest.TestCase):
+    def test_a_stream_waits_longer_only_while_versions_split_the_upstreams(self):
+        origin = make_upstream("e1", software="v1").origin
+        others = [make_upstream("e2", address="10.9.0.2:80", software="v2")]
+        for listing, stream_origin, is_longer in (
+            ([], origin, False),
+            (others, origin, True),
+            (others, None, False),
+        ):
+            upstreams = UpstreamList()
+            upstreams.adopt([make_upstream("e1", software="v1"), *listing], 1, 0.0)
+            chooser = Chooser(
+                make_members(),
+                upstreams,
+                UpstreamLoads(upstreams, "gulf"),
+                PeerReachability(),
+            )
+            exchange = make_exchange(0.0, origin=stream_origin)
+            with self.subTest(listing):
+                share = chooser.choose_wait_share(exchange, 0.0)
+                self.assertEqual(share > NO_CAPACITY_WAIT_SHARE, is_longer)
+
+
 class ChooserTests(unittest.TestCase):
     def find(self, *, upstreams=None, loads=None, **fields):
         """Return the placement or the error for one request, and the time it took."""
