Show that a silence of its upstream ends a sound stream

A stream whose upstream has been silent for 0.8 s is moved: its connection is closed before another upstream has gone on. If the other one refuses, fails or is silent, the caller's answer breaks off, though the first would have gone on a second later.

The simulation records when the connection of a run is closed, so that the tests see how long two upstreams work on a request.

--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -75,7 +75,7 @@
 PEER_FAULTS = ("refused", "lost", "answer lost", "cut")
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Run:
     """A request that an upstream has started to run."""
 
@@ -84,6 +84,8 @@
     headers: dict[str, str]
     at_s: float
     software: str | None = None
+    # When its connection was closed.
+    ended_s: float = math.inf
 
 
 @dataclass(slots=True)
@@ -363,16 +365,21 @@
             async with self._call_app(app, outgoing, sender, fault) as incoming:
                 yield incoming
             return
-        incoming = await self._run(listening[0], headers, fault)
-        if incoming is None and fault == "no answer":
-            raise ConnectionBroken(outgoing.address)
-        if incoming is None:
-            with anyio.move_on_after(outgoing.first_byte_timeout_s):
-                await (wait_for_better or anyio.sleep_forever)()
-                raise SlowerThanOthers(outgoing.address)
-            raise UpstreamTimedOut(outgoing.address)
-        (name,) = at_address
-        yield replace(incoming, body=self._break_at_crash(name, incoming.body))
+        try:
+            incoming = await self._run(listening[0], headers, fault)
+            if incoming is None and fault == "no answer":
+                raise ConnectionBroken(outgoing.address)
+            if incoming is None:
+                with anyio.move_on_after(outgoing.first_byte_timeout_s):
+                    await (wait_for_better or anyio.sleep_forever)()
+                    raise SlowerThanOthers(outgoing.address)
+                raise UpstreamTimedOut(outgoing.address)
+            (name,) = at_address
+            yield replace(incoming, body=self._break_at_crash(name, incoming.body))
+        finally:
+            for run in self.runs.get(request_id, []):
+                if run.headers is headers:
+                    run.ended_s = anyio.current_time()
 
     async def _break_at_crash(
         self, name: str, body: AsyncIterator[bytes]
