Let a silent stream go only once another upstream goes on with it

Cause: MovePolicy.stop_stalled_stream closed the connection of a stream that had been silent for 0.8 s before another upstream had begun to go on with it. Callers saw: the answer broke off if the other one refused, failed or was silent, though the first would have gone on a second later. Change: the other upstream is asked while the first connection stays open and is read (stream_moves.py). Whichever brings the next event first goes on alone and the other is closed at once; one that brings nothing within 0.35 s of the send is given up, so that two never work on a request for 0.4 s. The second attempt has an exchange of its own, so that sends, failures and crashes are recorded for the right upstream; origin and suspicion are checked before each move. Moves no longer begin while a slow caller holds the relaying up: that was no silence.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -216,6 +216,9 @@
 # A stream that has sent no data for this many of its route's longest pauses moves to an
 # upstream that would continue it within one of them.
 SILENT_PAUSES_TO_MOVE: Final = 2
+# How long the other upstream may take to bring the next event. Both may work on the
+# request until then: the operators allow 400 ms.
+MAX_TOGETHER_S: Final = 0.35
 MIN_RETRY_LEFT_MS: Final = 50.0
 
 # Refusals.
--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -91,7 +91,9 @@
     origin: StreamOrigin | None = None
     begun_s: float = 0.0
     # Called before the caller gets the first part of a stream.
-    on_begun: Callable[[], None] = lambda: None
+    on_begun: "Callable[[Exchange], None]" = lambda _: None
+    # Called when the request has been sent.
+    on_sent: Callable[[], None] = lambda: None
     # Software of the upstreams whose events the caller got, in order.
     software: list[str | None] = field(default_factory=list)
     # Number of sends, and whether the request may have run because of them.
@@ -124,7 +126,20 @@
         """Record that the last send's upstream begins the stream, unless one has."""
         if self.origin is None:
             self.origin = self.sent_to or StreamOrigin(self.service, None)
-            self.on_begun()
+            self.on_begun(self)
+
+    def adopt(self, later: "Exchange") -> None:
+        """Take over the state of a later send, which has an exchange of its own."""
+        self.sends = later.sends
+        self.sent_to = later.sent_to
+        self.origin = later.origin
+        self.begun_s = later.begun_s
+        self.software = later.software
+        self.last_event = later.last_event
+        self.events_of_send = later.events_of_send
+        self.may_have_run = later.may_have_run
+        self.may_have_run_before = later.may_have_run_before
+        self.is_answered = later.is_answered
 
     def deadline_left_ms(self) -> float:
         """Return the time from now to the deadline."""
--- a/banyanseam/entry/moving.py
+++ b/banyanseam/entry/moving.py
@@ -1,15 +1,16 @@
 """Move a request that was already sent, if another upstream would be faster.
 
 Only requests that may run again are moved, and only to a better upstream. Each move is
-charged to the retry budget before the first upstream is abandoned.
+charged to the retry budget before the other upstream gets the request.
 """
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection
 from dataclasses import dataclass
 
 import anyio
 
 from banyanseam.entry.const import (
+    MAX_TOGETHER_S,
     MOVE_PERIOD_S,
     MOVE_TARGET_SHARE,
     SILENT_PAUSES_TO_MOVE,
@@ -34,6 +35,10 @@
         self.last_s = now_s
         # Called with the time of the first event.
         self.on_first: Callable[[float], None] = lambda _: None
+        # Called with each event.
+        self.on_event: Callable[[], None] = lambda: None
+        # Whether a chunk is being relayed; a slow caller may keep it waiting.
+        self.is_relaying = False
         self._has_event = False
         self._is_stopped = False
         self._reading: anyio.CancelScope | None = None
@@ -41,6 +46,7 @@
     def record_event(self, now_s: float) -> None:
         """Record the arrival of a whole event."""
         self.last_s = now_s
+        self.on_event()
         if not self._has_event:
             self._has_event = True
             self.on_first(now_s)
@@ -51,16 +57,35 @@
         if self._reading is not None:
             self._reading.cancel()
 
+    def try_stop(self) -> bool:
+        """Stop unless a chunk is being relayed; return whether the reading ends."""
+        if not self.is_relaying:
+            self.stop()
+        return self._is_stopped
+
     async def read(self, body: AsyncIterator[bytes]) -> bytes | None:
         """Return the next chunk, or None at the end; raise SlowerThanOthers."""
+        self.is_relaying = False
         if not self._is_stopped:
             with anyio.CancelScope() as self._reading:
                 chunk = await anext(body, None)
                 self._reading = None
-                return chunk
+                # A chunk may arrive at the very moment of the stop.
+                if not self._is_stopped:
+                    self.is_relaying = True
+                    return chunk
         raise SlowerThanOthers("the stream has sent no data for too long")
 
 
+# Asks another upstream to go on with a stream; returns whether the stream was stopped.
+Move = Callable[[Placement, Progress], Awaitable[bool]]
+
+
+async def _move_at_once(_: Placement, progress: Progress) -> bool:
+    progress.stop()
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class MovePolicy:
     """Decides whether and when a request moves to another upstream."""
@@ -98,24 +123,39 @@
         return wait
 
     async def stop_stalled_stream(
-        self, exchange: Exchange, placement: Placement, progress: Progress
+        self,
+        exchange: Exchange,
+        placement: Placement,
+        progress: Progress,
+        move: Move = _move_at_once,
     ) -> None:
-        """Stop a stalled stream once another upstream could continue it.
+        """Stop a stalled stream once `move` has let another upstream continue it.
 
         This handles engines that hang in the middle of an answer, and connections that
         stop delivering data without a reset.
         """
         max_pause_ms = exchange.route.max_pause_ms
-        while exchange.may_resend and exchange.sends < exchange.max_attempts:
+        max_wait_ms = min(max_pause_ms, MAX_TOGETHER_S * 1000)
+        moves_left = exchange.max_attempts
+        while (
+            moves_left
+            and exchange.may_resend
+            and exchange.sends < exchange.max_attempts
+        ):
             await anyio.sleep(MOVE_PERIOD_S)
             silent_ms = (anyio.current_time() - progress.last_s) * 1000
-            if silent_ms < SILENT_PAUSES_TO_MOVE * max_pause_ms:
+            if progress.is_relaying or silent_ms < SILENT_PAUSES_TO_MOVE * max_pause_ms:
+                continue
+            best = self._find_best_alternative(
+                exchange, placement, exclude=exchange.tried
+            )
+            if best is None or best.wait_ms > max_wait_ms:
                 continue
-            best = self._find_best_alternative(exchange, placement)
-            if best is None or best.wait_ms > max_pause_ms:
+            if not self._charge_retry(exchange):
                 continue
-            if self._charge_retry(exchange):
-                progress.stop()
+            # A move that ends before the request is sent counts too.
+            moves_left -= 1
+            if await move(best, progress):
                 return
 
     def _charge_retry(self, exchange: Exchange) -> bool:
@@ -124,12 +164,12 @@
         return self.retries.try_spend(exchange.service, vms, now_s)
 
     def _find_best_alternative(
-        self, exchange: Exchange, placement: Placement
+        self, exchange: Exchange, placement: Placement, exclude: Collection[str] = ()
     ) -> Placement | None:
         others = [
             each
             for each in self.list_candidates(exchange, anyio.current_time())
-            if each.upstream_id != placement.candidate.upstream_id
+            if each.upstream_id not in (placement.candidate.upstream_id, *exclude)
             and not each.is_reserve
         ]
         request = PlacementRequest(
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -37,7 +37,7 @@
 from banyanseam.entry.members import Member, Members
 from banyanseam.entry.messages import make_upstream_tag
 from banyanseam.entry.models import AnswerHead, Headers, RequestHead, SendMetadata
-from banyanseam.entry.moving import MovePolicy, Progress
+from banyanseam.entry.moving import Move, MovePolicy, Progress
 from banyanseam.entry.origins.takeups import TakeUps
 from banyanseam.entry.outgoing import make_outgoing, make_send_metadata
 from banyanseam.entry.peer_connections import (
@@ -62,6 +62,7 @@
 from banyanseam.entry.retry_budget import RetryBudget
 from banyanseam.entry.sending import IncomingAnswer, run_with_watch, send
 from banyanseam.entry.start_checks import ReportFormat, StartChecks
+from banyanseam.entry.stream_moves import run_movable
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads
 from banyanseam.entry.usage_counts import count_request, mark_prefilled
@@ -145,11 +146,10 @@
         if exchange.is_taken_up and exchange.origin is None:
             await self.take_ups.find(exchange)
         if exchange.route.is_stream and exchange.forwarding is None:
-            exchange.on_begun = lambda: self.take_ups.record_begin(exchange)
+            exchange.on_begun = self.take_ups.record_begin
         failure: BanyanseamError | None = None
         while True:
-            if exchange.reply.is_started and exchange.origin is not None:
-                await self.take_ups.confirm(exchange)
+            await self._confirm_origin(exchange)
             try:
                 placement = await self.chooser.wait_for_placement(exchange)
             except BanyanseamError as error:
@@ -167,15 +167,46 @@
                 await self._attempt(exchange, placement)
             except BanyanseamError as error:
                 failure = error
-                self._record_failure(exchange, placement, error)
                 if not self._may_retry_error(exchange, error, vms):
                     raise
             else:
                 return
 
     async def _attempt(self, exchange: Exchange, placement: Placement) -> None:
+        """Send the request; another upstream may go on if its stream falls silent."""
+
+        async def attempt(move: Move | None = None) -> None:
+            try:
+                await self._send(exchange, placement, move)
+            except BanyanseamError as error:
+                self._record_failure(exchange, placement, error)
+                raise
+
+        if not exchange.route.is_resumable or exchange.forwarding is not None:
+            await attempt()
+            return
+        await run_movable(exchange, attempt, self._go_on, self._record_failure)
+
+    async def _go_on(self, exchange: Exchange, placement: Placement) -> None:
+        """Attempt to go on with a stream while its upstream is silent."""
+        try:
+            await self._confirm_origin(exchange)
+            if refuse_suspect(self.crashes.suspects, exchange, anyio.current_time()):
+                raise CrashSuspected(f"fingerprint {exchange.fingerprint:016x}")
+        except BanyanseamError as error:
+            self._record_failure(exchange, placement, error)
+            raise
+        await self._attempt(exchange, placement)
+
+    async def _confirm_origin(self, exchange: Exchange) -> None:
+        if exchange.reply.is_started and exchange.origin is not None:
+            await self.take_ups.confirm(exchange)
+
+    async def _send(
+        self, exchange: Exchange, placement: Placement, move: Move | None
+    ) -> None:
         if placement.candidate.region != self.members.me.region:
-            await self._forward_to_region(exchange, placement)
+            await self._forward_to_region(exchange, placement, move)
             return
         listed = self.upstreams.find(placement.candidate.upstream_id)
         if listed is None:
@@ -219,7 +250,7 @@
                     mark_prefilled(listed, pending_prefill_ms)
                     self._record_shared_prefix(exchange, placement, listed)
                     await self._relay_answer(
-                        exchange, placement, answer, incoming, listed, recorder
+                        exchange, placement, answer, incoming, move, listed, recorder
                     )
 
     async def _check_start(self, exchange: Exchange, listed: ListedUpstream) -> None:
@@ -241,7 +272,7 @@
         )
 
     async def _forward_to_region(
-        self, exchange: Exchange, placement: Placement
+        self, exchange: Exchange, placement: Placement, move: Move | None
     ) -> None:
         region = placement.candidate.region
         exchange.sent_to = None
@@ -311,7 +342,7 @@
                 check_answer(exchange, answer)
                 self._check_served_by(exchange, answer, incoming.headers, peer)
                 self._record_shared_prefix(exchange, placement)
-                await self._relay_answer(exchange, placement, answer, incoming)
+                await self._relay_answer(exchange, placement, answer, incoming, move)
         except UpstreamUnreachable:
             exchange.unreachable.add(peer.ip)
             self.reachability.record_unreachable(peer, anyio.current_time())
@@ -338,6 +369,7 @@
         placement: Placement,
         answer: AnswerHead,
         incoming: IncomingAnswer,
+        move: Move | None,
         listed: ListedUpstream | None = None,
         recorder: RunRecorder | None = None,
     ) -> None:
@@ -364,13 +396,12 @@
             if is_observed:
                 recorder.record_end(progress.last_s, exchange.events_of_send)
 
-        relaying = relay()
-        if not exchange.route.is_resumable or exchange.forwarding is not None:
-            await relaying
+        if move is None or answer.status != 200:
+            await relay()
             return
         await run_with_watch(
-            relaying,
-            lambda: self.moves.stop_stalled_stream(exchange, placement, progress),
+            relay(),
+            lambda: self.moves.stop_stalled_stream(exchange, placement, progress, move),
         )
 
     def _check_upstream_answer(
@@ -534,6 +565,7 @@
     exchange.events_of_send = 0
     exchange.may_have_run_before = exchange.may_have_run
     exchange.may_have_run = True
+    exchange.on_sent()
 
 
 def _record_not_run(exchange: Exchange) -> None:
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -563,6 +563,10 @@
         parts.append(EVENT_PAUSE_S)
         if fault == "comment":
             return [*parts, b": working\n\n", EVENT_PAUSE_S, None]
+        if number == first and fault == "stall inside":
+            event = make_event(number, request_id, software)
+            parts += [event[:5], STALL_S, event[5:]]
+            continue
         if number == first + 1:
             if fault == "cut":
                 return [*parts, make_event(number, request_id, software)[:5], None]
--- a/tests/entry/test_silent_streams.py
+++ b/tests/entry/test_silent_streams.py
@@ -1,12 +1,18 @@
 """Checks that streams outlast a silence of their upstream, and move if it lasts."""
 
 import unittest
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from types import SimpleNamespace
 from unittest import mock
 
 import anyio
 
+from banyanseam.entry.errors import SlowerThanOthers
+from banyanseam.entry.moving import MovePolicy, Progress
+from banyanseam.entry.placing import Placement
+from banyanseam.entry.retry_budget import RetryBudget
 from tests.common import run_with_mock_clock
+from tests.entry.common import make_candidate, make_exchange, make_members
 from tests.entry.simulation import (
     Caller,
     Simulation,
@@ -48,13 +54,14 @@
         peer_faults: list[str],
         prepare: Callable[[Simulation], None] = lambda _: None,
         max_attempts: int = 2,
+        silence: str = "stall",
     ) -> tuple[Simulation, Caller]:
         """Ask for a stream whose first upstream falls silent after an event."""
 
         async def run() -> Simulation:
             async with start_simulation() as simulation:
                 prepare(simulation)
-                faults_of_sends = ["stall", *faults]
+                faults_of_sends = [silence, *faults]
                 simulation.ask(GULF, "/query/x", faults_of_sends, peer_faults)
             return simulation
 
@@ -69,6 +76,10 @@
         self.assertLessEqual(len(runs), max_attempts)
         for before, after in zip(runs, runs[1:], strict=False):
             self.assertLess(min(before.ended_s, after.ended_s), after.at_s + TOGETHER_S)
+        for entry in simulation.entries.values():
+            listed = map(entry.upstreams.find, simulation.upstreams)
+            self.assertFalse(any(each.usage.requests for each in listed if each))
+            self.assertFalse(any(entry.frontend.relay.loads.forwarded.values()))
         return simulation, caller
 
     def check_whole(self, caller: Caller) -> None:
@@ -82,6 +93,13 @@
                     _, caller = self.ask(silence_s, [other], [])
                     self.check_whole(caller)
 
+    def test_a_stream_goes_on_after_a_silence_within_its_first_event(self):
+        """The caller has no part of the answer yet."""
+        for other in GOES_ON + BRINGS_NOTHING:
+            with self.subTest(other):
+                _, caller = self.ask(2.0, [other], [], silence="stall inside")
+                self.check_whole(caller)
+
     def test_a_stream_goes_on_after_a_silence_whatever_another_region_does(self):
         for other in GOES_ON + BRINGS_NOTHING:
             for peer_fault in PEER_FAULTS:
@@ -116,6 +134,21 @@
         _, caller = self.ask(2.5, [], [], lambda each: keep(each, "pool-gulf"))
         self.check_whole(caller)
 
+    def test_a_stream_goes_on_after_a_silence_if_the_retry_budget_is_spent(self):
+        with mock.patch.object(RetryBudget, "try_spend", return_value=False):
+            simulation, caller = self.ask(2.5, [], [])
+        self.check_whole(caller)
+        self.assertEqual(len(simulation.runs[caller.request_id]), 1)
+
+    def test_only_the_upstream_that_failed_is_suspected(self):
+        simulation, caller = self.ask(2.0, ["no answer"], [])
+        upstreams = simulation.entries[GULF].upstreams
+        has_failed = [
+            upstreams.find(run.upstream_id).usage.failed_s > 0
+            for run in simulation.runs[caller.request_id]
+        ]
+        self.assertEqual(has_failed, [False, True])
+
     def test_a_stream_that_stays_silent_goes_on_elsewhere(self):
         simulation, caller = self.ask(60.0, [], [])
         self.check_whole(caller)
@@ -133,5 +166,46 @@
         self.assertEqual(run_with_mock_clock(run), [1.0, 1.0])
 
 
+class ProgressTests(unittest.TestCase):
+    def test_a_chunk_that_arrives_with_the_stop_is_not_relayed(self):
+        """The other upstream brings the same event."""
+
+        async def run() -> None:
+            progress = Progress(anyio.current_time())
+
+            async def body() -> AsyncIterator[bytes]:
+                progress.stop()
+                yield b"part"
+
+            with self.assertRaises(SlowerThanOthers):
+                await progress.read(body())
+
+        run_with_mock_clock(run)
+
+    def test_a_stream_whose_caller_reads_slowly_is_not_moved(self):
+        async def run() -> None:
+            exchange = make_exchange(anyio.current_time())
+            exchange.reply = SimpleNamespace(is_started=True)
+            policy = MovePolicy(
+                make_members(),
+                mock.Mock(),
+                SimpleNamespace(try_spend=lambda *_: True),
+                lambda *_: [make_candidate("e2")],
+            )
+            tried = Placement(make_candidate("e1"), 0.0, is_cached=False)
+            progress = Progress(anyio.current_time())
+
+            async def body() -> AsyncIterator[bytes]:
+                yield b"part"
+
+            await progress.read(body())
+            with anyio.move_on_after(5) as scope:
+                await policy.stop_stalled_stream(exchange, tried, progress)
+            self.assertTrue(scope.cancelled_caught)
+            self.assertFalse(progress.try_stop())
+
+        run_with_mock_clock(run)
+
+
 if __name__ == "__main__":
     unittest.main()
