Check that no change and no refused move ends a silent stream

While the upstream of a stream is silent, configurations are published that withdraw its key, drop its route or move its home, its data centre is evacuated, all engines leave the list, or the regions are cut off from each other; the stream is whole. So it is if its origin has become uncertain or its request suspected when it is to move.

The simulation lets an upstream that is no longer registered finish its answers, where it raised KeyError.

--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -387,7 +387,10 @@
         """Yield an upstream's answer as long as it does not start again."""
         started_ms = self.upstreams[name].started_ms
         async for part in body:
-            if name in self.down or self.upstreams[name].started_ms != started_ms:
+            # One that is no longer registered finishes its answers.
+            latest = self.upstreams.get(name)
+            has_restarted = latest is not None and latest.started_ms != started_ms
+            if name in self.down or has_restarted:
                 raise ConnectionBroken(name)
             yield part
 
--- a/tests/entry/test_silent_streams.py
+++ b/tests/entry/test_silent_streams.py
@@ -2,15 +2,23 @@
 
 import unittest
 from collections.abc import AsyncIterator, Callable
+from functools import partial
 from types import SimpleNamespace
 from unittest import mock
 
 import anyio
 
-from banyanseam.entry.errors import SlowerThanOthers
+from banyanseam.entry.crash_suspects import CrashSuspects
+from banyanseam.entry.errors import (
+    CrashSuspected,
+    SlowerThanOthers,
+    StreamOriginUnknown,
+)
 from banyanseam.entry.moving import MovePolicy, Progress
+from banyanseam.entry.origins.takeups import TakeUps
 from banyanseam.entry.placing import Placement
 from banyanseam.entry.retry_budget import RetryBudget
+from banyanseam.errors import BanyanseamError
 from tests.common import run_with_mock_clock
 from tests.entry.common import make_candidate, make_exchange, make_members
 from tests.entry.simulation import (
@@ -165,6 +173,91 @@
 
         self.assertEqual(run_with_mock_clock(run), [1.0, 1.0])
 
+    def test_a_stream_that_may_not_move_goes_on_after_a_silence(self):
+        """Where it began may be uncertain, and the request suspected by then."""
+        refusals = (
+            (TakeUps, "confirm", StreamOriginUnknown()),
+            (CrashSuspects, "find_wait_s", CrashSuspected()),
+        )
+        for owner, name, error in refusals:
+            for silence_s in (1.0, 2.5):
+                with self.subTest(name, silence_s=silence_s):
+                    prepare = partial(refuse_later, owner, name, error)
+                    simulation, caller = self.ask(silence_s, [], [], prepare)
+                    self.check_whole(caller)
+                    self.assertEqual(len(simulation.runs[caller.request_id]), 1)
+
+
+def refuse_later(
+    owner: type, name: str, error: BanyanseamError, simulation: Simulation
+) -> None:
+    """Let a method fail for a while, once the request has been sent."""
+
+    async def run() -> None:
+        await anyio.sleep(0.01)
+        with mock.patch.object(owner, name, side_effect=error):
+            await anyio.sleep(3.5)
+
+    simulation.tasks.start_soon(run)
+
+
+class ChangeTests(unittest.TestCase):
+    def test_no_change_ends_a_stream_that_is_silent(self):
+        def withdraw_key(simulation: Simulation) -> None:
+            simulation.config["tenants"][0]["api_keys"] = []
+            simulation.publish()
+
+        def drop_routes(simulation: Simulation) -> None:
+            simulation.config["routes"] = simulation.config["routes"][1:]
+            simulation.publish()
+
+        def move_home(simulation: Simulation) -> None:
+            simulation.config["tenants"][0]["home_regions"] = ["piedmont"]
+            simulation.publish()
+
+        def evacuate(simulation: Simulation) -> None:
+            simulation.publish(evacuated="gulf-a")
+
+        def partition(simulation: Simulation) -> None:
+            simulation.is_partitioned = True
+
+        changes = {
+            "publish": Simulation.publish,
+            "withdraw a key": withdraw_key,
+            "drop a route": drop_routes,
+            "move a home": move_home,
+            "evacuate": evacuate,
+            "drop all engines": keep,
+            "partition": partition,
+        }
+        regions = {"gulf": (), "piedmont": ("pool-piedmont", "pool-two-piedmont")}
+        for name, change in changes.items():
+            for region, kept in regions.items():
+                for other in ("", "full", "silent"):
+                    with self.subTest(name, region=region, other=other):
+                        self.check(change, kept, other)
+
+    def check(
+        self, change: Callable[[Simulation], None], kept: tuple[str, ...], other: str
+    ) -> None:
+        async def run() -> Simulation:
+            async with start_simulation() as simulation:
+                if kept:
+                    keep(simulation, *kept)
+                simulation.ask(GULF, "/query/x", ["stall", other], [])
+                await anyio.sleep(0.3)
+                for _ in range(8):
+                    change(simulation)
+                    await anyio.sleep(0.2)
+            return simulation
+
+        with mock.patch("tests.entry.simulation.STALL_S", 2.0):
+            simulation = run_with_mock_clock(run)
+        self.assertEqual(simulation.internal_failures, [])
+        (caller,) = simulation.callers
+        self.assertEqual(caller.body, make_stream(caller.request_id))
+        self.assertTrue(caller.is_whole)
+
 
 class ProgressTests(unittest.TestCase):
     def test_a_chunk_that_arrives_with_the_stop_is_not_relayed(self):
