--- a/tests/entry/test_peer_connections.py
+++ b/tests/entry/test_peer_connections.py
@@ -1,6 +1,7 @@
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from unittest import mock
 
 import anyio
 
@@ -32,6 +33,7 @@
         self.answer = answer
         self.late = late
         self.closes = closes
+        self.pause_s = 0.02
         self.connections = 0
         self.address = ""
 
@@ -43,7 +45,7 @@
                     await stream.receive()
                     await stream.send(self.answer)
                     if self.late:
-                        await anyio.sleep(0.02)
+                        await anyio.sleep(self.pause_s)
                         await stream.send(self.late)
                     if self.closes:
                         return
@@ -160,6 +162,23 @@
 
         run(test)
 
+    def test_an_answer_goes_on_after_a_silence_longer_than_bytes_may_be_unacknowledged(
+        self,
+    ):
+        name = "banyanseam.entry.peer_connections.MAX_UNACKNOWLEDGED_MS"
+
+        async def test() -> None:
+            connections = PeerConnections()
+            first, rest = CHUNKED.split(b"0\r\n\r\n")[0], b"4\r\nlate\r\n0\r\n\r\n"
+            with mock.patch(name, 100):
+                async with listen(first, rest) as peer:
+                    peer.pause_s = 0.5
+                    for _ in range(2):
+                        self.assertEqual(await ask(peer, connections), b"oklate")
+                    self.assertEqual(peer.connections, 1)
+
+        run(test)
+
     def test_a_request_that_may_run_once_reuses_only_a_fresh_connection(self):
         self.assertLess(
             choose_max_idle_s(may_resend=False), choose_max_idle_s(may_resend=True)
