--- a/tests/entry/test_silent_streams.py
+++ b/tests/entry/test_silent_streams.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from banyanseam.entry.const import MAX_TOGETHER_S
 from banyanseam.entry.crash_suspects import CrashSuspects
 from banyanseam.entry.errors import (
     CrashSuspected,
@@ -22,11 +23,13 @@
 from tests.common import run_with_mock_clock
 from tests.entry.common import make_candidate, make_exchange, make_members
 from tests.entry.simulation import (
+    EVENT_PAUSE_S,
     Caller,
     Simulation,
     make_stream,
     start_simulation,
 )
+from tests.entry.test_stream_versions import let_pass, list_authors, mix, take_up
 
 GULF = "10.1.0.1"
 SILENCES_S = (1.0, 1.5, 2.0, 2.5)
@@ -157,6 +160,40 @@
         ]
         self.assertEqual(has_failed, [False, True])
 
+    def test_the_upstream_that_is_second_is_closed_at_once(self):
+        """Either may bring the next event first, or both at nearly the same time."""
+        others = {"": EVENT_PAUSE_S, "slow": EVENT_PAUSE_S, "silent": MAX_TOGETHER_S}
+        for silence_ms in range(880, 1300, 10):
+            for other, lasts_s in others.items():
+                with (
+                    self.subTest(silence_ms=silence_ms, other=other),
+                    mock.patch("tests.entry.simulation.SLOW_S", 0.1),
+                ):
+                    simulation, caller = self.ask(silence_ms / 1000, [other], [])
+                    self.check_whole(caller)
+                    first, *later = simulation.runs[caller.request_id]
+                    goes_on_s = first.at_s + 2 * EVENT_PAUSE_S + silence_ms / 1000
+                    for run in later:
+                        ended_s = min(first.ended_s, run.ended_s)
+                        expected_s = min(goes_on_s, run.at_s + lasts_s)
+                        self.assertAlmostEqual(ended_s, expected_s)
+
+    def test_a_stream_that_moved_before_its_first_event_is_taken_up(self):
+        async def run() -> list[Caller]:
+            async with start_simulation() as simulation:
+                mix(simulation)
+                faults = ["stall inside", ""]
+                simulation.ask(GULF, "/query/x", faults, [], leaves_after=2)
+                await let_pass(simulation, 2)
+                first = simulation.callers[0]
+                return [first, await take_up(simulation, GULF, first)]
+
+        with mock.patch("tests.entry.simulation.STALL_S", 60.0):
+            first, later = run_with_mock_clock(run)
+        self.assertTrue(later.is_whole)
+        self.assertEqual(later.status, 200)
+        self.assertEqual(len(set(list_authors(first, later))), 1)
+
     def test_a_stream_that_stays_silent_goes_on_elsewhere(self):
         simulation, caller = self.ask(60.0, [], [])
         self.check_whole(caller)
