--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -75,7 +75,7 @@
 PEER_FAULTS = ("refused", "lost", "answer lost", "cut")
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Run:
     """A request that an upstream has started to run."""
 
@@ -84,6 +84,8 @@
     headers: dict[str, str]
     at_s: float
     software: str | None = None
+    # When its connection was closed.
+    ended_s: float = math.inf
 
 
 @dataclass(slots=True)
@@ -363,16 +365,21 @@
             async with self._call_app(app, outgoing, sender, fault) as incoming:
                 yield incoming
             return
-        incoming = await self._run(listening[0], headers, fault)
-        if incoming is None and fault == "no answer":
-            raise ConnectionBroken(outgoing.address)
-        if incoming is None:
-            with anyio.move_on_after(outgoing.first_byte_timeout_s):
-                await (wait_for_better or anyio.sleep_forever)()
-                raise SlowerThanOthers(outgoing.address)
-            raise UpstreamTimedOut(outgoing.address)
-        (name,) = at_address
-        yield replace(incoming, body=self._break_at_crash(name, incoming.body))
+        try:
+            incoming = await self._run(listening[0], headers, fault)
+            if incoming is None and fault == "no answer":
+                raise ConnectionBroken(outgoing.address)
+            if incoming is None:
+                with anyio.move_on_after(outgoing.first_byte_timeout_s):
+                    await (wait_for_better or anyio.sleep_forever)()
+                    raise SlowerThanOthers(outgoing.address)
+                raise UpstreamTimedOut(outgoing.address)
+            (name,) = at_address
+            yield replace(incoming, body=self._break_at_crash(name, incoming.body))
+        finally:
+            for run in self.runs.get(request_id, []):
+                if run.headers is headers:
+                    run.ended_s = anyio.current_time()
 
     async def _break_at_crash(
         self, name: str, body: AsyncIterator[bytes]
@@ -380,7 +387,10 @@
         """Yield an upstream's answer as long as it does not start again."""
         started_ms = self.upstreams[name].started_ms
         async for part in body:
-            if name in self.down or self.upstreams[name].started_ms != started_ms:
+            # One that is no longer registered finishes its answers.
+            latest = self.upstreams.get(name)
+            has_restarted = latest is not None and latest.started_ms != started_ms
+            if name in self.down or has_restarted:
                 raise ConnectionBroken(name)
             yield part
 
@@ -556,6 +566,10 @@
         parts.append(EVENT_PAUSE_S)
         if fault == "comment":
             return [*parts, b": working\n\n", EVENT_PAUSE_S, None]
+        if number == first and fault == "stall inside":
+            event = make_event(number, request_id, software)
+            parts += [event[:5], STALL_S, event[5:]]
+            continue
         if number == first + 1:
             if fault == "cut":
                 return [*parts, make_event(number, request_id, software)[:5], None]
