Show that callers of VMs that reach no upstream are not served

Tests of VMs that lose their way to all upstreams of their region, to one service or to some upstreams, on a paused clock: connections are refused, hang, or are reset. The simulation knows which VM's code runs, and which upstreams that VM doesn't reach.

--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -7,8 +7,9 @@
 import json
 import math
 from collections import Counter
-from collections.abc import AsyncIterator, Callable, Iterable
-from contextlib import ExitStack, asynccontextmanager, suppress
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
+from contextlib import ExitStack, asynccontextmanager, contextmanager, suppress
+from contextvars import ContextVar
 from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
@@ -71,6 +72,11 @@
     "old misdirection",
     "refusal without id",
 )
+# What a VM meets at an upstream that it doesn't reach. A connection that is reset was
+# accepted, and does not run what was written.
+UNREACHED_FORMS = ("refused", "hang", "reset")
+# The VM whose code is running.
+ACTING_VM: ContextVar[str] = ContextVar("acting_vm", default="")
 # Faults of a send to a peer, which serves the request unless it is unreachable.
 PEER_FAULTS = ("refused", "lost", "answer lost", "cut")
 
@@ -139,6 +145,14 @@
     down: set[str] = field(default_factory=set)
     # Registrations of upstreams that have started again since, by name.
     old_registrations: dict[str, Upstream] = field(default_factory=dict)
+    # Upstreams by name that a VM doesn't reach, and what it meets there. Answers that
+    # have begun go on.
+    unreached: dict[str, set[str]] = field(default_factory=dict)
+    unreached_form: str = "refused"
+    # Requests that were written to an upstream that their VM doesn't reach, and when.
+    spent: list[tuple[str, float]] = field(default_factory=list)
+    # How often each VM connected to an upstream.
+    connections: Counter[str] = field(default_factory=Counter)
     # VMs that no other VM reaches.
     cut_off: set[str] = field(default_factory=set)
     revision: int = 1
@@ -244,7 +258,8 @@
                         continue
                     is_near = other.settings.region == entry.settings.region
                     data = near if is_near else everything
-                    other.gossip._handle_heartbeat(decode_gossip(data))
+                    with acting(other_ip):
+                        other.gossip._handle_heartbeat(decode_gossip(data))
 
     def ask(
         self,
@@ -274,7 +289,8 @@
         caller.begun_as, caller.after_event = begun_as, after_event
         caller.leaves_after = leaves_after
         self.callers.append(caller)
-        self.tasks.start_soon(self._ask, self.entries[vm], caller)
+        with acting(vm):
+            self.tasks.start_soon(self._ask, self.entries[vm], caller)
         return number
 
     async def _ask(self, entry: Entry, caller: Caller) -> None:
@@ -341,10 +357,22 @@
             if each.address == outgoing.address
         }
         listening = list(at_address.values())
-        if self.down & at_address.keys():
+        vm = ACTING_VM.get()
+        is_unreached = bool(self.unreached.get(vm, set()) & at_address.keys())
+        if peer is None:
+            self.connections[vm] += 1
+        if self.down & at_address.keys() or (
+            is_unreached and self.unreached_form == "refused"
+        ):
             refusal = httpcore.ConnectError()
             refusal.__cause__ = ConnectionRefusedError()
             raise UpstreamUnreachable(outgoing.address) from refusal
+        if is_unreached and self.unreached_form == "hang":
+            fault = "refused"
+        if is_unreached and self.unreached_form == "reset":
+            before_write()
+            self.spent.append((request_id, anyio.current_time()))
+            raise ConnectionBroken(outgoing.address)
         if fault == "refused" or (peer is None and not listening):
             await anyio.sleep(outgoing.connect_timeout_s)
             raise UpstreamUnreachable(outgoing.address)
@@ -353,6 +381,10 @@
             body = json.dumps({"born": listening[0].started_ms}).encode()
             yield IncomingAnswer(200, [], _stream([body]))
             return
+        if peer is None and "request-id" not in headers:
+            # A health check.
+            yield IncomingAnswer(200, [], _stream([b""]))
+            return
         if fault == "lost":
             await anyio.sleep(outgoing.first_byte_timeout_s)
             raise UpstreamTimedOut(outgoing.address)
@@ -447,6 +479,7 @@
         self, app: Any, outgoing: OutgoingRequest, client_ip: str, fault: str = ""
     ) -> AsyncIterator[IncomingAnswer]:
         """Call an application over a connection, and disconnect on exit."""
+        ip = outgoing.address.partition(":")[0]
         messages, received = anyio.create_memory_object_stream[Any](math.inf)
         connection = Connection()
         path, _, query = outgoing.target.partition(b"?")
@@ -480,7 +513,8 @@
             with messages, suppress(AnswerAborted):
                 await app(scope, receive, send)
 
-        self.tasks.start_soon(run)
+        with acting(ip or ACTING_VM.get()):
+            self.tasks.start_soon(run)
         try:
             with anyio.move_on_after(outgoing.first_byte_timeout_s):
                 head = await received.receive()
@@ -507,7 +541,9 @@
         data = encode_gossip(gossip)
         for ip in ips:
             if self._can_reach(sender_ip, ip):
-                reply = self.entries[ip].gossip._handle_heartbeat(decode_gossip(data))
+                with acting(ip):
+                    gossip_of_sender = decode_gossip(data)
+                    reply = self.entries[ip].gossip._handle_heartbeat(gossip_of_sender)
                 if reply is not None:
                     await self._deliver(ip, [sender_ip], reply)
 
@@ -529,6 +565,16 @@
         return not self.is_partitioned or len(regions) == 1
 
 
+@contextmanager
+def acting(vm: str) -> Iterator[None]:
+    """Let code run as that of a VM, and the tasks that it starts."""
+    token = ACTING_VM.set(vm)
+    try:
+        yield
+    finally:
+        ACTING_VM.reset(token)
+
+
 def make_body(request_id: str) -> bytes:
     """Return a desk's answer."""
     return b"answer to " + request_id.encode()
