Serve over VMs of the region that reach an upstream

Cause: forwarding knew other regions only; VMs without a way still drew forwarded requests, 268 of which ended there in 8 s; and a refused connection was reported as a fault of the engine, so that sound VMs held engines that answered them.

Change: entry/unreached/ records which upstreams this VM's own connections reach, in the order in which they began, and heartbeats name services without a way and up to eight further upstreams. Requests for unreached upstreams go over a VM of the region; other regions, the directory, cold senders and shares leave out VMs without a way; a region's report lists what any of its VMs reaches; a refusal is no longer reported once a peer has found the engine running; what no VM can serve is refused at once. Plain services are checked by their health path.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -31,6 +31,7 @@
 )
 from banyanseam.entry.gossip import GossipExchange
 from banyanseam.entry.heartbeats import Heartbeats
+from banyanseam.entry.listed_upstream import ListedUpstream
 from banyanseam.entry.local_candidates import list_local_candidates
 from banyanseam.entry.local_endpoints import make_directory_app, make_readiness_app
 from banyanseam.entry.members import Member, Members
@@ -49,6 +50,8 @@
 from banyanseam.entry.signals import ignore_signals, receive_signals
 from banyanseam.entry.start_checks import StartChecks
 from banyanseam.entry.store_watcher import Store, StoreWatcher
+from banyanseam.entry.unreached.records import UnreachedUpstreams
+from banyanseam.entry.unreached.service_checks import ServiceChecks
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads
 from banyanseam.entry.values import Decoders, PublishedValues
@@ -156,13 +159,24 @@
         self.suspension_detector.on_suspended(
             lambda _: self.upstreams.record_resumed(anyio.current_time())
         )
+        self.unreached = UnreachedUpstreams(self.upstreams, self.members)
+        self.upstreams.on_peers_finding = self.unreached.record_peers_finding
         self.start_checks = StartChecks(
             upstream_format.report,
             self.upstreams,
             self.members,
             lambda: self.values.catalogue,
+            self.unreached,
             self.gossip.announce,
         )
+        self.service_checks = ServiceChecks(
+            self.unreached,
+            self.upstreams,
+            self.members,
+            lambda: self.values.catalogue,
+        )
+        self.unreached.on_failure = self._check_unreached
+        self.heartbeats.refresh_unreached = self.unreached.refresh
         self.upstreams.on_held = self.start_checks.follow
         self.upstreams.on_restarted.append(
             lambda _, listed: self.start_checks.follow_cold(listed)
@@ -189,6 +203,7 @@
                 self.start_checks.is_running,
             ),
             PeerReachability(),
+            self.unreached,
             settings.peers_port,
             self.gossip.announce_loads,
             ByteBudget(int(memory_bytes * ANSWER_MEMORY_SHARE)),
@@ -236,6 +251,7 @@
         async with anyio.create_task_group() as tasks:
             self.values_fetcher.tasks = tasks
             self.start_checks.tasks = tasks
+            self.service_checks.tasks = tasks
             self.upstreams.on_resumed = lambda: tasks.start_soon(
                 self.gossip.request_upstreams
             )
@@ -311,6 +327,10 @@
         for server in self._servers:
             server.config.timeout_keep_alive = keep_alive_s
 
+    def _check_unreached(self, listed: ListedUpstream) -> None:
+        self.start_checks.follow(listed)
+        self.service_checks.start(listed)
+
     def _list_candidates(self) -> dict[str, list[Candidate]]:
         catalogue = self.values.catalogue
         if catalogue is None:
@@ -318,7 +338,13 @@
         now_s = anyio.current_time()
         found = {
             name: list_local_candidates(
-                catalogue, name, self.upstreams, self.loads, self.members, now_s
+                catalogue,
+                name,
+                self.upstreams,
+                self.loads,
+                self.members,
+                now_s,
+                self.unreached,
             )
             for name in catalogue.services
         }
@@ -337,7 +363,13 @@
         accepting = self.members.list_accepting(anyio.current_time())
         catalogue = self.values.catalogue
         homes = catalogue.list_home_regions() if catalogue is not None else []
-        chosen = choose_entries(accepting, region, data_centre, homes)
+        chosen = choose_entries(
+            accepting,
+            region,
+            data_centre,
+            homes,
+            self.members.count_services_without_way,
+        )
         if not any(member.region == region for member in chosen):
             log(
                 ENTRIES_IN_OTHER_REGION,
--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -12,12 +12,19 @@
     NO_CAPACITY_WAIT_SHARE,
     OUTAGE_S,
     QUEUE_PERIOD_S,
+    UNREACHED_RETRY_MS,
     VERSION_CAPACITY_WAIT_SHARE,
 )
-from banyanseam.entry.errors import NoUpstreamKnown, RegionsFull, StreamVersionGone
+from banyanseam.entry.errors import (
+    NoUpstreamKnown,
+    RegionsFull,
+    StreamVersionGone,
+    UpstreamsUnreached,
+)
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.local_candidates import find_next_send_s, list_local_candidates
 from banyanseam.entry.members import Member, Members
+from banyanseam.entry.messages import make_upstream_tag
 from banyanseam.entry.placing import (
     Candidate,
     Placement,
@@ -28,6 +35,8 @@
     may_be_sent,
 )
 from banyanseam.entry.reach import PeerReachability
+from banyanseam.entry.unreached.const import MAX_RUNNING_TO_RELAY
+from banyanseam.entry.unreached.records import UnreachedUpstreams
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads
 from banyanseam.entry.usage_counts import count_waiting_prompt
@@ -42,11 +51,12 @@
     upstreams: UpstreamList
     loads: UpstreamLoads
     reachability: PeerReachability
+    unreached: UnreachedUpstreams
 
     def list_candidates(self, exchange: Exchange, now_s: float) -> list[Candidate]:
         """Return every upstream that may serve the request, in all allowed regions.
 
-        A forwarded request is served in this region only.
+        A forwarded request is served in this region only, and over no other VM.
         """
         # After a suspension, requests may be handled before any other task.
         self.upstreams.record_running(now_s)
@@ -61,7 +71,10 @@
                 self.loads,
                 self.members,
                 now_s,
+                self.unreached,
             )
+        if exchange.forwarding is not None:
+            found = [each for each in found if not each.is_relayed]
         if exchange.forwarding is None:
             for region in allowed - {here}:
                 if self.list_peers(exchange, region, now_s):
@@ -71,10 +84,17 @@
         return [
             each
             for each in found
-            if each.upstream_id not in exchange.unreachable
-            and exchange.may_run_at(each.software)
+            if exchange.may_run_at(each.software)
+            and self._may_be_tried(exchange, each, now_s)
         ]
 
+    def _may_be_tried(
+        self, exchange: Exchange, candidate: Candidate, now_s: float
+    ) -> bool:
+        if candidate.is_relayed:
+            return bool(self.list_relays(exchange, candidate, now_s))
+        return candidate.upstream_id not in exchange.unreachable
+
     async def wait_for_placement(self, exchange: Exchange) -> Placement:
         """Wait until the request may be sent, and return the chosen placement.
 
@@ -138,6 +158,10 @@
                     f"version {exchange.origin.software}", retry_after_ms=retry_after_ms
                 )
             raise NoUpstreamKnown(retry_after_ms=retry_after_ms)
+        if not candidates and self._is_unreached(exchange, now_s):
+            raise UpstreamsUnreached(
+                retry_after_ms=choose_retry_after_ms(UNREACHED_RETRY_MS, left_ms)
+            )
         waited_s = now_s - started_s
         if waited_s >= max_wait_s:
             kind = RegionsFull if candidates else NoUpstreamKnown
@@ -157,6 +181,18 @@
         region = self.members.me.region
         return region in exchange.allowed_regions({region})
 
+    def _is_unreached(self, exchange: Exchange, now_s: float) -> bool:
+        """Return whether no VM that may serve the request reaches an upstream of it."""
+        me, service = self.members.me, exchange.service
+        if exchange.forwarding is not None:
+            return not self.members.has_way(me, service)
+        regions = exchange.allowed_regions(set(self.members.regions.values()))
+        return all(
+            self.members.list_serving(now_s, region)
+            and not self.members.list_with_way(now_s, region, service)
+            for region in regions
+        )
+
     def _is_none_registered(self, exchange: Exchange, now_s: float) -> bool:
         """Return whether no usable upstream is registered, not even a cold one.
 
@@ -207,8 +243,8 @@
     def _may_be_sent(
         self, exchange: Exchange, placement: Placement, waited_ms: float
     ) -> bool:
-        if placement.candidate.region != self.members.me.region:
-            # The other region queues the request if necessary.
+        if self.is_forwarded(placement.candidate):
+            # The other VM queues the request if necessary.
             return True
         return may_be_sent(
             placement,
@@ -245,12 +281,33 @@
             list_age_ms=round((now_s - self.upstreams.confirmed_s) * 1000),
         )
 
+    def is_forwarded(self, candidate: Candidate) -> bool:
+        """Return whether requests for a candidate go to another VM."""
+        return candidate.is_relayed or candidate.region != self.members.me.region
+
     def list_peers(self, exchange: Exchange, region: str, now_s: float) -> list[Member]:
-        """Return the processes of another region that may be sent the request."""
-        serving = self.members.list_serving(now_s, region)
+        """Return the processes of another region that may be sent the request.
+
+        Those without a way to its service would refuse it.
+        """
+        serving = self.members.list_with_way(now_s, region, exchange.service)
+        return self._filter_peers(exchange, serving, now_s)
+
+    def list_relays(
+        self, exchange: Exchange, candidate: Candidate, now_s: float
+    ) -> list[Member]:
+        """Return the processes of this region over which a candidate is reached."""
+        tag = make_upstream_tag(candidate.upstream_id)
+        reaching = self.members.list_reaching(now_s, exchange.service, tag)
+        peers = [each for each in reaching if each.running <= MAX_RUNNING_TO_RELAY]
+        return self._filter_peers(exchange, peers, now_s)
+
+    def _filter_peers(
+        self, exchange: Exchange, peers: list[Member], now_s: float
+    ) -> list[Member]:
         return [
             peer
-            for peer in self.reachability.filter_reachable(serving, now_s)
+            for peer in self.reachability.filter_reachable(peers, now_s)
             if peer.ip not in exchange.unreachable
         ]
 
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -223,6 +223,8 @@
 MAX_RETRY_AFTER_MS: Final = 2500
 # After a failure of one upstream or peer, others may serve the next request.
 FAILURE_RETRY_AFTER_MS: Final = 300.0
+# After a refusal because no VM reaches an upstream: that lasts for seconds.
+UNREACHED_RETRY_MS: Final = 1000.0
 
 # Buffering. An answer's head, with the interim answers before it, is at most this long:
 # the operators' limit for heads of requests.
--- a/banyanseam/entry/errors.py
+++ b/banyanseam/entry/errors.py
@@ -98,6 +98,16 @@
     title = "The upstream's connection broke"
 
 
+class UpstreamsUnreached(BanyanseamError):
+    """Upstreams are registered, and this VM and those it may use reach none of them."""
+
+    code = "entry.upstreams_unreached"
+    event = 1931
+    status = 503
+    title = "No upstream of this service can be reached now"
+    not_run = True
+
+
 class StreamOriginUnknown(BanyanseamError):
     """No process knows which software version began the stream that is to go on."""
 
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -29,6 +29,7 @@
     Gossip,
     StartRow,
     SuspectRow,
+    UnreachedRow,
     from_candidate_rows,
     from_start_row,
     from_suspect_row,
@@ -55,6 +56,7 @@
     from_table,
     to_table,
 )
+from banyanseam.entry.unreached.reports import UnreachedReport
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads
 from banyanseam.entry.values import PublishedValues
@@ -87,6 +89,8 @@
         self._relay_log = RelayLog()
         # Returns this region's candidates by service, for heartbeats to other regions.
         self.list_candidates: Callable[[], dict[str, list[Candidate]]] = dict
+        # Determines anew which services this process has no way to.
+        self.refresh_unreached: Callable[[float], None] = lambda _: None
         # Called with a peer's address and its versions of the configuration and of the
         # evacuations, so that newer ones can be fetched.
         self.on_peer_versions: PeerVersionsCallback = lambda *_: None
@@ -261,6 +265,7 @@
             row = self._members.merge_short_row(unpack_ip(packed_ip), *fields, now_s)
             if row is not None:
                 rows.append(row)
+        self._apply_unreached(gossip)
         sender = self._members.find(gossip.sender)
         if sender is None:
             return False
@@ -341,6 +346,18 @@
             ips = [row.ip for row in rows if row.region == region]
             self._relay_log.record_report(region, ips, gossip.direction)
 
+    def _apply_unreached(self, gossip: Gossip) -> None:
+        reports = {unpack_ip(packed): row for packed, row in gossip.unreached.items()}
+        if gossip.sender not in reports:
+            self._members.unreached.clear(gossip.sender)
+        for ip, (heartbeat_count, services, upstreams) in reports.items():
+            member = self._members.find(ip)
+            if member is not None:
+                report = UnreachedReport(
+                    heartbeat_count, tuple(services), tuple(upstreams)
+                )
+                self._members.unreached.record(member, report)
+
     def _apply_other_region(
         self, gossip: Gossip, region: str, rows: list[Member], now_s: float
     ) -> None:
@@ -371,6 +388,17 @@
         findings.sort(key=lambda each: -each.at_s)
         return [to_start_row(each, now_s) for each in findings[:MAX_REPORTED_STARTS]]
 
+    def _list_unreached(self, rows: list[Member]) -> dict[int, UnreachedRow]:
+        reports = self._members.unreached.list_reports(self._members.me, rows[1:])
+        return {
+            pack_ip(ip): (
+                each.heartbeat_count,
+                list(each.services),
+                list(each.upstreams),
+            )
+            for ip, each in reports.items()
+        }
+
     def _choose_rows_to_relay(self, now_s: float) -> list[Member]:
         """Return a few recently updated peers of the region whose rows are relayed.
 
@@ -425,6 +453,7 @@
             ],
             sound_segments=self._suspects.segments.list_disproved(crashes_since_s),
             replaced=self._upstreams.list_replaced(now_s),
+            unreached=self._list_unreached(rows),
             **fields,
         )
 
--- a/banyanseam/entry/local_candidates.py
+++ b/banyanseam/entry/local_candidates.py
@@ -1,5 +1,7 @@
 """List this region's candidates for a service, and pace requests to cold upstreams."""
 
+from dataclasses import replace
+
 from banyanseam.entry.const import (
     COLD_MARGIN,
     COLD_SENDERS,
@@ -12,6 +14,8 @@
 from banyanseam.entry.models import Catalogue, Service, Upstream
 from banyanseam.entry.performance.models import INITIAL_PERFORMANCE, Performance
 from banyanseam.entry.placing import Candidate
+from banyanseam.entry.unreached.const import RELAYED_MS
+from banyanseam.entry.unreached.records import UnreachedUpstreams
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads
 from banyanseam.peers.rendezvous import rank
@@ -45,10 +49,14 @@
 ) -> list[str]:
     """Return the processes of this region that may send to a cold upstream."""
     me = members.me
-    serving = [member.ip for member in members.list_serving(now_s, me.region)]
-    if me.ip not in serving:
-        serving.append(me.ip)
-    return rank(serving, listed.upstream.upstream_id)[:COLD_SENDERS]
+    service = listed.upstream.service
+    serving = members.list_serving(now_s, me.region)
+    if all(member.ip != me.ip for member in serving):
+        serving.append(me)
+    # If all have lost their way to the service, the upstream itself is in question.
+    with_way = [each for each in serving if members.has_way(each, service)] or serving
+    senders = [member.ip for member in with_way]
+    return rank(senders, listed.upstream.upstream_id)[:COLD_SENDERS]
 
 
 def find_next_send_s(
@@ -75,26 +83,37 @@
     loads: UpstreamLoads,
     members: Members,
     now_s: float,
+    unreached: UnreachedUpstreams | None = None,
 ) -> list[Candidate]:
-    """Return this region's candidates for a service."""
+    """Return this region's candidates for a service.
+
+    Upstreams in `unreached` are candidates only as relayed ones.
+    """
     service = catalogue.services.get(service_name)
     if service is None:
         return []
     has_cold_rate = service.cold_requests_per_s > 0
     if has_cold_rate and upstreams.is_list_outdated(now_s):
         return []
-    vm_count = max(1, members.count_recent(now_s, members.me.region))
     # This process's share of the connections that the service allows an upstream.
     max_requests = None
     if service.max_connections > 0:
-        share = int(service.max_connections * MEMORY_SHARE / vm_count)
-        max_requests = max(1, share)
+        senders = members.count_senders(now_s, service_name)
+        max_requests = max(1, int(service.max_connections * MEMORY_SHARE / senders))
     pause_s = choose_cold_pause_s(service.cold_requests_per_s)
     found = []
     for listed in upstreams.list_usable(service_name, now_s):
         upstream = listed.upstream
         if members.me.region != _find_region(upstream.data_centre, members):
             continue
+        if unreached is not None and unreached.is_unreached(upstream):
+            if can_relay(upstream, upstreams, members, now_s):
+                is_cold = now_s < listed.cold_until_s
+                candidate = _make_candidate(
+                    listed, service, loads, members, now_s, is_reserve=is_cold
+                )
+                found.append(replace(candidate, is_relayed=True, network_ms=RELAYED_MS))
+            continue
         if upstreams.starts.is_held(upstream):
             continue
         is_cold = upstreams.is_cold(listed, now_s)
@@ -106,28 +125,50 @@
             continue
         if listed.usage.pace.wait_s(now_s) > 0:
             continue
-        requests, prefill_ms, held_tokens, queued_ms = loads.sum_region_load(
-            upstream.upstream_id, now_s
-        )
-        engine = service.engine
         found.append(
-            Candidate(
-                upstream_id=upstream.upstream_id,
-                region=members.me.region,
-                slots=engine.slots if engine is not None else upstream.slots,
-                memory_tokens=engine.memory_tokens if engine is not None else 0,
-                requests=requests,
-                prefill_ms=prefill_ms,
-                held_tokens=held_tokens,
-                queued_ms=queued_ms,
-                is_reserve=is_cold,
-                performance=_find_performance(loads, service, upstream),
-                software=upstream.software,
-            )
+            _make_candidate(listed, service, loads, members, now_s, is_reserve=is_cold)
         )
     return found
 
 
+def can_relay(
+    upstream: Upstream, upstreams: UpstreamList, members: Members, now_s: float
+) -> bool:
+    """Return whether a peer may reach an upstream that this process doesn't reach."""
+    if upstreams.starts.is_known_down(upstream):
+        return False
+    tag = make_upstream_tag(upstream.upstream_id)
+    return bool(members.list_reaching(now_s, upstream.service, tag))
+
+
+def _make_candidate(
+    listed: ListedUpstream,
+    service: Service,
+    loads: UpstreamLoads,
+    members: Members,
+    now_s: float,
+    *,
+    is_reserve: bool,
+) -> Candidate:
+    upstream, engine = listed.upstream, service.engine
+    requests, prefill_ms, held_tokens, queued_ms = loads.sum_region_load(
+        upstream.upstream_id, now_s
+    )
+    return Candidate(
+        upstream_id=upstream.upstream_id,
+        region=members.me.region,
+        slots=engine.slots if engine is not None else upstream.slots,
+        memory_tokens=engine.memory_tokens if engine is not None else 0,
+        requests=requests,
+        prefill_ms=prefill_ms,
+        held_tokens=held_tokens,
+        queued_ms=queued_ms,
+        is_reserve=is_reserve,
+        performance=_find_performance(loads, service, upstream),
+        software=upstream.software,
+    )
+
+
 def _find_performance(
     loads: UpstreamLoads, service: Service, upstream: Upstream
 ) -> Performance:
--- a/banyanseam/entry/members.py
+++ b/banyanseam/entry/members.py
@@ -21,6 +21,7 @@
     PEER_TERM_S,
     REMOTE_PEER_TERM_S,
 )
+from banyanseam.entry.unreached.reports import UnreachedReports
 
 _TAG_BITS: Final = 32
 
@@ -62,6 +63,8 @@
         """Start without peers; `regions` maps data centres to their regions."""
         self.me = me
         self.regions = regions
+        # The services that each process has no way to.
+        self.unreached = UnreachedReports()
         # Ordered by address.
         self._records: dict[str, _Record] = {}
         # Infinite until the first heartbeat: no peer has this process's row yet.
@@ -170,6 +173,51 @@
             found.sort(key=lambda member: member.ip)
         return found
 
+    def list_with_way(self, now_s: float, region: str, service: str) -> list[Member]:
+        """Return the region's serving processes with a way to a service's upstreams."""
+        return [
+            member
+            for member in self.list_serving(now_s, region)
+            if self.has_way(member, service)
+        ]
+
+    def has_way(self, member: Member, service: str) -> bool:
+        """Return whether a process has a way to a service, as far as it has said."""
+        if member.ip == self.me.ip:
+            return service not in self.unreached.own
+        return self.unreached.has_way(member, service)
+
+    def list_reaching(
+        self, now_s: float, service: str, upstream_tag: int
+    ) -> list[Member]:
+        """Return the serving peers of this region that may reach an upstream."""
+        return [
+            member
+            for member in self.list_serving(now_s, self.me.region)
+            if member.ip != self.me.ip
+            and self.unreached.reaches(member, service, upstream_tag)
+        ]
+
+    def count_services_without_way(self, member: Member) -> int:
+        """Return the number of services that a process has no way to."""
+        if member.ip == self.me.ip:
+            return len(self.unreached.own)
+        return self.unreached.count_services(member)
+
+    def count_senders(self, now_s: float, service: str) -> int:
+        """Return how many recent processes of this region may send to a service.
+
+        Those without a way to it send nothing. This process counts in any case.
+        """
+        region = self.me.region
+        if self.unreached.is_empty:
+            return self.count_recent(now_s, region)
+        without_way = sum(
+            not self.unreached.has_way(member, service)
+            for member in self.list_alive(now_s, region)
+        )
+        return max(1, self.count_recent(now_s, region) - without_way)
+
     def list_accepting(self, now_s: float) -> list[Member]:
         """Return all processes that accept requests, including leaving ones."""
         found = [each for each in self.list_alive(now_s) if each.is_accepting]
@@ -209,6 +257,7 @@
         ]:
             self._region_counts[self._records.pop(ip).member.region] -= 1
             self._listed_s = -math.inf
+        self.unreached.prune(self._records)
 
     def list_rows(self, now_s: float, region: str | None = None) -> list[Member]:
         """Return this process and the live ones, in one region or in all."""
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -54,6 +54,9 @@
 # The versions of the software of a list of upstreams (None: not known), and for each
 # upstream the index of its own; no indexes if all have the first.
 SoftwareRow = tuple[list[str | None], list[Annotated[int, Field(ge=0)]]]
+# Heartbeat count of a process, tags of the services that it has no way to, and of
+# further upstreams that it doesn't reach.
+UnreachedRow = tuple[int, list[int], list[int]]
 # Loads by tag of the upstream's incarnation.
 LoadTable = dict[int, LoadRow]
 
@@ -111,6 +114,8 @@
     replaced: list[tuple[str, int]] = Field(default_factory=list)
     # What checks of upstreams have found recently.
     starts: list[StartRow] = Field(default_factory=list)
+    # What processes don't reach, of the sender and of those whose rows it passes on.
+    unreached: dict[PackedIp, UnreachedRow] = Field(default_factory=dict)
     # The registered upstreams, sent by the process that has just read them.
     upstreams: list[UpstreamRow] | None = None
     # Their software; None from the release before.
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -73,6 +73,8 @@
     warmup_s: float
     cold_requests_per_s: float
     engine: EngineLimits | None
+    # Answers whether an upstream is healthy, without running a request.
+    health_path: str = "/"
 
 
 @dataclass(frozen=True, slots=True)
--- a/banyanseam/entry/placing.py
+++ b/banyanseam/entry/placing.py
@@ -50,8 +50,10 @@
     performance: Performance = INITIAL_PERFORMANCE
     # Version of its software; None if it isn't known.
     software: str | None = None
-    # Time on the way to another region and back.
+    # Time on the way to another region, or over another VM, and back.
     network_ms: float = ROUND_TRIP_MS
+    # Reached only over another VM of this region.
+    is_relayed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,7 +149,7 @@
 ) -> float:
     """Return the estimated wait for the first byte, in ms."""
     performance = candidate.performance
-    network_ms = 0.0
+    network_ms = candidate.network_ms if candidate.is_relayed else 0.0
     if candidate.region != request.region:
         transfer_ms = TRANSFER_MS_PER_KIB * request.body_bytes / 1024
         network_ms = candidate.network_ms + transfer_ms
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -27,10 +27,12 @@
     ConnectionBroken,
     CrashSuspected,
     EntryLeaving,
+    NoUpstreamKnown,
     PeerUntrusted,
     SlowerThanOthers,
     StreamVersionGone,
     UpstreamReplaced,
+    UpstreamsUnreached,
 )
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.listed_upstream import ListedUpstream
@@ -62,6 +64,7 @@
 from banyanseam.entry.retry_budget import RetryBudget
 from banyanseam.entry.sending import IncomingAnswer, run_with_watch, send
 from banyanseam.entry.start_checks import ReportFormat, StartChecks
+from banyanseam.entry.unreached.records import UnreachedUpstreams
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstreams import UpstreamLoads
 from banyanseam.entry.usage_counts import count_request, mark_prefilled
@@ -88,8 +91,12 @@
         NotReady.code,
         PeerUntrusted.code,
         UpstreamUnreachable.code,
+        UpstreamsUnreached.code,
     }
 )
+# Refusals after which another VM of the region may still serve the request. One of the
+# release before says that it knows no upstream if it reaches none.
+_OTHER_PEER_CODES: Final = VM_NOT_SERVING_CODES | {NoUpstreamKnown.code}
 
 # Failures after which an upstream may have started again.
 _CONNECTION_FAILURES: Final = (AnswerTruncated, ConnectionBroken, UpstreamUnreachable)
@@ -117,6 +124,7 @@
     start_checks: StartChecks
     take_ups: TakeUps
     reachability: PeerReachability
+    unreached: UnreachedUpstreams
     peers_port: int
     # Sends this process's loads to the peers of its region at once.
     announce: Callable[[], Awaitable[None]]
@@ -127,7 +135,13 @@
     @property
     def chooser(self) -> Chooser:
         """Return the chooser of upstreams and regions for requests."""
-        return Chooser(self.members, self.upstreams, self.loads, self.reachability)
+        return Chooser(
+            self.members,
+            self.upstreams,
+            self.loads,
+            self.reachability,
+            self.unreached,
+        )
 
     @property
     def moves(self) -> MovePolicy:
@@ -174,8 +188,8 @@
                 return
 
     async def _attempt(self, exchange: Exchange, placement: Placement) -> None:
-        if placement.candidate.region != self.members.me.region:
-            await self._forward_to_region(exchange, placement)
+        if self.chooser.is_forwarded(placement.candidate):
+            await self._forward(exchange, placement)
             return
         listed = self.upstreams.find(placement.candidate.upstream_id)
         if listed is None:
@@ -187,7 +201,7 @@
         if placement.candidate.is_reserve:
             listed.usage.cold_sent_s = now_s
         if listed.usage.pace.limit_per_s is not None:
-            vms = self.members.count_recent(now_s, self.members.me.region)
+            vms = self.members.count_senders(now_s, exchange.service)
             listed.usage.pace.record_send(vms, now_s)
         prompt = exchange.head.prompt
         prefill_ms = estimate_own_prefill_ms(placement, prompt)
@@ -207,7 +221,7 @@
                 recorder.record_write(anyio.current_time())
 
             with (
-                self._watch_failures(exchange, listed),
+                self._watch_failures(exchange, listed, now_s),
                 self.crashes.watch_run(exchange, listed),
             ):
                 async with send(
@@ -215,6 +229,7 @@
                     record_write,
                     self.moves.make_wait_for_better(exchange, placement),
                 ) as incoming:
+                    self.unreached.record_answer(upstream, now_s)
                     answer = self._check_upstream_answer(exchange, incoming, listed)
                     mark_prefilled(listed, pending_prefill_ms)
                     self._record_shared_prefix(exchange, placement, listed)
@@ -240,19 +255,22 @@
             exchange.head.prompt,
         )
 
-    async def _forward_to_region(
-        self, exchange: Exchange, placement: Placement
-    ) -> None:
+    async def _forward(self, exchange: Exchange, placement: Placement) -> None:
+        """Send a request to a VM of the candidate's region, which may be this one."""
         region = placement.candidate.region
         exchange.sent_to = None
         now_s = anyio.current_time()
-        peers = self.chooser.list_peers(exchange, region, now_s)
+        if placement.candidate.is_relayed:
+            peers = self.chooser.list_relays(exchange, placement.candidate, now_s)
+        else:
+            peers = self.chooser.list_peers(exchange, region, now_s)
         if not peers:
             raise UpstreamUnreachable(region)
         max_idle_s = choose_max_idle_s(may_resend=exchange.may_resend)
         connected = self.peer_connections.list_addresses(now_s, max_idle_s)
         peers = prefer_connected(peers, self.peers_port, connected)
-        peer = min(random.sample(peers, min(2, len(peers))), key=lambda p: p.running)
+        drawn = random.sample(peers, min(2, len(peers)))
+        peer = min(drawn, key=self._rate_peer)
         log(
             REQUEST_FORWARDED,
             request_id=exchange.head.request_id,
@@ -264,9 +282,8 @@
             left_ms=round(exchange.left_ms(now_s)),
         )
         self.reachability.record_attempt(peer, now_s)
-        metadata = make_send_metadata(
-            exchange, None, now_s, latency_ms=ROUND_TRIP_MS / 2
-        )
+        latency_ms = 0.0 if placement.candidate.is_relayed else ROUND_TRIP_MS / 2
+        metadata = make_send_metadata(exchange, None, now_s, latency_ms=latency_ms)
         headers = self.upstream_format.write_headers(exchange.head, metadata)
         # A peer that sends no reply may have used all attempts granted to it.
         granted = exchange.attempts_left
@@ -286,9 +303,10 @@
                 lambda: _record_sends(exchange, granted),
                 connections=self.peer_connections,
             ) as incoming:
-                self.loads.network.record_forward(
-                    region, incoming.connect_ms, anyio.current_time()
-                )
+                if not placement.candidate.is_relayed:
+                    self.loads.network.record_forward(
+                        region, incoming.connect_ms, anyio.current_time()
+                    )
                 self.reachability.record_reachable(
                     peer, self.members.list_serving(now_s, region)
                 )
@@ -299,7 +317,7 @@
                 if failure is not None:
                     if failure.not_run:
                         _record_not_run(exchange)
-                    if failure.code in VM_NOT_SERVING_CODES:
+                    if failure.code in _OTHER_PEER_CODES:
                         exchange.unreachable.add(peer.ip)
                     if failure.code == StreamVersionGone.code:
                         exchange.regions_without_version.add(region)
@@ -319,6 +337,10 @@
         finally:
             self.loads.forwarded[region] -= 1
 
+    def _rate_peer(self, peer: Member) -> tuple[int, int]:
+        """Return what makes a peer less suited: unreached upstreams, then its load."""
+        return self.members.unreached.count_upstreams(peer), peer.running
+
     def _check_served_by(
         self, exchange: Exchange, answer: AnswerHead, headers: Headers, peer: Member
     ) -> None:
@@ -408,7 +430,7 @@
         pace = listed.usage.pace
         if limit_per_s is None and pace.limit_per_s is None:
             return
-        vms = self.members.count_recent(now_s, self.members.me.region)
+        vms = self.members.count_senders(now_s, listed.upstream.service)
         rank = self.members.rank_in_region(now_s)
         if pace.set_limit(limit_per_s, vms, rank, now_s):
             log(
@@ -464,11 +486,12 @@
 
     @contextmanager
     def _watch_failures(
-        self, exchange: Exchange, listed: ListedUpstream
+        self, exchange: Exchange, listed: ListedUpstream, began_s: float
     ) -> Iterator[None]:
         """Record a failure for the incarnation that the request is sent to.
 
-        The upstream may have started again by the time of the failure.
+        The upstream may have started again by the time of the failure. `began_s`: when
+        the connection was begun.
         """
         try:
             yield
@@ -478,6 +501,8 @@
             if is_unreachable or isinstance(error, UpstreamReplaced):
                 exchange.unreachable.add(listed.upstream.upstream_id)
             if isinstance(error, _CONNECTION_FAILURES):
+                # Ignored if the connection had brought an answer.
+                self.unreached.record_failure(listed, began_s)
                 self.start_checks.start(listed)
             if is_unreachable or (
                 isinstance(error, UpstreamFailed)
--- a/banyanseam/entry/start_checks.py
+++ b/banyanseam/entry/start_checks.py
@@ -27,6 +27,8 @@
 from banyanseam.entry.members import Members
 from banyanseam.entry.models import Catalogue, Upstream
 from banyanseam.entry.sending import OutgoingRequest, is_refused, send
+from banyanseam.entry.unreached.const import CHECK_PERIOD_S
+from banyanseam.entry.unreached.records import UnreachedUpstreams
 from banyanseam.entry.upstream_list import UpstreamList
 from banyanseam.entry.upstream_starts import StartFinding, make_start_key
 from banyanseam.observe.events import UPSTREAM_CHECKED, log
@@ -64,6 +66,7 @@
     upstreams: UpstreamList
     members: Members
     get_catalogue: Callable[[], Catalogue | None]
+    unreached: UnreachedUpstreams
     # Sends the findings to all peers of the region.
     announce: Callable[[], Awaitable[None]]
     # Set before the first check.
@@ -77,7 +80,7 @@
             self.follow(listed)
 
     def follow(self, listed: ListedUpstream) -> None:
-        """Check an upstream again and again until it is no longer held."""
+        """Check an upstream again and again until it is no longer held or unreached."""
         key = make_start_key(listed.upstream)
         if key in self._running or not self._can_check(listed.upstream):
             return
@@ -124,22 +127,41 @@
         starts = self.upstreams.starts
         began_s = anyio.current_time()
         try:
-            while starts.is_held(upstream) and self.upstreams.is_listed(listed):
+            while self._must_check(listed):
                 wait_s = self._find_wait_s(listed)
                 if wait_s > 0:
                     await anyio.sleep(wait_s)
                     continue
-                await self._check(upstream, began_s)
-                if starts.is_held(upstream):
-                    await anyio.sleep(START_CHECK_PERIOD_S * random.uniform(0.8, 1.2))
+                await self._check(listed, began_s)
+                if self._must_check(listed):
+                    await self._pause(upstream.service)
         finally:
             starts.release(upstream)
             self._running.discard(make_start_key(upstream))
 
+    def _must_check(self, listed: ListedUpstream) -> bool:
+        upstream = listed.upstream
+        is_held = self.upstreams.starts.is_held(upstream)
+        is_in_doubt = is_held or self.unreached.is_unreached(upstream)
+        return is_in_doubt and self.upstreams.is_listed(listed)
+
+    async def _pause(self, service: str) -> None:
+        """Wait until the next check of an upstream.
+
+        Without a way to a service, the checks of its upstreams share one rate, and the
+        first answer of one ends all pauses.
+        """
+        spread = random.uniform(0.8, 1.2)
+        if self.unreached.has_way(service):
+            await anyio.sleep(START_CHECK_PERIOD_S * spread)
+            return
+        count = max(1, self.unreached.count_unreached(service))
+        await self.unreached.wait_for_answer(service, CHECK_PERIOD_S * count * spread)
+
     async def _follow_cold(self, listed: ListedUpstream) -> None:
         await anyio.sleep_until(listed.cold_until_s - START_CHECK_LEAD_S)
         if self._is_sender(listed) and self.upstreams.is_listed(listed):
-            await self._check(listed.upstream, anyio.current_time())
+            await self._check(listed, anyio.current_time())
             if self.upstreams.starts.is_held(listed.upstream):
                 self.follow(listed)
 
@@ -161,10 +183,16 @@
             period_s = START_CHECK_PERIOD_S
         return finding.at_s + period_s - anyio.current_time()
 
-    async def _check(self, upstream: Upstream, began_s: float) -> None:
+    async def _check(self, listed: ListedUpstream, began_s: float) -> None:
+        upstream = listed.upstream
+        asked_s = anyio.current_time()
         found = await self._ask(upstream)
+        self._record_outcome(listed, found, asked_s)
         now_s = anyio.current_time()
-        if found is Failure.UNREACHABLE:
+        is_own_way_lost = self.unreached.is_own_way_lost(upstream)
+        if found is Failure.UNREACHABLE or (
+            found is Failure.REFUSED and is_own_way_lost
+        ):
             # Another VM may reach it, so this is not reported to peers.
             self.upstreams.starts.hold(upstream)
             return
@@ -189,6 +217,15 @@
         )
         await self._announce(finding)
 
+    def _record_outcome(
+        self, listed: ListedUpstream, found: int | Failure, asked_s: float
+    ) -> None:
+        """Record whether an upstream was reached; a slow report shows neither."""
+        if found in (Failure.REFUSED, Failure.UNREACHABLE):
+            self.unreached.record_failure(listed, asked_s)
+        elif found is not Failure.NO_ANSWER:
+            self.unreached.record_answer(listed.upstream, asked_s)
+
     async def _announce(self, finding: StartFinding) -> None:
         """Send a finding to the region unless a peer is quicker."""
         vms = self.members.count_recent(anyio.current_time(), self.members.me.region)
--- a/banyanseam/entry/upstream_list.py
+++ b/banyanseam/entry/upstream_list.py
@@ -89,6 +89,8 @@
         # What checks have found, and how long a service's upstreams are cold.
         self.starts = UpstreamStarts()
         self.warmups_s: Mapping[str, float] = {}
+        # Called with what a peer has found about an incarnation.
+        self.on_peers_finding: Callable[[StartFinding], None] = lambda _: None
         # Called when the list may be outdated.
         self.on_resumed: Callable[[], None] = lambda: None
         # Called when an upstream must be checked before it is used.
@@ -393,6 +395,7 @@
 
     def record_reported_start(self, finding: StartFinding, now_s: float) -> None:
         """Record what a peer found about an incarnation."""
+        self.on_peers_finding(finding)
         self.starts.record_report(finding)
         self._apply_finding(finding, now_s)
 
--- a/banyanseam/entry/upstream_starts.py
+++ b/banyanseam/entry/upstream_starts.py
@@ -99,6 +99,11 @@
         finding = self._findings.get(key)
         return finding is not None and finding.found_ms is None
 
+    def is_known_down(self, upstream: Upstream) -> bool:
+        """Return whether an incarnation has refused connections, so far as is known."""
+        finding = self._findings.get(make_start_key(upstream))
+        return finding is not None and finding.found_ms is None
+
     def find(self, upstream: Upstream) -> StartFinding | None:
         """Return the latest finding about an incarnation."""
         return self._findings.get(make_start_key(upstream))
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -109,6 +109,12 @@
 UPSTREAM_CHECKED: Final = Event(
     6026, "INFO", "An upstream was asked for its start after a failed connection"
 )
+WAY_LOST: Final = Event(
+    6028, "WARNING", "This VM has no way to a service's upstreams of its region"
+)
+WAY_RESTORED: Final = Event(
+    6029, "INFO", "This VM has a way to a service's upstreams of its region again"
+)
 KEEPER_CHANGED: Final = Event(6001, "INFO", "A pool of upstreams changed its keeper")
 UPSTREAM_POLL_FAILED: Final = Event(
     6002, "WARNING", "An upstream did not report its load"
--- a/banyanseam/platform/documents.py
+++ b/banyanseam/platform/documents.py
@@ -89,6 +89,7 @@
     max_connections: int = 0
     warmup_s: Number = 0
     cold_per_s: Number = 0
+    health_path: str = "/"
     engine: _Engine | None = None
 
 
@@ -247,6 +248,7 @@
         warmup_s=service.warmup_s,
         cold_requests_per_s=service.cold_per_s,
         engine=None if engine is None else EngineLimits(engine.slots, engine.kv_tokens),
+        health_path=service.health_path,
     )
 
 
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -186,6 +186,7 @@
         entry.lifecycle.begin_serving()
         entry.gossip._send = partial(self._deliver, ip)
         entry.start_checks.tasks = self.checks
+        entry.service_checks.tasks = self.checks
         entry.origins.send = partial(self._deliver_origins, ip)
         self.checks.start_soon(entry.origins.run)
         entry.upstreams.on_resumed = lambda: self.checks.start_soon(
@@ -661,6 +662,10 @@
                     ("banyanseam.entry.relay.send", simulation.send),
                     ("banyanseam.entry.values_fetcher.send", simulation.send),
                     ("banyanseam.entry.start_checks.send", simulation.send),
+                    (
+                        "banyanseam.entry.unreached.service_checks.send",
+                        simulation.send,
+                    ),
                     ("banyanseam.entry.frontend.log", simulation.log),
                 ):
                     stack.enter_context(mock.patch(name, replacement))
