--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -81,19 +81,27 @@
                     found += self.loads.list_remote_candidates(
                         region, exchange.service, now_s
                     )
+        if any(each.is_relayed for each in found):
+            found = self._filter_relayed(exchange, found, now_s)
         return [
             each
             for each in found
-            if exchange.may_run_at(each.software)
-            and self._may_be_tried(exchange, each, now_s)
+            if (each.is_relayed or each.upstream_id not in exchange.unreachable)
+            and exchange.may_run_at(each.software)
         ]
 
-    def _may_be_tried(
-        self, exchange: Exchange, candidate: Candidate, now_s: float
-    ) -> bool:
-        if candidate.is_relayed:
-            return bool(self.list_relays(exchange, candidate, now_s))
-        return candidate.upstream_id not in exchange.unreachable
+    def _filter_relayed(
+        self, exchange: Exchange, candidates: list[Candidate], now_s: float
+    ) -> list[Candidate]:
+        """Leave out relayed candidates that no peer may be asked for now."""
+        relays = self._list_relays(exchange, now_s)
+        unreached = self.members.unreached.list_unreached_by_all(relays)
+        return [
+            each
+            for each in candidates
+            if not each.is_relayed
+            or (relays and make_upstream_tag(each.upstream_id) not in unreached)
+        ]
 
     async def wait_for_placement(self, exchange: Exchange) -> Placement:
         """Wait until the request may be sent, and return the chosen placement.
@@ -298,8 +306,18 @@
     ) -> list[Member]:
         """Return the processes of this region over which a candidate is reached."""
         tag = make_upstream_tag(candidate.upstream_id)
-        reaching = self.members.list_reaching(now_s, exchange.service, tag)
-        peers = [each for each in reaching if each.running <= MAX_RUNNING_TO_RELAY]
+        return [
+            peer
+            for peer in self._list_relays(exchange, now_s)
+            if self.members.unreached.reaches(peer, tag)
+        ]
+
+    def _list_relays(self, exchange: Exchange, now_s: float) -> list[Member]:
+        peers = [
+            peer
+            for peer in self.members.list_relays(now_s, exchange.service)
+            if peer.running <= MAX_RUNNING_TO_RELAY
+        ]
         return self._filter_peers(exchange, peers, now_s)
 
     def _filter_peers(
--- a/banyanseam/entry/local_candidates.py
+++ b/banyanseam/entry/local_candidates.py
@@ -1,11 +1,10 @@
 """List this region's candidates for a service, and pace requests to cold upstreams."""
 
-from dataclasses import replace
-
 from banyanseam.entry.const import (
     COLD_MARGIN,
     COLD_SENDERS,
     MEMORY_SHARE,
+    ROUND_TRIP_MS,
     SUSPECT_PAUSE_S,
 )
 from banyanseam.entry.listed_upstream import ListedUpstream
@@ -101,18 +100,31 @@
         senders = members.count_senders(now_s, service_name)
         max_requests = max(1, int(service.max_connections * MEMORY_SHARE / senders))
     pause_s = choose_cold_pause_s(service.cold_requests_per_s)
+    relays, unreached_by_all = [], frozenset()
+    if unreached is not None and unreached.count_unreached(service_name):
+        relays = members.list_relays(now_s, service_name)
+        unreached_by_all = members.unreached.list_unreached_by_all(relays)
     found = []
     for listed in upstreams.list_usable(service_name, now_s):
         upstream = listed.upstream
         if members.me.region != _find_region(upstream.data_centre, members):
             continue
         if unreached is not None and unreached.is_unreached(upstream):
-            if can_relay(upstream, upstreams, members, now_s):
+            tag = make_upstream_tag(upstream.upstream_id)
+            is_down = upstreams.starts.is_known_down(upstream)
+            if relays and not is_down and tag not in unreached_by_all:
                 is_cold = now_s < listed.cold_until_s
-                candidate = _make_candidate(
-                    listed, service, loads, members, now_s, is_reserve=is_cold
+                found.append(
+                    _make_candidate(
+                        listed,
+                        service,
+                        loads,
+                        members,
+                        now_s,
+                        is_reserve=is_cold,
+                        is_relayed=True,
+                    )
                 )
-                found.append(replace(candidate, is_relayed=True, network_ms=RELAYED_MS))
             continue
         if upstreams.starts.is_held(upstream):
             continue
@@ -131,16 +143,6 @@
     return found
 
 
-def can_relay(
-    upstream: Upstream, upstreams: UpstreamList, members: Members, now_s: float
-) -> bool:
-    """Return whether a peer may reach an upstream that this process doesn't reach."""
-    if upstreams.starts.is_known_down(upstream):
-        return False
-    tag = make_upstream_tag(upstream.upstream_id)
-    return bool(members.list_reaching(now_s, upstream.service, tag))
-
-
 def _make_candidate(
     listed: ListedUpstream,
     service: Service,
@@ -149,6 +151,7 @@
     now_s: float,
     *,
     is_reserve: bool,
+    is_relayed: bool = False,
 ) -> Candidate:
     upstream, engine = listed.upstream, service.engine
     requests, prefill_ms, held_tokens, queued_ms = loads.sum_region_load(
@@ -166,6 +169,8 @@
         is_reserve=is_reserve,
         performance=_find_performance(loads, service, upstream),
         software=upstream.software,
+        network_ms=RELAYED_MS if is_relayed else ROUND_TRIP_MS,
+        is_relayed=is_relayed,
     )
 
 
--- a/banyanseam/entry/members.py
+++ b/banyanseam/entry/members.py
@@ -187,16 +187,10 @@
             return service not in self.unreached.own
         return self.unreached.has_way(member, service)
 
-    def list_reaching(
-        self, now_s: float, service: str, upstream_tag: int
-    ) -> list[Member]:
-        """Return the serving peers of this region that may reach an upstream."""
-        return [
-            member
-            for member in self.list_serving(now_s, self.me.region)
-            if member.ip != self.me.ip
-            and self.unreached.reaches(member, service, upstream_tag)
-        ]
+    def list_relays(self, now_s: float, service: str) -> list[Member]:
+        """Return the serving peers of this region with a way to a service."""
+        found = self.list_with_way(now_s, self.me.region, service)
+        return [member for member in found if member.ip != self.me.ip]
 
     def count_services_without_way(self, member: Member) -> int:
         """Return the number of services that a process has no way to."""
--- a/banyanseam/entry/unreached/reports.py
+++ b/banyanseam/entry/unreached/reports.py
@@ -81,10 +81,19 @@
         report = self.find(member) if self._reports else None
         return report is None or make_service_tag(service) not in report.services
 
-    def reaches(self, member: "Member", service: str, upstream_tag: int) -> bool:
-        """Return whether a peer has not reported that it doesn't reach an upstream."""
-        if not self.has_way(member, service):
-            return False
+    def list_unreached_by_all(self, members: Iterable["Member"]) -> frozenset[int]:
+        """Return the tags of the upstreams that none of some peers reaches."""
+        common: frozenset[int] | None = None
+        for member in members:
+            report = self.find(member) if self._reports else None
+            if report is None or not report.upstreams:
+                return frozenset()
+            own = frozenset(report.upstreams)
+            common = own if common is None else common & own
+        return common or frozenset()
+
+    def reaches(self, member: "Member", upstream_tag: int) -> bool:
+        """Return whether a peer has not named an upstream as one it doesn't reach."""
         report = self.find(member) if self._reports else None
         return report is None or upstream_tag not in report.upstreams
 
