Read that an upstream says it is brittle

The number is read into AnswerHead; a malformed value means nothing. Nothing decides by it yet.

Evidence: the new test fails before, since AnswerHead has no such field. 37 tests of tests.platform pass.

--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -314,6 +314,8 @@
     pause_s: float
     # Requests a second that the upstream takes from all VMs together, if it says so.
     limit_per_s: float | None
+    # Refusals a second for want of room that it just survives, if it says so.
+    brittle_per_s: int | None
     length_bytes: int | None
     # False if the answer ends with its connection.
     is_framed: bool
--- a/banyanseam/platform/requests.py
+++ b/banyanseam/platform/requests.py
@@ -18,6 +18,7 @@
 from banyanseam.pipe.errors import RequestMalformed
 from banyanseam.platform.documents import MAX_START_MS, digest_key
 from banyanseam.platform.wire import (
+    BRITTLE,
     DEADLINE,
     EXPECT_INSTANCE,
     LAST_EVENT_ID,
@@ -121,6 +122,7 @@
         is_leaving=by_name.get(LEAVING, b"").strip() == b"1",
         pause_s=pause_s if status == 503 and pause_s is not None else 0.0,
         limit_per_s=_read_decimal(by_name.get(REQUEST_LIMIT)),
+        brittle_per_s=_read_number(by_name.get(BRITTLE, b"").strip()),
         length_bytes=length_bytes,
         is_framed=length_bytes is not None or b"transfer-encoding" in by_name,
         headers=_filter_headers(lowered, frozenset({NOT_EXECUTED})),
--- a/banyanseam/platform/wire.py
+++ b/banyanseam/platform/wire.py
@@ -17,6 +17,7 @@
 PRIORITY: Final = b"request-priority"
 LEAVING: Final = b"server-leaving"
 REQUEST_LIMIT: Final = b"server-limit"
+BRITTLE: Final = b"server-brittle"
 STORE_ERA: Final = b"store-era"
 
 # Headers that only the gateway may send to an upstream; those of callers are dropped.
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -125,6 +125,22 @@
                 answer = read_answer(status, headers)
                 self.assertEqual((answer.is_leaving, answer.pause_s), expected)
 
+    def test_an_upstream_that_says_it_is_brittle(self):
+        for value, expected in (
+            (b"9", 9),
+            (b" 12 ", 12),
+            (b"0", 0),
+            (b"-1", None),
+            (b"2.5", None),
+            (b"many", None),
+            (b"", None),
+            (b"9" * 20, None),
+        ):
+            with self.subTest(value):
+                answer = read_answer(503, [(b"Server-Brittle", value)])
+                self.assertEqual(answer.brittle_per_s, expected)
+        self.assertIsNone(read_answer(200, []).brittle_per_s)
+
     def test_hop_by_hop_headers_of_answers_are_removed(self):
         answer = read_answer(
             200,
