Send brittle upstreams only what finds a place

New on the users' pages: at times the upstreams of a service are brittle. One that refuses more than N requests in a second for want of room falls over; more than 2 falls and a tenth of their number break LIMIT.

Cause: all VMs see a free place in the same moment, by reports that are 0.25 s old, and use the queue of an upstream, which may be shorter then.

What callers saw: in the simulation on the code before, with six VMs and four upstreams in an overload, the upstreams fell over 10 times (slots 4, N 6) and 8 times (slots 16, N 4), where two falls are allowed, and served next to nothing from then on.

Change: a VM keeps the places that it uses and takes its part of the free ones in rounds; its part goes by the requests of all VMs. After a refusal it pauses. An answer of one upstream holds for its service, and heartbeats carry the word (19 bytes for a service, nothing in calm). What has no place waits at the VM, in a bounded queue, or is refused at once. Nothing is decided while no upstream is brittle.

Existing tests: test_upstreams passes the time to list_own_loads; test_promises counts 17 rows of rules instead of 16, since the page has one more.

--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -53,7 +53,7 @@
         here = self.members.me.region
         allowed = exchange.allowed_regions(set(self.members.regions.values()))
         found = []
-        if here in allowed:
+        if here in allowed and not self.loads.brittle.is_full(exchange.service, now_s):
             found += list_local_candidates(
                 exchange.catalogue,
                 exchange.service,
@@ -70,7 +70,9 @@
                     )
         return [
             each
-            for each in found
+            for each in self.loads.filter_room(
+                found, exchange.service, self.members, now_s
+            )
             if each.upstream_id not in exchange.unreachable
             and exchange.may_run_at(each.software)
         ]
@@ -91,7 +93,8 @@
             placement = self._choose(exchange, candidates)
             if placement is None:
                 self._refuse_if_unservable(exchange, candidates, started_s, max_wait_s)
-                await anyio.sleep(QUEUE_PERIOD_S)
+                with self.loads.brittle.count_waiting(exchange.service):
+                    await anyio.sleep(QUEUE_PERIOD_S)
                 continue
             if not self._is_admitted(exchange, placement, left_ms):
                 retry_after_ms = choose_retry_after_ms(2 * placement.wait_ms, left_ms)
@@ -140,8 +143,15 @@
             raise NoUpstreamKnown(retry_after_ms=retry_after_ms)
         waited_s = now_s - started_s
         if waited_s >= max_wait_s:
-            kind = RegionsFull if candidates else NoUpstreamKnown
+            is_full = candidates or self.loads.brittle.is_full(exchange.service, now_s)
+            kind = RegionsFull if is_full else NoUpstreamKnown
             raise kind(retry_after_ms=choose_retry_after_ms(500.0, left_ms))
+        is_queue_long = self.loads.has_long_queue(exchange.service, now_s)
+        if not candidates and is_queue_long and not exchange.is_resumed:
+            raise RegionsFull(
+                "all upstreams are brittle and full",
+                retry_after_ms=choose_retry_after_ms(500.0, left_ms),
+            )
         paced_s = None
         if not candidates and self._is_allowed_here(exchange):
             paced_s = find_next_send_s(
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -112,7 +112,7 @@
         return self._compose(
             [self._members.me, *others],
             direction=direction,
-            loads=self._loads.list_own_loads(),
+            loads=self._loads.list_own_loads(now_s),
             peer_loads={pack_ip(ip): table for ip, table in peer_loads.items()},
             part_uses=[*own_uses, *pending.segment_uses],
             relayed={
@@ -134,11 +134,12 @@
 
     def compose_own_loads(self, direction: Direction) -> Gossip:
         """Return a heartbeat with this process's own state only."""
+        now_s = anyio.current_time()
         return self._compose(
             [self._members.me],
             direction=direction,
-            loads=self._loads.list_own_loads(),
-            part_uses=self._loads.list_segment_uses(anyio.current_time()),
+            loads=self._loads.list_own_loads(now_s),
+            part_uses=self._loads.list_segment_uses(now_s),
         )
 
     def compose_repair(self) -> Gossip:
@@ -149,7 +150,7 @@
         now_s = anyio.current_time()
         return self._compose(
             [self._members.me, *self._list_updated(REPAIR_ROW_AGE_S, now_s)],
-            loads=self._loads.list_own_loads(),
+            loads=self._loads.list_own_loads(now_s),
         )
 
     def _list_updated(self, max_age_s: float, now_s: float) -> list[Member]:
@@ -189,7 +190,7 @@
             self._members.list_rows(now_s),
             is_full=True,
             recent_s=RECENT_SPENDING_S,
-            loads=self._loads.list_own_loads(),
+            loads=self._loads.list_own_loads(now_s),
             region_parts=self._loads.list_region_segments(now_s),
             candidates=to_candidate_rows(candidates),
             speeds=to_speed_table(candidates),
@@ -277,6 +278,8 @@
         self._suspects.segments.record_disproved(gossip.sound_segments, now_s)
         for upstream_id, started_ms in gossip.replaced:
             self._upstreams.record_replaced(upstream_id, started_ms, now_s)
+        for service, (number, age_ms) in gossip.brittle.items():
+            self._loads.brittle.record_told(service, number, now_s - age_ms / 1000)
         for row in gossip.starts:
             self._upstreams.record_reported_start(from_start_row(row, now_s), now_s)
         self.on_peer_versions(
@@ -425,6 +428,7 @@
             ],
             sound_segments=self._suspects.segments.list_disproved(crashes_since_s),
             replaced=self._upstreams.list_replaced(now_s),
+            brittle=self._loads.brittle.list_words(now_s),
             **fields,
         )
 
--- a/banyanseam/entry/listed_upstream.py
+++ b/banyanseam/entry/listed_upstream.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from banyanseam.entry.brittle import BrittlePlaces
 from banyanseam.entry.cached_prefixes import CachedPrefixes
 from banyanseam.entry.const import (
     MAX_RECENT_SENDS,
@@ -40,6 +41,7 @@
     # When the last requests were sent.
     sent_s: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_RECENT_SENDS))
     pace: LimitPace = field(default_factory=LimitPace)
+    brittle: BrittlePlaces = field(default_factory=BrittlePlaces)
     # Prefix segments cached by the engine, from the requests of all VMs of the region.
     cached_segments: CachedPrefixes = field(default_factory=CachedPrefixes)
     # Recent runs that ended in silence, with the caller or at their deadline.
--- a/banyanseam/entry/members.py
+++ b/banyanseam/entry/members.py
@@ -192,13 +192,14 @@
         mine = 1 if region in (None, self.me.region) else 0
         return mine + self._recent_counts[region]
 
-    def list_recent(self, now_s: float, region: str) -> list[Member]:
+    def list_recent(
+        self, now_s: float, region: str, term_s: float = FLEET_TERM_S
+    ) -> list[Member]:
         """Return the other processes of a region that were alive recently."""
         return [
             record.member
             for record in self._records.values()
-            if record.member.region == region
-            and now_s - record.updated_s <= FLEET_TERM_S
+            if record.member.region == region and now_s - record.updated_s <= term_s
         ]
 
     def drop_expired(self, now_s: float) -> None:
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -111,6 +111,10 @@
     replaced: list[tuple[str, int]] = Field(default_factory=list)
     # What checks of upstreams have found recently.
     starts: list[StartRow] = Field(default_factory=list)
+    # Services whose upstreams are brittle: refusals a second, age of that word.
+    brittle: dict[str, tuple[Annotated[int, Field(ge=0)], Milliseconds]] = Field(
+        default_factory=dict
+    )
     # The registered upstreams, sent by the process that has just read them.
     upstreams: list[UpstreamRow] | None = None
     # Their software; None from the release before.
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -69,6 +69,7 @@
 from banyanseam.observe.events import (
     REQUEST_FORWARDED,
     SEND_FAILED,
+    UPSTREAM_BRITTLE,
     UPSTREAM_LIMIT_CHANGED,
     log,
 )
@@ -192,6 +193,7 @@
         prompt = exchange.head.prompt
         prefill_ms = estimate_own_prefill_ms(placement, prompt)
         with count_request(listed, prompt, prefill_ms) as pending_prefill_ms:
+            listed.usage.brittle.record_requests(listed.usage.requests)
             if pending_prefill_ms[0] >= LONG_PREFILL_MS:
                 await self.announce()
             upstream = listed.upstream
@@ -386,6 +388,7 @@
         if answer.pause_s > 0:
             self.upstreams.record_pause(listed.upstream, answer.pause_s, now_s)
         self._record_limit(listed, answer.limit_per_s, now_s)
+        self._record_brittle(listed, answer, now_s)
         is_not_run = proves_not_run(exchange, answer)
         if is_not_run and answer.status == 421:
             _record_not_run(exchange)
@@ -418,6 +421,27 @@
                 vms=vms,
             )
 
+    def _record_brittle(
+        self, listed: ListedUpstream, answer: AnswerHead, now_s: float
+    ) -> None:
+        usage, service = listed.usage, listed.upstream.service
+        number = answer.brittle_per_s
+        if number is not None:
+            self.loads.brittle.record_word(service, number, now_s)
+        elif answer.is_signed:
+            self.loads.brittle.record_calm(service, now_s)
+        else:
+            return
+        if usage.brittle.record_word(number, now_s):
+            log(
+                UPSTREAM_BRITTLE,
+                upstream=listed.upstream.upstream_id,
+                refusals_per_s=number,
+            )
+        if number is not None and answer.status == 503 and answer.is_surely_not_run:
+            vms = self.members.count_recent(now_s, self.members.me.region)
+            usage.brittle.record_refusal(usage.requests - 1, number, vms, now_s)
+
     def _may_retry_status(self, exchange: Exchange) -> bool:
         now_s = anyio.current_time()
         return (
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -1,10 +1,12 @@
 """Loads of upstreams: from this process, its region's peers and other regions."""
 
+import random
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Final
 
+from banyanseam.entry.brittle import MIN_WAITING, BrittleServices, Demand
 from banyanseam.entry.cached_prefixes import CachedPrefixes
 from banyanseam.entry.const import (
     FORWARDED_PREFILL_MS,
@@ -14,7 +16,7 @@
     REMOTE_PEER_TERM_S,
 )
 from banyanseam.entry.fingerprints import make_start_tag
-from banyanseam.entry.members import Member
+from banyanseam.entry.members import Member, Members
 from banyanseam.entry.messages import (
     LoadRow,
     LoadTable,
@@ -58,6 +60,7 @@
         self.engine_memory_tokens = 0
         self.performance = PerformanceObserver()
         self.network = NetworkTimes()
+        self.brittle = BrittleServices()
         # Loads that peers reported, the oldest report first, and by tag of the upstream
         # their sums and the number of reports in these.
         self._peer_loads: dict[str, _PeerLoads] = {}
@@ -136,14 +139,15 @@
             return True
         return segment_id in self._forwarded_segments.get(candidate.region, ())
 
-    def list_own_loads(self) -> LoadTable:
+    def list_own_loads(self, now_s: float) -> LoadTable:
         """Return this process's own load by tag of the upstream's incarnation."""
         found = {}
         for upstream in self._upstreams.list_upstreams():
             usage = self._upstreams.find(upstream.upstream_id).usage
-            if usage.requests or usage.queued_ms:
+            requests = usage.brittle.count_held(usage.requests, now_s)
+            if requests or usage.queued_ms:
                 found[make_load_tag(upstream)] = (
-                    usage.requests,
+                    requests,
                     round(usage.prefill_ms),
                     usage.memory_tokens,
                     round(usage.queued_ms),
@@ -229,6 +233,47 @@
             usage.queued_ms + peers[3],
         )
 
+    def filter_room(
+        self, candidates: list[Candidate], service: str, members: Members, now_s: float
+    ) -> list[Candidate]:
+        """Return the candidates that are not brittle, or have a place for a request."""
+        found = [
+            each for each in candidates if self.has_room(each, service, members, now_s)
+        ]
+        local = any(each.region == self._own_region for each in candidates)
+        if local and not any(each.region == self._own_region for each in found):
+            self.brittle.record_full(service, now_s)
+        return found
+
+    def has_long_queue(self, service: str, now_s: float) -> bool:
+        """Return whether as many requests wait for brittle upstreams as run there."""
+        if not self.brittle.is_full(service, now_s):
+            return False
+        waiting = self.brittle.waiting[service]
+        return waiting >= MIN_WAITING and waiting >= sum(
+            listed.usage.requests
+            for listed in self._upstreams.list_usable(service, now_s)
+        )
+
+    def has_room(
+        self, candidate: Candidate, service: str, members: Members, now_s: float
+    ) -> bool:
+        """Return whether a candidate is not brittle, or has a place for a request."""
+        listed = None
+        if candidate.region == self._own_region:
+            listed = self._upstreams.find(candidate.upstream_id)
+        places = None if listed is None else listed.usage.brittle
+        number = self.brittle.find(service, places, now_s)
+        if number is None:
+            return True
+        if places is None:
+            return candidate.requests < candidate.slots
+        own = listed.usage.requests
+        peers = candidate.requests - own
+        demand = Demand(max(candidate.slots, 1), own, peers, number)
+        contention = self.brittle.compare(members, now_s)
+        return places.may_send(demand, contention, now_s, random.random)
+
     def _drop_old_loads(self, now_s: float) -> None:
         while self._peer_loads:
             ip, reported = next(iter(self._peer_loads.items()))
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -109,6 +109,9 @@
 UPSTREAM_CHECKED: Final = Event(
     6026, "INFO", "An upstream was asked for its start after a failed connection"
 )
+UPSTREAM_BRITTLE: Final = Event(
+    6027, "INFO", "An upstream has said that it is brittle, or no longer is"
+)
 KEEPER_CHANGED: Final = Event(6001, "INFO", "A pool of upstreams changed its keeper")
 UPSTREAM_POLL_FAILED: Final = Event(
     6002, "WARNING", "An upstream did not report its load"
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -52,6 +52,8 @@
 NOT_RUN = ("refused", "lost", "full", "pause", "misdirected")
 # How long an upstream asks for no requests with the fault "pause".
 PAUSE_S = 2
+# How long an upstream that fell over is away.
+FALLEN_S = 3.0
 FAULTS = (
     *NOT_RUN,
     "error",
@@ -115,6 +117,25 @@
     leaves_after: int | None = None
 
 
+@dataclass(eq=False, slots=True)
+class Room:
+    """What an upstream runs at a time, and lets wait, before it refuses."""
+
+    slots: int
+    call_s: float
+    waiting: int = 0
+    # Says so in its answers, and falls over if it refuses more in a second.
+    brittle_per_s: int | None = None
+    may_fall: bool = True
+    requests: int = 0
+    refused_s: list[float] = field(default_factory=list)
+
+    def count_refusals(self) -> int:
+        """Return how many requests it refused in the last second."""
+        since_s = anyio.current_time() - 1
+        return sum(at_s > since_s for at_s in self.refused_s)
+
+
 @dataclass(slots=True)
 class Simulation:
     """Two regions, each with two VMs, two engines and a desk."""
@@ -134,6 +155,9 @@
     forwards: Counter[str] = field(default_factory=Counter)
     # Requests a second that upstreams name as their limit, by id.
     limits_per_s: dict[str, float] = field(default_factory=dict)
+    # The rooms of upstreams that have slots, by name, and who fell over and when.
+    rooms: dict[str, Room] = field(default_factory=dict)
+    falls: list[tuple[str, float]] = field(default_factory=list)
     is_partitioned: bool = False
     # Upstreams that refuse connections, by name.
     down: set[str] = field(default_factory=set)
@@ -363,7 +387,8 @@
             async with self._call_app(app, outgoing, sender, fault) as incoming:
                 yield incoming
             return
-        incoming = await self._run(listening[0], headers, fault)
+        async with self._enter_room(*at_address, headers) as refusal:
+            incoming = refusal or await self._run(listening[0], headers, fault)
         if incoming is None and fault == "no answer":
             raise ConnectionBroken(outgoing.address)
         if incoming is None:
@@ -374,6 +399,47 @@
         (name,) = at_address
         yield replace(incoming, body=self._break_at_crash(name, incoming.body))
 
+    @asynccontextmanager
+    async def _enter_room(
+        self, name: str, headers: dict[str, str]
+    ) -> AsyncIterator[IncomingAnswer | None]:
+        """Hold a slot of an upstream for a call, or return its refusal."""
+        room = self.rooms.get(name)
+        if room is None:
+            yield None
+            return
+        if room.requests >= room.slots + room.waiting:
+            room.refused_s.append(anyio.current_time())
+            limit = room.brittle_per_s if room.may_fall else None
+            if limit is not None and room.count_refusals() > limit:
+                self._fall_over(name)
+            answer = [(b"request-id", headers["request-id"].encode())]
+            answer += [(b"not-executed", b"1"), *_say_brittle(room)]
+            yield IncomingAnswer(503, answer, _stream([b""]))
+            return
+        room.requests += 1
+        try:
+            turns = max(0, room.requests - room.slots) / room.slots
+            await anyio.sleep(room.call_s * (1 + turns))
+            if self.rooms[name] is not room:
+                raise ConnectionBroken(name)
+            yield None
+        finally:
+            room.requests -= 1
+
+    def _fall_over(self, name: str) -> None:
+        """End all that an upstream runs; it is back, cold, after some seconds."""
+        self.falls.append((name, anyio.current_time()))
+        self.rooms[name] = replace(self.rooms[name], requests=0, refused_s=[])
+        self.down.add(name)
+
+        async def come_back() -> None:
+            await anyio.sleep(FALLEN_S)
+            self.restart_upstream(name)
+            self.register_restart(name, cold_ms=2000)
+
+        self.checks.start_soon(come_back)
+
     async def _break_at_crash(
         self, name: str, body: AsyncIterator[bytes]
     ) -> AsyncIterator[bytes]:
@@ -425,6 +491,7 @@
         if upstream.upstream_id in self.limits_per_s:
             limit = str(self.limits_per_s[upstream.upstream_id])
             answer.append((b"server-limit", limit.encode()))
+        answer += _say_brittle(self.rooms.get(upstream.upstream_id))
         if fault != "unsigned":
             answer.append((b"upstream-signature", b"s"))
         if fault == "rejected":
@@ -529,6 +596,12 @@
         return not self.is_partitioned or len(regions) == 1
 
 
+def _say_brittle(room: Room | None) -> list[tuple[bytes, bytes]]:
+    if room is None or room.brittle_per_s is None:
+        return []
+    return [(b"server-brittle", str(room.brittle_per_s).encode())]
+
+
 def make_body(request_id: str) -> bytes:
     """Return a desk's answer."""
     return b"answer to " + request_id.encode()
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -205,7 +205,7 @@
             with self.subTest(known=known.started_ms):
                 loads, peer = self.make_loads(known), self.make_loads(reported)
                 with count_request(peer._upstreams.find("e1"), make_prompt(), 200.0):
-                    loads.record_peer_loads(self.peer, peer.list_own_loads(), 0.0)
+                    loads.record_peer_loads(self.peer, peer.list_own_loads(0.0), 0.0)
                 self.assertEqual(loads.sum_region_load("e1", 0.1), (0, 0, 0, 0))
 
     def test_segments_cached_by_another_incarnation_do_not_count_as_cached(self):
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -11,7 +11,7 @@
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "PROMISES.md"
 PROMISE_ROWS = 12
 # Rows for the rules of the users' platform; two rows cover two rules each.
-RULE_ROWS = 16
+RULE_ROWS = 17
 HEADER_PREFIXES = ("| Promise ", "| Rule ", "| --- ")
 
 
