--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -63,7 +63,7 @@
         here = self.members.me.region
         allowed = exchange.allowed_regions(set(self.members.regions.values()))
         found = []
-        if here in allowed:
+        if here in allowed and not self.loads.brittle.is_full(exchange.service, now_s):
             found += list_local_candidates(
                 exchange.catalogue,
                 exchange.service,
@@ -85,7 +85,9 @@
             found = self._filter_relayed(exchange, found, now_s)
         return [
             each
-            for each in found
+            for each in self.loads.filter_room(
+                found, exchange.service, self.members, now_s
+            )
             if (each.is_relayed or each.upstream_id not in exchange.unreachable)
             and exchange.may_run_at(each.software)
         ]
@@ -119,7 +121,8 @@
             placement = self._choose(exchange, candidates)
             if placement is None:
                 self._refuse_if_unservable(exchange, candidates, started_s, max_wait_s)
-                await anyio.sleep(QUEUE_PERIOD_S)
+                with self.loads.brittle.count_waiting(exchange.service):
+                    await anyio.sleep(QUEUE_PERIOD_S)
                 continue
             if not self._is_admitted(exchange, placement, left_ms):
                 retry_after_ms = choose_retry_after_ms(2 * placement.wait_ms, left_ms)
@@ -172,8 +175,15 @@
             )
         waited_s = now_s - started_s
         if waited_s >= max_wait_s:
-            kind = RegionsFull if candidates else NoUpstreamKnown
+            is_full = candidates or self.loads.brittle.is_full(exchange.service, now_s)
+            kind = RegionsFull if is_full else NoUpstreamKnown
             raise kind(retry_after_ms=choose_retry_after_ms(500.0, left_ms))
+        is_queue_long = self.loads.has_long_queue(exchange.service, now_s)
+        if not candidates and is_queue_long and not exchange.is_resumed:
+            raise RegionsFull(
+                "all upstreams are brittle and full",
+                retry_after_ms=choose_retry_after_ms(500.0, left_ms),
+            )
         paced_s = None
         if not candidates and self._is_allowed_here(exchange):
             paced_s = find_next_send_s(
--- a/banyanseam/entry/messages.py
+++ b/banyanseam/entry/messages.py
@@ -116,6 +116,10 @@
     starts: list[StartRow] = Field(default_factory=list)
     # What processes don't reach, of the sender and of those whose rows it passes on.
     unreached: dict[PackedIp, UnreachedRow] = Field(default_factory=dict)
+    # Services whose upstreams are brittle: refusals a second, age of that word.
+    brittle: dict[str, tuple[Annotated[int, Field(ge=0)], Milliseconds]] = Field(
+        default_factory=dict
+    )
     # The registered upstreams, sent by the process that has just read them.
     upstreams: list[UpstreamRow] | None = None
     # Their software; None from the release before.
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -109,6 +109,9 @@
 UPSTREAM_CHECKED: Final = Event(
     6026, "INFO", "An upstream was asked for its start after a failed connection"
 )
+UPSTREAM_BRITTLE: Final = Event(
+    6027, "INFO", "An upstream has said that it is brittle, or no longer is"
+)
 WAY_LOST: Final = Event(
     6028, "WARNING", "This VM has no way to a service's upstreams of its region"
 )
