Take no part of an answer for whole when a reset follows its end

The event loop stops reading a connection once the stream has ended, so a reset after that end went unnoticed, and the end was kept even after a write had failed; httpcore ignores write errors and reads on. An upstream that answered a long upload early, without a length, and closed was seen as an orderly end. It was the same while part of the request still lay in the kernel's send buffer.

What callers saw. A 200 with a part of the body, framed as complete; also through a VM or daemon of another region, for streams, and for answers too long to be buffered; at the entry daemon and at the daemon with published seats.

An end of stream is reported only once all writes have been acknowledged (the transport's buffer is empty and TIOCOUTQ is 0) and no error or hang-up is pending on the socket. Until then it is waited for, within the request's own time limits: an upstream may end its answer first and read the rest of a long body later. An answer to a request that has arrived is not delayed. A reset that comes after both looks like an orderly end; every sound answer without a length would have to wait for it, so it isn't waited for.

Resets without an end before them were refused already, and sound answers relayed.

--- a/banyanseam/upstreams/network.py
+++ b/banyanseam/upstreams/network.py
@@ -5,15 +5,21 @@
 """
 
 import asyncio
+import fcntl
 import select
+import sys
+import termios
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 import anyio
 import httpcore
 
 from banyanseam.upstreams.const import READ_AHEAD_BYTES
 
+# How often an answer that has ended is checked until its request has arrived.
+ARRIVAL_PERIOD_S: Final = 0.01
+
 # Every read of the event loop goes here first and is copied at once. Reads into a
 # buffer of the loop's own would be four times as large.
 _received = memoryview(bytearray(READ_AHEAD_BYTES))
@@ -82,7 +88,7 @@
         self._wake()
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Return the buffered data, empty at the end.
+        """Return the buffered data, empty at the end once all writes have arrived.
 
         Raise ReadTimeout, ReadError, or RemoteProtocolError above the limit of reads.
         More than `max_bytes` may be returned, as the buffer is bounded already.
@@ -93,9 +99,8 @@
         if not self._can_read():
             await self._wait(self._can_read, timeout, httpcore.ReadTimeout)
         if not self._read_buffer:
-            if self._is_at_end:
-                return b""
-            raise httpcore.ReadError
+            await self._confirm_end(timeout)
+            return b""
         data = bytes(self._read_buffer)
         self._read_bytes += len(data)
         self._read_buffer.clear()
@@ -136,10 +141,48 @@
         if self._can_read() or self._transport.is_closing():
             return True
         # The kernel may have an end of stream that the event loop has not read yet.
+        return self._poll(select.POLLIN)
+
+    def _poll(self, events: int) -> bool:
+        """Return whether the socket has one of the events, an error or a reset."""
         poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket"), select.POLLIN)
+        poll.register(self._transport.get_extra_info("socket"), events)
         return bool(poll.poll(0))
 
+    async def _confirm_end(self, timeout_s: float | None) -> None:
+        """Return once all writes have arrived; raise ReadError after a reset.
+
+        An upstream that closes while a request is on its way resets the connection
+        after the end of the stream. The event loop no longer reads after that end, so
+        it does not report the reset. A reset that comes later still is not waited for:
+        every sound answer without a length would come later too.
+        """
+        has_arrived = False
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not has_arrived:
+                    # Checked first, so that a reset in between is noticed.
+                    has_arrived = self._has_arrived()
+                    if not self._is_at_end or self._is_reset():
+                        raise httpcore.ReadError
+                    if not has_arrived:
+                        await asyncio.sleep(ARRIVAL_PERIOD_S)
+        except TimeoutError as error:
+            raise httpcore.ReadTimeout from error
+
+    def _is_reset(self) -> bool:
+        return self._is_lost or self._transport.is_closing() or self._poll(0)
+
+    def _has_arrived(self) -> bool:
+        """Return whether the upstream's host has acknowledged all that was written."""
+        if self._is_lost or self._transport.is_closing():
+            return False
+        if self._transport.get_write_buffer_size():
+            return False
+        connected = self._transport.get_extra_info("socket")
+        unacknowledged = fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, bytes(4))
+        return not int.from_bytes(unacknowledged, sys.byteorder)
+
     async def _wait(
         self,
         is_done: Callable[[], bool],
--- a/tests/upstreams/test_network.py
+++ b/tests/upstreams/test_network.py
@@ -7,6 +7,7 @@
 import httpcore
 
 from banyanseam.upstreams.network import connect
+from tests.upstreams.test_unframed_answers import reset
 
 CHUNK = bytes(range(256)) * 256
 
@@ -68,3 +69,29 @@
                     await stream.write(b"more", timeout=1)
 
         anyio.run(run)
+
+    def test_an_end_before_all_writes_have_arrived_times_out(self):
+        async def run():
+            async with connected() as (upstream, stream):
+                with self.assertRaises(httpcore.WriteTimeout):
+                    await stream.write(CHUNK * 1000, timeout=0.2)
+                upstream.shutdown(socket.SHUT_WR)
+                with self.assertRaises(httpcore.ReadTimeout):
+                    await stream.read(9, timeout=0.2)
+
+        anyio.run(run)
+
+    # A reset right after the end of the stream was taken for an orderly end.
+    def test_an_end_of_stream_hides_no_reset_that_is_there_already(self):
+        async def run():
+            async with connected() as (upstream, stream):
+                upstream.send(b"last")
+                upstream.shutdown(socket.SHUT_WR)
+                reset(upstream)
+                self.assertEqual(await stream.read(9), b"last")
+                with self.assertRaises(httpcore.ReadError):
+                    await stream.read(9, timeout=1)
+
+        for use_uvloop in (False, True):
+            with self.subTest(use_uvloop=use_uvloop):
+                anyio.run(run, backend_options={"use_uvloop": use_uvloop})
