Refuse answers whose status is above 599

The HTTP parser takes any three digits for a status; only those below 200 are checked there.

What callers saw. A status such as 600 or 999 counted as the upstream's answer. Statuses below 200, of other lengths, with a sign or a blank, or none were refused already: 000 and 099 end in ConnectionBroken or UpstreamFailed.

Both clients of upstreams take statuses from 200 to 599 only.

Evidence. test_only_statuses_from_200_to_599_are_answers failed on the unchanged code for 600 and 999 (both daemons, both event loops) and passes now for all 13 status lines.

--- a/banyanseam/entry/sending.py
+++ b/banyanseam/entry/sending.py
@@ -20,7 +20,7 @@
 from banyanseam.entry.models import Headers
 from banyanseam.entry.peer_connections import PeerConnections, limit_unacknowledged
 from banyanseam.errors import BanyanseamError
-from banyanseam.upstreams.connections import Connection
+from banyanseam.upstreams.connections import Connection, is_answer_status
 from banyanseam.upstreams.errors import (
     UpstreamTimedOut,
     UpstreamUnreachable,
@@ -201,6 +201,8 @@
     except _HTTP_ERRORS as error:
         detail = f"{outgoing.address}: {type(error).__name__}"
         raise ConnectionBroken(detail) from error
+    if not is_answer_status(response.status):
+        raise ConnectionBroken(f"{outgoing.address}: status {response.status}")
     return IncomingAnswer(response.status, response.headers, _prepend(first, body))
 
 
--- a/banyanseam/upstreams/client.py
+++ b/banyanseam/upstreams/client.py
@@ -13,7 +13,11 @@
 
 from banyanseam.config.compiled import Upstream
 from banyanseam.errors import BanyanseamError
-from banyanseam.upstreams.connections import Connection, ConnectionPool
+from banyanseam.upstreams.connections import (
+    Connection,
+    ConnectionPool,
+    is_answer_status,
+)
 from banyanseam.upstreams.const import (
     CONNECT_TIMEOUT_S,
     MAX_ANSWER_HEAD_BYTES,
@@ -221,7 +225,9 @@
 def _check_answer(
     upstream: Upstream, request: UpstreamRequest, response: httpcore.Response
 ) -> None:
-    """Raise if the answer belongs to another request or proves a refusal."""
+    """Raise if it is no answer, belongs to another request or proves a refusal."""
+    if not is_answer_status(response.status):
+        raise UpstreamFailed(f"{upstream.name} sent status {response.status}")
     headers = dict(_lower_names(response.headers))
     answer_id = headers.get(b"x-request-id")
     if answer_id is not None and answer_id != request.request_id.encode():
--- a/banyanseam/upstreams/connections.py
+++ b/banyanseam/upstreams/connections.py
@@ -25,6 +25,11 @@
     stream: UpstreamStream
 
 
+def is_answer_status(status: int) -> bool:
+    """Return whether a status may end a request; the parser takes any three digits."""
+    return 200 <= status <= 599
+
+
 class ConnectionPool:
     """At most `limit` connections to one origin, of which a few stay open when idle."""
 
--- a/tests/upstreams/test_unframed_answers.py
+++ b/tests/upstreams/test_unframed_answers.py
@@ -1,6 +1,6 @@
 """Guards against partial answers without a length that are taken as whole.
 
-Upstreams in trouble answer early, end or reset the connection.
+Upstreams in trouble answer early, end or reset the connection, or send odd statuses.
 """
 
 import socket
@@ -115,6 +115,17 @@
     connection.close()
 
 
+def answer_with(answer: bytes) -> Script:
+    """Return a script that reads a request and sends these bytes."""
+
+    def script(connection: socket.socket, size_bytes: int) -> None:
+        read_request(connection, size_bytes)
+        connection.sendall(answer)
+        connection.close()
+
+    return script
+
+
 def run_upstream(listener: socket.socket, script: Script, size_bytes: int) -> None:
     """Accept one connection and answer it by the script."""
     connection, _ = listener.accept()
@@ -235,6 +246,16 @@
             PART,
         )
 
+    def test_only_statuses_from_200_to_599_are_answers(self):
+        scripts = {
+            status: (answer_with(b"HTTP/1.1 %s\r\n\r\nbody" % status), SIZES[:1])
+            for status in (
+                *(b"000 x", b"099 x", b"100 x", b"101 x", b"199 x", b"600 x"),
+                *(b"999 x", b"1000 x", b"20 x", b"-1 x", b"2 00 x", b" x", b""),
+            )
+        }
+        self.check_all(scripts, "broken")
+
 
 if __name__ == "__main__":
     unittest.main()
