Let a check decide whether an upstream whose connection broke is reached

Now such a break starts a check, and only a check that fails marks it; a check of an engine that breaks counts as a failure too, so connections that are accepted and reset are known. The stand-in answers its health path, as the platform's upstreams do.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -176,6 +176,7 @@
             lambda: self.values.catalogue,
         )
         self.unreached.on_failure = self._check_unreached
+        self.unreached.on_break = self.service_checks.start
         self.heartbeats.refresh_unreached = self.unreached.refresh
         self.upstreams.on_held = self.start_checks.follow
         self.upstreams.on_restarted.append(
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -557,9 +557,11 @@
             is_unreachable = isinstance(error, UpstreamUnreachable)
             if is_unreachable or isinstance(error, UpstreamReplaced):
                 exchange.unreachable.add(listed.upstream.upstream_id)
-            if isinstance(error, _CONNECTION_FAILURES):
-                # Ignored if the connection had brought an answer.
+            if is_unreachable:
                 self.unreached.record_failure(listed, began_s)
+            elif isinstance(error, ConnectionBroken):
+                self.unreached.record_break(listed, began_s)
+            if isinstance(error, _CONNECTION_FAILURES):
                 self.start_checks.start(listed)
             if is_unreachable or (
                 isinstance(error, UpstreamFailed)
--- a/banyanseam/entry/start_checks.py
+++ b/banyanseam/entry/start_checks.py
@@ -45,6 +45,8 @@
     UNREACHABLE = auto()
     # Connected, but without an answer.
     NO_ANSWER = auto()
+    # Connected, and the connection broke.
+    BROKEN = auto()
     # Answered without a start.
     NO_REPORT = auto()
 
@@ -197,12 +199,12 @@
             self.upstreams.starts.hold(upstream)
             return
         may_be_slow = now_s - began_s < START_REPORT_PATIENCE_S
-        if found is Failure.NO_ANSWER and may_be_slow:
+        if found in (Failure.NO_ANSWER, Failure.BROKEN) and may_be_slow:
             # An upstream that has just started is slow.
             self.upstreams.starts.hold(upstream)
             return
         self.upstreams.starts.release(upstream)
-        if found in (Failure.NO_ANSWER, Failure.NO_REPORT):
+        if found in (Failure.NO_ANSWER, Failure.BROKEN, Failure.NO_REPORT):
             self.upstreams.record_missing_report(upstream, now_s)
             return
         found_ms = None if found is Failure.REFUSED else found
@@ -221,7 +223,7 @@
         self, listed: ListedUpstream, found: int | Failure, asked_s: float
     ) -> None:
         """Record whether an upstream was reached; a slow report shows neither."""
-        if found in (Failure.REFUSED, Failure.UNREACHABLE):
+        if found in (Failure.REFUSED, Failure.UNREACHABLE, Failure.BROKEN):
             self.unreached.record_failure(listed, asked_s)
         elif found is not Failure.NO_ANSWER:
             self.unreached.record_answer(listed.upstream, asked_s)
@@ -254,7 +256,9 @@
                             return Failure.NO_REPORT
         except UpstreamUnreachable as error:
             return Failure.REFUSED if is_refused(error) else Failure.UNREACHABLE
-        except (ConnectionBroken, UpstreamTimedOut, TimeoutError):
+        except ConnectionBroken:
+            return Failure.BROKEN
+        except (UpstreamTimedOut, TimeoutError):
             return Failure.NO_ANSWER
         found_ms = self.report_format.read_start(incoming.status, bytes(body))
         return Failure.NO_REPORT if found_ms is None else found_ms
--- a/banyanseam/entry/unreached/records.py
+++ b/banyanseam/entry/unreached/records.py
@@ -46,11 +46,12 @@
         self._service_answered_s: dict[str, float] = {}
         self._answered_s: dict[StartKey, float] = {}
         self._answers: dict[str, anyio.Event] = {}
-        # Called with an upstream to which a connection has failed.
+        # Called with an upstream to which a connection has failed, or broken.
         self.on_failure: Callable[[ListedUpstream], None] = lambda _: None
+        self.on_break: Callable[[ListedUpstream], None] = lambda _: None
 
     def record_failure(self, listed: ListedUpstream, began_s: float) -> None:
-        """Record that a connection which began at a time failed before an answer."""
+        """Record that a connection which began at a time failed, or a check did."""
         upstream = listed.upstream
         key = make_start_key(upstream)
         if began_s <= self._answered_s.get(key, -1e9):
@@ -63,6 +64,15 @@
         self.refresh(anyio.current_time())
         self.on_failure(listed)
 
+    def record_break(self, listed: ListedUpstream, began_s: float) -> None:
+        """Record that a connection was made and broke.
+
+        An upstream in trouble does that too, so a check decides. Ignored if the
+        connection had brought an answer.
+        """
+        if began_s > self._answered_s.get(make_start_key(listed.upstream), -1e9):
+            self.on_break(listed)
+
     def record_answer(self, upstream: Upstream, began_s: float) -> None:
         """Record that a connection which began at a time brought an answer."""
         key, service = make_start_key(upstream), upstream.service
--- a/banyanseam/entry/unreached/service_checks.py
+++ b/banyanseam/entry/unreached/service_checks.py
@@ -39,7 +39,7 @@
     _running: set[tuple[str, int]] = field(default_factory=set)
 
     def start(self, listed: ListedUpstream) -> None:
-        """Check an upstream again and again until it answers or is not listed."""
+        """Check an upstream at once, and again until it is reached or not listed."""
         key = make_start_key(listed.upstream)
         service = self._find_service(listed.upstream)
         if self.tasks is None or key in self._running or service is None:
@@ -58,14 +58,13 @@
     async def _follow(self, listed: ListedUpstream, service: Service) -> None:
         upstream = listed.upstream
         try:
+            await self._check(listed, service)
             while self.unreached.is_unreached(upstream) and (
                 self.upstreams.is_listed(listed)
             ):
+                pause_s = self._choose_pause_s(service.name)
+                await self.unreached.wait_for_answer(service.name, pause_s)
                 await self._check(listed, service)
-                if self.unreached.is_unreached(upstream):
-                    await self.unreached.wait_for_answer(
-                        service.name, self._choose_pause_s(service.name)
-                    )
         finally:
             self._running.discard(make_start_key(upstream))
 
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -14,7 +14,11 @@
 import httpcore
 
 from standins.platform_store import PlatformStore
-from standins.platform_upstream import USUAL_SOFTWARE, PlatformUpstream
+from standins.platform_upstream import (
+    HEALTH_TARGET,
+    USUAL_SOFTWARE,
+    PlatformUpstream,
+)
 from standins.ports import PORTS_PER_LANE, find_free_ports
 from standins.processes import Child, Children
 from standins.serving import serve
@@ -251,7 +255,7 @@
         ],
         "services": [
             {"name": "pool", "max_connections": 370, "engine": engine},
-            {"name": "desk", "max_connections": 110},
+            {"name": "desk", "max_connections": 110, "health_path": HEALTH_TARGET},
         ],
         "limits": {},
         "tenants": [
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -16,6 +16,7 @@
 # Silence of a stalled stream: longer than an answer may take to be in time.
 STALL_S: Final = 1.6
 REPORT_TARGET: Final = "/v1/report"
+HEALTH_TARGET: Final = "/healthz"
 # The software whose events don't name it.
 USUAL_SOFTWARE: Final = "v1"
 _OK: Final = b"HTTP/1.1 200 OK\r\nupstream-signature: d1.s\r\n"
@@ -98,6 +99,9 @@
         if request.target == REPORT_TARGET:
             await _write_report(writer, self.started_ms)
             return
+        if request.target == HEALTH_TARGET:
+            await _write_health(writer, self.upstream_id)
+            return
         fault = self.faults.pop(0) if self.faults else ""
         expected = request.headers.get("expect-instance")
         own_id = f"request-id: {request.headers['request-id']}\r\n"
@@ -201,6 +205,12 @@
     await writer.drain()
 
 
+async def _write_health(writer: asyncio.StreamWriter, upstream_id: str) -> None:
+    head = f"HTTP/1.1 200 OK\r\nserved-by: {upstream_id}\r\ncontent-length: 0\r\n\r\n"
+    writer.write(head.encode())
+    await writer.drain()
+
+
 async def _write_refusal(
     writer: asyncio.StreamWriter, status: str, headers: str
 ) -> None:
