Begin an answer once if a comment comes while another upstream is asked

Cause: the exchange of the upstream that is asked to go on copies whether the answer has begun. If the silent one then began it by a comment, which was no event, the other one stayed in the race and began it again, at a version of its own choice. Callers saw: the answer broke off (RuntimeError, logged as an internal failure), and the origin recorded for take-ups was that of the first upstream. Change: a comment that begins the answer lets the other upstream go, as an event does.

--- a/banyanseam/entry/answers.py
+++ b/banyanseam/entry/answers.py
@@ -103,6 +103,8 @@
             if not event.is_comment:
                 progress.record_event(anyio.current_time())
                 exchange.record_event()
+            elif not exchange.reply.is_started:
+                progress.record_begin()
             await _relay_event(exchange, answer, event)
     if splitter.has_partial_event:
         raise AnswerTruncated("the stream ends within an event")
--- a/banyanseam/entry/moving.py
+++ b/banyanseam/entry/moving.py
@@ -35,7 +35,7 @@
         self.last_s = now_s
         # Called with the time of the first event.
         self.on_first: Callable[[float], None] = lambda _: None
-        # Called with each event.
+        # Called with each event, and when a comment begins the answer.
         self.on_event: Callable[[], None] = lambda: None
         # Whether a chunk is being relayed; a slow caller may keep it waiting.
         self.is_relaying = False
@@ -51,6 +51,10 @@
             self._has_event = True
             self.on_first(now_s)
 
+    def record_begin(self) -> None:
+        """Record that a comment begins the answer, which no other upstream may now."""
+        self.on_event()
+
     def stop(self) -> None:
         """Make the pending or the next read raise SlowerThanOthers."""
         self._is_stopped = True
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -43,6 +43,7 @@
 REGIONS = {"gulf-a": "gulf", "piedmont-a": "piedmont"}
 EVENTS = 5
 EVENT_PAUSE_S = 0.02
+COMMENT = b": working\n\n"
 STALL_S = 2.5
 # Of a datagram.
 LATENCY_S = 0.005
@@ -612,11 +613,13 @@
             break
         parts.append(EVENT_PAUSE_S)
         if fault == "comment":
-            return [*parts, b": working\n\n", EVENT_PAUSE_S, None]
+            return [*parts, COMMENT, EVENT_PAUSE_S, None]
         if number == first and fault == "stall inside":
             event = make_event(number, request_id, software)
             parts += [event[:5], STALL_S, event[5:]]
             continue
+        if number == first and fault == "comment inside":
+            parts += [COMMENT[:5], STALL_S, COMMENT[5:], STALL_S]
         if number == first + 1:
             if fault == "cut":
                 return [*parts, make_event(number, request_id, software)[:5], None]
--- a/tests/entry/test_silent_streams.py
+++ b/tests/entry/test_silent_streams.py
@@ -23,7 +23,9 @@
 from tests.common import run_with_mock_clock
 from tests.entry.common import make_candidate, make_exchange, make_members
 from tests.entry.simulation import (
+    COMMENT,
     EVENT_PAUSE_S,
+    EVENTS,
     Caller,
     Simulation,
     make_stream,
@@ -178,6 +180,30 @@
                         expected_s = min(goes_on_s, run.at_s + lasts_s)
                         self.assertAlmostEqual(ended_s, expected_s)
 
+    def test_an_answer_that_begins_beside_another_upstream_begins_once(self):
+        """A comment begins it, at the version of the upstream that sent it."""
+        for silence_ms in range(860, 1260, 20):
+            for prepare in (lambda _: None, mix):
+                with (
+                    self.subTest(silence_ms=silence_ms, prepare=prepare),
+                    mock.patch("tests.entry.simulation.SLOW_S", 0.1),
+                ):
+                    simulation, caller = self.ask(
+                        silence_ms / 1000,
+                        ["slow"],
+                        [],
+                        prepare,
+                        silence="comment inside",
+                    )
+                    events = caller.body.replace(COMMENT, b"")
+                    self.assertEqual(events.count(b"\n\n"), EVENTS)
+                    self.assertTrue(caller.is_whole)
+                    first = simulation.runs[caller.request_id][0]
+                    authors = set(list_authors(caller))
+                    self.assertEqual(len(authors), 1)
+                    if COMMENT in caller.body:
+                        self.assertEqual(authors, {first.software})
+
     def test_a_stream_that_moved_before_its_first_event_is_taken_up(self):
         async def run() -> list[Caller]:
             async with start_simulation() as simulation:
