Give a request without a first byte up only if it would be sent again

Cause: a request that may run again got 45% of its time for a first byte, whatever came after. With no retry left in the budget, or no upstream that would take it, its upstream was given up for nothing: as with streams, something that works for something that might. Callers saw: 504 after 1.3 of 3 s, though the upstream would have answered after 2 s. Change: MovePolicy gives it up, still from 45% on, once the retry budget has a retry and Chooser.may_be_placed finds an upstream that would take the request; else it waits until the deadline, as the last attempt does. The timeout in outgoing.py is the deadline. The simulation keeps to the time for a first byte with 'slow', too.

Evidence: 3 of 4 cases of FirstByteTests failed on the code before (504); all pass now, as do the 100 tests of test_silent_streams, test_moving, test_relay, test_forwarding, test_sending, test_simulation, test_stream_versions, test_recording, test_crashing_request, test_crash_trials, test_endless_answers, test_unwilling_upstreams and test_restarted_upstream. No test of real processes ran.

--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -135,6 +135,14 @@
             with count_waiting_prompt(listed, queued_ms):
                 await anyio.sleep(QUEUE_PERIOD_S * random.uniform(0.7, 1.3))
 
+    def may_be_placed(self, exchange: Exchange) -> bool:
+        """Return whether an upstream would take the request now."""
+        now_s = anyio.current_time()
+        placement = self._choose(exchange, self.list_candidates(exchange, now_s))
+        return placement is not None and self._is_admitted(
+            exchange, placement, exchange.left_ms(now_s)
+        )
+
     def choose_wait_share(self, exchange: Exchange, now_s: float) -> float:
         """Return how long a request waits for a place, as a share of its time left.
 
--- a/banyanseam/entry/moving.py
+++ b/banyanseam/entry/moving.py
@@ -10,6 +10,7 @@
 import anyio
 
 from banyanseam.entry.const import (
+    FIRST_BYTE_WAIT_SHARE,
     MAX_TOGETHER_S,
     MOVE_PERIOD_S,
     MOVE_TARGET_SHARE,
@@ -22,6 +23,8 @@
 from banyanseam.entry.placing import Candidate, Placement, PlacementRequest, choose
 from banyanseam.entry.retry_budget import RetryBudget
 from banyanseam.entry.upstreams import UpstreamLoads
+from banyanseam.errors import BanyanseamError
+from banyanseam.upstreams.errors import UpstreamTimedOut
 
 
 class Progress:
@@ -99,34 +102,58 @@
     loads: UpstreamLoads
     retries: RetryBudget
     list_candidates: Callable[[Exchange, float], list[Candidate]]
+    # Returns whether an upstream would take the request now.
+    may_be_placed: Callable[[Exchange], bool] = lambda _: True
 
     def make_wait_for_better(
         self, exchange: Exchange, placement: Placement
-    ) -> Callable[[], Awaitable[None]] | None:
-        """Return a function that waits until another upstream would be much faster.
+    ) -> Callable[[], Awaitable[BanyanseamError]] | None:
+        """Return a function that waits until the request should be given up.
 
-        Return None if the request may not be sent again. This handles an engine that
-        turns out to prefill an unexpectedly long prompt, with short requests behind it.
+        It returns why: another upstream would be much faster, or this one takes long
+        and the request would be sent again. Return None if it may not be.
+        This handles an engine that turns out to prefill an unexpectedly long prompt,
+        with short requests behind it, and one that hangs.
         """
         if not exchange.may_resend or exchange.sends + 1 >= exchange.max_attempts:
             return None
         max_wait_ms = MOVE_TARGET_SHARE * exchange.route.target_ms
-
-        async def wait() -> None:
-            await anyio.sleep(max(max_wait_ms, 1.5 * placement.wait_ms) / 1000)
+        upstream_id = placement.candidate.upstream_id
+
+        async def wait() -> BanyanseamError:
+            wait_s = max(max_wait_ms, 1.5 * placement.wait_ms) / 1000
+            better_s = anyio.current_time() + wait_s
+            long_s = FIRST_BYTE_WAIT_SHARE * exchange.deadline_left_ms() / 1000
+            late_s = anyio.current_time() + long_s
+            await anyio.sleep_until(min(better_s, late_s))
             while True:
-                best = self._find_best_alternative(exchange, placement)
-                if (
-                    best is not None
-                    and best.wait_ms < max_wait_ms
-                    and self._charge_retry(exchange)
-                ):
-                    return
+                now_s = anyio.current_time()
+                if now_s >= late_s and self._may_send_again(exchange):
+                    return UpstreamTimedOut(f"{upstream_id}: no answer in time")
+                if now_s >= better_s and self._is_slower(exchange, placement):
+                    return SlowerThanOthers(upstream_id)
                 # Each heartbeat updates the loads, so compare them again.
                 await anyio.sleep(MOVE_PERIOD_S)
 
         return wait
 
+    def _is_slower(self, exchange: Exchange, placement: Placement) -> bool:
+        """Charge a retry and return True if another upstream would be much faster."""
+        best = self._find_best_alternative(exchange, placement)
+        max_wait_ms = MOVE_TARGET_SHARE * exchange.route.target_ms
+        return (
+            best is not None
+            and best.wait_ms < max_wait_ms
+            and self._charge_retry(exchange)
+        )
+
+    def _may_send_again(self, exchange: Exchange) -> bool:
+        """Return whether there is a retry, which is charged later, and a place."""
+        now_s = anyio.current_time()
+        vms = self.members.count_recent(now_s)
+        has_retry = self.retries.has_retry(exchange.service, vms, now_s)
+        return has_retry and self.may_be_placed(exchange)
+
     async def stop_stalled_stream(
         self,
         exchange: Exchange,
--- a/banyanseam/entry/outgoing.py
+++ b/banyanseam/entry/outgoing.py
@@ -1,6 +1,6 @@
 """Builds requests to upstreams and peers, with their metadata and timeouts."""
 
-from banyanseam.entry.const import CONNECT_TIMEOUT_S, FIRST_BYTE_WAIT_SHARE
+from banyanseam.entry.const import CONNECT_TIMEOUT_S
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.models import Headers, SendMetadata
 from banyanseam.entry.sending import OutgoingRequest
@@ -12,13 +12,11 @@
     headers: Headers,
     now_s: float,
     *,
-    attempts: int = 1,
     max_idle_s: float = 0.0,
 ) -> OutgoingRequest:
     """Return a request to an upstream or a peer.
 
-    `attempts`: how many of the request's attempts the receiver may use. `max_idle_s`:
-    how long a connection may have been idle that it reuses.
+    `max_idle_s`: how long a connection may have been idle that it reuses.
     """
     return OutgoingRequest(
         address=address,
@@ -27,7 +25,7 @@
         headers=headers,
         body=exchange.body,
         connect_timeout_s=CONNECT_TIMEOUT_S,
-        first_byte_timeout_s=_choose_first_byte_timeout_s(exchange, now_s, attempts),
+        first_byte_timeout_s=exchange.left_ms(now_s) / 1000,
         max_idle_s=max_idle_s,
     )
 
@@ -54,13 +52,3 @@
         urgency=exchange.urgency,
         last_event_id=last_event_id,
     )
-
-
-def _choose_first_byte_timeout_s(
-    exchange: Exchange, now_s: float, attempts: int
-) -> float:
-    left_s = exchange.left_ms(now_s) / 1000
-    is_last = exchange.sends + attempts >= exchange.max_attempts
-    if is_last or not exchange.may_resend:
-        return left_s
-    return left_s * FIRST_BYTE_WAIT_SHARE
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -148,8 +148,13 @@
     @property
     def moves(self) -> MovePolicy:
         """Return the rules for moving a request to another upstream after a send."""
+        chooser = self.chooser
         return MovePolicy(
-            self.members, self.loads, self.retries, self.chooser.list_candidates
+            self.members,
+            self.loads,
+            self.retries,
+            chooser.list_candidates,
+            chooser.may_be_placed,
         )
 
     async def serve(self, exchange: Exchange) -> None:
@@ -332,7 +337,6 @@
             f"{peer.ip}:{self.peers_port}",
             headers + write_forwarding(exchange, self.members.me.ip),
             now_s,
-            attempts=granted,
             max_idle_s=max_idle_s,
         )
         self.loads.forwarded[region] = self.loads.forwarded.get(region, 0) + 1
--- a/banyanseam/entry/sending.py
+++ b/banyanseam/entry/sending.py
@@ -16,7 +16,7 @@
 
 from banyanseam.config.addresses import split_address
 from banyanseam.entry.const import MAX_HEAD_BYTES
-from banyanseam.entry.errors import ConnectionBroken, SlowerThanOthers
+from banyanseam.entry.errors import ConnectionBroken
 from banyanseam.entry.models import Headers
 from banyanseam.entry.peer_connections import PeerConnections, limit_unacknowledged
 from banyanseam.errors import BanyanseamError
@@ -74,7 +74,7 @@
 async def send(
     outgoing: OutgoingRequest,
     before_write: Callable[[], None],
-    wait_for_better: Callable[[], Awaitable[None]] | None = None,
+    wait_for_better: Callable[[], Awaitable[BanyanseamError]] | None = None,
     connections: PeerConnections | None = None,
 ) -> AsyncIterator[IncomingAnswer]:
     """Send a request and yield its answer while the context is open.
@@ -82,15 +82,15 @@
     `before_write` is called just before the first byte is written. Raise
     UpstreamUnreachable before that, later ConnectionBroken or UpstreamTimedOut; reading
     the body may raise them too. When `wait_for_better` returns before the answer has
-    begun, the request is abandoned and SlowerThanOthers raised. One of `connections` is
-    reused, and kept once its answer has been read to the end.
+    begun, the request is abandoned and what it returned is raised. One of
+    `connections` is reused, and kept once its answer has been read to the end.
     """
     connection, connect_ms = await _take_or_connect(outgoing, connections)
     connection.stream.before_write = before_write
     try:
         pending = _request_answer(connection, outgoing, is_kept=connections is not None)
         if wait_for_better is not None:
-            pending = _race(pending, wait_for_better, outgoing.address)
+            pending = race(pending, wait_for_better)
         yield replace(await pending, connect_ms=connect_ms)
     finally:
         if connections is None:
@@ -129,24 +129,25 @@
     return connection, (anyio.current_time() - began_s) * 1000
 
 
-async def _race(
+async def race(
     pending: Awaitable[IncomingAnswer],
-    wait_for_better: Callable[[], Awaitable[None]],
-    address: str,
+    wait_for_better: Callable[[], Awaitable[BanyanseamError]],
 ) -> IncomingAnswer:
+    """Await an answer; raise what `wait_for_better` returns if that is sooner."""
     received: list[IncomingAnswer] = []
+    reasons: list[BanyanseamError] = []
     with anyio.CancelScope() as scope:
 
         async def receive_answer() -> None:
             received.append(await pending)
 
         async def abandon() -> None:
-            await wait_for_better()
+            reasons.append(await wait_for_better())
             scope.cancel()
 
         await run_with_watch(receive_answer(), abandon)
     if not received:
-        raise SlowerThanOthers(address)
+        raise reasons[0]
     return received[0]
 
 
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -20,7 +20,7 @@
 from anyio.abc import TaskGroup
 
 from banyanseam.entry.app import Entry
-from banyanseam.entry.errors import ConnectionBroken, SlowerThanOthers
+from banyanseam.entry.errors import ConnectionBroken
 from banyanseam.entry.frontend import make_callers_app, make_peers_app
 from banyanseam.entry.main import make_entry
 from banyanseam.entry.messages import (
@@ -31,7 +31,7 @@
 )
 from banyanseam.entry.models import Upstream
 from banyanseam.entry.peer_connections import PeerConnections
-from banyanseam.entry.sending import IncomingAnswer, OutgoingRequest
+from banyanseam.entry.sending import IncomingAnswer, OutgoingRequest, race
 from banyanseam.observe.events import INTERNAL_FAILURE, Event
 from banyanseam.platform.wire import REPORT_PATH
 from banyanseam.server.callers import AnswerAborted
@@ -402,26 +402,27 @@
                 yield incoming
             return
         try:
-            incoming = await self._run(listening[0], headers, fault)
-            if incoming is None and fault == "no answer":
-                raise ConnectionBroken(outgoing.address)
-            if incoming is None:
-                with anyio.move_on_after(outgoing.first_byte_timeout_s):
-                    await (wait_for_better or anyio.sleep_forever)()
-                    raise SlowerThanOthers(outgoing.address)
-                raise UpstreamTimedOut(outgoing.address)
+            pending = self._answer(listening[0], headers, fault)
+            if wait_for_better is not None:
+                pending = race(pending, wait_for_better)
+            try:
+                with anyio.fail_after(outgoing.first_byte_timeout_s):
+                    incoming = await pending
+            except TimeoutError:
+                raise UpstreamTimedOut(outgoing.address) from None
             (name,) = at_address
-            yield replace(incoming, body=self._break_at_crash(name, incoming.body))
+            started_ms = listening[0].started_ms
+            body = self._break_at_crash(name, started_ms, incoming.body)
+            yield replace(incoming, body=body)
         finally:
             for run in self.runs.get(request_id, []):
                 if run.headers is headers:
                     run.ended_s = anyio.current_time()
 
     async def _break_at_crash(
-        self, name: str, body: AsyncIterator[bytes]
+        self, name: str, started_ms: int, body: AsyncIterator[bytes]
     ) -> AsyncIterator[bytes]:
         """Yield an upstream's answer as long as it does not start again."""
-        started_ms = self.upstreams[name].started_ms
         async for part in body:
             # One that is no longer registered finishes its answers.
             latest = self.upstreams.get(name)
@@ -430,6 +431,17 @@
                 raise ConnectionBroken(name)
             yield part
 
+    async def _answer(
+        self, upstream: Upstream, headers: dict[str, str], fault: str
+    ) -> IncomingAnswer:
+        """Run a request, and return its answer once that begins."""
+        incoming = await self._run(upstream, headers, fault)
+        if incoming is None and fault == "no answer":
+            raise ConnectionBroken(upstream.address)
+        if incoming is None:
+            await anyio.sleep_forever()
+        return incoming
+
     async def _run(
         self, upstream: Upstream, headers: dict[str, str], fault: str
     ) -> IncomingAnswer | None:
--- a/tests/entry/test_silent_streams.py
+++ b/tests/entry/test_silent_streams.py
@@ -278,6 +278,45 @@
                     self.assertEqual(len(simulation.runs[caller.request_id]), 1)
 
 
+class FirstByteTests(unittest.TestCase):
+    """A request whose upstream takes 2 of its 3 s to begin."""
+
+    def ask(
+        self,
+        path: str,
+        faults: list[str],
+        change: Callable[[Simulation], None] = lambda _: None,
+    ) -> Caller:
+        async def run() -> Simulation:
+            async with start_simulation() as simulation:
+                simulation.ask(GULF, path, faults, [])
+                await anyio.sleep(0.3)
+                change(simulation)
+            return simulation
+
+        simulation = run_with_mock_clock(run)
+        self.assertEqual(simulation.internal_failures, [])
+        return simulation.callers[0]
+
+    def test_a_request_that_may_not_be_sent_again_is_not_given_up(self):
+        for path in ("/query/x", "/read/x"):
+            with (
+                self.subTest(path),
+                mock.patch.object(RetryBudget, "try_spend", return_value=False),
+                mock.patch.object(RetryBudget, "has_retry", return_value=False),
+            ):
+                self.assertEqual(self.ask(path, ["slow"]).status, 200)
+
+    def test_a_request_is_not_given_up_if_no_upstream_would_take_it(self):
+        caller = self.ask("/query/x", ["slow"], keep)
+        self.assertEqual(caller.status, 200)
+
+    def test_a_request_goes_on_at_another_upstream(self):
+        caller = self.ask("/query/x", ["silent"])
+        self.assertEqual(caller.status, 200)
+        self.assertLess(caller.took_s, 1.6)
+
+
 def refuse_later(
     owner: type, name: str, error: BanyanseamError, simulation: Simulation
 ) -> None:
