Keep an idle connection for the time that is in force

Cause: the callers' port keeps idle connections for twice the published idle limit, but uvicorn reads that once, when a connection is opened. Callers reuse connections that have been idle for four fifths of the limit in force. After a configuration that raises it to more than 2.5 times, the older connections are closed too soon. Callers saw: a request that crosses such a close gets neither an answer nor a refusal. Change: the timer of an idle connection looks at the limit once more when it ends, and goes on for the rest of a longer one. A lower limit holds for new connections.

--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -69,6 +69,7 @@
         self._header_timer: asyncio.TimerHandle | None = None
         self._connection = Connection()
         self._body_timer: asyncio.TimerHandle | None = None
+        self._idle_since_s = 0.0
 
     def connection_made(self, transport: Any) -> None:
         """Start the timer for the first request's header."""
@@ -155,6 +156,7 @@
 
     def on_response_complete(self) -> None:
         """Limit the time for the rest of a request body that is no longer read."""
+        self._idle_since_s = self.loop.time()
         super().on_response_complete()
         self._table.mark_idle(self._port, self)
         # Every byte resets uvicorn's own timeout, so a slow trickle could keep the
@@ -163,6 +165,21 @@
             self._body_timer = self.loop.call_later(UNREAD_BODY_S, self.transport.close)
         self._continue_soon()
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection, unless it may be idle for longer by now.
+
+        uvicorn's limit is that of the time when the connection was opened, and callers
+        use the one in force.
+        """
+        idle_s = self.loop.time() - self._idle_since_s
+        left_s = self.config.timeout_keep_alive - idle_s
+        if left_s <= 0:
+            super().timeout_keep_alive_handler()
+            return
+        self.timeout_keep_alive_task = self.loop.call_later(
+            left_s, self.timeout_keep_alive_handler
+        )
+
     def send_400_response(self, msg: str) -> None:
         """Reject data that is not HTTP; overrides uvicorn's plain 400 response."""
         self._refuse(RequestMalformed("not an HTTP request"))
--- a/tests/server/test_protocol.py
+++ b/tests/server/test_protocol.py
@@ -25,13 +25,19 @@
 
 @asynccontextmanager
 async def running(app):
+    async with running_server(app) as (_, port):
+        yield port
+
+
+@asynccontextmanager
+async def running_server(app):
     async with await anyio.create_tcp_listener(local_host="127.0.0.1") as free:
         port = free.extra(anyio.abc.SocketAttribute.local_port)
     server = make_server(app, f"127.0.0.1:{port}", make_connection_table())
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.serve)
         await server.listening.wait()
-        yield port
+        yield server, port
         server.should_exit = True
 
 
@@ -78,6 +84,28 @@
 
         self.run_async(scenario)
 
+    def test_a_connection_is_kept_for_the_idle_time_that_is_in_force(self):
+        """Callers reuse connections for longer once a longer idle time is published."""
+
+        async def scenario():
+            async with running_server(answer) as (server, port):
+                server.config.timeout_keep_alive = 0.2
+                async with await anyio.connect_tcp("127.0.0.1", port) as connection:
+                    await connection.send(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+                    await connection.receive()
+                    server.config.timeout_keep_alive = 0.6
+                    await anyio.sleep(0.4)
+                    await connection.send(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+                    self.assertIn(b"200 OK", await connection.receive())
+                    began_s = anyio.current_time()
+                    with self.assertRaises(anyio.EndOfStream):
+                        while True:
+                            await connection.receive()
+                    idle_s = anyio.current_time() - began_s
+                    self.assertAlmostEqual(idle_s, 0.6, delta=0.15)
+
+        self.run_async(scenario)
+
     def test_a_refusal_is_never_written_into_an_answer(self):
         get = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
         large = b"GET / HTTP/1.1\r\nx: " + b"a" * 40_000 + b"\r\n\r\n"
