--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Final
 
 import anyio
@@ -148,8 +149,13 @@
     @property
     def moves(self) -> MovePolicy:
         """Return the rules for moving a request to another upstream after a send."""
+        chooser = self.chooser
         return MovePolicy(
-            self.members, self.loads, self.retries, self.chooser.list_candidates
+            self.members,
+            self.loads,
+            self.retries,
+            chooser.list_candidates,
+            chooser.may_be_placed,
         )
 
     async def serve(self, exchange: Exchange) -> None:
@@ -200,7 +206,13 @@
         if not exchange.route.is_resumable or exchange.forwarding is not None:
             await attempt()
             return
-        await run_movable(exchange, attempt, self._go_on, self._record_failure)
+        await run_movable(
+            exchange,
+            attempt,
+            self._go_on,
+            self._record_failure,
+            partial(self.moves.choose_together_s, placement),
+        )
 
     async def _go_on(self, exchange: Exchange, placement: Placement) -> None:
         """Attempt to go on with a stream while its upstream is silent."""
@@ -327,7 +339,6 @@
             f"{peer.ip}:{self.peers_port}",
             headers + write_forwarding(exchange, self.members.me.ip),
             now_s,
-            attempts=granted,
             max_idle_s=max_idle_s,
         )
         self.loads.forwarded[region] = self.loads.forwarded.get(region, 0) + 1
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -20,7 +20,7 @@
 from anyio.abc import TaskGroup
 
 from banyanseam.entry.app import Entry
-from banyanseam.entry.errors import ConnectionBroken, SlowerThanOthers
+from banyanseam.entry.errors import ConnectionBroken
 from banyanseam.entry.frontend import make_callers_app, make_peers_app
 from banyanseam.entry.main import make_entry
 from banyanseam.entry.messages import (
@@ -31,7 +31,7 @@
 )
 from banyanseam.entry.models import Upstream
 from banyanseam.entry.peer_connections import PeerConnections
-from banyanseam.entry.sending import IncomingAnswer, OutgoingRequest
+from banyanseam.entry.sending import IncomingAnswer, OutgoingRequest, race
 from banyanseam.observe.events import INTERNAL_FAILURE, Event
 from banyanseam.platform.wire import REPORT_PATH
 from banyanseam.server.callers import AnswerAborted
@@ -43,7 +43,10 @@
 REGIONS = {"gulf-a": "gulf", "piedmont-a": "piedmont"}
 EVENTS = 5
 EVENT_PAUSE_S = 0.02
+COMMENT = b": working\n\n"
 STALL_S = 2.5
+# How long the end of a connection takes to reach a peer.
+CLOSE_S = 0.0
 # Of a datagram.
 LATENCY_S = 0.005
 # Longer than a VM waits for a first byte if it could send the request again.
@@ -423,17 +426,18 @@
                 yield incoming
             return
         try:
-            async with self._enter_room(*at_address, headers) as refusal:
-                incoming = refusal or await self._run(listening[0], headers, fault)
-            if incoming is None and fault == "no answer":
-                raise ConnectionBroken(outgoing.address)
-            if incoming is None:
-                with anyio.move_on_after(outgoing.first_byte_timeout_s):
-                    await (wait_for_better or anyio.sleep_forever)()
-                    raise SlowerThanOthers(outgoing.address)
-                raise UpstreamTimedOut(outgoing.address)
             (name,) = at_address
-            yield replace(incoming, body=self._break_at_crash(name, incoming.body))
+            pending = self._answer(name, listening[0], headers, fault)
+            if wait_for_better is not None:
+                pending = race(pending, wait_for_better)
+            try:
+                with anyio.fail_after(outgoing.first_byte_timeout_s):
+                    incoming = await pending
+            except TimeoutError:
+                raise UpstreamTimedOut(outgoing.address) from None
+            started_ms = listening[0].started_ms
+            body = self._break_at_crash(name, started_ms, incoming.body)
+            yield replace(incoming, body=body)
         finally:
             for run in self.runs.get(request_id, []):
                 if run.headers is headers:
@@ -481,10 +485,9 @@
         self.checks.start_soon(come_back)
 
     async def _break_at_crash(
-        self, name: str, body: AsyncIterator[bytes]
+        self, name: str, started_ms: int, body: AsyncIterator[bytes]
     ) -> AsyncIterator[bytes]:
         """Yield an upstream's answer as long as it does not start again."""
-        started_ms = self.upstreams[name].started_ms
         async for part in body:
             # One that is no longer registered finishes its answers.
             latest = self.upstreams.get(name)
@@ -493,6 +496,18 @@
                 raise ConnectionBroken(name)
             yield part
 
+    async def _answer(
+        self, name: str, upstream: Upstream, headers: dict[str, str], fault: str
+    ) -> IncomingAnswer:
+        """Run a request, and return its answer once that begins."""
+        async with self._enter_room(name, headers) as refusal:
+            incoming = refusal or await self._run(upstream, headers, fault)
+        if incoming is None and fault == "no answer":
+            raise ConnectionBroken(upstream.address)
+        if incoming is None:
+            await anyio.sleep_forever()
+        return incoming
+
     async def _run(
         self, upstream: Upstream, headers: dict[str, str], fault: str
     ) -> IncomingAnswer | None:
@@ -609,8 +624,11 @@
         except anyio.EndOfStream:
             raise ConnectionBroken(client_ip) from None
         finally:
-            connection.mark_lost()
             received.close()
+            if CLOSE_S and ip:
+                self.tasks.start_soon(_lose_later, connection)
+            else:
+                connection.mark_lost()
 
     async def _deliver(
         self, sender_ip: str, ips: Iterable[str], gossip: Gossip
@@ -659,6 +677,11 @@
     return [(b"server-brittle", str(room.brittle_per_s).encode())]
 
 
+async def _lose_later(connection: Connection) -> None:
+    await anyio.sleep(CLOSE_S)
+    connection.mark_lost()
+
+
 def make_body(request_id: str) -> bytes:
     """Return a desk's answer."""
     return b"answer to " + request_id.encode()
@@ -685,11 +708,13 @@
             break
         parts.append(EVENT_PAUSE_S)
         if fault == "comment":
-            return [*parts, b": working\n\n", EVENT_PAUSE_S, None]
+            return [*parts, COMMENT, EVENT_PAUSE_S, None]
         if number == first and fault == "stall inside":
             event = make_event(number, request_id, software)
             parts += [event[:5], STALL_S, event[5:]]
             continue
+        if number == first and fault == "comment inside":
+            parts += [COMMENT[:5], STALL_S, COMMENT[5:], STALL_S]
         if number == first + 1:
             if fault == "cut":
                 return [*parts, make_event(number, request_id, software)[:5], None]
--- a/tests/entry/test_silent_streams.py
+++ b/tests/entry/test_silent_streams.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from banyanseam.entry.const import MAX_TOGETHER_S
+from banyanseam.entry.const import MAX_TOGETHER_S, ROUND_TRIP_MS
 from banyanseam.entry.crash_suspects import CrashSuspects
 from banyanseam.entry.errors import (
     CrashSuspected,
@@ -23,7 +23,9 @@
 from tests.common import run_with_mock_clock
 from tests.entry.common import make_candidate, make_exchange, make_members
 from tests.entry.simulation import (
+    COMMENT,
     EVENT_PAUSE_S,
+    EVENTS,
     Caller,
     Simulation,
     make_stream,
@@ -178,6 +180,57 @@
                         expected_s = min(goes_on_s, run.at_s + lasts_s)
                         self.assertAlmostEqual(ended_s, expected_s)
 
+    def test_an_answer_that_begins_beside_another_upstream_begins_once(self):
+        """A comment begins it, at the version of the upstream that sent it."""
+        for silence_ms in range(860, 1260, 20):
+            for prepare in (lambda _: None, mix):
+                with (
+                    self.subTest(silence_ms=silence_ms, prepare=prepare),
+                    mock.patch("tests.entry.simulation.SLOW_S", 0.1),
+                ):
+                    simulation, caller = self.ask(
+                        silence_ms / 1000,
+                        ["slow"],
+                        [],
+                        prepare,
+                        silence="comment inside",
+                    )
+                    events = caller.body.replace(COMMENT, b"")
+                    self.assertEqual(events.count(b"\n\n"), EVENTS)
+                    self.assertTrue(caller.is_whole)
+                    first = simulation.runs[caller.request_id][0]
+                    authors = set(list_authors(caller))
+                    self.assertEqual(len(authors), 1)
+                    if COMMENT in caller.body:
+                        self.assertEqual(authors, {first.software})
+
+    def test_a_stream_of_another_region_moves_soon_enough_to_end_there_in_time(self):
+        def return_later(simulation: Simulation) -> None:
+            upstreams = dict(simulation.upstreams)
+            keep(simulation, "pool-piedmont")
+
+            async def run() -> None:
+                await anyio.sleep(0.3)
+                simulation.upstreams["pool-gulf"] = upstreams["pool-gulf"]
+                simulation.revision += 1
+                simulation.gossip()
+
+            simulation.tasks.start_soon(run)
+
+        for pause_s in (0.2, 0.28, 0.32, 0.347):
+            with (
+                self.subTest(pause_s=pause_s),
+                mock.patch("tests.entry.simulation.EVENT_PAUSE_S", pause_s),
+                mock.patch("tests.entry.simulation.CLOSE_S", ROUND_TRIP_MS / 2000),
+            ):
+                simulation, caller = self.ask(1.0, [], [], return_later)
+                self.check_whole(caller)
+                runs = simulation.runs[caller.request_id]
+                regions = [run.region for run in runs]
+                self.assertEqual(regions, ["piedmont", "gulf"])
+                is_moved = runs[0].ended_s < runs[1].ended_s
+                self.assertEqual(is_moved, pause_s < 0.29)
+
     def test_a_stream_that_moved_before_its_first_event_is_taken_up(self):
         async def run() -> list[Caller]:
             async with start_simulation() as simulation:
@@ -225,6 +278,45 @@
                     self.assertEqual(len(simulation.runs[caller.request_id]), 1)
 
 
+class FirstByteTests(unittest.TestCase):
+    """A request whose upstream takes 2 of its 3 s to begin."""
+
+    def ask(
+        self,
+        path: str,
+        faults: list[str],
+        change: Callable[[Simulation], None] = lambda _: None,
+    ) -> Caller:
+        async def run() -> Simulation:
+            async with start_simulation() as simulation:
+                simulation.ask(GULF, path, faults, [])
+                await anyio.sleep(0.3)
+                change(simulation)
+            return simulation
+
+        simulation = run_with_mock_clock(run)
+        self.assertEqual(simulation.internal_failures, [])
+        return simulation.callers[0]
+
+    def test_a_request_that_may_not_be_sent_again_is_not_given_up(self):
+        for path in ("/query/x", "/read/x"):
+            with (
+                self.subTest(path),
+                mock.patch.object(RetryBudget, "try_spend", return_value=False),
+                mock.patch.object(RetryBudget, "has_retry", return_value=False),
+            ):
+                self.assertEqual(self.ask(path, ["slow"]).status, 200)
+
+    def test_a_request_is_not_given_up_if_no_upstream_would_take_it(self):
+        caller = self.ask("/query/x", ["slow"], keep)
+        self.assertEqual(caller.status, 200)
+
+    def test_a_request_goes_on_at_another_upstream(self):
+        caller = self.ask("/query/x", ["silent"])
+        self.assertEqual(caller.status, 200)
+        self.assertLess(caller.took_s, 1.6)
+
+
 def refuse_later(
     owner: type, name: str, error: BanyanseamError, simulation: Simulation
 ) -> None:
