Show that a region that is cut off guesses the version of a stream

Streams that another region began at a version that had just come went on at the old version at VMs of a region that had been cut off from the store and from the other region: for 3 s its lists count as current, and its VMs answer each other.

--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -141,6 +141,8 @@
     old_registrations: dict[str, Upstream] = field(default_factory=dict)
     # VMs that no other VM reaches.
     cut_off: set[str] = field(default_factory=set)
+    # VMs that don't reach the store; those that are cut off don't either.
+    without_store: set[str] = field(default_factory=set)
     revision: int = 1
     # Unexpected exceptions in the daemons.
     internal_failures: list[str] = field(default_factory=list)
@@ -232,7 +234,7 @@
         now_s = anyio.current_time()
         listing = {**self.upstreams, **self.old_registrations}
         for ip, entry in self.entries.items():
-            if ip not in self.cut_off:
+            if ip not in self.cut_off | self.without_store:
                 entry.values.adopt_upstreams(listing.values(), self.revision, now_s)
         for _ in range(2):
             for ip, entry in self.entries.items():
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -422,6 +422,24 @@
         self.check_refused(simulation, calls[1])
         self.check_goes_on(calls[0], calls[2])
 
+    def test_a_region_that_was_cut_off_while_a_version_came_does_not_guess(self):
+        """Its VMs answer each other, and their lists were confirmed just before."""
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            await let_pass(simulation, LONG_S)
+            simulation.is_partitioned = True
+            simulation.without_store |= {GULF, GULF_TWO}
+            for name in ("pool-piedmont", "pool-two-piedmont"):
+                replace_upstream(simulation, name, "v2")
+            simulation.revision += 1
+            simulation.gossip()
+            calls.append(await begin(simulation, PIEDMONT))
+            calls.append(await take_up(simulation, GULF, calls[0]))
+
+        simulation, _ = self.play(scenario)
+        self.check_refused(simulation, calls[1])
+
     def test_while_one_version_serves_streams_go_on_and_peers_are_told_nothing(self):
         calls: list[Caller] = []
 
