Infer a stream's version only if all regions or the store confirm it

A VM took its list for current for 3 s after its last confirmation, and one peer's answer for enough. So VMs of a region that was cut off from the store and from the others answered each other, and went on at the only version that they knew with streams that the other region had begun at one that had just come. Callers got events of two versions.

Now a VM of each region must answer, or a VM must answer and the store itself, asked then, show no change since the list in force. Regions that have been silent for long count too. Calls at the same time share an answer of the store; it is asked only where a region doesn't answer.

The tests of TakeUps follow its new parameter; what they demand is unchanged.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -187,6 +187,7 @@
                 self.origins,
                 self.suspension_detector.tick,
                 self.start_checks.is_running,
+                self.store_watcher.check_list,
             ),
             PeerReachability(),
             settings.peers_port,
--- a/banyanseam/entry/origins/network.py
+++ b/banyanseam/entry/origins/network.py
@@ -140,16 +140,16 @@
     def has_replies_of_all_regions(self, key: int, replies: Iterable[str]) -> bool:
         """Return whether processes of each region that was asked have replied.
 
-        Regions without a process that was alive recently are left out.
+        Regions whose processes have long been silent count too: they may be cut off.
         """
-        now_s = anyio.current_time()
         replied = {
             member.region for ip in replies if (member := self._members.find(ip))
         }
-        return all(
-            region in replied or not self._members.list_recent(now_s, region)
-            for region in self._choose_regions(key)
-        )
+        return replied.issuperset(self._choose_regions(key))
+
+    def has_recent_peers(self) -> bool:
+        """Return whether other processes were alive recently."""
+        return self._members.count_recent(anyio.current_time()) > 1
 
     def _make_reply(self, question: OriginQuestion, now_s: float) -> OriginReply:
         self.check_running()
--- a/banyanseam/entry/origins/takeups.py
+++ b/banyanseam/entry/origins/takeups.py
@@ -10,7 +10,7 @@
 from banyanseam.entry.errors import StreamOriginUnknown, StreamVersionGone
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.models import StreamOrigin, Upstream
-from banyanseam.entry.origins.const import CHECK_TIMEOUT_S
+from banyanseam.entry.origins.const import ASK_TIMEOUT_S, CHECK_TIMEOUT_S
 from banyanseam.entry.origins.messages import OriginReply, from_origin_row
 from banyanseam.entry.origins.network import OriginNetwork
 from banyanseam.entry.origins.records import (
@@ -36,6 +36,8 @@
     check_running: Callable[[], object]
     # Asks an upstream for its start, and records it if it is a later one.
     check_start: Callable[[Upstream], Awaitable[bool]]
+    # Asks the store whether it shows the list of upstreams in force.
+    check_list: Callable[[], Awaitable[bool]]
 
     def record_begin(self, exchange: Exchange) -> None:
         """Record that the caller is about to get the first event of a stream."""
@@ -71,7 +73,7 @@
             record = self.records.find(key, anyio.current_time())
         origin = None if record is None else record.origin
         if origin is None or origin.software is None:
-            origin = self._infer(key, services, replies)
+            origin = await self._infer(key, services, replies)
             source = "only version" if origin is not None else "none"
         now_s = anyio.current_time()
         log(
@@ -110,7 +112,7 @@
         origin = self.records.resolve(record)
         if origin.software is None:
             self.check_running()
-            origin = self._infer(_find_key(exchange), [origin.service], {})
+            origin = await self._infer(_find_key(exchange), [origin.service], {})
         if origin is None:
             self._refuse(exchange)
         exchange.origin = replace(origin, service=exchange.origin.service)
@@ -142,10 +144,25 @@
             self.records.record(key, record, now_s)
         return self.records.find(key, now_s)
 
-    def _infer(
+    async def _infer(
         self, key: int, services: list[str], replies: dict[str, OriginReply]
     ) -> StreamOrigin | None:
         """Return the only version that may have begun a stream, None if others may."""
+        origin = self._find_only_version(services, replies)
+        if origin is None or self.network.has_replies_of_all_regions(key, replies):
+            return origin
+        # A version that has just come may have begun the stream in a region that does
+        # not answer. Whoever is cut off from all peers doesn't know what they report.
+        if not replies and self.network.has_recent_peers():
+            return None
+        with anyio.move_on_after(ASK_TIMEOUT_S):
+            if await self.check_list():
+                return self._find_only_version(services, replies)
+        return None
+
+    def _find_only_version(
+        self, services: list[str], replies: dict[str, OriginReply]
+    ) -> StreamOrigin | None:
         now_s = anyio.current_time()
         found = set(self.versions.list_recent(services, now_s))
         is_complete = self.versions.is_complete(now_s)
@@ -154,10 +171,6 @@
             is_complete = is_complete or reply.is_complete
         if len(found) != 1 or has_unknown(found) or not is_complete:
             return None
-        # A version that has just come may have begun the stream in another region.
-        has_answer = bool(replies) and self.versions.is_current(now_s)
-        if not has_answer and not self.network.has_replies_of_all_regions(key, replies):
-            return None
         ((service, software),) = found
         return StreamOrigin(service, software)
 
--- a/banyanseam/entry/origins/versions.py
+++ b/banyanseam/entry/origins/versions.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 
-from banyanseam.entry.const import OUTAGE_S
 from banyanseam.entry.models import StreamOrigin
 from banyanseam.entry.origins.const import TAKE_UP_S, VERSIONS_VIEW_S
 from banyanseam.entry.upstream_list import UpstreamList
@@ -65,10 +64,6 @@
         """
         return self._upstreams.find_complete_since_s(now_s) <= now_s - TAKE_UP_S
 
-    def is_current(self, now_s: float) -> bool:
-        """Return whether the list has been confirmed recently."""
-        return now_s - self._upstreams.confirmed_s < OUTAGE_S
-
     def is_ambiguous(self, services: Iterable[str], now_s: float) -> bool:
         """Return whether streams of these services may have begun at two versions."""
         found = self.list_recent(services, now_s)
--- a/banyanseam/entry/store_watcher.py
+++ b/banyanseam/entry/store_watcher.py
@@ -96,6 +96,9 @@
         # the list in force by that.
         self._list_read_s = -1e9
         self._list_confirmed_s = -1e9
+        # Whether the store has just shown the list in force, and when it was asked.
+        self._checked_s, self._is_list_current = -1e9, False
+        self._check_lock = anyio.Lock()
         # Time until which replicas of the store aren't read, as one was found to lag.
         self._replicas_lag_until_s = -1e9
         # The store's position at recent times, from reads that replicas don't answer.
@@ -224,6 +227,29 @@
             # Limits the calls while many upstreams start or stop.
             await anyio.sleep(LIST_PERIOD_S)
 
+    async def check_list(self) -> bool:
+        """Return whether the store itself shows the list in force, asked from now on.
+
+        Calls at the same time share an answer.
+        """
+        called_s = anyio.current_time()
+        async with self._check_lock:
+            if self._checked_s < called_s:
+                asked_s = anyio.current_time()
+                self._is_list_current = await self._is_unchanged()
+                self._checked_s = asked_s
+            return self._is_list_current
+
+    async def _is_unchanged(self) -> bool:
+        after = self._upstreams.position
+        try:
+            changes = await self._store.wait_for_changes(
+                self._upstream_prefix, after.revision, 0.0, STORE_TIMEOUT_S
+            )
+        except (ConfigServiceUnavailable, HistoryForgotten):
+            return False
+        return not changes.values and changes.era == after.era
+
     def _record_position(self, position: StorePosition) -> None:
         now_s = anyio.current_time()
         self._values.record_position(position, now_s)
--- a/bench/origins.py
+++ b/bench/origins.py
@@ -130,6 +130,11 @@
     return True
 
 
+async def _do_not_check_list() -> bool:
+    """Take the list for unconfirmed."""
+    return False
+
+
 class OriginFleet:
     """The VMs of a fleet and the datagrams between them."""
 
@@ -173,7 +178,9 @@
         records, versions = OriginRecords(upstreams), SoftwareVersions(upstreams)
         network = OriginNetwork(members, records, versions)
         network.send = partial(self._send, ip)
-        take_ups = TakeUps(records, versions, network, lambda: None, _do_not_check)
+        take_ups = TakeUps(
+            records, versions, network, lambda: None, _do_not_check, _do_not_check_list
+        )
         return Vm(members, upstreams, network, take_ups)
 
     def publish(self, versions: int) -> None:
--- a/tests/entry/origins/test_takeups.py
+++ b/tests/entry/origins/test_takeups.py
@@ -53,7 +53,10 @@
             reply = mock.Mock(is_started=False)
             exchange = make_exchange(now_s, head=head, reply=reply)
             check_start = mock.AsyncMock(return_value=True)
-            take_ups = TakeUps(records, versions, network, lambda: None, check_start)
+            check_list = mock.AsyncMock(return_value=False)
+            take_ups = TakeUps(
+                records, versions, network, lambda: None, check_start, check_list
+            )
             try:
                 await take_ups.find(exchange)
             except StreamOriginUnknown:
@@ -90,8 +93,11 @@
             members.merge(peers, anyio.current_time())
             versions = SoftwareVersions(upstreams)
             network = OriginNetwork(members, OriginRecords(upstreams), versions)
-            take_ups = TakeUps(mock.Mock(), versions, network, mock.Mock(), mock.Mock())
-            found = take_ups._infer(KEY, ["pool"], replies)
+            check_list = mock.AsyncMock(return_value=True)
+            take_ups = TakeUps(
+                mock.Mock(), versions, network, mock.Mock(), mock.Mock(), check_list
+            )
+            found = await take_ups._infer(KEY, ["pool"], replies)
             return found is not None
 
         peer = make_member("10.1.0.2")
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -31,6 +31,7 @@
 from banyanseam.entry.models import Upstream
 from banyanseam.entry.peer_connections import PeerConnections
 from banyanseam.entry.sending import IncomingAnswer, OutgoingRequest
+from banyanseam.entry.upstream_starts import make_start_key
 from banyanseam.observe.events import INTERNAL_FAILURE, Event
 from banyanseam.platform.wire import REPORT_PATH
 from banyanseam.server.callers import AnswerAborted
@@ -174,6 +175,7 @@
         entry.lifecycle.begin_serving()
         entry.gossip._send = partial(self._deliver, ip)
         entry.start_checks.tasks = self.checks
+        entry.store_watcher._is_unchanged = partial(self._is_list_unchanged, ip)
         entry.origins.send = partial(self._deliver_origins, ip)
         self.checks.start_soon(entry.origins.run)
         entry.upstreams.on_resumed = lambda: self.checks.start_soon(
@@ -524,6 +526,17 @@
         if event is INTERNAL_FAILURE:
             self.internal_failures.append(fields["error"])
 
+    async def _is_list_unchanged(self, ip: str) -> bool:
+        """Replace the question whether the store shows a VM's list of upstreams."""
+        if ip in self.cut_off | self.without_store:
+            await anyio.sleep_forever()
+        await anyio.sleep(LATENCY_S)
+        listing = {**self.upstreams, **self.old_registrations}.values()
+        known = self.entries[ip].upstreams.listing
+        return {make_start_key(each) for each in listing} == {
+            make_start_key(each) for each in known
+        }
+
     def _can_reach(self, ip: str, other_ip: str) -> bool:
         if self.cut_off & {ip, other_ip}:
             return False
--- a/tests/entry/test_store_watcher.py
+++ b/tests/entry/test_store_watcher.py
@@ -253,6 +253,27 @@
 
         run_scenario(scenario)
 
+    def test_only_the_store_itself_shows_that_a_list_is_in_force(self):
+        async def scenario(setup):
+            store, check = setup.store, setup.watcher.check_list
+            self.assertTrue(await check())
+            setup.store.replica = (dict(store.values), store.revision)
+            copy = store.copy()
+            store.put("e2")
+            self.assertFalse(await check())
+            await anyio.sleep(8)
+            self.assertTrue(await check())
+            store.restore(copy)
+            self.assertFalse(await check())
+            await anyio.sleep(8)
+            for fault in ("is_failing", "is_silent"):
+                self.assertTrue(await check())
+                setattr(store, fault, True)
+                self.assertFalse(await check())
+                setattr(store, fault, False)
+
+        run_scenario(scenario)
+
     def test_changes_apply_at_once_and_versions_never_go_back(self):
         async def scenario(setup):
             self.assertTrue(setup.values.complete.is_set())
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -440,6 +440,22 @@
         simulation, _ = self.play(scenario)
         self.check_refused(simulation, calls[1])
 
+    def test_while_one_version_serves_streams_go_on_beside_a_silent_region(self):
+        """The store shows that no other version has come."""
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            await let_pass(simulation, LONG_S)
+            calls.append(await begin(simulation, GULF_TWO))
+            simulation.is_partitioned = True
+            simulation.start_vm(GULF_TWO, "gulf")
+            simulation.publish()
+            simulation.gossip()
+            calls.append(await take_up(simulation, GULF, calls[0]))
+
+        self.play(scenario)
+        self.check_goes_on(*calls)
+
     def test_while_one_version_serves_streams_go_on_and_peers_are_told_nothing(self):
         calls: list[Caller] = []
 
