Show that a VM that is cut off mistakes the version of its own stream

An upstream came back under its id as another version while a VM was cut off from the store and its peers, and began a stream there. A take-up at this VM more than 2 s later went on at the former version.

--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -422,6 +422,33 @@
         self.check_refused(simulation, calls[1])
         self.check_goes_on(calls[0], calls[2])
 
+    def test_a_vm_that_was_cut_off_does_not_believe_that_an_upstream_is_unchanged(self):
+        """The upstream came back as another version, and began the stream here."""
+        for is_back in (False, True):
+            calls: list[Caller] = []
+
+            async def scenario(
+                simulation: Simulation,
+                calls: list[Caller] = calls,
+                is_back: bool = is_back,
+            ) -> None:
+                await let_pass(simulation, LONG_S)
+                simulation.cut_off.add(GULF)
+                simulation.restart_upstream("pool-gulf")
+                simulation.upstreams["pool-gulf"] = replace(
+                    simulation.upstreams["pool-gulf"], software="v2"
+                )
+                simulation.register_restart("pool-gulf", 0)
+                calls.append(await begin_at(simulation, GULF, "v2"))
+                await let_pass(simulation, 3)
+                if is_back:
+                    simulation.cut_off.clear()
+                calls.append(await take_up(simulation, GULF, calls[0]))
+
+            with self.subTest(is_back=is_back):
+                simulation, _ = self.play(scenario)
+                self.check_refused(simulation, calls[1])
+
     def test_a_region_that_was_cut_off_while_a_version_came_does_not_guess(self):
         """Its VMs answer each other, and their lists were confirmed just before."""
         calls: list[Caller] = []
