Check the upstream of any stream that began when the list may lack restarts

A VM asked the upstream that had begun a stream for its start only if the stream was younger than 2 s, as a restart shows in the list by then. While a VM is cut off from the store and its peers its list shows none. So a stream that an upstream had begun there after it came back as another version went on at the former one: callers got events of two versions.

Now the upstream is asked unless the stream began 2 s before the list was last known to show restarts.

An upstream that is down or hangs is believed as before.

--- a/banyanseam/entry/origins/records.py
+++ b/banyanseam/entry/origins/records.py
@@ -59,6 +59,11 @@
         self._starts_changes = -1
         upstreams.on_restarted.append(self._record_restart)
 
+    @property
+    def restarts_listed_until_s(self) -> float:
+        """Return until when the list is sure to show that upstreams started again."""
+        return self._upstreams.restarts_known_s - UNNOTICED_RESTART_S
+
     def record(self, key: int, record: OriginRecord, now_s: float) -> None:
         """Remember an origin, unless the stream's is known."""
         self._drop_old(now_s)
@@ -122,9 +127,8 @@
             for key, restart in self._late_restarts.items()
             if now_s - restart.noticed_s <= TAKE_UP_S
         }
-        since_s = self._upstreams.restarts_known_s - UNNOTICED_RESTART_S
         key = make_start_key(before.upstream)
-        self._late_restarts[key] = _LateRestart(since_s, now_s)
+        self._late_restarts[key] = _LateRestart(self.restarts_listed_until_s, now_s)
 
     def _drop_old(self, now_s: float) -> None:
         while self._records:
--- a/banyanseam/entry/origins/takeups.py
+++ b/banyanseam/entry/origins/takeups.py
@@ -6,7 +6,6 @@
 import anyio
 
 from banyanseam.entry.choosing import choose_retry_after_ms
-from banyanseam.entry.const import UNNOTICED_RESTART_S
 from banyanseam.entry.errors import StreamOriginUnknown, StreamVersionGone
 from banyanseam.entry.exchange import Exchange
 from banyanseam.entry.models import StreamOrigin, Upstream
@@ -118,13 +117,13 @@
         exchange.origin = replace(origin, service=exchange.origin.service)
 
     async def _check_upstream(self, record: OriginRecord) -> None:
-        """Check the upstream of a young stream, unless that takes too long.
+        """Check the upstream that began a stream, unless that takes too long.
 
-        It may have started again before it began the stream, and not be listed yet.
+        It may have started again before it began the stream, and not be listed yet, or
+        this process doesn't follow the list. Otherwise no check is needed.
         """
-        now_s = anyio.current_time()
         upstream = self.records.find_upstream(record)
-        if upstream is None or now_s - record.begun_s > UNNOTICED_RESTART_S:
+        if upstream is None or record.begun_s < self.records.restarts_listed_until_s:
             return
         with anyio.move_on_after(CHECK_TIMEOUT_S):
             await self.check_start(upstream)
