Tell streams again when a process that knew them starts anew

A VM told four others of a stream once. After a loss of power of most VMs these had started again and forgotten it. The VM that began the stream still knew, but is not among those that are asked in a region of more than four VMs: the take-up was refused although its version served.

Now the VM tells the stream to others as soon as one that was told is gone or has another incarnation, while it may be taken up.

test_a_stream_goes_on_after_all_vms_but_its_own_started_anew failed before.

--- a/banyanseam/entry/origins/network.py
+++ b/banyanseam/entry/origins/network.py
@@ -34,6 +34,9 @@
 from banyanseam.entry.origins.versions import ServiceVersion, SoftwareVersions
 from banyanseam.peers.rendezvous import rank, rank_first
 
+# The address and the incarnation of a process.
+_Process = tuple[str, int]
+
 
 @dataclass(slots=True)
 class _Question:
@@ -45,8 +48,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Unreported:
-    """A stream that no peer knows of, and the services that may have begun it."""
+class _BegunStream:
+    """A stream that began here, and the services that may have begun it."""
 
     record: OriginRecord
     services: frozenset[str]
@@ -72,7 +75,9 @@
         # Notices a suspension that no task has noticed yet.
         self.check_running: Callable[[], object] = lambda: None
         # Streams that began here, that may be taken up and that no peer knows of.
-        self._unreported: dict[int, _Unreported] = {}
+        self._unreported: dict[int, _BegunStream] = {}
+        # Those that peers were told of, and the processes that were told.
+        self._reported: dict[int, tuple[_BegunStream, frozenset[_Process]]] = {}
         self._has_news = anyio.Event()
         self._questions: dict[int, _Question] = {}
 
@@ -89,14 +94,16 @@
 
         `services` are those that the request's route allows.
         """
-        unreported = _Unreported(record, frozenset(services))
+        unreported = _BegunStream(record, frozenset(services))
         self._unreported[key] = unreported
+        self._reported.pop(key, None)
         if self._must_be_reported(unreported, anyio.current_time()):
             self._has_news.set()
 
     def discard(self, key: int) -> None:
         """Don't report a stream that has ended well."""
         self._unreported.pop(key, None)
+        self._reported.pop(key, None)
 
     async def ask(self, key: int, services: Iterable[str]) -> dict[str, OriginReply]:
         """Return peers' replies about a stream by address.
@@ -175,7 +182,7 @@
         if is_known or not question.awaited:
             question.answered.set()
 
-    def _must_be_reported(self, unreported: _Unreported, now_s: float) -> bool:
+    def _must_be_reported(self, unreported: _BegunStream, now_s: float) -> bool:
         recent = self._versions.list_recent(unreported.services, now_s)
         if unreported.version not in recent:
             return True
@@ -195,12 +202,8 @@
                 must_be_reported[kind] = self._must_be_reported(unreported, now_s)
             if must_be_reported[kind]:
                 del self._unreported[key]
-                origin = self._records.resolve(unreported.record)
-                row = to_origin_row(
-                    key, replace(unreported.record, origin=origin), now_s
-                )
-                for ip in self._choose_holders(key, now_s):
-                    rows.setdefault(ip, []).append(row)
+                self._reported[key] = unreported, frozenset()
+        self._add_untold(rows, now_s)
         for ip, found in rows.items():
             for start in range(0, len(found), MAX_REPORTED_ROWS):
                 # Only peers check the rows: an error here would end the daemon.
@@ -209,7 +212,29 @@
                 )
                 await self.send(ip, encode_origins(message))
 
-    def _choose_holders(self, key: int, now_s: float) -> list[str]:
+    def _add_untold(self, rows: dict[str, list[OriginRow]], now_s: float) -> None:
+        """Add the streams that processes at addresses are to be told of.
+
+        Others are told if one that was told is gone or has started again.
+        """
+        alive = {
+            (each.ip, each.incarnation) for each in self._members.list_alive(now_s)
+        }
+        for key, (reported, told) in list(self._reported.items()):
+            record = reported.record
+            if now_s - record.begun_s > TAKE_UP_S:
+                del self._reported[key]
+                continue
+            if told and told <= alive:
+                continue
+            holders = frozenset(self._choose_holders(key, now_s))
+            self._reported[key] = reported, holders
+            origin = self._records.resolve(record)
+            row = to_origin_row(key, replace(record, origin=origin), now_s)
+            for ip, _ in holders - told:
+                rows.setdefault(ip, []).append(row)
+
+    def _choose_holders(self, key: int, now_s: float) -> list[_Process]:
         """Return the processes that remember where a stream began."""
         own_region = self._members.me.region
         holders = []
@@ -217,8 +242,12 @@
             count = OTHER_REGION_HOLDERS
             if region == own_region:
                 count = OWN_REGION_HOLDERS
-            alive = [each.ip for each in self._members.list_alive(now_s, region)]
-            holders += rank_first(alive, str(key), count)
+            alive = {
+                each.ip: each.incarnation
+                for each in self._members.list_alive(now_s, region)
+            }
+            first = rank_first(list(alive), str(key), count)
+            holders += [(ip, alive[ip]) for ip in first]
         return holders
 
     def _choose_asked(self, key: int) -> list[str]:
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -268,6 +268,41 @@
 
         self.check_takes_up(restart, VMS)
 
+    def test_a_stream_goes_on_after_all_vms_but_its_own_started_anew(self):
+        """Those that were told forgot it, and others are asked than the one that knows.
+
+        It tells them again.
+        """
+        others = [
+            *VMS[1:],
+            *(f"10.{place}.0.{n}" for place in (1, 2) for n in range(3, 9)),
+        ]
+        pairs: list[tuple[Caller, Caller]] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            mix(simulation)
+            for vm in others[3:]:
+                simulation.start_vm(vm, "gulf" if vm.startswith("10.1") else "piedmont")
+            simulation.publish()
+            simulation.gossip()
+            await let_pass(simulation, 1)
+            firsts = []
+            for _ in range(4):
+                firsts.append(await begin(simulation, GULF))
+                simulation.gossip()
+            for vm in others:
+                simulation.start_vm(vm, simulation.entries[vm].settings.region)
+            simulation.publish()
+            simulation.gossip()
+            await let_pass(simulation, 1)
+            for first in firsts:
+                pairs.append((first, await take_up(simulation, GULF_TWO, first)))
+                simulation.gossip()
+
+        self.play(scenario)
+        for first, later in pairs:
+            self.check_goes_on(first, later)
+
     def test_a_stream_taken_up_twice_goes_on_at_its_version(self):
         for _ in range(4):
             calls: list[Caller] = []
