--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -268,6 +268,41 @@
 
         self.check_takes_up(restart, VMS)
 
+    def test_a_stream_goes_on_after_all_vms_but_its_own_started_anew(self):
+        """Those that were told forgot it, and others are asked than the one that knows.
+
+        It tells them again.
+        """
+        others = [
+            *VMS[1:],
+            *(f"10.{place}.0.{n}" for place in (1, 2) for n in range(3, 9)),
+        ]
+        pairs: list[tuple[Caller, Caller]] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            mix(simulation)
+            for vm in others[3:]:
+                simulation.start_vm(vm, "gulf" if vm.startswith("10.1") else "piedmont")
+            simulation.publish()
+            simulation.gossip()
+            await let_pass(simulation, 1)
+            firsts = []
+            for _ in range(4):
+                firsts.append(await begin(simulation, GULF))
+                simulation.gossip()
+            for vm in others:
+                simulation.start_vm(vm, simulation.entries[vm].settings.region)
+            simulation.publish()
+            simulation.gossip()
+            await let_pass(simulation, 1)
+            for first in firsts:
+                pairs.append((first, await take_up(simulation, GULF_TWO, first)))
+                simulation.gossip()
+
+        self.play(scenario)
+        for first, later in pairs:
+            self.check_goes_on(first, later)
+
     def test_a_stream_taken_up_twice_goes_on_at_its_version(self):
         for _ in range(4):
             calls: list[Caller] = []
@@ -422,6 +457,67 @@
         self.check_refused(simulation, calls[1])
         self.check_goes_on(calls[0], calls[2])
 
+    def test_a_vm_that_was_cut_off_does_not_believe_that_an_upstream_is_unchanged(self):
+        """The upstream came back as another version, and began the stream here."""
+        for is_back in (False, True):
+            calls: list[Caller] = []
+
+            async def scenario(
+                simulation: Simulation,
+                calls: list[Caller] = calls,
+                is_back: bool = is_back,
+            ) -> None:
+                await let_pass(simulation, LONG_S)
+                simulation.cut_off.add(GULF)
+                simulation.restart_upstream("pool-gulf")
+                simulation.upstreams["pool-gulf"] = replace(
+                    simulation.upstreams["pool-gulf"], software="v2"
+                )
+                simulation.register_restart("pool-gulf", 0)
+                calls.append(await begin_at(simulation, GULF, "v2"))
+                await let_pass(simulation, 3)
+                if is_back:
+                    simulation.cut_off.clear()
+                calls.append(await take_up(simulation, GULF, calls[0]))
+
+            with self.subTest(is_back=is_back):
+                simulation, _ = self.play(scenario)
+                self.check_refused(simulation, calls[1])
+
+    def test_a_region_that_was_cut_off_while_a_version_came_does_not_guess(self):
+        """Its VMs answer each other, and their lists were confirmed just before."""
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            await let_pass(simulation, LONG_S)
+            simulation.is_partitioned = True
+            simulation.without_store |= {GULF, GULF_TWO}
+            for name in ("pool-piedmont", "pool-two-piedmont"):
+                replace_upstream(simulation, name, "v2")
+            simulation.revision += 1
+            simulation.gossip()
+            calls.append(await begin(simulation, PIEDMONT))
+            calls.append(await take_up(simulation, GULF, calls[0]))
+
+        simulation, _ = self.play(scenario)
+        self.check_refused(simulation, calls[1])
+
+    def test_while_one_version_serves_streams_go_on_beside_a_silent_region(self):
+        """The store shows that no other version has come."""
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            await let_pass(simulation, LONG_S)
+            calls.append(await begin(simulation, GULF_TWO))
+            simulation.is_partitioned = True
+            simulation.start_vm(GULF_TWO, "gulf")
+            simulation.publish()
+            simulation.gossip()
+            calls.append(await take_up(simulation, GULF, calls[0]))
+
+        self.play(scenario)
+        self.check_goes_on(*calls)
+
     def test_while_one_version_serves_streams_go_on_and_peers_are_told_nothing(self):
         calls: list[Caller] = []
 
