--- a/banyanseam/entry/brittle.py
+++ b/banyanseam/entry/brittle.py
@@ -24,7 +24,7 @@
 LARGE_REGION_ROUND_S: Final = 0.75
 # Part of the free places that the VMs take together in a round.
 FREE_SHARE: Final = 0.8
-# What they take of a small rest, as a part of the refusals that an upstream survives:
+# What they take if few are free, as a part of the refusals that an upstream survives:
 # requests of a VM that has just ended may still run there.
 REST_SHARE: Final = 0.25
 # How likely a VM with more than its part of a full upstream gives up one in a round.
@@ -162,7 +162,7 @@
 
     def __init__(self) -> None:
         """Start without a word."""
-        # When a number was heard last, by service and number.
+        # When a number was named last, by service and number.
         self._heard_s: dict[str, dict[int, float]] = {}
         # The last number that an answer named, and when, by service.
         self._own_words: dict[str, tuple[int, float]] = {}
@@ -180,7 +180,7 @@
         self.record_told(service, brittle_per_s, now_s)
 
     def record_told(self, service: str, brittle_per_s: int, heard_s: float) -> None:
-        """Record what a peer has heard of a service."""
+        """Record what a peer reports about a service."""
         numbers = {
             number: before_s
             for number, before_s in self._heard_s.get(service, {}).items()
--- a/banyanseam/entry/origins/network.py
+++ b/banyanseam/entry/origins/network.py
@@ -76,7 +76,7 @@
         self.check_running: Callable[[], object] = lambda: None
         # Streams that began here, that may be taken up and that no peer knows of.
         self._unreported: dict[int, _BegunStream] = {}
-        # Those that peers were told of, and the processes that were told.
+        # Those that were reported to peers, and the processes that got the report.
         self._reported: dict[int, tuple[_BegunStream, frozenset[_Process]]] = {}
         self._has_news = anyio.Event()
         self._questions: dict[int, _Question] = {}
@@ -213,7 +213,7 @@
                 await self.send(ip, encode_origins(message))
 
     def _add_untold(self, rows: dict[str, list[OriginRow]], now_s: float) -> None:
-        """Add the streams that processes at addresses are to be told of.
+        """Add the streams that are to be reported to processes, by address.
 
         Others are told if one that was told is gone or has started again.
         """
--- a/banyanseam/entry/stream_moves.py
+++ b/banyanseam/entry/stream_moves.py
@@ -93,7 +93,7 @@
         self._scope.cancel()
 
     async def run(self, attempt: Attempt) -> None:
-        """Await `attempt`, and tell the silent attempt's exchange what has become."""
+        """Await `attempt`, and copy its outcome to the silent attempt's exchange."""
         try:
             with self._scope:
                 await attempt(self.exchange, self.placement)
--- a/banyanseam/entry/unreached/const.py
+++ b/banyanseam/entry/unreached/const.py
@@ -18,7 +18,6 @@
 CHECK_PERIOD_S: Final = 0.3
 MAX_CHECK_PERIOD_S: Final = 1.5
 CHECK_TIMEOUT_S: Final = 0.5
-MAX_CHECK_BYTES: Final = 64 * 1024
 # A VM that runs more requests is not asked to serve those of others.
 MAX_RUNNING_TO_RELAY: Final = 256
 # Cost of the way over another VM of the region, as waiting time.
