Let VMs of an earlier build serve in the entry soak

It prints how many processes of each build served, by the folder that the running process imports from, and a build that served nothing or a VM that was not replaced is a violation. Without the option nothing changes.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,9 @@
 SEED ?= 1
 SECONDS ?= 30
 VMS ?= 6
+# Of soak-entry: a commit whose build serves beside this one, and in which order.
+OLDER ?=
+ORDER ?= up
 
 .PHONY: setup demo test lint unit bench bench-policy bench-capacity bench-fleet soak soak-entry
 
@@ -48,4 +51,5 @@
 	$(RUN) -m tests.faults.soak --seed $(SEED)
 
 soak-entry: setup
-	$(RUN) -m tests.faults.entry_soak --seed $(SEED) --seconds $(SECONDS) --vms $(VMS)
+	$(RUN) -m tests.faults.entry_soak --seed $(SEED) --seconds $(SECONDS) --vms $(VMS) \
+		--older "$(OLDER)" --order $(ORDER)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -4,7 +4,7 @@
 import signal
 import tempfile
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,13 +20,21 @@
     PlatformUpstream,
 )
 from standins.ports import PORTS_PER_LANE, find_free_ports
-from standins.processes import Child, Children
+from standins.processes import ROOT, Child, Children
 from standins.serving import serve
 
 HOST = "a.example"
 KEY = "key-of-acme"
 START_TIMEOUT_S = 20.0
 
+# Called with a VM's name at each of its starts; returns the root of the build to start.
+ChooseRoot = Callable[[str], Path]
+
+
+def choose_this_build(_vm: str) -> Path:
+    """Return the root of this build."""
+    return ROOT
+
 
 @dataclass(slots=True)
 class Answer:
@@ -64,6 +72,7 @@
     # Limits that the settings give each VM.
     memory_mb: int = 300
     max_fds: int = 4100
+    choose_root: ChooseRoot = choose_this_build
     # Ends the stand-ins with the test.
     stack: AsyncExitStack = field(default_factory=AsyncExitStack)
 
@@ -112,7 +121,8 @@
         path = self.folder / f"{name}.toml"
         path.write_text(self._render_settings(vm))
         command = ("banyanseam.entry", "--settings", str(path))
-        vm.child = self.children.start(name, *command, log_output=True)
+        root = self.choose_root(name)
+        vm.child = self.children.start(name, *command, log_output=True, root=root)
 
     async def wait_ready(self, *names: str) -> None:
         """Return once the VMs report that they are ready; raise TimeoutError."""
@@ -274,17 +284,27 @@
 
 @asynccontextmanager
 async def start_platform_fleet(
-    regions: dict[str, int], upstreams: dict[str, tuple[str, ...]], **limits: int
+    regions: dict[str, int],
+    upstreams: dict[str, tuple[str, ...]],
+    choose_root: ChooseRoot = choose_this_build,
+    **limits: int,
 ) -> AsyncIterator[PlatformFleet]:
     """Start `regions` (region to VM count) and `upstreams`.
 
     These are ids with service, region and, unless it is the usual one, software.
-    `limits` are the VMs' `memory_mb` and `max_fds`.
+    `choose_root` chooses the build at each start of a VM. `limits` are the VMs'
+    `memory_mb` and `max_fds`.
     """
     names = ("front", "ready", "control", "directory", "peers")
     ports = dict(zip(names, find_free_ports("127.0.0.1", len(names)), strict=True))
     with tempfile.TemporaryDirectory() as folder:
-        fleet = PlatformFleet(Path(folder), Children(Path(folder)), ports, **limits)
+        fleet = PlatformFleet(
+            Path(folder),
+            Children(Path(folder)),
+            ports,
+            choose_root=choose_root,
+            **limits,
+        )
         fleet.config = make_config()
         # One address per VM, distinct from those of a fleet that runs concurrently:
         # all daemons use the same port for metrics.
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -50,6 +51,25 @@
         masks = dict(line.split(":\t") for line in status.splitlines() if ":\t" in line)
         return any(int(masks.get(name, "0"), 16) & 1 for name in ("SigIgn", "SigCgt"))
 
+    def read_root(self) -> Path:
+        """Return the folder that the running process imports our packages from.
+
+        Raise RuntimeError if its working folder isn't the one of its PYTHONPATH, or if
+        it has ended.
+        """
+        process = Path("/proc") / str(self.pid)
+        # The kernel shows it only some time after `Popen` returned.
+        variables = b""
+        while self.is_running and not variables:
+            variables = process.joinpath("environ").read_bytes()
+            time.sleep(0.001)
+        if not self.is_running:
+            raise RuntimeError(f"{self.name} has ended")
+        root = process.joinpath("cwd").readlink()
+        if f"PYTHONPATH={root}".encode() not in variables.split(b"\0"):
+            raise RuntimeError(f"{self.name} has another PYTHONPATH than {root}")
+        return root
+
     def signal(self, number: int) -> None:
         """Send a signal, if the process still runs."""
         if self.is_running:
@@ -91,10 +111,13 @@
         """Kill the processes also if the program exits without calling `close`."""
         atexit.register(self.close)
 
-    def start(self, name: str, *command: str, log_output: bool = False) -> Child:
+    def start(
+        self, name: str, *command: str, log_output: bool = False, root: Path = ROOT
+    ) -> Child:
         """Start a Python module; its standard error goes to a log file in the folder.
 
-        Standard output goes there as well if `log_output`, otherwise to a pipe.
+        Standard output goes there as well if `log_output`, otherwise to a pipe. The
+        module and all of our packages are those below `root`.
         """
         log_path = self.folder / f"{name}.log"
         with log_path.open("ab") as log:
@@ -103,8 +126,8 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log if log_output else subprocess.PIPE,
                 stderr=log,
-                cwd=ROOT,
-                env=os.environ | {"PYTHONPATH": str(ROOT)},
+                cwd=root,
+                env=os.environ | {"PYTHONPATH": str(root)},
             )
         child = Child(name, list(command), log_path, popen)
         self.running.append(child)
--- a/tests/faults/entry_soak.py
+++ b/tests/faults/entry_soak.py
@@ -1,6 +1,7 @@
 """Random signals and changes on real entry daemons, in series and overlapping.
 
-`make soak-entry SEED=... SECONDS=... VMS=...` runs it longer and with more VMs.
+`make soak-entry SEED=... SECONDS=... VMS=...` runs it longer and with more VMs, and
+`OLDER=... ORDER=...` with VMs of an earlier commit beside those of this build.
 """
 
 import random
@@ -8,15 +9,24 @@
 import signal
 import sys
 from collections import Counter, defaultdict
+from contextlib import nullcontext
 from dataclasses import dataclass, field
 from typing import Final
 
 import anyio
 import click
 
+from standins.builds import ORDERS, THIS_BUILD, choose_builds, name_build
 from standins.kept_caller import LEFT, UNANSWERED, WHOLE, Attempt, KeptCaller
 from standins.platform_demo import USAGE_HEADERS
-from standins.platform_fleet import HOST, KEY, PlatformFleet, start_platform_fleet
+from standins.platform_fleet import (
+    HOST,
+    KEY,
+    ChooseRoot,
+    PlatformFleet,
+    choose_this_build,
+    start_platform_fleet,
+)
 from standins.platform_upstream import (
     USUAL_SOFTWARE,
     PlatformUpstream,
@@ -56,6 +66,16 @@
     software: str
 
 
+@dataclass(slots=True)
+class Process:
+    """A process of a VM, and whether it answered a caller's request with 200."""
+
+    vm: str
+    build: str
+    started_s: float
+    served: bool = False
+
+
 @dataclass(slots=True)
 class Records:
     """What was done to the VMs and upstreams, and what callers got."""
@@ -84,6 +104,50 @@
     runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
     # Exit codes of processes that were not killed, with the VM's name.
     exits: list[tuple[str, int | None]] = field(default_factory=list)
+    # In the order in which they started.
+    processes: list[Process] = field(default_factory=list)
+    # Which have to serve, on VMs that are all replaced; empty if only this one runs.
+    builds: tuple[str, ...] = ()
+
+    def add_process(self, vm: str, child: Child) -> None:
+        """Record a process that has just started, by where it imports from."""
+        build = name_build(child.read_root())
+        self.processes.append(Process(vm, build, anyio.current_time()))
+
+    def find_process(self, vm: str, at_s: float) -> Process | None:
+        """Return the process of a VM that had started last at a time."""
+        found = [p for p in self.processes if p.vm == vm and p.started_s <= at_s]
+        return found[-1] if found else None
+
+    def mark_served(self) -> None:
+        """Mark the processes that answered attempts with 200."""
+        for attempt in self.attempts:
+            process = self.find_process(attempt.vm, attempt.sent_s)
+            if attempt.status == 200 and process is not None:
+                process.served = True
+
+    def list_not_replaced(self) -> list[str]:
+        """Return the VMs that still run their first process."""
+        counts = Counter(process.vm for process in self.processes)
+        return [vm for vm, count in counts.items() if count == 1]
+
+    def describe_builds(self) -> str:
+        """Return how many processes of each build started and served."""
+        parts = []
+        for build in self.builds:
+            of_it = [process for process in self.processes if process.build == build]
+            served = sum(process.served for process in of_it)
+            parts.append(f"{served} of {len(of_it)} processes of {build} served")
+        return ", ".join(parts)
+
+    def describe_processes(self, vm: str) -> str:
+        """Return the builds of a VM's processes and when they started."""
+        parts = [
+            f"{process.build} from {process.started_s:.3f} s"
+            for process in self.processes
+            if process.vm == vm
+        ]
+        return f"{vm} ran {', '.join(parts)}"
 
     def is_disrupted(self, vm: str, start_s: float, end_s: float) -> bool:
         """Return whether a VM was killed, started or suspended in a time span."""
@@ -127,6 +191,7 @@
             f"{what}: after event {attempt.after_event} at {attempt.sent_s:.3f} s, "
             f"{attempt.status} {attempt.end} in {since(attempt.ended_s)} s",
             f"  its VM was disrupted at: {list_spans(self.disruptions[attempt.vm])}",
+            f"  {self.describe_processes(attempt.vm)}",
         ]
         for run in self.runs[attempt.request_id]:
             came_s = since(self.came_s.get(run.upstream, float("-inf")))
@@ -160,6 +225,7 @@
     """Return what callers and upstreams must never see but did."""
     found = [f"{vm} exited with {code}" for vm, code in records.exits if code != 0]
     found += find_joined_streams(records.attempts)
+    found += find_unproven_builds(records)
     for attempt in records.attempts:
         runs = records.runs[attempt.request_id]
         what = f"{attempt.path} {attempt.request_id} on {attempt.vm}"
@@ -191,6 +257,16 @@
     return found
 
 
+def find_unproven_builds(records: Records) -> list[str]:
+    """Return the builds that had to serve and didn't, and the VMs not replaced."""
+    if not records.builds:
+        return []
+    served = {process.build for process in records.processes if process.served}
+    missing = [build for build in records.builds if build not in served]
+    found = [f"no process of {build} served" for build in missing]
+    return found + [f"{vm} was not replaced" for vm in records.list_not_replaced()]
+
+
 def find_joined_streams(attempts: list[Attempt]) -> list[str]:
     """Return the streams whose events come from two versions over all attempts."""
     streams = defaultdict(list)
@@ -297,20 +373,27 @@
             self.replace_engine,
         )
         async with anyio.create_task_group() as tasks:
+            if self.records.builds:
+                tasks.start_soon(self.replace_all)
             while anyio.current_time() < end_s:
                 tasks.start_soon(self.rng.choice(steps))
                 await anyio.sleep(self.rng.uniform(0.1, 1.2))
 
     def take_vm(self) -> str | None:
         """Return a VM that no step holds, if more than half of them are left alone."""
-        idle = [name for name in self.fleet.vms if name not in self.busy]
-        if len(idle) <= len(self.fleet.vms) // 2:
+        idle = self.list_idle()
+        if not idle:
             return None
         # The first process of the region reads the list of upstreams for the others.
         name = idle[0] if self.rng.random() < 0.3 else self.rng.choice(idle)
         self.busy.add(name)
         return name
 
+    def list_idle(self) -> list[str]:
+        """Return the VMs that no step holds, none unless they are more than half."""
+        idle = [name for name in self.fleet.vms if name not in self.busy]
+        return idle if len(idle) > len(self.fleet.vms) // 2 else []
+
     async def change_settings(self) -> None:
         """Send a series of SIGHUP to VMs at any stage of their lives."""
         for _ in range(self.rng.randrange(1, 6)):
@@ -322,8 +405,22 @@
     async def stop(self) -> None:
         """Stop a VM as planned, with further signals, and start it again."""
         name = self.take_vm()
-        if name is None:
-            return
+        if name is not None:
+            await self.replace(name)
+
+    async def replace_all(self) -> None:
+        """Replace the VMs that still run their first process, one after the other."""
+        while left := self.records.list_not_replaced():
+            idle = [name for name in self.list_idle() if name in left]
+            if not idle:
+                await anyio.sleep(0.05)
+                continue
+            name = self.rng.choice(idle)
+            self.busy.add(name)
+            await self.replace(name)
+
+    async def replace(self, name: str) -> None:
+        """Stop a VM that this step holds, with further signals, and start it again."""
         child = self.fleet.vms[name].child
         span = [anyio.current_time(), float("inf")]
         self.records.stops[name].append(span)
@@ -360,6 +457,7 @@
         while child is None or not await self.is_ready_or_ended(name, child):
             self.fleet.start_vm(name)
             child = self.fleet.vms[name].child
+            self.records.add_process(name, child)
         for each in self.records.disruptions[name]:
             each[1] = min(each[1], anyio.current_time())
         self.busy.discard(name)
@@ -441,9 +539,19 @@
     return OTHER_SOFTWARE
 
 
-async def run_soak(seed: int, for_s: float, vms: int) -> Records:
-    """Run random signals and changes under traffic; return what was recorded."""
-    records = Records()
+async def run_soak(
+    seed: int,
+    for_s: float,
+    vms: int,
+    choose_root: ChooseRoot = choose_this_build,
+    builds: tuple[str, ...] = (),
+) -> Records:
+    """Run random signals and changes under traffic; return what was recorded.
+
+    If `builds` names those that `choose_root` chooses from, all VMs are replaced, which
+    may take longer than `for_s`.
+    """
+    records = Records(builds=builds)
     desks = {f"d{number}": ("desk", "gulf") for number in range(1, DESKS + 1)}
     engines = {
         f"e{number}": ("pool", "gulf", (USUAL_SOFTWARE, OTHER_SOFTWARE)[number % 2])
@@ -455,7 +563,11 @@
         "request-deadline": "4000",
     }
     rng = random.Random(seed)
-    async with start_platform_fleet({"gulf": vms}, desks | engines) as fleet:
+    async with start_platform_fleet(
+        {"gulf": vms}, desks | engines, choose_root
+    ) as fleet:
+        for vm in fleet.vms.values():
+            records.add_process(vm.name, vm.child)
         injector = Injector(fleet, records, seed)
         await anyio.sleep(CONTACT_S)
         callers = [
@@ -487,6 +599,7 @@
     records.attempts = [
         each for caller in [*callers, *stream_callers] for each in caller.attempts
     ]
+    records.mark_served()
     return records
 
 
@@ -494,11 +607,17 @@
 @click.option("--seed", type=int, required=True)
 @click.option("--seconds", "for_s", type=float, default=30.0, show_default=True)
 @click.option("--vms", type=click.IntRange(4, 200), default=6, show_default=True)
-def main(seed: int, for_s: float, vms: int) -> None:
+@click.option("--older", default="", help="A commit whose build serves as well.")
+@click.option("--order", type=click.Choice(ORDERS), default=ORDERS[0])
+def main(seed: int, for_s: float, vms: int, older: str, order: str) -> None:
     """Run the soak, print the violations and exit with 1 if there are any."""
-    records = anyio.run(
-        run_soak, seed, for_s, vms, backend_options={"use_uvloop": True}
-    )
+    builds = (older, THIS_BUILD) if older else ()
+    chosen = choose_builds(order, older) if older else nullcontext(choose_this_build)
+    with chosen as choose_root:
+        options = {"use_uvloop": True}
+        records = anyio.run(
+            run_soak, seed, for_s, vms, choose_root, builds, backend_options=options
+        )
     violations = find_violations(records)
     restarts = sum(len(each) for each in records.restarts.values())
     served = sum(each.status == 200 for each in records.attempts)
@@ -510,8 +629,13 @@
     )
     statuses = Counter(each.status for each in records.attempts)
     click.echo(f"  attempts by status, 0 without one: {dict(sorted(statuses.items()))}")
+    if older:
+        click.echo(f"  {order}: {records.describe_builds()}")
     for line in violations:
         click.echo(f"  {line}")
+    for vm in records.logs:
+        if any(vm in line.split() for line in violations):
+            click.echo(f"    {records.describe_processes(vm)}")
     for attempt in records.attempts:
         names = (attempt.request_id, attempt.begun_as or attempt.request_id)
         if any(name in line for name in names for line in violations):
--- a/tests/run.py
+++ b/tests/run.py
@@ -36,6 +36,7 @@
     "tests.faults.test_quota_bound",
     "tests.faults.test_platform",
     "tests.faults.test_entry_soak",
+    "tests.faults.test_two_builds",
     "tests.faults.test_signals",
     "tests.faults.test_stop",
     "tests.faults.test_bookings",
