--- a/tests/faults/entry_soak.py
+++ b/tests/faults/entry_soak.py
@@ -257,6 +257,20 @@
     return found
 
 
+def describe_violations(records: Records, violations: list[str]) -> list[str]:
+    """Return what is known of the VMs and attempts that violations name."""
+    lines = [
+        f"  {records.describe_processes(vm)}"
+        for vm in records.logs
+        if any(vm in line.split() for line in violations)
+    ]
+    for attempt in records.attempts:
+        names = (attempt.request_id, attempt.begun_as or attempt.request_id)
+        if any(name in line for name in names for line in violations):
+            lines += [f"  {line}" for line in records.describe(attempt)]
+    return lines
+
+
 def find_unproven_builds(records: Records) -> list[str]:
     """Return the builds that had to serve and didn't, and the VMs not replaced."""
     if not records.builds:
@@ -631,16 +645,8 @@
     click.echo(f"  attempts by status, 0 without one: {dict(sorted(statuses.items()))}")
     if older:
         click.echo(f"  {order}: {records.describe_builds()}")
-    for line in violations:
+    for line in [*violations, *describe_violations(records, violations)]:
         click.echo(f"  {line}")
-    for vm in records.logs:
-        if any(vm in line.split() for line in violations):
-            click.echo(f"    {records.describe_processes(vm)}")
-    for attempt in records.attempts:
-        names = (attempt.request_id, attempt.begun_as or attempt.request_id)
-        if any(name in line for name in names for line in violations):
-            for line in records.describe(attempt):
-                click.echo(f"    {line}")
     sys.exit(1 if violations else 0)
 
 
--- a/tests/faults/test_two_builds.py
+++ b/tests/faults/test_two_builds.py
@@ -10,6 +10,7 @@
 from standins.builds import (
     DOWN,
     MIXED,
+    ORDERS,
     THIS_BUILD,
     UP,
     choose_builds,
@@ -20,6 +21,7 @@
 from tests.faults.entry_soak import (
     Process,
     Records,
+    describe_violations,
     find_unproven_builds,
     find_violations,
     run_soak,
@@ -32,26 +34,37 @@
 VMS = 4
 
 
+async def run_orders() -> dict[str, Records]:
+    """Run a fleet for each order, all at once."""
+    found: dict[str, Records] = {}
+
+    async def run_order(order: str) -> None:
+        with choose_builds(order, OLDER) as choose_root:
+            builds = (OLDER, THIS_BUILD)
+            found[order] = await run_soak(SEED, DURATION_S, VMS, choose_root, builds)
+
+    async with anyio.create_task_group() as tasks:
+        for order in ORDERS:
+            tasks.start_soon(run_order, order)
+    return found
+
+
 class TwoBuildsTests(unittest.TestCase):
-    def check_order(self, order: str) -> Records:
-        """Replace all VMs in an order, under traffic and with random steps."""
-        print(f"soak seed {SEED}, {order}")
-        builds = (OLDER, THIS_BUILD)
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Replace all VMs in each order, under traffic and with random steps."""
+        print(f"soak seed {SEED}")
         options = {"use_uvloop": True}
-        with choose_builds(order, OLDER) as choose_root:
-            records = anyio.run(
-                run_soak,
-                SEED,
-                DURATION_S,
-                VMS,
-                choose_root,
-                builds,
-                backend_options=options,
-            )
-        print(records.describe_builds())
+        cls.records = anyio.run(run_orders, backend_options=options)
+
+    def check_order(self, order: str) -> Records:
+        records = self.records[order]
+        print(f"{order}: {len(records.attempts)} requests, {records.describe_builds()}")
         self.assertGreater(len(records.list_gone_on()), 0)
         self.assertTrue(records.exits)
-        self.assertEqual(find_violations(records), [])
+        violations = find_violations(records)
+        known = "\n".join(describe_violations(records, violations))
+        self.assertEqual(violations, [], known)
         return records
 
     def list_builds(self, records: Records) -> dict[str, list[str]]:
