Refuse forwarded requests in words that earlier builds know

Cause: a VM without a way refuses a forwarded request as entry.upstreams_unreached. The older VM does not know that code, so it neither leaves the peer out for the request nor asks another one without a charge: it drew the same peers again until its retry budget was empty.

A forwarded request is now refused as upstreams.unreachable, which has the same meaning for the sender in all builds: nothing ran, leave this VM out, take another one for free.

--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -41,6 +41,7 @@
 from banyanseam.entry.upstreams import UpstreamLoads
 from banyanseam.entry.usage_counts import count_waiting_prompt
 from banyanseam.observe.events import UPSTREAM_CHOSEN, log
+from banyanseam.upstreams.errors import UpstreamUnreachable
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,9 +179,14 @@
                 )
             raise NoUpstreamKnown(retry_after_ms=retry_after_ms)
         if not candidates and self._is_unreached(exchange, now_s):
-            raise UpstreamsUnreached(
-                retry_after_ms=choose_retry_after_ms(UNREACHED_RETRY_MS, left_ms)
-            )
+            retry_after_ms = choose_retry_after_ms(UNREACHED_RETRY_MS, left_ms)
+            if exchange.forwarding is not None:
+                # After this refusal VMs of earlier builds too take another VM, without
+                # a charge to their retry budget.
+                raise UpstreamUnreachable(
+                    exchange.service, retry_after_ms=retry_after_ms
+                )
+            raise UpstreamsUnreached(retry_after_ms=retry_after_ms)
         waited_s = now_s - started_s
         if waited_s >= max_wait_s:
             is_full = candidates or self.loads.brittle.is_full(exchange.service, now_s)
--- a/tests/entry/test_older_builds.py
+++ b/tests/entry/test_older_builds.py
@@ -334,6 +334,21 @@
 
 
 class ForwardingTests(unittest.TestCase):
+    def test_an_older_vm_takes_another_peer_if_one_has_no_way(self):
+        """The older VM does not know the refusal, and its retry budget ran out."""
+
+        async def scenario(simulation: Simulation, _: MixedBuilds) -> list[Any]:
+            remove_upstreams(simulation, "piedmont")
+            lose_way(simulation, GULF[:2])
+            return await ask_often(
+                simulation, PIEDMONT[:1], [STREAM, UNSAFE, SAFE], 4.0
+            )
+
+        for commit in BUILDS:
+            with self.subTest(commit):
+                callers = play(commit, PIEDMONT[:1], scenario)
+                self.assertEqual(list_failed(callers), [])
+
     def test_an_older_vm_that_gets_a_relayed_request_sends_it_to_no_other_vm(self):
         """A second hop could leave the home region, or go round."""
         senders: list[tuple[str, str]] = []
