Judge a VM by reports of its own process only

A VM that reported no way, then restarted or went back to a build without such reports, counted as without a way once more: when its heartbeats had counted as far as its predecessor's at the last report, and for 8 heartbeats. In that time peers forwarded nothing to it and the directory left it out. Only VMs that hear of it over others were concerned, as its own heartbeat ends a report: regions large enough for the grid.

Cause: a report was kept with the heartbeat count alone, and a count of the next process looked like one of the same process some heartbeats later. Before this change the test with a VM that goes back fails for both older builds (8 of the heartbeats that reach the count), and so does the test of the reports alone.

A report is now kept with the incarnation of the process, and one that is ahead of the process's row is dropped: a row always comes with its report or after it. Nothing changes on the wire.

--- a/banyanseam/entry/unreached/reports.py
+++ b/banyanseam/entry/unreached/reports.py
@@ -43,7 +43,8 @@
         """Start without reports."""
         self.own: frozenset[str] = frozenset()
         self.own_upstreams: tuple[int, ...] = ()
-        self._reports: dict[str, UnreachedReport] = {}
+        # By address, with the incarnation of the process.
+        self._reports: dict[str, tuple[int, UnreachedReport]] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -51,18 +52,19 @@
         return not self._reports
 
     def record(self, member: "Member", report: UnreachedReport) -> None:
-        """Store a peer's report unless a later one is known."""
-        known = self._reports.get(member.ip)
-        # A restarted process counts from zero.
-        is_of_predecessor = (
-            known is not None and known.heartbeat_count > member.heartbeat_count
-        )
+        """Store a peer's report unless a later one is known.
+
+        `member` is its latest row, which comes with the report or after it.
+        """
+        if report.heartbeat_count > member.heartbeat_count:
+            # It is of a predecessor: a restarted process counts from zero.
+            return
+        incarnation, known = self._reports.get(member.ip, (None, report))
         if (
-            known is None
-            or is_of_predecessor
+            incarnation != member.incarnation
             or known.heartbeat_count <= report.heartbeat_count
         ):
-            self._reports[member.ip] = report
+            self._reports[member.ip] = member.incarnation, report
 
     def clear(self, ip: str) -> None:
         """Drop the report of a peer whose own heartbeat has none."""
@@ -70,8 +72,8 @@
 
     def find(self, member: "Member") -> UnreachedReport | None:
         """Return the report of a peer unless it has become invalid."""
-        report = self._reports.get(member.ip)
-        if report is None:
+        incarnation, report = self._reports.get(member.ip, (None, None))
+        if report is None or incarnation != member.incarnation:
             return None
         age = member.heartbeat_count - report.heartbeat_count
         return report if 0 <= age < REPORT_HEARTBEATS else None
@@ -119,8 +121,9 @@
             )
         if self._reports:
             for member in members:
-                if self.find(member) is not None:
-                    found[member.ip] = self._reports[member.ip]
+                report = self.find(member)
+                if report is not None:
+                    found[member.ip] = report
         return found
 
     def prune(self, ips: Iterable[str]) -> None:
--- a/tests/entry/test_older_builds.py
+++ b/tests/entry/test_older_builds.py
@@ -332,6 +332,36 @@
                 is_dropped = "unreached" in UNKNOWN_FIELDS[commit]
                 self.assertEqual(found[-1], is_dropped)
 
+    def test_a_vm_that_went_back_to_an_older_build_is_not_judged_by_its_report(self):
+        """It reports nothing any more, and is heard of over other VMs only."""
+        lost, older, reader = GULF[1], GULF[0], GULF[2]
+
+        async def scenario(simulation: Simulation, builds: MixedBuilds) -> list[bool]:
+            lose_way(simulation, [lost])
+            await ask_often(simulation, [lost], [SAFE], 1.0)
+            deliver(simulation, builds, reader, beat(simulation, lost))
+            members = simulation.entries[reader].members
+            before = members.find(lost)
+            self.assertFalse(members.has_way(before, "desk"))
+            simulation.unreached.clear()
+            builds.older_ips.add(lost)
+            await anyio.sleep(1.1)
+            simulation.start_vm(lost, "gulf")
+            found = []
+            for _ in range(before.heartbeat_count + REPORT_HEARTBEATS + 1):
+                deliver(simulation, builds, older, beat(simulation, lost))
+                deliver(simulation, builds, reader, beat(simulation, older))
+                member = members.find(lost)
+                if member.incarnation != before.incarnation:
+                    found.append(members.has_way(member, "desk"))
+            return found
+
+        for commit in BUILDS:
+            with self.subTest(commit):
+                found = play(commit, [older], scenario)
+                self.assertGreater(len(found), REPORT_HEARTBEATS)
+                self.assertEqual(found.count(False), 0)
+
 
 class ForwardingTests(unittest.TestCase):
     def test_an_older_vm_takes_another_peer_if_one_has_no_way(self):
--- a/tests/entry/unreached/test_reports.py
+++ b/tests/entry/unreached/test_reports.py
@@ -37,6 +37,15 @@
         reports.record(restarted, UnreachedReport(1, (POOL,)))
         self.assertFalse(reports.has_way(restarted, "pool"))
 
+    def test_a_report_stays_invalid_when_the_next_process_has_counted_as_far(self):
+        reports = UnreachedReports()
+        reports.record(PEER, UnreachedReport(100, (POOL,)))
+        restarted = replace(PEER, incarnation=2, heartbeat_count=1)
+        # A peer may still pass on the predecessor's report.
+        reports.record(restarted, UnreachedReport(100, (POOL,)))
+        later = replace(restarted, heartbeat_count=100)
+        self.assertTrue(reports.has_way(later, "pool"))
+
     def test_an_upstream_is_unreached_by_all_only_if_each_peer_names_it(self):
         other = make_member("10.1.0.3", heartbeat_count=5)
         reports = UnreachedReports()
