--- a/banyanseam/server/connections.py
+++ b/banyanseam/server/connections.py
@@ -89,9 +89,13 @@
         """Return the number of connections."""
         return sum(len(connections) for connections in self._ports.values())
 
+    def count_closed(self, cause: str) -> None:
+        """Count a connection that was closed in the normal course."""
+        self.closed[cause] += 1
+
     def record_closed(self, cause: str, now_s: float) -> None:
         """Count a connection that was closed, and log the counts now and then."""
-        self.closed[cause] += 1
+        self.count_closed(cause)
         if now_s - self._logged_s >= CLOSED_LOG_PERIOD_S:
             self._logged_s = now_s
             log(CONNECTIONS_CLOSED, cause=cause, closed=dict(self.closed))
--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -70,6 +70,7 @@
         self._connection = Connection()
         self._body_timer: asyncio.TimerHandle | None = None
         self._idle_since_s = 0.0
+        self._has_caller_ended = False
 
     def connection_made(self, transport: Any) -> None:
         """Start the timer for the first request's header."""
@@ -84,6 +85,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timers and mark the connection as lost."""
+        is_closed_here = exc is None and not self._has_caller_ended
+        if is_closed_here and self._splitter.held_bytes:
+            self._table.record_closed("unanswered", self.loop.time())
         self._stop_header_timer()
         self._stop_body_timer()
         self._splitter = RequestSplitter()
@@ -91,6 +95,11 @@
         super().connection_lost(exc)
         self._connection.mark_lost()
 
+    def eof_received(self) -> None:
+        """Record that the caller has closed its side of the connection."""
+        self._has_caller_ended = True
+        super().eof_received()
+
     def abort(self) -> None:
         """Close the connection at once, in favour of others."""
         self.transport.abort()
@@ -165,6 +174,12 @@
             self._body_timer = self.loop.call_later(UNREAD_BODY_S, self.transport.close)
         self._continue_soon()
 
+    def shutdown(self) -> None:
+        """Count a connection that the stop closes between two requests."""
+        if not self._is_answering:
+            self._table.count_closed("stop")
+        super().shutdown()
+
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection, unless it may be idle for longer by now.
 
@@ -174,6 +189,7 @@
         idle_s = self.loop.time() - self._idle_since_s
         left_s = self.config.timeout_keep_alive - idle_s
         if left_s <= 0:
+            self._table.count_closed("idle")
             super().timeout_keep_alive_handler()
             return
         self.timeout_keep_alive_task = self.loop.call_later(
