--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -47,6 +47,8 @@
     started_ms: int = 1
     software: str = USUAL_SOFTWARE
     pause_s: float = EVENT_PAUSE_S
+    # Follows the usual body of answers that are no streams.
+    padding: bytes = b""
     faults: list[str] = field(default_factory=list)
     # Every request whose execution began.
     runs: list[ReceivedRequest] = field(default_factory=list)
@@ -138,7 +140,7 @@
         if self.is_stream and status.startswith("200"):
             await self._write_stream(request, writer, head, fault)
             return
-        body = b"answer to " + request.headers["request-id"].encode()
+        body = b"answer to " + request.headers["request-id"].encode() + self.padding
         if fault != "unframed":
             head.append(f"content-length: {len(body)}")
         writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
--- /dev/null
+++ b/tests/faults/test_rolling_stops.py
@@ -0,0 +1,149 @@
+"""Guards against callers without a VM or an answer while VMs are replaced in turn."""
+
+import asyncio
+import signal
+import socket
+import unittest
+from contextlib import asynccontextmanager
+
+import anyio
+
+from standins.kept_caller import WHOLE, Attempt, ask
+from standins.platform_fleet import HOST, KEY, PlatformFleet, start_platform_fleet
+
+UPSTREAMS = {"e1": ("pool", "gulf"), "d1": ("desk", "gulf")}
+# When a VM that others replace takes no more requests, and by when it has ended.
+CLOSING_S = 2.3
+GRACE_S = 8.0
+LONG_ANSWER = b"x" * 250_000
+HEADERS = {
+    "host": HOST,
+    "request-deadline": "10000",
+    "authorization": f"Bearer {KEY}",
+}
+
+
+def run(scenario):
+    anyio.run(scenario, backend_options={"use_uvloop": True})
+
+
+@asynccontextmanager
+async def connect(fleet: PlatformFleet, name: str = "gulf-1"):
+    ip, port = fleet.vms[name].ip, fleet.ports["front"]
+    connection = await asyncio.open_connection(ip, port)
+    try:
+        yield connection
+    finally:
+        connection[1].transport.abort()
+
+
+async def book(connection, request_id: str) -> Attempt:
+    attempt = Attempt(request_id, "", "/book/x", 0.0)
+    await ask(connection, attempt, HEADERS)
+    return attempt
+
+
+async def lengthen_timeouts(fleet: PlatformFleet) -> None:
+    for route in fleet.config["routes"]:
+        route["timeout_ms"] = 10_000
+    fleet.publish()
+    await anyio.sleep(1.0)
+
+
+class AnswerTests(unittest.TestCase):
+    def test_an_answer_says_that_its_connection_ends_if_a_stop_began_before_it(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 1}, UPSTREAMS) as fleet:
+                fleet.upstreams["d1"].pause_s = 1.0
+                async with connect(fleet) as connection, anyio.create_task_group() as t:
+
+                    async def stop() -> None:
+                        await anyio.sleep(0.3)
+                        fleet.stop("gulf-1", signal.SIGTERM)
+
+                    t.start_soon(stop)
+                    attempt = await book(connection, "begun-before")
+                self.assertEqual((attempt.status, attempt.end), (200, WHOLE))
+                self.assertEqual(attempt.headers.get("connection"), "close")
+
+        run(scenario)
+
+    def test_a_kept_connection_gets_answers_for_as_long_as_its_vm_runs(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 2}, UPSTREAMS) as fleet:
+                await lengthen_timeouts(fleet)
+                desk = fleet.upstreams["d1"]
+                async with (
+                    connect(fleet) as kept,
+                    connect(fleet) as busy,
+                    anyio.create_task_group() as tasks,
+                ):
+                    self.assertEqual((await book(kept, "first")).status, 200)
+                    desk.pause_s = CLOSING_S + 2.5
+                    tasks.start_soon(book, busy, "long")
+                    await anyio.sleep(0.2)
+                    fleet.stop("gulf-1", signal.SIGTERM)
+                    await anyio.sleep(CLOSING_S + 1.0)
+                    attempt = await book(kept, "second")
+                self.assertEqual((attempt.status, attempt.end), (503, WHOLE))
+                self.assertEqual(attempt.headers.get("connection"), "close")
+                self.assertEqual(
+                    [each.headers["request-id"] for each in desk.runs][1:], ["long"]
+                )
+
+        run(scenario)
+
+    def test_a_slow_reader_gets_its_whole_answer_before_its_vm_ends(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 1}, UPSTREAMS) as fleet:
+                fleet.upstreams["d1"].padding = LONG_ANSWER
+                slow = socket.socket()
+                slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                # Small segments keep the sender's socket buffer small.
+                slow.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)
+                slow.setblocking(False)
+                address = fleet.vms["gulf-1"].ip, fleet.ports["front"]
+                await asyncio.get_running_loop().sock_connect(slow, address)
+                reader, writer = await asyncio.open_connection(sock=slow, limit=4096)
+                lines = ["POST /book/x HTTP/1.1", "request-id: slow"]
+                lines += [f"{name}: {value}" for name, value in HEADERS.items()]
+                lines.append("content-length: 0")
+                writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+                await anyio.sleep(0.5)
+                fleet.stop("gulf-1", signal.SIGTERM)
+                await anyio.sleep(CLOSING_S + 1.5)
+                received = bytearray()
+                with anyio.fail_after(10):
+                    while chunk := await reader.read(65536):
+                        received += chunk
+                writer.close()
+                self.assertTrue(received.endswith(LONG_ANSWER), len(received))
+                self.assertEqual(await fleet.vms["gulf-1"].child.wait(GRACE_S), 0)
+
+        run(scenario)
+
+
+class LastVmTests(unittest.TestCase):
+    def test_the_last_vm_of_a_region_takes_callers_until_another_serves(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 3}, UPSTREAMS) as fleet:
+                seen = {}
+                for name in ("gulf-1", "gulf-2", "gulf-3"):
+                    fleet.stop(name, signal.SIGTERM)
+                    await anyio.sleep(0.7)
+                # All have stopped taking new callers from others' point of view.
+                await anyio.sleep(CLOSING_S)
+                async with connect(fleet, "gulf-3") as connection:
+                    seen["late"] = await book(connection, "late")
+                for name in ("gulf-1", "gulf-2"):
+                    self.assertEqual(await fleet.vms[name].child.wait(GRACE_S), 0)
+                    fleet.start_vm(name)
+                await fleet.wait_ready("gulf-1", "gulf-2")
+                self.assertEqual(await fleet.vms["gulf-3"].child.wait(GRACE_S), 0)
+                self.assertEqual((seen["late"].status, seen["late"].end), (200, WHOLE))
+
+        run(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
