Decide whether an answer ends its connection when it begins

Callers saw: an answer that began after SIGTERM, to a request from before, didn't say that its connection would end. The caller kept it, and its next request could cross the close and get neither an answer nor a refusal. Cause: Reply took is_stopping as a value when the request began.

--- a/banyanseam/entry/exchange.py
+++ b/banyanseam/entry/exchange.py
@@ -21,22 +21,22 @@
 class Reply:
     """Writes the answer to the caller and records how far it has got."""
 
-    def __init__(self, send: AsgiSend, close: bool) -> None:
-        """Start unsent; `close` ends the connection after the answer."""
+    def __init__(self, send: AsgiSend, closes: Callable[[], bool]) -> None:
+        """Start unsent; `closes` returns whether the answer ends its connection."""
         self.is_started = False
         self.first_sent_s: float | None = None
         self.status = 0
         # Returns headers to add to the answer's own; called when the answer begins.
         self.list_extra_headers: Callable[[], Headers] = list
         self._send = send
-        self._close = close
+        self._closes = closes
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers."""
         self.is_started = True
         self.status = status
         headers = [*headers, *self.list_extra_headers()]
-        if self._close:
+        if self._closes():
             headers.append((b"connection", b"close"))
         await self._send(
             {"type": "http.response.start", "status": status, "headers": headers}
--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -146,7 +146,7 @@
 ) -> None:
     """Serve one request, log its end or failure, and send errors to the caller."""
     received_s = anyio.current_time()
-    reply = Reply(send, frontend.lifecycle.is_stopping)
+    reply = Reply(send, lambda: frontend.lifecycle.is_stopping)
     state = _RequestState(received_s, reply, forwarding)
     if forwarding is not None:
         reply.list_extra_headers = lambda: write_progress(state.sends, state.served_by)
--- a/banyanseam/entry/stream_moves.py
+++ b/banyanseam/entry/stream_moves.py
@@ -61,7 +61,7 @@
     def __init__(
         self, silent: Exchange, placement: Placement, together_s: float
     ) -> None:
-        reply = Reply(self._send, close=False)
+        reply = Reply(self._send, lambda: False)
         reply.is_started = silent.reply.is_started
         self.exchange = replace(
             silent,
--- a/tests/entry/test_endless_answers.py
+++ b/tests/entry/test_endless_answers.py
@@ -96,7 +96,7 @@
 
     async with send(outgoing, lambda: None) as incoming:
         exchange = make_exchange(
-            anyio.current_time(), reply=Reply(discard, close=False)
+            anyio.current_time(), reply=Reply(discard, lambda: False)
         )
         answer = SimpleNamespace(status=incoming.status, headers=[], is_framed=True)
         progress = Progress(anyio.current_time())
@@ -178,7 +178,7 @@
 
             exchange = SimpleNamespace(
                 route=SimpleNamespace(is_stream=False),
-                reply=Reply(record, close=False),
+                reply=Reply(record, lambda: False),
             )
             answer = SimpleNamespace(
                 status=200, headers=[], length_bytes=size_bytes, is_framed=True
@@ -222,7 +222,7 @@
                 return
 
             exchange = make_exchange(
-                anyio.current_time(), reply=Reply(discard, close=False)
+                anyio.current_time(), reply=Reply(discard, lambda: False)
             )
             progress = Progress(anyio.current_time())
             answer = SimpleNamespace(status=200, headers=[], is_framed=True)
