End a connection in a stop only after what was read on it has been answered

Callers saw: a planned stop closed idle connections while its VM went on, and ended the process while answers still waited in its buffers. A slow reader got 174,055 of 250,000 bytes of the answer to a request that had been accepted. Cause: the HTTP library's shutdown ran before the last request had ended, and the end of the process, which waits for requests, didn't wait for their bytes. A request that was held behind an answer was dropped with its connection. Change: a closing VM stops listening only; kept connections are answered until the last request has ended. Then callers' and peers' connections are closed, each once its answer is written and a held request is answered. The daemon with published seats waits for the bytes too, for 10 s. Evidence: two tests of test_rolling_stops failed on the code before and pass now.

--- a/banyanseam/daemon/app.py
+++ b/banyanseam/daemon/app.py
@@ -2,6 +2,7 @@
 
 import gc
 import signal
+from typing import Final
 
 import anyio
 from anyio.abc import TaskGroup
@@ -25,6 +26,9 @@
 from banyanseam.server.serve import EmbeddedServer, make_server
 from banyanseam.settings import Settings
 
+# Time for callers to read the rest of answers that have ended.
+CLOSE_LIMIT_S: Final = 10.0
+
 
 class Daemon(DaemonComponents):
     """One daemon process at its seat, the configured addresses of an entry VM."""
@@ -50,7 +54,8 @@
             if callers is not None:
                 await self._wait_for_end()
                 await leave(self.lifecycle, self._hand_over)
-                callers.should_exit = True
+                with anyio.move_on_after(CLOSE_LIMIT_S):
+                    await callers.close()
             operators.should_exit = True
             tasks.cancel_scope.cancel()
         log(DAEMON_STOPPED)
--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -407,9 +407,13 @@
         # New requests are refused from here on; running ones complete.
         self.lifecycle.begin_closing()
         await self.gossip.announce()
-        self._servers[0].should_exit = True
+        callers, peers, *_ = self._servers
+        callers.stop_listening()
         with anyio.move_on_at(stop_s + STOP_MARGIN_S / 2):
             await self.lifecycle.wait_idle()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(callers.close)
+                tasks.start_soon(peers.close)
 
     async def _follow_settings(self) -> None:
         while True:
--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -71,6 +71,7 @@
         self._body_timer: asyncio.TimerHandle | None = None
         self._idle_since_s = 0.0
         self._has_caller_ended = False
+        self._is_stopping = False
 
     def connection_made(self, transport: Any) -> None:
         """Start the timer for the first request's header."""
@@ -168,6 +169,8 @@
         self._idle_since_s = self.loop.time()
         super().on_response_complete()
         self._table.mark_idle(self._port, self)
+        if self._is_stopping and not self._splitter.held_bytes:
+            self.transport.close()
         # Every byte resets uvicorn's own timeout, so a slow trickle could keep the
         # connection open indefinitely. Closing at once could lose the sent refusal.
         if self.cycle.more_body and self._body_timer is None:
@@ -175,11 +178,20 @@
         self._continue_soon()
 
     def shutdown(self) -> None:
-        """Count a connection that the stop closes between two requests."""
+        """Close the connection, or after the answer to a request that is held."""
+        self._is_stopping = True
+        if self._holds_request:
+            return
         if not self._is_answering:
             self._table.count_closed("stop")
         super().shutdown()
 
+    @property
+    def _holds_request(self) -> bool:
+        """Return whether a request waits for an answer that has begun."""
+        is_promised = self._is_answering and not self.cycle.response_started
+        return bool(self._splitter.held_bytes) and not (self._may_parse or is_promised)
+
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection, unless it may be idle for longer by now.
 
--- a/banyanseam/server/serve.py
+++ b/banyanseam/server/serve.py
@@ -26,6 +26,7 @@
         self._stop_requested = anyio.Event()
         super().__init__(config)
         self.listening = anyio.Event()
+        self._ended = anyio.Event()
 
     @property
     def should_exit(self) -> bool:
@@ -37,6 +38,23 @@
         if value:
             self._stop_requested.set()
 
+    async def serve(self, sockets: list[socket] | None = None) -> None:
+        """Run until a stop has ended, or until cancelled."""
+        try:
+            await super().serve(sockets)
+        finally:
+            self._ended.set()
+
+    def stop_listening(self) -> None:
+        """Accept no more connections; the open ones stay."""
+        for listener in self.servers:
+            listener.close()
+
+    async def close(self) -> None:
+        """Close each connection once what was read on it has been answered in full."""
+        self.should_exit = True
+        await self._ended.wait()
+
     async def main_loop(self) -> None:
         """Wait for a stop request; uvicorn's own loop polls ten times a second."""
         await self.on_tick(0)
