Let the last VM of a region accept requests until another one serves

Callers saw: where all VMs of a region are replaced within a few seconds, none took requests until the first was back. Cause: a leaving VM took requests for 2.3 s, whatever the others did. Change: it goes on while callers of its region have no other, and 2.3 s longer, for five eighths of the grace period at most. Of several that leave at once, one stays. A VM whose region had no other lately leaves as before: only its own return helps its callers. After 2.3 s it takes only requests that usually end before the process does.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -12,7 +12,7 @@
     ANSWER_MEMORY_SHARE,
     BODY_MEMORY_SHARE,
     CATCH_UP_S,
-    LEAVE_S,
+    LEAVE_CHECK_S,
     LIST_VALIDITY_S,
     METRICS_PORT,
     SETTINGS_PERIOD_S,
@@ -31,6 +31,7 @@
 )
 from banyanseam.entry.gossip import GossipExchange
 from banyanseam.entry.heartbeats import Heartbeats
+from banyanseam.entry.leaving import Leaving
 from banyanseam.entry.listed_upstream import ListedUpstream
 from banyanseam.entry.local_candidates import list_local_candidates
 from banyanseam.entry.local_endpoints import make_directory_app, make_readiness_app
@@ -67,6 +68,7 @@
     METRICS_NOT_SERVED,
     SETTINGS_REJECTED,
     SETTINGS_RELOADED,
+    STOP_DELAYED,
     log,
 )
 from banyanseam.peers.errors import CannotListen
@@ -403,7 +405,7 @@
         stop_s = began_s + grace_s - STOP_MARGIN_S
         self.frontend.limit_deadlines(stop_s)
         await self.gossip.announce()
-        await anyio.sleep(min(LEAVE_S, grace_s / 3))
+        await self._leave(Leaving(self.members, grace_s, began_s))
         # New requests are refused from here on; running ones complete.
         self.lifecycle.begin_closing()
         await self.gossip.announce()
@@ -415,6 +417,16 @@
                 tasks.start_soon(callers.close)
                 tasks.start_soon(peers.close)
 
+    async def _leave(self, leaving: Leaving) -> None:
+        """Accept requests until callers have others to use."""
+        is_logged = False
+        while (left_s := leaving.find_left_s(anyio.current_time())) > 0:
+            if leaving.is_extended(anyio.current_time()) and not is_logged:
+                is_logged = True
+                self.frontend.accepts_long = False
+                log(STOP_DELAYED, region=self.settings.region)
+            await anyio.sleep(min(left_s, LEAVE_CHECK_S))
+
     async def _follow_settings(self) -> None:
         while True:
             self._reload()
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -228,6 +228,8 @@
 FAILURE_RETRY_AFTER_MS: Final = 300.0
 # After a refusal because no VM reaches an upstream: that lasts for seconds.
 UNREACHED_RETRY_MS: Final = 1000.0
+# After a refusal by the last VM of a region that is leaving: another one is starting.
+LEAVING_RETRY_MS: Final = 1000
 
 # Buffering. An answer's head, with the interim answers before it, is at most this long:
 # the operators' limit for heads of requests.
@@ -287,8 +289,15 @@
 
 # Life cycle.
 SETTINGS_PERIOD_S: Final = 2.0
-# How long a leaving process still accepts requests. After that callers have a newer
-# list of VMs; the few that still use an older list are refused at once.
+# How long a leaving process still accepts requests after others have begun to serve the
+# region. After that callers have a newer list of VMs; the few that still use an older
+# list are refused at once.
 LEAVE_S: Final = LIST_VALIDITY_S + 0.3
+# The part of the grace period after which it accepts none in any case.
+MAX_LEAVE_SHARE: Final = 0.625
+LEAVE_CHECK_S: Final = 0.1
+# Processes that began to leave within this time of each other, as far as others can
+# tell, count as leaving at the same time.
+SAME_LEAVE_S: Final = 1.0
 # Part of the grace period that is reserved for the exit of the process itself.
 STOP_MARGIN_S: Final = 0.6
--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -13,6 +13,7 @@
 from banyanseam.entry.const import (
     CATCH_UP_S,
     CATCH_UP_SHARE,
+    LEAVING_RETRY_MS,
     MIN_RETRY_AFTER_MS,
     START_WAIT_S,
 )
@@ -27,6 +28,7 @@
     Forwarding,
     Headers,
     RequestHead,
+    Route,
     StreamOrigin,
 )
 from banyanseam.entry.peer_headers import (
@@ -85,6 +87,8 @@
     lifecycle: Lifecycle
     metrics: Metrics
     first_peers: frozenset[str] = field(default_factory=frozenset)
+    # Whether requests are accepted that usually last longer than this process.
+    accepts_long: bool = True
     # The requests that are running, by the scope that ends them at their deadline.
     running: dict[anyio.CancelScope, Exchange] = field(default_factory=dict)
 
@@ -239,6 +243,17 @@
         raise EntryLeaving(retry_after_ms=0)
 
 
+def _refuse_long_while_leaving(frontend: Frontend, route: Route) -> None:
+    """Raise EntryLeaving if a request would probably outlast this process."""
+    if frontend.accepts_long:
+        return
+    usual_ms = frontend.metrics.find_usual_duration_ms(route.name)
+    if usual_ms is None:
+        usual_ms = route.timeout_ms
+    if anyio.current_time() + usual_ms / 1000 > frontend.admission.stop_s:
+        raise EntryLeaving(retry_after_ms=LEAVING_RETRY_MS)
+
+
 async def _adopt_senders_version(frontend: Frontend, forwarding: Forwarding) -> None:
     """Get the configuration by which the sender has admitted a request.
 
@@ -273,6 +288,7 @@
         frontend.running[scope] = exchange
         try:
             with connection.watch(on_disconnect):
+                _refuse_long_while_leaving(frontend, exchange.route)
                 await frontend.relay.serve(exchange)
         finally:
             del frontend.running[scope]
--- a/banyanseam/entry/members.py
+++ b/banyanseam/entry/members.py
@@ -219,6 +219,14 @@
             found.append(self.me)
         return sorted(found, key=lambda member: member.ip)
 
+    def list_leaving(self, now_s: float, region: str) -> list[tuple[Member, float]]:
+        """Return the region's leaving peers that accept requests, and since when."""
+        return [
+            (member, self._records[member.ip].changed_s)
+            for member in self.list_alive(now_s, region)
+            if member.is_accepting and not member.is_serving
+        ]
+
     def rank_in_region(self, now_s: float) -> int:
         """Return this process's rank by address among its region's serving peers."""
         alive = self.list_alive(now_s, self.me.region)
--- a/banyanseam/entry/metrics.py
+++ b/banyanseam/entry/metrics.py
@@ -2,11 +2,14 @@
 
 from collections import Counter
 from collections.abc import Iterator, Mapping
+from typing import Final
 
 import anyio
 
 from banyanseam.errors import BanyanseamError
-from banyanseam.observe.histograms import Histograms, Series
+from banyanseam.observe.histograms import Histograms, Series, SeriesKey
+
+USUAL_PERCENTILE: Final = 99.0
 
 
 class Metrics:
@@ -43,6 +46,11 @@
                 now_s,
             )
 
+    def find_usual_duration_ms(self, route: str) -> int | None:
+        """Return how long nearly all of a route's requests took; None without any."""
+        series = self.histograms.read(SeriesKey(None, route, "duration_ms"))
+        return series.percentiles[USUAL_PERCENTILE] if series.count else None
+
     def _iterate(self) -> Iterator[Series]:
         for organisation in (None, *self.histograms.list_organisations()):
             yield from self.histograms.iterate(organisation, None)
--- a/banyanseam/observe/events.py
+++ b/banyanseam/observe/events.py
@@ -31,6 +31,9 @@
 CONNECTIONS_CLOSED: Final = Event(
     2025, "WARNING", "Connections were closed because of the limits of the ports"
 )
+STOP_DELAYED: Final = Event(
+    2026, "INFO", "The daemon delays its stop: its region has no other that serves"
+)
 DAEMON_STOPPED: Final = Event(2002, "INFO", "The daemon stopped")
 DAEMON_FAILED: Final = Event(2004, "ERROR", "The daemon failed and is exiting")
 LIBRARY_ERROR: Final = Event(2010, "ERROR", "A library logged an error")
