Keep idle connections longer than any limit that callers may go by

Callers saw: beside a change of the idle limit, a request on a kept connection crossed its close and got neither an answer nor a refusal. Cause: the callers' port kept idle connections for twice the limit that this VM knew. Change: they are kept for 60 s at least.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -15,6 +15,7 @@
     LEAVE_CHECK_S,
     LIST_VALIDITY_S,
     METRICS_PORT,
+    MIN_KEEP_ALIVE_S,
     SETTINGS_PERIOD_S,
     STOP_MARGIN_S,
     SUSPENDED_S,
@@ -43,7 +44,6 @@
 from banyanseam.entry.origins.records import OriginRecords
 from banyanseam.entry.origins.takeups import TakeUps
 from banyanseam.entry.origins.versions import SoftwareVersions
-from banyanseam.entry.peer_connections import MAX_IDLE_S
 from banyanseam.entry.placing import Candidate
 from banyanseam.entry.quota import FleetQuota
 from banyanseam.entry.reach import PeerReachability
@@ -328,9 +328,8 @@
             (engine.memory_tokens for engine in engines), default=0
         )
         # Keep connections longer than the callers' idle timeout: callers close first.
-        # Peers reuse connections for MAX_IDLE_S, whatever is published.
-        idle_s = max(catalogue.limits.idle_timeout_ms / 1000, MAX_IDLE_S)
-        keep_alive_s = 2 * idle_s
+        idle_s = catalogue.limits.idle_timeout_ms / 1000
+        keep_alive_s = max(2 * idle_s, MIN_KEEP_ALIVE_S)
         for server in self._servers:
             server.config.timeout_keep_alive = keep_alive_s
 
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -283,6 +283,10 @@
 # Crashes that are remembered of one request, the latest.
 MAX_CRASHES_OF_REQUEST: Final = 16
 
+# The shortest time for which an idle connection of the callers' port is kept: callers
+# may go by a published limit that this VM doesn't know yet, or no longer.
+MIN_KEEP_ALIVE_S: Final = 60.0
+
 # Metrics are served on this port too, since the platform's own ports differ between
 # deployments. deploy/system.toml names it.
 METRICS_PORT: Final = 9464
--- a/tests/entry/test_peer_connections.py
+++ b/tests/entry/test_peer_connections.py
@@ -199,17 +199,31 @@
 
 
 class KeepAliveTests(unittest.TestCase):
-    def test_no_published_limit_ends_connections_that_peers_reuse(self):
+    def read_keep_alive_s(self, *idle_timeouts_ms: int) -> float:
+        """Return how long connections are kept after these limits were published."""
+
         async def run() -> float:
             async with start_simulation() as simulation:
                 (entry, *_) = simulation.entries.values()
                 server = SimpleNamespace(config=SimpleNamespace())
                 entry._servers = [server]
-                simulation.config["limits"] = {"idle_timeout_ms": 300}
-                simulation.publish()
+                for idle_timeout_ms in idle_timeouts_ms:
+                    simulation.config["limits"] = {"idle_timeout_ms": idle_timeout_ms}
+                    simulation.publish()
                 return server.config.timeout_keep_alive
 
-        self.assertGreater(run_with_mock_clock(run), MAX_IDLE_S)
+        return run_with_mock_clock(run)
+
+    def test_no_published_limit_ends_connections_that_peers_reuse(self):
+        self.assertGreater(self.read_keep_alive_s(300), MAX_IDLE_S)
+
+    def test_no_change_of_the_limit_ends_connections_that_callers_still_reuse(self):
+        # Callers may go by the limit before, or by the next one.
+        for before_ms, after_ms in ((20_000, 1000), (1000, 1000), (1000, 40_000)):
+            with self.subTest(before_ms=before_ms, after_ms=after_ms):
+                keep_alive_s = self.read_keep_alive_s(before_ms, after_ms)
+                self.assertGreater(keep_alive_s, 20.0)
+                self.assertGreaterEqual(keep_alive_s, 2 * after_ms / 1000)
 
 
 if __name__ == "__main__":
