Check that callers find a VM while all VMs of a region are replaced in turn

Callers with the directory's lists, some of them three times as old as allowed, and kept connections; three VMs replaced within 2 s beside changes of the idle limit.

--- a/tests/faults/test_rolling_stops.py
+++ b/tests/faults/test_rolling_stops.py
@@ -8,13 +8,21 @@
 
 import anyio
 
+from standins.directory_caller import DirectoryCaller
 from standins.kept_caller import WHOLE, Attempt, ask
+from standins.platform_demo import USAGE_HEADERS
 from standins.platform_fleet import HOST, KEY, PlatformFleet, start_platform_fleet
 
 UPSTREAMS = {"e1": ("pool", "gulf"), "d1": ("desk", "gulf")}
 # When a VM that others replace takes no more requests, and by when it has ended.
 CLOSING_S = 2.3
 GRACE_S = 8.0
+REPLACE_GAP_S = 1.0
+# How long after the end of its process a VM starts again.
+AWAY_S = 2.0
+CALLERS = 6
+# Of the tries, those that callers with an old list may lose.
+MAX_FAILED = 0.1
 LONG_ANSWER = b"x" * 250_000
 HEADERS = {
     "host": HOST,
@@ -144,6 +152,68 @@
 
         run(scenario)
 
+    def test_callers_find_a_vm_and_get_answers_while_a_region_is_replaced(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 3}, UPSTREAMS) as fleet:
+                await anyio.sleep(CLOSING_S)
+                callers = self.make_callers(fleet)
+                is_ended = anyio.Event()
+                without_vm_s: list[float] = []
+                async with anyio.create_task_group() as tasks:
+                    for number, caller in enumerate(callers):
+                        path = ("/book/x", "/read/x", "/query/x")[number % 3]
+                        tasks.start_soon(caller.run, lambda p=path: p, is_ended.is_set)
+                    tasks.start_soon(self.change_limits, fleet, is_ended.is_set)
+                    tasks.start_soon(self.probe, fleet, without_vm_s, is_ended.is_set)
+                    async with anyio.create_task_group() as steps:
+                        for name in fleet.vms:
+                            steps.start_soon(self.replace, fleet, name)
+                            await anyio.sleep(REPLACE_GAP_S)
+                    is_ended.set()
+                attempts = [each for caller in callers for each in caller.attempts]
+                self.assertTrue(attempts)
+                faults = [each for each in attempts if each.end != WHOLE]
+                self.assertEqual(faults, [])
+                refused = sum(each.status != 200 for each in attempts)
+                unconnected = sum(len(caller.unconnected) for caller in callers)
+                self.assertLess(refused + unconnected, MAX_FAILED * len(attempts))
+                self.assertEqual(without_vm_s, [])
+
+        run(scenario)
+
+    def make_callers(self, fleet: PlatformFleet) -> list[DirectoryCaller]:
+        directories = [
+            f"{vm.ip}:{fleet.ports['directory']}" for vm in fleet.vms.values()
+        ]
+        target = f"/v1/resolve?name={HOST}&region=gulf&zone=gulf-a"
+        headers = HEADERS | USAGE_HEADERS
+        return [
+            DirectoryCaller(directories, target, headers, str(number))
+            for number in range(CALLERS)
+        ]
+
+    async def replace(self, fleet: PlatformFleet, name: str) -> None:
+        fleet.stop(name, signal.SIGTERM)
+        self.assertEqual(await fleet.vms[name].child.wait(GRACE_S), 0)
+        await anyio.sleep(AWAY_S)
+        fleet.start_vm(name)
+        await fleet.wait_ready(name)
+
+    async def change_limits(self, fleet, is_ended) -> None:
+        while not is_ended():
+            for idle_timeout_ms in (400, 15_000):
+                fleet.publish(limits={"idle_timeout_ms": idle_timeout_ms})
+                await anyio.sleep(0.4)
+
+    async def probe(self, fleet, without_vm_s, is_ended) -> None:
+        """Record when no VM of the region serves a new connection."""
+        while not is_ended():
+            now_s = anyio.current_time()
+            answers = [await fleet.ask(name, "/read/x") for name in fleet.vms]
+            if not any(answer.status == 200 for answer in answers):
+                without_vm_s.append(now_s)
+            await anyio.sleep(0.05)
+
 
 if __name__ == "__main__":
     unittest.main()
