Take no request that might outlast the stop of a region's last VM

Change: beyond the usual 2.3 s it takes only requests for which 1.25 times the longest duration of their route is left, or its timeout where none is known. A list of leaving VMs is valid for 1 s, so that few callers keep it once another VM serves; the last VM then leaves 1.3 s later instead of 2.3 s.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -13,6 +13,7 @@
     BODY_MEMORY_SHARE,
     CATCH_UP_S,
     LEAVE_CHECK_S,
+    LEAVING_LIST_VALIDITY_S,
     LIST_VALIDITY_S,
     METRICS_PORT,
     MIN_KEEP_ALIVE_S,
@@ -278,7 +279,6 @@
 
     def _make_servers(self) -> list[EmbeddedServer]:
         settings = self.settings
-        validity_s = int(min(LIST_VALIDITY_S, settings.bounds.max_list_age_s))
         caller_format = self.frontend.caller_format
         apps = {
             settings.callers_address: make_callers_app(self.frontend),
@@ -287,7 +287,7 @@
                 caller_format, self.lifecycle
             ),
             settings.directory_address: make_directory_app(
-                caller_format, self._list_entries, validity_s
+                caller_format, self._list_entries
             ),
             settings.operators_address: make_operators_app(self),
         }
@@ -365,7 +365,7 @@
         listed = self.upstreams.find(candidate.upstream_id)
         return listed is not None and listed.usage.pace.limit_per_s is not None
 
-    def _list_entries(self, region: str, data_centre: str) -> list[str]:
+    def _list_entries(self, region: str, data_centre: str) -> tuple[list[str], int]:
         accepting = self.members.list_accepting(anyio.current_time())
         catalogue = self.values.catalogue
         homes = catalogue.list_home_regions() if catalogue is not None else []
@@ -383,7 +383,13 @@
                 named=[member.ip for member in chosen],
                 known=len(accepting),
             )
-        return [member.callers_address for member in chosen]
+        is_leaving = not any(member.is_serving for member in chosen)
+        validity_s = LEAVING_LIST_VALIDITY_S if is_leaving else LIST_VALIDITY_S
+        max_list_age_s = self.settings.bounds.max_list_age_s
+        return (
+            [member.callers_address for member in chosen],
+            int(min(validity_s, max_list_age_s)),
+        )
 
     def _handle_signal(self, number: int) -> None:
         if number == signal.SIGHUP:
@@ -419,8 +425,12 @@
     async def _leave(self, leaving: Leaving) -> None:
         """Accept requests until callers have others to use."""
         is_logged = False
-        while (left_s := leaving.find_left_s(anyio.current_time())) > 0:
-            if leaving.is_extended(anyio.current_time()) and not is_logged:
+        while True:
+            now_s = anyio.current_time()
+            left_s = leaving.find_left_s(now_s)
+            if left_s <= 0:
+                return
+            if not is_logged and leaving.is_extended(now_s):
                 is_logged = True
                 self.frontend.accepts_long = False
                 log(STOP_DELAYED, region=self.settings.region)
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -104,6 +104,8 @@
 
 # Directory.
 LIST_VALIDITY_S: Final = 2
+# The same if it names only VMs that are leaving.
+LEAVING_LIST_VALIDITY_S: Final = 1
 
 # Upstreams.
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -293,12 +295,15 @@
 
 # Life cycle.
 SETTINGS_PERIOD_S: Final = 2.0
-# How long a leaving process still accepts requests after others have begun to serve the
-# region. After that callers have a newer list of VMs; the few that still use an older
-# list are refused at once.
+# How long a leaving process still accepts requests. After that callers have a newer
+# list of VMs; the few that still use an older list are refused at once.
 LEAVE_S: Final = LIST_VALIDITY_S + 0.3
-# The part of the grace period after which it accepts none in any case.
+# The same after another one has begun to serve a region that had no other.
+LAST_LEAVE_S: Final = LEAVING_LIST_VALIDITY_S + 0.3
+# The part of the grace period after which it accepts none in any case. Beyond LEAVE_S,
+# it accepts only requests for which this many times the longest duration is left.
 MAX_LEAVE_SHARE: Final = 0.625
+LONGEST_FACTOR: Final = 1.25
 LEAVE_CHECK_S: Final = 0.1
 # Processes that began to leave within this time of each other, as far as others can
 # tell, count as leaving at the same time.
--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -14,6 +14,7 @@
     CATCH_UP_S,
     CATCH_UP_SHARE,
     LEAVING_RETRY_MS,
+    LONGEST_FACTOR,
     MIN_RETRY_AFTER_MS,
     START_WAIT_S,
 )
@@ -87,7 +88,7 @@
     lifecycle: Lifecycle
     metrics: Metrics
     first_peers: frozenset[str] = field(default_factory=frozenset)
-    # Whether requests are accepted that usually last longer than this process.
+    # Whether requests are accepted that might last longer than this process.
     accepts_long: bool = True
     # The requests that are running, by the scope that ends them at their deadline.
     running: dict[anyio.CancelScope, Exchange] = field(default_factory=dict)
@@ -244,13 +245,14 @@
 
 
 def _refuse_long_while_leaving(frontend: Frontend, route: Route) -> None:
-    """Raise EntryLeaving if a request would probably outlast this process."""
+    """Raise EntryLeaving if a request might outlast this process."""
     if frontend.accepts_long:
         return
-    usual_ms = frontend.metrics.find_usual_duration_ms(route.name)
-    if usual_ms is None:
-        usual_ms = route.timeout_ms
-    if anyio.current_time() + usual_ms / 1000 > frontend.admission.stop_s:
+    longest_ms = frontend.metrics.find_longest_ms(route.name)
+    if longest_ms is None:
+        longest_ms = route.timeout_ms
+    needed_s = LONGEST_FACTOR * longest_ms / 1000
+    if anyio.current_time() + needed_s > frontend.admission.stop_s:
         raise EntryLeaving(retry_after_ms=LEAVING_RETRY_MS)
 
 
--- a/banyanseam/entry/leaving.py
+++ b/banyanseam/entry/leaving.py
@@ -4,7 +4,10 @@
 have nobody until the first of them is back.
 """
 
+import math
+
 from banyanseam.entry.const import (
+    LAST_LEAVE_S,
     LEAVE_S,
     MAX_LEAVE_SHARE,
     SAME_LEAVE_S,
@@ -21,17 +24,18 @@
         self._began_s = began_s
         self._leave_s = min(LEAVE_S, grace_s / 3)
         # When callers last had no other VM of the region.
-        self._needed_s = began_s
-        self.latest_s = began_s + max(MAX_LEAVE_SHARE * grace_s, self._leave_s)
+        self._needed_s = -math.inf
+        self._latest_s = began_s + max(MAX_LEAVE_SHARE * grace_s, self._leave_s)
 
     def find_left_s(self, now_s: float) -> float:
         """Return for how much longer requests are accepted, as far as is known."""
         if self._is_last(now_s):
             self._needed_s = now_s
-        return min(self._needed_s + self._leave_s, self.latest_s) - now_s
+        end_s = max(self._began_s + self._leave_s, self._needed_s + LAST_LEAVE_S)
+        return min(end_s, self._latest_s) - now_s
 
     def is_extended(self, now_s: float) -> bool:
-        """Return whether requests are accepted only because no other VM does."""
+        """Return whether requests are accepted only because no other VM did."""
         return now_s > self._began_s + self._leave_s
 
     def _is_last(self, now_s: float) -> bool:
--- a/banyanseam/entry/local_endpoints.py
+++ b/banyanseam/entry/local_endpoints.py
@@ -25,17 +25,19 @@
 
 def make_directory_app(
     caller_format: CallerFormat,
-    list_addresses: Callable[[str, str], list[str]],
-    validity_s: int,
+    list_addresses: Callable[[str, str], tuple[list[str], int]],
 ) -> AsgiApp:
-    """Return the application that lists the VMs that callers should use."""
+    """Return the application that lists the VMs that callers should use.
+
+    `list_addresses` returns them for a region and data centre, and for how long in s.
+    """
 
     async def app(scope: dict[str, Any], _: AsgiReceive, send: AsgiSend) -> None:
         if scope["path"] != caller_format.resolve_path:
             await send_body(send, 404, b"", [])
             return
         query = parse_qs(scope["query_string"].decode("latin-1"))
-        addresses = list_addresses(*caller_format.read_resolve_query(query))
+        addresses, validity_s = list_addresses(*caller_format.read_resolve_query(query))
         headers = [(b"content-type", b"application/json")]
         if not addresses:
             await send_body(send, 503, b"{}", headers)
--- a/banyanseam/entry/metrics.py
+++ b/banyanseam/entry/metrics.py
@@ -2,15 +2,12 @@
 
 from collections import Counter
 from collections.abc import Iterator, Mapping
-from typing import Final
 
 import anyio
 
 from banyanseam.errors import BanyanseamError
 from banyanseam.observe.histograms import Histograms, Series, SeriesKey
 
-USUAL_PERCENTILE: Final = 99.0
-
 
 class Metrics:
     """Counters and latency histograms of the requests of this process."""
@@ -46,10 +43,10 @@
                 now_s,
             )
 
-    def find_usual_duration_ms(self, route: str) -> int | None:
-        """Return how long nearly all of a route's requests took; None without any."""
+    def find_longest_ms(self, route: str) -> int | None:
+        """Return the longest duration of a route's requests; None without any."""
         series = self.histograms.read(SeriesKey(None, route, "duration_ms"))
-        return series.percentiles[USUAL_PERCENTILE] if series.count else None
+        return series.percentiles[100.0] if series.count else None
 
     def _iterate(self) -> Iterator[Series]:
         for organisation in (None, *self.histograms.list_organisations()):
--- a/tests/faults/test_rolling_stops.py
+++ b/tests/faults/test_rolling_stops.py
@@ -1,6 +1,7 @@
 """Guards against callers without a VM or an answer while VMs are replaced in turn."""
 
 import asyncio
+import json
 import signal
 import socket
 import unittest
@@ -11,7 +12,13 @@
 from standins.directory_caller import DirectoryCaller
 from standins.kept_caller import WHOLE, Attempt, ask
 from standins.platform_demo import USAGE_HEADERS
-from standins.platform_fleet import HOST, KEY, PlatformFleet, start_platform_fleet
+from standins.platform_fleet import (
+    HOST,
+    KEY,
+    PlatformFleet,
+    call,
+    start_platform_fleet,
+)
 
 UPSTREAMS = {"e1": ("pool", "gulf"), "d1": ("desk", "gulf")}
 # When a VM that others replace takes no more requests, and by when it has ended.
@@ -143,12 +150,18 @@
                 await anyio.sleep(CLOSING_S)
                 async with connect(fleet, "gulf-3") as connection:
                     seen["late"] = await book(connection, "late")
+                address = f"{fleet.vms['gulf-3'].ip}:{fleet.ports['directory']}"
+                target = f"/v1/resolve?name={HOST}&region=gulf&zone=gulf-a"
+                listed = json.loads((await call(address, "GET", target)).body)
                 for name in ("gulf-1", "gulf-2"):
                     self.assertEqual(await fleet.vms[name].child.wait(GRACE_S), 0)
                     fleet.start_vm(name)
                 await fleet.wait_ready("gulf-1", "gulf-2")
                 self.assertEqual(await fleet.vms["gulf-3"].child.wait(GRACE_S), 0)
                 self.assertEqual((seen["late"].status, seen["late"].end), (200, WHOLE))
+                # Callers look again soon, since the VM that they got is leaving.
+                self.assertEqual(len(listed["addresses"]), 1)
+                self.assertEqual(listed["ttl_s"], 1)
 
         run(scenario)
 
