--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -12,9 +12,11 @@
     ANSWER_MEMORY_SHARE,
     BODY_MEMORY_SHARE,
     CATCH_UP_S,
-    LEAVE_S,
+    LEAVE_CHECK_S,
+    LEAVING_LIST_VALIDITY_S,
     LIST_VALIDITY_S,
     METRICS_PORT,
+    MIN_KEEP_ALIVE_S,
     SETTINGS_PERIOD_S,
     STOP_MARGIN_S,
     SUSPENDED_S,
@@ -31,6 +33,7 @@
 )
 from banyanseam.entry.gossip import GossipExchange
 from banyanseam.entry.heartbeats import Heartbeats
+from banyanseam.entry.leaving import Leaving
 from banyanseam.entry.listed_upstream import ListedUpstream
 from banyanseam.entry.local_candidates import list_local_candidates
 from banyanseam.entry.local_endpoints import make_directory_app, make_readiness_app
@@ -42,7 +45,6 @@
 from banyanseam.entry.origins.records import OriginRecords
 from banyanseam.entry.origins.takeups import TakeUps
 from banyanseam.entry.origins.versions import SoftwareVersions
-from banyanseam.entry.peer_connections import MAX_IDLE_S
 from banyanseam.entry.placing import Candidate
 from banyanseam.entry.quota import FleetQuota
 from banyanseam.entry.reach import PeerReachability
@@ -67,6 +69,7 @@
     METRICS_NOT_SERVED,
     SETTINGS_REJECTED,
     SETTINGS_RELOADED,
+    STOP_DELAYED,
     log,
 )
 from banyanseam.peers.errors import CannotListen
@@ -276,7 +279,6 @@
 
     def _make_servers(self) -> list[EmbeddedServer]:
         settings = self.settings
-        validity_s = int(min(LIST_VALIDITY_S, settings.bounds.max_list_age_s))
         caller_format = self.frontend.caller_format
         apps = {
             settings.callers_address: make_callers_app(self.frontend),
@@ -285,7 +287,7 @@
                 caller_format, self.lifecycle
             ),
             settings.directory_address: make_directory_app(
-                caller_format, self._list_entries, validity_s
+                caller_format, self._list_entries
             ),
             settings.operators_address: make_operators_app(self),
         }
@@ -326,9 +328,8 @@
             (engine.memory_tokens for engine in engines), default=0
         )
         # Keep connections longer than the callers' idle timeout: callers close first.
-        # Peers reuse connections for MAX_IDLE_S, whatever is published.
-        idle_s = max(catalogue.limits.idle_timeout_ms / 1000, MAX_IDLE_S)
-        keep_alive_s = 2 * idle_s
+        idle_s = catalogue.limits.idle_timeout_ms / 1000
+        keep_alive_s = max(2 * idle_s, MIN_KEEP_ALIVE_S)
         for server in self._servers:
             server.config.timeout_keep_alive = keep_alive_s
 
@@ -364,7 +365,7 @@
         listed = self.upstreams.find(candidate.upstream_id)
         return listed is not None and listed.usage.pace.limit_per_s is not None
 
-    def _list_entries(self, region: str, data_centre: str) -> list[str]:
+    def _list_entries(self, region: str, data_centre: str) -> tuple[list[str], int]:
         accepting = self.members.list_accepting(anyio.current_time())
         catalogue = self.values.catalogue
         homes = catalogue.list_home_regions() if catalogue is not None else []
@@ -382,7 +383,13 @@
                 named=[member.ip for member in chosen],
                 known=len(accepting),
             )
-        return [member.callers_address for member in chosen]
+        is_leaving = not any(member.is_serving for member in chosen)
+        validity_s = LEAVING_LIST_VALIDITY_S if is_leaving else LIST_VALIDITY_S
+        max_list_age_s = self.settings.bounds.max_list_age_s
+        return (
+            [member.callers_address for member in chosen],
+            int(min(validity_s, max_list_age_s)),
+        )
 
     def _handle_signal(self, number: int) -> None:
         if number == signal.SIGHUP:
@@ -403,13 +410,31 @@
         stop_s = began_s + grace_s - STOP_MARGIN_S
         self.frontend.limit_deadlines(stop_s)
         await self.gossip.announce()
-        await anyio.sleep(min(LEAVE_S, grace_s / 3))
+        await self._leave(Leaving(self.members, grace_s, began_s))
         # New requests are refused from here on; running ones complete.
         self.lifecycle.begin_closing()
         await self.gossip.announce()
-        self._servers[0].should_exit = True
+        callers, peers, *_ = self._servers
+        callers.stop_listening()
         with anyio.move_on_at(stop_s + STOP_MARGIN_S / 2):
             await self.lifecycle.wait_idle()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(callers.close)
+                tasks.start_soon(peers.close)
+
+    async def _leave(self, leaving: Leaving) -> None:
+        """Accept requests until callers have others to use."""
+        is_logged = False
+        while True:
+            now_s = anyio.current_time()
+            left_s = leaving.find_left_s(now_s)
+            if left_s <= 0:
+                return
+            if not is_logged and leaving.is_extended(now_s):
+                is_logged = True
+                self.frontend.accepts_long = False
+                log(STOP_DELAYED, region=self.settings.region)
+            await anyio.sleep(min(left_s, LEAVE_CHECK_S))
 
     async def _follow_settings(self) -> None:
         while True:
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -104,6 +104,8 @@
 
 # Directory.
 LIST_VALIDITY_S: Final = 2
+# The same if it names only VMs that are leaving.
+LEAVING_LIST_VALIDITY_S: Final = 1
 
 # Upstreams.
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -228,6 +230,8 @@
 FAILURE_RETRY_AFTER_MS: Final = 300.0
 # After a refusal because no VM reaches an upstream: that lasts for seconds.
 UNREACHED_RETRY_MS: Final = 1000.0
+# After a refusal by the last VM of a region that is leaving: another one is starting.
+LEAVING_RETRY_MS: Final = 1000
 
 # Buffering. An answer's head, with the interim answers before it, is at most this long:
 # the operators' limit for heads of requests.
@@ -281,6 +285,10 @@
 # Crashes that are remembered of one request, the latest.
 MAX_CRASHES_OF_REQUEST: Final = 16
 
+# The shortest time for which an idle connection of the callers' port is kept: callers
+# may go by a published limit that this VM doesn't know yet, or no longer.
+MIN_KEEP_ALIVE_S: Final = 60.0
+
 # Metrics are served on this port too, since the platform's own ports differ between
 # deployments. deploy/system.toml names it.
 METRICS_PORT: Final = 9464
@@ -290,5 +298,15 @@
 # How long a leaving process still accepts requests. After that callers have a newer
 # list of VMs; the few that still use an older list are refused at once.
 LEAVE_S: Final = LIST_VALIDITY_S + 0.3
+# The same after another one has begun to serve a region that had no other.
+LAST_LEAVE_S: Final = LEAVING_LIST_VALIDITY_S + 0.3
+# The part of the grace period after which it accepts none in any case. Beyond LEAVE_S,
+# it accepts only requests for which this many times the longest duration is left.
+MAX_LEAVE_SHARE: Final = 0.625
+LONGEST_FACTOR: Final = 1.25
+LEAVE_CHECK_S: Final = 0.1
+# Processes that began to leave within this time of each other, as far as others can
+# tell, count as leaving at the same time.
+SAME_LEAVE_S: Final = 1.0
 # Part of the grace period that is reserved for the exit of the process itself.
 STOP_MARGIN_S: Final = 0.6
--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -13,6 +13,8 @@
 from banyanseam.entry.const import (
     CATCH_UP_S,
     CATCH_UP_SHARE,
+    LEAVING_RETRY_MS,
+    LONGEST_FACTOR,
     MIN_RETRY_AFTER_MS,
     START_WAIT_S,
 )
@@ -27,6 +29,7 @@
     Forwarding,
     Headers,
     RequestHead,
+    Route,
     StreamOrigin,
 )
 from banyanseam.entry.peer_headers import (
@@ -85,6 +88,8 @@
     lifecycle: Lifecycle
     metrics: Metrics
     first_peers: frozenset[str] = field(default_factory=frozenset)
+    # Whether requests are accepted that might last longer than this process.
+    accepts_long: bool = True
     # The requests that are running, by the scope that ends them at their deadline.
     running: dict[anyio.CancelScope, Exchange] = field(default_factory=dict)
 
@@ -146,7 +151,7 @@
 ) -> None:
     """Serve one request, log its end or failure, and send errors to the caller."""
     received_s = anyio.current_time()
-    reply = Reply(send, frontend.lifecycle.is_stopping)
+    reply = Reply(send, lambda: frontend.lifecycle.is_stopping)
     state = _RequestState(received_s, reply, forwarding)
     if forwarding is not None:
         reply.list_extra_headers = lambda: write_progress(state.sends, state.served_by)
@@ -239,6 +244,18 @@
         raise EntryLeaving(retry_after_ms=0)
 
 
+def _refuse_long_while_leaving(frontend: Frontend, route: Route) -> None:
+    """Raise EntryLeaving if a request might outlast this process."""
+    if frontend.accepts_long:
+        return
+    longest_ms = frontend.metrics.find_longest_ms(route.name)
+    if longest_ms is None:
+        longest_ms = route.timeout_ms
+    needed_s = LONGEST_FACTOR * longest_ms / 1000
+    if anyio.current_time() + needed_s > frontend.admission.stop_s:
+        raise EntryLeaving(retry_after_ms=LEAVING_RETRY_MS)
+
+
 async def _adopt_senders_version(frontend: Frontend, forwarding: Forwarding) -> None:
     """Get the configuration by which the sender has admitted a request.
 
@@ -273,6 +290,7 @@
         frontend.running[scope] = exchange
         try:
             with connection.watch(on_disconnect):
+                _refuse_long_while_leaving(frontend, exchange.route)
                 await frontend.relay.serve(exchange)
         finally:
             del frontend.running[scope]
--- a/banyanseam/entry/metrics.py
+++ b/banyanseam/entry/metrics.py
@@ -6,7 +6,7 @@
 import anyio
 
 from banyanseam.errors import BanyanseamError
-from banyanseam.observe.histograms import Histograms, Series
+from banyanseam.observe.histograms import Histograms, Series, SeriesKey
 
 
 class Metrics:
@@ -43,6 +43,11 @@
                 now_s,
             )
 
+    def find_longest_ms(self, route: str) -> int | None:
+        """Return the longest duration of a route's requests; None without any."""
+        series = self.histograms.read(SeriesKey(None, route, "duration_ms"))
+        return series.percentiles[100.0] if series.count else None
+
     def _iterate(self) -> Iterator[Series]:
         for organisation in (None, *self.histograms.list_organisations()):
             yield from self.histograms.iterate(organisation, None)
--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -70,6 +70,8 @@
         self._connection = Connection()
         self._body_timer: asyncio.TimerHandle | None = None
         self._idle_since_s = 0.0
+        self._has_caller_ended = False
+        self._is_stopping = False
 
     def connection_made(self, transport: Any) -> None:
         """Start the timer for the first request's header."""
@@ -84,6 +86,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timers and mark the connection as lost."""
+        is_closed_here = exc is None and not self._has_caller_ended
+        if is_closed_here and self._splitter.held_bytes:
+            self._table.record_closed("unanswered", self.loop.time())
         self._stop_header_timer()
         self._stop_body_timer()
         self._splitter = RequestSplitter()
@@ -91,6 +96,11 @@
         super().connection_lost(exc)
         self._connection.mark_lost()
 
+    def eof_received(self) -> None:
+        """Record that the caller has closed its side of the connection."""
+        self._has_caller_ended = True
+        super().eof_received()
+
     def abort(self) -> None:
         """Close the connection at once, in favour of others."""
         self.transport.abort()
@@ -159,12 +169,29 @@
         self._idle_since_s = self.loop.time()
         super().on_response_complete()
         self._table.mark_idle(self._port, self)
+        if self._is_stopping and not self._splitter.held_bytes:
+            self.transport.close()
         # Every byte resets uvicorn's own timeout, so a slow trickle could keep the
         # connection open indefinitely. Closing at once could lose the sent refusal.
         if self.cycle.more_body and self._body_timer is None:
             self._body_timer = self.loop.call_later(UNREAD_BODY_S, self.transport.close)
         self._continue_soon()
 
+    def shutdown(self) -> None:
+        """Close the connection, or after the answer to a request that is held."""
+        self._is_stopping = True
+        if self._holds_request:
+            return
+        if not self._is_answering:
+            self._table.count_closed("stop")
+        super().shutdown()
+
+    @property
+    def _holds_request(self) -> bool:
+        """Return whether a request waits for an answer that has begun."""
+        is_promised = self._is_answering and not self.cycle.response_started
+        return bool(self._splitter.held_bytes) and not (self._may_parse or is_promised)
+
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection, unless it may be idle for longer by now.
 
@@ -174,6 +201,7 @@
         idle_s = self.loop.time() - self._idle_since_s
         left_s = self.config.timeout_keep_alive - idle_s
         if left_s <= 0:
+            self._table.count_closed("idle")
             super().timeout_keep_alive_handler()
             return
         self.timeout_keep_alive_task = self.loop.call_later(
