Leave out one peer, not the region, that calls a stream's version gone

Cause: the VM asks a peer of its region. The older one reports no lost way, so it may be drawn, finds its upstream of the version unreachable, and says that the version is gone. The VM then left its whole region out for the stream.

In its own region a VM knows from the list of upstreams that the version serves. It now leaves out the peer that refused, and the region once no other peer may be asked. What peers of other regions say counts as before.

--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -366,7 +366,7 @@
                     if failure.code in _OTHER_PEER_CODES:
                         exchange.unreachable.add(peer.ip)
                     if failure.code == StreamVersionGone.code:
-                        exchange.regions_without_version.add(region)
+                        self._record_version_gone(exchange, placement, peer)
                     await incoming.skip_body()
                     raise failure
                 answer = self.upstream_format.read_answer(
@@ -383,6 +383,21 @@
         finally:
             self.loads.forwarded[region] -= 1
 
+    def _record_version_gone(
+        self, exchange: Exchange, placement: Placement, peer: Member
+    ) -> None:
+        """Leave out the region that can't go on with a stream, or one VM of it.
+
+        In this region the list of upstreams shows that the version serves. A VM that
+        only doesn't reach it says that it is gone too.
+        """
+        candidate, now_s = placement.candidate, anyio.current_time()
+        if candidate.is_relayed:
+            exchange.unreachable.add(peer.ip)
+            if self.chooser.list_relays(exchange, candidate, now_s):
+                return
+        exchange.regions_without_version.add(candidate.region)
+
     def _rate_peer(self, peer: Member) -> tuple[int, int]:
         """Return what makes a peer less suited: unreached upstreams, then its load."""
         return self.members.unreached.count_upstreams(peer), peer.running
