Check again that an upstream hasn't started anew before a stream goes on

Cause: before a stream goes on at an upstream, the upstream is asked for its start, and then a connection for the request is opened. It may start again as another version in between.

Change: it is asked once more when its answer has begun, before any of the answer is passed on. A start breaks all connections, so if the listed one still answers, this answer is its own. Otherwise the attempt has failed, and may have run. It costs a round trip before the first event of a stream that goes on.

Evidence: the new test gets events of two versions without the change, and a 502 with it.

--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -276,6 +276,8 @@
                 ) as incoming:
                     self.unreached.record_answer(upstream, now_s)
                     answer = self._check_upstream_answer(exchange, incoming, listed)
+                    if exchange.origin is not None and answer.status == 200:
+                        await self._check_same_start(exchange, listed)
                     mark_prefilled(listed, pending_prefill_ms)
                     self._record_shared_prefix(exchange, placement, listed)
                     await self._relay_answer(
@@ -292,6 +294,20 @@
             exchange.unreachable.add(listed.upstream.upstream_id)
             raise UpstreamUnreachable(listed.upstream.upstream_id)
 
+    async def _check_same_start(
+        self, exchange: Exchange, listed: ListedUpstream
+    ) -> None:
+        """Raise UpstreamFailed unless the listed incarnation still answers.
+
+        It may have started again after `_check_start` and before the connection. It
+        has not if it answers now, since a start breaks all connections.
+        """
+        upstream = listed.upstream
+        if not await self.start_checks.is_running(upstream):
+            exchange.unreachable.add(upstream.upstream_id)
+            detail = f"{upstream.upstream_id}: it may have started again"
+            raise UpstreamFailed(detail)
+
     def _make_recorder(self, exchange: Exchange, placement: Placement) -> RunRecorder:
         return RunRecorder(
             self.loads.performance,
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -13,8 +13,9 @@
 import anyio
 
 from banyanseam.entry import frontend, relay
-from banyanseam.entry.models import Headers
+from banyanseam.entry.models import Headers, Upstream
 from banyanseam.entry.peer_headers import ORIGIN
+from banyanseam.entry.start_checks import StartChecks
 from tests.common import run_with_mock_clock
 from tests.entry.simulation import (
     EVENTS,
@@ -401,6 +402,44 @@
                 simulation, _ = self.play(scenario)
                 self.assertNotIn(calls[1].request_id, simulation.runs)
 
+    def test_a_restart_right_after_the_check_does_not_join_a_stream(self):
+        """The connection goes to the new version, which ran nothing before."""
+        calls: list[Caller] = []
+        is_running = StartChecks.is_running
+
+        async def scenario(simulation: Simulation) -> None:
+            own = simulation.upstreams["pool-gulf"]
+            other = simulation.upstreams["pool-two-gulf"]
+            for name in list(simulation.upstreams):
+                if "pool" in name and name != "pool-gulf":
+                    del simulation.upstreams[name]
+            simulation.gossip()
+            calls.append(await begin(simulation, GULF))
+            del simulation.upstreams["pool-gulf"]
+            simulation.upstreams["pool-two-gulf"] = replace(
+                other, software=own.software
+            )
+            simulation.gossip()
+
+            async def check_then_restart(
+                checks: StartChecks, upstream: Upstream
+            ) -> bool:
+                found = await is_running(checks, upstream)
+                if upstream.upstream_id == other.upstream_id and found:
+                    simulation.restart_upstream("pool-two-gulf")
+                    simulation.upstreams["pool-two-gulf"] = replace(
+                        simulation.upstreams["pool-two-gulf"], software="v2"
+                    )
+                return found
+
+            with mock.patch.object(StartChecks, "is_running", check_then_restart):
+                calls.append(await take_up(simulation, GULF_TWO, calls[0]))
+
+        simulation, _ = self.play(scenario)
+        self.assertIn(calls[1].request_id, simulation.runs)
+        self.check_one_version(*calls)
+        self.assertEqual(calls[1].status, 502)
+
     def test_a_stream_begun_by_an_unlisted_version_is_not_joined(self):
         """Its upstream came back under its id just before, and no VM has noticed."""
         for vm in (GULF, GULF_TWO):
