--- a/tests/faults/entry_soak.py
+++ b/tests/faults/entry_soak.py
@@ -54,6 +54,7 @@
 CONTACT_S: Final = 5.0
 DRAIN_S: Final = 3.0
 GRACE_S: Final = 8.0
+PAUSE_CHECK_S: Final = 0.02
 _AUTHOR: Final = re.compile(rb"data: word \d+(?: by (\S+))?\n")
 
 
@@ -108,6 +109,8 @@
     processes: list[Process] = field(default_factory=list)
     # Which have to serve, on VMs that are all replaced; empty if only this one runs.
     builds: tuple[str, ...] = ()
+    # How late this process, which is the callers and upstreams, ran at the worst.
+    longest_pause_s: float = 0.0
 
     def add_process(self, vm: str, child: Child) -> None:
         """Record a process that has just started, by where it imports from."""
@@ -553,6 +556,15 @@
     return OTHER_SOFTWARE
 
 
+async def watch_pauses(records: Records, is_ended: anyio.Event) -> None:
+    """Record the longest time for which this process was late to run a task."""
+    while not is_ended.is_set():
+        due_s = anyio.current_time() + PAUSE_CHECK_S
+        await anyio.sleep_until(due_s)
+        late_s = anyio.current_time() - due_s
+        records.longest_pause_s = max(records.longest_pause_s, late_s)
+
+
 async def run_soak(
     seed: int,
     for_s: float,
@@ -601,6 +613,7 @@
                 tasks.start_soon(caller.run, lambda: rng.choice(PATHS), is_ended.is_set)
             for stream_caller in stream_callers:
                 tasks.start_soon(stream_caller.run, is_ended.is_set)
+            tasks.start_soon(watch_pauses, records, is_ended)
             await injector.run(for_s)
             # What was removed last must not be used late either.
             await anyio.sleep(DRAIN_S + 1.0)
@@ -643,6 +656,8 @@
     )
     statuses = Counter(each.status for each in records.attempts)
     click.echo(f"  attempts by status, 0 without one: {dict(sorted(statuses.items()))}")
+    pause_s = round(records.longest_pause_s, 2)
+    click.echo(f"  callers and upstreams stood still for {pause_s} s at the longest")
     if older:
         click.echo(f"  {order}: {records.describe_builds()}")
     for line in [*violations, *describe_violations(records, violations)]:
