--- a/tests/faults/entry_soak.py
+++ b/tests/faults/entry_soak.py
@@ -11,6 +11,7 @@
 from collections import Counter, defaultdict
 from contextlib import nullcontext
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Final
 
 import anyio
@@ -636,7 +637,14 @@
 @click.option("--vms", type=click.IntRange(4, 200), default=6, show_default=True)
 @click.option("--older", default="", help="A commit whose build serves as well.")
 @click.option("--order", type=click.Choice(ORDERS), default=ORDERS[0])
-def main(seed: int, for_s: float, vms: int, older: str, order: str) -> None:
+@click.option(
+    "--logs",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="A folder to which the logs of all VMs are written.",
+)
+def main(
+    seed: int, for_s: float, vms: int, older: str, order: str, logs: Path | None
+) -> None:
     """Run the soak, print the violations and exit with 1 if there are any."""
     builds = (older, THIS_BUILD) if older else ()
     chosen = choose_builds(order, older) if older else nullcontext(choose_this_build)
@@ -645,6 +653,10 @@
         records = anyio.run(
             run_soak, seed, for_s, vms, choose_root, builds, backend_options=options
         )
+    if logs is not None:
+        logs.mkdir(parents=True, exist_ok=True)
+        for vm, log in records.logs.items():
+            logs.joinpath(f"{vm}.log").write_text(log)
     violations = find_violations(records)
     restarts = sum(len(each) for each in records.restarts.values())
     served = sum(each.status == 200 for each in records.attempts)
