--- a/tests/faults/test_two_builds.py
+++ b/tests/faults/test_two_builds.py
@@ -60,6 +60,7 @@
     def check_order(self, order: str) -> Records:
         records = self.records[order]
         print(f"{order}: {len(records.attempts)} requests, {records.describe_builds()}")
+        print(f"stood still for {records.longest_pause_s:.2f} s at the longest")
         self.assertGreater(len(records.list_gone_on()), 0)
         self.assertTrue(records.exits)
         violations = find_violations(records)
