Show that a stream is joined if its upstream came back and left unseen

This test fails; the fault is not fixed here.

Cause: an upstream that starts again under its id and leaves before the list has shown the new start is never known as the later incarnation. It is no longer listed, so it isn't asked for its start, and the record keeps the version that was listed. The test shows it on this build with one VM and no suspension.

--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -462,6 +462,30 @@
                 self.assertEqual(list_authors(calls[0])[:1], ["v2"])
                 self.check_refused(simulation, calls[1])
 
+    def test_a_stream_begun_by_an_unlisted_version_that_left_is_not_joined(self):
+        """Its upstream is gone before the list has shown that it came back."""
+        calls: list[Caller] = []
+
+        async def scenario(simulation: Simulation) -> None:
+            for name in list(simulation.upstreams):
+                if "pool" in name and name != "pool-gulf":
+                    other = simulation.upstreams.pop(name)
+            simulation.gossip()
+            simulation.restart_upstream("pool-gulf")
+            simulation.upstreams["pool-gulf"] = replace(
+                simulation.upstreams["pool-gulf"], software="v2"
+            )
+            calls.append(await begin(simulation, GULF))
+            del simulation.upstreams["pool-gulf"]
+            del simulation.old_registrations["pool-gulf"]
+            simulation.upstreams[other.upstream_id] = other
+            simulation.gossip()
+            calls.append(await take_up(simulation, GULF, calls[0]))
+
+        self.play(scenario)
+        self.assertEqual(list_authors(calls[0])[:1], ["v2"])
+        self.check_one_version(*calls)
+
     def test_an_answer_begun_by_an_unlisted_version_is_not_joined(self):
         async def scenario(simulation: Simulation) -> None:
             del simulation.upstreams["pool-two-gulf"]
