Close callers' connections before records are handed over

In the daemon with published seats a slow reader could keep a process for 10 s after its hand-over. A process that has handed its records over should end at once.

--- a/banyanseam/daemon/app.py
+++ b/banyanseam/daemon/app.py
@@ -53,9 +53,9 @@
             callers = await self._start_serving(tasks)
             if callers is not None:
                 await self._wait_for_end()
-                await leave(self.lifecycle, self._hand_over)
                 with anyio.move_on_after(CLOSE_LIMIT_S):
                     await callers.close()
+                await leave(self.lifecycle, self._hand_over)
             operators.should_exit = True
             tasks.cancel_scope.cancel()
         log(DAEMON_STOPPED)
