Take requests that end by their own deadline while the last VM of a region leaves

Callers of the last VM of a region got 503 for requests with a deadline of 1 s while its stop was 4 s away, if the longest duration of the route, or its timeout where none is known, was longer: the check ignored the request's own deadline, by which it ends with an answer in any case. The new test got (503, 503) before, instead of (200, 503) for a request with 1 s and one with 10 s. A deadline that the stop did not limit lies before it, so such a request cannot outlast the process.

--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -29,7 +29,6 @@
     Forwarding,
     Headers,
     RequestHead,
-    Route,
     StreamOrigin,
 )
 from banyanseam.entry.peer_headers import (
@@ -244,15 +243,17 @@
         raise EntryLeaving(retry_after_ms=0)
 
 
-def _refuse_long_while_leaving(frontend: Frontend, route: Route) -> None:
+def _refuse_long_while_leaving(frontend: Frontend, exchange: Exchange) -> None:
     """Raise EntryLeaving if a request might outlast this process."""
-    if frontend.accepts_long:
+    stop_s = frontend.admission.stop_s
+    # Unless the stop limits its deadline, that is the request's own.
+    if frontend.accepts_long or exchange.deadline_s < stop_s:
         return
-    longest_ms = frontend.metrics.find_longest_ms(route.name)
+    longest_ms = frontend.metrics.find_longest_ms(exchange.route.name)
     if longest_ms is None:
-        longest_ms = route.timeout_ms
+        longest_ms = exchange.route.timeout_ms
     needed_s = LONGEST_FACTOR * longest_ms / 1000
-    if anyio.current_time() + needed_s > frontend.admission.stop_s:
+    if anyio.current_time() + needed_s > stop_s:
         raise EntryLeaving(retry_after_ms=LEAVING_RETRY_MS)
 
 
@@ -290,7 +291,7 @@
         frontend.running[scope] = exchange
         try:
             with connection.watch(on_disconnect):
-                _refuse_long_while_leaving(frontend, exchange.route)
+                _refuse_long_while_leaving(frontend, exchange)
                 await frontend.relay.serve(exchange)
         finally:
             del frontend.running[scope]
--- a/tests/faults/test_rolling_stops.py
+++ b/tests/faults/test_rolling_stops.py
@@ -165,6 +165,25 @@
 
         run(scenario)
 
+    def test_the_last_vm_refuses_no_request_that_ends_by_itself_before_its_stop(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 2}, UPSTREAMS) as fleet:
+                await lengthen_timeouts(fleet)
+                fleet.stop("gulf-1", signal.SIGTERM)
+                await anyio.sleep(0.7)
+                fleet.stop("gulf-2", signal.SIGTERM)
+                await anyio.sleep(CLOSING_S + 0.5)
+                # gulf-2 has answered no request of this route yet.
+                short = await fleet.ask(
+                    "gulf-2", "/read/x", headers={"request-deadline": "1000"}
+                )
+                long = await fleet.ask(
+                    "gulf-2", "/book/x", headers={"request-deadline": "10000"}
+                )
+                self.assertEqual((short.status, long.status), (200, 503))
+
+        run(scenario)
+
     def test_callers_find_a_vm_and_get_answers_while_a_region_is_replaced(self):
         async def scenario():
             async with start_platform_fleet({"gulf": 3}, UPSTREAMS) as fleet:
