End a connection in a stop when nothing whole waits behind its last answer

The stop of a VM lasted until its grace period ended, instead of some tenths of a second, if a caller read an answer slowly and had sent more than the request, if only an empty line: the stop takes any held byte for a request, and once the caller had read on, the parser found none, and nothing closed the connection. The new test failed before, with an empty line and with the beginning of a head: the connection was still open 3 s after the caller had read the whole answer. Whether a connection may end is now decided each time that its answer is complete and each time that the parser has taken what it may, by one function, so it no longer depends on what was held when the stop began.

--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -169,28 +169,33 @@
         self._idle_since_s = self.loop.time()
         super().on_response_complete()
         self._table.mark_idle(self._port, self)
-        if self._is_stopping and not self._splitter.held_bytes:
-            self.transport.close()
         # Every byte resets uvicorn's own timeout, so a slow trickle could keep the
         # connection open indefinitely. Closing at once could lose the sent refusal.
         if self.cycle.more_body and self._body_timer is None:
             self._body_timer = self.loop.call_later(UNREAD_BODY_S, self.transport.close)
-        self._continue_soon()
+        if self._splitter.held_bytes:
+            self._continue_soon()
+        else:
+            self._close_if_stopping()
 
     def shutdown(self) -> None:
-        """Close the connection, or after the answer to a request that is held."""
+        """Close the connection once each request read on it has its whole answer."""
         self._is_stopping = True
-        if self._holds_request:
-            return
-        if not self._is_answering:
-            self._table.count_closed("stop")
-        super().shutdown()
+        self._close_if_stopping()
 
-    @property
-    def _holds_request(self) -> bool:
-        """Return whether a request waits for an answer that has begun."""
-        is_promised = self._is_answering and not self.cycle.response_started
-        return bool(self._splitter.held_bytes) and not (self._may_parse or is_promised)
+    def _close_if_stopping(self) -> None:
+        if not self._is_stopping or self.transport.is_closing():
+            return
+        is_held = self._splitter.held_bytes > 0
+        if self._is_answering:
+            # An answer that has begun does not say any more that its connection ends.
+            if not is_held and not self.cycle.response_started:
+                self.cycle.keep_alive = False
+            return
+        if is_held and not self._may_parse:
+            return
+        self._table.count_closed("stop")
+        self.transport.close()
 
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection, unless it may be idle for longer by now.
@@ -245,6 +250,7 @@
         if splitter.empty_line_bytes > MAX_EMPTY_LINE_BYTES:
             self._refuse(RequestMalformed("empty lines instead of a request"))
         self._limit_held()
+        self._close_if_stopping()
 
     def _feed(self, piece: bytes) -> None:
         try:
--- a/tests/server/test_protocol.py
+++ b/tests/server/test_protocol.py
@@ -10,6 +10,8 @@
 from banyanseam.server.reply import send_body
 from banyanseam.server.serve import make_server
 
+LONG_BODY = b"x" * 8_000_000
+
 
 async def answer(scope, receive, send):
     await send_body(send, 200, b"ok", [])
@@ -23,6 +25,10 @@
     await send({"type": "http.response.body", "body": b"rest"})
 
 
+async def answer_at_length(scope, receive, send):
+    await send_body(send, 200, LONG_BODY, [])
+
+
 @asynccontextmanager
 async def running(app):
     async with running_server(app) as (_, port):
@@ -106,6 +112,28 @@
 
         self.run_async(scenario)
 
+    def test_no_unfinished_request_delays_a_stop(self):
+        """What follows an answer that is read slowly may be no whole request."""
+        get = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+
+        async def scenario():
+            for rest in (b"\r\n", b"GET / HTTP/1.1\r\nhost"):
+                async with running_server(answer_at_length) as (server, port):
+                    connection = await anyio.connect_tcp("127.0.0.1", port)
+                    await connection.send(get + rest)
+                    await anyio.sleep(0.1)
+                    server.should_exit = True
+                    await anyio.sleep(0.1)
+                    received = b""
+                    with self.subTest(rest), anyio.fail_after(3):
+                        with self.assertRaises(anyio.EndOfStream):
+                            while True:
+                                received += await connection.receive(1_000_000)
+                        self.assertTrue(received.endswith(LONG_BODY))
+                    await connection.aclose()
+
+        self.run_async(scenario)
+
     def test_a_refusal_is_never_written_into_an_answer(self):
         get = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
         large = b"GET / HTTP/1.1\r\nx: " + b"a" * 40_000 + b"\r\n\r\n"
