Parse what was read on a connection before a stop closes it

A caller that had sent two requests at once got one answer and the end of its connection if the stop came between the end of the first answer and the parser's next turn: the second was whole and held, and the stop closed the connection as an idle one. That turn is the event loop's next one, so it was rarely missed; the new test, in which nothing runs in between, got one answer of two before. The stop now gives the parser what waits before it decides whether the connection is idle.

--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -181,7 +181,8 @@
     def shutdown(self) -> None:
         """Close the connection once each request read on it has its whole answer."""
         self._is_stopping = True
-        self._close_if_stopping()
+        # What was held behind the last answer may not have been parsed yet.
+        self._parse()
 
     def _close_if_stopping(self) -> None:
         if not self._is_stopping or self.transport.is_closing():
--- a/tests/server/test_protocol.py
+++ b/tests/server/test_protocol.py
@@ -134,6 +134,23 @@
 
         self.run_async(scenario)
 
+    def test_a_stop_closes_no_connection_on_which_a_whole_request_was_read(self):
+        get = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+
+        async def scenario():
+            async def answer_before_stop(scope, receive, send):
+                await answer(scope, receive, send)
+                # Nothing else runs in between.
+                for connection in tuple(server.server_state.connections):
+                    connection.shutdown()
+
+            async with running_server(answer_before_stop) as (server, port):
+                reply = await exchange(port, get + get)
+                self.assertEqual(reply.count(b"HTTP/1.1 200 OK"), 2)
+                self.assertEqual(reply.count(b"connection: close"), 1)
+
+        self.run_async(scenario)
+
     def test_a_refusal_is_never_written_into_an_answer(self):
         get = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
         large = b"GET / HTTP/1.1\r\nx: " + b"a" * 40_000 + b"\r\n\r\n"
