Read the settings once more when a stop begins

Callers of a VM that is stopped within two seconds of a shorter grace period in its settings file, which may change without a signal, got no answer: the process planned its stop by the old period and was killed at the end of the new one. In the new test, 8 s become 4 s right before SIGTERM; the request that outlasts both got a closed connection (RemoteProtocolError) before, and gets 504 now. The stop itself reads the file before it uses the period, so none that the platform wrote before the signal is missed.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -404,6 +404,8 @@
         the same time in a rolling stop.
         """
         began_s = anyio.current_time()
+        # The grace period may have changed since the last look at the settings.
+        self._reload()
         grace_s = self.settings.bounds.stop_grace_s
         log(DRAIN_STARTED, grace_s=grace_s, running=self.lifecycle.running_requests)
         self.lifecycle.begin_drain()
--- a/tests/faults/test_late_in_a_stop.py
+++ b/tests/faults/test_late_in_a_stop.py
@@ -99,6 +99,32 @@
 
         anyio.run(scenario, backend_options={"use_uvloop": True})
 
+    def test_a_grace_period_that_was_just_shortened_cuts_off_no_answer(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 1}, UPSTREAMS) as fleet:
+                await lengthen_timeouts(fleet)
+                fleet.upstreams["d1"].pause_s = OUTLASTS_GRACE_S
+                answers = []
+
+                async def ask():
+                    long = {"request-deadline": "20000"}
+                    answers.append(await fleet.ask("gulf-1", "/read/x", headers=long))
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(ask)
+                    await anyio.sleep(0.3)
+                    path = fleet.folder / "gulf-1.toml"
+                    text = path.read_text()
+                    path.write_text(text.replace("grace_s = 8", "grace_s = 4"))
+                    fleet.stop("gulf-1", signal.SIGTERM)
+                    await anyio.sleep(4.0)
+                    # As the platform does, if the process has not ended.
+                    if fleet.vms["gulf-1"].child.is_running:
+                        fleet.stop("gulf-1", signal.SIGKILL)
+                self.assertEqual((answers[0].status, answers[0].broken), (504, None))
+
+        anyio.run(scenario, backend_options={"use_uvloop": True})
+
 
 if __name__ == "__main__":
     unittest.main()
