Don't count idle connections as requests at their limit

With 4,000 connections open on the callers' port, idle ones included, every request on it, also one on a kept connection, got a plain 503 without Not-Executed from the HTTP library, for as long as they stayed: its limit of concurrency compares connections too, and was the same 4,000 that the table of connections keeps to by closing the longest idle one. The new test, with a limit of 3 and three idle connections, got that 503 before and gets 200 now. The library's limit stays, for requests that go on without their callers, at twice the number of connections.

--- a/banyanseam/server/const.py
+++ b/banyanseam/server/const.py
@@ -19,6 +19,8 @@
 UNREAD_BODY_S: Final = 5
 KEEP_ALIVE_S: Final = 30
 MAX_CONNECTIONS: Final = 4000
+# Some go on after their caller has disconnected.
+MAX_REQUESTS: Final = 2 * MAX_CONNECTIONS
 LISTEN_BACKLOG: Final = 1024
 # The part of the sockets that callers and peers may open; upstreams, the store and
 # this process's own connections to peers use the others.
--- a/banyanseam/server/serve.py
+++ b/banyanseam/server/serve.py
@@ -14,7 +14,7 @@
 from banyanseam.peers.errors import CannotListen
 from banyanseam.server.callers import AnswerAborted, AsgiApp
 from banyanseam.server.connections import ConnectionTable
-from banyanseam.server.const import KEEP_ALIVE_S, LISTEN_BACKLOG, MAX_CONNECTIONS
+from banyanseam.server.const import KEEP_ALIVE_S, LISTEN_BACKLOG, MAX_REQUESTS
 from banyanseam.server.protocol import LimitedProtocol
 
 
@@ -102,7 +102,8 @@
         "date_header": False,
         "proxy_headers": False,
         "timeout_keep_alive": KEEP_ALIVE_S,
-        "limit_concurrency": MAX_CONNECTIONS,
+        # Counts connections too, idle ones included; the table limits those.
+        "limit_concurrency": MAX_REQUESTS,
         "backlog": LISTEN_BACKLOG,
     }
     return EmbeddedServer(uvicorn.Config(app, **options))
--- a/tests/server/test_protocol.py
+++ b/tests/server/test_protocol.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from banyanseam.server import protocol
+from banyanseam.server import connections, protocol, serve
 from banyanseam.server.connections import make_connection_table
 from banyanseam.server.reply import send_body
 from banyanseam.server.serve import make_server
@@ -151,6 +151,23 @@
 
         self.run_async(scenario)
 
+    def test_idle_connections_up_to_the_limit_make_no_request_fail(self):
+        async def scenario():
+            with (
+                patch.object(connections, "MAX_CONNECTIONS", 3),
+                # The limit was this module's too, and counted all as requests.
+                patch.object(serve, "MAX_CONNECTIONS", 3, create=True),
+            ):
+                async with running(answer) as port:
+                    crowd = [await anyio.connect_tcp("127.0.0.1", port) for _ in "abc"]
+                    get = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+                    reply = await exchange(port, get)
+                    for connection in crowd:
+                        await connection.aclose()
+            self.assertTrue(reply.startswith(b"HTTP/1.1 200 OK"), reply)
+
+        self.run_async(scenario)
+
     def test_a_refusal_is_never_written_into_an_answer(self):
         get = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
         large = b"GET / HTTP/1.1\r\nx: " + b"a" * 40_000 + b"\r\n\r\n"
