Let no caller without an admitted request hold a stop by not reading

The cause is that a stop now waits until all answers are written, also refusals. A connection on which no request was admitted is now aborted if its caller takes nothing for 1 s in the stop.

--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -231,7 +231,9 @@
             state.forwarding,
         )
         state.exchange = exchange
-        await _run(frontend, exchange, scope["extensions"][CONNECTION])
+        connection = scope["extensions"][CONNECTION]
+        connection.is_admitted = True
+        await _run(frontend, exchange, connection)
 
 
 def _refuse_while_closing(frontend: Frontend) -> None:
--- a/banyanseam/server/callers.py
+++ b/banyanseam/server/callers.py
@@ -129,6 +129,7 @@
             await port.wait_until_accepting()
         if not port.is_accepting():
             raise NotReady(retry_after_ms=RETRY_AFTER_MS)
+        connection.is_admitted = True
         await run_cancellable(port, exchange, connection)
         await exchange.reply.finish()
 
--- a/banyanseam/server/connection.py
+++ b/banyanseam/server/connection.py
@@ -16,6 +16,8 @@
     # True while the write buffer is full, so that further sends would block.
     is_write_blocked: bool = False
     is_lost: bool = False
+    # Whether a request on it was admitted; otherwise its answers are refusals.
+    is_admitted: bool = False
     _watchers: list[Callable[[], None]] = field(default_factory=list)
 
     @contextmanager
--- a/banyanseam/server/const.py
+++ b/banyanseam/server/const.py
@@ -17,6 +17,8 @@
 HEADER_GRACE_S: Final = 0.25
 # Time limit for the rest of a body after its request has been refused.
 UNREAD_BODY_S: Final = 5
+# How long a stop waits for callers that take nothing of their refusals.
+UNREAD_REFUSAL_S: Final = 1
 KEEP_ALIVE_S: Final = 30
 MAX_CONNECTIONS: Final = 4000
 # Some go on after their caller has disconnected.
--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -22,6 +22,7 @@
     MAX_HELD_BYTES,
     MAX_URL_BYTES,
     UNREAD_BODY_S,
+    UNREAD_REFUSAL_S,
     WRITE_BUFFER_BYTES,
 )
 from banyanseam.server.errors import HeaderTooLarge, HeaderTooSlow, TargetTooLong
@@ -72,6 +73,8 @@
         self._idle_since_s = 0.0
         self._has_caller_ended = False
         self._is_stopping = False
+        self._stop_timer: asyncio.TimerHandle | None = None
+        self._unread_bytes = 0
 
     def connection_made(self, transport: Any) -> None:
         """Start the timer for the first request's header."""
@@ -91,6 +94,8 @@
             self._table.record_closed("unanswered", self.loop.time())
         self._stop_header_timer()
         self._stop_body_timer()
+        if self._stop_timer is not None:
+            self._stop_timer.cancel()
         self._splitter = RequestSplitter()
         self._table.remove(self._port, self)
         super().connection_lost(exc)
@@ -183,6 +188,20 @@
         self._is_stopping = True
         # What was held behind the last answer may not have been parsed yet.
         self._parse()
+        self._limit_unread()
+
+    def _limit_unread(self) -> None:
+        """Look again later whether the caller has taken anything of its refusals."""
+        self._unread_bytes = self.transport.get_write_buffer_size()
+        self._stop_timer = self.loop.call_later(UNREAD_REFUSAL_S, self._check_unread)
+
+    def _check_unread(self) -> None:
+        has_taken = self.transport.get_write_buffer_size() < self._unread_bytes
+        if self._unread_bytes and not has_taken and not self._connection.is_admitted:
+            self._table.record_closed("unread", self.loop.time())
+            self.transport.abort()
+            return
+        self._limit_unread()
 
     def _close_if_stopping(self) -> None:
         if not self._is_stopping or self.transport.is_closing():
--- a/tests/faults/test_rolling_stops.py
+++ b/tests/faults/test_rolling_stops.py
@@ -137,6 +137,30 @@
 
         run(scenario)
 
+    def test_a_caller_without_a_key_that_never_reads_delays_no_stop(self):
+        async def scenario():
+            async with start_platform_fleet({"gulf": 1}, UPSTREAMS) as fleet:
+                client = socket.socket()
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)
+                client.setblocking(False)
+                loop = asyncio.get_running_loop()
+                address = fleet.vms["gulf-1"].ip, fleet.ports["front"]
+                await loop.sock_connect(client, address)
+                request = f"GET /x HTTP/1.1\r\nhost: {HOST}\r\n\r\n".encode()
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(loop.sock_sendall, client, 20_000 * request)
+                    await anyio.sleep(2.0)
+                    began_s = anyio.current_time()
+                    fleet.stop("gulf-1", signal.SIGTERM)
+                    self.assertEqual(await fleet.vms["gulf-1"].child.wait(10.0), 0)
+                    took_s = anyio.current_time() - began_s
+                    tasks.cancel_scope.cancel()
+                client.close()
+                self.assertLess(took_s, CLOSING_S + 3.0)
+
+        run(scenario)
+
 
 class LastVmTests(unittest.TestCase):
     def test_the_last_vm_of_a_region_takes_callers_until_another_serves(self):
