--- a/tests/server/test_protocol.py
+++ b/tests/server/test_protocol.py
@@ -5,11 +5,13 @@
 
 import anyio
 
-from banyanseam.server import protocol
+from banyanseam.server import connections, protocol, serve
 from banyanseam.server.connections import make_connection_table
 from banyanseam.server.reply import send_body
 from banyanseam.server.serve import make_server
 
+LONG_BODY = b"x" * 8_000_000
+
 
 async def answer(scope, receive, send):
     await send_body(send, 200, b"ok", [])
@@ -23,6 +25,10 @@
     await send({"type": "http.response.body", "body": b"rest"})
 
 
+async def answer_at_length(scope, receive, send):
+    await send_body(send, 200, LONG_BODY, [])
+
+
 @asynccontextmanager
 async def running(app):
     async with running_server(app) as (_, port):
@@ -106,6 +112,62 @@
 
         self.run_async(scenario)
 
+    def test_no_unfinished_request_delays_a_stop(self):
+        """What follows an answer that is read slowly may be no whole request."""
+        get = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+
+        async def scenario():
+            for rest in (b"\r\n", b"GET / HTTP/1.1\r\nhost"):
+                async with running_server(answer_at_length) as (server, port):
+                    connection = await anyio.connect_tcp("127.0.0.1", port)
+                    await connection.send(get + rest)
+                    await anyio.sleep(0.1)
+                    server.should_exit = True
+                    await anyio.sleep(0.1)
+                    received = b""
+                    with self.subTest(rest), anyio.fail_after(3):
+                        with self.assertRaises(anyio.EndOfStream):
+                            while True:
+                                received += await connection.receive(1_000_000)
+                        self.assertTrue(received.endswith(LONG_BODY))
+                    await connection.aclose()
+
+        self.run_async(scenario)
+
+    def test_a_stop_closes_no_connection_on_which_a_whole_request_was_read(self):
+        get = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+
+        async def scenario():
+            async def answer_before_stop(scope, receive, send):
+                await answer(scope, receive, send)
+                # Nothing else runs in between.
+                for connection in tuple(server.server_state.connections):
+                    connection.shutdown()
+
+            async with running_server(answer_before_stop) as (server, port):
+                reply = await exchange(port, get + get)
+                self.assertEqual(reply.count(b"HTTP/1.1 200 OK"), 2)
+                self.assertEqual(reply.count(b"connection: close"), 1)
+
+        self.run_async(scenario)
+
+    def test_idle_connections_up_to_the_limit_make_no_request_fail(self):
+        async def scenario():
+            with (
+                patch.object(connections, "MAX_CONNECTIONS", 3),
+                # The limit was this module's too, and counted all as requests.
+                patch.object(serve, "MAX_CONNECTIONS", 3, create=True),
+            ):
+                async with running(answer) as port:
+                    crowd = [await anyio.connect_tcp("127.0.0.1", port) for _ in "abc"]
+                    get = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+                    reply = await exchange(port, get)
+                    for connection in crowd:
+                        await connection.aclose()
+            self.assertTrue(reply.startswith(b"HTTP/1.1 200 OK"), reply)
+
+        self.run_async(scenario)
+
     def test_a_refusal_is_never_written_into_an_answer(self):
         get = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
         large = b"GET / HTTP/1.1\r\nx: " + b"a" * 40_000 + b"\r\n\r\n"
