--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -298,8 +298,9 @@
 # How long a leaving process still accepts requests. After that callers have a newer
 # list of VMs; the few that still use an older list are refused at once.
 LEAVE_S: Final = LIST_VALIDITY_S + 0.3
-# The same after another one has begun to serve a region that had no other.
-LAST_LEAVE_S: Final = LEAVING_LIST_VALIDITY_S + 0.3
+# The same after another one has begun to serve a region that had no other. Some callers
+# use a list three times as long as it is valid. Source: the platform's documentation.
+LAST_LEAVE_S: Final = 3 * LEAVING_LIST_VALIDITY_S + 0.3
 # The part of the grace period after which it accepts none in any case. Beyond LEAVE_S,
 # it accepts only requests for which this many times the longest duration is left.
 MAX_LEAVE_SHARE: Final = 0.625
--- a/tests/entry/test_leaving.py
+++ b/tests/entry/test_leaving.py
@@ -37,10 +37,12 @@
 
     def test_the_last_vm_stays_until_callers_know_of_another(self):
         self.merge("10.1.0.1", BEGAN_S - 2.0, is_serving=False, is_accepting=False)
-        self.assertEqual(self.find_end_s(BEGAN_S + 3.0), 3.0 + LAST_LEAVE_S)
-        self.assertTrue(self.leaving.is_extended(BEGAN_S + 3.0))
-        self.merge("10.1.0.1", BEGAN_S + 3.1, count=2)
-        self.assertEqual(self.find_end_s(BEGAN_S + 3.2), 3.0 + LAST_LEAVE_S)
+        self.assertEqual(self.find_end_s(BEGAN_S + 1.5), 1.5 + LAST_LEAVE_S)
+        self.assertFalse(self.leaving.is_extended(BEGAN_S + 1.5))
+        self.merge("10.1.0.1", BEGAN_S + 1.6, count=2)
+        self.merge("10.1.0.1", BEGAN_S + 3.1, count=3)
+        self.assertEqual(self.find_end_s(BEGAN_S + 3.2), 1.5 + LAST_LEAVE_S)
+        self.assertTrue(self.leaving.is_extended(BEGAN_S + 3.2))
 
     def test_the_last_vm_leaves_time_for_its_last_requests(self):
         self.merge("10.1.0.1", BEGAN_S - 2.0, is_serving=False, is_accepting=False)
@@ -61,9 +63,9 @@
                 self.setUp()
                 self.merge(ip, BEGAN_S - 3.0)
                 self.merge(ip, BEGAN_S + since_s, count=2, is_serving=False)
-                now_s = BEGAN_S + 2.0
+                now_s = BEGAN_S + 1.6
                 self.merge(ip, now_s, count=3, is_serving=False)
-                expected_s = 2.0 + LAST_LEAVE_S if stays else LEAVE_S
+                expected_s = 1.6 + LAST_LEAVE_S if stays else LEAVE_S
                 self.assertEqual(self.find_end_s(now_s), expected_s)
 
 
