--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -22,6 +22,7 @@
     MAX_HELD_BYTES,
     MAX_URL_BYTES,
     UNREAD_BODY_S,
+    UNREAD_REFUSAL_S,
     WRITE_BUFFER_BYTES,
 )
 from banyanseam.server.errors import HeaderTooLarge, HeaderTooSlow, TargetTooLong
@@ -72,6 +73,8 @@
         self._idle_since_s = 0.0
         self._has_caller_ended = False
         self._is_stopping = False
+        self._stop_timer: asyncio.TimerHandle | None = None
+        self._unread_bytes = 0
 
     def connection_made(self, transport: Any) -> None:
         """Start the timer for the first request's header."""
@@ -91,6 +94,8 @@
             self._table.record_closed("unanswered", self.loop.time())
         self._stop_header_timer()
         self._stop_body_timer()
+        if self._stop_timer is not None:
+            self._stop_timer.cancel()
         self._splitter = RequestSplitter()
         self._table.remove(self._port, self)
         super().connection_lost(exc)
@@ -169,28 +174,48 @@
         self._idle_since_s = self.loop.time()
         super().on_response_complete()
         self._table.mark_idle(self._port, self)
-        if self._is_stopping and not self._splitter.held_bytes:
-            self.transport.close()
         # Every byte resets uvicorn's own timeout, so a slow trickle could keep the
         # connection open indefinitely. Closing at once could lose the sent refusal.
         if self.cycle.more_body and self._body_timer is None:
             self._body_timer = self.loop.call_later(UNREAD_BODY_S, self.transport.close)
-        self._continue_soon()
+        if self._splitter.held_bytes:
+            self._continue_soon()
+        else:
+            self._close_if_stopping()
 
     def shutdown(self) -> None:
-        """Close the connection, or after the answer to a request that is held."""
+        """Close the connection once each request read on it has its whole answer."""
         self._is_stopping = True
-        if self._holds_request:
+        # What was held behind the last answer may not have been parsed yet.
+        self._parse()
+        self._limit_unread()
+
+    def _limit_unread(self) -> None:
+        """Look again later whether the caller has taken anything of its refusals."""
+        self._unread_bytes = self.transport.get_write_buffer_size()
+        self._stop_timer = self.loop.call_later(UNREAD_REFUSAL_S, self._check_unread)
+
+    def _check_unread(self) -> None:
+        has_taken = self.transport.get_write_buffer_size() < self._unread_bytes
+        if self._unread_bytes and not has_taken and not self._connection.is_admitted:
+            self._table.record_closed("unread", self.loop.time())
+            self.transport.abort()
             return
-        if not self._is_answering:
-            self._table.count_closed("stop")
-        super().shutdown()
+        self._limit_unread()
 
-    @property
-    def _holds_request(self) -> bool:
-        """Return whether a request waits for an answer that has begun."""
-        is_promised = self._is_answering and not self.cycle.response_started
-        return bool(self._splitter.held_bytes) and not (self._may_parse or is_promised)
+    def _close_if_stopping(self) -> None:
+        if not self._is_stopping or self.transport.is_closing():
+            return
+        is_held = self._splitter.held_bytes > 0
+        if self._is_answering:
+            # An answer that has begun does not say any more that its connection ends.
+            if not is_held and not self.cycle.response_started:
+                self.cycle.keep_alive = False
+            return
+        if is_held and not self._may_parse:
+            return
+        self._table.count_closed("stop")
+        self.transport.close()
 
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection, unless it may be idle for longer by now.
@@ -245,6 +270,7 @@
         if splitter.empty_line_bytes > MAX_EMPTY_LINE_BYTES:
             self._refuse(RequestMalformed("empty lines instead of a request"))
         self._limit_held()
+        self._close_if_stopping()
 
     def _feed(self, piece: bytes) -> None:
         try:
