Log the time that each request had when it ends

A stream that was cut showed that its deadline was reached, but not which: the caller's own or the route's limit, and how much time it had on arrival.

--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -326,6 +326,7 @@
         fields |= {
             "route": route,
             "organisation": organisation,
+            "deadline_ms": round((exchange.deadline_s - state.received_s) * 1000),
             "sends": exchange.sends,
             "tried": exchange.tried,
             "last_event": exchange.last_event,
