Refuse streams that their deadline would cut

Cause: the VM that took the request ends it 20 ms before its deadline, and a stream was admitted by the estimated wait for its first event only. With up to four fifths of the time spent on that, nothing was left for the rest, which takes seconds while engines decode slowly. That holds above all for repeats after a refusal, with 3 to 5 s left of 8 s, and for prompts that are held back at their VM.

Each VM now observes, by route, how long its streams take from the first event to the end, and refuses at once, not run, a stream for which that and the wait exceed the time left, also one that has waited until then. The delay before a repeat is the longest. A request that has been sent is not given up for another upstream that would not take it.

--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -6,6 +6,7 @@
 import anyio
 
 from banyanseam.entry.const import (
+    MAX_REST_SHARE,
     MAX_RETRY_AFTER_MS,
     MAX_WAIT_SHARE,
     MIN_RETRY_AFTER_MS,
@@ -124,6 +125,12 @@
                 with self.loads.brittle.count_waiting(exchange.service):
                     await anyio.sleep(QUEUE_PERIOD_S)
                 continue
+            if self._would_be_cut(exchange, placement, left_ms):
+                # Less time is left for each repeat, so use the longest delay.
+                raise RegionsFull(
+                    "the answer would not end before the deadline",
+                    retry_after_ms=choose_retry_after_ms(left_ms, left_ms),
+                )
             if not self._is_admitted(exchange, placement, left_ms):
                 retry_after_ms = choose_retry_after_ms(2 * placement.wait_ms, left_ms)
                 raise RegionsFull(
@@ -141,9 +148,12 @@
     def may_be_placed(self, exchange: Exchange) -> bool:
         """Return whether an upstream would take the request now."""
         now_s = anyio.current_time()
+        left_ms = exchange.left_ms(now_s)
         placement = self._choose(exchange, self.list_candidates(exchange, now_s))
-        return placement is not None and self._is_admitted(
-            exchange, placement, exchange.left_ms(now_s)
+        return (
+            placement is not None
+            and not self._would_be_cut(exchange, placement, left_ms)
+            and self._is_admitted(exchange, placement, left_ms)
         )
 
     def choose_wait_share(self, exchange: Exchange, now_s: float) -> float:
@@ -251,6 +261,18 @@
         untried = _prefer_untried(candidates, exchange.tried)
         return choose(untried, request, self.loads.is_cached, random.random)
 
+    def _would_be_cut(
+        self, exchange: Exchange, placement: Placement, left_ms: float
+    ) -> bool:
+        """Return whether a stream would more likely be cut by its deadline than end."""
+        if not exchange.route.is_stream or exchange.is_resumed:
+            return False
+        now_s = anyio.current_time()
+        rest_ms = self.loads.answer_times.find_ms(exchange.route.name, now_s)
+        # Callers that leave enough time are admitted even if all others were cut.
+        rest_ms = min(rest_ms, MAX_REST_SHARE * exchange.route.timeout_ms)
+        return placement.wait_ms + rest_ms > left_ms
+
     def _is_admitted(
         self, exchange: Exchange, placement: Placement, left_ms: float
     ) -> bool:
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -187,6 +187,9 @@
 TRANSFER_MS_PER_KIB: Final = 4.0
 # Share of the caller's remaining time that the wait for the first byte may take.
 MAX_WAIT_SHARE: Final = 0.8
+# Share of a route's time limit that the rest of a stream after its first event is
+# assumed to take at most.
+MAX_REST_SHARE: Final = 0.5
 # A short request whose estimated wait exceeds this share of its target latency is
 # refused instead of queued: under overload, a longer queue serves no more requests and
 # makes all of them late.
--- a/banyanseam/entry/moving.py
+++ b/banyanseam/entry/moving.py
@@ -144,6 +144,7 @@
         return (
             best is not None
             and best.wait_ms < max_wait_ms
+            and self.may_be_placed(exchange)
             and self._charge_retry(exchange)
         )
 
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -160,6 +160,26 @@
 
     async def serve(self, exchange: Exchange) -> None:
         """Answer a request; raise the last attempt's error, or why none was made."""
+        try:
+            await self._serve(exchange)
+        finally:
+            self._record_answer_time(exchange)
+
+    def _record_answer_time(self, exchange: Exchange) -> None:
+        """Record how long a stream took that has ended, or reached its deadline."""
+        first_s, now_s = exchange.reply.first_sent_s, anyio.current_time()
+        is_over = exchange.is_answered or now_s >= exchange.deadline_s
+        if (
+            exchange.route.is_stream
+            and exchange.reply.status == 200
+            and exchange.head.last_event_id is None
+            and first_s is not None
+            and is_over
+        ):
+            rest_ms = (now_s - first_s) * 1000
+            self.loads.answer_times.record(exchange.route.name, rest_ms, now_s)
+
+    async def _serve(self, exchange: Exchange) -> None:
         now_s = anyio.current_time()
         vms = self.members.count_recent(now_s)
         if exchange.forwarding is None:
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -24,6 +24,7 @@
     make_upstream_tag,
 )
 from banyanseam.entry.models import Upstream
+from banyanseam.entry.performance.answer_times import AnswerTimes
 from banyanseam.entry.performance.network import NetworkTimes
 from banyanseam.entry.performance.observer import PerformanceObserver
 from banyanseam.entry.placing import (
@@ -60,6 +61,7 @@
         self.engine_memory_tokens = 0
         self.performance = PerformanceObserver()
         self.network = NetworkTimes()
+        self.answer_times = AnswerTimes()
         self.brittle = BrittleServices()
         # Loads that peers reported, the oldest report first, and by tag of the upstream
         # their sums and the number of reports in these.
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -114,6 +114,7 @@
     body_sent: bytes = b""
     # The shared and own segments of the prompt, as the header names them.
     segments: bytes = b""
+    deadline_ms: int = 4000
     # The organisation's home regions as the VM knew them then; empty if it has none.
     homes: frozenset[str] = frozenset()
     status: int = 0
@@ -310,6 +311,7 @@
         begun_as: str | None = None,
         after_event: int = 0,
         leaves_after: int | None = None,
+        deadline_ms: int = 4000,
     ) -> int:
         """Send a caller's request to a VM, and return its index in `callers`.
 
@@ -324,6 +326,7 @@
         caller.body_sent = segments if body is None else body
         caller.begun_as, caller.after_event = begun_as, after_event
         caller.leaves_after = leaves_after
+        caller.deadline_ms = deadline_ms
         self.callers.append(caller)
         with acting(vm):
             self.tasks.start_soon(self._ask, self.entries[vm], caller)
@@ -337,7 +340,7 @@
         headers = [
             (b"host", HOST.encode()),
             (b"request-id", caller.request_id.encode()),
-            (b"request-deadline", b"4000"),
+            (b"request-deadline", str(caller.deadline_ms).encode()),
             (b"authorization", f"Bearer {KEY}".encode()),
             (b"model", b"m"),
             (b"token-usage", b"400,40"),
