Let few VMs send to brittle upstreams, and relay to them

Callers saw: at 0.3 of the capacity, regions with more VMs than slots refused 2 to 83% of the requests to a brittle service, most of them after a wait of 0.45 s.

Cause: each VM took its part of what is free by chance, once in a round. With 23 VMs and 16 slots that is 0.7 places a VM and round, spread over four upstreams, so that a place was often free at another VM than the one that had a request.

Now so many VMs send that each has about eight slots, two at least: the first of a ranking of the region's VMs that all find alike. The others relay to a random one of them over the way of unreached upstreams. What can't be relayed is sent by the part among all VMs, as before.

The model in test_brittle.py relays as the daemon does; its checks are as before.

--- a/banyanseam/entry/brittle.py
+++ b/banyanseam/entry/brittle.py
@@ -8,13 +8,14 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Final
 
 from banyanseam.entry.const import MAX_MESH_PEERS
 from banyanseam.entry.members import Members
+from banyanseam.peers.rendezvous import rank_first
 
 # A word of other upstreams of the service holds for so long.
 BRITTLE_MEMORY_S: Final = 5.0
@@ -38,8 +39,17 @@
 # A VM that has been silent for longer is gone.
 SILENT_S: Final = 6.0
 FULL_VIEW_S: Final = 0.015
+# How long a comparison of the VMs is used.
+VIEW_S: Final = ROUND_S / 4
 # So many requests may wait for a place whatever runs.
 MIN_WAITING: Final = 8
+# A region with more VMs than this allows sends over some of them; the others relay, so
+# that each sender has several places.
+SLOTS_PER_SENDER: Final = 8
+# The others serve while one that has just ended is still thought to be alive.
+MIN_SENDERS: Final = 2
+# So many requests of a VM may be with the senders whatever runs there.
+MIN_RELAYED: Final = 2
 # Answers that were on their way together may differ in what they say.
 WORD_SLACK_S: Final = 1.0
 
@@ -61,6 +71,14 @@
         return requests / (self.own + self.others + self.idle_vms * idle_weight)
 
 
+@dataclass(frozen=True, slots=True)
+class Senders:
+    """The VMs of a region that send to a brittle service, and its slots there."""
+
+    ips: frozenset[str]
+    slots: int
+
+
 @dataclass(frozen=True, slots=True)
 class Demand:
     """The requests at an upstream, as far as known, against what it runs at a time."""
@@ -72,6 +90,30 @@
     brittle_per_s: int
 
 
+def count_senders(slots: int) -> int:
+    """Return how many VMs of a region send to a brittle service with so many slots."""
+    return max(MIN_SENDERS, math.ceil(slots / SLOTS_PER_SENDER))
+
+
+def choose_senders(ips: Collection[str], service: str, slots: int) -> Senders | None:
+    """Return which of a region's VMs send to a brittle service, None if all do.
+
+    All VMs choose the same ones if they know the same VMs and upstreams.
+    """
+    count = count_senders(slots)
+    if count >= len(ips):
+        return None
+    return Senders(frozenset(rank_first(ips, service, count)), slots)
+
+
+def count_relayed(slots: int, contention: Contention) -> int:
+    """Return how many requests a VM may have with the senders if they look full.
+
+    That is its part of the slots, so that callers of all VMs are served alike.
+    """
+    return max(MIN_RELAYED, math.ceil(contention.find_share(slots * contention.own, 0)))
+
+
 class BrittlePlaces:
     """The places that this VM may take at a brittle upstream."""
 
@@ -170,9 +212,12 @@
         self._calm_s: dict[str, float] = {}
         # Requests that wait at this VM for a place, by service.
         self.waiting: Counter[str] = Counter()
+        # Requests of this VM that are with the senders, by service.
+        self.relayed: Counter[str] = Counter()
         self._full_until_s: dict[str, float] = {}
-        self._contention = Contention()
-        self._compared_s = -math.inf
+        # The last comparisons and when they were made, by service whose senders count;
+        # "" if all VMs do.
+        self._compared: dict[str, tuple[float, Contention]] = {}
 
     def record_word(self, service: str, brittle_per_s: int, now_s: float) -> None:
         """Record that an upstream's answer says that it is brittle."""
@@ -255,22 +300,38 @@
         calm_s = self._calm_s.get(service, -math.inf)
         return max(now_s - BRITTLE_MEMORY_S, calm_s - WORD_SLACK_S)
 
-    def compare(self, members: Members, now_s: float) -> Contention:
+    def compare(
+        self,
+        members: Members,
+        now_s: float,
+        service: str = "",
+        senders: Senders | None = None,
+    ) -> Contention:
         """Return how this VM's load compares with those of its region.
 
-        A peer whose reports have stopped counts with its last load.
+        A peer whose reports have stopped counts with its last load. Of the others, only
+        the senders of the service count if they are given.
         """
-        if 0 <= now_s - self._compared_s < ROUND_S / 4:
-            return self._contention
-        self._compared_s = now_s
+        key = "" if senders is None else service
+        compared_s, contention = self._compared.get(key, (-math.inf, Contention()))
+        if 0 <= now_s - compared_s < VIEW_S:
+            return contention
         me = members.me
         recent = members.list_recent(now_s, me.region, SILENT_S)
         alive = {peer.ip for peer in members.list_alive(now_s, me.region)}
-        self._contention = Contention(
+        rivals = recent
+        if senders is not None:
+            rivals = [
+                peer
+                for peer in recent
+                if peer.ip in senders.ips or peer.ip not in alive
+            ]
+        contention = Contention(
             own=max(me.running, 1),
-            others=sum(peer.running for peer in recent),
-            idle_vms=sum(peer.running == 0 for peer in recent),
+            others=sum(peer.running for peer in rivals),
+            idle_vms=sum(peer.running == 0 for peer in rivals),
             silent=sum(peer.running for peer in recent if peer.ip not in alive),
             vms=1 + len(recent),
         )
-        return self._contention
+        self._compared[key] = now_s, contention
+        return contention
--- a/banyanseam/entry/choosing.py
+++ b/banyanseam/entry/choosing.py
@@ -77,6 +77,11 @@
         if exchange.forwarding is not None:
             found = [each for each in found if not each.is_relayed]
         if exchange.forwarding is None:
+            relayed = self.loads.relay_to_senders(
+                found, exchange.service, self.members, now_s
+            )
+            if relayed is not found and self._list_relays(exchange, now_s):
+                found = relayed
             for region in allowed - {here}:
                 if self.list_peers(exchange, region, now_s):
                     found += self.loads.list_remote_candidates(
@@ -323,7 +328,8 @@
         Those without a way to its service would refuse it.
         """
         serving = self.members.list_with_way(now_s, region, exchange.service)
-        return self._filter_peers(exchange, serving, now_s)
+        peers = self._filter_peers(exchange, serving, now_s)
+        return self._keep_senders(exchange, peers, region, now_s) or peers
 
     def list_relays(
         self, exchange: Exchange, candidate: Candidate, now_s: float
@@ -342,8 +348,18 @@
             for peer in self.members.list_relays(now_s, exchange.service)
             if peer.running <= MAX_RUNNING_TO_RELAY
         ]
+        peers = self._keep_senders(exchange, peers, self.members.me.region, now_s)
         return self._filter_peers(exchange, peers, now_s)
 
+    def _keep_senders(
+        self, exchange: Exchange, peers: list[Member], region: str, now_s: float
+    ) -> list[Member]:
+        """Leave out VMs that have no places at a brittle service."""
+        senders = self.loads.find_senders(exchange.service, self.members, region, now_s)
+        if senders is None:
+            return peers
+        return [peer for peer in peers if peer.ip in senders.ips]
+
     def _filter_peers(
         self, exchange: Exchange, peers: list[Member], now_s: float
     ) -> list[Member]:
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -316,7 +316,10 @@
         max_idle_s = choose_max_idle_s(may_resend=exchange.may_resend)
         connected = self.peer_connections.list_addresses(now_s, max_idle_s)
         peers = prefer_connected(peers, self.peers_port, connected)
-        drawn = random.sample(peers, min(2, len(peers)))
+        # All VMs ask the same few senders, with loads that are as old at each of them:
+        # the one that looks idle would get all requests.
+        is_few = self.loads.find_senders(exchange.service, self.members, region, now_s)
+        drawn = random.sample(peers, 1 if is_few else min(2, len(peers)))
         peer = min(drawn, key=self._rate_peer)
         log(
             REQUEST_FORWARDED,
@@ -342,6 +345,7 @@
             max_idle_s=max_idle_s,
         )
         self.loads.forwarded[region] = self.loads.forwarded.get(region, 0) + 1
+        self.loads.brittle.relayed[exchange.service] += placement.candidate.is_relayed
         sends = exchange.sends
         try:
             async with send(
@@ -382,6 +386,9 @@
             raise
         finally:
             self.loads.forwarded[region] -= 1
+            self.loads.brittle.relayed[exchange.service] -= (
+                placement.candidate.is_relayed
+            )
 
     def _rate_peer(self, peer: Member) -> tuple[int, int]:
         """Return what makes a peer less suited: unreached upstreams, then its load."""
@@ -505,7 +512,7 @@
                 refusals_per_s=number,
             )
         if number is not None and answer.status == 503 and answer.is_surely_not_run:
-            vms = self.members.count_recent(now_s, self.members.me.region)
+            vms = self.loads.count_rivals(service, self.members, now_s)
             usage.brittle.record_refusal(usage.requests - 1, number, vms, now_s)
 
     def _may_retry_status(self, exchange: Exchange) -> bool:
--- a/banyanseam/entry/upstreams.py
+++ b/banyanseam/entry/upstreams.py
@@ -6,7 +6,15 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from banyanseam.entry.brittle import MIN_WAITING, BrittleServices, Demand
+from banyanseam.entry.brittle import (
+    MIN_WAITING,
+    VIEW_S,
+    BrittleServices,
+    Demand,
+    Senders,
+    choose_senders,
+    count_relayed,
+)
 from banyanseam.entry.cached_prefixes import CachedPrefixes
 from banyanseam.entry.const import (
     FORWARDED_PREFILL_MS,
@@ -31,6 +39,7 @@
 )
 from banyanseam.entry.recent_prefixes import RecentPrefixes
 from banyanseam.entry.relay_log import SegmentUse
+from banyanseam.entry.unreached.const import RELAYED_MS
 from banyanseam.entry.upstream_list import UpstreamList
 
 # Requests, prefill time, reserved memory tokens, prefill time of waiting prompts.
@@ -61,6 +70,8 @@
         self.performance = PerformanceObserver()
         self.network = NetworkTimes()
         self.brittle = BrittleServices()
+        # Who sends to brittle services, and when that was found, by service and region.
+        self._senders: dict[tuple[str, str], tuple[float, Senders | None]] = {}
         # Loads that peers reported, the oldest report first, and by tag of the upstream
         # their sums and the number of reports in these.
         self._peer_loads: dict[str, _PeerLoads] = {}
@@ -250,11 +261,62 @@
         if not self.brittle.is_full(service, now_s):
             return False
         waiting = self.brittle.waiting[service]
-        return waiting >= MIN_WAITING and waiting >= sum(
+        return waiting >= MIN_WAITING and waiting >= self.brittle.relayed[
+            service
+        ] + sum(
             listed.usage.requests
             for listed in self._upstreams.list_usable(service, now_s)
         )
 
+    def find_senders(
+        self, service: str, members: Members, region: str, now_s: float
+    ) -> Senders | None:
+        """Return the VMs of a region that send to a service, None if all do.
+
+        Only those of a service that is brittle are limited.
+        """
+        if self.brittle.find(service, None, now_s) is None:
+            return None
+        found_s, senders = self._senders.get((service, region), (-VIEW_S, None))
+        if 0 <= now_s - found_s < VIEW_S:
+            return senders
+        slots = sum(
+            max(listed.upstream.slots, 1)
+            for listed in self._upstreams.list_usable(service, now_s)
+            if members.regions.get(listed.upstream.data_centre) == region
+        )
+        serving = members.list_with_way(now_s, region, service)
+        senders = choose_senders([each.ip for each in serving], service, slots)
+        self._senders[service, region] = now_s, senders
+        return senders
+
+    def relay_to_senders(
+        self, candidates: list[Candidate], service: str, members: Members, now_s: float
+    ) -> list[Candidate]:
+        """Return this region's candidates as relayed ones if others send to them.
+
+        Cold ones are left to those that pace the requests to them.
+        """
+        senders = self.find_senders(service, members, self._own_region, now_s)
+        if senders is None or members.me.ip in senders.ips:
+            return candidates
+        return [
+            each
+            if each.is_reserve
+            else replace(each, is_relayed=True, network_ms=RELAYED_MS)
+            for each in candidates
+        ]
+
+    def count_rivals(self, service: str, members: Members, now_s: float) -> int:
+        """Return how many VMs may take places at a brittle service, with this one."""
+        vms = members.count_recent(now_s, self._own_region)
+        senders = self.find_senders(service, members, self._own_region, now_s)
+        if senders is None or members.me.ip not in senders.ips:
+            return vms
+        # Those that have fallen silent may still send.
+        silent_vms = vms - 1 - len(members.list_alive(now_s, self._own_region))
+        return len(senders.ips) + max(silent_vms, 0)
+
     def has_room(
         self, candidate: Candidate, service: str, members: Members, now_s: float
     ) -> bool:
@@ -266,12 +328,24 @@
         number = self.brittle.find(service, places, now_s)
         if number is None:
             return True
-        if places is None or candidate.is_relayed:
+        if places is None:
             return candidate.requests < candidate.slots
+        senders = self.find_senders(service, members, self._own_region, now_s)
+        if candidate.is_relayed:
+            if candidate.requests < candidate.slots:
+                return True
+            if senders is None:
+                return False
+            everyone = self.brittle.compare(members, now_s)
+            limit = count_relayed(senders.slots, everyone)
+            return self.brittle.relayed[service] < limit
         own = listed.usage.requests
         peers = candidate.requests - own
         demand = Demand(max(candidate.slots, 1), own, peers, number)
-        contention = self.brittle.compare(members, now_s)
+        if senders is not None and members.me.ip not in senders.ips:
+            # It can't be relayed, so this VM takes its part among all.
+            senders = None
+        contention = self.brittle.compare(members, now_s, service, senders)
         return places.may_send(demand, contention, now_s, random.random)
 
     def _drop_old_loads(self, now_s: float) -> None:
--- a/tests/entry/test_brittle.py
+++ b/tests/entry/test_brittle.py
@@ -6,10 +6,13 @@
 
 from banyanseam.entry.brittle import (
     BRITTLE_MEMORY_S,
+    MIN_WAITING,
     BrittlePlaces,
     BrittleServices,
     Contention,
     Demand,
+    count_relayed,
+    count_senders,
 )
 from banyanseam.entry.const import MAX_MESH_PEERS, PEER_TERM_S
 from tests.entry.common import make_member, make_members
@@ -33,12 +36,15 @@
         self.ends = [[[] for _ in self.upstreams] for _ in vms]
         is_large = len(shares) > MAX_MESH_PEERS
         self.report_s = LARGE_REGION_REPORT_S if is_large else REPORT_S
+        # When requests came that wait at a VM, and the VM that got them.
         self.waiting = [deque() for _ in vms]
+        self.relayed = [0 for _ in vms]
+        self.vms_ranked = self.rng.sample(vms, len(vms))
         # Reports on their way, one a VM, and what has arrived.
         self.reports = [([0] * upstreams, 0) for _ in vms]
         self.silent_from_s = {}
         self.refusals = [[] for _ in self.upstreams]
-        self.falls = self.served = 0
+        self.falls = self.served = self.asked = 0
         self.down_until_s = [-1.0] * upstreams
 
     def run(self, seconds):
@@ -46,11 +52,14 @@
             now_s = step * STEP_S
             for vm, share in enumerate(self.shares):
                 while self.rng.random() < self._chance(share):
-                    self.waiting[vm].append(now_s)
-                while self.waiting[vm] and now_s - self.waiting[vm][0] > 0.6:
-                    self.waiting[vm].popleft()
+                    self.asked += 1
+                    self.waiting[vm].append((now_s, vm))
+                while self.waiting[vm] and now_s - self.waiting[vm][0][0] > 0.6:
+                    self._end(vm, self.waiting[vm].popleft()[1])
                 for ends in self.ends[vm]:
-                    ends[:] = [end_s for end_s in ends if end_s > now_s]
+                    for end in [end for end in ends if end[0] <= now_s]:
+                        ends.remove(end)
+                        self._end(vm, end[1])
                 if now_s < self.silent_from_s.get(vm, 1e9) and (
                     (step + vm) % round(self.report_s / STEP_S) == 0
                 ):
@@ -59,6 +68,32 @@
                 self._send(vm, now_s)
         return self
 
+    def _end(self, vm, origin):
+        if origin != vm:
+            self.relayed[origin] -= 1
+
+    def _list_senders(self, vm, silent):
+        """Return the VMs that send, as one knows them."""
+        ranked = [other for other in self.vms_ranked if other not in silent]
+        return ranked[: count_senders(self.slots * len(self.upstreams))]
+
+    def _relay(self, vm, senders, heard, contention):
+        """Let a VM that doesn't send relay what it may of its waiting requests."""
+        limit = count_relayed(self.slots * len(self.upstreams), contention)
+        while self.waiting[vm]:
+            is_full = all(
+                sum(held[upstream] for held in heard) >= self.slots
+                for upstream in self.upstreams
+            )
+            if is_full and self.relayed[vm] >= limit:
+                return
+            request = self.waiting[vm].popleft()
+            sender = self.rng.choice(senders)
+            runs = sum(map(len, self.ends[sender]))
+            if len(self.waiting[sender]) < max(MIN_WAITING, runs):
+                self.relayed[vm] += 1
+                self.waiting[sender].append(request)
+
     def _chance(self, share):
         # Geometric, with the mean of the VM's requests in a step.
         mean = share * self.per_s * STEP_S
@@ -70,7 +105,7 @@
             for places, ends in zip(self.places[vm], self.ends[vm], strict=True)
         ]
         running = sum(map(len, self.ends[vm])) + len(self.waiting[vm])
-        return held, running
+        return held, running + self.relayed[vm]
 
     def _send(self, vm, now_s):
         silent = {
@@ -78,19 +113,25 @@
             for other, from_s in self.silent_from_s.items()
             if other != vm and now_s - from_s > PEER_TERM_S
         }
-        running = [running for _, running in self.reports]
+        senders = self._list_senders(vm, silent)
+        rivals = [self.reports[other][1] for other in {*senders, *silent} - {vm}]
         contention = Contention(
-            own=max(running[vm], 1),
-            others=sum(running) - running[vm],
-            idle_vms=running.count(0) - (running[vm] == 0),
-            silent=sum(running[other] for other in silent),
-            vms=len(running),
+            own=max(self.reports[vm][1], 1),
+            others=sum(rivals),
+            idle_vms=rivals.count(0),
+            silent=sum(self.reports[other][1] for other in silent),
+            vms=len(self.reports),
         )
         heard = [
             held
             for other, (held, _) in enumerate(self.reports)
             if other != vm and other not in silent
         ]
+        if vm not in senders:
+            running = [running for _, running in self.reports]
+            everyone = Contention(max(running[vm], 1), sum(running) - running[vm])
+            self._relay(vm, senders, heard, everyone)
+            return
         for upstream in self.rng.sample(self.upstreams, len(self.upstreams)):
             places, ends = self.places[vm][upstream], self.ends[vm][upstream]
             peers = sum(held[upstream] for held in heard)
@@ -98,14 +139,16 @@
                 demand = Demand(self.slots, len(ends), peers, self.brittle)
                 if not places.may_send(demand, contention, now_s, self.rng.random):
                     break
-                self.waiting[vm].popleft()
+                _, origin = self.waiting[vm].popleft()
                 running = sum(len(each[upstream]) for each in self.ends)
                 if running < self.slots:
-                    ends.append(now_s + self.rng.expovariate(1 / self.call_s))
+                    took_s = self.rng.expovariate(1 / self.call_s)
+                    ends.append((now_s + took_s, origin))
                     places.record_requests(len(ends))
                     self.served += 1
                     continue
-                vms = len(self.shares)
+                self._end(vm, origin)
+                vms = len(senders) + len(silent)
                 places.record_refusal(len(ends), self.brittle, vms, now_s)
                 self._refuse(upstream, now_s)
 
@@ -117,6 +160,8 @@
             self.refusals[upstream] = []
             self.down_until_s[upstream] = now_s + 3
             for vm, _ in enumerate(self.shares):
+                for _, origin in self.ends[vm][upstream]:
+                    self._end(vm, origin)
                 self.ends[vm][upstream] = []
                 self.places[vm][upstream] = BrittlePlaces()
 
@@ -146,6 +191,29 @@
                     self.assertLessEqual(fleet.falls, 2 + upstreams / 10)
                     self.assertGreater(fleet.served, 0.5 * per_s / 2.5 * LENGTH_S)
 
+    def test_a_light_load_is_served_by_many_vms_with_few_slots(self):
+        # The load of each VM, upstreams, their slots, the time of a call.
+        cases = [
+            (share_equally(6), 4, 4, 0.2),
+            (share_equally(23), 4, 4, 0.05),
+            (share_equally(23), 4, 4, 0.3),
+            ([0.8, *[0.2 / 22] * 22], 4, 4, 0.3),
+            (share_equally(23), 4, 16, 0.3),
+            (share_equally(65), 10, 4, 0.5),
+            (share_equally(114), 4, 4, 0.3),
+        ]
+        for shares, upstreams, slots, call_s in cases:
+            served = asked = 0
+            for seed in (1, 2, 3):
+                per_s = 0.3 * upstreams * slots / call_s
+                fleet = Fleet(seed, shares, upstreams, slots, call_s, per_s, brittle=4)
+                fleet.run(LENGTH_S)
+                served += fleet.served
+                asked += fleet.asked
+                self.assertLessEqual(fleet.falls, 2 + upstreams / 10)
+            with self.subTest(vms=len(shares), slots=slots, call_s=call_s):
+                self.assertGreaterEqual(served, 0.98 * asked)
+
     def test_vms_whose_reports_are_lost_stay_within_their_parts(self):
         fleet = Fleet(1, share_equally(6), 4, 8, 0.3, 260.0, brittle=4)
         fleet.silent_from_s = dict.fromkeys(range(6), 3.0)
