--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -188,10 +188,11 @@
         self._is_stopping = True
         # What was held behind the last answer may not have been parsed yet.
         self._parse()
-        self._limit_unread()
+        if self._stop_timer is None:
+            self.limit_unread()
 
-    def _limit_unread(self) -> None:
-        """Look again later whether the caller has taken anything of its refusals."""
+    def limit_unread(self) -> None:
+        """End the connection if its caller takes nothing of its refusals."""
         self._unread_bytes = self.transport.get_write_buffer_size()
         self._stop_timer = self.loop.call_later(UNREAD_REFUSAL_S, self._check_unread)
 
@@ -201,7 +202,7 @@
             self._table.record_closed("unread", self.loop.time())
             self.transport.abort()
             return
-        self._limit_unread()
+        self.limit_unread()
 
     def _close_if_stopping(self) -> None:
         if not self._is_stopping or self.transport.is_closing():
--- a/banyanseam/server/serve.py
+++ b/banyanseam/server/serve.py
@@ -46,9 +46,11 @@
             self._ended.set()
 
     def stop_listening(self) -> None:
-        """Accept no more connections; the open ones stay."""
+        """Accept no more connections; those whose callers read stay open."""
         for listener in self.servers:
             listener.close()
+        for connection in self.server_state.connections:
+            connection.limit_unread()
 
     async def close(self) -> None:
         """Close each connection once what was read on it has been answered in full."""
