--- a/banyanseam/entry/brittle.py
+++ b/banyanseam/entry/brittle.py
@@ -46,7 +46,7 @@
 # A region with more VMs than this allows sends over some of them; the others relay, so
 # that each sender has several places.
 SLOTS_PER_SENDER: Final = 8
-# The others serve while one that has just ended is still thought to be alive.
+# The others serve while one that has just ended still counts as alive.
 MIN_SENDERS: Final = 2
 # So many requests of a VM may be with the senders whatever runs there.
 MIN_RELAYED: Final = 2
