Show that streams go on at a version that did not begin them

Cause: if the upstream that began a stream doesn't answer any more, the stream counts as begun by the incarnation that is listed, whichever it was.

Nothing outside review/ is changed.

--- a/review/kit2.py
+++ b/review/kit2.py
@@ -105,6 +105,8 @@
     def __init__(self) -> None:
         """Start empty."""
         self.address = ""
+        # While it is down it answers every call with 503.
+        self.is_down = False
         self._items: dict[str, tuple[bytes | None, int]] = {}
         self._revision = 1
         self._changed = asyncio.Event()
@@ -129,6 +131,9 @@
         with contextlib.suppress(*ends):
             while True:
                 request = await read_request(reader)
+                if self.is_down:
+                    writer.write(render("503 Service Unavailable", b"{}"))
+                    continue
                 url = urlsplit(request.target)
                 query = dict(parse_qsl(url.query))
                 if url.path == "/v1/kv-range":
@@ -207,6 +212,7 @@
     zone: str
     behaviour: Behaviour
     slots: int = 64
+    version: str = "v1"
     cold_until_s: float = 0.0
     # Further headers of all answers.
     extra: Headers = field(default_factory=dict)
@@ -229,6 +235,21 @@
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
         self._heartbeats = asyncio.create_task(self._beat())
 
+    async def restart(self, version: str, down_s: float) -> None:
+        """Start again in place, with a version of the software.
+
+        The id and the address stay; the new entry is written at once, if the store
+        takes it.
+        """
+        self.crash()
+        await asyncio.sleep(down_s)
+        self.version = version
+        self.born_ms = time.time_ns() // 1_000_000
+        self.sequence = 0
+        host, port = self.address.split(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self._heartbeats = asyncio.create_task(self._beat())
+
     def crash(self) -> None:
         """End at once: all connections are reset, nothing listens, no more beats."""
         self._server.close()
@@ -242,7 +263,9 @@
         self.register()
 
     def register(self) -> None:
-        """Write the entry in the store."""
+        """Write the entry in the store, unless that is down."""
+        if self.store.is_down:
+            return
         self.sequence += 1
         cold_s = max(0.0, self.cold_until_s - time.monotonic())
         self.store.put(
@@ -251,7 +274,7 @@
                 "service": self.service,
                 "address": self.address,
                 "zone": self.zone,
-                "version": "v1",
+                "version": self.version,
                 "slots": self.slots,
                 "state": "ready",
                 "cold_remaining_ms": round(cold_s * 1000),
@@ -333,7 +356,7 @@
         first = int(run.headers.get("last-event-id", "0")) + 1
         for number in range(first, len(pauses_s) + 1):
             await asyncio.sleep(pauses_s[number - 1])
-            event = f"id: {number}\ndata: word {number}\n\n".encode()
+            event = f"id: {number}\ndata: {number} by {self.version}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
