See the close of a caller whatever it has sent

Cause: more than 64 KiB of a body in one read pause the reading of the connection, and after a whole body nothing resumed it before the answer. Beyond 16 KiB of requests ahead it is not read on either.

Change: a whole body resumes reading. While too much was sent ahead, the kernel is asked whether the other side has closed; the bytes stay there.

--- a/banyanseam/server/const.py
+++ b/banyanseam/server/const.py
@@ -13,6 +13,8 @@
 # Bytes received after a request that is being answered, beyond which the connection
 # is not read on.
 MAX_HELD_BYTES: Final = 16 * 1024
+# How often a connection that is not read on is checked for its caller's close.
+HELD_CHECK_S: Final = 0.1
 HEADER_TIMEOUT_S: Final = 10
 HEADER_GRACE_S: Final = 0.25
 # Time limit for the rest of a body after its request has been refused.
--- a/banyanseam/server/protocol.py
+++ b/banyanseam/server/protocol.py
@@ -15,6 +15,7 @@
 from banyanseam.server.const import (
     HEADER_GRACE_S,
     HEADER_TIMEOUT_S,
+    HELD_CHECK_S,
     MAX_EMPTY_LINE_BYTES,
     MAX_HEAD_BYTES,
     MAX_HEADER_BYTES,
@@ -26,6 +27,7 @@
     WRITE_BUFFER_BYTES,
 )
 from banyanseam.server.errors import HeaderTooLarge, HeaderTooSlow, TargetTooLong
+from banyanseam.server.hang_up import has_hung_up
 from banyanseam.server.splitter import RequestSplitter
 
 
@@ -74,6 +76,7 @@
         self._has_caller_ended = False
         self._is_stopping = False
         self._stop_timer: asyncio.TimerHandle | None = None
+        self._held_timer: asyncio.TimerHandle | None = None
         self._unread_bytes = 0
 
     def connection_made(self, transport: Any) -> None:
@@ -94,8 +97,9 @@
             self._table.record_closed("unanswered", self.loop.time())
         self._stop_header_timer()
         self._stop_body_timer()
-        if self._stop_timer is not None:
-            self._stop_timer.cancel()
+        for timer in (self._stop_timer, self._held_timer):
+            if timer is not None:
+                timer.cancel()
         self._splitter = RequestSplitter()
         self._table.remove(self._port, self)
         super().connection_lost(exc)
@@ -164,6 +168,9 @@
     def on_message_complete(self) -> None:
         """Stop the body timer; the connection may be reused."""
         super().on_message_complete()
+        # The application receives nothing more, so that it would not resume reading,
+        # and the caller's close would go unnoticed until the answer.
+        self.flow.resume_reading()
         self._stop_body_timer()
         self._splitter.end_request()
         if self._is_answering:
@@ -293,11 +300,24 @@
         else:
             splitter.compact()
             self.flow.hold(splitter.held_bytes > MAX_HELD_BYTES)
+            if self.flow.is_held and self._held_timer is None:
+                self._check_held()
         pending_bytes = splitter.pending_bytes
         if pending_bytes or self._has_pending:
             self._has_pending = bool(pending_bytes)
             self._table.set_pending(self, pending_bytes, self.loop.time())
 
+    def _check_held(self) -> None:
+        """End the connection if its caller has closed it while it is not read."""
+        self._held_timer = None
+        if not self.flow.is_held or self.transport.is_closing():
+            return
+        if has_hung_up(self.transport):
+            self._has_caller_ended = True
+            self.transport.abort()
+            return
+        self._held_timer = self.loop.call_later(HELD_CHECK_S, self._check_held)
+
     def _start_header_timer(self) -> None:
         self._stop_header_timer()
         self._header_timer = self.loop.call_later(
--- a/tests/server/test_protocol.py
+++ b/tests/server/test_protocol.py
@@ -6,6 +6,7 @@
 import anyio
 
 from banyanseam.server import connections, protocol, serve
+from banyanseam.server.connection import CONNECTION
 from banyanseam.server.connections import make_connection_table
 from banyanseam.server.reply import send_body
 from banyanseam.server.serve import make_server
@@ -151,6 +152,41 @@
 
         self.run_async(scenario)
 
+    # While more bytes are held than are read on, the caller's close was not seen.
+    def test_the_close_of_a_caller_that_sent_far_ahead_is_seen(self):
+        post = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 90000\r\n\r\n"
+        get = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+
+        async def scenario():
+            started, gone = anyio.Event(), anyio.Event()
+
+            async def wait(scope, receive, send):
+                ended = anyio.Event()
+                with scope["extensions"][CONNECTION].watch(ended.set):
+                    started.set()
+                    await ended.wait()
+                gone.set()
+
+            for ahead in (post + b"x" * 40_000, get * 2000):
+                started, gone = anyio.Event(), anyio.Event()
+                async with running(wait) as port:
+                    connection = await anyio.connect_tcp("127.0.0.1", port)
+                    await connection.send(get + ahead)
+                    await started.wait()
+                    await anyio.sleep(0.3)
+                    self.assertFalse(gone.is_set())
+                    await connection.aclose()
+                    with self.subTest(ahead[:4]), anyio.fail_after(1):
+                        await gone.wait()
+
+        async def bounded():
+            with anyio.fail_after(10):
+                await scenario()
+
+        for use_uvloop in (False, True):
+            with self.subTest(use_uvloop=use_uvloop):
+                anyio.run(bounded, backend_options={"use_uvloop": use_uvloop})
+
     def test_idle_connections_up_to_the_limit_make_no_request_fail(self):
         async def scenario():
             with (
--- a/tests/server/test_request_forms.py
+++ b/tests/server/test_request_forms.py
@@ -9,12 +9,16 @@
 
 from banyanseam.pipe.errors import CallerGone
 from banyanseam.server.callers import read_body
+from banyanseam.server.connection import CONNECTION
 from banyanseam.server.reply import send_body
 from tests.server.request_forms import Form, make_body, make_form
-from tests.server.test_untrusted_bytes import FakeTransport, Port, let_run
+from tests.server.test_untrusted_bytes import GET, FakeTransport, Port, let_run
 
 # Forms in CI; more by hand with the variable set.
 FORMS = int(os.environ.get("REQUEST_FORMS", "300"))
+# Of a second request, sent before the first is answered: nothing, all, or a part that
+# the server holds.
+AHEAD = (b"", GET, GET * 300, b"POST / HTTP/1.1\r\ncontent-length: 9000\r\n\r\n" + GET)
 
 
 def digest(body: bytes) -> bytes:
@@ -35,10 +39,28 @@
     await answer_with_digest(scope, receive_late, send)
 
 
-async def deliver(transport: FakeTransport, form: Form, body: bytes) -> None:
+class WaitingApp:
+    """Reads requests and answers none; records when their callers have gone."""
+
+    def __init__(self) -> None:
+        self.waiting = 0
+        self.gone = 0
+
+    async def __call__(self, scope, receive, send):
+        await read_body(receive)
+        ended = asyncio.Event()
+        self.waiting += 1
+        with scope["extensions"][CONNECTION].watch(ended.set):
+            await ended.wait()
+        self.gone += 1
+
+
+async def deliver(
+    transport: FakeTransport, form: Form, body: bytes, ahead: bytes = b""
+) -> None:
     """Deliver the pieces of a request, and all that was not read at once."""
     transport.receive_bytes = form.read_bytes
-    pieces = form.cut(body)
+    pieces = form.cut(body, ahead=ahead)
     for piece in pieces:
         if form.is_slow:
             transport.deliver(piece)
@@ -80,3 +102,18 @@
             self.assertEqual(port.failures, [])
 
         self.check_forms(scenario)
+
+    # After a body of more than 64 KiB in one read the caller's close was not seen.
+    def test_the_close_of_a_waiting_caller_is_seen_whatever_its_request_was(self):
+        async def scenario(rng, form):
+            port = Port(app := WaitingApp())
+            transport = port.connect()
+            body = make_body(form.body_bytes)
+            await deliver(transport, form, body, rng.choice(AHEAD))
+            self.assertEqual((app.waiting, app.gone), (1, 0))
+            transport.end()
+            await let_run(20)
+            self.assertEqual(app.gone, 1)
+            self.assertEqual((port.table.count(), port.table.pending_bytes), (0, 0))
+
+        self.check_forms(scenario)
--- a/tests/server/test_untrusted_bytes.py
+++ b/tests/server/test_untrusted_bytes.py
@@ -89,6 +89,14 @@
             del self.waiting[: self.receive_bytes]
             self.protocol.data_received(received)
 
+    def end(self) -> None:
+        """Let the other side close: seen only behind all bytes, and while reading."""
+        while self.waiting and self.is_reading and not self.is_closed:
+            self.deliver()
+        if self.is_reading and not self.waiting and not self.is_closed:
+            self.protocol.eof_received()
+            self.close()
+
 
 async def echo(scope, receive, send):
     with suppress(CallerGone):
