Infer crashes that a fleet has forgotten from the upstreams' starts

Cause: crash records are in memory only, and a VM that starts learns them from its peers. If all die at once, the request is allowed two crashes and its trials anew.

Change: upstreams that crashed have started again, and the platform's list says when. If several of a service started again shortly before the oldest VM did, one crash of a request that was not answered since refuses it, peers are told at once, and the only trial comes after a minute; two crashes instead of three refuse a prompt segment.

--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -106,13 +106,17 @@
 
     Return whether a suspected request is due for a trial.
     """
-    refused = suspects.segments.find_refused(exchange.segment_keys, now_s)
+    refused = suspects.segments.find_refused(
+        exchange.segment_keys,
+        now_s,
+        lambda: suspects.has_earlier_crashes(exchange.service, now_s),
+    )
     if refused is not None:
         segment = exchange.head.prompt.segments[exchange.segment_keys.index(refused)]
         raise CrashSuspected(
             f"engines crash when they answer with segment {segment.segment_id}"
         )
-    wait_s = suspects.find_wait_s(exchange.fingerprint, now_s)
+    wait_s = suspects.find_wait_s(exchange.fingerprint, now_s, exchange.service)
     if wait_s is None or exchange.trial_crashes == suspects.count(exchange.fingerprint):
         return False
     is_peers_trial = exchange.is_trial and exchange.trial_crashes is None
--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -25,6 +25,7 @@
 from banyanseam.entry.crash_trials import make_choose_trial_delay
 from banyanseam.entry.crash_watch import CrashWatch
 from banyanseam.entry.directory import choose_entries
+from banyanseam.entry.earlier_crashes import EarlierCrashes
 from banyanseam.entry.frontend import (
     CallerFormat,
     Frontend,
@@ -129,6 +130,10 @@
                 settings.ip, settings.region, settings.regions.values()
             )
         )
+        self.earlier_crashes = EarlierCrashes(
+            self.members, self.upstreams, anyio.current_time()
+        )
+        self.suspects.has_earlier_crashes = self.earlier_crashes.are_probable
         self.values = PublishedValues(decoders, self.upstreams)
         self.values_fetcher = ValuesFetcher(
             self.values, settings.ip, settings.peers_port
@@ -181,7 +186,10 @@
         )
         self.unreached.on_failure = self._check_unreached
         self.unreached.on_break = self.service_checks.start
-        self.heartbeats.refresh_unreached = self.unreached.refresh
+        self.heartbeats.refreshers += [
+            self.unreached.refresh,
+            self.earlier_crashes.observe,
+        ]
         self.upstreams.on_held = self.start_checks.follow
         self.upstreams.on_restarted.append(
             lambda _, listed: self.start_checks.follow_cold(listed)
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -259,6 +259,11 @@
 # Trials become due one region after the other, and within a region spread over this.
 TRIAL_REGION_STEP_S: Final = 2.0
 TRIAL_SPREAD_S: Final = 1.0
+# Where a fleet that has just started infers earlier crashes, one crash is enough, and
+# the only trial is as late as the last one otherwise.
+CRASHES_TO_REFUSE_AFTER_LOSS: Final = 1
+TRIAL_PAUSES_AFTER_LOSS_S: Final = TRIAL_PAUSES_S[-1:]
+SEGMENT_CRASHES_TO_REFUSE_AFTER_LOSS: Final = 2
 MAX_SOUND_REQUESTS: Final = 4096
 # Suspected and sound requests that one heartbeat reports; others follow in the next.
 MAX_REPORTED_SUSPECTS: Final = 16
--- a/banyanseam/entry/crash_suspects.py
+++ b/banyanseam/entry/crash_suspects.py
@@ -15,6 +15,7 @@
     CRASH_REPORT_S,
     CRASHES_BEFORE_LIMIT,
     CRASHES_TO_REFUSE,
+    CRASHES_TO_REFUSE_AFTER_LOSS,
     CRASHES_TO_REFUSE_ANSWERED,
     MAX_CRASH_RECORDS,
     MAX_CRASHES_OF_REQUEST,
@@ -23,9 +24,11 @@
     MAX_SUSPECTS_IN_FULL_STATE,
     REFUSAL_MEMORY_S,
     SOUND_MEMORY_S,
+    TRIAL_PAUSES_AFTER_LOSS_S,
     TRIAL_PAUSES_S,
 )
 from banyanseam.entry.crash_trials import ChooseTrialDelay
+from banyanseam.entry.earlier_crashes import HasEarlierCrashes
 from banyanseam.entry.segment_suspects import SegmentSuspects
 
 
@@ -68,6 +71,8 @@
     def __init__(self, choose_trial_delay: ChooseTrialDelay = lambda *_: 0.0) -> None:
         """Start without records."""
         self.segments = SegmentSuspects()
+        # Whether crashes of a service's upstreams are probably not recorded.
+        self.has_earlier_crashes: HasEarlierCrashes = lambda *_: False
         self._choose_trial_delay = choose_trial_delay
         self._suspicions: OrderedDict[int, _Suspicion] = OrderedDict()
         # When requests were last answered in full, the oldest answer first.
@@ -104,30 +109,41 @@
         if not later:
             del self._suspicions[suspect]
 
-    def find_wait_s(self, suspect: int, now_s: float) -> float | None:
+    def find_wait_s(
+        self, suspect: int, now_s: float, service: str = ""
+    ) -> float | None:
         """Return how long this VM refuses the request; None if it doesn't.
 
         At 0 the request may be tried once. Crashes that were caused by a refused
-        prompt segment, or by a request with more crashes, do not count.
+        prompt segment, or by a request with more crashes, do not count. Fewer crashes
+        are needed while earlier ones of the service are probably not remembered.
         """
         self._drop_expired(suspect, now_s)
         suspicion = self._suspicions.get(suspect)
-        if suspicion is None or not suspicion.is_certain:
+        if suspicion is None:
+            return None
+        is_new = suspect not in self._answered_s
+        is_after_loss = is_new and self.has_earlier_crashes(service, now_s)
+        if not suspicion.is_certain and not is_after_loss:
             return None
         crashes = self._list_unexplained(suspicion)
-        was_answered = self._was_answered(suspect, now_s)
-        if len(crashes) < (
-            CRASHES_TO_REFUSE_ANSWERED if was_answered else CRASHES_TO_REFUSE
-        ):
+        if is_after_loss:
+            needed, pauses_s = CRASHES_TO_REFUSE_AFTER_LOSS, TRIAL_PAUSES_AFTER_LOSS_S
+        else:
+            was_answered = self._was_answered(suspect, now_s)
+            needed = CRASHES_TO_REFUSE_ANSWERED if was_answered else CRASHES_TO_REFUSE
+            pauses_s = TRIAL_PAUSES_S
+        if len(crashes) < needed:
             return None
         trials = suspicion.trials
-        if trials >= _count_permitted_trials(len(suspicion.crashes) - trials):
-            if suspect not in self._answered_s:
+        crashes_without_trial = len(suspicion.crashes) - trials
+        if trials >= _count_permitted_trials(crashes_without_trial, len(pauses_s)):
+            if is_new:
                 return math.inf
-            trials = len(TRIAL_PAUSES_S) - 1
+            trials = len(pauses_s) - 1
         last_s = max(suspicion.tried_s, *(suspicion.crashes[each] for each in crashes))
         delay_s = self._choose_trial_delay(suspect, suspicion.trials)
-        return max(0.0, last_s + TRIAL_PAUSES_S[trials] + delay_s - now_s)
+        return max(0.0, last_s + pauses_s[trials] + delay_s - now_s)
 
     def record_trial(self, suspect: int, now_s: float, *, is_peers: bool) -> None:
         """Record that a suspected request is sent once more.
@@ -271,7 +287,5 @@
             del self._suspicions[suspect]
 
 
-def _count_permitted_trials(crashes_without_trial: int) -> int:
-    if crashes_without_trial < CRASHES_BEFORE_LIMIT:
-        return len(TRIAL_PAUSES_S)
-    return len(TRIAL_PAUSES_S) - 1
+def _count_permitted_trials(crashes_without_trial: int, most: int) -> int:
+    return most if crashes_without_trial < CRASHES_BEFORE_LIMIT else most - 1
--- a/banyanseam/entry/crash_watch.py
+++ b/banyanseam/entry/crash_watch.py
@@ -46,6 +46,15 @@
             crashes=exchange.trial_crashes,
         )
 
+    def is_urgent(self, exchange: Exchange, crashes_before: int) -> bool:
+        """Return whether peers must learn at once that the request crashed an upstream.
+
+        One crash is enough to refuse it after the fleet has lost its records.
+        """
+        if self.suspects.count(exchange.fingerprint) <= crashes_before:
+            return False
+        return self.suspects.has_earlier_crashes(exchange.service, anyio.current_time())
+
     def record_answer(self, exchange: Exchange, answer: AnswerHead) -> None:
         """Record that the request was answered in full."""
         exchange.is_answered = True
--- a/banyanseam/entry/gossip.py
+++ b/banyanseam/entry/gossip.py
@@ -271,7 +271,8 @@
 
     def _update_own_row(self) -> None:
         self._heartbeats.refresh_performance()
-        self._heartbeats.refresh_unreached(anyio.current_time())
+        for refresh in self._heartbeats.refreshers:
+            refresh(anyio.current_time())
         is_serving, is_accepting, running = self.get_own_state()
         self.members.increment_heartbeat_count(
             is_serving=is_serving,
--- a/banyanseam/entry/heartbeats.py
+++ b/banyanseam/entry/heartbeats.py
@@ -89,8 +89,8 @@
         self._relay_log = RelayLog()
         # Returns this region's candidates by service, for heartbeats to other regions.
         self.list_candidates: Callable[[], dict[str, list[Candidate]]] = dict
-        # Determines anew which services this process has no way to.
-        self.refresh_unreached: Callable[[float], None] = lambda _: None
+        # Called with the time before each heartbeat is composed.
+        self.refreshers: list[Callable[[float], None]] = []
         # Called with a peer's address and its versions of the configuration and of the
         # evacuations, so that newer ones can be fetched.
         self.on_peer_versions: PeerVersionsCallback = lambda *_: None
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -204,10 +204,13 @@
                 self.crashes.record_trial(exchange)
                 # Other VMs that have the same request must not try it too.
                 await self.announce()
+            crashes = self.crashes.suspects.count(exchange.fingerprint)
             try:
                 await self._attempt(exchange, placement)
             except BanyanseamError as error:
                 failure = error
+                if self.crashes.is_urgent(exchange, crashes):
+                    await self.announce()
                 if not self._may_retry_error(exchange, error, vms):
                     raise
             else:
--- a/banyanseam/entry/segment_suspects.py
+++ b/banyanseam/entry/segment_suspects.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import xxhash
@@ -20,6 +20,7 @@
     MAX_SOUND_SEGMENTS,
     REFUSAL_MEMORY_S,
     SEGMENT_CRASHES_TO_REFUSE,
+    SEGMENT_CRASHES_TO_REFUSE_AFTER_LOSS,
     SOUND_MEMORY_S,
 )
 from banyanseam.entry.models import Prompt
@@ -95,19 +96,30 @@
         fresh = [key for key in keys if not self._is_sound(key, now_s)]
         self.record_answer(fresh, now_s)
 
-    def find_refused(self, keys: Iterable[int], now_s: float) -> int | None:
+    def find_refused(
+        self,
+        keys: Iterable[int],
+        now_s: float,
+        has_earlier_crashes: Callable[[], bool] = lambda: False,
+    ) -> int | None:
         """Return the first of the segments that caused several crashes, if any.
 
-        A crash that another segment with more crashes explains does not count.
+        A crash that another segment with more crashes explains does not count. Fewer
+        crashes are needed while earlier ones are probably not remembered.
         """
         for key in keys:
             self._drop_expired(key, now_s)
             suspicion = self._suspicions.get(key)
-            if suspicion is None or not suspicion.is_certain:
+            if suspicion is None:
                 continue
             own = suspicion.crashes
+            needed = SEGMENT_CRASHES_TO_REFUSE
+            if SEGMENT_CRASHES_TO_REFUSE_AFTER_LOSS <= len(own) < needed:
+                if key in self._sound_s or not has_earlier_crashes():
+                    continue
+                needed = SEGMENT_CRASHES_TO_REFUSE_AFTER_LOSS
             worse = [each for each in self._list_certain() if len(each) > len(own)]
-            if len(own.difference(*worse)) >= SEGMENT_CRASHES_TO_REFUSE:
+            if len(own.difference(*worse)) >= needed:
                 # It is remembered for as long as such requests keep coming.
                 suspicion.last_s = now_s
                 self._suspicions.move_to_end(key)
--- a/banyanseam/peers/incarnation.py
+++ b/banyanseam/peers/incarnation.py
@@ -20,6 +20,11 @@
     )
 
 
+def read_start_ms(incarnation: int) -> int:
+    """Return when a process started, in Unix milliseconds by its VM's clock."""
+    return incarnation >> INCARNATION_RANDOM_BITS
+
+
 class Incarnation:
     """The number that orders this process among all that have held its seat.
 
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -243,6 +243,13 @@
         entry.gossip._handle_heartbeat(reply)
         self.gossip()
 
+    def restart_all_vms(self) -> None:
+        """Let all VMs die at once and start without state."""
+        for ip, entry in list(self.entries.items()):
+            self.start_vm(ip, entry.settings.region)
+        self.publish()
+        self.gossip()
+
     def replace_upstreams(self, number: int) -> None:
         """Let all upstreams be new incarnations, with new ids."""
         for name, upstream in self.upstreams.items():
--- a/tests/entry/test_crash_suspects.py
+++ b/tests/entry/test_crash_suspects.py
@@ -33,6 +33,23 @@
         self.assertAlmostEqual(suspects.find_wait_s(1, 0.4), TRIAL_PAUSES_S[0] - 0.1)
         self.assertEqual(suspects.find_wait_s(1, 0.3 + TRIAL_PAUSES_S[0]), 0)
 
+    # A fleet that had lost its records allowed two crashes and three trials anew.
+    def test_one_crash_and_one_late_trial_are_allowed_after_records_were_lost(self):
+        suspects = CrashSuspects()
+        suspects.has_earlier_crashes = lambda service, _: service == "desk"
+        suspects.record_crash(1, "e1", 0.0)
+        self.assertIsNone(suspects.find_wait_s(1, 0.0, "pool"))
+        pause_s = TRIAL_PAUSES_S[-1]
+        self.assertEqual(suspects.find_wait_s(1, 0.0, "desk"), pause_s)
+        self.assertEqual(suspects.find_wait_s(1, pause_s, "desk"), 0.0)
+        suspects.record_trial(1, pause_s, is_peers=False)
+        suspects.record_crash(1, "e2", pause_s)
+        self.assertEqual(suspects.find_wait_s(1, pause_s, "desk"), math.inf)
+        # One that has been answered since the loss is judged as always.
+        suspects.record_answer(2, 0.0)
+        suspects.record_crash(2, "e1", 1.0)
+        self.assertIsNone(suspects.find_wait_s(2, 1.0, "desk"))
+
     def test_a_trial_is_followed_by_a_pause_even_without_a_result(self):
         suspects = CrashSuspects()
         for crash in ("e1", "e2"):
--- a/tests/entry/test_segment_suspects.py
+++ b/tests/entry/test_segment_suspects.py
@@ -36,6 +36,16 @@
             suspects.record_crash([DEADLY], crash, 0.0)
         self.assertIsNone(suspects.find_refused([DEADLY], 0.0))
 
+    # A fleet that had lost its records allowed as many crashes as on its first day.
+    def test_fewer_crashes_refuse_a_segment_after_records_were_lost(self):
+        suspects = SegmentSuspects()
+        suspects.record_crash([1, 2], "e1", 0.0)
+        self.assertIsNone(suspects.find_refused([1, 2], 0.0, lambda: True))
+        suspects.record_answer([1], 0.1)
+        suspects.record_crash([1, 2], "e2", 0.2)
+        self.assertIsNone(suspects.find_refused([1, 2], 0.3))
+        self.assertEqual(suspects.find_refused([1, 2], 0.3, lambda: True), 2)
+
     def test_a_whole_answer_after_the_crashes_ends_the_refusal(self):
         suspects = make_refusing()
         suspects.record_answer([DEADLY], 2.0)
