Count no VM that isn't serving yet among the senders to cold upstreams

Cause: a VM that has not begun to serve is in no list of serving VMs, added itself to its own, and so took itself for one of the two senders; all that start did so.

Change: only a VM that accepts requests adds itself; one that leaves still does.

Result: in the test twelve VMs without peers sent before they served, and none does now; the test failed before.

--- a/banyanseam/entry/local_candidates.py
+++ b/banyanseam/entry/local_candidates.py
@@ -50,7 +50,9 @@
     me = members.me
     service = listed.upstream.service
     serving = members.list_serving(now_s, me.region)
-    if all(member.ip != me.ip for member in serving):
+    # While it leaves, this process still serves callers with old lists. Before it
+    # begins to serve, it doesn't know who else sends, and so doesn't count itself.
+    if me.is_accepting and all(member.ip != me.ip for member in serving):
         serving.append(me)
     # If all have lost their way to the service, the upstream itself is in question.
     with_way = [each for each in serving if members.has_way(each, service)] or serving
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+from dataclasses import replace
 
 from banyanseam.entry.fingerprints import make_start_tag
 from banyanseam.entry.local_candidates import (
@@ -45,7 +46,11 @@
 
 
 class ColdPaceTests(unittest.TestCase):
-    def find_peak_per_s(self, processes, steps=300):
+    def find_peak_per_s(self, processes):
+        sent = self.find_sends(processes)
+        return max(sum(at_s <= each < at_s + 1 for each in sent) for at_s in sent)
+
+    def find_sends(self, processes, steps=300):
         rng = random.Random(7)
         pause_s = choose_cold_pause_s(COLD_PER_S)
         sent = []
@@ -56,7 +61,7 @@
                 if may_send_cold(listed, members, pause_s, now_s):
                     listed.usage.cold_sent_s = now_s
                     sent.append(now_s)
-        return max(sum(at_s <= each < at_s + 1 for each in sent) for at_s in sent)
+        return sent
 
     def test_all_processes_together_stay_within_the_cold_rate(self):
         for count in (1, 3, 9, 22):
@@ -65,6 +70,19 @@
                 self.assertLessEqual(peak_per_s, COLD_BOUND)
                 self.assertGreater(peak_per_s, 1)
 
+    # After a kill of all VMs each of those that started took itself for a sender.
+    def test_the_cold_rate_holds_while_no_process_has_begun_to_serve(self):
+        processes = make_processes(12, lambda _: False)
+        for members, _ in processes:
+            members.me = replace(members.me, is_serving=False, is_accepting=False)
+        self.assertEqual(self.find_sends(processes), [])
+
+    def test_a_leaving_process_may_send_to_a_cold_upstream(self):
+        processes = make_processes(1)
+        members = processes[0][0]
+        members.me = replace(members.me, is_serving=False)
+        self.assertGreater(len(self.find_sends(processes)), 0)
+
     def test_the_cold_rate_holds_while_one_process_has_no_peers(self):
         processes = make_processes(3, lambda index: index != 0)
         self.assertLessEqual(self.find_peak_per_s(processes), COLD_BOUND)
