Cut retry accounts to the share of the VMs that are known by now

A VM's account opened with its share of the VMs that it knew. After a loss of all VMs each knows only itself, so that each opened with the share of the whole fleet, and kept it.

Change: an account holds no more than the share of the VMs that are known now, with what the last request earned.

--- a/banyanseam/entry/retry_budget.py
+++ b/banyanseam/entry/retry_budget.py
@@ -54,5 +54,7 @@
         elapsed_s = now_s - account.updated_s
         account.updated_s = now_s
         refilled = account.level + elapsed_s * cap / self.bounds.retry_window_s
-        account.level = max(account.level, min(refilled, cap))
+        # An account that opened before this process knew its peers holds no more than
+        # its share of those that it knows now, with what the last request has earned.
+        account.level = min(max(account.level, min(refilled, cap)), cap + 1)
         return account
--- a/tests/entry/test_retry_budget.py
+++ b/tests/entry/test_retry_budget.py
@@ -26,6 +26,17 @@
             allowed = BOUNDS.retry_ratio * requested + BOUNDS.retry_extra
             self.assertLessEqual(made, allowed)
 
+    # A VM that began alone kept the whole fleet's retries once it knew its peers.
+    def test_vms_that_learn_of_one_another_give_up_the_others_shares(self):
+        vms = 9
+        budgets = [RetryBudget(BOUNDS) for _ in range(vms)]
+        retries = 0
+        for budget in budgets:
+            budget.has_retry("pool", 1, 0.0)
+            while budget.try_spend("pool", vms, 0.1):
+                retries += 1
+        self.assertLessEqual(retries, BOUNDS.retry_extra)
+
     def test_each_service_has_its_own_budget(self):
         budget = RetryBudget(BOUNDS)
         while budget.try_spend("pool", 9, 0.0):
