Assume after a loss of all VMs that quotas have been spent

Cause: buckets open full. A VM that starts learns their levels from peers, but after a loss of all VMs nobody knows them, so that each loss allowed one more burst, at each VM until the others' reports arrived.

Levels that arrive before the configuration are kept for it. Organisations that are added later start with a full bucket as before.

Demand of 40% of the rate is all served. No run with real VMs.

--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -124,6 +124,7 @@
             settings.bounds.quota_slack_tokens,
             settings.bounds.quota_period_s,
             settings.bounds.quota_excess_share,
+            is_first_start=settings.is_first_start,
         )
         self.suspects = CrashSuspects(
             make_choose_trial_delay(
--- a/banyanseam/entry/models.py
+++ b/banyanseam/entry/models.py
@@ -49,6 +49,8 @@
     bounds: Bounds
     # Sockets that the process may have open; None if only the system limits them.
     max_sockets: int | None = None
+    # Whether no process of the fleet has ever run before.
+    is_first_start: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/banyanseam/entry/quota.py
+++ b/banyanseam/entry/quota.py
@@ -5,14 +5,23 @@
 can be spent twice only while a report is in transit; the published slack covers that.
 A process that receives reports from only a part of the fleet refills at that part of
 the rate, so that partitioned regions together spend no more than the rate.
+
+If all processes of a fleet die at once, nobody knows what was spent before. A process
+that starts then assumes that the bursts are used up and that others spend as well,
+until a peer reports.
 """
 
+import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
-from banyanseam.entry.const import FLEET_TERM_S, REGION_GOSSIP_PERIOD_S
+from banyanseam.entry.const import (
+    FLEET_TERM_S,
+    PEER_TERM_S,
+    REGION_GOSSIP_PERIOD_S,
+)
 from banyanseam.entry.models import Organisation
 from banyanseam.entry.overdraft import (
     choose_overdraft,
@@ -35,6 +44,8 @@
 # during the silence may cover its charges. Source: two heartbeats between regions,
 # which are the slowest.
 LATE_REPORT_S: Final = 2 * REGION_GOSSIP_PERIOD_S
+# Part of the rate at which a process refills that doesn't know yet what others spend.
+UNHEARD_RATE_SHARE: Final = 0.33
 # Interval between two records of the refill that did not fit into the buckets.
 UNUSED_PERIOD_S: Final = 0.5
 
@@ -50,6 +61,8 @@
     usual_cost: float = 0.0
     # Whether other processes' charges took the level below zero.
     is_overspent: bool = False
+    # Until when the level is an assumption, which a peer's level replaces.
+    assumed_until_s: float = -math.inf
 
 
 class FleetQuota:
@@ -60,6 +73,8 @@
         slack_tokens: float = 0.0,
         period_s: float = 0.0,
         excess_share: float = 0.0,
+        *,
+        is_first_start: bool = True,
     ) -> None:
         """Start without organisations; the published slack is allowed on top of rates.
 
@@ -69,11 +84,16 @@
         A share of the slack is added to each burst, so that demand within the rate is
         not refused because of delayed reports; the other part of the slack covers what
         is spent while reports are in transit.
+
+        Unless it is the fleet's first start, the first buckets start empty.
         """
+        self._starts_full = is_first_start
         self._extra_burst = slack_tokens * SLACK_SHARE
         self._period_s = period_s
         self._excess_share = excess_share
         self._buckets: dict[str, _Bucket] = {}
+        # Levels that a peer reported before the organisations were known.
+        self._early_levels: dict[str, float] = {}
         # Total charges of this process, by organisation.
         self.own_spent: dict[str, float] = {}
         # Share of the recently live processes whose heartbeats still arrive.
@@ -118,6 +138,7 @@
             bucket = self._buckets.get(charge.organisation)
             if bucket is None or charge.cost == 0:
                 continue
+            bucket.assumed_until_s = -math.inf
             cost = charge.cost
             if now_s - charge.since_s > LATE_REPORT_S:
                 self._refill(bucket.organisation, now_s)
@@ -167,29 +188,42 @@
         return used
 
     def adopt_levels(self, levels: dict[str, float], now_s: float) -> None:
-        """Lower the buckets to a peer's levels, just after this process has started.
+        """Set the buckets to a peer's levels, just after this process has started.
 
         A new full bucket, while those of its peers are empty, would allow a second
         burst.
         """
         for name, level in levels.items():
             bucket = self._buckets.get(name)
-            if bucket is not None:
-                bucket.level = min(bucket.level, level)
+            if bucket is None:
+                self._early_levels[name] = level
+            else:
+                is_assumed = now_s < bucket.assumed_until_s
+                bucket.level = level if is_assumed else min(bucket.level, level)
                 bucket.updated_s = max(bucket.updated_s, now_s)
+                bucket.assumed_until_s = -math.inf
 
     def list_levels(self) -> dict[str, float]:
         """Return the level of each bucket at its last update."""
         return {name: round(each.level) for name, each in self._buckets.items()}
 
     def configure(self, organisations: dict[str, Organisation], now_s: float) -> None:
-        """Apply rates and bursts; the bucket of a new organisation starts full."""
+        """Apply rates and bursts; the bucket of a new organisation starts full.
+
+        Those that exist when this process starts may have been used before.
+        """
+        starts_full, self._starts_full = self._starts_full, True
         for organisation in organisations.values():
             bucket = self._buckets.get(organisation.name)
             if bucket is None:
-                self._buckets[organisation.name] = _Bucket(
-                    organisation, self._burst(organisation), now_s
-                )
+                bucket = _Bucket(organisation, self._burst(organisation), now_s)
+                level = self._early_levels.pop(organisation.name, None)
+                if level is not None:
+                    bucket.level = min(bucket.level, level)
+                elif not starts_full:
+                    bucket.level = 0.0
+                    bucket.assumed_until_s = now_s + PEER_TERM_S
+                self._buckets[organisation.name] = bucket
             elif bucket.organisation is not organisation:
                 # The old rate applies up to now.
                 self._refill(bucket.organisation, now_s)
@@ -237,5 +271,8 @@
         organisation = bucket.organisation
         elapsed_s = max(0.0, now_s - bucket.updated_s)
         free_capacity = self._burst(organisation) - bucket.level
-        added = min(elapsed_s * self._rate(organisation), free_capacity)
+        rate = self._rate(organisation)
+        if bucket.updated_s < bucket.assumed_until_s:
+            rate *= UNHEARD_RATE_SHARE
+        added = min(elapsed_s * rate, free_capacity)
         return added, elapsed_s * organisation.rate_per_s - added
--- a/banyanseam/platform/settings.py
+++ b/banyanseam/platform/settings.py
@@ -55,6 +55,8 @@
     # First and last port that are free for traffic between the gateway's processes.
     port_range: tuple[int, int]
     seeds: list[str] = Field(default_factory=list)
+    # False once the whole system has been started before.
+    bootstrap: bool = True
     zones: dict[str, str] = Field(default_factory=dict)
     listen: _Listen
     limits: _Limits
@@ -96,6 +98,7 @@
         platform_address=document.platform.address,
         memory_mb=document.limits.memory_mb,
         max_sockets=None if max_fds is None else max_fds - RESERVED_DESCRIPTORS,
+        is_first_start=document.bootstrap,
         bounds=Bounds(
             stop_grace_s=bounds.grace_s,
             max_list_age_s=bounds.ttl_max_s,
--- a/tests/entry/test_quota.py
+++ b/tests/entry/test_quota.py
@@ -37,8 +37,9 @@
         self.now_s = 0.0
         self.heartbeat_count = 0
 
-    def start(self) -> FleetQuota:
-        quota = FleetQuota(SLACK, WINDOW_S, TOLERANCE - 1)
+    def start(self, *, is_first_start: bool = True) -> FleetQuota:
+        excess_share = TOLERANCE - 1
+        quota = FleetQuota(SLACK, WINDOW_S, excess_share, is_first_start=is_first_start)
         quota.configure({"acme": self.organisation}, getattr(self, "now_s", 0.0))
         return quota
 
@@ -218,6 +219,64 @@
                         fleet.gossip()
                 self.assertLessEqual(fleet.max_spent_in_window(window_s), bound)
 
+    # Each loss of all VMs allowed the whole fleet one more burst.
+    def test_a_flood_stays_within_the_bound_though_all_processes_die_twice(self):
+        rate = 128_000.0
+        bound = (rate * WINDOW_S + rate) * TOLERANCE + SLACK
+        for seed in range(20):
+            fleet = SimulatedFleet(9, rate, seed)
+            with self.subTest(seed=seed):
+                for step in range(300):
+                    fleet.now_s = step * 0.1
+                    if step in (100, 140):
+                        fleet.quotas = [
+                            fleet.start(is_first_start=False) for _ in range(9)
+                        ]
+                        fleet.incarnations = [step] * 9
+                    # 7.5 times the rate.
+                    for _ in range(56):
+                        fleet.charge_once(fleet.rng.randrange(9), 1700.0)
+                    if step % 5 == 0:
+                        fleet.gossip()
+                self.assertLessEqual(fleet.max_spent_in_window(WINDOW_S), bound)
+
+    def test_a_process_that_starts_again_beside_others_adopts_their_levels(self):
+        quota = FleetQuota(is_first_start=False)
+        organisation = make_organisation()
+        quota.configure({"acme": organisation}, 0.0)
+        self.assertGreater(quota.charge(organisation, 100, 0.0), 0.0)
+        quota.adopt_levels({"acme": 800.0}, 0.0)
+        self.assertEqual(quota.charge(organisation, 700, 0.0), 0.0)
+        # Later levels only lower its own, which it knows.
+        quota.adopt_levels({"acme": 800.0}, 0.0)
+        self.assertEqual(quota.list_levels(), {"acme": 100})
+        # An organisation that is added later has spent nothing.
+        later = make_organisation("weavers")
+        quota.configure({"acme": organisation, "weavers": later}, 0.0)
+        self.assertEqual(quota.charge(later, 1000, 0.0), 0.0)
+
+    def test_levels_that_arrive_before_the_configuration_are_adopted(self):
+        for is_first_start in (True, False):
+            quota = FleetQuota(is_first_start=is_first_start)
+            quota.adopt_levels({"acme": 300.0}, 0.0)
+            quota.configure({"acme": make_organisation()}, 0.0)
+            self.assertEqual(quota.list_levels(), {"acme": 300})
+
+    def test_demand_is_served_soon_after_all_processes_have_died(self):
+        rate = 128_000.0
+        fleet = SimulatedFleet(9, rate, 1)
+        fleet.quotas = [fleet.start(is_first_start=False) for _ in range(9)]
+        asked = 0
+        for step in range(1, 40):
+            fleet.now_s = step * 0.1
+            # 40% of the rate.
+            for _ in range(3):
+                asked += 1
+                fleet.charge_once(fleet.rng.randrange(9), 1700.0)
+            if step % 5 == 0:
+                fleet.gossip()
+        self.assertEqual(len(fleet.spent), asked)
+
     def test_short_requests_pass_while_long_ones_flood_the_rate(self):
         # Three times the rate, most of it in long prompts, on as many processes as a
         # large fleet has, whose reports take up to half a second.
