--- a/tests/entry/test_lost_records.py
+++ b/tests/entry/test_lost_records.py
@@ -25,6 +25,12 @@
     "a booking": ("POST", "/book/deadly", b"body"),
     "a stream": ("POST", "/query/deadly", b"body"),
 }
+# Prompts with the segment "dead" crash engines; no two prompts are alike.
+SEGMENT = ("POST", "/query/deadly", None)
+
+
+# Method, path and body; with a body of None it has prompt segments.
+Request = tuple[str, str, bytes | None]
 
 
 def read_unix_ms() -> int:
@@ -45,7 +51,7 @@
 class DeadlyRequest:
     """A request that crashes what runs it, and others beside it."""
 
-    def __init__(self, simulation: Simulation, request: tuple[str, str, bytes]) -> None:
+    def __init__(self, simulation: Simulation, request: Request) -> None:
         self.sound: list[int] = []
         self._simulation = simulation
         self._request = request
@@ -68,13 +74,19 @@
         while anyio.current_time() < end_s and len(self.list_runs()) < crashes:
             number = len(simulation.callers)
             vm = VMS[len(self._deadly) % len(VMS)]
+            deadly, sound, own_body = b"", b"", b"sound %d" % number
+            if body is None:
+                deadly = b"5a:200,dead:100,%x:100" % number
+                sound, own_body = b"5a:200,77:100,%x:100" % number, None
             fault = ["no answer"] * 3
-            asked = simulation.ask(vm, path, fault, [], method=method, body=body)
-            self._deadly.append(asked)
-            own = b"sound %d" % number
-            sound_path = path.replace("deadly", f"sound-{number}")
+            self._deadly.append(
+                simulation.ask(vm, path, fault, [], deadly, method=method, body=body)
+            )
+            path_of_sound = path.replace("deadly", f"sound-{number}")
             self.sound.append(
-                simulation.ask(vm, sound_path, [], [], method=method, body=own)
+                simulation.ask(
+                    vm, path_of_sound, [], [], sound, method=method, body=own_body
+                )
             )
             await anyio.sleep(ARRIVAL_S)
             self._replace_crashed()
@@ -100,7 +112,7 @@
 
 
 async def kill_after_crashes(
-    request: tuple[str, str, bytes], kills: int
+    request: Request, kills: int, crashes: int = 3
 ) -> DeadlyRequest:
     async with start_simulation() as simulation:
         for name, upstream in simulation.upstreams.items():
@@ -109,7 +121,7 @@
         simulation.gossip()
         await wait(simulation, 2 * CONTACT_S)
         deadly = DeadlyRequest(simulation, request)
-        await deadly.repeat(2 * REPEATED_S, crashes=3)
+        await deadly.repeat(2 * REPEATED_S, crashes)
         for _ in range(kills):
             simulation.restart_all_vms()
             await wait(simulation, CONTACT_S + 1)
@@ -130,6 +142,17 @@
                     self.assertLessEqual(len(late), MAX_LATE_RUNS, times)
                     self.check_sound(deadly)
 
+    # A fleet without its crash records allowed as many crashes as on its first day.
+    def test_a_killed_fleet_lets_a_deadly_segment_crash_few_more_engines(self):
+        for kills in (1, 2):
+            with self.subTest(kills=kills), unix_time():
+                deadly = run_with_mock_clock(kill_after_crashes, SEGMENT, kills, 5)
+                times = [run.at_s for run in deadly.list_runs()]
+                self.assertGreaterEqual(len(times), 5)
+                late = [at_s for at_s in times if at_s > times[4] + CONTACT_S]
+                self.assertLessEqual(len(late), MAX_LATE_RUNS, times)
+                self.check_sound(deadly)
+
     def check_sound(self, deadly: DeadlyRequest) -> None:
         callers = [deadly._simulation.callers[number] for number in deadly.sound]
         refused = [each.request_id for each in callers if each.status != 200]
