Show that a part which turns deadly crashes replicas without end

Cause: a whole answer proves a prompt's segments sound for a minute, and the proof is told to the other VMs, where it counts as new. Two VMs so keep each other's proof valid for as long as requests with the segment come (`segment_suspects.py`).

Nothing is fixed.

--- a/review/kit3.py
+++ b/review/kit3.py
@@ -68,6 +68,8 @@
     target: str
     headers: Headers
     body: bytes
+    # The machine that it comes from, if that is looked up.
+    owner: str = "-"
 
     @property
     def request_id(self) -> str:
@@ -241,13 +243,17 @@
             "version": "v1",
             "slots": 64,
             "state": "ready",
-            "cold_remaining_ms": 0,
         } | fields
         # Headers of all its answers.
         self.extra: Headers = {}
+        # Returns whose connection comes from a port; those that it refuses are reset.
+        self.find_owner: Callable[[int], str] = lambda _: "-"
+        self.refused: set[str] = set()
         self.is_down = False
         # While it is silent, everything that it gets waits.
         self.silent: asyncio.Event | None = None
+        # Until when it is cold.
+        self.cold_until_s = 0.0
         # Whether its next chance to spoil an answer is taken.
         self.may_spoil = False
         self.runs: list[tuple[float, Request]] = []
@@ -278,12 +284,17 @@
         self.fields |= changes
         self._sequence += 1
         entry = self.fields | {
+            "cold_remaining_ms": self.find_cold_ms(),
             "address": self.address,
             "sequence": self._sequence,
             "born": self.born,
         }
         return self._store.put(f"servers/{self.replica_id}", entry)
 
+    def find_cold_ms(self) -> int:
+        """Return for how much longer it is cold."""
+        return max(0, int((self.cold_until_s - self._record.now_s()) * 1000))
+
     def crash(self, down_s: float) -> None:
         """Reset all connections, and be back under the same id after a time."""
         if self.is_down:
@@ -318,11 +329,16 @@
     async def _connect(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        owner = self.find_owner(writer.get_extra_info("peername")[1])
+        if owner in self.refused:
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         try:
             request = await read_request(reader)
             if request is None or self.is_down:
                 return
+            request.owner = owner
             gone = asyncio.ensure_future(reader.read(1))
             work = asyncio.ensure_future(self._handle(request, writer))
             await asyncio.wait({gone, work}, return_when=asyncio.FIRST_COMPLETED)
@@ -357,6 +373,9 @@
             await answer.send("200 OK", json.dumps(body).encode(), is_signed=False)
             return
         if request.target == "/healthz":
+            cold_ms = self.find_cold_ms()
+            if cold_ms:
+                answer.headers["Warmup-Remaining"] = str(cold_ms)
             await answer.send("200 OK", b"", is_signed=False)
             return
         if request.headers.get("expect-instance") != self.replica_id:
@@ -368,6 +387,7 @@
             "run",
             replica=self.replica_id,
             id=request.request_id,
+            owner=request.owner,
             after=request.headers.get("last-event-id", "-"),
         )
         await self.serve(request, answer)
@@ -482,9 +502,15 @@
     method: str = "POST",
     deadline_ms: int = 4000,
     body: bytes = b"x",
+    sent_s: dict[str, float] | None = None,
 ) -> Received:
-    """Send one attempt on a connection of its own, and return what came back."""
+    """Send one attempt on a connection of its own, and return what came back.
+
+    `sent_s` gets the time of the sending by the attempt's id.
+    """
     received = Received(uuid.uuid4().hex[:16])
+    if sent_s is not None:
+        sent_s[received.request_id] = record.now_s()
     sent = {
         "Host": HOST,
         "Request-Id": received.request_id,
@@ -626,6 +652,20 @@
             return False
         return b" 200 " in line
 
+    def find_owner(self, port: int) -> str:
+        """Return the machine whose process has the other end of a connection."""
+        local = f"0100007F:{port:04X}"
+        lines = Path("/proc/net/tcp").read_text().split("\n")[1:]
+        found = [fields for line in lines if len(fields := line.split()) > 9]
+        sockets = {f"socket:[{each[9]}]" for each in found if each[1] == local}
+        for vm in self.vms:
+            with contextlib.suppress(OSError):
+                for each in Path(f"/proc/{vm.process.pid}/fd").iterdir():
+                    with contextlib.suppress(OSError):
+                        if str(each.readlink()) in sockets:
+                            return vm.name
+        return "-"
+
     def find_front(self, vm: Vm) -> str:
         """Return a machine's address for clients."""
         return f"{vm.ip}:{self.ports['front']}"
