--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,128 +1,121 @@
-"""BUDGET: a part that turns deadly after it was answered crashes replicas for ever.
+"""ORDER: a resumed stream brings an event twice after a short silence and a break.
 
-Two machines, four replicas, a steady flow of streams. Some share one part of their
-prompt. From a moment on that part crashes each replica that begins to write an answer
-on it; such requests go on coming, no two alike. Counted is how many still reach
-replicas. With FRESH=1 no request has that part before that moment.
+One machine, three replicas, a steady flow of streams. One replica falls silent for a
+second or so a few times, which a sound one may do, and goes on. Each time it then
+truncates one of its answers: after a whole event, within the next one.
 """
 
 import asyncio
-import os
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from kit3 import Answer, CannotRun, Deployment, Request, ask, main, make_prompt
-from kit3 import serve_soundly as serve_sound
-
-PART = "dead0001"
-BEGIN_S = 10.0
-END_S = 95.0
-SOUND_PER_S = 19
-PART_PER_S = 1
-DOWN_S = 3.0
-CONTACT_S = 5.0
-CRASHES = 5
-ALLOWED = 3
-
-
-class Crashes:
-    """When replicas crashed because of the part, and whether it is deadly."""
-
-    def __init__(self) -> None:
-        """Begin with a sound part."""
-        self.is_deadly = False
-        self.at_s: list[float] = []
+from kit3 import (
+    EVENTS,
+    Answer,
+    Deployment,
+    Received,
+    Request,
+    ask,
+    find_first,
+    main,
+    make_event,
+    make_prompt,
+)
+
+CLIENTS = 12
+SILENCES = 6
+SILENT_S = 1.2
+CALM_S = 3.0
+PREFILL_S = 0.28
+EVENT_S = 0.05
+FAULTY = "r-a"
 
 
 def make_serve(
-    deployment: Deployment, crashes: Crashes
+    spoiled: list[str], *, is_trouble: bool
 ) -> Callable[[Request, Answer], Awaitable[None]]:
-    """Return how replicas answer."""
+    """Return how replicas answer; each silence ends with one spoiled answer."""
 
     async def serve(request: Request, answer: Answer) -> None:
-        if crashes.is_deadly and has_part(request):
-            # It is prefilled, and crashes the replica with the first event.
-            await asyncio.sleep(0.05)
-            crashes.at_s.append(deployment.record.now_s())
-            answer.replica.crash(DOWN_S)
-            await asyncio.sleep(60)
-        await serve_sound(request, answer)
+        first = find_first(request)
+        # A request that is sent to another replica is read again from the beginning.
+        await asyncio.sleep(PREFILL_S if first > 1 else 0.05)
+        await answer.begin_stream()
+        for number in range(first, EVENTS + 1):
+            silence = answer.replica.silent
+            if silence is not None:
+                await silence.wait()
+                is_chosen = 1 < number < EVENTS and first == 1
+                if is_trouble and is_chosen and answer.replica.may_spoil:
+                    answer.replica.may_spoil = False
+                    spoiled.append(request.request_id)
+                    answer.write_last_chunk(
+                        make_event(number) + make_event(number + 1)[:8]
+                    )
+                    await answer.writer.drain()
+                    return
+            answer.write_event(number)
+            await answer.writer.drain()
+            await asyncio.sleep(EVENT_S)
+        await answer.end_stream()
 
     return serve
 
 
-def has_part(request: Request) -> bool:
-    """Return whether a request has the part."""
-    return PART in request.headers.get("prompt-prefix", "")
+def find_fault(received: Received) -> str | None:
+    """Return how a stream breaks the rule, if it does."""
+    events = received.list_events()
+    is_cut_short = received.is_whole and received.status == 200
+    is_cut_short = is_cut_short and len(events) < EVENTS
+    if events == list(range(1, len(events) + 1)) and not is_cut_short:
+        return None
+    return f"{received.request_id}: {events}"
 
 
 async def case(deployment: Deployment, is_trouble: bool) -> str | None:
-    """Return how many requests with the part came too late, if more than allowed."""
+    """Return the streams in which an event came twice or is missing, if any."""
     record = deployment.record
-    crashes = Crashes()
-    for name in ("r-a", "r-b", "r-c", "r-d"):
+    spoiled: list[str] = []
+    for name in (FAULTY, "r-b", "r-c"):
         replica = await deployment.add_replica(name, "gulf-a")
-        replica.serve = make_serve(deployment, crashes)
+        replica.serve = make_serve(spoiled, is_trouble=is_trouble)
+    deployment.config["routes"][0]["max_attempts"] = 3
     deployment.publish()
     await deployment.start()
-    fronts = [deployment.find_front(vm) for vm in deployment.vms]
-    began_s = record.now_s()
-    sent: set[asyncio.Task] = set()
+    front = deployment.find_front(deployment.vms[0])
+    results: list[Received] = []
+    is_over = asyncio.Event()
 
-    async def send(per_s: float, part: str, *, is_from_begin: bool) -> None:
+    async def run_client(client: int) -> None:
         number = 0
-        while record.now_s() - began_s < END_S:
-            await asyncio.sleep(1 / per_s)
-            if not is_from_begin and record.now_s() - began_s < BEGIN_S:
-                continue
+        while not is_over.is_set():
             number += 1
-            # Sound requests share the first part and their caller.
-            prompt = make_prompt(("aa01", 55), (part, 120), (f"{part}{number:x}", 300))
-            body = f"{part} {number}".encode()
-            front = fronts[number % len(fronts)]
-            task = asyncio.ensure_future(
-                ask(record, front, "/query/x", prompt, body=body)
-            )
-            sent.add(task)
-            task.add_done_callback(sent.discard)
+            prompt = make_prompt((f"a{client:x}", 55), (f"b{client:x}{number:x}", 300))
+            body = b"%d %d" % (client, number)
+            results.append(await ask(record, front, "/query/x", prompt, body=body))
 
     async def disturb() -> None:
-        await asyncio.sleep(BEGIN_S)
-        crashes.is_deadly = is_trouble
-        record.add("from now on deadly", part=PART if is_trouble else "-")
-
-    is_fresh = os.environ.get("FRESH") == "1"
-    await asyncio.gather(
-        send(SOUND_PER_S, "bb02", is_from_begin=True),
-        send(PART_PER_S, PART, is_from_begin=not is_fresh),
-        disturb(),
-    )
-    await asyncio.gather(*sent)
-    if not is_trouble:
-        return None
-    if len(crashes.at_s) < CRASHES:
-        if is_fresh:
-            return None
-        raise CannotRun(f"{len(crashes.at_s)} crashes")
-    arrivals_s = [
-        at_s
-        for replica in deployment.replicas.values()
-        for at_s, request in replica.runs
-        if has_part(request)
-    ]
-    after_s = crashes.at_s[CRASHES - 1] + CONTACT_S
-    late = sum(at_s > after_s for at_s in arrivals_s)
-    minute_s = began_s + BEGIN_S + 60 + CONTACT_S
-    after_minute = sum(at_s > minute_s for at_s in arrivals_s)
-    print(
-        f"{len(crashes.at_s)} crashes, the fifth at {crashes.at_s[CRASHES - 1]:.1f} s; "
-        f"{late} requests with the part later than {CONTACT_S:g} s after it, "
-        f"{after_minute} of them a minute and more after the last sound answer"
-    )
-    return f"{late} requests, {ALLOWED} are allowed" if late > ALLOWED else None
-
-
-main(__file__, {"gulf-a": ("gulf", 2)}, case)
+        replica = deployment.replicas[FAULTY]
+        for _ in range(SILENCES):
+            await asyncio.sleep(CALM_S)
+            record.add("silent", replica=FAULTY)
+            replica.silent, replica.may_spoil = asyncio.Event(), True
+            await asyncio.sleep(SILENT_S)
+            replica.silent.set()
+            replica.silent = None
+            record.add("goes on", replica=FAULTY)
+        await asyncio.sleep(CALM_S)
+        is_over.set()
+
+    await asyncio.gather(disturb(), *(run_client(each) for each in range(CLIENTS)))
+    answers = len(deployment.replicas[FAULTY].runs)
+    record.add("spoiled", ids=spoiled, of=answers)
+    print(f"{len(results)} streams; {FAULTY} spoiled {len(spoiled)} of {answers}")
+    broken = [fault for each in results if (fault := find_fault(each))]
+    return f"{len(broken)} streams, the first {broken[0]}" if broken else None
+
+
+main(__file__, {"gulf-a": ("gulf", 1)}, case)
