--- a/review/12/case.py
+++ b/review/12/case.py
@@ -115,7 +115,7 @@
 def make_client(
     deployment: Deployment,
     stops: Stops,
-    results: list[tuple[str, float, Received, int]],
+    results: list[tuple[str, float, float, Received, int]],
 ) -> Callable[[Directory, int], Awaitable[None]]:
     """Return what a client does for one request, on a new connection."""
     record = deployment.record
@@ -132,7 +132,7 @@
         received = await ask(
             record, address, "/summary/x", prompt, deadline_ms=DEADLINE_MS, body=body
         )
-        results.append((address, sent_s, received, events))
+        results.append((address, sent_s, record.now_s(), received, events))
 
     return send_one
 
@@ -147,7 +147,7 @@
     await deployment.start()
     first, second = deployment.vms
     stops = Stops(deployment)
-    results: list[tuple[str, float, Received, int]] = []
+    results: list[tuple[str, float, float, Received, int]] = []
     is_over = asyncio.Event()
 
     async def stop_in_turn() -> None:
@@ -172,15 +172,19 @@
                 tasks.create_task(send_one(random.choice(clients), number))
 
     await asyncio.gather(stop_in_turn(), send())
-    if not any(received.is_whole for _, _, received, _ in results):
+    if not any(received.is_whole for _, _, _, received, _ in results):
         raise CannotRun("no answers")
     late = []
-    for address, sent_s, received, events in results:
+    for address, sent_s, ended_s, received, events in results:
         began_s = stops.began_s.get(address)
         if began_s is None or not COUNTED_FROM_S < sent_s - began_s < GRACE_S + 1:
             continue
-        # The replicas never break off, and all have eight seconds.
+        # The replicas never break off. What ends at the client's deadline isn't
+        # counted, nor what ends later than a second after the grace period.
+        is_in_time = ended_s - sent_s < DEADLINE_MS / 1000 - 0.1
+        is_in_stop = ended_s - began_s < GRACE_S + 1
         is_cut = received.status == 200 and not received.is_whole
+        is_cut = is_cut and is_in_time and is_in_stop
         record.add("late", id=received.request_id, events=events, cut=is_cut)
         if is_cut:
             late.append((received.request_id, sent_s - began_s, events))
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -15,6 +15,7 @@
 from kit3 import (
     EVENTS,
     Answer,
+    CannotRun,
     Deployment,
     Received,
     Request,
@@ -26,9 +27,11 @@
 )
 
 CLIENTS = 12
-SILENCES = 6
 SILENT_S = 1.2
-CALM_S = 3.0
+# Before each silence. A spell of spoiled answers begins with it and lasts for 6 s, in
+# which one answer is spoiled.
+CALM_S = (3.0, 8.0, 8.0, 8.0)
+SPELL_S = 6.0
 PREFILL_S = 0.28
 EVENT_S = 0.05
 FAULTY = "r-a"
@@ -87,6 +90,7 @@
     await deployment.start()
     front = deployment.find_front(deployment.vms[0])
     results: list[Received] = []
+    spells_s: list[float] = []
     is_over = asyncio.Event()
 
     async def run_client(client: int) -> None:
@@ -99,21 +103,30 @@
 
     async def disturb() -> None:
         replica = deployment.replicas[FAULTY]
-        for _ in range(SILENCES):
-            await asyncio.sleep(CALM_S)
+        for calm_s in CALM_S:
+            await asyncio.sleep(calm_s)
             record.add("silent", replica=FAULTY)
+            spells_s.append(record.now_s())
             replica.silent, replica.may_spoil = asyncio.Event(), True
             await asyncio.sleep(SILENT_S)
             replica.silent.set()
             replica.silent = None
             record.add("goes on", replica=FAULTY)
-        await asyncio.sleep(CALM_S)
+        await asyncio.sleep(CALM_S[0])
         is_over.set()
 
     await asyncio.gather(disturb(), *(run_client(each) for each in range(CLIENTS)))
-    answers = len(deployment.replicas[FAULTY].runs)
+    if is_trouble and not spoiled:
+        raise CannotRun("no answer was spoiled")
+    answers = sum(
+        any(first_s <= at_s < first_s + SPELL_S for first_s in spells_s)
+        for at_s, _ in deployment.replicas[FAULTY].runs
+    )
     record.add("spoiled", ids=spoiled, of=answers)
-    print(f"{len(results)} streams; {FAULTY} spoiled {len(spoiled)} of {answers}")
+    print(
+        f"{len(results)} streams; {FAULTY} spoiled {len(spoiled)} of {answers} "
+        f"in {len(spells_s)} spells of {SPELL_S:g} s"
+    )
     broken = [fault for each in results if (fault := find_fault(each))]
     return f"{len(broken)} streams, the first {broken[0]}" if broken else None
 
--- a/review/kit3.py
+++ b/review/kit3.py
@@ -895,6 +895,8 @@
             if keep := os.environ.get("KEEP_LOGS"):
                 shutil.copytree(folder, keep, dirs_exist_ok=True)
 
+    # Ends the processes of the case also if it is ended itself.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         with temporary_folder() as folder:
             broken = asyncio.run(run(folder))
