Send nothing late in a planned stop that may outlast the process

Callers saw streams cut in the middle: the last VM of a region goes on accepting after SIGTERM and took a request if 1.25 times the longest duration that it had seen of its route was left.

Cause: a promise given by an estimate. The same look was also taken only once, on admission: a request that waited for a place was sent on later, with whatever was left, and one forwarded by another VM was accepted like a caller's, though its sender could use another VM at once.

Now StopLimits decides right before each send of a request that has not run: from 2.3 s after the signal on (a third of a short grace period) only what ends before the process by its own deadline or its route's timeout is sent; forwarded ones from the signal on. What waits and may not be sent any more is refused at once as not run. Nothing is learned, so nothing can be longer than learned. What may have run goes on, also at another upstream. The refusal names 1 s only while the region has no other VM that serves.

No other check is changed.

--- a/banyanseam/entry/admission.py
+++ b/banyanseam/entry/admission.py
@@ -1,6 +1,6 @@
 """Admit or refuse a request by its API key, route, deadline and quota."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 import anyio
@@ -13,6 +13,7 @@
 from banyanseam.entry.errors import CrashSuspected
 from banyanseam.entry.exchange import Exchange, Reply
 from banyanseam.entry.fingerprints import make_fingerprint
+from banyanseam.entry.leaving import StopLimits
 from banyanseam.entry.models import (
     Catalogue,
     Forwarding,
@@ -40,8 +41,7 @@
     values: PublishedValues
     quota: FleetQuota
     suspects: CrashSuspects
-    # The latest deadline that a request may have; None until a planned stop begins.
-    stop_s: float | None = None
+    stop_limits: StopLimits = field(default_factory=StopLimits)
 
 
 def admit(
@@ -65,13 +65,11 @@
     if head.deadline_ms is not None and forwarding is None:
         limit_ms = min(limit_ms, head.deadline_ms)
     deadline_s = received_s + limit_ms / 1000 - ANSWER_MARGIN_S
-    if admission.stop_s is not None:
-        deadline_s = min(deadline_s, admission.stop_s)
     exchange = Exchange(
         head=head,
         body=body,
         received_s=received_s,
-        deadline_s=deadline_s,
+        deadline_s=min(deadline_s, admission.stop_limits.stop_s),
         catalogue=catalogue,
         route=route,
         organisation=organisation,
--- a/banyanseam/entry/app.py
+++ b/banyanseam/entry/app.py
@@ -18,7 +18,6 @@
     METRICS_PORT,
     MIN_KEEP_ALIVE_S,
     SETTINGS_PERIOD_S,
-    STOP_MARGIN_S,
     SUSPENDED_S,
 )
 from banyanseam.entry.crash_suspects import CrashSuspects
@@ -34,7 +33,7 @@
 )
 from banyanseam.entry.gossip import GossipExchange
 from banyanseam.entry.heartbeats import Heartbeats
-from banyanseam.entry.leaving import Leaving
+from banyanseam.entry.leaving import Leaving, StopLimits
 from banyanseam.entry.listed_upstream import ListedUpstream
 from banyanseam.entry.local_candidates import list_local_candidates
 from banyanseam.entry.local_endpoints import make_directory_app, make_readiness_app
@@ -104,6 +103,7 @@
         self.settings = settings
         self._reload_settings = reload_settings
         self.lifecycle = Lifecycle()
+        self.stop_limits = StopLimits()
         self.members = Members(
             Member(
                 ip=settings.ip,
@@ -222,10 +222,11 @@
             settings.peers_port,
             self.gossip.announce_loads,
             ByteBudget(int(memory_bytes * ANSWER_MEMORY_SHARE)),
+            stop_limits=self.stop_limits,
         )
         self.frontend = Frontend(
             caller_format,
-            Admission(self.values, self.quota, self.suspects),
+            Admission(self.values, self.quota, self.suspects, self.stop_limits),
             relay,
             self.values_fetcher,
             ByteBudget(int(memory_bytes * BODY_MEMORY_SHARE)),
@@ -418,16 +419,18 @@
         grace_s = self.settings.bounds.stop_grace_s
         log(DRAIN_STARTED, grace_s=grace_s, running=self.lifecycle.running_requests)
         self.lifecycle.begin_drain()
-        stop_s = began_s + grace_s - STOP_MARGIN_S
-        self.frontend.limit_deadlines(stop_s)
+        self.stop_limits.begin(grace_s, began_s)
+        self.frontend.limit_deadlines()
         await self.gossip.announce()
         await self._leave(Leaving(self.members, grace_s, began_s))
         # New requests are refused from here on; running ones complete.
         self.lifecycle.begin_closing()
+        self.frontend.refuse_waiting()
         await self.gossip.announce()
         callers, peers, *_ = self._servers
         callers.stop_listening()
-        with anyio.move_on_at(stop_s + STOP_MARGIN_S / 2):
+        limits = self.stop_limits
+        with anyio.move_on_at(limits.stop_s + limits.margin_s / 2):
             await self.lifecycle.wait_idle()
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(callers.close)
@@ -441,9 +444,10 @@
             left_s = leaving.find_left_s(now_s)
             if left_s <= 0:
                 return
+            self.stop_limits.has_others = not leaving.is_last(now_s)
             if not is_logged and leaving.is_extended(now_s):
                 is_logged = True
-                self.frontend.accepts_long = False
+                self.frontend.refuse_waiting()
                 log(STOP_DELAYED, region=self.settings.region)
             await anyio.sleep(min(left_s, LEAVE_CHECK_S))
 
--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -310,9 +310,8 @@
 # use a list three times as long as it is valid. Source: the platform's documentation.
 LAST_LEAVE_S: Final = 3 * LEAVING_LIST_VALIDITY_S + 0.3
 # The part of the grace period after which it accepts none in any case. Beyond LEAVE_S,
-# it accepts only requests for which this many times the longest duration is left.
+# it accepts only requests whose own deadline is before its end.
 MAX_LEAVE_SHARE: Final = 0.625
-LONGEST_FACTOR: Final = 1.25
 LEAVE_CHECK_S: Final = 0.1
 # Processes that began to leave within this time of each other, as far as others can
 # tell, count as leaving at the same time.
--- a/banyanseam/entry/frontend.py
+++ b/banyanseam/entry/frontend.py
@@ -13,8 +13,6 @@
 from banyanseam.entry.const import (
     CATCH_UP_S,
     CATCH_UP_SHARE,
-    LEAVING_RETRY_MS,
-    LONGEST_FACTOR,
     MIN_RETRY_AFTER_MS,
     START_WAIT_S,
 )
@@ -87,20 +85,25 @@
     lifecycle: Lifecycle
     metrics: Metrics
     first_peers: frozenset[str] = field(default_factory=frozenset)
-    # Whether requests are accepted that might last longer than this process.
-    accepts_long: bool = True
     # The requests that are running, by the scope that ends them at their deadline.
     running: dict[anyio.CancelScope, Exchange] = field(default_factory=dict)
 
-    def limit_deadlines(self, stop_s: float) -> None:
+    def limit_deadlines(self) -> None:
         """End all requests by the time at which this process stops.
 
         Callers then get an answer instead of a closed connection.
         """
-        self.admission.stop_s = stop_s
+        stop_s = self.admission.stop_limits.stop_s
         for scope, exchange in self.running.items():
             scope.deadline = min(scope.deadline, stop_s)
             exchange.deadline_s = min(exchange.deadline_s, stop_s)
+        self.refuse_waiting()
+
+    def refuse_waiting(self) -> None:
+        """Refuse requests that wait and might outlast this process once sent."""
+        for scope, exchange in self.running.items():
+            if not self.admission.stop_limits.allows(exchange):
+                scope.cancel()
 
 
 def make_callers_app(frontend: Frontend) -> AsgiApp:
@@ -242,21 +245,8 @@
     The caller can use another VM.
     """
     if frontend.lifecycle.closes_connections:
-        raise EntryLeaving(retry_after_ms=0)
-
-
-def _refuse_long_while_leaving(frontend: Frontend, exchange: Exchange) -> None:
-    """Raise EntryLeaving if a request might outlast this process."""
-    stop_s = frontend.admission.stop_s
-    # Unless the stop limits its deadline, that is the request's own.
-    if frontend.accepts_long or exchange.deadline_s < stop_s:
-        return
-    longest_ms = frontend.metrics.find_longest_ms(exchange.route.name)
-    if longest_ms is None:
-        longest_ms = exchange.route.timeout_ms
-    needed_s = LONGEST_FACTOR * longest_ms / 1000
-    if anyio.current_time() + needed_s > stop_s:
-        raise EntryLeaving(retry_after_ms=LEAVING_RETRY_MS)
+        limits = frontend.admission.stop_limits
+        raise EntryLeaving(retry_after_ms=limits.retry_after_ms)
 
 
 async def _adopt_senders_version(frontend: Frontend, forwarding: Forwarding) -> None:
@@ -293,7 +283,6 @@
         frontend.running[scope] = exchange
         try:
             with connection.watch(on_disconnect):
-                _refuse_long_while_leaving(frontend, exchange)
                 await frontend.relay.serve(exchange)
         finally:
             del frontend.running[scope]
@@ -305,6 +294,7 @@
         raise CallerGone
     if exchange.may_have_run:
         raise DeadlineExceeded
+    frontend.admission.stop_limits.check(exchange)
     raise RegionsFull(retry_after_ms=MIN_RETRY_AFTER_MS)
 
 
--- a/banyanseam/entry/metrics.py
+++ b/banyanseam/entry/metrics.py
@@ -2,15 +2,11 @@
 
 from collections import Counter
 from collections.abc import Iterator, Mapping
-from typing import Final
 
 import anyio
 
 from banyanseam.errors import BanyanseamError
-from banyanseam.observe.histograms import Histograms, Series, SeriesKey
-
-# Requests of a route without which nothing is known of how long they may take.
-MIN_DURATIONS: Final = 5
+from banyanseam.observe.histograms import Histograms, Series
 
 
 class Metrics:
@@ -47,11 +43,6 @@
                 now_s,
             )
 
-    def find_longest_ms(self, route: str) -> int | None:
-        """Return the longest duration of a route's requests; None if few have ended."""
-        key = SeriesKey(None, route, "duration_ms")
-        return self.histograms.find_max(key, MIN_DURATIONS)
-
     def _iterate(self) -> Iterator[Series]:
         for organisation in (None, *self.histograms.list_organisations()):
             yield from self.histograms.iterate(organisation, None)
--- a/banyanseam/entry/relay.py
+++ b/banyanseam/entry/relay.py
@@ -36,6 +36,7 @@
     UpstreamsUnreached,
 )
 from banyanseam.entry.exchange import Exchange
+from banyanseam.entry.leaving import StopLimits
 from banyanseam.entry.listed_upstream import ListedUpstream
 from banyanseam.entry.members import Member, Members
 from banyanseam.entry.messages import make_upstream_tag
@@ -134,6 +135,7 @@
     # Limits the memory of answers that are buffered until they are whole.
     answer_budget: ByteBudget
     peer_connections: PeerConnections = field(default_factory=PeerConnections)
+    stop_limits: StopLimits = field(default_factory=StopLimits)
 
     @property
     def chooser(self) -> Chooser:
@@ -190,6 +192,7 @@
             exchange.on_begun = self.take_ups.record_begin
         failure: BanyanseamError | None = None
         while True:
+            self.stop_limits.check(exchange)
             await self._confirm_origin(exchange)
             try:
                 placement = await self.chooser.wait_for_placement(exchange)
@@ -284,7 +287,7 @@
             recorder = self._make_recorder(exchange, placement)
 
             def record_write() -> None:
-                _record_sends(exchange)
+                self._begin_sends(exchange)
                 listed.usage.sent_s.append(anyio.current_time())
                 recorder.record_write(anyio.current_time())
 
@@ -389,7 +392,7 @@
         try:
             async with send(
                 outgoing,
-                lambda: _record_sends(exchange, granted),
+                lambda: self._begin_sends(exchange, granted),
                 connections=self.peer_connections,
             ) as incoming:
                 if not placement.candidate.is_relayed:
@@ -429,6 +432,11 @@
                 placement.candidate.is_relayed
             )
 
+    def _begin_sends(self, exchange: Exchange, sends: int = 1) -> None:
+        """Record sends that begin; raise EntryLeaving if there may be none any more."""
+        self.stop_limits.check(exchange)
+        _record_sends(exchange, sends)
+
     def _record_version_gone(
         self, exchange: Exchange, placement: Placement, peer: Member
     ) -> None:
@@ -685,7 +693,7 @@
     return strip_peer_headers(lowered)
 
 
-def _record_sends(exchange: Exchange, sends: int = 1) -> None:
+def _record_sends(exchange: Exchange, sends: int) -> None:
     exchange.sends += sends
     exchange.events_of_send = 0
     exchange.may_have_run_before = exchange.may_have_run
--- a/banyanseam/observe/histograms.py
+++ b/banyanseam/observe/histograms.py
@@ -174,17 +174,6 @@
             percentiles=values,
         )
 
-    def find_max(self, key: SeriesKey, min_count: int) -> int | None:
-        """Return the largest value of both windows, at once.
-
-        None if they have fewer values than `min_count`, which is 1 or more.
-        """
-        windows = (self._previous, self._current)
-        found = [each for window in windows if (each := window.find(key)) is not None]
-        if sum(each.get_total_count() for each in found) < min_count:
-            return None
-        return max(each.get_max_value() for each in found)
-
     def iterate(
         self, organisation: str | None, request_class: str | None
     ) -> Iterator[Series]:
