Let requests run for seven eighths of a short grace period too

What callers saw: with a grace period under 3.6 s the running requests of a stopping VM were ended with 504 before the last sixth of it, though they had time left; with 0.5 s, before the signal's moment even. Found by the generator of tests.entry.test_planned_stop, by no report.

Cause: 0.6 s were reserved for the exit of the process whatever the length of the grace period. Now it is an eighth at most.

--- a/banyanseam/entry/const.py
+++ b/banyanseam/entry/const.py
@@ -316,5 +316,7 @@
 # Processes that began to leave within this time of each other, as far as others can
 # tell, count as leaving at the same time.
 SAME_LEAVE_S: Final = 1.0
-# Part of the grace period that is reserved for the exit of the process itself.
+# Part of the grace period that is reserved for the exit of the process itself, and its
+# largest share: requests may run for five sixths. Source: the platform's documentation.
 STOP_MARGIN_S: Final = 0.6
+MAX_STOP_MARGIN_SHARE: Final = 1 / 8
--- a/banyanseam/entry/leaving.py
+++ b/banyanseam/entry/leaving.py
@@ -13,6 +13,7 @@
     LEAVE_S,
     LEAVING_RETRY_MS,
     MAX_LEAVE_SHARE,
+    MAX_STOP_MARGIN_SHARE,
     SAME_LEAVE_S,
     STOP_MARGIN_S,
 )
@@ -50,7 +51,7 @@
 
     def begin(self, grace_s: float, began_s: float) -> None:
         """Begin the planned stop of a process that ends after its grace period."""
-        self.margin_s = STOP_MARGIN_S
+        self.margin_s = min(STOP_MARGIN_S, MAX_STOP_MARGIN_SHARE * grace_s)
         self.stop_s = began_s + grace_s - self.margin_s
         self._certain_from_s = began_s + choose_leave_s(grace_s)
 
--- a/tests/entry/test_planned_stop.py
+++ b/tests/entry/test_planned_stop.py
@@ -61,7 +61,7 @@
 
 
 def draw_case(rng: random.Random) -> Case:
-    grace_s = rng.choice((4.0, 8.0, 8.0, 20.0, 60.0))
+    grace_s = rng.choice((0.5, 1.0, 3.0, 8.0, 8.0, 20.0, 60.0))
     return Case(
         path=rng.choice(PATHS),
         grace_s=grace_s,
@@ -200,6 +200,15 @@
                 self.assertEqual((caller.status, runs), (503, []))
                 self.assertAlmostEqual(caller.sent_s + caller.took_s, 2.3, delta=0.2)
 
+    # A short grace period ended running requests long before its end.
+    def test_running_requests_use_five_sixths_of_any_grace_period(self):
+        for path, grace_s in product(PATHS, (0.5, 1.0, 2.0, 3.0, 8.0, 60.0)):
+            case = Case(path, grace_s, -0.5, 0.0, 90.0, 90.0, attempts=1)
+            with self.subTest(path, grace_s=grace_s):
+                _, (run,) = self.play(case)
+                self.assertGreaterEqual(run.ended_s, MIN_RUN_SHARE * grace_s)
+                self.assertLess(run.ended_s, grace_s)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/faults/test_late_in_a_stop.py
+++ b/tests/faults/test_late_in_a_stop.py
@@ -13,6 +13,7 @@
 # After this time a VM that stops takes no more requests, and within the grace it ends.
 CLOSING_S = 3.0
 GRACE_S = 8.0
+SHORT_GRACE_S = 2
 OUTLASTS_GRACE_S = 20.0
 BODY = b"a booking"
 
@@ -99,6 +100,36 @@
 
         anyio.run(scenario, backend_options={"use_uvloop": True})
 
+    # The exit of the process was given the same time in a grace period of any length.
+    def test_a_short_grace_period_is_used_and_still_leaves_time_for_an_answer(self):
+        async def scenario():
+            async with start_platform_fleet(
+                {"gulf": 1}, UPSTREAMS, grace_s=SHORT_GRACE_S
+            ) as fleet:
+                await lengthen_timeouts(fleet)
+                fleet.upstreams["d1"].pause_s = OUTLASTS_GRACE_S
+                answers = []
+
+                async def ask():
+                    long = {"request-deadline": "20000"}
+                    answers.append(await fleet.ask("gulf-1", "/read/x", headers=long))
+                    answers.append(anyio.current_time())
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(ask)
+                    await anyio.sleep(0.3)
+                    began_s = anyio.current_time()
+                    fleet.stop("gulf-1", signal.SIGTERM)
+                    # As the platform does, if the process has not ended.
+                    await anyio.sleep(SHORT_GRACE_S)
+                    if fleet.vms["gulf-1"].child.is_running:
+                        fleet.stop("gulf-1", signal.SIGKILL)
+                answer, ended_s = answers
+                self.assertEqual((answer.status, answer.broken), (504, None))
+                self.assertGreater(ended_s - began_s, 5 / 6 * SHORT_GRACE_S)
+
+        anyio.run(scenario, backend_options={"use_uvloop": True})
+
     def test_a_grace_period_that_was_just_shortened_cuts_off_no_answer(self):
         async def scenario():
             async with start_platform_fleet({"gulf": 1}, UPSTREAMS) as fleet:
