Keep when an answer began over two attempts beside each other

A stream's upstream broke off in silence before its first event, the next one fell silent in it too, and a third one brought it: the request then held that its answer had begun at 0. That time decides whether the upstream which began a stream is checked for a restart before another one goes on (ORDER); with 0 it never is. Nobody reported it; no caller was seen to be harmed.

Cause: each attempt beside another has a copy of the request's state. The time was recorded in the copy between, and the last one's own 0 was copied back over it. Now it is recorded where the caller is answered, and each copy takes it from there after each write.

test_the_third_attempt_knows_when_the_answer_began failed before, "begun at 0.000, the caller's answer at 1.820". Engines of the simulation can play a script of pauses and events now.

--- a/banyanseam/entry/stream_moves.py
+++ b/banyanseam/entry/stream_moves.py
@@ -137,7 +137,7 @@
         reply = self._silent.reply
         if self._silent.origin is None and self.exchange.origin is not None:
             self._silent.origin = self.exchange.origin
-            self._silent.on_begun(self.exchange)
+            self._silent.on_begun(self._silent)
         if self._head is not None:
             await reply.start(self._head["status"], self._head["headers"])
             self._head = None
@@ -145,6 +145,8 @@
             await reply.finish(body)
         else:
             await reply.write(body)
+        # The caller got the first part through the exchange that answers it.
+        self.exchange.begun_s = self._silent.begun_s
 
 
 class _Mover:
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -85,6 +85,9 @@
 ACTING_VM: ContextVar[str] = ContextVar("acting_vm", default="")
 # Faults of a send to a peer, which serves the request unless it is unreachable.
 PEER_FAULTS = ("refused", "lost", "answer lost", "cut")
+# What an engine sends for a stream, instead of a fault: pauses in seconds, and what
+# `_play_script` knows.
+Script = tuple[str | float, ...]
 
 
 @dataclass(slots=True)
@@ -162,7 +165,7 @@
     runs: dict[str, list[Run]] = field(default_factory=dict)
     callers: list[Caller] = field(default_factory=list)
     # Faults of a request's sends to upstreams and to peers, in order.
-    faults: dict[str, list[str]] = field(default_factory=dict)
+    faults: dict[str, list[str | Script]] = field(default_factory=dict)
     peer_faults: dict[str, list[str]] = field(default_factory=dict)
     # How often a request was forwarded to a peer.
     forwards: Counter[str] = field(default_factory=Counter)
@@ -309,7 +312,7 @@
         self,
         vm: str,
         path: str,
-        faults: list[str],
+        faults: list[str | Script],
         peer_faults: list[str],
         segments: bytes = b"",
         *,
@@ -726,9 +729,46 @@
     return b"".join(events)
 
 
+def _play_script(
+    first: int, script: Script, request_id: str, software: str | None
+) -> list[bytes | float | None]:
+    """Return the parts of an engine's answer that a script describes."""
+    parts: list[bytes | float | None] = []
+    number, sent = first, 0
+
+    def make(number: int) -> bytes:
+        return make_event(number, request_id, software)
+
+    for step in script:
+        if step == "break":
+            return [*parts, None]
+        if step == "gap":
+            # Nobody can know with which number an answer begins.
+            return [*parts, make(number + (number > 1)), None]
+        if isinstance(step, float):
+            parts.append(step)
+        elif step == "comment" and not sent:
+            parts.append(COMMENT)
+        elif step == "part" and not sent:
+            sent = 5
+            parts.append(make(number)[:sent])
+        elif step == "rest":
+            for each in range(number, EVENTS + 1):
+                parts += [EVENT_PAUSE_S, make(each)[sent:]]
+                sent = 0
+        elif step in ("event", "event and part") and number <= EVENTS:
+            # The part of the following event comes with the same bytes.
+            following = make(number + 1)[:5] if step == "event and part" else b""
+            parts.append(make(number)[sent:] + following)
+            number, sent = number + 1, len(following)
+    return parts
+
+
 def _list_events(
-    first: int, fault: str, request_id: str, software: str | None
+    first: int, fault: str | Script, request_id: str, software: str | None
 ) -> list[bytes | float | None]:
+    if isinstance(fault, tuple):
+        return _play_script(first, fault, request_id, software)
     parts: list[bytes | float | None] = []
     for number in range(first, EVENTS + 1):
         if fault == "empty":
