Take an event behind a gap for the end of a stream, not for a sign of life

What callers saw: a stream that ended visibly broken although another upstream was about to go on with it. A silent upstream's next event had skipped one; this counted as progress, which ends the attempt beside it, and then as the failure that it is.

Cause: progress and the upstream's software were recorded before the number of the event was looked at. Now the number comes first.

test_an_event_after_a_gap_does_not_end_the_attempt_beside_it failed before with two attempts: none was left to follow.

--- a/banyanseam/entry/answers.py
+++ b/banyanseam/entry/answers.py
@@ -100,6 +100,8 @@
     splitter = EventSplitter()
     while (chunk := await progress.read(incoming.body)) is not None:
         for event in splitter.feed(chunk):
+            # An event that breaks the stream off is no sign that its upstream goes on.
+            _check_number(exchange, event)
             if not event.is_comment:
                 progress.record_event(anyio.current_time())
                 exchange.record_event()
@@ -121,16 +123,23 @@
     await exchange.reply.finish()
 
 
+def _check_number(exchange: Exchange, event: StreamEvent) -> None:
+    """Raise AnswerGap if events are missing before this one."""
+    last = exchange.last_event
+    if last is None or event.is_comment:
+        return
+    if event.number is None:
+        raise AnswerGap(f"an event without a number follows {last}")
+    if event.number > last + 1:
+        raise AnswerGap(f"event {event.number} follows {last}")
+
+
 async def _relay_event(
     exchange: Exchange, answer: AnswerHead, event: StreamEvent
 ) -> None:
     last = exchange.last_event
-    if event.number is None and last is not None and not event.is_comment:
-        raise AnswerGap(f"an event without a number follows {last}")
-    if event.number is not None and last is not None and event.number != last + 1:
-        if event.number <= last:
-            return
-        raise AnswerGap(f"event {event.number} follows {last}")
+    if event.number is not None and last is not None and event.number <= last:
+        return
     if not exchange.reply.is_started:
         exchange.record_begin()
         await exchange.reply.start(answer.status, answer.headers)
--- a/tests/entry/test_stream_orders.py
+++ b/tests/entry/test_stream_orders.py
@@ -208,6 +208,17 @@
             with self.subTest(order):
                 self.assertEqual(list(find_faults(order)), [])
 
+    # The silent upstream's answer ended with a gap, and so did the sound attempt
+    # beside it, which had no attempt left to be followed by.
+    def test_an_event_after_a_gap_does_not_end_the_attempt_beside_it(self):
+        first = ("event", 1.1, "gap")
+        for attempts in (2, 3, 4):
+            order = Order(attempts, "near", (first, (0.35, "rest")), (), False, None)
+            with self.subTest(order):
+                _, caller, _ = play(order)
+                self.assertTrue(caller.is_whole)
+                self.assertEqual(list(find_faults(order)), [])
+
 
 if __name__ == "__main__":
     unittest.main()
