Let a planned stop wait for the requests of other regions

In the daemon with published seats, a request that another region's daemon had forwarded was cut off if it outlasted the stop by more than the requests of the daemon's own callers did: forward.lost, for a booking with an unknown outcome.

A draining daemon without callers was idle as soon as its connections began to close. Now the forward server counts each request from its arrival until its end was sent.

--- a/banyanseam/daemon/lifecycle.py
+++ b/banyanseam/daemon/lifecycle.py
@@ -1,6 +1,7 @@
 """Life cycle of a daemon, with a planned stop that waits for running requests."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from enum import StrEnum
 from typing import Final
 
@@ -87,6 +88,15 @@
             self._idle = anyio.Event()
             self._enter(Stage.CLOSING)
 
+    @contextmanager
+    def count_request(self) -> Iterator[None]:
+        """Count a request as running, so that a stop waits for its end."""
+        self.request_started()
+        try:
+            yield
+        finally:
+            self.request_ended()
+
     def request_ended(self) -> None:
         """Count the end of a request, by its answer or its caller's disconnect."""
         self.running_requests -= 1
--- a/banyanseam/daemon/serving.py
+++ b/banyanseam/daemon/serving.py
@@ -94,6 +94,7 @@
         region,
         lambda: view.store.config,
         pipelines.from_peers,
+        lifecycle.count_request,
     )
     view.network.on_link_lost(forward_server.cancel_requests_from)
     view.store.on_adopted(forward_server.resume_waiting)
--- a/banyanseam/pipe/serve_forwarded.py
+++ b/banyanseam/pipe/serve_forwarded.py
@@ -1,6 +1,7 @@
 """The serving side: answer requests that daemons of other regions forward."""
 
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 
 import anyio
 from anyio.abc import TaskGroup
@@ -76,13 +77,19 @@
         region: str,
         get_config: Callable[[], Config | None],
         serve: Next,
+        count_request: Callable[[], AbstractContextManager[None]] = nullcontext,
     ) -> None:
-        """Register the handlers; `serve` runs the filters that follow admission."""
+        """Register the handlers.
+
+        `serve` runs the filters that follow admission; a planned stop waits until what
+        `count_request` returns has been left.
+        """
         self._network = network
         self._tasks = tasks
         self._region = region
         self._get_config = get_config
         self._serve = serve
+        self._count_request = count_request
         self._running: dict[
             tuple[PeerIdentity, int], tuple[RemoteSink, anyio.CancelScope, Exchange]
         ] = {}
@@ -118,6 +125,10 @@
             running[1].cancel()
 
     async def _run(self, peer: PeerIdentity, opened: ForwardOpen) -> None:
+        with self._count_request():
+            await self._run_counted(peer, opened)
+
+    async def _run_counted(self, peer: PeerIdentity, opened: ForwardOpen) -> None:
         sink = RemoteSink(self._network, peer.seat, opened)
         exchange = _make_exchange(peer, opened, sink)
         with anyio.CancelScope(deadline=exchange.deadline_s) as scope:
--- a/tests/pipe/test_forward.py
+++ b/tests/pipe/test_forward.py
@@ -3,6 +3,7 @@
 import anyio
 
 from banyanseam.config.compile import compile_config
+from banyanseam.daemon.lifecycle import Lifecycle, drain
 from banyanseam.peers.errors import PeerUnreachable
 from banyanseam.peers.forward_messages import ForwardEnd, ForwardOpen
 from banyanseam.pipe.errors import ForwardFailed
@@ -89,6 +90,47 @@
         self.assertEqual(run_with_mock_clock(forward, 0.2), "served")
         self.assertEqual(run_with_mock_clock(forward, 60.0), ("config.not_ready", True))
 
+    # A stop did not wait for requests of other regions, and cut them off.
+    def test_a_planned_stop_waits_for_forwarded_requests(self):
+        config = make_config()
+        took_s = 30.0
+
+        async def stop_while_serving():
+            fabric = FakeFabric()
+            entry, delta = fabric.join("gulf-1"), fabric.join("delta-1")
+            lifecycle = Lifecycle()
+            lifecycle.begin_serving()
+
+            async def serve(exchange):
+                await anyio.sleep(took_s)
+
+            async def forward():
+                exchange = make_exchange(
+                    path="/v1/chat/completions",
+                    route=config.routes["chat"],
+                    organisation=config.organisations["acme"],
+                    deadline_s=anyio.current_time() + 60,
+                )
+                await Forwarder(entry).forward(exchange, "delta-1")
+
+            async with anyio.create_task_group() as tasks:
+                ForwardServer(
+                    delta,
+                    tasks,
+                    "delta",
+                    lambda: config,
+                    serve,
+                    lifecycle.count_request,
+                )
+                tasks.start_soon(forward)
+                await anyio.sleep(1.0)
+                is_idle = await drain(lifecycle, 5000)
+                return is_idle, anyio.current_time()
+
+        is_idle, stopped_s = run_with_mock_clock(stop_while_serving)
+        self.assertTrue(is_idle)
+        self.assertGreaterEqual(stopped_s, took_s)
+
     def test_the_stricter_residency_of_two_versions_applies(self):
         open_config = make_config()
         base, overlays = make_documents()
