Accept nothing in a drain that its deadline lets outlast the process

The daemon with published seats stops 600 s after its connections begin to close, whatever runs, and accepted requests until then, of callers and of other regions, on routes whose deadline may be up to an hour: they were cut off.

Now a request whose deadline is after that limit is refused as not run (request.may_outlast_stop), so that the caller uses another daemon. Requests from before the closing still run until the limit and are cut there if they last longer: those that have a deadline beyond it are not refused while callers may hold an older list of daemons.

test_a_stop_accepts_only_requests_that_end_before_its_limit counts what a drain accepts on the paused clock; there was no such check before.

--- a/banyanseam/daemon/lifecycle.py
+++ b/banyanseam/daemon/lifecycle.py
@@ -1,5 +1,6 @@
 """Life cycle of a daemon, with a planned stop that waits for running requests."""
 
+import math
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from enum import StrEnum
@@ -43,6 +44,8 @@
         """Begin at STARTING, without requests."""
         self.state = Stage.STARTING
         self.running_requests = 0
+        # When requests that still run are cut off, once connections close.
+        self.stop_s = math.inf
         self._idle = anyio.Event()
         self._watchers: list[Callable[[Stage], None]] = []
 
@@ -97,6 +100,10 @@
         finally:
             self.request_ended()
 
+    def may_outlast(self, deadline_s: float) -> bool:
+        """Return whether a request that arrives now could be cut off by the stop."""
+        return deadline_s > self.stop_s
+
     def request_ended(self) -> None:
         """Count the end of a request, by its answer or its caller's disconnect."""
         self.running_requests -= 1
@@ -153,6 +160,7 @@
     lifecycle.begin_drain()
     await anyio.sleep(spread_s + validity_ms / 1000)
     lifecycle.begin_closing()
+    lifecycle.stop_s = anyio.current_time() + limit_s
     with anyio.move_on_after(limit_s):
         await lifecycle.wait_idle()
     return lifecycle.state is Stage.IDLE
--- a/banyanseam/daemon/serving.py
+++ b/banyanseam/daemon/serving.py
@@ -28,6 +28,7 @@
 from banyanseam.pipe.queue import make_queue_filter
 from banyanseam.pipe.retry import RetryBudget, retry_once
 from banyanseam.pipe.serve_forwarded import ForwardServer
+from banyanseam.pipe.stop import refuse_outlasting
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +74,7 @@
 
     filters = Filters(
         recorder=recorder,
+        stop=refuse_outlasting(lifecycle.may_outlast),
         quota=quota.filter_,
         idempotency=idempotency.filter_,
         retry=retry_once(RetryBudget(), get_retry_share),
--- a/banyanseam/pipe/errors.py
+++ b/banyanseam/pipe/errors.py
@@ -93,6 +93,16 @@
     not_run = True
 
 
+class MayOutlastStop(BanyanseamError):
+    """The request may last longer than this process, which is stopping."""
+
+    code = "request.may_outlast_stop"
+    event = 1308
+    status = 503
+    title = "This daemon is stopping; use another one"
+    not_run = True
+
+
 class BodyTooLarge(BanyanseamError):
     """The body is larger than any route accepts."""
 
--- a/banyanseam/pipe/pipeline.py
+++ b/banyanseam/pipe/pipeline.py
@@ -19,6 +19,7 @@
     """The stateful filters, created by the daemon's composition."""
 
     recorder: Recorder
+    stop: Filter
     quota: Filter
     idempotency: Filter
     retry: Filter
@@ -44,6 +45,7 @@
         refuse_loops,
         authenticate(get_config),
         route(get_config),
+        filters.stop,
         apply_residency,
         set_cost,
         filters.idempotency,
@@ -56,6 +58,7 @@
     # The forwarding daemon has admitted and charged the request. The serving one
     # checks key, route and residency against its own configuration before this chain.
     from_peers: list[Filter] = [
+        filters.stop,
         set_cost,
         filters.idempotency,
         filters.retry,
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -1,9 +1,12 @@
 import unittest
+from contextlib import suppress
 
 import anyio
 
 from banyanseam.daemon.lifecycle import Lifecycle, Stage, WrongStage, drain, leave
-from tests.common import run_with_mock_clock
+from banyanseam.pipe.errors import MayOutlastStop
+from banyanseam.pipe.stop import refuse_outlasting
+from tests.common import make_exchange, run_with_mock_clock
 
 
 class LifecycleTests(unittest.TestCase):
@@ -71,6 +74,37 @@
             lifecycle.request_ended()
         return results[0]
 
+    # Requests whose deadline is after the limit of a stop were accepted and cut off.
+    def test_a_stop_accepts_only_requests_that_end_before_its_limit(self):
+        async def main():
+            lifecycle = Lifecycle()
+            lifecycle.begin_serving()
+            lifecycle.request_started()
+            accepted = []
+
+            async def serve(_):
+                accepted.append(anyio.current_time())
+
+            async def ask_every_minute():
+                filter_ = refuse_outlasting(lifecycle.may_outlast)
+                while True:
+                    now_s = anyio.current_time()
+                    with suppress(MayOutlastStop):
+                        await filter_(make_exchange(deadline_s=now_s + 300), serve)
+                    await anyio.sleep(60)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask_every_minute)
+                began_s = anyio.current_time()
+                self.assertFalse(await drain(lifecycle, 5000, limit_s=600, spread_s=10))
+                stopped_s = anyio.current_time()
+                tasks.cancel_scope.cancel()
+            self.assertEqual(stopped_s - began_s, 615)
+            self.assertLessEqual(max(accepted) + 300, stopped_s)
+            self.assertGreater(max(accepted) + 360, stopped_s)
+
+        run_with_mock_clock(main)
+
     def test_steps_out_of_order_are_refused(self):
         lifecycle = Lifecycle()
         with self.assertRaises(WrongStage):
