--- a/banyanseam/entry/errors.py
+++ b/banyanseam/entry/errors.py
@@ -73,7 +73,7 @@
 
 
 class EntryLeaving(BanyanseamError):
-    """The process is stopping and no longer accepts requests."""
+    """The process is stopping and accepts no request, or none that might outlast it."""
 
     code = "entry.leaving"
     event = 1926
--- a/tests/run.py
+++ b/tests/run.py
@@ -46,6 +46,7 @@
     "tests.daemon.test_config_service",
     "tests.faults.test_leaving",
     "tests.cli.test_against_daemon",
+    "tests.entry.test_planned_stop",
     "tests.faults.test_soak",
     "tests.peers.test_membership",
 )
